--- /dev/null
+++ b/sardinestream/base/base_test.cc
@@ -0,0 +1,73 @@
+#include <cstdlib>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "sardinestream/base/digest.h"
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/base/outcome.h"
+#include "sardinestream/base/settings.h"
+
+namespace sardinestream {
+namespace {
+
+using testing::HasSubstr;
+
+TEST(error_test, status_carries_step_and_peer)
+{
+    const absl::Status status =
+        make_error(absl::StatusCode::kUnavailable, "bind_key", "platform", "reset");
+    EXPECT_EQ(step_of(status), "bind_key");
+    EXPECT_EQ(peer_of(status), "platform");
+}
+
+TEST(error_test, first_origin_wins)
+{
+    const absl::Status inner = make_error(absl::StatusCode::kUnavailable, "read", "agent-1", "cut");
+    EXPECT_EQ(step_of(with_origin(inner, "route", "agent-2")), "read");
+}
+
+TEST(digest_test, sha256_matches_the_published_vector)
+{
+    EXPECT_EQ(sha256_hex("abc"),
+              "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST(log_test, values_with_spaces_are_quoted)
+{
+    EXPECT_EQ(format_event("x", {{"a", "one two"}, {"b", 3}}), "event=x a=\"one two\" b=3");
+}
+
+TEST(metrics_test, counters_and_histograms_are_rendered)
+{
+    count("test_total", {{"code", "a"}}, 2);
+    observe_seconds("test_seconds", {}, 0.01);
+    EXPECT_EQ(counter_value("test_total", {{"code", "a"}}), 2U);
+    EXPECT_NEAR(quantile_seconds("test_seconds", {}, 0.5), 0.01, 0.002);
+    EXPECT_THAT(render_metrics(), HasSubstr("test_total{code=\"a\"} 2"));
+    EXPECT_THAT(render_metrics(), HasSubstr("test_seconds_count 1"));
+}
+
+TEST(outcome_test, unknown_number_is_a_protocol_error)
+{
+    EXPECT_EQ(refusal_code_from(8), refusal_code::team_limit);
+    EXPECT_EQ(refusal_code_from(9999), refusal_code::protocol_error);
+}
+
+TEST(settings_test, addresses_are_parsed_and_checked)
+{
+    EXPECT_EQ(parse_address("127.0.0.1:80")->port, 80);
+    EXPECT_FALSE(parse_address("localhost:80").ok());
+    EXPECT_FALSE(parse_address("127.0.0.1:70000").ok());
+    EXPECT_EQ(parse_addresses("127.0.0.1:1, 127.0.0.1:2").value().size(), 2U);
+}
+
+TEST(settings_test, range_error_names_flag_value_and_range)
+{
+    EXPECT_EQ(check_range("port", 0, 1, 9).message(), "--port=0: allowed is 1 to 9");
+}
+
+} // namespace
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/base/log.cc
@@ -0,0 +1,117 @@
+#include "sardinestream/base/log.h"
+
+#include <vector>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/escaping.h"
+
+namespace sardinestream {
+namespace {
+
+constexpr char logger_name[] = "sardinestream";
+
+log4cxx::LoggerPtr logger()
+{
+    static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger(logger_name);
+    return instance;
+}
+
+log4cxx::LevelPtr to_level(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+bool needs_quotes(absl::string_view value)
+{
+    return value.empty() || value.find_first_of(" =\"\n\t\r") != absl::string_view::npos;
+}
+
+void append_field(std::string& line, const log_field& field)
+{
+    if (needs_quotes(field.value)) {
+        absl::StrAppend(&line, " ", field.key, "=\"", absl::CEscape(field.value), "\"");
+        return;
+    }
+    absl::StrAppend(&line, " ", field.key, "=", field.value);
+}
+
+} // namespace
+
+void start_logging(log_level minimum, absl::string_view process, absl::string_view instance)
+{
+    const std::string pattern =
+        absl::StrCat("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p process=", process,
+                     " instance=", instance, " %m%n");
+    auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(to_level(minimum));
+}
+
+bool parse_log_level(absl::string_view text, log_level& level)
+{
+    if (text == "debug") {
+        level = log_level::debug;
+    }
+    else if (text == "info") {
+        level = log_level::info;
+    }
+    else if (text == "warning") {
+        level = log_level::warning;
+    }
+    else if (text == "error") {
+        level = log_level::error;
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+std::string format_event(absl::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line = absl::StrCat("event=", event);
+    for (const log_field& field : fields) {
+        append_field(line, field);
+    }
+    return line;
+}
+
+void log_event(absl::string_view event, std::initializer_list<log_field> fields, log_level level)
+{
+    const log4cxx::LevelPtr native_level = to_level(level);
+    if (!logger()->isEnabledFor(native_level)) {
+        return;
+    }
+    logger()->forcedLog(native_level, format_event(event, fields));
+}
+
+void log_failure(absl::string_view event, const absl::Status& status,
+                 std::initializer_list<log_field> fields)
+{
+    std::string line = format_event(event, fields);
+    append_field(line, {"status", absl::StatusCodeToString(status.code())});
+    append_field(line, {"step", step_of(status)});
+    append_field(line, {"peer", peer_of(status)});
+    append_field(line, {"message", std::string(status.message())});
+    logger()->forcedLog(log4cxx::Level::getWarn(), line);
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/base/log.h
@@ -0,0 +1,57 @@
+// Structured logs: one line of key=value pairs for each event, written through log4cxx.
+//
+//     log_event("request_refused", {{"request", id}, {"code", code}, {"outcome", "not_run"}});
+//
+// writes `time=2026-12-04T08:00:00.123Z level=info event=request_refused request=... code=...`.
+// Event names are stable; docs/OPERATORS.md lists them. Never pass a secret as a value.
+
+#ifndef SARDINESTREAM_BASE_LOG_H_
+#define SARDINESTREAM_BASE_LOG_H_
+
+#include <initializer_list>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+
+namespace sardinestream {
+
+enum class log_level { debug, info, warning, error };
+
+// One key=value pair of a log line. Numbers are formatted; text is quoted only where it must be.
+struct log_field {
+    log_field(absl::string_view name, absl::string_view text) : key(name), value(text) {}
+    log_field(absl::string_view name, const char* text) : key(name), value(text) {}
+    log_field(absl::string_view name, const std::string& text) : key(name), value(text) {}
+    log_field(absl::string_view name, const absl::AlphaNum& number)
+        : key(name), value(number.Piece())
+    {
+    }
+
+    std::string key;
+    std::string value;
+};
+
+// Directs logs to standard error and drops events below `minimum`. Call once, before any thread.
+// `process` and `instance` head every line.
+void start_logging(log_level minimum, absl::string_view process, absl::string_view instance);
+
+// Parses debug, info, warning or error. Returns false for any other text.
+[[nodiscard]] bool parse_log_level(absl::string_view text, log_level& level);
+
+// Writes one event. Thread-safe.
+void log_event(absl::string_view event, std::initializer_list<log_field> fields,
+               log_level level = log_level::info);
+
+// Writes one event about a failure, with the status's code, step, peer and message. Thread-safe.
+void log_failure(absl::string_view event, const absl::Status& status,
+                 std::initializer_list<log_field> fields = {});
+
+// Returns the line's key=value part, for tests and for the writer itself.
+[[nodiscard]] std::string format_event(absl::string_view event,
+                                       std::initializer_list<log_field> fields);
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_BASE_LOG_H_
--- /dev/null
+++ b/sardinestream/base/outcome.h
@@ -0,0 +1,82 @@
+// What became of a request, and why: the vocabulary of every answer that is not a success.
+//
+// Use `refusal` wherever a request ends without the backend server's own answer.
+// `docs/OPERATORS.md` explains each code; codes never change their meaning.
+
+#ifndef SARDINESTREAM_BASE_OUTCOME_H_
+#define SARDINESTREAM_BASE_OUTCOME_H_
+
+#include <cstdint>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+
+namespace sardinestream {
+
+// Whether the request was run. `not_run` is said only by the process that knows that no byte of the
+// request was handed to a backend server.
+enum class run_outcome : std::uint8_t {
+    not_run = 0,
+    unknown = 1,
+    failed = 2,
+};
+
+enum class refusal_code : std::uint16_t {
+    none = 0,
+    bad_request = 1,
+    unauthorized = 2,
+    unknown_service = 3,
+    body_too_large = 4,
+    idempotency_key_required = 5,
+    key_reused = 6,
+    ticket_invalid = 7,
+    team_limit = 8,
+    deadline_too_short = 9,
+    no_backend_server = 10,
+    overloaded = 11,
+    retry_budget = 12,
+    store_unavailable = 13,
+    draining = 14,
+    crash_suspect = 15,
+    backend_lost = 16,
+    bound_agent_gone = 17,
+    bound_agent_unreachable = 18,
+    backend_error = 19,
+    deadline_exceeded = 20,
+    too_many_connections = 21,
+    not_ready = 22,
+    stream_cut = 23,
+    cancelled = 24,
+    protocol_error = 25,
+    answer_expired = 26,
+};
+
+// A request's end without a backend server's answer.
+struct refusal {
+    refusal_code code = refusal_code::none;
+    run_outcome outcome = run_outcome::unknown;
+    // When the caller may come back; zero where coming back would not help.
+    absl::Duration retry_after = absl::ZeroDuration();
+    // A courtesy for people; nothing depends on it.
+    std::string message;
+    // Where it arose.
+    std::string step;
+    std::string peer;
+};
+
+// Returns the machine code, such as "team_limit".
+[[nodiscard]] absl::string_view to_string(refusal_code code);
+
+// Returns "not_run", "unknown" or "failed".
+[[nodiscard]] absl::string_view to_string(run_outcome outcome);
+
+// Returns the HTTP status that goes with the code.
+[[nodiscard]] int http_status_of(refusal_code code);
+
+// Returns the code with the given number, or `protocol_error` where there is none.
+[[nodiscard]] refusal_code refusal_code_from(std::uint16_t number);
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_BASE_OUTCOME_H_
