Add the wire package: authenticated links with streams, credit and heartbeats

Cause: entry and agent need one protocol before any slice can be built. Change: TLS 1.3 with a pre-shared key (mutual authentication without certificates to look after), 24-byte frame header with the catalogue number, verified FlatBuffers payloads, many streams on a link, flow control per stream, heartbeats that find a frozen peer. Found while testing: two streams opened at once may arrive in the other order, so a stream is opened by its frame type, not by the order of ids. Before: no transport.

--- a/cmake/sardine.cmake
+++ b/cmake/sardine.cmake
@@ -1,11 +1,14 @@
 # Build rules shared by all packages: one target per component, dependencies always spelt out.
 
+# GCC 12 reports these two falsely inside std::string.
+set(SARDINE_WARNINGS -Wall -Wextra -Werror -Wno-maybe-uninitialized -Wno-restrict)
+
 # sardine_library(<name> SOURCES <files> DEPS <targets>)
 function(sardine_library name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_library(${name} STATIC ${ARG_SOURCES})
   target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR})
-  target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
+  target_compile_options(${name} PRIVATE ${SARDINE_WARNINGS})
   target_link_libraries(${name} PUBLIC ${ARG_DEPS} Threads::Threads)
 endfunction()
 
@@ -14,7 +17,7 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
-  target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
+  target_compile_options(${name} PRIVATE ${SARDINE_WARNINGS})
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} Threads::Threads)
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
--- a/sardinestream/base/settings.cc
+++ b/sardinestream/base/settings.cc
@@ -49,7 +49,7 @@
 {
     std::vector<address> addresses;
     for (absl::string_view part : absl::StrSplit(text, ',', absl::SkipWhitespace())) {
-        absl::StatusOr<address> parsed = parse_address(part);
+        absl::StatusOr<address> parsed = parse_address(absl::StripAsciiWhitespace(part));
         if (!parsed.ok()) {
             return parsed.status();
         }
--- /dev/null
+++ b/sardinestream/wire/link_server.cc
@@ -0,0 +1,166 @@
+#include "sardinestream/wire/link_server.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <unistd.h>
+
+#include "sardinestream/base/log.h"
+
+namespace sardinestream::wire {
+namespace {
+
+constexpr absl::Duration shortest_redial_pause = absl::Milliseconds(50);
+constexpr absl::Duration longest_redial_pause = absl::Seconds(1);
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<link_server>>
+link_server::create(std::shared_ptr<const link_options> options, const address& local)
+{
+    absl::StatusOr<std::unique_ptr<tcp_listener>> listening = tcp_listener::create(local);
+    if (!listening.ok()) {
+        return listening.status();
+    }
+    std::unique_ptr<link_server> made(new link_server(std::move(options), *std::move(listening)));
+    made->accepting = std::thread([server = made.get()] { server->accept_links(); });
+    return made;
+}
+
+link_server::link_server(std::shared_ptr<const link_options> link_settings,
+                         std::unique_ptr<tcp_listener> listening)
+    : options(std::move(link_settings)), listener(std::move(listening))
+{
+}
+
+link_server::~link_server()
+{
+    this->listener->shut_down();
+    this->accepting.join();
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+        for (const std::shared_ptr<peer_link>& link : this->active) {
+            link->shut_down();
+        }
+    }
+    this->connections.wait_until_empty(absl::InfiniteFuture());
+}
+
+std::vector<std::shared_ptr<peer_link>> link_server::links() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return {this->active.begin(), this->active.end()};
+}
+
+void link_server::accept_links()
+{
+    while (true) {
+        absl::StatusOr<int> accepted = this->listener->accept();
+        if (!accepted.ok()) {
+            return;
+        }
+        if (!this->connections.spawn([this, descriptor = *accepted] { this->serve(descriptor); })) {
+            close(*accepted);
+        }
+    }
+}
+
+void link_server::serve(int descriptor)
+{
+    absl::StatusOr<std::shared_ptr<peer_link>> link = peer_link::accept(this->options, descriptor);
+    if (!link.ok()) {
+        log_failure("link_refused", link.status());
+        return;
+    }
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->active.insert(*link);
+        if (this->stopping) {
+            (*link)->shut_down();
+        }
+    }
+    log_event("link_accepted", {{"peer", (*link)->remote().id}});
+    const absl::Status why = (*link)->run();
+    log_failure("link_ended", why, {{"link", (*link)->remote().id}});
+    const absl::MutexLock lock(&this->mutex);
+    this->active.erase(*link);
+}
+
+link_dialer::link_dialer(std::shared_ptr<const link_options> link_settings, address remote)
+    : options(std::move(link_settings)), remote_address(std::move(remote)),
+      dialling([this] { this->keep_link(); })
+{
+}
+
+link_dialer::~link_dialer()
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+        if (this->link != nullptr) {
+            this->link->shut_down();
+        }
+    }
+    this->dialling.join();
+}
+
+std::shared_ptr<peer_link> link_dialer::current() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->link != nullptr && this->link->usable() ? this->link : nullptr;
+}
+
+std::shared_ptr<peer_link> link_dialer::wait_until_up(absl::Time deadline) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto is_up = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+        return this->link != nullptr && this->link->usable();
+    };
+    this->mutex.AwaitWithDeadline(absl::Condition(&is_up), deadline);
+    return is_up() ? this->link : nullptr;
+}
+
+void link_dialer::keep_link()
+{
+    absl::Duration next_pause = shortest_redial_pause;
+    while (true) {
+        absl::StatusOr<std::shared_ptr<peer_link>> made =
+            peer_link::dial(this->options, this->remote_address);
+        {
+            const absl::MutexLock lock(&this->mutex);
+            if (this->stopping) {
+                // `on_up` has run for a link that was made: let `run` end it with `on_down`.
+                if (made.ok()) {
+                    (*made)->shut_down();
+                }
+            }
+            else if (made.ok()) {
+                this->link = *made;
+            }
+        }
+        if (made.ok()) {
+            next_pause = shortest_redial_pause;
+            const absl::Status why = (*made)->run();
+            log_failure("link_ended", why, {{"link", (*made)->remote().id}});
+        }
+        {
+            const absl::MutexLock lock(&this->mutex);
+            this->link = nullptr;
+            if (this->stopping) {
+                return;
+            }
+        }
+        this->pause(next_pause);
+        next_pause = std::min(2 * next_pause, longest_redial_pause);
+    }
+}
+
+void link_dialer::pause(absl::Duration time)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), time);
+}
+
+} // namespace sardinestream::wire
--- /dev/null
+++ b/sardinestream/wire/peer_link.cc
@@ -0,0 +1,418 @@
+#include "sardinestream/wire/peer_link.h"
+
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::wire {
+
+stream::stream(std::shared_ptr<peer_link> link, std::uint64_t id)
+    : owner(std::move(link)), stream_id(id), send_credit(owner->options().stream_window_bytes)
+{
+}
+
+stream::~stream()
+{
+    this->owner->forget_stream(this->stream_id);
+    bool must_cancel = false;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        must_cancel = !this->finished && this->end_reason == absl::StatusCode::kOk;
+    }
+    if (must_cancel) {
+        this->owner->send_frame(frame_type::cancel, this->stream_id, "").IgnoreError();
+    }
+}
+
+absl::Status stream::send(frame_type type, absl::string_view payload)
+{
+    if (is_data_frame(type)) {
+        SARDINE_RETURN_IF_ERROR(this->take_credit(payload.size()));
+    }
+    return this->owner->send_frame(type, this->stream_id, payload);
+}
+
+absl::Status stream::take_credit(std::size_t bytes)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto may_send = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+        return this->send_credit > 0 || this->end_reason != absl::StatusCode::kOk;
+    };
+    this->mutex.Await(absl::Condition(&may_send));
+    if (this->end_reason != absl::StatusCode::kOk) {
+        return make_error(absl::StatusCode::kCancelled, "send_data", this->owner->remote().id,
+                          "the exchange has ended");
+    }
+    this->send_credit -= static_cast<std::int64_t>(bytes);
+    return absl::OkStatus();
+}
+
+bool stream::has_frame_or_ended() const
+{
+    return !this->inbox.empty() || this->end_reason != absl::StatusCode::kOk;
+}
+
+absl::StatusOr<frame> stream::receive(absl::Time deadline)
+{
+    frame next;
+    std::uint32_t credit_bytes = 0;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->mutex.AwaitWithDeadline(absl::Condition(this, &stream::has_frame_or_ended),
+                                           deadline)) {
+            return make_error(absl::StatusCode::kDeadlineExceeded, "receive",
+                              this->owner->remote().id, "timeout");
+        }
+        if (this->inbox.empty()) {
+            return make_error(this->end_reason, "receive", this->owner->remote().id,
+                              "the exchange has ended");
+        }
+        next = std::move(this->inbox.front());
+        this->inbox.pop_front();
+        if (is_data_frame(next.header.type)) {
+            this->uncredited_bytes += next.header.payload_bytes;
+        }
+        if (this->uncredited_bytes >= this->owner->options().stream_window_bytes / 2) {
+            credit_bytes = std::exchange(this->uncredited_bytes, 0);
+        }
+    }
+    if (credit_bytes > 0) {
+        creditT credit;
+        credit.bytes = credit_bytes;
+        this->owner->send_frame(frame_type::credit, this->stream_id, encode<wire::credit>(credit))
+            .IgnoreError();
+    }
+    return next;
+}
+
+bool stream::ended() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->end_reason != absl::StatusCode::kOk;
+}
+
+void stream::finish()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->finished = true;
+}
+
+void stream::deliver(frame received)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->inbox.push_back(std::move(received));
+}
+
+void stream::add_credit(std::uint32_t bytes)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->send_credit += bytes;
+}
+
+void stream::end(absl::StatusCode reason)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->end_reason == absl::StatusCode::kOk) {
+        this->end_reason = reason;
+    }
+}
+
+peer_link::peer_link(std::shared_ptr<const link_options> options,
+                     std::unique_ptr<secure_socket> connected, bool is_dialled)
+    : configuration(std::move(options)), socket(std::move(connected)), dialled(is_dialled),
+      next_stream_id(is_dialled ? 1 : 2)
+{
+    this->last_received_ns = absl::ToUnixNanos(absl::Now());
+}
+
+absl::StatusOr<std::shared_ptr<peer_link>>
+peer_link::dial(std::shared_ptr<const link_options> options, const address& remote)
+{
+    absl::StatusOr<std::unique_ptr<secure_socket>> connected =
+        secure_socket::connect(options->tls, remote, options->connect_timeout);
+    if (!connected.ok()) {
+        return connected.status();
+    }
+    std::shared_ptr<peer_link> made(new peer_link(std::move(options), *std::move(connected), true));
+    SARDINE_RETURN_IF_ERROR(made->exchange_hello());
+    return made;
+}
+
+absl::StatusOr<std::shared_ptr<peer_link>>
+peer_link::accept(std::shared_ptr<const link_options> options, int descriptor)
+{
+    absl::StatusOr<std::unique_ptr<secure_socket>> connected =
+        secure_socket::accept(options->tls, descriptor, options->connect_timeout);
+    if (!connected.ok()) {
+        return connected.status();
+    }
+    std::shared_ptr<peer_link> made(
+        new peer_link(std::move(options), *std::move(connected), false));
+    SARDINE_RETURN_IF_ERROR(made->exchange_hello());
+    return made;
+}
+
+absl::Status peer_link::exchange_hello()
+{
+    // A peer that accepts the connection and then says nothing must not hold this thread.
+    std::atomic<bool> done{false};
+    absl::Mutex wait_mutex;
+    std::thread guard([this, &done, &wait_mutex] {
+        const absl::MutexLock lock(&wait_mutex);
+        const bool in_time = wait_mutex.AwaitWithTimeout(
+            absl::Condition(
+                +[](std::atomic<bool>* flag) { return flag->load(); }, &done),
+            this->options().connect_timeout);
+        if (!in_time) {
+            this->socket->shut_down();
+        }
+    });
+    absl::Status status =
+        this->send_frame(frame_type::hello, 0, encode<hello>(this->options().local_hello()));
+    absl::StatusOr<frame> first = this->read_frame();
+    {
+        const absl::MutexLock lock(&wait_mutex);
+        done = true;
+    }
+    guard.join();
+    SARDINE_RETURN_IF_ERROR(with_origin(status, "hello", this->socket->peer()));
+    if (!first.ok()) {
+        return first.status();
+    }
+    if (first->header.type != frame_type::hello) {
+        return make_error(absl::StatusCode::kFailedPrecondition, "hello", this->socket->peer(),
+                          "the peer refused the link");
+    }
+    absl::StatusOr<helloT> said = decode<hello>(first->payload);
+    if (!said.ok()) {
+        return with_origin(said.status(), "hello", this->socket->peer());
+    }
+    this->remote_hello = *std::move(said);
+    this->highest_catalogue_number = 0;
+    if (this->options().hooks.on_up) {
+        this->options().hooks.on_up(this->shared_from_this());
+    }
+    this->note_catalogue_number(first->header.catalogue_number);
+    return absl::OkStatus();
+}
+
+absl::Status peer_link::run()
+{
+    std::thread heartbeats([this] { this->send_heartbeats(); });
+    absl::Status why;
+    while (true) {
+        absl::StatusOr<frame> received = this->read_frame();
+        if (!received.ok()) {
+            why = received.status();
+            break;
+        }
+        this->note_catalogue_number(received->header.catalogue_number);
+        this->dispatch(*std::move(received));
+    }
+    this->shut_down();
+    heartbeats.join();
+    this->end_streams();
+    if (this->options().hooks.on_down) {
+        this->options().hooks.on_down(this->shared_from_this());
+    }
+    return why;
+}
+
+void peer_link::shut_down()
+{
+    this->lost = true;
+    this->socket->shut_down();
+}
+
+std::shared_ptr<stream> peer_link::open_stream()
+{
+    const absl::MutexLock lock(&this->mutex);
+    const std::uint64_t id = this->next_stream_id;
+    this->next_stream_id += 2;
+    std::shared_ptr<stream> opened(new stream(this->shared_from_this(), id));
+    this->streams[id] = opened;
+    if (this->lost) {
+        opened->end(absl::StatusCode::kUnavailable);
+    }
+    return opened;
+}
+
+absl::Status peer_link::send_link_frame(frame_type type, absl::string_view payload)
+{
+    return this->send_frame(type, 0, payload);
+}
+
+absl::Status peer_link::send_frame(frame_type type, std::uint64_t stream_id,
+                                   absl::string_view payload)
+{
+    if (this->lost) {
+        return make_error(absl::StatusCode::kCancelled, "send_frame", this->remote_hello.id,
+                          "the link was lost before");
+    }
+    if (payload.size() > max_payload_bytes) {
+        return make_error(
+            absl::StatusCode::kInvalidArgument, "send_frame", this->remote_hello.id,
+            absl::StrCat("payload of ", payload.size(), " bytes, at most ", max_payload_bytes));
+    }
+    frame_header header;
+    header.payload_bytes = static_cast<std::uint32_t>(payload.size());
+    header.type = type;
+    header.stream_id = stream_id;
+    if (this->options().hooks.catalogue_number) {
+        header.catalogue_number = this->options().hooks.catalogue_number();
+    }
+    const auto head = encode_header(header);
+    // One write for both parts, so that frames of other threads cannot come between them.
+    std::string bytes(head.data(), head.size());
+    bytes.append(payload.data(), payload.size());
+    absl::Status status = this->socket->write(bytes, this->options().peer_timeout);
+    if (!status.ok()) {
+        this->shut_down();
+    }
+    return with_origin(status, "send_frame", this->remote_hello.id);
+}
+
+absl::StatusOr<frame> peer_link::read_frame()
+{
+    std::array<char, header_bytes> head{};
+    SARDINE_RETURN_IF_ERROR(this->socket->read(head.data(), head.size()));
+    absl::StatusOr<frame_header> header =
+        decode_header(absl::string_view(head.data(), head.size()));
+    if (!header.ok()) {
+        count("sardine_frames_malformed_total");
+        return header.status();
+    }
+    frame received;
+    received.header = *header;
+    received.payload.resize(header->payload_bytes);
+    SARDINE_RETURN_IF_ERROR(this->socket->read(received.payload.data(), received.payload.size()));
+    this->last_received_ns = absl::ToUnixNanos(absl::Now());
+    return received;
+}
+
+void peer_link::note_catalogue_number(std::uint64_t number)
+{
+    if (number <= this->highest_catalogue_number) {
+        return;
+    }
+    this->highest_catalogue_number = number;
+    if (this->options().hooks.on_catalogue_number) {
+        this->options().hooks.on_catalogue_number(this->shared_from_this(), number);
+    }
+}
+
+void peer_link::dispatch(frame received)
+{
+    const link_hooks& hooks = this->options().hooks;
+    if (received.header.stream_id != 0) {
+        this->dispatch_to_stream(std::move(received));
+        return;
+    }
+    if (received.header.type != frame_type::heartbeat) {
+        if (hooks.on_link_frame) {
+            hooks.on_link_frame(this->shared_from_this(), received);
+        }
+        return;
+    }
+    if (hooks.on_heartbeat) {
+        hooks.on_heartbeat(this->shared_from_this(), received.payload);
+    }
+}
+
+void peer_link::dispatch_to_stream(frame received)
+{
+    const std::uint64_t id = received.header.stream_id;
+    std::shared_ptr<stream> target = this->find_stream(id);
+    if (received.header.type == frame_type::cancel) {
+        if (target != nullptr) {
+            target->end(absl::StatusCode::kCancelled);
+        }
+        return;
+    }
+    if (received.header.type == frame_type::credit) {
+        absl::StatusOr<creditT> granted = decode<credit>(received.payload);
+        if (target != nullptr && granted.ok()) {
+            target->add_credit(granted->bytes);
+        }
+        return;
+    }
+    if (target != nullptr) {
+        target->deliver(std::move(received));
+        return;
+    }
+    const bool opened_by_peer = (id % 2 == 1) != this->dialled;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!opened_by_peer || !opens_stream(received.header.type)) {
+            return; // late frame of an exchange that has ended here
+        }
+        target.reset(new stream(this->shared_from_this(), id));
+        this->streams[id] = target;
+    }
+    if (this->options().hooks.on_stream) {
+        this->options().hooks.on_stream(target, std::move(received));
+    }
+}
+
+void peer_link::send_heartbeats()
+{
+    const link_options& limits = this->options();
+    while (!this->lost) {
+        heartbeatT beat;
+        if (limits.hooks.heartbeat_payload) {
+            const std::string payload = limits.hooks.heartbeat_payload();
+            beat.payload.assign(payload.begin(), payload.end());
+        }
+        this->send_frame(frame_type::heartbeat, 0, encode<heartbeat>(beat)).IgnoreError();
+        const absl::Time next = absl::Now() + limits.heartbeat_interval;
+        while (!this->lost && absl::Now() < next) {
+            absl::SleepFor(std::min(next - absl::Now(), absl::Milliseconds(50)));
+        }
+        const absl::Duration silence =
+            absl::Now() - absl::FromUnixNanos(this->last_received_ns.load());
+        if (!this->lost && silence > limits.peer_timeout) {
+            count("sardine_links_silent_total");
+            log_event("peer_silent",
+                      {{"peer", this->remote_hello.id},
+                       {"silent_ms", absl::ToInt64Milliseconds(silence)}},
+                      log_level::warning);
+            this->shut_down();
+        }
+    }
+}
+
+void peer_link::end_streams()
+{
+    std::vector<std::shared_ptr<stream>> open;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        for (const auto& [id, weak] : this->streams) {
+            if (std::shared_ptr<stream> alive = weak.lock()) {
+                open.push_back(std::move(alive));
+            }
+        }
+    }
+    for (const std::shared_ptr<stream>& each : open) {
+        each->end(absl::StatusCode::kUnavailable);
+    }
+}
+
+void peer_link::forget_stream(std::uint64_t id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->streams.erase(id);
+}
+
+std::shared_ptr<stream> peer_link::find_stream(std::uint64_t id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    auto found = this->streams.find(id);
+    return found == this->streams.end() ? nullptr : found->second.lock();
+}
+
+} // namespace sardinestream::wire
--- /dev/null
+++ b/sardinestream/wire/wire_test.cc
@@ -0,0 +1,154 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/wire/frame.h"
+#include "sardinestream/wire/link_server.h"
+
+namespace sardinestream::wire {
+namespace {
+
+constexpr char test_key[] = "a key for this test only";
+
+std::shared_ptr<link_options> make_options(const std::string& id, absl::string_view key = test_key)
+{
+    auto options = std::make_shared<link_options>();
+    options->tls = tls_context::create(key).value();
+    options->local_hello = [id] {
+        helloT said;
+        said.id = id;
+        said.incarnation = 7;
+        return said;
+    };
+    return options;
+}
+
+// Answers every stream with its own first payload, as one data frame.
+std::shared_ptr<link_options> make_echo_options()
+{
+    auto options = make_options("echo");
+    options->hooks.on_stream = [](const std::shared_ptr<stream>& opened, frame first) {
+        EXPECT_TRUE(opened->send(frame_type::response_chunk, first.payload).ok());
+        opened->finish();
+    };
+    return options;
+}
+
+absl::Time soon()
+{
+    return absl::Now() + absl::Seconds(20);
+}
+
+TEST(frame_test, header_survives_the_round_trip)
+{
+    frame_header header;
+    header.payload_bytes = 5;
+    header.type = frame_type::map_vote;
+    header.stream_id = 1ULL << 40;
+    header.catalogue_number = 99;
+    const auto bytes = encode_header(header);
+    const frame_header decoded =
+        decode_header(absl::string_view(bytes.data(), bytes.size())).value();
+    EXPECT_EQ(decoded.type, frame_type::map_vote);
+    EXPECT_EQ(decoded.stream_id, 1ULL << 40);
+    EXPECT_EQ(decoded.catalogue_number, 99U);
+}
+
+TEST(frame_test, unknown_version_and_oversize_are_refused)
+{
+    frame_header header;
+    header.version = 9;
+    auto bytes = encode_header(header);
+    EXPECT_FALSE(decode_header(absl::string_view(bytes.data(), bytes.size())).ok());
+    header.version = protocol_version;
+    header.payload_bytes = max_payload_bytes + 1;
+    bytes = encode_header(header);
+    EXPECT_FALSE(decode_header(absl::string_view(bytes.data(), bytes.size())).ok());
+}
+
+TEST(frame_test, garbage_payload_is_refused)
+{
+    EXPECT_FALSE(decode<hello>("not a table").ok());
+    EXPECT_FALSE(decode<hello>("").ok());
+}
+
+TEST(peer_link_test, streams_are_answered_on_one_link)
+{
+    auto server = link_server::create(make_echo_options(), {"127.0.0.1", 0}).value();
+    link_dialer dialer(make_options("caller"), server->local());
+    auto link = dialer.wait_until_up(soon());
+    ASSERT_NE(link, nullptr);
+    EXPECT_EQ(link->remote().id, "echo");
+    auto first = link->open_stream();
+    auto second = link->open_stream();
+    ASSERT_TRUE(second->send(frame_type::request_open, "two").ok());
+    ASSERT_TRUE(first->send(frame_type::request_open, "one").ok());
+    EXPECT_EQ(first->receive(soon())->payload, "one");
+    EXPECT_EQ(second->receive(soon())->payload, "two");
+}
+
+TEST(peer_link_test, a_peer_with_another_key_is_refused)
+{
+    auto server = link_server::create(make_echo_options(), {"127.0.0.1", 0}).value();
+    const auto dialled =
+        peer_link::dial(make_options("stranger", "another key, just as long"), server->local());
+    EXPECT_FALSE(dialled.ok());
+}
+
+TEST(peer_link_test, a_stream_that_nobody_reads_holds_up_no_other)
+{
+    auto options = make_options("flood");
+    auto sent = std::make_shared<std::atomic<int>>(0);
+    auto threads = std::make_shared<thread_group>();
+    options->hooks.on_stream = [sent, threads](const std::shared_ptr<stream>& opened, frame first) {
+        if (first.payload == "echo") {
+            EXPECT_TRUE(opened->send(frame_type::response_chunk, "echo").ok());
+            opened->finish();
+            return;
+        }
+        EXPECT_TRUE(threads->spawn([opened, sent] {
+            const std::string block(64 << 10, 'x');
+            while (opened->send(frame_type::response_chunk, block).ok()) {
+                ++*sent;
+            }
+        }));
+    };
+    auto server = link_server::create(options, {"127.0.0.1", 0}).value();
+    link_dialer dialer(make_options("caller"), server->local());
+    auto link = dialer.wait_until_up(soon());
+    ASSERT_NE(link, nullptr);
+    auto unread = link->open_stream();
+    ASSERT_TRUE(unread->send(frame_type::request_open, "flood").ok());
+    ASSERT_TRUE(unread->receive(soon()).ok());
+    auto other = link->open_stream();
+    ASSERT_TRUE(other->send(frame_type::request_open, "echo").ok());
+    EXPECT_EQ(other->receive(soon())->payload, "echo");
+    EXPECT_LE(*sent, 5);
+    unread.reset();
+    EXPECT_TRUE(threads->wait_until_empty(soon()));
+}
+
+TEST(peer_link_test, streams_end_when_the_link_is_lost)
+{
+    auto options = make_options("silent");
+    auto held = std::make_shared<std::vector<std::shared_ptr<stream>>>();
+    options->hooks.on_stream = [held](const std::shared_ptr<stream>& opened, const frame&) {
+        held->push_back(opened);
+    };
+    auto server = link_server::create(options, {"127.0.0.1", 0}).value();
+    link_dialer dialer(make_options("caller"), server->local());
+    auto link = dialer.wait_until_up(soon());
+    ASSERT_NE(link, nullptr);
+    auto opened = link->open_stream();
+    ASSERT_TRUE(opened->send(frame_type::request_open, "x").ok());
+    link->shut_down();
+    EXPECT_EQ(opened->receive(soon()).status().code(), absl::StatusCode::kUnavailable);
+    server.reset();
+}
+
+TEST(tcp_listener_test, an_address_in_use_is_refused)
+{
+    auto first = tcp_listener::create({"127.0.0.1", 0}).value();
+    EXPECT_FALSE(tcp_listener::create(first->local()).ok());
+}
+
+} // namespace
+} // namespace sardinestream::wire
