--- /dev/null
+++ b/sardinestream/platform/http_object_store.cc
@@ -0,0 +1,394 @@
+// The object store over HTTP and JSON, in the conventions of the Kubernetes API.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <httplib.h>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/platform/object_json.h"
+#include "sardinestream/platform/object_store.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr char json_type[] = "application/json";
+constexpr char merge_patch_type[] = "application/merge-patch+json";
+constexpr absl::Duration longest_connect = absl::Seconds(1);
+// How much later than asked for a watch may end before its connection counts as lost.
+constexpr absl::Duration watch_grace = absl::Seconds(2);
+constexpr std::size_t most_idle_connections = 16;
+
+bool is_read(const httplib::Request& request)
+{
+    return request.method == "GET";
+}
+
+// True for failures at which no byte of the request had left.
+bool nothing_sent(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
+absl::StatusCode code_of_answer(const httplib::Response& answer, bool read)
+{
+    const bool already_exists = parse_error_reason(answer.body) == "AlreadyExists";
+    switch (answer.status) {
+    case 404:
+        return absl::StatusCode::kNotFound;
+    case 409:
+        return already_exists ? absl::StatusCode::kAlreadyExists : absl::StatusCode::kAborted;
+    case 410:
+        return absl::StatusCode::kOutOfRange;
+    case 413:
+        return absl::StatusCode::kResourceExhausted;
+    case 429:
+        return absl::StatusCode::kUnavailable;
+    default:
+        break;
+    }
+    if (answer.status < 500) {
+        return absl::StatusCode::kInvalidArgument;
+    }
+    // A gateway says 502 to 504 after it has lost a request on the way, too.
+    return read ? absl::StatusCode::kUnavailable : absl::StatusCode::kUnknown;
+}
+
+bool is_success(int http_status)
+{
+    return http_status >= 200 && http_status < 300;
+}
+
+// Splits the chunks of a watch into lines.
+class line_reader {
+public:
+    // Hands each complete line to `on_line` until it returns false.
+    bool append(absl::string_view chunk, const std::function<bool(absl::string_view)>& on_line)
+    {
+        this->pending.append(chunk.data(), chunk.size());
+        std::size_t begin = 0;
+        bool wanted = true;
+        while (wanted) {
+            const std::size_t end = this->pending.find('\n', begin);
+            if (end == std::string::npos) {
+                break;
+            }
+            wanted = on_line(absl::string_view(this->pending).substr(begin, end - begin));
+            begin = end + 1;
+        }
+        this->pending.erase(0, begin);
+        return wanted;
+    }
+
+private:
+    std::string pending;
+};
+
+class http_object_store : public object_store {
+public:
+    explicit http_object_store(object_store_options options)
+        : settings(std::move(options)), idle(this->settings.servers.size())
+    {
+    }
+
+    absl::StatusOr<object> get(absl::string_view kind, absl::string_view name) override
+    {
+        return this->call_for_object(
+            kind, make_request("GET", this->path_of(kind, name), {}, json_type), "store_get");
+    }
+
+    absl::StatusOr<object_list> list(absl::string_view kind) override
+    {
+        absl::StatusOr<std::string> body =
+            this->call(make_request("GET", this->path_of(kind), {}, json_type), "store_list");
+        return body.ok() ? parse_object_list(kind, *body) : body.status();
+    }
+
+    absl::StatusOr<object> create_object(absl::string_view kind, absl::string_view name,
+                                         absl::string_view spec) override
+    {
+        return this->call_for_object(
+            kind,
+            make_request("POST", this->path_of(kind), body_of(kind, name, spec, 0), json_type),
+            "store_create");
+    }
+
+    absl::StatusOr<object> update(absl::string_view kind, absl::string_view name,
+                                  absl::string_view spec, std::uint64_t version) override
+    {
+        return this->call_for_object(kind,
+                                     make_request("PUT", this->path_of(kind, name),
+                                                  body_of(kind, name, spec, version), json_type),
+                                     "store_update");
+    }
+
+    absl::Status update_status(absl::string_view kind, absl::string_view name,
+                               absl::string_view status) override
+    {
+        return this
+            ->call(make_request("PATCH", absl::StrCat(this->path_of(kind, name), "/status"),
+                                absl::StrCat("{\"status\":", status, "}"), merge_patch_type),
+                   "store_update_status")
+            .status();
+    }
+
+    absl::Status remove(absl::string_view kind, absl::string_view name) override
+    {
+        return this
+            ->call(make_request("DELETE", this->path_of(kind, name), {}, json_type), "store_remove")
+            .status();
+    }
+
+    absl::Status watch(absl::string_view kind, std::uint64_t version, absl::Duration longest,
+                       const std::function<bool(const object_change&)>& on_change) override;
+
+    void cancel_watches() override
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->watches_cancelled = true;
+        for (httplib::Client* watching : this->watchers) {
+            watching->stop();
+        }
+    }
+
+private:
+    using client_pointer = std::unique_ptr<httplib::Client>;
+
+    static httplib::Request make_request(const std::string& method, const std::string& path,
+                                         std::string body, const std::string& type)
+    {
+        httplib::Request request;
+        request.method = method;
+        request.path = path;
+        request.body = std::move(body);
+        request.set_header("Content-Type", type);
+        return request;
+    }
+
+    static std::string body_of(absl::string_view kind, absl::string_view name,
+                               absl::string_view spec, std::uint64_t version)
+    {
+        object written;
+        written.kind = std::string(kind);
+        written.name = std::string(name);
+        written.spec = std::string(spec);
+        written.version = version;
+        return format_object(written);
+    }
+
+    std::string path_of(absl::string_view kind) const
+    {
+        return absl::StrCat("/apis/sardinestream.dev/v1/namespaces/", this->settings.name_space,
+                            "/", kind);
+    }
+
+    std::string path_of(absl::string_view kind, absl::string_view name) const
+    {
+        return absl::StrCat(this->path_of(kind), "/", name);
+    }
+
+    client_pointer make_client(std::size_t server) const
+    {
+        const address& remote = this->settings.servers[server];
+        auto client = std::make_unique<httplib::Client>(remote.ip, remote.port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_connection_timeout(
+            absl::ToChronoMicroseconds(std::min(longest_connect, this->settings.timeout)));
+        client->set_read_timeout(absl::ToChronoMicroseconds(this->settings.timeout));
+        client->set_write_timeout(absl::ToChronoMicroseconds(this->settings.timeout));
+        return client;
+    }
+
+    client_pointer take_client(std::size_t server)
+    {
+        {
+            const absl::MutexLock lock(&this->mutex);
+            std::vector<client_pointer>& pool = this->idle[server];
+            if (!pool.empty()) {
+                client_pointer taken = std::move(pool.back());
+                pool.pop_back();
+                return taken;
+            }
+        }
+        return this->make_client(server);
+    }
+
+    void give_back(std::size_t server, client_pointer client)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        std::vector<client_pointer>& pool = this->idle[server];
+        if (pool.size() < most_idle_connections) {
+            pool.push_back(std::move(client));
+        }
+    }
+
+    // The servers in the order in which they are tried: the last one that answered goes first.
+    std::vector<std::size_t> servers_in_turn() const
+    {
+        const absl::MutexLock lock(&this->mutex);
+        std::vector<std::size_t> order;
+        for (std::size_t i = 0; i < this->settings.servers.size(); ++i) {
+            order.push_back((this->preferred + i) % this->settings.servers.size());
+        }
+        return order;
+    }
+
+    void prefer(std::size_t server)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->preferred = server;
+    }
+
+    absl::StatusOr<std::string> call(const httplib::Request& request, absl::string_view step);
+
+    absl::StatusOr<object> call_for_object(absl::string_view kind, const httplib::Request& request,
+                                           absl::string_view step)
+    {
+        absl::StatusOr<std::string> body = this->call(request, step);
+        return body.ok() ? parse_object(kind, *body) : body.status();
+    }
+
+    absl::Status watch_on(std::size_t server, const httplib::Request& request,
+                          absl::Duration longest);
+
+    const object_store_options settings;
+    mutable absl::Mutex mutex;
+    // For each server the connections that no call is using.
+    std::vector<std::vector<client_pointer>> idle ABSL_GUARDED_BY(mutex);
+    std::size_t preferred ABSL_GUARDED_BY(mutex) = 0;
+    std::set<httplib::Client*> watchers ABSL_GUARDED_BY(mutex);
+    bool watches_cancelled ABSL_GUARDED_BY(mutex) = false;
+};
+
+absl::StatusOr<std::string> http_object_store::call(const httplib::Request& request,
+                                                    absl::string_view step)
+{
+    const bool read = is_read(request);
+    absl::Status failure;
+    for (const std::size_t server : this->servers_in_turn()) {
+        const std::string peer = this->settings.servers[server].to_string();
+        client_pointer client = this->take_client(server);
+        httplib::Result result = client->send(request);
+        if (result) {
+            this->prefer(server);
+            this->give_back(server, std::move(client));
+            count("sardine_store_calls_total", {{"step", std::string(step)}});
+            if (is_success(result->status)) {
+                return std::move(result->body);
+            }
+            return make_error(code_of_answer(*result, read), step, peer,
+                              absl::StrCat("status ", result->status));
+        }
+        count("sardine_store_failures_total",
+              {{"step", std::string(step)}, {"cause", httplib::to_string(result.error())}});
+        const bool retryable = read || nothing_sent(result.error());
+        failure =
+            make_error(retryable ? absl::StatusCode::kUnavailable : absl::StatusCode::kUnknown,
+                       step, peer, httplib::to_string(result.error()));
+        // A change is never tried on a second server once bytes of it may have left.
+        if (!retryable) {
+            return failure;
+        }
+    }
+    return failure;
+}
+
+absl::Status http_object_store::watch_on(std::size_t server, const httplib::Request& request,
+                                         absl::Duration longest)
+{
+    const std::string peer = this->settings.servers[server].to_string();
+    client_pointer client = this->make_client(server);
+    client->set_read_timeout(absl::ToChronoMicroseconds(longest + watch_grace));
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->watches_cancelled) {
+            return make_error(absl::StatusCode::kCancelled, "store_watch", peer, "shutting down");
+        }
+        this->watchers.insert(client.get());
+    }
+    count("sardine_store_calls_total", {{"step", "store_watch"}});
+    const httplib::Result result = client->send(request);
+    const absl::MutexLock lock(&this->mutex);
+    this->watchers.erase(client.get());
+    if (this->watches_cancelled) {
+        return make_error(absl::StatusCode::kCancelled, "store_watch", peer, "shutting down");
+    }
+    if (!result) {
+        return make_error(absl::StatusCode::kUnavailable, "store_watch", peer,
+                          httplib::to_string(result.error()));
+    }
+    if (!is_success(result->status)) {
+        return make_error(code_of_answer(*result, true), "store_watch", peer,
+                          absl::StrCat("status ", result->status));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status http_object_store::watch(absl::string_view kind, std::uint64_t version,
+                                      absl::Duration longest,
+                                      const std::function<bool(const object_change&)>& on_change)
+{
+    const std::int64_t seconds =
+        std::max<std::int64_t>(1, absl::ToInt64Seconds(absl::Ceil(longest, absl::Seconds(1))));
+    httplib::Request request =
+        make_request("GET",
+                     absl::StrCat(this->path_of(kind), "?watch=1&resourceVersion=", version,
+                                  "&timeoutSeconds=", seconds),
+                     {}, json_type);
+    line_reader lines;
+    absl::Status line_status;
+    bool ended_by_caller = false;
+    bool delivered = false;
+    const auto on_line = [&](absl::string_view line) {
+        if (line.empty()) {
+            return true;
+        }
+        absl::StatusOr<object_change> change = parse_change(kind, line);
+        if (!change.ok()) {
+            line_status = change.status();
+            return false;
+        }
+        delivered = true;
+        ended_by_caller = !on_change(*change);
+        return !ended_by_caller;
+    };
+    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t /*offset*/,
+                                   std::uint64_t /*total*/) {
+        return lines.append(absl::string_view(data, size), on_line);
+    };
+    absl::Status failure;
+    for (const std::size_t server : this->servers_in_turn()) {
+        failure = this->watch_on(server, request, absl::Seconds(seconds));
+        if (ended_by_caller) {
+            return absl::OkStatus();
+        }
+        if (!line_status.ok()) {
+            return line_status;
+        }
+        // Another server would deliver the same changes again.
+        if (delivered || !absl::IsUnavailable(failure)) {
+            return failure;
+        }
+    }
+    return failure;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<object_store>> object_store::create(object_store_options options)
+{
+    if (options.servers.empty()) {
+        return make_error(absl::StatusCode::kInvalidArgument, "store_create", "platform",
+                          "no server is named");
+    }
+    return std::make_unique<http_object_store>(std::move(options));
+}
+
+} // namespace sardinestream::platform
--- a/sardinestream/platform/object_store.h
+++ b/sardinestream/platform/object_store.h
@@ -9,8 +9,12 @@
 //     auto made = store->create_object("keybindings", name, R"({"agent":"a1"})");
 //     if (absl::IsAlreadyExists(made.status())) { ... }
 //
-// A call whose answer was lost fails with `kUnknown`: the change may have taken effect, so read
-// before deciding. `kUnavailable` means that nothing was sent. All functions are thread-safe.
+// A change whose answer was lost fails with `kUnknown`: it may have taken effect, so read before
+// deciding. A change that fails with `kUnavailable` has had no effect and will have none. A read
+// that fails either way fails with `kUnavailable`. All functions are thread-safe.
+//
+// Owns the connections to the platform. Never repeats a change by itself, and keeps no copy of any
+// object.
 
 #ifndef SARDINESTREAM_PLATFORM_OBJECT_STORE_H_
 #define SARDINESTREAM_PLATFORM_OBJECT_STORE_H_
@@ -36,6 +40,8 @@
     std::uint64_t version = 0;
     std::string spec;   // JSON text
     std::string status; // JSON text; "{}" where there is none
+    // Grows with every change of the spec and with no other.
+    std::uint64_t generation = 0;
 };
 
 struct object_list {
@@ -86,6 +92,10 @@
     [[nodiscard]] virtual absl::Status
     watch(absl::string_view kind, std::uint64_t version, absl::Duration longest,
           const std::function<bool(const object_change&)>& on_change) = 0;
+
+    // Ends the watches that are waiting and refuses new ones, for shutdown. They fail with
+    // `kCancelled`.
+    virtual void cancel_watches() = 0;
 };
 
 } // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/object_store_test.cc
@@ -0,0 +1,169 @@
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/platform/object_store.h"
+#include "sardinestream/testing/platform_standin.h"
+
+namespace sardinestream::platform {
+namespace {
+
+using sardinestream::testing::outage_mode;
+using sardinestream::testing::platform_standin;
+
+constexpr char kind[] = "catalogueentries";
+
+class object_store_test : public ::testing::Test {
+protected:
+    static std::unique_ptr<object_store> connect(std::vector<address> servers)
+    {
+        return object_store::create({.servers = std::move(servers), .timeout = absl::Seconds(1)})
+            .value();
+    }
+
+    std::unique_ptr<platform_standin> standin = platform_standin::create({"127.0.0.1", 0}).value();
+    std::unique_ptr<object_store> store = connect({this->standin->local()});
+};
+
+TEST_F(object_store_test, an_object_is_created_once)
+{
+    const object made = this->store->create_object(kind, "a", R"({"x":1})").value();
+    EXPECT_EQ(made.spec, R"({"x":1})");
+    EXPECT_EQ(made.generation, 1U);
+    EXPECT_TRUE(absl::IsAlreadyExists(this->store->create_object(kind, "a", "{}").status()));
+    EXPECT_EQ(this->store->get(kind, "a")->version, made.version);
+    EXPECT_TRUE(absl::IsNotFound(this->store->get(kind, "b").status()));
+}
+
+TEST_F(object_store_test, an_update_at_an_old_version_conflicts)
+{
+    const object first = this->store->create_object(kind, "a", R"({"x":1})").value();
+    const object second = this->store->update(kind, "a", R"({"x":2})", first.version).value();
+    EXPECT_GT(second.version, first.version);
+    EXPECT_TRUE(
+        absl::IsAborted(this->store->update(kind, "a", R"({"x":3})", first.version).status()));
+    EXPECT_EQ(this->store->get(kind, "a")->spec, R"({"x":2})");
+}
+
+TEST_F(object_store_test, a_status_keeps_spec_and_generation)
+{
+    const object made = this->store->create_object(kind, "a", R"({"x":1})").value();
+    ASSERT_TRUE(this->store->update_status(kind, "a", R"({"code":"none"})").ok());
+    const object read = this->store->get(kind, "a").value();
+    EXPECT_EQ(read.status, R"({"code":"none"})");
+    EXPECT_EQ(read.spec, R"({"x":1})");
+    EXPECT_EQ(read.generation, 1U);
+    EXPECT_GT(read.version, made.version);
+}
+
+TEST_F(object_store_test, a_lost_answer_is_unknown_and_the_change_stands)
+{
+    this->standin->lose_answers("POST", kind, 1);
+    EXPECT_TRUE(absl::IsUnknown(this->store->create_object(kind, "a", "{}").status()));
+    EXPECT_TRUE(this->store->get(kind, "a").ok());
+}
+
+TEST_F(object_store_test, a_hanging_platform_leaves_changes_unknown_and_reads_unavailable)
+{
+    this->standin->set_outage(outage_mode::hang);
+    EXPECT_TRUE(absl::IsUnknown(this->store->create_object(kind, "a", "{}").status()));
+    EXPECT_TRUE(absl::IsUnavailable(this->store->get(kind, "a").status()));
+    this->standin->set_outage(outage_mode::none);
+    EXPECT_TRUE(absl::IsNotFound(this->store->get(kind, "a").status()));
+}
+
+TEST_F(object_store_test, a_refused_connection_means_that_nothing_was_sent)
+{
+    const address gone = platform_standin::create({"127.0.0.1", 0}).value()->local();
+    auto lonely = connect({gone});
+    EXPECT_TRUE(absl::IsUnavailable(lonely->create_object(kind, "a", "{}").status()));
+    auto with_second = connect({gone, this->standin->local()});
+    EXPECT_TRUE(with_second->create_object(kind, "a", "{}").ok());
+}
+
+TEST_F(object_store_test, a_change_whose_answer_was_lost_is_not_tried_on_a_second_server)
+{
+    auto second = platform_standin::create({"127.0.0.1", 0}).value();
+    auto both = connect({this->standin->local(), second->local()});
+    this->standin->lose_answers("POST", kind, 1);
+    EXPECT_TRUE(absl::IsUnknown(both->create_object(kind, "a", "{}").status()));
+    EXPECT_TRUE(second->store().list(kind).objects.empty());
+}
+
+TEST_F(object_store_test, a_watch_delivers_what_follows_the_list)
+{
+    ASSERT_TRUE(this->store->create_object(kind, "a", "{}").ok());
+    const object_list listed = this->store->list(kind).value();
+    ASSERT_EQ(listed.objects.size(), 1U);
+    ASSERT_TRUE(this->store->create_object("instances", "i", "{}").ok());
+    ASSERT_TRUE(this->store->create_object(kind, "b", "{}").ok());
+    ASSERT_TRUE(this->store->remove(kind, "a").ok());
+    std::vector<std::string> seen;
+    const absl::Status watched = this->store->watch(
+        kind, listed.version, absl::Seconds(30), [&](const object_change& change) {
+            const bool removed = change.change == change_kind::removed;
+            seen.push_back((removed ? "-" : "+") + change.changed.name);
+            return !removed;
+        });
+    EXPECT_TRUE(watched.ok()) << watched;
+    EXPECT_EQ(seen, (std::vector<std::string>{"+b", "-a"}));
+}
+
+TEST_F(object_store_test, a_watch_waits_for_a_change)
+{
+    std::thread writer;
+    ASSERT_TRUE(this->store->create_object(kind, "first", "{}").ok());
+    const absl::Status watched =
+        this->store->watch(kind, 0, absl::Seconds(30), [&](const object_change& change) {
+            if (change.changed.name == "first") {
+                writer = std::thread(
+                    [this] { EXPECT_TRUE(this->store->create_object(kind, "later", "{}").ok()); });
+            }
+            return change.changed.name != "later";
+        });
+    EXPECT_TRUE(watched.ok()) << watched;
+    writer.join();
+}
+
+TEST_F(object_store_test, a_watch_from_before_a_compaction_is_out_of_range)
+{
+    ASSERT_TRUE(this->store->create_object(kind, "a", "{}").ok());
+    this->standin->store().compact();
+    const absl::Status watched =
+        this->store->watch(kind, 0, absl::Seconds(30), [](const object_change&) { return true; });
+    EXPECT_TRUE(absl::IsOutOfRange(watched)) << watched;
+}
+
+TEST_F(object_store_test, a_waiting_watch_is_cancelled)
+{
+    std::thread canceller;
+    ASSERT_TRUE(this->store->create_object(kind, "a", "{}").ok());
+    const absl::Status watched =
+        this->store->watch(kind, 0, absl::Seconds(30), [&](const object_change&) {
+            canceller = std::thread([this] { this->store->cancel_watches(); });
+            return true;
+        });
+    EXPECT_TRUE(absl::IsCancelled(watched)) << watched;
+    canceller.join();
+}
+
+TEST_F(object_store_test, a_value_over_the_limit_is_refused)
+{
+    const std::string large = "\"" + std::string(1U << 20, 'x') + "\"";
+    EXPECT_TRUE(absl::IsResourceExhausted(this->store->create_object(kind, "a", large).status()));
+}
+
+TEST_F(object_store_test, the_instance_list_shows_a_change_after_its_lag)
+{
+    this->standin->set_instance_lag(absl::Milliseconds(300));
+    const absl::Time changed = absl::Now();
+    this->standin->change_instance("e1", R"({"role":"entry"})");
+    EXPECT_TRUE(this->store->list("instances")->objects.empty());
+    const absl::Status watched = this->store->watch("instances", 0, absl::Seconds(30),
+                                                    [](const object_change&) { return false; });
+    EXPECT_TRUE(watched.ok()) << watched;
+    EXPECT_GE(absl::Now() - changed, absl::Milliseconds(300));
+}
+
+} // namespace
+} // namespace sardinestream::platform
