--- a/sardinestream/catalogue/acceptor.h
+++ b/sardinestream/catalogue/acceptor.h
@@ -33,7 +33,7 @@
 constexpr absl::Duration shortest_decision_pause = absl::Milliseconds(100);
 
 struct acceptor_options {
-    std::string id; // unique among the acceptors
+    std::string id = {}; // unique among the acceptors
     absl::Duration longest_watch = absl::Seconds(3);
     // How long an acceptor that did not write the index last leaves the decision to the one that
     // did.
--- a/sardinestream/catalogue/catalogue_service.h
+++ b/sardinestream/catalogue/catalogue_service.h
@@ -34,8 +34,8 @@
     std::string id;           // of this process
     bool watch_store = false; // a few processes of each data centre do
     bool accept = false;      // decides on entries; needs `watch_store`
-    store_sync_options sync;
-    acceptor_options deciding;
+    store_sync_options sync = {};
+    acceptor_options deciding = {};
     // How long a start that finds the platform out waits for more peers after the first number.
     absl::Duration settle_time = absl::Seconds(1);
 };
