--- a/sardinestream/base/outcome.cc
+++ b/sardinestream/base/outcome.cc
@@ -75,6 +75,8 @@
         return "not_run";
     case run_outcome::failed:
         return "failed";
+    case run_outcome::ran:
+        return "ran";
     case run_outcome::unknown:
         break;
     }
--- a/sardinestream/base/outcome.h
+++ b/sardinestream/base/outcome.h
@@ -20,6 +20,8 @@
     not_run = 0,
     unknown = 1,
     failed = 2,
+    // It ran and the backend server answered, but the answer is no longer kept.
+    ran = 3,
 };
 
 enum class refusal_code : std::uint16_t {
@@ -68,7 +70,7 @@
 // Returns the machine code, such as "team_limit".
 [[nodiscard]] absl::string_view to_string(refusal_code code);
 
-// Returns "not_run", "unknown" or "failed".
+// Returns "not_run", "unknown", "failed" or "ran".
 [[nodiscard]] absl::string_view to_string(run_outcome outcome);
 
 // Returns the HTTP status that goes with the code.
--- /dev/null
+++ b/sardinestream/suspects/suspects_test.cc
@@ -0,0 +1,206 @@
+#include <algorithm>
+#include <thread>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "sardinestream/suspects/solo_gate.h"
+#include "sardinestream/suspects/suspect_registry.h"
+
+namespace sardinestream::suspects {
+namespace {
+
+const digest128 poison = fingerprint_of("kasongan", "listings", "a body that crashes");
+const digest128 innocent = fingerprint_of("kasongan", "listings", "a chipped bowl");
+
+// A registry whose clock the test moves.
+struct clocked_registry {
+    std::shared_ptr<absl::Time> now = std::make_shared<absl::Time>(absl::FromUnixSeconds(10'000));
+    std::unique_ptr<suspect_registry> registry = suspect_registry::create(
+        {.refuse_for = absl::Minutes(10), .max_suspects = 3, .now = [clock = now] {
+             return *clock;
+         }});
+
+    [[nodiscard]] crash crash_number(std::uint64_t agent, std::uint64_t number) const
+    {
+        return {agent, 1, number, absl::ToUnixMillis(*this->now)};
+    }
+
+    void crash_with(std::vector<digest128> in_flight, std::uint64_t agent, std::uint64_t number)
+    {
+        this->registry->note_crash(in_flight, this->crash_number(agent, number));
+    }
+
+    [[nodiscard]] suspect_verdict verdict(digest128 fingerprint) const
+    {
+        return this->registry->judge(fingerprint).verdict;
+    }
+};
+
+TEST(suspect_registry, clears_what_was_never_in_a_crash)
+{
+    EXPECT_EQ(clocked_registry().verdict(innocent), suspect_verdict::clear);
+}
+
+TEST(suspect_registry, runs_a_suspect_alone_after_one_crash)
+{
+    clocked_registry entry;
+    entry.crash_with({poison, innocent}, 1, 1);
+    EXPECT_EQ(entry.verdict(poison), suspect_verdict::run_alone);
+    EXPECT_EQ(entry.verdict(innocent), suspect_verdict::run_alone);
+}
+
+TEST(suspect_registry, refuses_after_the_second_crash_for_the_time_that_remains)
+{
+    clocked_registry entry;
+    entry.crash_with({poison}, 1, 1);
+    entry.crash_with({poison}, 2, 1);
+    *entry.now += absl::Minutes(4);
+    EXPECT_EQ(entry.registry->judge(poison).verdict, suspect_verdict::refuse);
+    EXPECT_EQ(entry.registry->judge(poison).retry_after, absl::Minutes(6));
+}
+
+TEST(suspect_registry, counts_one_crash_once)
+{
+    clocked_registry entry;
+    entry.crash_with({poison}, 1, 1);
+    entry.crash_with({poison}, 1, 1);
+    EXPECT_EQ(entry.verdict(poison), suspect_verdict::run_alone);
+}
+
+TEST(suspect_registry, clears_a_suspect_that_completes)
+{
+    clocked_registry entry;
+    entry.crash_with({innocent}, 1, 1);
+    *entry.now += absl::Seconds(1);
+    EXPECT_TRUE(entry.registry->note_completed(innocent));
+    EXPECT_EQ(entry.verdict(innocent), suspect_verdict::clear);
+}
+
+TEST(suspect_registry, ignores_a_late_report_of_a_crash_before_the_completion)
+{
+    clocked_registry entry;
+    clocked_registry agent;
+    agent.crash_with({innocent}, 1, 1);
+    const std::string old_report = agent.registry->report();
+    ASSERT_TRUE(entry.registry->merge(old_report).ok());
+    *entry.now += absl::Seconds(1);
+    ASSERT_TRUE(entry.registry->note_completed(innocent));
+    EXPECT_FALSE(*entry.registry->merge(old_report));
+    EXPECT_EQ(entry.verdict(innocent), suspect_verdict::clear);
+}
+
+TEST(suspect_registry, tells_a_fresh_entry_what_agents_know)
+{
+    clocked_registry first_agent;
+    clocked_registry second_agent;
+    clocked_registry fresh_entry;
+    first_agent.crash_with({poison}, 1, 1);
+    second_agent.crash_with({poison}, 2, 1);
+    EXPECT_TRUE(*fresh_entry.registry->merge(first_agent.registry->report()));
+    EXPECT_TRUE(*fresh_entry.registry->merge(second_agent.registry->report()));
+    EXPECT_FALSE(*fresh_entry.registry->merge(second_agent.registry->report()));
+    EXPECT_EQ(fresh_entry.verdict(poison), suspect_verdict::refuse);
+}
+
+TEST(suspect_registry, passes_clearing_on)
+{
+    clocked_registry entry;
+    clocked_registry agent;
+    agent.crash_with({innocent}, 1, 1);
+    ASSERT_TRUE(entry.registry->merge(agent.registry->report()).ok());
+    *agent.now += absl::Seconds(1);
+    ASSERT_TRUE(agent.registry->note_completed(innocent));
+    EXPECT_TRUE(*entry.registry->merge(agent.registry->report()));
+    EXPECT_EQ(entry.verdict(innocent), suspect_verdict::clear);
+}
+
+TEST(suspect_registry, forgets_after_the_configured_time)
+{
+    clocked_registry entry;
+    entry.crash_with({poison}, 1, 1);
+    entry.crash_with({poison}, 2, 1);
+    *entry.now += absl::Minutes(10);
+    EXPECT_EQ(entry.verdict(poison), suspect_verdict::clear);
+}
+
+TEST(suspect_registry, stays_within_its_bound)
+{
+    clocked_registry entry;
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        entry.crash_with({fingerprint_of("a", "b", std::to_string(number))}, 1, number);
+    }
+    EXPECT_EQ(entry.registry->size(), 3U);
+}
+
+TEST(suspect_registry, refuses_a_report_that_does_not_verify)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(
+        suspect_registry::create()->merge("not a flatbuffer at all").status()));
+}
+
+// Whatever the order and however often reports are merged, every peer judges alike.
+RC_GTEST_PROP(suspect_registry, agrees_whatever_the_order_of_reports, ())
+{
+    clocked_registry left;
+    clocked_registry right;
+    right.now = left.now;
+    std::vector<std::string> reports;
+    const int length = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < length; ++i) {
+        clocked_registry agent;
+        const auto number = *rc::gen::inRange<std::uint64_t>(0, 4);
+        *agent.now += absl::Seconds(15 * number); // one crash has one time
+        agent.crash_with({poison}, number, number);
+        if (*rc::gen::weightedElement<bool>({{2, false}, {1, true}})) {
+            *agent.now += absl::Seconds(*rc::gen::inRange(0, 60));
+            RC_ASSERT(agent.registry->note_completed(poison));
+        }
+        reports.push_back(agent.registry->report());
+    }
+    for (const std::string& report : reports) {
+        RC_ASSERT(left.registry->merge(report).ok());
+    }
+    std::reverse(reports.begin(), reports.end());
+    for (const std::string& report : reports) {
+        RC_ASSERT(right.registry->merge(report).ok());
+        RC_ASSERT(right.registry->merge(report).ok());
+    }
+    RC_ASSERT(left.verdict(poison) == right.verdict(poison));
+}
+
+TEST(solo_gate, lets_others_in_side_by_side)
+{
+    solo_gate gate;
+    const auto first = gate.try_enter();
+    EXPECT_TRUE(first.has_value());
+    EXPECT_TRUE(gate.try_enter().has_value());
+}
+
+TEST(solo_gate, keeps_others_out_while_a_suspect_is_inside)
+{
+    solo_gate gate;
+    {
+        const auto suspect = gate.enter_alone(absl::Now());
+        ASSERT_TRUE(suspect.has_value());
+        EXPECT_FALSE(gate.try_enter().has_value());
+        EXPECT_FALSE(gate.enter_alone(absl::Now()).has_value());
+    }
+    EXPECT_TRUE(gate.try_enter().has_value());
+}
+
+TEST(solo_gate, lets_a_suspect_in_when_the_last_other_leaves)
+{
+    solo_gate gate;
+    auto other = gate.try_enter();
+    ASSERT_TRUE(other.has_value());
+    EXPECT_FALSE(gate.enter_alone(absl::Now()).has_value());
+    std::thread leaving([&other] { other.reset(); });
+    EXPECT_TRUE(gate.enter_alone(absl::Now() + absl::Seconds(30)).has_value());
+    leaving.join();
+}
+
+} // namespace
+} // namespace sardinestream::suspects
