--- a/sardinestream/base/settings.cc
+++ b/sardinestream/base/settings.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int highest_port = 65535;
+constexpr std::size_t min_key_bytes = 16;
 constexpr char environment_prefix[] = "SARDINE_";
 
 std::string environment_name(absl::string_view flag)
@@ -95,6 +96,13 @@
     return value.empty() ? setting_error(flag, "", "any text but the empty one") : absl::OkStatus();
 }
 
+absl::Status check_fleet_key(absl::string_view flag, absl::string_view value)
+{
+    return value.size() >= min_key_bytes
+               ? absl::OkStatus()
+               : setting_error(flag, "(hidden)", absl::StrCat(min_key_bytes, " bytes or more"));
+}
+
 absl::Status check_address(absl::string_view flag, absl::string_view value)
 {
     return parse_address(value).ok() ? absl::OkStatus() : setting_error(flag, value, "IP:PORT");
--- a/sardinestream/base/settings.h
+++ b/sardinestream/base/settings.h
@@ -48,6 +48,9 @@
 // Fails unless `value` is an address.
 [[nodiscard]] absl::Status check_address(absl::string_view flag, absl::string_view value);
 
+// Fails when `value` is too short for a key. The error does not show the value.
+[[nodiscard]] absl::Status check_fleet_key(absl::string_view flag, absl::string_view value);
+
 // Returns the error that every check uses.
 [[nodiscard]] absl::Status setting_error(absl::string_view flag, absl::string_view value,
                                          absl::string_view allowed);
--- /dev/null
+++ b/sardinestream/membership/peer_directory.cc
@@ -0,0 +1,197 @@
+#include "sardinestream/membership/peer_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sardinestream/base/log.h"
+
+namespace sardinestream::membership {
+namespace {
+
+void sort_by_id(std::vector<std::shared_ptr<peer>>& peers)
+{
+    std::sort(peers.begin(), peers.end(),
+              [](const std::shared_ptr<peer>& left, const std::shared_ptr<peer>& right) {
+                  return left->identity().id < right->identity().id;
+              });
+}
+
+} // namespace
+
+bool peer::serves(absl::string_view service) const
+{
+    const std::vector<std::string>& offered = this->identity().serves;
+    return std::find(offered.begin(), offered.end(), service) != offered.end();
+}
+
+std::string peer::last_report() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->report;
+}
+
+void peer::set_last_report(absl::string_view payload)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->report = std::string(payload);
+}
+
+std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options)
+{
+    std::unique_ptr<peer_directory> made(new peer_directory());
+    peer_directory* self = made.get();
+    const wire::link_hooks outer = options.hooks;
+    options.hooks.on_up = [self, outer](const std::shared_ptr<wire::peer_link>& link) {
+        self->add(link);
+        if (outer.on_up) {
+            outer.on_up(link);
+        }
+    };
+    options.hooks.on_down = [self, outer](const std::shared_ptr<wire::peer_link>& link) {
+        self->remove(link);
+        if (outer.on_down) {
+            outer.on_down(link);
+        }
+    };
+    options.hooks.on_heartbeat = [self, outer](const std::shared_ptr<wire::peer_link>& link,
+                                               absl::string_view payload) {
+        self->note_heartbeat(link.get(), payload);
+        if (outer.on_heartbeat) {
+            outer.on_heartbeat(link, payload);
+        }
+    };
+    options.hooks.on_link_frame = [self, outer](const std::shared_ptr<wire::peer_link>& link,
+                                                const wire::frame& received) {
+        if (received.header.type == wire::frame_type::leaving) {
+            if (std::shared_ptr<peer> known = self->find_by_link(link.get())) {
+                known->leaving = true;
+                log_event("peer_leaving", {{"peer", link->remote().id}});
+            }
+            return;
+        }
+        if (outer.on_link_frame) {
+            outer.on_link_frame(link, received);
+        }
+    };
+    made->options = std::make_shared<wire::link_options>(std::move(options));
+    return made;
+}
+
+peer_directory::~peer_directory()
+{
+    const absl::MutexLock lock(&this->dialers_mutex);
+    this->dialers.clear();
+}
+
+void peer_directory::set_addresses(const std::vector<address>& wanted)
+{
+    const absl::MutexLock lock(&this->dialers_mutex);
+    const std::set<address> keep(wanted.begin(), wanted.end());
+    for (auto it = this->dialers.begin(); it != this->dialers.end();) {
+        it = keep.count(it->first) > 0 ? std::next(it) : this->dialers.erase(it);
+    }
+    for (const address& each : keep) {
+        if (this->dialers.count(each) > 0) {
+            continue;
+        }
+        this->dialers.emplace(each, std::make_unique<wire::link_dialer>(this->options, each));
+    }
+}
+
+std::vector<std::shared_ptr<peer>> peer_directory::serving(absl::string_view service) const
+{
+    std::vector<std::shared_ptr<peer>> found;
+    const absl::MutexLock lock(&this->mutex);
+    for (const auto& [link, known] : this->peers) {
+        if (known->serves(service)) {
+            found.push_back(known);
+        }
+    }
+    sort_by_id(found);
+    return found;
+}
+
+std::vector<std::shared_ptr<peer>> peer_directory::with_role(wire::peer_role role) const
+{
+    std::vector<std::shared_ptr<peer>> found;
+    const absl::MutexLock lock(&this->mutex);
+    for (const auto& [link, known] : this->peers) {
+        if (known->identity().role == role) {
+            found.push_back(known);
+        }
+    }
+    sort_by_id(found);
+    return found;
+}
+
+std::shared_ptr<peer> peer_directory::find(absl::string_view id) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    for (const auto& [link, known] : this->peers) {
+        if (known->identity().id == id && known->link->usable()) {
+            return known;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<std::uint64_t> peer_directory::last_incarnation(absl::string_view id) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    auto found = this->incarnations.find(std::string(id));
+    if (found == this->incarnations.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::shared_ptr<peer> peer_directory::wait_for(absl::string_view id, absl::Time deadline) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::shared_ptr<peer> found;
+    const auto is_connected = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+        for (const auto& [link, known] : this->peers) {
+            if (known->identity().id == id && known->link->usable()) {
+                found = known;
+            }
+        }
+        return found != nullptr;
+    };
+    this->mutex.AwaitWithDeadline(absl::Condition(&is_connected), deadline);
+    return found;
+}
+
+void peer_directory::add(const std::shared_ptr<wire::peer_link>& link)
+{
+    auto added = std::make_shared<peer>();
+    added->link = link;
+    added->leaving = link->remote().leaving;
+    log_event("peer_up",
+              {{"peer", link->remote().id}, {"incarnation", link->remote().incarnation}});
+    const absl::MutexLock lock(&this->mutex);
+    this->peers[link.get()] = std::move(added);
+    this->incarnations[link->remote().id] = link->remote().incarnation;
+}
+
+void peer_directory::remove(const std::shared_ptr<wire::peer_link>& link)
+{
+    log_event("peer_down", {{"peer", link->remote().id}});
+    const absl::MutexLock lock(&this->mutex);
+    this->peers.erase(link.get());
+}
+
+std::shared_ptr<peer> peer_directory::find_by_link(const wire::peer_link* link) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    auto found = this->peers.find(link);
+    return found == this->peers.end() ? nullptr : found->second;
+}
+
+void peer_directory::note_heartbeat(const wire::peer_link* link, absl::string_view payload)
+{
+    if (std::shared_ptr<peer> known = this->find_by_link(link)) {
+        known->set_last_report(payload);
+    }
+}
+
+} // namespace sardinestream::membership
--- /dev/null
+++ b/sardinestream/membership/peer_directory.h
@@ -0,0 +1,97 @@
+// The other processes of the system, as one process knows them.
+//
+// Owns a link to each known address and what each peer last said of itself: identity, incarnation,
+// services, load report, notice of leaving. It never decides where a request goes (routing does).
+//
+//     auto directory = peer_directory::create(link_options);
+//     directory->set_addresses(seeds);
+//     for (const auto& peer : directory->serving("assistant")) { ... }
+//
+// A peer's own notice of leaving counts at once; the platform's list may say so much later.
+
+#ifndef SARDINESTREAM_MEMBERSHIP_PEER_DIRECTORY_H_
+#define SARDINESTREAM_MEMBERSHIP_PEER_DIRECTORY_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sardinestream/wire/link_server.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream::membership {
+
+// One peer that is connected now. The identity never changes: another incarnation is another peer.
+struct peer {
+    std::shared_ptr<wire::peer_link> link;
+    std::atomic<bool> leaving{false};
+    // Requests that this process has sent and not yet seen end.
+    std::atomic<int> in_flight{0};
+
+    [[nodiscard]] const wire::helloT& identity() const { return this->link->remote(); }
+    [[nodiscard]] bool serves(absl::string_view service) const;
+    [[nodiscard]] bool usable() const { return this->link->usable() && !this->leaving; }
+
+    // The payload of the last heartbeat, empty before the first.
+    [[nodiscard]] std::string last_report() const;
+    void set_last_report(absl::string_view payload);
+
+private:
+    mutable absl::Mutex mutex;
+    std::string report ABSL_GUARDED_BY(mutex);
+};
+
+// Thread-safe.
+class peer_directory {
+public:
+    // Hooks of `options` run before the directory's own.
+    [[nodiscard]] static std::unique_ptr<peer_directory> create(wire::link_options options);
+
+    ~peer_directory();
+    peer_directory(const peer_directory&) = delete;
+    peer_directory& operator=(const peer_directory&) = delete;
+
+    // Keeps a link to each of these addresses, and drops those to others.
+    void set_addresses(const std::vector<address>& wanted);
+
+    // Connected peers that offer the service, leaving ones included, sorted by id.
+    [[nodiscard]] std::vector<std::shared_ptr<peer>> serving(absl::string_view service) const;
+
+    // Connected peers of one role, sorted by id.
+    [[nodiscard]] std::vector<std::shared_ptr<peer>> with_role(wire::peer_role role) const;
+
+    // The connected peer with this id, or null.
+    [[nodiscard]] std::shared_ptr<peer> find(absl::string_view id) const;
+
+    // The incarnation under which the id was last seen, connected or not; none if never.
+    [[nodiscard]] std::optional<std::uint64_t> last_incarnation(absl::string_view id) const;
+
+    // Waits until a peer with this id is connected; null at `deadline`.
+    [[nodiscard]] std::shared_ptr<peer> wait_for(absl::string_view id, absl::Time deadline) const;
+
+private:
+    peer_directory() = default;
+
+    void add(const std::shared_ptr<wire::peer_link>& link);
+    void remove(const std::shared_ptr<wire::peer_link>& link);
+    [[nodiscard]] std::shared_ptr<peer> find_by_link(const wire::peer_link* link) const;
+    void note_heartbeat(const wire::peer_link* link, absl::string_view payload);
+
+    std::shared_ptr<wire::link_options> options;
+    mutable absl::Mutex mutex;
+    // Every connected peer, by its link.
+    std::map<const wire::peer_link*, std::shared_ptr<peer>> peers ABSL_GUARDED_BY(mutex);
+    std::map<std::string, std::uint64_t> incarnations ABSL_GUARDED_BY(mutex);
+    absl::Mutex dialers_mutex;
+    std::map<address, std::unique_ptr<wire::link_dialer>> dialers ABSL_GUARDED_BY(dialers_mutex);
+};
+
+} // namespace sardinestream::membership
+
+#endif // SARDINESTREAM_MEMBERSHIP_PEER_DIRECTORY_H_
--- /dev/null
+++ b/sardinestream/requests/caller_request.cc
@@ -0,0 +1,282 @@
+#include "sardinestream/requests/caller_request.h"
+
+#include <algorithm>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/base/digest.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+
+namespace sardinestream::requests {
+namespace {
+
+using catalogue::catalogue_entry;
+using catalogue::catalogue_snapshot;
+using catalogue::priority_class;
+using json = nlohmann::json;
+
+constexpr std::size_t longest_key = 200;
+constexpr std::size_t longest_request_id = 100;
+constexpr int request_id_bytes = 12;
+constexpr absl::string_view services_prefix = "/services/";
+
+// Headers that end at this hop or that the system itself sets.
+bool is_passed_on(absl::string_view name)
+{
+    static const auto* const dropped = new std::vector<std::string>{
+        "authorization", "connection",       "content-length", "expect",     "host", "keep-alive",
+        "remote_addr",   "remote_port",      "local_addr",     "local_port", "te",   "trailer",
+        "upgrade",       "transfer-encoding"};
+    const std::string lower = absl::AsciiStrToLower(name);
+    return !absl::StartsWith(lower, "sardine-") &&
+           std::find(dropped->begin(), dropped->end(), lower) == dropped->end();
+}
+
+header_list headers_to_pass_on(const httplib::Request& http)
+{
+    header_list passed;
+    for (const auto& [name, value] : http.headers) {
+        if (is_passed_on(name)) {
+            passed.emplace_back(name, value);
+        }
+    }
+    return passed;
+}
+
+std::string choose_request_id(const httplib::Request& http)
+{
+    const std::string given = http.get_header_value("X-Request-Id");
+    const bool usable = !given.empty() && given.size() <= longest_request_id &&
+                        std::all_of(given.begin(), given.end(), [](char c) {
+                            return absl::ascii_isalnum(c) || c == '-' || c == '_';
+                        });
+    return usable ? given : absl::StrCat("req-", random_hex(request_id_bytes));
+}
+
+// Sets the remaining time. Returns false for a value out of range.
+bool read_deadline(const httplib::Request& http, caller_request& request)
+{
+    std::uint32_t wanted_ms = request.entry->limits.max_deadline_ms;
+    if (http.has_header("Sardine-Timeout-Ms") &&
+        (!absl::SimpleAtoi(http.get_header_value("Sardine-Timeout-Ms"), &wanted_ms) ||
+         wanted_ms == 0)) {
+        return false;
+    }
+    wanted_ms = std::min(wanted_ms, request.entry->limits.max_deadline_ms);
+    request.deadline = absl::Now() + absl::Milliseconds(wanted_ms);
+    return true;
+}
+
+bool read_priority(const httplib::Request& http, caller_request& request)
+{
+    request.priority = request.entry->priority;
+    if (!http.has_header("Sardine-Priority")) {
+        return true;
+    }
+    const std::string wanted = http.get_header_value("Sardine-Priority");
+    if (wanted != "interactive" && wanted != "batch") {
+        return false;
+    }
+    const priority_class asked =
+        wanted == "batch" ? priority_class::batch : priority_class::interactive;
+    request.priority = std::max(request.priority, asked);
+    return true;
+}
+
+// Finds the catalogue entry of the caller's team for `service`, then reads the common headers.
+std::optional<refusal> read_common(const httplib::Request& http, absl::string_view service,
+                                   caller_request& request)
+{
+    constexpr absl::string_view step = "authorize";
+    const std::string authorization = http.get_header_value("Authorization");
+    absl::string_view key = authorization;
+    if (!absl::ConsumePrefix(&key, "Bearer ")) {
+        return refuse_not_run(refusal_code::unauthorized, step, "bearer key missing");
+    }
+    const std::string digest = sha256_hex(key);
+    request.entry = request.snapshot->find(digest, service);
+    if (request.entry == nullptr) {
+        return request.snapshot->knows_key(digest)
+                   ? refuse_not_run(refusal_code::unknown_service, step, service)
+                   : refuse_not_run(refusal_code::unauthorized, step, "unknown bearer key");
+    }
+    request.request_id = choose_request_id(http);
+    request.method = http.method;
+    request.idempotency_key = http.get_header_value("Idempotency-Key");
+    request.ticket = http.get_header_value("Sardine-Ticket");
+    if (request.idempotency_key.size() > longest_key) {
+        return refuse_not_run(refusal_code::bad_request, "read_headers", "Idempotency-Key");
+    }
+    if (!read_deadline(http, request)) {
+        return refuse_not_run(refusal_code::bad_request, "read_headers", "Sardine-Timeout-Ms");
+    }
+    if (!read_priority(http, request)) {
+        return refuse_not_run(refusal_code::bad_request, "read_headers", "Sardine-Priority");
+    }
+    if (http.body.size() > request.entry->limits.max_body_bytes) {
+        return refuse_not_run(refusal_code::body_too_large, "read_body",
+                              absl::StrCat(http.body.size(), " bytes, at most ",
+                                           request.entry->limits.max_body_bytes));
+    }
+    return std::nullopt;
+}
+
+// The text by which prompts are compared and measured.
+std::size_t prompt_size(const json& body, bool chat)
+{
+    if (!chat) {
+        auto prompt = body.find("prompt");
+        return prompt != body.end() && prompt->is_string()
+                   ? prompt->get_ref<const std::string&>().size()
+                   : 0;
+    }
+    std::size_t total = 0;
+    for (const json& message : body["messages"]) {
+        if (message.is_object() && message.contains("content") && message["content"].is_string()) {
+            total += message["content"].get_ref<const std::string&>().size();
+        }
+    }
+    return total;
+}
+
+bool is_valid_completion(const json& body, bool chat)
+{
+    if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
+        return false;
+    }
+    if (body.contains("stream") && !body["stream"].is_boolean()) {
+        return false;
+    }
+    if (body.contains("max_tokens") && !body["max_tokens"].is_number_unsigned()) {
+        return false;
+    }
+    return chat ? body.contains("messages") && body["messages"].is_array()
+                : body.contains("prompt") && body["prompt"].is_string();
+}
+
+} // namespace
+
+bool caller_request::repeatable() const
+{
+    switch (this->entry->repeat) {
+    case catalogue::repeat_rule::all:
+        return true;
+    case catalogue::repeat_rule::reads_only:
+        return this->method == "GET" || this->method == "HEAD" || this->method == "OPTIONS";
+    case catalogue::repeat_rule::none:
+        break;
+    }
+    return false;
+}
+
+std::string caller_request::request_digest() const
+{
+    return sha256_hex(absl::StrCat(this->method, "\n", this->path, "\n", this->body));
+}
+
+std::string caller_request::fingerprint() const
+{
+    return sha256_hex(absl::StrCat(this->entry->owner, "\n", this->entry->service, "\n",
+                                   this->method, "\n", this->path, "\n", this->body));
+}
+
+std::string caller_request::key_digest(absl::string_view key) const
+{
+    return sha256_hex(absl::StrCat(this->entry->owner, "\n", this->entry->service, "\n", key));
+}
+
+refusal refuse_not_run(refusal_code code, absl::string_view step, absl::string_view message,
+                       absl::Duration retry_after)
+{
+    refusal refused;
+    refused.code = code;
+    refused.outcome = run_outcome::not_run;
+    refused.retry_after = retry_after;
+    refused.message = std::string(message);
+    refused.step = std::string(step);
+    return refused;
+}
+
+parsed_request parse_completion(const httplib::Request& http,
+                                std::shared_ptr<const catalogue_snapshot> snapshot)
+{
+    constexpr absl::string_view step = "parse_completion";
+    caller_request request;
+    request.snapshot = std::move(snapshot);
+    request.chat = absl::EndsWith(http.path, "/chat/completions");
+    const json body = json::parse(http.body, nullptr, false);
+    if (body.is_discarded() || !is_valid_completion(body, request.chat)) {
+        return refuse_not_run(refusal_code::bad_request, step,
+                              request.chat ? "model and messages" : "model and prompt");
+    }
+    const std::string model = body["model"].get<std::string>();
+    if (std::optional<refusal> refused = read_common(http, model, request)) {
+        return *refused;
+    }
+    if (request.entry->work != catalogue::work_class::model) {
+        return refuse_not_run(refusal_code::unknown_service, step, "not a model");
+    }
+    request.max_tokens = request.entry->limits.max_tokens;
+    if (body.contains("max_tokens")) {
+        const auto wanted = body["max_tokens"].get<std::uint64_t>();
+        if (wanted == 0 || wanted > request.entry->limits.max_tokens) {
+            return refuse_not_run(refusal_code::bad_request, step,
+                                  absl::StrCat("max_tokens 1 to ", request.max_tokens));
+        }
+        request.max_tokens = static_cast<std::uint32_t>(wanted);
+    }
+    request.path = request.chat ? "/v1/chat/completions" : "/v1/completions";
+    request.body = http.body;
+    request.stream = body.value("stream", false);
+    request.prompt_bytes = prompt_size(body, request.chat);
+    return request;
+}
+
+parsed_request parse_service_call(const httplib::Request& http,
+                                  std::shared_ptr<const catalogue_snapshot> snapshot)
+{
+    caller_request request;
+    request.snapshot = std::move(snapshot);
+    absl::string_view target = http.target;
+    if (!absl::ConsumePrefix(&target, services_prefix)) {
+        return refuse_not_run(refusal_code::unknown_service, "parse_service_call", http.path);
+    }
+    const std::size_t slash = std::min(target.find_first_of("/?"), target.size());
+    const absl::string_view service = target.substr(0, slash);
+    if (std::optional<refusal> refused = read_common(http, service, request)) {
+        return *refused;
+    }
+    if (request.entry->work != catalogue::work_class::plain) {
+        return refuse_not_run(refusal_code::unknown_service, "parse_service_call",
+                              "not a plain service");
+    }
+    const absl::string_view rest = target.substr(slash);
+    request.path = absl::StartsWith(rest, "/") ? std::string(rest) : absl::StrCat("/", rest);
+    request.headers = headers_to_pass_on(http);
+    request.body = http.body;
+    return request;
+}
+
+parsed_request parse_ticket_call(const httplib::Request& http,
+                                 std::shared_ptr<const catalogue_snapshot> snapshot)
+{
+    caller_request request;
+    request.snapshot = std::move(snapshot);
+    const json body = json::parse(http.body, nullptr, false);
+    if (!body.is_object() || !body.contains("service") || !body["service"].is_string()) {
+        return refuse_not_run(refusal_code::bad_request, "parse_ticket_call", "service");
+    }
+    if (std::optional<refusal> refused =
+            read_common(http, body["service"].get<std::string>(), request)) {
+        return *refused;
+    }
+    return request;
+}
+
+} // namespace sardinestream::requests
--- /dev/null
+++ b/sardinestream/requests/http_front.h
@@ -0,0 +1,64 @@
+// The callers' side: HTTP in, HTTP out.
+//
+// Owns the mapping between HTTP and requests: routes, server-sent events, the JSON form of
+// refusals, the noticing of callers that have gone. It decides nothing about routing or limits.
+//
+// Every answer that is not a success has the form
+//
+//     {"error": {"code": "team_limit", "outcome": "not_run", "request": "req-...",
+//                "retry_after_ms": 250, "step": "acquire_permit", "peer": "", "message": "..."}}
+//
+// with a `Retry-After` header (whole seconds, rounded up) where coming back makes sense. In a
+// stream that has begun, the same object arrives as the data of an `event: error`.
+
+#ifndef SARDINESTREAM_REQUESTS_HTTP_FRONT_H_
+#define SARDINESTREAM_REQUESTS_HTTP_FRONT_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sardinestream/requests/services.h"
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+} // namespace httplib
+
+namespace sardinestream::requests {
+
+// Thread-safe.
+class http_front {
+public:
+    // `snapshot` returns the catalogue in force, or null before there is one.
+    http_front(std::function<std::shared_ptr<const catalogue::catalogue_snapshot>()> snapshot,
+               request_services services);
+
+    // Adds the callers' routes. The front must outlive the server.
+    void add_routes(httplib::Server& server);
+
+    // Requests in progress.
+    [[nodiscard]] int in_flight() const { return this->active; }
+
+private:
+    void serve_completion(const httplib::Request& http, httplib::Response& answer);
+    void serve_call(const httplib::Request& http, httplib::Response& answer);
+    void serve_ticket(const httplib::Request& http, httplib::Response& answer);
+
+    const std::function<std::shared_ptr<const catalogue::catalogue_snapshot>()> current_snapshot;
+    const request_services services;
+    std::atomic<int> active{0};
+};
+
+// Returns the refusal's JSON.
+[[nodiscard]] std::string refusal_json(const refusal& refused, absl::string_view request_id);
+
+// Fills `answer` with a refusal, and counts and logs it.
+void answer_refusal(const refusal& refused, absl::string_view request_id,
+                    httplib::Response& answer);
+
+} // namespace sardinestream::requests
+
+#endif // SARDINESTREAM_REQUESTS_HTTP_FRONT_H_
--- a/sardinestream/wire/peer_link.cc
+++ b/sardinestream/wire/peer_link.cc
@@ -114,11 +114,33 @@
     this->send_credit += bytes;
 }
 
+void stream::on_end(std::function<void()> hook)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->end_reason == absl::StatusCode::kOk) {
+            this->end_hook = std::move(hook);
+            return;
+        }
+    }
+    if (hook) {
+        hook();
+    }
+}
+
 void stream::end(absl::StatusCode reason)
 {
-    const absl::MutexLock lock(&this->mutex);
-    if (this->end_reason == absl::StatusCode::kOk) {
+    std::function<void()> hook;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->end_reason != absl::StatusCode::kOk) {
+            return;
+        }
         this->end_reason = reason;
+        hook = std::exchange(this->end_hook, nullptr);
+    }
+    if (hook) {
+        hook();
     }
 }
 
@@ -319,8 +341,15 @@
         }
         return;
     }
+    absl::StatusOr<heartbeatT> beat = decode<heartbeat>(received.payload);
+    if (!beat.ok()) {
+        count("sardine_frames_malformed_total");
+        return;
+    }
     if (hooks.on_heartbeat) {
-        hooks.on_heartbeat(this->shared_from_this(), received.payload);
+        hooks.on_heartbeat(this->shared_from_this(),
+                           absl::string_view(reinterpret_cast<const char*>(beat->payload.data()),
+                                             beat->payload.size()));
     }
 }
 
--- a/sardinestream/wire/peer_link.h
+++ b/sardinestream/wire/peer_link.h
@@ -34,6 +34,7 @@
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 #include "absl/time/time.h"
 
 namespace sardinestream::wire {
@@ -59,6 +60,10 @@
     // True once the peer cancelled the exchange or the link was lost.
     [[nodiscard]] bool ended() const;
 
+    // Calls `hook` once when the peer cancels or the link is lost; at once where that has happened.
+    // Runs on the link's reading thread and must not block. An empty hook removes an earlier one.
+    void on_end(std::function<void()> hook);
+
     // Says that this end needs nothing more: the destructor will not cancel.
     void finish();
 
@@ -84,6 +89,7 @@
     // OK while the exchange goes on; frames that came before the end are still handed out.
     absl::StatusCode end_reason ABSL_GUARDED_BY(mutex) = absl::StatusCode::kOk;
     bool finished ABSL_GUARDED_BY(mutex) = false;
+    std::function<void()> end_hook ABSL_GUARDED_BY(mutex);
     // Bytes that this end may still send; may go below zero by one frame.
     std::int64_t send_credit ABSL_GUARDED_BY(mutex);
     // Bytes that were received and handed out but not yet credited back.
