--- /dev/null
+++ b/sardinestream/base/http_server.h
@@ -0,0 +1,96 @@
+// HTTP server on cpp-httplib, with the settings that serving many connections needs.
+//
+// What it changes of the library's defaults: one thread for each connection in place of a fixed
+// pool, a listen backlog that survives a burst, no delay on small writes, keep-alive without a
+// request count, bounded bodies, and a cap on connections beyond which each request is refused.
+//
+//     auto server = http_server::create({.local = {"127.0.0.1", 0}});
+//     (*server)->routes().Get("/health", handle_health);
+//     (*server)->start();
+//     ... (*server)->local().port ...
+//
+// Owns the accepting thread and the connection threads. Knows nothing of what is served.
+
+#ifndef SARDINESTREAM_BASE_HTTP_SERVER_H_
+#define SARDINESTREAM_BASE_HTTP_SERVER_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include <httplib.h>
+
+#include "sardinestream/base/settings.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace sardinestream {
+
+struct http_server_options {
+    address local;
+    // Connections that are served; the next `max_refused_connections` are answered by
+    // `refuse_request`, and those beyond wait in the listen backlog.
+    int max_connections = 4000;
+    int max_refused_connections = 64;
+    std::size_t max_body_bytes = 8U << 20;
+    absl::Duration keep_alive = absl::Seconds(5);
+    absl::Duration read_timeout = absl::Seconds(30);
+    absl::Duration write_timeout = absl::Seconds(30);
+    // Fills the answer to a request on a connection beyond the cap; status 503 is set already.
+    std::function<void(httplib::Response&)> refuse_request = nullptr;
+    // Runs before the routes. Returns true where it has filled the answer itself. The body of the
+    // request has not been read then.
+    std::function<bool(const httplib::Request&, httplib::Response&)> before_routes = nullptr;
+};
+
+class http_server {
+public:
+    // Binds and listens; connections wait until `start`.
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<http_server>>
+    create(http_server_options options);
+
+    // Stops, see `stop`.
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    // Where handlers are added. Only before `start`.
+    [[nodiscard]] httplib::Server& routes() { return this->server; }
+
+    // Starts accepting. Call once.
+    void start();
+
+    // Stops accepting, lets handlers in progress finish, and returns when every connection has
+    // ended; idle ones end within `keep_alive`. Thread-safe; later calls wait as well.
+    void stop();
+
+    // The address in force; its port is never zero.
+    [[nodiscard]] const address& local() const { return this->local_address; }
+
+    // Connections that are being served or refused now. Thread-safe.
+    [[nodiscard]] int connections() const { return *this->open_connections; }
+
+private:
+    explicit http_server(http_server_options configured);
+
+    [[nodiscard]] absl::Status bind();
+    void configure();
+
+    const http_server_options options;
+    // Shared with the task queue, which belongs to the library.
+    const std::shared_ptr<std::atomic<int>> open_connections =
+        std::make_shared<std::atomic<int>>(0);
+    address local_address;
+    httplib::Server server;
+    absl::Mutex stop_mutex;
+    std::thread accepting ABSL_GUARDED_BY(stop_mutex);
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_BASE_HTTP_SERVER_H_
