Show that the catalogue's guards are needed

The race test now also replays the ledger: from one index to the next no entry goes back to an earlier edit, and none comes back that was removed. A round that is interrupted gets an edit and another acceptor's decision in the middle.

--- a/sardinestream/catalogue/acceptor_test.cc
+++ b/sardinestream/catalogue/acceptor_test.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <set>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include "sardinestream/catalogue/acceptor.h"
@@ -235,7 +237,7 @@
 rc::Gen<schedule_step> any_step()
 {
     return rc::gen::build<schedule_step>(
-        rc::gen::set(&schedule_step::action, rc::gen::inRange(0, 9)),
+        rc::gen::set(&schedule_step::action, rc::gen::inRange(0, 10)),
         rc::gen::set(&schedule_step::actor, rc::gen::inRange(0, actors)),
         rc::gen::set(&schedule_step::entry, rc::gen::inRange(0, entries)),
         rc::gen::set(&schedule_step::variant, rc::gen::inRange(0, 6)),
@@ -271,15 +273,21 @@
             const auto& [method, kind] = targets[step.variant % targets.size()];
             return this->standin->lose_answers(method, kind, 1);
         }
-        case 5: {
-            // Another actor decides, or an operator edits, in the middle of this actor's round.
-            schedule_step other = step;
-            other.actor = (step.actor + 1) % actors;
-            other.action = step.variant % 2 == 0 ? 7 : 0;
-            actor.store.interrupt_before(step.before_call, [this, other] { this->take(other); });
+        case 5:
+        case 6: {
+            // In the middle of this actor's round an operator edits and another actor decides.
+            schedule_step edit = step;
+            edit.action = step.variant % 3 == 0 ? 3 : 0;
+            schedule_step decision = step;
+            decision.action = 8;
+            decision.actor = (step.actor + 1) % actors;
+            actor.store.interrupt_before(step.before_call, [this, edit, decision] {
+                this->take(edit);
+                this->take(decision);
+            });
             break;
         }
-        case 6:
+        case 7:
             return actor.read().IgnoreError();
         default:
             break;
@@ -318,6 +326,37 @@
         }
     }
 
+    // What was in force never reverts: from one index to the next, no entry goes back to an earlier
+    // edit, and none comes back that had been removed.
+    void check_no_revert() const
+    {
+        std::map<std::string, shard_pointer> shards;
+        std::map<std::string, std::uint64_t> lowest_edit;
+        const std::vector<recorded_change> ledger = this->standin->store().ledger();
+        for (const recorded_change& change : ledger) {
+            if (change.changed.kind == shard_kind && change.method == "create") {
+                shards[change.changed.name] =
+                    parse_shard(change.changed.name, change.changed.spec).value();
+            }
+            if (change.changed.kind != index_kind) {
+                continue;
+            }
+            const catalogue_index index = parse_index(change.changed.spec).value();
+            for (int entry = 0; entry < entries; ++entry) {
+                const entry_record* record = find_record(index, shards, entry_name(entry));
+                std::uint64_t& lowest = lowest_edit[entry_name(entry)];
+                if (record == nullptr) {
+                    lowest = index.seen_version + 1;
+                }
+                else if (record->entry.has_value()) {
+                    const std::uint64_t edit = edit_of(*record, index.seen_version, ledger);
+                    RC_ASSERT(edit >= lowest);
+                    lowest = edit;
+                }
+            }
+        }
+    }
+
     void check_processes() const
     {
         const auto& image = *this->processes[0]->state.image();
@@ -368,6 +407,41 @@
     }
 
 private:
+    static const entry_record* find_record(const catalogue_index& index,
+                                           const std::map<std::string, shard_pointer>& shards,
+                                           const std::string& name)
+    {
+        const shard_reference& reference = index.shards[shard_of(name)];
+        if (reference.number == 0) {
+            return nullptr;
+        }
+        for (const entry_record& record : shards.at(reference.object_name)->records) {
+            if (record.name == name) {
+                return &record;
+            }
+        }
+        return nullptr;
+    }
+
+    // Returns the version at which an operator wrote what the record has accepted, as seen by an
+    // acceptor whose view goes up to `seen_version`.
+    static std::uint64_t edit_of(const entry_record& record, std::uint64_t seen_version,
+                                 const std::vector<recorded_change>& ledger)
+    {
+        std::uint64_t version = 0;
+        for (const recorded_change& change : ledger) {
+            const bool edit = change.method == "create" || change.method == "update";
+            if (edit && change.version <= seen_version && change.changed.kind == entry_kind &&
+                change.changed.name == record.name &&
+                change.changed.generation == record.accepted.generation &&
+                nlohmann::json::parse(change.changed.spec) ==
+                    nlohmann::json::parse(record.accepted_spec)) {
+                version = change.version;
+            }
+        }
+        return version;
+    }
+
     std::unique_ptr<platform_standin> standin = platform_standin::create({"127.0.0.1", 0}).value();
     std::vector<std::unique_ptr<process>> processes;
 };
@@ -382,6 +456,7 @@
         }
         run.settle();
         run.check_ledger();
+        run.check_no_revert();
         run.check_processes();
         run.check_entries();
         run.check_shards();
