--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 
 check: format-check lint test
 
+demo: build
+	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/sardine_demo
+
 generate:
 	@tools/generate
 
--- /dev/null
+++ b/sardinestream/agent/agent_settings.h
@@ -0,0 +1,38 @@
+// Settings of sardine-agent: flags, environment variables, and their checks.
+
+#ifndef SARDINESTREAM_AGENT_AGENT_SETTINGS_H_
+#define SARDINESTREAM_AGENT_AGENT_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/settings.h"
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+namespace sardinestream::agent {
+
+struct agent_settings {
+    std::string id;
+    std::string data_centre;
+    address listen;
+    address ops_listen;
+    address backend;
+    std::vector<std::string> serves;
+    std::string fleet_key;
+    int slots = 8;
+    int reserved_slots = 0;
+    absl::Duration max_wait;
+    absl::Duration drain_timeout;
+    log_level log_minimum = log_level::info;
+    bool check_only = false;
+};
+
+// Reads and checks every setting. The error names the flag, its value and what is allowed.
+[[nodiscard]] absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv);
+
+} // namespace sardinestream::agent
+
+#endif // SARDINESTREAM_AGENT_AGENT_SETTINGS_H_
--- /dev/null
+++ b/sardinestream/agent/backend_client.cc
@@ -0,0 +1,144 @@
+#include "sardinestream/agent/backend_client.h"
+
+#include <algorithm>
+
+#include <httplib.h>
+
+#include "sardinestream/base/tcp_probe.h"
+
+#include "absl/strings/ascii.h"
+
+namespace sardinestream::agent {
+namespace {
+
+constexpr int connect_timeout_s = 1;
+constexpr std::size_t max_idle_connections = 64;
+constexpr int http_ok = 200;
+
+bool is_hop_header(absl::string_view name)
+{
+    const std::string lower = absl::AsciiStrToLower(name);
+    return lower == "connection" || lower == "keep-alive" || lower == "transfer-encoding" ||
+           lower == "content-length";
+}
+
+backend_end end_of(httplib::Error error, const backend_request& request, bool cancelled)
+{
+    if (error == httplib::Error::Success) {
+        return backend_end::complete;
+    }
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
+        return backend_end::not_sent;
+    }
+    if (cancelled) {
+        return backend_end::cancelled;
+    }
+    return absl::Now() >= request.deadline ? backend_end::timeout : backend_end::lost;
+}
+
+httplib::Request to_http(const backend_request& from)
+{
+    httplib::Request to;
+    to.method = from.method;
+    to.path = from.path;
+    to.body = from.body;
+    for (const auto& [name, value] : from.headers) {
+        if (absl::AsciiStrToLower(name) != "accept-encoding") {
+            to.headers.emplace(name, value);
+        }
+    }
+    to.headers.emplace("Accept-Encoding", "identity");
+    return to;
+}
+
+} // namespace
+
+backend_client::backend_client(address server) : server_address(std::move(server)) {}
+
+backend_client::~backend_client() = default;
+
+std::shared_ptr<httplib::Client> backend_client::take_connection(bool fresh)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!fresh && !this->idle.empty()) {
+            std::shared_ptr<httplib::Client> taken = std::move(this->idle.back());
+            this->idle.pop_back();
+            return taken;
+        }
+    }
+    auto made =
+        std::make_shared<httplib::Client>(this->server_address.ip, this->server_address.port);
+    made->set_connection_timeout(connect_timeout_s);
+    made->set_tcp_nodelay(true);
+    made->set_keep_alive(!fresh);
+    return made;
+}
+
+void backend_client::give_back(std::shared_ptr<httplib::Client> connection)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->idle.size() < max_idle_connections) {
+        this->idle.push_back(std::move(connection));
+    }
+}
+
+backend_answer backend_client::call(const backend_request& request, const byte_receiver& on_bytes,
+                                    const stop_registrar& register_stop,
+                                    const std::function<bool()>& was_cancelled)
+{
+    std::shared_ptr<httplib::Client> connection = this->take_connection(request.fresh_connection);
+    const std::int64_t remaining_us =
+        std::max<std::int64_t>(absl::ToInt64Microseconds(request.deadline - absl::Now()), 1);
+    connection->set_read_timeout(remaining_us / 1'000'000, remaining_us % 1'000'000);
+
+    backend_answer answer;
+    httplib::Request http = to_http(request);
+    if (on_bytes) {
+        http.response_handler = [&answer](const httplib::Response& head) {
+            answer.status = head.status;
+            return true;
+        };
+        http.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t,
+                                    std::uint64_t) {
+            if (answer.status != http_ok) {
+                answer.body.append(bytes, size);
+                return true;
+            }
+            return on_bytes(absl::string_view(bytes, size));
+        };
+    }
+    register_stop([connection] { connection->stop(); });
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    connection->send(http, response, error);
+    register_stop(nullptr);
+
+    const bool cancelled = was_cancelled();
+    answer.end = end_of(error, request, cancelled);
+    answer.message = httplib::to_string(error);
+    if (answer.end != backend_end::complete) {
+        return answer;
+    }
+    answer.status = response.status;
+    if (!on_bytes) {
+        answer.body = std::move(response.body);
+    }
+    for (const auto& [name, value] : response.headers) {
+        if (!is_hop_header(name)) {
+            answer.headers.emplace_back(name, value);
+        }
+    }
+    // A stop that is still on its way must not end somebody else's call.
+    if (!cancelled && !request.fresh_connection) {
+        this->give_back(std::move(connection));
+    }
+    return answer;
+}
+
+bool backend_client::accepts_connections() const
+{
+    return accepts_tcp(this->server_address, absl::Seconds(connect_timeout_s));
+}
+
+} // namespace sardinestream::agent
--- /dev/null
+++ b/sardinestream/agent/main.cc
@@ -0,0 +1,181 @@
+// sardine-agent: the one process beside a backend server, and the only way in to it.
+//
+// Reading order: settings, then the parts (backend client, admission, at-most-once record, request
+// service), then the links from entries, then the wait for a signal and the graceful shutdown.
+
+#include <cstdio>
+
+#include "sardinestream/agent/agent_settings.h"
+#include "sardinestream/agent/request_service.h"
+#include "sardinestream/base/digest.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/ops_server.h"
+#include "sardinestream/base/shutdown_signal.h"
+#include "sardinestream/catalogue/catalogue_service.h"
+#include "sardinestream/catalogue/status_page.h"
+#include "sardinestream/routing/load_report.h"
+#include "sardinestream/wire/link_server.h"
+
+namespace sardinestream::agent {
+namespace {
+
+// Everything that a running agent owns, in the order in which it is built.
+struct agent_process {
+    agent_settings settings;
+    std::uint64_t incarnation = random_u64();
+    std::atomic<bool> leaving{false};
+    std::unique_ptr<catalogue::catalogue_service> catalogue;
+    std::unique_ptr<backend_client> backend;
+    std::unique_ptr<routing::admission> admission;
+    std::unique_ptr<request_service> requests;
+    std::unique_ptr<ops_server> ops;
+    std::unique_ptr<wire::link_server> links;
+};
+
+absl::Status create_parts(agent_process& process)
+{
+    const agent_settings& settings = process.settings;
+    catalogue::catalogue_service_options spread;
+    spread.id = settings.id;
+    process.catalogue = catalogue::catalogue_service::create(spread, nullptr);
+    process.backend = std::make_unique<backend_client>(settings.backend);
+    routing::admission_options limits;
+    limits.slots = settings.slots;
+    limits.reserved_slots = settings.reserved_slots;
+    limits.max_wait = settings.max_wait;
+    absl::StatusOr<std::unique_ptr<routing::admission>> admission =
+        routing::admission::create(limits);
+    if (!admission.ok()) {
+        return admission.status();
+    }
+    process.admission = *std::move(admission);
+    request_service_parts parts;
+    parts.backend = process.backend.get();
+    parts.admission = process.admission.get();
+    parts.runs = once::run_table::create();
+    parts.incarnation = process.incarnation;
+    process.requests = std::make_unique<request_service>(std::move(parts));
+    return absl::OkStatus();
+}
+
+wire::helloT make_hello(const agent_process& process)
+{
+    wire::helloT hello;
+    hello.protocol_version = wire::protocol_version;
+    hello.role = wire::peer_role::agent;
+    hello.id = process.settings.id;
+    hello.incarnation = process.incarnation;
+    hello.data_centre = process.settings.data_centre;
+    hello.address = process.settings.listen.to_string();
+    hello.serves = process.settings.serves;
+    hello.leaving = process.leaving;
+    return hello;
+}
+
+absl::Status start_links(agent_process& process)
+{
+    absl::StatusOr<std::shared_ptr<wire::tls_context>> tls =
+        wire::tls_context::create(process.settings.fleet_key);
+    if (!tls.ok()) {
+        return tls.status();
+    }
+    auto options = std::make_shared<wire::link_options>();
+    options->tls = *std::move(tls);
+    options->local_hello = [&process] { return make_hello(process); };
+    options->hooks.heartbeat_payload = [&process] {
+        return routing::encode_load(process.admission->load());
+    };
+    options->hooks.on_stream = [&process](const std::shared_ptr<wire::stream>& opened,
+                                          const wire::frame& first) {
+        if (first.header.type == wire::frame_type::request_open) {
+            process.requests->serve(opened, first);
+        }
+    };
+    process.catalogue->attach(options->hooks);
+    absl::StatusOr<std::unique_ptr<wire::link_server>> links =
+        wire::link_server::create(std::move(options), process.settings.listen);
+    if (!links.ok()) {
+        return links.status();
+    }
+    process.links = *std::move(links);
+    return absl::OkStatus();
+}
+
+absl::Status start_ops(agent_process& process)
+{
+    ops_hooks hooks;
+    hooks.is_ready = [&process] { return !process.leaving; };
+    hooks.status_json = [&process] {
+        return catalogue::status_json(process.catalogue->state(), process.catalogue->ready());
+    };
+    hooks.status_html = [&process] {
+        return catalogue::status_html(process.catalogue->state(), process.catalogue->ready());
+    };
+    absl::StatusOr<std::unique_ptr<ops_server>> ops =
+        ops_server::create(process.settings.ops_listen, std::move(hooks));
+    if (!ops.ok()) {
+        return ops.status();
+    }
+    process.ops = *std::move(ops);
+    return absl::OkStatus();
+}
+
+// Tells every entry, refuses new work, and waits for what is in progress.
+void drain(agent_process& process)
+{
+    log_event("drain_started", {{"in_flight", process.requests->in_flight()}});
+    process.leaving = true;
+    for (const std::shared_ptr<wire::peer_link>& link : process.links->links()) {
+        link->send_link_frame(wire::frame_type::leaving, "").IgnoreError();
+    }
+    process.requests->drain();
+    const absl::Time deadline = absl::Now() + process.settings.drain_timeout;
+    const bool idle = process.requests->wait_until_idle(deadline);
+    log_event("drain_ended", {{"in_flight", process.requests->in_flight()},
+                              {"complete", idle ? "true" : "false"}});
+}
+
+absl::Status run(agent_process& process, shutdown_signal& signal)
+{
+    SARDINE_RETURN_IF_ERROR(create_parts(process));
+    SARDINE_RETURN_IF_ERROR(start_ops(process));
+    SARDINE_RETURN_IF_ERROR(start_links(process));
+    process.settings.listen = process.links->local();
+    log_event("started", {{"incarnation", process.incarnation},
+                          {"listen", process.links->local().to_string()},
+                          {"ops_listen", process.ops->local().to_string()}});
+    std::printf("listening=%s\nops=%s\n", process.links->local().to_string().c_str(),
+                process.ops->local().to_string().c_str());
+    std::fflush(stdout);
+    signal.wait([&process] {
+        log_event("still_open", {{"in_flight", process.requests->in_flight()}});
+    });
+    drain(process);
+    return absl::OkStatus();
+}
+
+} // namespace
+} // namespace sardinestream::agent
+
+int main(int argc, char** argv)
+{
+    using namespace sardinestream;
+    shutdown_signal signal = shutdown_signal::install();
+    absl::StatusOr<agent::agent_settings> settings = agent::load_agent_settings(&argc, &argv);
+    if (!settings.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
+        return 2;
+    }
+    if (settings->check_only) {
+        return 0;
+    }
+    start_logging(settings->log_minimum, "sardine-agent", settings->id);
+    agent::agent_process process;
+    process.settings = *std::move(settings);
+    const absl::Status status = agent::run(process, signal);
+    if (!status.ok()) {
+        log_failure("start_failed", status);
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/sardinestream/agent/request_service.cc
@@ -0,0 +1,359 @@
+#include "sardinestream/agent/request_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/agent/answer_frames.h"
+#include "sardinestream/agent/token_sequencer.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/once/outcome_rules.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::agent {
+namespace {
+
+using json = nlohmann::json;
+using requests::request_openT;
+
+constexpr absl::Duration retry_elsewhere = absl::Milliseconds(100);
+constexpr absl::Duration retry_lost_backend = absl::Seconds(1);
+constexpr int http_ok = 200;
+
+refusal make_refusal(refusal_code code, run_outcome outcome, absl::string_view step,
+                     absl::string_view message, absl::Duration retry_after = absl::ZeroDuration())
+{
+    refusal refused;
+    refused.code = code;
+    refused.outcome = outcome;
+    refused.step = std::string(step);
+    refused.message = std::string(message);
+    refused.retry_after = retry_after;
+    return refused;
+}
+
+refusal draining_refusal()
+{
+    return make_refusal(refusal_code::draining, run_outcome::not_run, "admit", "", retry_elsewhere);
+}
+
+// The refusal for a call that ended without an answer.
+refusal refusal_of(const backend_answer& answer)
+{
+    switch (answer.end) {
+    case backend_end::not_sent:
+        return make_refusal(refusal_code::no_backend_server, run_outcome::not_run, "connect",
+                            answer.message, retry_lost_backend);
+    case backend_end::timeout:
+        return make_refusal(refusal_code::deadline_exceeded, run_outcome::unknown, "call_backend",
+                            answer.message);
+    case backend_end::cancelled:
+        return make_refusal(refusal_code::cancelled, run_outcome::unknown, "call_backend",
+                            answer.message);
+    default:
+        return make_refusal(refusal_code::backend_lost, run_outcome::unknown, "call_backend",
+                            answer.message, retry_lost_backend);
+    }
+}
+
+backend_request to_call(const request_openT& request, absl::Time deadline)
+{
+    backend_request call;
+    call.method = request.method;
+    call.path = request.path;
+    for (const auto& passed : request.headers) {
+        call.headers.emplace_back(passed->name, passed->value);
+    }
+    call.headers.emplace_back("X-Request-Id", request.request_id);
+    call.body.assign(request.body.begin(), request.body.end());
+    call.deadline = deadline;
+    return call;
+}
+
+// The body as the engine gets it: always a stream, resumable, with the request's own id.
+std::optional<std::string> engine_body(const request_openT& request)
+{
+    json body = json::parse(request.body.begin(), request.body.end(), nullptr, false);
+    if (!body.is_object()) {
+        return std::nullopt;
+    }
+    body["stream"] = true;
+    body["request_id"] = request.request_id;
+    body["priority"] = request.priority;
+    if (request.resume_from > 0) {
+        body["resume_from"] = request.resume_from;
+        body["resume_text"] = request.resume_text;
+    }
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+once::run_answer to_run_answer(backend_answer answer)
+{
+    once::run_answer recorded;
+    recorded.http_status = answer.status;
+    recorded.headers = std::move(answer.headers);
+    recorded.body = std::move(answer.body);
+    return recorded;
+}
+
+} // namespace
+
+request_service::request_service(request_service_parts given) : parts(std::move(given)) {}
+
+void request_service::serve(const std::shared_ptr<wire::stream>& exchange, const wire::frame& first)
+{
+    absl::StatusOr<request_openT> request = wire::decode<requests::request_open>(first.payload);
+    if (!request.ok()) {
+        send_refusal(*exchange, make_refusal(refusal_code::protocol_error, run_outcome::not_run,
+                                             "decode_request", request.status().message()));
+        return;
+    }
+    auto shared = std::make_shared<const request_openT>(*std::move(request));
+    const bool started =
+        this->threads.spawn([this, exchange, shared] { this->serve_request(*exchange, *shared); });
+    if (!started) {
+        send_refusal(*exchange, make_refusal(refusal_code::overloaded, run_outcome::not_run,
+                                             "start_thread", "", retry_elsewhere));
+    }
+}
+
+void request_service::drain()
+{
+    this->draining = true;
+    this->parts.admission->drain();
+}
+
+bool request_service::wait_until_idle(absl::Time deadline)
+{
+    return this->threads.wait_until_empty(deadline);
+}
+
+void request_service::serve_request(wire::stream& exchange, const request_openT& request)
+{
+    const absl::Time deadline = absl::Now() + absl::Milliseconds(request.remaining_ms);
+    log_event("request_received", {{"request", request.request_id},
+                                   {"service", request.service},
+                                   {"resume_from", request.resume_from}});
+    if (!request.key_digest.empty()) {
+        this->serve_key(exchange, request, deadline);
+        return;
+    }
+    if (this->draining) {
+        send_refusal(exchange, draining_refusal());
+        return;
+    }
+    if (this->parts.screen) {
+        if (std::optional<refusal> refused = this->parts.screen(request)) {
+            send_refusal(exchange, *refused);
+            return;
+        }
+    }
+    if (request.model_work) {
+        this->serve_completion(exchange, request, deadline);
+        return;
+    }
+    this->serve_call(exchange, request, deadline);
+}
+
+void request_service::serve_key(wire::stream& exchange, const request_openT& request,
+                                absl::Time deadline)
+{
+    if (request.agent_incarnation != this->parts.incarnation) {
+        send_refusal(exchange, make_refusal(refusal_code::bound_agent_gone, run_outcome::unknown,
+                                            "check_incarnation", ""));
+        return;
+    }
+    const std::optional<digest128> key = parse_digest(request.key_digest);
+    const std::optional<digest128> body = parse_digest(request.request_digest);
+    if (!key.has_value() || !body.has_value()) {
+        send_refusal(exchange, make_refusal(refusal_code::protocol_error, run_outcome::not_run,
+                                            "read_key", ""));
+        return;
+    }
+    once::run_admission admitted = this->draining ? this->parts.runs->look_up(*key, *body)
+                                                  : this->parts.runs->begin(*key, *body);
+    switch (admitted.decision) {
+    case once::run_decision::run:
+        this->run_key(exchange, request, deadline, std::move(admitted.permit));
+        return;
+    case once::run_decision::replay:
+        count("sardine_replays_total");
+        send_answer(exchange, *admitted.answer, true);
+        return;
+    case once::run_decision::join: {
+        count("sardine_joins_total");
+        const once::run_result result =
+            admitted.running->wait(deadline, [&exchange] { return exchange.ended(); });
+        if (result.end == once::run_end::answered) {
+            send_answer(exchange, *result.answer, true);
+            return;
+        }
+        send_refusal(exchange, once::refusal_of_run_end(result.end));
+        return;
+    }
+    case once::run_decision::not_found:
+        send_refusal(exchange, draining_refusal());
+        return;
+    default:
+        send_refusal(exchange, once::refusal_of_decision(admitted.decision));
+        return;
+    }
+}
+
+void request_service::run_key(wire::stream& exchange, const request_openT& request,
+                              absl::Time deadline, once::run_permit permit)
+{
+    if (this->parts.screen) {
+        if (std::optional<refusal> refused = this->parts.screen(request)) {
+            permit.fail_not_sent();
+            send_refusal(exchange, *refused);
+            return;
+        }
+    }
+    routing::admission_result admitted = this->admit(exchange, request, deadline);
+    if (!admitted.ok()) {
+        permit.fail_not_sent();
+        send_refusal(exchange, admitted.why());
+        return;
+    }
+    if (!this->parts.backend->accepts_connections()) {
+        permit.fail_not_sent();
+        send_refusal(exchange, make_refusal(refusal_code::no_backend_server, run_outcome::not_run,
+                                            "connect", "", retry_lost_backend));
+        return;
+    }
+    backend_request call = to_call(request, deadline);
+    call.fresh_connection = true;
+    permit.mark_sent();
+    // The run belongs to the key, not to the caller that started it: it goes on without the caller.
+    if (this->parts.on_begin) {
+        this->parts.on_begin(request);
+    }
+    backend_answer answer = this->parts.backend->call(
+        call, nullptr, [](const std::function<void()>&) {}, [] { return false; });
+    if (this->parts.on_end) {
+        this->parts.on_end(request, answer.end == backend_end::lost);
+    }
+    if (answer.end != backend_end::complete) {
+        const refusal refused = refusal_of(answer);
+        permit.fail_unknown();
+        send_refusal(exchange, refused);
+        return;
+    }
+    const std::shared_ptr<const once::run_answer> recorded =
+        permit.finish(to_run_answer(std::move(answer)));
+    log_event("key_ran", {{"request", request.request_id}, {"status", recorded->http_status}});
+    send_answer(exchange, *recorded, false);
+}
+
+routing::admission_result request_service::admit(wire::stream& exchange,
+                                                 const request_openT& request, absl::Time deadline)
+{
+    routing::admission_request asked;
+    asked.priority = static_cast<catalogue::priority_class>(std::min<std::uint8_t>(
+        request.priority, static_cast<std::uint8_t>(catalogue::priority_class::batch)));
+    asked.remaining_time = deadline - absl::Now();
+    asked.exclusive = request.run_alone;
+    asked.cancelled = [&exchange] { return exchange.ended(); };
+    return this->parts.admission->admit(asked);
+}
+
+backend_answer request_service::call_backend(wire::stream& exchange, const request_openT& request,
+                                             const backend_request& call,
+                                             const byte_receiver& on_bytes)
+{
+    if (this->parts.on_begin) {
+        this->parts.on_begin(request);
+    }
+    backend_answer answer = this->parts.backend->call(
+        call, on_bytes,
+        [&exchange](std::function<void()> stop) { exchange.on_end(std::move(stop)); },
+        [&exchange] { return exchange.ended(); });
+    if (this->parts.on_end) {
+        this->parts.on_end(request, answer.end == backend_end::lost);
+    }
+    return answer;
+}
+
+void request_service::serve_call(wire::stream& exchange, const request_openT& request,
+                                 absl::Time deadline)
+{
+    routing::admission_result admitted = this->admit(exchange, request, deadline);
+    if (!admitted.ok()) {
+        send_refusal(exchange, admitted.why());
+        return;
+    }
+    const absl::Time started = absl::Now();
+    backend_answer answer =
+        this->call_backend(exchange, request, to_call(request, deadline), nullptr);
+    if (answer.end != backend_end::complete) {
+        send_refusal(exchange, refusal_of(answer));
+        return;
+    }
+    routing::completion_sample sample;
+    sample.service_time = absl::Now() - started;
+    admitted.slot().complete(sample);
+    send_answer(exchange, to_run_answer(std::move(answer)), false);
+}
+
+void request_service::serve_completion(wire::stream& exchange, const request_openT& request,
+                                       absl::Time deadline)
+{
+    std::optional<std::string> body = engine_body(request);
+    if (!body.has_value()) {
+        send_refusal(exchange, make_refusal(refusal_code::bad_request, run_outcome::not_run,
+                                            "read_body", "not a JSON object"));
+        return;
+    }
+    routing::admission_result admitted = this->admit(exchange, request, deadline);
+    if (!admitted.ok()) {
+        send_refusal(exchange, admitted.why());
+        return;
+    }
+    if (!send_admitted(exchange).ok()) {
+        return;
+    }
+    backend_request call = to_call(request, deadline);
+    call.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", request.request_id}};
+    call.body = *std::move(body);
+
+    token_sequencer sequencer(request.request_id, request.resume_from);
+    const absl::Time started = absl::Now();
+    routing::completion_sample sample;
+    const auto forward = [&](absl::string_view bytes) {
+        const std::vector<std::string> events = sequencer.feed(bytes);
+        std::uint32_t index = sequencer.next_index() - static_cast<std::uint32_t>(events.size());
+        for (const std::string& event : events) {
+            if (!send_token(exchange, index++, event).ok()) {
+                return false;
+            }
+            sample.first_token_time =
+                sample.generated_tokens++ == 0 ? absl::Now() - started : sample.first_token_time;
+            admitted.slot().progress();
+        }
+        return !sequencer.broken() && !exchange.ended();
+    };
+    const backend_answer answer = this->call_backend(exchange, request, call, forward);
+    if (answer.end == backend_end::complete && answer.status != http_ok) {
+        send_refusal(exchange, make_refusal(refusal_code::backend_error, run_outcome::failed,
+                                            "call_backend", answer.body));
+        return;
+    }
+    if (sequencer.broken() || (answer.end == backend_end::complete && !sequencer.complete())) {
+        send_refusal(exchange, make_refusal(refusal_code::protocol_error, run_outcome::unknown,
+                                            "read_events", "tokens missing or malformed"));
+        return;
+    }
+    if (answer.end != backend_end::complete) {
+        send_refusal(exchange, refusal_of(answer));
+        return;
+    }
+    sample.service_time = absl::Now() - started;
+    admitted.slot().complete(sample);
+    send_end(exchange, sequencer.next_index());
+}
+
+} // namespace sardinestream::agent
--- /dev/null
+++ b/sardinestream/agent/request_service.h
@@ -0,0 +1,84 @@
+// Serves the requests that entries send to this agent.
+//
+// Owns the path of a request from its first frame to its last: admission, the at-most-once record,
+// the call to the backend server, the answer's frames. One thread for each request. It never
+// retries and never speaks to another agent.
+//
+//     auto service = request_service::create(parts);
+//     hooks.on_stream = [&](const auto& opened, wire::frame first) {
+//         if (first.header.type == wire::frame_type::request_open) { service->serve(opened, first);
+//         }
+//     };
+
+#ifndef SARDINESTREAM_AGENT_REQUEST_SERVICE_H_
+#define SARDINESTREAM_AGENT_REQUEST_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sardinestream/agent/backend_client.h"
+#include "sardinestream/base/outcome.h"
+#include "sardinestream/base/thread_group.h"
+#include "sardinestream/once/run_table.h"
+#include "sardinestream/requests/requests_generated.h"
+#include "sardinestream/routing/admission.h"
+#include "sardinestream/wire/peer_link.h"
+
+namespace sardinestream::agent {
+
+struct request_service_parts {
+    // Both must outlive the service.
+    backend_client* backend = nullptr;
+    routing::admission* admission = nullptr;
+    std::shared_ptr<once::run_table> runs;
+    std::uint64_t incarnation = 0;
+    // Refuses a request before anything else is done, such as a crash suspect; may be empty.
+    std::function<std::optional<refusal>(const requests::request_openT&)> screen;
+    // A request begins or has ended at the backend server; `lost` where the connection broke.
+    std::function<void(const requests::request_openT&)> on_begin;
+    std::function<void(const requests::request_openT&, bool lost)> on_end;
+};
+
+// Thread-safe.
+class request_service {
+public:
+    explicit request_service(request_service_parts parts);
+
+    // Serves one exchange on a thread of its own. Does not block.
+    void serve(const std::shared_ptr<wire::stream>& exchange, const wire::frame& first);
+
+    // From now on refuses new work; keys that have run are still answered.
+    void drain();
+
+    // Returns true once no request is in progress, false at `deadline`.
+    [[nodiscard]] bool wait_until_idle(absl::Time deadline);
+
+    [[nodiscard]] int in_flight() const { return this->threads.size(); }
+
+private:
+    void serve_request(wire::stream& exchange, const requests::request_openT& request);
+    void serve_key(wire::stream& exchange, const requests::request_openT& request,
+                   absl::Time deadline);
+    void run_key(wire::stream& exchange, const requests::request_openT& request,
+                 absl::Time deadline, once::run_permit permit);
+    void serve_call(wire::stream& exchange, const requests::request_openT& request,
+                    absl::Time deadline);
+    void serve_completion(wire::stream& exchange, const requests::request_openT& request,
+                          absl::Time deadline);
+    [[nodiscard]] routing::admission_result
+    admit(wire::stream& exchange, const requests::request_openT& request, absl::Time deadline);
+    [[nodiscard]] backend_answer call_backend(wire::stream& exchange,
+                                              const requests::request_openT& request,
+                                              const backend_request& call,
+                                              const byte_receiver& on_bytes);
+
+    const request_service_parts parts;
+    std::atomic<bool> draining{false};
+    thread_group threads; // last, so that it ends first
+};
+
+} // namespace sardinestream::agent
+
+#endif // SARDINESTREAM_AGENT_REQUEST_SERVICE_H_
--- a/sardinestream/base/settings.h
+++ b/sardinestream/base/settings.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -24,7 +25,10 @@
 
     [[nodiscard]] std::string to_string() const;
     friend bool operator==(const address&, const address&) = default;
-    friend auto operator<=>(const address&, const address&) = default;
+    friend bool operator<(const address& left, const address& right)
+    {
+        return std::tie(left.ip, left.port) < std::tie(right.ip, right.port);
+    }
 };
 
 // Parses "10.0.0.1:7000". Names are not resolved.
--- /dev/null
+++ b/sardinestream/entry/main.cc
@@ -0,0 +1,245 @@
+// sardine-entry: takes callers' requests and hands them to the agents beside the backend servers.
+//
+// Reading order: settings, then the parts (store, catalogue, directory, routing, keys), then the
+// callers' HTTP front, then the wait for a signal and the graceful shutdown.
+
+#include <cstdio>
+#include <utility>
+
+#include "sardinestream/base/digest.h"
+#include "sardinestream/base/http_server.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/base/ops_server.h"
+#include "sardinestream/base/shutdown_signal.h"
+#include "sardinestream/catalogue/catalogue_service.h"
+#include "sardinestream/catalogue/status_page.h"
+#include "sardinestream/entry/agent_router.h"
+#include "sardinestream/entry/entry_settings.h"
+#include "sardinestream/entry/key_router.h"
+#include "sardinestream/requests/http_front.h"
+#include "sardinestream/routing/retry_budget.h"
+
+namespace sardinestream::entry {
+namespace {
+
+constexpr absl::Duration retry_when_full = absl::Seconds(1);
+
+// Everything that a running entry owns, in the order in which it is built.
+struct entry_process {
+    entry_settings settings;
+    std::uint64_t incarnation = random_u64();
+    std::atomic<bool> leaving{false};
+    std::unique_ptr<platform::object_store> store;
+    std::unique_ptr<catalogue::catalogue_service> catalogue;
+    std::unique_ptr<agent_router> router;
+    routing::retry_budget retries;
+    std::unique_ptr<membership::peer_directory> directory;
+    std::unique_ptr<wire::link_server> links;
+    std::unique_ptr<key_router> keys;
+    std::unique_ptr<requests::http_front> front;
+    std::unique_ptr<ops_server> ops;
+    std::unique_ptr<http_server> http;
+};
+
+wire::helloT make_hello(const entry_process& process)
+{
+    wire::helloT hello;
+    hello.protocol_version = wire::protocol_version;
+    hello.role = wire::peer_role::entry;
+    hello.id = process.settings.id;
+    hello.incarnation = process.incarnation;
+    hello.data_centre = process.settings.data_centre;
+    hello.address = process.settings.link_listen.to_string();
+    hello.leaving = process.leaving;
+    return hello;
+}
+
+absl::Status create_store(entry_process& process)
+{
+    platform::object_store_options options;
+    options.servers = process.settings.platform;
+    absl::StatusOr<std::unique_ptr<platform::object_store>> store =
+        platform::object_store::create(std::move(options));
+    if (!store.ok()) {
+        return store.status();
+    }
+    process.store = *std::move(store);
+    return absl::OkStatus();
+}
+
+void create_catalogue(entry_process& process)
+{
+    catalogue::catalogue_service_options options;
+    options.id = process.settings.id;
+    options.watch_store = process.settings.watch_catalogue;
+    options.accept = process.settings.watch_catalogue;
+    options.deciding.id = process.settings.id;
+    process.catalogue = catalogue::catalogue_service::create(options, process.store.get());
+}
+
+absl::Status create_directory(entry_process& process)
+{
+    absl::StatusOr<std::shared_ptr<wire::tls_context>> tls =
+        wire::tls_context::create(process.settings.fleet_key);
+    if (!tls.ok()) {
+        return tls.status();
+    }
+    absl::StatusOr<routing::choose_backend> policy = routing::make_policy(process.settings.policy);
+    if (!policy.ok()) {
+        return policy.status();
+    }
+    process.router =
+        std::make_unique<agent_router>(process.settings.data_centre, *std::move(policy));
+    wire::link_options options;
+    options.tls = *std::move(tls);
+    options.local_hello = [&process] { return make_hello(process); };
+    process.catalogue->attach(options.hooks);
+    process.directory =
+        membership::peer_directory::create(std::move(options), process.router->observer());
+    absl::StatusOr<std::unique_ptr<wire::link_server>> links =
+        wire::link_server::create(process.directory->link_options(), process.settings.link_listen);
+    if (!links.ok()) {
+        return links.status();
+    }
+    process.links = *std::move(links);
+    process.settings.link_listen = process.links->local();
+    process.directory->set_addresses(process.settings.seeds);
+    return absl::OkStatus();
+}
+
+absl::Status create_keys(entry_process& process)
+{
+    absl::StatusOr<std::unique_ptr<key_router>> keys =
+        key_router::create(process.store.get(), process.directory.get(), process.settings.fleet_key,
+                           [](const std::string&) { return false; });
+    if (!keys.ok()) {
+        return keys.status();
+    }
+    process.keys = *std::move(keys);
+    return absl::OkStatus();
+}
+
+requests::request_services make_services(entry_process& process)
+{
+    requests::request_services services;
+    process.keys->fill(services);
+    services.choose_agent = [&process](const requests::caller_request& request,
+                                       const requests::attempt_history& history) {
+        return process.router->choose(*process.directory, request, history);
+    };
+    services.note_request = [&process](const requests::caller_request& request) {
+        process.retries.on_request(request.entry->service);
+    };
+    services.may_retry = [&process](const requests::caller_request& request) {
+        return process.retries.try_retry(request.entry->service);
+    };
+    services.note_completed = [&process](const requests::caller_request& request,
+                                         const membership::peer& agent, absl::Duration,
+                                         absl::Duration, std::uint32_t) {
+        process.router->note_completed(request, agent);
+    };
+    return services;
+}
+
+absl::Status start_front(entry_process& process)
+{
+    process.front = std::make_unique<requests::http_front>(
+        [&process] { return process.catalogue->state().current(); }, make_services(process));
+    http_server_options options;
+    options.local = process.settings.listen;
+    options.max_connections = process.settings.max_connections;
+    options.refuse_request = [](httplib::Response& answer) {
+        requests::answer_refusal(requests::refuse_not_run(refusal_code::too_many_connections,
+                                                          "accept", "", retry_when_full),
+                                 "", answer);
+    };
+    absl::StatusOr<std::unique_ptr<http_server>> http = http_server::create(std::move(options));
+    if (!http.ok()) {
+        return http.status();
+    }
+    process.http = *std::move(http);
+    process.front->add_routes(process.http->routes());
+    process.http->start();
+    return absl::OkStatus();
+}
+
+absl::Status start_ops(entry_process& process)
+{
+    ops_hooks hooks;
+    hooks.is_ready = [&process] { return !process.leaving && process.catalogue->ready(); };
+    hooks.status_json = [&process] {
+        return catalogue::status_json(process.catalogue->state(), process.catalogue->ready());
+    };
+    hooks.status_html = [&process] {
+        return catalogue::status_html(process.catalogue->state(), process.catalogue->ready());
+    };
+    hooks.update_gauges = [&process] {
+        set_gauge("sardine_in_flight", {}, process.front->in_flight());
+        set_gauge("sardine_connections", {}, process.http->connections());
+    };
+    absl::StatusOr<std::unique_ptr<ops_server>> ops =
+        ops_server::create(process.settings.ops_listen, std::move(hooks));
+    if (!ops.ok()) {
+        return ops.status();
+    }
+    process.ops = *std::move(ops);
+    return absl::OkStatus();
+}
+
+// Fails readiness, waits until the platform's balancer has noticed, then lets requests finish.
+void drain(entry_process& process)
+{
+    log_event("drain_started", {{"in_flight", process.front->in_flight()}});
+    process.leaving = true;
+    absl::SleepFor(process.settings.drain_delay);
+    process.http->stop();
+    log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+}
+
+absl::Status run(entry_process& process, shutdown_signal& signal)
+{
+    SARDINE_RETURN_IF_ERROR(create_store(process));
+    create_catalogue(process);
+    SARDINE_RETURN_IF_ERROR(create_directory(process));
+    SARDINE_RETURN_IF_ERROR(create_keys(process));
+    SARDINE_RETURN_IF_ERROR(start_front(process));
+    SARDINE_RETURN_IF_ERROR(start_ops(process));
+    log_event("started", {{"incarnation", process.incarnation},
+                          {"listen", process.http->local().to_string()},
+                          {"ops_listen", process.ops->local().to_string()}});
+    std::printf("listening=%s\nops=%s\n", process.http->local().to_string().c_str(),
+                process.ops->local().to_string().c_str());
+    std::fflush(stdout);
+    signal.wait([&process] {
+        log_event("still_open", {{"in_flight", process.front->in_flight()}});
+    });
+    drain(process);
+    return absl::OkStatus();
+}
+
+} // namespace
+} // namespace sardinestream::entry
+
+int main(int argc, char** argv)
+{
+    using namespace sardinestream;
+    shutdown_signal signal = shutdown_signal::install();
+    absl::StatusOr<entry::entry_settings> settings = entry::load_entry_settings(&argc, &argv);
+    if (!settings.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
+        return 2;
+    }
+    if (settings->check_only) {
+        return 0;
+    }
+    start_logging(settings->log_minimum, "sardine-entry", settings->id);
+    entry::entry_process process;
+    process.settings = *std::move(settings);
+    const absl::Status status = entry::run(process, signal);
+    if (!status.ok()) {
+        log_failure("start_failed", status);
+        return 1;
+    }
+    return 0;
+}
--- a/sardinestream/membership/peer_directory.cc
+++ b/sardinestream/membership/peer_directory.cc
@@ -36,9 +36,10 @@
     this->report = std::string(payload);
 }
 
-std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options)
+std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options,
+                                                       observer watching)
 {
-    std::unique_ptr<peer_directory> made(new peer_directory());
+    std::unique_ptr<peer_directory> made(new peer_directory(std::move(watching)));
     peer_directory* self = made.get();
     const wire::link_hooks outer = options.hooks;
     options.hooks.on_up = [self, outer](const std::shared_ptr<wire::peer_link>& link) {
@@ -66,6 +67,9 @@
             if (std::shared_ptr<peer> known = self->find_by_link(link.get())) {
                 known->leaving = true;
                 log_event("peer_leaving", {{"peer", link->remote().id}});
+                if (self->watcher.on_leaving) {
+                    self->watcher.on_leaving(known);
+                }
             }
             return;
         }
@@ -116,11 +120,16 @@
     std::vector<std::shared_ptr<peer>> found;
     const absl::MutexLock lock(&this->mutex);
     for (const auto& [link, known] : this->peers) {
-        if (known->identity().role == role) {
+        if (known->identity().role == role && known->link->usable()) {
             found.push_back(known);
         }
     }
     sort_by_id(found);
+    // Two entries dial each other: either link will do.
+    const auto same_id = [](const std::shared_ptr<peer>& left, const std::shared_ptr<peer>& right) {
+        return left->identity().id == right->identity().id;
+    };
+    found.erase(std::unique(found.begin(), found.end(), same_id), found.end());
     return found;
 }
 
@@ -168,6 +177,9 @@
     added->leaving = link->remote().leaving;
     log_event("peer_up",
               {{"peer", link->remote().id}, {"incarnation", link->remote().incarnation}});
+    if (this->watcher.on_peer_up) {
+        this->watcher.on_peer_up(added);
+    }
     const absl::MutexLock lock(&this->mutex);
     this->peers[link.get()] = std::move(added);
     this->incarnations[link->remote().id] = link->remote().incarnation;
@@ -176,8 +188,14 @@
 void peer_directory::remove(const std::shared_ptr<wire::peer_link>& link)
 {
     log_event("peer_down", {{"peer", link->remote().id}});
-    const absl::MutexLock lock(&this->mutex);
-    this->peers.erase(link.get());
+    std::shared_ptr<peer> lost = this->find_by_link(link.get());
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->peers.erase(link.get());
+    }
+    if (lost != nullptr && this->watcher.on_peer_down) {
+        this->watcher.on_peer_down(lost);
+    }
 }
 
 std::shared_ptr<peer> peer_directory::find_by_link(const wire::peer_link* link) const
@@ -191,6 +209,9 @@
 {
     if (std::shared_ptr<peer> known = this->find_by_link(link)) {
         known->set_last_report(payload);
+        if (this->watcher.on_heartbeat) {
+            this->watcher.on_heartbeat(known, payload);
+        }
     }
 }
 
--- a/sardinestream/membership/peer_directory.h
+++ b/sardinestream/membership/peer_directory.h
@@ -13,6 +13,7 @@
 #define SARDINESTREAM_MEMBERSHIP_PEER_DIRECTORY_H_
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,11 @@
     [[nodiscard]] bool serves(absl::string_view service) const;
     [[nodiscard]] bool usable() const { return this->link->usable() && !this->leaving; }
 
+    // Told of every request that this process sends to the peer, and of its end; may be empty. Set
+    // before the peer is handed out.
+    std::function<void()> on_request_sent;
+    std::function<void()> on_request_ended;
+
     // The payload of the last heartbeat, empty before the first.
     [[nodiscard]] std::string last_report() const;
     void set_last_report(absl::string_view payload);
@@ -50,8 +56,17 @@
 // Thread-safe.
 class peer_directory {
 public:
-    // Hooks of `options` run before the directory's own.
-    [[nodiscard]] static std::unique_ptr<peer_directory> create(wire::link_options options);
+    // Called with each new peer before it is handed out, and with each lost one; may be empty.
+    struct observer {
+        std::function<void(const std::shared_ptr<peer>&)> on_peer_up;
+        std::function<void(const std::shared_ptr<peer>&)> on_peer_down;
+        std::function<void(const std::shared_ptr<peer>&, absl::string_view payload)> on_heartbeat;
+        std::function<void(const std::shared_ptr<peer>&)> on_leaving;
+    };
+
+    // The directory's own work comes before the hooks of `options`.
+    [[nodiscard]] static std::unique_ptr<peer_directory> create(wire::link_options options,
+                                                                observer watching = {});
 
     ~peer_directory();
     peer_directory(const peer_directory&) = delete;
@@ -63,7 +78,13 @@
     // Connected peers that offer the service, leaving ones included, sorted by id.
     [[nodiscard]] std::vector<std::shared_ptr<peer>> serving(absl::string_view service) const;
 
-    // Connected peers of one role, sorted by id.
+    // What every link of this process is made with: for the server that accepts links.
+    [[nodiscard]] std::shared_ptr<const wire::link_options> link_options() const
+    {
+        return this->options;
+    }
+
+    // Connected peers of one role, sorted by id, one for each id.
     [[nodiscard]] std::vector<std::shared_ptr<peer>> with_role(wire::peer_role role) const;
 
     // The connected peer with this id, or null.
@@ -76,13 +97,14 @@
     [[nodiscard]] std::shared_ptr<peer> wait_for(absl::string_view id, absl::Time deadline) const;
 
 private:
-    peer_directory() = default;
+    explicit peer_directory(observer watching) : watcher(std::move(watching)) {}
 
     void add(const std::shared_ptr<wire::peer_link>& link);
     void remove(const std::shared_ptr<wire::peer_link>& link);
     [[nodiscard]] std::shared_ptr<peer> find_by_link(const wire::peer_link* link) const;
     void note_heartbeat(const wire::peer_link* link, absl::string_view payload);
 
+    const observer watcher;
     std::shared_ptr<wire::link_options> options;
     mutable absl::Mutex mutex;
     // Every connected peer, by its link.
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -16,7 +16,6 @@
 namespace sardinestream::requests {
 namespace {
 
-using catalogue::catalogue_entry;
 using catalogue::catalogue_snapshot;
 using catalogue::priority_class;
 using json = nlohmann::json;
@@ -127,22 +126,19 @@
     return std::nullopt;
 }
 
-// The text by which prompts are compared and measured.
-std::size_t prompt_size(const json& body, bool chat)
+// The text of the prompt, or of all messages one after the other.
+std::string prompt_text(const json& body, bool chat)
 {
     if (!chat) {
-        auto prompt = body.find("prompt");
-        return prompt != body.end() && prompt->is_string()
-                   ? prompt->get_ref<const std::string&>().size()
-                   : 0;
+        return body["prompt"].get<std::string>();
     }
-    std::size_t total = 0;
+    std::string text;
     for (const json& message : body["messages"]) {
         if (message.is_object() && message.contains("content") && message["content"].is_string()) {
-            total += message["content"].get_ref<const std::string&>().size();
+            absl::StrAppend(&text, message["content"].get_ref<const std::string&>(), "\n");
         }
     }
-    return total;
+    return text;
 }
 
 bool is_valid_completion(const json& body, bool chat)
@@ -175,22 +171,12 @@
     return false;
 }
 
-std::string caller_request::request_digest() const
-{
-    return sha256_hex(absl::StrCat(this->method, "\n", this->path, "\n", this->body));
-}
-
 std::string caller_request::fingerprint() const
 {
     return sha256_hex(absl::StrCat(this->entry->owner, "\n", this->entry->service, "\n",
                                    this->method, "\n", this->path, "\n", this->body));
 }
 
-std::string caller_request::key_digest(absl::string_view key) const
-{
-    return sha256_hex(absl::StrCat(this->entry->owner, "\n", this->entry->service, "\n", key));
-}
-
 refusal refuse_not_run(refusal_code code, absl::string_view step, absl::string_view message,
                        absl::Duration retry_after)
 {
@@ -234,7 +220,7 @@
     request.path = request.chat ? "/v1/chat/completions" : "/v1/completions";
     request.body = http.body;
     request.stream = body.value("stream", false);
-    request.prompt_bytes = prompt_size(body, request.chat);
+    request.prompt = prompt_text(body, request.chat);
     return request;
 }
 
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -48,20 +48,14 @@
     std::string ticket;          // empty where the caller gave none
     bool stream = false;         // completions only: server-sent events
     bool chat = false;           // completions only
-    std::size_t prompt_bytes = 0;
+    std::string prompt;          // completions only: the text by which prefixes are compared
     std::uint32_t max_tokens = 0;
 
     // True where the catalogue lets this request run again after an attempt of unknown outcome.
     [[nodiscard]] bool repeatable() const;
 
-    // Digest of what makes the request what it is: method, path and body.
-    [[nodiscard]] std::string request_digest() const;
-
     // Digest by which crashes are counted: team, class of work and body.
     [[nodiscard]] std::string fingerprint() const;
-
-    // Digest of team, service and key: no team can name another's key.
-    [[nodiscard]] std::string key_digest(absl::string_view key) const;
 };
 
 using parsed_request = std::variant<caller_request, refusal>;
--- a/sardinestream/requests/completion.cc
+++ b/sardinestream/requests/completion.cc
@@ -41,7 +41,7 @@
     if (this->services.acquire_permit) {
         std::variant<team_permit, refusal> acquired = this->services.acquire_permit(this->asked);
         if (auto* refused = std::get_if<refusal>(&acquired)) {
-            return *std::move(refused);
+            return std::move(*refused);
         }
         this->permit = std::get<team_permit>(std::move(acquired));
     }
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -241,7 +241,7 @@
         answer_refusal(*refused, request.request_id, answer);
         return;
     }
-    auto& whole = std::get<service_answer>(result);
+    const auto& whole = std::get<service_answer>(result);
     answer.status = whole.status;
     std::string content_type = "application/octet-stream";
     for (const auto& [name, value] : whole.headers) {
@@ -254,7 +254,7 @@
     if (whole.replayed) {
         answer.set_header("Sardine-Replayed", "true");
     }
-    answer.set_content(std::move(whole.body), content_type);
+    answer.set_content(whole.body, content_type);
     log_event("call_done", {{"request", request.request_id},
                             {"status", whole.status},
                             {"replayed", whole.replayed ? "true" : "false"}});
@@ -283,8 +283,7 @@
                        request.request_id, answer);
         return;
     }
-    const std::string ticket =
-        this->services.make_ticket(request, {agent->identity().id, agent->identity().incarnation});
+    const std::string ticket = this->services.make_ticket(request, *agent);
     answer.set_content(json({{"ticket", ticket}}).dump(), json_type);
 }
 
--- a/sardinestream/requests/service_call.cc
+++ b/sardinestream/requests/service_call.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/once/request_key.h"
 
 namespace sardinestream::requests {
 namespace {
@@ -28,7 +29,7 @@
             continue;
         }
         if (auto* refused = std::get_if<refusal>(&part)) {
-            return *std::move(refused);
+            return std::move(*refused);
         }
         if (std::holds_alternative<answer_end>(part)) {
             return answer;
@@ -46,7 +47,7 @@
 {
     attempt_result started = attempt::start(agent, message, deadline);
     if (auto* refused = std::get_if<refusal>(&started)) {
-        return *std::move(refused);
+        return std::move(*refused);
     }
     return read_answer(*std::get<std::unique_ptr<attempt>>(started), deadline);
 }
@@ -103,58 +104,73 @@
     }
 }
 
-// Returns whom the key or the ticket binds the request to; `key` receives the key itself.
-std::variant<key_owner, refusal> find_binding(const caller_request& request,
-                                              const request_services& services, std::string& key)
+// Whom the request is bound to, and the key under which that agent records it.
+struct bound_key {
+    key_owner owner;
+    digest128 key;
+    // What the backend server gets as `Idempotency-Key`.
+    std::string key_text;
+};
+
+std::variant<bound_key, refusal> find_binding(const caller_request& request,
+                                              const request_services& services)
 {
+    bound_key bound;
+    std::variant<key_owner, refusal> owner;
     if (!request.ticket.empty()) {
-        if (!services.read_ticket) {
-            return refuse_not_run(refusal_code::ticket_invalid, "read_ticket", "");
-        }
-        return services.read_ticket(request, key);
+        owner = services.read_ticket(request, bound.key_text, bound.key);
     }
-    key = request.idempotency_key;
-    if (key.empty()) {
+    else if (request.idempotency_key.empty()) {
         return refuse_not_run(refusal_code::idempotency_key_required, "read_headers",
                               "Idempotency-Key or Sardine-Ticket");
     }
-    if (!services.bind_key) {
-        return refuse_not_run(refusal_code::store_unavailable, "bind_key", "");
+    else {
+        bound.key_text = request.idempotency_key;
+        bound.key = once::digest_of_caller_key(request.entry->owner, request.entry->service,
+                                               request.idempotency_key);
+        // Where no agent is up, an earlier binding is still found.
+        key_owner proposed;
+        if (std::shared_ptr<membership::peer> agent = services.choose_agent(request, {})) {
+            proposed.agent_id = agent->identity().id;
+            proposed.agent_incarnation = agent->identity().incarnation;
+        }
+        owner = services.bind_key(request, bound.key, proposed);
     }
-    // Where no agent is up, an earlier binding is still found.
-    key_owner proposed;
-    if (std::shared_ptr<membership::peer> agent = services.choose_agent(request, {})) {
-        proposed.agent_id = agent->identity().id;
-        proposed.agent_incarnation = agent->identity().incarnation;
+    if (auto* refused = std::get_if<refusal>(&owner)) {
+        return std::move(*refused);
     }
-    return services.bind_key(request, proposed);
+    bound.owner = std::get<key_owner>(std::move(owner));
+    return bound;
+}
+
+void set_header(request_openT& message, const std::string& name, const std::string& value)
+{
+    auto passed = std::make_unique<headerT>();
+    passed->name = name;
+    passed->value = value;
+    message.headers.push_back(std::move(passed));
 }
 
 call_result call_at_most_once(const caller_request& request, const request_services& services)
 {
-    std::string key;
-    std::variant<key_owner, refusal> bound = find_binding(request, services, key);
-    if (auto* refused = std::get_if<refusal>(&bound)) {
-        return *std::move(refused);
+    std::variant<bound_key, refusal> found = find_binding(request, services);
+    if (auto* refused = std::get_if<refusal>(&found)) {
+        return std::move(*refused);
     }
-    const key_owner& owner = std::get<key_owner>(bound);
+    const bound_key& bound = std::get<bound_key>(found);
     std::variant<std::shared_ptr<membership::peer>, refusal> agent =
-        services.find_owner(owner, request.deadline);
+        services.find_owner(bound.owner, request.deadline);
     if (auto* refused = std::get_if<refusal>(&agent)) {
-        return *std::move(refused);
+        return std::move(*refused);
     }
     request_openT message = make_request_open(request);
-    message.key_digest = request.key_digest(key);
-    message.request_digest = request.request_digest();
-    message.agent_incarnation = owner.agent_incarnation;
-    if (!request.idempotency_key.empty()) {
-        return run_once(std::get<std::shared_ptr<membership::peer>>(agent), message,
-                        request.deadline);
-    }
-    auto key_header = std::make_unique<headerT>();
-    key_header->name = "Idempotency-Key";
-    key_header->value = key;
-    message.headers.push_back(std::move(key_header));
+    message.key_digest = bound.key.to_hex();
+    message.request_digest =
+        once::digest_of_request(request.method, request.path, request.body).to_hex();
+    message.agent_incarnation = bound.owner.agent_incarnation;
+    if (request.idempotency_key.empty()) {
+        set_header(message, "Idempotency-Key", bound.key_text);
+    }
     return run_once(std::get<std::shared_ptr<membership::peer>>(agent), message, request.deadline);
 }
 
@@ -173,7 +189,7 @@
     if (services.acquire_permit) {
         std::variant<team_permit, refusal> acquired = services.acquire_permit(request);
         if (auto* refused = std::get_if<refusal>(&acquired)) {
-            return *std::move(refused);
+            return std::move(*refused);
         }
         permit = std::get<team_permit>(std::move(acquired));
     }
--- a/sardinestream/requests/services.h
+++ b/sardinestream/requests/services.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <variant>
 
+#include "sardinestream/base/digest128.h"
 #include "sardinestream/membership/peer_directory.h"
 #include "sardinestream/requests/caller_request.h"
 
@@ -46,13 +47,16 @@
     std::function<void(const caller_request&)> note_request;
     // Binds the caller's key to the agent incarnation that `proposed` names, or returns the earlier
     // binding, or why there is none.
-    std::function<std::variant<key_owner, refusal>(const caller_request&,
+    std::function<std::variant<key_owner, refusal>(const caller_request&, digest128 key,
                                                    const key_owner& proposed)>
         bind_key;
-    // Returns whom a ticket names, or why it is not valid; `key` receives the ticket's own key.
-    std::function<std::variant<key_owner, refusal>(const caller_request&, std::string& key)>
+    // Returns whom a ticket names, or why it is not valid; `key_text` and `key` receive the
+    // ticket's own key.
+    std::function<std::variant<key_owner, refusal>(const caller_request&, std::string& key_text,
+                                                   digest128& key)>
         read_ticket;
-    std::function<std::string(const caller_request&, const key_owner&)> make_ticket;
+    // Returns a ticket for this agent.
+    std::function<std::string(const caller_request&, const membership::peer&)> make_ticket;
     // Finds a bound agent. `unknown` outcomes where it is gone or cannot be reached.
     std::function<std::variant<std::shared_ptr<membership::peer>, refusal>(const key_owner&,
                                                                            absl::Time deadline)>
