--- /dev/null
+++ b/sardinestream/routing/choose_backend.cc
@@ -0,0 +1,293 @@
+#include "sardinestream/routing/choose_backend.h"
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace sardinestream::routing {
+namespace {
+
+// Stand for a server's speed until its agent has measured it. Low, so that a server without recent
+// samples is tried again.
+constexpr absl::Duration unknown_service_time = absl::Milliseconds(20);
+constexpr absl::Duration unknown_prefill_token_time = absl::Microseconds(20);
+
+// A server from which nothing was heard for longer than this is taken to be stalled since then.
+constexpr absl::Duration fresh_report_age = absl::Milliseconds(600);
+// A model server whose requests made no progress for longer than this, and for longer than a first
+// token usually takes, is taken to be stalled.
+constexpr absl::Duration stall_threshold = absl::Milliseconds(250);
+constexpr double stall_first_tokens = 2.0;
+
+bool may_take(const backend_view& view, const request_profile& profile)
+{
+    if (view.leaving) {
+        return false;
+    }
+    return std::find(profile.excluded.begin(), profile.excluded.end(), view.id) ==
+           profile.excluded.end();
+}
+
+std::vector<std::size_t> eligible(std::span<const backend_view> views,
+                                  const request_profile& profile)
+{
+    std::vector<std::size_t> found;
+    found.reserve(views.size());
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (may_take(views[i], profile)) {
+            found.push_back(i);
+        }
+    }
+    return found;
+}
+
+std::size_t below(std::size_t bound, random_source& random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+}
+
+// Appends up to `count` distinct members of `pool`, which is reordered.
+void sample(std::vector<std::size_t>& pool, std::size_t count, random_source& random,
+            std::vector<std::size_t>& out)
+{
+    for (std::size_t i = 0; i < std::min(count, pool.size()); ++i) {
+        std::swap(pool[i], pool[i + below(pool.size() - i, random)]);
+        out.push_back(pool[i]);
+    }
+}
+
+std::int64_t occupancy(const backend_view& view)
+{
+    const std::int64_t known =
+        std::int64_t{view.load.running} + view.load.queued + view.change_since_report;
+    return std::max<std::int64_t>(0, known);
+}
+
+bool has_free_slot(const backend_view& view)
+{
+    return occupancy(view) < view.load.slots && view.load.suspects == 0;
+}
+
+absl::Duration known_or(absl::Duration measured, absl::Duration otherwise)
+{
+    return measured > absl::ZeroDuration() ? measured : otherwise;
+}
+
+absl::Duration waiting_time(const backend_view& view, absl::Duration service_time)
+{
+    const std::int64_t slots = view.load.slots;
+    const std::int64_t ahead = occupancy(view) - slots + 1;
+    if (ahead <= 0) {
+        return absl::ZeroDuration();
+    }
+    return service_time * (static_cast<double>(ahead) / static_cast<double>(slots));
+}
+
+absl::Duration stall_time(const backend_view& view, const request_profile& profile)
+{
+    absl::Duration stalled = absl::ZeroDuration();
+    const absl::Duration usual =
+        std::max(stall_threshold, view.load.first_token_time * stall_first_tokens);
+    if (profile.prompt_tokens > 0 && view.load.no_progress_for > usual) {
+        stalled += view.load.no_progress_for;
+    }
+    if (view.report_age > fresh_report_age) {
+        // A server that has never reported is unknown, not stalled.
+        stalled += view.report_age == absl::InfiniteDuration() ? fresh_report_age : view.report_age;
+    }
+    return stalled;
+}
+
+std::uint32_t uncached_tokens(const backend_view& view, const request_profile& profile)
+{
+    const std::uint64_t cached = std::uint64_t{view.cached_blocks} * profile.tokens_per_block;
+    return cached >= profile.prompt_tokens
+               ? 0
+               : profile.prompt_tokens - static_cast<std::uint32_t>(cached);
+}
+
+// The time that the server itself needs until the first token once the request has a slot. Requests
+// that run beside it share the server's compute.
+absl::Duration own_time(const backend_view& view, const request_profile& profile,
+                        const policy_options& options)
+{
+    const bool speed = options.use_speed;
+    if (profile.prompt_tokens == 0) {
+        return speed ? known_or(view.load.service_time, unknown_service_time)
+                     : unknown_service_time;
+    }
+    const absl::Duration per_token =
+        speed ? known_or(view.load.prefill_token_time, unknown_prefill_token_time)
+              : unknown_prefill_token_time;
+    const absl::Duration step = speed ? view.load.token_time : absl::ZeroDuration();
+    const double busy = std::min(1.0, static_cast<double>(occupancy(view)) / view.load.slots);
+    return per_token * uncached_tokens(view, profile) * (1.0 + busy) + step;
+}
+
+std::vector<std::size_t> nearest(std::span<const backend_view> views,
+                                 std::vector<std::size_t>& candidates)
+{
+    distance_class best = distance_class::other_region;
+    for (std::size_t i : candidates) {
+        best = std::min(best, views[i].distance);
+    }
+    auto is_near = [&](std::size_t i) { return views[i].distance == best; };
+    auto middle = std::stable_partition(candidates.begin(), candidates.end(), is_near);
+    std::vector<std::size_t> near(candidates.begin(), middle);
+    candidates.erase(candidates.begin(), middle);
+    return near;
+}
+
+std::optional<std::size_t> longest_prefix(std::span<const backend_view> views,
+                                          std::span<const std::size_t> candidates)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i : candidates) {
+        if (views[i].cached_blocks == 0) {
+            continue;
+        }
+        if (!best || views[i].cached_blocks > views[*best].cached_blocks ||
+            (views[i].cached_blocks == views[*best].cached_blocks &&
+             occupancy(views[i]) < occupancy(views[*best]))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> choose_expected(std::span<const backend_view> views,
+                                           const request_profile& profile, random_source& random,
+                                           const policy_options& options)
+{
+    std::vector<std::size_t> far = eligible(views, profile);
+    if (far.empty()) {
+        return std::nullopt;
+    }
+    std::vector<std::size_t> near = nearest(views, far);
+    std::erase_if(far, [&](std::size_t i) { return !has_free_slot(views[i]); });
+
+    std::vector<std::size_t> drawn;
+    sample(near, options.near_samples, random, drawn);
+    sample(far, options.far_samples, random, drawn);
+    if (options.use_prefix) {
+        for (const auto& pool : {near, far}) {
+            if (std::optional<std::size_t> cached = longest_prefix(views, pool)) {
+                drawn.push_back(*cached);
+            }
+        }
+    }
+    auto sooner = [&](std::size_t left, std::size_t right) {
+        return expected_first_token(views[left], profile, options) <
+               expected_first_token(views[right], profile, options);
+    };
+    return *std::min_element(drawn.begin(), drawn.end(), sooner);
+}
+
+} // namespace
+
+absl::Duration expected_first_token(const backend_view& view, const request_profile& profile,
+                                    const policy_options& options)
+{
+    const absl::Duration service_time = options.use_speed
+                                            ? known_or(view.load.service_time, unknown_service_time)
+                                            : unknown_service_time;
+    absl::Duration expected = 2 * one_way_delay(view.distance);
+    expected += waiting_time(view, service_time);
+    expected += own_time(view, profile, options);
+    expected += stall_time(view, profile);
+    expected += service_time * static_cast<double>(view.load.suspects);
+    return expected;
+}
+
+choose_backend make_expected_first_token(policy_options options)
+{
+    return [options](std::span<const backend_view> views, const request_profile& profile,
+                     random_source& random) {
+        return choose_expected(views, profile, random, options);
+    };
+}
+
+choose_backend make_round_robin()
+{
+    auto next = std::make_shared<std::atomic<std::size_t>>(0);
+    return [next](std::span<const backend_view> views, const request_profile& profile,
+                  random_source&) -> std::optional<std::size_t> {
+        const std::vector<std::size_t> candidates = eligible(views, profile);
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        return candidates[next->fetch_add(1) % candidates.size()];
+    };
+}
+
+choose_backend make_random()
+{
+    return [](std::span<const backend_view> views, const request_profile& profile,
+              random_source& random) -> std::optional<std::size_t> {
+        const std::vector<std::size_t> candidates = eligible(views, profile);
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        return candidates[below(candidates.size(), random)];
+    };
+}
+
+choose_backend make_least_in_flight()
+{
+    return [](std::span<const backend_view> views, const request_profile& profile,
+              random_source& random) -> std::optional<std::size_t> {
+        std::vector<std::size_t> candidates = eligible(views, profile);
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        // Equals are chosen among at random.
+        std::shuffle(candidates.begin(), candidates.end(), random);
+        return *std::min_element(
+            candidates.begin(), candidates.end(), [&](std::size_t left, std::size_t right) {
+                return views[left].own_outstanding < views[right].own_outstanding;
+            });
+    };
+}
+
+absl::StatusOr<choose_backend> make_policy(absl::string_view name)
+{
+    if (name == "expected_first_token") {
+        return make_expected_first_token({});
+    }
+    if (name == "expected_without_speed") {
+        return make_expected_first_token({.use_speed = false});
+    }
+    if (name == "expected_without_prefix") {
+        return make_expected_first_token({.use_prefix = false});
+    }
+    if (name == "round_robin") {
+        return make_round_robin();
+    }
+    if (name == "random") {
+        return make_random();
+    }
+    if (name == "least_in_flight") {
+        return make_least_in_flight();
+    }
+    return make_error(
+        absl::StatusCode::kInvalidArgument, "make_policy", "",
+        absl::StrCat("unknown policy ", name, "; one of ", absl::StrJoin(policy_names(), ", ")));
+}
+
+std::vector<absl::string_view> policy_names()
+{
+    return {"expected_first_token",
+            "expected_without_speed",
+            "expected_without_prefix",
+            "round_robin",
+            "random",
+            "least_in_flight"};
+}
+
+} // namespace sardinestream::routing
--- /dev/null
+++ b/sardinestream/routing/retry_budget.cc
@@ -0,0 +1,36 @@
+#include "sardinestream/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace sardinestream::routing {
+
+retry_budget::retry_budget(retry_budget_options chosen) : options(chosen) {}
+
+void retry_budget::on_request(absl::string_view service)
+{
+    absl::MutexLock lock(&this->mutex);
+    double& held = this->tokens_of(service);
+    held = std::min(this->options.max_tokens, held + this->options.tokens_per_request);
+}
+
+bool retry_budget::try_retry(absl::string_view service)
+{
+    absl::MutexLock lock(&this->mutex);
+    double& held = this->tokens_of(service);
+    if (held < 1.0) {
+        return false;
+    }
+    held -= 1.0;
+    return true;
+}
+
+double& retry_budget::tokens_of(absl::string_view service)
+{
+    auto found = this->tokens.find(service);
+    if (found == this->tokens.end()) {
+        found = this->tokens.emplace(std::string(service), this->options.initial_tokens).first;
+    }
+    return found->second;
+}
+
+} // namespace sardinestream::routing
--- /dev/null
+++ b/sardinestream/routing/speed_estimate.cc
@@ -0,0 +1,49 @@
+#include "sardinestream/routing/speed_estimate.h"
+
+namespace sardinestream::routing {
+namespace {
+
+// Share of the newest sample in the moving averages.
+constexpr double sample_weight = 0.2;
+constexpr absl::Duration max_sample_age = absl::Seconds(10);
+
+void blend(absl::Duration& average, absl::Duration sample)
+{
+    if (average == absl::ZeroDuration()) {
+        average = sample;
+        return;
+    }
+    average += (sample - average) * sample_weight;
+}
+
+} // namespace
+
+void speed_estimate::add(const completion_sample& sample, absl::Time now)
+{
+    if (now - this->last_sample > max_sample_age) {
+        this->averages = {};
+    }
+    this->last_sample = now;
+    blend(this->averages.service_time, sample.service_time);
+    if (sample.first_token_time <= absl::ZeroDuration()) {
+        return;
+    }
+    blend(this->averages.first_token_time, sample.first_token_time);
+    if (sample.uncached_tokens > 0) {
+        blend(this->averages.prefill_token_time, sample.first_token_time / sample.uncached_tokens);
+    }
+    if (sample.generated_tokens > 1) {
+        blend(this->averages.token_time,
+              (sample.service_time - sample.first_token_time) / (sample.generated_tokens - 1));
+    }
+}
+
+measured_speed speed_estimate::current(absl::Time now) const
+{
+    if (now - this->last_sample > max_sample_age) {
+        return {};
+    }
+    return this->averages;
+}
+
+} // namespace sardinestream::routing
