Cut conflicting binding updates; close a race at the end of the retention

And a binding that one entry still used at the very end of its retention could be removed by another, which would bind the key anew. Change: conflicting lanes wait a random, growing time and take along what came meanwhile; 64 partitions. For an hour after its retention a key is refused (answer_expired, unknown), only then removed. What limits the rate now is the conflict between entries; a home entry for each partition that writes for all would remove it, and is not built.

--- a/sardinestream/once/key_bindings.cc
+++ b/sardinestream/once/key_bindings.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/digest.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
@@ -16,7 +17,9 @@
 using nlohmann::json;
 
 // Conflicts with other entries and lost answers; each is followed by a read.
-constexpr int max_update_attempts = 16;
+constexpr int max_update_attempts = 40;
+constexpr absl::Duration first_backoff = absl::Milliseconds(5);
+constexpr absl::Duration longest_backoff = absl::Milliseconds(160);
 
 std::uint64_t partition_of(digest128 key)
 {
@@ -49,7 +52,8 @@
 }
 
 key_bindings::key_bindings(platform::object_store* object_store, key_bindings_options given)
-    : store(object_store), options(std::move(given))
+    : store(object_store), options(std::move(given)),
+      jitter(static_cast<std::minstd_rand::result_type>(random_u64()))
 {
 }
 
@@ -61,12 +65,12 @@
 absl::StatusOr<binding> key_bindings::bind(digest128 key, const binding& proposed,
                                            absl::Time deadline)
 {
-    if (std::optional<binding> known = this->cached(key)) {
-        return *std::move(known);
+    if (const std::optional<stored_binding> known = this->cached(key)) {
+        return this->usable(*known);
     }
     auto pending = std::make_shared<pending_bind>(pending_bind{key, proposed, std::nullopt});
     this->enqueue(pending);
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     const auto has_result = [&pending] { return pending->result.has_value(); };
     if (!this->mutex.AwaitWithDeadline(absl::Condition(&has_result), deadline)) {
         return make_error(absl::StatusCode::kDeadlineExceeded, "bind_key", "platform",
@@ -77,8 +81,8 @@
 
 absl::StatusOr<binding> key_bindings::find(digest128 key)
 {
-    if (std::optional<binding> known = this->cached(key)) {
-        return *std::move(known);
+    if (const std::optional<stored_binding> known = this->cached(key)) {
+        return this->usable(*known);
     }
     absl::StatusOr<partition> current = this->read(partition_of(key));
     if (!current.ok()) {
@@ -88,14 +92,23 @@
     if (found == current->rows.end()) {
         return make_error(absl::StatusCode::kNotFound, "find_binding", "platform", "not bound");
     }
-    absl::MutexLock lock(&this->mutex);
-    this->remember(key, found->second.bound);
-    return found->second.bound;
+    const absl::MutexLock lock(&this->mutex);
+    this->remember(key, found->second);
+    return this->usable(found->second);
 }
 
-std::optional<binding> key_bindings::cached(digest128 key) const
+absl::StatusOr<binding> key_bindings::usable(const stored_binding& row) const
 {
-    absl::MutexLock lock(&this->mutex);
+    if (absl::FromUnixSeconds(row.bound_at_s) + this->options.retention < this->options.now()) {
+        return make_error(absl::StatusCode::kFailedPrecondition, "bind_key", "platform",
+                          "the key is past its retention");
+    }
+    return row.bound;
+}
+
+std::optional<key_bindings::stored_binding> key_bindings::cached(digest128 key) const
+{
+    const absl::MutexLock lock(&this->mutex);
     const auto found = this->cache.find(key);
     if (found == this->cache.end()) {
         return std::nullopt;
@@ -103,9 +116,9 @@
     return found->second;
 }
 
-void key_bindings::remember(digest128 key, const binding& bound)
+void key_bindings::remember(digest128 key, const stored_binding& row)
 {
-    if (!this->cache.emplace(key, bound).second) {
+    if (!this->cache.emplace(key, row).second) {
         return;
     }
     this->cached_oldest_first.push_back(key);
@@ -119,7 +132,7 @@
 {
     const std::uint64_t index = partition_of(pending->key);
     {
-        absl::MutexLock lock(&this->mutex);
+        const absl::MutexLock lock(&this->mutex);
         lane& queue = this->lanes[index];
         queue.waiting.push_back(pending);
         if (std::exchange(queue.updating, true)) {
@@ -135,22 +148,41 @@
 {
     while (true) {
         batch binds;
-        {
-            absl::MutexLock lock(&this->mutex);
-            lane& queue = this->lanes[index];
-            binds.swap(queue.waiting);
-            queue.updating = !binds.empty();
-        }
+        this->take_waiting(index, binds);
         if (binds.empty()) {
             return;
         }
-        this->settle(binds, this->bind_in_store(index, binds));
+        const absl::StatusOr<partition_rows> rows = this->bind_in_store(index, binds);
+        this->settle(binds, rows);
+    }
+}
+
+// Moves what waits for the partition into `binds`. Where there is nothing, the lane comes to rest.
+void key_bindings::take_waiting(std::uint64_t index, batch& binds)
+{
+    const absl::MutexLock lock(&this->mutex);
+    lane& queue = this->lanes[index];
+    binds.insert(binds.end(), queue.waiting.begin(), queue.waiting.end());
+    queue.waiting.clear();
+    queue.updating = !binds.empty();
+}
+
+// Waits a random time that grows with the number of conflicts in a row.
+void key_bindings::back_off(int conflicts)
+{
+    const absl::Duration longest =
+        std::min(longest_backoff, first_backoff * (1 << std::min(conflicts, 6)));
+    double share = 0;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        share = std::uniform_real_distribution<double>(0, 1)(this->jitter);
     }
+    absl::SleepFor(share * longest);
 }
 
 void key_bindings::settle(const batch& settled, const absl::StatusOr<partition_rows>& rows)
 {
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     for (const std::shared_ptr<pending_bind>& pending : settled) {
         if (!rows.ok()) {
             pending->result = rows.status();
@@ -162,14 +194,14 @@
                                          "platform", "the partition is full");
             continue;
         }
-        this->remember(pending->key, found->second.bound);
-        pending->result = found->second.bound;
+        this->remember(pending->key, found->second);
+        pending->result = this->usable(found->second);
     }
 }
 
 // Returns the rows of the partition as the store holds them once the batch is bound.
 absl::StatusOr<key_bindings::partition_rows> key_bindings::bind_in_store(std::uint64_t index,
-                                                                         const batch& binds)
+                                                                         batch& binds)
 {
     for (int attempt = 0; attempt < max_update_attempts; ++attempt) {
         absl::StatusOr<partition> current = this->read(index);
@@ -189,6 +221,8 @@
         }
         count("sardine_binding_retries_total",
               {{"reason", absl::IsUnknown(written) ? "lost_answer" : "conflict"}});
+        this->back_off(attempt);
+        this->take_waiting(index, binds);
     }
     return make_error(absl::StatusCode::kUnavailable, "bind_key", "platform",
                       "too many conflicting updates");
@@ -225,8 +259,8 @@
 
 void key_bindings::drop_expired(partition& current) const
 {
-    const std::int64_t oldest_s =
-        absl::ToUnixSeconds(this->options.now() - this->options.retention);
+    const std::int64_t oldest_s = absl::ToUnixSeconds(
+        this->options.now() - this->options.retention - this->options.removal_grace);
     std::erase_if(current.rows,
                   [oldest_s](const auto& row) { return row.second.bound_at_s < oldest_s; });
 }
--- a/sardinestream/once/key_bindings.h
+++ b/sardinestream/once/key_bindings.h
@@ -8,8 +8,9 @@
 //
 // Bindings live in a fixed number of partition objects of the kind `keybindings`, moved by
 // conditional update alone. While one update of a partition is under way, further bindings of it
-// wait and go together in the next one. So one update carries the more bindings the slower the
-// store is. A partition sheds bindings older than the retention when it is written.
+// wait and go together in the next one, so an update carries the more bindings the slower the store
+// is. Entries that conflict back off for a random time and take along what came meanwhile. A
+// partition sheds bindings older than the retention when it is written.
 //
 // This class owns the bindings in the store and a cache of them. It never talks to agents.
 
@@ -23,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -50,11 +52,13 @@
 constexpr absl::string_view binding_kind = "keybindings";
 
 // Number of partition objects. All entries of a fleet must agree on it, so it never changes.
-constexpr std::uint64_t binding_partitions = 256;
+constexpr std::uint64_t binding_partitions = 64;
 
 struct key_bindings_options {
-    // A key that comes again after this long counts as new.
+    // A binding is used for this long. For `removal_grace` more its key is refused, so that no
+    // entry still uses a binding that another has removed; after that the key counts as new.
     absl::Duration retention = absl::Hours(48);
+    absl::Duration removal_grace = absl::Hours(1);
     std::size_t max_cached = 100'000;
     // A partition takes no more bindings beyond this; the platform holds values up to 1 MB.
     std::size_t max_partition_bytes = 900'000;
@@ -76,12 +80,12 @@
     // Returns the agent incarnation that `key` is bound to, binding it to `proposed` where there is
     // none. Fails with `kUnavailable` where the store gave no definite answer (the key may be bound
     // all the same), with `kDeadlineExceeded` at `deadline`, with `kResourceExhausted` where the
-    // partition is full.
+    // partition is full, with `kFailedPrecondition` where the binding is past its retention.
     [[nodiscard]] absl::StatusOr<binding> bind(digest128 key, const binding& proposed,
                                                absl::Time deadline);
 
     // Returns the binding of `key`. Fails with `kNotFound` where the store says that there is none,
-    // with `kUnavailable` where it does not answer.
+    // with `kUnavailable` where it does not answer, with `kFailedPrecondition` as `bind` does.
     [[nodiscard]] absl::StatusOr<binding> find(digest128 key);
 
 private:
@@ -112,13 +116,15 @@
 
     key_bindings(platform::object_store* object_store, key_bindings_options given);
 
-    [[nodiscard]] std::optional<binding> cached(digest128 key) const;
-    void remember(digest128 key, const binding& bound) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] std::optional<stored_binding> cached(digest128 key) const;
+    void remember(digest128 key, const stored_binding& row) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] absl::StatusOr<binding> usable(const stored_binding& row) const;
     void enqueue(const std::shared_ptr<pending_bind>& pending);
     void serve_lane(std::uint64_t index);
+    void take_waiting(std::uint64_t index, batch& binds);
+    void back_off(int conflicts);
     void settle(const batch& settled, const absl::StatusOr<partition_rows>& rows);
-    [[nodiscard]] absl::StatusOr<partition_rows> bind_in_store(std::uint64_t index,
-                                                               const batch& binds);
+    [[nodiscard]] absl::StatusOr<partition_rows> bind_in_store(std::uint64_t index, batch& binds);
     [[nodiscard]] bool add_missing(partition& current, const batch& binds) const;
     [[nodiscard]] absl::StatusOr<partition> read(std::uint64_t index);
     [[nodiscard]] absl::Status write(std::uint64_t index, const partition& changed);
@@ -130,9 +136,10 @@
     const key_bindings_options options;
     mutable absl::Mutex mutex;
     std::map<std::uint64_t, lane> lanes ABSL_GUARDED_BY(mutex);
-    absl::flat_hash_map<digest128, binding> cache ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<digest128, stored_binding> cache ABSL_GUARDED_BY(mutex);
     std::deque<digest128> cached_oldest_first ABSL_GUARDED_BY(mutex); // the keys of `cache`
-    thread_group updates;                                             // last, so that it ends first
+    std::minstd_rand jitter ABSL_GUARDED_BY(mutex);
+    thread_group updates; // last, so that it ends first
 };
 
 } // namespace sardinestream::once
--- a/sardinestream/once/key_bindings_test.cc
+++ b/sardinestream/once/key_bindings_test.cc
@@ -61,6 +61,8 @@
         return unused();
     }
 
+    void cancel_watches() override {}
+
     std::function<fault()> read_fault;
     std::function<fault()> write_fault;
     absl::Duration write_time;
@@ -177,7 +179,7 @@
     released.Notify();
 }
 
-TEST(key_bindings, forget_a_key_after_the_retention)
+TEST(key_bindings, refuse_a_key_after_the_retention_and_forget_it_later)
 {
     fake_store store;
     absl::Time now = absl::FromUnixSeconds(1'000'000);
@@ -188,7 +190,11 @@
     digest128 first{binding_partitions, 1};
     digest128 second{binding_partitions, 2};
     ASSERT_TRUE(key_bindings::create(&store, options)->bind(first, agent_a, soon()).ok());
-    now += absl::Hours(49);
+    EXPECT_EQ(*key_bindings::create(&store, options)->find(first), agent_a);
+    now += absl::Hours(48) + absl::Minutes(30);
+    EXPECT_TRUE(absl::IsFailedPrecondition(
+        key_bindings::create(&store, options)->bind(first, agent_b, soon()).status()));
+    now += absl::Hours(1);
     ASSERT_TRUE(key_bindings::create(&store, options)->bind(second, agent_a, soon()).ok());
     EXPECT_TRUE(absl::IsNotFound(key_bindings::create(&store, options)->find(first).status()));
 }
--- a/sardinestream/once/outcome_rules.cc
+++ b/sardinestream/once/outcome_rules.cc
@@ -49,6 +49,10 @@
 
 refusal refusal_of_failed_bind(const absl::Status& failure, bool first_sending)
 {
+    if (absl::IsFailedPrecondition(failure)) {
+        return make_refusal(refusal_code::answer_expired, run_outcome::unknown,
+                            absl::ZeroDuration(), std::string(failure.message()));
+    }
     refusal failed = make_refusal(refusal_code::store_unavailable,
                                   first_sending ? run_outcome::not_run : run_outcome::unknown,
                                   store_retry_after, std::string(failure.message()));
