Add the crash watch and the gossip of suspects

Cause: an agent must tell a crashed backend server from a cut connection, and the suspicion must reach every entry before the caller can send the request again. Change: crash_watch judges losses together: where another request goes on and the server accepts connections, a connection was cut; otherwise all that were lost are suspects. Peers are told before the losses are answered. suspect_gossip sends everything to a link that comes up and only changes afterwards. A completion clears whatever the clocks of agents say. The gate for running alone is gone: routing/admission has exclusive slots.

--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -41,7 +41,7 @@
 
 void suspect_registry::note_crash(std::span<const digest128> in_flight, const crash& crashed)
 {
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     for (const digest128& fingerprint : in_flight) {
         if (this->merge_row(fingerprint, {&crashed, 1}, 0)) {
             count("sardine_suspects_total", {{"source", "crash"}});
@@ -51,18 +51,21 @@
 
 bool suspect_registry::note_completed(digest128 fingerprint)
 {
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     const auto found = this->suspects.find(fingerprint);
     if (found == this->suspects.end() || found->second.crashes.empty()) {
         return false;
     }
     count("sardine_suspects_cleared_total");
-    return this->merge_row(fingerprint, {}, absl::ToUnixMillis(this->options.now()));
+    // The completion came after every crash that is known here, whatever the clocks say.
+    const std::int64_t completed_ms =
+        last_event_ms(found->second.crashes, absl::ToUnixMillis(this->options.now()));
+    return this->merge_row(fingerprint, {}, completed_ms);
 }
 
 suspect_judgement suspect_registry::judge(digest128 fingerprint) const
 {
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     const auto found = this->suspects.find(fingerprint);
     if (found == this->suspects.end() || found->second.crashes.empty()) {
         return {};
@@ -80,11 +83,20 @@
     return {suspect_verdict::refuse, remaining};
 }
 
-std::string suspect_registry::report() const
+std::uint64_t suspect_registry::sequence() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->last_sequence;
+}
+
+std::string suspect_registry::report(std::uint64_t sequence) const
 {
     suspect_reportT message;
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     for (const auto& [fingerprint, row] : this->suspects) {
+        if (row.changed_at <= sequence) {
+            continue;
+        }
         auto listed = std::make_unique<suspectT>();
         listed->fingerprint_high = fingerprint.high;
         listed->fingerprint_low = fingerprint.low;
@@ -102,7 +114,7 @@
         return message.status();
     }
     bool news = false;
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     for (const std::unique_ptr<suspectT>& listed : message->suspects) {
         const digest128 fingerprint{listed->fingerprint_high, listed->fingerprint_low};
         if (this->merge_row(fingerprint, listed->crashes, listed->completed_ms)) {
@@ -136,6 +148,9 @@
     const std::int64_t cleared_ms = row.completed_ms;
     std::erase_if(row.crashes,
                   [cleared_ms](const crash& known) { return known.at_ms() <= cleared_ms; });
+    if (changed) {
+        row.changed_at = ++this->last_sequence;
+    }
     this->drop_oldest();
     return changed;
 }
@@ -168,7 +183,7 @@
 
 std::size_t suspect_registry::size() const
 {
-    absl::MutexLock lock(&this->mutex);
+    const absl::MutexLock lock(&this->mutex);
     return this->suspects.size();
 }
 
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -75,8 +75,12 @@
 
     [[nodiscard]] suspect_judgement judge(digest128 fingerprint) const;
 
-    // Returns the payload of a `suspect_report` frame with everything known.
-    [[nodiscard]] std::string report() const;
+    // Returns the payload of a `suspect_report` frame with everything that is known and changed
+    // after `sequence`; zero for everything.
+    [[nodiscard]] std::string report(std::uint64_t sequence = 0) const;
+
+    // Grows with every change.
+    [[nodiscard]] std::uint64_t sequence() const;
 
     // Takes in a peer's report. Returns true where it held news, which other peers should have.
     // Fails on a payload that is not a report.
@@ -89,6 +93,7 @@
         // At most `max_crashes_kept`, none at or before `completed_ms`, no two of one identity.
         std::vector<crash> crashes;
         std::int64_t completed_ms = 0;
+        std::uint64_t changed_at = 0; // the sequence of the last change
     };
 
     explicit suspect_registry(suspect_registry_options given) : options(std::move(given)) {}
@@ -102,6 +107,7 @@
     const suspect_registry_options options;
     mutable absl::Mutex mutex;
     absl::flat_hash_map<digest128, suspect_row> suspects ABSL_GUARDED_BY(mutex);
+    std::uint64_t last_sequence ABSL_GUARDED_BY(mutex) = 0; // the highest `changed_at`
 };
 
 } // namespace sardinestream::suspects
--- a/sardinestream/suspects/suspects_test.cc
+++ b/sardinestream/suspects/suspects_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include <gmock/gmock.h>
@@ -6,7 +7,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
-#include "sardinestream/suspects/solo_gate.h"
+#include "sardinestream/suspects/crash_watch.h"
 #include "sardinestream/suspects/suspect_registry.h"
 
 namespace sardinestream::suspects {
@@ -79,6 +80,17 @@
     EXPECT_EQ(entry.verdict(innocent), suspect_verdict::clear);
 }
 
+TEST(suspect_registry, clears_a_suspect_on_an_agent_whose_clock_is_behind)
+{
+    clocked_registry ahead;
+    clocked_registry behind;
+    *ahead.now += absl::Seconds(5);
+    ahead.crash_with({innocent}, 1, 1);
+    ASSERT_TRUE(behind.registry->merge(ahead.registry->report()).ok());
+    EXPECT_TRUE(behind.registry->note_completed(innocent));
+    EXPECT_EQ(behind.verdict(innocent), suspect_verdict::clear);
+}
+
 TEST(suspect_registry, ignores_a_late_report_of_a_crash_before_the_completion)
 {
     clocked_registry entry;
@@ -171,35 +183,89 @@
     RC_ASSERT(left.verdict(poison) == right.verdict(poison));
 }
 
-TEST(solo_gate, lets_others_in_side_by_side)
+TEST(suspect_registry, reports_what_changed_after_a_sequence)
 {
-    solo_gate gate;
-    const auto first = gate.try_enter();
-    EXPECT_TRUE(first.has_value());
-    EXPECT_TRUE(gate.try_enter().has_value());
+    clocked_registry agent;
+    agent.crash_with({innocent}, 1, 1);
+    const std::uint64_t sequence = agent.registry->sequence();
+    agent.crash_with({poison}, 1, 2);
+    clocked_registry entry;
+    ASSERT_TRUE(*entry.registry->merge(agent.registry->report(sequence)));
+    EXPECT_EQ(entry.registry->size(), 1U);
+    EXPECT_EQ(entry.verdict(poison), suspect_verdict::run_alone);
 }
 
-TEST(solo_gate, keeps_others_out_while_a_suspect_is_inside)
+// A watch over a server whose state the test sets.
+struct watched_server {
+    std::unique_ptr<suspect_registry> registry = suspect_registry::create();
+    std::atomic<bool> accepts{true};
+    std::atomic<int> times_told{0};
+    crash_watch watch{registry.get(),
+                      {.agent_id = "agent-1",
+                       .agent_incarnation = 1,
+                       .server_accepts = [this] { return this->accepts.load(); },
+                       .tell_peers = [this] { ++this->times_told; },
+                       .settle_time = absl::Milliseconds(20)}};
+};
+
+TEST(crash_watch, suspects_everything_that_was_lost_with_the_server)
 {
-    solo_gate gate;
-    {
-        const auto suspect = gate.enter_alone(absl::Now());
-        ASSERT_TRUE(suspect.has_value());
-        EXPECT_FALSE(gate.try_enter().has_value());
-        EXPECT_FALSE(gate.enter_alone(absl::Now()).has_value());
+    watched_server server;
+    const std::uint64_t first = server.watch.begin(poison);
+    const std::uint64_t second = server.watch.begin(innocent);
+    std::thread other([&server, second] { server.watch.end(second, call_end::lost); });
+    server.watch.end(first, call_end::lost);
+    other.join();
+    EXPECT_EQ(server.registry->judge(poison).verdict, suspect_verdict::run_alone);
+    EXPECT_EQ(server.registry->judge(innocent).verdict, suspect_verdict::run_alone);
+}
+
+TEST(crash_watch, suspects_nothing_when_one_connection_is_cut)
+{
+    watched_server server;
+    const std::uint64_t cut = server.watch.begin(innocent);
+    const std::uint64_t going_on = server.watch.begin(poison);
+    server.watch.end(cut, call_end::lost);
+    EXPECT_EQ(server.registry->judge(innocent).verdict, suspect_verdict::clear);
+    server.watch.end(going_on, call_end::completed);
+}
+
+TEST(crash_watch, suspects_what_was_lost_when_the_server_is_down)
+{
+    watched_server server;
+    server.accepts = false;
+    const std::uint64_t lost = server.watch.begin(poison);
+    const std::uint64_t not_noticed_yet = server.watch.begin(innocent);
+    server.watch.end(lost, call_end::lost);
+    EXPECT_EQ(server.registry->judge(poison).verdict, suspect_verdict::run_alone);
+    server.watch.end(not_noticed_yet, call_end::given_up);
+}
+
+TEST(crash_watch, refuses_a_request_after_it_crashed_the_server_alone)
+{
+    watched_server server;
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        server.watch.end(server.watch.begin(poison), call_end::lost);
     }
-    EXPECT_TRUE(gate.try_enter().has_value());
+    EXPECT_EQ(server.registry->judge(poison).verdict, suspect_verdict::refuse);
+    EXPECT_EQ(server.times_told, 2);
+}
+
+TEST(crash_watch, clears_a_suspect_that_completes_and_tells_the_peers)
+{
+    watched_server server;
+    server.watch.end(server.watch.begin(innocent), call_end::lost);
+    server.watch.end(server.watch.begin(innocent), call_end::completed);
+    EXPECT_EQ(server.registry->judge(innocent).verdict, suspect_verdict::clear);
+    EXPECT_EQ(server.times_told, 2);
 }
 
-TEST(solo_gate, lets_a_suspect_in_when_the_last_other_leaves)
+TEST(crash_watch, keeps_a_suspect_that_was_given_up)
 {
-    solo_gate gate;
-    auto other = gate.try_enter();
-    ASSERT_TRUE(other.has_value());
-    EXPECT_FALSE(gate.enter_alone(absl::Now()).has_value());
-    std::thread leaving([&other] { other.reset(); });
-    EXPECT_TRUE(gate.enter_alone(absl::Now() + absl::Seconds(30)).has_value());
-    leaving.join();
+    watched_server server;
+    server.watch.end(server.watch.begin(poison), call_end::lost);
+    server.watch.end(server.watch.begin(poison), call_end::given_up);
+    EXPECT_EQ(server.registry->judge(poison).verdict, suspect_verdict::run_alone);
 }
 
 } // namespace
