--- a/sardinestream/testing/fault_proxy.cc
+++ b/sardinestream/testing/fault_proxy.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/testing/fault_proxy.h"
 
+#include <algorithm>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -143,6 +145,14 @@
     }
 }
 
+bool fault_proxy::has_link_from(absl::string_view client_id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    return std::any_of(this->relays.begin(), this->relays.end(), [client_id](const relay* each) {
+        return !each->lost_bytes() && each->is_link_from(client_id);
+    });
+}
+
 void fault_proxy::black_hole()
 {
     this->swallowing = true;
--- a/sardinestream/testing/fault_rules.cc
+++ b/sardinestream/testing/fault_rules.cc
@@ -60,13 +60,9 @@
     return pattern;
 }
 
-bool armed_rule::strike(const message_info& message)
+bool armed_rule::strike(const message_info& message) const
 {
-    if (!this->rule.at.matches(message)) {
-        return false;
-    }
-    const absl::MutexLock lock(&this->mutex);
-    return ++this->matched == this->rule.nth;
+    return this->rule.at.matches(message) && ++*this->rule.matches == this->rule.nth;
 }
 
 void armed_rule::mark_fired()
--- a/sardinestream/testing/fault_rules.h
+++ b/sardinestream/testing/fault_rules.h
@@ -14,6 +14,7 @@
 #ifndef SARDINESTREAM_TESTING_FAULT_RULES_H_
 #define SARDINESTREAM_TESTING_FAULT_RULES_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -89,6 +90,8 @@
     absl::Duration delay = absl::Milliseconds(300);
     // Called before the fault takes effect, on the relay's thread; may kill or freeze a process.
     std::function<void()> hook = nullptr;
+    // Counts the matches. Rules that share it, on one proxy or several, strike once between them.
+    std::shared_ptr<std::atomic<int>> matches = std::make_shared<std::atomic<int>>(0);
 };
 
 // A rule that waits for its message.
@@ -97,7 +100,7 @@
     explicit armed_rule(fault_rule wanted) : rule(std::move(wanted)) {}
 
     // Counts the message where it matches; returns true at the n-th.
-    [[nodiscard]] bool strike(const message_info& message);
+    [[nodiscard]] bool strike(const message_info& message) const;
 
     // Marks the fault as done.
     void mark_fired();
@@ -109,7 +112,6 @@
 
 private:
     mutable absl::Mutex mutex;
-    int matched ABSL_GUARDED_BY(mutex) = 0;
     bool done ABSL_GUARDED_BY(mutex) = false;
 };
 
--- a/sardinestream/testing/http_relay.cc
+++ b/sardinestream/testing/http_relay.cc
@@ -108,6 +108,11 @@
         shutdown(this->server.number, SHUT_RDWR);
     }
 
+    [[nodiscard]] bool is_link_from(absl::string_view /*client_id*/) const override
+    {
+        return false;
+    }
+
 protected:
     void relay_to_server() override
     {
--- a/sardinestream/testing/standin_engine.cc
+++ b/sardinestream/testing/standin_engine.cc
@@ -67,7 +67,7 @@
 }
 
 standin_engine::standin_engine(standin_engine_options configured)
-    : options(std::move(configured)), batch(options.batch)
+    : options(std::move(configured)), batch(options.batch), lasting_ledger(options.ledger_file)
 {
 }
 
@@ -139,6 +139,7 @@
                     .priority = body.value("priority", 1),
                     .stream = body.value("stream", false),
                     .chat = chat};
+    this->lasting_ledger.append(work.id);
     if (!this->options.crash_marker.empty() &&
         absl::StrContains(work.prompt, this->options.crash_marker)) {
         _exit(crash_exit_code);
--- a/sardinestream/testing/standin_engine.h
+++ b/sardinestream/testing/standin_engine.h
@@ -24,6 +24,7 @@
 #include "sardinestream/base/http_server.h"
 #include "sardinestream/testing/engine_batch.h"
 #include "sardinestream/testing/engine_ledger.h"
+#include "sardinestream/testing/ledger_file.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
@@ -42,6 +43,8 @@
     std::string crash_marker;
     // Whether orders with an old fencing number are refused.
     bool check_fencing = true;
+    // Each attempt appends its request id as a line, so that the ledger outlives the process.
+    std::string ledger_file;
 };
 
 class standin_engine {
@@ -95,6 +98,7 @@
     const standin_engine_options options;
     engine_batch batch;
     engine_ledger ledger;
+    ledger_file lasting_ledger;
     std::atomic<bool> stalled{false};
     mutable absl::Mutex mutex;
     event_faults faults ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/standin_engine_main.cc
+++ b/sardinestream/testing/standin_engine_main.cc
@@ -17,6 +17,7 @@
 DEFINE_int32(cached_blocks, 4096, "size of the prefix cache, in blocks of 64 bytes of prompt");
 DEFINE_int32(load_lag_ms, 500, "how old the figures of /load may be, in milliseconds");
 DEFINE_string(crash_marker, "", "a prompt with this text ends the process");
+DEFINE_string(ledger_file, "", "file to which each attempt appends its request id");
 DEFINE_bool(check_fencing, true, "refuse orders with an old fencing number");
 
 int main(int argc, char** argv)
@@ -40,6 +41,7 @@
     options.load_lag = absl::Milliseconds(FLAGS_load_lag_ms);
     options.crash_marker = FLAGS_crash_marker;
     options.check_fencing = FLAGS_check_fencing;
+    options.ledger_file = FLAGS_ledger_file;
     const auto engine = testing::standin_engine::create(options);
     if (!engine.ok()) {
         std::fprintf(stderr, "%s\n", engine.status().ToString().c_str());
--- a/sardinestream/testing/standin_service.cc
+++ b/sardinestream/testing/standin_service.cc
@@ -49,7 +49,7 @@
 }
 
 standin_service::standin_service(standin_service_options configured)
-    : options(std::move(configured)), delay(options.delay)
+    : options(std::move(configured)), delay(options.delay), lasting_ledger(options.ledger_file)
 {
 }
 
@@ -116,6 +116,7 @@
         const absl::MutexLock lock(&this->mutex);
         runs = ++this->runs_by_key[key];
     }
+    this->lasting_ledger.append(key);
     this->wait_for_delay_and_hang();
     if (this->take(&service_faults::close_after)) {
         cut(response);
--- a/sardinestream/testing/standin_service.h
+++ b/sardinestream/testing/standin_service.h
@@ -20,6 +20,7 @@
 #include <string>
 
 #include "sardinestream/base/http_server.h"
+#include "sardinestream/testing/ledger_file.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
@@ -33,6 +34,8 @@
     absl::Duration delay = absl::ZeroDuration();
     // A body that contains this text ends the process at once; empty: none does.
     std::string crash_marker;
+    // Each run appends its key as a line, so that the ledger outlives the process; empty: none.
+    std::string ledger_file;
 };
 
 class standin_service {
@@ -72,6 +75,7 @@
     service_faults faults ABSL_GUARDED_BY(mutex);
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     std::map<std::string, int> runs_by_key ABSL_GUARDED_BY(mutex);
+    ledger_file lasting_ledger;
     std::unique_ptr<http_server> server;
 };
 
--- a/sardinestream/testing/standin_service_main.cc
+++ b/sardinestream/testing/standin_service_main.cc
@@ -11,6 +11,7 @@
 DEFINE_string(listen, "127.0.0.1:0", "address to listen on; port 0 takes a free one");
 DEFINE_int32(delay_ms, 0, "time from effect to answer, in milliseconds");
 DEFINE_string(crash_marker, "", "a body with this text ends the process");
+DEFINE_string(ledger_file, "", "file to which each run appends its key");
 
 int main(int argc, char** argv)
 {
@@ -25,7 +26,8 @@
     const auto service =
         testing::standin_service::create({.local = *local,
                                           .delay = absl::Milliseconds(FLAGS_delay_ms),
-                                          .crash_marker = FLAGS_crash_marker});
+                                          .crash_marker = FLAGS_crash_marker,
+                                          .ledger_file = FLAGS_ledger_file});
     if (!service.ok()) {
         std::fprintf(stderr, "%s\n", service.status().ToString().c_str());
         return 1;
--- a/sardinestream/testing/wire_relay.cc
+++ b/sardinestream/testing/wire_relay.cc
@@ -22,10 +22,20 @@
 
     void cut() override
     {
+        {
+            const absl::MutexLock lock(&this->mutex);
+            this->ended = true;
+        }
         this->client->shut_down();
         this->server->shut_down();
     }
 
+    [[nodiscard]] bool is_link_from(absl::string_view client_id) const override
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return this->heartbeats_answered && !this->ended && this->hello_id == client_id;
+    }
+
 protected:
     void relay_to_server() override
     {
@@ -84,6 +94,9 @@
             const absl::StatusOr<wire::helloT> hello = wire::decode<wire::hello>(payload);
             this->hello_id = hello.ok() ? hello->id : "";
         }
+        if (header.type == wire::frame_type::heartbeat_ack && direction == toward::client) {
+            this->heartbeats_answered = true;
+        }
         if (header.stream_id == 0) {
             return payload;
         }
@@ -100,7 +113,9 @@
     const std::unique_ptr<wire::secure_socket> server;
     delayed_writer to_client;
     delayed_writer to_server;
-    absl::Mutex mutex;
+    mutable absl::Mutex mutex;
+    bool heartbeats_answered ABSL_GUARDED_BY(mutex) = false;
+    bool ended ABSL_GUARDED_BY(mutex) = false;
     std::string hello_id ABSL_GUARDED_BY(mutex);
     std::map<std::uint64_t, std::string> openings ABSL_GUARDED_BY(mutex);
 };
