--- /dev/null
+++ b/sardinestream/testing/fault_matrix.cc
@@ -0,0 +1,32 @@
+#include "sardinestream/testing/fault_matrix.h"
+
+#include <iterator>
+
+namespace sardinestream::testing {
+
+absl::StatusOr<fleet*> fleet_holder::healthy()
+{
+    if (this->current != nullptr && this->current->restore().ok()) {
+        return this->current.get();
+    }
+    this->current.reset();
+    absl::StatusOr<std::unique_ptr<fleet>> made = fleet::create({});
+    if (!made.ok()) {
+        return made.status();
+    }
+    this->current = *std::move(made);
+    return this->current.get();
+}
+
+std::vector<matrix_cell> all_cells()
+{
+    std::vector<matrix_cell> cells;
+    for (const auto& make : {once_cells, stream_cells, catalogue_cells, stop_cells, map_cells}) {
+        std::vector<matrix_cell> more = make();
+        cells.insert(cells.end(), std::make_move_iterator(more.begin()),
+                     std::make_move_iterator(more.end()));
+    }
+    return cells;
+}
+
+} // namespace sardinestream::testing
--- a/sardinestream/testing/fault_rules.cc
+++ b/sardinestream/testing/fault_rules.cc
@@ -31,6 +31,9 @@
                                           : !absl::StartsWith(message.line, this->line_prefix)) {
         return false;
     }
+    if (!absl::StrContains(message.line, this->line_part)) {
+        return false;
+    }
     if (!this->client.empty() && this->client != message.client) {
         return false;
     }
--- a/sardinestream/testing/fault_rules.h
+++ b/sardinestream/testing/fault_rules.h
@@ -56,6 +56,7 @@
     message_kind kind = message_kind::frame;
     toward direction = toward::either;
     std::string line_prefix;
+    std::string line_part; // must occur anywhere in the line
     wire::frame_type type = wire::frame_type::hello;
     std::string marker;
     std::string client;
--- /dev/null
+++ b/sardinestream/testing/map_cells.cc
@@ -0,0 +1,10 @@
+#include "sardinestream/testing/fault_matrix.h"
+
+namespace sardinestream::testing {
+
+std::vector<matrix_cell> map_cells()
+{
+    return {};
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/matrix_faults.h
@@ -0,0 +1,55 @@
+// The faults of the matrix, by name, and how each is struck at a step.
+//
+//     fault_strike strike(fleet, points, "kill_back+store_outage", marker);
+//     ... run the exchange ...
+//     strike.wait_until_fired();
+//
+// Names: kill_front, kill_back (before the message is passed on), kill_back_after, freeze_front,
+// freeze_back, cut_before, cut_after, black_hole, delay, lost_answer, store_outage, store_slow,
+// stale_list, resend (the runner sends again through another entry), none; pairs are joined by "+".
+// Front and back are the processes at the two ends of the link at which the step is seen.
+
+#ifndef SARDINESTREAM_TESTING_MATRIX_FAULTS_H_
+#define SARDINESTREAM_TESTING_MATRIX_FAULTS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sardinestream/testing/fleet.h"
+
+namespace sardinestream::testing {
+
+// One link on which the step may be seen.
+struct strike_point {
+    fault_proxy* proxy = nullptr;
+    message_pattern at;
+    int nth = 1;
+    process* front = nullptr; // null where it is no process of the fleet
+    process* back = nullptr;
+};
+
+// True where the fault's name has this part.
+[[nodiscard]] bool has_part(const std::string& fault, absl::string_view part);
+
+// A fault that is armed at every point and strikes once between them.
+class fault_strike {
+public:
+    fault_strike(fleet& struck, const std::vector<strike_point>& points, const std::string& fault);
+
+    [[nodiscard]] bool fired() const;
+
+    // Waits until the fault has struck or `or_else` holds; returns whether it has struck.
+    [[nodiscard]] bool wait_until_fired(const std::function<bool()>& or_else) const;
+
+private:
+    std::vector<std::shared_ptr<armed_rule>> rules;
+};
+
+// The faults that suit every step of a request, single ones first and then pairs.
+[[nodiscard]] const std::vector<std::string>& request_faults();
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_MATRIX_FAULTS_H_
