--- /dev/null
+++ b/sardinestream/experts/agent_peers.cc
@@ -0,0 +1,119 @@
+#include "sardinestream/experts/agent_peers.h"
+
+#include <utility>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::experts {
+namespace {
+
+constexpr absl::Duration tell_timeout = absl::Seconds(1);
+
+absl::Status no_link(int rank)
+{
+    return make_error(absl::StatusCode::kUnavailable, "reach_agent", absl::StrCat("rank-", rank),
+                      "no link");
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<link_peers>>
+link_peers::create(std::shared_ptr<const wire::link_options> options, std::vector<address> agents,
+                   int own_rank)
+{
+    if (own_rank < 0 || own_rank >= static_cast<int>(agents.size())) {
+        return make_error(absl::StatusCode::kInvalidArgument, "create_peers", "",
+                          "own rank has no address");
+    }
+    return std::unique_ptr<link_peers>(
+        new link_peers(std::move(options), std::move(agents), own_rank));
+}
+
+link_peers::link_peers(std::shared_ptr<const wire::link_options> link_settings,
+                       std::vector<address> addresses, int rank)
+    : options(std::move(link_settings)), agents(std::move(addresses)), own_rank(rank)
+{
+}
+
+link_peers::~link_peers() = default;
+
+agent_peers link_peers::hooks()
+{
+    agent_peers made;
+    made.ask = [this](int rank, wire::frame_type type, const std::string& payload,
+                      absl::Time deadline) { return this->ask(rank, type, payload, deadline); };
+    made.tell = [this](int rank, wire::frame_type type, const std::string& payload) {
+        this->tell(rank, type, payload);
+    };
+    return made;
+}
+
+std::shared_ptr<wire::link_dialer> link_peers::dialer_of(int rank)
+{
+    if (rank < 0 || rank >= static_cast<int>(this->agents.size()) || rank == this->own_rank) {
+        return nullptr;
+    }
+    const absl::MutexLock lock(&this->mutex);
+    peer_entry& entry = this->dialers[rank];
+    if (entry.dialer == nullptr) {
+        entry.dialer = std::make_shared<wire::link_dialer>(this->options, this->agents[rank]);
+    }
+    entry.last_used = absl::Now();
+    return entry.dialer;
+}
+
+absl::StatusOr<wire::frame> link_peers::ask(int rank, wire::frame_type type,
+                                            const std::string& payload, absl::Time deadline)
+{
+    const std::shared_ptr<wire::link_dialer> dialer = this->dialer_of(rank);
+    const std::shared_ptr<wire::peer_link> link =
+        dialer == nullptr ? nullptr : dialer->wait_until_up(deadline);
+    if (link == nullptr) {
+        count("sardine_agent_unreachable_total");
+        return no_link(rank);
+    }
+    const std::shared_ptr<wire::stream> exchange = link->open_stream();
+    SARDINE_RETURN_IF_ERROR(exchange->send(type, payload));
+    absl::StatusOr<wire::frame> answer = exchange->receive(deadline);
+    exchange->finish();
+    return answer;
+}
+
+void link_peers::tell(int rank, wire::frame_type type, const std::string& payload)
+{
+    const std::shared_ptr<wire::link_dialer> dialer = this->dialer_of(rank);
+    if (dialer == nullptr) {
+        return;
+    }
+    // One thread a message: a peer that does not answer holds up no other.
+    const bool started = this->senders.spawn([dialer, type, payload] {
+        const std::shared_ptr<wire::peer_link> link =
+            dialer->wait_until_up(absl::Now() + tell_timeout);
+        if (link == nullptr || !link->send_link_frame(type, payload).ok()) {
+            count("sardine_agent_messages_lost_total");
+        }
+    });
+    if (!started) {
+        count("sardine_agent_messages_lost_total");
+    }
+}
+
+void link_peers::drop_idle(absl::Time before)
+{
+    std::vector<std::shared_ptr<wire::link_dialer>> idle;
+    const absl::MutexLock lock(&this->mutex);
+    for (auto each = this->dialers.begin(); each != this->dialers.end();) {
+        if (each->second.last_used >= before) {
+            ++each;
+            continue;
+        }
+        // Destroyed after the lock is released where nobody else uses it.
+        idle.push_back(std::move(each->second.dialer));
+        each = this->dialers.erase(each);
+    }
+}
+
+} // namespace sardinestream::experts
--- /dev/null
+++ b/sardinestream/experts/group_keeper.cc
@@ -0,0 +1,343 @@
+#include "sardinestream/experts/group_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::experts {
+namespace {
+
+using nlohmann::json;
+
+bool names_engine(const rank_group& group, int rank, std::uint64_t engine)
+{
+    const auto at = static_cast<std::size_t>(rank);
+    return at < group.engines.size() && group.engines[at] == engine;
+}
+
+} // namespace
+
+std::string group_to_json(const rank_group& group)
+{
+    return json{{"group_incarnation", group.incarnation},
+                {"engines", group.engines},
+                {"map", json::parse(map_to_json(group.map))}}
+        .dump();
+}
+
+absl::StatusOr<rank_group> group_from_json(absl::string_view text)
+{
+    const json parsed = json::parse(text.begin(), text.end(), nullptr, false);
+    try {
+        rank_group group;
+        group.incarnation = parsed.at("group_incarnation").get<std::uint64_t>();
+        group.engines = parsed.at("engines").get<std::vector<std::uint64_t>>();
+        absl::StatusOr<expert_mapT> map = map_from_json(parsed.at("map").dump());
+        if (!map.ok()) {
+            return map.status();
+        }
+        group.map = *std::move(map);
+        return group;
+    }
+    catch (const json::exception&) {
+        return make_error(absl::StatusCode::kInvalidArgument, "read_group", "",
+                          "not a rank group object");
+    }
+}
+
+absl::StatusOr<std::unique_ptr<group_keeper>> group_keeper::create(keeper_options options,
+                                                                   engine_client& engine,
+                                                                   platform::object_store& store,
+                                                                   agent_peers peers)
+{
+    if (options.rank < 0 || options.rank >= options.ranks || options.group.empty()) {
+        return make_error(absl::StatusCode::kInvalidArgument, "create_keeper", options.group,
+                          "rank out of range, or no group name");
+    }
+    std::unique_ptr<group_keeper> made(
+        new group_keeper(std::move(options), engine, store, std::move(peers)));
+    made->keeping = std::thread([keeper = made.get()] { keeper->keep(); });
+    return made;
+}
+
+group_keeper::group_keeper(keeper_options options, engine_client& rank_engine,
+                           platform::object_store& object_store, agent_peers agents)
+    : settings(std::move(options)), engine(rank_engine), store(object_store),
+      peers(std::move(agents))
+{
+}
+
+group_keeper::~group_keeper()
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+        this->poked = true;
+    }
+    this->keeping.join();
+}
+
+std::optional<rank_group> group_keeper::current() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->known;
+}
+
+group_stateT group_keeper::answer_query(const group_queryT& query)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        const bool named = this->known.has_value() &&
+                           names_engine(*this->known, static_cast<int>(query.asking_rank),
+                                        query.engine_incarnation);
+        if (!named && query.engine_incarnation != 0) {
+            this->asked_to_form = true;
+            this->poked = true;
+        }
+    }
+    return this->make_state();
+}
+
+group_stateT group_keeper::make_state()
+{
+    const absl::MutexLock lock(&this->mutex);
+    group_stateT state;
+    state.group = this->settings.group;
+    state.rank = static_cast<std::uint32_t>(this->settings.rank);
+    state.agent_incarnation = this->settings.agent_incarnation;
+    state.engine_incarnation = this->own_engine;
+    state.object_spec = this->known_spec;
+    return state;
+}
+
+void group_keeper::note_state(const group_stateT& state)
+{
+    if (state.group == this->settings.group) {
+        this->adopt_json(state.object_spec);
+    }
+}
+
+void group_keeper::adopt_json(absl::string_view spec)
+{
+    if (spec.empty()) {
+        return;
+    }
+    absl::StatusOr<rank_group> group = group_from_json(spec);
+    if (!group.ok() || !check_map(group->map, this->settings.ranks).ok()) {
+        log_event("rank_group_malformed", {{"group", this->settings.group}}, log_level::error);
+        return;
+    }
+    this->adopt(*std::move(group));
+}
+
+void group_keeper::adopt(rank_group group)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->known.has_value() && this->known->incarnation >= group.incarnation) {
+        return;
+    }
+    this->known_spec = group_to_json(group);
+    this->known = std::move(group);
+    this->poked = true;
+}
+
+void group_keeper::keep()
+{
+    while (true) {
+        this->keep_once();
+        const absl::MutexLock lock(&this->mutex);
+        this->mutex.AwaitWithTimeout(absl::Condition(&this->poked), this->settings.poll_interval);
+        this->poked = false;
+        if (this->stopping) {
+            return;
+        }
+    }
+}
+
+void group_keeper::keep_once()
+{
+    const absl::StatusOr<engine_state> own = this->engine.read_state();
+    bool wanted = false;
+    bool fits = false;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->own_engine = own.ok() ? own->engine_incarnation : 0;
+        wanted = std::exchange(this->asked_to_form, false);
+        fits = own.ok() && this->known.has_value() &&
+               names_engine(*this->known, this->settings.rank, own->engine_incarnation) &&
+               own->group_incarnation == this->known->incarnation;
+    }
+    if (!own.ok() || (fits && !wanted)) {
+        return; // nothing to do: a group whose engines live needs no store
+    }
+    // One rank at a time reads the store and forms the group: the lowest that can be reached.
+    if (this->lower_rank_forms(*own)) {
+        this->join_engine();
+        return;
+    }
+    this->read_store();
+    this->join_engine();
+    const std::optional<rank_group> group = this->current();
+    const bool named =
+        group.has_value() && names_engine(*group, this->settings.rank, own->engine_incarnation);
+    if (!named || wanted) {
+        this->form_group(*own);
+    }
+}
+
+void group_keeper::read_store()
+{
+    const absl::StatusOr<platform::object> read =
+        this->store.get(rank_group_kind, this->settings.group);
+    if (read.ok()) {
+        this->adopt_json(read->spec);
+    }
+}
+
+bool group_keeper::lower_rank_forms(const engine_state& own)
+{
+    for (int rank = 0; rank < this->settings.rank; ++rank) {
+        const absl::StatusOr<group_stateT> answer = this->ask(rank, own);
+        if (!answer.ok()) {
+            continue;
+        }
+        this->note_state(*answer);
+        if (answer->engine_incarnation != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+absl::StatusOr<group_stateT> group_keeper::ask(int rank, const engine_state& own)
+{
+    group_queryT query;
+    query.group = this->settings.group;
+    query.asking_rank = static_cast<std::uint32_t>(this->settings.rank);
+    query.engine_incarnation = own.engine_incarnation;
+    const absl::StatusOr<wire::frame> answer =
+        this->peers.ask(rank, wire::frame_type::group_query, wire::encode<group_query>(query),
+                        absl::Now() + this->settings.query_timeout);
+    return answer.ok() ? wire::decode<group_state>(answer->payload) : answer.status();
+}
+
+void group_keeper::form_group(const engine_state& own)
+{
+    std::vector<std::uint64_t> engines(this->settings.ranks, 0);
+    for (int rank = 0; rank < this->settings.ranks; ++rank) {
+        if (rank == this->settings.rank) {
+            engines[rank] = own.engine_incarnation;
+            continue;
+        }
+        const absl::StatusOr<group_stateT> answer = this->ask(rank, own);
+        if (!answer.ok()) {
+            continue;
+        }
+        this->note_state(*answer);
+        engines[rank] = answer->engine_incarnation;
+    }
+    const std::optional<rank_group> group = this->current();
+    for (std::size_t rank = 0; rank < engines.size(); ++rank) {
+        if (engines[rank] == 0 && group.has_value() && rank < group->engines.size()) {
+            engines[rank] = group->engines[rank];
+        }
+    }
+    if (std::count(engines.begin(), engines.end(), 0U) > 0) {
+        count("sardine_group_incomplete_total");
+        return; // some rank has never been seen; it will ask when it comes
+    }
+    if (group.has_value() && group->engines == engines) {
+        return;
+    }
+    const rank_group next = this->next_group(engines);
+    if (absl::Status written = this->write_group(next); !written.ok()) {
+        // Where only the answer was lost, the next reading of the store finds the group.
+        count("sardine_group_write_retries_total");
+        log_failure("rank_group_not_written", written, {{"group", this->settings.group}});
+        return;
+    }
+    count("sardine_groups_formed_total");
+    this->adopt(next);
+    this->tell_group();
+    this->join_engine();
+}
+
+rank_group group_keeper::next_group(const std::vector<std::uint64_t>& engines)
+{
+    const std::optional<rank_group> group = this->current();
+    rank_group next;
+    next.engines = engines;
+    next.incarnation = group.has_value() ? group->incarnation + 1 : 1;
+    next.map = group.has_value()
+                   ? group->map
+                   : make_uniform_map(this->settings.layers, this->settings.experts_per_layer,
+                                      this->settings.ranks);
+    // The newest map that this engine has, where it has one: it fits the load of today.
+    const absl::StatusOr<expert_mapT> newest = this->engine.read_map();
+    if (newest.ok() && newest->ranks.size() == next.map.ranks.size()) {
+        next.map = *newest;
+    }
+    return next;
+}
+
+absl::Status group_keeper::write_group(const rank_group& next)
+{
+    const std::string spec = group_to_json(next);
+    if (next.incarnation == 1) {
+        return this->store.create_object(rank_group_kind, this->settings.group, spec).status();
+    }
+    const absl::StatusOr<platform::object> read =
+        this->store.get(rank_group_kind, this->settings.group);
+    if (!read.ok()) {
+        return read.status();
+    }
+    const absl::StatusOr<rank_group> stored = group_from_json(read->spec);
+    if (!stored.ok() || stored->incarnation + 1 != next.incarnation) {
+        return make_error(absl::StatusCode::kAborted, "write_group", "platform",
+                          "another incarnation is in force");
+    }
+    return this->store.update(rank_group_kind, this->settings.group, spec, read->version).status();
+}
+
+void group_keeper::tell_group()
+{
+    const std::string payload = wire::encode<group_state>(this->make_state());
+    for (int rank = 0; rank < this->settings.ranks; ++rank) {
+        if (rank != this->settings.rank) {
+            this->peers.tell(rank, wire::frame_type::group_state, payload);
+        }
+    }
+}
+
+void group_keeper::join_engine()
+{
+    const std::optional<rank_group> group = this->current();
+    if (!group.has_value()) {
+        return;
+    }
+    const absl::MutexLock lock(&this->engine.order_mutex());
+    const absl::StatusOr<engine_state> state = this->engine.read_state();
+    // Checked here because some engines ignore the fencing number: never back to an earlier group.
+    const bool may_join = state.ok() && state->group_incarnation < group->incarnation &&
+                          names_engine(*group, this->settings.rank, state->engine_incarnation);
+    if (!may_join) {
+        return;
+    }
+    const absl::Status joined = this->engine.join_group(group->incarnation, group->map);
+    if (!joined.ok()) {
+        count("sardine_group_join_retries_total");
+        log_failure("rank_group_not_joined", joined, {{"group", this->settings.group}});
+        return;
+    }
+    log_event("rank_group_joined",
+              {{"group", this->settings.group}, {"group_incarnation", group->incarnation}});
+}
+
+} // namespace sardinestream::experts
--- a/sardinestream/wire/frame.h
+++ b/sardinestream/wire/frame.h
@@ -61,6 +61,10 @@
     map_query = 62,
     map_outcome = 63,
     expert_load = 64,
+    map_stage = 65,
+    map_staged = 66,
+    group_query = 67,
+    group_state = 68,
     // engine orders
     engine_order = 70,
     engine_order_result = 71,
@@ -81,6 +85,8 @@
     case frame_type::share_request:
     case frame_type::map_propose:
     case frame_type::map_query:
+    case frame_type::map_stage:
+    case frame_type::group_query:
     case frame_type::engine_order:
         return true;
     default:
