--- a/sardinestream/experts/expert_service.cc
+++ b/sardinestream/experts/expert_service.cc
@@ -24,7 +24,7 @@
     voter_options made;
     made.group = options.group;
     made.rank = options.rank;
-    made.ranks = static_cast<int>(options.agents.size());
+    made.ranks = options.ranks;
     made.agent_incarnation = options.agent_incarnation;
     return made;
 }
@@ -34,7 +34,7 @@
     keeper_options made;
     made.group = options.group;
     made.rank = options.rank;
-    made.ranks = static_cast<int>(options.agents.size());
+    made.ranks = options.ranks;
     made.agent_incarnation = options.agent_incarnation;
     made.layers = options.layers;
     made.experts_per_layer = options.experts_per_layer;
@@ -44,7 +44,8 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<expert_service>>
-expert_service::create(const expert_service_options& options, platform::object_store& store)
+expert_service::create(const expert_service_options& options, platform::object_store& store,
+                       const agent_peers& peers)
 {
     std::unique_ptr<expert_service> made(new expert_service());
     absl::StatusOr<std::unique_ptr<engine_client>> engine =
@@ -53,26 +54,20 @@
         return engine.status();
     }
     made->rank_engine = *std::move(engine);
-    absl::StatusOr<std::unique_ptr<link_peers>> links =
-        link_peers::create(options.links, options.agents, options.rank);
-    if (!links.ok()) {
-        return links.status();
-    }
-    made->links = *std::move(links);
     absl::StatusOr<std::unique_ptr<map_voter>> voter =
-        map_voter::create(voter_options_from(options), *made->rank_engine, made->links->hooks());
+        map_voter::create(voter_options_from(options), *made->rank_engine, peers);
     if (!voter.ok()) {
         return voter.status();
     }
     made->votes = *std::move(voter);
-    absl::StatusOr<std::unique_ptr<group_keeper>> keeper = group_keeper::create(
-        keeper_options_from(options), *made->rank_engine, store, made->links->hooks());
+    absl::StatusOr<std::unique_ptr<group_keeper>> keeper =
+        group_keeper::create(keeper_options_from(options), *made->rank_engine, store, peers);
     if (!keeper.ok()) {
         return keeper.status();
     }
     made->keeper = *std::move(keeper);
-    made->proposer = map_proposer::create(options.proposer, *made->votes, *made->rank_engine,
-                                          made->links->hooks());
+    made->proposer =
+        map_proposer::create(options.proposer, *made->votes, *made->rank_engine, peers);
     return made;
 }
 
--- a/sardinestream/experts/expert_service.h
+++ b/sardinestream/experts/expert_service.h
@@ -4,7 +4,8 @@
 // beside the lowest live rank, the rebalancing. Never touches requests: they go on while maps
 // change.
 //
-//     auto experts = expert_service::create(options, store).value();
+//     auto links = link_peers::create(link_options, agents, rank).value();
+//     auto experts = expert_service::create(options, store, links->hooks()).value();
 //     link_options->hooks.on_stream = [&](auto& opened, frame first) {
 //         if (expert_service::owns(first.header.type)) experts->serve(opened, std::move(first));
 //     };
@@ -32,13 +33,11 @@
 struct expert_service_options {
     std::string group;
     int rank = 0;
-    std::vector<address> agents; // one for each rank
+    int ranks = 1;
     address engine;
     std::uint64_t agent_incarnation = 0;
     std::uint32_t layers = 1;
     std::uint32_t experts_per_layer = 1;
-    // For the links that this agent dials to the other ranks' agents.
-    std::shared_ptr<const wire::link_options> links;
     absl::Duration engine_timeout = absl::Seconds(2);
     proposer_options proposer;
 };
@@ -46,9 +45,10 @@
 class expert_service {
 public:
     // Call only once this process listens on the slot's address: that no other agent of the slot
-    // runs rests on it. `store` must outlive the service.
+    // runs rests on it. `store`, and what `peers` refers to, must outlive the service.
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<expert_service>>
-    create(const expert_service_options& options, platform::object_store& store);
+    create(const expert_service_options& options, platform::object_store& store,
+           const agent_peers& peers);
 
     // Ends every exchange first.
     ~expert_service();
@@ -80,7 +80,6 @@
     void answer_group_query(wire::stream& opened, const wire::frame& first);
 
     std::unique_ptr<engine_client> rank_engine;
-    std::unique_ptr<link_peers> links;
     std::unique_ptr<map_voter> votes;
     std::unique_ptr<group_keeper> keeper;
     std::unique_ptr<map_proposer> proposer;
--- a/sardinestream/experts/experts_generated.h
+++ b/sardinestream/experts/experts_generated.h
@@ -631,6 +631,7 @@
   uint32_t rank = 0;
   sardinestream::experts::vote_choice choice = sardinestream::experts::vote_choice::undecided;
   std::string reason{};
+  sardinestream::experts::vote_choice outcome = sardinestream::experts::vote_choice::undecided;
 };
 
 struct map_vote FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -644,7 +645,8 @@
     VT_HOLD_STEP = 10,
     VT_RANK = 12,
     VT_CHOICE = 14,
-    VT_REASON = 16
+    VT_REASON = 16,
+    VT_OUTCOME = 18
   };
   uint64_t proposal_id() const {
     return GetField<uint64_t>(VT_PROPOSAL_ID, 0);
@@ -667,6 +669,9 @@
   const flatbuffers::String *reason() const {
     return GetPointer<const flatbuffers::String *>(VT_REASON);
   }
+  sardinestream::experts::vote_choice outcome() const {
+    return static_cast<sardinestream::experts::vote_choice>(GetField<uint8_t>(VT_OUTCOME, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PROPOSAL_ID, 8) &&
@@ -678,6 +683,7 @@
            VerifyField<uint8_t>(verifier, VT_CHOICE, 1) &&
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            verifier.EndTable();
   }
   map_voteT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -710,6 +716,9 @@
   void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
     fbb_.AddOffset(map_vote::VT_REASON, reason);
   }
+  void add_outcome(sardinestream::experts::vote_choice outcome) {
+    fbb_.AddElement<uint8_t>(map_vote::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
+  }
   explicit map_voteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -729,7 +738,8 @@
     uint64_t hold_step = 0,
     uint32_t rank = 0,
     sardinestream::experts::vote_choice choice = sardinestream::experts::vote_choice::undecided,
-    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    sardinestream::experts::vote_choice outcome = sardinestream::experts::vote_choice::undecided) {
   map_voteBuilder builder_(_fbb);
   builder_.add_hold_step(hold_step);
   builder_.add_group_incarnation(group_incarnation);
@@ -737,6 +747,7 @@
   builder_.add_reason(reason);
   builder_.add_rank(rank);
   builder_.add_group(group);
+  builder_.add_outcome(outcome);
   builder_.add_choice(choice);
   return builder_.Finish();
 }
@@ -754,7 +765,8 @@
     uint64_t hold_step = 0,
     uint32_t rank = 0,
     sardinestream::experts::vote_choice choice = sardinestream::experts::vote_choice::undecided,
-    const char *reason = nullptr) {
+    const char *reason = nullptr,
+    sardinestream::experts::vote_choice outcome = sardinestream::experts::vote_choice::undecided) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   return sardinestream::experts::Createmap_vote(
@@ -765,7 +777,8 @@
       hold_step,
       rank,
       choice,
-      reason__);
+      reason__,
+      outcome);
 }
 
 flatbuffers::Offset<map_vote> Createmap_vote(flatbuffers::FlatBufferBuilder &_fbb, const map_voteT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1546,6 +1559,7 @@
   { auto _e = rank(); _o->rank = _e; }
   { auto _e = choice(); _o->choice = _e; }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = outcome(); _o->outcome = _e; }
 }
 
 inline flatbuffers::Offset<map_vote> map_vote::Pack(flatbuffers::FlatBufferBuilder &_fbb, const map_voteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1563,6 +1577,7 @@
   auto _rank = _o->rank;
   auto _choice = _o->choice;
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _outcome = _o->outcome;
   return sardinestream::experts::Createmap_vote(
       _fbb,
       _proposal_id,
@@ -1571,7 +1586,8 @@
       _hold_step,
       _rank,
       _choice,
-      _reason);
+      _reason,
+      _outcome);
 }
 
 inline map_queryT::map_queryT(const map_queryT &o)
--- a/sardinestream/experts/group_keeper.cc
+++ b/sardinestream/experts/group_keeper.cc
@@ -174,8 +174,12 @@
                names_engine(*this->known, this->settings.rank, own->engine_incarnation) &&
                own->group_incarnation == this->known->incarnation;
     }
-    if (!own.ok() || (fits && !wanted)) {
-        return; // nothing to do: a group whose engines live needs no store
+    if (!own.ok()) {
+        return;
+    }
+    const bool advancing = std::exchange(this->last_step, own->step) != own->step;
+    if (fits && advancing && !wanted) {
+        return; // a group whose engines live needs neither peers nor the store
     }
     // One rank at a time reads the store and forms the group: the lowest that can be reached.
     if (this->lower_rank_forms(*own)) {
@@ -254,6 +258,7 @@
         return; // some rank has never been seen; it will ask when it comes
     }
     if (group.has_value() && group->engines == engines) {
+        this->tell_group(); // whoever asked may not be the only one that has missed it
         return;
     }
     const rank_group next = this->next_group(engines);
--- a/sardinestream/experts/group_keeper.h
+++ b/sardinestream/experts/group_keeper.h
@@ -108,6 +108,8 @@
     bool asked_to_form ABSL_GUARDED_BY(mutex) = false;
     bool poked ABSL_GUARDED_BY(mutex) = false;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
+    // The engine's step at the last look; a group that stands still may have formed anew elsewhere.
+    std::uint64_t last_step = 0; // keeping thread only
     std::thread keeping;
 };
 
--- a/sardinestream/experts/map_proposer.cc
+++ b/sardinestream/experts/map_proposer.cc
@@ -14,6 +14,8 @@
 namespace sardinestream::experts {
 namespace {
 
+constexpr absl::Duration settle_poll_interval = absl::Milliseconds(10);
+
 absl::Status proposer_error(absl::StatusCode code, absl::string_view step, int rank,
                             absl::string_view message)
 {
@@ -82,7 +84,7 @@
 absl::StatusOr<map_proposalT> map_proposer::prepare(const expert_mapT& placement)
 {
     const voter_options& own = this->voter.options();
-    const absl::StatusOr<engine_state> state = this->engine.read_state();
+    const absl::StatusOr<engine_state> state = this->wait_until_settled();
     if (!state.ok()) {
         return state.status();
     }
@@ -110,6 +112,20 @@
     return proposal;
 }
 
+absl::StatusOr<engine_state> map_proposer::wait_until_settled()
+{
+    const absl::Time deadline = absl::Now() + this->settings.outcome_timeout;
+    while (absl::Now() < deadline) {
+        absl::StatusOr<engine_state> state = this->engine.read_state();
+        if (!state.ok() || !state->due.has_value()) {
+            return state;
+        }
+        absl::SleepFor(settle_poll_interval);
+    }
+    return proposer_error(absl::StatusCode::kDeadlineExceeded, "settle", this->voter.options().rank,
+                          "an earlier map is still due");
+}
+
 absl::StatusOr<std::vector<std::uint64_t>> map_proposer::stage_everywhere(map_stageT order)
 {
     const voter_options& own = this->voter.options();
--- a/sardinestream/experts/map_proposer.h
+++ b/sardinestream/experts/map_proposer.h
@@ -49,6 +49,8 @@
                  agent_peers peers);
 
     [[nodiscard]] absl::StatusOr<map_proposalT> prepare(const expert_mapT& placement);
+    // Returns the engine's state once no earlier map is due any more.
+    [[nodiscard]] absl::StatusOr<engine_state> wait_until_settled();
     // Returns the incarnation of every rank's agent once all have staged the map.
     [[nodiscard]] absl::StatusOr<std::vector<std::uint64_t>> stage_everywhere(map_stageT order);
     [[nodiscard]] absl::StatusOr<std::uint64_t> stage_at(int rank, const map_stageT& order,
--- /dev/null
+++ b/sardinestream/experts/map_vote_test.cc
@@ -0,0 +1,215 @@
+// The vote on expert maps, with real voters on real links and stand-in engines.
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/testing/rank_group_agents.h"
+
+namespace sardinestream::experts {
+namespace {
+
+using ::sardinestream::testing::find_split_step;
+using ::sardinestream::testing::link_fault_kind;
+using ::sardinestream::testing::order_fault_kind;
+using ::sardinestream::testing::outage_mode;
+using ::sardinestream::testing::rank_group_agents;
+using ::sardinestream::testing::rank_group_agents_options;
+
+absl::Time soon()
+{
+    return absl::Now() + absl::Seconds(40);
+}
+
+class map_vote_test : public ::testing::Test {
+protected:
+    void start(rank_group_agents_options options = {})
+    {
+        this->group = rank_group_agents::create(options).value();
+        ASSERT_TRUE(this->group->wait_for_steps(5, soon()));
+    }
+
+    // Moves to ever new maps until one is committed; the group must get there after any fault.
+    [[nodiscard]] bool commits_again(int proposer)
+    {
+        const absl::Time deadline = soon();
+        for (std::uint64_t seed = 1000; absl::Now() < deadline; ++seed) {
+            if (this->group->move(proposer, this->group->make_map(seed)).value_or(false)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void expect_whole()
+    {
+        EXPECT_TRUE(this->group->wait_for_steps(20, soon()));
+        EXPECT_EQ(find_split_step(this->group->engine_group().ledger()), std::nullopt);
+    }
+
+    [[nodiscard]] std::uint64_t epoch_of(int rank)
+    {
+        const auto seen = this->group->engine_group().read(rank);
+        return seen.ok() ? (seen->due.has_value() ? seen->due->epoch : seen->current.epoch) : 0;
+    }
+
+    std::unique_ptr<rank_group_agents> group;
+};
+
+TEST_F(map_vote_test, a_group_forms_and_runs_on_one_map)
+{
+    this->start();
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, all_ranks_change_the_map_at_the_same_step)
+{
+    this->start();
+    EXPECT_TRUE(this->group->move(0, this->group->make_map(1)).value());
+    EXPECT_TRUE(this->group->move(0, this->group->make_map(2)).value());
+    this->expect_whole();
+    for (int rank = 0; rank < 4; ++rank) {
+        EXPECT_EQ(this->epoch_of(rank), 3U);
+    }
+}
+
+TEST_F(map_vote_test, any_rank_may_propose)
+{
+    this->start();
+    EXPECT_TRUE(this->group->move(2, this->group->make_map(1)).value());
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, an_engine_that_refuses_the_hold_aborts_the_map)
+{
+    this->start();
+    this->group->server().arm(3, "hold", {order_fault_kind::drop, 1, absl::ZeroDuration()});
+    EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).value());
+    this->expect_whole();
+    EXPECT_EQ(this->epoch_of(0), 1U);
+    EXPECT_TRUE(this->commits_again(0));
+}
+
+TEST_F(map_vote_test, a_hold_that_is_carried_out_late_is_released)
+{
+    this->start();
+    this->group->server().arm(3, "hold", {order_fault_kind::delay, 1, absl::Seconds(1)});
+    EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).value());
+    this->expect_whole();
+    EXPECT_TRUE(this->commits_again(0));
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, lost_answers_of_the_engine_change_nothing)
+{
+    this->start();
+    for (const char* order : {"map", "release"}) {
+        this->group->server().arm(1, order,
+                                  {order_fault_kind::lose_answer, 1, absl::ZeroDuration()});
+    }
+    EXPECT_TRUE(this->group->move(0, this->group->make_map(1)).value());
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, votes_reach_ranks_that_the_proposer_cannot)
+{
+    this->start();
+    // The proposer's answers and news are lost; the others hear each other.
+    for (int rank = 1; rank < 4; ++rank) {
+        this->group->arm(0, rank, {link_fault_kind::lose_answer, 100});
+    }
+    (void)this->group->move(0, this->group->make_map(1));
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, a_rank_that_never_heard_of_a_map_votes_no_by_being_asked)
+{
+    this->start();
+    // Staging passes, the proposal does not: the others hold and ask.
+    this->group->arm(0, 3, {link_fault_kind::skip_then_drop, 1000});
+    EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).value());
+    this->expect_whole();
+    EXPECT_EQ(this->epoch_of(1), 1U);
+    this->group->heal_links();
+    EXPECT_TRUE(this->commits_again(0));
+}
+
+TEST_F(map_vote_test, a_proposer_that_is_restarted_takes_up_its_own_vote)
+{
+    rank_group_agents_options options;
+    options.proposer.vote_timeout = absl::Milliseconds(200);
+    options.proposer.outcome_timeout = absl::Milliseconds(200);
+    this->start(options);
+    // Nobody but rank 0 ever holds, and rank 0 cannot ask: its engine stays held.
+    for (int rank = 1; rank < 4; ++rank) {
+        this->group->arm(0, rank, {link_fault_kind::skip_then_drop, 1000});
+    }
+    EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).ok());
+    EXPECT_TRUE(this->group->engine_group().read(0)->hold.has_value());
+    this->group->stop_agent(0);
+    this->group->heal_links();
+    this->group->start_agent(0);
+    this->expect_whole();
+    EXPECT_TRUE(this->commits_again(1));
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, two_proposers_at_once_give_at_most_one_map)
+{
+    this->start();
+    std::thread other([this] { (void)this->group->move(3, this->group->make_map(2)); });
+    (void)this->group->move(0, this->group->make_map(1));
+    other.join();
+    this->expect_whole();
+    EXPECT_TRUE(this->commits_again(0));
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, a_restarted_agent_takes_its_vote_from_the_engine)
+{
+    this->start();
+    for (int round = 0; round < 3; ++round) {
+        std::thread proposing(
+            [this, round] { (void)this->group->move(0, this->group->make_map(round)); });
+        this->group->stop_agent(2);
+        this->group->start_agent(2);
+        proposing.join();
+        this->expect_whole();
+    }
+    EXPECT_TRUE(this->commits_again(0));
+}
+
+TEST_F(map_vote_test, a_group_runs_and_rebalances_while_the_store_is_out)
+{
+    this->start();
+    this->group->platform().set_outage(outage_mode::hang);
+    EXPECT_TRUE(this->group->move(0, this->group->make_map(1)).value());
+    this->expect_whole();
+    this->group->stop_agent(1);
+    this->group->start_agent(1);
+    EXPECT_TRUE(this->commits_again(0));
+    this->expect_whole();
+    this->group->platform().set_outage(outage_mode::none);
+}
+
+TEST_F(map_vote_test, a_restarted_engine_makes_the_group_form_anew)
+{
+    this->start();
+    EXPECT_TRUE(this->group->move(0, this->group->make_map(1)).value());
+    this->group->engine_group().kill(2);
+    this->group->engine_group().start_again(2);
+    this->expect_whole();
+    EXPECT_EQ(this->group->engine_group().read(0)->group_incarnation, 2U);
+    EXPECT_TRUE(this->commits_again(3));
+    this->expect_whole();
+}
+
+TEST_F(map_vote_test, a_group_whose_write_was_answered_by_nobody_still_forms)
+{
+    this->start();
+    this->group->platform().lose_answers("PUT", rank_group_kind, 1);
+    this->group->engine_group().kill(1);
+    this->group->engine_group().start_again(1);
+    this->expect_whole();
+}
+
+} // namespace
+} // namespace sardinestream::experts
--- a/sardinestream/experts/map_voter.cc
+++ b/sardinestream/experts/map_voter.cc
@@ -12,6 +12,7 @@
 namespace sardinestream::experts {
 namespace {
 
+constexpr absl::Duration stage_wait = absl::Seconds(1);
 constexpr absl::Duration staging_poll_interval = absl::Milliseconds(20);
 
 absl::Status voter_error(absl::StatusCode code, absl::string_view step, absl::string_view reason)
@@ -53,16 +54,16 @@
     {
         const absl::MutexLock lock(&this->mutex);
         if (this->engine_group == 0 || proposal.group_incarnation != this->engine_group) {
-            return this->make_vote(proposal, vote_choice::undecided, "other_group");
+            return this->make_vote_elsewhere(proposal);
         }
         proposal_record& record = this->record_of(proposal.id, proposal.hold_step);
         if (this->own_choice(record) != vote_choice::undecided || record.may_hold) {
-            return this->make_vote(proposal, this->own_choice(record), record.reason);
+            return this->make_vote(proposal, record);
         }
         record.reason = this->reason_against(proposal);
         if (!record.reason.empty()) {
             this->set_vote(proposal.id, record, this->settings.rank, vote_choice::no);
-            return this->make_vote(proposal, vote_choice::no, record.reason);
+            return this->make_vote(proposal, record);
         }
         record.proposal = proposal;
         record.may_hold = true;
@@ -76,7 +77,7 @@
     {
         const absl::MutexLock lock(&this->mutex);
         if (proposal.group_incarnation != this->engine_group) {
-            return this->make_vote(proposal, vote_choice::undecided, "other_group");
+            return this->make_vote_elsewhere(proposal);
         }
         proposal_record& record = this->record_of(proposal.id, proposal.hold_step);
         // A query may have come first; its no stays and the watching thread releases the hold.
@@ -85,7 +86,7 @@
             this->set_vote(proposal.id, record, this->settings.rank,
                            held.ok() ? vote_choice::yes : vote_choice::no);
         }
-        vote = this->make_vote(proposal, this->own_choice(record), record.reason);
+        vote = this->make_vote(proposal, record);
     }
     this->tell_vote(vote);
     return vote;
@@ -131,17 +132,23 @@
 
 map_voteT map_voter::answer_query(const map_proposalT& proposal)
 {
-    const absl::MutexLock lock(&this->mutex);
-    if (this->engine_group == 0 || proposal.group_incarnation != this->engine_group) {
-        return this->make_vote(proposal, vote_choice::undecided, "other_group");
-    }
-    proposal_record& record = this->record_of(proposal.id, proposal.hold_step);
-    if (this->own_choice(record) == vote_choice::undecided) {
+    map_voteT vote;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->engine_group == 0 || proposal.group_incarnation != this->engine_group) {
+            return this->make_vote_elsewhere(proposal);
+        }
+        proposal_record& record = this->record_of(proposal.id, proposal.hold_step);
+        if (this->own_choice(record) != vote_choice::undecided) {
+            return this->make_vote(proposal, record);
+        }
         count("sardine_map_votes_by_query_total");
         record.reason = "asked_before_vote";
         this->set_vote(proposal.id, record, this->settings.rank, vote_choice::no);
+        vote = this->make_vote(proposal, record);
     }
-    return this->make_vote(proposal, this->own_choice(record), record.reason);
+    this->tell_vote(vote);
+    return vote;
 }
 
 void map_voter::note_vote(const map_voteT& vote)
@@ -184,21 +191,9 @@
         !check_map(*order.map, this->settings.ranks).ok()) {
         return voter_error(absl::StatusCode::kInvalidArgument, "stage", "malformed");
     }
-    {
-        const absl::MutexLock order_lock(&this->engine.order_mutex());
-        {
-            const absl::MutexLock lock(&this->mutex);
-            if (order.group_incarnation != this->engine_group || this->engine_group == 0) {
-                return voter_error(absl::StatusCode::kFailedPrecondition, "stage", "other_group");
-            }
-            // The engine keeps one staged map: an open proposal still needs it.
-            if (this->has_open_proposal()) {
-                return voter_error(absl::StatusCode::kFailedPrecondition, "stage", "another_open");
-            }
-        }
-        SARDINE_RETURN_IF_ERROR(this->engine.stage(*order.map, order.group_incarnation));
-    }
+    SARDINE_RETURN_IF_ERROR(this->wait_until_stageable(order.group_incarnation));
     const std::string digest = map_digest(*order.map);
+    SARDINE_RETURN_IF_ERROR(this->order_staging(order, digest));
     while (absl::Now() < deadline) {
         const absl::StatusOr<engine_state> state = this->engine.read_state();
         if (state.ok() && state->staged_digest == digest) {
@@ -208,6 +203,9 @@
         if (this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), staging_poll_interval)) {
             return voter_error(absl::StatusCode::kCancelled, "stage", "stopping");
         }
+        if (this->staging_digest != digest) {
+            return voter_error(absl::StatusCode::kAborted, "stage", "replaced");
+        }
     }
     return voter_error(absl::StatusCode::kDeadlineExceeded, "stage", "timeout");
 }
@@ -230,6 +228,40 @@
     return found->committed;
 }
 
+absl::Status map_voter::wait_until_stageable(std::uint64_t incarnation)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto is_stageable = [this, incarnation]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+        return this->engine_group == incarnation && !this->has_open_proposal();
+    };
+    if (incarnation == 0 || is_stageable()) {
+        return absl::OkStatus();
+    }
+    this->poked = true;
+    const bool in_time = this->mutex.AwaitWithTimeout(absl::Condition(&is_stageable), stage_wait);
+    return in_time ? absl::OkStatus()
+                   : voter_error(absl::StatusCode::kFailedPrecondition, "stage", "not_stageable");
+}
+
+absl::Status map_voter::order_staging(const map_stageT& order, const std::string& digest)
+{
+    const absl::MutexLock order_lock(&this->engine.order_mutex());
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->engine_group == 0 || order.group_incarnation != this->engine_group) {
+            return voter_error(absl::StatusCode::kFailedPrecondition, "stage", "other_group");
+        }
+        // The engine keeps one staged map: an open proposal still needs it.
+        if (this->has_open_proposal()) {
+            return voter_error(absl::StatusCode::kFailedPrecondition, "stage", "another_open");
+        }
+    }
+    SARDINE_RETURN_IF_ERROR(this->engine.stage(*order.map, order.group_incarnation));
+    const absl::MutexLock lock(&this->mutex);
+    this->staging_digest = digest;
+    return absl::OkStatus();
+}
+
 std::uint64_t map_voter::group_incarnation() const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -296,8 +328,7 @@
     }
 }
 
-map_voteT map_voter::make_vote(const map_proposalT& proposal, vote_choice choice,
-                               const std::string& reason) const
+map_voteT map_voter::make_vote(const map_proposalT& proposal, const proposal_record& record) const
 {
     map_voteT vote;
     vote.proposal_id = proposal.id;
@@ -305,11 +336,22 @@
     vote.group_incarnation = proposal.group_incarnation;
     vote.hold_step = proposal.hold_step;
     vote.rank = static_cast<std::uint32_t>(this->settings.rank);
-    vote.choice = choice;
-    vote.reason = reason;
+    vote.choice = record.votes[static_cast<std::size_t>(this->settings.rank)];
+    vote.reason = record.reason;
+    if (record.committed.has_value()) {
+        vote.outcome = *record.committed ? vote_choice::yes : vote_choice::no;
+    }
     return vote;
 }
 
+map_voteT map_voter::make_vote_elsewhere(const map_proposalT& proposal) const
+{
+    proposal_record unknown;
+    unknown.votes.resize(static_cast<std::size_t>(this->settings.ranks), vote_choice::undecided);
+    unknown.reason = "other_group";
+    return this->make_vote(proposal, unknown);
+}
+
 bool map_voter::has_open_proposal() const
 {
     return std::any_of(this->records.begin(), this->records.end(), [](const auto& each) {
--- a/sardinestream/experts/map_voter.h
+++ b/sardinestream/experts/map_voter.h
@@ -124,6 +124,9 @@
     void ask_when_held(const engine_state& state);
     void ask_for_vote(int rank, const map_proposalT& proposal);
 
+    // Waits a little for the engine to be seen in this group incarnation, with no proposal open.
+    [[nodiscard]] absl::Status wait_until_stageable(std::uint64_t incarnation);
+    [[nodiscard]] absl::Status order_staging(const map_stageT& order, const std::string& digest);
     [[nodiscard]] std::string reason_against(const map_proposalT& proposal)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] absl::Status hold_engine(const map_proposalT& proposal);
@@ -134,8 +137,10 @@
     void set_outcome(std::uint64_t proposal_id, proposal_record& record, bool committed)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] vote_choice& own_choice(proposal_record& record) const;
-    [[nodiscard]] map_voteT make_vote(const map_proposalT& proposal, vote_choice choice,
-                                      const std::string& reason) const;
+    [[nodiscard]] map_voteT make_vote(const map_proposalT& proposal,
+                                      const proposal_record& record) const;
+    // The answer about a proposal of a group incarnation that this rank is not in.
+    [[nodiscard]] map_voteT make_vote_elsewhere(const map_proposalT& proposal) const;
     [[nodiscard]] bool has_open_proposal() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void tell_vote(const map_voteT& vote);
 
@@ -152,6 +157,8 @@
     // group; nothing is voted then.
     std::uint64_t engine_group ABSL_GUARDED_BY(mutex) = 0;
     std::uint64_t engine_incarnation ABSL_GUARDED_BY(mutex) = 0;
+    // Of the map whose staging was ordered last: the engine keeps one.
+    std::string staging_digest ABSL_GUARDED_BY(mutex);
     bool poked ABSL_GUARDED_BY(mutex) = false;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     absl::Time next_query = absl::InfinitePast(); // watching thread only
--- a/sardinestream/experts/map_voter_watch.cc
+++ b/sardinestream/experts/map_voter_watch.cc
@@ -222,22 +222,19 @@
     if (!proposal.ok()) {
         return;
     }
-    std::vector<int> unknown;
     {
         const absl::MutexLock lock(&this->mutex);
         auto found = this->records.find(proposal->id);
         if (found == this->records.end() || found->second.committed.has_value()) {
             return;
         }
-        for (int rank = 0; rank < this->settings.ranks; ++rank) {
-            if (rank != this->settings.rank &&
-                found->second.votes[static_cast<std::size_t>(rank)] == vote_choice::undecided) {
-                unknown.push_back(rank);
-            }
-        }
     }
     this->next_query = absl::Now() + query_interval;
-    for (const int rank : unknown) {
+    // Also those whose vote is known: they may have heard from a rank that cannot be reached here.
+    for (int rank = 0; rank < this->settings.ranks; ++rank) {
+        if (rank == this->settings.rank) {
+            continue;
+        }
         count("sardine_map_queries_total");
         const bool started =
             this->queries.spawn([this, rank, copy = *proposal] { this->ask_for_vote(rank, copy); });
@@ -259,9 +256,20 @@
         return;
     }
     const absl::StatusOr<map_voteT> vote = wire::decode<map_vote>(answer->payload);
-    if (vote.ok() && vote->proposal_id == proposal.id) {
-        this->note_vote(*vote);
+    if (!vote.ok() || vote->proposal_id != proposal.id) {
+        return;
+    }
+    this->note_vote(*vote);
+    if (vote->outcome == vote_choice::undecided) {
+        return;
     }
+    map_outcomeT outcome;
+    outcome.proposal_id = vote->proposal_id;
+    outcome.group = vote->group;
+    outcome.group_incarnation = vote->group_incarnation;
+    outcome.hold_step = vote->hold_step;
+    outcome.committed = vote->outcome == vote_choice::yes;
+    this->note_outcome(outcome);
 }
 
 } // namespace sardinestream::experts
--- a/sardinestream/testing/rank_group_engines.cc
+++ b/sardinestream/testing/rank_group_engines.cc
@@ -4,7 +4,7 @@
 #include <map>
 #include <utility>
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 namespace {
 
 constexpr absl::Duration idle_wait = absl::Milliseconds(50);
@@ -402,4 +402,4 @@
     }
 }
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
--- a/sardinestream/testing/rank_group_engines.h
+++ b/sardinestream/testing/rank_group_engines.h
@@ -29,7 +29,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 
 struct rank_group_options {
     int ranks = 4;
@@ -170,6 +170,6 @@
     std::thread stepping;
 };
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
 
 #endif // SARDINESTREAM_TESTING_RANK_GROUP_ENGINES_H_
--- a/sardinestream/testing/rank_group_http.cc
+++ b/sardinestream/testing/rank_group_http.cc
@@ -7,7 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 namespace {
 
 using nlohmann::json;
@@ -337,4 +337,4 @@
     }
 }
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
--- a/sardinestream/testing/rank_group_http.h
+++ b/sardinestream/testing/rank_group_http.h
@@ -28,7 +28,7 @@
 struct Response;
 } // namespace httplib
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 
 enum class order_fault_kind : std::uint8_t {
     none,
@@ -84,6 +84,6 @@
     std::vector<std::thread> threads;
 };
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
 
 #endif // SARDINESTREAM_TESTING_RANK_GROUP_HTTP_H_
--- a/sardinestream/testing/rank_group_load.cc
+++ b/sardinestream/testing/rank_group_load.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 
 drifting_load::drifting_load(const expert_load_options& options)
     : settings(options), random(options.seed)
@@ -50,4 +50,4 @@
     }
 }
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
--- a/sardinestream/testing/rank_group_load.h
+++ b/sardinestream/testing/rank_group_load.h
@@ -13,7 +13,7 @@
 #include <span>
 #include <vector>
 
-namespace sardinestream::standin {
+namespace sardinestream::testing {
 
 struct expert_load_options {
     std::uint32_t layers = 1;
@@ -44,6 +44,6 @@
     std::vector<float> tokens;
 };
 
-} // namespace sardinestream::standin
+} // namespace sardinestream::testing
 
 #endif // SARDINESTREAM_TESTING_RANK_GROUP_LOAD_H_
--- a/sardinestream/testing/rank_group_main.cc
+++ b/sardinestream/testing/rank_group_main.cc
@@ -28,9 +28,9 @@
 
 namespace {
 
-sardinestream::standin::rank_group_options options_from_flags()
+sardinestream::testing::rank_group_options options_from_flags()
 {
-    sardinestream::standin::rank_group_options options;
+    sardinestream::testing::rank_group_options options;
     options.ranks = FLAGS_ranks;
     options.honours_fencing = FLAGS_honours_fencing;
     options.base_step_time = absl::Microseconds(FLAGS_base_step_us);
@@ -55,7 +55,7 @@
     sigaddset(&ends, SIGTERM);
     sigaddset(&ends, SIGINT);
     pthread_sigmask(SIG_BLOCK, &ends, nullptr);
-    auto group = sardinestream::standin::rank_group_server::create(options_from_flags(), FLAGS_ip,
+    auto group = sardinestream::testing::rank_group_server::create(options_from_flags(), FLAGS_ip,
                                                                    FLAGS_first_port);
     if (!group.ok()) {
         std::cerr << "standin_rank_group: " << group.status().ToString() << "\n";
