--- a/sardinestream/experts/map_schedule_test.cc
+++ b/sardinestream/experts/map_schedule_test.cc
@@ -51,7 +51,7 @@
 std::ostream& operator<<(std::ostream& out, const action& shown)
 {
     return out << action_names[static_cast<int>(shown.kind)] << " rank=" << shown.rank
-        << " other=" << shown.other_rank << " fault=" << shown.fault;
+               << " other=" << shown.other_rank << " fault=" << shown.fault;
 }
 
 rc::Gen<action> any_action()
