Follow the platform's instance list without cutting requests in progress

Cause: entries knew only their seeds, and dropping an address from the directory closed its link, which would have cut requests in progress whenever the lagging list lost an instance. Change: fleet_view joins list and seeds; an address that is no longer wanted gets no new work and is not dialled again, but its link lives until it ends; an instance listed as leaving is treated as such even where its own notice was lost. Before: seeds only.

--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -17,6 +17,7 @@
 #include "sardinestream/entry/agent_router.h"
 #include "sardinestream/entry/entry_settings.h"
 #include "sardinestream/entry/key_router.h"
+#include "sardinestream/membership/fleet_view.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
 
@@ -36,6 +37,7 @@
     routing::retry_budget retries;
     std::unique_ptr<membership::peer_directory> directory;
     std::unique_ptr<wire::link_server> links;
+    std::unique_ptr<membership::fleet_view> fleet;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
     std::unique_ptr<ops_server> ops;
@@ -104,7 +106,8 @@
     }
     process.links = *std::move(links);
     process.settings.link_listen = process.links->local();
-    process.directory->set_addresses(process.settings.seeds);
+    process.fleet = membership::fleet_view::create(process.settings.id, process.settings.seeds,
+                                                   *process.store, *process.directory);
     return absl::OkStatus();
 }
 
@@ -195,6 +198,7 @@
     absl::SleepFor(process.settings.drain_delay);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+    process.store->cancel_watches();
 }
 
 absl::Status run(entry_process& process, shutdown_signal& signal)
--- a/sardinestream/membership/peer_directory.cc
+++ b/sardinestream/membership/peer_directory.cc
@@ -65,11 +65,7 @@
                                                 const wire::frame& received) {
         if (received.header.type == wire::frame_type::leaving) {
             if (std::shared_ptr<peer> known = self->find_by_link(link.get())) {
-                known->leaving = true;
-                log_event("peer_leaving", {{"peer", link->remote().id}});
-                if (self->watcher.on_leaving) {
-                    self->watcher.on_leaving(known);
-                }
+                self->mark_leaving(known);
             }
             return;
         }
@@ -91,8 +87,13 @@
 {
     const absl::MutexLock lock(&this->dialers_mutex);
     const std::set<address> keep(wanted.begin(), wanted.end());
-    for (auto it = this->dialers.begin(); it != this->dialers.end();) {
-        it = keep.count(it->first) > 0 ? std::next(it) : this->dialers.erase(it);
+    for (const auto& [remote, dialer] : this->dialers) {
+        const bool still_wanted = keep.count(remote) > 0;
+        dialer->keep_dialling(still_wanted);
+        std::shared_ptr<wire::peer_link> link = dialer->current();
+        if (std::shared_ptr<peer> known = this->find_by_link(link.get())) {
+            known->withdrawn = !still_wanted;
+        }
     }
     for (const address& each : keep) {
         if (this->dialers.count(each) > 0) {
@@ -181,6 +182,10 @@
         this->watcher.on_peer_up(added);
     }
     const absl::MutexLock lock(&this->mutex);
+    auto listed = this->listed_leaving.find(link->remote().id);
+    if (listed != this->listed_leaving.end() && listed->second == link->remote().incarnation) {
+        added->leaving = true;
+    }
     this->peers[link.get()] = std::move(added);
     this->incarnations[link->remote().id] = link->remote().incarnation;
 }
@@ -205,6 +210,35 @@
     return found == this->peers.end() ? nullptr : found->second;
 }
 
+void peer_directory::note_leaving(absl::string_view id, std::uint64_t incarnation)
+{
+    std::vector<std::shared_ptr<peer>> found;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->listed_leaving[std::string(id)] = incarnation;
+        for (const auto& [link, known] : this->peers) {
+            const wire::helloT& said = known->identity();
+            if (said.id == id && (incarnation == 0 || said.incarnation == incarnation)) {
+                found.push_back(known);
+            }
+        }
+    }
+    for (const std::shared_ptr<peer>& each : found) {
+        this->mark_leaving(each);
+    }
+}
+
+void peer_directory::mark_leaving(const std::shared_ptr<peer>& known)
+{
+    if (known->leaving.exchange(true)) {
+        return;
+    }
+    log_event("peer_leaving", {{"peer", known->identity().id}});
+    if (this->watcher.on_leaving) {
+        this->watcher.on_leaving(known);
+    }
+}
+
 void peer_directory::note_heartbeat(const wire::peer_link* link, absl::string_view payload)
 {
     if (std::shared_ptr<peer> known = this->find_by_link(link)) {
--- a/sardinestream/membership/peer_directory.h
+++ b/sardinestream/membership/peer_directory.h
@@ -32,15 +32,20 @@
 struct peer {
     std::shared_ptr<wire::peer_link> link;
     std::atomic<bool> leaving{false};
+    // The address is no longer among those to keep a link to; may become wanted again.
+    std::atomic<bool> withdrawn{false};
     // Requests that this process has sent and not yet seen end.
     std::atomic<int> in_flight{0};
 
     [[nodiscard]] const wire::helloT& identity() const { return this->link->remote(); }
     [[nodiscard]] bool serves(absl::string_view service) const;
-    [[nodiscard]] bool usable() const { return this->link->usable() && !this->leaving; }
+    [[nodiscard]] bool usable() const
+    {
+        return this->link->usable() && !this->leaving && !this->withdrawn;
+    }
 
-    // Told of every request that this process sends to the peer, and of its end; may be empty. Set
-    // before the peer is handed out.
+    // Told of every request that this process sends to the peer, and of its end; may be empty.
+    // Set before the peer is handed out.
     std::function<void()> on_request_sent;
     std::function<void()> on_request_ended;
 
@@ -72,9 +77,14 @@
     peer_directory(const peer_directory&) = delete;
     peer_directory& operator=(const peer_directory&) = delete;
 
-    // Keeps a link to each of these addresses, and drops those to others.
+    // Keeps a link to each of these addresses. Links to others get no new work and are not
+    // dialled again once lost; what is in progress on them goes on.
     void set_addresses(const std::vector<address>& wanted);
 
+    // Marks the peer with this id as leaving, connected or not yet; an incarnation of zero
+    // stands for the one that is connected.
+    void note_leaving(absl::string_view id, std::uint64_t incarnation);
+
     // Connected peers that offer the service, leaving ones included, sorted by id.
     [[nodiscard]] std::vector<std::shared_ptr<peer>> serving(absl::string_view service) const;
 
@@ -102,6 +112,7 @@
     void add(const std::shared_ptr<wire::peer_link>& link);
     void remove(const std::shared_ptr<wire::peer_link>& link);
     [[nodiscard]] std::shared_ptr<peer> find_by_link(const wire::peer_link* link) const;
+    void mark_leaving(const std::shared_ptr<peer>& known);
     void note_heartbeat(const wire::peer_link* link, absl::string_view payload);
 
     const observer watcher;
@@ -110,6 +121,8 @@
     // Every connected peer, by its link.
     std::map<const wire::peer_link*, std::shared_ptr<peer>> peers ABSL_GUARDED_BY(mutex);
     std::map<std::string, std::uint64_t> incarnations ABSL_GUARDED_BY(mutex);
+    // The last incarnation that the platform showed as leaving, by id.
+    std::map<std::string, std::uint64_t> listed_leaving ABSL_GUARDED_BY(mutex);
     absl::Mutex dialers_mutex;
     std::map<address, std::unique_ptr<wire::link_dialer>> dialers ABSL_GUARDED_BY(dialers_mutex);
 };
--- a/sardinestream/wire/link_server.cc
+++ b/sardinestream/wire/link_server.cc
@@ -148,19 +148,31 @@
         {
             const absl::MutexLock lock(&this->mutex);
             this->link = nullptr;
-            if (this->stopping) {
-                return;
-            }
         }
-        this->pause(next_pause);
+        if (!this->pause(next_pause)) {
+            return;
+        }
         next_pause = std::min(2 * next_pause, longest_redial_pause);
     }
 }
 
-void link_dialer::pause(absl::Duration time)
+bool link_dialer::pause(absl::Duration time)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), time)) {
+        return false;
+    }
+    const auto may_go_on = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+        return this->stopping || this->wanted;
+    };
+    this->mutex.Await(absl::Condition(&may_go_on));
+    return !this->stopping;
+}
+
+void link_dialer::keep_dialling(bool keep)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), time);
+    this->wanted = keep;
 }
 
 } // namespace sardinestream::wire
--- a/sardinestream/wire/link_server.h
+++ b/sardinestream/wire/link_server.h
@@ -61,6 +61,10 @@
     // The link, or null while there is none.
     [[nodiscard]] std::shared_ptr<peer_link> current() const;
 
+    // With false, a link that is lost is not dialled again; the present one stays. With true, as at
+    // the start, it is.
+    void keep_dialling(bool wanted);
+
     // Waits until there is a link. Returns null at `deadline`.
     [[nodiscard]] std::shared_ptr<peer_link> wait_until_up(absl::Time deadline) const;
 
@@ -68,13 +72,15 @@
 
 private:
     void keep_link();
-    void pause(absl::Duration time);
+    // Waits for `time` and then until the link is wanted; returns false once it is stopping.
+    [[nodiscard]] bool pause(absl::Duration time);
 
     const std::shared_ptr<const link_options> options;
     const address remote_address;
     mutable absl::Mutex mutex;
     std::shared_ptr<peer_link> link ABSL_GUARDED_BY(mutex);
     bool stopping ABSL_GUARDED_BY(mutex) = false;
+    bool wanted ABSL_GUARDED_BY(mutex) = true;
     std::thread dialling;
 };
 
