Add engine orders: the catalogue says what engines run, agents apply it in turns

Change: an optional field engine (version, adapters, role) of a catalogue entry, at most one entry for a service; an entry gives each agent its turn, the agent takes the target from its own newest catalogue and uses the catalogue number, which never falls, as the fencing number; a version or role changes only while no request runs. An order that arrives late repeats a newer fact. Ruled out: targets in the order itself (an old one could then undo a newer), a lease for the issuer (idempotent orders need none). Before: no orders. Not yet wired into the mains.

--- /dev/null
+++ b/sardinestream/agent/engine_orders.h
@@ -0,0 +1,38 @@
+// Engine orders at the agent: the executor, wired to this agent's engine, catalogue and admission.
+
+#ifndef SARDINESTREAM_AGENT_ENGINE_ORDERS_H_
+#define SARDINESTREAM_AGENT_ENGINE_ORDERS_H_
+
+#include <memory>
+
+#include "sardinestream/agent/backend_client.h"
+#include "sardinestream/base/thread_group.h"
+#include "sardinestream/catalogue/catalogue_state.h"
+#include "sardinestream/orders/order_executor.h"
+#include "sardinestream/routing/admission.h"
+#include "sardinestream/wire/peer_link.h"
+
+namespace sardinestream::agent {
+
+// Thread-safe.
+class engine_orders {
+public:
+    // All three must outlive the result.
+    engine_orders(catalogue::catalogue_state* state, backend_client* engine,
+                  routing::admission* admission);
+
+    // Answers an `engine_order`, on a thread of its own.
+    void serve(const std::shared_ptr<wire::stream>& exchange, const wire::frame& first);
+
+    [[nodiscard]] std::uint64_t applied_number() const { return this->executor.applied_number(); }
+
+private:
+    void answer(wire::stream& exchange, const std::string& service, std::uint64_t number);
+
+    orders::order_executor executor;
+    thread_group threads; // last, so that it ends first
+};
+
+} // namespace sardinestream::agent
+
+#endif // SARDINESTREAM_AGENT_ENGINE_ORDERS_H_
--- a/sardinestream/catalogue/acceptance.cc
+++ b/sardinestream/catalogue/acceptance.cc
@@ -93,13 +93,27 @@
         records.insert(at, std::move(record));
     }
 
+    // What only one entry of a service may hold, with the field that claims it: each bearer key,
+    // and the word on its engines.
+    static std::vector<std::pair<std::string, std::string>> claims_of(const catalogue_entry& entry)
+    {
+        std::vector<std::pair<std::string, std::string>> claims;
+        for (std::size_t i = 0; i < entry.key_digests.size(); ++i) {
+            claims.emplace_back(entry.key_digests[i], "key_digests[" + std::to_string(i) + "]");
+        }
+        if (entry.engine.has_value()) {
+            claims.emplace_back("engine", "engine");
+        }
+        return claims;
+    }
+
     void claim_keys(const entry_record& record)
     {
         if (!record.entry.has_value()) {
             return;
         }
-        for (const std::string& digest : record.entry->key_digests) {
-            this->holders[{digest, record.entry->service}] = record.name;
+        for (const auto& [key, field] : claims_of(*record.entry)) {
+            this->holders[{key, record.entry->service}] = record.name;
         }
     }
 
@@ -108,8 +122,8 @@
         if (!record.entry.has_value()) {
             return;
         }
-        for (const std::string& digest : record.entry->key_digests) {
-            this->holders.erase({digest, record.entry->service});
+        for (const auto& [key, field] : claims_of(*record.entry)) {
+            this->holders.erase({key, record.entry->service});
         }
     }
 
@@ -204,11 +218,10 @@
 
     entry_refusal check_against_others(const catalogue_entry& entry) const
     {
-        for (std::size_t i = 0; i < entry.key_digests.size(); ++i) {
-            auto holder = this->holders.find({entry.key_digests[i], entry.service});
+        for (const auto& [key, field] : claims_of(entry)) {
+            auto holder = this->holders.find({key, entry.service});
             if (holder != this->holders.end() && holder->second != entry.name) {
-                return {entry_code::duplicate_key, "key_digests[" + std::to_string(i) + "]", "",
-                        holder->second};
+                return {entry_code::duplicate_key, field, "", holder->second};
             }
         }
         return this->check_room(entry);
--- a/sardinestream/catalogue/acceptance_test.cc
+++ b/sardinestream/catalogue/acceptance_test.cc
@@ -79,6 +79,21 @@
     EXPECT_EQ(this->image.find("a")->refusal.other, "b");
 }
 
+TEST_F(acceptance_test, of_two_entries_that_steer_one_service_the_earlier_edit_wins)
+{
+    const std::string engine = R"("engine":{"version":"v1"},"owner")";
+    std::string first = make_entry("key-1");
+    std::string second = make_entry("key-2");
+    first.replace(first.find("\"owner\""), 7, engine);
+    second.replace(second.find("\"owner\""), 7, engine);
+    this->write("a", first);
+    this->write("b", second);
+    this->decide();
+    EXPECT_TRUE(this->image.find("a")->entry.has_value());
+    EXPECT_EQ(this->image.find("b")->refusal.code, entry_code::duplicate_key);
+    EXPECT_EQ(this->image.find("b")->refusal.field, "engine");
+}
+
 TEST_F(acceptance_test, a_clash_is_examined_again_once_it_is_gone)
 {
     this->write("b", make_entry("k", 1));
--- a/sardinestream/catalogue/entry_validation.cc
+++ b/sardinestream/catalogue/entry_validation.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t max_owner_bytes = 64;
 constexpr std::size_t max_service_bytes = 128;
 constexpr std::size_t max_key_digests = 16;
+constexpr std::size_t max_adapters = 64;
+constexpr std::size_t max_engine_name_bytes = 128;
 constexpr std::size_t digest_digits = 64;
 constexpr double max_weight = 1000;
 
@@ -74,12 +76,15 @@
     limit_field{"max_deadline_ms", &entry_limits::max_deadline_ms, 3600000},
 };
 
-constexpr std::array<absl::string_view, 9> entry_fields = {
+constexpr std::array<absl::string_view, 10> entry_fields = {
     "owner",       "service",     "work_class",
     "repeat",      "priority",    "limits",
     "key_digests", "skew_weight", "rebalance_cost_weight",
+    "engine",
 };
 
+constexpr std::array<absl::string_view, 3> engine_roles = {"mixed", "prefill", "decode"};
+
 template <typename Value, std::size_t Size>
 absl::string_view name_of(const std::array<named_value<Value>, Size>& names, Value value)
 {
@@ -99,6 +104,11 @@
     });
 }
 
+bool is_service_byte(char c)
+{
+    return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '.' || c == '_' || c == '-';
+}
+
 // Reads the fields of one entry; keeps the first refusal.
 class entry_reader {
 public:
@@ -217,7 +227,56 @@
         }
     }
 
+    void read_engine(catalogue_entry& target)
+    {
+        const json* engine = this->find(this->spec, "engine");
+        if (engine == nullptr) {
+            return;
+        }
+        if (!engine->is_object()) {
+            return this->refuse(entry_code::wrong_type, "engine", "object");
+        }
+        if (target.work != work_class::model) {
+            return this->refuse(entry_code::not_in_set, "work_class", "model");
+        }
+        this->check_names(*engine, "engine.", {"version", "adapters", "role"});
+        engine_target wanted;
+        this->read_engine_name(engine->value("version", json()), "engine.version", wanted.version);
+        const json adapters = engine->value("adapters", json::array());
+        if (!adapters.is_array() || adapters.size() > max_adapters) {
+            return this->refuse(entry_code::out_of_range, "engine.adapters.length",
+                                absl::StrCat("0..", max_adapters));
+        }
+        for (std::size_t i = 0; i < adapters.size(); ++i) {
+            this->read_engine_name(adapters[i], absl::StrCat("engine.adapters[", i, "]"),
+                                   wanted.adapters.emplace_back());
+        }
+        const json role = engine->value("role", json("mixed"));
+        if (!role.is_string() || std::find(engine_roles.begin(), engine_roles.end(),
+                                           role.get<std::string>()) == engine_roles.end()) {
+            return this->refuse(entry_code::not_in_set, "engine.role",
+                                absl::StrJoin(engine_roles, "|"));
+        }
+        wanted.role = role.get<std::string>();
+        target.engine = std::move(wanted);
+    }
+
 private:
+    void read_engine_name(const json& value, const std::string& path, std::string& target)
+    {
+        if (!value.is_string()) {
+            return this->refuse(value.is_null() ? entry_code::missing_field
+                                                : entry_code::wrong_type,
+                                path, "string");
+        }
+        target = value.get<std::string>();
+        if (target.empty() || target.size() > max_engine_name_bytes ||
+            !std::all_of(target.begin(), target.end(), is_service_byte)) {
+            this->refuse(entry_code::bad_format, path,
+                         absl::StrCat("[0-9A-Za-z._-]{1..", max_engine_name_bytes, "}"));
+        }
+    }
+
     static const json* find(const json& object, const char* field)
     {
         auto found = object.find(field);
@@ -284,11 +343,6 @@
     return !absl::ascii_iscntrl(static_cast<unsigned char>(c));
 }
 
-bool is_service_byte(char c)
-{
-    return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '.' || c == '_' || c == '-';
-}
-
 } // namespace
 
 entry_verdict validate_entry(absl::string_view name, absl::string_view spec, unknown_fields unknown)
@@ -314,6 +368,7 @@
     reader.read_key_digests(entry.key_digests);
     reader.read_weight("skew_weight", entry.skew_weight);
     reader.read_weight("rebalance_cost_weight", entry.rebalance_cost_weight);
+    reader.read_engine(entry);
     if (reader.refusal().has_value()) {
         return *reader.refusal();
     }
--- a/sardinestream/catalogue/entry_validation_test.cc
+++ b/sardinestream/catalogue/entry_validation_test.cc
@@ -128,6 +128,34 @@
     EXPECT_TRUE(held);
 }
 
+TEST(entry_validation_test, an_engine_target_is_read)
+{
+    json spec = valid();
+    spec["engine"] = {{"version", "v2"}, {"adapters", {"labels"}}, {"role", "decode"}};
+    const entry_verdict verdict = validate_entry("e", spec.dump());
+    const auto& entry = std::get<catalogue_entry>(verdict);
+    EXPECT_EQ(entry.engine, (engine_target{"v2", {"labels"}, "decode"}));
+}
+
+TEST(entry_validation_test, an_engine_target_names_what_is_wrong_in_it)
+{
+    json spec = valid();
+    spec["engine"] = {{"version", "v2"}, {"role", "idle"}};
+    EXPECT_EQ(refusal_of(spec).field, "engine.role");
+    EXPECT_EQ(refusal_of(spec).allowed, "mixed|prefill|decode");
+    spec["engine"] = {{"role", "mixed"}};
+    EXPECT_EQ(refusal_of(spec).code, entry_code::missing_field);
+    EXPECT_EQ(refusal_of(spec).field, "engine.version");
+}
+
+TEST(entry_validation_test, a_plain_service_has_no_engine_target)
+{
+    json spec = valid();
+    spec["work_class"] = "plain";
+    spec["engine"] = {{"version", "v2"}};
+    EXPECT_EQ(refusal_of(spec).field, "work_class");
+}
+
 TEST(entry_validation_test, any_bytes_get_a_verdict)
 {
     const bool held = rc::check("no input is accepted by chance or crashes", [] {
--- a/sardinestream/catalogue/snapshot.h
+++ b/sardinestream/catalogue/snapshot.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +41,15 @@
     std::uint32_t max_deadline_ms = 60000;  // 1 to 3600000
 };
 
+// What the engines of a service are to run. At most one entry of a service says so.
+struct engine_target {
+    std::string version;
+    std::vector<std::string> adapters;
+    std::string role; // mixed, prefill or decode
+
+    friend bool operator==(const engine_target&, const engine_target&) = default;
+};
+
 // One object that an operator edits.
 struct catalogue_entry {
     std::string name;
@@ -52,6 +62,7 @@
     std::vector<std::string> key_digests; // SHA-256 of bearer keys, hexadecimal
     double skew_weight = 1.0;             // 0 to 1000
     double rebalance_cost_weight = 1.0;   // 0 to 1000
+    std::optional<engine_target> engine;  // models only
     std::uint64_t object_version = 0;     // version of the object that was accepted
 };
 
--- a/sardinestream/catalogue/status_page.cc
+++ b/sardinestream/catalogue/status_page.cc
@@ -39,6 +39,12 @@
         digests.push_back(digest.substr(0, shown_digest_digits));
     }
     const entry_limits& limits = entry.limits;
+    json engine;
+    if (entry.engine.has_value()) {
+        engine = {{"version", entry.engine->version},
+                  {"adapters", entry.engine->adapters},
+                  {"role", entry.engine->role}};
+    }
     return {{"owner", entry.owner},
             {"service", entry.service},
             {"work_class", std::string(to_string(entry.work))},
@@ -52,7 +58,8 @@
               {"max_deadline_ms", limits.max_deadline_ms}}},
             {"skew_weight", entry.skew_weight},
             {"rebalance_cost_weight", entry.rebalance_cost_weight},
-            {"key_digests", std::move(digests)}};
+            {"key_digests", std::move(digests)},
+            {"engine", std::move(engine)}};
 }
 
 json decision_of(const entry_decision& decision)
