--- /dev/null
+++ b/sardinestream/limits/share_exchange.cc
@@ -0,0 +1,116 @@
+#include "sardinestream/limits/share_exchange.h"
+
+#include <iterator>
+#include <utility>
+
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/wire/frame.h"
+
+#include "absl/time/clock.h"
+
+namespace sardinestream::limits {
+namespace {
+
+// Between two plans, however often a share is wanted.
+constexpr absl::Duration shortest_interval = absl::Milliseconds(5);
+
+} // namespace
+
+absl::StatusOr<std::string> answer_share_request(team_limiter& limiter, absl::string_view payload)
+{
+    absl::StatusOr<share_requestT> request = wire::decode<share_request>(payload);
+    if (!request.ok()) {
+        return request.status();
+    }
+    return wire::encode<share_loan>(limiter.serve(*request));
+}
+
+std::unique_ptr<share_exchange> share_exchange::create(share_exchange_options options,
+                                                       team_limiter& limiter)
+{
+    return std::unique_ptr<share_exchange>(new share_exchange(std::move(options), limiter));
+}
+
+share_exchange::share_exchange(share_exchange_options chosen, team_limiter& traded)
+    : options(std::move(chosen)), limiter(traded)
+{
+    this->limiter.set_wake([this] { this->kick(); });
+    this->trading = std::thread([this] { this->trade_until_stopped(); });
+}
+
+share_exchange::~share_exchange()
+{
+    this->limiter.set_wake(nullptr);
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+    }
+    this->trading.join();
+}
+
+void share_exchange::kick()
+{
+    absl::MutexLock lock(&this->mutex);
+    this->kicked = true;
+}
+
+void share_exchange::trade_until_stopped()
+{
+    while (true) {
+        {
+            absl::MutexLock lock(&this->mutex);
+            auto due = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                return this->kicked || this->stopping;
+            };
+            this->mutex.AwaitWithTimeout(absl::Condition(&due), this->options.interval);
+            if (this->stopping) {
+                return;
+            }
+            this->kicked = false;
+        }
+        for (planned_trade& planned : this->limiter.plan(this->options.peers())) {
+            absl::MutexLock lock(&this->mutex);
+            share_requestT& request = this->waiting[planned.peer];
+            request.borrower = planned.request.borrower;
+            std::move(planned.request.items.begin(), planned.request.items.end(),
+                      std::back_inserter(request.items));
+        }
+        this->send_waiting();
+        absl::SleepFor(shortest_interval);
+    }
+}
+
+void share_exchange::send_waiting()
+{
+    absl::MutexLock lock(&this->mutex);
+    for (auto next = this->waiting.begin(); next != this->waiting.end();) {
+        const std::string peer = next->first;
+        if (!this->busy.insert(peer).second) {
+            ++next;
+            continue;
+        }
+        auto request = std::make_shared<share_requestT>(std::move(next->second));
+        next = this->waiting.erase(next);
+        if (!this->messages.spawn([this, peer, request] { this->trade(peer, *request); })) {
+            this->busy.erase(peer);
+            count("sardine_share_trades_total", {{"result", "no_thread"}});
+        }
+    }
+}
+
+void share_exchange::trade(const std::string& peer, const share_requestT& request)
+{
+    const absl::StatusOr<std::string> answer = this->options.send(
+        peer, wire::encode<share_request>(request), absl::Now() + this->options.answer_timeout);
+    absl::StatusOr<share_loanT> loan = answer.ok() ? wire::decode<share_loan>(*answer)
+                                                   : absl::StatusOr<share_loanT>(answer.status());
+    if (loan.ok()) {
+        this->limiter.take(*loan);
+    }
+    count("sardine_share_trades_total", {{"result", loan.ok() ? "answered" : "failed"}});
+    absl::MutexLock lock(&this->mutex);
+    this->busy.erase(peer);
+    this->kicked = this->kicked || this->waiting.contains(peer);
+}
+
+} // namespace sardinestream::limits
--- /dev/null
+++ b/sardinestream/limits/share_exchange.h
@@ -0,0 +1,84 @@
+// Trades shares of team limits with the other entries: one thread that plans, and a short-lived
+// thread for each message on its way.
+//
+//     auto exchange = share_exchange::create(
+//         {.peers = [&] { return live_entry_ids(); },
+//          .send = [&](const std::string& peer, const std::string& request, absl::Time deadline) {
+//              return call_peer(peer, wire::frame_type::share_request, request, deadline); }},
+//         limiter);
+//     ... at the other end: answer(share_request payload) -> share_loan payload ...
+//
+// Owns no shares. A peer that does not answer costs accuracy, never safety.
+
+#ifndef SARDINESTREAM_LIMITS_SHARE_EXCHANGE_H_
+#define SARDINESTREAM_LIMITS_SHARE_EXCHANGE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sardinestream/base/thread_group.h"
+#include "sardinestream/limits/team_limiter.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace sardinestream::limits {
+
+struct share_exchange_options {
+    // The ids of the other live entries.
+    std::function<std::vector<std::string>()> peers;
+    // Sends a `share_request` payload and returns the `share_loan` payload that answers it.
+    std::function<absl::StatusOr<std::string>(const std::string& peer, const std::string& request,
+                                              absl::Time deadline)>
+        send;
+    absl::Duration interval = absl::Milliseconds(200);
+    absl::Duration answer_timeout = absl::Milliseconds(500);
+};
+
+// Returns the `share_loan` payload that answers a peer's `share_request` payload.
+[[nodiscard]] absl::StatusOr<std::string> answer_share_request(team_limiter& limiter,
+                                                               absl::string_view payload);
+
+// Thread-safe.
+class share_exchange {
+public:
+    // `limiter` must outlive the result.
+    [[nodiscard]] static std::unique_ptr<share_exchange> create(share_exchange_options options,
+                                                                team_limiter& limiter);
+    // Waits for messages on their way.
+    ~share_exchange();
+    share_exchange(const share_exchange&) = delete;
+    share_exchange& operator=(const share_exchange&) = delete;
+
+private:
+    share_exchange(share_exchange_options options, team_limiter& limiter);
+
+    void trade_until_stopped();
+    // Sends what waits for a peer unless a message to it is on its way.
+    void send_waiting();
+    void trade(const std::string& peer, const share_requestT& request);
+    void kick();
+
+    const share_exchange_options options;
+    team_limiter& limiter;
+    absl::Mutex mutex;
+    bool kicked ABSL_GUARDED_BY(mutex) = false;
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+    // What waits for each peer, and the peers with a message on its way.
+    std::map<std::string, share_requestT> waiting ABSL_GUARDED_BY(mutex);
+    std::set<std::string> busy ABSL_GUARDED_BY(mutex);
+    thread_group messages;
+    std::thread trading;
+};
+
+} // namespace sardinestream::limits
+
+#endif // SARDINESTREAM_LIMITS_SHARE_EXCHANGE_H_
--- a/sardinestream/routing/admission.h
+++ b/sardinestream/routing/admission.h
@@ -114,6 +114,7 @@
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<admission>>
     create(admission_options options);
 
+    ~admission() = default;
     admission(const admission&) = delete;
     admission& operator=(const admission&) = delete;
 
