--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -285,16 +285,14 @@
 matrix_cell make_cell(const std::string& step, const std::string& fault)
 {
     const auto run = [step, fault](fleet_holder& fleets, const std::string& cell) {
-        const absl::StatusOr<fleet*> servers = fleets.healthy();
-        if (!servers.ok()) {
-            return cell_verdict{false, "no_fleet"};
-        }
-        if (step == "two_operators") {
-            return run_operators_cell(**servers, cell, fault);
-        }
-        return step == "fresh_start" || step == "stale_start"
-                   ? run_start_cell(**servers, cell, step, fault)
-                   : run_message_cell(**servers, cell, step, fault);
+        return on_fleet(fleets, [&](fleet& servers) {
+            if (step == "two_operators") {
+                return run_operators_cell(servers, cell, fault);
+            }
+            return step == "fresh_start" || step == "stale_start"
+                       ? run_start_cell(servers, cell, step, fault)
+                       : run_message_cell(servers, cell, step, fault);
+        });
     };
     return {"catalogue", step, fault, run};
 }
--- a/sardinestream/testing/fault_matrix.cc
+++ b/sardinestream/testing/fault_matrix.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/testing/fault_matrix.h"
 
+#include <cstdio>
 #include <iterator>
 
 namespace sardinestream::testing {
@@ -18,6 +19,16 @@
     return this->current.get();
 }
 
+cell_verdict on_fleet(fleet_holder& fleets, const std::function<cell_verdict(fleet&)>& run)
+{
+    const absl::StatusOr<fleet*> servers = fleets.healthy();
+    if (!servers.ok()) {
+        std::fprintf(stderr, "no fleet: %s\n", servers.status().ToString().c_str());
+        return {false, "violated=no_fleet"};
+    }
+    return run(**servers);
+}
+
 std::vector<matrix_cell> all_cells()
 {
     std::vector<matrix_cell> cells;
--- a/sardinestream/testing/fault_matrix.h
+++ b/sardinestream/testing/fault_matrix.h
@@ -42,6 +42,10 @@
     std::unique_ptr<fleet> current;
 };
 
+// Runs a cell on the worker's fleet; red where there is none.
+[[nodiscard]] cell_verdict on_fleet(fleet_holder& fleets,
+                                    const std::function<cell_verdict(fleet&)>& run);
+
 struct matrix_cell {
     std::string protocol;
     std::string step;
--- a/sardinestream/testing/fault_proxy.h
+++ b/sardinestream/testing/fault_proxy.h
@@ -67,7 +67,7 @@
     // Ends black hole and outage, cuts the connections that lost bytes, and removes every rule.
     void heal();
 
-    // True while a link of the client with this id is up: its heartbeats are answered.
+    // True while a link of the client with this id is up: heartbeats pass both ways.
     [[nodiscard]] bool has_link_from(absl::string_view client_id);
 
     // Connections that have been accepted so far.
--- a/sardinestream/testing/once_cells.cc
+++ b/sardinestream/testing/once_cells.cc
@@ -234,9 +234,9 @@
                 }
                 const auto run = [step = std::string(step), fault,
                                   by_ticket](fleet_holder& fleets, const std::string& cell) {
-                    const absl::StatusOr<fleet*> servers = fleets.healthy();
-                    return servers.ok() ? run_cell(**servers, cell, step, fault, by_ticket)
-                                        : cell_verdict{false, "no_fleet"};
+                    return on_fleet(fleets, [&](fleet& servers) {
+                        return run_cell(servers, cell, step, fault, by_ticket);
+                    });
                 };
                 cells.push_back({by_ticket ? "ticket" : "once", step, fault, run});
             }
--- a/sardinestream/testing/relay.h
+++ b/sardinestream/testing/relay.h
@@ -62,7 +62,7 @@
     // Ends the connection. Thread-safe.
     virtual void cut() = 0;
 
-    // True where this is a link of frames from that client and its heartbeats are answered.
+    // True where this is a link of frames from that client and heartbeats pass both ways.
     [[nodiscard]] virtual bool is_link_from(absl::string_view client_id) const = 0;
 
     // True where bytes were swallowed: the connection cannot go on.
--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -316,9 +316,9 @@
                                       "freeze_wake", "second_notice", "kill_other"}) {
                 const stop_plan plan{target, step, fault};
                 const auto run = [plan](fleet_holder& fleets, const std::string& cell) {
-                    const absl::StatusOr<fleet*> servers = fleets.healthy();
-                    return servers.ok() ? stop_run(**servers, cell, plan).run()
-                                        : cell_verdict{false, "no_fleet"};
+                    return on_fleet(fleets, [&](fleet& servers) {
+                        return stop_run(servers, cell, plan).run();
+                    });
                 };
                 cells.push_back({"stop_" + to_text(target), step, fault, run});
             }
--- a/sardinestream/testing/stream_cells.cc
+++ b/sardinestream/testing/stream_cells.cc
@@ -201,12 +201,10 @@
 matrix_cell make_cell(const std::string& step, const std::string& fault)
 {
     const auto run = [step, fault](fleet_holder& fleets, const std::string& cell) {
-        const absl::StatusOr<fleet*> servers = fleets.healthy();
-        if (!servers.ok()) {
-            return cell_verdict{false, "no_fleet"};
-        }
-        return step == "cancel" ? run_cancel_cell(**servers, cell, fault)
-                                : run_cell(**servers, cell, step, fault);
+        return on_fleet(fleets, [&](fleet& servers) {
+            return step == "cancel" ? run_cancel_cell(servers, cell, fault)
+                                    : run_cell(servers, cell, step, fault);
+        });
     };
     return {"stream", step, fault, run};
 }
--- a/sardinestream/testing/wire_relay.cc
+++ b/sardinestream/testing/wire_relay.cc
@@ -33,7 +33,7 @@
     [[nodiscard]] bool is_link_from(absl::string_view client_id) const override
     {
         const absl::MutexLock lock(&this->mutex);
-        return this->heartbeats_answered && !this->ended && this->hello_id == client_id;
+        return this->client_beats && this->server_beats && !this->ended && this->hello_id == client_id;
     }
 
 protected:
@@ -94,8 +94,8 @@
             const absl::StatusOr<wire::helloT> hello = wire::decode<wire::hello>(payload);
             this->hello_id = hello.ok() ? hello->id : "";
         }
-        if (header.type == wire::frame_type::heartbeat_ack && direction == toward::client) {
-            this->heartbeats_answered = true;
+        if (header.type == wire::frame_type::heartbeat) {
+            (direction == toward::server ? this->client_beats : this->server_beats) = true;
         }
         if (header.stream_id == 0) {
             return payload;
@@ -114,7 +114,9 @@
     delayed_writer to_client;
     delayed_writer to_server;
     mutable absl::Mutex mutex;
-    bool heartbeats_answered ABSL_GUARDED_BY(mutex) = false;
+    // A heartbeat has passed from that end.
+    bool client_beats ABSL_GUARDED_BY(mutex) = false;
+    bool server_beats ABSL_GUARDED_BY(mutex) = false;
     bool ended ABSL_GUARDED_BY(mutex) = false;
     std::string hello_id ABSL_GUARDED_BY(mutex);
     std::map<std::uint64_t, std::string> openings ABSL_GUARDED_BY(mutex);
