--- a/sardinestream/experts/map_schedule_test.cc
+++ b/sardinestream/experts/map_schedule_test.cc
@@ -148,7 +148,7 @@
             order_fault_kind::lose_answer, order_fault_kind::delay, order_fault_kind::drop};
         this->group.server().arm(
             drawn.rank, orders[drawn.fault % orders.size()],
-            {kinds[drawn.other_rank % kinds.size()], 1 + drawn.fault % 3, absl::Milliseconds(250)});
+            {kinds[drawn.other_rank % kinds.size()], 1 + drawn.fault % 3, absl::Milliseconds(drawn.fault % 2 == 0 ? 40 : 250)});
     }
 
     rank_group_agents& group;
@@ -161,7 +161,8 @@
     options.engines.ranks = ranks;
     options.engines.honours_fencing = honours_fencing;
     options.engine_timeout = absl::Milliseconds(150);
-    options.proposer.margin = absl::Milliseconds(30);
+    // So short that the step often comes before the outcome.
+    options.proposer.margin = absl::Milliseconds(8);
     options.proposer.staging_timeout = absl::Seconds(1);
     options.proposer.vote_timeout = absl::Milliseconds(300);
     options.proposer.outcome_timeout = absl::Seconds(1);
