--- a/sardinestream/membership/peer_directory.cc
+++ b/sardinestream/membership/peer_directory.cc
@@ -36,9 +36,10 @@
     this->report = std::string(payload);
 }
 
-std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options)
+std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options,
+                                                       observer watching)
 {
-    std::unique_ptr<peer_directory> made(new peer_directory());
+    std::unique_ptr<peer_directory> made(new peer_directory(std::move(watching)));
     peer_directory* self = made.get();
     const wire::link_hooks outer = options.hooks;
     options.hooks.on_up = [self, outer](const std::shared_ptr<wire::peer_link>& link) {
@@ -64,8 +65,7 @@
                                                 const wire::frame& received) {
         if (received.header.type == wire::frame_type::leaving) {
             if (std::shared_ptr<peer> known = self->find_by_link(link.get())) {
-                known->leaving = true;
-                log_event("peer_leaving", {{"peer", link->remote().id}});
+                self->mark_leaving(known);
             }
             return;
         }
@@ -87,8 +87,13 @@
 {
     const absl::MutexLock lock(&this->dialers_mutex);
     const std::set<address> keep(wanted.begin(), wanted.end());
-    for (auto it = this->dialers.begin(); it != this->dialers.end();) {
-        it = keep.count(it->first) > 0 ? std::next(it) : this->dialers.erase(it);
+    for (const auto& [remote, dialer] : this->dialers) {
+        const bool still_wanted = keep.count(remote) > 0;
+        dialer->keep_dialling(still_wanted);
+        std::shared_ptr<wire::peer_link> link = dialer->current();
+        if (std::shared_ptr<peer> known = this->find_by_link(link.get())) {
+            known->withdrawn = !still_wanted;
+        }
     }
     for (const address& each : keep) {
         if (this->dialers.count(each) > 0) {
@@ -116,11 +121,16 @@
     std::vector<std::shared_ptr<peer>> found;
     const absl::MutexLock lock(&this->mutex);
     for (const auto& [link, known] : this->peers) {
-        if (known->identity().role == role) {
+        if (known->identity().role == role && known->link->usable()) {
             found.push_back(known);
         }
     }
     sort_by_id(found);
+    // Two entries dial each other: either link will do.
+    const auto same_id = [](const std::shared_ptr<peer>& left, const std::shared_ptr<peer>& right) {
+        return left->identity().id == right->identity().id;
+    };
+    found.erase(std::unique(found.begin(), found.end(), same_id), found.end());
     return found;
 }
 
@@ -168,7 +178,14 @@
     added->leaving = link->remote().leaving;
     log_event("peer_up",
               {{"peer", link->remote().id}, {"incarnation", link->remote().incarnation}});
+    if (this->watcher.on_peer_up) {
+        this->watcher.on_peer_up(added);
+    }
     const absl::MutexLock lock(&this->mutex);
+    auto listed = this->listed_leaving.find(link->remote().id);
+    if (listed != this->listed_leaving.end() && listed->second == link->remote().incarnation) {
+        added->leaving = true;
+    }
     this->peers[link.get()] = std::move(added);
     this->incarnations[link->remote().id] = link->remote().incarnation;
 }
@@ -176,8 +193,14 @@
 void peer_directory::remove(const std::shared_ptr<wire::peer_link>& link)
 {
     log_event("peer_down", {{"peer", link->remote().id}});
-    const absl::MutexLock lock(&this->mutex);
-    this->peers.erase(link.get());
+    std::shared_ptr<peer> lost = this->find_by_link(link.get());
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->peers.erase(link.get());
+    }
+    if (lost != nullptr && this->watcher.on_peer_down) {
+        this->watcher.on_peer_down(lost);
+    }
 }
 
 std::shared_ptr<peer> peer_directory::find_by_link(const wire::peer_link* link) const
@@ -187,10 +210,42 @@
     return found == this->peers.end() ? nullptr : found->second;
 }
 
+void peer_directory::note_leaving(absl::string_view id, std::uint64_t incarnation)
+{
+    std::vector<std::shared_ptr<peer>> found;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->listed_leaving[std::string(id)] = incarnation;
+        for (const auto& [link, known] : this->peers) {
+            const wire::helloT& said = known->identity();
+            if (said.id == id && (incarnation == 0 || said.incarnation == incarnation)) {
+                found.push_back(known);
+            }
+        }
+    }
+    for (const std::shared_ptr<peer>& each : found) {
+        this->mark_leaving(each);
+    }
+}
+
+void peer_directory::mark_leaving(const std::shared_ptr<peer>& known)
+{
+    if (known->leaving.exchange(true)) {
+        return;
+    }
+    log_event("peer_leaving", {{"peer", known->identity().id}});
+    if (this->watcher.on_leaving) {
+        this->watcher.on_leaving(known);
+    }
+}
+
 void peer_directory::note_heartbeat(const wire::peer_link* link, absl::string_view payload)
 {
     if (std::shared_ptr<peer> known = this->find_by_link(link)) {
         known->set_last_report(payload);
+        if (this->watcher.on_heartbeat) {
+            this->watcher.on_heartbeat(known, payload);
+        }
     }
 }
 
