Wire engine orders into entry and agent

Cause: the orders package had no caller. Change: the live entry with the lowest id issues turns, the agent serves them. Before: not wired.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "sardinestream/agent/agent_settings.h"
+#include "sardinestream/agent/engine_orders.h"
 #include "sardinestream/agent/request_service.h"
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
@@ -28,6 +29,7 @@
     std::unique_ptr<backend_client> backend;
     std::unique_ptr<routing::admission> admission;
     std::unique_ptr<request_service> requests;
+    std::unique_ptr<engine_orders> orders;
     std::unique_ptr<ops_server> ops;
     std::unique_ptr<wire::link_server> links;
 };
@@ -55,6 +57,8 @@
     parts.runs = once::run_table::create();
     parts.incarnation = process.incarnation;
     process.requests = std::make_unique<request_service>(std::move(parts));
+    process.orders = std::make_unique<engine_orders>(
+        &process.catalogue->state(), process.backend.get(), process.admission.get());
     return absl::OkStatus();
 }
 
@@ -90,6 +94,9 @@
         if (first.header.type == wire::frame_type::request_open) {
             process.requests->serve(opened, first);
         }
+        if (first.header.type == wire::frame_type::engine_order) {
+            process.orders->serve(opened, first);
+        }
     };
     process.catalogue->attach(options->hooks);
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -18,6 +18,7 @@
 #include "sardinestream/entry/entry_settings.h"
 #include "sardinestream/entry/key_router.h"
 #include "sardinestream/membership/fleet_view.h"
+#include "sardinestream/orders/order_issuer.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
 
@@ -38,6 +39,7 @@
     std::unique_ptr<membership::peer_directory> directory;
     std::unique_ptr<wire::link_server> links;
     std::unique_ptr<membership::fleet_view> fleet;
+    std::unique_ptr<orders::order_issuer> orders;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
     std::unique_ptr<ops_server> ops;
@@ -111,6 +113,29 @@
     return absl::OkStatus();
 }
 
+// Of the entries that are live, the one with the lowest id issues engine orders.
+bool issues_orders(const entry_process& process)
+{
+    if (process.leaving || !process.catalogue->ready()) {
+        return false;
+    }
+    for (const auto& other : process.directory->with_role(wire::peer_role::entry)) {
+        if (other->identity().id < process.settings.id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void create_orders(entry_process& process)
+{
+    orders::order_issuer_options options;
+    options.directory = process.directory.get();
+    options.current = [&process] { return process.catalogue->state().current(); };
+    options.is_issuer = [&process] { return issues_orders(process); };
+    process.orders = orders::order_issuer::create(std::move(options));
+}
+
 absl::Status create_keys(entry_process& process)
 {
     absl::StatusOr<std::unique_ptr<key_router>> keys =
@@ -207,6 +232,7 @@
     create_catalogue(process);
     SARDINE_RETURN_IF_ERROR(create_directory(process));
     SARDINE_RETURN_IF_ERROR(create_keys(process));
+    create_orders(process);
     SARDINE_RETURN_IF_ERROR(start_front(process));
     SARDINE_RETURN_IF_ERROR(start_ops(process));
     log_event("started", {{"incarnation", process.incarnation},
--- a/sardinestream/experts/map_schedule_test.cc
+++ b/sardinestream/experts/map_schedule_test.cc
@@ -146,9 +146,9 @@
         constexpr std::array<const char*, 4> orders = {"hold", "map", "release", "stage"};
         constexpr std::array<order_fault_kind, 3> kinds = {
             order_fault_kind::lose_answer, order_fault_kind::delay, order_fault_kind::drop};
-        this->group.server().arm(
-            drawn.rank, orders[drawn.fault % orders.size()],
-            {kinds[drawn.other_rank % kinds.size()], 1 + drawn.fault % 3, absl::Milliseconds(drawn.fault % 2 == 0 ? 40 : 250)});
+        this->group.server().arm(drawn.rank, orders[drawn.fault % orders.size()],
+                                 {kinds[drawn.other_rank % kinds.size()], 1 + drawn.fault % 3,
+                                  absl::Milliseconds(drawn.fault % 2 == 0 ? 40 : 250)});
     }
 
     rank_group_agents& group;
--- a/sardinestream/testing/wire_relay.cc
+++ b/sardinestream/testing/wire_relay.cc
@@ -33,7 +33,8 @@
     [[nodiscard]] bool is_link_from(absl::string_view client_id) const override
     {
         const absl::MutexLock lock(&this->mutex);
-        return this->client_beats && this->server_beats && !this->ended && this->hello_id == client_id;
+        return this->client_beats && this->server_beats && !this->ended &&
+               this->hello_id == client_id;
     }
 
 protected:
