Let handlers see that their caller has gone; one JSON form for the library's refusals too

Cause: the HTTP library tells only while an answer is written that the caller has gone, so a whole (not streamed) request could not be cancelled; and its own refusals (body too large, malformed) had no code. Change: the server serves its connections itself through the library's Stream interface, caller_has_gone() asks the socket of the thread; an error handler gives the library's refusals our JSON form. Before: a handler had no way to notice. Ruled out: searching the descriptor by the caller's port (a scan of all descriptors for each request).

--- a/sardinestream/base/http_server.h
+++ b/sardinestream/base/http_server.h
@@ -21,6 +21,7 @@
 
 #include <httplib.h>
 
+#include "sardinestream/base/http_connection.h"
 #include "sardinestream/base/settings.h"
 
 #include "absl/base/thread_annotations.h"
@@ -86,7 +87,7 @@
     const std::shared_ptr<std::atomic<int>> open_connections =
         std::make_shared<std::atomic<int>>(0);
     address local_address;
-    httplib::Server server;
+    connection_server server;
     absl::Mutex stop_mutex;
     std::thread accepting ABSL_GUARDED_BY(stop_mutex);
 };
--- a/sardinestream/base/http_server_test.cc
+++ b/sardinestream/base/http_server_test.cc
@@ -71,6 +71,26 @@
     first.join();
 }
 
+TEST(http_server_test, a_handler_sees_that_its_caller_has_gone)
+{
+    absl::Notification entered;
+    absl::Notification noticed;
+    const auto server = start_server({}, [&](const httplib::Request&, httplib::Response&) {
+        EXPECT_FALSE(caller_has_gone());
+        entered.Notify();
+        while (!caller_has_gone()) {
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        noticed.Notify();
+    });
+    httplib::Client client(server->local().ip, server->local().port);
+    std::thread caller([&] { EXPECT_FALSE(client.Get("/")); });
+    entered.WaitForNotification();
+    client.stop();
+    caller.join();
+    EXPECT_TRUE(noticed.WaitForNotificationWithTimeout(absl::Seconds(60)));
+}
+
 TEST(http_server_test, second_listener_on_the_address_fails)
 {
     const auto server = start_server({}, [](const httplib::Request&, httplib::Response&) {});
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -141,6 +141,23 @@
     }
 }
 
+// Answers what the HTTP library itself has refused, such as a body that is too large.
+void answer_library_error(const httplib::Request& /*http*/, httplib::Response& answer)
+{
+    const bool is_ours = !answer.body.empty() || answer.has_header("X-Request-Id");
+    if (is_ours) {
+        return;
+    }
+    refusal_code code = refusal_code::bad_request;
+    if (answer.status == http_status_of(refusal_code::body_too_large)) {
+        code = refusal_code::body_too_large;
+    }
+    else if (answer.status == http_status_of(refusal_code::unknown_service)) {
+        code = refusal_code::unknown_service;
+    }
+    answer_refusal(refuse_not_run(code, "read_http", ""), "", answer);
+}
+
 } // namespace
 
 std::string refusal_json(const refusal& refused, absl::string_view request_id)
@@ -180,6 +197,7 @@
     const auto calls = [this](const httplib::Request& http, httplib::Response& answer) {
         this->serve_call(http, answer);
     };
+    server.set_error_handler(httplib::Server::Handler(answer_library_error));
     constexpr char services_pattern[] = R"(/services/.*)";
     server.Get(services_pattern, calls);
     server.Post(services_pattern, calls);
