Say not_run only of keys that never ran; wire crash suspects into entry and agent

Cause: a refusal made at the entry (team limit, crash suspect, lost link) said not_run for a key whose earlier sending may have run; a key whose server was slower than its first caller's time was lost for good (unknown, final); suspects were not wired in. Sardine-First-Send lets a caller vouch. - The run of a key goes on for up to two minutes whatever its first caller's deadline. - A connection that was never made frees the key again (run_permit::fail_not_connected). - An agent found under another incarnation is asked, since a hello may be old. - Agents watch for crashes, run suspects alone and refuse after the second crash; entries check too; both gossip. Not yet proved with processes.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -14,6 +14,7 @@
 #include "sardinestream/catalogue/catalogue_service.h"
 #include "sardinestream/catalogue/status_page.h"
 #include "sardinestream/routing/load_report.h"
+#include "sardinestream/suspects/suspect_gossip.h"
 #include "sardinestream/wire/link_server.h"
 
 namespace sardinestream::agent {
@@ -27,6 +28,9 @@
     std::unique_ptr<catalogue::catalogue_service> catalogue;
     std::unique_ptr<backend_client> backend;
     std::unique_ptr<routing::admission> admission;
+    std::unique_ptr<suspects::suspect_registry> suspects = suspects::suspect_registry::create();
+    suspects::suspect_gossip gossip{suspects.get()};
+    std::unique_ptr<suspects::crash_watch> crashes;
     std::unique_ptr<request_service> requests;
     std::unique_ptr<ops_server> ops;
     std::unique_ptr<wire::link_server> links;
@@ -49,7 +53,16 @@
         return admission.status();
     }
     process.admission = *std::move(admission);
+    suspects::crash_watch_options watching;
+    watching.agent_id = settings.id;
+    watching.agent_incarnation = process.incarnation;
+    watching.server_accepts = [&process] { return process.backend->accepts_connections(); };
+    watching.tell_peers = [&process] { process.gossip.send_news(); };
+    process.crashes =
+        std::make_unique<suspects::crash_watch>(process.suspects.get(), std::move(watching));
     request_service_parts parts;
+    parts.suspects = process.suspects.get();
+    parts.crashes = process.crashes.get();
     parts.backend = process.backend.get();
     parts.admission = process.admission.get();
     parts.runs = once::run_table::create();
@@ -92,6 +105,7 @@
         }
     };
     process.catalogue->attach(options->hooks);
+    process.gossip.attach(options->hooks);
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
         wire::link_server::create(std::move(options), process.settings.listen);
     if (!links.ok()) {
--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -18,6 +18,7 @@
 
 using json = nlohmann::json;
 using requests::request_openT;
+using suspects::suspect_verdict;
 
 constexpr absl::Duration retry_elsewhere = absl::Milliseconds(100);
 constexpr absl::Duration retry_lost_backend = absl::Seconds(1);
@@ -90,6 +91,23 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+digest128 fingerprint_of(const request_openT& request)
+{
+    return parse_digest(request.fingerprint).value_or(digest128{});
+}
+
+suspects::call_end call_end_of(backend_end end)
+{
+    switch (end) {
+    case backend_end::complete:
+        return suspects::call_end::completed;
+    case backend_end::lost:
+        return suspects::call_end::lost;
+    default:
+        return suspects::call_end::given_up;
+    }
+}
+
 once::run_answer to_run_answer(backend_answer answer)
 {
     once::run_answer recorded;
@@ -115,8 +133,11 @@
     const bool started =
         this->threads.spawn([this, exchange, shared] { this->serve_request(*exchange, *shared); });
     if (!started) {
-        send_refusal(*exchange, make_refusal(refusal_code::overloaded, run_outcome::not_run,
-                                             "start_thread", "", retry_elsewhere));
+        // A key may have run before.
+        const run_outcome outcome =
+            shared->key_digest.empty() ? run_outcome::not_run : run_outcome::unknown;
+        send_refusal(*exchange, make_refusal(refusal_code::overloaded, outcome, "start_thread", "",
+                                             retry_elsewhere));
     }
 }
 
@@ -145,11 +166,9 @@
         send_refusal(exchange, draining_refusal());
         return;
     }
-    if (this->parts.screen) {
-        if (std::optional<refusal> refused = this->parts.screen(request)) {
-            send_refusal(exchange, *refused);
-            return;
-        }
+    if (const std::optional<refusal> refused = this->check_suspect(request)) {
+        send_refusal(exchange, *refused);
+        return;
     }
     if (request.model_work) {
         this->serve_completion(exchange, request, deadline);
@@ -173,8 +192,7 @@
                                             "read_key", ""));
         return;
     }
-    once::run_admission admitted = this->draining ? this->parts.runs->look_up(*key, *body)
-                                                  : this->parts.runs->begin(*key, *body);
+    once::run_admission admitted = this->begin_key(request, *key, *body);
     switch (admitted.decision) {
     case once::run_decision::run:
         this->run_key(exchange, request, deadline, std::move(admitted.permit));
@@ -206,12 +224,10 @@
 void request_service::run_key(wire::stream& exchange, const request_openT& request,
                               absl::Time deadline, once::run_permit permit)
 {
-    if (this->parts.screen) {
-        if (std::optional<refusal> refused = this->parts.screen(request)) {
-            permit.fail_not_sent();
-            send_refusal(exchange, *refused);
-            return;
-        }
+    if (const std::optional<refusal> refused = this->check_suspect(request)) {
+        permit.fail_not_sent();
+        send_refusal(exchange, *refused);
+        return;
     }
     routing::admission_result admitted = this->admit(exchange, request, deadline);
     if (!admitted.ok()) {
@@ -225,17 +241,20 @@
                                             "connect", "", retry_lost_backend));
         return;
     }
-    backend_request call = to_call(request, deadline);
+    // The run belongs to the key, not to the caller that started it: it goes on without the caller.
+    backend_request call =
+        to_call(request, std::max(deadline, absl::Now() + this->parts.longest_key_run));
     call.fresh_connection = true;
     permit.mark_sent();
-    // The run belongs to the key, not to the caller that started it: it goes on without the caller.
-    if (this->parts.on_begin) {
-        this->parts.on_begin(request);
-    }
-    backend_answer answer = this->parts.backend->call(
-        call, nullptr, [](const std::function<void()>&) {}, [] { return false; });
-    if (this->parts.on_end) {
-        this->parts.on_end(request, answer.end == backend_end::lost);
+    backend_answer answer = this->watch_call(request, [this, &call] {
+        return this->parts.backend->call(
+            call, nullptr, [](const std::function<void()>&) {}, [] { return false; });
+    });
+    if (answer.end == backend_end::not_sent) {
+        const refusal refused = refusal_of(answer);
+        permit.fail_not_connected();
+        send_refusal(exchange, refused);
+        return;
     }
     if (answer.end != backend_end::complete) {
         const refusal refused = refusal_of(answer);
@@ -249,6 +268,31 @@
     send_answer(exchange, *recorded, false);
 }
 
+once::run_admission request_service::begin_key(const request_openT& request, digest128 key,
+                                               digest128 body)
+{
+    return this->draining || request.look_up_only ? this->parts.runs->look_up(key, body)
+                                                  : this->parts.runs->begin(key, body);
+}
+
+suspect_verdict request_service::judge(const request_openT& request) const
+{
+    return this->parts.suspects == nullptr
+               ? suspect_verdict::clear
+               : this->parts.suspects->judge(fingerprint_of(request)).verdict;
+}
+
+std::optional<refusal> request_service::check_suspect(const request_openT& request)
+{
+    if (this->judge(request) != suspect_verdict::refuse) {
+        return std::nullopt;
+    }
+    const absl::Duration retry_after =
+        this->parts.suspects->judge(fingerprint_of(request)).retry_after;
+    return make_refusal(refusal_code::crash_suspect, run_outcome::not_run, "check_suspect", "",
+                        retry_after);
+}
+
 routing::admission_result request_service::admit(wire::stream& exchange,
                                                  const request_openT& request, absl::Time deadline)
 {
@@ -256,26 +300,47 @@
     asked.priority = static_cast<catalogue::priority_class>(std::min<std::uint8_t>(
         request.priority, static_cast<std::uint8_t>(catalogue::priority_class::batch)));
     asked.remaining_time = deadline - absl::Now();
-    asked.exclusive = request.run_alone;
+    asked.exclusive = request.run_alone || this->judge(request) == suspect_verdict::run_alone;
     asked.cancelled = [&exchange] { return exchange.ended(); };
     return this->parts.admission->admit(asked);
 }
 
+// Makes the call, and tells the crash watch how it ended.
+backend_answer request_service::watch_call(const request_openT& request,
+                                           const std::function<backend_answer()>& call)
+{
+    if (this->parts.crashes == nullptr) {
+        return call();
+    }
+    const std::uint64_t id = this->parts.crashes->begin(fingerprint_of(request));
+    backend_answer answer = call();
+    this->parts.crashes->end(id, call_end_of(answer.end));
+    return answer;
+}
+
 backend_answer request_service::call_backend(wire::stream& exchange, const request_openT& request,
                                              const backend_request& call,
                                              const byte_receiver& on_bytes)
 {
-    if (this->parts.on_begin) {
-        this->parts.on_begin(request);
-    }
-    backend_answer answer = this->parts.backend->call(
-        call, on_bytes,
-        [&exchange](std::function<void()> stop) { exchange.on_end(std::move(stop)); },
-        [&exchange] { return exchange.ended(); });
-    if (this->parts.on_end) {
-        this->parts.on_end(request, answer.end == backend_end::lost);
-    }
-    return answer;
+    return this->watch_call(request, [this, &exchange, &call, &on_bytes] {
+        bool given_up = false;
+        byte_receiver receive;
+        if (on_bytes) {
+            receive = [&given_up, &on_bytes](absl::string_view bytes) {
+                given_up = !on_bytes(bytes);
+                return !given_up;
+            };
+        }
+        backend_answer answer = this->parts.backend->call(
+            call, receive,
+            [&exchange](std::function<void()> stop) { exchange.on_end(std::move(stop)); },
+            [&exchange] { return exchange.ended(); });
+        // A receiver that gives up closes the connection itself: the server has not crashed.
+        if (given_up && answer.end == backend_end::lost) {
+            answer.end = backend_end::cancelled;
+        }
+        return answer;
+    });
 }
 
 void request_service::serve_call(wire::stream& exchange, const request_openT& request,
--- a/sardinestream/agent/request_service.h
+++ b/sardinestream/agent/request_service.h
@@ -24,21 +24,23 @@
 #include "sardinestream/once/run_table.h"
 #include "sardinestream/requests/requests_generated.h"
 #include "sardinestream/routing/admission.h"
+#include "sardinestream/suspects/crash_watch.h"
+#include "sardinestream/suspects/suspect_registry.h"
 #include "sardinestream/wire/peer_link.h"
 
 namespace sardinestream::agent {
 
 struct request_service_parts {
-    // Both must outlive the service.
+    // All must outlive the service.
     backend_client* backend = nullptr;
     routing::admission* admission = nullptr;
     std::shared_ptr<once::run_table> runs;
     std::uint64_t incarnation = 0;
-    // Refuses a request before anything else is done, such as a crash suspect; may be empty.
-    std::function<std::optional<refusal>(const requests::request_openT&)> screen;
-    // A request begins or has ended at the backend server; `lost` where the connection broke.
-    std::function<void(const requests::request_openT&)> on_begin;
-    std::function<void(const requests::request_openT&, bool lost)> on_end;
+    suspects::suspect_registry* suspects = nullptr;
+    suspects::crash_watch* crashes = nullptr;
+    // A key's run may go on this long, whatever its first caller's deadline: later sendings are
+    // handed the answer.
+    absl::Duration longest_key_run = absl::Minutes(2);
 };
 
 // Thread-safe.
@@ -61,6 +63,12 @@
     void serve_request(wire::stream& exchange, const requests::request_openT& request);
     void serve_key(wire::stream& exchange, const requests::request_openT& request,
                    absl::Time deadline);
+    [[nodiscard]] once::run_admission begin_key(const requests::request_openT& request,
+                                                digest128 key, digest128 body);
+    [[nodiscard]] suspects::suspect_verdict judge(const requests::request_openT& request) const;
+    [[nodiscard]] std::optional<refusal> check_suspect(const requests::request_openT& request);
+    [[nodiscard]] backend_answer watch_call(const requests::request_openT& request,
+                                            const std::function<backend_answer()>& call);
     void run_key(wire::stream& exchange, const requests::request_openT& request,
                  absl::Time deadline, once::run_permit permit);
     void serve_call(wire::stream& exchange, const requests::request_openT& request,
--- a/sardinestream/entry/key_router.cc
+++ b/sardinestream/entry/key_router.cc
@@ -53,6 +53,7 @@
                                const key_owner& proposed) {
         return this->bind(request, key, proposed);
     };
+    services.find_binding = [this](digest128 key) { return this->find(key); };
     services.read_ticket = [this](const caller_request& request, std::string& key_text,
                                   digest128& key) {
         return this->read_ticket(request, key_text, key);
@@ -79,6 +80,18 @@
         return requests::refuse_not_run(refusal_code::no_backend_server, "choose_agent", "",
                                         absl::Seconds(1));
     }
+    return once::refusal_of_failed_bind(bound.status(), request.first_sending);
+}
+
+std::variant<std::optional<key_owner>, refusal> key_router::find(digest128 key)
+{
+    const absl::StatusOr<once::binding> bound = this->bindings->find(key);
+    if (bound.ok()) {
+        return key_owner{bound->agent, bound->incarnation};
+    }
+    if (absl::IsNotFound(bound.status())) {
+        return std::nullopt;
+    }
     return once::refusal_of_failed_bind(bound.status(), false);
 }
 
@@ -90,8 +103,7 @@
     if (checked.error != once::ticket_error::none) {
         count("sardine_tickets_refused_total",
               {{"reason", std::string(once::to_string(checked.error))}});
-        return requests::refuse_not_run(refusal_code::ticket_invalid, "read_ticket",
-                                        once::to_string(checked.error));
+        return once::refusal_of_ticket(checked.error);
     }
     key_text = checked.content.random;
     key = checked.content.key();
@@ -117,16 +129,14 @@
 {
     std::shared_ptr<peer> agent =
         this->directory->wait_for(owner.agent_id, std::min(deadline, absl::Now() + reconnect_wait));
-    once::bound_agent_view view;
     if (agent != nullptr) {
-        view.live_incarnation = agent->identity().incarnation;
-    }
-    view.removed_by_platform = agent == nullptr && this->is_removed(owner.agent_id);
-    const once::bound_agent_state state = once::state_of_bound_agent(to_binding(owner), view);
-    if (state == once::bound_agent_state::live) {
+        // Its hello may be old, so whether it is still the bound incarnation is its own to say.
         return agent;
     }
-    return once::refusal_of_bound_agent(to_binding(owner), state);
+    once::bound_agent_view view;
+    view.removed_by_platform = this->is_removed(owner.agent_id);
+    return once::refusal_of_bound_agent(to_binding(owner),
+                                        once::state_of_bound_agent(to_binding(owner), view));
 }
 
 } // namespace sardinestream::entry
--- a/sardinestream/entry/key_router.h
+++ b/sardinestream/entry/key_router.h
@@ -40,6 +40,7 @@
     [[nodiscard]] std::variant<requests::key_owner, refusal>
     bind(const requests::caller_request& request, digest128 key,
          const requests::key_owner& proposed);
+    [[nodiscard]] std::variant<std::optional<requests::key_owner>, refusal> find(digest128 key);
     [[nodiscard]] std::variant<requests::key_owner, refusal>
     read_ticket(const requests::caller_request& request, std::string& key_text, digest128& key);
     [[nodiscard]] std::string make_ticket(const requests::caller_request& request,
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -19,6 +19,7 @@
 #include "sardinestream/entry/key_router.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
+#include "sardinestream/suspects/suspect_gossip.h"
 
 namespace sardinestream::entry {
 namespace {
@@ -32,6 +33,8 @@
     std::atomic<bool> leaving{false};
     std::unique_ptr<platform::object_store> store;
     std::unique_ptr<catalogue::catalogue_service> catalogue;
+    std::unique_ptr<suspects::suspect_registry> suspects = suspects::suspect_registry::create();
+    suspects::suspect_gossip gossip{suspects.get()};
     std::unique_ptr<agent_router> router;
     routing::retry_budget retries;
     std::unique_ptr<membership::peer_directory> directory;
@@ -95,6 +98,7 @@
     options.tls = *std::move(tls);
     options.local_hello = [&process] { return make_hello(process); };
     process.catalogue->attach(options.hooks);
+    process.gossip.attach(options.hooks);
     process.directory =
         membership::peer_directory::create(std::move(options), process.router->observer());
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
@@ -120,6 +124,19 @@
     return absl::OkStatus();
 }
 
+// Refuses a request that has crashed two servers; one that may have crashed one runs alone.
+std::optional<refusal> check_suspect(const entry_process& process,
+                                     const requests::caller_request& request, bool& run_alone)
+{
+    const suspects::suspect_judgement judged = process.suspects->judge(request.fingerprint());
+    run_alone = judged.verdict == suspects::suspect_verdict::run_alone;
+    if (judged.verdict != suspects::suspect_verdict::refuse) {
+        return std::nullopt;
+    }
+    return requests::refuse_not_run(refusal_code::crash_suspect, "check_suspect", "",
+                                    judged.retry_after);
+}
+
 requests::request_services make_services(entry_process& process)
 {
     requests::request_services services;
@@ -128,6 +145,9 @@
                                        const requests::attempt_history& history) {
         return process.router->choose(*process.directory, request, history);
     };
+    services.check_suspect = [&process](const requests::caller_request& request, bool& run_alone) {
+        return check_suspect(process, request, run_alone);
+    };
     services.note_request = [&process](const requests::caller_request& request) {
         process.retries.on_request(request.entry->service);
     };
--- a/sardinestream/once/run_table.cc
+++ b/sardinestream/once/run_table.cc
@@ -99,6 +99,12 @@
     }
 }
 
+void run_permit::fail_not_connected()
+{
+    this->sent = false;
+    this->fail_not_sent();
+}
+
 std::shared_ptr<run_table> run_table::create(run_table_options options)
 {
     return std::shared_ptr<run_table>(new run_table(std::move(options)));
--- a/sardinestream/once/run_table.h
+++ b/sardinestream/once/run_table.h
@@ -100,6 +100,9 @@
     // No byte was sent. After `mark_sent` this counts as `fail_unknown`.
     void fail_not_sent();
     void fail_unknown();
+    // No byte was sent, whatever was marked: the connection that was to carry the request was never
+    // made. Call only where that is certain.
+    void fail_not_connected();
 
     [[nodiscard]] bool held() const { return this->table != nullptr; }
 
--- a/sardinestream/once/run_table_test.cc
+++ b/sardinestream/once/run_table_test.cc
@@ -89,6 +89,15 @@
     EXPECT_EQ(table->begin(key_number(1), request_a).decision, run_decision::unknown);
 }
 
+TEST(run_table, frees_a_key_whose_connection_was_never_made)
+{
+    const auto table = run_table::create();
+    run_admission first = table->begin(key_number(1), request_a);
+    first.permit.mark_sent();
+    first.permit.fail_not_connected();
+    EXPECT_EQ(table->begin(key_number(1), request_a).decision, run_decision::run);
+}
+
 TEST(run_table, refuses_another_request_under_the_same_key)
 {
     const auto table = run_table::create();
--- a/sardinestream/requests/attempt.cc
+++ b/sardinestream/requests/attempt.cc
@@ -38,7 +38,7 @@
     message.body.assign(request.body.begin(), request.body.end());
     message.remaining_ms = remaining_ms(request.deadline);
     message.priority = static_cast<std::uint8_t>(request.priority);
-    message.fingerprint = request.fingerprint();
+    message.fingerprint = request.fingerprint().to_hex();
     return message;
 }
 
@@ -138,7 +138,7 @@
     }
     refusal refused;
     refused.code = refusal_code_from(said->code);
-    refused.outcome = said->outcome <= static_cast<std::uint8_t>(run_outcome::failed)
+    refused.outcome = said->outcome <= static_cast<std::uint8_t>(run_outcome::ran)
                           ? static_cast<run_outcome>(said->outcome)
                           : run_outcome::unknown;
     refused.retry_after = absl::Milliseconds(said->retry_after_ms);
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/digest.h"
+#include "sardinestream/suspects/suspect_registry.h"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -109,6 +110,7 @@
     request.method = http.method;
     request.idempotency_key = http.get_header_value("Idempotency-Key");
     request.ticket = http.get_header_value("Sardine-Ticket");
+    request.first_sending = http.get_header_value("Sardine-First-Send") == "true";
     if (request.idempotency_key.size() > longest_key) {
         return refuse_not_run(refusal_code::bad_request, "read_headers", "Idempotency-Key");
     }
@@ -171,10 +173,10 @@
     return false;
 }
 
-std::string caller_request::fingerprint() const
+digest128 caller_request::fingerprint() const
 {
-    return sha256_hex(absl::StrCat(this->entry->owner, "\n", this->entry->service, "\n",
-                                   this->method, "\n", this->path, "\n", this->body));
+    const std::string work = absl::StrCat(this->entry->service, " ", this->method, " ", this->path);
+    return suspects::fingerprint_of(this->entry->owner, work, this->body);
 }
 
 refusal refuse_not_run(refusal_code code, absl::string_view step, absl::string_view message,
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -8,6 +8,7 @@
 //     Sardine-Priority: interactive|batch  may only lower what the catalogue gives
 //     Idempotency-Key: <1..200 characters>
 //     Sardine-Ticket: <token from POST /v1/tickets>
+//     Sardine-First-Send: true             the key or ticket has never been sent before
 
 #ifndef SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
 #define SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
@@ -18,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "sardinestream/base/digest128.h"
 #include "sardinestream/base/outcome.h"
 #include "sardinestream/catalogue/snapshot.h"
 
@@ -46,6 +48,7 @@
     catalogue::priority_class priority = catalogue::priority_class::interactive;
     std::string idempotency_key; // empty where the caller gave none
     std::string ticket;          // empty where the caller gave none
+    bool first_sending = false;  // the caller vouches that it never sent the key before
     bool stream = false;         // completions only: server-sent events
     bool chat = false;           // completions only
     std::string prompt;          // completions only: the text by which prefixes are compared
@@ -54,8 +57,8 @@
     // True where the catalogue lets this request run again after an attempt of unknown outcome.
     [[nodiscard]] bool repeatable() const;
 
-    // Digest by which crashes are counted: team, class of work and body.
-    [[nodiscard]] std::string fingerprint() const;
+    // By which crashes are counted: team, service, method, path and body.
+    [[nodiscard]] digest128 fingerprint() const;
 };
 
 using parsed_request = std::variant<caller_request, refusal>;
--- a/sardinestream/requests/requests_generated.h
+++ b/sardinestream/requests/requests_generated.h
@@ -138,6 +138,7 @@
   std::string key_digest{};
   std::string request_digest{};
   uint64_t agent_incarnation = 0;
+  bool look_up_only = false;
   uint32_t resume_from = 0;
   std::string resume_text{};
   std::string fingerprint{};
@@ -166,10 +167,11 @@
     VT_KEY_DIGEST = 24,
     VT_REQUEST_DIGEST = 26,
     VT_AGENT_INCARNATION = 28,
-    VT_RESUME_FROM = 30,
-    VT_RESUME_TEXT = 32,
-    VT_FINGERPRINT = 34,
-    VT_RUN_ALONE = 36
+    VT_LOOK_UP_ONLY = 30,
+    VT_RESUME_FROM = 32,
+    VT_RESUME_TEXT = 34,
+    VT_FINGERPRINT = 36,
+    VT_RUN_ALONE = 38
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -210,6 +212,9 @@
   uint64_t agent_incarnation() const {
     return GetField<uint64_t>(VT_AGENT_INCARNATION, 0);
   }
+  bool look_up_only() const {
+    return GetField<uint8_t>(VT_LOOK_UP_ONLY, 0) != 0;
+  }
   uint32_t resume_from() const {
     return GetField<uint32_t>(VT_RESUME_FROM, 0);
   }
@@ -247,6 +252,7 @@
            VerifyOffset(verifier, VT_REQUEST_DIGEST) &&
            verifier.VerifyString(request_digest()) &&
            VerifyField<uint64_t>(verifier, VT_AGENT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LOOK_UP_ONLY, 1) &&
            VerifyField<uint32_t>(verifier, VT_RESUME_FROM, 4) &&
            VerifyOffset(verifier, VT_RESUME_TEXT) &&
            verifier.VerifyString(resume_text()) &&
@@ -303,6 +309,9 @@
   void add_agent_incarnation(uint64_t agent_incarnation) {
     fbb_.AddElement<uint64_t>(request_open::VT_AGENT_INCARNATION, agent_incarnation, 0);
   }
+  void add_look_up_only(bool look_up_only) {
+    fbb_.AddElement<uint8_t>(request_open::VT_LOOK_UP_ONLY, static_cast<uint8_t>(look_up_only), 0);
+  }
   void add_resume_from(uint32_t resume_from) {
     fbb_.AddElement<uint32_t>(request_open::VT_RESUME_FROM, resume_from, 0);
   }
@@ -341,6 +350,7 @@
     flatbuffers::Offset<flatbuffers::String> key_digest = 0,
     flatbuffers::Offset<flatbuffers::String> request_digest = 0,
     uint64_t agent_incarnation = 0,
+    bool look_up_only = false,
     uint32_t resume_from = 0,
     flatbuffers::Offset<flatbuffers::String> resume_text = 0,
     flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
@@ -361,6 +371,7 @@
   builder_.add_team(team);
   builder_.add_request_id(request_id);
   builder_.add_run_alone(run_alone);
+  builder_.add_look_up_only(look_up_only);
   builder_.add_priority(priority);
   builder_.add_model_work(model_work);
   return builder_.Finish();
@@ -386,6 +397,7 @@
     const char *key_digest = nullptr,
     const char *request_digest = nullptr,
     uint64_t agent_incarnation = 0,
+    bool look_up_only = false,
     uint32_t resume_from = 0,
     const char *resume_text = nullptr,
     const char *fingerprint = nullptr,
@@ -416,6 +428,7 @@
       key_digest__,
       request_digest__,
       agent_incarnation,
+      look_up_only,
       resume_from,
       resume_text__,
       fingerprint__,
@@ -841,6 +854,7 @@
         key_digest(o.key_digest),
         request_digest(o.request_digest),
         agent_incarnation(o.agent_incarnation),
+        look_up_only(o.look_up_only),
         resume_from(o.resume_from),
         resume_text(o.resume_text),
         fingerprint(o.fingerprint),
@@ -863,6 +877,7 @@
   std::swap(key_digest, o.key_digest);
   std::swap(request_digest, o.request_digest);
   std::swap(agent_incarnation, o.agent_incarnation);
+  std::swap(look_up_only, o.look_up_only);
   std::swap(resume_from, o.resume_from);
   std::swap(resume_text, o.resume_text);
   std::swap(fingerprint, o.fingerprint);
@@ -892,6 +907,7 @@
   { auto _e = key_digest(); if (_e) _o->key_digest = _e->str(); }
   { auto _e = request_digest(); if (_e) _o->request_digest = _e->str(); }
   { auto _e = agent_incarnation(); _o->agent_incarnation = _e; }
+  { auto _e = look_up_only(); _o->look_up_only = _e; }
   { auto _e = resume_from(); _o->resume_from = _e; }
   { auto _e = resume_text(); if (_e) _o->resume_text = _e->str(); }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = _e->str(); }
@@ -919,6 +935,7 @@
   auto _key_digest = _o->key_digest.empty() ? 0 : _fbb.CreateString(_o->key_digest);
   auto _request_digest = _o->request_digest.empty() ? 0 : _fbb.CreateString(_o->request_digest);
   auto _agent_incarnation = _o->agent_incarnation;
+  auto _look_up_only = _o->look_up_only;
   auto _resume_from = _o->resume_from;
   auto _resume_text = _o->resume_text.empty() ? 0 : _fbb.CreateString(_o->resume_text);
   auto _fingerprint = _o->fingerprint.empty() ? 0 : _fbb.CreateString(_o->fingerprint);
@@ -938,6 +955,7 @@
       _key_digest,
       _request_digest,
       _agent_incarnation,
+      _look_up_only,
       _resume_from,
       _resume_text,
       _fingerprint,
--- a/sardinestream/requests/services.h
+++ b/sardinestream/requests/services.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -50,6 +51,9 @@
     std::function<std::variant<key_owner, refusal>(const caller_request&, digest128 key,
                                                    const key_owner& proposed)>
         bind_key;
+    // Returns whom the key is bound to, nothing where it is bound to nobody, or why that is not
+    // known.
+    std::function<std::variant<std::optional<key_owner>, refusal>(digest128 key)> find_binding;
     // Returns whom a ticket names, or why it is not valid; `key_text` and `key` receive the
     // ticket's own key.
     std::function<std::variant<key_owner, refusal>(const caller_request&, std::string& key_text,
--- a/sardinestream/suspects/suspect_gossip.cc
+++ b/sardinestream/suspects/suspect_gossip.cc
@@ -6,8 +6,8 @@
 
 namespace sardinestream::suspects {
 
-suspect_gossip::suspect_gossip(suspect_registry* suspects, std::function<link_list()> links)
-    : registry(suspects), current_links(std::move(links)), sender([this] { this->send_when_due(); })
+suspect_gossip::suspect_gossip(suspect_registry* suspects)
+    : registry(suspects), sender([this] { this->send_when_due(); })
 {
 }
 
@@ -20,12 +20,50 @@
     this->sender.join();
 }
 
+void suspect_gossip::attach(wire::link_hooks& hooks)
+{
+    hooks.on_up = [this,
+                   inner = std::move(hooks.on_up)](const std::shared_ptr<wire::peer_link>& link) {
+        this->on_link_up(link);
+        if (inner) {
+            inner(link);
+        }
+    };
+    hooks.on_link_frame =
+        [this, inner = std::move(hooks.on_link_frame)](const std::shared_ptr<wire::peer_link>& link,
+                                                       const wire::frame& received) {
+            if (received.header.type == wire::frame_type::suspect_report) {
+                this->on_report(received.payload);
+                return;
+            }
+            if (inner) {
+                inner(link, received);
+            }
+        };
+}
+
 void suspect_gossip::on_link_up(const std::shared_ptr<wire::peer_link>& link)
 {
     const absl::MutexLock lock(&this->mutex);
+    this->links.push_back(link);
     this->new_links.push_back(link);
 }
 
+suspect_gossip::link_list suspect_gossip::links_up()
+{
+    const absl::MutexLock lock(&this->mutex);
+    link_list up;
+    std::erase_if(this->links, [&up](const std::weak_ptr<wire::peer_link>& known) {
+        std::shared_ptr<wire::peer_link> link = known.lock();
+        if (link == nullptr || !link->usable()) {
+            return true;
+        }
+        up.push_back(std::move(link));
+        return false;
+    });
+    return up;
+}
+
 void suspect_gossip::on_report(absl::string_view payload)
 {
     const absl::StatusOr<bool> news = this->registry->merge(payload);
@@ -45,7 +83,7 @@
         return;
     }
     const std::string report = this->registry->report(this->sent_sequence);
-    for (const std::shared_ptr<wire::peer_link>& link : this->current_links()) {
+    for (const std::shared_ptr<wire::peer_link>& link : this->links_up()) {
         // A link that is lost is sent everything when it comes up again.
         link->send_link_frame(wire::frame_type::suspect_report, report).IgnoreError();
     }
--- a/sardinestream/suspects/suspect_gossip.h
+++ b/sardinestream/suspects/suspect_gossip.h
@@ -4,9 +4,9 @@
 // something new passes it on, so the news reach processes that share no link with its source; what
 // a peer knows already goes no further.
 //
-//     gossip->on_link_up(link);        // from link_hooks::on_up
-//     gossip->on_report(payload);      // from link_hooks::on_link_frame, type suspect_report
-//     gossip->send_news();             // after a change in the own registry; returns when sent
+//     suspect_gossip gossip(&registry);
+//     gossip.attach(link_options.hooks); // before any link is made
+//     gossip.send_news();                // after a change in the own registry; returns when sent
 //
 // Reports are sent on a thread of its own, never on a link's reading thread.
 
@@ -31,32 +31,35 @@
 // Thread-safe.
 class suspect_gossip {
 public:
-    using link_list = std::vector<std::shared_ptr<wire::peer_link>>;
-
-    // `registry` must outlive the gossip; `links` returns the links that are up.
-    suspect_gossip(suspect_registry* suspects, std::function<link_list()> links);
+    // `suspects` must outlive the gossip.
+    explicit suspect_gossip(suspect_registry* suspects);
 
     // Waits for the sending thread.
     ~suspect_gossip();
     suspect_gossip(const suspect_gossip&) = delete;
     suspect_gossip& operator=(const suspect_gossip&) = delete;
 
-    void on_link_up(const std::shared_ptr<wire::peer_link>& link);
-    void on_report(absl::string_view payload);
+    // Adds its own work to the hooks; the gossip must outlive the links that are made with them.
+    void attach(wire::link_hooks& hooks);
 
     // Sends what has changed to every link, and returns when it has been handed to their sockets.
     void send_news();
 
 private:
+    using link_list = std::vector<std::shared_ptr<wire::peer_link>>;
+
+    void on_link_up(const std::shared_ptr<wire::peer_link>& link);
+    void on_report(absl::string_view payload);
+    [[nodiscard]] link_list links_up();
     void send_when_due();
     [[nodiscard]] bool is_due() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     suspect_registry* const registry;
-    const std::function<link_list()> current_links;
     absl::Mutex sending; // held while news are sent, so that none overtakes another
     std::uint64_t sent_sequence ABSL_GUARDED_BY(sending) = 0;
     absl::Mutex mutex;
-    link_list new_links ABSL_GUARDED_BY(mutex);
+    std::vector<std::weak_ptr<wire::peer_link>> links ABSL_GUARDED_BY(mutex);
+    link_list new_links ABSL_GUARDED_BY(mutex); // have been sent nothing yet
     bool has_news ABSL_GUARDED_BY(mutex) = false;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     std::thread sender;
