--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -17,6 +17,8 @@
 #include "sardinestream/entry/agent_router.h"
 #include "sardinestream/entry/entry_settings.h"
 #include "sardinestream/entry/key_router.h"
+#include "sardinestream/membership/fleet_view.h"
+#include "sardinestream/orders/order_issuer.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
 #include "sardinestream/suspects/suspect_gossip.h"
@@ -39,6 +41,8 @@
     routing::retry_budget retries;
     std::unique_ptr<membership::peer_directory> directory;
     std::unique_ptr<wire::link_server> links;
+    std::unique_ptr<membership::fleet_view> fleet;
+    std::unique_ptr<orders::order_issuer> orders;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
     std::unique_ptr<ops_server> ops;
@@ -108,10 +112,34 @@
     }
     process.links = *std::move(links);
     process.settings.link_listen = process.links->local();
-    process.directory->set_addresses(process.settings.seeds);
+    process.fleet = membership::fleet_view::create(process.settings.id, process.settings.seeds,
+                                                   *process.store, *process.directory);
     return absl::OkStatus();
 }
 
+// Of the entries that are live, the one with the lowest id issues engine orders.
+bool issues_orders(const entry_process& process)
+{
+    if (process.leaving || !process.catalogue->ready()) {
+        return false;
+    }
+    for (const auto& other : process.directory->with_role(wire::peer_role::entry)) {
+        if (other->identity().id < process.settings.id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void create_orders(entry_process& process)
+{
+    orders::order_issuer_options options;
+    options.directory = process.directory.get();
+    options.current = [&process] { return process.catalogue->state().current(); };
+    options.is_issuer = [&process] { return issues_orders(process); };
+    process.orders = orders::order_issuer::create(std::move(options));
+}
+
 absl::Status create_keys(entry_process& process)
 {
     absl::StatusOr<std::unique_ptr<key_router>> keys =
@@ -215,6 +243,7 @@
     absl::SleepFor(process.settings.drain_delay);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+    process.store->cancel_watches();
 }
 
 absl::Status run(entry_process& process, shutdown_signal& signal)
@@ -223,6 +252,7 @@
     create_catalogue(process);
     SARDINE_RETURN_IF_ERROR(create_directory(process));
     SARDINE_RETURN_IF_ERROR(create_keys(process));
+    create_orders(process);
     SARDINE_RETURN_IF_ERROR(start_front(process));
     SARDINE_RETURN_IF_ERROR(start_ops(process));
     log_event("started", {{"incarnation", process.incarnation},
