--- a/sardinestream/entry/entry_settings.cc
+++ b/sardinestream/entry/entry_settings.cc
@@ -17,6 +17,7 @@
               "Comma-separated IP:PORT of agents and entries, beside the platform's instance list");
 DEFINE_string(fleet_key, "", "Key that all instances of the fleet share, 16 bytes or more. Secret");
 DEFINE_string(policy, "expected_first_token", "Routing policy");
+DEFINE_int32(entry_slots, 3, "Root owners of team limits, the same in the whole fleet, 1 to 1000");
 DEFINE_int32(max_connections, 4000, "Callers' connections served at once, 1 to 100000");
 DEFINE_bool(watch_catalogue, true, "Watch the catalogue in the platform; others hear from peers");
 DEFINE_int32(drain_delay_ms, 1000,
@@ -39,6 +40,7 @@
                                                                   "seeds",
                                                                   "fleet_key",
                                                                   "policy",
+                                                                  "entry_slots",
                                                                   "max_connections",
                                                                   "watch_catalogue",
                                                                   "drain_delay_ms",
@@ -56,6 +58,7 @@
 absl::Status check_flags()
 {
     constexpr int most_connections = 100000;
+    constexpr int most_entry_slots = 1000;
     constexpr int longest_delay_ms = 60000;
     constexpr int longest_drain_s = 3600;
     SARDINE_RETURN_IF_ERROR(check_present("id", FLAGS_id));
@@ -67,6 +70,7 @@
     SARDINE_RETURN_IF_ERROR(check_addresses("platform", FLAGS_platform));
     SARDINE_RETURN_IF_ERROR(check_addresses("seeds", FLAGS_seeds));
     SARDINE_RETURN_IF_ERROR(check_fleet_key("fleet_key", FLAGS_fleet_key));
+    SARDINE_RETURN_IF_ERROR(check_range("entry_slots", FLAGS_entry_slots, 1, most_entry_slots));
     SARDINE_RETURN_IF_ERROR(
         check_range("max_connections", FLAGS_max_connections, 1, most_connections));
     SARDINE_RETURN_IF_ERROR(
@@ -99,6 +103,7 @@
     settings.seeds = *parse_addresses(FLAGS_seeds);
     settings.fleet_key = FLAGS_fleet_key;
     settings.policy = FLAGS_policy;
+    settings.entry_slots = FLAGS_entry_slots;
     settings.max_connections = FLAGS_max_connections;
     settings.watch_catalogue = FLAGS_watch_catalogue;
     settings.drain_delay = absl::Milliseconds(FLAGS_drain_delay_ms);
--- a/sardinestream/entry/entry_settings.h
+++ b/sardinestream/entry/entry_settings.h
@@ -24,6 +24,7 @@
     std::vector<address> seeds;
     std::string fleet_key;
     std::string policy;
+    int entry_slots = 3;
     int max_connections = 0;
     bool watch_catalogue = true;
     absl::Duration drain_delay;
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -17,6 +17,7 @@
 #include "sardinestream/entry/agent_router.h"
 #include "sardinestream/entry/entry_settings.h"
 #include "sardinestream/entry/key_router.h"
+#include "sardinestream/entry/team_shares.h"
 #include "sardinestream/membership/fleet_view.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
@@ -38,6 +39,7 @@
     std::unique_ptr<membership::peer_directory> directory;
     std::unique_ptr<wire::link_server> links;
     std::unique_ptr<membership::fleet_view> fleet;
+    std::unique_ptr<team_shares> shares;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
     std::unique_ptr<ops_server> ops;
@@ -96,6 +98,8 @@
     wire::link_options options;
     options.tls = *std::move(tls);
     options.local_hello = [&process] { return make_hello(process); };
+    process.shares = std::make_unique<team_shares>(process.settings.id, process.catalogue->state());
+    process.shares->attach(options.hooks);
     process.catalogue->attach(options.hooks);
     process.directory =
         membership::peer_directory::create(std::move(options), process.router->observer());
@@ -108,6 +112,8 @@
     process.settings.link_listen = process.links->local();
     process.fleet = membership::fleet_view::create(process.settings.id, process.settings.seeds,
                                                    *process.store, *process.directory);
+    process.shares->start({process.incarnation, process.settings.entry_slots}, *process.directory,
+                          *process.fleet, *process.store);
     return absl::OkStatus();
 }
 
@@ -127,6 +133,7 @@
 {
     requests::request_services services;
     process.keys->fill(services);
+    process.shares->fill(services);
     services.choose_agent = [&process](const requests::caller_request& request,
                                        const requests::attempt_history& history) {
         return process.router->choose(*process.directory, request, history);
@@ -135,7 +142,8 @@
         process.retries.on_request(request.entry->service);
     };
     services.may_retry = [&process](const requests::caller_request& request) {
-        return process.retries.try_retry(request.entry->service);
+        return process.retries.try_retry(request.entry->service) &&
+               process.shares->may_attempt_again(request);
     };
     services.note_completed = [&process](const requests::caller_request& request,
                                          const membership::peer& agent, absl::Duration,
@@ -198,6 +206,7 @@
     absl::SleepFor(process.settings.drain_delay);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+    process.shares->stop();
     process.store->cancel_watches();
 }
 
--- /dev/null
+++ b/sardinestream/limits/entry_slots.h
@@ -0,0 +1,81 @@
+// Claims one of a fixed number of slots in the platform's store: who holds slot k owns the k-th
+// root share of every limit.
+//
+//     auto slots = entry_slots::create({.entry_id = "entry-1", .incarnation = 7, .count = 3,
+//                                       .is_removed = ..., .on_slot = ...}, *store);
+//     ... at a planned stop, once no request is in progress ...
+//     slots->release(limiter.time_until_returned());
+//
+// A slot is an object `entryslots/<k>`, taken by conditional update. It is taken over only where
+// the platform no longer lists its holder; its share then rests for as long as old loans may last.
+// `count` must be the same in the whole fleet: an entry that sees another count claims nothing.
+
+#ifndef SARDINESTREAM_LIMITS_ENTRY_SLOTS_H_
+#define SARDINESTREAM_LIMITS_ENTRY_SLOTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "sardinestream/limits/team_limiter.h"
+#include "sardinestream/platform/object_store.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/status.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace sardinestream::limits {
+
+constexpr absl::string_view entry_slot_kind = "entryslots";
+
+struct entry_slots_options {
+    std::string entry_id;
+    std::uint64_t incarnation = 0;
+    std::uint32_t count = 3; // 1 to 1000
+    // True where the platform listed the entry before and no longer does.
+    std::function<bool(const std::string& id)> is_removed;
+    std::function<void(std::optional<entry_slot>)> on_slot;
+    absl::Duration claim_interval = absl::Seconds(1);
+    absl::Duration check_interval = absl::Seconds(30);
+};
+
+// Thread-safe.
+class entry_slots {
+public:
+    // `store` must outlive the result. Claims on a thread of its own.
+    [[nodiscard]] static std::unique_ptr<entry_slots> create(entry_slots_options options,
+                                                             platform::object_store& store);
+    ~entry_slots();
+    entry_slots(const entry_slots&) = delete;
+    entry_slots& operator=(const entry_slots&) = delete;
+
+    // Stops claiming and gives the slot back. `lent_for`: time until every loan has come back.
+    void release(absl::Duration lent_for);
+
+private:
+    entry_slots(entry_slots_options options, platform::object_store& store);
+
+    void hold_until_stopped();
+    // Looks at every slot; returns the one that is held afterwards.
+    [[nodiscard]] absl::StatusOr<std::optional<entry_slot>> claim();
+    [[nodiscard]] std::optional<entry_slot> claim_new(std::uint32_t index);
+    [[nodiscard]] std::optional<entry_slot> take_over(std::uint32_t index,
+                                                      const platform::object& seen);
+    [[nodiscard]] std::string spec(absl::string_view holder, absl::Duration lent_for) const;
+    void stop();
+
+    const entry_slots_options options;
+    platform::object_store& store;
+    absl::Mutex mutex;
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+    std::optional<entry_slot> held ABSL_GUARDED_BY(mutex);
+    std::thread holding;
+};
+
+} // namespace sardinestream::limits
+
+#endif // SARDINESTREAM_LIMITS_ENTRY_SLOTS_H_
