Drain the entry without cutting streams; serve only once the start's catalogue is ready

Cause 1: at a planned stop the entry called Server::stop() while streams ran. cpp-httplib ends every chunked answer once its listening socket is gone, so streams ended without [DONE]. Change 1: after the drain delay the entry refuses new requests (draining, not_run, Connection: close), waits until none is in progress, and stops the server only then. Cause 2: a restarted entry served from the first catalogue that a peer sent, before the platform had answered, so a key that had been in force on it was refused again (unauthorized). Change 2: requests are refused as not_ready until the start's catalogue has been ready once. Also: the service stand-in counts by x-run-id first, and a fault that strikes while the exchange ends is waited for; both were faults of the cells, not of the product.

--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -32,6 +32,11 @@
     entry_settings settings;
     std::uint64_t incarnation = random_u64();
     std::atomic<bool> leaving{false};
+    // Set once the catalogue was ready for the first time; a newer number that is still on its way
+    // does not hold up requests after that.
+    std::atomic<bool> has_catalogue{false};
+    // Set once the platform's balancer has had time to notice: new requests are refused.
+    std::atomic<bool> refusing{false};
     std::unique_ptr<platform::object_store> store;
     std::unique_ptr<catalogue::catalogue_service> catalogue;
     std::unique_ptr<agent_router> router;
@@ -170,10 +175,21 @@
     return services;
 }
 
+// The catalogue in force, or null until this start has heard the highest number there is: a peer
+// that answers before the platform may be behind what was in force here before the restart.
+std::shared_ptr<const catalogue::catalogue_snapshot> current_catalogue(entry_process& process)
+{
+    if (!process.has_catalogue && !process.catalogue->ready()) {
+        return nullptr;
+    }
+    process.has_catalogue = true;
+    return process.catalogue->state().current();
+}
+
 absl::Status start_front(entry_process& process)
 {
     process.front = std::make_unique<requests::http_front>(
-        [&process] { return process.catalogue->state().current(); }, make_services(process));
+        [&process] { return current_catalogue(process); }, make_services(process));
     http_server_options options;
     options.local = process.settings.listen;
     options.max_connections = process.settings.max_connections;
@@ -182,6 +198,16 @@
                                                           "accept", "", retry_when_full),
                                  "", answer);
     };
+    options.before_routes = [&process](const httplib::Request&, httplib::Response& answer) {
+        if (!process.refusing) {
+            return false;
+        }
+        answer.set_header("Connection", "close");
+        requests::answer_refusal(
+            requests::refuse_not_run(refusal_code::draining, "accept", "", retry_when_full), "",
+            answer);
+        return true;
+    };
     absl::StatusOr<std::unique_ptr<http_server>> http = http_server::create(std::move(options));
     if (!http.ok()) {
         return http.status();
@@ -215,12 +241,26 @@
     return absl::OkStatus();
 }
 
+// Waits for the requests in progress. Stopping the server before would cut streamed answers, and a
+// request that is still being read is not counted yet: hence two looks.
+void wait_until_idle(entry_process& process, absl::Time deadline)
+{
+    constexpr absl::Duration look_interval = absl::Milliseconds(50);
+    int idle_looks = 0;
+    while (idle_looks < 2 && absl::Now() < deadline) {
+        absl::SleepFor(look_interval);
+        idle_looks = process.front->in_flight() == 0 ? idle_looks + 1 : 0;
+    }
+}
+
 // Fails readiness, waits until the platform's balancer has noticed, then lets requests finish.
 void drain(entry_process& process)
 {
     log_event("drain_started", {{"in_flight", process.front->in_flight()}});
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
+    process.refusing = true;
+    wait_until_idle(process, absl::Now() + process.settings.drain_timeout);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.store->cancel_watches();
--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -55,6 +55,7 @@
     force_watch(const force_watch&) = delete;
     force_watch& operator=(const force_watch&) = delete;
 
+    [[nodiscard]] int entry_index() const { return this->index; }
     [[nodiscard]] bool in_force() const { return this->accepted; }
     [[nodiscard]] bool reverted() const { return this->taken_back; }
     [[nodiscard]] bool number_fell() const { return this->fell; }
@@ -163,10 +164,10 @@
     }
     for (const auto& watch : watches) {
         if (watch->reverted()) {
-            return "reverted";
+            return absl::StrCat("reverted_on_entry_", watch->entry_index());
         }
         if (watch->number_fell()) {
-            return "number_fell";
+            return absl::StrCat("number_fell_on_entry_", watch->entry_index());
         }
     }
     return "";
--- a/sardinestream/testing/matrix_faults.cc
+++ b/sardinestream/testing/matrix_faults.cc
@@ -101,10 +101,17 @@
                        [](const auto& rule) { return rule->fired(); });
 }
 
+bool fault_strike::has_struck() const
+{
+    return std::any_of(this->rules.begin(), this->rules.end(),
+                       [](const auto& armed) { return *armed->rule.matches >= armed->rule.nth; });
+}
+
 bool fault_strike::wait_until_fired(const std::function<bool()>& or_else) const
 {
     static_cast<void>(wait_until([&] { return this->fired() || or_else(); }));
-    return this->fired();
+    // The exchange may end while the fault still takes effect.
+    return this->has_struck() && wait_until([this] { return this->fired(); });
 }
 
 const std::vector<std::string>& request_faults()
--- a/sardinestream/testing/matrix_faults.h
+++ b/sardinestream/testing/matrix_faults.h
@@ -44,6 +44,9 @@
     [[nodiscard]] bool wait_until_fired(const std::function<bool()>& or_else) const;
 
 private:
+    // The message has come; the fault may still be on its way.
+    [[nodiscard]] bool has_struck() const;
+
     std::vector<std::shared_ptr<armed_rule>> rules;
 };
 
--- a/sardinestream/testing/standin_service.cc
+++ b/sardinestream/testing/standin_service.cc
@@ -20,8 +20,8 @@
 
 std::string key_of(const httplib::Request& request)
 {
-    const std::string key = request.get_header_value("Idempotency-Key");
-    return key.empty() ? request.get_header_value("x-run-id") : key;
+    const std::string run_id = request.get_header_value("x-run-id");
+    return run_id.empty() ? request.get_header_value("Idempotency-Key") : run_id;
 }
 
 // Ends the connection without an answer.
--- a/sardinestream/testing/standin_service.h
+++ b/sardinestream/testing/standin_service.h
@@ -4,7 +4,7 @@
 //     auto service = standin_service::create({.delay = absl::Milliseconds(5)});
 //     ... (*service)->local() ...
 //
-// A run is counted under the request's Idempotency-Key, or else its x-run-id, or else "". The
+// A run is counted under the request's x-run-id, or else its Idempotency-Key, or else "". The
 // answer is {"runs", "key", "method", "path", "body_digest", "team"}.
 //
 // GET  /admin/ledger: {"runs": {key: count}, "total": N}
--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -131,6 +131,9 @@
     void hold_servers(bool hold)
     {
         for (const auto& each : this->servers.agents()) {
+            if (each->model == this->is_plain()) {
+                continue;
+            }
             if (each->model) {
                 post(each->backend.reserved(), hold ? "/admin/stall" : "/admin/unstall", "{}");
                 continue;
@@ -193,6 +196,14 @@
     // Sends new work through the entry that stays, to servers that answer again.
     void send_new_requests()
     {
+        if (this->plan.target == stop_target::entry) {
+            const caller staying = this->servers.caller_of(1);
+            for (int i = 0; i < new_requests; ++i) {
+                const bool served = staying.call("GET", "/services/stock/bowls", "", {}).success();
+                this->refused_new += served ? 0 : 1;
+            }
+            return;
+        }
         agent_node& other = this->other_agent();
         if (!other.run->alive()) {
             return;
