Count what an entry has sent to each agent; end waits whose caller has gone

Cause: reading the path again showed that no attempt called on_request_sent, so the correction of an agent's report by what this entry sent since never worked, and least_in_flight saw zeros; a whole request went on for a caller that had closed; a write that was shut down half-way could be taken for one that never began. Change: attempts report start and end; waits ask every 20 ms whether the caller is there; every failed write is kUnavailable, so its outcome is unknown. Before: trackers always showed 0 outstanding (by reading).

--- a/sardinestream/requests/attempt.cc
+++ b/sardinestream/requests/attempt.cc
@@ -20,6 +20,14 @@
 
 } // namespace
 
+refusal refusal_of_gone_caller(absl::string_view step)
+{
+    refusal refused;
+    refused.code = refusal_code::cancelled;
+    refused.step = std::string(step);
+    return refused;
+}
+
 request_openT make_request_open(const caller_request& request)
 {
     request_openT message;
@@ -46,15 +54,21 @@
     : server(std::move(agent)), exchange(std::move(opened))
 {
     ++this->server->in_flight;
+    if (this->server->on_request_sent) {
+        this->server->on_request_sent();
+    }
 }
 
 attempt::~attempt()
 {
     --this->server->in_flight;
+    if (this->server->on_request_ended) {
+        this->server->on_request_ended();
+    }
 }
 
 attempt_result attempt::start(std::shared_ptr<membership::peer> agent, const request_openT& message,
-                              absl::Time deadline)
+                              absl::Time deadline, const caller_check& caller_has_gone)
 {
     std::shared_ptr<wire::stream> opened = agent->link->open_stream();
     std::unique_ptr<attempt> made(new attempt(std::move(agent), std::move(opened)));
@@ -66,15 +80,22 @@
     if (!sent.ok()) {
         return made->lost("send_request", sent);
     }
-    if (std::optional<refusal> refused = made->wait_until_admitted(deadline)) {
+    if (std::optional<refusal> refused = made->wait_until_admitted(deadline, caller_has_gone)) {
         return *std::move(refused);
     }
     return made;
 }
 
-std::optional<refusal> attempt::wait_until_admitted(absl::Time deadline)
+std::optional<refusal> attempt::wait_until_admitted(absl::Time deadline,
+                                                    const caller_check& caller_has_gone)
 {
-    absl::StatusOr<wire::frame> first = this->exchange->receive(deadline);
+    absl::StatusOr<wire::frame> first;
+    do {
+        if (caller_has_gone && caller_has_gone()) {
+            return refusal_of_gone_caller("wait_admission");
+        }
+        first = this->exchange->receive(std::min(deadline, absl::Now() + caller_check_interval));
+    } while (absl::IsDeadlineExceeded(first.status()) && absl::Now() < deadline);
     if (!first.ok()) {
         return this->lost("wait_admission", first.status());
     }
--- a/sardinestream/requests/attempt.h
+++ b/sardinestream/requests/attempt.h
@@ -36,9 +36,10 @@
 // Owned by one thread at a time. Dropping it before the end cancels the work at the agent.
 class attempt {
 public:
-    // Blocks until the agent answers, at most until `deadline`.
+    // Blocks until the agent answers, at most until `deadline` or until the caller has gone.
     [[nodiscard]] static attempt_result start(std::shared_ptr<membership::peer> agent,
-                                              const request_openT& message, absl::Time deadline);
+                                              const request_openT& message, absl::Time deadline,
+                                              const caller_check& caller_has_gone = nullptr);
 
     ~attempt();
     attempt(const attempt&) = delete;
@@ -54,7 +55,8 @@
 private:
     attempt(std::shared_ptr<membership::peer> agent, std::shared_ptr<wire::stream> opened);
 
-    [[nodiscard]] std::optional<refusal> wait_until_admitted(absl::Time deadline);
+    [[nodiscard]] std::optional<refusal> wait_until_admitted(absl::Time deadline,
+                                                             const caller_check& caller_has_gone);
     [[nodiscard]] refusal lost(absl::string_view step, const absl::Status& why) const;
     [[nodiscard]] refusal refused_by_agent(absl::string_view payload) const;
 
@@ -63,6 +65,12 @@
     response_headT admitted;
 };
 
+// How often a wait asks whether the caller is still there.
+constexpr absl::Duration caller_check_interval = absl::Milliseconds(20);
+
+// The end of a request whose caller has gone; nobody reads it.
+[[nodiscard]] refusal refusal_of_gone_caller(absl::string_view step);
+
 // Returns the message for `request`. `remaining_ms` is filled at the time of the call.
 [[nodiscard]] request_openT make_request_open(const caller_request& request);
 
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/digest.h"
+#include "sardinestream/base/http_connection.h"
 #include "sardinestream/suspects/suspect_registry.h"
 
 #include "absl/strings/ascii.h"
@@ -107,6 +108,7 @@
                    : refuse_not_run(refusal_code::unauthorized, step, "unknown bearer key");
     }
     request.request_id = choose_request_id(http);
+    request.caller_has_gone = [] { return caller_has_gone(); };
     request.method = http.method;
     request.idempotency_key = http.get_header_value("Idempotency-Key");
     request.ticket = http.get_header_value("Sardine-Ticket");
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -13,6 +13,7 @@
 #ifndef SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
 #define SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -33,6 +34,9 @@
 
 namespace sardinestream::requests {
 
+// Tells whether the caller has closed its connection. Asked on the thread that serves it.
+using caller_check = std::function<bool()>;
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 struct caller_request {
@@ -53,6 +57,7 @@
     bool chat = false;           // completions only
     std::string prompt;          // completions only: the text by which prefixes are compared
     std::uint32_t max_tokens = 0;
+    caller_check caller_has_gone; // may be empty
 
     // True where the catalogue lets this request run again after an attempt of unknown outcome.
     [[nodiscard]] bool repeatable() const;
--- a/sardinestream/requests/completion.cc
+++ b/sardinestream/requests/completion.cc
@@ -87,8 +87,8 @@
         }
         ++this->attempts;
         const std::string agent_id = agent->identity().id;
-        attempt_result result =
-            attempt::start(std::move(agent), this->next_message(), this->asked.deadline);
+        attempt_result result = attempt::start(std::move(agent), this->next_message(),
+                                               this->asked.deadline, this->asked.caller_has_gone);
         if (auto* admitted = std::get_if<std::unique_ptr<attempt>>(&result)) {
             this->current = std::move(*admitted);
             return std::nullopt;
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -6,6 +6,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/http_connection.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/requests/completion.h"
@@ -18,7 +19,6 @@
 
 using json = nlohmann::json;
 
-constexpr absl::Duration caller_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration retry_when_not_ready = absl::Seconds(1);
 constexpr char json_type[] = "application/json";
 constexpr char event_stream_type[] = "text/event-stream";
@@ -129,7 +129,15 @@
 void answer_whole(completion& work, httplib::Response& answer)
 {
     while (true) {
-        completion_part part = work.next(work.request().deadline);
+        completion_part part = work.next(absl::Now() + caller_check_interval);
+        if (std::holds_alternative<nothing_yet>(part)) {
+            if (caller_has_gone()) {
+                answer_refusal(refusal_of_gone_caller("read_answer"), work.request().request_id,
+                               answer);
+                return;
+            }
+            continue;
+        }
         if (auto* refused = std::get_if<refusal>(&part)) {
             answer_refusal(*refused, work.request().request_id, answer);
             return;
--- a/sardinestream/requests/keyed_call.cc
+++ b/sardinestream/requests/keyed_call.cc
@@ -119,7 +119,7 @@
         return std::move(*refused);
     }
     call_result result = fetch_whole_answer(std::get<std::shared_ptr<membership::peer>>(agent),
-                                            message, request.deadline);
+                                            message, request.deadline, request.caller_has_gone);
     auto* refused = std::get_if<refusal>(&result);
     if (refused == nullptr) {
         return result;
--- a/sardinestream/requests/service_call.cc
+++ b/sardinestream/requests/service_call.cc
@@ -51,7 +51,8 @@
         }
         request_openT message = make_request_open(request);
         message.run_alone = history.run_alone;
-        call_result result = fetch_whole_answer(agent, message, request.deadline);
+        call_result result =
+            fetch_whole_answer(agent, message, request.deadline, request.caller_has_gone);
         if (std::holds_alternative<service_answer>(result)) {
             return result;
         }
--- a/sardinestream/requests/whole_answer.cc
+++ b/sardinestream/requests/whole_answer.cc
@@ -1,12 +1,13 @@
 #include "sardinestream/requests/whole_answer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sardinestream::requests {
 namespace {
 
 // Reads the whole answer of an admitted attempt.
-call_result read_answer(attempt& admitted, absl::Time deadline)
+call_result read_answer(attempt& admitted, absl::Time deadline, const caller_check& caller_has_gone)
 {
     service_answer answer;
     answer.status = admitted.head().status;
@@ -15,7 +16,7 @@
         answer.headers.emplace_back(passed->name, passed->value);
     }
     while (true) {
-        answer_part part = admitted.next(deadline);
+        answer_part part = admitted.next(std::min(deadline, absl::Now() + caller_check_interval));
         if (auto* chunk = std::get_if<response_chunkT>(&part)) {
             answer.body.append(chunk->data.begin(), chunk->data.end());
             continue;
@@ -26,6 +27,12 @@
         if (std::holds_alternative<answer_end>(part)) {
             return answer;
         }
+        if (caller_has_gone && caller_has_gone()) {
+            return refusal_of_gone_caller("read_answer");
+        }
+        if (absl::Now() < deadline) {
+            continue;
+        }
         refusal late;
         late.code = refusal_code::deadline_exceeded;
         late.step = "read_answer";
@@ -37,13 +44,14 @@
 } // namespace
 
 call_result fetch_whole_answer(const std::shared_ptr<membership::peer>& agent,
-                               const request_openT& message, absl::Time deadline)
+                               const request_openT& message, absl::Time deadline,
+                               const caller_check& caller_has_gone)
 {
-    attempt_result started = attempt::start(agent, message, deadline);
+    attempt_result started = attempt::start(agent, message, deadline, caller_has_gone);
     if (auto* refused = std::get_if<refusal>(&started)) {
         return std::move(*refused);
     }
-    return read_answer(*std::get<std::unique_ptr<attempt>>(started), deadline);
+    return read_answer(*std::get<std::unique_ptr<attempt>>(started), deadline, caller_has_gone);
 }
 
 } // namespace sardinestream::requests
--- a/sardinestream/requests/whole_answer.h
+++ b/sardinestream/requests/whole_answer.h
@@ -21,9 +21,11 @@
 
 using call_result = std::variant<service_answer, refusal>;
 
-// Sends `message` to the agent and blocks until its answer is whole, at most until `deadline`.
+// Sends `message` to the agent and blocks until its answer is whole, at most until `deadline` or
+// until the caller has gone, which cancels a run that may be cancelled.
 [[nodiscard]] call_result fetch_whole_answer(const std::shared_ptr<membership::peer>& agent,
-                                             const request_openT& message, absl::Time deadline);
+                                             const request_openT& message, absl::Time deadline,
+                                             const caller_check& caller_has_gone);
 
 } // namespace sardinestream::requests
 
--- a/sardinestream/wire/peer_link.cc
+++ b/sardinestream/wire/peer_link.cc
@@ -293,10 +293,13 @@
     std::string bytes(head.data(), head.size());
     bytes.append(payload.data(), payload.size());
     absl::Status status = this->socket->write(bytes, this->options().peer_timeout);
-    if (!status.ok()) {
-        this->shut_down();
+    if (status.ok()) {
+        return status;
     }
-    return with_origin(status, "send_frame", this->remote_hello.id);
+    this->shut_down();
+    // Whatever ended the write, a part of the frame may have left.
+    return make_error(absl::StatusCode::kUnavailable, "send_frame", this->remote_hello.id,
+                      status.message());
 }
 
 absl::StatusOr<frame> peer_link::read_frame()
