Run expert maps in real agents: rank group settings, load reports, rebalancing

Every agent reports its experts' load to the first two ranks; rank 0 decides, rank 1 while nothing is heard of it. Policies behind one hook: never, every_drift, weighted by the catalogue's skew_weight and rebalance_cost_weight.

--- a/sardinestream/agent/agent_settings.cc
+++ b/sardinestream/agent/agent_settings.cc
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/experts/expert_map.h"
 
 #include "absl/strings/str_split.h"
 
@@ -17,6 +18,14 @@
 DEFINE_int32(reserved_slots, 0, "Slots for the priority class reserved alone, 0 to slots - 1");
 DEFINE_int32(max_wait_ms, 2000, "Longest wait for a slot in milliseconds, 0 to 600000");
 DEFINE_int32(drain_timeout_s, 60, "Seconds a planned stop waits for requests, 1 to 3600");
+DEFINE_string(rank_group, "", "Rank group of the backend server; empty for none");
+DEFINE_int32(rank, 0, "Rank in the group, 0 to ranks - 1");
+DEFINE_string(group_agents, "", "Comma-separated IP:PORT of the agent of every rank, in order");
+DEFINE_string(rank_engine, "", "IP:PORT of the rank's engine orders; the backend where empty");
+DEFINE_string(platform, "", "Comma-separated IP:PORT of the platform's object API");
+DEFINE_int32(model_layers, 1, "Layers with experts, 1 to 1024");
+DEFINE_int32(experts_per_layer, 1, "Experts of a layer, 1 to 4096");
+DEFINE_string(rebalance, "weighted", "Rebalancing of experts: never, every_drift or weighted");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 DEFINE_bool(check, false, "Check the settings, print nothing where they are right, and exit");
 
@@ -25,14 +34,57 @@
 
 const std::vector<std::string>& flag_names()
 {
-    static const auto* const names =
-        new std::vector<std::string>{"id",          "data_centre",     "listen",
-                                     "ops_listen",  "backend",         "serves",
-                                     "fleet_key",   "slots",           "reserved_slots",
-                                     "max_wait_ms", "drain_timeout_s", "log_level"};
+    static const auto* const names = new std::vector<std::string>{"id",
+                                                                  "data_centre",
+                                                                  "listen",
+                                                                  "ops_listen",
+                                                                  "backend",
+                                                                  "serves",
+                                                                  "fleet_key",
+                                                                  "slots",
+                                                                  "reserved_slots",
+                                                                  "max_wait_ms",
+                                                                  "drain_timeout_s",
+                                                                  "log_level",
+                                                                  "rank_group",
+                                                                  "rank",
+                                                                  "group_agents",
+                                                                  "rank_engine",
+                                                                  "platform",
+                                                                  "model_layers",
+                                                                  "experts_per_layer",
+                                                                  "rebalance"};
     return *names;
 }
 
+absl::Status check_rank_group()
+{
+    if (FLAGS_rank_group.empty()) {
+        return absl::OkStatus();
+    }
+    const absl::StatusOr<std::vector<address>> agents = parse_addresses(FLAGS_group_agents);
+    if (!agents.ok() || agents->empty()) {
+        return setting_error("group_agents", FLAGS_group_agents, "IP:PORT of every rank's agent");
+    }
+    SARDINE_RETURN_IF_ERROR(
+        check_range("rank", FLAGS_rank, 0, static_cast<std::int64_t>(agents->size()) - 1));
+    if (!FLAGS_rank_engine.empty()) {
+        SARDINE_RETURN_IF_ERROR(check_address("rank_engine", FLAGS_rank_engine));
+    }
+    if (const auto platform = parse_addresses(FLAGS_platform);
+        !platform.ok() || platform->empty()) {
+        return setting_error("platform", FLAGS_platform, "IP:PORT of the platform's object API");
+    }
+    SARDINE_RETURN_IF_ERROR(
+        check_range("model_layers", FLAGS_model_layers, 1, experts::max_layers));
+    SARDINE_RETURN_IF_ERROR(check_range("experts_per_layer", FLAGS_experts_per_layer, 1,
+                                        experts::max_experts_per_layer));
+    const bool known = FLAGS_rebalance == "never" || FLAGS_rebalance == "every_drift" ||
+                       FLAGS_rebalance == "weighted";
+    return known ? absl::OkStatus()
+                 : setting_error("rebalance", FLAGS_rebalance, "never, every_drift, weighted");
+}
+
 absl::Status check_flags()
 {
     constexpr int most_slots = 100000;
@@ -51,6 +103,7 @@
     SARDINE_RETURN_IF_ERROR(check_range("max_wait_ms", FLAGS_max_wait_ms, 0, longest_wait_ms));
     SARDINE_RETURN_IF_ERROR(
         check_range("drain_timeout_s", FLAGS_drain_timeout_s, 1, longest_drain_s));
+    SARDINE_RETURN_IF_ERROR(check_rank_group());
     log_level ignored = log_level::info;
     return parse_log_level(FLAGS_log_level, ignored)
                ? absl::OkStatus()
@@ -76,6 +129,17 @@
     settings.reserved_slots = FLAGS_reserved_slots;
     settings.max_wait = absl::Milliseconds(FLAGS_max_wait_ms);
     settings.drain_timeout = absl::Seconds(FLAGS_drain_timeout_s);
+    settings.rank_group = FLAGS_rank_group;
+    if (!settings.rank_group.empty()) {
+        settings.rank = FLAGS_rank;
+        settings.group_agents = *parse_addresses(FLAGS_group_agents);
+        settings.rank_engine =
+            FLAGS_rank_engine.empty() ? settings.backend : *parse_address(FLAGS_rank_engine);
+        settings.platform = *parse_addresses(FLAGS_platform);
+        settings.model_layers = FLAGS_model_layers;
+        settings.experts_per_layer = FLAGS_experts_per_layer;
+        settings.rebalance = FLAGS_rebalance;
+    }
     settings.check_only = FLAGS_check;
     (void)parse_log_level(FLAGS_log_level, settings.log_minimum);
     return settings;
--- a/sardinestream/agent/agent_settings.h
+++ b/sardinestream/agent/agent_settings.h
@@ -26,6 +26,15 @@
     int reserved_slots = 0;
     absl::Duration max_wait;
     absl::Duration drain_timeout;
+    // The rank group that the backend server belongs to; an empty name for none.
+    std::string rank_group;
+    int rank = 0;
+    std::vector<address> group_agents; // one for each rank
+    address rank_engine;
+    std::vector<address> platform;
+    int model_layers = 1;
+    int experts_per_layer = 1;
+    std::string rebalance;
     log_level log_minimum = log_level::info;
     bool check_only = false;
 };
--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "sardinestream/agent/agent_settings.h"
+#include "sardinestream/agent/rank_member.h"
 #include "sardinestream/agent/request_service.h"
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
@@ -29,6 +30,8 @@
     std::unique_ptr<routing::admission> admission;
     std::unique_ptr<request_service> requests;
     std::unique_ptr<ops_server> ops;
+    // Null where the backend server belongs to no rank group.
+    std::unique_ptr<rank_member> member;
     std::unique_ptr<wire::link_server> links;
 };
 
@@ -90,15 +93,29 @@
         if (first.header.type == wire::frame_type::request_open) {
             process.requests->serve(opened, first);
         }
+        else if (process.member != nullptr) {
+            process.member->serve(opened, first);
+        }
+    };
+    options->hooks.on_link_frame = [&process](const std::shared_ptr<wire::peer_link>&,
+                                              const wire::frame& received) {
+        if (process.member != nullptr) {
+            process.member->note(received);
+        }
     };
     process.catalogue->attach(options->hooks);
+    if (!process.settings.rank_group.empty()) {
+        process.member = rank_member::create(process.settings, process.incarnation, options->tls,
+                                             process.catalogue->state());
+    }
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
         wire::link_server::create(std::move(options), process.settings.listen);
     if (!links.ok()) {
         return links.status();
     }
     process.links = *std::move(links);
-    return absl::OkStatus();
+    // Only now does this process hold the slot's address alone, which the vote relies on.
+    return process.member == nullptr ? absl::OkStatus() : process.member->start();
 }
 
 absl::Status start_ops(agent_process& process)
--- a/sardinestream/experts/expert_service.cc
+++ b/sardinestream/experts/expert_service.cc
@@ -41,6 +41,17 @@
     return made;
 }
 
+rebalancer_options rebalancer_options_from(const expert_service_options& options)
+{
+    rebalancer_options made;
+    made.group = options.group;
+    made.rank = options.rank;
+    made.ranks = options.ranks;
+    made.report_interval = options.report_interval;
+    made.policy = options.policy;
+    return made;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<expert_service>>
@@ -68,6 +79,10 @@
     made->keeper = *std::move(keeper);
     made->proposer =
         map_proposer::create(options.proposer, *made->votes, *made->rank_engine, peers);
+    made->balance = rebalancer::create(rebalancer_options_from(options), *made->rank_engine, peers,
+                                       [service = made.get()](const expert_mapT& placement) {
+                                           return service->move_to(placement);
+                                       });
     return made;
 }
 
@@ -185,6 +200,11 @@
             this->keeper->note_state(*state);
         }
         return;
+    case frame_type::expert_load:
+        if (const auto load = wire::decode<expert_load>(received.payload); load.ok()) {
+            this->balance->note_load(*load);
+        }
+        return;
     default:
         return;
     }
--- a/sardinestream/experts/expert_service.h
+++ b/sardinestream/experts/expert_service.h
@@ -26,6 +26,7 @@
 #include "sardinestream/experts/group_keeper.h"
 #include "sardinestream/experts/map_proposer.h"
 #include "sardinestream/experts/map_voter.h"
+#include "sardinestream/experts/rebalancer.h"
 #include "sardinestream/wire/peer_link.h"
 
 namespace sardinestream::experts {
@@ -40,6 +41,9 @@
     std::uint32_t experts_per_layer = 1;
     absl::Duration engine_timeout = absl::Seconds(2);
     proposer_options proposer;
+    absl::Duration report_interval = absl::Seconds(1);
+    // The rebalancing policy in force, asked for at each decision; empty: never rebalance.
+    std::function<rebalance_policy()> policy;
 };
 
 class expert_service {
@@ -83,6 +87,7 @@
     std::unique_ptr<map_voter> votes;
     std::unique_ptr<group_keeper> keeper;
     std::unique_ptr<map_proposer> proposer;
+    std::unique_ptr<rebalancer> balance;
     // Last: its threads use the members above and end first.
     thread_group exchanges;
 };
--- a/sardinestream/testing/rank_group_main.cc
+++ b/sardinestream/testing/rank_group_main.cc
@@ -2,8 +2,8 @@
 //
 //     standin_rank_group --ranks=4 --first_port=9100
 //
-// prints one line `ready ports=9100,9101,9102,9103,9104` (the last one is the admin port) and runs
-// until it is terminated.
+// prints `listening=IP:PORT` of the admin port and `ready ports=9100,9101,9102,9103,9104` (the last
+// one is the admin port), and runs until it is terminated.
 
 #include <csignal>
 #include <iostream>
@@ -61,6 +61,7 @@
         std::cerr << "standin_rank_group: " << group.status().ToString() << "\n";
         return 1;
     }
+    std::cout << "listening=" << (*group)->admin_address().to_string() << "\n";
     std::cout << "ready ports=";
     for (int rank = 0; rank < FLAGS_ranks; ++rank) {
         std::cout << (*group)->engine_address(rank).port << ",";
