--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -131,6 +131,9 @@
     void hold_servers(bool hold)
     {
         for (const auto& each : this->servers.agents()) {
+            if (each->model == this->is_plain()) {
+                continue;
+            }
             if (each->model) {
                 post(each->backend.reserved(), hold ? "/admin/stall" : "/admin/unstall", "{}");
                 continue;
@@ -193,6 +196,14 @@
     // Sends new work through the entry that stays, to servers that answer again.
     void send_new_requests()
     {
+        if (this->plan.target == stop_target::entry) {
+            const caller staying = this->servers.caller_of(1);
+            for (int i = 0; i < new_requests; ++i) {
+                const bool served = staying.call("GET", "/services/stock/bowls", "", {}).success();
+                this->refused_new += served ? 0 : 1;
+            }
+            return;
+        }
         agent_node& other = this->other_agent();
         if (!other.run->alive()) {
             return;
@@ -316,9 +327,9 @@
                                       "freeze_wake", "second_notice", "kill_other"}) {
                 const stop_plan plan{target, step, fault};
                 const auto run = [plan](fleet_holder& fleets, const std::string& cell) {
-                    const absl::StatusOr<fleet*> servers = fleets.healthy();
-                    return servers.ok() ? stop_run(**servers, cell, plan).run()
-                                        : cell_verdict{false, "no_fleet"};
+                    return on_fleet(fleets, [&](fleet& servers) {
+                        return stop_run(servers, cell, plan).run();
+                    });
                 };
                 cells.push_back({"stop_" + to_text(target), step, fault, run});
             }
