--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,9 @@
 demo: build
 	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/sardine_demo
 
+bench: build
+	@SARDINE_BIN_DIR=$(abspath $(BUILD))/bin $(BUILD)/bin/load_bench
+
 generate:
 	@tools/generate
 
--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -73,8 +73,28 @@
     return call;
 }
 
-// The body as the engine gets it: always a stream, resumable, with the request's own id.
-std::optional<std::string> engine_body(const request_openT& request)
+// A completion as the engine gets it, and the text that it will read first.
+struct engine_call {
+    std::string body;
+    std::string prompt;
+};
+
+std::string prompt_text(const json& body)
+{
+    if (body.contains("prompt") && body["prompt"].is_string()) {
+        return body["prompt"].get<std::string>();
+    }
+    std::string text;
+    for (const json& message : body.value("messages", json::array())) {
+        if (message.is_object() && message.contains("content") && message["content"].is_string()) {
+            absl::StrAppend(&text, message["content"].get_ref<const std::string&>(), "\n");
+        }
+    }
+    return text;
+}
+
+// Always a stream, resumable, with the request's own id.
+std::optional<engine_call> make_engine_call(const request_openT& request)
 {
     json body = json::parse(request.body.begin(), request.body.end(), nullptr, false);
     if (!body.is_object()) {
@@ -87,7 +107,8 @@
         body["resume_from"] = request.resume_from;
         body["resume_text"] = request.resume_text;
     }
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return engine_call{body.dump(-1, ' ', false, json::error_handler_t::replace),
+                       prompt_text(body) + request.resume_text};
 }
 
 once::run_answer to_run_answer(backend_answer answer)
@@ -249,6 +270,20 @@
     send_answer(exchange, *recorded, false);
 }
 
+std::uint32_t request_service::uncached_tokens(absl::string_view prompt)
+{
+    constexpr std::uint64_t own_engine = 0;
+    constexpr std::uint32_t bytes_per_token = 4;
+    const absl::Time now = absl::Now();
+    const std::vector<std::uint64_t> blocks = routing::prefix_blocks(prompt);
+    const routing::prefix_index::match_list cached = this->prompts.match(blocks, now);
+    this->prompts.record(own_engine, blocks, now);
+    const auto tokens = static_cast<std::uint32_t>(prompt.size() / bytes_per_token);
+    const std::uint32_t known =
+        cached.empty() ? 0 : cached.front().second * routing::prefix_block_tokens;
+    return tokens - std::min(tokens, known);
+}
+
 routing::admission_result request_service::admit(wire::stream& exchange,
                                                  const request_openT& request, absl::Time deadline)
 {
@@ -302,8 +337,8 @@
 void request_service::serve_completion(wire::stream& exchange, const request_openT& request,
                                        absl::Time deadline)
 {
-    std::optional<std::string> body = engine_body(request);
-    if (!body.has_value()) {
+    std::optional<engine_call> prepared = make_engine_call(request);
+    if (!prepared.has_value()) {
         send_refusal(exchange, make_refusal(refusal_code::bad_request, run_outcome::not_run,
                                             "read_body", "not a JSON object"));
         return;
@@ -318,11 +353,12 @@
     }
     backend_request call = to_call(request, deadline);
     call.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", request.request_id}};
-    call.body = *std::move(body);
+    call.body = std::move(prepared->body);
 
     token_sequencer sequencer(request.request_id, request.resume_from);
     const absl::Time started = absl::Now();
     routing::completion_sample sample;
+    sample.uncached_tokens = this->uncached_tokens(prepared->prompt);
     const auto forward = [&](absl::string_view bytes) {
         const std::vector<std::string> events = sequencer.feed(bytes);
         std::uint32_t index = sequencer.next_index() - static_cast<std::uint32_t>(events.size());
--- a/sardinestream/agent/request_service.h
+++ b/sardinestream/agent/request_service.h
@@ -24,6 +24,7 @@
 #include "sardinestream/once/run_table.h"
 #include "sardinestream/requests/requests_generated.h"
 #include "sardinestream/routing/admission.h"
+#include "sardinestream/routing/prefix_index.h"
 #include "sardinestream/wire/peer_link.h"
 
 namespace sardinestream::agent {
@@ -67,6 +68,8 @@
                     absl::Time deadline);
     void serve_completion(wire::stream& exchange, const requests::request_openT& request,
                           absl::Time deadline);
+    // Prompt tokens that the engine has to read, as far as this agent knows; notes the prompt.
+    [[nodiscard]] std::uint32_t uncached_tokens(absl::string_view prompt);
     [[nodiscard]] routing::admission_result
     admit(wire::stream& exchange, const requests::request_openT& request, absl::Time deadline);
     [[nodiscard]] backend_answer call_backend(wire::stream& exchange,
@@ -75,6 +78,8 @@
                                               const byte_receiver& on_bytes);
 
     const request_service_parts parts;
+    // What the engine should have cached: every prompt that has run here.
+    routing::prefix_index prompts;
     std::atomic<bool> draining{false};
     thread_group threads; // last, so that it ends first
 };
--- a/sardinestream/routing/speed_estimate.cc
+++ b/sardinestream/routing/speed_estimate.cc
@@ -5,6 +5,8 @@
 
 // Share of the newest sample in the moving averages.
 constexpr double sample_weight = 0.2;
+// Fewer uncached tokens say nothing about the prefill's speed.
+constexpr std::uint32_t min_prefill_tokens = 64;
 constexpr absl::Duration max_sample_age = absl::Seconds(10);
 
 void blend(absl::Duration& average, absl::Duration sample)
@@ -29,13 +31,15 @@
         return;
     }
     blend(this->averages.first_token_time, sample.first_token_time);
-    if (sample.uncached_tokens > 0) {
-        blend(this->averages.prefill_token_time, sample.first_token_time / sample.uncached_tokens);
-    }
     if (sample.generated_tokens > 1) {
         blend(this->averages.token_time,
               (sample.service_time - sample.first_token_time) / (sample.generated_tokens - 1));
     }
+    // The first token takes a decode step as well, which outweighs a short prefill.
+    const absl::Duration prefill = sample.first_token_time - this->averages.token_time;
+    if (sample.uncached_tokens >= min_prefill_tokens && prefill > absl::ZeroDuration()) {
+        blend(this->averages.prefill_token_time, prefill / sample.uncached_tokens);
+    }
 }
 
 measured_speed speed_estimate::current(absl::Time now) const
