--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -6,28 +6,8 @@
 #include <cstdio>
 
 #include "sardinestream/agent/agent_settings.h"
-else if (first.header.type == wire::frame_type::engine_order)
-{
-    process.orders->serve(opened, first);
-}
-else if (process.member != nullptr)
-{
-    process.member->serve(opened, first);
-}
-}
-;
-options->hooks.on_link_frame = [&process](const std::shared_ptr<wire::peer_link>&,
-                                          const wire::frame& received) {
-    if (process.member != nullptr) {
-        process.member->note(received);
-    }
-};
-process.catalogue->attach(options->hooks);
-process.gossip.attach(options->hooks);
-if (!process.settings.rank_group.empty()) {
-    process.member = rank_member::create(process.settings, process.incarnation, options->tls,
-                                         process.catalogue->state());
-}
+#include "sardinestream/agent/engine_orders.h"
+#include "sardinestream/agent/rank_member.h"
 #include "sardinestream/agent/request_service.h"
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
@@ -130,14 +110,9 @@
         if (first.header.type == wire::frame_type::request_open) {
             process.requests->serve(opened, first);
         }
-<<<<<<< HEAD
-        if (first.header.type == wire::frame_type::engine_order) {
+        else if (first.header.type == wire::frame_type::engine_order) {
             process.orders->serve(opened, first);
         }
-    };
-    process.catalogue->attach(options->hooks);
-    process.gossip.attach(options->hooks);
-=======
         else if (process.member != nullptr) {
             process.member->serve(opened, first);
         }
@@ -149,11 +124,11 @@
         }
     };
     process.catalogue->attach(options->hooks);
+    process.gossip.attach(options->hooks);
     if (!process.settings.rank_group.empty()) {
         process.member = rank_member::create(process.settings, process.incarnation, options->tls,
                                              process.catalogue->state());
     }
->>>>>>> helper-a
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
         wire::link_server::create(std::move(options), process.settings.listen);
     if (!links.ok()) {
