--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,11 @@
 demo: build
 	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/sardine_demo
 
+MATRIX_JOBS ?= 3
+
+matrix: build
+	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/fault_matrix --jobs=$(MATRIX_JOBS)
+
 generate:
 	@tools/generate
 
--- a/sardinestream/testing/fault_matrix_main.cc
+++ b/sardinestream/testing/fault_matrix_main.cc
@@ -14,6 +14,7 @@
 
 #include <gflags/gflags.h>
 
+#include "sardinestream/base/log.h"
 #include "sardinestream/testing/fault_matrix.h"
 
 #include "absl/strings/match.h"
@@ -31,7 +32,7 @@
 namespace {
 
 // CI runs every cell whose place in the order is a multiple of this.
-constexpr std::size_t ci_stride = 7;
+constexpr std::size_t ci_stride = 5;
 
 bool is_chosen(const matrix_cell& cell, std::size_t place)
 {
@@ -150,5 +151,6 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sardinestream::start_logging(sardinestream::log_level::error, "fault_matrix", "");
     return sardinestream::testing::run_matrix();
 }
