--- a/sardinestream/experts/map_vote_test.cc
+++ b/sardinestream/experts/map_vote_test.cc
@@ -51,6 +51,26 @@
         return seen.ok() ? (seen->due.has_value() ? seen->due->epoch : seen->current.epoch) : 0;
     }
 
+    // A proposal for epoch 2 far ahead, staged at `rank`, which it names as `agent_incarnation`.
+    [[nodiscard]] map_proposalT stage_proposal(int rank, std::uint64_t agent_incarnation)
+    {
+        map_proposalT proposal;
+        proposal.id = 77;
+        proposal.group = this->group->agent(rank).voter().options().group;
+        proposal.group_incarnation = this->group->engine_group().read(rank)->group_incarnation;
+        proposal.agent_incarnations.assign(4, 1);
+        proposal.agent_incarnations[rank] = agent_incarnation;
+        proposal.hold_step = 1U << 30;
+        proposal.map = std::make_unique<expert_mapT>(this->group->make_map(1));
+        proposal.map->epoch = 2;
+        map_stageT order;
+        order.group = proposal.group;
+        order.group_incarnation = proposal.group_incarnation;
+        order.map = std::make_unique<expert_mapT>(*proposal.map);
+        EXPECT_TRUE(this->group->agent(rank).voter().stage(order, soon()).ok());
+        return proposal;
+    }
+
     std::unique_ptr<rank_group_agents> group;
 };
 
@@ -124,7 +144,8 @@
 {
     this->start();
     // Staging passes, the proposal does not: the others hold and ask.
-    this->group->arm(0, 3, {link_fault_kind::skip_then_drop, 1000});
+    this->group->arm(
+        0, 3, {link_fault_kind::drop, 1000, absl::ZeroDuration(), {wire::frame_type::map_propose}});
     EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).value());
     this->expect_whole();
     EXPECT_EQ(this->epoch_of(1), 1U);
@@ -140,7 +161,11 @@
     this->start(options);
     // Nobody but rank 0 ever holds, and rank 0 cannot ask: its engine stays held.
     for (int rank = 1; rank < 4; ++rank) {
-        this->group->arm(0, rank, {link_fault_kind::skip_then_drop, 1000});
+        this->group->arm(0, rank,
+                         {link_fault_kind::drop,
+                          1000,
+                          absl::ZeroDuration(),
+                          {wire::frame_type::map_propose, wire::frame_type::map_query}});
     }
     EXPECT_FALSE(this->group->move(0, this->group->make_map(1)).ok());
     EXPECT_TRUE(this->group->engine_group().read(0)->hold.has_value());
@@ -177,6 +202,64 @@
     EXPECT_TRUE(this->commits_again(0));
 }
 
+TEST_F(map_vote_test, a_vote_is_given_once_and_stays)
+{
+    this->start();
+    map_voter& voter = this->group->agent(2).voter();
+    const map_proposalT proposal = this->stage_proposal(2, voter.options().agent_incarnation);
+    EXPECT_EQ(voter.answer_query(proposal).choice, vote_choice::no);
+    EXPECT_EQ(voter.vote_on(proposal).choice, vote_choice::no);
+    EXPECT_FALSE(this->group->engine_group().read(2)->hold.has_value());
+}
+
+TEST_F(map_vote_test, a_process_that_the_proposal_does_not_name_votes_no)
+{
+    this->start();
+    map_voter& voter = this->group->agent(2).voter();
+    const map_proposalT proposal = this->stage_proposal(2, voter.options().agent_incarnation + 1);
+    EXPECT_EQ(voter.vote_on(proposal).reason, "incarnation_not_named");
+    EXPECT_EQ(voter.answer_query(proposal).choice, vote_choice::no);
+}
+
+TEST_F(map_vote_test, a_proposal_of_an_earlier_group_incarnation_binds_nobody)
+{
+    this->start();
+    map_voter& voter = this->group->agent(2).voter();
+    map_proposalT proposal = this->stage_proposal(2, voter.options().agent_incarnation);
+    proposal.group_incarnation -= 1;
+    EXPECT_EQ(voter.vote_on(proposal).choice, vote_choice::undecided);
+    EXPECT_FALSE(this->group->engine_group().read(2)->hold.has_value());
+}
+
+// Ranks 0 and 1 commit on rank 2's yes; rank 3 has not heard it, and rank 2's agent restarts before
+// its engine has the map. Rank 3 then has only the new process to ask.
+TEST_F(map_vote_test, a_restarted_agent_stands_by_the_yes_of_its_predecessor)
+{
+    rank_group_agents_options options;
+    options.proposer.margin = absl::Milliseconds(300);
+    this->start(options);
+    this->group->server().arm(2, "map", {order_fault_kind::drop, 100000, absl::ZeroDuration()});
+    const auto drop = [this](int from, int to, wire::frame_type type) {
+        this->group->arm(from, to, {link_fault_kind::drop, 100000, absl::ZeroDuration(), {type}});
+    };
+    drop(0, 3, wire::frame_type::map_outcome);
+    drop(2, 3, wire::frame_type::map_vote);
+    for (int rank = 0; rank < 3; ++rank) {
+        drop(3, rank, wire::frame_type::map_query);
+    }
+    ASSERT_TRUE(this->group->move(0, this->group->make_map(1)).value());
+    this->group->stop_agent(2);
+    this->group->start_agent(2);
+    this->group->server().arm(2, "map", {});
+    this->group->arm(3, 2, {});
+    EXPECT_TRUE(this->group->wait_for_steps(1000, soon())); // well past the map's first step
+    this->group->heal_links();
+    this->expect_whole();
+    for (int rank = 0; rank < 4; ++rank) {
+        EXPECT_EQ(this->epoch_of(rank), 2U);
+    }
+}
+
 TEST_F(map_vote_test, a_group_runs_and_rebalances_while_the_store_is_out)
 {
     this->start();
--- a/sardinestream/testing/rank_group_agents.cc
+++ b/sardinestream/testing/rank_group_agents.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/testing/rank_group_agents.h"
 
+#include <algorithm>
 #include <random>
 
 #include "sardinestream/base/digest.h"
@@ -131,18 +132,18 @@
     this->faults.clear();
 }
 
-link_fault rank_group_agents::take_fault(int from_rank, int to_rank)
+link_fault rank_group_agents::take_fault(int from_rank, int to_rank, wire::frame_type type)
 {
     const absl::MutexLock lock(&this->mutex);
     auto found = this->faults.find({from_rank, to_rank});
     if (found == this->faults.end()) {
         return {};
     }
-    const link_fault fault = found->second;
-    if (fault.kind == link_fault_kind::skip_then_drop) {
-        found->second.kind = link_fault_kind::drop;
+    const std::vector<wire::frame_type>& only = found->second.only;
+    if (!only.empty() && std::find(only.begin(), only.end(), type) == only.end()) {
         return {};
     }
+    const link_fault fault = found->second;
     if (--found->second.times <= 0) {
         this->faults.erase(found);
     }
@@ -154,7 +155,7 @@
     experts::agent_peers made;
     made.ask = [this, plain, from_rank](int rank, wire::frame_type type, const std::string& payload,
                                         absl::Time deadline) -> absl::StatusOr<wire::frame> {
-        const link_fault fault = this->take_fault(from_rank, rank);
+        const link_fault fault = this->take_fault(from_rank, rank, type);
         if (fault.kind == link_fault_kind::drop) {
             return cut();
         }
@@ -169,7 +170,7 @@
     };
     made.tell = [this, plain, from_rank](int rank, wire::frame_type type,
                                          const std::string& payload) {
-        const link_fault fault = this->take_fault(from_rank, rank);
+        const link_fault fault = this->take_fault(from_rank, rank, type);
         if (fault.kind == link_fault_kind::drop || fault.kind == link_fault_kind::lose_answer) {
             return;
         }
--- a/sardinestream/testing/rank_group_agents.h
+++ b/sardinestream/testing/rank_group_agents.h
@@ -25,7 +25,6 @@
 enum class link_fault_kind : std::uint8_t {
     none,
     drop,
-    skip_then_drop, // lets the first message pass
     delay,
     duplicate,
     lose_answer,
@@ -36,6 +35,8 @@
     link_fault_kind kind = link_fault_kind::none;
     int times = 1;
     absl::Duration delay = absl::Milliseconds(50);
+    // Only messages of these types; all where empty.
+    std::vector<wire::frame_type> only = {};
 };
 
 struct rank_group_agents_options {
@@ -88,7 +89,7 @@
     explicit rank_group_agents(const rank_group_agents_options& options);
 
     [[nodiscard]] experts::agent_peers faulty(const experts::agent_peers& plain, int from_rank);
-    [[nodiscard]] link_fault take_fault(int from_rank, int to_rank);
+    [[nodiscard]] link_fault take_fault(int from_rank, int to_rank, wire::frame_type type);
     [[nodiscard]] std::shared_ptr<wire::link_options> make_link_options(int rank,
                                                                         std::uint64_t incarnation);
 
