--- a/sardinestream/testing/rank_group_agents.cc
+++ b/sardinestream/testing/rank_group_agents.cc
@@ -37,12 +37,9 @@
     }
     made->store_server = *std::move(platform);
     // The addresses are known before any agent starts, so that each can be told all of them.
-    for (int rank = 0; rank < options.engines.ranks; ++rank) {
-        auto probe = wire::tcp_listener::create({"127.0.0.1", 0});
-        if (!probe.ok()) {
-            return probe.status();
-        }
-        made->addresses.push_back((*probe)->local());
+    made->slots = std::vector<port_reservation>(options.engines.ranks);
+    for (const port_reservation& slot : made->slots) {
+        made->addresses.push_back(slot.reserved());
     }
     made->agents.resize(options.engines.ranks);
     for (int rank = 0; rank < options.engines.ranks; ++rank) {
--- a/sardinestream/testing/rank_group_agents.h
+++ b/sardinestream/testing/rank_group_agents.h
@@ -18,6 +18,7 @@
 
 #include "sardinestream/experts/expert_service.h"
 #include "sardinestream/testing/platform_standin.h"
+#include "sardinestream/testing/process.h"
 #include "sardinestream/testing/rank_group_http.h"
 
 namespace sardinestream::testing {
@@ -98,6 +99,8 @@
     std::unique_ptr<platform_standin> store_server;
     absl::Mutex mutex;
     std::map<std::pair<int, int>, link_fault> faults ABSL_GUARDED_BY(mutex);
+    // Nobody else gets an agent's port while the agent is down.
+    std::vector<port_reservation> slots;
     std::vector<address> addresses;
     std::vector<agent_parts> agents;
 };
