--- a/sardinestream/testing/load_scenarios.cc
+++ b/sardinestream/testing/load_scenarios.cc
@@ -81,14 +81,15 @@
 load_scenario retrying_crowd()
 {
     load_scenario scenario = make("retrying_crowd");
-    scenario.traffic.caller_retries = 3;
+    scenario.traffic.caller_retries = 5;
+    scenario.traffic.patience = absl::Seconds(10);
     scenario.events = {{absl::Seconds(3),
                         [](load_fleet& fleet) {
                             for (int i = 0; i < fleet.options().engines; ++i) {
                                 fleet.engine(i).freeze();
                             }
                         }},
-                       {absl::Seconds(5), [](load_fleet& fleet) {
+                       {absl::Seconds(8), [](load_fleet& fleet) {
                             for (int i = 0; i < fleet.options().engines; ++i) {
                                 fleet.engine(i).wake();
                             }
