--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,11 @@
 bench: build
 	@SARDINE_BIN_DIR=$(abspath $(BUILD))/bin $(BUILD)/bin/load_bench
 
+MATRIX_JOBS ?= 3
+
+matrix: build
+	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/fault_matrix --jobs=$(MATRIX_JOBS)
+
 generate:
 	@tools/generate
 
--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -6,6 +6,8 @@
 #include <cstdio>
 
 #include "sardinestream/agent/agent_settings.h"
+#include "sardinestream/agent/engine_orders.h"
+#include "sardinestream/agent/rank_member.h"
 #include "sardinestream/agent/request_service.h"
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
@@ -14,6 +16,7 @@
 #include "sardinestream/catalogue/catalogue_service.h"
 #include "sardinestream/catalogue/status_page.h"
 #include "sardinestream/routing/load_report.h"
+#include "sardinestream/suspects/suspect_gossip.h"
 #include "sardinestream/wire/link_server.h"
 
 namespace sardinestream::agent {
@@ -27,8 +30,14 @@
     std::unique_ptr<catalogue::catalogue_service> catalogue;
     std::unique_ptr<backend_client> backend;
     std::unique_ptr<routing::admission> admission;
+    std::unique_ptr<suspects::suspect_registry> suspects = suspects::suspect_registry::create();
+    suspects::suspect_gossip gossip{suspects.get()};
+    std::unique_ptr<suspects::crash_watch> crashes;
     std::unique_ptr<request_service> requests;
+    std::unique_ptr<engine_orders> orders;
     std::unique_ptr<ops_server> ops;
+    // Null where the backend server belongs to no rank group.
+    std::unique_ptr<rank_member> member;
     std::unique_ptr<wire::link_server> links;
 };
 
@@ -49,12 +58,23 @@
         return admission.status();
     }
     process.admission = *std::move(admission);
+    suspects::crash_watch_options watching;
+    watching.agent_id = settings.id;
+    watching.agent_incarnation = process.incarnation;
+    watching.server_accepts = [&process] { return process.backend->accepts_connections(); };
+    watching.tell_peers = [&process] { process.gossip.send_news(); };
+    process.crashes =
+        std::make_unique<suspects::crash_watch>(process.suspects.get(), std::move(watching));
     request_service_parts parts;
+    parts.suspects = process.suspects.get();
+    parts.crashes = process.crashes.get();
     parts.backend = process.backend.get();
     parts.admission = process.admission.get();
     parts.runs = once::run_table::create();
     parts.incarnation = process.incarnation;
     process.requests = std::make_unique<request_service>(std::move(parts));
+    process.orders = std::make_unique<engine_orders>(
+        &process.catalogue->state(), process.backend.get(), process.admission.get());
     return absl::OkStatus();
 }
 
@@ -90,15 +110,33 @@
         if (first.header.type == wire::frame_type::request_open) {
             process.requests->serve(opened, first);
         }
+        else if (first.header.type == wire::frame_type::engine_order) {
+            process.orders->serve(opened, first);
+        }
+        else if (process.member != nullptr) {
+            process.member->serve(opened, first);
+        }
+    };
+    options->hooks.on_link_frame = [&process](const std::shared_ptr<wire::peer_link>&,
+                                              const wire::frame& received) {
+        if (process.member != nullptr) {
+            process.member->note(received);
+        }
     };
     process.catalogue->attach(options->hooks);
+    process.gossip.attach(options->hooks);
+    if (!process.settings.rank_group.empty()) {
+        process.member = rank_member::create(process.settings, process.incarnation, options->tls,
+                                             process.catalogue->state());
+    }
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
         wire::link_server::create(std::move(options), process.settings.listen);
     if (!links.ok()) {
         return links.status();
     }
     process.links = *std::move(links);
-    return absl::OkStatus();
+    // Only now does this process hold the slot's address alone, which the vote relies on.
+    return process.member == nullptr ? absl::OkStatus() : process.member->start();
 }
 
 absl::Status start_ops(agent_process& process)
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -19,8 +19,10 @@
 #include "sardinestream/entry/key_router.h"
 #include "sardinestream/entry/team_shares.h"
 #include "sardinestream/membership/fleet_view.h"
+#include "sardinestream/orders/order_issuer.h"
 #include "sardinestream/requests/http_front.h"
 #include "sardinestream/routing/retry_budget.h"
+#include "sardinestream/suspects/suspect_gossip.h"
 
 namespace sardinestream::entry {
 namespace {
@@ -32,13 +34,21 @@
     entry_settings settings;
     std::uint64_t incarnation = random_u64();
     std::atomic<bool> leaving{false};
+    // Set once the catalogue was ready for the first time; a newer number that is still on its way
+    // does not hold up requests after that.
+    std::atomic<bool> has_catalogue{false};
+    // Set once the platform's balancer has had time to notice: new requests are refused.
+    std::atomic<bool> refusing{false};
     std::unique_ptr<platform::object_store> store;
     std::unique_ptr<catalogue::catalogue_service> catalogue;
+    std::unique_ptr<suspects::suspect_registry> suspects = suspects::suspect_registry::create();
+    suspects::suspect_gossip gossip{suspects.get()};
     std::unique_ptr<agent_router> router;
     routing::retry_budget retries;
     std::unique_ptr<membership::peer_directory> directory;
     std::unique_ptr<wire::link_server> links;
     std::unique_ptr<membership::fleet_view> fleet;
+    std::unique_ptr<orders::order_issuer> orders;
     std::unique_ptr<team_shares> shares;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
@@ -101,6 +111,7 @@
     process.shares = std::make_unique<team_shares>(process.settings.id, process.catalogue->state());
     process.shares->attach(options.hooks);
     process.catalogue->attach(options.hooks);
+    process.gossip.attach(options.hooks);
     process.directory =
         membership::peer_directory::create(std::move(options), process.router->observer());
     absl::StatusOr<std::unique_ptr<wire::link_server>> links =
@@ -117,11 +128,34 @@
     return absl::OkStatus();
 }
 
+// Of the entries that are live, the one with the lowest id issues engine orders.
+bool issues_orders(const entry_process& process)
+{
+    if (process.leaving || !process.catalogue->ready()) {
+        return false;
+    }
+    for (const auto& other : process.directory->with_role(wire::peer_role::entry)) {
+        if (other->identity().id < process.settings.id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void create_orders(entry_process& process)
+{
+    orders::order_issuer_options options;
+    options.directory = process.directory.get();
+    options.current = [&process] { return process.catalogue->state().current(); };
+    options.is_issuer = [&process] { return issues_orders(process); };
+    process.orders = orders::order_issuer::create(std::move(options));
+}
+
 absl::Status create_keys(entry_process& process)
 {
-    absl::StatusOr<std::unique_ptr<key_router>> keys =
-        key_router::create(process.store.get(), process.directory.get(), process.settings.fleet_key,
-                           [](const std::string&) { return false; });
+    absl::StatusOr<std::unique_ptr<key_router>> keys = key_router::create(
+        process.store.get(), process.directory.get(), process.settings.fleet_key,
+        [&process](const std::string& id) { return process.fleet->is_removed(id); });
     if (!keys.ok()) {
         return keys.status();
     }
@@ -129,6 +163,19 @@
     return absl::OkStatus();
 }
 
+// Refuses a request that has crashed two servers; one that may have crashed one runs alone.
+std::optional<refusal> check_suspect(const entry_process& process,
+                                     const requests::caller_request& request, bool& run_alone)
+{
+    const suspects::suspect_judgement judged = process.suspects->judge(request.fingerprint());
+    run_alone = judged.verdict == suspects::suspect_verdict::run_alone;
+    if (judged.verdict != suspects::suspect_verdict::refuse) {
+        return std::nullopt;
+    }
+    return requests::refuse_not_run(refusal_code::crash_suspect, "check_suspect", "",
+                                    judged.retry_after);
+}
+
 requests::request_services make_services(entry_process& process)
 {
     requests::request_services services;
@@ -138,6 +185,9 @@
                                        const requests::attempt_history& history) {
         return process.router->choose(*process.directory, request, history);
     };
+    services.check_suspect = [&process](const requests::caller_request& request, bool& run_alone) {
+        return check_suspect(process, request, run_alone);
+    };
     services.note_request = [&process](const requests::caller_request& request) {
         process.retries.on_request(request.entry->service);
     };
@@ -153,10 +203,21 @@
     return services;
 }
 
+// The catalogue in force, or null until this start has heard the highest number there is: a peer
+// that answers before the platform may be behind what was in force here before the restart.
+std::shared_ptr<const catalogue::catalogue_snapshot> current_catalogue(entry_process& process)
+{
+    if (!process.has_catalogue && !process.catalogue->ready()) {
+        return nullptr;
+    }
+    process.has_catalogue = true;
+    return process.catalogue->state().current();
+}
+
 absl::Status start_front(entry_process& process)
 {
     process.front = std::make_unique<requests::http_front>(
-        [&process] { return process.catalogue->state().current(); }, make_services(process));
+        [&process] { return current_catalogue(process); }, make_services(process));
     http_server_options options;
     options.local = process.settings.listen;
     options.max_connections = process.settings.max_connections;
@@ -165,6 +226,16 @@
                                                           "accept", "", retry_when_full),
                                  "", answer);
     };
+    options.before_routes = [&process](const httplib::Request&, httplib::Response& answer) {
+        if (!process.refusing) {
+            return false;
+        }
+        answer.set_header("Connection", "close");
+        requests::answer_refusal(
+            requests::refuse_not_run(refusal_code::draining, "accept", "", retry_when_full), "",
+            answer);
+        return true;
+    };
     absl::StatusOr<std::unique_ptr<http_server>> http = http_server::create(std::move(options));
     if (!http.ok()) {
         return http.status();
@@ -198,12 +269,26 @@
     return absl::OkStatus();
 }
 
+// Waits for the requests in progress. Stopping the server before would cut streamed answers, and a
+// request that is still being read is not counted yet: hence two looks.
+void wait_until_idle(entry_process& process, absl::Time deadline)
+{
+    constexpr absl::Duration look_interval = absl::Milliseconds(50);
+    int idle_looks = 0;
+    while (idle_looks < 2 && absl::Now() < deadline) {
+        absl::SleepFor(look_interval);
+        idle_looks = process.front->in_flight() == 0 ? idle_looks + 1 : 0;
+    }
+}
+
 // Fails readiness, waits until the platform's balancer has noticed, then lets requests finish.
 void drain(entry_process& process)
 {
     log_event("drain_started", {{"in_flight", process.front->in_flight()}});
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
+    process.refusing = true;
+    wait_until_idle(process, absl::Now() + process.settings.drain_timeout);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.shares->stop();
@@ -216,6 +301,7 @@
     create_catalogue(process);
     SARDINE_RETURN_IF_ERROR(create_directory(process));
     SARDINE_RETURN_IF_ERROR(create_keys(process));
+    create_orders(process);
     SARDINE_RETURN_IF_ERROR(start_front(process));
     SARDINE_RETURN_IF_ERROR(start_ops(process));
     log_event("started", {{"incarnation", process.incarnation},
--- a/sardinestream/requests/attempt.cc
+++ b/sardinestream/requests/attempt.cc
@@ -20,6 +20,14 @@
 
 } // namespace
 
+refusal refusal_of_gone_caller(absl::string_view step)
+{
+    refusal refused;
+    refused.code = refusal_code::cancelled;
+    refused.step = std::string(step);
+    return refused;
+}
+
 request_openT make_request_open(const caller_request& request)
 {
     request_openT message;
@@ -38,7 +46,7 @@
     message.body.assign(request.body.begin(), request.body.end());
     message.remaining_ms = remaining_ms(request.deadline);
     message.priority = static_cast<std::uint8_t>(request.priority);
-    message.fingerprint = request.fingerprint();
+    message.fingerprint = request.fingerprint().to_hex();
     return message;
 }
 
@@ -46,15 +54,21 @@
     : server(std::move(agent)), exchange(std::move(opened))
 {
     ++this->server->in_flight;
+    if (this->server->on_request_sent) {
+        this->server->on_request_sent();
+    }
 }
 
 attempt::~attempt()
 {
     --this->server->in_flight;
+    if (this->server->on_request_ended) {
+        this->server->on_request_ended();
+    }
 }
 
 attempt_result attempt::start(std::shared_ptr<membership::peer> agent, const request_openT& message,
-                              absl::Time deadline)
+                              absl::Time deadline, const caller_check& caller_has_gone)
 {
     std::shared_ptr<wire::stream> opened = agent->link->open_stream();
     std::unique_ptr<attempt> made(new attempt(std::move(agent), std::move(opened)));
@@ -66,15 +80,22 @@
     if (!sent.ok()) {
         return made->lost("send_request", sent);
     }
-    if (std::optional<refusal> refused = made->wait_until_admitted(deadline)) {
+    if (std::optional<refusal> refused = made->wait_until_admitted(deadline, caller_has_gone)) {
         return *std::move(refused);
     }
     return made;
 }
 
-std::optional<refusal> attempt::wait_until_admitted(absl::Time deadline)
+std::optional<refusal> attempt::wait_until_admitted(absl::Time deadline,
+                                                    const caller_check& caller_has_gone)
 {
-    absl::StatusOr<wire::frame> first = this->exchange->receive(deadline);
+    absl::StatusOr<wire::frame> first;
+    do {
+        if (caller_has_gone && caller_has_gone()) {
+            return refusal_of_gone_caller("wait_admission");
+        }
+        first = this->exchange->receive(std::min(deadline, absl::Now() + caller_check_interval));
+    } while (absl::IsDeadlineExceeded(first.status()) && absl::Now() < deadline);
     if (!first.ok()) {
         return this->lost("wait_admission", first.status());
     }
@@ -138,7 +159,7 @@
     }
     refusal refused;
     refused.code = refusal_code_from(said->code);
-    refused.outcome = said->outcome <= static_cast<std::uint8_t>(run_outcome::failed)
+    refused.outcome = said->outcome <= static_cast<std::uint8_t>(run_outcome::ran)
                           ? static_cast<run_outcome>(said->outcome)
                           : run_outcome::unknown;
     refused.retry_after = absl::Milliseconds(said->retry_after_ms);
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -8,16 +8,19 @@
 //     Sardine-Priority: interactive|batch  may only lower what the catalogue gives
 //     Idempotency-Key: <1..200 characters>
 //     Sardine-Ticket: <token from POST /v1/tickets>
+//     Sardine-First-Send: true             the key or ticket has never been sent before
 
 #ifndef SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
 #define SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "sardinestream/base/digest128.h"
 #include "sardinestream/base/outcome.h"
 #include "sardinestream/catalogue/snapshot.h"
 
@@ -31,6 +34,9 @@
 
 namespace sardinestream::requests {
 
+// Tells whether the caller has closed its connection. Asked on the thread that serves it.
+using caller_check = std::function<bool()>;
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 struct caller_request {
@@ -46,16 +52,18 @@
     catalogue::priority_class priority = catalogue::priority_class::interactive;
     std::string idempotency_key; // empty where the caller gave none
     std::string ticket;          // empty where the caller gave none
+    bool first_sending = false;  // the caller vouches that it never sent the key before
     bool stream = false;         // completions only: server-sent events
     bool chat = false;           // completions only
     std::string prompt;          // completions only: the text by which prefixes are compared
     std::uint32_t max_tokens = 0;
+    caller_check caller_has_gone; // may be empty
 
     // True where the catalogue lets this request run again after an attempt of unknown outcome.
     [[nodiscard]] bool repeatable() const;
 
-    // Digest by which crashes are counted: team, class of work and body.
-    [[nodiscard]] std::string fingerprint() const;
+    // By which crashes are counted: team, service, method, path and body.
+    [[nodiscard]] digest128 fingerprint() const;
 };
 
 using parsed_request = std::variant<caller_request, refusal>;
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -6,6 +6,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/http_connection.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/requests/completion.h"
@@ -18,7 +19,6 @@
 
 using json = nlohmann::json;
 
-constexpr absl::Duration caller_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration retry_when_not_ready = absl::Seconds(1);
 constexpr char json_type[] = "application/json";
 constexpr char event_stream_type[] = "text/event-stream";
@@ -129,7 +129,15 @@
 void answer_whole(completion& work, httplib::Response& answer)
 {
     while (true) {
-        completion_part part = work.next(work.request().deadline);
+        completion_part part = work.next(absl::Now() + caller_check_interval);
+        if (std::holds_alternative<nothing_yet>(part)) {
+            if (caller_has_gone()) {
+                answer_refusal(refusal_of_gone_caller("read_answer"), work.request().request_id,
+                               answer);
+                return;
+            }
+            continue;
+        }
         if (auto* refused = std::get_if<refusal>(&part)) {
             answer_refusal(*refused, work.request().request_id, answer);
             return;
@@ -141,6 +149,23 @@
     }
 }
 
+// Answers what the HTTP library itself has refused, such as a body that is too large.
+void answer_library_error(const httplib::Request& /*http*/, httplib::Response& answer)
+{
+    const bool is_ours = !answer.body.empty() || answer.has_header("X-Request-Id");
+    if (is_ours) {
+        return;
+    }
+    refusal_code code = refusal_code::bad_request;
+    if (answer.status == http_status_of(refusal_code::body_too_large)) {
+        code = refusal_code::body_too_large;
+    }
+    else if (answer.status == http_status_of(refusal_code::unknown_service)) {
+        code = refusal_code::unknown_service;
+    }
+    answer_refusal(refuse_not_run(code, "read_http", ""), "", answer);
+}
+
 } // namespace
 
 std::string refusal_json(const refusal& refused, absl::string_view request_id)
@@ -180,6 +205,7 @@
     const auto calls = [this](const httplib::Request& http, httplib::Response& answer) {
         this->serve_call(http, answer);
     };
+    server.set_error_handler(httplib::Server::Handler(answer_library_error));
     constexpr char services_pattern[] = R"(/services/.*)";
     server.Get(services_pattern, calls);
     server.Post(services_pattern, calls);
