Pass over failing servers; pace refused callers by the rate of completions

Change: an agent whose server could not be reached or was lost says so in its report, and the policy takes it last; Retry-After follows the service time of completions, and counts at most the longest queue.

--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -60,6 +60,13 @@
     }
 }
 
+void note_failure(const backend_answer& answer, routing::admission_slot& slot)
+{
+    if (answer.end == backend_end::not_sent || answer.end == backend_end::lost) {
+        slot.fail();
+    }
+}
+
 backend_request to_call(const request_openT& request, absl::Time deadline)
 {
     backend_request call;
@@ -389,6 +396,7 @@
     const absl::Time started = absl::Now();
     backend_answer answer =
         this->call_backend(exchange, request, to_call(request, deadline), nullptr);
+    note_failure(answer, admitted.slot());
     if (answer.end != backend_end::complete) {
         send_refusal(exchange, refusal_of(answer));
         return;
@@ -438,6 +446,7 @@
         return !sequencer.broken() && !exchange.ended();
     };
     const backend_answer answer = this->call_backend(exchange, request, call, forward);
+    note_failure(answer, admitted.slot());
     if (answer.end == backend_end::complete && answer.status != http_ok) {
         send_refusal(exchange, make_refusal(refusal_code::backend_error, run_outcome::failed,
                                             "call_backend", answer.body));
--- a/sardinestream/routing/admission.cc
+++ b/sardinestream/routing/admission.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int max_slots = 100000;
+// A server that failed is tried again after this time.
+constexpr absl::Duration failure_memory = absl::Seconds(1);
 constexpr absl::Duration cancel_poll_interval = absl::Milliseconds(50);
 
 std::size_t index_of(catalogue::priority_class priority)
@@ -33,6 +35,11 @@
     this->owner->note_progress();
 }
 
+void admission_slot::fail()
+{
+    this->owner->note_failure();
+}
+
 void admission_slot::complete(const completion_sample& sample)
 {
     this->owner->note_completion(sample);
@@ -135,13 +142,17 @@
         load.service_time = std::max(load.service_time, this->service_time_locked());
     }
     load.leaving = this->draining;
+    load.failing = now - this->last_failure < failure_memory;
     return load;
 }
 
 refusal admission::refuse(refusal_code code, absl::string_view message)
 {
-    const absl::Duration interval = this->service_time_locked() / this->options.slots;
-    const absl::Duration wait = this->wait_locked(priority_count - 1);
+    // The drain rate is that of completions: a server that stalls now drains as before once it goes
+    // on, and callers are not sent away for longer than a queue may be.
+    const absl::Duration interval = this->measured_service_time_locked() / this->options.slots;
+    const absl::Duration wait =
+        std::min(this->wait_locked(priority_count - 1), this->options.max_wait);
     refusal reason;
     reason.code = code;
     reason.outcome = run_outcome::not_run;
@@ -183,18 +194,21 @@
     return this->service_time_locked() * (static_cast<double>(ahead) + over) / usable;
 }
 
+absl::Duration admission::measured_service_time_locked() const
+{
+    const absl::Duration measured = this->speed.current(this->options.now()).service_time;
+    return measured == absl::ZeroDuration() ? this->options.initial_service_time : measured;
+}
+
 absl::Duration admission::service_time_locked() const
 {
-    const absl::Time now = this->options.now();
-    absl::Duration measured = this->speed.current(now).service_time;
-    if (measured == absl::ZeroDuration()) {
-        measured = this->options.initial_service_time;
-    }
+    const absl::Duration measured = this->measured_service_time_locked();
     if (this->running == 0) {
         return measured;
     }
     // Requests that have run for longer than the average say that the server has become slower.
-    const absl::Duration mean_age = (now - this->epoch) - this->start_sum / this->running;
+    const absl::Duration mean_age =
+        (this->options.now() - this->epoch) - this->start_sum / this->running;
     return std::max(measured, mean_age);
 }
 
@@ -282,7 +296,14 @@
 void admission::note_completion(const completion_sample& sample)
 {
     absl::MutexLock lock(&this->mutex);
+    this->last_failure = absl::InfinitePast();
     this->speed.add(sample, this->options.now());
 }
 
+void admission::note_failure()
+{
+    absl::MutexLock lock(&this->mutex);
+    this->last_failure = this->options.now();
+}
+
 } // namespace sardinestream::routing
--- a/sardinestream/routing/admission.h
+++ b/sardinestream/routing/admission.h
@@ -74,6 +74,10 @@
     // The request produced output.
     void progress();
 
+    // The server could not be reached or was lost. Reported until a request succeeds or some time
+    // has passed, so that a dead server does not look like a free one.
+    void fail();
+
     // The request ended; its times go into the estimates.
     void complete(const completion_sample& sample);
 
@@ -154,6 +158,9 @@
     [[nodiscard]] absl::Duration wait_locked(std::size_t priority) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] absl::Duration service_time_locked() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // From completions alone.
+    [[nodiscard]] absl::Duration measured_service_time_locked() const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] int slots_for(std::size_t priority) const;
     [[nodiscard]] bool can_start(std::size_t priority, bool exclusive) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -165,6 +172,7 @@
     void release(absl::Time started, bool exclusive);
     void note_progress();
     void note_completion(const completion_sample& sample);
+    void note_failure();
 
     const admission_options options;
     mutable absl::Mutex mutex;
@@ -179,6 +187,7 @@
     absl::Duration start_sum ABSL_GUARDED_BY(mutex) = absl::ZeroDuration();
     const absl::Time epoch;
     absl::Time last_progress ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
+    absl::Time last_failure ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
     speed_estimate speed ABSL_GUARDED_BY(mutex);
     retry_pacer pacer;
     random_source random ABSL_GUARDED_BY(mutex);
--- a/sardinestream/routing/admission_test.cc
+++ b/sardinestream/routing/admission_test.cc
@@ -153,6 +153,19 @@
     EXPECT_TRUE(queue->wait_until_idle(absl::Now() + long_time));
 }
 
+TEST(admission_test, a_failure_is_reported_until_a_request_succeeds)
+{
+    auto queue = make_queue({.slots = 1});
+    {
+        admission_result lost = queue->admit({});
+        lost.slot().fail();
+    }
+    EXPECT_TRUE(queue->load().failing);
+    admission_result good = queue->admit({});
+    good.slot().complete({.service_time = absl::Milliseconds(5)});
+    EXPECT_FALSE(queue->load().failing);
+}
+
 TEST(admission_test, a_stalled_server_raises_the_expected_wait)
 {
     std::atomic<std::int64_t> seconds{0};
--- a/sardinestream/routing/backend_view.h
+++ b/sardinestream/routing/backend_view.h
@@ -52,6 +52,8 @@
     // Time since any running request produced output or ended; zero while none runs.
     absl::Duration no_progress_for = absl::ZeroDuration();
     bool leaving = false;
+    // Requests that reached the agent lately failed at the server, and none has succeeded since.
+    bool failing = false;
 };
 
 struct backend_view {
--- a/sardinestream/routing/choose_backend.cc
+++ b/sardinestream/routing/choose_backend.cc
@@ -24,6 +24,8 @@
 // token usually takes, is taken to be stalled.
 constexpr absl::Duration stall_threshold = absl::Milliseconds(250);
 constexpr double stall_first_tokens = 2.0;
+// Stands for the time that a failing server costs: it is chosen only where nothing else is left.
+constexpr absl::Duration failing_penalty = absl::Seconds(30);
 
 bool may_take(const backend_view& view, const request_profile& profile)
 {
@@ -71,7 +73,7 @@
 
 bool has_free_slot(const backend_view& view)
 {
-    return occupancy(view) < view.load.slots && view.load.suspects == 0;
+    return occupancy(view) < view.load.slots && view.load.suspects == 0 && !view.load.failing;
 }
 
 absl::Duration known_or(absl::Duration measured, absl::Duration otherwise)
@@ -170,6 +172,10 @@
         return std::nullopt;
     }
     std::vector<std::size_t> near = nearest(views, far);
+    const auto is_failing = [&](std::size_t i) { return views[i].load.failing; };
+    if (!std::all_of(near.begin(), near.end(), is_failing)) {
+        std::erase_if(near, is_failing);
+    }
     std::erase_if(far, [&](std::size_t i) { return !has_free_slot(views[i]); });
 
     std::vector<std::size_t> drawn;
@@ -202,6 +208,7 @@
     expected += own_time(view, profile, options);
     expected += stall_time(view, profile);
     expected += service_time * static_cast<double>(view.load.suspects);
+    expected += view.load.failing ? failing_penalty : absl::ZeroDuration();
     return expected;
 }
 
--- a/sardinestream/routing/choose_backend_test.cc
+++ b/sardinestream/routing/choose_backend_test.cc
@@ -102,6 +102,15 @@
     EXPECT_EQ(tally(make_expected_first_token({}), views, model_request())["free"], 1000);
 }
 
+TEST(expected_first_token_test, a_failing_server_is_passed_over)
+{
+    std::vector<backend_view> views = {idle_server("failing"), idle_server("busy")};
+    views[0].load.failing = true;
+    views[1].load.running = 4;
+    views[1].load.queued = 4;
+    EXPECT_EQ(tally(make_expected_first_token({}), views, model_request())["busy"], 1000);
+}
+
 TEST(expected_first_token_test, load_spills_over_only_to_free_slots)
 {
     std::vector<backend_view> views = {idle_server("near"), idle_server("far-full"),
--- a/sardinestream/routing/load_report.cc
+++ b/sardinestream/routing/load_report.cc
@@ -35,6 +35,7 @@
         std::max<std::int64_t>(0, absl::ToInt64Nanoseconds(load.prefill_token_time)));
     message.no_progress_us = to_us(load.no_progress_for);
     message.leaving = load.leaving;
+    message.failing = load.failing;
     return wire::encode<load_report>(message);
 }
 
@@ -56,6 +57,7 @@
         absl::Nanoseconds(static_cast<std::int64_t>(message->prefill_token_time_ns));
     load.no_progress_for = from_us(message->no_progress_us);
     load.leaving = message->leaving;
+    load.failing = message->failing;
     return load;
 }
 
--- a/sardinestream/routing/routing_generated.h
+++ b/sardinestream/routing/routing_generated.h
@@ -32,6 +32,7 @@
   uint64_t prefill_token_time_ns = 0;
   uint64_t no_progress_us = 0;
   bool leaving = false;
+  bool failing = false;
 };
 
 struct load_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -48,7 +49,8 @@
     VT_TOKEN_TIME_US = 16,
     VT_PREFILL_TOKEN_TIME_NS = 18,
     VT_NO_PROGRESS_US = 20,
-    VT_LEAVING = 22
+    VT_LEAVING = 22,
+    VT_FAILING = 24
   };
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
@@ -80,6 +82,9 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  bool failing() const {
+    return GetField<uint8_t>(VT_FAILING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
@@ -92,6 +97,7 @@
            VerifyField<uint64_t>(verifier, VT_PREFILL_TOKEN_TIME_NS, 8) &&
            VerifyField<uint64_t>(verifier, VT_NO_PROGRESS_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FAILING, 1) &&
            verifier.EndTable();
   }
   load_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -133,6 +139,9 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(load_report::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_failing(bool failing) {
+    fbb_.AddElement<uint8_t>(load_report::VT_FAILING, static_cast<uint8_t>(failing), 0);
+  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -155,7 +164,8 @@
     uint64_t token_time_us = 0,
     uint64_t prefill_token_time_ns = 0,
     uint64_t no_progress_us = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    bool failing = false) {
   load_reportBuilder builder_(_fbb);
   builder_.add_no_progress_us(no_progress_us);
   builder_.add_prefill_token_time_ns(prefill_token_time_ns);
@@ -166,6 +176,7 @@
   builder_.add_slots(slots);
   builder_.add_queued(queued);
   builder_.add_running(running);
+  builder_.add_failing(failing);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -196,6 +207,7 @@
   { auto _e = prefill_token_time_ns(); _o->prefill_token_time_ns = _e; }
   { auto _e = no_progress_us(); _o->no_progress_us = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = failing(); _o->failing = _e; }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -216,6 +228,7 @@
   auto _prefill_token_time_ns = _o->prefill_token_time_ns;
   auto _no_progress_us = _o->no_progress_us;
   auto _leaving = _o->leaving;
+  auto _failing = _o->failing;
   return sardinestream::routing::Createload_report(
       _fbb,
       _running,
@@ -227,7 +240,8 @@
       _token_time_us,
       _prefill_token_time_ns,
       _no_progress_us,
-      _leaving);
+      _leaving,
+      _failing);
 }
 
 inline const sardinestream::routing::load_report *Getload_report(const void *buf) {
