--- a/sardinestream/testing/load_fleet.cc
+++ b/sardinestream/testing/load_fleet.cc
@@ -247,6 +247,9 @@
 
 int load_fleet::engine_attempts() const
 {
+    if (!std::ifstream(this->files.path() + "/engines").is_open()) {
+        return unreadable;
+    }
     int attempts = 0;
     for (const auto& [request, count] : count_each_line(this->files.path() + "/engines")) {
         attempts += count;
@@ -256,6 +259,9 @@
 
 int load_fleet::most_runs_of_a_key() const
 {
+    if (!std::ifstream(this->files.path() + "/services").is_open()) {
+        return unreadable;
+    }
     int most = 0;
     for (const auto& [key, runs] : count_each_line(this->files.path() + "/services")) {
         if (key.starts_with("dispatch-")) {
--- a/sardinestream/testing/load_fleet.h
+++ b/sardinestream/testing/load_fleet.h
@@ -81,7 +81,9 @@
     // Sends an order to an engine's stand-in; see standin_engine.h.
     bool order_engine(int index, const std::string& path, const std::string& body = "") const;
 
-    // Attempts that engines began, and runs of each non-repeatable key.
+    // Attempts that engines began, and the most runs of any non-repeatable key; `unreadable` where
+    // the stand-ins' ledger has gone.
+    static constexpr int unreadable = -1;
     [[nodiscard]] int engine_attempts() const;
     [[nodiscard]] int most_runs_of_a_key() const;
 
--- a/sardinestream/testing/load_scenarios.cc
+++ b/sardinestream/testing/load_scenarios.cc
@@ -184,14 +184,19 @@
     report.policy = policy;
     report.load = run_schedule(schedule, **fleet, scenario.traffic);
     happening.join();
-    report.engine_attempts = (*fleet)->engine_attempts() - attempts_before;
+    const int attempts_after = (*fleet)->engine_attempts();
+    report.engine_attempts = attempts_after == load_fleet::unreadable
+                                 ? load_fleet::unreadable
+                                 : attempts_after - attempts_before;
     report.most_runs_of_a_key = (*fleet)->most_runs_of_a_key();
     return report;
 }
 
 int scenario_report::wasted_attempts() const
 {
-    return std::max(0, this->engine_attempts - this->load.whole_completions);
+    return this->engine_attempts == load_fleet::unreadable
+               ? load_fleet::unreadable
+               : std::max(0, this->engine_attempts - this->load.whole_completions);
 }
 
 std::string scenario_report::to_json() const
