--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -17,6 +17,7 @@
 #include "sardinestream/entry/agent_router.h"
 #include "sardinestream/entry/entry_settings.h"
 #include "sardinestream/entry/key_router.h"
+#include "sardinestream/entry/team_shares.h"
 #include "sardinestream/membership/fleet_view.h"
 #include "sardinestream/orders/order_issuer.h"
 #include "sardinestream/requests/http_front.h"
@@ -33,6 +34,11 @@
     entry_settings settings;
     std::uint64_t incarnation = random_u64();
     std::atomic<bool> leaving{false};
+    // Set once the catalogue was ready for the first time; a newer number that is still on its way
+    // does not hold up requests after that.
+    std::atomic<bool> has_catalogue{false};
+    // Set once the platform's balancer has had time to notice: new requests are refused.
+    std::atomic<bool> refusing{false};
     std::unique_ptr<platform::object_store> store;
     std::unique_ptr<catalogue::catalogue_service> catalogue;
     std::unique_ptr<suspects::suspect_registry> suspects = suspects::suspect_registry::create();
@@ -43,6 +49,7 @@
     std::unique_ptr<wire::link_server> links;
     std::unique_ptr<membership::fleet_view> fleet;
     std::unique_ptr<orders::order_issuer> orders;
+    std::unique_ptr<team_shares> shares;
     std::unique_ptr<key_router> keys;
     std::unique_ptr<requests::http_front> front;
     std::unique_ptr<ops_server> ops;
@@ -101,6 +108,8 @@
     wire::link_options options;
     options.tls = *std::move(tls);
     options.local_hello = [&process] { return make_hello(process); };
+    process.shares = std::make_unique<team_shares>(process.settings.id, process.catalogue->state());
+    process.shares->attach(options.hooks);
     process.catalogue->attach(options.hooks);
     process.gossip.attach(options.hooks);
     process.directory =
@@ -114,6 +123,8 @@
     process.settings.link_listen = process.links->local();
     process.fleet = membership::fleet_view::create(process.settings.id, process.settings.seeds,
                                                    *process.store, *process.directory);
+    process.shares->start({process.incarnation, process.settings.entry_slots}, *process.directory,
+                          *process.fleet, *process.store);
     return absl::OkStatus();
 }
 
@@ -142,9 +153,9 @@
 
 absl::Status create_keys(entry_process& process)
 {
-    absl::StatusOr<std::unique_ptr<key_router>> keys =
-        key_router::create(process.store.get(), process.directory.get(), process.settings.fleet_key,
-                           [](const std::string&) { return false; });
+    absl::StatusOr<std::unique_ptr<key_router>> keys = key_router::create(
+        process.store.get(), process.directory.get(), process.settings.fleet_key,
+        [&process](const std::string& id) { return process.fleet->is_removed(id); });
     if (!keys.ok()) {
         return keys.status();
     }
@@ -169,6 +180,7 @@
 {
     requests::request_services services;
     process.keys->fill(services);
+    process.shares->fill(services);
     services.choose_agent = [&process](const requests::caller_request& request,
                                        const requests::attempt_history& history) {
         return process.router->choose(*process.directory, request, history);
@@ -180,7 +192,8 @@
         process.retries.on_request(request.entry->service);
     };
     services.may_retry = [&process](const requests::caller_request& request) {
-        return process.retries.try_retry(request.entry->service);
+        return process.retries.try_retry(request.entry->service) &&
+               process.shares->may_attempt_again(request);
     };
     services.note_completed = [&process](const requests::caller_request& request,
                                          const membership::peer& agent, absl::Duration,
@@ -190,10 +203,21 @@
     return services;
 }
 
+// The catalogue in force, or null until this start has heard the highest number there is: a peer
+// that answers before the platform may be behind what was in force here before the restart.
+std::shared_ptr<const catalogue::catalogue_snapshot> current_catalogue(entry_process& process)
+{
+    if (!process.has_catalogue && !process.catalogue->ready()) {
+        return nullptr;
+    }
+    process.has_catalogue = true;
+    return process.catalogue->state().current();
+}
+
 absl::Status start_front(entry_process& process)
 {
     process.front = std::make_unique<requests::http_front>(
-        [&process] { return process.catalogue->state().current(); }, make_services(process));
+        [&process] { return current_catalogue(process); }, make_services(process));
     http_server_options options;
     options.local = process.settings.listen;
     options.max_connections = process.settings.max_connections;
@@ -202,6 +226,16 @@
                                                           "accept", "", retry_when_full),
                                  "", answer);
     };
+    options.before_routes = [&process](const httplib::Request&, httplib::Response& answer) {
+        if (!process.refusing) {
+            return false;
+        }
+        answer.set_header("Connection", "close");
+        requests::answer_refusal(
+            requests::refuse_not_run(refusal_code::draining, "accept", "", retry_when_full), "",
+            answer);
+        return true;
+    };
     absl::StatusOr<std::unique_ptr<http_server>> http = http_server::create(std::move(options));
     if (!http.ok()) {
         return http.status();
@@ -235,14 +269,29 @@
     return absl::OkStatus();
 }
 
+// Waits for the requests in progress. Stopping the server before would cut streamed answers, and a
+// request that is still being read is not counted yet: hence two looks.
+void wait_until_idle(entry_process& process, absl::Time deadline)
+{
+    constexpr absl::Duration look_interval = absl::Milliseconds(50);
+    int idle_looks = 0;
+    while (idle_looks < 2 && absl::Now() < deadline) {
+        absl::SleepFor(look_interval);
+        idle_looks = process.front->in_flight() == 0 ? idle_looks + 1 : 0;
+    }
+}
+
 // Fails readiness, waits until the platform's balancer has noticed, then lets requests finish.
 void drain(entry_process& process)
 {
     log_event("drain_started", {{"in_flight", process.front->in_flight()}});
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
+    process.refusing = true;
+    wait_until_idle(process, absl::Now() + process.settings.drain_timeout);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+    process.shares->stop();
     process.store->cancel_watches();
 }
 
