--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -215,25 +215,36 @@
     server.Options(services_pattern, calls);
 }
 
-void http_front::serve_completion(const httplib::Request& http, httplib::Response& answer)
+std::optional<caller_request> http_front::read_request(request_parser parse,
+                                                       const httplib::Request& http,
+                                                       httplib::Response& answer) const
 {
-    const activity counted(this->active);
     auto snapshot = this->current_snapshot();
     if (snapshot == nullptr) {
         answer_refusal(
             refuse_not_run(refusal_code::not_ready, "read_catalogue", "", retry_when_not_ready), "",
             answer);
-        return;
+        return std::nullopt;
     }
-    parsed_request parsed = parse_completion(http, std::move(snapshot));
+    parsed_request parsed = parse(http, std::move(snapshot));
     if (auto* refused = std::get_if<refusal>(&parsed)) {
         answer_refusal(*refused, "", answer);
+        return std::nullopt;
+    }
+    auto& request = std::get<caller_request>(parsed);
+    answer.set_header("X-Request-Id", request.request_id);
+    return std::move(request);
+}
+
+void http_front::serve_completion(const httplib::Request& http, httplib::Response& answer)
+{
+    const activity counted(this->active);
+    std::optional<caller_request> request = this->read_request(parse_completion, http, answer);
+    if (!request.has_value()) {
         return;
     }
-    auto work =
-        std::make_unique<completion>(std::get<caller_request>(std::move(parsed)), this->services);
-    const std::string request_id = work->request().request_id;
-    answer.set_header("X-Request-Id", request_id);
+    const std::string request_id = request->request_id;
+    auto work = std::make_unique<completion>(*std::move(request), this->services);
     if (std::optional<refusal> refused = work->open()) {
         answer_refusal(*refused, request_id, answer);
         return;
@@ -248,20 +259,11 @@
 void http_front::serve_call(const httplib::Request& http, httplib::Response& answer)
 {
     const activity counted(this->active);
-    auto snapshot = this->current_snapshot();
-    if (snapshot == nullptr) {
-        answer_refusal(
-            refuse_not_run(refusal_code::not_ready, "read_catalogue", "", retry_when_not_ready), "",
-            answer);
+    const std::optional<caller_request> read = this->read_request(parse_service_call, http, answer);
+    if (!read.has_value()) {
         return;
     }
-    parsed_request parsed = parse_service_call(http, std::move(snapshot));
-    if (auto* refused = std::get_if<refusal>(&parsed)) {
-        answer_refusal(*refused, "", answer);
-        return;
-    }
-    const auto& request = std::get<caller_request>(parsed);
-    answer.set_header("X-Request-Id", request.request_id);
+    const caller_request& request = *read;
     std::variant<service_answer, refusal> result = call_service(request, this->services);
     if (auto* refused = std::get_if<refusal>(&result)) {
         answer_refusal(*refused, request.request_id, answer);
@@ -289,19 +291,11 @@
 void http_front::serve_ticket(const httplib::Request& http, httplib::Response& answer)
 {
     const activity counted(this->active);
-    auto snapshot = this->current_snapshot();
-    if (snapshot == nullptr || !this->services.make_ticket) {
-        answer_refusal(
-            refuse_not_run(refusal_code::not_ready, "make_ticket", "", retry_when_not_ready), "",
-            answer);
-        return;
-    }
-    parsed_request parsed = parse_ticket_call(http, std::move(snapshot));
-    if (auto* refused = std::get_if<refusal>(&parsed)) {
-        answer_refusal(*refused, "", answer);
+    const std::optional<caller_request> read = this->read_request(parse_ticket_call, http, answer);
+    if (!read.has_value()) {
         return;
     }
-    const auto& request = std::get<caller_request>(parsed);
+    const caller_request& request = *read;
     std::shared_ptr<membership::peer> agent = this->services.choose_agent(request, {});
     if (agent == nullptr) {
         answer_refusal(refuse_not_run(refusal_code::no_backend_server, "make_ticket", "",
--- a/sardinestream/requests/http_front.h
+++ b/sardinestream/requests/http_front.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sardinestream/requests/services.h"
@@ -43,6 +44,13 @@
     [[nodiscard]] int in_flight() const { return this->active; }
 
 private:
+    using request_parser = parsed_request (*)(const httplib::Request&,
+                                              std::shared_ptr<const catalogue::catalogue_snapshot>);
+
+    // Reads a request with `parse`. Where it is refused, fills `answer` and returns nothing.
+    [[nodiscard]] std::optional<caller_request> read_request(request_parser parse,
+                                                             const httplib::Request& http,
+                                                             httplib::Response& answer) const;
     void serve_completion(const httplib::Request& http, httplib::Response& answer);
     void serve_call(const httplib::Request& http, httplib::Response& answer);
     void serve_ticket(const httplib::Request& http, httplib::Response& answer);
