Drop idle links between the agents of a group

link_peers had the function, but nobody called it: a group of N kept N - 1 links an agent after each vote. No test covers the dropping itself.

--- a/sardinestream/experts/agent_peers.cc
+++ b/sardinestream/experts/agent_peers.cc
@@ -88,6 +88,7 @@
     if (dialer == nullptr) {
         return;
     }
+    this->drop_idle_when_due();
     // One thread a message: a peer that does not answer holds up no other.
     const bool started = this->senders.spawn([dialer, type, payload] {
         const std::shared_ptr<wire::peer_link> link =
@@ -101,6 +102,22 @@
     }
 }
 
+void link_peers::drop_idle_when_due()
+{
+    const absl::Time now = absl::Now();
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (now < this->next_drop) {
+            return;
+        }
+        this->next_drop = now + idle_limit;
+    }
+    // Ending a link waits for its thread, which must not hold up the caller.
+    if (!this->senders.spawn([this, now] { this->drop_idle(now - idle_limit); })) {
+        count("sardine_agent_messages_lost_total");
+    }
+}
+
 void link_peers::drop_idle(absl::Time before)
 {
     std::vector<std::shared_ptr<wire::link_dialer>> idle;
--- a/sardinestream/experts/agent_peers.h
+++ b/sardinestream/experts/agent_peers.h
@@ -52,9 +52,6 @@
     // Hooks that stay valid as long as this object.
     [[nodiscard]] agent_peers hooks();
 
-    // Drops links without traffic since `before`.
-    void drop_idle(absl::Time before);
-
     static constexpr absl::Duration idle_limit = absl::Seconds(10);
 
 private:
@@ -70,12 +67,16 @@
                                                   const std::string& payload, absl::Time deadline);
     void tell(int rank, wire::frame_type type, const std::string& payload);
     [[nodiscard]] std::shared_ptr<wire::link_dialer> dialer_of(int rank);
+    void drop_idle_when_due();
+    // Drops links without traffic since `before`.
+    void drop_idle(absl::Time before);
 
     const std::shared_ptr<const wire::link_options> options;
     const std::vector<address> agents;
     const int own_rank;
     absl::Mutex mutex;
     std::map<int, peer_entry> dialers ABSL_GUARDED_BY(mutex);
+    absl::Time next_drop ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
     // Last: its threads use the members above and end first.
     thread_group senders;
 };
