Send nothing to a server that crashed until it answers again

Change: after a crash the watch holds the server for down until it answers an HTTP request; the agent refuses meanwhile (no_backend_server, not_run), before admission and again after the wait.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -136,6 +136,14 @@
     return answer;
 }
 
+bool backend_client::answers() const
+{
+    httplib::Client probe(this->server_address.ip, this->server_address.port);
+    probe.set_connection_timeout(connect_timeout_s);
+    probe.set_read_timeout(connect_timeout_s);
+    return static_cast<bool>(probe.Get("/health"));
+}
+
 bool backend_client::accepts_connections() const
 {
     return accepts_tcp(this->server_address, absl::Seconds(connect_timeout_s));
--- a/sardinestream/agent/backend_client.h
+++ b/sardinestream/agent/backend_client.h
@@ -75,6 +75,9 @@
     // True where the server accepts connections now.
     [[nodiscard]] bool accepts_connections() const;
 
+    // True where the server answers an HTTP request now, whatever it says.
+    [[nodiscard]] bool answers() const;
+
     [[nodiscard]] const address& server() const { return this->server_address; }
 
 private:
--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -61,7 +61,7 @@
     suspects::crash_watch_options watching;
     watching.agent_id = settings.id;
     watching.agent_incarnation = process.incarnation;
-    watching.server_accepts = [&process] { return process.backend->accepts_connections(); };
+    watching.server_answers = [&process] { return process.backend->answers(); };
     watching.tell_peers = [&process] { process.gossip.send_news(); };
     process.crashes =
         std::make_unique<suspects::crash_watch>(process.suspects.get(), std::move(watching));
--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -187,7 +187,7 @@
         send_refusal(exchange, draining_refusal());
         return;
     }
-    if (const std::optional<refusal> refused = this->check_suspect(request)) {
+    if (const std::optional<refusal> refused = this->screen(request)) {
         send_refusal(exchange, *refused);
         return;
     }
@@ -245,7 +245,7 @@
 void request_service::run_key(wire::stream& exchange, const request_openT& request,
                               absl::Time deadline, once::run_permit permit)
 {
-    if (const std::optional<refusal> refused = this->check_suspect(request)) {
+    if (const std::optional<refusal> refused = this->screen(request)) {
         permit.fail_not_sent();
         send_refusal(exchange, *refused);
         return;
@@ -303,8 +303,12 @@
                : this->parts.suspects->judge(fingerprint_of(request)).verdict;
 }
 
-std::optional<refusal> request_service::check_suspect(const request_openT& request)
+std::optional<refusal> request_service::screen(const request_openT& request)
 {
+    if (this->parts.crashes != nullptr && this->parts.crashes->server_is_down()) {
+        return make_refusal(refusal_code::no_backend_server, run_outcome::not_run, "check_server",
+                            "the server crashed and does not answer yet", retry_lost_backend);
+    }
     if (this->judge(request) != suspect_verdict::refuse) {
         return std::nullopt;
     }
@@ -337,7 +341,15 @@
     asked.remaining_time = deadline - absl::Now();
     asked.exclusive = request.run_alone || this->judge(request) == suspect_verdict::run_alone;
     asked.cancelled = [&exchange] { return exchange.ended(); };
-    return this->parts.admission->admit(asked);
+    routing::admission_result admitted = this->parts.admission->admit(asked);
+    if (!admitted.ok()) {
+        return admitted;
+    }
+    // The server may have crashed while the request waited.
+    if (std::optional<refusal> refused = this->screen(request)) {
+        return routing::admission_result(*std::move(refused));
+    }
+    return admitted;
 }
 
 // Makes the call, and tells the crash watch how it ended.
--- a/sardinestream/agent/request_service.h
+++ b/sardinestream/agent/request_service.h
@@ -67,7 +67,8 @@
     [[nodiscard]] once::run_admission begin_key(const requests::request_openT& request,
                                                 digest128 key, digest128 body);
     [[nodiscard]] suspects::suspect_verdict judge(const requests::request_openT& request) const;
-    [[nodiscard]] std::optional<refusal> check_suspect(const requests::request_openT& request);
+    // Refuses while the server is down after a crash, and what has crashed it too often.
+    [[nodiscard]] std::optional<refusal> screen(const requests::request_openT& request);
     [[nodiscard]] backend_answer watch_call(const requests::request_openT& request,
                                             const std::function<backend_answer()>& call);
     void run_key(wire::stream& exchange, const requests::request_openT& request,
--- a/sardinestream/suspects/crash_watch.cc
+++ b/sardinestream/suspects/crash_watch.cc
@@ -15,6 +15,22 @@
 {
 }
 
+bool crash_watch::server_is_down()
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->down) {
+            return false;
+        }
+    }
+    if (!this->options.server_answers()) {
+        return true;
+    }
+    const absl::MutexLock lock(&this->mutex);
+    this->down = false;
+    return false;
+}
+
 std::uint64_t crash_watch::begin(digest128 fingerprint)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -72,7 +88,7 @@
                                                      this->options.settle_time);
         this->current = nullptr;
     }
-    if (others_go_on && this->options.server_accepts()) {
+    if (others_go_on && this->options.server_answers()) {
         count("sardine_connections_cut_total");
     }
     else {
@@ -93,6 +109,7 @@
     {
         const absl::MutexLock lock(&this->mutex);
         number = ++this->crashes;
+        this->down = true;
     }
     this->registry->note_crash(lost, crash(stable_hash(this->options.agent_id),
                                            this->options.agent_incarnation, number,
--- a/sardinestream/suspects/crash_watch.h
+++ b/sardinestream/suspects/crash_watch.h
@@ -8,7 +8,7 @@
 //     watch->end(id, call_end::lost);
 //
 // When a connection is lost, the watch waits a moment for the other requests that were in flight.
-// If one of them goes on and the server still accepts connections, a connection was cut. Otherwise
+// If one of them goes on and the server still answers, a connection was cut. Otherwise
 // the server crashed, and all that were lost with it become suspects. `end` returns after the peers
 // have been told, so the loss is answered only when the suspicion is on its way.
 //
@@ -43,8 +43,8 @@
 struct crash_watch_options {
     std::string agent_id;
     std::uint64_t agent_incarnation = 0;
-    // True where the backend server accepts connections now.
-    std::function<bool()> server_accepts;
+    // True where the backend server answers now.
+    std::function<bool()> server_answers;
     // Tells the peers what the registry holds; called after each change.
     std::function<void()> tell_peers;
     // How long a loss waits for the other requests that were in flight.
@@ -57,6 +57,10 @@
     // `registry` must outlive the watch.
     crash_watch(suspect_registry* suspects, crash_watch_options given);
 
+    // True after a crash until the server answers again; asks it. Requests that are sent meanwhile
+    // would be lost too, and suspected for a crash that they had no part in.
+    [[nodiscard]] bool server_is_down();
+
     // Returns the number under which `end` is called, exactly once.
     [[nodiscard]] std::uint64_t begin(digest128 fingerprint);
 
@@ -82,6 +86,7 @@
     absl::Mutex mutex;
     std::uint64_t next_id ABSL_GUARDED_BY(mutex) = 1;
     std::uint64_t crashes ABSL_GUARDED_BY(mutex) = 0;
+    bool down ABSL_GUARDED_BY(mutex) = false; // has crashed and not answered since
     std::map<std::uint64_t, digest128> in_flight ABSL_GUARDED_BY(mutex);
     std::shared_ptr<loss> current ABSL_GUARDED_BY(mutex); // null where no loss is being judged
 };
--- a/sardinestream/suspects/suspects_test.cc
+++ b/sardinestream/suspects/suspects_test.cc
@@ -198,12 +198,12 @@
 // A watch over a server whose state the test sets.
 struct watched_server {
     std::unique_ptr<suspect_registry> registry = suspect_registry::create();
-    std::atomic<bool> accepts{true};
+    std::atomic<bool> answers{true};
     std::atomic<int> times_told{0};
     crash_watch watch{registry.get(),
                       {.agent_id = "agent-1",
                        .agent_incarnation = 1,
-                       .server_accepts = [this] { return this->accepts.load(); },
+                       .server_answers = [this] { return this->answers.load(); },
                        .tell_peers = [this] { ++this->times_told; },
                        .settle_time = absl::Milliseconds(20)}};
 };
@@ -233,7 +233,7 @@
 TEST(crash_watch, suspects_what_was_lost_when_the_server_is_down)
 {
     watched_server server;
-    server.accepts = false;
+    server.answers = false;
     const std::uint64_t lost = server.watch.begin(poison);
     const std::uint64_t not_noticed_yet = server.watch.begin(innocent);
     server.watch.end(lost, call_end::lost);
@@ -251,6 +251,17 @@
     EXPECT_EQ(server.times_told, 2);
 }
 
+TEST(crash_watch, takes_a_crashed_server_for_down_until_it_answers)
+{
+    watched_server server;
+    EXPECT_FALSE(server.watch.server_is_down());
+    server.answers = false;
+    server.watch.end(server.watch.begin(poison), call_end::lost);
+    EXPECT_TRUE(server.watch.server_is_down());
+    server.answers = true;
+    EXPECT_FALSE(server.watch.server_is_down());
+}
+
 TEST(crash_watch, clears_a_suspect_that_completes_and_tells_the_peers)
 {
     watched_server server;
