--- a/sardinestream/testing/load_scenarios.cc
+++ b/sardinestream/testing/load_scenarios.cc
@@ -51,6 +51,16 @@
     return scenario;
 }
 
+// Queues form, so that it matters how long they are thought to be.
+load_scenario busy_and_slow_server()
+{
+    load_scenario scenario = slow_server();
+    scenario.name = "busy_with_one_slow_server";
+    scenario.traffic.rate = 110;
+    scenario.every_policy = false;
+    return scenario;
+}
+
 load_scenario stalled_and_woken()
 {
     load_scenario scenario = make("stalled_and_woken", true);
@@ -154,8 +164,9 @@
 
 std::vector<load_scenario> load_scenarios()
 {
-    return {make("steady", true), slow_server(),    stalled_and_woken(), prefix_drift(),
-            team_over_limit(),    retrying_crowd(), crash_request(),     rolling_replacement(),
+    return {make("steady", true), slow_server(),   busy_and_slow_server(),
+            stalled_and_woken(),  prefix_drift(),  team_over_limit(),
+            retrying_crowd(),     crash_request(), rolling_replacement(),
             data_centre_cut(),    store_out()};
 }
 
