--- a/sardinestream/agent/agent_settings.cc
+++ b/sardinestream/agent/agent_settings.cc
@@ -7,17 +7,12 @@
 
 #include "absl/strings/str_split.h"
 
-DEFINE_string(id, "", "Name of this instance, unique in the fleet");
-DEFINE_string(data_centre, "", "Data centre of this instance");
 DEFINE_string(listen, "", "IP:PORT on which entries reach this agent");
-DEFINE_string(ops_listen, "127.0.0.1:0", "IP:PORT of /healthz, /readyz, /metrics and /status");
 DEFINE_string(backend, "", "IP:PORT of the backend server beside this agent");
 DEFINE_string(serves, "", "Comma-separated services that the backend server offers");
-DEFINE_string(fleet_key, "", "Key that all instances of the fleet share, 16 bytes or more. Secret");
 DEFINE_int32(slots, 8, "Requests that the backend server runs at once, 1 to 100000");
 DEFINE_int32(reserved_slots, 0, "Slots for the priority class reserved alone, 0 to slots - 1");
 DEFINE_int32(max_wait_ms, 2000, "Longest wait for a slot in milliseconds, 0 to 600000");
-DEFINE_int32(drain_timeout_s, 60, "Seconds a planned stop waits for requests, 1 to 3600");
 DEFINE_string(rank_group, "", "Rank group of the backend server; empty for none");
 DEFINE_int32(rank, 0, "Rank in the group, 0 to ranks - 1");
 DEFINE_string(group_agents, "", "Comma-separated IP:PORT of the agent of every rank, in order");
@@ -26,26 +21,18 @@
 DEFINE_int32(model_layers, 1, "Layers with experts, 1 to 1024");
 DEFINE_int32(experts_per_layer, 1, "Experts of a layer, 1 to 4096");
 DEFINE_string(rebalance, "weighted", "Rebalancing of experts: never, every_drift or weighted");
-DEFINE_string(log_level, "info", "debug, info, warning or error");
-DEFINE_bool(check, false, "Check the settings, print nothing where they are right, and exit");
 
 namespace sardinestream::agent {
 namespace {
 
 const std::vector<std::string>& flag_names()
 {
-    static const auto* const names = new std::vector<std::string>{"id",
-                                                                  "data_centre",
-                                                                  "listen",
-                                                                  "ops_listen",
+    static const auto* const names = new std::vector<std::string>{"listen",
                                                                   "backend",
                                                                   "serves",
-                                                                  "fleet_key",
                                                                   "slots",
                                                                   "reserved_slots",
                                                                   "max_wait_ms",
-                                                                  "drain_timeout_s",
-                                                                  "log_level",
                                                                   "rank_group",
                                                                   "rank",
                                                                   "group_agents",
@@ -89,25 +76,14 @@
 {
     constexpr int most_slots = 100000;
     constexpr int longest_wait_ms = 600000;
-    constexpr int longest_drain_s = 3600;
-    SARDINE_RETURN_IF_ERROR(check_present("id", FLAGS_id));
-    SARDINE_RETURN_IF_ERROR(check_present("data_centre", FLAGS_data_centre));
     SARDINE_RETURN_IF_ERROR(check_address("listen", FLAGS_listen));
-    SARDINE_RETURN_IF_ERROR(check_address("ops_listen", FLAGS_ops_listen));
     SARDINE_RETURN_IF_ERROR(check_address("backend", FLAGS_backend));
     SARDINE_RETURN_IF_ERROR(check_present("serves", FLAGS_serves));
-    SARDINE_RETURN_IF_ERROR(check_fleet_key("fleet_key", FLAGS_fleet_key));
     SARDINE_RETURN_IF_ERROR(check_range("slots", FLAGS_slots, 1, most_slots));
     SARDINE_RETURN_IF_ERROR(
         check_range("reserved_slots", FLAGS_reserved_slots, 0, FLAGS_slots - 1));
     SARDINE_RETURN_IF_ERROR(check_range("max_wait_ms", FLAGS_max_wait_ms, 0, longest_wait_ms));
-    SARDINE_RETURN_IF_ERROR(
-        check_range("drain_timeout_s", FLAGS_drain_timeout_s, 1, longest_drain_s));
-    SARDINE_RETURN_IF_ERROR(check_rank_group());
-    log_level ignored = log_level::info;
-    return parse_log_level(FLAGS_log_level, ignored)
-               ? absl::OkStatus()
-               : setting_error("log_level", FLAGS_log_level, "debug, info, warning, error");
+    return check_rank_group();
 }
 
 } // namespace
@@ -115,20 +91,16 @@
 absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv)
 {
     gflags::SetUsageMessage("runs beside one backend server and is the only way in to it");
-    SARDINE_RETURN_IF_ERROR(load_settings(argc, argv, flag_names()));
-    SARDINE_RETURN_IF_ERROR(check_flags());
+    SARDINE_RETURN_IF_ERROR(load_settings(argc, argv, with_instance_flags(flag_names())));
     agent_settings settings;
-    settings.id = FLAGS_id;
-    settings.data_centre = FLAGS_data_centre;
+    SARDINE_RETURN_IF_ERROR(read_instance_settings(settings));
+    SARDINE_RETURN_IF_ERROR(check_flags());
     settings.listen = *parse_address(FLAGS_listen);
-    settings.ops_listen = *parse_address(FLAGS_ops_listen);
     settings.backend = *parse_address(FLAGS_backend);
     settings.serves = absl::StrSplit(FLAGS_serves, ',', absl::SkipWhitespace());
-    settings.fleet_key = FLAGS_fleet_key;
     settings.slots = FLAGS_slots;
     settings.reserved_slots = FLAGS_reserved_slots;
     settings.max_wait = absl::Milliseconds(FLAGS_max_wait_ms);
-    settings.drain_timeout = absl::Seconds(FLAGS_drain_timeout_s);
     settings.rank_group = FLAGS_rank_group;
     if (!settings.rank_group.empty()) {
         settings.rank = FLAGS_rank;
@@ -140,8 +112,6 @@
         settings.experts_per_layer = FLAGS_experts_per_layer;
         settings.rebalance = FLAGS_rebalance;
     }
-    settings.check_only = FLAGS_check;
-    (void)parse_log_level(FLAGS_log_level, settings.log_minimum);
     return settings;
 }
 
--- a/sardinestream/agent/agent_settings.h
+++ b/sardinestream/agent/agent_settings.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "sardinestream/base/log.h"
+#include "sardinestream/base/instance_settings.h"
 #include "sardinestream/base/settings.h"
 
 #include "absl/status/statusor.h"
@@ -14,18 +14,13 @@
 
 namespace sardinestream::agent {
 
-struct agent_settings {
-    std::string id;
-    std::string data_centre;
+struct agent_settings : instance_settings {
     address listen;
-    address ops_listen;
     address backend;
     std::vector<std::string> serves;
-    std::string fleet_key;
     int slots = 8;
     int reserved_slots = 0;
     absl::Duration max_wait;
-    absl::Duration drain_timeout;
     // The rank group that the backend server belongs to; an empty name for none.
     std::string rank_group;
     int rank = 0;
@@ -35,8 +30,6 @@
     int model_layers = 1;
     int experts_per_layer = 1;
     std::string rebalance;
-    log_level log_minimum = log_level::info;
-    bool check_only = false;
 };
 
 // Reads and checks every setting. The error names the flag, its value and what is allowed.
--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -102,6 +102,8 @@
     auto options = std::make_shared<wire::link_options>();
     options->tls = *std::move(tls);
     options->local_hello = [&process] { return make_hello(process); };
+    options->heartbeat_interval = process.settings.heartbeat_interval;
+    options->peer_timeout = process.settings.peer_timeout;
     options->hooks.heartbeat_payload = [&process] {
         return routing::encode_load(process.admission->load());
     };
@@ -199,21 +201,11 @@
 {
     using namespace sardinestream;
     shutdown_signal signal = shutdown_signal::install();
-    absl::StatusOr<agent::agent_settings> settings = agent::load_agent_settings(&argc, &argv);
-    if (!settings.ok()) {
-        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
-        return 2;
-    }
-    if (settings->check_only) {
-        return 0;
-    }
-    start_logging(settings->log_minimum, "sardine-agent", settings->id);
-    agent::agent_process process;
-    process.settings = *std::move(settings);
-    const absl::Status status = agent::run(process, signal);
-    if (!status.ok()) {
-        log_failure("start_failed", status);
-        return 1;
-    }
-    return 0;
+    return run_instance<agent::agent_settings>("sardine-agent",
+                                               agent::load_agent_settings(&argc, &argv),
+                                               [&signal](const agent::agent_settings& settings) {
+                                                   agent::agent_process process;
+                                                   process.settings = settings;
+                                                   return agent::run(process, signal);
+                                               });
 }
--- a/sardinestream/entry/entry_settings.h
+++ b/sardinestream/entry/entry_settings.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "sardinestream/base/log.h"
+#include "sardinestream/base/instance_settings.h"
 #include "sardinestream/base/settings.h"
 
 #include "absl/status/statusor.h"
@@ -14,23 +14,16 @@
 
 namespace sardinestream::entry {
 
-struct entry_settings {
-    std::string id;
-    std::string data_centre;
+struct entry_settings : instance_settings {
     address listen;
     address link_listen;
-    address ops_listen;
     std::vector<address> platform;
     std::vector<address> seeds;
-    std::string fleet_key;
     std::string policy;
     int entry_slots = 3;
     int max_connections = 0;
     bool watch_catalogue = true;
     absl::Duration drain_delay;
-    absl::Duration drain_timeout;
-    log_level log_minimum = log_level::info;
-    bool check_only = false;
 };
 
 // Reads and checks every setting. The error names the flag, its value and what is allowed.
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -108,6 +108,8 @@
     wire::link_options options;
     options.tls = *std::move(tls);
     options.local_hello = [&process] { return make_hello(process); };
+    options.heartbeat_interval = process.settings.heartbeat_interval;
+    options.peer_timeout = process.settings.peer_timeout;
     process.shares = std::make_unique<team_shares>(process.settings.id, process.catalogue->state());
     process.shares->attach(options.hooks);
     process.catalogue->attach(options.hooks);
@@ -324,21 +326,11 @@
 {
     using namespace sardinestream;
     shutdown_signal signal = shutdown_signal::install();
-    absl::StatusOr<entry::entry_settings> settings = entry::load_entry_settings(&argc, &argv);
-    if (!settings.ok()) {
-        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
-        return 2;
-    }
-    if (settings->check_only) {
-        return 0;
-    }
-    start_logging(settings->log_minimum, "sardine-entry", settings->id);
-    entry::entry_process process;
-    process.settings = *std::move(settings);
-    const absl::Status status = entry::run(process, signal);
-    if (!status.ok()) {
-        log_failure("start_failed", status);
-        return 1;
-    }
-    return 0;
+    return run_instance<entry::entry_settings>("sardine-entry",
+                                               entry::load_entry_settings(&argc, &argv),
+                                               [&signal](const entry::entry_settings& settings) {
+                                                   entry::entry_process process;
+                                                   process.settings = settings;
+                                                   return entry::run(process, signal);
+                                               });
 }
