--- a/sardinestream/testing/once_cells.cc
+++ b/sardinestream/testing/once_cells.cc
@@ -199,10 +199,10 @@
     if (!fired) {
         violated = "fault_did_not_strike";
     }
-    else if (last.success() && runs != 1) {
+    else if (violated.empty() && last.success() && runs != 1) {
         violated = "success_without_run";
     }
-    else if (!key_journal::is_final(last)) {
+    else if (violated.empty() && !key_journal::is_final(last)) {
         violated = "no_final_answer";
     }
     return {violated.empty(),
