Never lend half of a root share, so that a restart leaves a team half of its limit at once

Ruled out: shorter loans (a permit must be covered to its deadline), asking peers what they hold (one that cannot be reached may hold some), noting loans in the store (a write in the way of each first loan). Change: the ledger keeps a reserve of its root, half rounded up, that is never lent nor undermined by giving back; the next holder uses just that at once and lends nothing until old loans have ended. A single unit is still lent whole and rests. Price: an entry reaches its own root and half of the others', 5 of 9 with three entries, where it reached 9.

--- a/sardinestream/limits/share_ledger.cc
+++ b/sardinestream/limits/share_ledger.cc
@@ -133,7 +133,9 @@
         return 0;
     }
     // Up to, but without, the end of the loan itself.
-    const std::uint32_t spare = this->free_until(held->second.ends - absl::Nanoseconds(1), now);
+    const absl::Time last = held->second.ends - absl::Nanoseconds(1);
+    const std::uint32_t spare = not_negative(
+        std::min(this->least_free(now, last), this->least_balance(now, last) - this->reserve));
     const std::uint32_t given_up =
         std::min(spare, held->second.units - std::min(units, held->second.units));
     held->second.units -= given_up;
@@ -152,7 +154,8 @@
         return known->second.units;
     }
     const absl::Time ends = now + loan_time + loan_margin(loan_time);
-    const std::int64_t spare = this->least_free(now, ends) - keep;
+    const std::int64_t spare = std::min(this->least_free(now, ends) - keep,
+                                        this->least_balance(now, ends) - this->reserve);
     const std::uint32_t units = std::min(wanted, not_negative(spare));
     if (units > 0) {
         this->given[id] = {units, ends};
@@ -171,7 +174,9 @@
     if (ends <= out.ends) {
         return out.units;
     }
-    if (this->least_free(out.ends, ends) < out.units) {
+    const std::int64_t spare = std::min(this->least_free(out.ends, ends),
+                                        this->least_balance(out.ends, ends) - this->reserve);
+    if (spare < out.units) {
         return 0;
     }
     out.ends = ends;
@@ -204,7 +209,7 @@
     return std::int64_t{this->root} + this->borrowed(when) - this->lent(when);
 }
 
-std::int64_t share_ledger::least_free(absl::Time from, absl::Time until) const
+std::int64_t share_ledger::least_balance(absl::Time from, absl::Time until) const
 {
     // The balance falls only where a borrowed loan ends.
     std::int64_t least = this->balance_at(from);
@@ -213,7 +218,12 @@
             least = std::min(least, this->balance_at(held.ends));
         }
     }
-    return least - this->used;
+    return least;
+}
+
+std::int64_t share_ledger::least_free(absl::Time from, absl::Time until) const
+{
+    return this->least_balance(from, until) - this->used;
 }
 
 } // namespace sardinestream::limits
--- a/sardinestream/limits/share_ledger.h
+++ b/sardinestream/limits/share_ledger.h
@@ -48,6 +48,10 @@
 
     [[nodiscard]] std::uint32_t root_units() const { return this->root; }
 
+    // Units of the root that are never lent, so that whoever owns the root after a crash of this
+    // entry may use them at once.
+    void set_reserve(std::uint32_t units) { this->reserve = units; }
+
     // Units that may be in use now: root plus borrowed less lent; never negative.
     [[nodiscard]] std::uint32_t usable(absl::Time now) const;
     // Units that are neither in use nor lent at any time from now until `until`.
@@ -104,10 +108,13 @@
     };
 
     [[nodiscard]] std::int64_t balance_at(absl::Time when) const;
+    [[nodiscard]] std::int64_t least_balance(absl::Time from, absl::Time until) const;
     // The least balance, less what is in use, over [from, until].
     [[nodiscard]] std::int64_t least_free(absl::Time from, absl::Time until) const;
 
     std::uint32_t root = 0;
+    // Root and borrowed units less those lent stay at least this high, unless the root is lowered.
+    std::uint32_t reserve = 0;
     // Every use ends by its own time, up to which the balance covered it when it began.
     std::uint32_t used = 0;
     std::map<std::uint64_t, pending_ask> asked;
--- a/sardinestream/limits/share_ledger_test.cc
+++ b/sardinestream/limits/share_ledger_test.cc
@@ -61,6 +61,25 @@
     EXPECT_EQ(lender.lend(1, 2, 0, loan_time, start), 1U);
 }
 
+TEST(share_ledger_test, the_reserve_of_the_root_is_never_lent)
+{
+    share_ledger lender;
+    lender.set_root(4);
+    lender.set_reserve(3);
+    EXPECT_EQ(lender.lend(1, 4, 0, loan_time, start), 1U);
+    EXPECT_EQ(lender.lend(2, 4, 0, loan_time, start), 0U);
+}
+
+TEST(share_ledger_test, borrowed_units_that_were_lent_on_are_not_given_back_from_the_reserve)
+{
+    share_ledger home;
+    home.set_root(2);
+    home.set_reserve(2);
+    home.on_granted(home.ask(1, 2 * loan_time, start), 3, start);
+    EXPECT_EQ(home.lend(2, 5, 0, loan_time, start), 3U);
+    EXPECT_EQ(home.reduce(1, 0, start), 3U);
+}
+
 TEST(share_ledger_test, borrowed_units_are_lent_on_only_for_less_time)
 {
     share_ledger home;
--- a/sardinestream/limits/team_limiter.cc
+++ b/sardinestream/limits/team_limiter.cc
@@ -23,6 +23,13 @@
     return absl::Milliseconds(limits.max_deadline_ms) + in_flight_loan_extra;
 }
 
+// Units of a root share that are never lent: half of it, rounded up, but nothing of a single unit,
+// which would otherwise be out of reach for all entries but one.
+std::uint32_t reserve_of(std::uint32_t root)
+{
+    return root <= 1 ? 0 : root - root / 2;
+}
+
 } // namespace
 
 std::string home_of(absl::string_view resource, const std::vector<std::string>& entries)
@@ -159,17 +166,21 @@
     return found == this->resources.end() ? nullptr : &found->second;
 }
 
+bool team_limiter::rests(const resource& held) const
+{
+    const absl::Duration longest_loan = held.loan_time * home_loan_factor;
+    return this->slot.has_value() &&
+           this->options.now() < this->slot->claimed + longest_loan + loan_margin(longest_loan);
+}
+
 std::uint32_t team_limiter::root_of(const resource& held) const
 {
     if (!this->slot) {
         return 0;
     }
-    const absl::Duration longest_loan = held.loan_time * home_loan_factor;
-    const absl::Time usable_from = this->slot->claimed + longest_loan + loan_margin(longest_loan);
-    if (this->options.now() < usable_from) {
-        return 0;
-    }
-    return root_share(held.limit, this->slot->index, this->slot->count, held.turn);
+    const std::uint32_t root =
+        root_share(held.limit, this->slot->index, this->slot->count, held.turn);
+    return this->rests(held) ? reserve_of(root) : root;
 }
 
 void team_limiter::update_root(resource& held)
@@ -183,6 +194,9 @@
             root > before ? (root - before) * absl::ToDoubleSeconds(this->options.burst_time) : 0;
     }
     held.ledger.set_root(root);
+    // While old loans may last, all that is usable is what an earlier holder never lent: what is
+    // lent of it now could not be told apart by the next holder.
+    held.ledger.set_reserve(this->rests(held) ? root : reserve_of(root));
 }
 
 void team_limiter::refill(resource& rate, absl::Time now)
--- a/sardinestream/limits/team_limiter.h
+++ b/sardinestream/limits/team_limiter.h
@@ -42,8 +42,9 @@
 struct entry_slot {
     std::uint32_t index = 0; // below `count`
     std::uint32_t count = 1;
-    // Until then an earlier holder's loans may still be in use: the root share stays unused for
-    // the longest loan time of a limit after `claimed`. InfinitePast where there was no holder.
+    // An earlier holder's loans may still be in use for the longest loan time of a limit after
+    // `claimed`: until then only the part of the root share is used that is never lent.
+    // InfinitePast where there was no holder.
     absl::Time claimed = absl::InfinitePast();
 };
 
@@ -148,6 +149,8 @@
     resource& rate_of(const catalogue::catalogue_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] resource* find_existing(const std::string& key)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // True while loans of an earlier holder of the slot may still be in use.
+    [[nodiscard]] bool rests(const resource& held) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] std::uint32_t root_of(const resource& held) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void update_root(resource& held) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
