Give the catalogue cells limits that their watches do not reach

Cause: the watches ask without a pause and used the whole default rate of 100 a second, so a cell said red for a team at its limit. Change: the fleet's own wide limits for the watched entry; success is still required.

--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -29,10 +29,13 @@
 
 std::string spec_with_key(const std::string& key)
 {
+    // Wide enough that the watches, which ask without a pause, stay within them.
+    const json limits{{"max_in_flight", 1000}, {"requests_per_s", 100000}};
     return json({{"owner", "kasongan"},
                  {"service", "stock"},
                  {"work_class", "plain"},
                  {"repeat", "all"},
+                 {"limits", limits},
                  {"key_digests", {sha256_hex(key)}}})
         .dump();
 }
