--- a/sardinestream/base/http_server.cc
+++ b/sardinestream/base/http_server.cc
@@ -114,7 +114,7 @@
                 response.status = overload_status;
                 response.set_header("Connection", "close");
                 if (this->options.refuse_request) {
-                    this->options.refuse_request(response);
+                    this->options.refuse_request(request, response);
                 }
                 return result::Handled;
             }
--- a/sardinestream/base/http_server.h
+++ b/sardinestream/base/http_server.h
@@ -43,7 +43,7 @@
     absl::Duration read_timeout = absl::Seconds(30);
     absl::Duration write_timeout = absl::Seconds(30);
     // Fills the answer to a request on a connection beyond the cap; status 503 is set already.
-    std::function<void(httplib::Response&)> refuse_request = nullptr;
+    std::function<void(const httplib::Request&, httplib::Response&)> refuse_request = nullptr;
     // Runs before the routes. Returns true where it has filled the answer itself. The body of the
     // request has not been read then.
     std::function<bool(const httplib::Request&, httplib::Response&)> before_routes = nullptr;
--- a/sardinestream/base/instance_settings.cc
+++ b/sardinestream/base/instance_settings.cc
@@ -24,7 +24,7 @@
 {
     constexpr int shortest_heartbeat_ms = 10;
     constexpr int longest_heartbeat_ms = 60000;
-    constexpr int heartbeats_before_lost = 3;
+    constexpr std::int64_t heartbeats_before_lost = 3;
     constexpr int longest_timeout_ms = 600000;
     constexpr int longest_drain_s = 3600;
     SARDINE_RETURN_IF_ERROR(check_present("id", FLAGS_id));
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -223,9 +223,9 @@
     http_server_options options;
     options.local = process.settings.listen;
     options.max_connections = process.settings.max_connections;
-    options.refuse_request = [](httplib::Response& answer) {
-        requests::answer_refusal(requests::refuse_not_run(refusal_code::too_many_connections,
-                                                          "accept", "", retry_when_full),
+    options.refuse_request = [](const httplib::Request& http, httplib::Response& answer) {
+        requests::answer_refusal(requests::refuse_unread(http, refusal_code::too_many_connections,
+                                                         "accept", retry_when_full),
                                  "", answer);
     };
     options.before_routes = [&process](const httplib::Request&, httplib::Response& answer) {
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -193,6 +193,17 @@
     return refused;
 }
 
+refusal refuse_unread(const httplib::Request& http, refusal_code code, absl::string_view step,
+                      absl::Duration retry_after)
+{
+    refusal refused = refuse_not_run(code, step, "", retry_after);
+    const bool keyed = http.has_header("Idempotency-Key") || http.has_header("Sardine-Ticket");
+    if (keyed && http.get_header_value("Sardine-First-Send") != "true") {
+        refused.outcome = run_outcome::unknown;
+    }
+    return refused;
+}
+
 parsed_request parse_completion(const httplib::Request& http,
                                 std::shared_ptr<const catalogue_snapshot> snapshot)
 {
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -88,6 +88,12 @@
                                      absl::string_view message,
                                      absl::Duration retry_after = absl::ZeroDuration());
 
+// Returns a refusal that was decided before the request was read. It was not run; but where it
+// carries a key or a ticket, an earlier sending may have been, so the outcome is `unknown` unless
+// the caller vouches for a first sending.
+[[nodiscard]] refusal refuse_unread(const httplib::Request& http, refusal_code code,
+                                    absl::string_view step, absl::Duration retry_after);
+
 } // namespace sardinestream::requests
 
 #endif // SARDINESTREAM_REQUESTS_CALLER_REQUEST_H_
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -222,8 +222,8 @@
     auto snapshot = this->current_snapshot();
     if (snapshot == nullptr) {
         answer_refusal(
-            refuse_not_run(refusal_code::not_ready, "read_catalogue", "", retry_when_not_ready), "",
-            answer);
+            refuse_unread(http, refusal_code::not_ready, "read_catalogue", retry_when_not_ready),
+            "", answer);
         return std::nullopt;
     }
     parsed_request parsed = parse(http, std::move(snapshot));
--- a/sardinestream/routing/choose_backend.cc
+++ b/sardinestream/routing/choose_backend.cc
@@ -267,8 +267,8 @@
     if (name == "expected_first_token") {
         return make_expected_first_token({});
     }
-    if (name == "expected_without_speed") {
-        return make_expected_first_token({.use_speed = false});
+    if (name == "expected_with_speed") {
+        return make_expected_first_token({.use_speed = true});
     }
     if (name == "expected_without_prefix") {
         return make_expected_first_token({.use_prefix = false});
@@ -290,7 +290,7 @@
 std::vector<absl::string_view> policy_names()
 {
     return {"expected_first_token",
-            "expected_without_speed",
+            "expected_with_speed",
             "expected_without_prefix",
             "round_robin",
             "random",
--- a/sardinestream/routing/choose_backend.h
+++ b/sardinestream/routing/choose_backend.h
@@ -37,7 +37,7 @@
     std::size_t far_samples = 2;
     bool use_prefix = true;
     // Server speeds that agents measured from completion times.
-    bool use_speed = true;
+    bool use_speed = false;
 };
 
 // Returns the expected time to the first token, or to the answer of a plain service.
@@ -54,7 +54,7 @@
 // Least requests in flight from this entry.
 [[nodiscard]] choose_backend make_least_in_flight();
 
-// Names: expected_first_token, expected_without_speed, expected_without_prefix, round_robin,
+// Names: expected_first_token, expected_with_speed, expected_without_prefix, round_robin,
 // random, least_in_flight. Fails with `kInvalidArgument` on any other.
 [[nodiscard]] absl::StatusOr<choose_backend> make_policy(absl::string_view name);
 [[nodiscard]] std::vector<absl::string_view> policy_names();
--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -30,7 +30,9 @@
 std::string spec_with_key(const std::string& key)
 {
     // Wide enough that the watches, which ask without a pause, stay within them.
-    const json limits{{"max_in_flight", 1000}, {"requests_per_s", 100000}};
+    // A short deadline lets shares that were lent before a crash come back within a cell.
+    const json limits{
+        {"max_in_flight", 1000}, {"requests_per_s", 100000}, {"max_deadline_ms", 2000}};
     return json({{"owner", "kasongan"},
                  {"service", "stock"},
                  {"work_class", "plain"},
--- a/sardinestream/testing/fleet.cc
+++ b/sardinestream/testing/fleet.cc
@@ -300,7 +300,9 @@
         return 0;
     }
     const json& catalogue = status.contains("catalogue") ? status["catalogue"] : status;
-    return catalogue.is_object() ? catalogue.value("number", std::uint64_t{0}) : 0;
+    // A process that is not ready serves nothing: no number is in force on it yet.
+    const bool in_force = catalogue.is_object() && catalogue.value("ready", false);
+    return in_force ? catalogue.value("number", std::uint64_t{0}) : 0;
 }
 
 absl::Status fleet::restore()
--- a/sardinestream/testing/fleet.h
+++ b/sardinestream/testing/fleet.h
@@ -103,7 +103,8 @@
 
     // The body of an HTTP page on this machine, or the empty text.
     [[nodiscard]] static std::string get_page(const address& at, const std::string& path);
-    // Number of the catalogue that is in force on a process, or 0 where it does not say.
+    // Number of the catalogue that is in force on a process, or 0 where it does not say or is not
+    // ready.
     [[nodiscard]] static std::uint64_t catalogue_number(const address& ops);
 
     // Heals every proxy, ends the platform's faults, wakes and restarts what is frozen or gone, and
