Do not wait for a hold that may come and go unseen

Change: as for a refused order, nothing is left to wait for; what is judged afterwards stays the same.

--- a/sardinestream/testing/map_cells.cc
+++ b/sardinestream/testing/map_cells.cc
@@ -99,7 +99,9 @@
             return moved || !seen->staged_digest.empty();
         }
         if (this->step == "hold") {
-            return moved || seen->hold.has_value() || this->fault == "refused";
+            // These two strike the order itself, after which the hold may come and go unseen.
+            return moved || seen->hold.has_value() || this->fault == "refused" ||
+                   this->fault == "lost_answer";
         }
         return this->step == "join" ? seen->group_incarnation > 1 : moved;
     }
