--- a/sardinestream/testing/demo_main.cc
+++ b/sardinestream/testing/demo_main.cc
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +59,7 @@
         this->show_dispatch();
         this->show_refusal();
         this->show_edit();
+        this->show_engine_orders();
         this->show_operators_view();
         std::printf("\nall steps done\n");
     }
@@ -218,28 +220,64 @@
     void show_edit()
     {
         std::printf("\n4. an operator lowers max_tokens to 4 in the catalogue:\n");
+        const absl::Time edited = absl::Now();
+        this->edit_entry([](json& spec) { spec["limits"]["max_tokens"] = 4; });
+        for (const running& entry : this->entries) {
+            require(wait_until([&] { return refuses_long_completions(entry); }, in_force_bound),
+                    "the edit is in force");
+            std::printf("   %s: in force after %d ms\n", entry.handle->name().c_str(),
+                        static_cast<int>(absl::ToInt64Milliseconds(absl::Now() - edited)));
+        }
+    }
+
+    // Changes the entry of the line staff by conditional update.
+    void edit_entry(const std::function<void(json&)>& change)
+    {
         absl::StatusOr<platform::object> current =
             this->store->get("catalogueentries", "line-staff-assistant");
         require(current.ok(), "read the entry");
         json spec = json::parse(current->spec);
-        spec["limits"]["max_tokens"] = 4;
-        const absl::Time edited = absl::Now();
+        change(spec);
         require(
             this->store
                 ->update("catalogueentries", "line-staff-assistant", spec.dump(), current->version)
                 .ok(),
             "edit the entry");
-        for (const running& entry : this->entries) {
-            require(wait_until([&] { return refuses_long_completions(entry); }, in_force_bound),
-                    "the edit is in force");
-            std::printf("   %s: in force after %d ms\n", entry.handle->name().c_str(),
-                        static_cast<int>(absl::ToInt64Milliseconds(absl::Now() - edited)));
+    }
+
+    // Returns the orders that an engine has applied, one after another.
+    static std::string applied_orders(const running& engine)
+    {
+        httplib::Client client(engine.at.ip, engine.at.port);
+        const auto answer = client.Get("/admin/ledger");
+        const json ledger = answer ? json::parse(answer->body, nullptr, false) : json();
+        std::string names;
+        if (!ledger.is_object()) {
+            return names;
+        }
+        for (const json& order : ledger.value("orders", json::array())) {
+            absl::StrAppend(&names, names.empty() ? "" : ", ", order.value("name", ""));
+        }
+        return names;
+    }
+
+    void show_engine_orders()
+    {
+        std::printf("\n5. an operator sets the engines' version to v2 in the catalogue:\n");
+        this->edit_entry([](json& spec) { spec["engine"] = {{"version", "v2"}}; });
+        for (const running& engine : this->engines) {
+            require(wait_until([&] {
+                        return applied_orders(engine).find("set_role") != std::string::npos;
+                    }),
+                    "the engine got its orders");
+            std::printf("   %s: %s\n", engine.handle->name().c_str(),
+                        applied_orders(engine).c_str());
         }
     }
 
     void show_operators_view()
     {
-        std::printf("\n5. what entry-1 shows its operators (/status, part of /metrics):\n");
+        std::printf("\n6. what entry-1 shows its operators (/status, part of /metrics):\n");
         const std::string output = this->entries[0].handle->output();
         const std::size_t start = output.find("ops=") + 4;
         const address ops =
