--- a/sardinestream/base/settings.cc
+++ b/sardinestream/base/settings.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/base/settings.h"
 
+#include <cstdio>
 #include <cstdlib>
 
 #include <arpa/inet.h>
@@ -24,6 +25,25 @@
     return absl::StrCat(environment_prefix, absl::AsciiStrToUpper(flag));
 }
 
+bool wants_help()
+{
+    std::string value;
+    return gflags::GetCommandLineOption("help", &value) && value == "true";
+}
+
+// Lists the binary's own flags; those of the libraries are left out.
+void print_help(const std::vector<std::string>& flag_names)
+{
+    std::printf("%s: %s\n\n", gflags::ProgramInvocationShortName(), gflags::ProgramUsage());
+    for (const std::string& name : flag_names) {
+        const gflags::CommandLineFlagInfo info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
+        std::printf("  --%s=%s  (%s)\n      %s\n", name.c_str(), info.default_value.c_str(),
+                    environment_name(name).c_str(), info.description.c_str());
+    }
+    std::printf("  --check\n      Checks the settings, prints nothing where they are right, and "
+                "exits\n");
+}
+
 } // namespace
 
 std::string address::to_string() const
@@ -61,7 +81,12 @@
 
 absl::Status load_settings(int* argc, char*** argv, const std::vector<std::string>& flag_names)
 {
-    gflags::ParseCommandLineFlags(argc, argv, true);
+    gflags::ParseCommandLineNonHelpFlags(argc, argv, true);
+    if (wants_help()) {
+        print_help(flag_names);
+        std::exit(0);
+    }
+    gflags::HandleCommandLineHelpFlags();
     for (const std::string& name : flag_names) {
         const char* value = std::getenv(environment_name(name).c_str());
         const gflags::CommandLineFlagInfo info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
--- a/sardinestream/base/settings.h
+++ b/sardinestream/base/settings.h
@@ -38,7 +38,8 @@
 [[nodiscard]] absl::StatusOr<std::vector<address>> parse_addresses(absl::string_view text);
 
 // Parses the command line, then sets each flag in `flag_names` that was not given from its
-// environment variable. Fails on an unknown flag value; exits on an unknown flag, as gflags does.
+// environment variable. Fails on an unknown flag value; exits on an unknown flag, as gflags does,
+// and after `--help`, which lists these flags alone.
 [[nodiscard]] absl::Status load_settings(int* argc, char*** argv,
                                          const std::vector<std::string>& flag_names);
 
