Remove what nothing calls from the peer directory

Cause: reading the whole change again: the directory kept each peer's last heartbeat and the last incarnation of every id, and no caller was left for either (routing has its own trackers, key routing asks connected peers); each heartbeat copied its payload under a lock for nobody, and the incarnation map grew with every restart in the fleet. A frame type for heartbeat answers was never sent. Change: all three are gone.

--- a/sardinestream/membership/peer_directory.cc
+++ b/sardinestream/membership/peer_directory.cc
@@ -24,18 +24,6 @@
     return std::find(offered.begin(), offered.end(), service) != offered.end();
 }
 
-std::string peer::last_report() const
-{
-    const absl::MutexLock lock(&this->mutex);
-    return this->report;
-}
-
-void peer::set_last_report(absl::string_view payload)
-{
-    const absl::MutexLock lock(&this->mutex);
-    this->report = std::string(payload);
-}
-
 std::unique_ptr<peer_directory> peer_directory::create(wire::link_options options,
                                                        observer watching)
 {
@@ -145,16 +133,6 @@
     return nullptr;
 }
 
-std::optional<std::uint64_t> peer_directory::last_incarnation(absl::string_view id) const
-{
-    const absl::MutexLock lock(&this->mutex);
-    auto found = this->incarnations.find(std::string(id));
-    if (found == this->incarnations.end()) {
-        return std::nullopt;
-    }
-    return found->second;
-}
-
 std::shared_ptr<peer> peer_directory::wait_for(absl::string_view id, absl::Time deadline) const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -187,7 +165,6 @@
         added->leaving = true;
     }
     this->peers[link.get()] = std::move(added);
-    this->incarnations[link->remote().id] = link->remote().incarnation;
 }
 
 void peer_directory::remove(const std::shared_ptr<wire::peer_link>& link)
@@ -242,7 +219,6 @@
 void peer_directory::note_heartbeat(const wire::peer_link* link, absl::string_view payload)
 {
     if (std::shared_ptr<peer> known = this->find_by_link(link)) {
-        known->set_last_report(payload);
         if (this->watcher.on_heartbeat) {
             this->watcher.on_heartbeat(known, payload);
         }
--- a/sardinestream/membership/peer_directory.h
+++ b/sardinestream/membership/peer_directory.h
@@ -48,14 +48,6 @@
     // Set before the peer is handed out.
     std::function<void()> on_request_sent;
     std::function<void()> on_request_ended;
-
-    // The payload of the last heartbeat, empty before the first.
-    [[nodiscard]] std::string last_report() const;
-    void set_last_report(absl::string_view payload);
-
-private:
-    mutable absl::Mutex mutex;
-    std::string report ABSL_GUARDED_BY(mutex);
 };
 
 // Thread-safe.
@@ -100,9 +92,6 @@
     // The connected peer with this id, or null.
     [[nodiscard]] std::shared_ptr<peer> find(absl::string_view id) const;
 
-    // The incarnation under which the id was last seen, connected or not; none if never.
-    [[nodiscard]] std::optional<std::uint64_t> last_incarnation(absl::string_view id) const;
-
     // Waits until a peer with this id is connected; null at `deadline`.
     [[nodiscard]] std::shared_ptr<peer> wait_for(absl::string_view id, absl::Time deadline) const;
 
@@ -120,7 +109,6 @@
     mutable absl::Mutex mutex;
     // Every connected peer, by its link.
     std::map<const wire::peer_link*, std::shared_ptr<peer>> peers ABSL_GUARDED_BY(mutex);
-    std::map<std::string, std::uint64_t> incarnations ABSL_GUARDED_BY(mutex);
     // The last incarnation that the platform showed as leaving, by id.
     std::map<std::string, std::uint64_t> listed_leaving ABSL_GUARDED_BY(mutex);
     absl::Mutex dialers_mutex;
--- a/sardinestream/wire/frame.h
+++ b/sardinestream/wire/frame.h
@@ -36,7 +36,6 @@
     hello = 1,
     reject = 2,
     heartbeat = 3,
-    heartbeat_ack = 4,
     credit = 5,
     cancel = 6,
     // membership
