--- /dev/null
+++ b/sardinestream/backends/choose_server_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/backends/choose_server.h"
--- /dev/null
+++ b/sardinestream/backends/dispatcher.cc
@@ -0,0 +1,327 @@
+#include "sardinestream/backends/dispatcher.h"
+
+#include <algorithm>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+constexpr char retry_after_payload[] = "sardinestream/retry-after-ms";
+// The longest time to come back that a refusal names.
+constexpr std::chrono::milliseconds longest_retry_after{4000};
+constexpr std::chrono::milliseconds shortest_retry_after{100};
+
+absl::Status refusal(absl::StatusCode code, const std::string& service, absl::string_view reason,
+                     std::chrono::milliseconds come_back)
+{
+    absl::Status status = make_error(code, "place", service, reason);
+    status.SetPayload(retry_after_payload, absl::Cord(absl::StrCat(come_back.count())));
+    return status;
+}
+
+} // namespace
+
+// One request in a queue. Lives on the stack of the thread that waits.
+struct dispatcher::waiter {
+    const placement_request* request = nullptr;
+    // Written to once `given` is set.
+    int event = -1;
+    std::optional<placement> given;
+};
+
+std::chrono::milliseconds retry_after_of(const absl::Status& refusal)
+{
+    const absl::optional<absl::Cord> payload = refusal.GetPayload(retry_after_payload);
+    std::int64_t milliseconds = 0;
+    if (!payload.has_value() || !absl::SimpleAtoi(std::string(*payload), &milliseconds)) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
+dispatcher::dispatcher(dispatcher_options chosen)
+    : options(std::move(chosen)), random(std::random_device()())
+{
+}
+
+double dispatcher::usual_answer_ms(const std::string& service) const
+{
+    double best = 0;
+    for (const auto& [id, state] : this->servers) {
+        if (state.server().service != service || state.mean_answer_ms() == 0) {
+            continue;
+        }
+        best = best == 0 ? state.mean_answer_ms() : std::min(best, state.mean_answer_ms());
+    }
+    return best;
+}
+
+std::optional<placement> dispatcher::try_place(const placement_request& request)
+{
+    const steady_time now = steady_clock::now();
+    const double usual_ms = this->usual_answer_ms(request.service);
+    std::vector<server_state*> candidates;
+    std::vector<server_load> loads;
+    for (auto& [id, state] : this->servers) {
+        if (state.server().service != request.service ||
+            std::find(request.excluded_ids.begin(), request.excluded_ids.end(), id) !=
+                request.excluded_ids.end()) {
+            continue;
+        }
+        const double room = state.server().slots * (1 + this->options.extra_room);
+        candidates.push_back(&state);
+        loads.push_back(
+            state.load(room, this->processes, usual_ms, this->options.data_centre, now));
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+    const std::optional<std::size_t> chosen = choose_server(loads, draw);
+    if (!chosen.has_value()) {
+        return std::nullopt;
+    }
+    server_state& state = *candidates[*chosen];
+    state.begin_attempt();
+    placement given;
+    given.server = state.server();
+    given.occupancy = loads[*chosen].occupancy;
+    return given;
+}
+
+bool dispatcher::has_usable_server(const placement_request& request) const
+{
+    for (const auto& [id, state] : this->servers) {
+        if (state.server().service == request.service && !state.server().draining &&
+            std::find(request.excluded_ids.begin(), request.excluded_ids.end(), id) ==
+                request.excluded_ids.end()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
+                                     steady_time now)
+{
+    if (!this->has_usable_server(request)) {
+        return refusal(absl::StatusCode::kUnavailable, request.service, "no server",
+                       std::chrono::milliseconds(1000));
+    }
+    double ahead = 1;
+    for (const waiter* other : queue.waiters) {
+        ahead += other->request->priority <= request.priority ? 1 : 0;
+    }
+    // Nothing finished yet: let the first ones wait.
+    if (queue.finished.per_second(now) <= 0) {
+        return absl::OkStatus();
+    }
+    const std::chrono::milliseconds wait =
+        queue.finished.wait_behind(ahead, now, longest_retry_after);
+    if (wait <= request.longest_wait) {
+        return absl::OkStatus();
+    }
+    // Callers that come back spread over the time in which the queue empties.
+    const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(this->random);
+    const auto come_back = std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
+    return refusal(absl::StatusCode::kResourceExhausted, request.service, "queue full",
+                   std::max(come_back, shortest_retry_after));
+}
+
+absl::StatusOr<placement> dispatcher::place(const placement_request& request,
+                                            const hangup_watch& caller)
+{
+    waiter self;
+    self.request = &request;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        service_queue& queue = this->queues[request.service];
+        const bool overtakes = std::all_of(
+            queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
+                return other->request->priority > request.priority;
+            });
+        if (overtakes) {
+            std::optional<placement> given = this->try_place(request);
+            if (given.has_value()) {
+                return *std::move(given);
+            }
+        }
+        SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
+        self.event = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        if (self.event < 0) {
+            return refusal(absl::StatusCode::kResourceExhausted, request.service, "no descriptor",
+                           shortest_retry_after);
+        }
+        queue.waiters.push_back(&self);
+    }
+    absl::StatusOr<placement> result = this->wait_in_queue(self, caller);
+    ::close(self.event);
+    return result;
+}
+
+absl::StatusOr<placement> dispatcher::wait_in_queue(waiter& self, const hangup_watch& caller)
+{
+    // A server that comes back into use by the passing of time wakes nobody.
+    constexpr std::chrono::milliseconds recheck_interval{100};
+    const steady_time begun = steady_clock::now();
+    const steady_time deadline = begun + self.request->longest_wait;
+    while (true) {
+        wait_for_input(self.event, caller.descriptor(),
+                       std::min(deadline, steady_clock::now() + recheck_interval));
+        const bool gone = caller.has_hung_up();
+        const absl::MutexLock lock(&this->mutex);
+        service_queue& queue = this->queues[self.request->service];
+        if (!self.given.has_value() && !gone) {
+            this->serve_waiters(self.request->service);
+        }
+        if (self.given.has_value()) {
+            self.given->waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+                steady_clock::now() - begun);
+            return *std::move(self.given);
+        }
+        if (gone) {
+            queue.waiters.remove(&self);
+            return make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up");
+        }
+        if (steady_clock::now() >= deadline) {
+            queue.waiters.remove(&self);
+            return refusal(absl::StatusCode::kResourceExhausted, self.request->service,
+                           "waited too long",
+                           queue.finished.wait_behind(
+                               static_cast<double>(queue.waiters.size()) + 1,
+                               steady_clock::now(), longest_retry_after));
+        }
+    }
+}
+
+void dispatcher::serve_waiters(const std::string& service)
+{
+    std::list<waiter*>& waiters = this->queues[service].waiters;
+    while (!waiters.empty()) {
+        const auto next =
+            std::min_element(waiters.begin(), waiters.end(), [](const waiter* a, const waiter* b) {
+                return a->request->priority < b->request->priority;
+            });
+        std::optional<placement> given = this->try_place(*(*next)->request);
+        if (!given.has_value()) {
+            return;
+        }
+        waiter* const served = *next;
+        waiters.erase(next);
+        served->given = std::move(given);
+        const std::uint64_t one = 1;
+        if (::write(served->event, &one, sizeof(one)) < 0) {
+            count("sardine_queue_wake_failures_total");
+        }
+    }
+}
+
+void dispatcher::finish(const placement& given, attempt_result result,
+                        std::chrono::milliseconds first_byte)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    if (result != attempt_result::unreachable && result != attempt_result::replaced) {
+        this->queues[given.server.service].finished.add(now);
+    }
+    const auto found = this->servers.find(given.server.id);
+    if (found == this->servers.end() ||
+        found->second.server().born_ms != given.server.born_ms) {
+        this->serve_waiters(given.server.service);
+        return;
+    }
+    found->second.end_attempt(result, first_byte, now);
+    if (result == attempt_result::replaced) {
+        found->second.mark_leaving();
+    }
+    this->serve_waiters(given.server.service);
+}
+
+void dispatcher::set_servers(const std::vector<backend_server>& newer)
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::map<std::string, server_state> kept;
+    for (const backend_server& server : newer) {
+        const auto known = this->servers.find(server.id);
+        const bool same_start =
+            known != this->servers.end() && known->second.server().born_ms == server.born_ms &&
+            known->second.server().endpoint == server.endpoint;
+        if (!same_start) {
+            kept.emplace(server.id, server_state(server));
+            continue;
+        }
+        server_state state = known->second;
+        // A server that leaves never returns under the same start, whatever an older list says.
+        const bool leaving = state.server().draining;
+        state.update(server);
+        if (leaving) {
+            state.mark_leaving();
+        }
+        kept.emplace(server.id, std::move(state));
+    }
+    this->servers = std::move(kept);
+    for (const auto& [service, queue] : this->queues) {
+        this->serve_waiters(service);
+    }
+}
+
+void dispatcher::mark_leaving(const std::string& id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end()) {
+        return;
+    }
+    found->second.mark_leaving();
+}
+
+void dispatcher::apply_report(const std::string& server_ip, const server_report& report)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    for (auto& [id, state] : this->servers) {
+        if (state.server().endpoint.ip != server_ip) {
+            continue;
+        }
+        state.apply_report(report, now);
+        if (!this->queues[state.server().service].waiters.empty()) {
+            this->serve_waiters(state.server().service);
+        }
+    }
+}
+
+void dispatcher::set_processes(int count)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->processes = std::max(1, count);
+}
+
+std::vector<dispatcher::server_summary> dispatcher::summary() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    std::vector<server_summary> all;
+    for (const auto& [id, state] : this->servers) {
+        all.push_back({state.server(), state.own_in_flight(), state.last_report(),
+                       state.has_fresh_report(now)});
+    }
+    return all;
+}
+
+int dispatcher::waiting() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::size_t total = 0;
+    for (const auto& [service, queue] : this->queues) {
+        total += queue.waiters.size();
+    }
+    return static_cast<int>(total);
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/dispatcher.h
@@ -0,0 +1,130 @@
+// Gives each request a server, in the order of urgency, or refuses it at once where it cannot be
+// served in time.
+//
+//     absl::StatusOr<placement> placed = dispatcher.place(request, deadline, caller);
+//     ...
+//     dispatcher.finish(*placed, attempt_result::succeeded, time_to_first_byte);
+//
+// The dispatcher knows the servers (`set_servers`), their reports (`apply_report`) and this
+// process's own requests. Requests that find no room wait in a queue for each service; the longest
+// wait and the refusal at arrival follow from the rate at which the service has been finishing
+// requests lately. Thread-safe.
+
+#ifndef SARDINESTREAM_BACKENDS_DISPATCHER_H_
+#define SARDINESTREAM_BACKENDS_DISPATCHER_H_
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/drain_rate.h"
+#include "sardinestream/backends/server_state.h"
+#include "sardinestream/http/socket.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream {
+
+// What the dispatcher needs to know of a request.
+struct placement_request {
+    std::string service;
+    // 0 is the most urgent.
+    int priority = 0;
+    // How long it may wait for a server before its caller would leave.
+    std::chrono::milliseconds longest_wait{1000};
+    // Servers that were tried already.
+    std::vector<std::string> excluded_ids;
+};
+
+// A server that was given to one attempt. Each is handed back by `finish` exactly once.
+struct placement {
+    backend_server server;
+    // How long the request waited for it.
+    std::chrono::milliseconds waited{0};
+    double occupancy = 0;
+};
+
+struct dispatcher_options {
+    std::string data_centre;
+    // Requests beyond its slots that a server may hold, as a share of the slots.
+    double extra_room = 0.0;
+};
+
+class dispatcher {
+public:
+    explicit dispatcher(dispatcher_options chosen);
+
+    // kResourceExhausted: no server will be free in time; the error carries when to come back
+    // (`retry_after_of`). kUnavailable: no server of the service can be used. kCancelled: the
+    // caller has gone.
+    [[nodiscard]] absl::StatusOr<placement> place(const placement_request& request,
+                                                  const hangup_watch& caller);
+
+    // `first_byte` is the time from sending to the first byte of the answer.
+    void finish(const placement& given, attempt_result result,
+                std::chrono::milliseconds first_byte);
+
+    // Replaces the list of servers. Requests at servers that are gone go on.
+    void set_servers(const std::vector<backend_server>& servers);
+
+    // Stops sending to a server at once, ahead of the list.
+    void mark_leaving(const std::string& id);
+
+    void apply_report(const std::string& server_ip, const server_report& report);
+
+    // The number of processes that place requests like this one.
+    void set_processes(int count);
+
+    // The servers in use, for status pages.
+    struct server_summary {
+        backend_server server;
+        int own_in_flight = 0;
+        server_report report;
+        bool reported = false;
+    };
+    [[nodiscard]] std::vector<server_summary> summary() const;
+    [[nodiscard]] int waiting() const;
+
+private:
+    struct waiter;
+    struct service_queue {
+        // In order of arrival.
+        std::list<waiter*> waiters;
+        drain_rate finished;
+    };
+
+    std::optional<placement> try_place(const placement_request& request)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] double usual_answer_ms(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool has_usable_server(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    absl::StatusOr<placement> wait_in_queue(waiter& self, const hangup_watch& caller);
+    [[nodiscard]] absl::Status check_queue(const placement_request& request, service_queue& queue,
+                                           steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    const dispatcher_options options;
+    mutable absl::Mutex mutex;
+    // By id. A state stays while requests of this process are at the server.
+    std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
+    std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
+    int processes ABSL_GUARDED_BY(mutex) = 1;
+    std::minstd_rand random ABSL_GUARDED_BY(mutex);
+};
+
+// Returns when a refused caller should come back, or zero where the error does not say.
+[[nodiscard]] std::chrono::milliseconds retry_after_of(const absl::Status& refusal);
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_BACKENDS_DISPATCHER_H_
--- /dev/null
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/backends/dispatcher.h"
--- /dev/null
+++ b/sardinestream/backends/drain_rate.cc
@@ -0,0 +1,54 @@
+#include "sardinestream/backends/drain_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinestream {
+namespace {
+
+// Age at which a finished request counts 1/e.
+constexpr double memory_s = 2.0;
+
+double seconds(steady_clock::duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+void drain_rate::add(steady_time now)
+{
+    if (this->first == steady_time{}) {
+        this->first = now;
+        this->last = now;
+    }
+    this->faded_count = this->faded_count * std::exp(-seconds(now - this->last) / memory_s) + 1;
+    this->last = now;
+}
+
+double drain_rate::per_second(steady_time now) const
+{
+    if (this->first == steady_time{}) {
+        return 0;
+    }
+    const double faded = this->faded_count * std::exp(-seconds(now - this->last) / memory_s);
+    // Before the memory has filled, only the time since the first one counts.
+    const double window = memory_s * (1 - std::exp(-seconds(now - this->first) / memory_s));
+    constexpr double shortest_window_s = 0.1;
+    return faded / std::max(window, shortest_window_s);
+}
+
+std::chrono::milliseconds drain_rate::wait_behind(double ahead, steady_time now,
+                                                  std::chrono::milliseconds longest) const
+{
+    const double rate = this->per_second(now);
+    if (rate <= 0) {
+        return longest;
+    }
+    constexpr double ms_per_s = 1000.0;
+    const double wait = ahead / rate * ms_per_s;
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(std::min(wait, static_cast<double>(longest.count()))));
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/server_directory_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/backends/server_directory.h"
--- /dev/null
+++ b/sardinestream/backends/server_state.cc
@@ -0,0 +1,109 @@
+#include "sardinestream/backends/server_state.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sardinestream {
+namespace {
+
+// A report older than this says nothing about the load.
+constexpr std::chrono::milliseconds report_lifetime{800};
+// Weight of the newest answer in the means.
+constexpr double answer_weight = 0.2;
+// Failures are forgotten by half in this time, so that a mended server is tried again.
+constexpr double failure_half_life_s = 3.0;
+// How long a server that could not be reached is left alone; doubled each time.
+constexpr std::chrono::milliseconds first_exclusion{250};
+constexpr int most_doublings = 3;
+// A slow answer is forgotten in the same manner as a failure.
+constexpr double largest_slowness = 20.0;
+
+} // namespace
+
+server_state::server_state(backend_server given) : described(std::move(given)) {}
+
+void server_state::begin_attempt()
+{
+    ++this->in_flight;
+    ++this->begun_since_report;
+}
+
+void server_state::end_attempt(attempt_result result, std::chrono::milliseconds elapsed,
+                               steady_time now)
+{
+    --this->in_flight;
+    ++this->ended_since_report;
+    if (result == attempt_result::abandoned) {
+        return;
+    }
+    const bool failed = result != attempt_result::succeeded && result != attempt_result::refused;
+    const double before = this->failure_share(now);
+    this->failures = before + answer_weight * ((failed ? 1.0 : 0.0) - before);
+    this->last_answer = now;
+    if (result == attempt_result::unreachable) {
+        const int doublings = std::min(this->failures_in_a_row, most_doublings);
+        this->excluded_until = now + first_exclusion * (1 << doublings);
+        ++this->failures_in_a_row;
+        return;
+    }
+    this->failures_in_a_row = 0;
+    if (result == attempt_result::succeeded) {
+        const auto taken = static_cast<double>(elapsed.count());
+        this->answer_ms = this->answer_ms == 0
+                              ? taken
+                              : this->answer_ms + answer_weight * (taken - this->answer_ms);
+    }
+}
+
+void server_state::apply_report(const server_report& newer, steady_time now)
+{
+    this->report = newer;
+    this->report_time = now;
+    this->begun_since_report = 0;
+    this->ended_since_report = 0;
+}
+
+bool server_state::has_fresh_report(steady_time now) const
+{
+    return this->report_time != steady_time{} && now - this->report_time < report_lifetime;
+}
+
+double server_state::occupancy(int processes, steady_time now) const
+{
+    if (!this->has_fresh_report(now)) {
+        return static_cast<double>(this->in_flight) * std::max(1, processes);
+    }
+    const double reported = this->report.running + this->report.waiting;
+    const double estimate = reported + this->begun_since_report - this->ended_since_report;
+    return std::max<double>(estimate, this->in_flight);
+}
+
+double server_state::failure_share(steady_time now) const
+{
+    const std::chrono::duration<double> age = now - this->last_answer;
+    return this->failures * std::exp2(-age.count() / failure_half_life_s);
+}
+
+server_load server_state::load(double room, int processes, double usual_ms,
+                               const std::string& data_centre, steady_time now) const
+{
+    server_load load;
+    load.room = room;
+    load.occupancy = this->occupancy(processes, now);
+    load.failure_share = this->failure_share(now);
+    load.same_data_centre = this->described.data_centre == data_centre;
+    load.available = !this->described.draining && !this->is_excluded(now);
+    if (this->has_fresh_report(now)) {
+        load.slowness = this->report.slowness;
+        load.available = load.available && !this->report.group_broken;
+    }
+    else if (usual_ms > 0 && this->answer_ms > usual_ms) {
+        const std::chrono::duration<double> age = now - this->last_answer;
+        const double excess = std::min(largest_slowness, this->answer_ms / usual_ms) - 1;
+        load.slowness = 1 + excess * std::exp2(-age.count() / failure_half_life_s);
+    }
+    return load;
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/server_state.h
@@ -0,0 +1,91 @@
+// What one process has seen of one server: its own requests there, the answers, and the last report
+// of the agent beside it.
+//
+// Not thread-safe: guarded by the dispatcher that owns it.
+
+#ifndef SARDINESTREAM_BACKENDS_SERVER_STATE_H_
+#define SARDINESTREAM_BACKENDS_SERVER_STATE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/choose_server.h"
+#include "sardinestream/http/socket.h"
+
+namespace sardinestream {
+
+// What an agent says of its server.
+struct server_report {
+    int running = 0;
+    int waiting = 0;
+    // Time of a step against that of a sound server; 1 is normal.
+    double slowness = 1;
+    // The group of ranks that the server belongs to; empty where it belongs to none.
+    std::string group;
+    // The group forms anew or a rank is missing: nothing is answered for the moment.
+    bool group_broken = false;
+};
+
+// How an attempt at a server ended.
+enum class attempt_result {
+    succeeded,
+    // The server answered that it failed.
+    failed,
+    // It said that it did not run the request.
+    refused,
+    // It could not be connected to, or was cut off without an answer.
+    unreachable,
+    // Another server has its address.
+    replaced,
+    // The caller left; says nothing about the server.
+    abandoned,
+};
+
+class server_state {
+public:
+    explicit server_state(backend_server described);
+
+    [[nodiscard]] const backend_server& server() const { return this->described; }
+    void update(const backend_server& newer) { this->described = newer; }
+    void mark_leaving() { this->described.draining = true; }
+
+    void begin_attempt();
+    // `elapsed` is the time to the first byte of the answer.
+    void end_attempt(attempt_result result, std::chrono::milliseconds elapsed, steady_time now);
+    void apply_report(const server_report& report, steady_time now);
+
+    // `room` is what the service's policy allows on this server; `others` estimates how many
+    // processes like this one send requests there, for servers without a report.
+    [[nodiscard]] server_load load(double room, int processes, double usual_ms,
+                                   const std::string& data_centre, steady_time now) const;
+
+    [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
+    [[nodiscard]] int own_in_flight() const { return this->in_flight; }
+    [[nodiscard]] const server_report& last_report() const { return this->report; }
+    [[nodiscard]] bool has_fresh_report(steady_time now) const;
+    // Mean time to an answer, or zero before the first.
+    [[nodiscard]] double mean_answer_ms() const { return this->answer_ms; }
+
+private:
+    [[nodiscard]] double occupancy(int processes, steady_time now) const;
+    [[nodiscard]] double failure_share(steady_time now) const;
+
+    backend_server described;
+    int in_flight = 0;
+    server_report report;
+    steady_time report_time{};
+    // Attempts that began and ended here since the report.
+    int begun_since_report = 0;
+    int ended_since_report = 0;
+    // Exponential means over the last answers.
+    double failures = 0;
+    double answer_ms = 0;
+    steady_time last_answer{};
+    int failures_in_a_row = 0;
+    steady_time excluded_until{};
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_BACKENDS_SERVER_STATE_H_
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -60,7 +60,7 @@
                      " instance=", instance, " %m%n");
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(to_level(minimum));
 }
--- a/sardinestream/catalogue/acceptance.h
+++ b/sardinestream/catalogue/acceptance.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "sardinestream/catalogue/image.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/time/time.h"
 
--- a/sardinestream/catalogue/acceptor.h
+++ b/sardinestream/catalogue/acceptor.h
@@ -20,7 +20,7 @@
 
 #include "sardinestream/catalogue/acceptance.h"
 #include "sardinestream/catalogue/catalogue_state.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/status.h"
--- a/sardinestream/catalogue/catalogue_fleet_test.cc
+++ b/sardinestream/catalogue/catalogue_fleet_test.cc
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/catalogue/catalogue_test_entries.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/fleet.h"
 
 #include "absl/strings/str_cat.h"
--- a/sardinestream/catalogue/store_sync.h
+++ b/sardinestream/catalogue/store_sync.h
@@ -17,7 +17,7 @@
 #include <thread>
 
 #include "sardinestream/catalogue/catalogue_state.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
--- a/sardinestream/entry/key_router.h
+++ b/sardinestream/entry/key_router.h
@@ -14,7 +14,7 @@
 #include "sardinestream/membership/peer_directory.h"
 #include "sardinestream/once/key_bindings.h"
 #include "sardinestream/once/ticket.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/requests/services.h"
 
 namespace sardinestream::entry {
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -21,7 +21,7 @@
 #include "sardinestream/membership/fleet_view.h"
 #include "sardinestream/orders/order_issuer.h"
 #include "sardinestream/requests/http_front.h"
-#include "sardinestream/routing/retry_budget.h"
+#include "sardinestream/retries/retry_budget.h"
 #include "sardinestream/suspects/suspect_gossip.h"
 
 namespace sardinestream::entry {
--- a/sardinestream/experts/group_keeper.h
+++ b/sardinestream/experts/group_keeper.h
@@ -24,7 +24,7 @@
 
 #include "sardinestream/experts/agent_peers.h"
 #include "sardinestream/experts/engine_client.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
--- /dev/null
+++ b/sardinestream/forwarding/event_splitter.cc
@@ -0,0 +1,71 @@
+#include "sardinestream/forwarding/event_splitter.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace sardinestream {
+namespace {
+
+// Returns the length of the first event with its blank line, or npos where it is not whole.
+std::size_t event_length(absl::string_view text)
+{
+    const std::size_t unix_end = text.find("\n\n");
+    const std::size_t dos_end = text.find("\r\n\r\n");
+    if (unix_end == absl::string_view::npos && dos_end == absl::string_view::npos) {
+        return absl::string_view::npos;
+    }
+    constexpr std::size_t unix_length = 2;
+    constexpr std::size_t dos_length = 4;
+    return unix_end < dos_end ? unix_end + unix_length : dos_end + dos_length;
+}
+
+std::string event_id(absl::string_view event)
+{
+    for (absl::string_view line : absl::StrSplit(event, '\n')) {
+        if (absl::ConsumePrefix(&line, "id:")) {
+            return std::string(absl::StripAsciiWhitespace(line));
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+std::string event_splitter::take_events()
+{
+    std::string whole;
+    absl::string_view rest = this->pending;
+    while (true) {
+        const std::size_t length = event_length(rest);
+        if (length == absl::string_view::npos) {
+            break;
+        }
+        this->take_one(rest.substr(0, length), whole);
+        rest.remove_prefix(length);
+    }
+    this->pending = std::string(rest);
+    return whole;
+}
+
+void event_splitter::take_one(absl::string_view event, std::string& whole)
+{
+    const std::string id = event_id(event);
+    std::int64_t number = 0;
+    if (!id.empty() && absl::SimpleAtoi(id, &number)) {
+        if (this->last_number.has_value() && number <= *this->last_number) {
+            return;
+        }
+        this->gap = this->gap ||
+                    (this->last_number.has_value() && number != *this->last_number + 1);
+        this->last_number = number;
+    }
+    if (!id.empty()) {
+        this->last_event_id = id;
+    }
+    ++this->events_taken;
+    whole.append(event.data(), event.size());
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/forwarding/event_splitter_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/forwarding/event_splitter.h"
--- /dev/null
+++ b/sardinestream/forwarding/exchange.cc
@@ -0,0 +1,543 @@
+#include "sardinestream/forwarding/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Answers of our own are written within this time, also past the request's deadline.
+constexpr milliseconds own_answer_timeout{1000};
+// A stream without an event for so long goes on at another server, where one may take it.
+constexpr milliseconds longest_silence{1200};
+// Callers leave a stream whose next event takes longer than this, or than four times the target.
+constexpr milliseconds caller_patience_for_event{2000};
+constexpr int patience_targets = 4;
+// What a server needs from a free place to the first event, at the least.
+constexpr milliseconds least_time_to_first_event{400};
+// An idempotent request tries another server after this many times its latency target.
+constexpr double slow_answer_targets = 1.5;
+constexpr int most_stray_answers = 3;
+constexpr std::size_t largest_answer_head = 65536;
+constexpr std::size_t largest_whole_answer = 32U << 20U;
+constexpr milliseconds default_idle_timeout{2000};
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool is_event_stream(const http_response_head& head)
+{
+    const std::optional<absl::string_view> type = find_header(head.headers, "content-type");
+    return type.has_value() && absl::StartsWithIgnoreCase(*type, "text/event-stream");
+}
+
+std::string status_line(int status, absl::string_view reason)
+{
+    return absl::StrCat("HTTP/1.1 ", status, " ", reason.empty() ? reason_phrase(status) : reason,
+                        "\r\n");
+}
+
+// How long a server keeps an idle connection, by its Keep-Alive header.
+milliseconds idle_timeout_of(const http_response_head& head)
+{
+    const std::optional<absl::string_view> value = find_header(head.headers, "keep-alive");
+    if (!value.has_value()) {
+        return default_idle_timeout;
+    }
+    for (absl::string_view part : absl::StrSplit(*value, ',')) {
+        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, '=');
+        int seconds = 0;
+        if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(pair.first), "timeout") &&
+            absl::SimpleAtoi(pair.second, &seconds)) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return default_idle_timeout;
+}
+
+std::string chunk_of(const std::string& bytes)
+{
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
+milliseconds elapsed_since(steady_time begun)
+{
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
+}
+
+} // namespace
+
+bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
+                      absl::string_view code, milliseconds retry_after, bool keep)
+{
+    const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
+    std::string text = status_line(status, "");
+    for (const http_header& header : headers) {
+        append_header(text, header.name, header.value);
+    }
+    append_header(text, "Content-Type", "application/json");
+    append_header(text, "Content-Length", absl::StrCat(body.size()));
+    if (retry_after.count() > 0) {
+        constexpr double ms_per_s = 1000.0;
+        append_header(text, "Retry-After",
+                      absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s));
+    }
+    if (!keep) {
+        append_header(text, "Connection", "close");
+    }
+    absl::StrAppend(&text, "\r\n", body);
+    const bool written =
+        caller.write_all(text, steady_clock::now() + own_answer_timeout, hangup_watch()).ok();
+    return written && keep;
+}
+
+exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket,
+                   admitted_request given)
+    : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
+      admitted(std::move(given)), chosen(*admitted.chosen)
+{
+    this->deadline = this->admitted.arrival + this->chosen.timeout;
+    if (this->admitted.request.patience.has_value()) {
+        this->deadline =
+            std::min(this->deadline, this->admitted.arrival + *this->admitted.request.patience);
+    }
+}
+
+bool exchange::keeps_connection() const
+{
+    return this->admitted.request.keeps_alive && !this->services.is_stopping();
+}
+
+bool exchange::run()
+{
+    while (true) {
+        absl::StatusOr<placement> placed = this->place();
+        if (!placed.ok()) {
+            return this->give_up(placed.status());
+        }
+        attempt_record record = {*std::move(placed), steady_clock::now()};
+        this->total_wait += record.given.waited;
+        const next_step next = this->attempt(record);
+        this->services.servers.finish(record.given, record.result, record.first_byte);
+        if (next == next_step::try_again) {
+            this->tried_ids.push_back(record.given.server.id);
+            continue;
+        }
+        return next == next_step::answered && this->keeps_connection();
+    }
+}
+
+absl::StatusOr<placement> exchange::place()
+{
+    placement_request wanted;
+    wanted.service = this->admitted.service;
+    wanted.priority = this->admitted.priority;
+    wanted.excluded_ids = this->tried_ids;
+    steady_time leave_by = this->deadline;
+    if (this->chosen.kind == request_kind::streaming) {
+        const milliseconds patience =
+            std::max(caller_patience_for_event, patience_targets * this->chosen.latency_target);
+        leave_by =
+            std::min(leave_by, this->admitted.arrival + patience - least_time_to_first_event);
+    }
+    else {
+        leave_by = steady_clock::now() + (leave_by - steady_clock::now()) / 2;
+    }
+    if (this->answer_begun) {
+        leave_by = std::min(this->deadline, steady_clock::now() + least_time_to_first_event);
+    }
+    wanted.longest_wait = milliseconds(milliseconds_until(leave_by));
+    return this->services.servers.place(wanted, this->caller_watch);
+}
+
+std::string exchange::encode_request(const backend_server& server) const
+{
+    const caller_request& request = this->admitted.request;
+    attempt_details details;
+    details.server_id = server.id;
+    details.team = this->admitted.team;
+    details.resume_after =
+        this->events.last_id().empty() ? request.resume_after : this->events.last_id();
+    details.time_left = milliseconds(milliseconds_until(this->deadline));
+    std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    for (const http_header& header : this->services.protocol.encode_headers(request, details)) {
+        append_header(text, header.name, header.value);
+    }
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT" || request.method == "PATCH";
+    if (has_body) {
+        append_header(text, "Content-Length", absl::StrCat(request.body.size()));
+    }
+    absl::StrAppend(&text, "\r\n", request.body);
+    return text;
+}
+
+exchange::next_step exchange::attempt(attempt_record& record)
+{
+    const backend_server& server = record.given.server;
+    const bool fresh = !this->chosen.may_run_again();
+    absl::StatusOr<std::unique_ptr<server_channel>> channel =
+        this->services.channels.open(server, fresh, this->deadline, this->caller_watch);
+    if (!channel.ok()) {
+        return this->after_failure(attempt_state::nothing_sent, channel.status(), record);
+    }
+    ++this->servers_sent;
+    this->retry_granted = false;
+    record.begun = steady_clock::now();
+    const absl::StatusOr<bool> written = (*channel)->socket.write_until_answer(
+        this->encode_request(server), this->deadline, this->caller_watch);
+    if (!written.ok()) {
+        return this->after_failure(attempt_state::possibly_run, written.status(), record);
+    }
+    bool reusable = *written;
+    const next_step next = this->read_answer(**channel, *written, record, reusable);
+    if (reusable && !(*channel)->reader.has_surplus()) {
+        const milliseconds idle_timeout = (*channel)->idle_timeout;
+        this->services.channels.keep(server, *std::move(channel), idle_timeout);
+    }
+    return next;
+}
+
+absl::StatusOr<http_response_head> exchange::read_own_head(server_channel& channel, bool& reusable)
+{
+    const message_limits limits = {largest_answer_head, largest_whole_answer};
+    for (int strays = 0; strays <= most_stray_answers; ++strays) {
+        absl::StatusOr<http_response_head> head =
+            channel.reader.read_response_head(limits, this->admitted.request.method == "HEAD",
+                                              this->deadline, this->caller_watch);
+        if (!head.ok()) {
+            return head.status();
+        }
+        const answer_marks marks = this->services.protocol.decode_answer(*head);
+        if (marks.request_id.empty() || marks.request_id == this->admitted.request.id) {
+            return head;
+        }
+        // The late answer to an earlier request of this connection.
+        reusable = false;
+        count("sardine_stray_answers_total");
+        log_event("stray_answer", {{"request", this->admitted.request.id},
+                                   {"answers", marks.request_id}});
+        std::string discarded;
+        SARDINE_RETURN_IF_ERROR(channel.reader.read_body(largest_whole_answer, discarded,
+                                                         this->deadline, this->caller_watch));
+    }
+    return make_error(absl::StatusCode::kDataLoss, "read", "", "answers of other requests only");
+}
+
+bool exchange::is_silent_too_long(server_channel& channel)
+{
+    milliseconds limit = longest_silence;
+    if (this->chosen.kind == request_kind::idempotent) {
+        limit = milliseconds(static_cast<std::int64_t>(
+            slow_answer_targets * static_cast<double>(this->chosen.latency_target.count())));
+    }
+    const steady_time end = std::min(this->deadline, steady_clock::now() + limit);
+    while (steady_clock::now() < end && !channel.reader.has_surplus()) {
+        wait_for_input(channel.socket.descriptor(), this->caller_watch.descriptor(), end);
+        if (channel.socket.has_input_or_end() || this->caller_watch.has_hung_up()) {
+            return false;
+        }
+    }
+    return !channel.reader.has_surplus() && steady_clock::now() < this->deadline;
+}
+
+exchange::next_step exchange::read_answer(server_channel& channel, bool all_written,
+                                          attempt_record& record, bool& reusable)
+{
+    reusable = false;
+    if (this->may_try_again(attempt_state::possibly_run) && this->is_silent_too_long(channel) &&
+        this->services.take_retry(this->admitted.service)) {
+        this->retry_granted = true;
+        return this->after_failure(
+            attempt_state::possibly_run,
+            make_error(absl::StatusCode::kDeadlineExceeded, "answer", "", "no answer"), record);
+    }
+    reusable = all_written;
+    absl::StatusOr<http_response_head> head = this->read_own_head(channel, reusable);
+    record.first_byte = elapsed_since(record.begun);
+    if (!head.ok()) {
+        reusable = false;
+        return this->after_failure(attempt_state::possibly_run, head.status(), record);
+    }
+    reusable = reusable && head->keeps_alive();
+    channel.idle_timeout = idle_timeout_of(*head);
+    return this->relay(channel, *head, record, reusable);
+}
+
+exchange::next_step exchange::relay(server_channel& channel, const http_response_head& head,
+                                    attempt_record& record, bool& reusable)
+{
+    const answer_marks marks = this->services.protocol.decode_answer(head);
+    if (marks.never_ran || marks.wrong_server) {
+        std::string discarded;
+        reusable = reusable && channel.reader
+                                   .read_body(largest_whole_answer, discarded, this->deadline,
+                                              this->caller_watch)
+                                   .ok();
+        record.result = marks.wrong_server ? attempt_result::replaced : attempt_result::refused;
+        return this->after_failure(
+            attempt_state::refused_by_server,
+            make_error(absl::StatusCode::kResourceExhausted, "answer", record.given.server.id,
+                       absl::StrCat("status ", head.status)),
+            record);
+    }
+    const bool is_ours = marks.is_signed && find_header(head.headers, "content-encoding") ==
+                                                std::nullopt;
+    if (is_success(head.status) && !is_ours) {
+        reusable = false;
+        record.result = attempt_result::failed;
+        return this->after_failure(
+            attempt_state::possibly_run,
+            make_error(absl::StatusCode::kDataLoss, "answer", record.given.server.id,
+                       "answer without the server's signature"),
+            record);
+    }
+    if (is_success(head.status) && is_event_stream(head)) {
+        return this->relay_stream(channel, head, record, reusable);
+    }
+    return this->relay_whole(channel, head, record, reusable);
+}
+
+exchange::next_step exchange::relay_whole(server_channel& channel, const http_response_head& head,
+                                          attempt_record& record, bool& reusable)
+{
+    std::string body;
+    const absl::Status read = channel.reader.read_body(largest_whole_answer, body, this->deadline,
+                                                       this->caller_watch);
+    if (!read.ok()) {
+        reusable = false;
+        return this->after_failure(attempt_state::possibly_run, read, record);
+    }
+    const bool success = is_success(head.status);
+    record.result = success ? attempt_result::succeeded : attempt_result::failed;
+    constexpr int first_server_error = 500;
+    if (head.status >= first_server_error && this->may_try_again(attempt_state::run_failed) &&
+        this->services.take_retry(this->admitted.service)) {
+        this->retry_granted = true;
+        return this->after_failure(attempt_state::run_failed,
+                                   make_error(absl::StatusCode::kInternal, "answer",
+                                              record.given.server.id,
+                                              absl::StrCat("status ", head.status)),
+                                   record);
+    }
+    if (this->answer_begun) {
+        return next_step::broken_off;
+    }
+    std::string text = status_line(head.status, head.reason);
+    for (const http_header& header : end_to_end_headers(head.headers)) {
+        append_header(text, header.name, header.value);
+    }
+    const bool to_head = this->admitted.request.method == "HEAD";
+    if (!to_head) {
+        append_header(text, "Content-Length", absl::StrCat(body.size()));
+    }
+    if (!this->keeps_connection()) {
+        append_header(text, "Connection", "close");
+    }
+    absl::StrAppend(&text, "\r\n", body);
+    this->answer_begun = true;
+    const absl::Status sent = this->caller.write_all(
+        text, std::max(this->deadline, steady_clock::now() + own_answer_timeout), hangup_watch());
+    this->log_attempt(record, success ? "answered" : "server_failed");
+    this->log_outcome(sent.ok() ? "answered" : "caller_gone", head.status, "");
+    return sent.ok() ? next_step::answered : next_step::broken_off;
+}
+
+absl::Status exchange::send_events(const http_response_head& head, const std::string& whole)
+{
+    std::string text;
+    if (!this->answer_begun) {
+        text = status_line(head.status, head.reason);
+        for (const http_header& header : end_to_end_headers(head.headers)) {
+            append_header(text, header.name, header.value);
+        }
+        if (this->admitted.request.takes_chunks) {
+            append_header(text, "Transfer-Encoding", "chunked");
+        }
+        if (!this->keeps_connection()) {
+            append_header(text, "Connection", "close");
+        }
+        text += "\r\n";
+        this->answer_begun = true;
+    }
+    text += this->admitted.request.takes_chunks ? chunk_of(whole) : whole;
+    return this->caller.write_all(text, this->deadline, hangup_watch());
+}
+
+absl::Status exchange::finish_stream(const http_response_head& head)
+{
+    if (!this->answer_begun) {
+        SARDINE_RETURN_IF_ERROR(this->send_events(head, ""));
+    }
+    if (!this->admitted.request.takes_chunks) {
+        return absl::OkStatus();
+    }
+    return this->caller.write_all("0\r\n\r\n",
+                                  std::max(this->deadline, steady_clock::now() + own_answer_timeout),
+                                  hangup_watch());
+}
+
+exchange::next_step exchange::relay_stream(server_channel& channel,
+                                           const http_response_head& head, attempt_record& record,
+                                           bool& reusable)
+{
+    reusable = false;
+    while (true) {
+        std::string bytes;
+        const steady_time silent_until = steady_clock::now() + longest_silence;
+        absl::StatusOr<bool> ended = channel.reader.read_body_part(
+            bytes, std::min(this->deadline, silent_until), this->caller_watch);
+        if (!ended.ok()) {
+            const bool silent =
+                absl::IsDeadlineExceeded(ended.status()) && steady_clock::now() < this->deadline;
+            if (silent && (!this->may_try_again(attempt_state::possibly_run) ||
+                           !this->services.take_retry(this->admitted.service))) {
+                continue;
+            }
+            this->retry_granted = silent;
+            return this->after_failure(attempt_state::possibly_run, ended.status(), record);
+        }
+        if (this->events.taken() == 0) {
+            record.first_byte = elapsed_since(record.begun);
+        }
+        this->events.add(bytes);
+        const std::string whole = this->events.take_events();
+        if (this->events.has_gap() || (*ended && this->events.has_partial_event())) {
+            return this->after_failure(attempt_state::possibly_run,
+                                       make_error(absl::StatusCode::kDataLoss, "stream",
+                                                  record.given.server.id, "event missing"),
+                                       record);
+        }
+        if (!whole.empty()) {
+            const absl::Status sent = this->send_events(head, whole);
+            if (!sent.ok()) {
+                record.result = attempt_result::abandoned;
+                this->log_attempt(record, "caller_gone");
+                this->log_outcome("caller_gone", head.status, sent.message());
+                return next_step::broken_off;
+            }
+        }
+        if (!*ended) {
+            continue;
+        }
+        record.result = attempt_result::succeeded;
+        reusable = head.keeps_alive();
+        const absl::Status finished = this->finish_stream(head);
+        this->log_attempt(record, "streamed");
+        this->log_outcome(finished.ok() ? "answered" : "caller_gone", head.status, "");
+        const bool keep = finished.ok() && this->admitted.request.takes_chunks;
+        return keep ? next_step::answered : next_step::broken_off;
+    }
+}
+
+bool exchange::may_try_again(attempt_state state) const
+{
+    const bool run = this->possibly_run || state == attempt_state::possibly_run ||
+                     state == attempt_state::run_failed;
+    return may_send_again(this->chosen, state, run, this->servers_sent);
+}
+
+exchange::next_step exchange::after_failure(attempt_state state, const absl::Status& cause,
+                                            attempt_record& record)
+{
+    if (absl::IsCancelled(cause)) {
+        record.result = attempt_result::abandoned;
+        this->log_attempt(record, "caller_gone");
+        this->log_outcome("caller_gone", 0, cause.message());
+        return next_step::broken_off;
+    }
+    this->events.drop_partial_event();
+    if (state == attempt_state::possibly_run || state == attempt_state::run_failed) {
+        this->possibly_run = true;
+    }
+    this->log_attempt(record, cause.message());
+    count("sardine_attempt_failures_total", {{"service", this->admitted.service},
+                                             {"step", step_of(cause)}});
+    const bool first_of_request = state == attempt_state::nothing_sent && this->servers_sent == 0;
+    const bool in_time = steady_clock::now() < this->deadline;
+    if (in_time && this->may_try_again(state) &&
+        (first_of_request || this->retry_granted ||
+         this->services.take_retry(this->admitted.service))) {
+        this->retry_granted = true;
+        return next_step::try_again;
+    }
+    return this->give_up(cause) ? next_step::answered : next_step::broken_off;
+}
+
+bool exchange::give_up(const absl::Status& cause)
+{
+    if (absl::IsCancelled(cause)) {
+        this->log_outcome("caller_gone", 0, cause.message());
+        return false;
+    }
+    if (this->answer_begun) {
+        this->log_outcome("cut", 0, cause.message());
+        return false;
+    }
+    const bool timed_out = steady_clock::now() >= this->deadline;
+    const int status = final_status(this->possibly_run, timed_out);
+    this->log_outcome(this->possibly_run ? "outcome_unknown" : "refused", status, cause.message());
+    count("sardine_refusals_total", {{"service", this->admitted.service},
+                                     {"status", absl::StrCat(status)},
+                                     {"step", step_of(cause)}});
+    constexpr int not_run = 503;
+    constexpr milliseconds usual_retry_after{300};
+    const milliseconds come_back =
+        status == not_run ? std::max(retry_after_of(cause), usual_retry_after) : milliseconds(0);
+    return this->answer_ourselves(status, this->possibly_run ? "outcome_unknown" : "not_run",
+                                  come_back);
+}
+
+bool exchange::answer_ourselves(int status, absl::string_view code, milliseconds retry_after)
+{
+    this->answer_begun = true;
+    return write_own_answer(this->caller,
+                            this->services.protocol.own_answer_headers(this->admitted.request),
+                            status, code, retry_after, this->keeps_connection());
+}
+
+void exchange::log_outcome(absl::string_view outcome, int status, absl::string_view reason) const
+{
+    observe_seconds("sardine_request_seconds",
+                    {{"service", this->admitted.service}, {"outcome", std::string(outcome)}},
+                    std::chrono::duration<double>(steady_clock::now() - this->admitted.arrival)
+                        .count());
+    log_event("request", {{"request", this->admitted.request.id},
+                          {"route", this->chosen.name},
+                          {"version", this->admitted.state->version},
+                          {"service", this->admitted.service},
+                          {"team", this->admitted.team},
+                          {"outcome", outcome},
+                          {"status", status},
+                          {"servers", this->servers_sent},
+                          {"events", this->events.taken()},
+                          {"queued_ms", this->total_wait.count()},
+                          {"total_ms", elapsed_since(this->admitted.arrival).count()},
+                          {"reason", reason}});
+}
+
+void exchange::log_attempt(const attempt_record& record, absl::string_view outcome) const
+{
+    log_event("attempt", {{"request", this->admitted.request.id},
+                          {"server", record.given.server.id},
+                          {"occupancy", record.given.occupancy},
+                          {"first_byte_ms", record.first_byte.count()},
+                          {"elapsed_ms", elapsed_since(record.begun).count()},
+                          {"outcome", outcome}});
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/forwarding/front.cc
@@ -0,0 +1,254 @@
+#include "sardinestream/forwarding/front.h"
+
+#include <sys/socket.h>
+#include <utility>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds accept_interval{200};
+// The longest time for the body of a request, after its head.
+constexpr milliseconds body_timeout{10000};
+// After a refusal with unread bytes behind it, the connection is read on for so long, so that the
+// caller sees the answer instead of a reset.
+constexpr milliseconds linger_time{500};
+
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int request_timeout = 408;
+constexpr int content_too_large = 413;
+constexpr int headers_too_large = 431;
+constexpr int unavailable = 503;
+
+void linger(tcp_socket& connection)
+{
+    connection.finish_writing();
+    const steady_time end = steady_clock::now() + linger_time;
+    char discarded[4096];
+    while (true) {
+        const absl::StatusOr<std::size_t> length =
+            connection.read_some(absl::MakeSpan(discarded), end, hangup_watch());
+        if (!length.ok() || *length == 0) {
+            return;
+        }
+    }
+}
+
+int status_of(const absl::Status& error)
+{
+    switch (error.code()) {
+    case absl::StatusCode::kInvalidArgument:
+        return bad_request;
+    case absl::StatusCode::kResourceExhausted:
+        return headers_too_large;
+    case absl::StatusCode::kOutOfRange:
+        return content_too_large;
+    case absl::StatusCode::kDeadlineExceeded:
+        return request_timeout;
+    default:
+        return 0;
+    }
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<front>> front::start(const address& local,
+                                                    forwarding_services services,
+                                                    front_hooks hooks)
+{
+    absl::StatusOr<tcp_listener> bound = tcp_listener::bind(local);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    std::unique_ptr<front> made(
+        new front(*std::move(bound), std::move(services), std::move(hooks)));
+    made->acceptor = std::thread([raw = made.get()] { raw->accept_connections(); });
+    return made;
+}
+
+front::front(tcp_listener bound, forwarding_services given, front_hooks chosen)
+    : listener(std::move(bound)), services(std::move(given)), hooks(std::move(chosen)),
+      random(std::random_device()())
+{
+}
+
+front::~front()
+{
+    this->stop_accepting();
+}
+
+void front::stop_accepting()
+{
+    this->stopping = true;
+    if (this->acceptor.joinable()) {
+        this->acceptor.join();
+    }
+    const absl::MutexLock lock(&this->mutex);
+    for (const int descriptor : this->idle_descriptors) {
+        ::shutdown(descriptor, SHUT_RD);
+    }
+}
+
+bool front::wait_until_idle(absl::Time deadline)
+{
+    return this->threads.wait_until_empty(deadline);
+}
+
+void front::accept_connections()
+{
+    while (!this->stopping) {
+        absl::StatusOr<tcp_socket> accepted =
+            this->listener.accept(steady_clock::now() + accept_interval);
+        if (absl::IsDeadlineExceeded(accepted.status())) {
+            continue;
+        }
+        if (!accepted.ok()) {
+            // Out of descriptors, most likely: wait until some connections have ended.
+            log_failure("accept_failed", accepted.status());
+            std::this_thread::sleep_for(accept_interval);
+            continue;
+        }
+        if (this->threads.size() >= this->hooks.most_connections) {
+            count("sardine_connections_refused_total");
+            log_event("connection_refused", {{"limit", this->hooks.most_connections}},
+                      log_level::warning);
+            continue;
+        }
+        auto connection = std::make_shared<tcp_socket>(*std::move(accepted));
+        if (!this->threads.spawn([this, connection] { this->serve(std::move(*connection)); })) {
+            count("sardine_connections_refused_total");
+            log_event("connection_refused", {{"reason", "no thread"}}, log_level::warning);
+        }
+    }
+    this->listener = tcp_listener();
+}
+
+void front::serve(tcp_socket connection)
+{
+    message_reader reader(connection);
+    while (this->wait_for_request(connection, reader) && this->serve_one(connection, reader)) {
+    }
+}
+
+request_limits front::limits() const
+{
+    const std::shared_ptr<const desired_state> state = this->hooks.current_state();
+    return state == nullptr ? request_limits() : state->limits;
+}
+
+bool front::wait_for_request(tcp_socket& connection, message_reader& reader)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->stopping && !reader.has_surplus() && !connection.has_input_or_end()) {
+            return false;
+        }
+        this->idle_descriptors.insert(connection.descriptor());
+    }
+    const absl::Status first =
+        reader.wait_for_message(steady_clock::now() + this->limits().idle_timeout);
+    const absl::MutexLock lock(&this->mutex);
+    this->idle_descriptors.erase(connection.descriptor());
+    return first.ok();
+}
+
+bool front::serve_one(tcp_socket& connection, message_reader& reader)
+{
+    const steady_time arrival = steady_clock::now();
+    const request_limits limits = this->limits();
+    const message_limits bounds = {limits.header_bytes, limits.body_bytes};
+    absl::StatusOr<http_request_head> head =
+        reader.read_request_head(bounds, arrival + limits.header_timeout);
+    if (!head.ok()) {
+        return this->refuse_message(connection, head.status());
+    }
+    const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
+    if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue") &&
+        !connection.write_all("HTTP/1.1 100 Continue\r\n\r\n", arrival + limits.header_timeout, {})
+             .ok()) {
+        return false;
+    }
+    absl::StatusOr<caller_request> request = this->services.protocol.decode_request(*head);
+    if (!request.ok()) {
+        return this->refuse_message(connection, request.status());
+    }
+    const absl::Status body = reader.read_body(limits.body_bytes, request->body,
+                                               arrival + body_timeout, hangup_watch());
+    if (!body.ok()) {
+        return this->refuse_message(connection, body);
+    }
+    return this->admit(connection, *std::move(request), arrival);
+}
+
+bool front::refuse_message(tcp_socket& connection, const absl::Status& error)
+{
+    const int status = status_of(error);
+    count("sardine_bad_requests_total", {{"status", absl::StrCat(status)}});
+    log_event("request_rejected", {{"status", status}, {"reason", error.message()}});
+    if (status != 0) {
+        (void)write_own_answer(connection, {}, status, "bad_request", milliseconds(0), false);
+        linger(connection);
+    }
+    return false;
+}
+
+bool front::refuse(tcp_socket& connection, const caller_request& request, int status,
+                   absl::string_view code)
+{
+    count("sardine_refusals_total", {{"code", std::string(code)}});
+    log_event("request", {{"request", request.id},
+                          {"host", request.host},
+                          {"path", request.path()},
+                          {"outcome", "refused"},
+                          {"status", status},
+                          {"reason", code}});
+    constexpr milliseconds start_time{1000};
+    const bool keep = request.keeps_alive && !this->services.is_stopping();
+    return write_own_answer(connection, this->services.protocol.own_answer_headers(request),
+                            status, code, status == unavailable ? start_time : milliseconds(0),
+                            keep);
+}
+
+bool front::admit(tcp_socket& connection, caller_request request, steady_time arrival)
+{
+    std::shared_ptr<const desired_state> state = this->hooks.current_state();
+    if (state == nullptr) {
+        return this->refuse(connection, request, unavailable, "no_configuration");
+    }
+    const route* const chosen = state->find_route(request.host, request.path());
+    if (chosen == nullptr) {
+        return this->refuse(connection, request, not_found, "no_route");
+    }
+    const team* const owner = request.key.empty() ? nullptr : state->find_team(request.key);
+    if (state->has_teams && owner == nullptr && !chosen->is_public) {
+        return this->refuse(connection, request, unauthorized, "unknown_key");
+    }
+    admitted_request admitted;
+    admitted.arrival = arrival;
+    admitted.chosen = chosen;
+    admitted.team = owner == nullptr ? "" : owner->name;
+    admitted.priority =
+        owner != nullptr && owner->priority >= 0 ? owner->priority : chosen->priority;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+        admitted.service = choose_service(*chosen, draw);
+    }
+    this->hooks.on_admitted(admitted.service);
+    admitted.request = std::move(request);
+    admitted.state = std::move(state);
+    exchange one(this->services, connection, std::move(admitted));
+    return one.run();
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/forwarding/front.h
@@ -0,0 +1,82 @@
+// The listening side: callers' connections, one thread each, and what is checked before a request
+// is let in: form, limits, route and key.
+//
+//     auto front = front::start(address, services, hooks);
+//     front->stop_accepting();       // planned stop: open requests go on
+//     front->wait_until_idle(deadline);
+
+#ifndef SARDINESTREAM_FORWARDING_FRONT_H_
+#define SARDINESTREAM_FORWARDING_FRONT_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "sardinestream/base/thread_group.h"
+#include "sardinestream/forwarding/exchange.h"
+#include "sardinestream/http/socket.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream {
+
+struct front_hooks {
+    // The newest desired state, or null before the first.
+    std::function<std::shared_ptr<const desired_state>()> current_state;
+    // A request for this service was let in.
+    std::function<void(const std::string& service)> on_admitted;
+    // The most connections that callers may hold at once.
+    int most_connections = 1000;
+};
+
+class front {
+public:
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<front>>
+    start(const address& local, forwarding_services services, front_hooks hooks);
+
+    ~front();
+    front(const front&) = delete;
+    front& operator=(const front&) = delete;
+
+    // Closes the listener and idle connections; requests that are being served go on.
+    void stop_accepting();
+
+    // Returns true once no connection is open, false when `deadline` comes first.
+    bool wait_until_idle(absl::Time deadline);
+
+    [[nodiscard]] int connections() const { return this->threads.size(); }
+
+private:
+    front(tcp_listener bound, forwarding_services given, front_hooks chosen);
+
+    void accept_connections();
+    void serve(tcp_socket connection);
+    [[nodiscard]] bool serve_one(tcp_socket& connection, message_reader& reader);
+    [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
+    [[nodiscard]] bool refuse_message(tcp_socket& connection, const absl::Status& error);
+    [[nodiscard]] bool admit(tcp_socket& connection, caller_request request, steady_time arrival);
+    [[nodiscard]] bool refuse(tcp_socket& connection, const caller_request& request, int status,
+                              absl::string_view code);
+    [[nodiscard]] request_limits limits() const;
+
+    tcp_listener listener;
+    forwarding_services services;
+    const front_hooks hooks;
+    std::atomic<bool> stopping = false;
+    thread_group threads;
+    absl::Mutex mutex;
+    // Connections that wait for their next request.
+    std::set<int> idle_descriptors ABSL_GUARDED_BY(mutex);
+    std::minstd_rand random ABSL_GUARDED_BY(mutex);
+    std::thread acceptor;
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_FORWARDING_FRONT_H_
--- /dev/null
+++ b/sardinestream/forwarding/retry_rules_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/forwarding/retry_rules.h"
--- /dev/null
+++ b/sardinestream/http/http_client.cc
@@ -0,0 +1,82 @@
+#include "sardinestream/http/http_client.h"
+
+#include <utility>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+constexpr std::chrono::milliseconds longest_connect{1000};
+constexpr std::size_t largest_answer_bytes = 32U << 20U;
+constexpr std::size_t largest_answer_head_bytes = 65536;
+
+} // namespace
+
+http_client::http_client(address server) : peer(std::move(server)) {}
+
+void http_client::reset()
+{
+    this->reader.reset();
+    this->socket.close();
+}
+
+absl::Status http_client::ensure_connected(steady_time deadline)
+{
+    if (this->socket.is_open() && !this->socket.has_input_or_end()) {
+        return absl::OkStatus();
+    }
+    this->reset();
+    absl::StatusOr<tcp_socket> opened = tcp_socket::connect(
+        this->peer, std::min(deadline, steady_clock::now() + longest_connect), hangup_watch());
+    if (!opened.ok()) {
+        return with_origin(opened.status(), "connect", this->peer.to_string());
+    }
+    this->socket = *std::move(opened);
+    this->reader = std::make_unique<message_reader>(this->socket);
+    return absl::OkStatus();
+}
+
+absl::StatusOr<http_answer> http_client::exchange(absl::string_view method,
+                                                  absl::string_view target,
+                                                  absl::string_view json_body,
+                                                  steady_time deadline)
+{
+    std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\n");
+    append_header(text, "Host", this->peer.to_string());
+    if (!json_body.empty()) {
+        append_header(text, "Content-Type", "application/json");
+        append_header(text, "Content-Length", absl::StrCat(json_body.size()));
+    }
+    absl::StrAppend(&text, "\r\n", json_body);
+    SARDINE_RETURN_IF_ERROR(this->socket.write_all(text, deadline, hangup_watch()));
+    const message_limits limits = {largest_answer_head_bytes, largest_answer_bytes};
+    absl::StatusOr<http_response_head> head =
+        this->reader->read_response_head(limits, false, deadline, hangup_watch());
+    if (!head.ok()) {
+        return head.status();
+    }
+    http_answer answer = {head->status, head->headers, ""};
+    SARDINE_RETURN_IF_ERROR(
+        this->reader->read_body(largest_answer_bytes, answer.body, deadline, hangup_watch()));
+    if (!head->keeps_alive() || this->reader->has_surplus()) {
+        this->reset();
+    }
+    return answer;
+}
+
+absl::StatusOr<http_answer> http_client::call(absl::string_view method, absl::string_view target,
+                                              absl::string_view json_body, steady_time deadline)
+{
+    SARDINE_RETURN_IF_ERROR(this->ensure_connected(deadline));
+    absl::StatusOr<http_answer> answer = this->exchange(method, target, json_body, deadline);
+    if (!answer.ok()) {
+        this->reset();
+        return with_origin(answer.status(), "call", this->peer.to_string());
+    }
+    return answer;
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/http_service.h
@@ -0,0 +1,53 @@
+// A small HTTP server for short answers of the process itself: readiness, metrics, state for peers.
+//
+//     auto service = http_service::start(address, [](const http_request_head& head) {
+//         return http_answer{200, {}, "ready"};
+//     });
+//
+// One thread for each connection. The handler is called on those threads.
+
+#ifndef SARDINESTREAM_HTTP_HTTP_SERVICE_H_
+#define SARDINESTREAM_HTTP_HTTP_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "sardinestream/base/thread_group.h"
+#include "sardinestream/http/http_client.h"
+#include "sardinestream/http/socket.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream {
+
+using http_handler = std::function<http_answer(const http_request_head& head)>;
+
+class http_service {
+public:
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<http_service>> start(const address& local,
+                                                                             http_handler handler);
+    // Stops listening; waits for the connections, each of which ends within a second.
+    ~http_service();
+    http_service(const http_service&) = delete;
+    http_service& operator=(const http_service&) = delete;
+
+    [[nodiscard]] const address& local() const { return this->listener.local(); }
+
+private:
+    http_service(tcp_listener bound, http_handler given);
+
+    void accept_connections();
+    void serve(tcp_socket connection);
+
+    tcp_listener listener;
+    const http_handler handler;
+    std::atomic<bool> stopping = false;
+    thread_group connections;
+    std::thread acceptor;
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_HTTP_HTTP_SERVICE_H_
--- /dev/null
+++ b/sardinestream/http/message.cc
@@ -0,0 +1,131 @@
+#include "sardinestream/http/message.h"
+
+#include <array>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace sardinestream {
+namespace {
+
+constexpr std::array<absl::string_view, 9> hop_headers = {
+    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade",            "content-length"};
+
+bool is_hop_header(absl::string_view name)
+{
+    for (const absl::string_view hop : hop_headers) {
+        if (absl::EqualsIgnoreCase(hop, name)) {
+            return true;
+        }
+    }
+    return absl::EqualsIgnoreCase(name, "proxy-connection");
+}
+
+bool keeps_alive_in(int version, const http_headers& headers)
+{
+    if (connection_says(headers, "close")) {
+        return false;
+    }
+    return version >= 11 || connection_says(headers, "keep-alive");
+}
+
+} // namespace
+
+std::optional<absl::string_view> find_header(const http_headers& headers, absl::string_view name)
+{
+    for (const http_header& header : headers) {
+        if (absl::EqualsIgnoreCase(header.name, name)) {
+            return header.value;
+        }
+    }
+    return std::nullopt;
+}
+
+int count_header(const http_headers& headers, absl::string_view name)
+{
+    int found = 0;
+    for (const http_header& header : headers) {
+        found += absl::EqualsIgnoreCase(header.name, name) ? 1 : 0;
+    }
+    return found;
+}
+
+bool connection_says(const http_headers& headers, absl::string_view token)
+{
+    for (const http_header& header : headers) {
+        if (!absl::EqualsIgnoreCase(header.name, "connection")) {
+            continue;
+        }
+        for (const absl::string_view part : absl::StrSplit(header.value, ',')) {
+            if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part), token)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+http_headers end_to_end_headers(const http_headers& headers)
+{
+    http_headers kept;
+    kept.reserve(headers.size());
+    for (const http_header& header : headers) {
+        if (is_hop_header(header.name) || connection_says(headers, header.name)) {
+            continue;
+        }
+        kept.push_back(header);
+    }
+    return kept;
+}
+
+bool http_request_head::keeps_alive() const
+{
+    return keeps_alive_in(this->version, this->headers);
+}
+
+bool http_response_head::keeps_alive() const
+{
+    return this->framing != body_framing::until_close && keeps_alive_in(this->version, this->headers);
+}
+
+void append_header(std::string& text, absl::string_view name, absl::string_view value)
+{
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+}
+
+absl::string_view reason_phrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 501:
+        return "Not Implemented";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/message_reader.cc
@@ -0,0 +1,265 @@
+#include "sardinestream/http/message_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+
+namespace sardinestream {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::size_t read_bytes = 8192;
+constexpr std::uint32_t largest_header_limit = 1 << 20;
+// Responses beyond this are refused; requests have limits of their own.
+constexpr std::uint64_t largest_response_bytes = 64ULL << 20;
+
+absl::Status bad_message(absl::string_view reason)
+{
+    return make_error(absl::StatusCode::kInvalidArgument, "parse", "", reason);
+}
+
+absl::Status ended_within()
+{
+    return make_error(absl::StatusCode::kDataLoss, "read", "", "connection ended in a message");
+}
+
+absl::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+// Rejects what Beast would read in its own way and another parser in another.
+absl::Status check_framing(const http_headers& headers, int version)
+{
+    const int codings = count_header(headers, "transfer-encoding");
+    const int lengths = count_header(headers, "content-length");
+    if (codings > 1 || lengths > 1 || (codings == 1 && lengths == 1)) {
+        return bad_message("more than one way to frame the body");
+    }
+    if (codings == 0) {
+        return absl::OkStatus();
+    }
+    const absl::string_view coding =
+        absl::StripAsciiWhitespace(*find_header(headers, "transfer-encoding"));
+    if (version < 11 || !absl::EqualsIgnoreCase(coding, "chunked")) {
+        return bad_message("unknown transfer coding");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+// Collects one message.
+template <bool IsRequest>
+class message_reader::parser : public beast::http::basic_parser<IsRequest> {
+public:
+    using head_type = std::conditional_t<IsRequest, http_request_head, http_response_head>;
+
+    head_type head;
+    std::string body;
+
+private:
+    void on_request_impl(beast::http::verb, beast::string_view method, beast::string_view target,
+                         int version, beast::error_code&) override
+    {
+        if constexpr (IsRequest) {
+            this->head.method = std::string(view(method));
+            this->head.target = std::string(view(target));
+            this->head.version = version;
+        }
+    }
+    void on_response_impl(int code, beast::string_view reason, int version,
+                          beast::error_code&) override
+    {
+        if constexpr (!IsRequest) {
+            this->head.status = code;
+            this->head.reason = std::string(view(reason));
+            this->head.version = version;
+        }
+    }
+    void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value,
+                       beast::error_code&) override
+    {
+        this->head.headers.push_back({std::string(view(name)), std::string(view(value))});
+    }
+    void on_header_impl(beast::error_code&) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, beast::error_code&) override {}
+    std::size_t on_body_impl(beast::string_view part, beast::error_code&) override
+    {
+        this->body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view part,
+                                   beast::error_code&) override
+    {
+        this->body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_finish_impl(beast::error_code&) override {}
+};
+
+message_reader::message_reader(tcp_socket& source) : socket(source) {}
+
+message_reader::~message_reader() = default;
+
+absl::StatusOr<std::size_t> message_reader::fill(steady_time deadline, const hangup_watch& caller)
+{
+    char bytes[read_bytes];
+    absl::StatusOr<std::size_t> length =
+        this->socket.read_some(absl::MakeSpan(bytes), deadline, caller);
+    if (length.ok()) {
+        this->buffered.append(bytes, *length);
+    }
+    return length;
+}
+
+template <bool IsRequest> absl::Status message_reader::parse_buffered(parser<IsRequest>& into)
+{
+    while (!this->buffered.empty() && !into.is_done()) {
+        beast::error_code error;
+        const std::size_t used = into.put(boost::asio::buffer(this->buffered), error);
+        this->buffered.erase(0, used);
+        if (error == beast::http::error::need_more) {
+            return absl::OkStatus();
+        }
+        if (error == beast::http::error::header_limit) {
+            return make_error(absl::StatusCode::kResourceExhausted, "parse", "", "head too large");
+        }
+        if (error == beast::http::error::body_limit) {
+            return make_error(absl::StatusCode::kOutOfRange, "parse", "", "body too large");
+        }
+        if (error) {
+            return bad_message(error.message());
+        }
+        if (used == 0) {
+            return absl::OkStatus();
+        }
+    }
+    return absl::OkStatus();
+}
+
+template <bool IsRequest>
+absl::Status message_reader::read_head(parser<IsRequest>& into, steady_time deadline,
+                                       const hangup_watch& caller)
+{
+    bool started = !this->buffered.empty();
+    while (true) {
+        SARDINE_RETURN_IF_ERROR(this->parse_buffered(into));
+        if (into.is_header_done()) {
+            return check_framing(into.head.headers, into.head.version);
+        }
+        absl::StatusOr<std::size_t> length = this->fill(deadline, caller);
+        if (!length.ok()) {
+            return length.status();
+        }
+        if (*length == 0) {
+            return started ? ended_within()
+                           : make_error(absl::StatusCode::kNotFound, "read", "", "ended");
+        }
+        started = true;
+    }
+}
+
+absl::Status message_reader::wait_for_message(steady_time deadline)
+{
+    this->request.reset();
+    this->response.reset();
+    if (!this->buffered.empty()) {
+        return absl::OkStatus();
+    }
+    absl::StatusOr<std::size_t> length = this->fill(deadline, hangup_watch());
+    if (!length.ok()) {
+        return length.status();
+    }
+    return *length > 0 ? absl::OkStatus()
+                       : make_error(absl::StatusCode::kNotFound, "read", "", "ended");
+}
+
+absl::StatusOr<http_request_head> message_reader::read_request_head(const message_limits& limits,
+                                                                    steady_time deadline)
+{
+    this->request = std::make_unique<parser<true>>();
+    this->request->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    this->request->body_limit(static_cast<std::uint64_t>(limits.body_bytes));
+    SARDINE_RETURN_IF_ERROR(this->read_head(*this->request, deadline, hangup_watch()));
+    return this->request->head;
+}
+
+absl::StatusOr<http_response_head> message_reader::read_response_head(const message_limits& limits,
+                                                                      bool to_head,
+                                                                      steady_time deadline,
+                                                                      const hangup_watch& caller)
+{
+    this->response = std::make_unique<parser<false>>();
+    this->response->header_limit(
+        std::min(static_cast<std::uint32_t>(limits.header_bytes), largest_header_limit));
+    this->response->body_limit(largest_response_bytes);
+    this->response->skip(to_head);
+    SARDINE_RETURN_IF_ERROR(this->read_head(*this->response, deadline, caller));
+    http_response_head head = this->response->head;
+    if (this->response->chunked()) {
+        head.framing = body_framing::chunked;
+    }
+    else if (this->response->content_length().has_value()) {
+        head.framing = body_framing::length;
+    }
+    else if (!this->response->is_done()) {
+        head.framing = body_framing::until_close;
+    }
+    return head;
+}
+
+template <bool IsRequest>
+absl::StatusOr<bool> message_reader::read_part(parser<IsRequest>& from, std::string& body,
+                                               steady_time deadline, const hangup_watch& caller)
+{
+    if (!from.is_done() && from.body.empty()) {
+        absl::StatusOr<std::size_t> length = this->fill(deadline, caller);
+        if (!length.ok()) {
+            return length.status();
+        }
+        if (*length == 0) {
+            beast::error_code error;
+            from.put_eof(error);
+            if (error || !from.is_done()) {
+                return ended_within();
+            }
+        }
+        SARDINE_RETURN_IF_ERROR(this->parse_buffered(from));
+    }
+    body.append(from.body);
+    from.body.clear();
+    return from.is_done();
+}
+
+absl::StatusOr<bool> message_reader::read_body_part(std::string& body, steady_time deadline,
+                                                    const hangup_watch& caller)
+{
+    return this->request != nullptr ? this->read_part(*this->request, body, deadline, caller)
+                                    : this->read_part(*this->response, body, deadline, caller);
+}
+
+absl::Status message_reader::read_body(std::size_t most_bytes, std::string& body,
+                                       steady_time deadline, const hangup_watch& caller)
+{
+    while (true) {
+        absl::StatusOr<bool> done = this->read_body_part(body, deadline, caller);
+        if (!done.ok()) {
+            return done.status();
+        }
+        if (body.size() > most_bytes) {
+            return make_error(absl::StatusCode::kOutOfRange, "read", "", "body too large");
+        }
+        if (*done) {
+            return absl::OkStatus();
+        }
+    }
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/socket.cc
@@ -0,0 +1,276 @@
+#include "sardinestream/http/socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+#include "sardinestream/base/error.h"
+
+namespace sardinestream {
+namespace {
+
+// Pending connections that the kernel keeps for a listener.
+constexpr int listen_backlog = 1024;
+// How long sent bytes may stay unacknowledged before the kernel gives the connection up.
+constexpr int user_timeout_ms = 4000;
+constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 3;
+
+absl::Status socket_error(absl::string_view step)
+{
+    return make_error(absl::StatusCode::kUnavailable, step, "", std::strerror(errno));
+}
+
+sockaddr_in to_native(const address& local, bool& valid)
+{
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(static_cast<std::uint16_t>(local.port));
+    valid = ::inet_pton(AF_INET, local.ip.c_str(), &native.sin_addr) == 1;
+    return native;
+}
+
+void set_option(int fd, int level, int name, int value)
+{
+    ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void set_connection_options(int fd)
+{
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+// Waits for `events` on `fd` while watching the caller.
+absl::Status wait_for(int fd, short events, steady_time deadline, const hangup_watch& caller,
+                      absl::string_view step)
+{
+    bool watch_input = true;
+    while (true) {
+        pollfd polled[2] = {{fd, events, 0}, {caller.descriptor(), POLLRDHUP, 0}};
+        if (watch_input) {
+            polled[1].events |= POLLIN;
+        }
+        const int ready = ::poll(polled, 2, milliseconds_until(deadline));
+        if (ready < 0 && errno != EINTR) {
+            return socket_error(step);
+        }
+        if (ready > 0 && polled[1].revents != 0) {
+            if (caller.has_hung_up()) {
+                return make_error(absl::StatusCode::kCancelled, step, "caller", "caller hung up");
+            }
+            // The caller has sent its next request already; only its end matters now.
+            watch_input = false;
+        }
+        if (ready > 0 && polled[0].revents != 0) {
+            return absl::OkStatus();
+        }
+        if (ready <= 0 && steady_clock::now() >= deadline) {
+            return make_error(absl::StatusCode::kDeadlineExceeded, step, "", "timed out");
+        }
+    }
+}
+
+} // namespace
+
+int milliseconds_until(steady_time time)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(time - steady_clock::now());
+    constexpr std::int64_t longest_ms = 3'600'000;
+    return static_cast<int>(
+        std::min<std::int64_t>(std::max<std::int64_t>(left.count(), 0), longest_ms));
+}
+
+bool hangup_watch::has_hung_up() const
+{
+    if (this->fd < 0) {
+        return false;
+    }
+    pollfd polled = {this->fd, POLLIN | POLLRDHUP, 0};
+    if (::poll(&polled, 1, 0) <= 0) {
+        return false;
+    }
+    if ((polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        return true;
+    }
+    char byte = 0;
+    return ::recv(this->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+tcp_socket::~tcp_socket()
+{
+    this->close();
+}
+
+tcp_socket::tcp_socket(tcp_socket&& other) noexcept : fd(std::exchange(other.fd, -1)) {}
+
+tcp_socket& tcp_socket::operator=(tcp_socket&& other) noexcept
+{
+    if (this != &other) {
+        this->close();
+        this->fd = std::exchange(other.fd, -1);
+    }
+    return *this;
+}
+
+absl::StatusOr<tcp_socket> tcp_socket::connect(const address& peer, steady_time deadline,
+                                               const hangup_watch& caller)
+{
+    bool valid = false;
+    const sockaddr_in native = to_native(peer, valid);
+    if (!valid) {
+        return make_error(absl::StatusCode::kInvalidArgument, "connect", peer.ip, "bad address");
+    }
+    tcp_socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.is_open()) {
+        return socket_error("connect");
+    }
+    set_connection_options(socket.fd);
+    if (::connect(socket.fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) == 0) {
+        return socket;
+    }
+    if (errno != EINPROGRESS) {
+        return socket_error("connect");
+    }
+    SARDINE_RETURN_IF_ERROR(wait_for(socket.fd, POLLOUT, deadline, caller, "connect"));
+    int error = 0;
+    socklen_t length = sizeof(error);
+    ::getsockopt(socket.fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        errno = error;
+        return socket_error("connect");
+    }
+    return socket;
+}
+
+absl::StatusOr<std::size_t> tcp_socket::read_some(absl::Span<char> buffer, steady_time deadline,
+                                                  const hangup_watch& caller)
+{
+    while (true) {
+        const ssize_t length = ::recv(this->fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (length >= 0) {
+            return static_cast<std::size_t>(length);
+        }
+        if (errno != EAGAIN && errno != EINTR) {
+            return socket_error("read");
+        }
+        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLIN, deadline, caller, "read"));
+    }
+}
+
+absl::Status tcp_socket::write_all(absl::string_view bytes, steady_time deadline,
+                                   const hangup_watch& caller)
+{
+    while (!bytes.empty()) {
+        const ssize_t length =
+            ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (length > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(length));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EINTR) {
+            return socket_error("write");
+        }
+        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLOUT, deadline, caller, "write"));
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<bool> tcp_socket::write_until_answer(absl::string_view bytes, steady_time deadline,
+                                                    const hangup_watch& caller)
+{
+    while (!bytes.empty()) {
+        const ssize_t length =
+            ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (length > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(length));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EINTR) {
+            return socket_error("write");
+        }
+        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLOUT | POLLIN, deadline, caller, "write"));
+        if (this->has_input_or_end()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool tcp_socket::has_input_or_end() const
+{
+    pollfd polled = {this->fd, POLLIN | POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) != 0;
+}
+
+void tcp_socket::finish_writing()
+{
+    ::shutdown(this->fd, SHUT_WR);
+}
+
+void tcp_socket::close()
+{
+    if (this->fd >= 0) {
+        ::close(this->fd);
+    }
+    this->fd = -1;
+}
+
+absl::StatusOr<tcp_listener> tcp_listener::bind(const address& local)
+{
+    bool valid = false;
+    sockaddr_in native = to_native(local, valid);
+    if (!valid) {
+        return make_error(absl::StatusCode::kInvalidArgument, "bind", local.ip, "bad address");
+    }
+    tcp_listener listener;
+    listener.socket =
+        tcp_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int fd = listener.socket.descriptor();
+    set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) != 0 ||
+        ::listen(fd, listen_backlog) != 0) {
+        return with_origin(socket_error("bind"), "bind", local.to_string());
+    }
+    socklen_t length = sizeof(native);
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&native), &length);
+    listener.bound = {local.ip, ntohs(native.sin_port)};
+    return listener;
+}
+
+absl::StatusOr<tcp_socket> tcp_listener::accept(steady_time deadline)
+{
+    while (true) {
+        const int fd = ::accept4(this->socket.descriptor(), nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0) {
+            set_connection_options(fd);
+            return tcp_socket(fd);
+        }
+        if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+            return socket_error("accept");
+        }
+        SARDINE_RETURN_IF_ERROR(
+            wait_for(this->socket.descriptor(), POLLIN, deadline, hangup_watch(), "accept"));
+    }
+}
+
+void wait_for_input(int first, int second, steady_time deadline)
+{
+    pollfd polled[2] = {{first, POLLIN | POLLRDHUP, 0}, {second, POLLIN | POLLRDHUP, 0}};
+    ::poll(polled, 2, milliseconds_until(deadline));
+}
+
+} // namespace sardinestream
--- a/sardinestream/limits/entry_slots.h
+++ b/sardinestream/limits/entry_slots.h
@@ -21,7 +21,7 @@
 #include <thread>
 
 #include "sardinestream/limits/team_limiter.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/status.h"
--- a/sardinestream/limits/entry_slots_test.cc
+++ b/sardinestream/limits/entry_slots_test.cc
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "sardinestream/limits/entry_slots.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/platform_standin.h"
 #include "sardinestream/testing/process.h"
 
--- a/sardinestream/membership/fleet_view.h
+++ b/sardinestream/membership/fleet_view.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "sardinestream/membership/peer_directory.h"
-#include "sardinestream/platform/instance_list.h"
+#include "sardinestream/store/instance_list.h"
 
 namespace sardinestream::membership {
 
--- a/sardinestream/once/key_bindings.h
+++ b/sardinestream/once/key_bindings.h
@@ -30,7 +30,7 @@
 
 #include "sardinestream/base/digest128.h"
 #include "sardinestream/base/thread_group.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
--- /dev/null
+++ b/sardinestream/platform/caller_protocol.cc
@@ -0,0 +1,148 @@
+#include "sardinestream/platform/caller_protocol.h"
+
+#include <utility>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/platform/wire_names.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr int misdirected = 421;
+
+std::string header_or_empty(const http_headers& headers, absl::string_view name)
+{
+    const std::optional<absl::string_view> value = find_header(headers, name);
+    return value.has_value() ? std::string(*value) : "";
+}
+
+absl::Status bad_header(absl::string_view name)
+{
+    return make_error(absl::StatusCode::kInvalidArgument, "decode", "caller",
+                      absl::StrCat("header ", name));
+}
+
+// Headers that this process sets itself, or that are meant for it alone.
+bool is_own_header(absl::string_view name)
+{
+    return absl::EqualsIgnoreCase(name, wire::authorization) ||
+           absl::EqualsIgnoreCase(name, wire::team) ||
+           absl::EqualsIgnoreCase(name, wire::expected_server) ||
+           absl::EqualsIgnoreCase(name, wire::deadline_ms) ||
+           absl::EqualsIgnoreCase(name, wire::last_event_id) ||
+           absl::EqualsIgnoreCase(name, "expect");
+}
+
+std::string host_name(absl::string_view host)
+{
+    return std::string(host.substr(0, host.find(':')));
+}
+
+absl::Status read_numbers(const http_headers& headers, caller_request& request)
+{
+    if (const auto patience = find_header(headers, wire::deadline_ms); patience.has_value()) {
+        double milliseconds = 0;
+        if (!absl::SimpleAtod(*patience, &milliseconds) || milliseconds < 0) {
+            return bad_header(wire::deadline_ms);
+        }
+        request.patience = std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+    }
+    // Prompt tokens, then the most answer tokens. They only guide placement: unreadable ones count
+    // as unknown.
+    const std::pair<std::string, std::string> counts =
+        absl::StrSplit(header_or_empty(headers, wire::token_counts), absl::MaxSplits(',', 1));
+    if (!absl::SimpleAtoi(counts.first, &request.prompt_tokens) ||
+        !absl::SimpleAtoi(counts.second, &request.answer_tokens)) {
+        request.prompt_tokens = 0;
+        request.answer_tokens = 0;
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<caller_request> decode_request(const http_request_head& head)
+{
+    for (const char* const single :
+         {"host", wire::request_id, wire::deadline_ms, wire::authorization, wire::last_event_id}) {
+        if (count_header(head.headers, single) > 1) {
+            return bad_header(single);
+        }
+    }
+    const std::optional<absl::string_view> host = find_header(head.headers, "host");
+    if (!host.has_value() || !absl::StartsWith(head.target, "/")) {
+        return bad_header("host");
+    }
+    caller_request request;
+    request.id = header_or_empty(head.headers, wire::request_id);
+    if (request.id.empty()) {
+        return bad_header(wire::request_id);
+    }
+    request.method = head.method;
+    request.target = head.target;
+    request.host = host_name(*host);
+    absl::string_view authorization;
+    const std::string credentials = header_or_empty(head.headers, wire::authorization);
+    authorization = credentials;
+    if (absl::ConsumePrefix(&authorization, wire::key_scheme)) {
+        request.key = std::string(absl::StripAsciiWhitespace(authorization));
+    }
+    request.resume_after = header_or_empty(head.headers, wire::last_event_id);
+    request.keeps_alive = head.keeps_alive();
+    request.takes_chunks = head.version >= 11;
+    SARDINE_RETURN_IF_ERROR(read_numbers(head.headers, request));
+    for (http_header& header : end_to_end_headers(head.headers)) {
+        if (!is_own_header(header.name)) {
+            request.headers.push_back(std::move(header));
+        }
+    }
+    return request;
+}
+
+http_headers encode_headers(const caller_request& request, const attempt_details& details)
+{
+    http_headers headers = request.headers;
+    headers.push_back({wire::expected_server, details.server_id});
+    if (!details.team.empty()) {
+        headers.push_back({wire::team, details.team});
+    }
+    if (details.time_left.has_value()) {
+        headers.push_back({wire::deadline_ms, absl::StrCat(details.time_left->count())});
+    }
+    if (!details.resume_after.empty()) {
+        headers.push_back({wire::last_event_id, details.resume_after});
+    }
+    return headers;
+}
+
+answer_marks decode_answer(const http_response_head& head)
+{
+    answer_marks marks;
+    marks.request_id = header_or_empty(head.headers, wire::request_id);
+    marks.is_signed = find_header(head.headers, wire::signature).has_value();
+    marks.never_ran = find_header(head.headers, wire::not_executed).has_value();
+    marks.wrong_server = head.status == misdirected;
+    return marks;
+}
+
+http_headers own_answer_headers(const caller_request& request)
+{
+    if (request.id.empty()) {
+        return {};
+    }
+    return {{wire::request_id, request.id}};
+}
+
+} // namespace
+
+wire_protocol make_caller_protocol()
+{
+    return {decode_request, encode_headers, decode_answer, own_answer_headers};
+}
+
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -0,0 +1,196 @@
+#include "sardinestream/platform/desired_state_decoder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::platform {
+namespace {
+
+using json = nlohmann::json;
+
+absl::Status bad_field(absl::string_view field, absl::string_view reason)
+{
+    return make_error(absl::StatusCode::kInvalidArgument, "decode", "store",
+                      absl::StrCat(field, ": ", reason));
+}
+
+// Reads a field that must be there; throws json::exception otherwise.
+template <typename Value> Value required(const json& object, const char* field)
+{
+    return object.at(field).get<Value>();
+}
+
+template <typename Value> Value optional_field(const json& object, const char* field, Value missing)
+{
+    const auto found = object.find(field);
+    return found == object.end() || found->is_null() ? missing : found->get<Value>();
+}
+
+std::chrono::milliseconds optional_ms(const json& object, const char* field,
+                                      std::chrono::milliseconds missing)
+{
+    const double given = optional_field(object, field, static_cast<double>(missing.count()));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(given));
+}
+
+request_kind decode_kind(const std::string& name)
+{
+    if (name == "idempotent") {
+        return request_kind::idempotent;
+    }
+    // A kind that is not known is never repeated.
+    return name == "streaming" ? request_kind::streaming : request_kind::non_idempotent;
+}
+
+route decode_route(const json& object)
+{
+    route decoded;
+    decoded.name = required<std::string>(object, "name");
+    decoded.host = required<std::string>(object, "host");
+    decoded.path_prefix = required<std::string>(object, "path-prefix");
+    decoded.kind = decode_kind(required<std::string>(object, "kind"));
+    decoded.timeout = optional_ms(object, "timeout-ms", decoded.timeout);
+    decoded.latency_target = optional_ms(object, "target-latency-ms", decoded.latency_target);
+    decoded.pause_target = optional_ms(object, "target-gap-ms", decoded.pause_target);
+    decoded.most_attempts = std::max(1, optional_field(object, "attempts", 1));
+    decoded.priority = optional_field(object, "priority", 0);
+    decoded.is_public = optional_field(object, "public", false);
+    decoded.resumable = optional_field(object, "stream-resumption", false);
+    if (const auto split = object.find("traffic-split"); split != object.end()) {
+        for (const json& part : *split) {
+            decoded.services.push_back({required<std::string>(part, "service"),
+                                        std::max(0.0, required<double>(part, "weight"))});
+        }
+    }
+    if (decoded.services.empty()) {
+        decoded.services.push_back({required<std::string>(object, "service"), 1});
+    }
+    return decoded;
+}
+
+engine_model decode_engine(const json& object)
+{
+    constexpr double ms_per_s = 1000.0;
+    engine_model decoded;
+    decoded.slots = optional_field(object, "slots", 1);
+    decoded.steps_per_pass = std::max(1, optional_field(object, "stride", 1));
+    decoded.step_ms = optional_field(object, "step_ms", 0.0);
+    decoded.step_ms_per_sequence = optional_field(object, "per_seq_ms", 0.0);
+    decoded.step_ms_per_thousand_context_tokens = optional_field(object, "context_per_k", 0.0);
+    decoded.prefill_tokens_per_ms = optional_field(object, "read_per_s", ms_per_s) / ms_per_s;
+    decoded.prefill_ms_per_million_pairs = optional_field(object, "pairs_per_m", 0.0);
+    decoded.prefill_chunk_tokens = optional_field(object, "chunk", 0);
+    decoded.kv_capacity_tokens = optional_field<std::int64_t>(object, "kv-capacity-tokens", 0);
+    decoded.layer_sets = optional_field(object, "sets", 0);
+    decoded.experts = optional_field(object, "experts", 0);
+    decoded.places_per_rank = optional_field(object, "placements", 0);
+    decoded.most_new_experts = optional_field(object, "spare", 0);
+    decoded.expert_megabytes = optional_field(object, "expert-mb", 0.0);
+    return decoded;
+}
+
+service_declaration decode_service(const json& object)
+{
+    service_declaration decoded;
+    decoded.name = required<std::string>(object, "name");
+    decoded.health_path = optional_field<std::string>(object, "health-path", "");
+    decoded.connection_limit =
+        optional_field(object, "connection-limit", decoded.connection_limit);
+    if (const auto engine = object.find("engine"); engine != object.end() && engine->is_object()) {
+        decoded.has_engine = true;
+        decoded.engine = decode_engine(*engine);
+    }
+    return decoded;
+}
+
+request_limits decode_limits(const json& object)
+{
+    request_limits decoded;
+    decoded.header_bytes = optional_field(object, "max-header-bytes", decoded.header_bytes);
+    decoded.body_bytes = optional_field(object, "max-body-bytes", decoded.body_bytes);
+    decoded.header_timeout = optional_ms(object, "header-timeout-ms", decoded.header_timeout);
+    decoded.idle_timeout = optional_ms(object, "idle-timeout-ms", decoded.idle_timeout);
+    return decoded;
+}
+
+void decode_teams(const json& list, desired_state& state)
+{
+    state.has_teams = true;
+    for (const json& object : list) {
+        team decoded;
+        decoded.name = required<std::string>(object, "name");
+        decoded.priority = optional_field(object, "priority", -1);
+        for (const json& key : object.at("api-keys")) {
+            state.teams_by_key[key.get<std::string>()] = decoded;
+        }
+    }
+}
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<const desired_state>> decode_desired_state(absl::string_view text)
+{
+    try {
+        const json document = json::parse(text.begin(), text.end());
+        auto state = std::make_shared<desired_state>();
+        state->version = required<std::int64_t>(document, "version");
+        for (const json& object : document.at("routes")) {
+            state->routes.push_back(decode_route(object));
+        }
+        for (const json& object : document.at("services")) {
+            service_declaration decoded = decode_service(object);
+            state->services.emplace(decoded.name, std::move(decoded));
+        }
+        if (const auto limits = document.find("limits"); limits != document.end()) {
+            state->limits = decode_limits(*limits);
+        }
+        if (const auto teams = document.find("tenants"); teams != document.end()) {
+            decode_teams(*teams, *state);
+        }
+        state->index_routes();
+        return state;
+    }
+    catch (const json::exception& error) {
+        return bad_field("desired state", error.what());
+    }
+}
+
+absl::StatusOr<backend_server> decode_server_entry(absl::string_view id, absl::string_view text)
+{
+    try {
+        const json object = json::parse(text.begin(), text.end());
+        backend_server decoded;
+        decoded.id = std::string(id);
+        decoded.service = required<std::string>(object, "service");
+        const absl::StatusOr<address> endpoint =
+            parse_address(required<std::string>(object, "address"));
+        if (!endpoint.ok() || endpoint->port == 0) {
+            return bad_field("address", "not IP:PORT");
+        }
+        decoded.endpoint = *endpoint;
+        decoded.data_centre = required<std::string>(object, "zone");
+        decoded.slots = required<int>(object, "slots");
+        if (decoded.slots < 1) {
+            return bad_field("slots", "below 1");
+        }
+        const auto state = required<std::string>(object, "state");
+        if (state != "ready" && state != "draining") {
+            return bad_field("state", state);
+        }
+        decoded.draining = state == "draining";
+        decoded.warm_up = optional_ms(object, "cold-remaining-ms", decoded.warm_up);
+        decoded.born_ms = optional_field<std::int64_t>(object, "born", 0);
+        return decoded;
+    }
+    catch (const json::exception& error) {
+        return bad_field("server entry", error.what());
+    }
+}
+
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/entry_main.cc
@@ -0,0 +1,137 @@
+// sardine-entry on the users' platform: reads the settings, follows the store and runs the entry.
+
+#include <cstdio>
+
+#include <gflags/gflags.h>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/base/shutdown_signal.h"
+#include "sardinestream/platform/caller_protocol.h"
+#include "sardinestream/platform/desired_state_decoder.h"
+#include "sardinestream/platform/kind_follower.h"
+#include "sardinestream/platform/settings.h"
+#include "sardinestream/platform/wire_names.h"
+#include "sardinestream/programs/entry_program.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+entry_options to_options(const entry_settings& settings)
+{
+    entry_options options;
+    options.id = settings.id;
+    options.data_centre = settings.data_centre;
+    options.front_listen = settings.front_listen;
+    options.ready_listen = settings.ready_listen;
+    options.ops_listen = settings.ops_listen;
+    options.most_connections = settings.most_connections;
+    // The budget is the fleet's; each entry takes a part of it.
+    constexpr double entries_sharing = 4;
+    options.retries_per_request = settings.retry_ratio;
+    options.most_retries_at_once = settings.retry_slack / entries_sharing;
+    return options;
+}
+
+void take_config(entry_program& program, const stored_object& object)
+{
+    if (object.name == wire::config_name) {
+        program.take_desired_state(object.specification, object.revision, "store");
+    }
+}
+
+// Returns the server, or nothing for an entry of another writer.
+absl::StatusOr<backend_server> decode_logged(const stored_object& object)
+{
+    absl::StatusOr<backend_server> decoded =
+        decode_server_entry(object.name, object.specification);
+    if (!decoded.ok()) {
+        count("sardine_unreadable_server_entries_total");
+        log_failure("server_entry_unreadable", decoded.status(), {{"server", object.name}});
+    }
+    return decoded;
+}
+
+follower_hooks config_hooks(entry_program& program)
+{
+    return {[&program](const object_list& list, bool) {
+                for (const stored_object& object : list.objects) {
+                    take_config(program, object);
+                }
+            },
+            [&program](const change_list& changes, bool) {
+                for (const object_change& change : changes.changes) {
+                    if (!change.removed) {
+                        take_config(program, change.object);
+                    }
+                }
+            }};
+}
+
+follower_hooks server_hooks(entry_program& program)
+{
+    return {[&program](const object_list& list, bool after_outage) {
+                std::vector<backend_server> servers;
+                for (const stored_object& object : list.objects) {
+                    absl::StatusOr<backend_server> decoded = decode_logged(object);
+                    if (decoded.ok()) {
+                        servers.push_back(*std::move(decoded));
+                    }
+                }
+                program.take_servers(servers, list.revision, after_outage);
+            },
+            [&program](const change_list& changes, bool after_outage) {
+                for (const object_change& change : changes.changes) {
+                    if (change.removed) {
+                        program.take_removal(change.object.name, changes.revision, after_outage);
+                        continue;
+                    }
+                    const absl::StatusOr<backend_server> decoded = decode_logged(change.object);
+                    if (decoded.ok()) {
+                        program.take_server(*decoded, changes.revision);
+                    }
+                }
+            }};
+}
+
+int run(const entry_settings& settings)
+{
+    shutdown_signal signal = shutdown_signal::install();
+    start_logging(settings.log_minimum, "entry", settings.id);
+    absl::StatusOr<std::unique_ptr<entry_program>> program =
+        entry_program::start(to_options(settings), make_caller_protocol(), decode_desired_state);
+    if (!program.ok()) {
+        log_failure("start_failed", program.status());
+        return exit_failed;
+    }
+    log_event("started", {{"front", settings.front_listen.to_string()},
+                          {"data_centre", settings.data_centre},
+                          {"store", settings.store.to_string()}});
+    kind_follower config(settings.store, wire::config_kind, config_hooks(**program));
+    kind_follower servers(settings.store, wire::servers_kind, server_hooks(**program));
+    signal.wait([] { log_event("stop_repeated", {}); });
+    (*program)->stop(settings.grace);
+    // The followers' open watches would take seconds to end, and nothing is left to save.
+    std::fflush(nullptr);
+    std::_Exit(0);
+}
+
+} // namespace
+} // namespace sardinestream::platform
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("takes callers' requests and passes them to backend servers");
+    gflags::SetVersionString("0.2.0");
+    const absl::StatusOr<sardinestream::platform::entry_settings> settings =
+        sardinestream::platform::load_entry_settings(&argc, &argv);
+    if (!settings.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
+        return sardinestream::platform::exit_bad_settings;
+    }
+    return settings->check_only ? 0 : sardinestream::platform::run(*settings);
+}
--- /dev/null
+++ b/sardinestream/platform/kind_follower.cc
@@ -0,0 +1,107 @@
+#include "sardinestream/platform/kind_follower.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+namespace sardinestream::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long one watch waits. A connection that has gone silent is found after this.
+constexpr milliseconds watch_wait{4000};
+constexpr milliseconds first_pause{100};
+constexpr milliseconds longest_pause{800};
+// Servers' entries may still be missing for so long after the store has returned.
+constexpr std::chrono::seconds outage_memory{4};
+
+} // namespace
+
+kind_follower::kind_follower(const address& store_address, std::string followed_kind,
+                             follower_hooks given)
+    : kind(std::move(followed_kind)), hooks(std::move(given)), store(store_address)
+{
+    this->thread = std::thread([this] { this->follow(); });
+}
+
+kind_follower::~kind_follower()
+{
+    this->stopping = true;
+    this->thread.join();
+}
+
+void kind_follower::follow()
+{
+    while (!this->stopping) {
+        absl::StatusOr<object_list> listed = this->store.list(this->kind);
+        if (!listed.ok()) {
+            this->note_failure(listed.status());
+            this->pause();
+            continue;
+        }
+        this->note_success();
+        this->hooks.on_list(*listed, this->had_outage_lately());
+        this->watch_from(listed->revision);
+    }
+}
+
+void kind_follower::watch_from(std::int64_t revision)
+{
+    while (!this->stopping) {
+        absl::StatusOr<change_list> changes = this->store.watch(this->kind, revision, watch_wait);
+        if (absl::IsOutOfRange(changes.status()) || absl::IsInvalidArgument(changes.status())) {
+            log_failure("store_history_lost", changes.status(), {{"kind", this->kind}});
+            return;
+        }
+        if (!changes.ok()) {
+            this->note_failure(changes.status());
+            this->pause();
+            continue;
+        }
+        this->note_success();
+        revision = std::max(revision, changes->revision);
+        if (!changes->changes.empty()) {
+            this->hooks.on_changes(*changes, this->had_outage_lately());
+        }
+    }
+}
+
+void kind_follower::note_success()
+{
+    this->failures_in_a_row = 0;
+    if (!this->connected.exchange(true)) {
+        log_event("store_connected", {{"kind", this->kind}});
+    }
+}
+
+void kind_follower::note_failure(const absl::Status& error)
+{
+    this->last_failure = steady_clock::now();
+    ++this->failures_in_a_row;
+    count("sardine_store_failures_total", {{"kind", this->kind}});
+    if (this->connected.exchange(false) || this->failures_in_a_row == 1) {
+        log_failure("store_lost", error, {{"kind", this->kind}});
+    }
+}
+
+bool kind_follower::had_outage_lately() const
+{
+    return this->last_failure != steady_time{} &&
+           steady_clock::now() - this->last_failure < outage_memory;
+}
+
+void kind_follower::pause()
+{
+    const int doublings = std::min(this->failures_in_a_row - 1, 3);
+    const milliseconds base = std::min(longest_pause, first_pause * (1 << std::max(0, doublings)));
+    static thread_local std::minstd_rand random{std::random_device()()};
+    const double spread = std::uniform_real_distribution<double>(0.7, 1.3)(random);
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(
+        static_cast<double>(base.count()) * spread));
+}
+
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/kind_follower.h
@@ -0,0 +1,58 @@
+// Follows one kind of object in the store on a thread of its own: a list, then watches, and a list
+// again whenever history was lost.
+//
+//     kind_follower follower(store, "config", {.on_list = ..., .on_changes = ...});
+//
+// The hooks are called on the follower's thread.
+
+#ifndef SARDINESTREAM_PLATFORM_KIND_FOLLOWER_H_
+#define SARDINESTREAM_PLATFORM_KIND_FOLLOWER_H_
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "sardinestream/platform/store_client.h"
+
+namespace sardinestream::platform {
+
+struct follower_hooks {
+    // `after_outage`: the store was out of reach within the last seconds.
+    std::function<void(const object_list& list, bool after_outage)> on_list;
+    std::function<void(const change_list& changes, bool after_outage)> on_changes;
+};
+
+class kind_follower {
+public:
+    kind_follower(const address& store, std::string followed_kind, follower_hooks given);
+    // Waits for the watch that is open, a few seconds at the most.
+    ~kind_follower();
+    kind_follower(const kind_follower&) = delete;
+    kind_follower& operator=(const kind_follower&) = delete;
+
+    // Whether the last call succeeded.
+    [[nodiscard]] bool is_connected() const { return this->connected; }
+
+private:
+    void follow();
+    void watch_from(std::int64_t revision);
+    void note_success();
+    void note_failure(const absl::Status& error);
+    [[nodiscard]] bool had_outage_lately() const;
+    void pause();
+
+    const std::string kind;
+    const follower_hooks hooks;
+    store_client store;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> connected = false;
+    int failures_in_a_row = 0;
+    // Used by the follower's thread alone; zero before the first failure.
+    steady_time last_failure{};
+    std::thread thread;
+};
+
+} // namespace sardinestream::platform
+
+#endif // SARDINESTREAM_PLATFORM_KIND_FOLLOWER_H_
--- /dev/null
+++ b/sardinestream/platform/settings.cc
@@ -0,0 +1,128 @@
+#include "sardinestream/platform/settings.h"
+
+#include <cstdlib>
+
+#include <gflags/gflags.h>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/platform/wire_names.h"
+
+#include "absl/strings/str_cat.h"
+
+DEFINE_string(id, "", "Name of this instance, unique in the fleet");
+DEFINE_string(data_centre, "", "Data centre of this instance");
+DEFINE_string(ip, "", "IPv4 address of this machine");
+DEFINE_int32(ops_port, 9464, "Port of /metrics and /status, 0 to 65535");
+DEFINE_int32(news_port, 0, "Port of the news between our own processes, 1 to 65535");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+DEFINE_bool(check, false, "Check the settings, print nothing where they are right, and exit");
+
+DEFINE_string(front_listen, "", "IP:PORT where callers are served");
+DEFINE_string(ready_listen, "", "IP:PORT where the platform asks for readiness");
+DEFINE_string(store, "", "IP:PORT of the platform's object store");
+DEFINE_string(seeds, "", "IP:PORT,... of other entries, for a start without the store");
+DEFINE_int32(file_descriptors, 4096, "Descriptors that the process may hold, 64 to 1000000");
+DEFINE_double(retry_ratio, 0.2, "Attempts beyond the first against requests, fleet-wide, 0 to 1");
+DEFINE_double(retry_slack, 20, "Attempts beyond the first above that ratio, fleet-wide, 0 to 1e6");
+DEFINE_double(grace_s, 8, "Seconds from SIGTERM to the end of the process, 1 to 600");
+
+DEFINE_string(backend, "", "IP:PORT of the backend server beside this process");
+DEFINE_string(service, "", "Service of that backend server");
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr int highest_port = 65535;
+
+const std::vector<std::string> common_flags = {"id",        "data_centre", "ip",
+                                               "ops_port",  "news_port",   "log_level"};
+
+// Reads the settings file that the platform names, then the command line, then the environment.
+absl::Status load(int* argc, char*** argv, std::vector<std::string> own)
+{
+    own.insert(own.begin(), common_flags.begin(), common_flags.end());
+    if (const char* const path = std::getenv(wire::settings_variable); path != nullptr) {
+        gflags::SetCommandLineOption("flagfile", path);
+    }
+    return load_settings(argc, argv, own);
+}
+
+absl::Status read_common(common_settings& settings)
+{
+    SARDINE_RETURN_IF_ERROR(check_present("id", FLAGS_id));
+    SARDINE_RETURN_IF_ERROR(check_present("data_centre", FLAGS_data_centre));
+    SARDINE_RETURN_IF_ERROR(check_address("ip", absl::StrCat(FLAGS_ip, ":0")));
+    SARDINE_RETURN_IF_ERROR(check_range("ops_port", FLAGS_ops_port, 0, highest_port));
+    SARDINE_RETURN_IF_ERROR(check_range("news_port", FLAGS_news_port, 1, highest_port));
+    if (!parse_log_level(FLAGS_log_level, settings.log_minimum)) {
+        return setting_error("log_level", FLAGS_log_level, "debug, info, warning, error");
+    }
+    settings.id = FLAGS_id;
+    settings.data_centre = FLAGS_data_centre;
+    settings.ip = FLAGS_ip;
+    settings.ops_listen = {FLAGS_ip, FLAGS_ops_port};
+    settings.news_port = FLAGS_news_port;
+    settings.check_only = FLAGS_check;
+    return absl::OkStatus();
+}
+
+absl::Status check_number(absl::string_view flag, double value, double minimum, double maximum)
+{
+    return value >= minimum && value <= maximum
+               ? absl::OkStatus()
+               : setting_error(flag, absl::StrCat(value), absl::StrCat(minimum, " to ", maximum));
+}
+
+} // namespace
+
+absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
+{
+    constexpr int fewest_descriptors = 64;
+    constexpr int most_descriptors = 1000000;
+    constexpr double most_slack = 1e6;
+    constexpr double longest_grace_s = 600;
+    entry_settings settings;
+    SARDINE_RETURN_IF_ERROR(load(argc, argv,
+                                 {"front_listen", "ready_listen", "store", "seeds",
+                                  "file_descriptors", "retry_ratio", "retry_slack", "grace_s"}));
+    SARDINE_RETURN_IF_ERROR(read_common(settings));
+    SARDINE_RETURN_IF_ERROR(check_address("front_listen", FLAGS_front_listen));
+    SARDINE_RETURN_IF_ERROR(check_address("ready_listen", FLAGS_ready_listen));
+    SARDINE_RETURN_IF_ERROR(check_address("store", FLAGS_store));
+    SARDINE_RETURN_IF_ERROR(check_range("file_descriptors", FLAGS_file_descriptors,
+                                        fewest_descriptors, most_descriptors));
+    SARDINE_RETURN_IF_ERROR(check_number("retry_ratio", FLAGS_retry_ratio, 0, 1));
+    SARDINE_RETURN_IF_ERROR(check_number("retry_slack", FLAGS_retry_slack, 0, most_slack));
+    SARDINE_RETURN_IF_ERROR(check_number("grace_s", FLAGS_grace_s, 1, longest_grace_s));
+    absl::StatusOr<std::vector<address>> seeds = parse_addresses(FLAGS_seeds);
+    if (!seeds.ok()) {
+        return setting_error("seeds", FLAGS_seeds, "IP:PORT,...");
+    }
+    settings.front_listen = *parse_address(FLAGS_front_listen);
+    settings.ready_listen = *parse_address(FLAGS_ready_listen);
+    settings.store = *parse_address(FLAGS_store);
+    settings.seeds = *std::move(seeds);
+    // A caller's connection holds two descriptors while it is served, and one more in a queue.
+    constexpr int descriptors_per_connection = 4;
+    settings.most_connections = FLAGS_file_descriptors / descriptors_per_connection;
+    settings.retry_ratio = FLAGS_retry_ratio;
+    settings.retry_slack = FLAGS_retry_slack;
+    constexpr double ms_per_s = 1000.0;
+    settings.grace =
+        std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
+    return settings;
+}
+
+absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv)
+{
+    agent_settings settings;
+    SARDINE_RETURN_IF_ERROR(load(argc, argv, {"backend", "service"}));
+    SARDINE_RETURN_IF_ERROR(read_common(settings));
+    SARDINE_RETURN_IF_ERROR(check_address("backend", FLAGS_backend));
+    SARDINE_RETURN_IF_ERROR(check_present("service", FLAGS_service));
+    settings.backend = *parse_address(FLAGS_backend);
+    settings.service = FLAGS_service;
+    return settings;
+}
+
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/settings.h
@@ -0,0 +1,57 @@
+// Settings of both programs on the platform: flags, which the platform renders into the settings
+// file from the templates in deploy/, overridden by the environment and the command line.
+//
+//     absl::StatusOr<entry_settings> settings = load_entry_settings(&argc, &argv);
+//
+// Each error names the setting, its value and what is allowed.
+
+#ifndef SARDINESTREAM_PLATFORM_SETTINGS_H_
+#define SARDINESTREAM_PLATFORM_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/settings.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream::platform {
+
+// What both programs have.
+struct common_settings {
+    std::string id;
+    std::string data_centre;
+    // This machine's own address.
+    std::string ip;
+    address ops_listen;
+    // News between our own processes; the port is the same on every machine.
+    int news_port = 0;
+    log_level log_minimum = log_level::info;
+    bool check_only = false;
+};
+
+struct entry_settings : common_settings {
+    address front_listen;
+    address ready_listen;
+    address store;
+    std::vector<address> seeds;
+    int most_connections = 0;
+    double retry_ratio = 0;
+    double retry_slack = 0;
+    std::chrono::milliseconds grace{8000};
+};
+
+struct agent_settings : common_settings {
+    // The backend server beside this process.
+    address backend;
+    std::string service;
+};
+
+[[nodiscard]] absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv);
+[[nodiscard]] absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv);
+
+} // namespace sardinestream::platform
+
+#endif // SARDINESTREAM_PLATFORM_SETTINGS_H_
--- /dev/null
+++ b/sardinestream/platform/wire_names.h
@@ -0,0 +1,38 @@
+// The platform's names for headers, calls and fields: the one place where they stand.
+
+#ifndef SARDINESTREAM_PLATFORM_WIRE_NAMES_H_
+#define SARDINESTREAM_PLATFORM_WIRE_NAMES_H_
+
+namespace sardinestream::platform::wire {
+
+// Headers.
+inline constexpr char request_id[] = "X-Sardinestream-Request-Id";
+inline constexpr char deadline_ms[] = "X-Sardinestream-Deadline-Ms";
+inline constexpr char last_event_id[] = "Last-Event-Id";
+inline constexpr char signature[] = "X-Sardinestream-Response-Signature";
+inline constexpr char team[] = "X-Sardinestream-Tenant";
+inline constexpr char expected_server[] = "X-Sardinestream-Expect-Instance";
+inline constexpr char not_executed[] = "X-Sardinestream-Not-Executed";
+inline constexpr char token_counts[] = "X-Sardinestream-Token-Counts";
+inline constexpr char authorization[] = "Authorization";
+inline constexpr char key_scheme[] = "Token ";
+
+// Paths.
+inline constexpr char objects_path[] = "/v1/objects/";
+inline constexpr char readiness_path[] = "/v1/readiness";
+inline constexpr char report_path[] = "/v1/report";
+// How often this rank's requests chose each expert.
+inline constexpr char expert_counts_path[] = "/v1/picked";
+inline constexpr char order_path[] = "/v1/order";
+
+// Kinds of objects in the store.
+inline constexpr char servers_kind[] = "servers";
+inline constexpr char config_kind[] = "config";
+inline constexpr char config_name[] = "main";
+
+// The variable that holds the path of the settings file.
+inline constexpr char settings_variable[] = "SARDINESTREAM_SETTINGS";
+
+} // namespace sardinestream::platform::wire
+
+#endif // SARDINESTREAM_PLATFORM_WIRE_NAMES_H_
--- /dev/null
+++ b/sardinestream/programs/entry_program.cc
@@ -0,0 +1,217 @@
+#include "sardinestream/programs/entry_program.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+#include "absl/strings/match.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick_interval{200};
+constexpr int ticks_per_sweep = 5;
+// The balancer asks for readiness every second and needs two misses; until then it sends callers.
+constexpr milliseconds balancer_notice_time{3500};
+// What is left of the grace for ending the process itself.
+constexpr milliseconds exit_margin{700};
+
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+constexpr int http_unavailable = 503;
+
+routing::retry_budget_options budget_options(const entry_options& options)
+{
+    return {options.retries_per_request, options.most_retries_at_once,
+            options.most_retries_at_once};
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<entry_program>>
+entry_program::start(const entry_options& options, wire_protocol protocol,
+                     desired_state_decoder decoder)
+{
+    std::unique_ptr<entry_program> program(
+        new entry_program(options, std::move(protocol), std::move(decoder)));
+    SARDINE_RETURN_IF_ERROR(program->open());
+    return program;
+}
+
+entry_program::entry_program(const entry_options& chosen, wire_protocol spoken,
+                             desired_state_decoder decoder)
+    : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
+      servers(dispatcher_options{options.data_centre}), retries(budget_options(chosen))
+{
+}
+
+entry_program::~entry_program()
+{
+    this->ticking = false;
+    if (this->ticker.joinable()) {
+        this->ticker.join();
+    }
+}
+
+absl::Status entry_program::open()
+{
+    absl::StatusOr<std::unique_ptr<http_service>> ready = http_service::start(
+        this->options.ready_listen,
+        [this](const http_request_head&) { return this->answer_readiness(); });
+    if (!ready.ok()) {
+        return ready.status();
+    }
+    this->readiness = *std::move(ready);
+    absl::StatusOr<std::unique_ptr<http_service>> ops = http_service::start(
+        this->options.ops_listen,
+        [this](const http_request_head& head) { return this->answer_operator(head); });
+    if (!ops.ok()) {
+        return ops.status();
+    }
+    this->operators = *std::move(ops);
+    forwarding_services shared{this->protocol, this->servers, this->channels,
+                               [this](const std::string& service) {
+                                   return this->retries.try_retry(service);
+                               },
+                               [this] { return this->stopping.load(); }};
+    front_hooks hooks;
+    hooks.current_state = [this] { return this->state.get(); };
+    hooks.on_admitted = [this](const std::string& service) { this->retries.on_request(service); };
+    hooks.most_connections = this->options.most_connections;
+    absl::StatusOr<std::unique_ptr<front>> opened =
+        front::start(this->options.front_listen, std::move(shared), std::move(hooks));
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    this->callers = *std::move(opened);
+    this->ticker = std::thread([this] { this->tick(); });
+    return absl::OkStatus();
+}
+
+void entry_program::tick()
+{
+    int ticks = 0;
+    while (this->ticking) {
+        std::this_thread::sleep_for(tick_interval);
+        if (this->directory.drop_vanished(steady_clock::now())) {
+            this->publish_servers();
+        }
+        if (++ticks % ticks_per_sweep == 0) {
+            this->channels.sweep(this->directory.usable());
+        }
+    }
+}
+
+void entry_program::publish_servers()
+{
+    const std::vector<backend_server> usable = this->directory.usable();
+    this->servers.set_servers(usable);
+    this->channels.sweep(usable);
+    int leaving = 0;
+    for (const backend_server& server : usable) {
+        leaving += server.draining ? 1 : 0;
+    }
+    log_event("servers_known", {{"revision", this->directory.revision()},
+                                {"servers", usable.size()},
+                                {"leaving", leaving}});
+}
+
+void entry_program::take_desired_state(const std::string& text, std::int64_t revision,
+                                       absl::string_view source)
+{
+    this->state.offer(text, revision, source);
+}
+
+void entry_program::take_servers(const std::vector<backend_server>& listed, std::int64_t revision,
+                                 bool after_outage)
+{
+    const bool changed =
+        this->directory.replace_all(listed, revision, after_outage, steady_clock::now());
+    this->servers_known = true;
+    if (changed) {
+        this->publish_servers();
+    }
+}
+
+void entry_program::take_server(const backend_server& server, std::int64_t revision)
+{
+    if (this->directory.put(server, revision)) {
+        this->publish_servers();
+    }
+}
+
+void entry_program::take_removal(const std::string& id, std::int64_t revision, bool after_outage)
+{
+    if (this->directory.remove(id, revision, after_outage, steady_clock::now())) {
+        this->publish_servers();
+    }
+}
+
+bool entry_program::is_ready() const
+{
+    return !this->stopping && this->servers_known && this->state.get() != nullptr;
+}
+
+http_answer entry_program::answer_readiness() const
+{
+    return this->is_ready() ? http_answer{http_ok, {}, "ready"}
+                            : http_answer{http_unavailable, {}, "not ready"};
+}
+
+http_answer entry_program::answer_operator(const http_request_head& head) const
+{
+    if (absl::StartsWith(head.target, "/metrics")) {
+        set_gauge("sardine_caller_connections", {}, this->callers->connections());
+        set_gauge("sardine_requests_waiting", {}, this->servers.waiting());
+        return {http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, render_metrics()};
+    }
+    if (absl::StartsWith(head.target, "/status")) {
+        return {http_ok, {{"Content-Type", "application/json"}}, this->status_json()};
+    }
+    return {http_not_found, {}, ""};
+}
+
+std::string entry_program::status_json() const
+{
+    const std::shared_ptr<const desired_state> current = this->state.get();
+    nlohmann::json status = {{"id", this->options.id},
+                             {"ready", this->is_ready()},
+                             {"stopping", this->stopping.load()},
+                             {"desired_state_version", current == nullptr ? 0 : current->version},
+                             {"desired_state_revision", this->state.revision()},
+                             {"servers_revision", this->directory.revision()},
+                             {"waiting", this->servers.waiting()}};
+    for (const dispatcher::server_summary& one : this->servers.summary()) {
+        status["servers"].push_back({{"id", one.server.id},
+                                     {"service", one.server.service},
+                                     {"draining", one.server.draining},
+                                     {"own_in_flight", one.own_in_flight},
+                                     {"reported", one.reported},
+                                     {"running", one.report.running},
+                                     {"waiting", one.report.waiting},
+                                     {"slowness", one.report.slowness}});
+    }
+    return status.dump();
+}
+
+void entry_program::stop(milliseconds grace)
+{
+    const steady_time begun = steady_clock::now();
+    this->stopping = true;
+    log_event("stopping", {{"connections", this->callers->connections()}});
+    std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
+    this->callers->stop_accepting();
+    const auto left = begun + grace - exit_margin - steady_clock::now();
+    const bool idle =
+        this->callers->wait_until_idle(absl::Now() + absl::FromChrono(left));
+    log_event("stopped", {{"idle", idle ? "yes" : "no"},
+                          {"connections", this->callers->connections()}});
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/programs/entry_program.h
@@ -0,0 +1,92 @@
+// The entry as a program: callers on one side, backend servers on the other, and the state that the
+// two need. It is told what the store says (`take_*`) by whoever speaks to the store.
+//
+//     auto program = entry_program::start(options, protocol, decoder);
+//     ... feed it ...
+//     program->stop(grace);
+
+#ifndef SARDINESTREAM_PROGRAMS_ENTRY_PROGRAM_H_
+#define SARDINESTREAM_PROGRAMS_ENTRY_PROGRAM_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/backends/server_directory.h"
+#include "sardinestream/forwarding/front.h"
+#include "sardinestream/http/http_service.h"
+#include "sardinestream/routes/current_state.h"
+#include "sardinestream/retries/retry_budget.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream {
+
+struct entry_options {
+    std::string id;
+    std::string data_centre;
+    address front_listen;
+    // Readiness for the platform's balancer.
+    address ready_listen;
+    // Metrics and status for operators.
+    address ops_listen;
+    int most_connections = 1000;
+    // Attempts at a second server against requests, and how many more may come at once; of this
+    // process alone.
+    double retries_per_request = 0.1;
+    double most_retries_at_once = 20;
+};
+
+class entry_program {
+public:
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<entry_program>>
+    start(const entry_options& options, wire_protocol protocol, desired_state_decoder decoder);
+
+    ~entry_program();
+    entry_program(const entry_program&) = delete;
+    entry_program& operator=(const entry_program&) = delete;
+
+    void take_desired_state(const std::string& text, std::int64_t revision,
+                            absl::string_view source);
+    void take_servers(const std::vector<backend_server>& listed, std::int64_t revision,
+                      bool after_outage);
+    void take_server(const backend_server& server, std::int64_t revision);
+    void take_removal(const std::string& id, std::int64_t revision, bool after_outage);
+
+    // Planned stop: not ready at once, callers are served until the balancer has noticed, open
+    // requests end. Returns when all have, or after `grace`.
+    void stop(std::chrono::milliseconds grace);
+
+private:
+    entry_program(const entry_options& chosen, wire_protocol spoken, desired_state_decoder decoder);
+
+    [[nodiscard]] absl::Status open();
+    void tick();
+    void publish_servers();
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] http_answer answer_readiness() const;
+    [[nodiscard]] http_answer answer_operator(const http_request_head& head) const;
+    [[nodiscard]] std::string status_json() const;
+
+    const entry_options options;
+    const wire_protocol protocol;
+    current_state state;
+    server_directory directory;
+    dispatcher servers;
+    channel_pool channels;
+    routing::retry_budget retries;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> servers_known = false;
+    std::unique_ptr<front> callers;
+    std::unique_ptr<http_service> readiness;
+    std::unique_ptr<http_service> operators;
+    std::atomic<bool> ticking = true;
+    std::thread ticker;
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_PROGRAMS_ENTRY_PROGRAM_H_
--- a/sardinestream/routing/retry_budget.cc
+++ b/sardinestream/retries/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "sardinestream/routing/retry_budget.h"
+#include "sardinestream/retries/retry_budget.h"
 
 #include <algorithm>
 
--- a/sardinestream/routing/retry_budget.h
+++ b/sardinestream/retries/retry_budget.h
@@ -5,8 +5,8 @@
 //
 // A token bucket for each service: a request adds a tenth of a token, a retry takes a whole one.
 
-#ifndef SARDINESTREAM_ROUTING_RETRY_BUDGET_H_
-#define SARDINESTREAM_ROUTING_RETRY_BUDGET_H_
+#ifndef SARDINESTREAM_RETRIES_RETRY_BUDGET_H_
+#define SARDINESTREAM_RETRIES_RETRY_BUDGET_H_
 
 #include <map>
 #include <string>
@@ -46,4 +46,4 @@
 
 } // namespace sardinestream::routing
 
-#endif // SARDINESTREAM_ROUTING_RETRY_BUDGET_H_
+#endif // SARDINESTREAM_RETRIES_RETRY_BUDGET_H_
--- /dev/null
+++ b/sardinestream/routes/current_state.cc
@@ -0,0 +1,56 @@
+#include "sardinestream/routes/current_state.h"
+
+#include <utility>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+
+namespace sardinestream {
+
+current_state::current_state(desired_state_decoder decoder) : decode(std::move(decoder)) {}
+
+bool current_state::offer(const std::string& text, std::int64_t revision, absl::string_view source)
+{
+    if (revision <= this->revision()) {
+        return false;
+    }
+    absl::StatusOr<std::shared_ptr<const desired_state>> decoded = this->decode(text);
+    if (!decoded.ok()) {
+        count("sardine_unreadable_documents_total");
+        log_failure("desired_state_unreadable", decoded.status(), {{"revision", revision}});
+        return false;
+    }
+    const absl::MutexLock lock(&this->mutex);
+    if (revision <= this->newest.revision ||
+        (this->state != nullptr && (*decoded)->version < this->state->version)) {
+        return false;
+    }
+    this->state = *std::move(decoded);
+    this->newest = {text, revision};
+    set_gauge("sardine_desired_state_version", {}, static_cast<double>(this->state->version));
+    log_event("desired_state_in_force", {{"version", this->state->version},
+                                         {"revision", revision},
+                                         {"routes", this->state->routes.size()},
+                                         {"source", source}});
+    return true;
+}
+
+std::shared_ptr<const desired_state> current_state::get() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->state;
+}
+
+stored_document current_state::document() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->newest;
+}
+
+std::int64_t current_state::revision() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->newest.revision;
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/routes/current_state.h
@@ -0,0 +1,56 @@
+// The newest desired state that this process knows. Its version never falls.
+//
+//     current_state current(decode_desired_state);
+//     current.offer(document, revision);
+//     std::shared_ptr<const desired_state> state = current.get(); // null before the first
+//
+// Thread-safe.
+
+#ifndef SARDINESTREAM_ROUTES_CURRENT_STATE_H_
+#define SARDINESTREAM_ROUTES_CURRENT_STATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sardinestream/routes/desired_state.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream {
+
+using desired_state_decoder =
+    std::function<absl::StatusOr<std::shared_ptr<const desired_state>>(absl::string_view text)>;
+
+// A document as the operator wrote it, for handing on to another process.
+struct stored_document {
+    std::string text;
+    // The store's revision of the document; zero where there is none.
+    std::int64_t revision = 0;
+};
+
+class current_state {
+public:
+    explicit current_state(desired_state_decoder decoder);
+
+    // Takes a document that is newer than the known one. Returns true where it came into force;
+    // one that cannot be read, or is older, is logged and changes nothing.
+    bool offer(const std::string& text, std::int64_t revision, absl::string_view source);
+
+    [[nodiscard]] std::shared_ptr<const desired_state> get() const;
+    [[nodiscard]] stored_document document() const;
+    [[nodiscard]] std::int64_t revision() const;
+
+private:
+    const desired_state_decoder decode;
+    mutable absl::Mutex mutex;
+    std::shared_ptr<const desired_state> state ABSL_GUARDED_BY(mutex);
+    stored_document newest ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_ROUTES_CURRENT_STATE_H_
--- a/sardinestream/platform/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -8,8 +8,8 @@
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
-#include "sardinestream/platform/object_json.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_json.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/str_cat.h"
--- a/sardinestream/platform/instance_list.cc
+++ b/sardinestream/store/instance_list.cc
@@ -1,4 +1,4 @@
-#include "sardinestream/platform/instance_list.h"
+#include "sardinestream/store/instance_list.h"
 
 #include <algorithm>
 #include <utility>
--- a/sardinestream/platform/instance_list.h
+++ b/sardinestream/store/instance_list.h
@@ -8,8 +8,8 @@
 // whom to dial, never a proof that an instance is alive or gone; see the package membership for
 // that. Only reads the platform. Thread-safe.
 
-#ifndef SARDINESTREAM_PLATFORM_INSTANCE_LIST_H_
-#define SARDINESTREAM_PLATFORM_INSTANCE_LIST_H_
+#ifndef SARDINESTREAM_STORE_INSTANCE_LIST_H_
+#define SARDINESTREAM_STORE_INSTANCE_LIST_H_
 
 #include <cstdint>
 #include <functional>
@@ -20,7 +20,7 @@
 #include <vector>
 
 #include "sardinestream/base/settings.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
@@ -101,4 +101,4 @@
 
 } // namespace sardinestream::platform
 
-#endif // SARDINESTREAM_PLATFORM_INSTANCE_LIST_H_
+#endif // SARDINESTREAM_STORE_INSTANCE_LIST_H_
--- a/sardinestream/platform/instance_list_test.cc
+++ b/sardinestream/store/instance_list_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "sardinestream/platform/instance_list.h"
+#include "sardinestream/store/instance_list.h"
 #include "sardinestream/testing/platform_standin.h"
 
 namespace sardinestream::platform {
--- a/sardinestream/platform/object_json.cc
+++ b/sardinestream/store/object_json.cc
@@ -1,4 +1,4 @@
-#include "sardinestream/platform/object_json.h"
+#include "sardinestream/store/object_json.h"
 
 #include <utility>
 
--- a/sardinestream/platform/object_json.h
+++ b/sardinestream/store/object_json.h
@@ -2,13 +2,13 @@
 //
 //     absl::StatusOr<object> read = parse_object("instances", body);
 
-#ifndef SARDINESTREAM_PLATFORM_OBJECT_JSON_H_
-#define SARDINESTREAM_PLATFORM_OBJECT_JSON_H_
+#ifndef SARDINESTREAM_STORE_OBJECT_JSON_H_
+#define SARDINESTREAM_STORE_OBJECT_JSON_H_
 
 #include <cstdint>
 #include <string>
 
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -37,4 +37,4 @@
 
 } // namespace sardinestream::platform
 
-#endif // SARDINESTREAM_PLATFORM_OBJECT_JSON_H_
+#endif // SARDINESTREAM_STORE_OBJECT_JSON_H_
--- a/sardinestream/platform/object_store.h
+++ b/sardinestream/store/object_store.h
@@ -16,8 +16,8 @@
 // Owns the connections to the platform. Never repeats a change by itself, and keeps no copy of any
 // object.
 
-#ifndef SARDINESTREAM_PLATFORM_OBJECT_STORE_H_
-#define SARDINESTREAM_PLATFORM_OBJECT_STORE_H_
+#ifndef SARDINESTREAM_STORE_OBJECT_STORE_H_
+#define SARDINESTREAM_STORE_OBJECT_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -100,4 +100,4 @@
 
 } // namespace sardinestream::platform
 
-#endif // SARDINESTREAM_PLATFORM_OBJECT_STORE_H_
+#endif // SARDINESTREAM_STORE_OBJECT_STORE_H_
--- a/sardinestream/platform/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/platform_standin.h"
 
 namespace sardinestream::platform {
--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -14,7 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/digest.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/fault_matrix.h"
 #include "sardinestream/testing/matrix_faults.h"
 
--- a/sardinestream/testing/demo_main.cc
+++ b/sardinestream/testing/demo_main.cc
@@ -15,7 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/digest.h"
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/process.h"
 
 #include "absl/strings/str_cat.h"
--- a/sardinestream/testing/platform_standin.cc
+++ b/sardinestream/testing/platform_standin.cc
@@ -11,7 +11,7 @@
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/thread_group.h"
-#include "sardinestream/platform/object_json.h"
+#include "sardinestream/store/object_json.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
--- a/sardinestream/testing/platform_standin_store.h
+++ b/sardinestream/testing/platform_standin_store.h
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "sardinestream/platform/object_store.h"
+#include "sardinestream/store/object_store.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/status.h"
