--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -1,9 +1,10 @@
 #include "sardinestream/backends/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
+
 #include <sys/eventfd.h>
 #include <unistd.h>
-#include <utility>
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
@@ -142,8 +143,8 @@
     {
         const absl::MutexLock lock(&this->mutex);
         service_queue& queue = this->queues[request.service];
-        const bool overtakes = std::all_of(
-            queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
+        const bool overtakes =
+            std::all_of(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
                 return other->request->priority > request.priority;
             });
         if (overtakes) {
@@ -181,8 +182,8 @@
             this->serve_waiters(self.request->service);
         }
         if (self.given.has_value()) {
-            self.given->waited = std::chrono::duration_cast<std::chrono::milliseconds>(
-                steady_clock::now() - begun);
+            self.given->waited =
+                std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
             return *std::move(self.given);
         }
         if (gone) {
@@ -193,9 +194,8 @@
             queue.waiters.remove(&self);
             return refusal(absl::StatusCode::kResourceExhausted, self.request->service,
                            "waited too long",
-                           queue.finished.wait_behind(
-                               static_cast<double>(queue.waiters.size()) + 1,
-                               steady_clock::now(), longest_retry_after));
+                           queue.finished.wait_behind(static_cast<double>(queue.waiters.size()) + 1,
+                                                      steady_clock::now(), longest_retry_after));
         }
     }
 }
@@ -231,8 +231,7 @@
         this->queues[given.server.service].finished.add(now);
     }
     const auto found = this->servers.find(given.server.id);
-    if (found == this->servers.end() ||
-        found->second.server().born_ms != given.server.born_ms) {
+    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
         this->serve_waiters(given.server.service);
         return;
     }
@@ -249,9 +248,9 @@
     std::map<std::string, server_state> kept;
     for (const backend_server& server : newer) {
         const auto known = this->servers.find(server.id);
-        const bool same_start =
-            known != this->servers.end() && known->second.server().born_ms == server.born_ms &&
-            known->second.server().endpoint == server.endpoint;
+        const bool same_start = known != this->servers.end() &&
+                                known->second.server().born_ms == server.born_ms &&
+                                known->second.server().endpoint == server.endpoint;
         if (!same_start) {
             kept.emplace(server.id, server_state(server));
             continue;
--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -23,8 +23,8 @@
     return false;
 }
 
-bool server_directory::replace_all(const std::vector<backend_server>& listed,
-                                   std::int64_t revision, bool after_outage, steady_time now)
+bool server_directory::replace_all(const std::vector<backend_server>& listed, std::int64_t revision,
+                                   bool after_outage, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
     if (revision < this->known_revision) {
--- a/sardinestream/entry/key_router.h
+++ b/sardinestream/entry/key_router.h
@@ -14,8 +14,8 @@
 #include "sardinestream/membership/peer_directory.h"
 #include "sardinestream/once/key_bindings.h"
 #include "sardinestream/once/ticket.h"
-#include "sardinestream/store/object_store.h"
 #include "sardinestream/requests/services.h"
+#include "sardinestream/store/object_store.h"
 
 namespace sardinestream::entry {
 
--- a/sardinestream/forwarding/channel_pool.cc
+++ b/sardinestream/forwarding/channel_pool.cc
@@ -34,8 +34,7 @@
 }
 
 absl::StatusOr<std::unique_ptr<server_channel>> channel_pool::open(const backend_server& server,
-                                                                   bool fresh,
-                                                                   steady_time deadline,
+                                                                   bool fresh, steady_time deadline,
                                                                    const hangup_watch& caller)
 {
     if (!fresh) {
@@ -58,8 +57,7 @@
     if (idle_timeout <= idle_margin) {
         return;
     }
-    channel->kept_until =
-        steady_clock::now() + std::min(longest_idle, idle_timeout - idle_margin);
+    channel->kept_until = steady_clock::now() + std::min(longest_idle, idle_timeout - idle_margin);
     const absl::MutexLock lock(&this->mutex);
     auto& kept = this->idle[{server.id, server.born_ms}];
     if (kept.size() < most_kept_per_server) {
@@ -82,8 +80,7 @@
             it = this->idle.erase(it);
             continue;
         }
-        std::erase_if(it->second,
-                      [&](const auto& channel) { return channel->kept_until <= now; });
+        std::erase_if(it->second, [&](const auto& channel) { return channel->kept_until <= now; });
         ++it;
     }
 }
--- a/sardinestream/forwarding/channel_pool.h
+++ b/sardinestream/forwarding/channel_pool.h
@@ -38,9 +38,10 @@
 public:
     // Returns a kept connection to that start of the server, or a new one. `fresh` asks for a new
     // one in any case.
-    [[nodiscard]] absl::StatusOr<std::unique_ptr<server_channel>>
-    open(const backend_server& server, bool fresh, steady_time deadline,
-         const hangup_watch& caller);
+    [[nodiscard]] absl::StatusOr<std::unique_ptr<server_channel>> open(const backend_server& server,
+                                                                       bool fresh,
+                                                                       steady_time deadline,
+                                                                       const hangup_watch& caller);
 
     // Keeps a connection whose last answer was whole. `idle_timeout` is the server's own.
     void keep(const backend_server& server, std::unique_ptr<server_channel> channel,
--- a/sardinestream/forwarding/event_splitter.cc
+++ b/sardinestream/forwarding/event_splitter.cc
@@ -57,8 +57,8 @@
         if (this->last_number.has_value() && number <= *this->last_number) {
             return;
         }
-        this->gap = this->gap ||
-                    (this->last_number.has_value() && number != *this->last_number + 1);
+        this->gap =
+            this->gap || (this->last_number.has_value() && number != *this->last_number + 1);
         this->last_number = number;
     }
     if (!id.empty()) {
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -105,8 +105,7 @@
     return written && keep;
 }
 
-exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket,
-                   admitted_request given)
+exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket, admitted_request given)
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
       admitted(std::move(given)), chosen(*admitted.chosen)
 {
@@ -216,9 +215,8 @@
 {
     const message_limits limits = {largest_answer_head, largest_whole_answer};
     for (int strays = 0; strays <= most_stray_answers; ++strays) {
-        absl::StatusOr<http_response_head> head =
-            channel.reader.read_response_head(limits, this->admitted.request.method == "HEAD",
-                                              this->deadline, this->caller_watch);
+        absl::StatusOr<http_response_head> head = channel.reader.read_response_head(
+            limits, this->admitted.request.method == "HEAD", this->deadline, this->caller_watch);
         if (!head.ok()) {
             return head.status();
         }
@@ -229,8 +227,8 @@
         // The late answer to an earlier request of this connection.
         reusable = false;
         count("sardine_stray_answers_total");
-        log_event("stray_answer", {{"request", this->admitted.request.id},
-                                   {"answers", marks.request_id}});
+        log_event("stray_answer",
+                  {{"request", this->admitted.request.id}, {"answers", marks.request_id}});
         std::string discarded;
         SARDINE_RETURN_IF_ERROR(channel.reader.read_body(largest_whole_answer, discarded,
                                                          this->deadline, this->caller_watch));
@@ -289,22 +287,22 @@
                                               this->caller_watch)
                                    .ok();
         record.result = marks.wrong_server ? attempt_result::replaced : attempt_result::refused;
-        return this->after_failure(
-            attempt_state::refused_by_server,
-            make_error(absl::StatusCode::kResourceExhausted, "answer", record.given.server.id,
-                       absl::StrCat("status ", head.status)),
-            record);
+        return this->after_failure(attempt_state::refused_by_server,
+                                   make_error(absl::StatusCode::kResourceExhausted, "answer",
+                                              record.given.server.id,
+                                              absl::StrCat("status ", head.status)),
+                                   record);
     }
-    const bool is_ours = marks.is_signed && find_header(head.headers, "content-encoding") ==
-                                                std::nullopt;
+    const bool is_ours =
+        marks.is_signed && find_header(head.headers, "content-encoding") == std::nullopt;
     if (is_success(head.status) && !is_ours) {
         reusable = false;
         record.result = attempt_result::failed;
-        return this->after_failure(
-            attempt_state::possibly_run,
-            make_error(absl::StatusCode::kDataLoss, "answer", record.given.server.id,
-                       "answer without the server's signature"),
-            record);
+        return this->after_failure(attempt_state::possibly_run,
+                                   make_error(absl::StatusCode::kDataLoss, "answer",
+                                              record.given.server.id,
+                                              "answer without the server's signature"),
+                                   record);
     }
     if (is_success(head.status) && is_event_stream(head)) {
         return this->relay_stream(channel, head, record, reusable);
@@ -316,8 +314,8 @@
                                           attempt_record& record, bool& reusable)
 {
     std::string body;
-    const absl::Status read = channel.reader.read_body(largest_whole_answer, body, this->deadline,
-                                                       this->caller_watch);
+    const absl::Status read =
+        channel.reader.read_body(largest_whole_answer, body, this->deadline, this->caller_watch);
     if (!read.ok()) {
         reusable = false;
         return this->after_failure(attempt_state::possibly_run, read, record);
@@ -386,14 +384,13 @@
     if (!this->admitted.request.takes_chunks) {
         return absl::OkStatus();
     }
-    return this->caller.write_all("0\r\n\r\n",
-                                  std::max(this->deadline, steady_clock::now() + own_answer_timeout),
-                                  hangup_watch());
+    return this->caller.write_all(
+        "0\r\n\r\n", std::max(this->deadline, steady_clock::now() + own_answer_timeout),
+        hangup_watch());
 }
 
-exchange::next_step exchange::relay_stream(server_channel& channel,
-                                           const http_response_head& head, attempt_record& record,
-                                           bool& reusable)
+exchange::next_step exchange::relay_stream(server_channel& channel, const http_response_head& head,
+                                           attempt_record& record, bool& reusable)
 {
     reusable = false;
     while (true) {
@@ -465,8 +462,8 @@
         this->possibly_run = true;
     }
     this->log_attempt(record, cause.message());
-    count("sardine_attempt_failures_total", {{"service", this->admitted.service},
-                                             {"step", step_of(cause)}});
+    count("sardine_attempt_failures_total",
+          {{"service", this->admitted.service}, {"step", step_of(cause)}});
     const bool first_of_request = state == attempt_state::nothing_sent && this->servers_sent == 0;
     const bool in_time = steady_clock::now() < this->deadline;
     if (in_time && this->may_try_again(state) &&
@@ -512,10 +509,10 @@
 
 void exchange::log_outcome(absl::string_view outcome, int status, absl::string_view reason) const
 {
-    observe_seconds("sardine_request_seconds",
-                    {{"service", this->admitted.service}, {"outcome", std::string(outcome)}},
-                    std::chrono::duration<double>(steady_clock::now() - this->admitted.arrival)
-                        .count());
+    observe_seconds(
+        "sardine_request_seconds",
+        {{"service", this->admitted.service}, {"outcome", std::string(outcome)}},
+        std::chrono::duration<double>(steady_clock::now() - this->admitted.arrival).count());
     log_event("request", {{"request", this->admitted.request.id},
                           {"route", this->chosen.name},
                           {"version", this->admitted.state->version},
--- a/sardinestream/forwarding/front.cc
+++ b/sardinestream/forwarding/front.cc
@@ -1,8 +1,9 @@
 #include "sardinestream/forwarding/front.h"
 
-#include <sys/socket.h>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
@@ -63,8 +64,7 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<front>> front::start(const address& local,
-                                                    forwarding_services services,
-                                                    front_hooks hooks)
+                                                    forwarding_services services, front_hooks hooks)
 {
     absl::StatusOr<tcp_listener> bound = tcp_listener::bind(local);
     if (!bound.ok()) {
@@ -182,8 +182,8 @@
     if (!request.ok()) {
         return this->refuse_message(connection, request.status());
     }
-    const absl::Status body = reader.read_body(limits.body_bytes, request->body,
-                                               arrival + body_timeout, hangup_watch());
+    const absl::Status body =
+        reader.read_body(limits.body_bytes, request->body, arrival + body_timeout, hangup_watch());
     if (!body.ok()) {
         return this->refuse_message(connection, body);
     }
@@ -214,9 +214,8 @@
                           {"reason", code}});
     constexpr milliseconds start_time{1000};
     const bool keep = request.keeps_alive && !this->services.is_stopping();
-    return write_own_answer(connection, this->services.protocol.own_answer_headers(request),
-                            status, code, status == unavailable ? start_time : milliseconds(0),
-                            keep);
+    return write_own_answer(connection, this->services.protocol.own_answer_headers(request), status,
+                            code, status == unavailable ? start_time : milliseconds(0), keep);
 }
 
 bool front::admit(tcp_socket& connection, caller_request request, steady_time arrival)
--- a/sardinestream/forwarding/retry_rules.cc
+++ b/sardinestream/forwarding/retry_rules.cc
@@ -10,8 +10,8 @@
     if (chosen.may_run_again()) {
         return true;
     }
-    const bool never_ran = last == attempt_state::nothing_sent ||
-                           last == attempt_state::refused_by_server;
+    const bool never_ran =
+        last == attempt_state::nothing_sent || last == attempt_state::refused_by_server;
     return never_ran && !any_possibly_run;
 }
 
--- a/sardinestream/http/http_client.cc
+++ b/sardinestream/http/http_client.cc
@@ -41,8 +41,7 @@
 
 absl::StatusOr<http_answer> http_client::exchange(absl::string_view method,
                                                   absl::string_view target,
-                                                  absl::string_view json_body,
-                                                  steady_time deadline)
+                                                  absl::string_view json_body, steady_time deadline)
 {
     std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\n");
     append_header(text, "Host", this->peer.to_string());
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -23,8 +23,7 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<http_service> service(
-        new http_service(*std::move(bound), std::move(handler)));
+    std::unique_ptr<http_service> service(new http_service(*std::move(bound), std::move(handler)));
     service->acceptor = std::thread([raw = service.get()] { raw->accept_connections(); });
     return service;
 }
@@ -54,8 +53,7 @@
             continue;
         }
         auto connection = std::make_shared<tcp_socket>(*std::move(accepted));
-        if (!this->connections.spawn(
-                [this, connection] { this->serve(std::move(*connection)); })) {
+        if (!this->connections.spawn([this, connection] { this->serve(std::move(*connection)); })) {
             log_event("service_connection_refused", {{"reason", "no thread"}}, log_level::warning);
         }
     }
--- a/sardinestream/http/message.cc
+++ b/sardinestream/http/message.cc
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<absl::string_view, 9> hop_headers = {
-    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",
-    "trailer",    "transfer-encoding", "upgrade",            "content-length"};
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade",    "content-length"};
 
 bool is_hop_header(absl::string_view name)
 {
@@ -88,7 +88,8 @@
 
 bool http_response_head::keeps_alive() const
 {
-    return this->framing != body_framing::until_close && keeps_alive_in(this->version, this->headers);
+    return this->framing != body_framing::until_close &&
+           keeps_alive_in(this->version, this->headers);
 }
 
 void append_header(std::string& text, absl::string_view name, absl::string_view value)
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -119,7 +119,8 @@
     return length;
 }
 
-template <bool IsRequest> absl::Status message_reader::parse_buffered(parser<IsRequest>& into)
+template <bool IsRequest>
+absl::Status message_reader::parse_buffered(parser<IsRequest>& into)
 {
     while (!this->buffered.empty() && !into.is_done()) {
         beast::error_code error;
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -42,8 +42,8 @@
     // Waits for the first byte of the next message; kNotFound where the peer ended instead.
     [[nodiscard]] absl::Status wait_for_message(steady_time deadline);
 
-    [[nodiscard]] absl::StatusOr<http_request_head>
-    read_request_head(const message_limits& limits, steady_time deadline);
+    [[nodiscard]] absl::StatusOr<http_request_head> read_request_head(const message_limits& limits,
+                                                                      steady_time deadline);
 
     // `to_head` says that the answer has no body whatever its head says.
     [[nodiscard]] absl::StatusOr<http_response_head>
@@ -62,15 +62,17 @@
     [[nodiscard]] bool has_surplus() const { return !this->buffered.empty(); }
 
 private:
-    template <bool IsRequest> class parser;
+    template <bool IsRequest>
+    class parser;
 
     template <bool IsRequest>
     absl::Status read_head(parser<IsRequest>& into, steady_time deadline,
                            const hangup_watch& caller);
-    template <bool IsRequest> absl::Status parse_buffered(parser<IsRequest>& into);
     template <bool IsRequest>
-    absl::StatusOr<bool> read_part(parser<IsRequest>& from, std::string& body,
-                                   steady_time deadline, const hangup_watch& caller);
+    absl::Status parse_buffered(parser<IsRequest>& into);
+    template <bool IsRequest>
+    absl::StatusOr<bool> read_part(parser<IsRequest>& from, std::string& body, steady_time deadline,
+                                   const hangup_watch& caller);
     // Reads more into `buffered`; zero bytes at the end of the connection.
     absl::StatusOr<std::size_t> fill(steady_time deadline, const hangup_watch& caller);
 
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -1,15 +1,16 @@
 #include "sardinestream/http/socket.h"
 
-#include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
+#include <utility>
+
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <utility>
 
 #include "sardinestream/base/error.h"
 
@@ -236,8 +237,7 @@
         return make_error(absl::StatusCode::kInvalidArgument, "bind", local.ip, "bad address");
     }
     tcp_listener listener;
-    listener.socket =
-        tcp_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    listener.socket = tcp_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int fd = listener.socket.descriptor();
     set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
     if (::bind(fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) != 0 ||
@@ -253,8 +253,8 @@
 absl::StatusOr<tcp_socket> tcp_listener::accept(steady_time deadline)
 {
     while (true) {
-        const int fd = ::accept4(this->socket.descriptor(), nullptr, nullptr,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int fd =
+            ::accept4(this->socket.descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) {
             set_connection_options(fd);
             return tcp_socket(fd);
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -71,9 +71,8 @@
 
     // Like `write_all`, but stops where the peer answers before it has taken everything. Returns
     // whether all was written; if not, the connection must not be used again.
-    [[nodiscard]] absl::StatusOr<bool> write_until_answer(absl::string_view bytes,
-                                                          steady_time deadline,
-                                                          const hangup_watch& caller);
+    [[nodiscard]] absl::StatusOr<bool>
+    write_until_answer(absl::string_view bytes, steady_time deadline, const hangup_watch& caller);
 
     // Returns true where bytes wait to be read or the peer has ended the connection: an idle
     // connection in that state must not be used again.
--- /dev/null
+++ b/sardinestream/maps/expert_map.cc
@@ -0,0 +1,166 @@
+#include "sardinestream/maps/expert_map.h"
+
+#include <algorithm>
+
+#include "sardinestream/base/error.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+absl::Status bad_map(absl::string_view reason)
+{
+    return make_error(absl::StatusCode::kInvalidArgument, "expert_map", "", reason);
+}
+
+void append_list(std::vector<std::uint16_t>& flat, const std::vector<std::uint16_t>& list)
+{
+    flat.push_back(static_cast<std::uint16_t>(list.size()));
+    flat.insert(flat.end(), list.begin(), list.end());
+}
+
+// Takes one list from the front of `flat`.
+bool take_list(absl::Span<const std::uint16_t>& flat, std::vector<std::uint16_t>& list)
+{
+    if (flat.empty() || flat.size() < static_cast<std::size_t>(flat.front()) + 1) {
+        return false;
+    }
+    const std::size_t length = flat.front();
+    list.assign(flat.begin() + 1, flat.begin() + 1 + static_cast<std::ptrdiff_t>(length));
+    flat.remove_prefix(length + 1);
+    std::sort(list.begin(), list.end());
+    return true;
+}
+
+} // namespace
+
+expert_map::expert_map(const map_shape& given)
+    : form(given),
+      lists(static_cast<std::size_t>(given.sets) * static_cast<std::size_t>(given.ranks))
+{
+}
+
+std::size_t expert_map::position(int set, int rank) const
+{
+    return static_cast<std::size_t>(set) * static_cast<std::size_t>(this->form.ranks) +
+           static_cast<std::size_t>(rank);
+}
+
+void expert_map::set_rank(int rank, const rank_experts& experts)
+{
+    for (int set = 0; set < this->form.sets && set < static_cast<int>(experts.size()); ++set) {
+        std::vector<std::uint16_t>& list = this->lists[this->position(set, rank)];
+        list = experts[static_cast<std::size_t>(set)];
+        std::sort(list.begin(), list.end());
+    }
+}
+
+const std::vector<std::uint16_t>& expert_map::experts_of(int set, int rank) const
+{
+    return this->lists[this->position(set, rank)];
+}
+
+bool expert_map::holds(int set, int rank, int expert) const
+{
+    const std::vector<std::uint16_t>& list = this->experts_of(set, rank);
+    return std::binary_search(list.begin(), list.end(), static_cast<std::uint16_t>(expert));
+}
+
+void expert_map::add(int set, int rank, int expert)
+{
+    std::vector<std::uint16_t>& list = this->lists[this->position(set, rank)];
+    const auto value = static_cast<std::uint16_t>(expert);
+    list.insert(std::lower_bound(list.begin(), list.end(), value), value);
+}
+
+void expert_map::remove(int set, int rank, int expert)
+{
+    std::erase(this->lists[this->position(set, rank)], static_cast<std::uint16_t>(expert));
+}
+
+absl::Status expert_map::check() const
+{
+    for (int set = 0; set < this->form.sets; ++set) {
+        std::vector<bool> present(static_cast<std::size_t>(this->form.experts), false);
+        for (int rank = 0; rank < this->form.ranks; ++rank) {
+            const std::vector<std::uint16_t>& list = this->experts_of(set, rank);
+            if (static_cast<int>(list.size()) > this->form.places) {
+                return bad_map(absl::StrCat("set ", set, " rank ", rank, " holds too many"));
+            }
+            for (const std::uint16_t expert : list) {
+                if (expert >= this->form.experts) {
+                    return bad_map(absl::StrCat("set ", set, " has no expert ", expert));
+                }
+                present[expert] = true;
+            }
+        }
+        if (std::find(present.begin(), present.end(), false) != present.end()) {
+            return bad_map(absl::StrCat("set ", set, " misses an expert"));
+        }
+    }
+    return absl::OkStatus();
+}
+
+int expert_map::new_experts(const expert_map& newer, int rank) const
+{
+    int copies = 0;
+    for (int set = 0; set < this->form.sets; ++set) {
+        for (const std::uint16_t expert : newer.experts_of(set, rank)) {
+            copies += this->holds(set, rank, expert) ? 0 : 1;
+        }
+    }
+    return copies;
+}
+
+std::vector<std::uint16_t> flatten(const expert_map& map)
+{
+    std::vector<std::uint16_t> flat;
+    for (int set = 0; set < map.shape().sets; ++set) {
+        for (int rank = 0; rank < map.shape().ranks; ++rank) {
+            append_list(flat, map.experts_of(set, rank));
+        }
+    }
+    return flat;
+}
+
+std::vector<std::uint16_t> flatten(const rank_experts& experts)
+{
+    std::vector<std::uint16_t> flat;
+    for (const std::vector<std::uint16_t>& list : experts) {
+        append_list(flat, list);
+    }
+    return flat;
+}
+
+absl::Status unflatten(absl::Span<const std::uint16_t> flat, const map_shape& shape,
+                       expert_map& map)
+{
+    map = expert_map(shape);
+    std::vector<rank_experts> by_rank(static_cast<std::size_t>(shape.ranks));
+    for (int set = 0; set < shape.sets; ++set) {
+        for (rank_experts& experts : by_rank) {
+            experts.emplace_back();
+            if (!take_list(flat, experts.back())) {
+                return bad_map("message too short");
+            }
+        }
+    }
+    for (int rank = 0; rank < shape.ranks; ++rank) {
+        map.set_rank(rank, by_rank[static_cast<std::size_t>(rank)]);
+    }
+    return map.check();
+}
+
+absl::Status unflatten(absl::Span<const std::uint16_t> flat, int sets, rank_experts& experts)
+{
+    experts.assign(static_cast<std::size_t>(sets), {});
+    for (std::vector<std::uint16_t>& list : experts) {
+        if (!take_list(flat, list)) {
+            return bad_map("message too short");
+        }
+    }
+    return absl::OkStatus();
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/maps/expert_map_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/maps/expert_map.h"
--- /dev/null
+++ b/sardinestream/maps/map_planner_test.cc
@@ -0,0 +1,1 @@
+#include "sardinestream/maps/map_planner.h"
--- /dev/null
+++ b/sardinestream/peers/datagram_socket.cc
@@ -0,0 +1,92 @@
+#include "sardinestream/peers/datagram_socket.h"
+
+#include <cerrno>
+#include <cstring>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/metrics.h"
+
+namespace sardinestream {
+namespace {
+
+constexpr std::size_t largest_datagram = 16384;
+
+sockaddr_in to_native(const address& peer)
+{
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(static_cast<std::uint16_t>(peer.port));
+    native.sin_addr.s_addr = htonl(ip_number(peer.ip));
+    return native;
+}
+
+} // namespace
+
+std::uint32_t ip_number(const std::string& ip)
+{
+    in_addr parsed{};
+    return ::inet_pton(AF_INET, ip.c_str(), &parsed) == 1 ? ntohl(parsed.s_addr) : 0;
+}
+
+std::string ip_text(std::uint32_t number)
+{
+    const in_addr native{htonl(number)};
+    char text[INET_ADDRSTRLEN];
+    return ::inet_ntop(AF_INET, &native, text, sizeof(text));
+}
+
+absl::StatusOr<datagram_socket> datagram_socket::bind(const address& local)
+{
+    datagram_socket made;
+    made.socket = tcp_socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const sockaddr_in native = to_native(local);
+    if (!made.socket.is_open() ||
+        ::bind(made.socket.descriptor(), reinterpret_cast<const sockaddr*>(&native),
+               sizeof(native)) != 0) {
+        return make_error(absl::StatusCode::kUnavailable, "bind", local.to_string(),
+                          std::strerror(errno));
+    }
+    return made;
+}
+
+void datagram_socket::send(const news::NewsT& message, const address& peer) const
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(news::News::Pack(builder, &message));
+    const sockaddr_in native = to_native(peer);
+    const ssize_t sent = ::sendto(this->socket.descriptor(), builder.GetBufferPointer(),
+                                  builder.GetSize(), MSG_DONTWAIT | MSG_NOSIGNAL,
+                                  reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+    if (sent < 0) {
+        count("sardine_news_send_failures_total");
+    }
+}
+
+std::unique_ptr<news::NewsT> datagram_socket::receive(steady_time deadline) const
+{
+    std::uint8_t bytes[largest_datagram];
+    while (true) {
+        const ssize_t length =
+            ::recv(this->socket.descriptor(), bytes, sizeof(bytes), MSG_DONTWAIT);
+        if (length < 0) {
+            if (steady_clock::now() >= deadline) {
+                return nullptr;
+            }
+            wait_for_input(this->socket.descriptor(), -1, deadline);
+            continue;
+        }
+        flatbuffers::Verifier verifier(bytes, static_cast<std::size_t>(length));
+        if (!news::VerifyNewsBuffer(verifier)) {
+            count("sardine_unreadable_news_total");
+            return nullptr;
+        }
+        return news::UnPackNews(bytes);
+    }
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/peers/entry_news.h
@@ -0,0 +1,103 @@
+// What an entry tells and hears: agents' reports about their servers, and which versions of the
+// state the other entries know.
+//
+// An entry that the store turns away learns from here that another one knows more, and fetches it.
+// Agents learn the addresses of the entries and of the other ranks of their group.
+// Runs on a thread of its own, which calls the hooks.
+
+#ifndef SARDINESTREAM_PEERS_ENTRY_NEWS_H_
+#define SARDINESTREAM_PEERS_ENTRY_NEWS_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/server_state.h"
+#include "sardinestream/peers/datagram_socket.h"
+#include "sardinestream/routes/desired_state.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream {
+
+struct known_revisions {
+    std::int64_t config = 0;
+    std::int64_t servers = 0;
+
+    friend bool operator==(const known_revisions&, const known_revisions&) = default;
+};
+
+struct entry_news_hooks {
+    std::function<known_revisions()> revisions;
+    std::function<std::vector<backend_server>()> servers;
+    std::function<std::shared_ptr<const desired_state>()> state;
+    // An agent reported about the server at `ip`.
+    std::function<void(const std::string& ip, const server_report& report)> on_report;
+    // Another entry knows something newer.
+    std::function<void(const std::string& ip, const known_revisions& newer)> on_newer;
+    // The number of entries that are alive, this one included.
+    std::function<void(int count)> on_entries;
+};
+
+class entry_news {
+public:
+    // `port` is the same on every machine; `seeds` are other entries that may be alive.
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<entry_news>>
+    start(const std::string& ip, int port, const std::vector<std::string>& seeds,
+          entry_news_hooks hooks);
+    ~entry_news();
+    entry_news(const entry_news&) = delete;
+    entry_news& operator=(const entry_news&) = delete;
+
+    // Tells everyone soon what this entry knows now. Thread-safe.
+    void announce();
+
+private:
+    struct heard_entry {
+        steady_time last{};
+        known_revisions revisions;
+    };
+    struct group_member {
+        std::string ip;
+        steady_time last{};
+    };
+
+    entry_news(datagram_socket bound, std::string own, int news_port,
+               const std::vector<std::string>& seeds, entry_news_hooks given);
+
+    void run();
+    void take(const news::NewsT& message);
+    void take_hello(const news::EntryHelloT& hello);
+    void take_report(const news::ServerReportT& report);
+    void note_entry(std::uint32_t ip);
+    void note_revisions(std::uint32_t ip, const known_revisions& known);
+    void tell_everyone();
+    [[nodiscard]] news::EntryHelloT make_hello() const;
+    void add_group(const std::string& server_ip, news::EntryHelloT& hello) const;
+    void add_engine(const backend_server& server, news::EntryHelloT& hello) const;
+
+    const datagram_socket socket;
+    const std::string own_ip;
+    const int port;
+    const entry_news_hooks hooks;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> announce_now = false;
+    // Used by the thread alone.
+    std::map<std::uint32_t, heard_entry> entries;
+    // The newest sequence of each agent, by the address of its machine.
+    std::map<std::uint32_t, std::uint64_t> report_sequences;
+    // By group, then rank.
+    std::map<std::string, std::map<int, group_member>> groups;
+    std::map<std::string, std::string> group_of_ip;
+    int announced_entries = 0;
+    std::thread thread;
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_PEERS_ENTRY_NEWS_H_
--- /dev/null
+++ b/sardinestream/platform/agent_main.cc
@@ -0,0 +1,67 @@
+// sardine-agent on the users' platform: reads the settings and runs the agent beside one engine.
+
+#include <cstdio>
+#include <thread>
+
+#include <gflags/gflags.h>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
+#include "sardinestream/base/shutdown_signal.h"
+#include "sardinestream/http/http_service.h"
+#include "sardinestream/platform/engine_calls.h"
+#include "sardinestream/platform/settings.h"
+#include "sardinestream/programs/agent_program.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+int run(const agent_settings& settings)
+{
+    shutdown_signal signal = shutdown_signal::install();
+    start_logging(settings.log_minimum, "agent", settings.id);
+    absl::StatusOr<std::unique_ptr<agent_program>> program =
+        agent_program::start({settings.ip, settings.news_port, settings.backend, connect_engine});
+    if (!program.ok()) {
+        log_failure("start_failed", program.status());
+        return exit_failed;
+    }
+    constexpr int http_ok = 200;
+    absl::StatusOr<std::unique_ptr<http_service>> operators =
+        http_service::start(settings.ops_listen, [](const http_request_head&) {
+            return http_answer{http_ok, {{"Content-Type", "text/plain"}}, render_metrics()};
+        });
+    if (!operators.ok()) {
+        log_failure("start_failed", operators.status());
+        return exit_failed;
+    }
+    log_event("started", {{"backend", settings.backend.to_string()},
+                          {"service", settings.service},
+                          {"data_centre", settings.data_centre}});
+    std::thread worker([&] { (*program)->run(); });
+    signal.wait([] { log_event("stop_repeated", {}); });
+    log_event("stopping", {});
+    (*program)->stop();
+    worker.join();
+    log_event("stopped", {});
+    return 0;
+}
+
+} // namespace
+} // namespace sardinestream::platform
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("watches one model engine and takes part in its group's expert maps");
+    gflags::SetVersionString("0.2.0");
+    const absl::StatusOr<sardinestream::platform::agent_settings> settings =
+        sardinestream::platform::load_agent_settings(&argc, &argv);
+    if (!settings.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
+        return sardinestream::platform::exit_bad_settings;
+    }
+    return settings->check_only ? 0 : sardinestream::platform::run(*settings);
+}
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -21,12 +21,14 @@
 }
 
 // Reads a field that must be there; throws json::exception otherwise.
-template <typename Value> Value required(const json& object, const char* field)
+template <typename Value>
+Value required(const json& object, const char* field)
 {
     return object.at(field).get<Value>();
 }
 
-template <typename Value> Value optional_field(const json& object, const char* field, Value missing)
+template <typename Value>
+Value optional_field(const json& object, const char* field, Value missing)
 {
     const auto found = object.find(field);
     return found == object.end() || found->is_null() ? missing : found->get<Value>();
@@ -92,6 +94,8 @@
     decoded.places_per_rank = optional_field(object, "placements", 0);
     decoded.most_new_experts = optional_field(object, "spare", 0);
     decoded.expert_megabytes = optional_field(object, "expert-mb", 0.0);
+    decoded.expert_share = optional_field(object, "expert-share", 0.0);
+    decoded.link_megabits_per_s = optional_field(object, "link-mbps", 0.0);
     return decoded;
 }
 
@@ -100,8 +104,7 @@
     service_declaration decoded;
     decoded.name = required<std::string>(object, "name");
     decoded.health_path = optional_field<std::string>(object, "health-path", "");
-    decoded.connection_limit =
-        optional_field(object, "connection-limit", decoded.connection_limit);
+    decoded.connection_limit = optional_field(object, "connection-limit", decoded.connection_limit);
     if (const auto engine = object.find("engine"); engine != object.end() && engine->is_object()) {
         decoded.has_engine = true;
         decoded.engine = decode_engine(*engine);
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -29,6 +29,11 @@
     options.front_listen = settings.front_listen;
     options.ready_listen = settings.ready_listen;
     options.ops_listen = settings.ops_listen;
+    options.ip = settings.ip;
+    options.news_port = settings.news_port;
+    for (const address& seed : settings.seeds) {
+        options.seeds.push_back(seed.ip);
+    }
     options.most_connections = settings.most_connections;
     // The budget is the fleet's; each entry takes a part of it.
     constexpr double entries_sharing = 4;
@@ -47,8 +52,7 @@
 // Returns the server, or nothing for an entry of another writer.
 absl::StatusOr<backend_server> decode_logged(const stored_object& object)
 {
-    absl::StatusOr<backend_server> decoded =
-        decode_server_entry(object.name, object.specification);
+    absl::StatusOr<backend_server> decoded = decode_server_entry(object.name, object.specification);
     if (!decoded.ok()) {
         count("sardine_unreadable_server_entries_total");
         log_failure("server_entry_unreadable", decoded.status(), {{"server", object.name}});
--- a/sardinestream/platform/kind_follower.cc
+++ b/sardinestream/platform/kind_follower.cc
@@ -100,8 +100,8 @@
     const milliseconds base = std::min(longest_pause, first_pause * (1 << std::max(0, doublings)));
     static thread_local std::minstd_rand random{std::random_device()()};
     const double spread = std::uniform_real_distribution<double>(0.7, 1.3)(random);
-    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(
-        static_cast<double>(base.count()) * spread));
+    std::this_thread::sleep_for(
+        std::chrono::duration<double, std::milli>(static_cast<double>(base.count()) * spread));
 }
 
 } // namespace sardinestream::platform
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -34,8 +34,8 @@
 
 constexpr int highest_port = 65535;
 
-const std::vector<std::string> common_flags = {"id",        "data_centre", "ip",
-                                               "ops_port",  "news_port",   "log_level"};
+const std::vector<std::string> common_flags = {"id",       "data_centre", "ip",
+                                               "ops_port", "news_port",   "log_level"};
 
 // Reads the settings file that the platform names, then the command line, then the environment.
 absl::Status load(int* argc, char*** argv, std::vector<std::string> own)
@@ -108,8 +108,7 @@
     settings.retry_ratio = FLAGS_retry_ratio;
     settings.retry_slack = FLAGS_retry_slack;
     constexpr double ms_per_s = 1000.0;
-    settings.grace =
-        std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
+    settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
     return settings;
 }
 
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -24,8 +24,8 @@
     decoded.revision = metadata.value("revision", std::int64_t{0});
     // Another writer's entry may hold bytes that are no text; such text is replaced, then refused
     // by the decoder of the kind.
-    decoded.specification = object.value("specification", json())
-                                .dump(-1, ' ', false, json::error_handler_t::replace);
+    decoded.specification =
+        object.value("specification", json()).dump(-1, ' ', false, json::error_handler_t::replace);
     return decoded;
 }
 
@@ -51,8 +51,8 @@
     if (answer->status == ok) {
         return std::move(answer->body);
     }
-    const absl::StatusCode code = answer->status == gone ? absl::StatusCode::kOutOfRange
-                                                         : absl::StatusCode::kUnavailable;
+    const absl::StatusCode code =
+        answer->status == gone ? absl::StatusCode::kOutOfRange : absl::StatusCode::kUnavailable;
     return make_error(code, "call", "store", absl::StrCat("status ", answer->status));
 }
 
@@ -61,8 +61,8 @@
     object_list all;
     std::string after;
     while (true) {
-        const std::string target = absl::StrCat(wire::objects_path, kind,
-                                                after.empty() ? "" : absl::StrCat("?after=", after));
+        const std::string target = absl::StrCat(
+            wire::objects_path, kind, after.empty() ? "" : absl::StrCat("?after=", after));
         absl::StatusOr<std::string> body = this->get(target, call_timeout);
         if (!body.ok()) {
             return body.status();
--- /dev/null
+++ b/sardinestream/programs/agent_program.h
@@ -0,0 +1,126 @@
+// The agent as a program: it watches the engine beside it, tells the entries how loaded it is, and
+// takes part in changing the expert map of its group, which one agent of the group coordinates.
+//
+// One thread does all of it, straight down: a datagram, or the time for the next look at the
+// engine, whichever comes first.
+//
+// Who coordinates: an agent that hears no coordinator takes the next term. An agent obeys the
+// highest term that it has heard, and says which that is in every state; a coordinator counts only
+// states of its own term, so two of them can never bring about a switch together.
+
+#ifndef SARDINESTREAM_PROGRAMS_AGENT_PROGRAM_H_
+#define SARDINESTREAM_PROGRAMS_AGENT_PROGRAM_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sardinestream/maps/engine_port.h"
+#include "sardinestream/maps/map_coordinator.h"
+#include "sardinestream/peers/datagram_socket.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream {
+
+struct agent_options {
+    std::string ip;
+    // The same on every machine.
+    int news_port = 0;
+    address engine;
+    engine_connector connect;
+};
+
+class agent_program {
+public:
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<agent_program>>
+    start(agent_options options);
+
+    // Runs until `stop`, on the calling thread.
+    void run();
+    // May be called from any thread.
+    void stop() { this->stopping = true; }
+
+private:
+    struct group_place {
+        std::uint32_t ip = 0;
+        address engine;
+    };
+    // Whom the agent obeys. No two coordinators have the same term.
+    struct coordinator_term {
+        std::uint64_t term = 0;
+        int rank = 0;
+        std::uint32_t ip = 0;
+    };
+
+    agent_program(agent_options chosen, datagram_socket bound);
+
+    void take(const news::NewsT& message);
+    void take_hello(const news::EntryHelloT& hello);
+    void take_directive(const news::DirectiveT& directive);
+    void take_state(const news::RankStateT& state);
+
+    // Reads the engine's report and counts, and tells who needs to know.
+    void look_at_engine();
+    [[nodiscard]] bool refresh_report();
+    void refresh_experts();
+    void tell_entries();
+    void send_state(bool with_counts);
+    [[nodiscard]] news::RankStateT make_state(bool with_counts);
+    void add_counts(news::RankStateT& state);
+
+    void carry_out(const news::DirectiveT& directive);
+    void obey(const coordinator_term& term);
+    void consider_coordinating();
+    void begin_coordinating();
+    void stop_coordinating(const coordinator_term& successor);
+    void coordinate();
+    void reach_missing_ranks();
+    void give(const rank_order& order);
+    [[nodiscard]] news::DirectiveT make_directive() const;
+    void send_signs_of_life();
+    [[nodiscard]] bool is_coordinating() const { return this->coordinator != nullptr; }
+
+    const agent_options options;
+    const datagram_socket socket;
+    engine_port engine;
+    std::atomic<bool> stopping = false;
+    std::uint64_t sequence = 0;
+
+    // Entries, by address, and when they were heard last.
+    std::map<std::uint32_t, steady_time> entries;
+    std::int64_t config_revision = 0;
+    std::int64_t servers_revision = 0;
+    // The group of the engine, by rank, as the entries describe it.
+    std::map<int, group_place> group;
+    map_shape shape;
+    planner_options planner;
+
+    std::optional<engine_report> report;
+    // The experts that the engine holds, and the epoch and version that they belong to.
+    rank_experts experts;
+    std::int64_t experts_epoch = -1;
+    std::int64_t experts_version = -1;
+    std::vector<std::int64_t> last_counts;
+    std::int64_t prepare_accepted = 0;
+    std::int64_t prepare_refused = 0;
+
+    coordinator_term obeyed;
+    steady_time last_directive;
+    steady_time next_look{};
+    steady_time next_sign{};
+    std::unique_ptr<map_coordinator> coordinator;
+    // The newest sequence of each rank's agent, of the present term.
+    std::map<int, std::uint64_t> state_sequences;
+    // When ranks without an agent were last reached from here.
+    steady_time last_reach{};
+    std::map<int, engine_port> remote_engines;
+};
+
+} // namespace sardinestream
+
+#endif // SARDINESTREAM_PROGRAMS_AGENT_PROGRAM_H_
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -7,8 +7,12 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/programs/peer_state.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace sardinestream {
 namespace {
@@ -22,6 +26,8 @@
 // What is left of the grace for ending the process itself.
 constexpr milliseconds exit_margin{700};
 
+constexpr char config_path[] = "/state/config";
+constexpr char servers_path[] = "/state/servers";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
@@ -34,9 +40,9 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<entry_program>>
-entry_program::start(const entry_options& options, wire_protocol protocol,
-                     desired_state_decoder decoder)
+absl::StatusOr<std::unique_ptr<entry_program>> entry_program::start(const entry_options& options,
+                                                                    wire_protocol protocol,
+                                                                    desired_state_decoder decoder)
 {
     std::unique_ptr<entry_program> program(
         new entry_program(options, std::move(protocol), std::move(decoder)));
@@ -56,30 +62,31 @@
     this->ticking = false;
     if (this->ticker.joinable()) {
         this->ticker.join();
+        this->fetcher.join();
     }
 }
 
 absl::Status entry_program::open()
 {
-    absl::StatusOr<std::unique_ptr<http_service>> ready = http_service::start(
-        this->options.ready_listen,
-        [this](const http_request_head&) { return this->answer_readiness(); });
+    absl::StatusOr<std::unique_ptr<http_service>> ready =
+        http_service::start(this->options.ready_listen,
+                            [this](const http_request_head&) { return this->answer_readiness(); });
     if (!ready.ok()) {
         return ready.status();
     }
     this->readiness = *std::move(ready);
-    absl::StatusOr<std::unique_ptr<http_service>> ops = http_service::start(
-        this->options.ops_listen,
-        [this](const http_request_head& head) { return this->answer_operator(head); });
+    absl::StatusOr<std::unique_ptr<http_service>> ops =
+        http_service::start(this->options.ops_listen, [this](const http_request_head& head) {
+            return this->answer_operator(head);
+        });
     if (!ops.ok()) {
         return ops.status();
     }
     this->operators = *std::move(ops);
-    forwarding_services shared{this->protocol, this->servers, this->channels,
-                               [this](const std::string& service) {
-                                   return this->retries.try_retry(service);
-                               },
-                               [this] { return this->stopping.load(); }};
+    forwarding_services shared{
+        this->protocol, this->servers, this->channels,
+        [this](const std::string& service) { return this->retries.try_retry(service); },
+        [this] { return this->stopping.load(); }};
     front_hooks hooks;
     hooks.current_state = [this] { return this->state.get(); };
     hooks.on_admitted = [this](const std::string& service) { this->retries.on_request(service); };
@@ -90,10 +97,111 @@
         return opened.status();
     }
     this->callers = *std::move(opened);
+    SARDINE_RETURN_IF_ERROR(this->open_peers());
+    this->fetcher = std::thread([this] { this->fetch_from_peers(); });
     this->ticker = std::thread([this] { this->tick(); });
     return absl::OkStatus();
 }
 
+absl::Status entry_program::open_peers()
+{
+    const address local = {this->options.ip, this->options.news_port};
+    absl::StatusOr<std::unique_ptr<http_service>> service = http_service::start(
+        local, [this](const http_request_head& head) { return this->answer_peer(head); });
+    if (!service.ok()) {
+        return service.status();
+    }
+    this->peer_state = *std::move(service);
+    entry_news_hooks hooks;
+    hooks.revisions = [this] {
+        return known_revisions{this->state.revision(), this->directory.revision()};
+    };
+    hooks.servers = [this] { return this->directory.usable(); };
+    hooks.state = [this] { return this->state.get(); };
+    hooks.on_report = [this](const std::string& ip, const server_report& report) {
+        this->servers.apply_report(ip, report);
+    };
+    hooks.on_newer = [this](const std::string& ip, const known_revisions&) {
+        const absl::MutexLock lock(&this->mutex);
+        this->ahead_ip = ip;
+    };
+    hooks.on_entries = [this](int alive) { this->servers.set_processes(alive); };
+    absl::StatusOr<std::unique_ptr<entry_news>> started = entry_news::start(
+        this->options.ip, this->options.news_port, this->options.seeds, std::move(hooks));
+    if (!started.ok()) {
+        return started.status();
+    }
+    this->news = *std::move(started);
+    return absl::OkStatus();
+}
+
+void entry_program::fetch_from_peers()
+{
+    // The store's own news mostly comes within this time, and makes the fetch needless.
+    constexpr milliseconds fetch_interval{150};
+    while (this->ticking) {
+        std::this_thread::sleep_for(fetch_interval);
+        std::string ip;
+        {
+            const absl::MutexLock lock(&this->mutex);
+            ip.swap(this->ahead_ip);
+        }
+        if (!ip.empty()) {
+            this->fetch_from(ip);
+        }
+    }
+}
+
+void entry_program::fetch_from(const std::string& ip)
+{
+    constexpr milliseconds fetch_timeout{800};
+    http_client peer({ip, this->options.news_port});
+    const absl::StatusOr<http_answer> config =
+        peer.call("GET", absl::StrCat(config_path, "?after=", this->state.revision()), "",
+                  steady_clock::now() + fetch_timeout);
+    if (config.ok() && config->status == http_ok) {
+        const absl::StatusOr<stored_document> document = decode_document(config->body);
+        if (document.ok()) {
+            this->state.offer(document->text, document->revision, ip);
+        }
+    }
+    const absl::StatusOr<http_answer> listed =
+        peer.call("GET", absl::StrCat(servers_path, "?after=", this->directory.revision()), "",
+                  steady_clock::now() + fetch_timeout);
+    if (listed.ok() && listed->status == http_ok) {
+        const absl::StatusOr<server_list> list = decode_servers(listed->body);
+        if (list.ok()) {
+            this->take_servers(list->servers, list->revision, true);
+        }
+    }
+    if (!config.ok() || !listed.ok()) {
+        log_failure("peer_state_unread", config.ok() ? listed.status() : config.status(),
+                    {{"entry", ip}});
+    }
+}
+
+http_answer entry_program::answer_peer(const http_request_head& head) const
+{
+    constexpr int nothing_newer = 204;
+    std::int64_t known = 0;
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(absl::string_view(head.target), absl::MaxSplits("?after=", 1));
+    if (!absl::SimpleAtoi(parts.second, &known)) {
+        return {http_not_found, {}, ""};
+    }
+    if (parts.first == config_path) {
+        const stored_document document = this->state.document();
+        return document.revision > known ? http_answer{http_ok, {}, encode_document(document)}
+                                         : http_answer{nothing_newer, {}, ""};
+    }
+    if (parts.first == servers_path) {
+        const server_list list = {this->directory.usable(), this->directory.revision()};
+        return list.revision > known ? http_answer{http_ok, {}, encode_servers(list)}
+                                     : http_answer{nothing_newer, {}, ""};
+    }
+    return {http_not_found, {}, ""};
+}
+
 void entry_program::tick()
 {
     int ticks = 0;
@@ -112,6 +220,7 @@
 {
     const std::vector<backend_server> usable = this->directory.usable();
     this->servers.set_servers(usable);
+    this->news->announce();
     this->channels.sweep(usable);
     int leaving = 0;
     for (const backend_server& server : usable) {
@@ -125,7 +234,9 @@
 void entry_program::take_desired_state(const std::string& text, std::int64_t revision,
                                        absl::string_view source)
 {
-    this->state.offer(text, revision, source);
+    if (this->state.offer(text, revision, source)) {
+        this->news->announce();
+    }
 }
 
 void entry_program::take_servers(const std::vector<backend_server>& listed, std::int64_t revision,
@@ -208,10 +319,9 @@
     std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
     this->callers->stop_accepting();
     const auto left = begun + grace - exit_margin - steady_clock::now();
-    const bool idle =
-        this->callers->wait_until_idle(absl::Now() + absl::FromChrono(left));
-    log_event("stopped", {{"idle", idle ? "yes" : "no"},
-                          {"connections", this->callers->connections()}});
+    const bool idle = this->callers->wait_until_idle(absl::Now() + absl::FromChrono(left));
+    log_event("stopped",
+              {{"idle", idle ? "yes" : "no"}, {"connections", this->callers->connections()}});
 }
 
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -18,8 +18,9 @@
 #include "sardinestream/backends/server_directory.h"
 #include "sardinestream/forwarding/front.h"
 #include "sardinestream/http/http_service.h"
-#include "sardinestream/routes/current_state.h"
+#include "sardinestream/peers/entry_news.h"
 #include "sardinestream/retries/retry_budget.h"
+#include "sardinestream/routes/current_state.h"
 
 #include "absl/status/statusor.h"
 
@@ -33,6 +34,10 @@
     address ready_listen;
     // Metrics and status for operators.
     address ops_listen;
+    // News between our own processes, and state for entries that the store turns away.
+    std::string ip;
+    int news_port = 0;
+    std::vector<std::string> seeds;
     int most_connections = 1000;
     // Attempts at a second server against requests, and how many more may come at once; of this
     // process alone.
@@ -64,7 +69,11 @@
     entry_program(const entry_options& chosen, wire_protocol spoken, desired_state_decoder decoder);
 
     [[nodiscard]] absl::Status open();
+    [[nodiscard]] absl::Status open_peers();
     void tick();
+    void fetch_from_peers();
+    void fetch_from(const std::string& ip);
+    [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
     void publish_servers();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http_answer answer_readiness() const;
@@ -83,8 +92,14 @@
     std::unique_ptr<front> callers;
     std::unique_ptr<http_service> readiness;
     std::unique_ptr<http_service> operators;
+    std::unique_ptr<http_service> peer_state;
+    std::unique_ptr<entry_news> news;
+    absl::Mutex mutex;
+    // The entry that knows more than this one, if any; fetched from by the ticker.
+    std::string ahead_ip ABSL_GUARDED_BY(mutex);
     std::atomic<bool> ticking = true;
     std::thread ticker;
+    std::thread fetcher;
 };
 
 } // namespace sardinestream
--- a/sardinestream/routes/desired_state.cc
+++ b/sardinestream/routes/desired_state.cc
@@ -7,6 +7,15 @@
 
 namespace sardinestream {
 
+double engine_model::copy_ms() const
+{
+    constexpr double bits_per_byte = 8;
+    constexpr double ms_per_s = 1000;
+    return this->link_megabits_per_s > 0
+               ? this->expert_megabytes * bits_per_byte / this->link_megabits_per_s * ms_per_s
+               : 0;
+}
+
 void desired_state::index_routes()
 {
     this->by_host.clear();
--- a/sardinestream/routes/desired_state.h
+++ b/sardinestream/routes/desired_state.h
@@ -81,6 +81,14 @@
     int places_per_rank = 0;
     int most_new_experts = 0;
     double expert_megabytes = 0;
+    // Share of a pass that goes to the experts, 0 to 1.
+    double expert_share = 0;
+    // Rate at which a rank copies experts.
+    double link_megabits_per_s = 0;
+
+    [[nodiscard]] bool has_experts() const { return this->layer_sets > 0; }
+    // Time to copy one expert to a rank.
+    [[nodiscard]] double copy_ms() const;
 };
 
 struct service_declaration {
--- a/sardinestream/routes/desired_state_test.cc
+++ b/sardinestream/routes/desired_state_test.cc
@@ -1,7 +1,7 @@
-#include "sardinestream/routes/desired_state.h"
-
 #include <gtest/gtest.h>
 
+#include "sardinestream/routes/desired_state.h"
+
 namespace sardinestream {
 namespace {
 
--- a/sardinestream/routing/retry_test.cc
+++ b/sardinestream/routing/retry_test.cc
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "sardinestream/routing/backoff.h"
 #include "sardinestream/retries/retry_budget.h"
+#include "sardinestream/routing/backoff.h"
 #include "sardinestream/routing/speed_estimate.h"
 
 namespace sardinestream::routing {
