Reload settings on SIGHUP; write logs through a bounded queue

Change: the signal is blocked and handled by the thread that waits for SIGTERM; the settings file is read again, seeds and log level apply at once, the log says whether a restart is needed.

--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr char logger_name[] = "sardinestream";
+// Lines that wait for the output, at the most.
+constexpr int queued_lines = 1024;
 
 log4cxx::LoggerPtr logger()
 {
@@ -61,7 +64,16 @@
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemOut());
-    log4cxx::BasicConfigurator::configure(appender);
+    auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(queued_lines);
+    queue->setBlocking(false);
+    queue->addAppender(appender);
+    log4cxx::BasicConfigurator::configure(queue);
+    logger()->setLevel(to_level(minimum));
+}
+
+void set_log_minimum(log_level minimum)
+{
     logger()->setLevel(to_level(minimum));
 }
 
--- a/sardinestream/base/log.h
+++ b/sardinestream/base/log.h
@@ -33,10 +33,15 @@
     std::string value;
 };
 
-// Directs logs to standard error and drops events below `minimum`. Call once, before any thread.
+// Directs logs to standard output and drops events below `minimum`. Call once, before any thread.
+// Lines are written by a thread of their own: where the reader of the output stands still, lines
+// beyond a bound are dropped and counted in a line of their own, and no caller waits.
 // `process` and `instance` head every line.
 void start_logging(log_level minimum, absl::string_view process, absl::string_view instance);
 
+// Changes the least level that is logged. Thread-safe.
+void set_log_minimum(log_level minimum);
+
 // Parses debug, info, warning or error. Returns false for any other text.
 [[nodiscard]] bool parse_log_level(absl::string_view text, log_level& level);
 
--- a/sardinestream/base/shutdown_signal.cc
+++ b/sardinestream/base/shutdown_signal.cc
@@ -7,38 +7,48 @@
 namespace sardinestream {
 namespace {
 
-sigset_t shutdown_signals()
+sigset_t handled_signals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
-void wait_for_one()
+// Waits for a signal that asks to stop; those that ask to reload are handled meanwhile.
+void wait_for_stop(const std::function<void()>& on_reload)
 {
-    const sigset_t signals = shutdown_signals();
-    int received = 0;
-    sigwait(&signals, &received);
+    const sigset_t signals = handled_signals();
+    while (true) {
+        int received = 0;
+        sigwait(&signals, &received);
+        if (received != SIGHUP) {
+            return;
+        }
+        if (on_reload) {
+            on_reload();
+        }
+    }
 }
 
 } // namespace
 
 shutdown_signal shutdown_signal::install()
 {
-    const sigset_t signals = shutdown_signals();
+    const sigset_t signals = handled_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return {};
 }
 
-void shutdown_signal::wait(std::function<void()> on_repeat)
+void shutdown_signal::wait(std::function<void()> on_repeat, std::function<void()> on_reload)
 {
-    wait_for_one();
-    std::thread([hook = std::move(on_repeat)] {
+    wait_for_stop(on_reload);
+    std::thread([repeat = std::move(on_repeat), reload = std::move(on_reload)] {
         while (true) {
-            wait_for_one();
-            hook();
+            wait_for_stop(reload);
+            repeat();
         }
     }).detach();
 }
--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -31,20 +31,33 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<entry_news> made(
-        new entry_news(*std::move(bound), ip, port, seeds, std::move(hooks)));
+    std::unique_ptr<entry_news> made(new entry_news(*std::move(bound), ip, port, std::move(hooks)));
+    made->add_seeds(seeds);
     made->thread = std::thread([raw = made.get()] { raw->run(); });
     return made;
 }
 
 entry_news::entry_news(datagram_socket bound, std::string own, int news_port,
-                       const std::vector<std::string>& seeds, entry_news_hooks given)
+                       entry_news_hooks given)
     : socket(std::move(bound)), own_ip(std::move(own)), port(news_port), hooks(std::move(given))
 {
+}
+
+void entry_news::add_seeds(const std::vector<std::string>& seeds)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->new_seeds.insert(this->new_seeds.end(), seeds.begin(), seeds.end());
+}
+
+void entry_news::take_seeds()
+{
+    std::vector<std::string> seeds;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        seeds.swap(this->new_seeds);
+    }
     for (const std::string& seed : seeds) {
-        if (seed != this->own_ip) {
-            this->entries[ip_number(seed)] = {steady_clock::now() - entry_lifetime, {}};
-        }
+        this->note_entry(ip_number(seed));
     }
 }
 
@@ -65,6 +78,7 @@
     while (!this->stopping) {
         if (this->announce_now.exchange(false) || steady_clock::now() >= next_hello) {
             next_hello = steady_clock::now() + hello_interval;
+            this->take_seeds();
             this->tell_everyone();
         }
         const std::unique_ptr<news::NewsT> message =
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -21,7 +21,9 @@
 #include "sardinestream/peers/datagram_socket.h"
 #include "sardinestream/routes/desired_state.h"
 
+#include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
 
 namespace sardinestream {
 
@@ -54,6 +56,9 @@
     entry_news(const entry_news&) = delete;
     entry_news& operator=(const entry_news&) = delete;
 
+    // Other entries that may be alive. Thread-safe.
+    void add_seeds(const std::vector<std::string>& seeds);
+
     // Tells everyone soon what this entry knows now. Thread-safe.
     void announce();
 
@@ -67,11 +72,11 @@
         steady_time last{};
     };
 
-    entry_news(datagram_socket bound, std::string own, int news_port,
-               const std::vector<std::string>& seeds, entry_news_hooks given);
+    entry_news(datagram_socket bound, std::string own, int news_port, entry_news_hooks given);
 
     void run();
     void take(const news::NewsT& message);
+    void take_seeds();
     void take_hello(const news::EntryHelloT& hello);
     void take_report(const news::ServerReportT& report);
     void note_entry(std::uint32_t ip);
@@ -87,6 +92,9 @@
     const entry_news_hooks hooks;
     std::atomic<bool> stopping = false;
     std::atomic<bool> announce_now = false;
+    absl::Mutex mutex;
+    // Seeds that the thread has not taken in yet.
+    std::vector<std::string> new_seeds ABSL_GUARDED_BY(mutex);
     // Used by the thread alone.
     std::map<std::uint32_t, heard_entry> entries;
     // The newest sequence of each agent, by the address of its machine.
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -19,6 +19,17 @@
 constexpr int exit_failed = 1;
 constexpr int exit_bad_settings = 2;
 
+void reload()
+{
+    const absl::StatusOr<agent_settings> fresh = reload_agent_settings();
+    if (!fresh.ok()) {
+        log_failure("reload_failed", fresh.status());
+        return;
+    }
+    set_log_minimum(fresh->log_minimum);
+    log_event("reloaded", {{"applied", "log_level"}});
+}
+
 int run(const agent_settings& settings)
 {
     shutdown_signal signal = shutdown_signal::install();
@@ -42,7 +53,7 @@
                           {"service", settings.service},
                           {"data_centre", settings.data_centre}});
     std::thread worker([&] { (*program)->run(); });
-    signal.wait([] { log_event("stop_repeated", {}); });
+    signal.wait([] { log_event("stop_repeated", {}); }, reload);
     log_event("stopping", {});
     (*program)->stop();
     worker.join();
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -102,6 +102,18 @@
             }};
 }
 
+void reload(entry_program& program)
+{
+    const absl::StatusOr<entry_settings> fresh = reload_entry_settings();
+    if (!fresh.ok()) {
+        log_failure("reload_failed", fresh.status());
+        return;
+    }
+    set_log_minimum(fresh->log_minimum);
+    const bool whole = program.apply(to_options(*fresh));
+    log_event("reloaded", {{"whole", whole ? "yes" : "no, the rest needs a restart"}});
+}
+
 int run(const entry_settings& settings)
 {
     shutdown_signal signal = shutdown_signal::install();
@@ -117,7 +129,7 @@
                           {"store", settings.store.to_string()}});
     kind_follower config(settings.store, wire::config_kind, config_hooks(**program));
     kind_follower servers(settings.store, wire::servers_kind, server_hooks(**program));
-    signal.wait([] { log_event("stop_repeated", {}); });
+    signal.wait([] { log_event("stop_repeated", {}); }, [&program] { reload(**program); });
     (*program)->stop(settings.grace);
     // The followers' open watches would take seconds to end, and nothing is left to save.
     std::fflush(nullptr);
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -1,6 +1,8 @@
 #include "sardinestream/platform/settings.h"
 
 #include <cstdlib>
+#include <fstream>
+#include <utility>
 
 #include <gflags/gflags.h>
 
@@ -8,6 +10,8 @@
 #include "sardinestream/platform/wire_names.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 DEFINE_string(id, "", "Name of this instance, unique in the fleet");
 DEFINE_string(data_centre, "", "Data centre of this instance");
@@ -47,6 +51,30 @@
     return load_settings(argc, argv, own);
 }
 
+// Reads the settings file once more; the flags keep their old values where it is gone.
+absl::Status reload()
+{
+    const char* const path = std::getenv(wire::settings_variable);
+    if (path == nullptr) {
+        return make_error(absl::StatusCode::kNotFound, "reload_settings", "",
+                          "no settings file was named at the start");
+    }
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line)) {
+        absl::string_view text = line;
+        if (!absl::ConsumePrefix(&text, "--")) {
+            continue;
+        }
+        const std::pair<std::string, std::string> setting =
+            absl::StrSplit(text, absl::MaxSplits('=', 1));
+        if (gflags::SetCommandLineOption(setting.first.c_str(), setting.second.c_str()).empty()) {
+            return setting_error(setting.first, setting.second, "a known setting and its type");
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::Status read_common(common_settings& settings)
 {
     SARDINE_RETURN_IF_ERROR(check_present("id", FLAGS_id));
@@ -73,18 +101,13 @@
                : setting_error(flag, absl::StrCat(value), absl::StrCat(minimum, " to ", maximum));
 }
 
-} // namespace
-
-absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
+absl::StatusOr<entry_settings> read_entry()
 {
     constexpr int fewest_descriptors = 64;
     constexpr int most_descriptors = 1000000;
     constexpr double most_slack = 1e6;
     constexpr double longest_grace_s = 600;
     entry_settings settings;
-    SARDINE_RETURN_IF_ERROR(load(argc, argv,
-                                 {"front_listen", "ready_listen", "store", "seeds",
-                                  "file_descriptors", "retry_ratio", "retry_slack", "grace_s"}));
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("front_listen", FLAGS_front_listen));
     SARDINE_RETURN_IF_ERROR(check_address("ready_listen", FLAGS_ready_listen));
@@ -112,10 +135,9 @@
     return settings;
 }
 
-absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv)
+absl::StatusOr<agent_settings> read_agent()
 {
     agent_settings settings;
-    SARDINE_RETURN_IF_ERROR(load(argc, argv, {"backend", "service"}));
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("backend", FLAGS_backend));
     SARDINE_RETURN_IF_ERROR(check_present("service", FLAGS_service));
@@ -124,4 +146,32 @@
     return settings;
 }
 
+} // namespace
+
+absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
+{
+    SARDINE_RETURN_IF_ERROR(load(argc, argv,
+                                 {"front_listen", "ready_listen", "store", "seeds",
+                                  "file_descriptors", "retry_ratio", "retry_slack", "grace_s"}));
+    return read_entry();
+}
+
+absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv)
+{
+    SARDINE_RETURN_IF_ERROR(load(argc, argv, {"backend", "service"}));
+    return read_agent();
+}
+
+absl::StatusOr<entry_settings> reload_entry_settings()
+{
+    SARDINE_RETURN_IF_ERROR(reload());
+    return read_entry();
+}
+
+absl::StatusOr<agent_settings> reload_agent_settings()
+{
+    SARDINE_RETURN_IF_ERROR(reload());
+    return read_agent();
+}
+
 } // namespace sardinestream::platform
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -52,6 +52,11 @@
 [[nodiscard]] absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv);
 [[nodiscard]] absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv);
 
+// Reads the settings file again and returns what it says now. Command line and environment stay as
+// they were given.
+[[nodiscard]] absl::StatusOr<entry_settings> reload_entry_settings();
+[[nodiscard]] absl::StatusOr<agent_settings> reload_agent_settings();
+
 } // namespace sardinestream::platform
 
 #endif // SARDINESTREAM_PLATFORM_SETTINGS_H_
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -311,6 +311,14 @@
     return status.dump();
 }
 
+bool entry_program::apply(const entry_options& changed)
+{
+    this->news->add_seeds(changed.seeds);
+    entry_options rest = changed;
+    rest.seeds = this->options.seeds;
+    return rest == this->options;
+}
+
 void entry_program::stop(milliseconds grace)
 {
     const steady_time begun = steady_clock::now();
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -34,8 +34,9 @@
     address ready_listen;
     // Metrics and status for operators.
     address ops_listen;
-    // News between our own processes, and state for entries that the store turns away.
+    // This machine's own address.
     std::string ip;
+    // News between our own processes, and state for entries that the store turns away.
     int news_port = 0;
     std::vector<std::string> seeds;
     int most_connections = 1000;
@@ -43,6 +44,8 @@
     // process alone.
     double retries_per_request = 0.1;
     double most_retries_at_once = 20;
+
+    friend bool operator==(const entry_options&, const entry_options&) = default;
 };
 
 class entry_program {
@@ -61,6 +64,10 @@
     void take_server(const backend_server& server, std::int64_t revision);
     void take_removal(const std::string& id, std::int64_t revision, bool after_outage);
 
+    // Applies options that have changed since the start. Returns false where some of them need a
+    // restart.
+    bool apply(const entry_options& changed);
+
     // Planned stop: not ready at once, callers are served until the balancer has noticed, open
     // requests end. Returns when all have, or after `grace`.
     void stop(std::chrono::milliseconds grace);
