--- a/sardinestream/forwarding/front.cc
+++ b/sardinestream/forwarding/front.cc
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include <sys/socket.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
@@ -78,7 +79,7 @@
 
 front::front(tcp_listener bound, forwarding_services given, front_hooks chosen)
     : listener(std::move(bound)), services(std::move(given)), hooks(std::move(chosen)),
-      random(std::random_device()())
+      stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), random(std::random_device()())
 {
 }
 
@@ -93,9 +94,9 @@
     if (this->acceptor.joinable()) {
         this->acceptor.join();
     }
-    const absl::MutexLock lock(&this->mutex);
-    for (const int descriptor : this->idle_descriptors) {
-        ::shutdown(descriptor, SHUT_RD);
+    const std::uint64_t one = 1;
+    if (::write(this->stop_event.descriptor(), &one, sizeof(one)) < 0) {
+        log_event("stop_event_failed", {}, log_level::error);
     }
 }
 
@@ -148,18 +149,14 @@
 
 bool front::wait_for_request(tcp_socket& connection, message_reader& reader)
 {
-    {
-        const absl::MutexLock lock(&this->mutex);
-        if (this->stopping && !reader.has_surplus() && !connection.has_input_or_end()) {
-            return false;
-        }
-        this->idle_descriptors.insert(connection.descriptor());
+    const steady_time deadline = steady_clock::now() + this->limits().idle_timeout;
+    if (!reader.has_surplus()) {
+        wait_for_input(connection.descriptor(), this->stop_event.descriptor(), deadline);
+    }
+    if (!reader.has_surplus() && !connection.has_input_or_end()) {
+        return false;
     }
-    const absl::Status first =
-        reader.wait_for_message(steady_clock::now() + this->limits().idle_timeout);
-    const absl::MutexLock lock(&this->mutex);
-    this->idle_descriptors.erase(connection.descriptor());
-    return first.ok();
+    return reader.wait_for_message(deadline).ok();
 }
 
 bool front::serve_one(tcp_socket& connection, message_reader& reader)
--- a/sardinestream/forwarding/front.h
+++ b/sardinestream/forwarding/front.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <thread>
 
@@ -69,10 +68,11 @@
     forwarding_services services;
     const front_hooks hooks;
     std::atomic<bool> stopping = false;
+    // Becomes readable when the front stops, for threads that wait for a caller's next request. A
+    // connection must not be shut down from outside instead: its request may just have come.
+    tcp_socket stop_event;
     thread_group threads;
     absl::Mutex mutex;
-    // Connections that wait for their next request.
-    std::set<int> idle_descriptors ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
     std::thread acceptor;
 };
