--- a/sardinestream/platform/kind_follower.cc
+++ b/sardinestream/platform/kind_follower.cc
@@ -14,6 +14,13 @@
 
 // How long one watch waits. A connection that has gone silent is found after this.
 constexpr milliseconds watch_wait{4000};
+// After a failure, until the store answers again: a long wait that begins in an outage would go on
+// for seconds after it.
+constexpr milliseconds probe_wait{200};
+// An answer later than this counts as lost; more is allowed to a store that is slow.
+constexpr milliseconds first_timeout{700};
+constexpr milliseconds timeout_step{200};
+constexpr milliseconds longest_timeout{1500};
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 // Servers' entries may still be missing for so long after the store has returned.
@@ -37,7 +44,7 @@
 void kind_follower::follow()
 {
     while (!this->stopping) {
-        absl::StatusOr<object_list> listed = this->store.list(this->kind);
+        absl::StatusOr<object_list> listed = this->store.list(this->kind, this->call_timeout());
         if (!listed.ok()) {
             this->note_failure(listed.status());
             this->pause();
@@ -52,7 +59,9 @@
 void kind_follower::watch_from(std::int64_t revision)
 {
     while (!this->stopping) {
-        absl::StatusOr<change_list> changes = this->store.watch(this->kind, revision, watch_wait);
+        absl::StatusOr<change_list> changes = this->store.watch(
+            this->kind, revision, this->failures_in_a_row > 0 ? probe_wait : watch_wait,
+            this->call_timeout());
         if (absl::IsOutOfRange(changes.status()) || absl::IsInvalidArgument(changes.status())) {
             log_failure("store_history_lost", changes.status(), {{"kind", this->kind}});
             return;
@@ -88,6 +97,11 @@
     }
 }
 
+milliseconds kind_follower::call_timeout() const
+{
+    return std::min(longest_timeout, first_timeout + timeout_step * this->failures_in_a_row);
+}
+
 bool kind_follower::had_outage_lately() const
 {
     return this->last_failure != steady_time{} &&
--- a/sardinestream/platform/kind_follower.h
+++ b/sardinestream/platform/kind_follower.h
@@ -41,6 +41,7 @@
     void note_failure(const absl::Status& error);
     [[nodiscard]] bool had_outage_lately() const;
     void pause();
+    [[nodiscard]] std::chrono::milliseconds call_timeout() const;
 
     const std::string kind;
     const follower_hooks hooks;
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -12,10 +12,6 @@
 
 using json = nlohmann::json;
 
-constexpr std::chrono::milliseconds call_timeout{1500};
-// What a watch may take beyond its own wait, before it counts as lost.
-constexpr std::chrono::milliseconds watch_slack{700};
-
 stored_object decode_object(const json& object)
 {
     stored_object decoded;
@@ -56,14 +52,15 @@
     return make_error(code, "call", "store", absl::StrCat("status ", answer->status));
 }
 
-absl::StatusOr<object_list> store_client::list(absl::string_view kind)
+absl::StatusOr<object_list> store_client::list(absl::string_view kind,
+                                               std::chrono::milliseconds timeout)
 {
     object_list all;
     std::string after;
     while (true) {
         const std::string target = absl::StrCat(
             wire::objects_path, kind, after.empty() ? "" : absl::StrCat("?after=", after));
-        absl::StatusOr<std::string> body = this->get(target, call_timeout);
+        absl::StatusOr<std::string> body = this->get(target, timeout);
         if (!body.ok()) {
             return body.status();
         }
@@ -87,11 +84,12 @@
 }
 
 absl::StatusOr<change_list> store_client::watch(absl::string_view kind, std::int64_t revision,
-                                                std::chrono::milliseconds longest_wait)
+                                                std::chrono::milliseconds longest_wait,
+                                                std::chrono::milliseconds timeout)
 {
     const std::string target = absl::StrCat(wire::objects_path, kind, "?watch=", revision,
                                             "&wait-ms=", longest_wait.count());
-    absl::StatusOr<std::string> body = this->get(target, longest_wait + watch_slack);
+    absl::StatusOr<std::string> body = this->get(target, longest_wait + timeout);
     if (!body.ok()) {
         return body.status();
     }
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -46,12 +46,15 @@
 public:
     explicit store_client(const address& store);
 
-    // Reads all objects of a kind, page by page.
-    [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind);
+    // Reads all objects of a kind, page by page. `timeout` holds for each page.
+    [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind,
+                                                   std::chrono::milliseconds timeout);
 
-    // Waits up to `longest_wait` for changes after `revision`; no change is an empty list.
+    // Waits up to `longest_wait` for changes after `revision`; no change is an empty list. The
+    // store counts as lost where it takes `timeout` longer than that.
     [[nodiscard]] absl::StatusOr<change_list> watch(absl::string_view kind, std::int64_t revision,
-                                                    std::chrono::milliseconds longest_wait);
+                                                    std::chrono::milliseconds longest_wait,
+                                                    std::chrono::milliseconds timeout);
 
 private:
     absl::StatusOr<std::string> get(const std::string& target, std::chrono::milliseconds timeout);
