Change maps for large gains only; reach ranks whose agent is silent

A rank whose agent was dead stopped all changes of its group. Change: least gain 0.25 of an even pass, a copy weighs 0.002; the coordinator reads and orders such a rank itself; a group with work that begins no pass for 500 ms is reported as broken.

--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -12,7 +12,7 @@
 
 // A state older than this says nothing about the rank.
 constexpr milliseconds state_lifetime{700};
-constexpr milliseconds sample_interval{150};
+constexpr milliseconds sample_interval{120};
 // An order whose effect does not show is given again after this.
 constexpr milliseconds resend_interval{120};
 // Copies that a rank has accepted show when they are done.
@@ -20,7 +20,7 @@
 // After a plan that failed.
 constexpr milliseconds rest_after_failure{400};
 // Samples before the first plan.
-constexpr int least_samples = 3;
+constexpr int least_samples = 2;
 
 } // namespace
 
@@ -40,6 +40,9 @@
     }
     const auto at = static_cast<std::size_t>(state.rank);
     this->ranks[at] = {state, now};
+    if (state.without_agent) {
+        this->counted[at] = true;
+    }
     if (state.counts.size() == this->summed.size()) {
         for (std::size_t i = 0; i < this->summed.size(); ++i) {
             this->summed[i] += state.counts[i];
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -34,6 +34,9 @@
     rank_experts experts;
     // What was chosen since the last state that had counts; empty where this one has none.
     std::vector<double> counts;
+    // Read from the engine by the coordinator itself, since the rank's agent is silent. Such a rank
+    // adds nothing to the demand.
+    bool without_agent = false;
 };
 
 struct coordinator_options {
--- a/sardinestream/maps/map_planner.h
+++ b/sardinestream/maps/map_planner.h
@@ -31,9 +31,9 @@
     double copy_slowdown = 0.15;
     // Pass time that one copy is worth: the users' weight of rebalancing against skew, as a share
     // of a pass over the horizon.
-    double copy_cost = 0.0002;
+    double copy_cost = 0.002;
     // The least gain, as a share of a pass, for which a map is changed at all.
-    double least_gain = 0.03;
+    double least_gain = 0.25;
 };
 
 struct map_plan {
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -18,10 +18,15 @@
 // Silence of the coordinator after which another agent takes over; later ranks wait longer, so
 // that they do not all do so at once.
 constexpr milliseconds coordinator_silence{700};
-constexpr milliseconds silence_per_rank{120};
+constexpr milliseconds first_coordinator_wait{250};
+constexpr milliseconds silence_per_rank{60};
 constexpr milliseconds entry_lifetime{3000};
-// How often a rank without an agent is reached from the coordinator while the group may be held.
-constexpr milliseconds reach_interval{150};
+// How often a rank without an agent is reached from the coordinator.
+constexpr milliseconds reach_interval{200};
+// A group that has work and begins no pass for so long is held, or waits for a rank.
+constexpr milliseconds longest_pass{500};
+// An agent without a state for so long counts as silent.
+constexpr milliseconds agent_silence{700};
 
 news::OrderKind to_wire(order_kind kind)
 {
@@ -92,6 +97,31 @@
     return static_cast<std::uint64_t>(std::random_device()()) << counter_bits;
 }
 
+absl::string_view outcome_name(order_outcome outcome)
+{
+    switch (outcome) {
+    case order_outcome::accepted:
+        return "accepted";
+    case order_outcome::refused:
+        return "refused";
+    case order_outcome::no_answer:
+        return "no_answer";
+    }
+    return "";
+}
+
+void log_order(const engine_order& order, std::uint64_t term, order_outcome outcome)
+{
+    count("sardine_engine_orders_total", {{"kind", std::string(order_name(order.kind))},
+                                          {"outcome", std::string(outcome_name(outcome))}});
+    log_event("order", {{"kind", order_name(order.kind)},
+                        {"version", order.version},
+                        {"step", order.step},
+                        {"epoch", order.epoch},
+                        {"term", term},
+                        {"outcome", outcome_name(outcome)}});
+}
+
 // The rank in the low bits keeps two agents from taking the same term.
 std::uint64_t next_term(std::uint64_t newest, int rank)
 {
@@ -203,6 +233,10 @@
         this->group.clear();
         this->coordinator.reset();
     }
+    if (!this->report.has_value() || fresh->maps.step != this->report->maps.step ||
+        fresh->running + fresh->waiting == 0) {
+        this->last_progress = steady_clock::now();
+    }
     this->report = *std::move(fresh);
     return true;
 }
@@ -234,7 +268,7 @@
     told.group = this->report->group;
     told.group_size = this->report->group_size;
     told.rank = this->report->rank;
-    told.broken = this->report->broken;
+    told.broken = this->report->broken || steady_clock::now() - this->last_progress > longest_pass;
     told.config_revision = this->config_revision;
     told.servers_revision = this->servers_revision;
     const steady_time now = steady_clock::now();
@@ -321,6 +355,7 @@
         log_event("coordinator_followed", {{"term", term.term}, {"rank", term.rank}});
     }
     this->obeyed = term;
+    this->heard_directive = true;
     this->last_directive = steady_clock::now();
 }
 
@@ -373,21 +408,15 @@
     if (*kind == order_kind::prepare && outcome == order_outcome::refused) {
         this->prepare_refused = order.version;
     }
-    log_event("order", {{"kind", order_name(*kind)},
-                        {"version", order.version},
-                        {"step", order.step},
-                        {"epoch", order.epoch},
-                        {"term", directive.term},
-                        {"outcome", outcome == order_outcome::accepted  ? "accepted"
-                                    : outcome == order_outcome::refused ? "refused"
-                                                                        : "no_answer"}});
+    log_order(order, directive.term, outcome);
 }
 
 void agent_program::consider_coordinating()
 {
     const bool whole_group =
         this->shape.ranks > 0 && static_cast<int>(this->group.size()) >= this->shape.ranks;
-    const auto silence = coordinator_silence + silence_per_rank * this->report->rank;
+    const auto silence = (this->heard_directive ? coordinator_silence : first_coordinator_wait) +
+                         silence_per_rank * this->report->rank;
     if (this->is_coordinating() || !whole_group ||
         steady_clock::now() - this->last_directive < silence) {
         return;
@@ -405,7 +434,9 @@
     chosen.own_rank = this->report->rank;
     this->coordinator = std::make_unique<map_coordinator>(chosen);
     this->state_sequences.clear();
-    this->remote_engines.clear();
+    this->remote_ranks.clear();
+    this->state_times.clear();
+    this->coordinating_since = steady_clock::now();
     log_event("coordinating", {{"term", this->obeyed.term},
                                {"group", this->report->group},
                                {"rank", this->report->rank}});
@@ -458,6 +489,7 @@
         return;
     }
     newest = state.sequence;
+    this->state_times[state.rank] = steady_clock::now();
     rank_state decoded;
     decoded.rank = state.rank;
     decoded.report = to_report(state);
@@ -475,6 +507,18 @@
     this->coordinate();
 }
 
+rank_state agent_program::own_state() const
+{
+    rank_state state;
+    state.rank = this->report->rank;
+    state.report = this->report->maps;
+    state.broken = this->report->broken;
+    state.prepare_accepted = this->prepare_accepted;
+    state.prepare_refused = this->prepare_refused;
+    state.experts = this->experts;
+    return state;
+}
+
 void agent_program::coordinate()
 {
     // An order to the own engine changes its report at once, which may call for the next order.
@@ -489,15 +533,7 @@
             return;
         }
         this->refresh_experts();
-        const news::RankStateT state = this->make_state(false);
-        rank_state decoded;
-        decoded.rank = state.rank;
-        decoded.report = this->report->maps;
-        decoded.broken = this->report->broken;
-        decoded.prepare_accepted = this->prepare_accepted;
-        decoded.prepare_refused = this->prepare_refused;
-        decoded.experts = this->experts;
-        this->coordinator->take_state(decoded, steady_clock::now());
+        this->coordinator->take_state(this->own_state(), steady_clock::now());
     }
 }
 
@@ -516,6 +552,11 @@
         this->carry_out(directive);
         return;
     }
+    if (const auto remote = this->remote_ranks.find(order.rank);
+        remote != this->remote_ranks.end()) {
+        this->give_remote(remote->second, order);
+        return;
+    }
     const auto place = this->group.find(order.rank);
     if (place != this->group.end()) {
         this->socket.send(make_news(std::move(directive)),
@@ -526,45 +567,80 @@
 void agent_program::reach_missing_ranks()
 {
     const steady_time now = steady_clock::now();
-    if (!this->coordinator->may_be_held() || now - this->last_reach < reach_interval) {
+    if (now - this->last_reach < reach_interval || now - this->coordinating_since < agent_silence) {
         return;
     }
     this->last_reach = now;
-    for (const int rank : this->coordinator->missing(now)) {
-        const auto place = this->group.find(rank);
-        if (place == this->group.end()) {
-            continue;
-        }
-        auto remote = this->remote_engines.find(rank);
-        if (remote == this->remote_engines.end()) {
-            remote = this->remote_engines.emplace(rank, this->options.connect(place->second.engine))
-                         .first;
-            log_event("rank_reached_directly", {{"rank", rank}});
-        }
-        const absl::StatusOr<engine_report> fresh = remote->second.read_report();
-        if (!fresh.ok() || fresh->group != this->report->group) {
-            continue;
+    const std::vector<int> missing = this->coordinator->missing(now);
+    std::erase_if(this->remote_ranks, [&](const auto& reached) {
+        return this->state_times.count(reached.first) != 0 &&
+               now - this->state_times[reached.first] < agent_silence;
+    });
+    for (const auto& [rank, place] : this->group) {
+        const bool silent = std::find(missing.begin(), missing.end(), rank) != missing.end();
+        if (silent || this->remote_ranks.count(rank) != 0) {
+            this->reach(rank, place);
         }
-        rank_state decoded;
-        decoded.rank = rank;
-        decoded.report = fresh->maps;
-        decoded.broken = fresh->broken;
-        this->coordinator->take_state(decoded, steady_clock::now());
-        for (const rank_order& order : this->coordinator->next_orders(steady_clock::now())) {
-            if (order.rank != rank) {
-                this->give(order);
-                continue;
-            }
-            engine_order direct;
-            direct.kind = order.kind;
-            direct.epoch = this->coordinator->epoch();
-            direct.version = order.version;
-            direct.step = order.step;
-            if (order.kind != order_kind::prepare) {
-                (void)remote->second.give_order(direct);
-            }
+    }
+}
+
+void agent_program::reach(int rank, const group_place& place)
+{
+    auto found = this->remote_ranks.find(rank);
+    if (found == this->remote_ranks.end()) {
+        log_event("rank_reached_directly", {{"rank", rank}, {"engine", place.engine.to_string()}});
+        found = this->remote_ranks.emplace(rank, remote_rank{this->options.connect(place.engine)})
+                    .first;
+    }
+    remote_rank& remote = found->second;
+    const absl::StatusOr<engine_report> fresh = remote.engine.read_report();
+    if (!fresh.ok()) {
+        log_failure("rank_unreachable", fresh.status(), {{"rank", rank}});
+        return;
+    }
+    if (fresh->group != this->report->group || fresh->rank != rank) {
+        log_event("rank_moved", {{"rank", rank}, {"group", fresh->group}});
+        return;
+    }
+    if (remote.experts_version != fresh->maps.map_version) {
+        absl::StatusOr<rank_experts> held = remote.engine.read_experts();
+        if (!held.ok()) {
+            log_failure("experts_unread", held.status(), {{"rank", rank}});
+            return;
         }
+        remote.experts = *std::move(held);
+        remote.experts_version = fresh->maps.map_version;
+    }
+    rank_state decoded;
+    decoded.rank = rank;
+    decoded.report = fresh->maps;
+    decoded.broken = fresh->broken;
+    decoded.prepare_accepted = remote.prepare_accepted;
+    decoded.prepare_refused = remote.prepare_refused;
+    decoded.experts = remote.experts;
+    decoded.without_agent = true;
+    this->coordinator->take_state(decoded, steady_clock::now());
+    this->coordinate();
+}
+
+void agent_program::give_remote(remote_rank& remote, const rank_order& order)
+{
+    engine_order direct;
+    direct.kind = order.kind;
+    direct.epoch = this->coordinator->epoch();
+    direct.version = order.version;
+    direct.step = order.step;
+    if (order.kind == order_kind::prepare) {
+        direct.map = this->coordinator->wanted_map();
+    }
+    const order_outcome outcome = remote.engine.give_order(direct);
+    if (order.kind == order_kind::prepare && outcome == order_outcome::accepted) {
+        remote.prepare_accepted = order.version;
+    }
+    if (order.kind == order_kind::prepare && outcome == order_outcome::refused) {
+        remote.prepare_refused = order.version;
     }
+    log_order(direct, this->obeyed.term, outcome);
 }
 
 } // namespace sardinestream
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -57,6 +57,15 @@
         std::uint32_t ip = 0;
     };
 
+    // A rank that the coordinator reaches itself.
+    struct remote_rank {
+        engine_port engine;
+        rank_experts experts{};
+        std::int64_t experts_version = -1;
+        std::int64_t prepare_accepted = 0;
+        std::int64_t prepare_refused = 0;
+    };
+
     agent_program(agent_options chosen, datagram_socket bound);
 
     void take(const news::NewsT& message);
@@ -80,7 +89,10 @@
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
     void reach_missing_ranks();
+    void reach(int rank, const group_place& place);
     void give(const rank_order& order);
+    void give_remote(remote_rank& remote, const rank_order& order);
+    [[nodiscard]] rank_state own_state() const;
     [[nodiscard]] news::DirectiveT make_directive() const;
     void send_signs_of_life();
     [[nodiscard]] bool is_coordinating() const { return this->coordinator != nullptr; }
@@ -101,6 +113,8 @@
     planner_options planner;
 
     std::optional<engine_report> report;
+    // When the engine last began a pass, or had nothing to do.
+    steady_time last_progress{};
     // The experts that the engine holds, and the epoch and version that they belong to.
     rank_experts experts;
     std::int64_t experts_epoch = -1;
@@ -116,9 +130,12 @@
     std::unique_ptr<map_coordinator> coordinator;
     // The newest sequence of each rank's agent, of the present term.
     std::map<int, std::uint64_t> state_sequences;
-    // When ranks without an agent were last reached from here.
+    std::map<int, steady_time> state_times;
+    // Ranks whose agent is silent.
+    std::map<int, remote_rank> remote_ranks;
     steady_time last_reach{};
-    std::map<int, engine_port> remote_engines;
+    steady_time coordinating_since{};
+    bool heard_directive = false;
 };
 
 } // namespace sardinestream
