--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -1,1 +1,204 @@
+#include <array>
+#include <atomic>
+#include <thread>
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
 #include "sardinestream/backends/dispatcher.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+backend_server make_server(const std::string& id, int slots)
+{
+    backend_server server;
+    server.id = id;
+    server.service = "assistant";
+    server.data_centre = "a";
+    server.slots = slots;
+    server.endpoint = {"10.0.0." + id, 80};
+    return server;
+}
+
+placement_request make_request(int priority = 1)
+{
+    placement_request request;
+    request.service = "assistant";
+    request.priority = priority;
+    request.longest_wait = milliseconds(1000);
+    return request;
+}
+
+class dispatcher_test : public testing::Test {
+protected:
+    placement place_now()
+    {
+        absl::StatusOr<placement> placed = this->servers.place(make_request(), hangup_watch());
+        EXPECT_TRUE(placed.ok()) << placed.status();
+        return *placed;
+    }
+
+    void finish(const placement& given)
+    {
+        this->servers.finish(given, attempt_result::succeeded, milliseconds(5));
+    }
+
+    dispatcher servers{dispatcher_options{"a"}};
+};
+
+TEST_F(dispatcher_test, spreads_requests_over_servers)
+{
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    const placement first = this->place_now();
+    const placement second = this->place_now();
+    EXPECT_NE(first.server.id, second.server.id);
+}
+
+TEST_F(dispatcher_test, refuses_at_once_where_no_server_exists)
+{
+    const absl::Status refused = this->servers.place(make_request(), hangup_watch()).status();
+    EXPECT_TRUE(absl::IsUnavailable(refused));
+    EXPECT_GT(retry_after_of(refused).count(), 0);
+}
+
+TEST_F(dispatcher_test, sends_nothing_to_a_server_that_leaves)
+{
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    this->servers.mark_leaving("1");
+    // An older list must not bring it back.
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(this->place_now().server.id, "2");
+    }
+}
+
+TEST_F(dispatcher_test, a_server_that_starts_again_is_a_new_one)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement before = this->place_now();
+    backend_server again = make_server("1", 1);
+    again.born_ms = 7;
+    this->servers.set_servers({again});
+    const placement after = this->place_now();
+    this->finish(before);
+    ASSERT_EQ(this->servers.summary().size(), 1U);
+    EXPECT_EQ(this->servers.summary()[0].own_in_flight, 1);
+    this->finish(after);
+}
+
+TEST_F(dispatcher_test, a_waiting_request_gets_the_place_that_becomes_free)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    std::thread waiting([&] {
+        absl::StatusOr<placement> placed = this->servers.place(make_request(), hangup_watch());
+        ASSERT_TRUE(placed.ok());
+        EXPECT_EQ(placed->server.id, "1");
+    });
+    while (this->servers.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    this->finish(first);
+    waiting.join();
+}
+
+TEST_F(dispatcher_test, the_more_urgent_request_goes_first)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    std::atomic<int> order = 0;
+    int urgent_place = 0;
+    int patient_place = 0;
+    const auto wait = [&](int priority, int& place) {
+        absl::StatusOr<placement> placed =
+            this->servers.place(make_request(priority), hangup_watch());
+        ASSERT_TRUE(placed.ok());
+        place = ++order;
+        this->finish(*placed);
+    };
+    std::thread patient([&] { wait(2, patient_place); });
+    while (this->servers.waiting() < 1) {
+        std::this_thread::yield();
+    }
+    std::thread urgent([&] { wait(0, urgent_place); });
+    while (this->servers.waiting() < 2) {
+        std::this_thread::yield();
+    }
+    this->finish(first);
+    patient.join();
+    urgent.join();
+    EXPECT_LT(urgent_place, patient_place);
+}
+
+TEST_F(dispatcher_test, gives_up_the_place_of_a_caller_that_hung_up)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+    tcp_socket near(ends[0]);
+    tcp_socket far(ends[1]);
+    std::thread waiting([&] {
+        EXPECT_TRUE(absl::IsCancelled(
+            this->servers.place(make_request(), hangup_watch(near.descriptor())).status()));
+    });
+    while (this->servers.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    far.close();
+    waiting.join();
+    EXPECT_EQ(this->servers.waiting(), 0);
+    this->finish(first);
+}
+
+// A crowd that a service cannot serve in time: what it can serve is served, the rest is refused on
+// arrival and told to come back spread over the time in which the queue empties.
+TEST_F(dispatcher_test, refuses_at_arrival_what_cannot_be_served_in_time)
+{
+    constexpr int slots = 4;
+    constexpr int crowd = 60;
+    constexpr milliseconds work{50};
+    this->servers.set_servers({make_server("1", slots)});
+    std::atomic<int> served = 0;
+    std::atomic<int> refused = 0;
+    std::atomic<int> refused_late = 0;
+    const auto serve = [&] {
+        const steady_time begun = steady_clock::now();
+        placement_request request = make_request();
+        request.longest_wait = milliseconds(200);
+        absl::StatusOr<placement> placed = this->servers.place(request, hangup_watch());
+        if (placed.ok()) {
+            std::this_thread::sleep_for(work);
+            this->finish(*placed);
+            ++served;
+            return;
+        }
+        ++refused;
+        EXPECT_GT(retry_after_of(placed.status()).count(), 0);
+        refused_late += steady_clock::now() - begun > milliseconds(100) ? 1 : 0;
+    };
+    std::vector<std::thread> callers;
+    // The service's pace becomes known from the first requests.
+    for (int i = 0; i < slots * 2; ++i) {
+        callers.emplace_back(serve);
+    }
+    while (served < slots) {
+        std::this_thread::yield();
+    }
+    for (int i = 0; i < crowd; ++i) {
+        callers.emplace_back(serve);
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(served + refused, crowd + slots * 2);
+    EXPECT_GT(refused, 0);
+    EXPECT_GE(served, slots * 3);
+    EXPECT_LT(refused_late, refused / 2);
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -1,1 +1,97 @@
+#include <gtest/gtest.h>
+
 #include "sardinestream/backends/server_state.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+backend_server make_server()
+{
+    backend_server server;
+    server.id = "one";
+    server.data_centre = "a";
+    server.slots = 12;
+    return server;
+}
+
+class server_state_test : public testing::Test {
+protected:
+    [[nodiscard]] server_load load_at(steady_time now, int processes = 1) const
+    {
+        return this->state.load(12, processes, 20, "a", now);
+    }
+
+    server_state state{make_server()};
+    const steady_time start = steady_clock::now();
+};
+
+TEST_F(server_state_test, counts_own_requests_for_every_process_without_a_report)
+{
+    this->state.begin_attempt();
+    this->state.begin_attempt();
+    EXPECT_EQ(this->load_at(this->start, 4).occupancy, 8);
+}
+
+TEST_F(server_state_test, corrects_a_report_by_what_was_sent_since)
+{
+    server_report report;
+    report.running = 5;
+    report.waiting = 1;
+    this->state.begin_attempt();
+    this->state.apply_report(report, this->start);
+    EXPECT_EQ(this->load_at(this->start).occupancy, 6);
+    this->state.begin_attempt();
+    EXPECT_EQ(this->load_at(this->start).occupancy, 7);
+    this->state.end_attempt(attempt_result::succeeded, milliseconds(10), this->start);
+    EXPECT_EQ(this->load_at(this->start).occupancy, 6);
+}
+
+TEST_F(server_state_test, forgets_a_report_that_has_grown_old)
+{
+    server_report report;
+    report.running = 9;
+    this->state.apply_report(report, this->start);
+    EXPECT_EQ(this->load_at(this->start + milliseconds(2000)).occupancy, 0);
+}
+
+TEST_F(server_state_test, is_left_alone_for_longer_with_each_failure_to_reach_it)
+{
+    this->state.begin_attempt();
+    this->state.end_attempt(attempt_result::unreachable, milliseconds(0), this->start);
+    EXPECT_FALSE(this->load_at(this->start + milliseconds(200)).available);
+    EXPECT_TRUE(this->load_at(this->start + milliseconds(300)).available);
+    this->state.begin_attempt();
+    this->state.end_attempt(attempt_result::unreachable, milliseconds(0), this->start);
+    EXPECT_FALSE(this->load_at(this->start + milliseconds(300)).available);
+}
+
+TEST_F(server_state_test, failures_fade_so_that_a_mended_server_is_tried_again)
+{
+    for (int i = 0; i < 10; ++i) {
+        this->state.begin_attempt();
+        this->state.end_attempt(attempt_result::failed, milliseconds(10), this->start);
+    }
+    EXPECT_GT(this->load_at(this->start).failure_share, 0.8);
+    EXPECT_LT(this->load_at(this->start + std::chrono::seconds(9)).failure_share, 0.2);
+}
+
+TEST_F(server_state_test, a_caller_that_left_says_nothing_about_the_server)
+{
+    this->state.begin_attempt();
+    this->state.end_attempt(attempt_result::abandoned, milliseconds(10), this->start);
+    EXPECT_EQ(this->load_at(this->start).failure_share, 0);
+    EXPECT_EQ(this->load_at(this->start).occupancy, 0);
+}
+
+TEST_F(server_state_test, a_broken_group_takes_nothing)
+{
+    server_report report;
+    report.group_broken = true;
+    this->state.apply_report(report, this->start);
+    EXPECT_FALSE(this->load_at(this->start).available);
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/forwarding/front.cc
+++ b/sardinestream/forwarding/front.cc
@@ -77,9 +77,10 @@
     return made;
 }
 
-front::front(tcp_listener bound, forwarding_services given, front_hooks chosen)
-    : listener(std::move(bound)), services(std::move(given)), hooks(std::move(chosen)),
-      stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), random(std::random_device()())
+front::front(tcp_listener opened, forwarding_services given, front_hooks chosen)
+    : listener(std::move(opened)), bound(listener.local()), services(std::move(given)),
+      hooks(std::move(chosen)), stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      random(std::random_device()())
 {
 }
 
--- a/sardinestream/forwarding/front.h
+++ b/sardinestream/forwarding/front.h
@@ -49,10 +49,13 @@
     // Returns true once no connection is open, false when `deadline` comes first.
     bool wait_until_idle(absl::Time deadline);
 
+    // The address in force; its port is never zero.
+    [[nodiscard]] const address& local() const { return this->bound; }
+
     [[nodiscard]] int connections() const { return this->threads.size(); }
 
 private:
-    front(tcp_listener bound, forwarding_services given, front_hooks chosen);
+    front(tcp_listener opened, forwarding_services given, front_hooks chosen);
 
     void accept_connections();
     void serve(tcp_socket connection);
@@ -65,6 +68,7 @@
     [[nodiscard]] request_limits limits() const;
 
     tcp_listener listener;
+    const address bound;
     forwarding_services services;
     const front_hooks hooks;
     std::atomic<bool> stopping = false;
--- a/sardinestream/forwarding/retry_rules_test.cc
+++ b/sardinestream/forwarding/retry_rules_test.cc
@@ -1,1 +1,56 @@
+#include <gtest/gtest.h>
+
 #include "sardinestream/forwarding/retry_rules.h"
+
+namespace sardinestream {
+namespace {
+
+route of_kind(request_kind kind, bool resumable = false)
+{
+    route made;
+    made.kind = kind;
+    made.resumable = resumable;
+    made.most_attempts = 2;
+    return made;
+}
+
+TEST(may_send_again, never_repeats_what_may_have_run)
+{
+    const route once = of_kind(request_kind::non_idempotent);
+    EXPECT_FALSE(may_send_again(once, attempt_state::possibly_run, true, 1));
+    EXPECT_FALSE(may_send_again(once, attempt_state::run_failed, true, 1));
+    EXPECT_TRUE(may_send_again(once, attempt_state::refused_by_server, false, 1));
+    EXPECT_TRUE(may_send_again(once, attempt_state::nothing_sent, false, 0));
+}
+
+TEST(may_send_again, a_later_refusal_does_not_undo_an_earlier_run)
+{
+    const route once = of_kind(request_kind::non_idempotent);
+    EXPECT_FALSE(may_send_again(once, attempt_state::refused_by_server, true, 1));
+}
+
+TEST(may_send_again, keeps_to_the_attempts_of_the_route)
+{
+    const route repeated = of_kind(request_kind::idempotent);
+    EXPECT_TRUE(may_send_again(repeated, attempt_state::possibly_run, true, 1));
+    EXPECT_FALSE(may_send_again(repeated, attempt_state::possibly_run, true, 2));
+}
+
+TEST(may_send_again, a_stream_goes_on_only_where_it_may_be_resumed)
+{
+    EXPECT_FALSE(
+        may_send_again(of_kind(request_kind::streaming), attempt_state::possibly_run, true, 1));
+    EXPECT_TRUE(may_send_again(of_kind(request_kind::streaming, true), attempt_state::possibly_run,
+                               true, 1));
+}
+
+TEST(final_status, promises_not_run_only_where_that_is_known)
+{
+    EXPECT_EQ(final_status(false, false), 503);
+    EXPECT_EQ(final_status(false, true), 503);
+    EXPECT_EQ(final_status(true, false), 502);
+    EXPECT_EQ(final_status(true, true), 504);
+}
+
+} // namespace
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/message_reader_test.cc
@@ -0,0 +1,197 @@
+#include <array>
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "sardinestream/http/message_reader.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+steady_time soon()
+{
+    return steady_clock::now() + std::chrono::seconds(5);
+}
+
+// Two ends of a connection; the test writes to one and reads messages from the other.
+class message_reader_test : public testing::Test {
+protected:
+    message_reader_test()
+    {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+        this->near = tcp_socket(ends[0]);
+        this->far = tcp_socket(ends[1]);
+    }
+
+    void send(absl::string_view bytes) { ASSERT_TRUE(this->far.write_all(bytes, soon(), {}).ok()); }
+
+    absl::Status request_error(absl::string_view bytes)
+    {
+        this->send(bytes);
+        message_reader reader(this->near);
+        absl::StatusOr<http_request_head> head = reader.read_request_head(limits, soon());
+        if (!head.ok()) {
+            return head.status();
+        }
+        std::string body;
+        return reader.read_body(limits.body_bytes, body, soon(), {});
+    }
+
+    const message_limits limits = {2048, 1000};
+    tcp_socket near;
+    tcp_socket far;
+};
+
+TEST_F(message_reader_test, reads_a_request_with_a_length)
+{
+    this->send("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET");
+    message_reader reader(this->near);
+    absl::StatusOr<http_request_head> head = reader.read_request_head(limits, soon());
+    ASSERT_TRUE(head.ok());
+    EXPECT_EQ(head->method, "POST");
+    EXPECT_EQ(head->target, "/a?b=1");
+    std::string body;
+    ASSERT_TRUE(reader.read_body(limits.body_bytes, body, soon(), {}).ok());
+    EXPECT_EQ(body, "abc");
+    EXPECT_TRUE(reader.has_surplus());
+}
+
+TEST_F(message_reader_test, reads_a_chunked_body_that_comes_in_parts)
+{
+    this->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+    message_reader reader(this->near);
+    ASSERT_TRUE(reader.read_request_head(limits, soon()).ok());
+    this->send("c\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+    std::string body;
+    ASSERT_TRUE(reader.read_body(limits.body_bytes, body, soon(), {}).ok());
+    EXPECT_EQ(body, "abcde");
+    EXPECT_FALSE(reader.has_surplus());
+}
+
+TEST_F(message_reader_test, refuses_length_and_chunked_together)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(
+        this->request_error("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")));
+}
+
+TEST_F(message_reader_test, refuses_two_lengths)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(
+        this->request_error("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                            "Content-Length: 3\r\n\r\nabc")));
+}
+
+TEST_F(message_reader_test, refuses_an_unknown_transfer_coding)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(this->request_error(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n")));
+}
+
+TEST_F(message_reader_test, refuses_chunked_from_an_old_version)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(this->request_error(
+        "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")));
+}
+
+TEST_F(message_reader_test, refuses_space_before_the_colon)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(
+        this->request_error("POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc")));
+}
+
+TEST_F(message_reader_test, refuses_bytes_that_are_no_request)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(this->request_error("\x16\x03\x01 hello\r\n\r\n")));
+}
+
+TEST_F(message_reader_test, bounds_head_and_body)
+{
+    EXPECT_TRUE(absl::IsResourceExhausted(
+        this->request_error("GET / HTTP/1.1\r\nX: " + std::string(4000, 'a') + "\r\n\r\n")));
+}
+
+TEST_F(message_reader_test, bounds_the_body)
+{
+    EXPECT_TRUE(absl::IsOutOfRange(this->request_error(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'a'))));
+}
+
+TEST_F(message_reader_test, tells_an_end_before_a_message_from_one_within)
+{
+    this->far.close();
+    message_reader reader(this->near);
+    EXPECT_TRUE(absl::IsNotFound(reader.wait_for_message(soon())));
+}
+
+TEST_F(message_reader_test, an_end_within_a_head_is_data_loss)
+{
+    this->send("GET / HT");
+    this->far.close();
+    message_reader reader(this->near);
+    EXPECT_TRUE(absl::IsDataLoss(reader.read_request_head(limits, soon()).status()));
+}
+
+TEST_F(message_reader_test, an_answer_without_length_ends_with_its_connection)
+{
+    this->send("HTTP/1.1 200 OK\r\n\r\nabc");
+    message_reader reader(this->near);
+    absl::StatusOr<http_response_head> head = reader.read_response_head(limits, false, soon(), {});
+    ASSERT_TRUE(head.ok());
+    EXPECT_EQ(head->framing, body_framing::until_close);
+    EXPECT_FALSE(head->keeps_alive());
+    this->far.close();
+    std::string body;
+    ASSERT_TRUE(reader.read_body(limits.body_bytes, body, soon(), {}).ok());
+    EXPECT_EQ(body, "abc");
+}
+
+TEST_F(message_reader_test, an_answer_that_is_cut_before_its_length_is_not_whole)
+{
+    this->send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    this->far.close();
+    message_reader reader(this->near);
+    ASSERT_TRUE(reader.read_response_head(limits, false, soon(), {}).ok());
+    std::string body;
+    EXPECT_TRUE(absl::IsDataLoss(reader.read_body(limits.body_bytes, body, soon(), {})));
+}
+
+TEST_F(message_reader_test, times_out)
+{
+    message_reader reader(this->near);
+    EXPECT_TRUE(
+        absl::IsDeadlineExceeded(reader.wait_for_message(steady_clock::now() + milliseconds(10))));
+}
+
+TEST_F(message_reader_test, ends_a_read_when_the_watched_caller_hangs_up)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+    tcp_socket caller(ends[0]);
+    ::close(ends[1]);
+    message_reader reader(this->near);
+    EXPECT_TRUE(absl::IsCancelled(
+        reader.read_response_head(limits, false, soon(), hangup_watch(caller.descriptor()))
+            .status()));
+}
+
+TEST_F(message_reader_test, data_that_waits_on_the_caller_is_no_hang_up)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+    tcp_socket caller(ends[0]);
+    tcp_socket next_request(ends[1]);
+    ASSERT_TRUE(next_request.write_all("GET", soon(), {}).ok());
+    EXPECT_FALSE(hangup_watch(caller.descriptor()).has_hung_up());
+    this->send("HTTP/1.1 204 No Content\r\n\r\n");
+    message_reader reader(this->near);
+    EXPECT_TRUE(
+        reader.read_response_head(limits, false, soon(), hangup_watch(caller.descriptor())).ok());
+}
+
+} // namespace
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/message_test.cc
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/http/message.h"
+
+namespace sardinestream {
+namespace {
+
+TEST(end_to_end_headers, drops_what_concerns_one_hop)
+{
+    const http_headers headers = {{"Host", "a"},          {"Connection", "close, X-Hop"},
+                                  {"x-hop", "1"},         {"Transfer-Encoding", "chunked"},
+                                  {"Keep-Alive", "5"},    {"X-Kept", "2"},
+                                  {"Content-Length", "3"}};
+    const http_headers kept = end_to_end_headers(headers);
+    ASSERT_EQ(kept.size(), 2U);
+    EXPECT_EQ(kept[0].name, "Host");
+    EXPECT_EQ(kept[1].name, "X-Kept");
+}
+
+TEST(find_header, compares_without_case)
+{
+    const http_headers headers = {{"X-One", "1"}};
+    EXPECT_EQ(find_header(headers, "x-ONE"), "1");
+    EXPECT_FALSE(find_header(headers, "x-two").has_value());
+}
+
+TEST(keeps_alive, follows_version_and_connection_header)
+{
+    http_request_head head;
+    EXPECT_TRUE(head.keeps_alive());
+    head.version = 10;
+    EXPECT_FALSE(head.keeps_alive());
+    head.headers = {{"Connection", "keep-alive"}};
+    EXPECT_TRUE(head.keeps_alive());
+    head.headers = {{"Connection", "foo, Close"}};
+    EXPECT_FALSE(head.keeps_alive());
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/maps/expert_map_test.cc
+++ b/sardinestream/maps/expert_map_test.cc
@@ -1,1 +1,62 @@
+#include <gtest/gtest.h>
+
 #include "sardinestream/maps/expert_map.h"
+
+namespace sardinestream {
+namespace {
+
+const map_shape shape = {2, 2, 4, 3};
+
+expert_map in_turn()
+{
+    expert_map map(shape);
+    map.set_rank(0, {{2, 0}, {0, 2}});
+    map.set_rank(1, {{1, 3}, {1, 3}});
+    return map;
+}
+
+TEST(expert_map, checks_that_each_expert_is_held)
+{
+    expert_map map = in_turn();
+    EXPECT_TRUE(map.check().ok());
+    map.remove(1, 1, 3);
+    EXPECT_FALSE(map.check().ok());
+}
+
+TEST(expert_map, checks_the_places_of_a_rank)
+{
+    expert_map map = in_turn();
+    map.add(0, 0, 1);
+    EXPECT_TRUE(map.check().ok());
+    map.add(0, 0, 3);
+    EXPECT_FALSE(map.check().ok());
+}
+
+TEST(expert_map, survives_its_flat_form)
+{
+    const expert_map map = in_turn();
+    expert_map read;
+    ASSERT_TRUE(unflatten(flatten(map), shape, read).ok());
+    EXPECT_EQ(read, map);
+}
+
+TEST(expert_map, refuses_a_flat_form_that_is_cut)
+{
+    std::vector<std::uint16_t> flat = flatten(in_turn());
+    flat.pop_back();
+    expert_map read;
+    EXPECT_FALSE(unflatten(flat, shape, read).ok());
+}
+
+TEST(expert_map, counts_what_a_rank_has_to_copy)
+{
+    const expert_map map = in_turn();
+    expert_map newer = map;
+    newer.add(0, 0, 1);
+    newer.add(1, 0, 3);
+    EXPECT_EQ(map.new_experts(newer, 0), 2);
+    EXPECT_EQ(map.new_experts(newer, 1), 0);
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/maps/map_planner_test.cc
+++ b/sardinestream/maps/map_planner_test.cc
@@ -1,1 +1,136 @@
+#include <cmath>
+#include <numeric>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/maps/expert_demand.h"
 #include "sardinestream/maps/map_planner.h"
+
+namespace sardinestream {
+namespace {
+
+const map_shape shape = {6, 8, 64, 11};
+
+expert_map in_turn()
+{
+    expert_map map(shape);
+    for (int rank = 0; rank < shape.ranks; ++rank) {
+        rank_experts experts(static_cast<std::size_t>(shape.sets));
+        for (std::vector<std::uint16_t>& list : experts) {
+            for (int expert = rank; expert < shape.experts; expert += shape.ranks) {
+                list.push_back(static_cast<std::uint16_t>(expert));
+            }
+        }
+        map.set_rank(rank, experts);
+    }
+    return map;
+}
+
+// A few experts get most of the work, as where all requests are about one subject.
+std::vector<double> skewed_demand(unsigned seed)
+{
+    std::minstd_rand random(seed);
+    std::vector<double> demand;
+    for (int set = 0; set < shape.sets; ++set) {
+        std::vector<double> shares(static_cast<std::size_t>(shape.experts));
+        for (double& share : shares) {
+            share = std::exp(1.6 * std::normal_distribution<double>()(random));
+        }
+        const double total = std::accumulate(shares.begin(), shares.end(), 0.0);
+        for (const double share : shares) {
+            demand.push_back(share / total);
+        }
+    }
+    return demand;
+}
+
+TEST(plan_map, shortens_the_pass_within_the_limits_of_ranks)
+{
+    const expert_map current = in_turn();
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        const std::vector<double> demand = skewed_demand(seed);
+        const planner_options options;
+        const std::optional<map_plan> plan = plan_map(current, demand, options);
+        ASSERT_TRUE(plan.has_value()) << "seed " << seed;
+        ASSERT_TRUE(plan->map.check().ok()) << plan->map.check();
+        EXPECT_LT(plan->factor_after, plan->factor_before - options.least_gain);
+        EXPECT_NEAR(plan->factor_after, pass_factor(plan->map, demand, options.expert_share), 1e-6);
+        for (int rank = 0; rank < shape.ranks; ++rank) {
+            EXPECT_LE(current.new_experts(plan->map, rank), plan->copies_at_busiest_rank);
+        }
+    }
+}
+
+TEST(plan_map, leaves_an_even_map_alone)
+{
+    const std::vector<double> even(static_cast<std::size_t>(shape.sets * shape.experts),
+                                   1.0 / shape.experts);
+    EXPECT_FALSE(plan_map(in_turn(), even, planner_options()).has_value());
+}
+
+TEST(plan_map, copies_less_where_demand_is_expected_to_change_soon)
+{
+    const std::vector<double> demand = skewed_demand(5);
+    planner_options brief;
+    brief.horizon_ms = 1500;
+    planner_options lasting;
+    lasting.horizon_ms = 30000;
+    EXPECT_LT(plan_map(in_turn(), demand, brief)->copies,
+              plan_map(in_turn(), demand, lasting)->copies);
+}
+
+// The two users weigh skew against copies differently; the same demand must give two maps.
+TEST(plan_map, copies_less_for_the_user_who_weighs_copies_more)
+{
+    const std::vector<double> demand = skewed_demand(9);
+    planner_options cheap;
+    cheap.copy_cost = 0.0001;
+    planner_options dear;
+    dear.copy_cost = 0.03;
+    const std::optional<map_plan> many = plan_map(in_turn(), demand, cheap);
+    const std::optional<map_plan> few = plan_map(in_turn(), demand, dear);
+    EXPECT_LT(few->copies, many->copies);
+    EXPECT_GT(few->factor_after, many->factor_after);
+}
+
+TEST(plan_map, never_copies_more_of_a_set_than_a_rank_may)
+{
+    const expert_map current = in_turn();
+    planner_options options;
+    options.horizon_ms = 1e6;
+    options.copy_cost = 0;
+    options.most_new_experts = 2;
+    const std::optional<map_plan> plan = plan_map(current, skewed_demand(3), options);
+    ASSERT_TRUE(plan.has_value());
+    for (int set = 0; set < shape.sets; ++set) {
+        for (int rank = 0; rank < shape.ranks; ++rank) {
+            int copies = 0;
+            for (const std::uint16_t expert : plan->map.experts_of(set, rank)) {
+                copies += current.holds(set, rank, expert) ? 0 : 1;
+            }
+            EXPECT_LE(copies, options.most_new_experts);
+        }
+    }
+}
+
+TEST(expert_demand, follows_a_change_within_a_few_samples)
+{
+    expert_demand demand(1, 2);
+    demand.add_sample(std::vector<double>{100, 0});
+    for (int i = 0; i < 4; ++i) {
+        demand.add_sample(std::vector<double>{0, 50});
+    }
+    EXPECT_GT(demand.now()[1], 0.9);
+    EXPECT_LT(demand.with_past(1.0)[1], 0.2);
+}
+
+TEST(expert_demand, leaves_out_a_sample_of_an_idle_group)
+{
+    expert_demand demand(1, 2);
+    demand.add_sample(std::vector<double>{0, 0});
+    EXPECT_EQ(demand.samples(), 0);
+}
+
+} // namespace
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/platform/engine_calls_test.cc
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/platform/engine_calls.h"
+#include "sardinestream/testing/scripted_server.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr char report[] =
+    R"({"stage":"colocated","group":{"name":"g0","epoch":2,"rank":3,"state":"open"},"size":8,)"
+    R"("waiting":1,"running":9,"pace":1.5,"step":63,"map":4,"prepared":5,)"
+    R"("armed":{"version":5,"step":70},"held":null})";
+
+TEST(decode_engine_report, reads_load_group_and_maps)
+{
+    const absl::StatusOr<engine_report> decoded = decode_engine_report(report);
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_EQ(decoded->running, 9);
+    EXPECT_EQ(decoded->waiting, 1);
+    EXPECT_EQ(decoded->slowness, 1.5);
+    EXPECT_EQ(decoded->group, "g0");
+    EXPECT_EQ(decoded->rank, 3);
+    EXPECT_FALSE(decoded->broken);
+    EXPECT_EQ(decoded->maps.epoch, 2);
+    EXPECT_EQ(decoded->maps.map_version, 4);
+    EXPECT_EQ(decoded->maps.armed, (armed_switch{5, 70}));
+    EXPECT_FALSE(decoded->maps.held_step.has_value());
+}
+
+TEST(decode_engine_report, refuses_what_it_cannot_read)
+{
+    EXPECT_TRUE(absl::IsInvalidArgument(decode_engine_report("{").status()));
+    EXPECT_TRUE(absl::IsInvalidArgument(decode_engine_report("{\"running\":\"x\"}").status()));
+}
+
+TEST(engine_port, tells_a_refused_order_from_one_without_answer)
+{
+    scripted_server server([](scripted_connection& connection) {
+        while (connection.read_request()) {
+            if (connection.body.find("\"hold\"") != std::string::npos) {
+                connection.write("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            if (connection.body.find("\"go\"") != std::string::npos) {
+                connection.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            // No answer at all.
+            (void)connection.wait_for_end(std::chrono::milliseconds(1000));
+            return;
+        }
+    });
+    {
+        const engine_port port = connect_engine(server.local());
+        engine_order order;
+        order.kind = order_kind::hold;
+        EXPECT_EQ(port.give_order(order), order_outcome::refused);
+        order.kind = order_kind::release;
+        EXPECT_EQ(port.give_order(order), order_outcome::accepted);
+        order.kind = order_kind::arm;
+        EXPECT_EQ(port.give_order(order), order_outcome::no_answer);
+    }
+}
+
+} // namespace
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/platform/kind_follower_test.cc
@@ -0,0 +1,130 @@
+#include <atomic>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/platform/kind_follower.h"
+#include "sardinestream/testing/scripted_server.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string answer(int status, absl::string_view body)
+{
+    return absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ", body.size(), "\r\n\r\n",
+                        body);
+}
+
+std::string object(absl::string_view name, int revision)
+{
+    return absl::StrCat(R"({"metadata":{"name":")", name, R"(","revision":)", revision,
+                        R"(},"specification":{"v":)", revision, "}}");
+}
+
+bool eventually(const std::function<bool()>& holds, milliseconds longest = milliseconds(5000))
+{
+    const steady_time end = steady_clock::now() + longest;
+    while (!holds() && steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return holds();
+}
+
+TEST(kind_follower, reads_all_pages_of_a_list)
+{
+    std::atomic<int> objects = 0;
+    scripted_server store([](scripted_connection& connection) {
+        while (connection.read_request()) {
+            if (absl::StrContains(connection.head.target, "watch")) {
+                (void)connection.wait_for_end(milliseconds(500));
+                return;
+            }
+            const bool second = absl::StrContains(connection.head.target, "after=a");
+            connection.write(answer(200, second ? absl::StrCat(R"({"items":[)", object("b", 2),
+                                                               R"(],"has-more":false,"at":9})")
+                                                : absl::StrCat(R"({"items":[)", object("a", 1),
+                                                               R"(],"has-more":true,"at":5})")));
+        }
+    });
+    const kind_follower follower(store.local(), "servers",
+                                 {[&](const object_list& list, bool) {
+                                      EXPECT_EQ(list.revision, 5);
+                                      objects = static_cast<int>(list.objects.size());
+                                  },
+                                  [](const change_list&, bool) {}});
+    EXPECT_TRUE(eventually([&] { return objects == 2; }));
+}
+
+TEST(kind_follower, lists_again_where_the_history_is_gone)
+{
+    std::atomic<int> lists = 0;
+    scripted_server store([](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(absl::StrContains(connection.head.target, "watch")
+                                 ? answer(410, "")
+                                 : answer(200, R"({"items":[],"has-more":false,"at":5})"));
+        }
+    });
+    const kind_follower follower(
+        store.local(), "config",
+        {[&](const object_list&, bool) { ++lists; }, [](const change_list&, bool) {}});
+    EXPECT_TRUE(eventually([&] { return lists >= 2; }));
+}
+
+// A store that falls silent and returns: the first change after its return must be seen at once,
+// not after the end of a long wait that began in the outage.
+TEST(kind_follower, sees_a_change_soon_after_a_silent_outage)
+{
+    std::atomic<bool> silent = true;
+    std::atomic<int> seen = 0;
+    scripted_server store([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            if (!absl::StrContains(connection.head.target, "watch")) {
+                connection.write(answer(200, R"({"items":[],"has-more":false,"at":5})"));
+                continue;
+            }
+            if (silent) {
+                (void)connection.wait_for_end(milliseconds(8000));
+                return;
+            }
+            connection.write(answer(200, absl::StrCat(R"({"events":[{"removed":false,"object":)",
+                                                      object("main", 6), R"(}],"at":6})")));
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+    });
+    const kind_follower follower(store.local(), "config",
+                                 {[](const object_list&, bool) {},
+                                  [&](const change_list& changes, bool after_outage) {
+                                      EXPECT_TRUE(after_outage);
+                                      seen = static_cast<int>(changes.revision);
+                                  }});
+    // The first watch is lost, and some short ones after it.
+    ASSERT_TRUE(eventually([&] { return store.connections() >= 3; }, milliseconds(9000)));
+    silent = false;
+    EXPECT_TRUE(eventually([&] { return seen == 6; }, milliseconds(2500)));
+}
+
+TEST(kind_follower, goes_on_after_answers_that_cannot_be_read)
+{
+    std::atomic<int> asked = 0;
+    std::atomic<int> lists = 0;
+    scripted_server store([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(asked++ < 2 ? answer(200, "not JSON")
+                                         : answer(200, R"({"items":[],"has-more":false,"at":5,)"
+                                                       R"("events":[]})"));
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    });
+    const kind_follower follower(
+        store.local(), "config",
+        {[&](const object_list&, bool) { ++lists; }, [](const change_list&, bool) {}});
+    EXPECT_TRUE(eventually([&] { return lists >= 1; }));
+}
+
+} // namespace
+} // namespace sardinestream::platform
--- /dev/null
+++ b/sardinestream/programs/entry_program_test.cc
@@ -0,0 +1,108 @@
+// Entries that tell each other what the store told one of them. Each has an address of its own on
+// the loopback, since the port of the news is the same on every machine.
+
+#include <atomic>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/programs/entry_program.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+absl::StatusOr<std::shared_ptr<const desired_state>> decode_version(absl::string_view text)
+{
+    auto state = std::make_shared<desired_state>();
+    if (!absl::SimpleAtoi(text, &state->version)) {
+        return absl::InvalidArgumentError("no version");
+    }
+    return state;
+}
+
+// A port that is free on all of the loopback addresses that the tests use.
+int free_port()
+{
+    static std::atomic<int> next = 21000;
+    return next++;
+}
+
+class entry_program_test : public testing::Test {
+protected:
+    std::unique_ptr<entry_program> start(int machine, const std::vector<std::string>& seeds)
+    {
+        const std::string ip = absl::StrCat("127.0.7.", machine);
+        entry_options options;
+        options.id = absl::StrCat("entry-", machine);
+        options.ip = ip;
+        options.front_listen = {ip, 0};
+        options.ready_listen = {ip, this->ready_port};
+        options.ops_listen = {ip, 0};
+        options.news_port = this->news_port;
+        options.seeds = seeds;
+        absl::StatusOr<std::unique_ptr<entry_program>> started =
+            entry_program::start(options, wire_protocol(), decode_version);
+        EXPECT_TRUE(started.ok()) << started.status();
+        return *std::move(started);
+    }
+
+    [[nodiscard]] int readiness(int machine) const
+    {
+        http_client client({absl::StrCat("127.0.7.", machine), this->ready_port});
+        const absl::StatusOr<http_answer> answer =
+            client.call("GET", "/", "", steady_clock::now() + milliseconds(1000));
+        return answer.ok() ? answer->status : 0;
+    }
+
+    [[nodiscard]] bool becomes_ready(int machine) const
+    {
+        const steady_time end = steady_clock::now() + milliseconds(6000);
+        while (steady_clock::now() < end) {
+            if (this->readiness(machine) == 200) {
+                return true;
+            }
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return false;
+    }
+
+    const int news_port = free_port();
+    const int ready_port = free_port();
+};
+
+TEST_F(entry_program_test, is_ready_once_it_knows_routes_and_servers)
+{
+    const std::unique_ptr<entry_program> entry = this->start(1, {});
+    EXPECT_EQ(this->readiness(1), 503);
+    entry->take_desired_state("3", 10, "store");
+    EXPECT_EQ(this->readiness(1), 503);
+    entry->take_servers({}, 10, false);
+    EXPECT_EQ(this->readiness(1), 200);
+}
+
+TEST_F(entry_program_test, learns_from_a_peer_what_the_store_does_not_tell)
+{
+    const std::unique_ptr<entry_program> told = this->start(1, {});
+    const std::unique_ptr<entry_program> refused = this->start(2, {"127.0.7.1"});
+    told->take_desired_state("3", 10, "store");
+    told->take_servers({}, 11, false);
+    EXPECT_TRUE(this->becomes_ready(2));
+}
+
+TEST_F(entry_program_test, is_not_ready_while_it_stops)
+{
+    const std::unique_ptr<entry_program> entry = this->start(1, {});
+    entry->take_desired_state("3", 10, "store");
+    entry->take_servers({}, 10, false);
+    std::thread stopper([&] { entry->stop(milliseconds(1500)); });
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(this->readiness(1), 503);
+    stopper.join();
+}
+
+} // namespace
+} // namespace sardinestream
