Wait out a server's refusal; switch maps at the next pass

Cause: after all machines had lost power, servers refused for some hundred ms (group forming: 503, new id: 421) and each such answer used up one of the route's two attempts, so callers got 503; requests that came before the first desired state were refused too. A switch three passes ahead took 0.9 s where passes take 0.3 s.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -118,8 +118,8 @@
     for (const waiter* other : queue.waiters) {
         ahead += other->request->priority <= request.priority ? 1 : 0;
     }
-    // Nothing finished yet: let the first ones wait.
-    if (queue.finished.per_second(now) <= 0) {
+    // After a start the pace is not known: let requests wait.
+    if (!queue.finished.is_known(now)) {
         return absl::OkStatus();
     }
     const std::chrono::milliseconds wait =
--- a/sardinestream/backends/drain_rate.cc
+++ b/sardinestream/backends/drain_rate.cc
@@ -26,6 +26,11 @@
     this->last = now;
 }
 
+bool drain_rate::is_known(steady_time now) const
+{
+    return this->first != steady_time{} && seconds(now - this->first) > memory_s;
+}
+
 double drain_rate::per_second(steady_time now) const
 {
     if (this->first == steady_time{}) {
--- a/sardinestream/backends/drain_rate.h
+++ b/sardinestream/backends/drain_rate.h
@@ -16,6 +16,9 @@
     // A request was finished.
     void add(steady_time now);
 
+    // Whether it has been watched for long enough to foretell a wait.
+    [[nodiscard]] bool is_known(steady_time now) const;
+
     // Requests a second over the last seconds; zero where nothing was finished.
     [[nodiscard]] double per_second(steady_time now) const;
 
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -7,14 +7,18 @@
 namespace sardinestream {
 namespace {
 
+using std::chrono::milliseconds;
+
 // A report older than this says nothing about the load.
-constexpr std::chrono::milliseconds report_lifetime{800};
+constexpr milliseconds report_lifetime{800};
 // Weight of the newest answer in the means.
 constexpr double answer_weight = 0.2;
 // Failures are forgotten by half in this time, so that a mended server is tried again.
 constexpr double failure_half_life_s = 3.0;
 // How long a server that could not be reached is left alone; doubled each time.
-constexpr std::chrono::milliseconds first_exclusion{250};
+constexpr milliseconds first_exclusion{250};
+// The same for one that refused a request: it is full, or its group is forming.
+constexpr milliseconds first_refusal_exclusion{100};
 constexpr int most_doublings = 3;
 // A slow answer is forgotten in the same manner as a failure.
 constexpr double largest_slowness = 20.0;
@@ -29,8 +33,7 @@
     ++this->begun_since_report;
 }
 
-void server_state::end_attempt(attempt_result result, std::chrono::milliseconds elapsed,
-                               steady_time now)
+void server_state::end_attempt(attempt_result result, milliseconds elapsed, steady_time now)
 {
     --this->in_flight;
     ++this->ended_since_report;
@@ -41,9 +44,11 @@
     const double before = this->failure_share(now);
     this->failures = before + answer_weight * ((failed ? 1.0 : 0.0) - before);
     this->last_answer = now;
-    if (result == attempt_result::unreachable) {
+    if (result == attempt_result::unreachable || result == attempt_result::refused) {
         const int doublings = std::min(this->failures_in_a_row, most_doublings);
-        this->excluded_until = now + first_exclusion * (1 << doublings);
+        const milliseconds first =
+            result == attempt_result::refused ? first_refusal_exclusion : first_exclusion;
+        this->excluded_until = now + first * (1 << doublings);
         ++this->failures_in_a_row;
         return;
     }
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -30,6 +30,8 @@
 // An idempotent request tries another server after this many times its latency target.
 constexpr double slow_answer_targets = 1.5;
 constexpr int most_stray_answers = 3;
+// Servers that refuse one request before it is given up.
+constexpr int most_refusals = 4;
 constexpr std::size_t largest_answer_head = 65536;
 constexpr std::size_t largest_whole_answer = 32U << 20U;
 constexpr milliseconds default_idle_timeout{2000};
@@ -133,7 +135,11 @@
         const next_step next = this->attempt(record);
         this->services.servers.finish(record.given, record.result, record.first_byte);
         if (next == next_step::try_again) {
-            this->tried_ids.push_back(record.given.server.id);
+            // One that refused may take the request later; the dispatcher leaves it alone
+            // meanwhile.
+            if (record.result != attempt_result::refused) {
+                this->tried_ids.push_back(record.given.server.id);
+            }
             continue;
         }
         return next == next_step::answered && this->keeps_connection();
@@ -443,6 +449,9 @@
 
 bool exchange::may_try_again(attempt_state state) const
 {
+    if (this->servers_refused >= most_refusals) {
+        return false;
+    }
     const bool run = this->possibly_run || state == attempt_state::possibly_run ||
                      state == attempt_state::run_failed;
     return may_send_again(this->chosen, state, run, this->servers_sent);
@@ -458,6 +467,10 @@
         return next_step::broken_off;
     }
     this->events.drop_partial_event();
+    if (state == attempt_state::refused_by_server) {
+        --this->servers_sent;
+        ++this->servers_refused;
+    }
     if (state == attempt_state::possibly_run || state == attempt_state::run_failed) {
         this->possibly_run = true;
     }
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -101,8 +101,10 @@
     const admitted_request admitted;
     const route& chosen;
     steady_time deadline;
-    // Servers that may have received the request.
+    // Servers that may have run the request.
     int servers_sent = 0;
+    // Servers that stated that they did not.
+    int servers_refused = 0;
     bool possibly_run = false;
     // The budget has granted the attempt that comes next.
     bool retry_granted = false;
--- a/sardinestream/forwarding/front.cc
+++ b/sardinestream/forwarding/front.cc
@@ -24,6 +24,10 @@
 // caller sees the answer instead of a reset.
 constexpr milliseconds linger_time{500};
 
+// A process that has just started mostly knows its desired state within this time.
+constexpr milliseconds start_patience{400};
+constexpr milliseconds start_poll{20};
+
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
@@ -216,9 +220,22 @@
                             code, status == unavailable ? start_time : milliseconds(0), keep);
 }
 
+std::shared_ptr<const desired_state> front::wait_for_state(const tcp_socket& connection) const
+{
+    const hangup_watch caller(connection.descriptor());
+    const steady_time deadline = steady_clock::now() + start_patience;
+    while (true) {
+        std::shared_ptr<const desired_state> state = this->hooks.current_state();
+        if (state != nullptr || steady_clock::now() >= deadline || caller.has_hung_up()) {
+            return state;
+        }
+        std::this_thread::sleep_for(start_poll);
+    }
+}
+
 bool front::admit(tcp_socket& connection, caller_request request, steady_time arrival)
 {
-    std::shared_ptr<const desired_state> state = this->hooks.current_state();
+    std::shared_ptr<const desired_state> state = this->wait_for_state(connection);
     if (state == nullptr) {
         return this->refuse(connection, request, unavailable, "no_configuration");
     }
--- a/sardinestream/forwarding/front.h
+++ b/sardinestream/forwarding/front.h
@@ -63,6 +63,9 @@
     [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool refuse_message(tcp_socket& connection, const absl::Status& error);
     [[nodiscard]] bool admit(tcp_socket& connection, caller_request request, steady_time arrival);
+    // The desired state; right after a start, waits shortly for the first one.
+    [[nodiscard]] std::shared_ptr<const desired_state>
+    wait_for_state(const tcp_socket& connection) const;
     [[nodiscard]] bool refuse(tcp_socket& connection, const caller_request& request, int status,
                               absl::string_view code);
     [[nodiscard]] request_limits limits() const;
--- a/sardinestream/forwarding/front_test.cc
+++ b/sardinestream/forwarding/front_test.cc
@@ -236,6 +236,23 @@
     EXPECT_EQ(this->call("/pay/", "r1").body, "paid");
 }
 
+// Servers of a group that is forming refuse everything for a moment; the request must wait for them
+// instead of ending refused.
+TEST_F(front_test, waits_for_a_server_that_refuses_for_a_moment)
+{
+    std::atomic<int> asked = 0;
+    scripted_server server([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(asked++ < 2
+                                 ? "HTTP/1.1 503 Full\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+                                 : answer_to(connection, "paid"));
+        }
+    });
+    this->use({&server});
+    EXPECT_EQ(this->call("/pay/", "r1").body, "paid");
+    EXPECT_EQ(asked, 3);
+}
+
 TEST_F(front_test, repeats_a_lookup_after_a_reset)
 {
     std::atomic<int> asked = 0;
--- a/sardinestream/forwarding/retry_rules.h
+++ b/sardinestream/forwarding/retry_rules.h
@@ -21,7 +21,7 @@
 };
 
 // Returns true where the request may be sent to another server. `sent` counts the servers that may
-// have received it.
+// have run it.
 [[nodiscard]] bool may_send_again(const route& chosen, attempt_state last, bool any_possibly_run,
                                   int sent);
 
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -19,6 +19,10 @@
 constexpr milliseconds copy_patience{6000};
 // After a plan that failed.
 constexpr milliseconds rest_after_failure{400};
+// Passes until a switch; more while orders get lost, so that arms are there before the group waits.
+constexpr int usual_margin = 1;
+constexpr int margin_for_lost_orders = 5;
+constexpr std::chrono::seconds lost_order_memory{10};
 // Samples before the first plan.
 constexpr int least_samples = 2;
 
@@ -29,7 +33,7 @@
       demand(chosen.shape.sets, chosen.shape.experts),
       summed(static_cast<std::size_t>(chosen.shape.sets) *
              static_cast<std::size_t>(chosen.shape.experts)),
-      counted(ranks.size(), false), switching(switch_options{3, chosen.own_rank})
+      counted(ranks.size(), false), switching(switch_options{usual_margin, chosen.own_rank})
 {
 }
 
@@ -216,6 +220,9 @@
     if (last != steady_time{} && (copying || now - last < resend_interval)) {
         return false;
     }
+    if (last != steady_time{} && order.kind != order_kind::hold) {
+        this->orders_lost_until = now + lost_order_memory;
+    }
     last = now;
     return true;
 }
@@ -243,6 +250,8 @@
     if (!this->plan.has_value() && !is_switching(reports)) {
         this->consider_plan(reports, now);
     }
+    this->switching.set_step_margin(now < this->orders_lost_until ? margin_for_lost_orders
+                                                                  : usual_margin);
     std::vector<rank_order> due;
     for (const rank_order& order :
          this->switching.next_orders(reports, this->plan.has_value() ? this->plan_version : 0)) {
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -98,6 +98,8 @@
     std::optional<map_plan> plan;
     std::int64_t plan_version = 0;
     steady_time plan_time{};
+    // Orders have gone unanswered lately: arms may need more than one try.
+    steady_time orders_lost_until{};
     // No new plan before this.
     steady_time rest_until{};
     std::map<sent_key, steady_time> sent;
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -55,8 +55,9 @@
 };
 
 struct switch_options {
-    // Passes between the newest report and the step of a switch.
-    int step_margin = 4;
+    // Passes between the newest report and the step of a switch; at least one. The hold keeps the
+    // switch safe with any margin; a larger one gives arms time to arrive before the group waits.
+    int step_margin = 1;
     // The rank on which the group is held.
     int holding_rank = 0;
 };
@@ -70,6 +71,8 @@
     [[nodiscard]] std::vector<rank_order> next_orders(absl::Span<const rank_report> ranks,
                                                       std::int64_t wanted_version);
 
+    void set_step_margin(int passes) { this->options.step_margin = passes; }
+
     // Forgets the chosen step: the group has formed anew, or another agent took over.
     void reset() { this->chosen_step.reset(); }
 
@@ -81,7 +84,7 @@
     [[nodiscard]] std::vector<rank_order> begin(absl::Span<const rank_report> ranks,
                                                 std::int64_t version);
 
-    const switch_options options;
+    switch_options options;
     // The step of the switch that is being begun.
     std::optional<std::int64_t> chosen_step;
 };
