--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -206,6 +206,7 @@
     const absl::StatusOr<bool> written = (*channel)->socket.write_until_answer(
         this->encode_request(server), this->deadline, this->caller_watch);
     if (!written.ok()) {
+        (*channel)->socket.abort();
         return this->after_failure(attempt_state::possibly_run, written.status(), record);
     }
     bool reusable = *written;
@@ -213,6 +214,11 @@
     if (reusable && !(*channel)->reader.has_surplus()) {
         const milliseconds idle_timeout = (*channel)->idle_timeout;
         this->services.channels.keep(server, *std::move(channel), idle_timeout);
+        return next;
+    }
+    if (record.result != attempt_result::succeeded) {
+        // A server that could not be reached for a while must not receive the request later.
+        (*channel)->socket.abort();
     }
     return next;
 }
--- a/sardinestream/forwarding/front_test.cc
+++ b/sardinestream/forwarding/front_test.cc
@@ -94,7 +94,7 @@
 class front_test : public testing::Test {
 protected:
     front_test() : protocol(test_protocol()) { this->open(); }
-    ~front_test() override { this->stop(); }
+    void TearDown() override { this->stop(); }
 
     void open()
     {
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -229,6 +229,13 @@
     this->fd = -1;
 }
 
+void tcp_socket::abort()
+{
+    const linger abrupt = {1, 0};
+    ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &abrupt, sizeof(abrupt));
+    this->close();
+}
+
 absl::StatusOr<tcp_listener> tcp_listener::bind(const address& local)
 {
     bool valid = false;
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -81,6 +81,8 @@
     // Ends the connection without reading what is left, but lets the peer read what was written.
     void finish_writing();
     void close();
+    // Ends the connection with a reset: bytes that have not reached the peer never will.
+    void abort();
 
     [[nodiscard]] int descriptor() const { return this->fd; }
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds state_lifetime{700};
 constexpr milliseconds sample_interval{120};
 // An order whose effect does not show is given again after this.
-constexpr milliseconds resend_interval{120};
+constexpr milliseconds resend_interval{45};
 // Copies that a rank has accepted show when they are done.
 constexpr milliseconds copy_patience{6000};
 // After a plan that failed.
--- a/sardinestream/maps/map_switch_test.cc
+++ b/sardinestream/maps/map_switch_test.cc
@@ -220,7 +220,7 @@
                 .try_emplace({order.rank, static_cast<int>(order.kind), order.version, order.step},
                              -1000)
                 .first->second;
-        if (now - last < 120) {
+        if (now - last < 45) {
             return;
         }
         last = now;
@@ -234,6 +234,7 @@
     void coordinate(int now)
     {
         std::vector<rank_report> reports;
+        reports.reserve(ranks);
         for (int rank = 0; rank < ranks; ++rank) {
             reports.push_back(this->group.read(rank));
         }
--- a/sardinestream/platform/engine_calls.cc
+++ b/sardinestream/platform/engine_calls.cc
@@ -19,6 +19,8 @@
 
 // The engine is on this machine, or on one of the same group.
 constexpr std::chrono::milliseconds call_timeout{100};
+// An order is answered at once or not at all; while a switch is under way the group may wait.
+constexpr std::chrono::milliseconds order_timeout{40};
 constexpr int http_ok = 200;
 constexpr int http_accepted = 202;
 
@@ -161,7 +163,7 @@
 order_outcome give_order(http_client& http, const engine_order& order)
 {
     const absl::StatusOr<http_answer> answer = http.call(
-        "POST", wire::order_path, encode_order(order), steady_clock::now() + call_timeout);
+        "POST", wire::order_path, encode_order(order), steady_clock::now() + order_timeout);
     if (!answer.ok()) {
         log_failure("order_unanswered", answer.status(), {{"version", order.version}});
         return order_outcome::no_answer;
--- a/sardinestream/testing/scripted_server.cc
+++ b/sardinestream/testing/scripted_server.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace sardinestream {
 namespace {
 
@@ -37,9 +35,7 @@
 
 void scripted_connection::reset()
 {
-    const linger abrupt = {1, 0};
-    ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_LINGER, &abrupt, sizeof(abrupt));
-    this->socket.close();
+    this->socket.abort();
 }
 
 bool scripted_connection::wait_for_end(std::chrono::milliseconds longest)
