--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -11,6 +11,10 @@
 
 // A report older than this says nothing about the load.
 constexpr milliseconds report_lifetime{800};
+// Reports come several times as often as this.
+constexpr milliseconds longest_report_gap{350};
+// A server whose agent has fallen silent is used where the others are this much fuller.
+constexpr double silent_slowness = 4.0;
 // Weight of the newest answer in the means.
 constexpr double answer_weight = 0.2;
 // Failures are forgotten by half in this time, so that a mended server is tried again.
@@ -99,7 +103,13 @@
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->described.data_centre == data_centre;
     load.available = !this->described.draining && !this->is_excluded(now);
-    if (this->has_fresh_report(now)) {
+    const bool silent =
+        this->report_time != steady_time{} && now - this->report_time > longest_report_gap;
+    if (silent) {
+        // Its machine may have stopped; without it, others are better even where they are fuller.
+        load.slowness = silent_slowness;
+    }
+    else if (this->has_fresh_report(now)) {
         load.slowness = this->report.slowness;
         load.available = load.available && !this->report.group_broken;
     }
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -56,6 +56,14 @@
     EXPECT_EQ(this->load_at(this->start + milliseconds(2000)).occupancy, 0);
 }
 
+TEST_F(server_state_test, counts_as_slow_while_its_agent_is_silent)
+{
+    this->state.apply_report(server_report(), this->start);
+    EXPECT_EQ(this->load_at(this->start + milliseconds(200)).slowness, 1);
+    EXPECT_GT(this->load_at(this->start + milliseconds(500)).slowness, 2);
+    EXPECT_TRUE(this->load_at(this->start + milliseconds(500)).available);
+}
+
 TEST_F(server_state_test, is_left_alone_for_longer_with_each_failure_to_reach_it)
 {
     this->state.begin_attempt();
