Refuse on arrival only behind a queue

Change: the pace of a service decides only behind four waiting requests; others wait their time. Test: lets_a_lone_request_wait_for_a_server_that_comes_back failed first.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -19,6 +19,8 @@
 // The longest time to come back that a refusal names.
 constexpr std::chrono::milliseconds longest_retry_after{4000};
 constexpr std::chrono::milliseconds shortest_retry_after{100};
+// Requests that wait before another one is refused on arrival.
+constexpr std::size_t least_queue = 4;
 
 absl::Status refusal(absl::StatusCode code, const std::string& service, absl::string_view reason,
                      std::chrono::milliseconds come_back)
@@ -118,8 +120,8 @@
     for (const waiter* other : queue.waiters) {
         ahead += other->request->priority <= request.priority ? 1 : 0;
     }
-    // After a start the pace is not known: let requests wait.
-    if (!queue.finished.is_known(now)) {
+    // Without a queue the pace is that of arrivals, not of the servers; after a start it is unknown.
+    if (queue.waiters.size() < least_queue || !queue.finished.is_known(now)) {
         return absl::OkStatus();
     }
     const std::chrono::milliseconds wait =
--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -154,6 +154,17 @@
     this->finish(first);
 }
 
+// A service that few requests reach finishes few; that says nothing about how long a request has to
+// wait for a server that is left alone for a moment.
+TEST_F(dispatcher_test, lets_a_lone_request_wait_for_a_server_that_comes_back)
+{
+    this->servers.set_servers({make_server("1", 4)});
+    this->finish(this->place_now());
+    std::this_thread::sleep_for(milliseconds(2300));
+    this->servers.finish(this->place_now(), attempt_result::unreachable, milliseconds(0));
+    EXPECT_TRUE(this->servers.place(make_request(), hangup_watch()).ok());
+}
+
 // A crowd that a service cannot serve in time: what it can serve is served, the rest is refused on
 // arrival and told to come back spread over the time in which the queue empties.
 TEST_F(dispatcher_test, refuses_at_arrival_what_cannot_be_served_in_time)
