Plan and tell within the means of large groups

Cause: on the grown sites (groups of 32 ranks) no map ever changed. The planner held the coordinator's thread for over 0.7 s, so others took over; a prepare order of 4.6 KB went to 31 ranks every 45 ms and filled a link of 8 Mbit/s; looks at the engine starved the reading of news.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -53,6 +53,7 @@
 dispatcher::dispatcher(dispatcher_options chosen)
     : options(std::move(chosen)), random(std::random_device()())
 {
+    this->view.data_centre = this->options.data_centre;
 }
 
 double dispatcher::usual_answer_ms(const std::string& service) const
@@ -81,8 +82,7 @@
         }
         const double room = state.server().slots * (1 + this->options.extra_room);
         candidates.push_back(&state);
-        loads.push_back(
-            state.load(room, this->processes, usual_ms, this->options.data_centre, now));
+        loads.push_back(state.load(room, this->view, usual_ms, now));
     }
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
     const std::optional<std::size_t> chosen = choose_server(loads, draw);
@@ -120,7 +120,8 @@
     for (const waiter* other : queue.waiters) {
         ahead += other->request->priority <= request.priority ? 1 : 0;
     }
-    // Without a queue the pace is that of arrivals, not of the servers; after a start it is unknown.
+    // Without a queue the pace is that of arrivals, not of the servers; after a start it is
+    // unknown.
     if (queue.waiters.size() < least_queue || !queue.finished.is_known(now)) {
         return absl::OkStatus();
     }
@@ -300,7 +301,13 @@
 void dispatcher::set_processes(int count)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->processes = std::max(1, count);
+    this->view.processes = std::max(1, count);
+}
+
+void dispatcher::set_report_interval(std::chrono::milliseconds interval)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->view.report_interval = interval;
 }
 
 std::vector<dispatcher::server_summary> dispatcher::summary() const
@@ -310,7 +317,7 @@
     std::vector<server_summary> all;
     for (const auto& [id, state] : this->servers) {
         all.push_back({state.server(), state.own_in_flight(), state.last_report(),
-                       state.has_fresh_report(now)});
+                       state.has_fresh_report(this->view, now)});
     }
     return all;
 }
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -84,6 +84,9 @@
     // The number of processes that place requests like this one.
     void set_processes(int count);
 
+    // How often agents report.
+    void set_report_interval(std::chrono::milliseconds interval);
+
     // The servers in use, for status pages.
     struct server_summary {
         backend_server server;
@@ -118,7 +121,7 @@
     // By id. A state stays while requests of this process are at the server.
     std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
-    int processes ABSL_GUARDED_BY(mutex) = 1;
+    load_view view ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
 
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -9,10 +9,11 @@
 
 using std::chrono::milliseconds;
 
-// A report older than this says nothing about the load.
-constexpr milliseconds report_lifetime{800};
-// Reports come several times as often as this.
-constexpr milliseconds longest_report_gap{350};
+// A report that so many others should have followed says nothing about the load.
+constexpr int report_lifetime_intervals = 8;
+// An agent counts as silent after so many intervals and a little more.
+constexpr int silent_intervals = 3;
+constexpr milliseconds silent_slack{50};
 // A server whose agent has fallen silent is used where the others are this much fuller.
 constexpr double silent_slowness = 4.0;
 // Weight of the newest answer in the means.
@@ -73,15 +74,16 @@
     this->ended_since_report = 0;
 }
 
-bool server_state::has_fresh_report(steady_time now) const
+bool server_state::has_fresh_report(const load_view& view, steady_time now) const
 {
-    return this->report_time != steady_time{} && now - this->report_time < report_lifetime;
+    return this->report_time != steady_time{} &&
+           now - this->report_time < view.report_interval * report_lifetime_intervals;
 }
 
-double server_state::occupancy(int processes, steady_time now) const
+double server_state::occupancy(const load_view& view, steady_time now) const
 {
-    if (!this->has_fresh_report(now)) {
-        return static_cast<double>(this->in_flight) * std::max(1, processes);
+    if (!this->has_fresh_report(view, now)) {
+        return static_cast<double>(this->in_flight) * view.processes;
     }
     const double reported = this->report.running + this->report.waiting;
     const double estimate = reported + this->begun_since_report - this->ended_since_report;
@@ -94,22 +96,23 @@
     return this->failures * std::exp2(-age.count() / failure_half_life_s);
 }
 
-server_load server_state::load(double room, int processes, double usual_ms,
-                               const std::string& data_centre, steady_time now) const
+server_load server_state::load(double room, const load_view& view, double usual_ms,
+                               steady_time now) const
 {
     server_load load;
     load.room = room;
-    load.occupancy = this->occupancy(processes, now);
+    load.occupancy = this->occupancy(view, now);
     load.failure_share = this->failure_share(now);
-    load.same_data_centre = this->described.data_centre == data_centre;
+    load.same_data_centre = this->described.data_centre == view.data_centre;
     load.available = !this->described.draining && !this->is_excluded(now);
     const bool silent =
-        this->report_time != steady_time{} && now - this->report_time > longest_report_gap;
+        this->report_time != steady_time{} &&
+        now - this->report_time > view.report_interval * silent_intervals + silent_slack;
     if (silent) {
         // Its machine may have stopped; without it, others are better even where they are fuller.
         load.slowness = silent_slowness;
     }
-    else if (this->has_fresh_report(now)) {
+    else if (this->has_fresh_report(view, now)) {
         load.slowness = this->report.slowness;
         load.available = load.available && !this->report.group_broken;
     }
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -27,6 +27,15 @@
     bool group_broken = false;
 };
 
+// From where, and among how many, a process looks at the servers.
+struct load_view {
+    std::string data_centre;
+    // Processes that send requests like this one; at least one.
+    int processes = 1;
+    // How often agents report.
+    std::chrono::milliseconds report_interval{100};
+};
+
 // How an attempt at a server ended.
 enum class attempt_result {
     succeeded,
@@ -55,20 +64,20 @@
     void end_attempt(attempt_result result, std::chrono::milliseconds elapsed, steady_time now);
     void apply_report(const server_report& report, steady_time now);
 
-    // `room` is what the service's policy allows on this server; `others` estimates how many
-    // processes like this one send requests there, for servers without a report.
-    [[nodiscard]] server_load load(double room, int processes, double usual_ms,
-                                   const std::string& data_centre, steady_time now) const;
+    // `room` is what the service's policy allows on this server; `usual_ms` the time to an answer
+    // of the service's best server.
+    [[nodiscard]] server_load load(double room, const load_view& view, double usual_ms,
+                                   steady_time now) const;
 
     [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
-    [[nodiscard]] bool has_fresh_report(steady_time now) const;
+    [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
     // Mean time to an answer, or zero before the first.
     [[nodiscard]] double mean_answer_ms() const { return this->answer_ms; }
 
 private:
-    [[nodiscard]] double occupancy(int processes, steady_time now) const;
+    [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
     [[nodiscard]] double failure_share(steady_time now) const;
 
     backend_server described;
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -20,7 +20,7 @@
 protected:
     [[nodiscard]] server_load load_at(steady_time now, int processes = 1) const
     {
-        return this->state.load(12, processes, 20, "a", now);
+        return this->state.load(12, load_view{"a", processes}, 20, now);
     }
 
     server_state state{make_server()};
--- a/sardinestream/maps/expert_map.cc
+++ b/sardinestream/maps/expert_map.cc
@@ -14,14 +14,16 @@
     return make_error(absl::StatusCode::kInvalidArgument, "expert_map", "", reason);
 }
 
-void append_list(std::vector<std::uint16_t>& flat, const std::vector<std::uint16_t>& list)
+void append_list(std::vector<std::uint8_t>& flat, const std::vector<std::uint16_t>& list)
 {
-    flat.push_back(static_cast<std::uint16_t>(list.size()));
-    flat.insert(flat.end(), list.begin(), list.end());
+    flat.push_back(static_cast<std::uint8_t>(list.size()));
+    for (const std::uint16_t expert : list) {
+        flat.push_back(static_cast<std::uint8_t>(expert));
+    }
 }
 
 // Takes one list from the front of `flat`.
-bool take_list(absl::Span<const std::uint16_t>& flat, std::vector<std::uint16_t>& list)
+bool take_list(absl::Span<const std::uint8_t>& flat, std::vector<std::uint16_t>& list)
 {
     if (flat.empty() || flat.size() < static_cast<std::size_t>(flat.front()) + 1) {
         return false;
@@ -113,9 +115,9 @@
     return copies;
 }
 
-std::vector<std::uint16_t> flatten(const expert_map& map)
+std::vector<std::uint8_t> flatten(const expert_map& map)
 {
-    std::vector<std::uint16_t> flat;
+    std::vector<std::uint8_t> flat;
     for (int set = 0; set < map.shape().sets; ++set) {
         for (int rank = 0; rank < map.shape().ranks; ++rank) {
             append_list(flat, map.experts_of(set, rank));
@@ -124,17 +126,16 @@
     return flat;
 }
 
-std::vector<std::uint16_t> flatten(const rank_experts& experts)
+std::vector<std::uint8_t> flatten(const rank_experts& experts)
 {
-    std::vector<std::uint16_t> flat;
+    std::vector<std::uint8_t> flat;
     for (const std::vector<std::uint16_t>& list : experts) {
         append_list(flat, list);
     }
     return flat;
 }
 
-absl::Status unflatten(absl::Span<const std::uint16_t> flat, const map_shape& shape,
-                       expert_map& map)
+absl::Status unflatten(absl::Span<const std::uint8_t> flat, const map_shape& shape, expert_map& map)
 {
     map = expert_map(shape);
     std::vector<rank_experts> by_rank(static_cast<std::size_t>(shape.ranks));
@@ -152,7 +153,7 @@
     return map.check();
 }
 
-absl::Status unflatten(absl::Span<const std::uint16_t> flat, int sets, rank_experts& experts)
+absl::Status unflatten(absl::Span<const std::uint8_t> flat, int sets, rank_experts& experts)
 {
     experts.assign(static_cast<std::size_t>(sets), {});
     for (std::vector<std::uint16_t>& list : experts) {
--- a/sardinestream/maps/expert_map.h
+++ b/sardinestream/maps/expert_map.h
@@ -58,14 +58,17 @@
     std::vector<std::vector<std::uint16_t>> lists;
 };
 
+// The most experts of a set that a flat form can name.
+inline constexpr int most_experts = 256;
+
 // Flat forms for messages: for each list its length, then its experts.
-[[nodiscard]] std::vector<std::uint16_t> flatten(const expert_map& map);
-[[nodiscard]] std::vector<std::uint16_t> flatten(const rank_experts& experts);
+[[nodiscard]] std::vector<std::uint8_t> flatten(const expert_map& map);
+[[nodiscard]] std::vector<std::uint8_t> flatten(const rank_experts& experts);
 
 // Fails on a form that does not fit `shape`.
-[[nodiscard]] absl::Status unflatten(absl::Span<const std::uint16_t> flat, const map_shape& shape,
+[[nodiscard]] absl::Status unflatten(absl::Span<const std::uint8_t> flat, const map_shape& shape,
                                      expert_map& map);
-[[nodiscard]] absl::Status unflatten(absl::Span<const std::uint16_t> flat, int sets,
+[[nodiscard]] absl::Status unflatten(absl::Span<const std::uint8_t> flat, int sets,
                                      rank_experts& experts);
 
 } // namespace sardinestream
--- a/sardinestream/maps/expert_map_test.cc
+++ b/sardinestream/maps/expert_map_test.cc
@@ -42,7 +42,7 @@
 
 TEST(expert_map, refuses_a_flat_form_that_is_cut)
 {
-    std::vector<std::uint16_t> flat = flatten(in_turn());
+    std::vector<std::uint8_t> flat = flatten(in_turn());
     flat.pop_back();
     expert_map read;
     EXPECT_FALSE(unflatten(flat, shape, read).ok());
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds sample_interval{120};
 // An order whose effect does not show is given again after this.
 constexpr milliseconds resend_interval{45};
+// The same for an order that carries a whole map; nobody waits for it.
+constexpr milliseconds prepare_resend_interval{300};
 // Copies that a rank has accepted show when they are done.
 constexpr milliseconds copy_patience{6000};
 // After a plan that failed.
@@ -217,7 +219,9 @@
     const rank_state& state = this->ranks[static_cast<std::size_t>(order.rank)].state;
     const bool copying =
         order.kind == order_kind::prepare && state.prepare_accepted == order.version;
-    if (last != steady_time{} && (copying || now - last < resend_interval)) {
+    const milliseconds interval =
+        order.kind == order_kind::prepare ? prepare_resend_interval : resend_interval;
+    if (last != steady_time{} && (copying || now - last < interval)) {
         return false;
     }
     if (last != steady_time{} && order.kind != order_kind::hold) {
--- a/sardinestream/maps/map_planner.cc
+++ b/sardinestream/maps/map_planner.cc
@@ -19,7 +19,8 @@
         : set(searched_set), shape(current.shape()), demand(shares),
           copies(static_cast<std::size_t>(shape.experts), 0),
           holds(static_cast<std::size_t>(shape.experts) * static_cast<std::size_t>(shape.ranks)),
-          was_held(holds.size()), held_count(static_cast<std::size_t>(shape.ranks), 0),
+          was_held(holds.size()), holders(static_cast<std::size_t>(shape.experts)),
+          held_by(static_cast<std::size_t>(shape.ranks)),
           loads(static_cast<std::size_t>(shape.ranks), 0)
     {
         for (int rank = 0; rank < this->shape.ranks; ++rank) {
@@ -27,7 +28,8 @@
                 this->holds[this->at(rank, expert)] = true;
                 this->was_held[this->at(rank, expert)] = true;
                 ++this->copies[expert];
-                ++this->held_count[static_cast<std::size_t>(rank)];
+                this->holders[expert].push_back(rank);
+                this->held_by[static_cast<std::size_t>(rank)].push_back(expert);
             }
         }
         this->compute_loads();
@@ -50,8 +52,10 @@
         const double before = this->objective();
         const auto busiest = static_cast<int>(std::distance(
             this->loads.begin(), std::max_element(this->loads.begin(), this->loads.end())));
-        for (int expert = 0; expert < this->shape.experts; ++expert) {
-            if (!this->holds[this->at(busiest, expert)] || this->share(expert) <= 0) {
+        // The moves below take experts from the list and put them back.
+        const std::vector<int> on_busiest = this->held_by[static_cast<std::size_t>(busiest)];
+        for (const int expert : on_busiest) {
+            if (this->share(expert) <= 0) {
                 continue;
             }
             for (int rank = 0; rank < this->shape.ranks; ++rank) {
@@ -63,8 +67,8 @@
             }
         }
         // Dropping a copy on the busiest rank costs no copying at all.
-        for (int expert = 0; expert < this->shape.experts; ++expert) {
-            if (!this->holds[this->at(busiest, expert)] || this->count(expert) < 2) {
+        for (const int expert : on_busiest) {
+            if (this->count(expert) < 2) {
                 continue;
             }
             this->drop(busiest, expert);
@@ -130,11 +134,9 @@
     {
         std::fill(this->loads.begin(), this->loads.end(), 0.0);
         for (int rank = 0; rank < this->shape.ranks; ++rank) {
-            for (int expert = 0; expert < this->shape.experts; ++expert) {
-                if (this->holds[this->at(rank, expert)]) {
-                    this->loads[static_cast<std::size_t>(rank)] +=
-                        this->share(expert) / this->count(expert);
-                }
+            for (const int expert : this->held_by[static_cast<std::size_t>(rank)]) {
+                this->loads[static_cast<std::size_t>(rank)] +=
+                    this->share(expert) / this->count(expert);
             }
         }
     }
@@ -155,10 +157,8 @@
     {
         const double change =
             this->share(expert) / copies_after - this->share(expert) / copies_before;
-        for (int rank = 0; rank < this->shape.ranks; ++rank) {
-            if (this->holds[this->at(rank, expert)]) {
-                this->loads[static_cast<std::size_t>(rank)] += change;
-            }
+        for (const int rank : this->holders[static_cast<std::size_t>(expert)]) {
+            this->loads[static_cast<std::size_t>(rank)] += change;
         }
     }
 
@@ -167,14 +167,16 @@
         this->spread(expert, this->count(expert), this->count(expert) + 1);
         ++this->count(expert);
         this->holds[this->at(rank, expert)] = true;
-        ++this->held_count[static_cast<std::size_t>(rank)];
+        this->holders[static_cast<std::size_t>(expert)].push_back(rank);
+        this->held_by[static_cast<std::size_t>(rank)].push_back(expert);
         this->loads[static_cast<std::size_t>(rank)] += this->share(expert) / this->count(expert);
     }
 
     void drop(int rank, int expert)
     {
         this->holds[this->at(rank, expert)] = false;
-        --this->held_count[static_cast<std::size_t>(rank)];
+        std::erase(this->holders[static_cast<std::size_t>(expert)], rank);
+        std::erase(this->held_by[static_cast<std::size_t>(rank)], expert);
         this->loads[static_cast<std::size_t>(rank)] -= this->share(expert) / this->count(expert);
         this->spread(expert, this->count(expert), this->count(expert) - 1);
         --this->count(expert);
@@ -182,15 +184,16 @@
 
     void try_move(int expert, int rank, double before, move& best)
     {
-        if (this->held_count[static_cast<std::size_t>(rank)] < this->shape.places) {
+        const std::vector<int>& held = this->held_by[static_cast<std::size_t>(rank)];
+        if (static_cast<int>(held.size()) < this->shape.places) {
             this->take(rank, expert);
             this->keep_better(expert, rank, -1, before, best);
             this->drop(rank, expert);
             return;
         }
-        for (int removed = 0; removed < this->shape.experts; ++removed) {
-            if (removed == expert || !this->holds[this->at(rank, removed)] ||
-                this->count(removed) < 2) {
+        const std::vector<int> candidates = held;
+        for (const int removed : candidates) {
+            if (this->count(removed) < 2) {
                 continue;
             }
             this->drop(rank, removed);
@@ -215,7 +218,9 @@
     std::vector<int> copies;
     std::vector<bool> holds;
     std::vector<bool> was_held;
-    std::vector<int> held_count;
+    // Ranks by expert and experts by rank: the same facts as `holds`.
+    std::vector<std::vector<int>> holders;
+    std::vector<std::vector<int>> held_by;
     std::vector<double> loads;
 };
 
@@ -253,6 +258,9 @@
             known.reset();
         }
         while (this->make_best_move(budget)) {
+            if (this->options.on_progress) {
+                this->options.on_progress();
+            }
         }
     }
 
--- a/sardinestream/maps/map_planner.h
+++ b/sardinestream/maps/map_planner.h
@@ -8,6 +8,7 @@
 #ifndef SARDINESTREAM_MAPS_MAP_PLANNER_H_
 #define SARDINESTREAM_MAPS_MAP_PLANNER_H_
 
+#include <functional>
 #include <optional>
 
 #include "sardinestream/maps/expert_map.h"
@@ -34,6 +35,8 @@
     double copy_cost = 0.002;
     // The least gain, as a share of a pass, for which a map is changed at all.
     double least_gain = 0.25;
+    // Called after each move, since a search may take longer than others wait for a sign of life.
+    std::function<void()> on_progress{};
 };
 
 struct map_plan {
--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/peers/entry_news.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,15 @@
 // A sequence that lies further back is that of an agent that has started again.
 constexpr std::uint64_t reordering_window = 64;
 
+// What an entry takes in stays about the same from some thirty agents on.
+milliseconds report_interval_for(std::size_t agents)
+{
+    constexpr milliseconds shortest{100};
+    constexpr milliseconds longest{1000};
+    constexpr milliseconds per_agent{3};
+    return std::clamp(per_agent * static_cast<int>(agents), shortest, longest);
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<entry_news>> entry_news::start(const std::string& ip, int port,
@@ -170,48 +180,69 @@
     return hello;
 }
 
-void entry_news::add_group(const std::string& server_ip, news::EntryHelloT& hello) const
+news::NewsT entry_news::make_group_hello(const engine_model& engine, const std::string& group,
+                                         const std::map<std::string, int>& ports) const
 {
-    const auto named = this->group_of_ip.find(server_ip);
-    if (named == this->group_of_ip.end()) {
-        return;
+    news::EntryHelloT hello = this->make_hello();
+    hello.sets = engine.layer_sets;
+    hello.experts = engine.experts;
+    hello.places = engine.places_per_rank;
+    hello.most_new_experts = engine.most_new_experts;
+    hello.copy_ms = static_cast<float>(engine.copy_ms());
+    hello.expert_share = static_cast<float>(engine.expert_share);
+    hello.report_interval_ms =
+        static_cast<int>(report_interval_for(this->report_sequences.size()).count());
+    hello.group = group;
+    const auto members = this->groups.find(group);
+    if (members == this->groups.end()) {
+        return make_news(std::move(hello));
     }
-    hello.group = named->second;
     const steady_time now = steady_clock::now();
-    std::map<std::string, int> port_of_ip;
-    for (const backend_server& server : this->hooks.servers()) {
-        port_of_ip[server.endpoint.ip] = server.endpoint.port;
-    }
-    for (const auto& [rank, member] : this->groups.at(named->second)) {
-        const auto found = port_of_ip.find(member.ip);
-        if (now - member.last > member_memory || found == port_of_ip.end()) {
+    for (const auto& [rank, member] : members->second) {
+        const auto port_found = ports.find(member.ip);
+        if (now - member.last > member_memory || port_found == ports.end()) {
             continue;
         }
         auto place = std::make_unique<news::RankPlaceT>();
         place->rank = rank;
         place->ip = ip_number(member.ip);
-        place->port = static_cast<std::uint16_t>(found->second);
+        place->port = static_cast<std::uint16_t>(port_found->second);
         hello.ranks.push_back(std::move(place));
     }
+    return make_news(std::move(hello));
 }
 
-void entry_news::add_engine(const backend_server& server, news::EntryHelloT& hello) const
+void entry_news::tell_agents()
 {
     const std::shared_ptr<const desired_state> state = this->hooks.state();
     if (state == nullptr) {
         return;
     }
-    const auto declared = state->services.find(server.service);
-    if (declared == state->services.end() || !declared->second.has_engine) {
-        return;
+    const std::vector<backend_server> servers = this->hooks.servers();
+    std::map<std::string, int> ports;
+    for (const backend_server& server : servers) {
+        ports[server.endpoint.ip] = server.endpoint.port;
+    }
+    // All agents of one service and group are told the same.
+    std::map<std::pair<std::string, std::string>, news::NewsT> hellos;
+    std::set<std::string> told;
+    for (const backend_server& server : servers) {
+        const auto declared = state->services.find(server.service);
+        if (declared == state->services.end() || !declared->second.engine.has_experts() ||
+            !told.insert(server.endpoint.ip).second) {
+            continue;
+        }
+        const auto named = this->group_of_ip.find(server.endpoint.ip);
+        const std::string group = named == this->group_of_ip.end() ? "" : named->second;
+        const std::pair<std::string, std::string> key = {server.service, group};
+        auto hello = hellos.find(key);
+        if (hello == hellos.end()) {
+            hello =
+                hellos.emplace(key, this->make_group_hello(declared->second.engine, group, ports))
+                    .first;
+        }
+        this->socket.send(hello->second, {server.endpoint.ip, this->port});
     }
-    const engine_model& engine = declared->second.engine;
-    hello.sets = engine.layer_sets;
-    hello.experts = engine.experts;
-    hello.places = engine.places_per_rank;
-    hello.most_new_experts = engine.most_new_experts;
-    hello.copy_ms = static_cast<float>(engine.copy_ms());
-    hello.expert_share = static_cast<float>(engine.expert_share);
 }
 
 void entry_news::tell_everyone()
@@ -230,16 +261,8 @@
         log_event("entries_alive", {{"count", alive}});
         this->hooks.on_entries(alive);
     }
-    std::set<std::string> told;
-    for (const backend_server& server : this->hooks.servers()) {
-        news::EntryHelloT hello = this->make_hello();
-        this->add_engine(server, hello);
-        if (hello.sets == 0 || !told.insert(server.endpoint.ip).second) {
-            continue;
-        }
-        this->add_group(server.endpoint.ip, hello);
-        this->socket.send(make_news(std::move(hello)), {server.endpoint.ip, this->port});
-    }
+    this->hooks.on_report_interval(report_interval_for(this->report_sequences.size()));
+    this->tell_agents();
 }
 
 } // namespace sardinestream
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -44,6 +44,8 @@
     std::function<void(const std::string& ip, const known_revisions& newer)> on_newer;
     // The number of entries that are alive, this one included.
     std::function<void(int count)> on_entries;
+    // How often agents are asked to report.
+    std::function<void(std::chrono::milliseconds interval)> on_report_interval;
 };
 
 class entry_news {
@@ -83,8 +85,10 @@
     void note_revisions(std::uint32_t ip, const known_revisions& known);
     void tell_everyone();
     [[nodiscard]] news::EntryHelloT make_hello() const;
-    void add_group(const std::string& server_ip, news::EntryHelloT& hello) const;
-    void add_engine(const backend_server& server, news::EntryHelloT& hello) const;
+    void tell_agents();
+    // The hello for the agents of one service and group.
+    [[nodiscard]] news::NewsT make_group_hello(const engine_model& engine, const std::string& group,
+                                               const std::map<std::string, int>& ports) const;
 
     const datagram_socket socket;
     const std::string own_ip;
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -319,6 +319,7 @@
   int32_t most_new_experts = 0;
   float copy_ms = 0.0f;
   float expert_share = 0.0f;
+  int32_t report_interval_ms = 0;
   EntryHelloT() = default;
   EntryHelloT(const EntryHelloT &o);
   EntryHelloT(EntryHelloT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -341,7 +342,8 @@
     VT_PLACES = 20,
     VT_MOST_NEW_EXPERTS = 22,
     VT_COPY_MS = 24,
-    VT_EXPERT_SHARE = 26
+    VT_EXPERT_SHARE = 26,
+    VT_REPORT_INTERVAL_MS = 28
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -379,6 +381,9 @@
   float expert_share() const {
     return GetField<float>(VT_EXPERT_SHARE, 0.0f);
   }
+  int32_t report_interval_ms() const {
+    return GetField<int32_t>(VT_REPORT_INTERVAL_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -397,6 +402,7 @@
            VerifyField<int32_t>(verifier, VT_MOST_NEW_EXPERTS, 4) &&
            VerifyField<float>(verifier, VT_COPY_MS, 4) &&
            VerifyField<float>(verifier, VT_EXPERT_SHARE, 4) &&
+           VerifyField<int32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -444,6 +450,9 @@
   void add_expert_share(float expert_share) {
     fbb_.AddElement<float>(EntryHello::VT_EXPERT_SHARE, expert_share, 0.0f);
   }
+  void add_report_interval_ms(int32_t report_interval_ms) {
+    fbb_.AddElement<int32_t>(EntryHello::VT_REPORT_INTERVAL_MS, report_interval_ms, 0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -468,10 +477,12 @@
     int32_t places = 0,
     int32_t most_new_experts = 0,
     float copy_ms = 0.0f,
-    float expert_share = 0.0f) {
+    float expert_share = 0.0f,
+    int32_t report_interval_ms = 0) {
   EntryHelloBuilder builder_(_fbb);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_revision(config_revision);
+  builder_.add_report_interval_ms(report_interval_ms);
   builder_.add_expert_share(expert_share);
   builder_.add_copy_ms(copy_ms);
   builder_.add_most_new_experts(most_new_experts);
@@ -503,7 +514,8 @@
     int32_t places = 0,
     int32_t most_new_experts = 0,
     float copy_ms = 0.0f,
-    float expert_share = 0.0f) {
+    float expert_share = 0.0f,
+    int32_t report_interval_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<sardinestream::news::RankPlace>>(*ranks) : 0;
@@ -520,7 +532,8 @@
       places,
       most_new_experts,
       copy_ms,
-      expert_share);
+      expert_share,
+      report_interval_ms);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -755,8 +768,8 @@
   int64_t held_step = -1LL;
   int64_t prepare_accepted = 0;
   int64_t prepare_refused = 0;
-  std::vector<uint16_t> experts{};
-  std::vector<uint16_t> counts{};
+  std::vector<uint8_t> experts{};
+  std::vector<uint8_t> counts{};
   uint8_t counts_shift = 0;
 };
 
@@ -829,11 +842,11 @@
   int64_t prepare_refused() const {
     return GetField<int64_t>(VT_PREPARE_REFUSED, 0);
   }
-  const flatbuffers::Vector<uint16_t> *experts() const {
-    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EXPERTS);
+  const flatbuffers::Vector<uint8_t> *experts() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_EXPERTS);
   }
-  const flatbuffers::Vector<uint16_t> *counts() const {
-    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_COUNTS);
+  const flatbuffers::Vector<uint8_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COUNTS);
   }
   uint8_t counts_shift() const {
     return GetField<uint8_t>(VT_COUNTS_SHIFT, 0);
@@ -917,10 +930,10 @@
   void add_prepare_refused(int64_t prepare_refused) {
     fbb_.AddElement<int64_t>(RankState::VT_PREPARE_REFUSED, prepare_refused, 0);
   }
-  void add_experts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts) {
+  void add_experts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> experts) {
     fbb_.AddOffset(RankState::VT_EXPERTS, experts);
   }
-  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> counts) {
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts) {
     fbb_.AddOffset(RankState::VT_COUNTS, counts);
   }
   void add_counts_shift(uint8_t counts_shift) {
@@ -954,8 +967,8 @@
     int64_t held_step = -1LL,
     int64_t prepare_accepted = 0,
     int64_t prepare_refused = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> experts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts = 0,
     uint8_t counts_shift = 0) {
   RankStateBuilder builder_(_fbb);
   builder_.add_prepare_refused(prepare_refused);
@@ -1001,12 +1014,12 @@
     int64_t held_step = -1LL,
     int64_t prepare_accepted = 0,
     int64_t prepare_refused = 0,
-    const std::vector<uint16_t> *experts = nullptr,
-    const std::vector<uint16_t> *counts = nullptr,
+    const std::vector<uint8_t> *experts = nullptr,
+    const std::vector<uint8_t> *counts = nullptr,
     uint8_t counts_shift = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
-  auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
-  auto counts__ = counts ? _fbb.CreateVector<uint16_t>(*counts) : 0;
+  auto experts__ = experts ? _fbb.CreateVector<uint8_t>(*experts) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
   return sardinestream::news::CreateRankState(
       _fbb,
       group__,
@@ -1042,7 +1055,7 @@
   sardinestream::news::OrderKind kind = sardinestream::news::OrderKind::None;
   int64_t version = 0;
   int64_t step = 0;
-  std::vector<uint16_t> map{};
+  std::vector<uint8_t> map{};
 };
 
 struct Directive FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1088,8 +1101,8 @@
   int64_t step() const {
     return GetField<int64_t>(VT_STEP, 0);
   }
-  const flatbuffers::Vector<uint16_t> *map() const {
-    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_MAP);
+  const flatbuffers::Vector<uint8_t> *map() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MAP);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1143,7 +1156,7 @@
   void add_step(int64_t step) {
     fbb_.AddElement<int64_t>(Directive::VT_STEP, step, 0);
   }
-  void add_map(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> map) {
+  void add_map(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map) {
     fbb_.AddOffset(Directive::VT_MAP, map);
   }
   explicit DirectiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -1168,7 +1181,7 @@
     sardinestream::news::OrderKind kind = sardinestream::news::OrderKind::None,
     int64_t version = 0,
     int64_t step = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> map = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map = 0) {
   DirectiveBuilder builder_(_fbb);
   builder_.add_step(step);
   builder_.add_version(version);
@@ -1199,9 +1212,9 @@
     sardinestream::news::OrderKind kind = sardinestream::news::OrderKind::None,
     int64_t version = 0,
     int64_t step = 0,
-    const std::vector<uint16_t> *map = nullptr) {
+    const std::vector<uint8_t> *map = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
-  auto map__ = map ? _fbb.CreateVector<uint16_t>(*map) : 0;
+  auto map__ = map ? _fbb.CreateVector<uint8_t>(*map) : 0;
   return sardinestream::news::CreateDirective(
       _fbb,
       group__,
@@ -1359,7 +1372,8 @@
         places(o.places),
         most_new_experts(o.most_new_experts),
         copy_ms(o.copy_ms),
-        expert_share(o.expert_share) {
+        expert_share(o.expert_share),
+        report_interval_ms(o.report_interval_ms) {
   ranks.reserve(o.ranks.size());
   for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new sardinestream::news::RankPlaceT(*ranks_) : nullptr); }
 }
@@ -1377,6 +1391,7 @@
   std::swap(most_new_experts, o.most_new_experts);
   std::swap(copy_ms, o.copy_ms);
   std::swap(expert_share, o.expert_share);
+  std::swap(report_interval_ms, o.report_interval_ms);
   return *this;
 }
 
@@ -1401,6 +1416,7 @@
   { auto _e = most_new_experts(); _o->most_new_experts = _e; }
   { auto _e = copy_ms(); _o->copy_ms = _e; }
   { auto _e = expert_share(); _o->expert_share = _e; }
+  { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1423,6 +1439,7 @@
   auto _most_new_experts = _o->most_new_experts;
   auto _copy_ms = _o->copy_ms;
   auto _expert_share = _o->expert_share;
+  auto _report_interval_ms = _o->report_interval_ms;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       _ip,
@@ -1436,7 +1453,8 @@
       _places,
       _most_new_experts,
       _copy_ms,
-      _expert_share);
+      _expert_share,
+      _report_interval_ms);
 }
 
 inline ServerReportT *ServerReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1522,8 +1540,8 @@
   { auto _e = held_step(); _o->held_step = _e; }
   { auto _e = prepare_accepted(); _o->prepare_accepted = _e; }
   { auto _e = prepare_refused(); _o->prepare_refused = _e; }
-  { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
-  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = _e->Get(_i); } } }
+  { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->experts.begin()); } }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->counts.begin()); } }
   { auto _e = counts_shift(); _o->counts_shift = _e; }
 }
 
@@ -1593,7 +1611,7 @@
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = version(); _o->version = _e; }
   { auto _e = step(); _o->step = _e; }
-  { auto _e = map(); if (_e) { _o->map.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->map[_i] = _e->Get(_i); } } }
+  { auto _e = map(); if (_e) { _o->map.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->map.begin()); } }
 }
 
 inline flatbuffers::Offset<Directive> Directive::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectiveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -14,7 +14,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds look_interval{100};
+constexpr int most_news_before_look = 256;
 constexpr milliseconds sign_interval{200};
+// Keeps what a coordinator receives within its link, whatever the size of its group.
+constexpr milliseconds count_interval_per_rank{6};
 // Silence of the coordinator after which another agent takes over; later ranks wait longer, so
 // that they do not all do so at once.
 constexpr milliseconds coordinator_silence{700};
@@ -150,17 +153,24 @@
 void agent_program::run()
 {
     while (!this->stopping) {
-        const std::unique_ptr<news::NewsT> message = this->socket.receive(this->next_look);
-        if (message != nullptr) {
-            this->take(*message);
-        }
+        this->take_news();
         if (steady_clock::now() >= this->next_look) {
-            this->next_look = steady_clock::now() + look_interval;
             this->look_at_engine();
+            this->next_look = steady_clock::now() + look_interval;
         }
     }
 }
 
+void agent_program::take_news()
+{
+    // Waits for the first message; what has piled up behind it is older than the next look.
+    std::unique_ptr<news::NewsT> message = this->socket.receive(this->next_look);
+    for (int taken = 0; message != nullptr && taken < most_news_before_look; ++taken) {
+        this->take(*message);
+        message = this->socket.receive(steady_time{});
+    }
+}
+
 void agent_program::take(const news::NewsT& message)
 {
     if (const auto* const hello = message.body.AsEntryHello(); hello != nullptr) {
@@ -190,6 +200,9 @@
     this->planner.most_new_experts = hello.most_new_experts;
     this->planner.copy_ms = hello.copy_ms;
     this->planner.expert_share = hello.expert_share;
+    if (hello.report_interval_ms > 0) {
+        this->report_interval = milliseconds(hello.report_interval_ms);
+    }
 }
 
 void agent_program::look_at_engine()
@@ -197,18 +210,42 @@
     if (!this->refresh_report()) {
         return;
     }
-    this->tell_entries();
+    if (steady_clock::now() >= this->next_report) {
+        // A little early, so that looks and reports keep step.
+        this->next_report = steady_clock::now() + this->report_interval - look_interval / 2;
+        this->tell_entries();
+    }
     if (this->report->group.empty()) {
         return;
     }
     this->refresh_experts();
     this->consider_coordinating();
     if (!this->is_coordinating()) {
-        this->send_state(true);
+        if (this->counts_are_due()) {
+            this->send_state(true);
+        }
         return;
     }
-    this->take_state(this->make_state(true));
-    this->reach_missing_ranks();
+    this->send_due_signs_of_life();
+    this->take_state(this->make_state(this->counts_are_due()));
+    if (this->is_coordinating()) {
+        this->reach_missing_ranks();
+    }
+}
+
+bool agent_program::counts_are_due()
+{
+    const steady_time now = steady_clock::now();
+    if (now < this->next_counts) {
+        return false;
+    }
+    this->next_counts =
+        now + std::max(look_interval / 2, count_interval_per_rank * this->report->group_size);
+    return true;
+}
+
+void agent_program::send_due_signs_of_life()
+{
     if (steady_clock::now() >= this->next_sign) {
         this->next_sign = steady_clock::now() + sign_interval;
         this->send_signs_of_life();
@@ -298,12 +335,12 @@
             chosen[i] = std::max<std::int64_t>(0, (*counts)[i] - this->last_counts[i]);
             largest = std::max(largest, chosen[i]);
         }
-        constexpr std::int64_t largest_sent = 65535;
+        constexpr std::int64_t largest_sent = 255;
         while ((largest >> state.counts_shift) > largest_sent) {
             ++state.counts_shift;
         }
         for (const std::int64_t one : chosen) {
-            state.counts.push_back(static_cast<std::uint16_t>(one >> state.counts_shift));
+            state.counts.push_back(static_cast<std::uint8_t>(one >> state.counts_shift));
         }
     }
     this->last_counts = *std::move(counts);
@@ -413,8 +450,8 @@
 
 void agent_program::consider_coordinating()
 {
-    const bool whole_group =
-        this->shape.ranks > 0 && static_cast<int>(this->group.size()) >= this->shape.ranks;
+    const bool whole_group = this->shape.ranks > 0 && this->shape.experts <= most_experts &&
+                             static_cast<int>(this->group.size()) >= this->shape.ranks;
     const auto silence = (this->heard_directive ? coordinator_silence : first_coordinator_wait) +
                          silence_per_rank * this->report->rank;
     if (this->is_coordinating() || !whole_group ||
@@ -431,6 +468,7 @@
     coordinator_options chosen;
     chosen.shape = this->shape;
     chosen.planner = this->planner;
+    chosen.planner.on_progress = [this] { this->send_due_signs_of_life(); };
     chosen.own_rank = this->report->rank;
     this->coordinator = std::make_unique<map_coordinator>(chosen);
     this->state_sequences.clear();
@@ -499,7 +537,7 @@
     if (!unflatten(state.experts, this->shape.sets, decoded.experts).ok()) {
         return;
     }
-    for (const std::uint16_t one : state.counts) {
+    for (const std::uint8_t one : state.counts) {
         decoded.counts.push_back(
             static_cast<double>(static_cast<std::uint64_t>(one) << state.counts_shift));
     }
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -68,6 +68,7 @@
 
     agent_program(agent_options chosen, datagram_socket bound);
 
+    void take_news();
     void take(const news::NewsT& message);
     void take_hello(const news::EntryHelloT& hello);
     void take_directive(const news::DirectiveT& directive);
@@ -95,6 +96,9 @@
     [[nodiscard]] rank_state own_state() const;
     [[nodiscard]] news::DirectiveT make_directive() const;
     void send_signs_of_life();
+    void send_due_signs_of_life();
+    // Whether it is time to send counts; larger groups send them less often.
+    [[nodiscard]] bool counts_are_due();
     [[nodiscard]] bool is_coordinating() const { return this->coordinator != nullptr; }
 
     const agent_options options;
@@ -126,6 +130,10 @@
     coordinator_term obeyed;
     steady_time last_directive;
     steady_time next_look{};
+    // How often the entries are told, and the coordinator is told what was chosen.
+    std::chrono::milliseconds report_interval{100};
+    steady_time next_report{};
+    steady_time next_counts{};
     steady_time next_sign{};
     std::unique_ptr<map_coordinator> coordinator;
     // The newest sequence of each rank's agent, of the present term.
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -126,6 +126,9 @@
         this->ahead_ip = ip;
     };
     hooks.on_entries = [this](int alive) { this->servers.set_processes(alive); };
+    hooks.on_report_interval = [this](milliseconds interval) {
+        this->servers.set_report_interval(interval);
+    };
     absl::StatusOr<std::unique_ptr<entry_news>> started = entry_news::start(
         this->options.ip, this->options.news_port, this->options.seeds, std::move(hooks));
     if (!started.ok()) {
