Divide the retry budget among the entries that are known

Cause: each entry took a fixed quarter of the fleet's slack; with six or eight entries the sum would pass the fleet's budget.

--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -256,10 +256,12 @@
         alive += now - heard.last < entry_lifetime ? 1 : 0;
         this->socket.send(plain, {ip_text(ip), this->port});
     }
-    if (alive != this->announced_entries) {
-        this->announced_entries = alive;
-        log_event("entries_alive", {{"count", alive}});
-        this->hooks.on_entries(alive);
+    const int known = static_cast<int>(this->entries.size()) + 1;
+    if (alive != this->announced_alive || known != this->announced_known) {
+        this->announced_alive = alive;
+        this->announced_known = known;
+        log_event("entries_alive", {{"count", alive}, {"known", known}});
+        this->hooks.on_entries(alive, known);
     }
     this->hooks.on_report_interval(report_interval_for(this->report_sequences.size()));
     this->tell_agents();
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -42,8 +42,9 @@
     std::function<void(const std::string& ip, const server_report& report)> on_report;
     // Another entry knows something newer.
     std::function<void(const std::string& ip, const known_revisions& newer)> on_newer;
-    // The number of entries that are alive, this one included.
-    std::function<void(int count)> on_entries;
+    // The number of entries that are alive, and of those that were heard of lately; both include
+    // this one.
+    std::function<void(int alive, int known)> on_entries;
     // How often agents are asked to report.
     std::function<void(std::chrono::milliseconds interval)> on_report_interval;
 };
@@ -106,7 +107,8 @@
     // By group, then rank.
     std::map<std::string, std::map<int, group_member>> groups;
     std::map<std::string, std::string> group_of_ip;
-    int announced_entries = 0;
+    int announced_alive = 0;
+    int announced_known = 0;
     std::thread thread;
 };
 
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -35,10 +35,8 @@
         options.seeds.push_back(seed.ip);
     }
     options.most_connections = settings.most_connections;
-    // The budget is the fleet's; each entry takes a part of it.
-    constexpr double entries_sharing = 4;
     options.retries_per_request = settings.retry_ratio;
-    options.most_retries_at_once = settings.retry_slack / entries_sharing;
+    options.most_retries_at_once = settings.retry_slack;
     return options;
 }
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -26,6 +26,8 @@
 // What is left of the grace for ending the process itself.
 constexpr milliseconds exit_margin{700};
 
+// Entries that share the budget of retries, until this one has heard how many there are.
+constexpr double entries_at_start = 4;
 constexpr char config_path[] = "/state/config";
 constexpr char servers_path[] = "/state/servers";
 constexpr int http_ok = 200;
@@ -34,8 +36,8 @@
 
 routing::retry_budget_options budget_options(const entry_options& options)
 {
-    return {options.retries_per_request, options.most_retries_at_once,
-            options.most_retries_at_once};
+    const double share = options.most_retries_at_once / entries_at_start;
+    return {options.retries_per_request, share, share};
 }
 
 } // namespace
@@ -125,7 +127,11 @@
         const absl::MutexLock lock(&this->mutex);
         this->ahead_ip = ip;
     };
-    hooks.on_entries = [this](int alive) { this->servers.set_processes(alive); };
+    hooks.on_entries = [this](int alive, int known) {
+        this->servers.set_processes(alive);
+        // An entry that is only out of sight still spends its share.
+        this->retries.set_max_tokens(this->options.most_retries_at_once / known);
+    };
     hooks.on_report_interval = [this](milliseconds interval) {
         this->servers.set_report_interval(interval);
     };
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -40,10 +40,10 @@
     int news_port = 0;
     std::vector<std::string> seeds;
     int most_connections = 1000;
-    // Attempts at a second server against requests, and how many more may come at once; of this
-    // process alone.
+    // Attempts at a second server against requests, and how many more may come at once in the whole
+    // fleet.
     double retries_per_request = 0.1;
-    double most_retries_at_once = 20;
+    double most_retries_at_once = 80;
 
     friend bool operator==(const entry_options&, const entry_options&) = default;
 };
--- a/sardinestream/retries/retry_budget.cc
+++ b/sardinestream/retries/retry_budget.cc
@@ -6,6 +6,16 @@
 
 retry_budget::retry_budget(retry_budget_options chosen) : options(chosen) {}
 
+void retry_budget::set_max_tokens(double most)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->options.max_tokens = most;
+    this->options.initial_tokens = std::min(this->options.initial_tokens, most);
+    for (auto& [service, held] : this->tokens) {
+        held = std::min(held, most);
+    }
+}
+
 void retry_budget::on_request(absl::string_view service)
 {
     absl::MutexLock lock(&this->mutex);
--- a/sardinestream/retries/retry_budget.h
+++ b/sardinestream/retries/retry_budget.h
@@ -29,6 +29,9 @@
 public:
     explicit retry_budget(retry_budget_options chosen = {});
 
+    // Changes the most tokens that a service holds; what is above is dropped.
+    void set_max_tokens(double most);
+
     // A first attempt was made.
     void on_request(absl::string_view service);
 
@@ -38,8 +41,8 @@
 private:
     double& tokens_of(absl::string_view service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
-    const retry_budget_options options;
     absl::Mutex mutex;
+    retry_budget_options options ABSL_GUARDED_BY(mutex);
     // Each between zero and `max_tokens`.
     std::map<std::string, double, std::less<>> tokens ABSL_GUARDED_BY(mutex);
 };
