Split the agent and the exchange into parts with one job each

Change: engine_watch, silent_ranks and rank_news out of agent_program; answer_text out of exchange; one writing loop. Behaviour as before, but for guards where an engine falls silent while its agent coordinates.

--- /dev/null
+++ b/sardinestream/forwarding/answer_text.cc
@@ -0,0 +1,85 @@
+#include "sardinestream/forwarding/answer_text.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What a server allows that does not say how long it keeps a connection.
+constexpr milliseconds default_idle_timeout{2000};
+
+} // namespace
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool is_event_stream(const http_response_head& head)
+{
+    const std::optional<absl::string_view> type = find_header(head.headers, "content-type");
+    return type.has_value() && absl::StartsWithIgnoreCase(*type, "text/event-stream");
+}
+
+milliseconds idle_timeout_of(const http_response_head& head)
+{
+    const std::optional<absl::string_view> value = find_header(head.headers, "keep-alive");
+    if (!value.has_value()) {
+        return default_idle_timeout;
+    }
+    for (absl::string_view part : absl::StrSplit(*value, ',')) {
+        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, '=');
+        int seconds = 0;
+        if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(pair.first), "timeout") &&
+            absl::SimpleAtoi(pair.second, &seconds)) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return default_idle_timeout;
+}
+
+std::string status_line(int status, absl::string_view reason)
+{
+    return absl::StrCat("HTTP/1.1 ", status, " ", reason.empty() ? reason_phrase(status) : reason,
+                        "\r\n");
+}
+
+std::string chunk_of(const std::string& bytes)
+{
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
+bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
+                      absl::string_view code, milliseconds retry_after, bool keep)
+{
+    const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
+    std::string text = status_line(status, "");
+    for (const http_header& header : headers) {
+        append_header(text, header.name, header.value);
+    }
+    append_header(text, "Content-Type", "application/json");
+    append_header(text, "Content-Length", absl::StrCat(body.size()));
+    if (retry_after.count() > 0) {
+        constexpr double ms_per_s = 1000.0;
+        append_header(text, "Retry-After",
+                      absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s));
+    }
+    if (!keep) {
+        append_header(text, "Connection", "close");
+    }
+    absl::StrAppend(&text, "\r\n", body);
+    const bool written =
+        caller.write_all(text, steady_clock::now() + own_answer_timeout, hangup_watch()).ok();
+    return written && keep;
+}
+
+} // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -7,19 +7,13 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
-#include "absl/strings/str_split.h"
 
 namespace sardinestream {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Answers of our own are written within this time, also past the request's deadline.
-constexpr milliseconds own_answer_timeout{1000};
 // A stream without an event for so long goes on at another server, where one may take it.
 constexpr milliseconds longest_silence{1200};
 // Callers leave a stream whose next event takes longer than this, or than four times the target.
@@ -34,47 +28,6 @@
 constexpr int most_refusals = 4;
 constexpr std::size_t largest_answer_head = 65536;
 constexpr std::size_t largest_whole_answer = 32U << 20U;
-constexpr milliseconds default_idle_timeout{2000};
-
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
-bool is_event_stream(const http_response_head& head)
-{
-    const std::optional<absl::string_view> type = find_header(head.headers, "content-type");
-    return type.has_value() && absl::StartsWithIgnoreCase(*type, "text/event-stream");
-}
-
-std::string status_line(int status, absl::string_view reason)
-{
-    return absl::StrCat("HTTP/1.1 ", status, " ", reason.empty() ? reason_phrase(status) : reason,
-                        "\r\n");
-}
-
-// How long a server keeps an idle connection, by its Keep-Alive header.
-milliseconds idle_timeout_of(const http_response_head& head)
-{
-    const std::optional<absl::string_view> value = find_header(head.headers, "keep-alive");
-    if (!value.has_value()) {
-        return default_idle_timeout;
-    }
-    for (absl::string_view part : absl::StrSplit(*value, ',')) {
-        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, '=');
-        int seconds = 0;
-        if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(pair.first), "timeout") &&
-            absl::SimpleAtoi(pair.second, &seconds)) {
-            return std::chrono::seconds(seconds);
-        }
-    }
-    return default_idle_timeout;
-}
-
-std::string chunk_of(const std::string& bytes)
-{
-    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
-}
 
 milliseconds elapsed_since(steady_time begun)
 {
@@ -83,30 +36,6 @@
 
 } // namespace
 
-bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
-                      absl::string_view code, milliseconds retry_after, bool keep)
-{
-    const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
-    std::string text = status_line(status, "");
-    for (const http_header& header : headers) {
-        append_header(text, header.name, header.value);
-    }
-    append_header(text, "Content-Type", "application/json");
-    append_header(text, "Content-Length", absl::StrCat(body.size()));
-    if (retry_after.count() > 0) {
-        constexpr double ms_per_s = 1000.0;
-        append_header(text, "Retry-After",
-                      absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s));
-    }
-    if (!keep) {
-        append_header(text, "Connection", "close");
-    }
-    absl::StrAppend(&text, "\r\n", body);
-    const bool written =
-        caller.write_all(text, steady_clock::now() + own_answer_timeout, hangup_watch()).ok();
-    return written && keep;
-}
-
 exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket, admitted_request given)
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
       admitted(std::move(given)), chosen(*admitted.chosen)
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/forwarding/answer_text.h"
 #include "sardinestream/forwarding/caller_request.h"
 #include "sardinestream/forwarding/channel_pool.h"
 #include "sardinestream/forwarding/event_splitter.h"
@@ -114,11 +115,6 @@
     std::chrono::milliseconds total_wait{0};
 };
 
-// Writes an answer of our own. Returns whether the connection can take another request.
-[[nodiscard]] bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
-                                    absl::string_view code, std::chrono::milliseconds retry_after,
-                                    bool keep);
-
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_FORWARDING_EXCHANGE_H_
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -171,9 +171,10 @@
     }
 }
 
-absl::Status tcp_socket::write_all(absl::string_view bytes, steady_time deadline,
-                                   const hangup_watch& caller)
+absl::StatusOr<bool> tcp_socket::write(absl::string_view bytes, bool stop_at_answer,
+                                       steady_time deadline, const hangup_watch& caller)
 {
+    const short events = stop_at_answer ? POLLOUT | POLLIN : POLLOUT;
     while (!bytes.empty()) {
         const ssize_t length =
             ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -184,30 +185,24 @@
         if (errno != EAGAIN && errno != EINTR) {
             return socket_error("write");
         }
-        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLOUT, deadline, caller, "write"));
+        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, events, deadline, caller, "write"));
+        if (stop_at_answer && this->has_input_or_end()) {
+            return false;
+        }
     }
-    return absl::OkStatus();
+    return true;
+}
+
+absl::Status tcp_socket::write_all(absl::string_view bytes, steady_time deadline,
+                                   const hangup_watch& caller)
+{
+    return this->write(bytes, false, deadline, caller).status();
 }
 
 absl::StatusOr<bool> tcp_socket::write_until_answer(absl::string_view bytes, steady_time deadline,
                                                     const hangup_watch& caller)
 {
-    while (!bytes.empty()) {
-        const ssize_t length =
-            ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        if (length > 0) {
-            bytes.remove_prefix(static_cast<std::size_t>(length));
-            continue;
-        }
-        if (errno != EAGAIN && errno != EINTR) {
-            return socket_error("write");
-        }
-        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLOUT | POLLIN, deadline, caller, "write"));
-        if (this->has_input_or_end()) {
-            return false;
-        }
-    }
-    return true;
+    return this->write(bytes, true, deadline, caller);
 }
 
 bool tcp_socket::has_input_or_end() const
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -88,6 +88,10 @@
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
 
 private:
+    // Returns whether all was written.
+    [[nodiscard]] absl::StatusOr<bool> write(absl::string_view bytes, bool stop_at_answer,
+                                             steady_time deadline, const hangup_watch& caller);
+
     int fd = -1;
 };
 
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -6,7 +6,7 @@
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
-#include "sardinestream/base/metrics.h"
+#include "sardinestream/programs/rank_news.h"
 
 namespace sardinestream {
 namespace {
@@ -31,68 +31,6 @@
 // An agent without a state for so long counts as silent.
 constexpr milliseconds agent_silence{700};
 
-news::OrderKind to_wire(order_kind kind)
-{
-    switch (kind) {
-    case order_kind::prepare:
-        return news::OrderKind::Prepare;
-    case order_kind::hold:
-        return news::OrderKind::Hold;
-    case order_kind::arm:
-        return news::OrderKind::Arm;
-    case order_kind::release:
-        return news::OrderKind::Release;
-    }
-    return news::OrderKind::None;
-}
-
-std::optional<order_kind> from_wire(news::OrderKind kind)
-{
-    switch (kind) {
-    case news::OrderKind::Prepare:
-        return order_kind::prepare;
-    case news::OrderKind::Hold:
-        return order_kind::hold;
-    case news::OrderKind::Arm:
-        return order_kind::arm;
-    case news::OrderKind::Release:
-        return order_kind::release;
-    default:
-        return std::nullopt;
-    }
-}
-
-absl::string_view order_name(order_kind kind)
-{
-    switch (kind) {
-    case order_kind::prepare:
-        return "prepare";
-    case order_kind::hold:
-        return "hold";
-    case order_kind::arm:
-        return "arm";
-    case order_kind::release:
-        return "release";
-    }
-    return "";
-}
-
-rank_report to_report(const news::RankStateT& state)
-{
-    rank_report report;
-    report.epoch = state.epoch;
-    report.step = state.step;
-    report.map_version = state.map_version;
-    report.prepared_version = state.prepared_version;
-    if (state.armed_version > 0) {
-        report.armed = armed_switch{state.armed_version, state.armed_step};
-    }
-    if (state.held_step >= 0) {
-        report.held_step = state.held_step;
-    }
-    return report;
-}
-
 // A start that differs between two runs of one agent.
 std::uint64_t first_sequence()
 {
@@ -100,31 +38,6 @@
     return static_cast<std::uint64_t>(std::random_device()()) << counter_bits;
 }
 
-absl::string_view outcome_name(order_outcome outcome)
-{
-    switch (outcome) {
-    case order_outcome::accepted:
-        return "accepted";
-    case order_outcome::refused:
-        return "refused";
-    case order_outcome::no_answer:
-        return "no_answer";
-    }
-    return "";
-}
-
-void log_order(const engine_order& order, std::uint64_t term, order_outcome outcome)
-{
-    count("sardine_engine_orders_total", {{"kind", std::string(order_name(order.kind))},
-                                          {"outcome", std::string(outcome_name(outcome))}});
-    log_event("order", {{"kind", order_name(order.kind)},
-                        {"version", order.version},
-                        {"step", order.step},
-                        {"epoch", order.epoch},
-                        {"term", term},
-                        {"outcome", outcome_name(outcome)}});
-}
-
 // The rank in the low bits keeps two agents from taking the same term.
 std::uint64_t next_term(std::uint64_t newest, int rank)
 {
@@ -145,8 +58,8 @@
 
 agent_program::agent_program(agent_options chosen, datagram_socket bound)
     : options(std::move(chosen)), socket(std::move(bound)),
-      engine(this->options.connect(this->options.engine)), sequence(first_sequence()),
-      last_directive(steady_clock::now())
+      engine(this->options.connect(this->options.engine)), silent(this->options.connect),
+      sequence(first_sequence()), last_directive(steady_clock::now())
 {
 }
 
@@ -189,14 +102,15 @@
     this->entries[hello.ip] = steady_clock::now();
     this->config_revision = std::max(this->config_revision, hello.config_revision);
     this->servers_revision = std::max(this->servers_revision, hello.servers_revision);
-    if (!this->report.has_value() || hello.group != this->report->group || hello.sets <= 0) {
+    if (!this->engine.report().has_value() || hello.group != this->engine.report()->group ||
+        hello.sets <= 0) {
         return;
     }
     for (const auto& place : hello.ranks) {
         const std::string ip = ip_text(place->ip);
         this->group[place->rank] = {place->ip, {ip, place->port}};
     }
-    this->shape = {hello.sets, this->report->group_size, hello.experts, hello.places};
+    this->shape = {hello.sets, this->engine.report()->group_size, hello.experts, hello.places};
     this->planner.most_new_experts = hello.most_new_experts;
     this->planner.copy_ms = hello.copy_ms;
     this->planner.expert_share = hello.expert_share;
@@ -207,7 +121,7 @@
 
 void agent_program::look_at_engine()
 {
-    if (!this->refresh_report()) {
+    if (!this->refresh()) {
         return;
     }
     if (steady_clock::now() >= this->next_report) {
@@ -215,10 +129,9 @@
         this->next_report = steady_clock::now() + this->report_interval - look_interval / 2;
         this->tell_entries();
     }
-    if (this->report->group.empty()) {
+    if (this->engine.report()->group.empty()) {
         return;
     }
-    this->refresh_experts();
     this->consider_coordinating();
     if (!this->is_coordinating()) {
         if (this->counts_are_due()) {
@@ -239,8 +152,8 @@
     if (now < this->next_counts) {
         return false;
     }
-    this->next_counts =
-        now + std::max(look_interval / 2, count_interval_per_rank * this->report->group_size);
+    this->next_counts = now + std::max(look_interval / 2,
+                                       count_interval_per_rank * this->engine.report()->group_size);
     return true;
 }
 
@@ -252,60 +165,33 @@
     }
 }
 
-bool agent_program::refresh_report()
+bool agent_program::refresh()
 {
-    absl::StatusOr<engine_report> fresh = this->engine.read_report();
-    if (!fresh.ok()) {
-        if (this->report.has_value()) {
-            log_failure("engine_lost", fresh.status());
-        }
-        this->report.reset();
+    const std::string before =
+        this->engine.report().has_value() ? this->engine.report()->group : "";
+    if (!this->engine.refresh()) {
         return false;
     }
-    if (!this->report.has_value()) {
-        log_event("engine_found",
-                  {{"group", fresh->group}, {"rank", fresh->rank}, {"epoch", fresh->maps.epoch}});
-    }
-    else if (fresh->group != this->report->group) {
+    if (!before.empty() && this->engine.report()->group != before) {
         this->group.clear();
         this->coordinator.reset();
     }
-    if (!this->report.has_value() || fresh->maps.step != this->report->maps.step ||
-        fresh->running + fresh->waiting == 0) {
-        this->last_progress = steady_clock::now();
-    }
-    this->report = *std::move(fresh);
     return true;
 }
 
-void agent_program::refresh_experts()
-{
-    const rank_report& maps = this->report->maps;
-    if (this->experts_epoch == maps.epoch && this->experts_version == maps.map_version) {
-        return;
-    }
-    absl::StatusOr<rank_experts> fresh = this->engine.read_experts();
-    if (!fresh.ok()) {
-        log_failure("experts_unread", fresh.status());
-        return;
-    }
-    this->experts = *std::move(fresh);
-    this->experts_epoch = maps.epoch;
-    this->experts_version = maps.map_version;
-}
-
 void agent_program::tell_entries()
 {
     news::ServerReportT told;
     told.ip = ip_number(this->options.ip);
     told.sequence = ++this->sequence;
-    told.running = this->report->running;
-    told.waiting = this->report->waiting;
-    told.slowness = static_cast<float>(this->report->slowness);
-    told.group = this->report->group;
-    told.group_size = this->report->group_size;
-    told.rank = this->report->rank;
-    told.broken = this->report->broken || steady_clock::now() - this->last_progress > longest_pass;
+    told.running = this->engine.report()->running;
+    told.waiting = this->engine.report()->waiting;
+    told.slowness = static_cast<float>(this->engine.report()->slowness);
+    told.group = this->engine.report()->group;
+    told.group_size = this->engine.report()->group_size;
+    told.rank = this->engine.report()->rank;
+    told.broken = this->engine.report()->broken ||
+                  this->engine.time_without_pass(steady_clock::now()) > longest_pass;
     told.config_revision = this->config_revision;
     told.servers_revision = this->servers_revision;
     const steady_time now = steady_clock::now();
@@ -320,43 +206,17 @@
     }
 }
 
-void agent_program::add_counts(news::RankStateT& state)
-{
-    absl::StatusOr<std::vector<std::int64_t>> counts = this->engine.read_counts();
-    if (!counts.ok()) {
-        log_failure("counts_unread", counts.status());
-        return;
-    }
-    if (counts->size() == this->last_counts.size()) {
-        std::vector<std::int64_t> chosen(counts->size());
-        std::int64_t largest = 0;
-        for (std::size_t i = 0; i < chosen.size(); ++i) {
-            // A rank that has started again counts from zero.
-            chosen[i] = std::max<std::int64_t>(0, (*counts)[i] - this->last_counts[i]);
-            largest = std::max(largest, chosen[i]);
-        }
-        constexpr std::int64_t largest_sent = 255;
-        while ((largest >> state.counts_shift) > largest_sent) {
-            ++state.counts_shift;
-        }
-        for (const std::int64_t one : chosen) {
-            state.counts.push_back(static_cast<std::uint8_t>(one >> state.counts_shift));
-        }
-    }
-    this->last_counts = *std::move(counts);
-}
-
 news::RankStateT agent_program::make_state(bool with_counts)
 {
-    const rank_report& maps = this->report->maps;
+    const rank_report& maps = this->engine.report()->maps;
     news::RankStateT state;
-    state.group = this->report->group;
-    state.rank = this->report->rank;
+    state.group = this->engine.report()->group;
+    state.rank = this->engine.report()->rank;
     state.ip = ip_number(this->options.ip);
     state.sequence = ++this->sequence;
     state.term = this->obeyed.term;
     state.epoch = maps.epoch;
-    state.broken = this->report->broken;
+    state.broken = this->engine.report()->broken;
     state.step = maps.step;
     state.map_version = maps.map_version;
     state.prepared_version = maps.prepared_version;
@@ -367,16 +227,16 @@
     state.held_step = maps.held_step.value_or(-1);
     state.prepare_accepted = this->prepare_accepted;
     state.prepare_refused = this->prepare_refused;
-    state.experts = flatten(this->experts);
+    state.experts = flatten(this->engine.experts());
     if (with_counts) {
-        this->add_counts(state);
+        this->engine.add_counts(state);
     }
     return state;
 }
 
 void agent_program::send_state(bool with_counts)
 {
-    if (this->obeyed.ip == 0 || !this->report.has_value()) {
+    if (this->obeyed.ip == 0 || !this->engine.report().has_value()) {
         return;
     }
     this->socket.send(make_news(this->make_state(with_counts)),
@@ -398,7 +258,7 @@
 
 void agent_program::take_directive(const news::DirectiveT& directive)
 {
-    if (!this->report.has_value() || directive.group != this->report->group) {
+    if (!this->engine.report().has_value() || directive.group != this->engine.report()->group) {
         return;
     }
     const coordinator_term sender = {directive.term, directive.coordinator_rank,
@@ -414,8 +274,7 @@
         return;
     }
     this->carry_out(directive);
-    if (this->refresh_report()) {
-        this->refresh_experts();
+    if (this->refresh()) {
         this->send_state(false);
     }
 }
@@ -438,7 +297,7 @@
             return;
         }
     }
-    const order_outcome outcome = this->engine.give_order(order);
+    const order_outcome outcome = this->engine.port().give_order(order);
     if (*kind == order_kind::prepare && outcome == order_outcome::accepted) {
         this->prepare_accepted = order.version;
     }
@@ -453,7 +312,7 @@
     const bool whole_group = this->shape.ranks > 0 && this->shape.experts <= most_experts &&
                              static_cast<int>(this->group.size()) >= this->shape.ranks;
     const auto silence = (this->heard_directive ? coordinator_silence : first_coordinator_wait) +
-                         silence_per_rank * this->report->rank;
+                         silence_per_rank * this->engine.report()->rank;
     if (this->is_coordinating() || !whole_group ||
         steady_clock::now() - this->last_directive < silence) {
         return;
@@ -463,21 +322,21 @@
 
 void agent_program::begin_coordinating()
 {
-    this->obeyed = {next_term(this->obeyed.term, this->report->rank), this->report->rank,
-                    ip_number(this->options.ip)};
+    this->obeyed = {next_term(this->obeyed.term, this->engine.report()->rank),
+                    this->engine.report()->rank, ip_number(this->options.ip)};
     coordinator_options chosen;
     chosen.shape = this->shape;
     chosen.planner = this->planner;
     chosen.planner.on_progress = [this] { this->send_due_signs_of_life(); };
-    chosen.own_rank = this->report->rank;
+    chosen.own_rank = this->engine.report()->rank;
     this->coordinator = std::make_unique<map_coordinator>(chosen);
     this->state_sequences.clear();
-    this->remote_ranks.clear();
+    this->silent.clear();
     this->state_times.clear();
     this->coordinating_since = steady_clock::now();
     log_event("coordinating", {{"term", this->obeyed.term},
-                               {"group", this->report->group},
-                               {"rank", this->report->rank}});
+                               {"group", this->engine.report()->group},
+                               {"rank", this->engine.report()->rank}});
     this->send_signs_of_life();
 }
 
@@ -490,7 +349,7 @@
 news::DirectiveT agent_program::make_directive() const
 {
     news::DirectiveT directive;
-    directive.group = this->report->group;
+    directive.group = this->engine.report()->group;
     directive.term = this->obeyed.term;
     directive.coordinator_rank = this->obeyed.rank;
     directive.coordinator_ip = this->obeyed.ip;
@@ -501,7 +360,7 @@
 {
     const news::NewsT message = make_news(this->make_directive());
     for (const auto& [rank, place] : this->group) {
-        if (rank != this->report->rank) {
+        if (rank != this->engine.report()->rank) {
             this->socket.send(message, {ip_text(place.ip), this->options.news_port});
         }
     }
@@ -509,8 +368,8 @@
 
 void agent_program::take_state(const news::RankStateT& state)
 {
-    if (!this->is_coordinating() || !this->report.has_value() ||
-        state.group != this->report->group) {
+    if (!this->is_coordinating() || !this->engine.report().has_value() ||
+        state.group != this->engine.report()->group) {
         return;
     }
     if (state.term > this->obeyed.term) {
@@ -548,12 +407,12 @@
 rank_state agent_program::own_state() const
 {
     rank_state state;
-    state.rank = this->report->rank;
-    state.report = this->report->maps;
-    state.broken = this->report->broken;
+    state.rank = this->engine.report()->rank;
+    state.report = this->engine.report()->maps;
+    state.broken = this->engine.report()->broken;
     state.prepare_accepted = this->prepare_accepted;
     state.prepare_refused = this->prepare_refused;
-    state.experts = this->experts;
+    state.experts = this->engine.experts();
     return state;
 }
 
@@ -565,18 +424,20 @@
         bool own = false;
         for (const rank_order& order : this->coordinator->next_orders(steady_clock::now())) {
             this->give(order);
-            own = own || order.rank == this->report->rank;
+            own = own || order.rank == this->engine.report()->rank;
         }
-        if (!own || !this->refresh_report()) {
+        if (!own || !this->refresh() || !this->is_coordinating()) {
             return;
         }
-        this->refresh_experts();
         this->coordinator->take_state(this->own_state(), steady_clock::now());
     }
 }
 
 void agent_program::give(const rank_order& order)
 {
+    if (!this->engine.report().has_value()) {
+        return;
+    }
     news::DirectiveT directive = this->make_directive();
     directive.sequence = ++this->sequence;
     directive.epoch = this->coordinator->epoch();
@@ -586,13 +447,20 @@
     if (order.kind == order_kind::prepare) {
         directive.map = flatten(this->coordinator->wanted_map());
     }
-    if (order.rank == this->report->rank) {
+    if (order.rank == this->engine.report()->rank) {
         this->carry_out(directive);
         return;
     }
-    if (const auto remote = this->remote_ranks.find(order.rank);
-        remote != this->remote_ranks.end()) {
-        this->give_remote(remote->second, order);
+    if (this->silent.has(order.rank)) {
+        engine_order direct;
+        direct.kind = order.kind;
+        direct.epoch = this->coordinator->epoch();
+        direct.version = order.version;
+        direct.step = order.step;
+        if (order.kind == order_kind::prepare) {
+            direct.map = this->coordinator->wanted_map();
+        }
+        this->silent.give(order.rank, direct, this->obeyed.term);
         return;
     }
     const auto place = this->group.find(order.rank);
@@ -609,76 +477,25 @@
         return;
     }
     this->last_reach = now;
-    const std::vector<int> missing = this->coordinator->missing(now);
-    std::erase_if(this->remote_ranks, [&](const auto& reached) {
-        return this->state_times.count(reached.first) != 0 &&
-               now - this->state_times[reached.first] < agent_silence;
-    });
     for (const auto& [rank, place] : this->group) {
-        const bool silent = std::find(missing.begin(), missing.end(), rank) != missing.end();
-        if (silent || this->remote_ranks.count(rank) != 0) {
-            this->reach(rank, place);
-        }
-    }
-}
-
-void agent_program::reach(int rank, const group_place& place)
-{
-    auto found = this->remote_ranks.find(rank);
-    if (found == this->remote_ranks.end()) {
-        log_event("rank_reached_directly", {{"rank", rank}, {"engine", place.engine.to_string()}});
-        found = this->remote_ranks.emplace(rank, remote_rank{this->options.connect(place.engine)})
-                    .first;
-    }
-    remote_rank& remote = found->second;
-    const absl::StatusOr<engine_report> fresh = remote.engine.read_report();
-    if (!fresh.ok()) {
-        log_failure("rank_unreachable", fresh.status(), {{"rank", rank}});
-        return;
-    }
-    if (fresh->group != this->report->group || fresh->rank != rank) {
-        log_event("rank_moved", {{"rank", rank}, {"group", fresh->group}});
-        return;
-    }
-    if (remote.experts_version != fresh->maps.map_version) {
-        absl::StatusOr<rank_experts> held = remote.engine.read_experts();
-        if (!held.ok()) {
-            log_failure("experts_unread", held.status(), {{"rank", rank}});
+        if (!this->engine.report().has_value() || !this->is_coordinating()) {
             return;
         }
-        remote.experts = *std::move(held);
-        remote.experts_version = fresh->maps.map_version;
-    }
-    rank_state decoded;
-    decoded.rank = rank;
-    decoded.report = fresh->maps;
-    decoded.broken = fresh->broken;
-    decoded.prepare_accepted = remote.prepare_accepted;
-    decoded.prepare_refused = remote.prepare_refused;
-    decoded.experts = remote.experts;
-    decoded.without_agent = true;
-    this->coordinator->take_state(decoded, steady_clock::now());
-    this->coordinate();
-}
-
-void agent_program::give_remote(remote_rank& remote, const rank_order& order)
-{
-    engine_order direct;
-    direct.kind = order.kind;
-    direct.epoch = this->coordinator->epoch();
-    direct.version = order.version;
-    direct.step = order.step;
-    if (order.kind == order_kind::prepare) {
-        direct.map = this->coordinator->wanted_map();
-    }
-    const order_outcome outcome = remote.engine.give_order(direct);
-    if (order.kind == order_kind::prepare && outcome == order_outcome::accepted) {
-        remote.prepare_accepted = order.version;
-    }
-    if (order.kind == order_kind::prepare && outcome == order_outcome::refused) {
-        remote.prepare_refused = order.version;
+        const auto heard = this->state_times.find(rank);
+        const bool silent =
+            rank != this->engine.report()->rank &&
+            (heard == this->state_times.end() || now - heard->second > agent_silence);
+        if (!silent) {
+            this->silent.forget(rank);
+            continue;
+        }
+        const std::optional<rank_state> state =
+            this->silent.read(rank, place.engine, this->engine.report()->group);
+        if (state.has_value()) {
+            this->coordinator->take_state(*state, steady_clock::now());
+            this->coordinate();
+        }
     }
-    log_order(direct, this->obeyed.term, outcome);
 }
 
 } // namespace sardinestream
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -22,6 +22,8 @@
 #include "sardinestream/maps/engine_port.h"
 #include "sardinestream/maps/map_coordinator.h"
 #include "sardinestream/peers/datagram_socket.h"
+#include "sardinestream/programs/engine_watch.h"
+#include "sardinestream/programs/silent_ranks.h"
 
 #include "absl/status/statusor.h"
 
@@ -57,15 +59,6 @@
         std::uint32_t ip = 0;
     };
 
-    // A rank that the coordinator reaches itself.
-    struct remote_rank {
-        engine_port engine;
-        rank_experts experts{};
-        std::int64_t experts_version = -1;
-        std::int64_t prepare_accepted = 0;
-        std::int64_t prepare_refused = 0;
-    };
-
     agent_program(agent_options chosen, datagram_socket bound);
 
     void take_news();
@@ -76,12 +69,11 @@
 
     // Reads the engine's report and counts, and tells who needs to know.
     void look_at_engine();
-    [[nodiscard]] bool refresh_report();
-    void refresh_experts();
+    // Reads the engine again; forgets the group where the engine has moved to another.
+    [[nodiscard]] bool refresh();
     void tell_entries();
     void send_state(bool with_counts);
     [[nodiscard]] news::RankStateT make_state(bool with_counts);
-    void add_counts(news::RankStateT& state);
 
     void carry_out(const news::DirectiveT& directive);
     void obey(const coordinator_term& term);
@@ -90,9 +82,7 @@
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
     void reach_missing_ranks();
-    void reach(int rank, const group_place& place);
     void give(const rank_order& order);
-    void give_remote(remote_rank& remote, const rank_order& order);
     [[nodiscard]] rank_state own_state() const;
     [[nodiscard]] news::DirectiveT make_directive() const;
     void send_signs_of_life();
@@ -103,7 +93,9 @@
 
     const agent_options options;
     const datagram_socket socket;
-    engine_port engine;
+    engine_watch engine;
+    // Ranks that this agent reaches itself while it coordinates.
+    silent_ranks silent;
     std::atomic<bool> stopping = false;
     std::uint64_t sequence = 0;
 
@@ -116,14 +108,6 @@
     map_shape shape;
     planner_options planner;
 
-    std::optional<engine_report> report;
-    // When the engine last began a pass, or had nothing to do.
-    steady_time last_progress{};
-    // The experts that the engine holds, and the epoch and version that they belong to.
-    rank_experts experts;
-    std::int64_t experts_epoch = -1;
-    std::int64_t experts_version = -1;
-    std::vector<std::int64_t> last_counts;
     std::int64_t prepare_accepted = 0;
     std::int64_t prepare_refused = 0;
 
@@ -139,8 +123,6 @@
     // The newest sequence of each rank's agent, of the present term.
     std::map<int, std::uint64_t> state_sequences;
     std::map<int, steady_time> state_times;
-    // Ranks whose agent is silent.
-    std::map<int, remote_rank> remote_ranks;
     steady_time last_reach{};
     steady_time coordinating_since{};
     bool heard_directive = false;
--- /dev/null
+++ b/sardinestream/programs/engine_watch.cc
@@ -0,0 +1,78 @@
+#include "sardinestream/programs/engine_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sardinestream/base/log.h"
+
+namespace sardinestream {
+
+engine_watch::engine_watch(engine_port given) : calls(std::move(given)) {}
+
+bool engine_watch::refresh()
+{
+    absl::StatusOr<engine_report> fresh = this->calls.read_report();
+    if (!fresh.ok()) {
+        if (this->newest.has_value()) {
+            log_failure("engine_lost", fresh.status());
+        }
+        this->newest.reset();
+        return false;
+    }
+    if (!this->newest.has_value()) {
+        log_event("engine_found",
+                  {{"group", fresh->group}, {"rank", fresh->rank}, {"epoch", fresh->maps.epoch}});
+    }
+    if (!this->newest.has_value() || fresh->maps.step != this->newest->maps.step ||
+        fresh->running + fresh->waiting == 0) {
+        this->last_progress = steady_clock::now();
+    }
+    this->newest = *std::move(fresh);
+    this->refresh_experts();
+    return true;
+}
+
+void engine_watch::refresh_experts()
+{
+    const rank_report& maps = this->newest->maps;
+    if (this->newest->group.empty() ||
+        (this->experts_epoch == maps.epoch && this->experts_version == maps.map_version)) {
+        return;
+    }
+    absl::StatusOr<rank_experts> fresh = this->calls.read_experts();
+    if (!fresh.ok()) {
+        log_failure("experts_unread", fresh.status());
+        return;
+    }
+    this->held = *std::move(fresh);
+    this->experts_epoch = maps.epoch;
+    this->experts_version = maps.map_version;
+}
+
+void engine_watch::add_counts(news::RankStateT& state)
+{
+    absl::StatusOr<std::vector<std::int64_t>> counts = this->calls.read_counts();
+    if (!counts.ok()) {
+        log_failure("counts_unread", counts.status());
+        return;
+    }
+    if (counts->size() == this->last_counts.size()) {
+        std::vector<std::int64_t> chosen(counts->size());
+        std::int64_t largest = 0;
+        for (std::size_t i = 0; i < chosen.size(); ++i) {
+            // A rank that has started again counts from zero.
+            chosen[i] = std::max<std::int64_t>(0, (*counts)[i] - this->last_counts[i]);
+            largest = std::max(largest, chosen[i]);
+        }
+        constexpr std::int64_t largest_sent = 255;
+        while ((largest >> state.counts_shift) > largest_sent) {
+            ++state.counts_shift;
+        }
+        for (const std::int64_t one : chosen) {
+            state.counts.push_back(static_cast<std::uint8_t>(one >> state.counts_shift));
+        }
+    }
+    this->last_counts = *std::move(counts);
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/programs/silent_ranks.cc
@@ -0,0 +1,75 @@
+#include "sardinestream/programs/silent_ranks.h"
+
+#include <utility>
+
+#include "sardinestream/base/log.h"
+#include "sardinestream/programs/rank_news.h"
+
+namespace sardinestream {
+
+silent_ranks::silent_ranks(engine_connector given) : connect(std::move(given)) {}
+
+bool silent_ranks::refresh_experts(int rank, reached_rank& reached, std::int64_t version)
+{
+    if (reached.experts_version == version) {
+        return true;
+    }
+    absl::StatusOr<rank_experts> held = reached.engine.read_experts();
+    if (!held.ok()) {
+        log_failure("experts_unread", held.status(), {{"rank", rank}});
+        return false;
+    }
+    reached.experts = *std::move(held);
+    reached.experts_version = version;
+    return true;
+}
+
+std::optional<rank_state> silent_ranks::read(int rank, const address& engine,
+                                             const std::string& group)
+{
+    auto found = this->ranks.find(rank);
+    if (found == this->ranks.end()) {
+        log_event("rank_reached_directly", {{"rank", rank}, {"engine", engine.to_string()}});
+        found = this->ranks.emplace(rank, reached_rank{this->connect(engine)}).first;
+    }
+    reached_rank& reached = found->second;
+    const absl::StatusOr<engine_report> report = reached.engine.read_report();
+    if (!report.ok()) {
+        log_failure("rank_unreachable", report.status(), {{"rank", rank}});
+        return std::nullopt;
+    }
+    if (report->group != group || report->rank != rank) {
+        log_event("rank_moved", {{"rank", rank}, {"group", report->group}});
+        return std::nullopt;
+    }
+    if (!this->refresh_experts(rank, reached, report->maps.map_version)) {
+        return std::nullopt;
+    }
+    rank_state state;
+    state.rank = rank;
+    state.report = report->maps;
+    state.broken = report->broken;
+    state.prepare_accepted = reached.prepare_accepted;
+    state.prepare_refused = reached.prepare_refused;
+    state.experts = reached.experts;
+    state.without_agent = true;
+    return state;
+}
+
+void silent_ranks::give(int rank, const engine_order& order, std::uint64_t term)
+{
+    const auto found = this->ranks.find(rank);
+    if (found == this->ranks.end()) {
+        return;
+    }
+    const order_outcome outcome = found->second.engine.give_order(order);
+    if (order.kind == order_kind::prepare && outcome == order_outcome::accepted) {
+        found->second.prepare_accepted = order.version;
+    }
+    if (order.kind == order_kind::prepare && outcome == order_outcome::refused) {
+        found->second.prepare_refused = order.version;
+    }
+    log_order(order, term, outcome);
+}
+
+} // namespace sardinestream
