--- /dev/null
+++ b/sardinestream/platform/platform_process_test.cc
@@ -0,0 +1,111 @@
+// The two programs of the platform as real processes: settings, signals.
+
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/testing/process.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::testing {
+namespace {
+
+constexpr int exit_bad_settings = 2;
+
+class platform_process_test : public ::testing::Test {
+protected:
+    void write_settings(const std::string& text) const
+    {
+        std::ofstream(this->settings_path) << text;
+        ASSERT_EQ(::setenv("SARDINESTREAM_SETTINGS", this->settings_path.c_str(), 1), 0);
+    }
+
+    [[nodiscard]] std::string agent_settings(const std::string& log_level) const
+    {
+        return absl::StrCat("--id=side-1\n--data_centre=a\n--ip=127.0.0.1\n--ops_port=0\n",
+                            "--news_port=", this->news.reserved().port,
+                            "\n--backend=", this->backend.reserved().to_string(),
+                            "\n--service=assistant\n--log_level=", log_level, "\n");
+    }
+
+    [[nodiscard]] std::string entry_settings() const
+    {
+        return absl::StrCat("--id=front-1\n--data_centre=a\n--ip=127.0.0.1\n--ops_port=0\n",
+                            "--news_port=", this->news.reserved().port,
+                            "\n--front_listen=127.0.0.1:0\n--ready_listen=127.0.0.1:0\n--store=",
+                            this->backend.reserved().to_string(), "\n--grace_s=3\n");
+    }
+
+    [[nodiscard]] std::unique_ptr<process> start(const std::string& binary) const
+    {
+        return *process::start(
+            {.binary = binary, .flags = {}, .log_directory = this->logs.path(), .name = binary});
+    }
+
+    const temp_directory logs;
+    const port_reservation news;
+    // Nobody listens there.
+    const port_reservation backend;
+    const std::string settings_path = this->logs.path() + "/node.settings";
+};
+
+// SIGHUP once ended both programs, and with them every stream that an entry carried.
+TEST_F(platform_process_test, a_hang_up_signal_reloads_the_agent)
+{
+    this->write_settings(this->agent_settings("info"));
+    const auto agent = this->start("sardine-platform-agent");
+    ASSERT_TRUE(agent->wait_for_output("event=started")) << agent->output();
+    agent->hang_up();
+    EXPECT_TRUE(agent->wait_for_output("event=reloaded")) << agent->output();
+    EXPECT_TRUE(agent->alive());
+}
+
+TEST_F(platform_process_test, a_hang_up_signal_reloads_the_entry)
+{
+    this->write_settings(this->entry_settings());
+    const auto entry = this->start("sardine-platform-entry");
+    ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    entry->hang_up();
+    EXPECT_TRUE(entry->wait_for_output("event=reloaded whole=yes")) << entry->output();
+    this->write_settings(this->entry_settings() + "--retry_ratio=0.5\n");
+    entry->hang_up();
+    EXPECT_TRUE(entry->wait_for_output("needs a restart")) << entry->output();
+    EXPECT_TRUE(entry->alive());
+}
+
+TEST_F(platform_process_test, wrong_settings_on_reload_change_nothing)
+{
+    this->write_settings(this->agent_settings("info"));
+    const auto agent = this->start("sardine-platform-agent");
+    ASSERT_TRUE(agent->wait_for_output("event=started")) << agent->output();
+    this->write_settings(this->agent_settings("loud"));
+    agent->hang_up();
+    EXPECT_TRUE(agent->wait_for_output("event=reload_failed")) << agent->output();
+    EXPECT_TRUE(agent->alive());
+}
+
+TEST_F(platform_process_test, wrong_settings_end_the_start_with_the_setting_named)
+{
+    this->write_settings(this->agent_settings("loud"));
+    const auto agent = this->start("sardine-platform-agent");
+    EXPECT_EQ(agent->wait_for_exit(), exit_bad_settings);
+    EXPECT_TRUE(agent->wait_for_output("--log_level=loud")) << agent->output();
+}
+
+TEST_F(platform_process_test, the_entry_ends_within_its_grace)
+{
+    this->write_settings(this->entry_settings());
+    const auto entry = this->start("sardine-platform-entry");
+    ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    const absl::Time begun = absl::Now();
+    entry->terminate();
+    EXPECT_EQ(entry->wait_for_exit(), 0);
+    EXPECT_LT(absl::Now() - begun, absl::Seconds(3));
+}
+
+} // namespace
+} // namespace sardinestream::testing
--- a/sardinestream/testing/process.cc
+++ b/sardinestream/testing/process.cc
@@ -274,6 +274,11 @@
     static_cast<void>(this->wait_for_exit(absl::InfiniteDuration()));
 }
 
+void process::hang_up()
+{
+    this->send_signal(SIGHUP);
+}
+
 void process::terminate()
 {
     this->send_signal(SIGTERM);
--- a/sardinestream/testing/process.h
+++ b/sardinestream/testing/process.h
@@ -98,6 +98,8 @@
     void kill();
     // SIGTERM.
     void terminate();
+    // SIGHUP.
+    void hang_up();
     // SIGSTOP and SIGCONT.
     void freeze();
     void wake();
