Wait without spinning beside a caller that pipelines; one copy of what stood twice

Change: waits beside a caller take a hangup_watch and poll for its end alone; the front, which does wait for a next request, has a call of its own. Before: socket_test.waits_on_while_the_caller_has_sent_its_next_request waited 0 ms of 80. After: 80 ms; messages, backends, forwarding, programs and platform tests pass.

Gone: may_be_held, settings, the readiness path, revisions in agents' reports that no entry reads.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -176,7 +176,7 @@
     const steady_time begun = steady_clock::now();
     const steady_time deadline = begun + self.request->longest_wait;
     while (true) {
-        wait_for_input(self.event, caller.descriptor(),
+        wait_for_input(self.event, caller,
                        std::min(deadline, steady_clock::now() + recheck_interval));
         const bool gone = caller.has_hung_up();
         const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/forwarding/answer_text.cc
+++ b/sardinestream/forwarding/answer_text.cc
@@ -47,10 +47,24 @@
     return default_idle_timeout;
 }
 
-std::string status_line(int status, absl::string_view reason)
+std::string encode_answer_head(const answer_head& head)
 {
-    return absl::StrCat("HTTP/1.1 ", status, " ", reason.empty() ? reason_phrase(status) : reason,
-                        "\r\n");
+    const absl::string_view reason =
+        head.reason.empty() ? reason_phrase(head.status) : absl::string_view(head.reason);
+    std::string text = absl::StrCat("HTTP/1.1 ", head.status, " ", reason, "\r\n");
+    for (const http_header& header : head.headers) {
+        append_header(text, header.name, header.value);
+    }
+    if (head.content_length.has_value()) {
+        append_header(text, "Content-Length", absl::StrCat(*head.content_length));
+    }
+    if (head.chunked) {
+        append_header(text, "Transfer-Encoding", "chunked");
+    }
+    if (!head.keeps_connection) {
+        append_header(text, "Connection", "close");
+    }
+    return text + "\r\n";
 }
 
 std::string chunk_of(const std::string& bytes)
@@ -62,23 +76,18 @@
                       absl::string_view code, milliseconds retry_after, bool keep)
 {
     const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
-    std::string text = status_line(status, "");
-    for (const http_header& header : headers) {
-        append_header(text, header.name, header.value);
-    }
-    append_header(text, "Content-Type", "application/json");
-    append_header(text, "Content-Length", absl::StrCat(body.size()));
+    answer_head head = {status, "", headers, body.size(), false, keep};
+    head.headers.push_back({"Content-Type", "application/json"});
     if (retry_after.count() > 0) {
         constexpr double ms_per_s = 1000.0;
-        append_header(text, "Retry-After",
-                      absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s));
-    }
-    if (!keep) {
-        append_header(text, "Connection", "close");
+        head.headers.push_back(
+            {"Retry-After",
+             absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s)});
     }
-    absl::StrAppend(&text, "\r\n", body);
-    const bool written =
-        caller.write_all(text, steady_clock::now() + own_answer_timeout, hangup_watch()).ok();
+    const bool written = caller
+                             .write_all(encode_answer_head(head) + body,
+                                        steady_clock::now() + own_answer_timeout, hangup_watch())
+                             .ok();
     return written && keep;
 }
 
--- a/sardinestream/forwarding/answer_text.h
+++ b/sardinestream/forwarding/answer_text.h
@@ -4,6 +4,8 @@
 #define SARDINESTREAM_FORWARDING_ANSWER_TEXT_H_
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 
 #include "sardinestream/http/message.h"
@@ -24,8 +26,20 @@
 // How long the server keeps its connection idle after this answer.
 [[nodiscard]] std::chrono::milliseconds idle_timeout_of(const http_response_head& head);
 
-// The first line of an answer; an empty `reason` stands for the customary one.
-[[nodiscard]] std::string status_line(int status, absl::string_view reason);
+// What stands before the body of an answer to a caller.
+struct answer_head {
+    int status = 0;
+    // Empty: the customary one.
+    std::string reason;
+    http_headers headers;
+    // Nothing for a chunked body, for one that ends with the connection, and where there is none.
+    std::optional<std::size_t> content_length;
+    bool chunked = false;
+    // The connection can take another request after this answer.
+    bool keeps_connection = true;
+};
+
+[[nodiscard]] std::string encode_answer_head(const answer_head& head);
 
 // One chunk of a chunked body.
 [[nodiscard]] std::string chunk_of(const std::string& bytes);
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -186,7 +186,7 @@
     }
     const steady_time end = std::min(this->deadline, steady_clock::now() + limit);
     while (steady_clock::now() < end && !channel.reader.has_surplus()) {
-        wait_for_input(channel.socket.descriptor(), this->caller_watch.descriptor(), end);
+        wait_for_input(channel.socket.descriptor(), this->caller_watch, end);
         if (channel.socket.has_input_or_end() || this->caller_watch.has_hung_up()) {
             return false;
         }
@@ -276,41 +276,36 @@
     if (this->answer_begun) {
         return next_step::broken_off;
     }
-    std::string text = status_line(head.status, head.reason);
-    for (const http_header& header : end_to_end_headers(head.headers)) {
-        append_header(text, header.name, header.value);
-    }
-    const bool to_head = this->admitted.request.method == "HEAD";
-    if (!to_head) {
-        append_header(text, "Content-Length", absl::StrCat(body.size()));
-    }
-    if (!this->keeps_connection()) {
-        append_header(text, "Connection", "close");
+    answer_head relayed = this->relayed_head(head);
+    if (this->admitted.request.method != "HEAD") {
+        relayed.content_length = body.size();
     }
-    absl::StrAppend(&text, "\r\n", body);
     this->answer_begun = true;
     const absl::Status sent = this->caller.write_all(
-        text, std::max(this->deadline, steady_clock::now() + own_answer_timeout), hangup_watch());
+        encode_answer_head(relayed) + body,
+        std::max(this->deadline, steady_clock::now() + own_answer_timeout), hangup_watch());
     this->log_attempt(record, success ? "answered" : "server_failed");
     this->log_outcome(sent.ok() ? "answered" : "caller_gone", head.status, "");
     return sent.ok() ? next_step::answered : next_step::broken_off;
 }
 
+answer_head exchange::relayed_head(const http_response_head& head) const
+{
+    answer_head relayed;
+    relayed.status = head.status;
+    relayed.reason = head.reason;
+    relayed.headers = end_to_end_headers(head.headers);
+    relayed.keeps_connection = this->keeps_connection();
+    return relayed;
+}
+
 absl::Status exchange::send_events(const http_response_head& head, const std::string& whole)
 {
     std::string text;
     if (!this->answer_begun) {
-        text = status_line(head.status, head.reason);
-        for (const http_header& header : end_to_end_headers(head.headers)) {
-            append_header(text, header.name, header.value);
-        }
-        if (this->admitted.request.takes_chunks) {
-            append_header(text, "Transfer-Encoding", "chunked");
-        }
-        if (!this->keeps_connection()) {
-            append_header(text, "Connection", "close");
-        }
-        text += "\r\n";
+        answer_head relayed = this->relayed_head(head);
+        relayed.chunked = this->admitted.request.takes_chunks;
+        text = encode_answer_head(relayed);
         this->answer_begun = true;
     }
     text += this->admitted.request.takes_chunks ? chunk_of(whole) : whole;
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -78,6 +78,8 @@
                                         attempt_record& record, bool& reusable);
     [[nodiscard]] next_step relay_stream(server_channel& channel, const http_response_head& head,
                                          attempt_record& record, bool& reusable);
+    // The server's head as the caller gets it, but for what tells the body's length.
+    [[nodiscard]] answer_head relayed_head(const http_response_head& head) const;
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
                                            const std::string& events);
     [[nodiscard]] absl::Status finish_stream(const http_response_head& head);
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -58,22 +58,14 @@
 absl::Status wait_for(int fd, short events, steady_time deadline, const hangup_watch& caller,
                       absl::string_view step)
 {
-    bool watch_input = true;
     while (true) {
         pollfd polled[2] = {{fd, events, 0}, {caller.descriptor(), POLLRDHUP, 0}};
-        if (watch_input) {
-            polled[1].events |= POLLIN;
-        }
         const int ready = ::poll(polled, 2, milliseconds_until(deadline));
         if (ready < 0 && errno != EINTR) {
             return socket_error(step);
         }
         if (ready > 0 && polled[1].revents != 0) {
-            if (caller.has_hung_up()) {
-                return make_error(absl::StatusCode::kCancelled, step, "caller", "caller hung up");
-            }
-            // The caller has sent its next request already; only its end matters now.
-            watch_input = false;
+            return make_error(absl::StatusCode::kCancelled, step, "caller", "caller hung up");
         }
         if (ready > 0 && polled[0].revents != 0) {
             return absl::OkStatus();
@@ -99,15 +91,8 @@
     if (this->fd < 0) {
         return false;
     }
-    pollfd polled = {this->fd, POLLIN | POLLRDHUP, 0};
-    if (::poll(&polled, 1, 0) <= 0) {
-        return false;
-    }
-    if ((polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
-        return true;
-    }
-    char byte = 0;
-    return ::recv(this->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    pollfd polled = {this->fd, POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) > 0;
 }
 
 tcp_socket::~tcp_socket()
@@ -269,7 +254,13 @@
     }
 }
 
-void wait_for_input(int first, int second, steady_time deadline)
+void wait_for_input(int descriptor, const hangup_watch& caller, steady_time deadline)
+{
+    pollfd polled[2] = {{descriptor, POLLIN | POLLRDHUP, 0}, {caller.descriptor(), POLLRDHUP, 0}};
+    ::poll(polled, 2, milliseconds_until(deadline));
+}
+
+void wait_for_either_input(int first, int second, steady_time deadline)
 {
     pollfd polled[2] = {{first, POLLIN | POLLRDHUP, 0}, {second, POLLIN | POLLRDHUP, 0}};
     ::poll(polled, 2, milliseconds_until(deadline));
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -111,8 +111,12 @@
     address bound;
 };
 
-// Waits until one of the descriptors (-1: none) is readable or ended, or until `deadline`.
-void wait_for_input(int first, int second, steady_time deadline);
+// Waits until `descriptor` is readable or ended, until the watched caller has gone, or until
+// `deadline`.
+void wait_for_input(int descriptor, const hangup_watch& caller, steady_time deadline);
+
+// Waits until one of the descriptors is readable or ended, or until `deadline`.
+void wait_for_either_input(int first, int second, steady_time deadline);
 
 } // namespace sardinestream
 
--- /dev/null
+++ b/sardinestream/http/socket_test.cc
@@ -0,0 +1,93 @@
+#include <array>
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "sardinestream/http/socket.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds wait{80};
+
+// Two connected sockets.
+class socket_pair {
+public:
+    socket_pair()
+    {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+        this->near = tcp_socket(ends[0]);
+        this->far = tcp_socket(ends[1]);
+    }
+
+    tcp_socket near;
+    tcp_socket far;
+};
+
+class socket_test : public testing::Test {
+protected:
+    [[nodiscard]] hangup_watch watch() const
+    {
+        return hangup_watch(this->caller.near.descriptor());
+    }
+
+    [[nodiscard]] milliseconds time_waited() const
+    {
+        return std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->begun);
+    }
+
+    socket_pair caller;
+    socket_pair server;
+    const steady_time begun = steady_clock::now();
+};
+
+TEST_F(socket_test, waits_on_while_the_caller_has_sent_its_next_request)
+{
+    ASSERT_EQ(::write(this->caller.far.descriptor(), "next", 4), 4);
+    wait_for_input(this->server.near.descriptor(), this->watch(), this->begun + wait);
+    EXPECT_GE(this->time_waited(), wait);
+    EXPECT_FALSE(this->watch().has_hung_up());
+}
+
+TEST_F(socket_test, stops_waiting_when_the_caller_hangs_up)
+{
+    this->caller.far.close();
+    wait_for_input(this->server.near.descriptor(), this->watch(), this->begun + wait);
+    EXPECT_LT(this->time_waited(), wait);
+    EXPECT_TRUE(this->watch().has_hung_up());
+}
+
+TEST_F(socket_test, sees_a_hang_up_behind_bytes_that_nobody_has_read)
+{
+    ASSERT_EQ(::write(this->caller.far.descriptor(), "next", 4), 4);
+    this->caller.far.close();
+    EXPECT_TRUE(this->watch().has_hung_up());
+}
+
+TEST_F(socket_test, stops_waiting_for_input_that_has_come)
+{
+    ASSERT_EQ(::write(this->server.far.descriptor(), "x", 1), 1);
+    wait_for_input(this->server.near.descriptor(), this->watch(), this->begun + wait);
+    EXPECT_LT(this->time_waited(), wait);
+}
+
+TEST_F(socket_test, a_read_is_cancelled_by_the_caller_and_not_by_its_next_request)
+{
+    ASSERT_EQ(::write(this->caller.far.descriptor(), "next", 4), 4);
+    std::array<char, 8> buffer{};
+    EXPECT_TRUE(absl::IsDeadlineExceeded(
+        this->server.near.read_some(absl::MakeSpan(buffer), this->begun + wait, this->watch())
+            .status()));
+    this->caller.far.close();
+    EXPECT_TRUE(absl::IsCancelled(
+        this->server.near
+            .read_some(absl::MakeSpan(buffer), steady_clock::now() + wait, this->watch())
+            .status()));
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/maps/engine_port.h
+++ b/sardinestream/maps/engine_port.h
@@ -42,6 +42,22 @@
 // `no_answer`: the order may have been carried out, or may be seconds from now.
 enum class order_outcome { accepted, refused, no_answer };
 
+// The newest versions that an engine took, or refused, to prepare.
+struct prepare_record {
+    std::int64_t accepted = 0;
+    std::int64_t refused = 0;
+
+    // Takes what became of an order; orders of other kinds, and those without an answer, change
+    // nothing.
+    void note(const engine_order& order, order_outcome outcome)
+    {
+        if (order.kind != order_kind::prepare || outcome == order_outcome::no_answer) {
+            return;
+        }
+        (outcome == order_outcome::accepted ? this->accepted : this->refused) = order.version;
+    }
+};
+
 // Calls to one engine. Belongs to one thread.
 struct engine_port {
     std::function<absl::StatusOr<engine_report>()> read_report;
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -69,16 +69,6 @@
     return absent;
 }
 
-bool map_coordinator::may_be_held() const
-{
-    for (const known_rank& known : this->ranks) {
-        if (known.state.report.armed.has_value() || known.state.report.held_step.has_value()) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void map_coordinator::note_epoch(std::int64_t epoch)
 {
     if (epoch == this->group_epoch) {
@@ -128,7 +118,7 @@
     for (std::size_t rank = 0; rank < reports.size(); ++rank) {
         const rank_state& state = this->ranks[rank].state;
         newest = std::max({newest, reports[rank].map_version, reports[rank].prepared_version,
-                           state.prepare_accepted, state.prepare_refused});
+                           state.prepares.accepted, state.prepares.refused});
         if (reports[rank].armed.has_value()) {
             newest = std::max(newest, reports[rank].armed->version);
         }
@@ -202,7 +192,7 @@
         return;
     }
     for (std::size_t rank = 0; rank < reports.size(); ++rank) {
-        if (this->ranks[rank].state.prepare_refused == this->plan_version &&
+        if (this->ranks[rank].state.prepares.refused == this->plan_version &&
             reports[rank].prepared_version != this->plan_version) {
             this->drop_plan("refused", now);
             return;
@@ -218,7 +208,7 @@
     steady_time& last = this->sent[{order.rank, order.kind, order.version, order.step}];
     const rank_state& state = this->ranks[static_cast<std::size_t>(order.rank)].state;
     const bool copying =
-        order.kind == order_kind::prepare && state.prepare_accepted == order.version;
+        order.kind == order_kind::prepare && state.prepares.accepted == order.version;
     const milliseconds interval =
         order.kind == order_kind::prepare ? prepare_resend_interval : resend_interval;
     if (last != steady_time{} && (copying || now - last < interval)) {
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "sardinestream/http/socket.h"
+#include "sardinestream/maps/engine_port.h"
 #include "sardinestream/maps/expert_demand.h"
 #include "sardinestream/maps/map_planner.h"
 #include "sardinestream/maps/map_switch.h"
@@ -28,9 +29,7 @@
     int rank = 0;
     rank_report report;
     bool broken = false;
-    // The newest versions that the engine took, or refused, to prepare.
-    std::int64_t prepare_accepted = 0;
-    std::int64_t prepare_refused = 0;
+    prepare_record prepares;
     rank_experts experts;
     // What was chosen since the last state that had counts; empty where this one has none.
     std::vector<double> counts;
@@ -63,11 +62,6 @@
     // Ranks without a fresh state.
     [[nodiscard]] std::vector<int> missing(steady_time now) const;
 
-    // The last reports show a switch under way: the group may be held.
-    [[nodiscard]] bool may_be_held() const;
-
-    [[nodiscard]] const coordinator_options& settings() const { return this->options; }
-
 private:
     struct known_rank {
         rank_state state;
--- a/sardinestream/peers/datagram_socket.cc
+++ b/sardinestream/peers/datagram_socket.cc
@@ -77,7 +77,7 @@
             if (steady_clock::now() >= deadline) {
                 return nullptr;
             }
-            wait_for_input(this->socket.descriptor(), -1, deadline);
+            wait_for_input(this->socket.descriptor(), hangup_watch(), deadline);
             continue;
         }
         flatbuffers::Verifier verifier(bytes, static_cast<std::size_t>(length));
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -550,8 +550,6 @@
   int32_t rank = 0;
   bool broken = false;
   std::vector<uint32_t> entries{};
-  int64_t config_revision = 0;
-  int64_t servers_revision = 0;
 };
 
 struct ServerReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -568,9 +566,7 @@
     VT_GROUP_SIZE = 16,
     VT_RANK = 18,
     VT_BROKEN = 20,
-    VT_ENTRIES = 22,
-    VT_CONFIG_REVISION = 24,
-    VT_SERVERS_REVISION = 26
+    VT_ENTRIES = 22
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -602,12 +598,6 @@
   const flatbuffers::Vector<uint32_t> *entries() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ENTRIES);
   }
-  int64_t config_revision() const {
-    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
-  }
-  int64_t servers_revision() const {
-    return GetField<int64_t>(VT_SERVERS_REVISION, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -622,8 +612,6 @@
            VerifyField<uint8_t>(verifier, VT_BROKEN, 1) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
-           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
-           VerifyField<int64_t>(verifier, VT_SERVERS_REVISION, 8) &&
            verifier.EndTable();
   }
   ServerReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -665,12 +653,6 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries) {
     fbb_.AddOffset(ServerReport::VT_ENTRIES, entries);
   }
-  void add_config_revision(int64_t config_revision) {
-    fbb_.AddElement<int64_t>(ServerReport::VT_CONFIG_REVISION, config_revision, 0);
-  }
-  void add_servers_revision(int64_t servers_revision) {
-    fbb_.AddElement<int64_t>(ServerReport::VT_SERVERS_REVISION, servers_revision, 0);
-  }
   explicit ServerReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -693,12 +675,8 @@
     int32_t group_size = 0,
     int32_t rank = 0,
     bool broken = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
-    int64_t config_revision = 0,
-    int64_t servers_revision = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0) {
   ServerReportBuilder builder_(_fbb);
-  builder_.add_servers_revision(servers_revision);
-  builder_.add_config_revision(config_revision);
   builder_.add_sequence(sequence);
   builder_.add_entries(entries);
   builder_.add_rank(rank);
@@ -728,9 +706,7 @@
     int32_t group_size = 0,
     int32_t rank = 0,
     bool broken = false,
-    const std::vector<uint32_t> *entries = nullptr,
-    int64_t config_revision = 0,
-    int64_t servers_revision = 0) {
+    const std::vector<uint32_t> *entries = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   return sardinestream::news::CreateServerReport(
@@ -744,9 +720,7 @@
       group_size,
       rank,
       broken,
-      entries__,
-      config_revision,
-      servers_revision);
+      entries__);
 }
 
 flatbuffers::Offset<ServerReport> CreateServerReport(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1476,8 +1450,6 @@
   { auto _e = rank(); _o->rank = _e; }
   { auto _e = broken(); _o->broken = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
-  { auto _e = config_revision(); _o->config_revision = _e; }
-  { auto _e = servers_revision(); _o->servers_revision = _e; }
 }
 
 inline flatbuffers::Offset<ServerReport> ServerReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1498,8 +1470,6 @@
   auto _rank = _o->rank;
   auto _broken = _o->broken;
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
-  auto _config_revision = _o->config_revision;
-  auto _servers_revision = _o->servers_revision;
   return sardinestream::news::CreateServerReport(
       _fbb,
       _ip,
@@ -1511,9 +1481,7 @@
       _group_size,
       _rank,
       _broken,
-      _entries,
-      _config_revision,
-      _servers_revision);
+      _entries);
 }
 
 inline RankStateT *RankState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -19,7 +19,6 @@
 
 // Paths.
 inline constexpr char objects_path[] = "/v1/objects/";
-inline constexpr char readiness_path[] = "/v1/readiness";
 inline constexpr char report_path[] = "/v1/report";
 // How often this rank's requests chose each expert.
 inline constexpr char expert_counts_path[] = "/v1/picked";
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -100,8 +100,6 @@
 void agent_program::take_hello(const news::EntryHelloT& hello)
 {
     this->entries[hello.ip] = steady_clock::now();
-    this->config_revision = std::max(this->config_revision, hello.config_revision);
-    this->servers_revision = std::max(this->servers_revision, hello.servers_revision);
     if (!this->engine.report().has_value() || hello.group != this->engine.report()->group ||
         hello.sets <= 0) {
         return;
@@ -192,8 +190,6 @@
     told.rank = this->engine.report()->rank;
     told.broken = this->engine.report()->broken ||
                   this->engine.time_without_pass(steady_clock::now()) > longest_pass;
-    told.config_revision = this->config_revision;
-    told.servers_revision = this->servers_revision;
     const steady_time now = steady_clock::now();
     std::erase_if(this->entries,
                   [&](const auto& heard) { return now - heard.second > entry_lifetime; });
@@ -206,28 +202,24 @@
     }
 }
 
+rank_state agent_program::own_state() const
+{
+    rank_state state;
+    state.rank = this->engine.report()->rank;
+    state.report = this->engine.report()->maps;
+    state.broken = this->engine.report()->broken;
+    state.prepares = this->prepares;
+    state.experts = this->engine.experts();
+    return state;
+}
+
 news::RankStateT agent_program::make_state(bool with_counts)
 {
-    const rank_report& maps = this->engine.report()->maps;
-    news::RankStateT state;
+    news::RankStateT state = encode_state(this->own_state());
     state.group = this->engine.report()->group;
-    state.rank = this->engine.report()->rank;
     state.ip = ip_number(this->options.ip);
     state.sequence = ++this->sequence;
     state.term = this->obeyed.term;
-    state.epoch = maps.epoch;
-    state.broken = this->engine.report()->broken;
-    state.step = maps.step;
-    state.map_version = maps.map_version;
-    state.prepared_version = maps.prepared_version;
-    if (maps.armed.has_value()) {
-        state.armed_version = maps.armed->version;
-        state.armed_step = maps.armed->step;
-    }
-    state.held_step = maps.held_step.value_or(-1);
-    state.prepare_accepted = this->prepare_accepted;
-    state.prepare_refused = this->prepare_refused;
-    state.experts = flatten(this->engine.experts());
     if (with_counts) {
         this->engine.add_counts(state);
     }
@@ -270,41 +262,25 @@
         return;
     }
     this->obey(sender);
-    if (directive.kind == news::OrderKind::None) {
+    const absl::StatusOr<std::optional<engine_order>> order = decode_order(directive, this->shape);
+    if (!order.ok()) {
+        log_failure("order_unreadable", order.status(), {{"version", directive.version}});
         return;
     }
-    this->carry_out(directive);
+    if (!order->has_value()) {
+        return;
+    }
+    this->carry_out(**order, directive.term);
     if (this->refresh()) {
         this->send_state(false);
     }
 }
 
-void agent_program::carry_out(const news::DirectiveT& directive)
+void agent_program::carry_out(const engine_order& order, std::uint64_t term)
 {
-    const std::optional<order_kind> kind = from_wire(directive.kind);
-    if (!kind.has_value()) {
-        return;
-    }
-    engine_order order;
-    order.kind = *kind;
-    order.epoch = directive.epoch;
-    order.version = directive.version;
-    order.step = directive.step;
-    if (*kind == order_kind::prepare) {
-        const absl::Status readable = unflatten(directive.map, this->shape, order.map);
-        if (!readable.ok()) {
-            log_failure("map_unreadable", readable);
-            return;
-        }
-    }
     const order_outcome outcome = this->engine.port().give_order(order);
-    if (*kind == order_kind::prepare && outcome == order_outcome::accepted) {
-        this->prepare_accepted = order.version;
-    }
-    if (*kind == order_kind::prepare && outcome == order_outcome::refused) {
-        this->prepare_refused = order.version;
-    }
-    log_order(order, directive.term, outcome);
+    this->prepares.note(order, outcome);
+    log_order(order, term, outcome);
 }
 
 void agent_program::consider_coordinating()
@@ -387,35 +363,15 @@
     }
     newest = state.sequence;
     this->state_times[state.rank] = steady_clock::now();
-    rank_state decoded;
-    decoded.rank = state.rank;
-    decoded.report = to_report(state);
-    decoded.broken = state.broken;
-    decoded.prepare_accepted = state.prepare_accepted;
-    decoded.prepare_refused = state.prepare_refused;
-    if (!unflatten(state.experts, this->shape.sets, decoded.experts).ok()) {
+    const absl::StatusOr<rank_state> decoded = decode_state(state, this->shape.sets);
+    if (!decoded.ok()) {
+        log_failure("state_unreadable", decoded.status(), {{"rank", state.rank}});
         return;
     }
-    for (const std::uint8_t one : state.counts) {
-        decoded.counts.push_back(
-            static_cast<double>(static_cast<std::uint64_t>(one) << state.counts_shift));
-    }
-    this->coordinator->take_state(decoded, steady_clock::now());
+    this->coordinator->take_state(*decoded, steady_clock::now());
     this->coordinate();
 }
 
-rank_state agent_program::own_state() const
-{
-    rank_state state;
-    state.rank = this->engine.report()->rank;
-    state.report = this->engine.report()->maps;
-    state.broken = this->engine.report()->broken;
-    state.prepare_accepted = this->prepare_accepted;
-    state.prepare_refused = this->prepare_refused;
-    state.experts = this->engine.experts();
-    return state;
-}
-
 void agent_program::coordinate()
 {
     // An order to the own engine changes its report at once, which may call for the next order.
@@ -433,41 +389,36 @@
     }
 }
 
-void agent_program::give(const rank_order& order)
+void agent_program::give(const rank_order& wanted)
 {
     if (!this->engine.report().has_value()) {
         return;
     }
-    news::DirectiveT directive = this->make_directive();
-    directive.sequence = ++this->sequence;
-    directive.epoch = this->coordinator->epoch();
-    directive.kind = to_wire(order.kind);
-    directive.version = order.version;
-    directive.step = order.step;
-    if (order.kind == order_kind::prepare) {
-        directive.map = flatten(this->coordinator->wanted_map());
-    }
-    if (order.rank == this->engine.report()->rank) {
-        this->carry_out(directive);
+    engine_order order;
+    order.kind = wanted.kind;
+    order.epoch = this->coordinator->epoch();
+    order.version = wanted.version;
+    order.step = wanted.step;
+    if (wanted.kind == order_kind::prepare) {
+        order.map = this->coordinator->wanted_map();
+    }
+    if (wanted.rank == this->engine.report()->rank) {
+        this->carry_out(order, this->obeyed.term);
         return;
     }
-    if (this->silent.has(order.rank)) {
-        engine_order direct;
-        direct.kind = order.kind;
-        direct.epoch = this->coordinator->epoch();
-        direct.version = order.version;
-        direct.step = order.step;
-        if (order.kind == order_kind::prepare) {
-            direct.map = this->coordinator->wanted_map();
-        }
-        this->silent.give(order.rank, direct, this->obeyed.term);
+    if (this->silent.has(wanted.rank)) {
+        this->silent.give(wanted.rank, order, this->obeyed.term);
         return;
     }
-    const auto place = this->group.find(order.rank);
-    if (place != this->group.end()) {
-        this->socket.send(make_news(std::move(directive)),
-                          {ip_text(place->second.ip), this->options.news_port});
+    const auto place = this->group.find(wanted.rank);
+    if (place == this->group.end()) {
+        return;
     }
+    news::DirectiveT directive = this->make_directive();
+    directive.sequence = ++this->sequence;
+    add_order(order, directive);
+    this->socket.send(make_news(std::move(directive)),
+                      {ip_text(place->second.ip), this->options.news_port});
 }
 
 void agent_program::reach_missing_ranks()
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -75,14 +75,14 @@
     void send_state(bool with_counts);
     [[nodiscard]] news::RankStateT make_state(bool with_counts);
 
-    void carry_out(const news::DirectiveT& directive);
+    void carry_out(const engine_order& order, std::uint64_t term);
     void obey(const coordinator_term& term);
     void consider_coordinating();
     void begin_coordinating();
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
     void reach_missing_ranks();
-    void give(const rank_order& order);
+    void give(const rank_order& wanted);
     [[nodiscard]] rank_state own_state() const;
     [[nodiscard]] news::DirectiveT make_directive() const;
     void send_signs_of_life();
@@ -101,15 +101,12 @@
 
     // Entries, by address, and when they were heard last.
     std::map<std::uint32_t, steady_time> entries;
-    std::int64_t config_revision = 0;
-    std::int64_t servers_revision = 0;
     // The group of the engine, by rank, as the entries describe it.
     std::map<int, group_place> group;
     map_shape shape;
     planner_options planner;
 
-    std::int64_t prepare_accepted = 0;
-    std::int64_t prepare_refused = 0;
+    prepare_record prepares;
 
     coordinator_term obeyed;
     steady_time last_directive;
--- a/sardinestream/programs/rank_news.cc
+++ b/sardinestream/programs/rank_news.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/programs/rank_news.h"
 
+#include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
@@ -34,9 +35,7 @@
     return "";
 }
 
-} // namespace
-
-news::OrderKind to_wire(order_kind kind)
+news::OrderKind encode_kind(order_kind kind)
 {
     switch (kind) {
     case order_kind::prepare:
@@ -51,7 +50,7 @@
     return news::OrderKind::None;
 }
 
-std::optional<order_kind> from_wire(news::OrderKind kind)
+std::optional<order_kind> decode_kind(news::OrderKind kind)
 {
     switch (kind) {
     case news::OrderKind::Prepare:
@@ -67,7 +66,7 @@
     }
 }
 
-rank_report to_report(const news::RankStateT& state)
+rank_report decode_report(const news::RankStateT& state)
 {
     rank_report report;
     report.epoch = state.epoch;
@@ -83,6 +82,73 @@
     return report;
 }
 
+} // namespace
+
+news::RankStateT encode_state(const rank_state& state)
+{
+    const rank_report& report = state.report;
+    news::RankStateT encoded;
+    encoded.rank = state.rank;
+    encoded.epoch = report.epoch;
+    encoded.broken = state.broken;
+    encoded.step = report.step;
+    encoded.map_version = report.map_version;
+    encoded.prepared_version = report.prepared_version;
+    if (report.armed.has_value()) {
+        encoded.armed_version = report.armed->version;
+        encoded.armed_step = report.armed->step;
+    }
+    encoded.held_step = report.held_step.value_or(-1);
+    encoded.prepare_accepted = state.prepares.accepted;
+    encoded.prepare_refused = state.prepares.refused;
+    encoded.experts = flatten(state.experts);
+    return encoded;
+}
+
+absl::StatusOr<rank_state> decode_state(const news::RankStateT& state, int sets)
+{
+    rank_state decoded;
+    decoded.rank = state.rank;
+    decoded.report = decode_report(state);
+    decoded.broken = state.broken;
+    decoded.prepares = {state.prepare_accepted, state.prepare_refused};
+    SARDINE_RETURN_IF_ERROR(unflatten(state.experts, sets, decoded.experts));
+    for (const std::uint8_t one : state.counts) {
+        decoded.counts.push_back(
+            static_cast<double>(static_cast<std::uint64_t>(one) << state.counts_shift));
+    }
+    return decoded;
+}
+
+void add_order(const engine_order& order, news::DirectiveT& directive)
+{
+    directive.epoch = order.epoch;
+    directive.kind = encode_kind(order.kind);
+    directive.version = order.version;
+    directive.step = order.step;
+    if (order.kind == order_kind::prepare) {
+        directive.map = flatten(order.map);
+    }
+}
+
+absl::StatusOr<std::optional<engine_order>> decode_order(const news::DirectiveT& directive,
+                                                         const map_shape& shape)
+{
+    const std::optional<order_kind> kind = decode_kind(directive.kind);
+    if (!kind.has_value()) {
+        return std::optional<engine_order>();
+    }
+    engine_order order;
+    order.kind = *kind;
+    order.epoch = directive.epoch;
+    order.version = directive.version;
+    order.step = directive.step;
+    if (order.kind == order_kind::prepare) {
+        SARDINE_RETURN_IF_ERROR(unflatten(directive.map, shape, order.map));
+    }
+    return order;
+}
+
 void log_order(const engine_order& order, std::uint64_t term, order_outcome outcome)
 {
     count("sardine_engine_orders_total", {{"kind", std::string(order_name(order.kind))},
--- a/sardinestream/programs/rank_news.h
+++ b/sardinestream/programs/rank_news.h
@@ -7,17 +7,25 @@
 #include <optional>
 
 #include "sardinestream/maps/engine_port.h"
-#include "sardinestream/maps/map_switch.h"
+#include "sardinestream/maps/map_coordinator.h"
 #include "sardinestream/peers/news_generated.h"
 
+#include "absl/status/statusor.h"
+
 namespace sardinestream {
 
-[[nodiscard]] news::OrderKind to_wire(order_kind kind);
+// Without counts, and without what tells the sender and its term.
+[[nodiscard]] news::RankStateT encode_state(const rank_state& state);
+
+// Fails where the experts do not fit `sets`.
+[[nodiscard]] absl::StatusOr<rank_state> decode_state(const news::RankStateT& state, int sets);
 
-// Nothing for a message without an order.
-[[nodiscard]] std::optional<order_kind> from_wire(news::OrderKind kind);
+// Puts an order into a directive that names its group and coordinator.
+void add_order(const engine_order& order, news::DirectiveT& directive);
 
-[[nodiscard]] rank_report to_report(const news::RankStateT& state);
+// Nothing in a directive without an order. Fails where its map does not fit `shape`.
+[[nodiscard]] absl::StatusOr<std::optional<engine_order>>
+decode_order(const news::DirectiveT& directive, const map_shape& shape);
 
 // Logs and counts one order and what became of it.
 void log_order(const engine_order& order, std::uint64_t term, order_outcome outcome);
--- a/sardinestream/programs/silent_ranks.cc
+++ b/sardinestream/programs/silent_ranks.cc
@@ -30,7 +30,7 @@
     auto found = this->ranks.find(rank);
     if (found == this->ranks.end()) {
         log_event("rank_reached_directly", {{"rank", rank}, {"engine", engine.to_string()}});
-        found = this->ranks.emplace(rank, reached_rank{this->connect(engine)}).first;
+        found = this->ranks.emplace(rank, reached_rank{this->connect(engine), {}, -1, {}}).first;
     }
     reached_rank& reached = found->second;
     const absl::StatusOr<engine_report> report = reached.engine.read_report();
@@ -49,8 +49,7 @@
     state.rank = rank;
     state.report = report->maps;
     state.broken = report->broken;
-    state.prepare_accepted = reached.prepare_accepted;
-    state.prepare_refused = reached.prepare_refused;
+    state.prepares = reached.prepares;
     state.experts = reached.experts;
     state.without_agent = true;
     return state;
@@ -63,12 +62,7 @@
         return;
     }
     const order_outcome outcome = found->second.engine.give_order(order);
-    if (order.kind == order_kind::prepare && outcome == order_outcome::accepted) {
-        found->second.prepare_accepted = order.version;
-    }
-    if (order.kind == order_kind::prepare && outcome == order_outcome::refused) {
-        found->second.prepare_refused = order.version;
-    }
+    found->second.prepares.note(order, outcome);
     log_order(order, term, outcome);
 }
 
--- a/sardinestream/programs/silent_ranks.h
+++ b/sardinestream/programs/silent_ranks.h
@@ -39,8 +39,7 @@
         rank_experts experts{};
         // The version that `experts` belongs to, or -1.
         std::int64_t experts_version = -1;
-        std::int64_t prepare_accepted = 0;
-        std::int64_t prepare_refused = 0;
+        prepare_record prepares;
     };
 
     // Reads the experts again where the map in use has changed.
