--- a/sardinestream/maps/engine_port.h
+++ b/sardinestream/maps/engine_port.h
@@ -39,6 +39,12 @@
     expert_map map;
 };
 
+// A map and the version under which engines know it.
+struct versioned_map {
+    std::int64_t version = 0;
+    expert_map map;
+};
+
 // `no_answer`: the order may have been carried out, or may be seconds from now.
 enum class order_outcome { accepted, refused, no_answer };
 
--- a/sardinestream/maps/expert_demand.h
+++ b/sardinestream/maps/expert_demand.h
@@ -1,7 +1,9 @@
-// How often each expert is chosen: a fast estimate of now and a slow one of the whole day.
+// How often each expert is chosen: an estimate of now and a slow one of the whole day.
 //
-// Demand changes within seconds and returns to what it was. The fast estimate follows a change; the
-// slow one keeps what has been liked before, so that a map can be made that suits both.
+// Demand stays as it is for seconds, with noise from the requests that happen to run, and then
+// changes at once. While it stays, samples are averaged; one that lies further from the average
+// than the noise begins a new average. The slow estimate keeps what has been liked before, so that
+// a map can be made that suits both.
 // Not thread-safe.
 
 #ifndef SARDINESTREAM_MAPS_EXPERT_DEMAND_H_
@@ -25,6 +27,9 @@
     // Shares of the choices of each set, by set and expert; each set sums to one.
     [[nodiscard]] const std::vector<double>& now() const { return this->fast; }
 
+    // False right after a change, whose first sample may hold choices from before it.
+    [[nodiscard]] bool is_settled() const;
+
     // The same, with `past_weight` (0 to 1) given to the whole day.
     [[nodiscard]] std::vector<double> with_past(double past_weight) const;
 
@@ -35,7 +40,15 @@
 private:
     int set_count = 0;
     int expert_count = 0;
+    // Sum of the differences between the shares and the estimate, a mean over the sets: 0 to 2.
+    [[nodiscard]] double distance_to(const std::vector<double>& shares) const;
+    [[nodiscard]] bool is_change(double distance);
+
     int samples_taken = 0;
+    int samples_since_change = 0;
+    int changes_in_a_row = 0;
+    // Mean distance of the samples between changes.
+    double noise = 0.1;
     std::vector<double> fast;
     std::vector<double> slow;
 };
--- a/sardinestream/maps/expert_map.cc
+++ b/sardinestream/maps/expert_map.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/maps/expert_map.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sardinestream/base/error.h"
 
@@ -69,6 +70,12 @@
     return std::binary_search(list.begin(), list.end(), static_cast<std::uint16_t>(expert));
 }
 
+void expert_map::set_list(int set, int rank, std::vector<std::uint16_t> experts)
+{
+    std::sort(experts.begin(), experts.end());
+    this->lists[this->position(set, rank)] = std::move(experts);
+}
+
 void expert_map::add(int set, int rank, int expert)
 {
     std::vector<std::uint16_t>& list = this->lists[this->position(set, rank)];
@@ -164,4 +171,41 @@
     return absl::OkStatus();
 }
 
+std::vector<std::uint8_t> flatten_changes(const expert_map& older, const expert_map& newer)
+{
+    std::vector<std::uint8_t> flat;
+    for (int set = 0; set < newer.shape().sets; ++set) {
+        for (int rank = 0; rank < newer.shape().ranks; ++rank) {
+            const std::vector<std::uint16_t>& list = newer.experts_of(set, rank);
+            if (list == older.experts_of(set, rank)) {
+                continue;
+            }
+            flat.push_back(static_cast<std::uint8_t>(set));
+            flat.push_back(static_cast<std::uint8_t>(rank));
+            append_list(flat, list);
+        }
+    }
+    return flat;
+}
+
+absl::Status apply_changes(absl::Span<const std::uint8_t> flat, expert_map& map)
+{
+    constexpr std::size_t place_bytes = 2;
+    while (!flat.empty()) {
+        if (flat.size() < place_bytes || flat[0] >= map.shape().sets ||
+            flat[1] >= map.shape().ranks) {
+            return bad_map("change of a list that does not exist");
+        }
+        const int set = flat[0];
+        const int rank = flat[1];
+        flat.remove_prefix(place_bytes);
+        std::vector<std::uint16_t> list;
+        if (!take_list(flat, list)) {
+            return bad_map("message too short");
+        }
+        map.set_list(set, rank, std::move(list));
+    }
+    return map.check();
+}
+
 } // namespace sardinestream
--- a/sardinestream/maps/expert_map.h
+++ b/sardinestream/maps/expert_map.h
@@ -39,6 +39,8 @@
     [[nodiscard]] const std::vector<std::uint16_t>& experts_of(int set, int rank) const;
     [[nodiscard]] bool holds(int set, int rank, int expert) const;
 
+    // Replaces the experts that `rank` holds of `set`.
+    void set_list(int set, int rank, std::vector<std::uint16_t> experts);
     void add(int set, int rank, int expert);
     void remove(int set, int rank, int expert);
 
@@ -71,6 +73,14 @@
 [[nodiscard]] absl::Status unflatten(absl::Span<const std::uint8_t> flat, int sets,
                                      rank_experts& experts);
 
+// The lists of `newer` that differ from those of `older`, which has the same shape: set, rank,
+// length, experts.
+[[nodiscard]] std::vector<std::uint8_t> flatten_changes(const expert_map& older,
+                                                        const expert_map& newer);
+
+// Turns the older map into the newer one. Fails on changes that do not fit the map.
+[[nodiscard]] absl::Status apply_changes(absl::Span<const std::uint8_t> flat, expert_map& map);
+
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_MAPS_EXPERT_MAP_H_
--- a/sardinestream/maps/expert_map_test.cc
+++ b/sardinestream/maps/expert_map_test.cc
@@ -58,5 +58,24 @@
     EXPECT_EQ(map.new_experts(newer, 1), 0);
 }
 
+TEST(expert_map, changes_turn_the_older_map_into_the_newer_one)
+{
+    const expert_map older = in_turn();
+    expert_map newer = older;
+    newer.add(0, 1, 0);
+    expert_map read = older;
+    const std::vector<std::uint8_t> changes = flatten_changes(older, newer);
+    ASSERT_TRUE(apply_changes(changes, read).ok());
+    EXPECT_EQ(read, newer);
+    EXPECT_LT(changes.size(), flatten(newer).size());
+}
+
+TEST(expert_map, changes_that_do_not_fit_are_refused)
+{
+    expert_map map = in_turn();
+    EXPECT_FALSE(apply_changes(std::vector<std::uint8_t>{9, 0, 0}, map).ok());
+    EXPECT_FALSE(apply_changes(std::vector<std::uint8_t>{0, 0, 5, 1}, map).ok());
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -16,7 +16,7 @@
 // An order whose effect does not show is given again after this.
 constexpr milliseconds resend_interval{45};
 // The same for an order that carries a whole map; nobody waits for it.
-constexpr milliseconds prepare_resend_interval{300};
+constexpr milliseconds prepare_resend_interval{150};
 // Copies that a rank has accepted show when they are done.
 constexpr milliseconds copy_patience{6000};
 // After a plan that failed.
@@ -133,7 +133,8 @@
 
 void map_coordinator::consider_plan(absl::Span<const rank_report> reports, steady_time now)
 {
-    if (now < this->rest_until || this->demand.samples() < least_samples) {
+    if (now < this->rest_until || this->demand.samples() < least_samples ||
+        !this->demand.is_settled()) {
         return;
     }
     const std::optional<expert_map> current = this->current_map();
@@ -150,6 +151,7 @@
         return;
     }
     this->plan_version = this->next_version(reports);
+    this->replaced = {reports.front().map_version, *current};
     this->plan_time = now;
     this->sent.clear();
     count("sardine_map_plans_total");
@@ -203,7 +205,7 @@
     }
 }
 
-bool map_coordinator::is_due(const rank_order& order, steady_time now)
+bool map_coordinator::is_due(rank_order& order, steady_time now)
 {
     steady_time& last = this->sent[{order.rank, order.kind, order.version, order.step}];
     const rank_state& state = this->ranks[static_cast<std::size_t>(order.rank)].state;
@@ -214,7 +216,8 @@
     if (last != steady_time{} && (copying || now - last < interval)) {
         return false;
     }
-    if (last != steady_time{} && order.kind != order_kind::hold) {
+    order.repeated = last != steady_time{};
+    if (order.repeated && order.kind == order_kind::arm) {
         this->orders_lost_until = now + lost_order_memory;
     }
     last = now;
@@ -247,7 +250,7 @@
     this->switching.set_step_margin(now < this->orders_lost_until ? margin_for_lost_orders
                                                                   : usual_margin);
     std::vector<rank_order> due;
-    for (const rank_order& order :
+    for (rank_order& order :
          this->switching.next_orders(reports, this->plan.has_value() ? this->plan_version : 0)) {
         if (this->is_due(order, now)) {
             due.push_back(order);
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -57,6 +57,8 @@
 
     // The map that `prepare` orders carry.
     [[nodiscard]] const expert_map& wanted_map() const { return this->plan->map; }
+    // The map that was in use when it was planned.
+    [[nodiscard]] const versioned_map& replaced_map() const { return this->replaced; }
     [[nodiscard]] std::int64_t epoch() const { return this->group_epoch; }
 
     // Ranks without a fresh state.
@@ -76,7 +78,7 @@
     void check_plan(absl::Span<const rank_report> reports, steady_time now);
     void drop_plan(absl::string_view reason, steady_time now);
     [[nodiscard]] std::optional<expert_map> current_map() const;
-    [[nodiscard]] bool is_due(const rank_order& order, steady_time now);
+    [[nodiscard]] bool is_due(rank_order& order, steady_time now);
     [[nodiscard]] std::int64_t next_version(absl::Span<const rank_report> reports);
 
     const coordinator_options options;
@@ -91,8 +93,9 @@
     map_switch switching;
     std::optional<map_plan> plan;
     std::int64_t plan_version = 0;
+    versioned_map replaced;
     steady_time plan_time{};
-    // Orders have gone unanswered lately: arms may need more than one try.
+    // Arms have gone unanswered lately: they may need more than one try.
     steady_time orders_lost_until{};
     // No new plan before this.
     steady_time rest_until{};
--- a/sardinestream/maps/map_planner_test.cc
+++ b/sardinestream/maps/map_planner_test.cc
@@ -125,6 +125,47 @@
     EXPECT_LT(demand.with_past(1.0)[1], 0.2);
 }
 
+// Samples of one demand, with noise as from the requests that happen to run.
+std::vector<double> noisy_sample(const std::vector<double>& shares, std::minstd_rand& random)
+{
+    std::vector<double> sample;
+    for (const double share : shares) {
+        sample.push_back(1000 * share * std::uniform_real_distribution<double>(0.8, 1.2)(random));
+    }
+    return sample;
+}
+
+TEST(expert_demand, averages_noise_while_demand_stays)
+{
+    std::minstd_rand random(7);
+    const std::vector<double> shares = {0.5, 0.3, 0.15, 0.05};
+    expert_demand demand(1, 4);
+    for (int i = 0; i < 30; ++i) {
+        demand.add_sample(noisy_sample(shares, random));
+    }
+    EXPECT_TRUE(demand.is_settled());
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        EXPECT_NEAR(demand.now()[i], shares[i], 0.03);
+    }
+}
+
+TEST(expert_demand, takes_the_first_whole_sample_after_a_change_as_it_is)
+{
+    std::minstd_rand random(7);
+    expert_demand demand(1, 4);
+    for (int i = 0; i < 20; ++i) {
+        demand.add_sample(noisy_sample({0.5, 0.3, 0.15, 0.05}, random));
+    }
+    // Demand changes within this sample.
+    demand.add_sample(noisy_sample({0.3, 0.2, 0.25, 0.25}, random));
+    EXPECT_FALSE(demand.is_settled());
+    demand.add_sample(noisy_sample({0.05, 0.15, 0.3, 0.5}, random));
+    EXPECT_NEAR(demand.now()[3], 0.5, 0.06);
+    demand.add_sample(noisy_sample({0.05, 0.15, 0.3, 0.5}, random));
+    EXPECT_TRUE(demand.is_settled());
+    EXPECT_NEAR(demand.now()[3], 0.5, 0.05);
+}
+
 TEST(expert_demand, leaves_out_a_sample_of_an_idle_group)
 {
     expert_demand demand(1, 2);
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -1030,6 +1030,7 @@
   int64_t version = 0;
   int64_t step = 0;
   std::vector<uint8_t> map{};
+  int64_t base_version = 0;
 };
 
 struct Directive FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1046,7 +1047,8 @@
     VT_KIND = 16,
     VT_VERSION = 18,
     VT_STEP = 20,
-    VT_MAP = 22
+    VT_MAP = 22,
+    VT_BASE_VERSION = 24
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1078,6 +1080,9 @@
   const flatbuffers::Vector<uint8_t> *map() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MAP);
   }
+  int64_t base_version() const {
+    return GetField<int64_t>(VT_BASE_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
@@ -1092,6 +1097,7 @@
            VerifyField<int64_t>(verifier, VT_STEP, 8) &&
            VerifyOffset(verifier, VT_MAP) &&
            verifier.VerifyVector(map()) &&
+           VerifyField<int64_t>(verifier, VT_BASE_VERSION, 8) &&
            verifier.EndTable();
   }
   DirectiveT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1133,6 +1139,9 @@
   void add_map(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map) {
     fbb_.AddOffset(Directive::VT_MAP, map);
   }
+  void add_base_version(int64_t base_version) {
+    fbb_.AddElement<int64_t>(Directive::VT_BASE_VERSION, base_version, 0);
+  }
   explicit DirectiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1155,8 +1164,10 @@
     sardinestream::news::OrderKind kind = sardinestream::news::OrderKind::None,
     int64_t version = 0,
     int64_t step = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map = 0,
+    int64_t base_version = 0) {
   DirectiveBuilder builder_(_fbb);
+  builder_.add_base_version(base_version);
   builder_.add_step(step);
   builder_.add_version(version);
   builder_.add_epoch(epoch);
@@ -1186,7 +1197,8 @@
     sardinestream::news::OrderKind kind = sardinestream::news::OrderKind::None,
     int64_t version = 0,
     int64_t step = 0,
-    const std::vector<uint8_t> *map = nullptr) {
+    const std::vector<uint8_t> *map = nullptr,
+    int64_t base_version = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto map__ = map ? _fbb.CreateVector<uint8_t>(*map) : 0;
   return sardinestream::news::CreateDirective(
@@ -1200,7 +1212,8 @@
       kind,
       version,
       step,
-      map__);
+      map__,
+      base_version);
 }
 
 flatbuffers::Offset<Directive> CreateDirective(flatbuffers::FlatBufferBuilder &_fbb, const DirectiveT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1580,6 +1593,7 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = step(); _o->step = _e; }
   { auto _e = map(); if (_e) { _o->map.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->map.begin()); } }
+  { auto _e = base_version(); _o->base_version = _e; }
 }
 
 inline flatbuffers::Offset<Directive> Directive::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectiveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1600,6 +1614,7 @@
   auto _version = _o->version;
   auto _step = _o->step;
   auto _map = _o->map.size() ? _fbb.CreateVector(_o->map) : 0;
+  auto _base_version = _o->base_version;
   return sardinestream::news::CreateDirective(
       _fbb,
       _group,
@@ -1611,7 +1626,8 @@
       _kind,
       _version,
       _step,
-      _map);
+      _map,
+      _base_version);
 }
 
 inline NewsT *News::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -14,10 +14,13 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds look_interval{100};
+// The same while the engine copies experts or waits for the pass of a switch.
+constexpr milliseconds look_interval_in_change{25};
+constexpr std::chrono::seconds longest_copy{4};
 constexpr int most_news_before_look = 256;
 constexpr milliseconds sign_interval{200};
 // Keeps what a coordinator receives within its link, whatever the size of its group.
-constexpr milliseconds count_interval_per_rank{6};
+constexpr milliseconds count_interval_per_rank{3};
 // Silence of the coordinator after which another agent takes over; later ranks wait longer, so
 // that they do not all do so at once.
 constexpr milliseconds coordinator_silence{700};
@@ -69,7 +72,9 @@
         this->take_news();
         if (steady_clock::now() >= this->next_look) {
             this->look_at_engine();
-            this->next_look = steady_clock::now() + look_interval;
+            const bool changing = this->engine.report().has_value() && this->is_changing_map();
+            this->next_look =
+                steady_clock::now() + (changing ? look_interval_in_change : look_interval);
         }
     }
 }
@@ -131,14 +136,15 @@
         return;
     }
     this->consider_coordinating();
+    const bool with_counts = this->counts_are_due();
     if (!this->is_coordinating()) {
-        if (this->counts_are_due()) {
-            this->send_state(true);
+        if (this->has_news_for_coordinator() || with_counts) {
+            this->send_state(with_counts);
         }
         return;
     }
     this->send_due_signs_of_life();
-    this->take_state(this->make_state(this->counts_are_due()));
+    this->take_state(this->make_state(with_counts));
     if (this->is_coordinating()) {
         this->reach_missing_ranks();
     }
@@ -172,11 +178,42 @@
     }
     if (!before.empty() && this->engine.report()->group != before) {
         this->group.clear();
+        this->maps.clear();
         this->coordinator.reset();
     }
+    this->drop_old_maps();
     return true;
 }
 
+void agent_program::drop_old_maps()
+{
+    if (this->maps.empty()) {
+        return;
+    }
+    const std::int64_t in_use = this->engine.report()->maps.map_version;
+    const std::int64_t newest = this->maps.rbegin()->first;
+    std::erase_if(this->maps, [&](const auto& known) {
+        return known.first != in_use && known.first != newest;
+    });
+}
+
+bool agent_program::is_changing_map() const
+{
+    const rank_report& report = this->engine.report()->maps;
+    const bool copying = this->prepares.accepted > report.map_version &&
+                         report.prepared_version != this->prepares.accepted &&
+                         steady_clock::now() - this->last_prepare < longest_copy;
+    return copying || report.armed.has_value();
+}
+
+bool agent_program::has_news_for_coordinator()
+{
+    const rank_report& report = this->engine.report()->maps;
+    const map_progress now = {report.map_version, report.prepared_version, report.armed,
+                              report.held_step};
+    return !(now == std::exchange(this->told_progress, now));
+}
+
 void agent_program::tell_entries()
 {
     news::ServerReportT told;
@@ -262,7 +299,8 @@
         return;
     }
     this->obey(sender);
-    const absl::StatusOr<std::optional<engine_order>> order = decode_order(directive, this->shape);
+    const absl::StatusOr<std::optional<engine_order>> order =
+        decode_order(directive, this->shape, this->maps);
     if (!order.ok()) {
         log_failure("order_unreadable", order.status(), {{"version", directive.version}});
         return;
@@ -278,8 +316,13 @@
 
 void agent_program::carry_out(const engine_order& order, std::uint64_t term)
 {
+    if (order.kind == order_kind::prepare) {
+        this->maps[order.version] = order.map;
+    }
     const order_outcome outcome = this->engine.port().give_order(order);
     this->prepares.note(order, outcome);
+    this->last_prepare =
+        order.kind == order_kind::prepare ? steady_clock::now() : this->last_prepare;
     log_order(order, term, outcome);
 }
 
@@ -416,7 +459,9 @@
     }
     news::DirectiveT directive = this->make_directive();
     directive.sequence = ++this->sequence;
-    add_order(order, directive);
+    // One that has not taken the changes may not know the map before them.
+    const versioned_map& replaced = this->coordinator->replaced_map();
+    add_order(order, wanted.repeated || replaced.version == 0 ? nullptr : &replaced, directive);
     this->socket.send(make_news(std::move(directive)),
                       {ip_text(place->second.ip), this->options.news_port});
 }
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -23,6 +23,7 @@
 #include "sardinestream/maps/map_coordinator.h"
 #include "sardinestream/peers/datagram_socket.h"
 #include "sardinestream/programs/engine_watch.h"
+#include "sardinestream/programs/rank_news.h"
 #include "sardinestream/programs/silent_ranks.h"
 
 #include "absl/status/statusor.h"
@@ -59,6 +60,16 @@
         std::uint32_t ip = 0;
     };
 
+    // What of a report the coordinator waits for.
+    struct map_progress {
+        std::int64_t map_version = 0;
+        std::int64_t prepared_version = 0;
+        std::optional<armed_switch> armed;
+        std::optional<std::int64_t> held_step;
+
+        friend bool operator==(const map_progress&, const map_progress&) = default;
+    };
+
     agent_program(agent_options chosen, datagram_socket bound);
 
     void take_news();
@@ -71,6 +82,11 @@
     void look_at_engine();
     // Reads the engine again; forgets the group where the engine has moved to another.
     [[nodiscard]] bool refresh();
+    void drop_old_maps();
+    // The engine copies experts or waits for the pass of a switch.
+    [[nodiscard]] bool is_changing_map() const;
+    // Whether anything that the coordinator waits for has changed since the last call.
+    [[nodiscard]] bool has_news_for_coordinator();
     void tell_entries();
     void send_state(bool with_counts);
     [[nodiscard]] news::RankStateT make_state(bool with_counts);
@@ -107,6 +123,10 @@
     planner_options planner;
 
     prepare_record prepares;
+    steady_time last_prepare{};
+    // The map in use and the newest one that was told, as far as they are known.
+    known_maps maps;
+    map_progress told_progress;
 
     coordinator_term obeyed;
     steady_time last_directive;
--- a/sardinestream/programs/rank_news.cc
+++ b/sardinestream/programs/rank_news.cc
@@ -120,19 +120,25 @@
     return decoded;
 }
 
-void add_order(const engine_order& order, news::DirectiveT& directive)
+void add_order(const engine_order& order, const versioned_map* base, news::DirectiveT& directive)
 {
     directive.epoch = order.epoch;
     directive.kind = encode_kind(order.kind);
     directive.version = order.version;
     directive.step = order.step;
-    if (order.kind == order_kind::prepare) {
+    if (order.kind != order_kind::prepare) {
+        return;
+    }
+    if (base == nullptr) {
         directive.map = flatten(order.map);
+        return;
     }
+    directive.base_version = base->version;
+    directive.map = flatten_changes(base->map, order.map);
 }
 
-absl::StatusOr<std::optional<engine_order>> decode_order(const news::DirectiveT& directive,
-                                                         const map_shape& shape)
+absl::StatusOr<std::optional<engine_order>>
+decode_order(const news::DirectiveT& directive, const map_shape& shape, const known_maps& known)
 {
     const std::optional<order_kind> kind = decode_kind(directive.kind);
     if (!kind.has_value()) {
@@ -143,9 +149,20 @@
     order.epoch = directive.epoch;
     order.version = directive.version;
     order.step = directive.step;
-    if (order.kind == order_kind::prepare) {
+    if (order.kind != order_kind::prepare) {
+        return order;
+    }
+    if (directive.base_version == 0) {
         SARDINE_RETURN_IF_ERROR(unflatten(directive.map, shape, order.map));
+        return order;
+    }
+    const auto base = known.find(directive.base_version);
+    if (base == known.end()) {
+        return make_error(absl::StatusCode::kFailedPrecondition, "decode", "coordinator",
+                          "changes against a map that is not known");
     }
+    order.map = base->second;
+    SARDINE_RETURN_IF_ERROR(apply_changes(directive.map, order.map));
     return order;
 }
 
--- /dev/null
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -0,0 +1,331 @@
+#include "sardinestream/testing/emulator/backend_emulator.h"
+
+#include <utility>
+
+#include "sardinestream/base/digest.h"
+#include "sardinestream/testing/emulator/wire_words.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// A rank that waits so long for a pass answers, or breaks off.
+constexpr milliseconds stall{500};
+constexpr milliseconds mute_time{20000};
+// An order without an answer.
+constexpr milliseconds order_silence{80};
+constexpr milliseconds shortest_lateness{300};
+constexpr milliseconds lateness_range{2200};
+// Requests that wait beyond the slots before the server refuses.
+constexpr int queue_factor = 2;
+
+constexpr int http_ok = 200;
+constexpr int http_misdirected = 421;
+constexpr int http_server_error = 500;
+constexpr int http_unavailable = 503;
+
+http_headers refusal_headers(http_headers headers)
+{
+    headers.push_back({words::not_executed, "1"});
+    return headers;
+}
+
+std::string chunk(const std::string& bytes)
+{
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
+} // namespace
+
+std::string expected_answer(const std::string& request_id, const std::string& target,
+                            const std::string& body)
+{
+    return absl::StrCat(request_id, " ", target, " ", sha256_hex(body), "\n");
+}
+
+std::string expected_event(const std::string& request_id, std::int64_t number)
+{
+    return absl::StrCat(request_id, ":", number);
+}
+
+std::int64_t events_of(const std::string& target)
+{
+    std::int64_t events = 0;
+    return absl::SimpleAtoi(target.substr(target.rfind('/') + 1), &events) ? events : 0;
+}
+
+backend_emulator::backend_emulator(backend_options chosen, backend_hooks given)
+    : options(std::move(chosen)), hooks(std::move(given)), own_id(options.id)
+{
+}
+
+backend_emulator::~backend_emulator()
+{
+    this->stop();
+    this->late_orders.wait_until_empty(absl::InfiniteFuture());
+}
+
+absl::Status backend_emulator::start(const std::string& id)
+{
+    absl::StatusOr<std::unique_ptr<connection_server>> started = connection_server::start(
+        this->options.local, [this](served_connection& connection) { this->serve(connection); });
+    if (!started.ok()) {
+        return started.status();
+    }
+    if (this->options.group != nullptr && !this->is_running()) {
+        this->options.group->return_rank(this->options.rank);
+    }
+    const absl::MutexLock lock(&this->mutex);
+    this->own_id = id;
+    this->born_ms = absl::ToUnixMillis(absl::Now());
+    this->draining = false;
+    this->current = {};
+    this->server = *std::move(started);
+    return absl::OkStatus();
+}
+
+void backend_emulator::stop()
+{
+    std::unique_ptr<connection_server> ended;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        ended = std::move(this->server);
+    }
+    if (ended != nullptr && this->options.group != nullptr) {
+        this->options.group->end_rank(this->options.rank);
+    }
+}
+
+bool backend_emulator::is_running() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->server != nullptr;
+}
+
+void backend_emulator::set_trouble(const backend_trouble& wanted)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->current = wanted;
+}
+
+backend_trouble backend_emulator::trouble() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->current;
+}
+
+void backend_emulator::set_draining(bool leaves)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->draining = leaves;
+}
+
+std::string backend_emulator::id() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->own_id;
+}
+
+bool backend_emulator::happens(double share)
+{
+    const absl::MutexLock lock(&this->mutex);
+    return std::bernoulli_distribution(share)(this->random);
+}
+
+json backend_emulator::entry(const address& reached_at) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return {{"service", this->options.service},
+            {"address", reached_at.to_string()},
+            {"zone", this->options.data_centre},
+            {"version", "1"},
+            {"slots", this->options.slots},
+            {"state", this->draining ? "draining" : "ready"},
+            {"cold-remaining-ms", 0},
+            {"born", this->born_ms}};
+}
+
+void backend_emulator::serve(served_connection& connection)
+{
+    emulated_request request;
+    while (connection.read(request)) {
+        const std::string path = request.path();
+        if (path == words::order_path) {
+            this->answer_order(connection, request);
+            continue;
+        }
+        if (path == words::report_path || path == words::counts_path) {
+            this->answer_call(connection, request);
+            continue;
+        }
+        this->hooks.on_arrival(request.header(words::request_id), this->options.service);
+        this->answer_request(connection, request);
+    }
+}
+
+void backend_emulator::answer_call(served_connection& connection, const emulated_request& request)
+{
+    const rank_group* const group = this->options.group;
+    if (request.path() == words::counts_path && group != nullptr) {
+        const json answer = request.parameter("lists").empty() ? group->counts(this->options.rank)
+                                                               : group->experts(this->options.rank);
+        connection.answer(http_ok, {}, answer.dump());
+        return;
+    }
+    json report = group == nullptr ? json::object() : group->report(this->options.rank);
+    const int in_progress = this->running;
+    report["running"] = std::min(in_progress, this->options.slots);
+    report["waiting"] = std::max(0, in_progress - this->options.slots);
+    report["pace"] = this->trouble().slowness;
+    connection.answer(http_ok, {}, report.dump());
+}
+
+void backend_emulator::answer_order(served_connection& connection, const emulated_request& request)
+{
+    const json order = json::parse(request.body, nullptr, false);
+    if (this->options.group == nullptr || !order.is_object()) {
+        connection.answer(http_server_error, {}, "{}");
+        return;
+    }
+    rank_group* const group = this->options.group;
+    const int rank = this->options.rank;
+    if (!this->happens(this->trouble().late_order_share)) {
+        connection.answer(group->order(rank, order), {}, "{}");
+        return;
+    }
+    milliseconds delay = shortest_lateness;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        delay += milliseconds(
+            std::uniform_int_distribution<std::int64_t>(0, lateness_range.count())(this->random));
+    }
+    // Where no thread is left, the order is lost instead.
+    static_cast<void>(this->late_orders.spawn([group, rank, order, delay] {
+        std::this_thread::sleep_for(delay);
+        static_cast<void>(group->order(rank, order));
+    }));
+    static_cast<void>(connection.work_for(order_silence));
+    connection.finish();
+}
+
+begun_run backend_emulator::describe(const emulated_request& request) const
+{
+    begun_run run;
+    run.request_id = request.header(words::request_id);
+    run.server_id = this->id();
+    run.service = this->options.service;
+    run.method = request.head.method;
+    run.target = request.head.target;
+    run.body = request.body;
+    run.team = request.header(words::team);
+    if (!absl::SimpleAtoi(request.header(words::last_event_id), &run.resumed_after)) {
+        run.resumed_after = 0;
+    }
+    return run;
+}
+
+void backend_emulator::answer_request(served_connection& connection,
+                                      const emulated_request& request)
+{
+    const std::string request_id = request.header(words::request_id);
+    const http_headers headers = {{words::request_id, request_id},
+                                  {words::signature, sha256_hex(request_id)},
+                                  {"Keep-Alive", "timeout=5"}};
+    if (request.header(words::expected_server) != this->id()) {
+        connection.answer(http_misdirected, refusal_headers(headers), "{}");
+        return;
+    }
+    const bool full = this->running >= this->options.slots * queue_factor;
+    const bool group_broken = this->options.group != nullptr && !this->options.group->is_open();
+    if (full || group_broken || this->happens(this->trouble().refusal_share)) {
+        connection.answer(http_unavailable, refusal_headers(headers), "{}");
+        return;
+    }
+    ++this->running;
+    this->hooks.on_begin(this->describe(request));
+    if (absl::StartsWith(request.head.target, "/chat/")) {
+        this->run_stream(connection, request, headers);
+    }
+    else {
+        this->run_plain(connection, request, headers);
+    }
+    this->hooks.on_end(request_id);
+    --this->running;
+}
+
+void backend_emulator::run_plain(served_connection& connection, const emulated_request& request,
+                                 const http_headers& headers)
+{
+    const backend_trouble now = this->trouble();
+    const auto work =
+        std::chrono::duration_cast<milliseconds>(this->options.work_time * now.slowness);
+    if (!connection.work_for(this->happens(now.mute_share) ? mute_time : work)) {
+        connection.finish();
+        return;
+    }
+    if (this->happens(now.error_share)) {
+        connection.answer(http_server_error, headers, "{}");
+        return;
+    }
+    const std::string body =
+        expected_answer(request.header(words::request_id), request.head.target, request.body);
+    if (this->happens(now.cut_share)) {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (const http_header& header : headers) {
+            append_header(text, header.name, header.value);
+        }
+        append_header(text, "Content-Length", absl::StrCat(body.size()));
+        connection.write(absl::StrCat(text, "\r\n", body.substr(0, body.size() / 2)));
+        connection.reset();
+        return;
+    }
+    connection.answer(http_ok, headers, body);
+    if (this->happens(now.surplus_share)) {
+        connection.answer(http_ok, headers, body);
+    }
+}
+
+void backend_emulator::run_stream(served_connection& connection, const emulated_request& request,
+                                  const http_headers& headers)
+{
+    const begun_run run = this->describe(request);
+    const std::int64_t last = events_of(request.head.target);
+    const backend_trouble now = this->trouble();
+    const std::int64_t cut_after =
+        this->happens(now.cut_share) ? (run.resumed_after + last) / 2 : last;
+    const bool mute = this->happens(now.mute_share);
+    rank_group::stream stream(*this->options.group, this->options.rank);
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    for (const http_header& header : headers) {
+        append_header(text, header.name, header.value);
+    }
+    append_header(text, "Content-Type", "text/event-stream");
+    append_header(text, "Transfer-Encoding", "chunked");
+    text += "\r\n";
+    for (std::int64_t number = run.resumed_after + 1; number <= last; ++number) {
+        const bool passed = stream.wait_for_pass(steady_clock::now() + stall);
+        const bool alive = connection.work_for(milliseconds(0)) && (!mute || number == 1);
+        if (!passed || !alive || number > cut_after) {
+            // A mute server keeps the connection, the others break off.
+            static_cast<void>(mute && alive && connection.work_for(mute_time));
+            connection.reset();
+            return;
+        }
+        absl::StrAppend(&text, chunk(absl::StrCat("id: ", number, "\ndata: ",
+                                                  expected_event(run.request_id, number), "\n\n")));
+        if (!connection.write(text)) {
+            return;
+        }
+        text.clear();
+    }
+    connection.write("0\r\n\r\n");
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -0,0 +1,144 @@
+// A backend server as our programs meet it: a plain service, or the model server of one rank.
+//
+//     backend_emulator server({.id = "i-1", .service = "till", .local = at}, hooks);
+//     server.set_trouble({.error_share = 0.3});
+//     server.stop();       // as abrupt as a kill
+//     server.start("i-2");
+//
+// Each run of a request is told to the hooks, whose owner checks the promises. Thread-safe.
+
+#ifndef SARDINESTREAM_TESTING_EMULATOR_BACKEND_EMULATOR_H_
+#define SARDINESTREAM_TESTING_EMULATOR_BACKEND_EMULATOR_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "sardinestream/testing/emulator/connection_server.h"
+#include "sardinestream/testing/emulator/rank_group.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/status.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream::testing {
+
+// How a server misbehaves: shares of its requests, 0 to 1.
+struct backend_trouble {
+    double slowness = 1;
+    // Answers 500 after the run.
+    double error_share = 0;
+    // Refuses without a run, as if it were full.
+    double refusal_share = 0;
+    // Breaks off in the middle of its answer.
+    double cut_share = 0;
+    // Runs the request and never answers.
+    double mute_share = 0;
+    // Sends another answer behind the whole one.
+    double surplus_share = 0;
+    // Orders of agents that get no answer and are carried out late.
+    double late_order_share = 0;
+
+    friend bool operator==(const backend_trouble&, const backend_trouble&) = default;
+};
+
+// A request that a server has begun to run.
+struct begun_run {
+    std::string request_id;
+    std::string server_id;
+    std::string service;
+    std::string method;
+    std::string target;
+    std::string body;
+    std::string team;
+    // Zero for a stream from its beginning.
+    std::int64_t resumed_after = 0;
+};
+
+struct backend_hooks {
+    std::function<void(const begun_run& run)> on_begin;
+    // The server works no more on a request.
+    std::function<void(const std::string& request_id)> on_end;
+    // A request has reached the server, whether it runs or not.
+    std::function<void(const std::string& request_id, const std::string& service)> on_arrival;
+};
+
+struct backend_options {
+    std::string id;
+    std::string service;
+    std::string data_centre;
+    address local;
+    int slots = 8;
+    std::chrono::milliseconds work_time{20};
+    // Set for model servers.
+    rank_group* group = nullptr;
+    int rank = 0;
+};
+
+// The whole answer of a sound server to a plain request.
+[[nodiscard]] std::string expected_answer(const std::string& request_id, const std::string& target,
+                                          const std::string& body);
+// The data of one event of a stream.
+[[nodiscard]] std::string expected_event(const std::string& request_id, std::int64_t number);
+// The number of events that a stream's target asks for.
+[[nodiscard]] std::int64_t events_of(const std::string& target);
+
+class backend_emulator {
+public:
+    // Does not listen yet.
+    backend_emulator(backend_options chosen, backend_hooks given);
+    ~backend_emulator();
+    backend_emulator(const backend_emulator&) = delete;
+    backend_emulator& operator=(const backend_emulator&) = delete;
+
+    // Starts under an id, its own or a new one.
+    [[nodiscard]] absl::Status start(const std::string& id);
+    // Ends at once, with every request that it runs.
+    void stop();
+    [[nodiscard]] bool is_running() const;
+
+    void set_trouble(const backend_trouble& wanted);
+    // A leaving server serves on.
+    void set_draining(bool leaves);
+
+    // What the server writes about itself into the store, given the address where it is reached.
+    [[nodiscard]] nlohmann::json entry(const address& reached_at) const;
+    [[nodiscard]] std::string id() const;
+    [[nodiscard]] const backend_options& described() const { return this->options; }
+
+private:
+    void serve(served_connection& connection);
+    void answer_call(served_connection& connection, const emulated_request& request);
+    void answer_order(served_connection& connection, const emulated_request& request);
+    void answer_request(served_connection& connection, const emulated_request& request);
+    void run_plain(served_connection& connection, const emulated_request& request,
+                   const http_headers& headers);
+    void run_stream(served_connection& connection, const emulated_request& request,
+                    const http_headers& headers);
+    [[nodiscard]] begun_run describe(const emulated_request& request) const;
+    [[nodiscard]] backend_trouble trouble() const;
+    [[nodiscard]] bool happens(double share);
+
+    const backend_options options;
+    const backend_hooks hooks;
+    std::atomic<int> running = 0;
+    mutable absl::Mutex mutex;
+    std::string own_id ABSL_GUARDED_BY(mutex);
+    std::int64_t born_ms ABSL_GUARDED_BY(mutex) = 0;
+    bool draining ABSL_GUARDED_BY(mutex) = false;
+    backend_trouble current ABSL_GUARDED_BY(mutex);
+    std::mt19937 random ABSL_GUARDED_BY(mutex){std::random_device()()};
+    // Orders that are carried out late.
+    thread_group late_orders;
+    std::unique_ptr<connection_server> server ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_EMULATOR_BACKEND_EMULATOR_H_
--- /dev/null
+++ b/sardinestream/testing/emulator/connection_server.cc
@@ -0,0 +1,172 @@
+#include "sardinestream/testing/emulator/connection_server.h"
+
+#include <utility>
+
+#include <sys/socket.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds accept_interval{50};
+constexpr milliseconds work_step{5};
+// A peer that sends or takes nothing for so long is given up.
+constexpr std::chrono::seconds longest_exchange{20};
+constexpr std::size_t largest_body = 8U << 20U;
+
+} // namespace
+
+std::string emulated_request::header(absl::string_view name) const
+{
+    const std::optional<absl::string_view> value = find_header(this->head.headers, name);
+    return value.has_value() ? std::string(*value) : "";
+}
+
+std::string emulated_request::path() const
+{
+    return this->head.target.substr(0, this->head.target.find('?'));
+}
+
+std::string emulated_request::parameter(absl::string_view name) const
+{
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(this->head.target, absl::MaxSplits('?', 1));
+    for (const absl::string_view one : absl::StrSplit(parts.second, '&')) {
+        const std::pair<absl::string_view, absl::string_view> pair =
+            absl::StrSplit(one, absl::MaxSplits('=', 1));
+        if (pair.first == name) {
+            return std::string(pair.second);
+        }
+    }
+    return "";
+}
+
+served_connection::served_connection(tcp_socket accepted)
+    : socket(std::move(accepted)), reader(socket)
+{
+}
+
+bool served_connection::read(emulated_request& request)
+{
+    if (this->finished) {
+        return false;
+    }
+    const steady_time deadline = steady_clock::now() + longest_exchange;
+    absl::StatusOr<http_request_head> head =
+        this->reader.read_request_head(message_limits{}, deadline);
+    if (!head.ok()) {
+        return false;
+    }
+    request.head = *std::move(head);
+    request.body.clear();
+    return this->reader.read_body(largest_body, request.body, deadline, hangup_watch()).ok();
+}
+
+bool served_connection::write(absl::string_view bytes)
+{
+    return !this->finished &&
+           this->socket.write_all(bytes, steady_clock::now() + longest_exchange, hangup_watch())
+               .ok();
+}
+
+bool served_connection::answer(int status, const http_headers& headers, absl::string_view body)
+{
+    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", reason_phrase(status), "\r\n");
+    for (const http_header& header : headers) {
+        append_header(text, header.name, header.value);
+    }
+    append_header(text, "Content-Length", absl::StrCat(body.size()));
+    return this->write(absl::StrCat(text, "\r\n", body));
+}
+
+bool served_connection::has_hung_up() const
+{
+    return this->finished || hangup_watch(this->socket.descriptor()).has_hung_up();
+}
+
+bool served_connection::work_for(milliseconds duration)
+{
+    const steady_time end = steady_clock::now() + duration;
+    while (steady_clock::now() < end) {
+        if (this->has_hung_up()) {
+            return false;
+        }
+        std::this_thread::sleep_until(std::min(end, steady_clock::now() + work_step));
+    }
+    return !this->has_hung_up();
+}
+
+void served_connection::reset()
+{
+    const linger abrupt = {1, 0};
+    ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_LINGER, &abrupt, sizeof(abrupt));
+    this->finished = true;
+}
+
+absl::StatusOr<std::unique_ptr<connection_server>> connection_server::start(const address& local,
+                                                                            handler served)
+{
+    absl::StatusOr<tcp_listener> bound = tcp_listener::bind(local);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    std::unique_ptr<connection_server> made(
+        new connection_server(*std::move(bound), std::move(served)));
+    made->acceptor = std::thread([raw = made.get()] { raw->accept_connections(); });
+    return made;
+}
+
+connection_server::connection_server(tcp_listener bound, handler given)
+    : listener(std::move(bound)), served(std::move(given))
+{
+}
+
+connection_server::~connection_server()
+{
+    this->stopping = true;
+    this->acceptor.join();
+    {
+        const absl::MutexLock lock(&this->mutex);
+        for (const int descriptor : this->open) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    this->threads.wait_until_empty(absl::InfiniteFuture());
+}
+
+void connection_server::accept_connections()
+{
+    while (!this->stopping) {
+        absl::StatusOr<tcp_socket> accepted =
+            this->listener.accept(steady_clock::now() + accept_interval);
+        if (!accepted.ok()) {
+            continue;
+        }
+        auto socket = std::make_shared<tcp_socket>(*std::move(accepted));
+        // Where the system has no thread left, the connection just ends.
+        static_cast<void>(this->threads.spawn([this, socket] { this->serve(std::move(*socket)); }));
+    }
+}
+
+void connection_server::serve(tcp_socket accepted)
+{
+    const int descriptor = accepted.descriptor();
+    served_connection connection(std::move(accepted));
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->stopping) {
+            return;
+        }
+        this->open.insert(descriptor);
+    }
+    this->served(connection);
+    // The descriptor is closed after it has left the set, so nobody shuts down its next owner.
+    const absl::MutexLock lock(&this->mutex);
+    this->open.erase(descriptor);
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/emulator/store_emulator_test.cc
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/platform/store_client.h"
+#include "sardinestream/testing/emulator/store_emulator.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+class store_emulator_test : public ::testing::Test {
+protected:
+    const std::unique_ptr<store_emulator> store = *store_emulator::start({"127.0.0.1", 0});
+    platform::store_client client{store->local()};
+};
+
+TEST_F(store_emulator_test, lists_what_was_put)
+{
+    this->store->put("servers", "i-1", {{"service", "till"}});
+    const auto listed = this->client.list("servers", milliseconds(1000));
+    ASSERT_TRUE(listed.ok()) << listed.status();
+    ASSERT_EQ(listed->objects.size(), 1U);
+    EXPECT_EQ(listed->objects[0].name, "i-1");
+    EXPECT_EQ(listed->objects[0].specification, R"({"service":"till"})");
+}
+
+TEST_F(store_emulator_test, a_watch_tells_changes_and_removals_in_order)
+{
+    const std::int64_t first = this->store->put("servers", "i-1", {{"slots", 1}});
+    this->store->put("servers", "i-1", {{"slots", 2}});
+    this->store->remove("servers", "i-1");
+    const auto changes =
+        this->client.watch("servers", first, milliseconds(1000), milliseconds(1000));
+    ASSERT_TRUE(changes.ok()) << changes.status();
+    ASSERT_EQ(changes->changes.size(), 2U);
+    EXPECT_FALSE(changes->changes[0].removed);
+    EXPECT_TRUE(changes->changes[1].removed);
+}
+
+TEST_F(store_emulator_test, a_put_that_changes_nothing_is_no_change)
+{
+    const std::int64_t first = this->store->put("config", "main", {{"version", 1}});
+    EXPECT_EQ(this->store->put("config", "main", {{"version", 1}}), first);
+}
+
+TEST_F(store_emulator_test, a_watch_from_a_dropped_history_must_list_again)
+{
+    const std::int64_t first = this->store->put("servers", "i-1", {{"slots", 1}});
+    this->store->compact();
+    EXPECT_TRUE(absl::IsOutOfRange(
+        this->client.watch("servers", first, milliseconds(10), milliseconds(1000)).status()));
+}
+
+TEST_F(store_emulator_test, each_trouble_fails_a_list)
+{
+    for (const store_trouble trouble : {store_trouble::busy, store_trouble::limited,
+                                        store_trouble::reset, store_trouble::silent}) {
+        this->store->set_trouble(trouble);
+        EXPECT_FALSE(this->client.list("servers", milliseconds(100)).ok());
+    }
+    this->store->set_trouble(store_trouble::none);
+    EXPECT_TRUE(this->client.list("servers", milliseconds(1000)).ok());
+}
+
+} // namespace
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -0,0 +1,142 @@
+#include "sardinestream/testing/soak/fault_series.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::array planned_kinds = {soak_fault_kind::entry_stop, soak_fault_kind::entry_reload,
+                                      soak_fault_kind::config_change,
+                                      soak_fault_kind::server_leave};
+constexpr std::array all_kinds = {
+    soak_fault_kind::entry_stop,   soak_fault_kind::entry_reload,   soak_fault_kind::config_change,
+    soak_fault_kind::server_leave, soak_fault_kind::entry_kill,     soak_fault_kind::entry_freeze,
+    soak_fault_kind::agent_stop,   soak_fault_kind::agent_kill,     soak_fault_kind::agent_freeze,
+    soak_fault_kind::server_crash, soak_fault_kind::server_trouble, soak_fault_kind::server_link,
+    soak_fault_kind::store_link,   soak_fault_kind::store_trouble,  soak_fault_kind::entries_lapse,
+    soak_fault_kind::late_orders,  soak_fault_kind::demand_shift};
+
+constexpr milliseconds shortest_fault{200};
+constexpr milliseconds fault_range{2500};
+// A series repeats its fault after about this time.
+constexpr milliseconds series_gap{500};
+constexpr int least_series = 4;
+constexpr int series_range = 6;
+constexpr int longest_series = 3;
+constexpr int planned_only_every = 3;
+
+std::string name_of(soak_fault_kind kind)
+{
+    switch (kind) {
+    case soak_fault_kind::entry_stop:
+        return "entry_stop";
+    case soak_fault_kind::entry_reload:
+        return "entry_reload";
+    case soak_fault_kind::config_change:
+        return "config_change";
+    case soak_fault_kind::server_leave:
+        return "server_leave";
+    case soak_fault_kind::entry_kill:
+        return "entry_kill";
+    case soak_fault_kind::entry_freeze:
+        return "entry_freeze";
+    case soak_fault_kind::agent_stop:
+        return "agent_stop";
+    case soak_fault_kind::agent_kill:
+        return "agent_kill";
+    case soak_fault_kind::agent_freeze:
+        return "agent_freeze";
+    case soak_fault_kind::server_crash:
+        return "server_crash";
+    case soak_fault_kind::server_trouble:
+        return "server_trouble";
+    case soak_fault_kind::server_link:
+        return "server_link";
+    case soak_fault_kind::store_link:
+        return "store_link";
+    case soak_fault_kind::store_trouble:
+        return "store_trouble";
+    case soak_fault_kind::entries_lapse:
+        return "entries_lapse";
+    case soak_fault_kind::late_orders:
+        return "late_orders";
+    case soak_fault_kind::demand_shift:
+        return "demand_shift";
+    }
+    return "";
+}
+
+int targets_of(soak_fault_kind kind, const soak_size& size)
+{
+    switch (kind) {
+    case soak_fault_kind::entry_stop:
+    case soak_fault_kind::entry_reload:
+    case soak_fault_kind::entry_kill:
+    case soak_fault_kind::entry_freeze:
+    case soak_fault_kind::store_link:
+        return size.entries;
+    case soak_fault_kind::agent_stop:
+    case soak_fault_kind::agent_kill:
+    case soak_fault_kind::agent_freeze:
+        return size.model_servers;
+    case soak_fault_kind::server_leave:
+        return size.plain_servers;
+    default:
+        return size.model_servers + size.plain_servers;
+    }
+}
+
+} // namespace
+
+bool soak_fault::is_planned() const
+{
+    return std::find(planned_kinds.begin(), planned_kinds.end(), this->kind) != planned_kinds.end();
+}
+
+std::string soak_fault::to_string() const
+{
+    return absl::StrCat("at=", this->at.count(), "ms kind=", name_of(this->kind),
+                        " target=", this->target, " for=", this->duration.count(),
+                        "ms variant=", this->variant);
+}
+
+std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size, milliseconds length)
+{
+    std::mt19937 random(seed);
+    const auto draw = [&](int below) {
+        return std::uniform_int_distribution<int>(0, std::max(0, below - 1))(random);
+    };
+    const bool planned_only = seed % planned_only_every == 0;
+    std::vector<soak_fault> faults;
+    const int series = least_series + draw(series_range);
+    for (int i = 0; i < series; ++i) {
+        soak_fault fault;
+        fault.kind = planned_only
+                         ? planned_kinds[static_cast<std::size_t>(draw(planned_kinds.size()))]
+                         : all_kinds[static_cast<std::size_t>(draw(all_kinds.size()))];
+        fault.at = milliseconds(draw(static_cast<int>(length.count() * 3 / 4)));
+        const int repeats = 1 + draw(longest_series);
+        for (int repeat = 0; repeat < repeats; ++repeat) {
+            fault.target = draw(targets_of(fault.kind, size));
+            fault.variant = std::uniform_real_distribution<double>(0, 1)(random);
+            fault.duration =
+                std::min(shortest_fault + milliseconds(draw(static_cast<int>(fault_range.count()))),
+                         length - fault.at);
+            if (fault.at < length) {
+                faults.push_back(fault);
+            }
+            fault.at += series_gap / 2 + milliseconds(draw(static_cast<int>(series_gap.count())));
+        }
+    }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const soak_fault& a, const soak_fault& b) { return a.at < b.at; });
+    return faults;
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/fault_series.h
@@ -0,0 +1,66 @@
+// The faults of one soak run, drawn from its seed: which, when, how long, at what.
+//
+//     for (const soak_fault& fault : draw_faults(seed, fleet)) { ... }
+//
+// Faults come in series and overlap; signals repeat. A third of the seeds draw planned work alone,
+// so that what holds only away from trouble is checked throughout. Pure functions.
+
+#ifndef SARDINESTREAM_TESTING_SOAK_FAULT_SERIES_H_
+#define SARDINESTREAM_TESTING_SOAK_FAULT_SERIES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sardinestream::testing {
+
+enum class soak_fault_kind : std::uint8_t {
+    // Planned: promises hold through them.
+    entry_stop,
+    entry_reload,
+    config_change,
+    server_leave,
+    // Unplanned.
+    entry_kill,
+    entry_freeze,
+    agent_stop,
+    agent_kill,
+    agent_freeze,
+    server_crash,
+    server_trouble,
+    server_link,
+    store_link,
+    store_trouble,
+    entries_lapse,
+    late_orders,
+    demand_shift,
+};
+
+// What a fault needs to know of the fleet.
+struct soak_size {
+    int entries = 2;
+    int model_servers = 4;
+    int plain_servers = 4;
+};
+
+struct soak_fault {
+    soak_fault_kind kind = soak_fault_kind::entry_reload;
+    std::chrono::milliseconds at{0};
+    std::chrono::milliseconds duration{0};
+    // Which of the entries, agents or servers.
+    int target = 0;
+    // Chooses among the variants of the kind; 0 to 1.
+    double variant = 0;
+
+    [[nodiscard]] bool is_planned() const;
+    [[nodiscard]] std::string to_string() const;
+};
+
+// Returns the faults by time. `length` is the time in which they begin and end.
+[[nodiscard]] std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size,
+                                                  std::chrono::milliseconds length);
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_SOAK_FAULT_SERIES_H_
--- /dev/null
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -0,0 +1,276 @@
+#include "sardinestream/testing/soak/promise_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that works on for so long after its caller has left has not been told.
+constexpr milliseconds leave_bound{500};
+constexpr int least_late_ends = 4;
+constexpr double most_late_ends = 0.25;
+constexpr std::chrono::seconds budget_window{10};
+// A request that was sent so shortly before its connection ended may never have been read.
+constexpr milliseconds close_crossing{200};
+// Trouble shows for so long after it has ended.
+constexpr milliseconds trouble_echo{3000};
+
+bool says_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+void promise_ledger::note_sent(const sent_request& request)
+{
+    const absl::MutexLock lock(&this->mutex);
+    request_record& record = this->requests[request.id];
+    record.request = request;
+    record.sent_at = steady_clock::now();
+}
+
+void promise_ledger::note_answer(const std::string& id, int status)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->requests[id].status = status;
+}
+
+void promise_ledger::note_left(const std::string& id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    request_record& record = this->requests[id];
+    record.left = true;
+    record.left_at = steady_clock::now();
+}
+
+void promise_ledger::note_lost(const std::string& id, const std::string& entry)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const request_record& record = this->requests[id];
+    // One that crosses the close is not lost.
+    const bool was_taken =
+        !record.runs.empty() || steady_clock::now() - record.sent_at > close_crossing;
+    if (was_taken && this->stops.count(entry) != 0 &&
+        this->is_calm(record.sent_at - trouble_echo, steady_clock::now())) {
+        this->broken.push_back(absl::StrCat("lost: ", id, " ", record.request.target,
+                                            " without an answer at the planned stop of ", entry));
+    }
+}
+
+void promise_ledger::note_broken(const std::string& what)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->broken.push_back(what);
+}
+
+void promise_ledger::note_arrival(const std::string& id, const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return;
+    }
+    this->arrivals[service].push_back({steady_clock::now(), found->second.arrivals++ == 0});
+}
+
+void promise_ledger::note_begun(const begun_run& run)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->requests.find(run.request_id);
+    if (found == this->requests.end()) {
+        this->broken.push_back(absl::StrCat("unasked: ", run.server_id, " runs ", run.request_id,
+                                            " ", run.target, ", which nobody sent"));
+        return;
+    }
+    this->check_run(found->second, run);
+    found->second.runs.push_back(run);
+}
+
+void promise_ledger::note_ended(const std::string& id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->requests[id].last_end = steady_clock::now();
+}
+
+void promise_ledger::check_run(const request_record& record, const begun_run& run)
+{
+    const sent_request& sent = record.request;
+    if (run.method != sent.method || run.target != sent.target || run.body != sent.body) {
+        this->broken.push_back(absl::StrCat("unasked: ", sent.id, " was changed on its way"));
+    }
+    if (run.team != sent.team) {
+        this->broken.push_back(
+            absl::StrCat("unasked: ", sent.id, " runs for team ", run.team, ", not ", sent.team));
+    }
+    if (sent.service.empty()) {
+        this->check_moving(record, run);
+        return;
+    }
+    if (run.service != sent.service) {
+        this->broken.push_back(
+            absl::StrCat("route: ", sent.id, " runs at ", run.service, ", not ", sent.service));
+    }
+}
+
+void promise_ledger::check_moving(const request_record& record, const begun_run& run)
+{
+    // Allowed is each service that was in force, or on its way, when the request was sent.
+    const steady_time settled = record.sent_at - this->options.config_bound;
+    std::string before;
+    bool allowed = false;
+    for (const config_change& change : this->configs) {
+        if (change.at <= settled) {
+            before = change.service;
+            continue;
+        }
+        allowed = allowed || change.service == run.service;
+    }
+    allowed = allowed || before == run.service;
+    if (!allowed && this->is_calm(settled - trouble_echo, steady_clock::now())) {
+        this->broken.push_back(absl::StrCat("config: ", record.request.id, " runs at ", run.service,
+                                            " long after the route has left it"));
+    }
+}
+
+void promise_ledger::note_trouble(steady_time until)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->troubles.push_back({steady_clock::now(), until + trouble_echo});
+}
+
+void promise_ledger::note_planned_stop(const std::string& entry)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->stops[entry] = steady_clock::now();
+}
+
+void promise_ledger::note_config(const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->configs.push_back({steady_clock::now(), service});
+}
+
+bool promise_ledger::is_calm(steady_time begin, steady_time end) const
+{
+    return std::none_of(this->troubles.begin(), this->troubles.end(), [&](const span& trouble) {
+        return trouble.begin <= end && trouble.end >= begin;
+    });
+}
+
+void promise_ledger::judge_request(const request_record& record,
+                                   std::vector<std::string>& all) const
+{
+    const sent_request& sent = record.request;
+    const auto runs = static_cast<int>(record.runs.size());
+    if (sent.kind == soak_kind::non_idempotent && runs > 1) {
+        all.push_back(absl::StrCat("twice: ", sent.id, " ", sent.target, " ran ", runs, " times"));
+    }
+    if (runs > sent.most_servers) {
+        all.push_back(absl::StrCat("attempts: ", sent.id, " ran on ", runs, " servers, allowed ",
+                                   sent.most_servers));
+    }
+    if (says_not_run(record.status) && runs > 0) {
+        all.push_back(absl::StrCat("refused: ", sent.id, " ", sent.target, " was answered ",
+                                   record.status, " and ran"));
+    }
+}
+
+void promise_ledger::judge_left(std::vector<std::string>& all) const
+{
+    int begun = 0;
+    int late = 0;
+    std::string example;
+    for (const auto& [id, record] : this->requests) {
+        if (!record.left || record.runs.empty() ||
+            record.request.kind == soak_kind::non_idempotent ||
+            !this->is_calm(record.left_at - trouble_echo, record.left_at + leave_bound)) {
+            continue;
+        }
+        ++begun;
+        const bool ended_late = record.last_end > record.left_at + leave_bound;
+        late += ended_late ? 1 : 0;
+        example = ended_late ? id : example;
+    }
+    if (late >= least_late_ends && late > most_late_ends * begun) {
+        all.push_back(absl::StrCat("left: servers worked on at ", late, " of ", begun,
+                                   " requests whose callers had left, such as ", example));
+    }
+}
+
+void promise_ledger::judge_budget(std::vector<std::string>& all) const
+{
+    for (const auto& [service, list] : this->arrivals) {
+        int most_beyond = 0;
+        for (std::size_t first = 0; first < list.size(); ++first) {
+            int beyond = 0;
+            int requests = 0;
+            for (std::size_t i = first;
+                 i < list.size() && list[i].at < list[first].at + budget_window; ++i) {
+                (list[i].first ? requests : beyond) += 1;
+            }
+            const int over =
+                beyond - static_cast<int>(std::floor(this->options.retry_ratio * requests +
+                                                     this->options.retry_slack));
+            most_beyond = std::max(most_beyond, over);
+        }
+        if (most_beyond > 0) {
+            all.push_back(absl::StrCat("budget: ", service, " got ", most_beyond,
+                                       " arrivals beyond its budget of a window"));
+        }
+    }
+}
+
+std::vector<std::string> promise_ledger::judge() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<std::string> all = this->broken;
+    for (const auto& [id, record] : this->requests) {
+        this->judge_request(record, all);
+    }
+    this->judge_left(all);
+    this->judge_budget(all);
+    return all;
+}
+
+promise_ledger::totals promise_ledger::count() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    totals all;
+    for (const auto& [id, record] : this->requests) {
+        ++all.sent;
+        all.runs += static_cast<int>(record.runs.size());
+        all.left += record.left ? 1 : 0;
+        all.succeeded += is_success(record.status) ? 1 : 0;
+        all.not_run += says_not_run(record.status) ? 1 : 0;
+        all.failed += !record.left && !is_success(record.status) && !says_not_run(record.status);
+    }
+    return all;
+}
+
+double promise_ledger::success_share(steady_time since) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    int answered = 0;
+    int succeeded = 0;
+    for (const auto& [id, record] : this->requests) {
+        if (record.sent_at < since || record.left) {
+            continue;
+        }
+        ++answered;
+        succeeded += is_success(record.status) ? 1 : 0;
+    }
+    return answered == 0 ? 0 : static_cast<double>(succeeded) / answered;
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -0,0 +1,142 @@
+// What callers sent and got and what servers ran, and whether that keeps the promises:
+//
+//   - a server runs only what a caller sent, under the service and the team that it belongs to;
+//   - a request that is not idempotent runs at most once, any other on no more servers than its
+//     route allows;
+//   - an answer that says "not run" is true, then and later;
+//   - a success is the whole answer of the server, a stream has all its events once and in order;
+//   - servers stop soon after the caller has left;
+//   - attempts beyond the first stay within the budget;
+//   - a planned stop loses no request;
+//   - a change of the desired state is in force within its bound.
+//
+//     ledger.note_sent(request);
+//     ledger.note_begun(run);
+//     ledger.note_answer(id, 503);
+//     for (const std::string& broken : ledger.judge()) { ... }
+//
+// Some promises hold only away from unplanned trouble: `note_trouble` says when there was some.
+// Thread-safe.
+
+#ifndef SARDINESTREAM_TESTING_SOAK_PROMISE_LEDGER_H_
+#define SARDINESTREAM_TESTING_SOAK_PROMISE_LEDGER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sardinestream/http/socket.h"
+#include "sardinestream/testing/emulator/backend_emulator.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream::testing {
+
+enum class soak_kind : std::uint8_t { idempotent, non_idempotent, streaming };
+
+struct sent_request {
+    std::string id;
+    soak_kind kind = soak_kind::idempotent;
+    std::string method;
+    std::string target;
+    std::string body;
+    std::string team;
+    // Empty where any service of a moving route may run it.
+    std::string service;
+    int most_servers = 1;
+};
+
+struct ledger_options {
+    double retry_ratio = 0.2;
+    double retry_slack = 20;
+    std::chrono::milliseconds config_bound{3000};
+};
+
+class promise_ledger {
+public:
+    explicit promise_ledger(ledger_options chosen) : options(chosen) {}
+
+    void note_sent(const sent_request& request);
+    void note_answer(const std::string& id, int status);
+    void note_left(const std::string& id);
+    // The connection ended without an answer after the request was written whole.
+    void note_lost(const std::string& id, const std::string& entry);
+    void note_broken(const std::string& what);
+
+    void note_arrival(const std::string& id, const std::string& service);
+    void note_begun(const begun_run& run);
+    void note_ended(const std::string& id);
+
+    // Unplanned trouble anywhere, from now until `until`.
+    void note_trouble(steady_time until);
+    void note_planned_stop(const std::string& entry);
+    // The store has taken a desired state in which the moving route leads to `service`.
+    void note_config(const std::string& service);
+
+    // Each broken promise in a line.
+    [[nodiscard]] std::vector<std::string> judge() const;
+
+    struct totals {
+        int sent = 0;
+        int succeeded = 0;
+        int not_run = 0;
+        int failed = 0;
+        int left = 0;
+        int runs = 0;
+    };
+    [[nodiscard]] totals count() const;
+    // Successes against answers of requests that were sent since `since`, 0 to 1.
+    [[nodiscard]] double success_share(steady_time since) const;
+
+private:
+    struct request_record {
+        sent_request request;
+        steady_time sent_at{};
+        int status = 0;
+        bool left = false;
+        steady_time left_at{};
+        int arrivals = 0;
+        std::vector<begun_run> runs;
+        steady_time last_end{};
+    };
+    struct arrival {
+        steady_time at{};
+        bool first = false;
+    };
+    struct span {
+        steady_time begin{};
+        steady_time end{};
+    };
+    struct config_change {
+        steady_time at{};
+        std::string service;
+    };
+
+    void check_run(const request_record& record, const begun_run& run)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void check_moving(const request_record& record, const begun_run& run)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool is_calm(steady_time begin, steady_time end) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void judge_request(const request_record& record, std::vector<std::string>& all) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void judge_left(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void judge_budget(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    const ledger_options options;
+    mutable absl::Mutex mutex;
+    std::map<std::string, request_record> requests ABSL_GUARDED_BY(mutex);
+    // By service.
+    std::map<std::string, std::vector<arrival>> arrivals ABSL_GUARDED_BY(mutex);
+    std::vector<span> troubles ABSL_GUARDED_BY(mutex);
+    std::map<std::string, steady_time> stops ABSL_GUARDED_BY(mutex);
+    std::vector<config_change> configs ABSL_GUARDED_BY(mutex);
+    std::vector<std::string> broken ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_SOAK_PROMISE_LEDGER_H_
--- /dev/null
+++ b/sardinestream/testing/soak/requester.cc
@@ -0,0 +1,260 @@
+#include "sardinestream/testing/soak/requester.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "sardinestream/testing/emulator/wire_words.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds connect_timeout{1000};
+constexpr milliseconds pause_after_failure{60};
+constexpr milliseconds longest_pause{500};
+// An answer may be so much later than its timeout.
+constexpr milliseconds timeout_slack{1500};
+constexpr std::size_t largest_answer = 1U << 20U;
+constexpr int largest_body = 20000;
+constexpr int most_events = 30;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+requester::requester(requester_options chosen, promise_ledger& shared)
+    : options(std::move(chosen)), ledger(shared), random(options.seed)
+{
+}
+
+requester::~requester()
+{
+    this->stop();
+}
+
+void requester::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void requester::stop()
+{
+    this->stopping = true;
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+double requester::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+void requester::run()
+{
+    while (!this->stopping) {
+        const milliseconds wait = this->send_one();
+        const auto spread = milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(this->options.pause.count()) * (0.5 + this->draw())));
+        std::this_thread::sleep_for(wait + spread);
+    }
+}
+
+sent_request requester::draw_request()
+{
+    sent_request request;
+    const int number = ++this->sent;
+    request.id = absl::StrCat(this->options.name, "-", number);
+    request.team = this->options.team;
+    request.body.assign(static_cast<std::size_t>(this->draw() * this->draw() * largest_body), 'b');
+    const double kind = this->draw();
+    if (kind < 0.35) {
+        request.kind = soak_kind::streaming;
+        request.method = "POST";
+        request.target = absl::StrCat("/chat/", 1 + static_cast<int>(this->draw() * most_events));
+        request.service = "assistant";
+        request.most_servers = 3;
+        return request;
+    }
+    if (kind < 0.6) {
+        request.kind = soak_kind::non_idempotent;
+        request.method = "POST";
+        request.target = absl::StrCat("/deposits/", number);
+        request.service = "till-a";
+        request.most_servers = 3;
+        return request;
+    }
+    request.method = "GET";
+    request.body.clear();
+    request.most_servers = 3;
+    request.target = absl::StrCat(kind < 0.8 ? "/stock/" : "/moving/", number);
+    request.service = kind < 0.8 ? "till-a" : "";
+    return request;
+}
+
+bool requester::connect()
+{
+    const address entry = this->options.choose_entry(this->draw());
+    absl::StatusOr<tcp_socket> socket =
+        tcp_socket::connect(entry, steady_clock::now() + connect_timeout, hangup_watch());
+    if (!socket.ok()) {
+        return false;
+    }
+    this->open = std::make_unique<connection>(*std::move(socket), entry);
+    return true;
+}
+
+std::string requester::encode(const sent_request& request)
+{
+    std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    append_header(text, "Host", this->options.host);
+    append_header(text, words::request_id, request.id);
+    append_header(text, words::authorization, absl::StrCat(words::key_scheme, this->options.key));
+    append_header(text, words::time_left_ms, absl::StrCat(this->options.timeout.count()));
+    if (request.method == "POST" && this->draw() < 0.3) {
+        append_header(text, "Transfer-Encoding", "chunked");
+        const std::string chunk =
+            request.body.empty()
+                ? ""
+                : absl::StrCat(absl::Hex(request.body.size()), "\r\n", request.body, "\r\n");
+        return absl::StrCat(text, "\r\n", chunk, "0\r\n\r\n");
+    }
+    if (request.method == "POST") {
+        append_header(text, "Content-Length", absl::StrCat(request.body.size()));
+    }
+    return absl::StrCat(text, "\r\n", request.body);
+}
+
+milliseconds requester::send_one()
+{
+    if (this->open == nullptr && !this->connect()) {
+        return pause_after_failure;
+    }
+    const sent_request request = this->draw_request();
+    const bool leaves = this->draw() < this->options.leaving_share;
+    const steady_time begun = steady_clock::now();
+    const steady_time timeout = begun + this->options.timeout + timeout_slack;
+    const steady_time until =
+        leaves ? begun + milliseconds(static_cast<std::int64_t>(this->draw() * 200)) : timeout;
+    this->ledger.note_sent(request);
+    const std::string bytes = this->encode(request);
+    if (!this->open->socket.write_all(bytes, timeout, hangup_watch()).ok()) {
+        this->open.reset();
+        return pause_after_failure;
+    }
+    const absl::StatusOr<received_answer> answer = this->read_answer(request, until);
+    if (answer.ok() && answer->whole) {
+        this->ledger.note_answer(request.id, answer->status);
+        if (!answer->keeps) {
+            this->open.reset();
+        }
+        return std::min(answer->come_back, longest_pause);
+    }
+    if (leaves && absl::IsDeadlineExceeded(answer.status())) {
+        this->ledger.note_left(request.id);
+    }
+    else if (absl::IsNotFound(answer.status())) {
+        this->ledger.note_lost(request.id, this->open->entry.to_string());
+    }
+    this->open->socket.abort();
+    this->open.reset();
+    return pause_after_failure;
+}
+
+absl::StatusOr<requester::received_answer> requester::read_answer(const sent_request& request,
+                                                                  steady_time until)
+{
+    message_reader& reader = this->open->reader;
+    absl::Status waited = reader.wait_for_message(until);
+    if (!waited.ok()) {
+        return waited;
+    }
+    const absl::StatusOr<http_response_head> head =
+        reader.read_response_head(message_limits{}, false, until, hangup_watch());
+    if (!head.ok()) {
+        return head.status();
+    }
+    received_answer answer;
+    answer.status = head->status;
+    answer.keeps = head->keeps_alive();
+    const std::optional<absl::string_view> owner = find_header(head->headers, words::request_id);
+    if (owner.has_value() && *owner != request.id) {
+        this->ledger.note_broken(
+            absl::StrCat("mixed: ", request.id, " got the answer to ", *owner));
+    }
+    if (is_success(head->status) && !find_header(head->headers, words::signature).has_value()) {
+        this->ledger.note_broken(absl::StrCat("mixed: success without signature for ", request.id));
+    }
+    double seconds = 0;
+    const std::optional<absl::string_view> come_back = find_header(head->headers, "Retry-After");
+    if (come_back.has_value() && absl::SimpleAtod(*come_back, &seconds)) {
+        answer.come_back = milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    }
+    if (is_success(head->status) && request.kind == soak_kind::streaming) {
+        const absl::Status read = this->read_stream(request, until);
+        answer.whole = read.ok();
+        return read.ok() ? absl::StatusOr<received_answer>(answer) : read;
+    }
+    std::string body;
+    const absl::Status read = reader.read_body(largest_answer, body, until, hangup_watch());
+    if (!read.ok()) {
+        return read;
+    }
+    answer.whole = true;
+    this->check_body(request, head->status, body);
+    return answer;
+}
+
+void requester::check_body(const sent_request& request, int status, const std::string& body)
+{
+    if (is_success(status) && body != expected_answer(request.id, request.target, request.body)) {
+        this->ledger.note_broken(
+            absl::StrCat("mixed: ", request.id, " got another body: ", body.substr(0, 60)));
+    }
+}
+
+absl::Status requester::read_stream(const sent_request& request, steady_time until)
+{
+    std::string text;
+    std::int64_t next = 1;
+    while (true) {
+        const absl::StatusOr<bool> ended =
+            this->open->reader.read_body_part(text, until, hangup_watch());
+        if (!ended.ok()) {
+            return ended.status();
+        }
+        for (std::size_t end = text.find("\n\n"); end != std::string::npos;
+             end = text.find("\n\n")) {
+            const std::string event = text.substr(0, end);
+            text.erase(0, end + 2);
+            const std::string expected =
+                absl::StrCat("id: ", next, "\ndata: ", expected_event(request.id, next));
+            if (event != expected) {
+                this->ledger.note_broken(absl::StrCat("order: ", request.id, " expected event ",
+                                                      next, ", got ", event.substr(0, 40)));
+            }
+            ++next;
+        }
+        if (!*ended) {
+            continue;
+        }
+        if (next - 1 != events_of(request.target) || !text.empty()) {
+            this->ledger.note_broken(absl::StrCat("order: ", request.id, " looks complete after ",
+                                                  next - 1, " events of ",
+                                                  events_of(request.target)));
+        }
+        return absl::OkStatus();
+    }
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/requester.h
@@ -0,0 +1,98 @@
+// A caller that keeps its connection for as long as it may, sends requests of drawn kinds, leaves
+// some before their answer, and checks what it gets.
+//
+//     requester one(entries, ledger, seed);
+//     one.start();
+//     one.stop();
+//
+// One thread each.
+
+#ifndef SARDINESTREAM_TESTING_SOAK_REQUESTER_H_
+#define SARDINESTREAM_TESTING_SOAK_REQUESTER_H_
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "sardinestream/http/message_reader.h"
+#include "sardinestream/http/socket.h"
+#include "sardinestream/testing/soak/promise_ledger.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream::testing {
+
+// Where requests go and what they are.
+struct requester_options {
+    // Chooses the entry for a new connection; `draw` is uniform in [0, 1).
+    std::function<address(double draw)> choose_entry;
+    std::string host;
+    std::string key;
+    std::string team;
+    // Unique among the requesters of a run.
+    std::string name;
+    unsigned seed = 0;
+    std::chrono::milliseconds pause{40};
+    // Share of the requests that are left before their answer.
+    double leaving_share = 0.1;
+    // Answers later than this after their route's timeout break a promise.
+    std::chrono::milliseconds timeout{3000};
+};
+
+class requester {
+public:
+    requester(requester_options chosen, promise_ledger& shared);
+    ~requester();
+    requester(const requester&) = delete;
+    requester& operator=(const requester&) = delete;
+
+    void start();
+    void stop();
+
+private:
+    struct connection {
+        explicit connection(tcp_socket opened, address to)
+            : socket(std::move(opened)), reader(socket), entry(std::move(to))
+        {
+        }
+
+        tcp_socket socket;
+        message_reader reader;
+        const address entry;
+    };
+    // What the caller has of an answer when it stops reading.
+    struct received_answer {
+        int status = 0;
+        bool whole = false;
+        bool keeps = false;
+        std::chrono::milliseconds come_back{0};
+    };
+
+    void run();
+    [[nodiscard]] sent_request draw_request();
+    [[nodiscard]] bool connect();
+    // Returns how long to wait before the next request.
+    [[nodiscard]] std::chrono::milliseconds send_one();
+    [[nodiscard]] std::string encode(const sent_request& request);
+    [[nodiscard]] absl::StatusOr<received_answer> read_answer(const sent_request& request,
+                                                              steady_time until);
+    [[nodiscard]] absl::Status read_stream(const sent_request& request, steady_time until);
+    void check_body(const sent_request& request, int status, const std::string& body);
+    [[nodiscard]] double draw();
+
+    const requester_options options;
+    promise_ledger& ledger;
+    std::mt19937 random;
+    std::unique_ptr<connection> open;
+    int sent = 0;
+    std::atomic<bool> stopping = false;
+    std::thread thread;
+};
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_SOAK_REQUESTER_H_
--- /dev/null
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -0,0 +1,662 @@
+#include "sardinestream/testing/soak/soak_fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include <unistd.h>
+
+#include "sardinestream/base/error.h"
+#include "sardinestream/http/http_client.h"
+#include "sardinestream/testing/emulator/wire_words.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Second byte of the run's addresses on the loopback.
+constexpr int first_network = 10;
+constexpr int networks = 200;
+constexpr int claim_port = 20009;
+// Third byte.
+constexpr int entry_group = 1;
+constexpr int model_group = 2;
+constexpr int plain_group = 3;
+constexpr int store_group = 4;
+
+constexpr int front_port = 8080;
+constexpr int ready_port = 8081;
+constexpr int news_port = 7340;
+constexpr int server_port = 8228;
+constexpr int proxy_port = 8300;
+constexpr int store_port = 8223;
+
+constexpr int grace_s = 4;
+constexpr milliseconds ready_timeout{20000};
+constexpr milliseconds step{10};
+// A server that is gone leaves the list after this.
+constexpr milliseconds entry_lifetime{1200};
+// Longer than any request of the soak runs on a sound server.
+constexpr milliseconds drain_time{2000};
+constexpr milliseconds restart_pause{200};
+constexpr milliseconds second_notice{300};
+// Entries that lapsed in an outage are back this long after it.
+constexpr milliseconds relist_time{1200};
+constexpr int tastes = 16;
+
+link_trouble link_trouble_of(double variant)
+{
+    constexpr std::array kinds = {link_trouble::silent, link_trouble::silent_to_server,
+                                  link_trouble::silent_to_client, link_trouble::refused};
+    return kinds[std::min(kinds.size() - 1,
+                          static_cast<std::size_t>(variant * static_cast<double>(kinds.size())))];
+}
+
+backend_trouble backend_trouble_of(double variant)
+{
+    constexpr int kinds = 6;
+    backend_trouble trouble;
+    switch (static_cast<int>(variant * kinds)) {
+    case 0:
+        trouble.slowness = 6;
+        break;
+    case 1:
+        trouble.error_share = 0.4;
+        break;
+    case 2:
+        trouble.refusal_share = 0.5;
+        break;
+    case 3:
+        trouble.cut_share = 0.3;
+        break;
+    case 4:
+        trouble.mute_share = 0.3;
+        break;
+    default:
+        trouble.surplus_share = 0.5;
+        break;
+    }
+    return trouble;
+}
+
+json route_json(const std::string& name, const std::string& prefix, const std::string& kind,
+                const std::string& service)
+{
+    return {{"name", name},
+            {"host", soak_host},
+            {"path-prefix", prefix},
+            {"kind", kind},
+            {"service", service},
+            {"timeout-ms", 3000},
+            {"target-latency-ms", 300},
+            {"target-gap-ms", kind == "streaming" ? 200 : 0},
+            {"attempts", 3},
+            {"stream-resumption", kind == "streaming"}};
+}
+
+json engine_json(const rank_group_options& group)
+{
+    constexpr double megabytes = 10;
+    constexpr double bits = 8;
+    const double copy_s = static_cast<double>(group.copy_time_per_expert.count()) / 1000;
+    return {{"slots", 8},
+            {"stride", 1},
+            {"step_ms", group.pass_time.count()},
+            {"sets", group.shape.sets},
+            {"experts", group.shape.experts},
+            {"placements", group.shape.places},
+            {"spare", group.most_new_experts},
+            {"expert-mb", megabytes},
+            {"expert-share", 0.85},
+            {"link-mbps", megabytes * bits / copy_s}};
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<soak_fleet>> soak_fleet::create(const soak_size& size,
+                                                               promise_ledger& ledger)
+{
+    std::unique_ptr<soak_fleet> made(new soak_fleet(size, ledger));
+    SARDINE_RETURN_IF_ERROR(made->start());
+    return made;
+}
+
+soak_fleet::soak_fleet(const soak_size& wanted, promise_ledger& shared)
+    : size(wanted), ledger(shared)
+{
+}
+
+soak_fleet::~soak_fleet() = default;
+
+std::string soak_fleet::ip(int group, int number) const
+{
+    return absl::StrCat("127.", this->network, ".", group, ".", number);
+}
+
+address soak_fleet::entry_address(int index) const
+{
+    return {this->ip(entry_group, index + 1), front_port};
+}
+
+absl::Status soak_fleet::claim_network()
+{
+    for (int i = 0; i < networks; ++i) {
+        const int candidate = first_network + (static_cast<int>(::getpid()) + i) % networks;
+        absl::StatusOr<tcp_listener> listener =
+            tcp_listener::bind({absl::StrCat("127.", candidate, ".0.1"), claim_port});
+        if (listener.ok()) {
+            this->claim = std::make_unique<tcp_listener>(*std::move(listener));
+            this->network = candidate;
+            return absl::OkStatus();
+        }
+    }
+    return make_error(absl::StatusCode::kResourceExhausted, "start", "loopback", "no network left");
+}
+
+absl::Status soak_fleet::start()
+{
+    SARDINE_RETURN_IF_ERROR(this->claim_network());
+    absl::StatusOr<std::unique_ptr<store_emulator>> opened =
+        store_emulator::start({this->ip(store_group, 1), store_port});
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    this->store = *std::move(opened);
+    SARDINE_RETURN_IF_ERROR(this->start_servers());
+    this->write_config();
+    SARDINE_RETURN_IF_ERROR(this->start_programs());
+    return this->wait_until_ready();
+}
+
+absl::Status soak_fleet::start_servers()
+{
+    rank_group_options group;
+    group.name = "g1";
+    group.shape.ranks = this->size.model_servers;
+    this->ranks = std::make_unique<rank_group>(
+        group, [this](const std::string& what) { this->ledger.note_broken("map: " + what); });
+    for (int i = 0; i < this->size.model_servers; ++i) {
+        backend_options options;
+        options.service = "assistant";
+        options.local = {this->ip(model_group, i + 1), server_port};
+        options.group = this->ranks.get();
+        options.rank = i;
+        SARDINE_RETURN_IF_ERROR(this->start_server(options));
+    }
+    for (int i = 0; i < this->size.plain_servers; ++i) {
+        backend_options options;
+        options.service = i % 2 == 0 ? "till-a" : "till-b";
+        options.local = {this->ip(plain_group, i + 1), server_port};
+        SARDINE_RETURN_IF_ERROR(this->start_server(options));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status soak_fleet::start_server(backend_options options)
+{
+    const auto number = this->servers.size();
+    options.id = absl::StrCat("i-", number, "-1");
+    options.data_centre = number % 2 == 0 ? "a" : "b";
+    backend_hooks hooks;
+    hooks.on_begin = [this](const begun_run& run) { this->ledger.note_begun(run); };
+    hooks.on_end = [this](const std::string& id) { this->ledger.note_ended(id); };
+    hooks.on_arrival = [this](const std::string& id, const std::string& service) {
+        this->ledger.note_arrival(id, service);
+    };
+    server_node node;
+    node.server = std::make_unique<backend_emulator>(options, hooks);
+    SARDINE_RETURN_IF_ERROR(node.server->start(options.id));
+    absl::StatusOr<std::unique_ptr<chaos_proxy>> proxy =
+        chaos_proxy::start({options.local.ip, proxy_port}, options.local);
+    if (!proxy.ok()) {
+        return proxy.status();
+    }
+    node.proxy = *std::move(proxy);
+    this->list_server(node);
+    this->servers.push_back(std::move(node));
+    return absl::OkStatus();
+}
+
+void soak_fleet::list_server(const server_node& node)
+{
+    this->store->put(words::servers_kind, node.server->id(),
+                     node.server->entry(node.proxy->local()));
+}
+
+void soak_fleet::write_config()
+{
+    const std::string service = this->moved ? "till-b" : "till-a";
+    rank_group_options group;
+    group.shape.ranks = this->size.model_servers;
+    const json state = {{"version", ++this->config_version},
+                        {"routes",
+                         {route_json("chat", "/chat/", "streaming", "assistant"),
+                          route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
+                          route_json("stock", "/stock/", "idempotent", "till-a"),
+                          route_json("moving", "/moving/", "idempotent", service)}},
+                        {"services",
+                         {{{"name", "assistant"}, {"engine", engine_json(group)}},
+                          {{"name", "till-a"}},
+                          {{"name", "till-b"}}}},
+                        {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
+    this->store->put(words::config_kind, words::config_name, state);
+    this->ledger.note_config(service);
+}
+
+absl::Status soak_fleet::start_programs()
+{
+    std::vector<std::string> seeds;
+    for (int i = 0; i < this->size.entries; ++i) {
+        seeds.push_back(absl::StrCat(this->ip(entry_group, i + 1), ":", news_port));
+    }
+    // Programs are kept by reference: none may move once a task names one.
+    this->entry_nodes.reserve(static_cast<std::size_t>(this->size.entries));
+    this->agent_nodes.reserve(static_cast<std::size_t>(this->size.model_servers));
+    for (int i = 0; i < this->size.entries; ++i) {
+        absl::StatusOr<std::unique_ptr<chaos_proxy>> proxy =
+            chaos_proxy::start({this->ip(store_group, i + 2), store_port}, this->store->local());
+        if (!proxy.ok()) {
+            return proxy.status();
+        }
+        const std::string own = this->ip(entry_group, i + 1);
+        SARDINE_RETURN_IF_ERROR(this->start_program(
+            this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
+            absl::StrCat("--ip=", own, "\n--news_port=", news_port, "\n--front_listen=", own, ":",
+                         front_port, "\n--ready_listen=", own, ":", ready_port,
+                         "\n--store=", (*proxy)->local().to_string(),
+                         "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", grace_s, "\n")));
+        this->store_proxies.push_back(*std::move(proxy));
+    }
+    for (int i = 0; i < this->size.model_servers; ++i) {
+        const backend_options& server =
+            this->servers[static_cast<std::size_t>(i)].server->described();
+        SARDINE_RETURN_IF_ERROR(this->start_program(
+            this->agent_nodes, "sardine-platform-agent", absl::StrCat("agent-", i),
+            absl::StrCat("--ip=", server.local.ip, "\n--news_port=", news_port, "\n--backend=",
+                         server.local.to_string(), "\n--service=", server.service, "\n")));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status soak_fleet::start_program(std::vector<program_node>& into, const std::string& binary,
+                                       const std::string& name, const std::string& settings)
+{
+    program_node node;
+    node.name = name;
+    node.settings_path = absl::StrCat(this->files.path(), "/", name, ".settings");
+    std::ofstream(node.settings_path)
+        << "--id=" << name << "\n--data_centre=" << (into.size() % 2 == 0 ? "a" : "b") << "\n"
+        << settings;
+    ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
+    absl::StatusOr<std::unique_ptr<process>> started =
+        process::start({binary, {}, this->files.path(), name});
+    if (!started.ok()) {
+        return started.status();
+    }
+    node.run = *std::move(started);
+    into.push_back(std::move(node));
+    return absl::OkStatus();
+}
+
+absl::Status soak_fleet::restart(program_node& node)
+{
+    ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
+    node.struck = false;
+    return node.run->restart();
+}
+
+bool soak_fleet::is_ready(int entry) const
+{
+    constexpr int http_ok = 200;
+    http_client client({this->ip(entry_group, entry + 1), ready_port});
+    const absl::StatusOr<http_answer> answer =
+        client.call("GET", "/", "", steady_clock::now() + milliseconds(500));
+    return answer.ok() && answer->status == http_ok;
+}
+
+absl::Status soak_fleet::wait_until_ready()
+{
+    const steady_time deadline = steady_clock::now() + ready_timeout;
+    for (int i = 0; i < this->size.entries; ++i) {
+        while (!this->is_ready(i)) {
+            if (steady_clock::now() > deadline) {
+                return make_error(absl::StatusCode::kDeadlineExceeded, "start",
+                                  absl::StrCat("entry-", i), "not ready");
+            }
+            this->run_until(steady_clock::now() + step);
+        }
+    }
+    return absl::OkStatus();
+}
+
+void soak_fleet::after(milliseconds delay, task work)
+{
+    this->due.emplace(steady_clock::now() + delay, std::move(work));
+}
+
+void soak_fleet::run_until(steady_time end)
+{
+    while (steady_clock::now() < end) {
+        while (!this->due.empty() && this->due.begin()->first <= steady_clock::now()) {
+            const task work = std::move(this->due.begin()->second);
+            this->due.erase(this->due.begin());
+            work();
+        }
+        this->watch_programs();
+        std::this_thread::sleep_for(step);
+    }
+}
+
+void soak_fleet::watch_programs()
+{
+    for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
+        for (program_node& node : *nodes) {
+            if (node.struck || node.run->alive()) {
+                continue;
+            }
+            this->ledger.note_broken(absl::StrCat("exit: ", node.name, " ended by itself"));
+            node.struck = true;
+            this->restart_when_gone(node);
+        }
+    }
+}
+
+void soak_fleet::restart_when_gone(program_node& node)
+{
+    if (node.run->alive()) {
+        this->after(step, [this, &node] { this->restart_when_gone(node); });
+        return;
+    }
+    this->after(restart_pause, [this, &node] {
+        const absl::Status restarted = this->restart(node);
+        if (!restarted.ok()) {
+            this->ledger.note_broken(absl::StrCat("start: ", restarted.message()));
+        }
+    });
+}
+
+void soak_fleet::stop_program(program_node& node, bool twice)
+{
+    node.struck = true;
+    node.run->terminate();
+    if (twice) {
+        this->after(second_notice, [&node] { node.run->terminate(); });
+    }
+    this->restart_when_gone(node);
+}
+
+void soak_fleet::kill_program(program_node& node, milliseconds away)
+{
+    node.struck = true;
+    node.run->kill();
+    this->after(away, [this, &node] { this->restart_when_gone(node); });
+}
+
+void soak_fleet::freeze_program(program_node& node, milliseconds away)
+{
+    node.struck = true;
+    node.run->freeze();
+    this->after(away, [&node] {
+        node.run->wake();
+        node.struck = false;
+    });
+}
+
+void soak_fleet::strike_program(const soak_fault& fault)
+{
+    const bool of_entry =
+        fault.kind == soak_fault_kind::entry_stop || fault.kind == soak_fault_kind::entry_kill ||
+        fault.kind == soak_fault_kind::entry_freeze || fault.kind == soak_fault_kind::entry_reload;
+    program_node& node =
+        (of_entry ? this->entry_nodes : this->agent_nodes)[static_cast<std::size_t>(fault.target)];
+    if (node.struck) {
+        return;
+    }
+    switch (fault.kind) {
+    case soak_fault_kind::entry_reload:
+        node.run->hang_up();
+        return;
+    case soak_fault_kind::entry_stop:
+        this->ledger.note_planned_stop(this->entry_address(fault.target).to_string());
+        this->stop_program(node, fault.variant < 0.3);
+        return;
+    case soak_fault_kind::agent_stop:
+        this->stop_program(node, fault.variant < 0.3);
+        return;
+    case soak_fault_kind::entry_kill:
+    case soak_fault_kind::agent_kill:
+        this->kill_program(node, fault.duration);
+        return;
+    default:
+        this->freeze_program(node, fault.duration);
+        return;
+    }
+}
+
+bool soak_fleet::has_other_server(const server_node& node) const
+{
+    return std::any_of(this->servers.begin(), this->servers.end(), [&](const server_node& other) {
+        return &other != &node && !other.struck &&
+               other.server->described().service == node.server->described().service;
+    });
+}
+
+void soak_fleet::return_server(server_node& node, const std::string& id)
+{
+    const absl::Status started = node.server->start(id);
+    if (!started.ok()) {
+        this->ledger.note_broken(absl::StrCat("emulator: ", started.message()));
+        return;
+    }
+    node.struck = false;
+    this->list_server(node);
+}
+
+void soak_fleet::leave_server(server_node& node)
+{
+    if (node.struck || !this->has_other_server(node)) {
+        return;
+    }
+    node.struck = true;
+    node.server->set_draining(true);
+    this->list_server(node);
+    this->after(drain_time, [this, &node] {
+        this->store->remove(words::servers_kind, node.server->id());
+        node.server->stop();
+        const auto number = &node - this->servers.data();
+        this->return_server(node, absl::StrCat("i-", number, "-", ++node.starts));
+    });
+}
+
+void soak_fleet::crash_server(server_node& node, const soak_fault& fault)
+{
+    if (node.struck) {
+        return;
+    }
+    node.struck = true;
+    const std::string old = node.server->id();
+    node.server->stop();
+    node.proxy->reset_connections();
+    this->after(entry_lifetime, [this, &node, old] {
+        if (!node.server->is_running() || node.server->id() != old) {
+            this->store->remove(words::servers_kind, old);
+        }
+    });
+    const bool same_id = fault.variant < 0.5;
+    this->after(fault.duration, [this, &node, old, same_id] {
+        const auto number = &node - this->servers.data();
+        this->return_server(node, same_id ? old : absl::StrCat("i-", number, "-", ++node.starts));
+    });
+}
+
+void soak_fleet::trouble_server(server_node& node, const soak_fault& fault)
+{
+    node.server->set_trouble(backend_trouble_of(fault.variant));
+    this->after(fault.duration, [&node] { node.server->set_trouble({}); });
+}
+
+void soak_fleet::trouble_link(chaos_proxy& proxy, const soak_fault& fault)
+{
+    constexpr double delayed = 0.2;
+    constexpr double reset = 0.35;
+    constexpr milliseconds delay{120};
+    if (fault.variant < delayed) {
+        proxy.set_delay(delay);
+        this->after(fault.duration, [&proxy] { proxy.set_delay(milliseconds(0)); });
+        return;
+    }
+    if (fault.variant < reset) {
+        proxy.reset_connections();
+        return;
+    }
+    proxy.set_trouble(link_trouble_of((fault.variant - reset) / (1 - reset)));
+    this->after(fault.duration, [&proxy] {
+        proxy.set_trouble(link_trouble::none);
+        proxy.reset_connections();
+    });
+}
+
+void soak_fleet::trouble_store(const soak_fault& fault)
+{
+    constexpr std::array kinds = {store_trouble::none,  store_trouble::slow,
+                                  store_trouble::busy,  store_trouble::limited,
+                                  store_trouble::reset, store_trouble::silent};
+    const auto kind = static_cast<std::size_t>(fault.variant * static_cast<double>(kinds.size()));
+    if (kinds[kind] == store_trouble::none) {
+        this->store->compact();
+        return;
+    }
+    this->store->set_trouble(kinds[kind]);
+    this->after(fault.duration, [this] { this->store->set_trouble(store_trouble::none); });
+}
+
+void soak_fleet::lapse_entries(const soak_fault& fault)
+{
+    this->store->set_trouble(store_trouble::silent);
+    std::size_t number = 0;
+    for (const server_node& node : this->servers) {
+        // Every second one, so that each service is hit.
+        if (number++ / 2 % 2 == 0 && !node.struck) {
+            this->store->remove(words::servers_kind, node.server->id());
+        }
+    }
+    this->after(fault.duration, [this] {
+        this->store->set_trouble(store_trouble::none);
+        this->after(relist_time, [this] {
+            for (const server_node& node : this->servers) {
+                if (!node.struck) {
+                    this->list_server(node);
+                }
+            }
+        });
+    });
+}
+
+void soak_fleet::delay_orders(const soak_fault& fault)
+{
+    backend_trouble late;
+    late.late_order_share = 0.5;
+    for (server_node& node : this->servers) {
+        node.server->set_trouble(late);
+        this->after(fault.duration, [&node] { node.server->set_trouble({}); });
+    }
+}
+
+void soak_fleet::strike_surroundings(const soak_fault& fault)
+{
+    const auto target = static_cast<std::size_t>(fault.target);
+    switch (fault.kind) {
+    case soak_fault_kind::config_change:
+        this->moved = fault.variant < 0.7 ? !this->moved : this->moved;
+        this->write_config();
+        return;
+    case soak_fault_kind::server_leave:
+        this->leave_server(
+            this->servers[static_cast<std::size_t>(this->size.model_servers) + target]);
+        return;
+    case soak_fault_kind::server_crash:
+        this->crash_server(this->servers[target], fault);
+        return;
+    case soak_fault_kind::server_trouble:
+        this->trouble_server(this->servers[target], fault);
+        return;
+    case soak_fault_kind::server_link:
+        this->trouble_link(*this->servers[target].proxy, fault);
+        return;
+    case soak_fault_kind::store_link:
+        this->trouble_link(*this->store_proxies[target], fault);
+        return;
+    case soak_fault_kind::store_trouble:
+        this->trouble_store(fault);
+        return;
+    case soak_fault_kind::entries_lapse:
+        this->lapse_entries(fault);
+        return;
+    case soak_fault_kind::late_orders:
+        this->delay_orders(fault);
+        return;
+    default:
+        this->ranks->set_demand(static_cast<int>(fault.variant * tastes));
+        return;
+    }
+}
+
+void soak_fleet::strike(const soak_fault& fault)
+{
+    if (!fault.is_planned()) {
+        this->ledger.note_trouble(steady_clock::now() + fault.duration);
+    }
+    switch (fault.kind) {
+    case soak_fault_kind::entry_stop:
+    case soak_fault_kind::entry_reload:
+    case soak_fault_kind::entry_kill:
+    case soak_fault_kind::entry_freeze:
+    case soak_fault_kind::agent_stop:
+    case soak_fault_kind::agent_kill:
+    case soak_fault_kind::agent_freeze:
+        this->strike_program(fault);
+        return;
+    default:
+        this->strike_surroundings(fault);
+        return;
+    }
+}
+
+absl::Status soak_fleet::heal()
+{
+    // What ends a fault is due at the latest after the longest one and a planned stop.
+    const steady_time longest = steady_clock::now() + std::chrono::seconds(grace_s + 4);
+    while (!this->due.empty() && steady_clock::now() < longest) {
+        this->run_until(steady_clock::now() + step);
+    }
+    return this->wait_until_ready();
+}
+
+void soak_fleet::shut_down()
+{
+    for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
+        for (program_node& node : *nodes) {
+            node.struck = true;
+            node.run->terminate();
+        }
+    }
+    for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
+        for (program_node& node : *nodes) {
+            const std::optional<int> status = node.run->wait_for_exit(absl::Seconds(grace_s + 1));
+            if (status != 0) {
+                this->ledger.note_broken(absl::StrCat("stop: ", node.name, " ended with ",
+                                                      status.has_value() ? *status : -1));
+            }
+        }
+    }
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -0,0 +1,134 @@
+// The system under the soak: the real programs as processes, and around them the emulated store and
+// servers, with a proxy on every TCP link that a fault may strike.
+//
+//     auto fleet = soak_fleet::create(size, ledger);
+//     (*fleet)->strike(fault);
+//     (*fleet)->run_until(end);
+//     (*fleet)->heal();
+//
+// Every machine has an address of its own on the loopback. Only processes that were started here
+// are signalled. Belongs to one thread.
+
+#ifndef SARDINESTREAM_TESTING_SOAK_SOAK_FLEET_H_
+#define SARDINESTREAM_TESTING_SOAK_SOAK_FLEET_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sardinestream/testing/emulator/backend_emulator.h"
+#include "sardinestream/testing/emulator/rank_group.h"
+#include "sardinestream/testing/emulator/store_emulator.h"
+#include "sardinestream/testing/process.h"
+#include "sardinestream/testing/soak/chaos_proxy.h"
+#include "sardinestream/testing/soak/fault_series.h"
+#include "sardinestream/testing/soak/promise_ledger.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream::testing {
+
+inline constexpr char soak_host[] = "soak.example";
+inline constexpr char soak_key[] = "key-of-the-team";
+inline constexpr char soak_team[] = "kasongan";
+
+class soak_fleet {
+public:
+    // Starts everything and waits until every entry is ready.
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<soak_fleet>> create(const soak_size& size,
+                                                                            promise_ledger& ledger);
+    ~soak_fleet();
+    soak_fleet(const soak_fleet&) = delete;
+    soak_fleet& operator=(const soak_fleet&) = delete;
+
+    // Begins a fault; its end is left to `run_until`.
+    void strike(const soak_fault& fault);
+    // Does what is due until `end`.
+    void run_until(steady_time end);
+    // Ends every fault, restarts what is gone, and waits until every entry is ready again.
+    [[nodiscard]] absl::Status heal();
+    // Stops the processes as planned and says which did not end well.
+    void shut_down();
+
+    [[nodiscard]] address entry_address(int index) const;
+    [[nodiscard]] int entries() const { return static_cast<int>(this->entry_nodes.size()); }
+    [[nodiscard]] const rank_group& group() const { return *this->ranks; }
+    [[nodiscard]] const std::string& log_directory() const { return this->files.path(); }
+
+private:
+    // One of the real programs.
+    struct program_node {
+        std::string name;
+        std::string settings_path;
+        std::unique_ptr<process> run;
+        // A fault has it stopped, killed or frozen.
+        bool struck = false;
+    };
+    struct server_node {
+        std::unique_ptr<backend_emulator> server;
+        std::unique_ptr<chaos_proxy> proxy;
+        int starts = 1;
+        // It leaves, or is down.
+        bool struck = false;
+    };
+    using task = std::function<void()>;
+
+    soak_fleet(const soak_size& wanted, promise_ledger& shared);
+
+    [[nodiscard]] absl::Status start();
+    [[nodiscard]] absl::Status claim_network();
+    [[nodiscard]] absl::Status start_servers();
+    [[nodiscard]] absl::Status start_server(backend_options options);
+    [[nodiscard]] absl::Status start_programs();
+    [[nodiscard]] absl::Status start_program(std::vector<program_node>& into,
+                                             const std::string& binary, const std::string& name,
+                                             const std::string& settings);
+    [[nodiscard]] absl::Status restart(program_node& node);
+    [[nodiscard]] absl::Status wait_until_ready();
+    [[nodiscard]] bool is_ready(int entry) const;
+    void write_config();
+    void list_server(const server_node& node);
+
+    void after(std::chrono::milliseconds delay, task work);
+    void watch_programs();
+    void stop_program(program_node& node, bool twice);
+    void restart_when_gone(program_node& node);
+    void kill_program(program_node& node, std::chrono::milliseconds away);
+    void freeze_program(program_node& node, std::chrono::milliseconds away);
+    void leave_server(server_node& node);
+    void return_server(server_node& node, const std::string& id);
+    void crash_server(server_node& node, const soak_fault& fault);
+    void trouble_server(server_node& node, const soak_fault& fault);
+    void trouble_link(chaos_proxy& proxy, const soak_fault& fault);
+    void trouble_store(const soak_fault& fault);
+    void lapse_entries(const soak_fault& fault);
+    void delay_orders(const soak_fault& fault);
+    void strike_program(const soak_fault& fault);
+    void strike_surroundings(const soak_fault& fault);
+    [[nodiscard]] std::string ip(int group, int number) const;
+    [[nodiscard]] bool has_other_server(const server_node& node) const;
+
+    const soak_size size;
+    promise_ledger& ledger;
+    const temp_directory files;
+    // Holds the network of this run against other runs on the machine.
+    std::unique_ptr<tcp_listener> claim;
+    int network = 0;
+    std::unique_ptr<store_emulator> store;
+    std::unique_ptr<rank_group> ranks;
+    // Model servers first.
+    std::vector<server_node> servers;
+    std::vector<std::unique_ptr<chaos_proxy>> store_proxies;
+    std::vector<program_node> entry_nodes;
+    std::vector<program_node> agent_nodes;
+    int config_version = 0;
+    bool moved = false;
+    std::multimap<steady_time, task> due;
+};
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_SOAK_SOAK_FLEET_H_
--- /dev/null
+++ b/sardinestream/testing/soak/soak_main.cc
@@ -0,0 +1,73 @@
+// Runs the soak for one seed or a series of them and prints what was broken.
+//
+//     soak --seed=7 --seeds=50
+//
+// Exits with 0 where every promise was kept, with 1 otherwise. A seed that failed runs again with
+// SARDINE_KEEP_LOGS=1 set to keep the logs of its processes.
+
+#include <chrono>
+#include <cstdio>
+
+#include <gflags/gflags.h>
+
+#include "sardinestream/testing/soak/soak_run.h"
+
+DEFINE_int32(seed, 0, "First seed; 0 takes one from the clock");
+DEFINE_int32(seeds, 1, "How many seeds to run, one after the other");
+DEFINE_int32(length_ms, 8000, "Time in which faults begin and end");
+DEFINE_int32(entries, 2, "Entries");
+DEFINE_int32(model_servers, 4, "Model servers, each with an agent; one group");
+DEFINE_int32(plain_servers, 4, "Plain servers of two services");
+DEFINE_int32(requesters, 12, "Callers");
+
+namespace sardinestream::testing {
+namespace {
+
+bool run_one(unsigned seed)
+{
+    soak_options options;
+    options.seed = seed;
+    options.size = {FLAGS_entries, FLAGS_model_servers, FLAGS_plain_servers};
+    options.length = std::chrono::milliseconds(FLAGS_length_ms);
+    options.requesters = FLAGS_requesters;
+    const soak_verdict verdict = run_soak(options);
+    std::printf("seed=%u verdict=%s faults=%zu requests=%d succeeded=%d not_run=%d failed=%d "
+                "left=%d runs=%d passes=%lld\n",
+                seed, verdict.broken.empty() ? "kept" : "broken", verdict.faults.size(),
+                verdict.requests.sent, verdict.requests.succeeded, verdict.requests.not_run,
+                verdict.requests.failed, verdict.requests.left, verdict.requests.runs,
+                static_cast<long long>(verdict.passes));
+    if (!verdict.broken.empty()) {
+        for (const soak_fault& fault : verdict.faults) {
+            std::printf("  fault %s\n", fault.to_string().c_str());
+        }
+        for (const std::string& broken : verdict.broken) {
+            std::printf("  broken %s\n", broken.c_str());
+        }
+        std::printf("  logs %s\n", verdict.log_directory.c_str());
+    }
+    std::fflush(stdout);
+    return verdict.broken.empty();
+}
+
+int run()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch().count();
+    const unsigned first = FLAGS_seed > 0 ? static_cast<unsigned>(FLAGS_seed)
+                                          : static_cast<unsigned>(now % 1000000000);
+    int broken = 0;
+    for (int i = 0; i < FLAGS_seeds; ++i) {
+        broken += run_one(first + static_cast<unsigned>(i)) ? 0 : 1;
+    }
+    return broken == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace sardinestream::testing
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("plays drawn faults against the real programs");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return sardinestream::testing::run();
+}
--- /dev/null
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -0,0 +1,94 @@
+#include "sardinestream/testing/soak/soak_run.h"
+
+#include <memory>
+#include <utility>
+
+#include "sardinestream/testing/soak/requester.h"
+#include "sardinestream/testing/soak/soak_fleet.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds calm_start{1000};
+// After the last fault, nearly all requests must succeed again within this time.
+constexpr milliseconds recovery_bound{15000};
+constexpr milliseconds recovery_window{1000};
+constexpr double recovered_share = 0.95;
+
+std::vector<std::unique_ptr<requester>>
+start_requesters(const soak_options& options, const soak_fleet& fleet, promise_ledger& ledger)
+{
+    std::vector<std::unique_ptr<requester>> all;
+    for (int i = 0; i < options.requesters; ++i) {
+        requester_options chosen;
+        chosen.choose_entry = [&fleet](double draw) {
+            return fleet.entry_address(static_cast<int>(draw * fleet.entries()));
+        };
+        chosen.host = soak_host;
+        chosen.key = soak_key;
+        chosen.team = soak_team;
+        chosen.name = absl::StrCat("c", i);
+        chosen.seed = options.seed * 1000 + static_cast<unsigned>(i);
+        all.push_back(std::make_unique<requester>(std::move(chosen), ledger));
+        all.back()->start();
+    }
+    return all;
+}
+
+void wait_for_recovery(soak_fleet& fleet, promise_ledger& ledger)
+{
+    const steady_time bound = steady_clock::now() + recovery_bound;
+    double share = 0;
+    while (steady_clock::now() < bound) {
+        const steady_time begun = steady_clock::now();
+        fleet.run_until(begun + recovery_window);
+        share = ledger.success_share(begun - recovery_window / 2);
+        if (share >= recovered_share) {
+            return;
+        }
+    }
+    ledger.note_broken(absl::StrCat("recover: ", share, " of the requests succeed ",
+                                    recovery_bound.count(), " ms after the last fault"));
+}
+
+} // namespace
+
+soak_verdict run_soak(const soak_options& options)
+{
+    soak_verdict verdict;
+    verdict.faults = draw_faults(options.seed, options.size, options.length);
+    promise_ledger ledger{ledger_options{}};
+    absl::StatusOr<std::unique_ptr<soak_fleet>> fleet = soak_fleet::create(options.size, ledger);
+    if (!fleet.ok()) {
+        verdict.broken.push_back(absl::StrCat("start: ", fleet.status().message()));
+        return verdict;
+    }
+    verdict.log_directory = (*fleet)->log_directory();
+    std::vector<std::unique_ptr<requester>> callers = start_requesters(options, **fleet, ledger);
+    (*fleet)->run_until(steady_clock::now() + calm_start);
+    const steady_time begun = steady_clock::now();
+    for (const soak_fault& fault : verdict.faults) {
+        (*fleet)->run_until(begun + fault.at);
+        (*fleet)->strike(fault);
+    }
+    (*fleet)->run_until(begun + options.length);
+    const absl::Status healed = (*fleet)->heal();
+    if (!healed.ok()) {
+        ledger.note_broken(absl::StrCat("recover: ", healed.message()));
+    }
+    wait_for_recovery(**fleet, ledger);
+    for (const std::unique_ptr<requester>& caller : callers) {
+        caller->stop();
+    }
+    (*fleet)->shut_down();
+    verdict.broken = ledger.judge();
+    verdict.requests = ledger.count();
+    verdict.passes = (*fleet)->group().passes();
+    return verdict;
+}
+
+} // namespace sardinestream::testing
--- /dev/null
+++ b/sardinestream/testing/soak/soak_run.h
@@ -0,0 +1,40 @@
+// One soak run: a fleet, its callers, the faults of a seed, and the verdict.
+//
+//     const soak_verdict verdict = run_soak({.seed = 7});
+//     for (const std::string& broken : verdict.broken) { ... }
+
+#ifndef SARDINESTREAM_TESTING_SOAK_SOAK_RUN_H_
+#define SARDINESTREAM_TESTING_SOAK_SOAK_RUN_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "sardinestream/testing/soak/fault_series.h"
+#include "sardinestream/testing/soak/promise_ledger.h"
+
+namespace sardinestream::testing {
+
+struct soak_options {
+    unsigned seed = 1;
+    soak_size size;
+    // The time in which faults begin and end.
+    std::chrono::milliseconds length{8000};
+    int requesters = 12;
+};
+
+struct soak_verdict {
+    std::vector<soak_fault> faults;
+    // Each broken promise in a line; empty where all were kept.
+    std::vector<std::string> broken;
+    promise_ledger::totals requests;
+    // Changes of the expert map that came into force, and passes.
+    std::int64_t passes = 0;
+    std::string log_directory;
+};
+
+[[nodiscard]] soak_verdict run_soak(const soak_options& options);
+
+} // namespace sardinestream::testing
+
+#endif // SARDINESTREAM_TESTING_SOAK_SOAK_RUN_H_
