Take work from slow ranks, and weigh servers by the passes of their group

Change: the planner counts a rank's load by its own slowness; agents report the time between passes, and entries weigh a server by its group's passes against the best group's, and by its own slowness. Conclusion: kept; a slow rank costs its group about three times a pass now, since its own part and its prompts stay with it.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -56,22 +56,21 @@
     this->view.data_centre = this->options.data_centre;
 }
 
-double dispatcher::usual_answer_ms(const std::string& service) const
+service_pace dispatcher::usual_pace(const std::string& service, steady_time now) const
 {
-    double best = 0;
+    service_pace usual;
     for (const auto& [id, state] : this->servers) {
-        if (state.server().service != service || state.mean_answer_ms() == 0) {
-            continue;
+        if (state.server().service == service) {
+            state.add_to(usual, this->view, now);
         }
-        best = best == 0 ? state.mean_answer_ms() : std::min(best, state.mean_answer_ms());
     }
-    return best;
+    return usual;
 }
 
 std::optional<placement> dispatcher::try_place(const placement_request& request)
 {
     const steady_time now = steady_clock::now();
-    const double usual_ms = this->usual_answer_ms(request.service);
+    const service_pace usual = this->usual_pace(request.service, now);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
@@ -82,7 +81,7 @@
         }
         const double room = state.server().slots * (1 + this->options.extra_room);
         candidates.push_back(&state);
-        loads.push_back(state.load(room, this->view, usual_ms, now));
+        loads.push_back(state.load(room, this->view, usual, now));
     }
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
     const std::optional<std::size_t> chosen = choose_server(loads, draw);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -107,7 +107,7 @@
 
     std::optional<placement> try_place(const placement_request& request)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    [[nodiscard]] double usual_answer_ms(const std::string& service) const
+    [[nodiscard]] service_pace usual_pace(const std::string& service, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -96,7 +96,18 @@
     return this->failures * std::exp2(-age.count() / failure_half_life_s);
 }
 
-server_load server_state::load(double room, const load_view& view, double usual_ms,
+void server_state::add_to(service_pace& usual, const load_view& view, steady_time now) const
+{
+    const auto lower = [](double& best, double own) {
+        best = best == 0 || (own > 0 && own < best) ? own : best;
+    };
+    lower(usual.answer_ms, this->answer_ms);
+    if (this->has_fresh_report(view, now)) {
+        lower(usual.pass_ms, this->report.pass_ms);
+    }
+}
+
+server_load server_state::load(double room, const load_view& view, const service_pace& usual,
                                steady_time now) const
 {
     server_load load;
@@ -113,12 +124,15 @@
         load.slowness = silent_slowness;
     }
     else if (this->has_fresh_report(view, now)) {
-        load.slowness = this->report.slowness;
+        // All ranks of a group wait for the slowest one, and for it most where it has most to do.
+        const double pass_slowness =
+            usual.pass_ms > 0 ? std::max(1.0, this->report.pass_ms / usual.pass_ms) : 1;
+        load.slowness = std::clamp(pass_slowness * this->report.slowness, 1.0, largest_slowness);
         load.available = load.available && !this->report.group_broken;
     }
-    else if (usual_ms > 0 && this->answer_ms > usual_ms) {
+    else if (usual.answer_ms > 0 && this->answer_ms > usual.answer_ms) {
         const std::chrono::duration<double> age = now - this->last_answer;
-        const double excess = std::min(largest_slowness, this->answer_ms / usual_ms) - 1;
+        const double excess = std::min(largest_slowness, this->answer_ms / usual.answer_ms) - 1;
         load.slowness = 1 + excess * std::exp2(-age.count() / failure_half_life_s);
     }
     return load;
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -21,6 +21,8 @@
     int waiting = 0;
     // Time of a step against that of a sound server; 1 is normal.
     double slowness = 1;
+    // Time between two passes of its engine; zero where it is not known.
+    double pass_ms = 0;
     // The group of ranks that the server belongs to; empty where it belongs to none.
     std::string group;
     // The group forms anew or a rank is missing: nothing is answered for the moment.
@@ -36,6 +38,13 @@
     std::chrono::milliseconds report_interval{100};
 };
 
+// The best figures among the servers of a service; zero where none is known.
+struct service_pace {
+    // Mean time to the first byte of an answer.
+    double answer_ms = 0;
+    double pass_ms = 0;
+};
+
 // How an attempt at a server ended.
 enum class attempt_result {
     succeeded,
@@ -64,17 +73,16 @@
     void end_attempt(attempt_result result, std::chrono::milliseconds elapsed, steady_time now);
     void apply_report(const server_report& report, steady_time now);
 
-    // `room` is what the service's policy allows on this server; `usual_ms` the time to an answer
-    // of the service's best server.
-    [[nodiscard]] server_load load(double room, const load_view& view, double usual_ms,
+    // `room` is what the service's policy allows on this server.
+    [[nodiscard]] server_load load(double room, const load_view& view, const service_pace& usual,
                                    steady_time now) const;
 
     [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
     [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
-    // Mean time to an answer, or zero before the first.
-    [[nodiscard]] double mean_answer_ms() const { return this->answer_ms; }
+    // Lowers `usual` to this server's figures where they are better.
+    void add_to(service_pace& usual, const load_view& view, steady_time now) const;
 
 private:
     [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -20,7 +20,7 @@
 protected:
     [[nodiscard]] server_load load_at(steady_time now, int processes = 1) const
     {
-        return this->state.load(12, load_view{"a", processes}, 20, now);
+        return this->state.load(12, load_view{"a", processes}, service_pace{20, 50}, now);
     }
 
     server_state state{make_server()};
@@ -48,6 +48,24 @@
     EXPECT_EQ(this->load_at(this->start).occupancy, 6);
 }
 
+// The load: one rank of a group is slow, and the passes of all its ranks take as long as its own.
+TEST_F(server_state_test, is_as_slow_as_the_passes_of_its_group)
+{
+    server_report report;
+    report.pass_ms = 200;
+    this->state.apply_report(report, this->start);
+    EXPECT_EQ(this->load_at(this->start).slowness, 4);
+    report.slowness = 3;
+    this->state.apply_report(report, this->start);
+    EXPECT_EQ(this->load_at(this->start).slowness, 12);
+}
+
+TEST_F(server_state_test, is_not_slow_while_its_engine_makes_no_passes)
+{
+    this->state.apply_report(server_report(), this->start);
+    EXPECT_EQ(this->load_at(this->start).slowness, 1);
+}
+
 TEST_F(server_state_test, forgets_a_report_that_has_grown_old)
 {
     server_report report;
--- a/sardinestream/maps/expert_demand.cc
+++ b/sardinestream/maps/expert_demand.cc
@@ -52,7 +52,8 @@
 
 bool expert_demand::is_settled() const
 {
-    return this->samples_since_change >= settling_samples;
+    // A sample that differs again from the first one after a change lies wholly behind the change.
+    return this->samples_since_change >= settling_samples || this->changes_in_a_row >= 2;
 }
 
 void expert_demand::add_sample(absl::Span<const double> counts)
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -131,6 +131,15 @@
            static_cast<std::int64_t>(this->random() & drawn_mask);
 }
 
+planner_options map_coordinator::planner_now() const
+{
+    planner_options now = this->options.planner;
+    for (const known_rank& known : this->ranks) {
+        now.rank_slowness.push_back(std::max(1.0, known.state.slowness));
+    }
+    return now;
+}
+
 void map_coordinator::consider_plan(absl::Span<const rank_report> reports, steady_time now)
 {
     if (now < this->rest_until || this->demand.samples() < least_samples ||
@@ -142,11 +151,11 @@
         return;
     }
     const std::vector<double> wanted = this->demand.with_past(this->options.past_weight);
-    if (pass_factor(*current, wanted, this->options.planner.expert_share) <
-        1 + this->options.planner.least_gain) {
+    const planner_options planner = this->planner_now();
+    if (pass_factor(*current, wanted, planner) < 1 + planner.least_gain) {
         return;
     }
-    this->plan = plan_map(*current, wanted, this->options.planner);
+    this->plan = plan_map(*current, wanted, planner);
     if (!this->plan.has_value()) {
         return;
     }
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -29,6 +29,8 @@
     int rank = 0;
     rank_report report;
     bool broken = false;
+    // Time of a step against that of a sound server.
+    double slowness = 1;
     prepare_record prepares;
     rank_experts experts;
     // What was chosen since the last state that had counts; empty where this one has none.
@@ -78,6 +80,7 @@
     void check_plan(absl::Span<const rank_report> reports, steady_time now);
     void drop_plan(absl::string_view reason, steady_time now);
     [[nodiscard]] std::optional<expert_map> current_map() const;
+    [[nodiscard]] planner_options planner_now() const;
     [[nodiscard]] bool is_due(rank_order& order, steady_time now);
     [[nodiscard]] std::int64_t next_version(absl::Span<const rank_report> reports);
 
--- a/sardinestream/maps/map_planner.cc
+++ b/sardinestream/maps/map_planner.cc
@@ -15,8 +15,9 @@
 // The loads of one set under a map that is being changed.
 class set_search {
 public:
-    set_search(const expert_map& current, int searched_set, absl::Span<const double> shares)
-        : set(searched_set), shape(current.shape()), demand(shares),
+    set_search(const expert_map& current, int searched_set, absl::Span<const double> shares,
+               absl::Span<const double> slowness)
+        : set(searched_set), shape(current.shape()), demand(shares), rank_slowness(slowness),
           copies(static_cast<std::size_t>(shape.experts), 0),
           holds(static_cast<std::size_t>(shape.experts) * static_cast<std::size_t>(shape.ranks)),
           was_held(holds.size()), holders(static_cast<std::size_t>(shape.experts)),
@@ -130,13 +131,21 @@
     }
     int& count(int expert) { return this->copies[static_cast<std::size_t>(expert)]; }
 
+    // What `amount` of work takes on the rank.
+    [[nodiscard]] double time_of(int rank, double amount) const
+    {
+        return this->rank_slowness.empty()
+                   ? amount
+                   : amount * this->rank_slowness[static_cast<std::size_t>(rank)];
+    }
+
     void compute_loads()
     {
         std::fill(this->loads.begin(), this->loads.end(), 0.0);
         for (int rank = 0; rank < this->shape.ranks; ++rank) {
             for (const int expert : this->held_by[static_cast<std::size_t>(rank)]) {
                 this->loads[static_cast<std::size_t>(rank)] +=
-                    this->share(expert) / this->count(expert);
+                    this->time_of(rank, this->share(expert) / this->count(expert));
             }
         }
     }
@@ -158,7 +167,7 @@
         const double change =
             this->share(expert) / copies_after - this->share(expert) / copies_before;
         for (const int rank : this->holders[static_cast<std::size_t>(expert)]) {
-            this->loads[static_cast<std::size_t>(rank)] += change;
+            this->loads[static_cast<std::size_t>(rank)] += this->time_of(rank, change);
         }
     }
 
@@ -169,7 +178,8 @@
         this->holds[this->at(rank, expert)] = true;
         this->holders[static_cast<std::size_t>(expert)].push_back(rank);
         this->held_by[static_cast<std::size_t>(rank)].push_back(expert);
-        this->loads[static_cast<std::size_t>(rank)] += this->share(expert) / this->count(expert);
+        this->loads[static_cast<std::size_t>(rank)] +=
+            this->time_of(rank, this->share(expert) / this->count(expert));
     }
 
     void drop(int rank, int expert)
@@ -177,7 +187,8 @@
         this->holds[this->at(rank, expert)] = false;
         std::erase(this->holders[static_cast<std::size_t>(expert)], rank);
         std::erase(this->held_by[static_cast<std::size_t>(rank)], expert);
-        this->loads[static_cast<std::size_t>(rank)] -= this->share(expert) / this->count(expert);
+        this->loads[static_cast<std::size_t>(rank)] -=
+            this->time_of(rank, this->share(expert) / this->count(expert));
         this->spread(expert, this->count(expert), this->count(expert) - 1);
         --this->count(expert);
     }
@@ -215,6 +226,7 @@
     int set;
     map_shape shape;
     absl::Span<const double> demand;
+    absl::Span<const double> rank_slowness;
     std::vector<int> copies;
     std::vector<bool> holds;
     std::vector<bool> was_held;
@@ -230,9 +242,14 @@
     return demand.subspan(static_cast<std::size_t>(set) * width, width);
 }
 
-double factor_of(double mean_largest_load, int ranks, double expert_share)
+// Ranks wait for the slowest one's own part too.
+double factor_of(double mean_largest_load, int ranks, const planner_options& options)
 {
-    return (1 - expert_share) + expert_share * mean_largest_load * ranks;
+    const double slowest =
+        options.rank_slowness.empty()
+            ? 1
+            : *std::max_element(options.rank_slowness.begin(), options.rank_slowness.end());
+    return (1 - options.expert_share) * slowest + options.expert_share * mean_largest_load * ranks;
 }
 
 // Makes moves, the best one first, under a bound of copies for each rank that can be raised.
@@ -244,7 +261,8 @@
     {
         const map_shape& shape = from.shape();
         for (int set = 0; set < shape.sets; ++set) {
-            this->searches.emplace_back(from, set, demand_of(demand, set, shape.experts));
+            this->searches.emplace_back(from, set, demand_of(demand, set, shape.experts),
+                                        chosen.rank_slowness);
         }
         this->copies_of_set.assign(this->searches.size(),
                                    std::vector<int>(this->copies_at.size(), 0));
@@ -274,8 +292,7 @@
             largest += search.largest_load();
         }
         const map_shape& shape = this->current.shape();
-        plan.factor_after =
-            factor_of(largest / shape.sets, shape.ranks, this->options.expert_share);
+        plan.factor_after = factor_of(largest / shape.sets, shape.ranks, this->options);
         plan.copies = this->copies;
         plan.copies_at_busiest_rank =
             *std::max_element(this->copies_at.begin(), this->copies_at.end());
@@ -352,20 +369,23 @@
 
 } // namespace
 
-double pass_factor(const expert_map& map, absl::Span<const double> demand, double expert_share)
+double pass_factor(const expert_map& map, absl::Span<const double> demand,
+                   const planner_options& options)
 {
     const map_shape& shape = map.shape();
     double largest = 0;
     for (int set = 0; set < shape.sets; ++set) {
-        largest += set_search(map, set, demand_of(demand, set, shape.experts)).largest_load();
+        largest +=
+            set_search(map, set, demand_of(demand, set, shape.experts), options.rank_slowness)
+                .largest_load();
     }
-    return factor_of(largest / shape.sets, shape.ranks, expert_share);
+    return factor_of(largest / shape.sets, shape.ranks, options);
 }
 
 std::optional<map_plan> plan_map(const expert_map& current, absl::Span<const double> demand,
                                  const planner_options& options)
 {
-    const double before = pass_factor(current, demand, options.expert_share);
+    const double before = pass_factor(current, demand, options);
     std::optional<map_plan> best;
     double best_value = 0;
     plan_search search(current, demand, options);
--- a/sardinestream/maps/map_planner.h
+++ b/sardinestream/maps/map_planner.h
@@ -1,15 +1,17 @@
 // Which experts to copy where, so that passes get shorter soon.
 //
-// A pass waits, set by set, for the rank with the most work. The planner moves copies of sought
-// experts from the most loaded ranks to others, the move with the largest gain first, and weighs
-// the time until a map is in force (copies are made one after the other on each rank) against the
-// time for which demand will stay as it is. Pure functions.
+// A pass waits, set by set, for the rank that needs the longest for its work: the one with the
+// most, or a slow one. The planner moves copies of sought experts from such ranks to others, the
+// move with the largest gain first, and weighs the time until a map is in force (copies are made
+// one after the other on each rank) against the time for which demand will stay as it is. Pure
+// functions.
 
 #ifndef SARDINESTREAM_MAPS_MAP_PLANNER_H_
 #define SARDINESTREAM_MAPS_MAP_PLANNER_H_
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "sardinestream/maps/expert_map.h"
 
@@ -18,6 +20,8 @@
 namespace sardinestream {
 
 struct planner_options {
+    // Time of each rank for a unit of work against that of a sound one; empty where all are sound.
+    std::vector<double> rank_slowness{};
     // Share of a pass that goes to the experts, 0 to 1.
     double expert_share = 0.85;
     // Time to copy one expert to a rank.
@@ -48,9 +52,9 @@
     int copies_at_busiest_rank = 0;
 };
 
-// Pass time against one whose work is even over the ranks.
+// Pass time against one whose work is even over sound ranks.
 [[nodiscard]] double pass_factor(const expert_map& map, absl::Span<const double> demand,
-                                 double expert_share);
+                                 const planner_options& options);
 
 // Returns a better map, or nothing where none is worth its copies. `demand` holds shares by set and
 // expert.
--- a/sardinestream/maps/map_planner_test.cc
+++ b/sardinestream/maps/map_planner_test.cc
@@ -55,7 +55,7 @@
         ASSERT_TRUE(plan.has_value()) << "seed " << seed;
         ASSERT_TRUE(plan->map.check().ok()) << plan->map.check();
         EXPECT_LT(plan->factor_after, plan->factor_before - options.least_gain);
-        EXPECT_NEAR(plan->factor_after, pass_factor(plan->map, demand, options.expert_share), 1e-6);
+        EXPECT_NEAR(plan->factor_after, pass_factor(plan->map, demand, options), 1e-6);
         for (int rank = 0; rank < shape.ranks; ++rank) {
             EXPECT_LE(current.new_experts(plan->map, rank), plan->copies_at_busiest_rank);
         }
@@ -114,6 +114,24 @@
     }
 }
 
+// The load: one rank of a group works several times slower, and every pass waits for it.
+TEST(plan_map, takes_work_from_a_slow_rank)
+{
+    const std::vector<double> demand = skewed_demand(5);
+    planner_options options;
+    const expert_map sound = plan_map(in_turn(), demand, options)->map;
+    options.rank_slowness.assign(static_cast<std::size_t>(shape.ranks), 1.0);
+    options.rank_slowness[3] = 6;
+    const double before = pass_factor(sound, demand, options);
+    const std::optional<map_plan> plan = plan_map(sound, demand, options);
+    ASSERT_TRUE(plan.has_value());
+    ASSERT_TRUE(plan->map.check().ok());
+    EXPECT_GT(before, 4);
+    // The slow rank's own part cannot be moved away.
+    const double least = (1 - options.expert_share) * 6 + options.expert_share;
+    EXPECT_LT(plan->factor_after, least + 1);
+}
+
 TEST(expert_demand, follows_a_change_within_a_few_samples)
 {
     expert_demand demand(1, 2);
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -549,6 +549,7 @@
   int32_t group_size = 0;
   int32_t rank = 0;
   bool broken = false;
+  float pass_ms = 0.0f;
   std::vector<uint32_t> entries{};
 };
 
@@ -566,7 +567,8 @@
     VT_GROUP_SIZE = 16,
     VT_RANK = 18,
     VT_BROKEN = 20,
-    VT_ENTRIES = 22
+    VT_PASS_MS = 22,
+    VT_ENTRIES = 24
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -595,6 +597,9 @@
   bool broken() const {
     return GetField<uint8_t>(VT_BROKEN, 0) != 0;
   }
+  float pass_ms() const {
+    return GetField<float>(VT_PASS_MS, 0.0f);
+  }
   const flatbuffers::Vector<uint32_t> *entries() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ENTRIES);
   }
@@ -610,6 +615,7 @@
            VerifyField<int32_t>(verifier, VT_GROUP_SIZE, 4) &&
            VerifyField<int32_t>(verifier, VT_RANK, 4) &&
            VerifyField<uint8_t>(verifier, VT_BROKEN, 1) &&
+           VerifyField<float>(verifier, VT_PASS_MS, 4) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.EndTable();
@@ -650,6 +656,9 @@
   void add_broken(bool broken) {
     fbb_.AddElement<uint8_t>(ServerReport::VT_BROKEN, static_cast<uint8_t>(broken), 0);
   }
+  void add_pass_ms(float pass_ms) {
+    fbb_.AddElement<float>(ServerReport::VT_PASS_MS, pass_ms, 0.0f);
+  }
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries) {
     fbb_.AddOffset(ServerReport::VT_ENTRIES, entries);
   }
@@ -675,10 +684,12 @@
     int32_t group_size = 0,
     int32_t rank = 0,
     bool broken = false,
+    float pass_ms = 0.0f,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0) {
   ServerReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_entries(entries);
+  builder_.add_pass_ms(pass_ms);
   builder_.add_rank(rank);
   builder_.add_group_size(group_size);
   builder_.add_group(group);
@@ -706,6 +717,7 @@
     int32_t group_size = 0,
     int32_t rank = 0,
     bool broken = false,
+    float pass_ms = 0.0f,
     const std::vector<uint32_t> *entries = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
@@ -720,6 +732,7 @@
       group_size,
       rank,
       broken,
+      pass_ms,
       entries__);
 }
 
@@ -734,6 +747,7 @@
   uint64_t term = 0;
   int64_t epoch = 0;
   bool broken = false;
+  float slowness = 1.0f;
   int64_t step = 0;
   int64_t map_version = 0;
   int64_t prepared_version = 0;
@@ -759,17 +773,18 @@
     VT_TERM = 12,
     VT_EPOCH = 14,
     VT_BROKEN = 16,
-    VT_STEP = 18,
-    VT_MAP_VERSION = 20,
-    VT_PREPARED_VERSION = 22,
-    VT_ARMED_VERSION = 24,
-    VT_ARMED_STEP = 26,
-    VT_HELD_STEP = 28,
-    VT_PREPARE_ACCEPTED = 30,
-    VT_PREPARE_REFUSED = 32,
-    VT_EXPERTS = 34,
-    VT_COUNTS = 36,
-    VT_COUNTS_SHIFT = 38
+    VT_SLOWNESS = 18,
+    VT_STEP = 20,
+    VT_MAP_VERSION = 22,
+    VT_PREPARED_VERSION = 24,
+    VT_ARMED_VERSION = 26,
+    VT_ARMED_STEP = 28,
+    VT_HELD_STEP = 30,
+    VT_PREPARE_ACCEPTED = 32,
+    VT_PREPARE_REFUSED = 34,
+    VT_EXPERTS = 36,
+    VT_COUNTS = 38,
+    VT_COUNTS_SHIFT = 40
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -792,6 +807,9 @@
   bool broken() const {
     return GetField<uint8_t>(VT_BROKEN, 0) != 0;
   }
+  float slowness() const {
+    return GetField<float>(VT_SLOWNESS, 1.0f);
+  }
   int64_t step() const {
     return GetField<int64_t>(VT_STEP, 0);
   }
@@ -835,6 +853,7 @@
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<int64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_BROKEN, 1) &&
+           VerifyField<float>(verifier, VT_SLOWNESS, 4) &&
            VerifyField<int64_t>(verifier, VT_STEP, 8) &&
            VerifyField<int64_t>(verifier, VT_MAP_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_PREPARED_VERSION, 8) &&
@@ -880,6 +899,9 @@
   void add_broken(bool broken) {
     fbb_.AddElement<uint8_t>(RankState::VT_BROKEN, static_cast<uint8_t>(broken), 0);
   }
+  void add_slowness(float slowness) {
+    fbb_.AddElement<float>(RankState::VT_SLOWNESS, slowness, 1.0f);
+  }
   void add_step(int64_t step) {
     fbb_.AddElement<int64_t>(RankState::VT_STEP, step, 0);
   }
@@ -933,6 +955,7 @@
     uint64_t term = 0,
     int64_t epoch = 0,
     bool broken = false,
+    float slowness = 1.0f,
     int64_t step = 0,
     int64_t map_version = 0,
     int64_t prepared_version = 0,
@@ -958,6 +981,7 @@
   builder_.add_sequence(sequence);
   builder_.add_counts(counts);
   builder_.add_experts(experts);
+  builder_.add_slowness(slowness);
   builder_.add_ip(ip);
   builder_.add_rank(rank);
   builder_.add_group(group);
@@ -980,6 +1004,7 @@
     uint64_t term = 0,
     int64_t epoch = 0,
     bool broken = false,
+    float slowness = 1.0f,
     int64_t step = 0,
     int64_t map_version = 0,
     int64_t prepared_version = 0,
@@ -1003,6 +1028,7 @@
       term,
       epoch,
       broken,
+      slowness,
       step,
       map_version,
       prepared_version,
@@ -1462,6 +1488,7 @@
   { auto _e = group_size(); _o->group_size = _e; }
   { auto _e = rank(); _o->rank = _e; }
   { auto _e = broken(); _o->broken = _e; }
+  { auto _e = pass_ms(); _o->pass_ms = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
 }
 
@@ -1482,6 +1509,7 @@
   auto _group_size = _o->group_size;
   auto _rank = _o->rank;
   auto _broken = _o->broken;
+  auto _pass_ms = _o->pass_ms;
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
   return sardinestream::news::CreateServerReport(
       _fbb,
@@ -1494,6 +1522,7 @@
       _group_size,
       _rank,
       _broken,
+      _pass_ms,
       _entries);
 }
 
@@ -1513,6 +1542,7 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = broken(); _o->broken = _e; }
+  { auto _e = slowness(); _o->slowness = _e; }
   { auto _e = step(); _o->step = _e; }
   { auto _e = map_version(); _o->map_version = _e; }
   { auto _e = prepared_version(); _o->prepared_version = _e; }
@@ -1541,6 +1571,7 @@
   auto _term = _o->term;
   auto _epoch = _o->epoch;
   auto _broken = _o->broken;
+  auto _slowness = _o->slowness;
   auto _step = _o->step;
   auto _map_version = _o->map_version;
   auto _prepared_version = _o->prepared_version;
@@ -1561,6 +1592,7 @@
       _term,
       _epoch,
       _broken,
+      _slowness,
       _step,
       _map_version,
       _prepared_version,
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -222,6 +222,7 @@
     told.running = this->engine.report()->running;
     told.waiting = this->engine.report()->waiting;
     told.slowness = static_cast<float>(this->engine.report()->slowness);
+    told.pass_ms = static_cast<float>(this->engine.pass_ms());
     told.group = this->engine.report()->group;
     told.group_size = this->engine.report()->group_size;
     told.rank = this->engine.report()->rank;
@@ -245,6 +246,7 @@
     state.rank = this->engine.report()->rank;
     state.report = this->engine.report()->maps;
     state.broken = this->engine.report()->broken;
+    state.slowness = this->engine.report()->slowness;
     state.prepares = this->prepares;
     state.experts = this->engine.experts();
     return state;
--- a/sardinestream/programs/engine_watch.cc
+++ b/sardinestream/programs/engine_watch.cc
@@ -6,6 +6,12 @@
 #include "sardinestream/base/log.h"
 
 namespace sardinestream {
+namespace {
+
+// Passes are counted over this time.
+constexpr std::chrono::milliseconds pass_window{500};
+
+} // namespace
 
 engine_watch::engine_watch(engine_port given) : calls(std::move(given)) {}
 
@@ -28,10 +34,34 @@
         this->last_progress = steady_clock::now();
     }
     this->newest = *std::move(fresh);
+    this->note_step(steady_clock::now());
     this->refresh_experts();
     return true;
 }
 
+void engine_watch::note_step(steady_time now)
+{
+    if (this->newest->running == 0) {
+        this->looks.clear();
+        return;
+    }
+    this->looks.push_back({now, this->newest->maps.step});
+    while (this->looks.size() > 2 && now - this->looks.front().at > pass_window) {
+        this->looks.pop_front();
+    }
+}
+
+double engine_watch::pass_ms() const
+{
+    if (this->looks.size() < 2) {
+        return 0;
+    }
+    const std::chrono::duration<double, std::milli> time =
+        this->looks.back().at - this->looks.front().at;
+    const std::int64_t passes = this->looks.back().step - this->looks.front().step;
+    return time.count() / static_cast<double>(std::max<std::int64_t>(1, passes));
+}
+
 void engine_watch::refresh_experts()
 {
     const rank_report& maps = this->newest->maps;
--- a/sardinestream/programs/engine_watch.h
+++ b/sardinestream/programs/engine_watch.h
@@ -7,6 +7,7 @@
 #define SARDINESTREAM_PROGRAMS_ENGINE_WATCH_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -36,6 +37,9 @@
         return now - this->last_progress;
     }
 
+    // Mean time between the beginnings of the last passes; zero while the engine makes none.
+    [[nodiscard]] double pass_ms() const;
+
     // Adds what was chosen since the last call, scaled to fit a message.
     void add_counts(news::RankStateT& state);
 
@@ -43,11 +47,20 @@
 
 private:
     void refresh_experts();
+    void note_step(steady_time now);
+
+    // A look at the engine that found it at work.
+    struct step_look {
+        steady_time at{};
+        std::int64_t step = 0;
+    };
 
     const engine_port calls;
     std::optional<engine_report> newest;
     // When the engine last began a pass, or had nothing to do.
     steady_time last_progress{};
+    // The looks of the last moments, oldest first; empty while the engine is idle.
+    std::deque<step_look> looks;
     rank_experts held;
     // What `held` belongs to, or -1.
     std::int64_t experts_epoch = -1;
--- a/sardinestream/programs/rank_news.cc
+++ b/sardinestream/programs/rank_news.cc
@@ -91,6 +91,7 @@
     encoded.rank = state.rank;
     encoded.epoch = report.epoch;
     encoded.broken = state.broken;
+    encoded.slowness = static_cast<float>(state.slowness);
     encoded.step = report.step;
     encoded.map_version = report.map_version;
     encoded.prepared_version = report.prepared_version;
@@ -111,6 +112,7 @@
     decoded.rank = state.rank;
     decoded.report = decode_report(state);
     decoded.broken = state.broken;
+    decoded.slowness = state.slowness;
     decoded.prepares = {state.prepare_accepted, state.prepare_refused};
     SARDINE_RETURN_IF_ERROR(unflatten(state.experts, sets, decoded.experts));
     for (const std::uint8_t one : state.counts) {
--- a/sardinestream/programs/silent_ranks.cc
+++ b/sardinestream/programs/silent_ranks.cc
@@ -49,6 +49,7 @@
     state.rank = rank;
     state.report = report->maps;
     state.broken = report->broken;
+    state.slowness = report->slowness;
     state.prepares = reached.prepares;
     state.experts = reached.experts;
     state.without_agent = true;
