Log the address and the slowness of the server that an attempt went to

The id of a server appears nowhere else; with the address, attempts can be told by machine and group. Used to see that requests do leave a slow group.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -93,6 +93,7 @@
     placement given;
     given.server = state.server();
     given.occupancy = loads[*chosen].occupancy;
+    given.slowness = loads[*chosen].slowness;
     return given;
 }
 
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -50,7 +50,9 @@
     backend_server server;
     // How long the request waited for it.
     std::chrono::milliseconds waited{0};
+    // What was known of the server when it was chosen.
     double occupancy = 0;
+    double slowness = 1;
 };
 
 struct dispatcher_options {
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -474,6 +474,8 @@
 {
     log_event("attempt", {{"request", this->admitted.request.id},
                           {"server", record.given.server.id},
+                          {"address", record.given.server.endpoint.to_string()},
+                          {"slowness", record.given.slowness},
                           {"occupancy", record.given.occupancy},
                           {"first_byte_ms", record.first_byte.count()},
                           {"elapsed_ms", elapsed_since(record.begun).count()},
