--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -2,6 +2,7 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/error.h"
@@ -35,6 +36,42 @@
               "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+TEST(log_test, routine_lines_beyond_the_rate_are_counted)
+{
+    line_budget budget(2);
+    EXPECT_TRUE(budget.take(10));
+    EXPECT_TRUE(budget.take(10));
+    EXPECT_FALSE(budget.take(10));
+    EXPECT_FALSE(budget.take(10));
+    EXPECT_EQ(budget.take_left_out(), 0);
+    EXPECT_TRUE(budget.take(11));
+    EXPECT_EQ(budget.take_left_out(), 2);
+    EXPECT_EQ(budget.take_left_out(), 0);
+}
+
+// Writes lines to a pipe that nobody reads, in a process of its own, and exits with 0 where that
+// took no longer than with a reader.
+void log_to_a_reader_that_stands_still()
+{
+    int ends[2];
+    if (::pipe(ends) != 0 || ::dup2(ends[1], STDOUT_FILENO) < 0) {
+        std::_Exit(2);
+    }
+    start_logging(log_level::info, "entry", "front-1");
+    const absl::Time begun = absl::Now();
+    constexpr int lines = 50000;
+    for (int i = 0; i < lines; ++i) {
+        log_event("request", {{"request", i}, {"outcome", "refused"}, {"reason", "queue full"}});
+    }
+    std::_Exit(absl::Now() - begun < absl::Seconds(10) ? 0 : 1);
+}
+
+TEST(log_test, a_reader_that_stands_still_holds_nobody_up)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(log_to_a_reader_that_stands_still(), testing::ExitedWithCode(0), "");
+}
+
 TEST(log_test, values_with_spaces_are_quoted)
 {
     EXPECT_EQ(format_event("x", {{"a", "one two"}, {"b", 3}}), "event=x a=\"one two\" b=3");
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/base/log.h"
 
+#include <utility>
 #include <vector>
 
 #include <log4cxx/asyncappender.h>
@@ -11,6 +12,8 @@
 #include "sardinestream/base/error.h"
 
 #include "absl/strings/escaping.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 
 namespace sardinestream {
 namespace {
@@ -115,6 +118,46 @@
     logger()->forcedLog(native_level, format_event(event, fields));
 }
 
+bool line_budget::take(std::int64_t second)
+{
+    if (second != this->present) {
+        this->present = second;
+        this->taken = 0;
+        this->left_out_before += this->left_out;
+        this->left_out = 0;
+    }
+    if (this->taken >= this->most) {
+        ++this->left_out;
+        return false;
+    }
+    ++this->taken;
+    return true;
+}
+
+int line_budget::take_left_out()
+{
+    return std::exchange(this->left_out_before, 0);
+}
+
+void log_routine_event(absl::string_view event, std::initializer_list<log_field> fields)
+{
+    static absl::Mutex mutex;
+    static line_budget budget(most_routine_lines);
+    bool allowed = false;
+    int left_out = 0;
+    {
+        const absl::MutexLock lock(&mutex);
+        allowed = budget.take(absl::ToUnixSeconds(absl::Now()));
+        left_out = budget.take_left_out();
+    }
+    if (left_out > 0) {
+        log_event("lines_left_out", {{"count", left_out}}, log_level::warning);
+    }
+    if (allowed) {
+        log_event(event, fields);
+    }
+}
+
 void log_failure(absl::string_view event, const absl::Status& status,
                  std::initializer_list<log_field> fields)
 {
--- a/sardinestream/base/metrics.h
+++ b/sardinestream/base/metrics.h
@@ -7,7 +7,7 @@
 //     set_gauge("sardine_in_flight", {}, 12);
 //
 // Histograms are Boost.Histogram with a logarithmic axis from 0.1 ms to 100 s.
-// docs/OPERATORS.md lists every name. All functions are thread-safe.
+// docs/OPERATIONS.md lists every name. All functions are thread-safe.
 
 #ifndef SARDINESTREAM_BASE_METRICS_H_
 #define SARDINESTREAM_BASE_METRICS_H_
--- a/sardinestream/base/outcome.h
+++ b/sardinestream/base/outcome.h
@@ -1,7 +1,7 @@
 // What became of a request, and why: the vocabulary of every answer that is not a success.
 //
 // Use `refusal` wherever a request ends without the backend server's own answer.
-// `docs/OPERATORS.md` explains each code; codes never change their meaning.
+// `docs/OPERATIONS.md` explains each code; codes never change their meaning.
 
 #ifndef SARDINESTREAM_BASE_OUTCOME_H_
 #define SARDINESTREAM_BASE_OUTCOME_H_
--- a/sardinestream/catalogue/entry_validation.h
+++ b/sardinestream/catalogue/entry_validation.h
@@ -22,7 +22,7 @@
 
 namespace sardinestream::catalogue {
 
-// Why a version was refused. Codes never change their meaning; docs/OPERATORS.md lists them.
+// Why a version was refused. Codes never change their meaning; docs/OPERATIONS.md lists them.
 enum class entry_code : std::uint8_t {
     none = 0,
     not_an_object,
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -29,6 +29,11 @@
 constexpr std::size_t largest_answer_head = 65536;
 constexpr std::size_t largest_whole_answer = 32U << 20U;
 
+void log_notable_event(absl::string_view event, std::initializer_list<log_field> fields)
+{
+    log_event(event, fields);
+}
+
 milliseconds elapsed_since(steady_time begun)
 {
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
@@ -456,30 +461,33 @@
         "sardine_request_seconds",
         {{"service", this->admitted.service}, {"outcome", std::string(outcome)}},
         std::chrono::duration<double>(steady_clock::now() - this->admitted.arrival).count());
-    log_event("request", {{"request", this->admitted.request.id},
-                          {"route", this->chosen.name},
-                          {"version", this->admitted.state->version},
-                          {"service", this->admitted.service},
-                          {"team", this->admitted.team},
-                          {"outcome", outcome},
-                          {"status", status},
-                          {"servers", this->servers_sent},
-                          {"events", this->events.taken()},
-                          {"queued_ms", this->total_wait.count()},
-                          {"total_ms", elapsed_since(this->admitted.arrival).count()},
-                          {"reason", reason}});
+    const auto write = outcome == "answered" ? log_routine_event : log_notable_event;
+    write("request", {{"request", this->admitted.request.id},
+                      {"route", this->chosen.name},
+                      {"version", this->admitted.state->version},
+                      {"service", this->admitted.service},
+                      {"team", this->admitted.team},
+                      {"outcome", outcome},
+                      {"status", status},
+                      {"servers", this->servers_sent},
+                      {"events", this->events.taken()},
+                      {"queued_ms", this->total_wait.count()},
+                      {"total_ms", elapsed_since(this->admitted.arrival).count()},
+                      {"reason", reason}});
 }
 
 void exchange::log_attempt(const attempt_record& record, absl::string_view outcome) const
 {
-    log_event("attempt", {{"request", this->admitted.request.id},
-                          {"server", record.given.server.id},
-                          {"address", record.given.server.endpoint.to_string()},
-                          {"slowness", record.given.slowness},
-                          {"occupancy", record.given.occupancy},
-                          {"first_byte_ms", record.first_byte.count()},
-                          {"elapsed_ms", elapsed_since(record.begun).count()},
-                          {"outcome", outcome}});
+    const auto write =
+        record.result == attempt_result::succeeded ? log_routine_event : log_notable_event;
+    write("attempt", {{"request", this->admitted.request.id},
+                      {"server", record.given.server.id},
+                      {"address", record.given.server.endpoint.to_string()},
+                      {"slowness", record.given.slowness},
+                      {"occupancy", record.given.occupancy},
+                      {"first_byte_ms", record.first_byte.count()},
+                      {"elapsed_ms", elapsed_since(record.begun).count()},
+                      {"outcome", outcome}});
 }
 
 } // namespace sardinestream
--- a/sardinestream/maps/map_planner.cc
+++ b/sardinestream/maps/map_planner.cc
@@ -363,9 +363,11 @@
     const double copying_ms = plan.copies_at_busiest_rank * options.copy_ms;
     const double in_force_ms = options.horizon_ms - copying_ms - options.switch_ms;
     const double gain = plan.factor_before - plan.factor_after;
-    return gain * in_force_ms / options.horizon_ms -
-           options.copy_slowdown * plan.factor_before * copying_ms / options.horizon_ms -
-           options.copy_cost_per_s * plan.copies * options.copy_ms / ms_per_s;
+    const double saved = gain * in_force_ms / options.horizon_ms;
+    const double copying =
+        options.copy_slowdown * plan.factor_before * copying_ms / options.horizon_ms +
+        options.copy_cost_per_s * plan.copies * options.copy_ms / ms_per_s;
+    return options.skew_weight * saved - options.rebalance_weight * copying;
 }
 
 } // namespace
--- a/sardinestream/maps/map_planner.h
+++ b/sardinestream/maps/map_planner.h
@@ -34,9 +34,12 @@
     double horizon_ms = 4000;
     // How much longer passes take while a rank copies, as a share.
     double copy_slowdown = 0.15;
-    // Pass time that a second of copying is worth, over all ranks: the users' weight of rebalancing
-    // against skew, as a share of a pass over the horizon.
+    // Pass time that a second of copying is worth, over all ranks, as a share of a pass over the
+    // horizon.
     double copy_cost_per_s = 0.0135;
+    // The users' weights of even load and of copies.
+    double skew_weight = 1;
+    double rebalance_weight = 1;
     // The least gain, as a share of a pass, for which a map is changed at all.
     double least_gain = 0.15;
     // Called after each move, since a search may take longer than others wait for a sign of life.
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -14,6 +14,7 @@
 #include "sardinestream/platform/settings.h"
 #include "sardinestream/platform/wire_names.h"
 #include "sardinestream/programs/entry_program.h"
+#include "sardinestream/programs/status_command.h"
 
 namespace sardinestream::platform {
 namespace {
@@ -147,5 +148,8 @@
         std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
         return sardinestream::platform::exit_bad_settings;
     }
+    if (settings->print_status) {
+        return sardinestream::print_status(settings->ops_listen);
+    }
     return settings->check_only ? 0 : sardinestream::platform::run(*settings);
 }
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -10,6 +10,7 @@
 #include "sardinestream/testing/process.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 namespace sardinestream::testing {
 namespace {
@@ -88,6 +89,65 @@
     EXPECT_TRUE(agent->alive());
 }
 
+TEST_F(platform_process_test, prints_what_a_running_agent_has_in_force)
+{
+    const port_reservation ops;
+    this->write_settings(
+        absl::StrReplaceAll(this->agent_settings("info"),
+                            {{"--ops_port=0", absl::StrCat("--ops_port=", ops.reserved().port)}}));
+    const auto agent = this->start("sardine-platform-agent");
+    ASSERT_TRUE(agent->wait_for_output("event=started")) << agent->output();
+    const auto command = *process::start({.binary = "sardine-platform-agent",
+                                          .flags = {"--print_status"},
+                                          .log_directory = this->logs.path(),
+                                          .name = "status"});
+    EXPECT_EQ(command->wait_for_exit(), 0);
+    EXPECT_TRUE(command->wait_for_output("\"engine_answers\": false")) << command->output();
+}
+
+TEST_F(platform_process_test, prints_what_a_running_entry_has_in_force)
+{
+    const port_reservation ops;
+    this->write_settings(
+        absl::StrReplaceAll(this->entry_settings(),
+                            {{"--ops_port=0", absl::StrCat("--ops_port=", ops.reserved().port)}}));
+    const auto entry = this->start("sardine-platform-entry");
+    ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    const auto command = *process::start({.binary = "sardine-platform-entry",
+                                          .flags = {"--print_status"},
+                                          .log_directory = this->logs.path(),
+                                          .name = "status"});
+    EXPECT_EQ(command->wait_for_exit(), 0);
+    EXPECT_TRUE(command->wait_for_output("\"entries_alive\": 1")) << command->output();
+}
+
+TEST_F(platform_process_test, tells_where_no_process_answers)
+{
+    this->write_settings(this->agent_settings("info"));
+    const auto command = *process::start({.binary = "sardine-platform-agent",
+                                          .flags = {"--print_status", "--ops_port=1"},
+                                          .log_directory = this->logs.path(),
+                                          .name = "status"});
+    EXPECT_EQ(command->wait_for_exit(), 1);
+    EXPECT_TRUE(command->wait_for_output("127.0.0.1:1")) << command->output();
+}
+
+TEST_F(platform_process_test, checks_settings_without_a_start)
+{
+    this->write_settings(this->agent_settings("info"));
+    const auto right = *process::start({.binary = "sardine-platform-agent",
+                                        .flags = {"--check_settings"},
+                                        .log_directory = this->logs.path(),
+                                        .name = "right"});
+    EXPECT_EQ(right->wait_for_exit(), 0);
+    const auto wrong = *process::start({.binary = "sardine-platform-agent",
+                                        .flags = {"--check_settings", "--skew_weight=1000"},
+                                        .log_directory = this->logs.path(),
+                                        .name = "wrong"});
+    EXPECT_EQ(wrong->wait_for_exit(), exit_bad_settings);
+    EXPECT_TRUE(wrong->wait_for_output("0.01 to 100")) << wrong->output();
+}
+
 TEST_F(platform_process_test, wrong_settings_end_the_start_with_the_setting_named)
 {
     this->write_settings(this->agent_settings("loud"));
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -19,7 +19,10 @@
 DEFINE_int32(ops_port, 9464, "Port of /metrics and /status, 0 to 65535");
 DEFINE_int32(news_port, 0, "Port of the news between our own processes, 1 to 65535");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
-DEFINE_bool(check, false, "Check the settings, print nothing where they are right, and exit");
+DEFINE_bool(check_settings, false,
+            "Check the settings, print nothing where they are right, and exit");
+DEFINE_bool(print_status, false,
+            "Print what the running process with these settings has in force, and exit");
 
 DEFINE_string(front_listen, "", "IP:PORT where callers are served");
 DEFINE_string(ready_listen, "", "IP:PORT where the platform asks for readiness");
@@ -32,6 +35,8 @@
 
 DEFINE_string(backend, "", "IP:PORT of the backend server beside this process");
 DEFINE_string(service, "", "Service of that backend server");
+DEFINE_double(skew_weight, 1, "What even load over the ranks is worth, 0.01 to 100");
+DEFINE_double(rebalance_weight, 1, "What copies of experts cost against it, 0.01 to 100");
 
 namespace sardinestream::platform {
 namespace {
@@ -90,7 +95,8 @@
     settings.ip = FLAGS_ip;
     settings.ops_listen = {FLAGS_ip, FLAGS_ops_port};
     settings.news_port = FLAGS_news_port;
-    settings.check_only = FLAGS_check;
+    settings.check_only = FLAGS_check_settings;
+    settings.print_status = FLAGS_print_status;
     return absl::OkStatus();
 }
 
@@ -141,8 +147,16 @@
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("backend", FLAGS_backend));
     SARDINE_RETURN_IF_ERROR(check_present("service", FLAGS_service));
+    constexpr double least_weight = 0.01;
+    constexpr double most_weight = 100;
+    SARDINE_RETURN_IF_ERROR(
+        check_number("skew_weight", FLAGS_skew_weight, least_weight, most_weight));
+    SARDINE_RETURN_IF_ERROR(
+        check_number("rebalance_weight", FLAGS_rebalance_weight, least_weight, most_weight));
     settings.backend = *parse_address(FLAGS_backend);
     settings.service = FLAGS_service;
+    settings.skew_weight = FLAGS_skew_weight;
+    settings.rebalance_weight = FLAGS_rebalance_weight;
     return settings;
 }
 
@@ -158,7 +172,8 @@
 
 absl::StatusOr<agent_settings> load_agent_settings(int* argc, char*** argv)
 {
-    SARDINE_RETURN_IF_ERROR(load(argc, argv, {"backend", "service"}));
+    SARDINE_RETURN_IF_ERROR(
+        load(argc, argv, {"backend", "service", "skew_weight", "rebalance_weight"}));
     return read_agent();
 }
 
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -30,6 +30,7 @@
     int news_port = 0;
     log_level log_minimum = log_level::info;
     bool check_only = false;
+    bool print_status = false;
 };
 
 struct entry_settings : common_settings {
@@ -47,6 +48,8 @@
     // The backend server beside this process.
     address backend;
     std::string service;
+    double skew_weight = 1;
+    double rebalance_weight = 1;
 };
 
 [[nodiscard]] absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv);
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -72,6 +72,7 @@
         this->take_news();
         if (steady_clock::now() >= this->next_look) {
             this->look_at_engine();
+            this->publish_status();
             const bool changing = this->engine.report().has_value() && this->is_changing_map();
             this->next_look =
                 steady_clock::now() + (changing ? look_interval_in_change : look_interval);
@@ -79,6 +80,38 @@
     }
 }
 
+void agent_program::publish_status()
+{
+    agent_status fresh;
+    if (const std::optional<engine_report>& report = this->engine.report(); report.has_value()) {
+        fresh.engine_answers = true;
+        fresh.group = report->group;
+        fresh.rank = report->rank;
+        fresh.epoch = report->maps.epoch;
+        fresh.step = report->maps.step;
+        fresh.pass_ms = this->engine.pass_ms();
+        fresh.running = report->running;
+        fresh.waiting = report->waiting;
+        fresh.map_version = report->maps.map_version;
+        fresh.prepared_version = report->maps.prepared_version;
+    }
+    fresh.term = this->obeyed.term;
+    fresh.coordinator_rank = this->obeyed.term == 0 ? -1 : this->obeyed.rank;
+    fresh.coordinating = this->is_coordinating();
+    fresh.entries = static_cast<int>(this->entries.size());
+    const absl::MutexLock lock(&this->status_mutex);
+    this->published = std::move(fresh);
+    this->published_at = steady_clock::now();
+}
+
+agent_status agent_program::status() const
+{
+    const absl::MutexLock lock(&this->status_mutex);
+    agent_status copy = this->published;
+    copy.age = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->published_at);
+    return copy;
+}
+
 void agent_program::take_news()
 {
     // Waits for the first message; what has piled up behind it is older than the next look.
@@ -348,6 +381,8 @@
     coordinator_options chosen;
     chosen.shape = this->shape;
     chosen.planner = this->planner;
+    chosen.planner.skew_weight = this->options.skew_weight;
+    chosen.planner.rebalance_weight = this->options.rebalance_weight;
     chosen.planner.on_progress = [this] { this->send_due_signs_of_life(); };
     chosen.own_rank = this->engine.report()->rank;
     this->coordinator = std::make_unique<map_coordinator>(chosen);
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -26,7 +26,9 @@
 #include "sardinestream/programs/rank_news.h"
 #include "sardinestream/programs/silent_ranks.h"
 
+#include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
 
 namespace sardinestream {
 
@@ -36,6 +38,29 @@
     int news_port = 0;
     address engine;
     engine_connector connect;
+    // The users' weights of even load over the ranks and of copies of experts.
+    double skew_weight = 1;
+    double rebalance_weight = 1;
+};
+
+// What an agent believes, as of its last look at the engine.
+struct agent_status {
+    bool engine_answers = false;
+    std::string group;
+    int rank = 0;
+    std::int64_t epoch = 0;
+    std::int64_t step = 0;
+    double pass_ms = 0;
+    int running = 0;
+    int waiting = 0;
+    std::int64_t map_version = 0;
+    std::int64_t prepared_version = 0;
+    std::uint64_t term = 0;
+    int coordinator_rank = -1;
+    bool coordinating = false;
+    // Entries that were heard lately.
+    int entries = 0;
+    std::chrono::milliseconds age{0};
 };
 
 class agent_program {
@@ -48,6 +73,9 @@
     // May be called from any thread.
     void stop() { this->stopping = true; }
 
+    // May be called from any thread.
+    [[nodiscard]] agent_status status() const;
+
 private:
     struct group_place {
         std::uint32_t ip = 0;
@@ -72,6 +100,7 @@
 
     agent_program(agent_options chosen, datagram_socket bound);
 
+    void publish_status();
     void take_news();
     void take(const news::NewsT& message);
     void take_hello(const news::EntryHelloT& hello);
@@ -143,6 +172,10 @@
     steady_time last_reach{};
     steady_time coordinating_since{};
     bool heard_directive = false;
+
+    mutable absl::Mutex status_mutex;
+    agent_status published ABSL_GUARDED_BY(status_mutex);
+    steady_time published_at ABSL_GUARDED_BY(status_mutex){};
 };
 
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/programs/entry_program.h"
 
+#include <map>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -128,6 +129,8 @@
         this->ahead_ip = ip;
     };
     hooks.on_entries = [this](int alive, int known) {
+        this->entries_alive = alive;
+        this->entries_known = known;
         this->servers.set_processes(alive);
         // An entry that is only out of sight still spends its share.
         this->retries.set_max_tokens(this->options.most_retries_at_once / known);
@@ -287,8 +290,7 @@
 http_answer entry_program::answer_operator(const http_request_head& head) const
 {
     if (absl::StartsWith(head.target, "/metrics")) {
-        set_gauge("sardine_caller_connections", {}, this->callers->connections());
-        set_gauge("sardine_requests_waiting", {}, this->servers.waiting());
+        this->set_gauges();
         return {http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, render_metrics()};
     }
     if (absl::StartsWith(head.target, "/status")) {
@@ -297,6 +299,28 @@
     return {http_not_found, {}, ""};
 }
 
+void entry_program::set_gauges() const
+{
+    const std::shared_ptr<const desired_state> current = this->state.get();
+    set_gauge("sardine_caller_connections", {}, this->callers->connections());
+    set_gauge("sardine_requests_waiting", {}, this->servers.waiting());
+    set_gauge("sardine_desired_state_version", {},
+              current == nullptr ? 0 : static_cast<double>(current->version));
+    set_gauge("sardine_servers_revision", {}, static_cast<double>(this->directory.revision()));
+    set_gauge("sardine_entries", {{"seen", "alive"}}, this->entries_alive);
+    set_gauge("sardine_entries", {{"seen", "lately"}}, this->entries_known);
+    for (const auto& [service, tokens] : this->retries.left()) {
+        set_gauge("sardine_retry_tokens", {{"service", service}}, tokens);
+    }
+    std::map<std::pair<std::string, std::string>, int> servers_by_state;
+    for (const dispatcher::server_summary& one : this->servers.summary()) {
+        ++servers_by_state[{one.server.service, one.server.draining ? "leaving" : "in_use"}];
+    }
+    for (const auto& [key, number] : servers_by_state) {
+        set_gauge("sardine_servers", {{"service", key.first}, {"state", key.second}}, number);
+    }
+}
+
 std::string entry_program::status_json() const
 {
     const std::shared_ptr<const desired_state> current = this->state.get();
@@ -306,6 +330,9 @@
                              {"desired_state_version", current == nullptr ? 0 : current->version},
                              {"desired_state_revision", this->state.revision()},
                              {"servers_revision", this->directory.revision()},
+                             {"entries_alive", this->entries_alive.load()},
+                             {"entries_known", this->entries_known.load()},
+                             {"retry_tokens", this->retries.left()},
                              {"waiting", this->servers.waiting()}};
     for (const dispatcher::server_summary& one : this->servers.summary()) {
         status["servers"].push_back({{"id", one.server.id},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -85,6 +85,8 @@
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http_answer answer_readiness() const;
     [[nodiscard]] http_answer answer_operator(const http_request_head& head) const;
+    // Sets the gauges to what the process believes now.
+    void set_gauges() const;
     [[nodiscard]] std::string status_json() const;
 
     const entry_options options;
@@ -96,6 +98,9 @@
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<bool> servers_known = false;
+    // Entries that hear each other, and those that were heard of lately; both with this one.
+    std::atomic<int> entries_alive = 1;
+    std::atomic<int> entries_known = 1;
     std::unique_ptr<front> callers;
     std::unique_ptr<http_service> readiness;
     std::unique_ptr<http_service> operators;
--- a/sardinestream/retries/retry_budget.cc
+++ b/sardinestream/retries/retry_budget.cc
@@ -43,4 +43,10 @@
     return found->second;
 }
 
+std::map<std::string, double> retry_budget::left() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return {this->tokens.begin(), this->tokens.end()};
+}
+
 } // namespace sardinestream::routing
--- a/sardinestream/retries/retry_budget.h
+++ b/sardinestream/retries/retry_budget.h
@@ -38,10 +38,13 @@
     // Takes the tokens of one retry. Returns false, and takes nothing, where they are not there.
     [[nodiscard]] bool try_retry(absl::string_view service);
 
+    // The tokens that each service has left.
+    [[nodiscard]] std::map<std::string, double> left() const;
+
 private:
     double& tokens_of(absl::string_view service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
-    absl::Mutex mutex;
+    mutable absl::Mutex mutex;
     retry_budget_options options ABSL_GUARDED_BY(mutex);
     // Each between zero and `max_tokens`.
     std::map<std::string, double, std::less<>> tokens ABSL_GUARDED_BY(mutex);
