--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,13 @@
 JOBS ?= $(shell nproc)
 SETUP_STAMP := $(BUILD)/.packages
 
-.PHONY: help setup build demo check format format-check lint test matrix bench generate clean
+.PHONY: help setup build demo check format format-check lint test matrix soak bench generate clean
 
 help:
 	@echo "make demo    install, build and run the whole system once, with its answers printed"
 	@echo "make check   install, build, formatter, linter and all tests (what CI runs)"
 	@echo "make matrix  every fault at every step; last line: matrix cells=N held=N red=K"
+	@echo "make soak    the real programs under drawn faults, fresh seeds (SOAK_SEED=N for a series of your own)"
 	@echo "make bench   load scenarios, policies side by side (BENCH_SCENARIO=name for one)"
 
 setup: $(SETUP_STAMP)
@@ -49,6 +50,13 @@
 matrix: build
 	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/fault_matrix --jobs=$(MATRIX_JOBS)
 
+# 0 takes the first seed from the clock.
+SOAK_SEED ?= 0
+SOAK_SEEDS ?= 20
+
+soak: build
+	@SARDINE_BIN_DIR=$(BUILD)/bin $(BUILD)/bin/soak --seed=$(SOAK_SEED) --seeds=$(SOAK_SEEDS)
+
 generate:
 	@tools/generate
 
--- a/sardinestream/maps/map_planner_test.cc
+++ b/sardinestream/maps/map_planner_test.cc
@@ -147,6 +147,7 @@
 std::vector<double> noisy_sample(const std::vector<double>& shares, std::minstd_rand& random)
 {
     std::vector<double> sample;
+    sample.reserve(shares.size());
     for (const double share : shares) {
         sample.push_back(1000 * share * std::uniform_real_distribution<double>(0.8, 1.2)(random));
     }
--- a/sardinestream/testing/emulator/rank_group.cc
+++ b/sardinestream/testing/emulator/rank_group.cc
@@ -149,7 +149,9 @@
                 // Half of the choices fall on two experts.
                 const int liked = choice % 2 == 0 ? choice / 2 % 2 : choice;
                 const int expert = (this->taste + set + liked) % shape.experts;
-                ++state.counts[static_cast<std::size_t>(set * shape.experts + expert)];
+                ++state.counts[static_cast<std::size_t>(set) *
+                                   static_cast<std::size_t>(shape.experts) +
+                               static_cast<std::size_t>(expert)];
             }
         }
     }
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -254,6 +254,7 @@
 absl::Status soak_fleet::start_programs()
 {
     std::vector<std::string> seeds;
+    seeds.reserve(static_cast<std::size_t>(this->size.entries));
     for (int i = 0; i < this->size.entries; ++i) {
         seeds.push_back(absl::StrCat(this->ip(entry_group, i + 1), ":", news_port));
     }
