Count retries by reason, say why a server is used; unused fields go

Fields that were decoded and that nothing used are gone (health path, connection limit, warm-up, pace figures of engines): the passes that agents measure serve placement in their stead.

--- a/sardinestream/backends/backend_server.h
+++ b/sardinestream/backends/backend_server.h
@@ -22,8 +22,6 @@
     int slots = 1;
     // It is leaving and takes no new requests.
     bool draining = false;
-    // How much longer it stays slow after its start.
-    std::chrono::milliseconds warm_up{0};
 
     friend bool operator==(const backend_server&, const backend_server&) = default;
 };
--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -317,7 +317,8 @@
     std::vector<server_summary> all;
     for (const auto& [id, state] : this->servers) {
         all.push_back({state.server(), state.own_in_flight(), state.last_report(),
-                       state.has_fresh_report(this->view, now)});
+                       state.has_fresh_report(this->view, now),
+                       std::string(state.use(this->view, now))});
     }
     return all;
 }
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -95,6 +95,8 @@
         int own_in_flight = 0;
         server_report report;
         bool reported = false;
+        // Whether and why it is used.
+        std::string use;
     };
     [[nodiscard]] std::vector<server_summary> summary() const;
     [[nodiscard]] int waiting() const;
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -80,6 +80,29 @@
            now - this->report_time < view.report_interval * report_lifetime_intervals;
 }
 
+bool server_state::has_silent_agent(const load_view& view, steady_time now) const
+{
+    return this->report_time != steady_time{} &&
+           now - this->report_time > view.report_interval * silent_intervals + silent_slack;
+}
+
+absl::string_view server_state::use(const load_view& view, steady_time now) const
+{
+    if (this->described.draining) {
+        return "no: leaving";
+    }
+    if (this->is_excluded(now)) {
+        return "no: left alone after a failure";
+    }
+    if (this->has_silent_agent(view, now)) {
+        return "last: agent silent";
+    }
+    if (this->has_fresh_report(view, now) && this->report.group_broken) {
+        return "no: group broken";
+    }
+    return "yes";
+}
+
 double server_state::occupancy(const load_view& view, steady_time now) const
 {
     if (!this->has_fresh_report(view, now)) {
@@ -116,10 +139,7 @@
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->described.data_centre == view.data_centre;
     load.available = !this->described.draining && !this->is_excluded(now);
-    const bool silent =
-        this->report_time != steady_time{} &&
-        now - this->report_time > view.report_interval * silent_intervals + silent_slack;
-    if (silent) {
+    if (this->has_silent_agent(view, now)) {
         // Its machine may have stopped; without it, others are better even where they are fuller.
         load.slowness = silent_slowness;
     }
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -13,6 +13,8 @@
 #include "sardinestream/backends/choose_server.h"
 #include "sardinestream/http/socket.h"
 
+#include "absl/strings/string_view.h"
+
 namespace sardinestream {
 
 // What an agent says of its server.
@@ -77,6 +79,9 @@
     [[nodiscard]] server_load load(double room, const load_view& view, const service_pace& usual,
                                    steady_time now) const;
 
+    // In a word or two, whether and why the server is used: for operators.
+    [[nodiscard]] absl::string_view use(const load_view& view, steady_time now) const;
+
     [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
@@ -85,6 +90,7 @@
     void add_to(service_pace& usual, const load_view& view, steady_time now) const;
 
 private:
+    [[nodiscard]] bool has_silent_agent(const load_view& view, steady_time now) const;
     [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
     [[nodiscard]] double failure_share(steady_time now) const;
 
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -66,6 +66,22 @@
     EXPECT_EQ(this->load_at(this->start).slowness, 1);
 }
 
+TEST_F(server_state_test, says_why_it_is_not_used)
+{
+    const load_view view{"a", 1};
+    EXPECT_EQ(this->state.use(view, this->start), "yes");
+    server_report broken;
+    broken.group_broken = true;
+    this->state.apply_report(broken, this->start);
+    EXPECT_EQ(this->state.use(view, this->start), "no: group broken");
+    EXPECT_EQ(this->state.use(view, this->start + milliseconds(600)), "last: agent silent");
+    this->state.begin_attempt();
+    this->state.end_attempt(attempt_result::unreachable, milliseconds(1), this->start);
+    EXPECT_EQ(this->state.use(view, this->start), "no: left alone after a failure");
+    this->state.mark_leaving();
+    EXPECT_EQ(this->state.use(view, this->start), "no: leaving");
+}
+
 TEST_F(server_state_test, forgets_a_report_that_has_grown_old)
 {
     server_report report;
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -34,6 +34,20 @@
     log_event(event, fields);
 }
 
+std::string reason_of(attempt_state state)
+{
+    switch (state) {
+    case attempt_state::nothing_sent:
+        return "not_connected";
+    case attempt_state::refused_by_server:
+        return "refused_by_server";
+    case attempt_state::run_failed:
+        return "server_failed";
+    default:
+        return "no_whole_answer";
+    }
+}
+
 milliseconds elapsed_since(steady_time begun)
 {
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
@@ -418,6 +432,8 @@
         (first_of_request || this->retry_granted ||
          this->services.take_retry(this->admitted.service))) {
         this->retry_granted = true;
+        count("sardine_retries_total",
+              {{"service", this->admitted.service}, {"reason", reason_of(state)}});
         return next_step::try_again;
     }
     return this->give_up(cause) ? next_step::answered : next_step::broken_off;
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -78,17 +78,7 @@
 
 engine_model decode_engine(const json& object)
 {
-    constexpr double ms_per_s = 1000.0;
     engine_model decoded;
-    decoded.slots = optional_field(object, "slots", 1);
-    decoded.steps_per_pass = std::max(1, optional_field(object, "stride", 1));
-    decoded.step_ms = optional_field(object, "step_ms", 0.0);
-    decoded.step_ms_per_sequence = optional_field(object, "per_seq_ms", 0.0);
-    decoded.step_ms_per_thousand_context_tokens = optional_field(object, "context_per_k", 0.0);
-    decoded.prefill_tokens_per_ms = optional_field(object, "read_per_s", ms_per_s) / ms_per_s;
-    decoded.prefill_ms_per_million_pairs = optional_field(object, "pairs_per_m", 0.0);
-    decoded.prefill_chunk_tokens = optional_field(object, "chunk", 0);
-    decoded.kv_capacity_tokens = optional_field<std::int64_t>(object, "kv-capacity-tokens", 0);
     decoded.layer_sets = optional_field(object, "sets", 0);
     decoded.experts = optional_field(object, "experts", 0);
     decoded.places_per_rank = optional_field(object, "placements", 0);
@@ -103,8 +93,6 @@
 {
     service_declaration decoded;
     decoded.name = required<std::string>(object, "name");
-    decoded.health_path = optional_field<std::string>(object, "health-path", "");
-    decoded.connection_limit = optional_field(object, "connection-limit", decoded.connection_limit);
     if (const auto engine = object.find("engine"); engine != object.end() && engine->is_object()) {
         decoded.has_engine = true;
         decoded.engine = decode_engine(*engine);
@@ -187,7 +175,6 @@
             return bad_field("state", state);
         }
         decoded.draining = state == "draining";
-        decoded.warm_up = optional_ms(object, "cold-remaining-ms", decoded.warm_up);
         decoded.born_ms = optional_field<std::int64_t>(object, "born", 0);
         return decoded;
     }
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -22,8 +22,7 @@
             {"data_centre", server.data_centre},
             {"service", server.service},
             {"slots", server.slots},
-            {"draining", server.draining},
-            {"warm_up_ms", server.warm_up.count()}};
+            {"draining", server.draining}};
 }
 
 absl::StatusOr<backend_server> decode_server(const json& object)
@@ -40,7 +39,6 @@
     server.service = object.at("service").get<std::string>();
     server.slots = object.at("slots").get<int>();
     server.draining = object.at("draining").get<bool>();
-    server.warm_up = std::chrono::milliseconds(object.at("warm_up_ms").get<std::int64_t>());
     return server;
 }
 
--- a/sardinestream/routes/current_state.cc
+++ b/sardinestream/routes/current_state.cc
@@ -5,6 +5,8 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
+#include "absl/time/clock.h"
+
 namespace sardinestream {
 
 current_state::current_state(desired_state_decoder decoder) : decode(std::move(decoder)) {}
@@ -27,6 +29,7 @@
     }
     this->state = *std::move(decoded);
     this->newest = {text, revision};
+    this->newest_origin = {std::string(source), absl::Now()};
     set_gauge("sardine_desired_state_version", {}, static_cast<double>(this->state->version));
     log_event("desired_state_in_force", {{"version", this->state->version},
                                          {"revision", revision},
@@ -47,6 +50,12 @@
     return this->newest;
 }
 
+state_origin current_state::origin() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->newest_origin;
+}
+
 std::int64_t current_state::revision() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/routes/current_state.h
+++ b/sardinestream/routes/current_state.h
@@ -19,6 +19,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 namespace sardinestream {
 
@@ -32,6 +33,13 @@
     std::int64_t revision = 0;
 };
 
+// Where the state in force came from.
+struct state_origin {
+    // The store, or the address of the entry that handed it on; empty where there is no state.
+    std::string source;
+    absl::Time since = absl::InfinitePast();
+};
+
 class current_state {
 public:
     explicit current_state(desired_state_decoder decoder);
@@ -43,12 +51,14 @@
     [[nodiscard]] std::shared_ptr<const desired_state> get() const;
     [[nodiscard]] stored_document document() const;
     [[nodiscard]] std::int64_t revision() const;
+    [[nodiscard]] state_origin origin() const;
 
 private:
     const desired_state_decoder decode;
     mutable absl::Mutex mutex;
     std::shared_ptr<const desired_state> state ABSL_GUARDED_BY(mutex);
     stored_document newest ABSL_GUARDED_BY(mutex);
+    state_origin newest_origin ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream
--- a/sardinestream/routes/desired_state.h
+++ b/sardinestream/routes/desired_state.h
@@ -63,19 +63,9 @@
     }
 };
 
-// How an expert-parallel engine paces its work and places its experts.
+// How an expert-parallel engine places its experts.
 struct engine_model {
-    int slots = 1;
-    // Token steps in one pass; a pass gives one event to each stream.
-    int steps_per_pass = 1;
-    double step_ms = 0;
-    double step_ms_per_sequence = 0;
-    double step_ms_per_thousand_context_tokens = 0;
-    double prefill_tokens_per_ms = 1;
-    double prefill_ms_per_million_pairs = 0;
-    int prefill_chunk_tokens = 0;
-    std::int64_t kv_capacity_tokens = 0;
-    // Expert-parallel groups; zero layer sets where the engine has none.
+    // Zero layer sets where the engine has no experts.
     int layer_sets = 0;
     int experts = 0;
     int places_per_rank = 0;
@@ -93,8 +83,6 @@
 
 struct service_declaration {
     std::string name;
-    std::string health_path;
-    int connection_limit = 64;
     bool has_engine = false;
     engine_model engine;
 };
