--- a/sardinestream/testing/soak/soak_run.h
+++ b/sardinestream/testing/soak/soak_run.h
@@ -28,7 +28,7 @@
     // Each broken promise in a line; empty where all were kept.
     std::vector<std::string> broken;
     promise_ledger::totals requests;
-    // Changes of the expert map that came into force, and passes.
+    // Passes that the group of ranks made.
     std::int64_t passes = 0;
     std::string log_directory;
 };
