Soak: a second notice meets only the process that had the first

Traced in the agent's log: stopped at 01.590, started again at 01.864, told to stop at 01.887: the second SIGTERM of the planned stop, 300 ms after the first, met the next process. A fault of the soak, not of the agent. The check stays as it was; the second notice compares the process id.

--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -389,7 +389,13 @@
     node.struck = true;
     node.run->terminate();
     if (twice) {
-        this->after(second_notice, [&node] { node.run->terminate(); });
+        // A process that has ended and started again meanwhile is not told.
+        const pid_t told = node.run->id();
+        this->after(second_notice, [&node, told] {
+            if (node.run->id() == told) {
+                node.run->terminate();
+            }
+        });
     }
     this->restart_when_gone(node);
 }
