One accept loop and one encoder of answers for all that listens

Found on reading the change again. Four classes (front, http_service, the emulator's connection_server, the soak's chaos_proxy) had the same loop of accept, limit and thread; only the front waited where accept fails, the other three went round at once and without a line, at full load while descriptors were out. connection_acceptor holds that loop now, with tests of its own. Heads of answers were put together by hand in http_service and three times in the emulator beside encode_answer_head; chunks, the test for 2xx and a header with the empty text as default stood there again too. They are in http/message now and called from all places. No answer changes but for the order of two headers of the process's own pages; connection_refused names the reason beside the limit.

--- a/sardinestream/forwarding/answer_text.cc
+++ b/sardinestream/forwarding/answer_text.cc
@@ -19,11 +19,6 @@
 
 } // namespace
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 bool is_event_stream(const http_response_head& head)
 {
     const std::optional<absl::string_view> type = find_header(head.headers, "content-type");
@@ -47,31 +42,6 @@
     return default_idle_timeout;
 }
 
-std::string encode_answer_head(const answer_head& head)
-{
-    const absl::string_view reason =
-        head.reason.empty() ? reason_phrase(head.status) : absl::string_view(head.reason);
-    std::string text = absl::StrCat("HTTP/1.1 ", head.status, " ", reason, "\r\n");
-    for (const http_header& header : head.headers) {
-        append_header(text, header.name, header.value);
-    }
-    if (head.content_length.has_value()) {
-        append_header(text, "Content-Length", absl::StrCat(*head.content_length));
-    }
-    if (head.chunked) {
-        append_header(text, "Transfer-Encoding", "chunked");
-    }
-    if (!head.keeps_connection) {
-        append_header(text, "Connection", "close");
-    }
-    return text + "\r\n";
-}
-
-std::string chunk_of(const std::string& bytes)
-{
-    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
-}
-
 bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
                       absl::string_view code, milliseconds retry_after, bool keep)
 {
--- a/sardinestream/forwarding/answer_text.h
+++ b/sardinestream/forwarding/answer_text.h
@@ -4,8 +4,6 @@
 #define SARDINESTREAM_FORWARDING_ANSWER_TEXT_H_
 
 #include <chrono>
-#include <cstddef>
-#include <optional>
 #include <string>
 
 #include "sardinestream/http/message.h"
@@ -18,32 +16,12 @@
 // Answers of our own are written within this time, also past the request's deadline.
 inline constexpr std::chrono::milliseconds own_answer_timeout{1000};
 
-[[nodiscard]] bool is_success(int status);
-
 // Whether the answer is a stream of events.
 [[nodiscard]] bool is_event_stream(const http_response_head& head);
 
 // How long the server keeps its connection idle after this answer.
 [[nodiscard]] std::chrono::milliseconds idle_timeout_of(const http_response_head& head);
 
-// What stands before the body of an answer to a caller.
-struct answer_head {
-    int status = 0;
-    // Empty: the customary one.
-    std::string reason;
-    http_headers headers;
-    // Nothing for a chunked body, for one that ends with the connection, and where there is none.
-    std::optional<std::size_t> content_length;
-    bool chunked = false;
-    // The connection can take another request after this answer.
-    bool keeps_connection = true;
-};
-
-[[nodiscard]] std::string encode_answer_head(const answer_head& head);
-
-// One chunk of a chunked body.
-[[nodiscard]] std::string chunk_of(const std::string& bytes);
-
 // Writes an answer of our own. Returns whether the connection can take another request.
 [[nodiscard]] bool write_own_answer(tcp_socket& caller, const http_headers& headers, int status,
                                     absl::string_view code, std::chrono::milliseconds retry_after,
--- a/sardinestream/forwarding/front.cc
+++ b/sardinestream/forwarding/front.cc
@@ -17,7 +17,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds accept_interval{200};
 // The longest time for the body of a request, after its head.
 constexpr milliseconds body_timeout{10000};
 // After a refusal with unread bytes behind it, the connection is read on for so long, so that the
@@ -66,6 +65,18 @@
     }
 }
 
+acceptor_options make_options(int most_connections)
+{
+    acceptor_options options;
+    options.most_connections = most_connections;
+    options.on_refused = [most_connections](absl::string_view reason) {
+        count("sardine_connections_refused_total");
+        log_event("connection_refused", {{"limit", most_connections}, {"reason", reason}},
+                  log_level::warning);
+    };
+    return options;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<front>> front::start(const address& local,
@@ -75,16 +86,15 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<front> made(
+    return std::unique_ptr<front>(
         new front(*std::move(bound), std::move(services), std::move(hooks)));
-    made->acceptor = std::thread([raw = made.get()] { raw->accept_connections(); });
-    return made;
 }
 
 front::front(tcp_listener opened, forwarding_services given, front_hooks chosen)
-    : listener(std::move(opened)), bound(listener.local()), services(std::move(given)),
-      hooks(std::move(chosen)), stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-      random(std::random_device()())
+    : services(std::move(given)), hooks(std::move(chosen)),
+      stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), random(std::random_device()()),
+      acceptor(std::move(opened), make_options(hooks.most_connections),
+               [this](tcp_socket connection) { this->serve(std::move(connection)); })
 {
 }
 
@@ -95,50 +105,13 @@
 
 void front::stop_accepting()
 {
-    this->stopping = true;
-    if (this->acceptor.joinable()) {
-        this->acceptor.join();
-    }
+    this->acceptor.stop_accepting();
     const std::uint64_t one = 1;
     if (::write(this->stop_event.descriptor(), &one, sizeof(one)) < 0) {
         log_event("stop_event_failed", {}, log_level::error);
     }
 }
 
-bool front::wait_until_idle(absl::Time deadline)
-{
-    return this->threads.wait_until_empty(deadline);
-}
-
-void front::accept_connections()
-{
-    while (!this->stopping) {
-        absl::StatusOr<tcp_socket> accepted =
-            this->listener.accept(steady_clock::now() + accept_interval);
-        if (absl::IsDeadlineExceeded(accepted.status())) {
-            continue;
-        }
-        if (!accepted.ok()) {
-            // Out of descriptors, most likely: wait until some connections have ended.
-            log_failure("accept_failed", accepted.status());
-            std::this_thread::sleep_for(accept_interval);
-            continue;
-        }
-        if (this->threads.size() >= this->hooks.most_connections) {
-            count("sardine_connections_refused_total");
-            log_event("connection_refused", {{"limit", this->hooks.most_connections}},
-                      log_level::warning);
-            continue;
-        }
-        auto connection = std::make_shared<tcp_socket>(*std::move(accepted));
-        if (!this->threads.spawn([this, connection] { this->serve(std::move(*connection)); })) {
-            count("sardine_connections_refused_total");
-            log_event("connection_refused", {{"reason", "no thread"}}, log_level::warning);
-        }
-    }
-    this->listener = tcp_listener();
-}
-
 void front::serve(tcp_socket connection)
 {
     message_reader reader(connection);
--- a/sardinestream/forwarding/front.h
+++ b/sardinestream/forwarding/front.h
@@ -8,16 +8,13 @@
 #ifndef SARDINESTREAM_FORWARDING_FRONT_H_
 #define SARDINESTREAM_FORWARDING_FRONT_H_
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <random>
 #include <string>
-#include <thread>
 
-#include "sardinestream/base/thread_group.h"
 #include "sardinestream/forwarding/exchange.h"
-#include "sardinestream/http/socket.h"
+#include "sardinestream/http/connection_acceptor.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
@@ -47,17 +44,16 @@
     void stop_accepting();
 
     // Returns true once no connection is open, false when `deadline` comes first.
-    bool wait_until_idle(absl::Time deadline);
+    bool wait_until_idle(absl::Time deadline) { return this->acceptor.wait_until_idle(deadline); }
 
     // The address in force; its port is never zero.
-    [[nodiscard]] const address& local() const { return this->bound; }
+    [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
-    [[nodiscard]] int connections() const { return this->threads.size(); }
+    [[nodiscard]] int connections() const { return this->acceptor.connections(); }
 
 private:
     front(tcp_listener opened, forwarding_services given, front_hooks chosen);
 
-    void accept_connections();
     void serve(tcp_socket connection);
     [[nodiscard]] bool serve_one(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
@@ -70,18 +66,15 @@
                               absl::string_view code);
     [[nodiscard]] request_limits limits() const;
 
-    tcp_listener listener;
-    const address bound;
     forwarding_services services;
     const front_hooks hooks;
-    std::atomic<bool> stopping = false;
     // Becomes readable when the front stops, for threads that wait for a caller's next request. A
     // connection must not be shut down from outside instead: its request may just have come.
     tcp_socket stop_event;
-    thread_group threads;
     absl::Mutex mutex;
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
-    std::thread acceptor;
+    // Its threads use all of the above.
+    connection_acceptor acceptor;
 };
 
 } // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/connection_acceptor.cc
@@ -0,0 +1,60 @@
+#include "sardinestream/http/connection_acceptor.h"
+
+#include <memory>
+#include <utility>
+
+#include "sardinestream/base/log.h"
+
+namespace sardinestream {
+
+connection_acceptor::connection_acceptor(tcp_listener bound, acceptor_options chosen, handler given)
+    : listener(std::move(bound)), bound_to(listener.local()), options(std::move(chosen)),
+      served(std::move(given)), accepting([this] { this->run(); })
+{
+}
+
+connection_acceptor::~connection_acceptor()
+{
+    this->stop_accepting();
+}
+
+void connection_acceptor::stop_accepting()
+{
+    this->stopping = true;
+    if (this->accepting.joinable()) {
+        this->accepting.join();
+    }
+}
+
+void connection_acceptor::run()
+{
+    while (!this->stopping) {
+        absl::StatusOr<tcp_socket> accepted =
+            this->listener.accept(steady_clock::now() + this->options.interval);
+        if (absl::IsDeadlineExceeded(accepted.status())) {
+            continue;
+        }
+        if (!accepted.ok()) {
+            // Out of descriptors, most likely: wait until some connections have ended.
+            log_failure("accept_failed", accepted.status());
+            std::this_thread::sleep_for(this->options.interval);
+            continue;
+        }
+        this->take(*std::move(accepted));
+    }
+    this->listener = tcp_listener();
+}
+
+void connection_acceptor::take(tcp_socket connection)
+{
+    if (this->threads.size() >= this->options.most_connections) {
+        this->options.on_refused("too many connections");
+        return;
+    }
+    auto shared = std::make_shared<tcp_socket>(std::move(connection));
+    if (!this->threads.spawn([this, shared] { this->served(std::move(*shared)); })) {
+        this->options.on_refused("no thread");
+    }
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -0,0 +1,76 @@
+#include <atomic>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/http/connection_acceptor.h"
+
+#include "absl/time/clock.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+class connection_acceptor_test : public testing::Test {
+protected:
+    static steady_time soon() { return steady_clock::now() + milliseconds(2000); }
+
+    // Serves a connection until its peer ends it.
+    static void wait_for_end(tcp_socket connection)
+    {
+        char byte = 0;
+        EXPECT_TRUE(connection.read_some(absl::MakeSpan(&byte, 1), soon(), hangup_watch()).ok());
+    }
+
+    static tcp_socket connect(const connection_acceptor& acceptor)
+    {
+        return *tcp_socket::connect(acceptor.local(), soon(), hangup_watch());
+    }
+
+    static bool becomes(const std::function<bool()>& condition)
+    {
+        while (!condition()) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return true;
+    }
+
+    tcp_listener listener = *tcp_listener::bind({"127.0.0.1", 0});
+};
+
+TEST_F(connection_acceptor_test, serves_connections_beside_each_other)
+{
+    connection_acceptor acceptor(std::move(this->listener), {}, wait_for_end);
+    const tcp_socket first = connect(acceptor);
+    const tcp_socket second = connect(acceptor);
+    EXPECT_TRUE(becomes([&] { return acceptor.connections() == 2; }));
+}
+
+TEST_F(connection_acceptor_test, closes_connections_beyond_the_limit)
+{
+    std::atomic<int> refused = 0;
+    acceptor_options options;
+    options.most_connections = 1;
+    options.on_refused = [&](absl::string_view) { ++refused; };
+    connection_acceptor acceptor(std::move(this->listener), options, wait_for_end);
+    const tcp_socket first = connect(acceptor);
+    EXPECT_TRUE(becomes([&] { return acceptor.connections() == 1; }));
+    const tcp_socket second = connect(acceptor);
+    EXPECT_TRUE(becomes([&] { return refused == 1; }));
+    EXPECT_EQ(acceptor.connections(), 1);
+}
+
+TEST_F(connection_acceptor_test, a_stop_closes_the_listener_and_lets_connections_go_on)
+{
+    connection_acceptor acceptor(std::move(this->listener), {}, wait_for_end);
+    tcp_socket open = connect(acceptor);
+    EXPECT_TRUE(becomes([&] { return acceptor.connections() == 1; }));
+    acceptor.stop_accepting();
+    EXPECT_FALSE(tcp_socket::connect(acceptor.local(), soon(), hangup_watch()).ok());
+    EXPECT_FALSE(acceptor.wait_until_idle(absl::Now() + absl::Milliseconds(50)));
+    open.close();
+    EXPECT_TRUE(acceptor.wait_until_idle(absl::Now() + absl::Seconds(2)));
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -9,11 +9,23 @@
 namespace sardinestream {
 namespace {
 
-constexpr std::chrono::milliseconds accept_interval{500};
+// How often a connection without a request looks whether the service stops.
+constexpr std::chrono::milliseconds idle_step{500};
 constexpr std::chrono::seconds idle_timeout{30};
 constexpr std::chrono::seconds exchange_timeout{2};
 constexpr int most_connections = 64;
 
+acceptor_options make_options()
+{
+    acceptor_options options;
+    options.most_connections = most_connections;
+    options.on_refused = [](absl::string_view reason) {
+        log_event("service_connection_refused", {{"limit", most_connections}, {"reason", reason}},
+                  log_level::warning);
+    };
+    return options;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<http_service>> http_service::start(const address& local,
@@ -23,40 +35,19 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<http_service> service(new http_service(*std::move(bound), std::move(handler)));
-    service->acceptor = std::thread([raw = service.get()] { raw->accept_connections(); });
-    return service;
+    return std::unique_ptr<http_service>(new http_service(*std::move(bound), std::move(handler)));
 }
 
 http_service::http_service(tcp_listener bound, http_handler given)
-    : listener(std::move(bound)), handler(std::move(given))
+    : handler(std::move(given)),
+      acceptor(std::move(bound), make_options(),
+               [this](tcp_socket connection) { this->serve(std::move(connection)); })
 {
 }
 
 http_service::~http_service()
 {
     this->stopping = true;
-    this->acceptor.join();
-}
-
-void http_service::accept_connections()
-{
-    while (!this->stopping) {
-        absl::StatusOr<tcp_socket> accepted =
-            this->listener.accept(steady_clock::now() + accept_interval);
-        if (!accepted.ok()) {
-            continue;
-        }
-        if (this->connections.size() >= most_connections) {
-            log_event("service_connection_refused", {{"limit", most_connections}},
-                      log_level::warning);
-            continue;
-        }
-        auto connection = std::make_shared<tcp_socket>(*std::move(accepted));
-        if (!this->connections.spawn([this, connection] { this->serve(std::move(*connection)); })) {
-            log_event("service_connection_refused", {{"reason", "no thread"}}, log_level::warning);
-        }
-    }
 }
 
 void http_service::serve(tcp_socket connection)
@@ -66,7 +57,7 @@
     const steady_time idle_end = steady_clock::now() + idle_timeout;
     while (!this->stopping) {
         const absl::Status first =
-            reader.wait_for_message(std::min(idle_end, steady_clock::now() + accept_interval));
+            reader.wait_for_message(std::min(idle_end, steady_clock::now() + idle_step));
         if (absl::IsDeadlineExceeded(first) && steady_clock::now() < idle_end) {
             continue;
         }
@@ -80,14 +71,9 @@
             return;
         }
         const http_answer answer = this->handler(*head);
-        std::string text =
-            absl::StrCat("HTTP/1.1 ", answer.status, " ", reason_phrase(answer.status), "\r\n");
-        append_header(text, "Content-Length", absl::StrCat(answer.body.size()));
-        for (const http_header& header : answer.headers) {
-            append_header(text, header.name, header.value);
-        }
-        absl::StrAppend(&text, "\r\n", answer.body);
-        if (!connection.write_all(text, deadline, {}).ok() || !head->keeps_alive()) {
+        const answer_head written = {answer.status, "", answer.headers, answer.body.size()};
+        if (!connection.write_all(encode_answer_head(written) + answer.body, deadline, {}).ok() ||
+            !head->keeps_alive()) {
             return;
         }
     }
--- a/sardinestream/http/http_service.h
+++ b/sardinestream/http/http_service.h
@@ -12,9 +12,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <thread>
 
-#include "sardinestream/base/thread_group.h"
+#include "sardinestream/http/connection_acceptor.h"
 #include "sardinestream/http/http_client.h"
 #include "sardinestream/http/socket.h"
 
@@ -33,19 +32,16 @@
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
 
-    [[nodiscard]] const address& local() const { return this->listener.local(); }
+    [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
 private:
     http_service(tcp_listener bound, http_handler given);
 
-    void accept_connections();
     void serve(tcp_socket connection);
 
-    tcp_listener listener;
     const http_handler handler;
     std::atomic<bool> stopping = false;
-    thread_group connections;
-    std::thread acceptor;
+    connection_acceptor acceptor;
 };
 
 } // namespace sardinestream
--- a/sardinestream/http/message.cc
+++ b/sardinestream/http/message.cc
@@ -44,6 +44,12 @@
     return std::nullopt;
 }
 
+std::string header_or_empty(const http_headers& headers, absl::string_view name)
+{
+    const std::optional<absl::string_view> value = find_header(headers, name);
+    return value.has_value() ? std::string(*value) : "";
+}
+
 int count_header(const http_headers& headers, absl::string_view name)
 {
     int found = 0;
@@ -97,6 +103,11 @@
     absl::StrAppend(&text, name, ": ", value, "\r\n");
 }
 
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 absl::string_view reason_phrase(int status)
 {
     switch (status) {
@@ -129,4 +140,29 @@
     }
 }
 
+std::string encode_answer_head(const answer_head& head)
+{
+    const absl::string_view reason =
+        head.reason.empty() ? reason_phrase(head.status) : absl::string_view(head.reason);
+    std::string text = absl::StrCat("HTTP/1.1 ", head.status, " ", reason, "\r\n");
+    for (const http_header& header : head.headers) {
+        append_header(text, header.name, header.value);
+    }
+    if (head.content_length.has_value()) {
+        append_header(text, "Content-Length", absl::StrCat(*head.content_length));
+    }
+    if (head.chunked) {
+        append_header(text, "Transfer-Encoding", "chunked");
+    }
+    if (!head.keeps_connection) {
+        append_header(text, "Connection", "close");
+    }
+    return text + "\r\n";
+}
+
+std::string chunk_of(absl::string_view bytes)
+{
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
 } // namespace sardinestream
--- a/sardinestream/http/message.h
+++ b/sardinestream/http/message.h
@@ -6,6 +6,7 @@
 #ifndef SARDINESTREAM_HTTP_MESSAGE_H_
 #define SARDINESTREAM_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
 [[nodiscard]] std::optional<absl::string_view> find_header(const http_headers& headers,
                                                            absl::string_view name);
 
+// The same, or the empty text.
+[[nodiscard]] std::string header_or_empty(const http_headers& headers, absl::string_view name);
+
 // Returns how often a header stands there.
 [[nodiscard]] int count_header(const http_headers& headers, absl::string_view name);
 
@@ -60,9 +64,31 @@
 
 void append_header(std::string& text, absl::string_view name, absl::string_view value);
 
+// Returns true for 2xx.
+[[nodiscard]] bool is_success(int status);
+
 // Returns the customary reason phrase of a status code.
 [[nodiscard]] absl::string_view reason_phrase(int status);
 
+// An answer that is to be written.
+struct answer_head {
+    int status = 0;
+    // Empty: the customary one.
+    std::string reason;
+    http_headers headers;
+    // Nothing for a chunked body, for one that ends with the connection, and where there is none.
+    std::optional<std::size_t> content_length;
+    bool chunked = false;
+    // The connection can take another request after this answer.
+    bool keeps_connection = true;
+};
+
+// Returns the status line and the headers, with the empty line behind them.
+[[nodiscard]] std::string encode_answer_head(const answer_head& head);
+
+// One chunk of a chunked body.
+[[nodiscard]] std::string chunk_of(absl::string_view bytes);
+
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_HTTP_MESSAGE_H_
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -17,12 +17,6 @@
 
 constexpr int misdirected = 421;
 
-std::string header_or_empty(const http_headers& headers, absl::string_view name)
-{
-    const std::optional<absl::string_view> value = find_header(headers, name);
-    return value.has_value() ? std::string(*value) : "";
-}
-
 absl::Status bad_header(absl::string_view name)
 {
     return make_error(absl::StatusCode::kInvalidArgument, "decode", "caller",
--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -37,11 +37,6 @@
     return headers;
 }
 
-std::string chunk(const std::string& bytes)
-{
-    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
-}
-
 } // namespace
 
 std::string expected_answer(const std::string& request_id, const std::string& target,
@@ -277,12 +272,8 @@
     const std::string body =
         expected_answer(request.header(words::request_id), request.head.target, request.body);
     if (this->happens(now.cut_share)) {
-        std::string text = "HTTP/1.1 200 OK\r\n";
-        for (const http_header& header : headers) {
-            append_header(text, header.name, header.value);
-        }
-        append_header(text, "Content-Length", absl::StrCat(body.size()));
-        connection.write(absl::StrCat(text, "\r\n", body.substr(0, body.size() / 2)));
+        const answer_head head = {http_ok, "", headers, body.size()};
+        connection.write(encode_answer_head(head) + body.substr(0, body.size() / 2));
         connection.reset();
         return;
     }
@@ -302,13 +293,12 @@
         this->happens(now.cut_share) ? (run.resumed_after + last) / 2 : last;
     const bool mute = this->happens(now.mute_share);
     rank_group::stream stream(*this->options.group, this->options.rank);
-    std::string text = "HTTP/1.1 200 OK\r\n";
-    for (const http_header& header : headers) {
-        append_header(text, header.name, header.value);
-    }
-    append_header(text, "Content-Type", "text/event-stream");
-    append_header(text, "Transfer-Encoding", "chunked");
-    text += "\r\n";
+    answer_head head;
+    head.status = http_ok;
+    head.headers = headers;
+    head.headers.push_back({"Content-Type", "text/event-stream"});
+    head.chunked = true;
+    std::string text = encode_answer_head(head);
     for (std::int64_t number = run.resumed_after + 1; number <= last; ++number) {
         const bool passed = stream.wait_for_pass(steady_clock::now() + stall);
         const bool alive = connection.work_for(milliseconds(0)) && (!mute || number == 1);
@@ -318,8 +308,9 @@
             connection.reset();
             return;
         }
-        absl::StrAppend(&text, chunk(absl::StrCat("id: ", number, "\ndata: ",
-                                                  expected_event(run.request_id, number), "\n\n")));
+        absl::StrAppend(&text,
+                        chunk_of(absl::StrCat("id: ", number, "\ndata: ",
+                                              expected_event(run.request_id, number), "\n\n")));
         if (!connection.write(text)) {
             return;
         }
--- a/sardinestream/testing/emulator/connection_server.cc
+++ b/sardinestream/testing/emulator/connection_server.cc
@@ -12,18 +12,25 @@
 
 using std::chrono::milliseconds;
 
+// A server that is stopped ends at once.
 constexpr milliseconds accept_interval{50};
 constexpr milliseconds work_step{5};
 // A peer that sends or takes nothing for so long is given up.
 constexpr std::chrono::seconds longest_exchange{20};
 constexpr std::size_t largest_body = 8U << 20U;
 
+acceptor_options make_options()
+{
+    acceptor_options options;
+    options.interval = accept_interval;
+    return options;
+}
+
 } // namespace
 
 std::string emulated_request::header(absl::string_view name) const
 {
-    const std::optional<absl::string_view> value = find_header(this->head.headers, name);
-    return value.has_value() ? std::string(*value) : "";
+    return header_or_empty(this->head.headers, name);
 }
 
 std::string emulated_request::path() const
@@ -75,12 +82,8 @@
 
 bool served_connection::answer(int status, const http_headers& headers, absl::string_view body)
 {
-    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", reason_phrase(status), "\r\n");
-    for (const http_header& header : headers) {
-        append_header(text, header.name, header.value);
-    }
-    append_header(text, "Content-Length", absl::StrCat(body.size()));
-    return this->write(absl::StrCat(text, "\r\n", body));
+    const answer_head head = {status, "", headers, body.size()};
+    return this->write(encode_answer_head(head) + std::string(body));
 }
 
 bool served_connection::has_hung_up() const
@@ -114,41 +117,24 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<connection_server> made(
+    return std::unique_ptr<connection_server>(
         new connection_server(*std::move(bound), std::move(served)));
-    made->acceptor = std::thread([raw = made.get()] { raw->accept_connections(); });
-    return made;
 }
 
 connection_server::connection_server(tcp_listener bound, handler given)
-    : listener(std::move(bound)), served(std::move(given))
+    : served(std::move(given)),
+      acceptor(std::move(bound), make_options(),
+               [this](tcp_socket accepted) { this->serve(std::move(accepted)); })
 {
 }
 
 connection_server::~connection_server()
 {
     this->stopping = true;
-    this->acceptor.join();
-    {
-        const absl::MutexLock lock(&this->mutex);
-        for (const int descriptor : this->open) {
-            ::shutdown(descriptor, SHUT_RDWR);
-        }
-    }
-    this->threads.wait_until_empty(absl::InfiniteFuture());
-}
-
-void connection_server::accept_connections()
-{
-    while (!this->stopping) {
-        absl::StatusOr<tcp_socket> accepted =
-            this->listener.accept(steady_clock::now() + accept_interval);
-        if (!accepted.ok()) {
-            continue;
-        }
-        auto socket = std::make_shared<tcp_socket>(*std::move(accepted));
-        // Where the system has no thread left, the connection just ends.
-        static_cast<void>(this->threads.spawn([this, socket] { this->serve(std::move(*socket)); }));
+    this->acceptor.stop_accepting();
+    const absl::MutexLock lock(&this->mutex);
+    for (const int descriptor : this->open) {
+        ::shutdown(descriptor, SHUT_RDWR);
     }
 }
 
--- a/sardinestream/testing/emulator/connection_server.h
+++ b/sardinestream/testing/emulator/connection_server.h
@@ -17,9 +17,8 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <thread>
 
-#include "sardinestream/base/thread_group.h"
+#include "sardinestream/http/connection_acceptor.h"
 #include "sardinestream/http/message_reader.h"
 #include "sardinestream/http/socket.h"
 
@@ -82,22 +81,19 @@
     connection_server(const connection_server&) = delete;
     connection_server& operator=(const connection_server&) = delete;
 
-    [[nodiscard]] const address& local() const { return this->listener.local(); }
+    [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
 private:
     connection_server(tcp_listener bound, handler served);
 
-    void accept_connections();
     void serve(tcp_socket accepted);
 
-    tcp_listener listener;
     const handler served;
     std::atomic<bool> stopping = false;
     absl::Mutex mutex;
     // Descriptors of the open connections; each stays open while it stands here.
     std::set<int> open ABSL_GUARDED_BY(mutex);
-    thread_group threads;
-    std::thread acceptor;
+    connection_acceptor acceptor;
 };
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/chaos_proxy.cc
+++ b/sardinestream/testing/soak/chaos_proxy.cc
@@ -7,8 +7,6 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-#include "absl/time/clock.h"
-
 namespace sardinestream::testing {
 namespace {
 
@@ -20,6 +18,13 @@
 constexpr int poll_ms = 10;
 constexpr std::size_t buffer_bytes = 16384;
 
+acceptor_options make_options()
+{
+    acceptor_options options;
+    options.interval = accept_interval;
+    return options;
+}
+
 bool wait_for(const tcp_socket& socket, short events)
 {
     pollfd polled = {socket.descriptor(), events, 0};
@@ -35,43 +40,27 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<chaos_proxy> made(new chaos_proxy(*std::move(bound), server));
-    made->acceptor = std::thread([raw = made.get()] { raw->accept_connections(); });
-    return made;
+    return std::unique_ptr<chaos_proxy>(new chaos_proxy(*std::move(bound), server));
 }
 
 chaos_proxy::chaos_proxy(tcp_listener bound, address target)
-    : listener(std::move(bound)), server(std::move(target))
+    : server(std::move(target)),
+      acceptor(std::move(bound), make_options(),
+               [this](tcp_socket client) { this->serve(std::move(client)); })
 {
 }
 
 chaos_proxy::~chaos_proxy()
 {
     this->stopping = true;
-    this->acceptor.join();
-    this->threads.wait_until_empty(absl::InfiniteFuture());
-}
-
-void chaos_proxy::accept_connections()
-{
-    while (!this->stopping) {
-        absl::StatusOr<tcp_socket> accepted =
-            this->listener.accept(steady_clock::now() + accept_interval);
-        if (!accepted.ok()) {
-            continue;
-        }
-        if (this->trouble == link_trouble::refused) {
-            accepted->abort();
-            continue;
-        }
-        auto client = std::make_shared<tcp_socket>(*std::move(accepted));
-        // Where the system has no thread left, the connection just ends.
-        static_cast<void>(this->threads.spawn([this, client] { this->serve(std::move(*client)); }));
-    }
 }
 
 void chaos_proxy::serve(tcp_socket client)
 {
+    if (this->trouble == link_trouble::refused) {
+        client.abort();
+        return;
+    }
     const int begun = this->generation;
     absl::StatusOr<tcp_socket> connected =
         tcp_socket::connect(this->server, steady_clock::now() + longest_connect, hangup_watch());
--- a/sardinestream/testing/soak/chaos_proxy.h
+++ b/sardinestream/testing/soak/chaos_proxy.h
@@ -15,10 +15,8 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
-#include <thread>
 
-#include "sardinestream/base/thread_group.h"
-#include "sardinestream/http/socket.h"
+#include "sardinestream/http/connection_acceptor.h"
 
 #include "absl/status/statusor.h"
 
@@ -46,7 +44,7 @@
     // Resets the open connections; new ones work.
     void reset_connections() { ++this->generation; }
 
-    [[nodiscard]] const address& local() const { return this->listener.local(); }
+    [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
 private:
     // Both ends of one proxied connection; closed with a reset once both directions have ended.
@@ -59,7 +57,6 @@
 
     chaos_proxy(tcp_listener bound, address target);
 
-    void accept_connections();
     void serve(tcp_socket client);
     // Passes bytes on in one direction until the connection ends.
     void pump(link& between, bool to_server) const;
@@ -68,14 +65,12 @@
     [[nodiscard]] bool must_end(const link& between) const;
     [[nodiscard]] bool is_silent(bool to_server) const;
 
-    tcp_listener listener;
     const address server;
     std::atomic<link_trouble> trouble = link_trouble::none;
     std::atomic<std::int64_t> delay_ms = 0;
     std::atomic<int> generation = 0;
     std::atomic<bool> stopping = false;
-    thread_group threads;
-    std::thread acceptor;
+    connection_acceptor acceptor;
 };
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -25,11 +25,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 void promise_ledger::note_sent(const sent_request& request)
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -25,11 +25,6 @@
 constexpr int largest_body = 20000;
 constexpr int most_events = 30;
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 requester::requester(requester_options chosen, promise_ledger& shared)
@@ -123,10 +118,7 @@
     append_header(text, words::time_left_ms, absl::StrCat(this->options.timeout.count()));
     if (request.method == "POST" && this->draw() < 0.3) {
         append_header(text, "Transfer-Encoding", "chunked");
-        const std::string chunk =
-            request.body.empty()
-                ? ""
-                : absl::StrCat(absl::Hex(request.body.size()), "\r\n", request.body, "\r\n");
+        const std::string chunk = request.body.empty() ? "" : chunk_of(request.body);
         return absl::StrCat(text, "\r\n", chunk, "0\r\n\r\n");
     }
     if (request.method == "POST") {
