Operators' pages, mains and states: one copy each; gauges that do not go stale

Both mains end in one run_command. - A gauge by service and state kept its last value when its last server left: set_gauges replaces all of a name (test of it in base_test).

--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -77,6 +77,15 @@
     EXPECT_EQ(format_event("x", {{"a", "one two"}, {"b", 3}}), "event=x a=\"one two\" b=3");
 }
 
+TEST(metrics_test, gauges_of_a_name_go_when_they_are_not_set_again)
+{
+    set_gauges("test_servers", {{{{"state", "in_use"}}, 2}, {{{"state", "leaving"}}, 1}});
+    EXPECT_THAT(render_metrics(), HasSubstr("test_servers{state=\"leaving\"} 1"));
+    set_gauges("test_servers", {{{{"state", "in_use"}}, 2}});
+    EXPECT_THAT(render_metrics(), HasSubstr("test_servers{state=\"in_use\"} 2"));
+    EXPECT_THAT(render_metrics(), testing::Not(HasSubstr("leaving")));
+}
+
 TEST(metrics_test, counters_and_histograms_are_rendered)
 {
     count("test_total", {{"code", "a"}}, 2);
--- a/sardinestream/base/metrics.cc
+++ b/sardinestream/base/metrics.cc
@@ -129,6 +129,16 @@
     all.gauges[key] = value;
 }
 
+void set_gauges(absl::string_view name, const std::vector<std::pair<metric_labels, double>>& values)
+{
+    registry& all = the_registry();
+    const absl::MutexLock lock(&all.mutex);
+    std::erase_if(all.gauges, [&](const auto& series) { return series.first.first == name; });
+    for (const auto& [labels, value] : values) {
+        all.gauges[make_key(name, labels)] = value;
+    }
+}
+
 void observe_seconds(absl::string_view name, const metric_labels& labels, double seconds)
 {
     registry& all = the_registry();
--- a/sardinestream/base/metrics.h
+++ b/sardinestream/base/metrics.h
@@ -30,6 +30,11 @@
 // Sets a gauge.
 void set_gauge(absl::string_view name, const metric_labels& labels, double value);
 
+// Sets the gauges of a name, one for each set of labels; those that stood there and are not in
+// `values` go.
+void set_gauges(absl::string_view name,
+                const std::vector<std::pair<metric_labels, double>>& values);
+
 // Adds one sample, in seconds, to a histogram.
 void observe_seconds(absl::string_view name, const metric_labels& labels, double seconds);
 
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/maps/map_coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
@@ -39,15 +40,12 @@
 {
 }
 
-void map_coordinator::take_state(const rank_state& state, steady_time now)
+void map_coordinator::take_state(rank_state state, steady_time now)
 {
     if (state.rank < 0 || state.rank >= this->options.shape.ranks) {
         return;
     }
     const auto at = static_cast<std::size_t>(state.rank);
-    known_rank& known = this->ranks[at];
-    known = {state, now};
-    known.state.counts.clear();
     if (state.without_agent) {
         this->counted[at] = true;
     }
@@ -57,6 +55,8 @@
         }
         this->counted[at] = true;
     }
+    state.counts.clear();
+    this->ranks[at] = {std::move(state), now};
 }
 
 std::vector<int> map_coordinator::missing(steady_time now) const
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -52,7 +52,7 @@
 public:
     explicit map_coordinator(const coordinator_options& chosen);
 
-    void take_state(const rank_state& state, steady_time now);
+    void take_state(rank_state state, steady_time now);
 
     // Orders to give now; an order that shows no effect is given again after a while.
     [[nodiscard]] std::vector<rank_order> next_orders(steady_time now);
--- /dev/null
+++ b/sardinestream/platform/command.h
@@ -0,0 +1,35 @@
+// What both mains do with their settings once these have been read.
+
+#ifndef SARDINESTREAM_PLATFORM_COMMAND_H_
+#define SARDINESTREAM_PLATFORM_COMMAND_H_
+
+#include <cstdio>
+#include <string>
+
+#include "sardinestream/programs/status_command.h"
+
+#include "absl/status/statusor.h"
+
+namespace sardinestream::platform {
+
+inline constexpr int exit_failed = 1;
+inline constexpr int exit_bad_settings = 2;
+
+// Runs the program, or what the settings ask for in its place. Returns the exit status.
+template <typename Settings>
+[[nodiscard]] int run_command(const absl::StatusOr<Settings>& settings,
+                              int (*run)(const Settings& settings))
+{
+    if (!settings.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
+        return exit_bad_settings;
+    }
+    if (settings->print_status) {
+        return print_status(settings->ops_listen);
+    }
+    return settings->check_only ? 0 : run(*settings);
+}
+
+} // namespace sardinestream::platform
+
+#endif // SARDINESTREAM_PLATFORM_COMMAND_H_
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -9,19 +9,16 @@
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/platform/caller_protocol.h"
+#include "sardinestream/platform/command.h"
 #include "sardinestream/platform/desired_state_decoder.h"
 #include "sardinestream/platform/kind_follower.h"
 #include "sardinestream/platform/settings.h"
 #include "sardinestream/platform/wire_names.h"
 #include "sardinestream/programs/entry_program.h"
-#include "sardinestream/programs/status_command.h"
 
 namespace sardinestream::platform {
 namespace {
 
-constexpr int exit_failed = 1;
-constexpr int exit_bad_settings = 2;
-
 entry_options to_options(const entry_settings& settings)
 {
     entry_options options;
@@ -142,14 +139,6 @@
 {
     gflags::SetUsageMessage("takes callers' requests and passes them to backend servers");
     gflags::SetVersionString("0.2.0");
-    const absl::StatusOr<sardinestream::platform::entry_settings> settings =
-        sardinestream::platform::load_entry_settings(&argc, &argv);
-    if (!settings.ok()) {
-        std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
-        return sardinestream::platform::exit_bad_settings;
-    }
-    if (settings->print_status) {
-        return sardinestream::print_status(settings->ops_listen);
-    }
-    return settings->check_only ? 0 : sardinestream::platform::run(*settings);
+    return sardinestream::platform::run_command(
+        sardinestream::platform::load_entry_settings(&argc, &argv), sardinestream::platform::run);
 }
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -22,6 +22,7 @@
 #include "sardinestream/maps/engine_port.h"
 #include "sardinestream/maps/map_coordinator.h"
 #include "sardinestream/peers/datagram_socket.h"
+#include "sardinestream/programs/agent_status.h"
 #include "sardinestream/programs/engine_watch.h"
 #include "sardinestream/programs/rank_news.h"
 #include "sardinestream/programs/silent_ranks.h"
@@ -43,26 +44,6 @@
     double rebalance_weight = 1;
 };
 
-// What an agent believes, as of its last look at the engine.
-struct agent_status {
-    bool engine_answers = false;
-    std::string group;
-    int rank = 0;
-    std::int64_t epoch = 0;
-    std::int64_t step = 0;
-    double pass_ms = 0;
-    int running = 0;
-    int waiting = 0;
-    std::int64_t map_version = 0;
-    std::int64_t prepared_version = 0;
-    std::uint64_t term = 0;
-    int coordinator_rank = -1;
-    bool coordinating = false;
-    // Entries that were heard lately.
-    int entries = 0;
-    std::chrono::milliseconds age{0};
-};
-
 class agent_program {
 public:
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<agent_program>>
@@ -117,7 +98,8 @@
     // Whether anything that the coordinator waits for has changed since the last call.
     [[nodiscard]] bool has_news_for_coordinator();
     void tell_entries();
-    void send_state(bool with_counts);
+    // To the machine with this address; zero is nobody.
+    void send_state(std::uint32_t ip, bool with_counts);
     [[nodiscard]] news::RankStateT make_state(bool with_counts);
 
     void carry_out(const engine_order& order, std::uint64_t term);
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -8,9 +8,9 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/programs/operator_pages.h"
 #include "sardinestream/programs/peer_state.h"
 
-#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -80,7 +80,8 @@
     this->readiness = *std::move(ready);
     absl::StatusOr<std::unique_ptr<http_service>> ops =
         http_service::start(this->options.ops_listen, [this](const http_request_head& head) {
-            return this->answer_operator(head);
+            return answer_operator(
+                head, {[this] { this->show_gauges(); }, [this] { return this->status_json(); }});
         });
     if (!ops.ok()) {
         return ops.status();
@@ -176,6 +177,9 @@
         if (document.ok()) {
             this->state.offer(document->text, document->revision, ip);
         }
+        else {
+            log_failure("peer_state_unread", document.status(), {{"entry", ip}});
+        }
     }
     const absl::StatusOr<http_answer> listed =
         peer.call("GET", absl::StrCat(servers_path, "?after=", this->directory.revision()), "",
@@ -185,6 +189,9 @@
         if (list.ok()) {
             this->take_servers(list->servers, list->revision, true);
         }
+        else {
+            log_failure("peer_state_unread", list.status(), {{"entry", ip}});
+        }
     }
     if (!config.ok() || !listed.ok()) {
         log_failure("peer_state_unread", config.ok() ? listed.status() : config.status(),
@@ -287,19 +294,7 @@
                             : http_answer{http_unavailable, {}, "not ready"};
 }
 
-http_answer entry_program::answer_operator(const http_request_head& head) const
-{
-    if (absl::StartsWith(head.target, "/metrics")) {
-        this->set_gauges();
-        return {http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, render_metrics()};
-    }
-    if (absl::StartsWith(head.target, "/status")) {
-        return {http_ok, {{"Content-Type", "application/json"}}, this->status_json()};
-    }
-    return {http_not_found, {}, ""};
-}
-
-void entry_program::set_gauges() const
+void entry_program::show_gauges() const
 {
     const std::shared_ptr<const desired_state> current = this->state.get();
     set_gauge("sardine_caller_connections", {}, this->callers->connections());
@@ -309,27 +304,29 @@
     set_gauge("sardine_servers_revision", {}, static_cast<double>(this->directory.revision()));
     set_gauge("sardine_entries", {{"seen", "alive"}}, this->entries_alive);
     set_gauge("sardine_entries", {{"seen", "lately"}}, this->entries_known);
-    for (const auto& [service, tokens] : this->retries.left()) {
-        set_gauge("sardine_retry_tokens", {{"service", service}}, tokens);
+    std::vector<std::pair<metric_labels, double>> tokens;
+    for (const auto& [service, left] : this->retries.left()) {
+        tokens.push_back({{{"service", service}}, left});
     }
-    std::map<std::pair<std::string, std::string>, int> servers_by_state;
+    set_gauges("sardine_retry_tokens", tokens);
+    std::map<metric_labels, double> servers_by_state;
     for (const dispatcher::server_summary& one : this->servers.summary()) {
-        ++servers_by_state[{one.server.service, one.server.draining ? "leaving" : "in_use"}];
-    }
-    for (const auto& [key, number] : servers_by_state) {
-        set_gauge("sardine_servers", {{"service", key.first}, {"state", key.second}}, number);
+        ++servers_by_state[{{"service", one.server.service},
+                            {"state", one.server.draining ? "leaving" : "in_use"}}];
     }
+    set_gauges("sardine_servers", {servers_by_state.begin(), servers_by_state.end()});
 }
 
 std::string entry_program::status_json() const
 {
     const std::shared_ptr<const desired_state> current = this->state.get();
+    const state_origin origin = this->state.origin();
     nlohmann::json status = {{"id", this->options.id},
                              {"ready", this->is_ready()},
                              {"stopping", this->stopping.load()},
                              {"desired_state_version", current == nullptr ? 0 : current->version},
-                             {"desired_state_source", this->state.origin().source},
-                             {"desired_state_since", absl::FormatTime(this->state.origin().since)},
+                             {"desired_state_source", origin.source},
+                             {"desired_state_since", absl::FormatTime(origin.since)},
                              {"desired_state_revision", this->state.revision()},
                              {"servers_revision", this->directory.revision()},
                              {"entries_alive", this->entries_alive.load()},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -84,9 +84,8 @@
     void publish_servers();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http_answer answer_readiness() const;
-    [[nodiscard]] http_answer answer_operator(const http_request_head& head) const;
     // Sets the gauges to what the process believes now.
-    void set_gauges() const;
+    void show_gauges() const;
     [[nodiscard]] std::string status_json() const;
 
     const entry_options options;
--- a/sardinestream/routes/current_state.cc
+++ b/sardinestream/routes/current_state.cc
@@ -30,7 +30,6 @@
     this->state = *std::move(decoded);
     this->newest = {text, revision};
     this->newest_origin = {std::string(source), absl::Now()};
-    set_gauge("sardine_desired_state_version", {}, static_cast<double>(this->state->version));
     log_event("desired_state_in_force", {{"version", this->state->version},
                                          {"revision", revision},
                                          {"routes", this->state->routes.size()},
