Gather changes of the store, and fetch from a peer only what stays unknown

Change: a follower waits 200 ms after changes before it asks again; an entry fetches from a peer only what it still does not know after 350 ms, and at once where it knows nothing. Test: gathers_changes_that_follow_each_other (100 calls before, under 20 now).

--- a/sardinestream/platform/kind_follower.cc
+++ b/sardinestream/platform/kind_follower.cc
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+// Changes that follow each other are gathered for so long, so that each does not cost a call.
+constexpr milliseconds gather_time{200};
 // How long one watch waits. A connection that has gone silent is found after this.
 constexpr milliseconds watch_wait{4000};
 // After a failure, until the store answers again: a long wait that begins in an outage would go on
@@ -75,6 +77,7 @@
         revision = std::max(revision, changes->revision);
         if (!changes->changes.empty()) {
             this->hooks.on_changes(*changes, this->had_outage_lately());
+            std::this_thread::sleep_for(gather_time);
         }
     }
 }
--- a/sardinestream/platform/kind_follower.h
+++ b/sardinestream/platform/kind_follower.h
@@ -1,5 +1,6 @@
 // Follows one kind of object in the store on a thread of its own: a list, then watches, and a list
-// again whenever history was lost.
+// again whenever history was lost. Each call has its price, so changes are told a moment late,
+// several at once.
 //
 //     kind_follower follower(store, "config", {.on_list = ..., .on_changes = ...});
 //
--- a/sardinestream/platform/kind_follower_test.cc
+++ b/sardinestream/platform/kind_follower_test.cc
@@ -108,6 +108,37 @@
     EXPECT_TRUE(eventually([&] { return seen == 6; }, milliseconds(2500)));
 }
 
+// The load: servers that are registered one after the other. Each change must not cost a call.
+TEST(kind_follower, gathers_changes_that_follow_each_other)
+{
+    const steady_time begun = steady_clock::now();
+    constexpr milliseconds time_of_a_change{10};
+    constexpr int last_change = 100;
+    std::atomic<int> calls = 0;
+    std::atomic<int> seen = 0;
+    scripted_server store([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            ++calls;
+            if (!absl::StrContains(connection.head.target, "watch")) {
+                connection.write(answer(200, R"({"items":[],"has-more":false,"at":0})"));
+                continue;
+            }
+            std::this_thread::sleep_for(time_of_a_change);
+            const auto revision = static_cast<int>(std::min<std::int64_t>(
+                last_change, (steady_clock::now() - begun) / time_of_a_change));
+            connection.write(
+                answer(200, absl::StrCat(R"({"events":[{"removed":false,"object":)",
+                                         object("main", revision), R"(}],"at":)", revision, "}")));
+        }
+    });
+    const kind_follower follower(
+        store.local(), "servers",
+        {[](const object_list&, bool) {},
+         [&](const change_list& changes, bool) { seen = static_cast<int>(changes.revision); }});
+    ASSERT_TRUE(eventually([&] { return seen == last_change; }));
+    EXPECT_LT(calls, last_change / 5);
+}
+
 TEST(kind_follower, goes_on_after_answers_that_cannot_be_read)
 {
     std::atomic<int> asked = 0;
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -117,17 +117,17 @@
     }
     this->peer_state = *std::move(service);
     entry_news_hooks hooks;
-    hooks.revisions = [this] {
-        return known_revisions{this->state.revision(), this->directory.revision()};
-    };
+    hooks.revisions = [this] { return this->own_revisions(); };
     hooks.servers = [this] { return this->directory.usable(); };
     hooks.state = [this] { return this->state.get(); };
     hooks.on_report = [this](const std::string& ip, const server_report& report) {
         this->servers.apply_report(ip, report);
     };
-    hooks.on_newer = [this](const std::string& ip, const known_revisions&) {
+    hooks.on_newer = [this](const std::string& ip, const known_revisions& newer) {
         const absl::MutexLock lock(&this->mutex);
-        this->ahead_ip = ip;
+        const steady_time since =
+            this->ahead.has_value() ? this->ahead->since : steady_clock::now();
+        this->ahead = {ip, newer, since};
     };
     hooks.on_entries = [this](int alive, int known) {
         this->entries_alive = alive;
@@ -148,19 +148,42 @@
     return absl::OkStatus();
 }
 
-void entry_program::fetch_from_peers()
+known_revisions entry_program::own_revisions() const
+{
+    return {this->state.revision(), this->directory.revision()};
+}
+
+std::optional<std::string> entry_program::due_source()
 {
     // The store's own news mostly comes within this time, and makes the fetch needless.
+    constexpr milliseconds patience_with_store{350};
+    const known_revisions own = this->own_revisions();
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->ahead.has_value()) {
+        return std::nullopt;
+    }
+    const known_revisions& newer = this->ahead->revisions;
+    if (newer.config <= own.config && newer.servers <= own.servers) {
+        this->ahead.reset();
+        return std::nullopt;
+    }
+    const bool knows_nothing = own.config == 0 || own.servers == 0;
+    if (!knows_nothing && steady_clock::now() - this->ahead->since < patience_with_store) {
+        return std::nullopt;
+    }
+    std::string ip = std::move(this->ahead->ip);
+    this->ahead.reset();
+    return ip;
+}
+
+void entry_program::fetch_from_peers()
+{
     constexpr milliseconds fetch_interval{150};
     while (this->ticking) {
         std::this_thread::sleep_for(fetch_interval);
-        std::string ip;
-        {
-            const absl::MutexLock lock(&this->mutex);
-            ip.swap(this->ahead_ip);
-        }
-        if (!ip.empty()) {
-            this->fetch_from(ip);
+        const std::optional<std::string> source = this->due_source();
+        if (source.has_value()) {
+            this->fetch_from(*source);
         }
     }
 }
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -80,6 +81,9 @@
     void tick();
     void fetch_from_peers();
     void fetch_from(const std::string& ip);
+    [[nodiscard]] known_revisions own_revisions() const;
+    // The entry to fetch from now, if any.
+    [[nodiscard]] std::optional<std::string> due_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
     void publish_servers();
     [[nodiscard]] bool is_ready() const;
@@ -106,8 +110,14 @@
     std::unique_ptr<http_service> peer_state;
     std::unique_ptr<entry_news> news;
     absl::Mutex mutex;
-    // The entry that knows more than this one, if any; fetched from by the ticker.
-    std::string ahead_ip ABSL_GUARDED_BY(mutex);
+    // An entry that knew more than this one when it was heard.
+    struct entry_ahead {
+        std::string ip;
+        known_revisions revisions;
+        // Since when there has been one.
+        steady_time since{};
+    };
+    std::optional<entry_ahead> ahead ABSL_GUARDED_BY(mutex);
     std::atomic<bool> ticking = true;
     std::thread ticker;
     std::thread fetcher;
