Draw three servers and take the best, so that many entries do not herd

Cause: reports are 0.58 s old at 192 servers, and 20 entries that each take the least occupied server all send to the same few until the next reports: four sheds in a row, the retry budget spent. Ways played (many_entries_test, 192 servers, 20 entries, 400 requests/s): best of all, any with room, best of three drawn. Slow and failing servers are drawn seldom. Test: many_entries_test plays the load; with the best of all more than twice as many requests wait.

--- a/sardinestream/backends/choose_server.cc
+++ b/sardinestream/backends/choose_server.cc
@@ -1,7 +1,9 @@
 #include "sardinestream/backends/choose_server.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
+#include <vector>
 
 namespace sardinestream {
 namespace {
@@ -12,12 +14,24 @@
 constexpr double remote_penalty = 0.02;
 // Scores closer than this count as equal.
 constexpr double tie_width = 0.001;
+// Services with fewer servers are looked at whole.
+constexpr std::size_t least_drawn_from = 8;
+
+// How much longer a request takes there than at a sound server with the same number of requests.
+double handicap_of(const server_load& server)
+{
+    return server.slowness * (1 + failure_weight * server.failure_share);
+}
 
 double score_of(const server_load& server)
 {
     const double fullness = (server.occupancy + 1) / server.room;
-    return fullness * server.slowness * (1 + failure_weight * server.failure_share) +
-           (server.same_data_centre ? 0 : remote_penalty);
+    return fullness * handicap_of(server) + (server.same_data_centre ? 0 : remote_penalty);
+}
+
+bool has_room(const server_load& server)
+{
+    return server.available && server.occupancy + 1 <= server.room;
 }
 
 } // namespace
@@ -27,7 +41,7 @@
     double best = std::numeric_limits<double>::infinity();
     std::vector<std::size_t> equals;
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        if (!servers[i].available || servers[i].occupancy + 1 > servers[i].room) {
+        if (!has_room(servers[i])) {
             continue;
         }
         const double score = score_of(servers[i]);
@@ -47,4 +61,35 @@
     return equals[std::min(position, equals.size() - 1)];
 }
 
+std::optional<std::size_t> choose_among_drawn(absl::Span<const server_load> servers,
+                                              absl::Span<const double> draws)
+{
+    std::vector<std::size_t> with_room;
+    // Sums of the weights by which servers are drawn, up to each of those with room.
+    std::vector<double> weights;
+    double total = 0;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!has_room(servers[i])) {
+            continue;
+        }
+        const double handicap = handicap_of(servers[i]);
+        total += 1 / (handicap * handicap);
+        with_room.push_back(i);
+        weights.push_back(total);
+    }
+    if (with_room.size() < least_drawn_from) {
+        return choose_server(servers, draws.front());
+    }
+    std::vector<std::size_t> positions;
+    std::vector<server_load> drawn;
+    for (const double draw : draws) {
+        const auto found = std::upper_bound(weights.begin(), weights.end(), draw * total);
+        const auto at = std::min<std::size_t>(static_cast<std::size_t>(found - weights.begin()),
+                                              weights.size() - 1);
+        positions.push_back(with_room[at]);
+        drawn.push_back(servers[with_room[at]]);
+    }
+    return positions[*choose_server(drawn, draws.front())];
+}
+
 } // namespace sardinestream
--- a/sardinestream/backends/choose_server.h
+++ b/sardinestream/backends/choose_server.h
@@ -34,6 +34,17 @@
 [[nodiscard]] std::optional<std::size_t> choose_server(absl::Span<const server_load> servers,
                                                        double tie_break);
 
+// The same, where other processes choose at the same time from reports as old as ours: the best of
+// a few servers with room that are drawn, slow and failing ones seldom. If each took the best of
+// all, they would all send to the same few servers until the next reports. Answers the load of many
+// entries on a fleet; of a few servers all are looked at. `draws` are uniform in [0, 1): one for
+// each server that is drawn, the first also breaks ties.
+[[nodiscard]] std::optional<std::size_t> choose_among_drawn(absl::Span<const server_load> servers,
+                                                            absl::Span<const double> draws);
+
+// How many draws make the fullest servers rare while reports are old, and still leave a choice.
+inline constexpr std::size_t servers_drawn = 3;
+
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_BACKENDS_CHOOSE_SERVER_H_
--- a/sardinestream/backends/choose_server_test.cc
+++ b/sardinestream/backends/choose_server_test.cc
@@ -58,5 +58,44 @@
     EXPECT_EQ(choose_server(servers, 0.0), 1U);
 }
 
+TEST(choose_among_drawn, looks_at_all_of_a_few_servers)
+{
+    std::vector<server_load> servers(4, with_occupancy(5));
+    servers[2] = with_occupancy(1);
+    EXPECT_EQ(choose_among_drawn(servers, {0.0, 0.0, 0.0}), 2U);
+}
+
+TEST(choose_among_drawn, takes_the_best_of_those_that_are_drawn)
+{
+    std::vector<server_load> servers(10, with_occupancy(5));
+    servers[3] = with_occupancy(2);
+    servers[9] = with_occupancy(0);
+    EXPECT_EQ(choose_among_drawn(servers, {0.05, 0.35, 0.75}), 3U);
+}
+
+TEST(choose_among_drawn, never_draws_a_full_or_unavailable_server)
+{
+    std::vector<server_load> servers(20, with_occupancy(12));
+    servers[4] = with_occupancy(11);
+    for (std::size_t i = 10; i < 20; ++i) {
+        servers[i] = with_occupancy(0);
+        servers[i].available = false;
+    }
+    EXPECT_EQ(choose_among_drawn(servers, {0.1, 0.5, 0.9}), 4U);
+    servers[4].available = false;
+    EXPECT_FALSE(choose_among_drawn(servers, {0.1, 0.5, 0.9}).has_value());
+}
+
+TEST(choose_among_drawn, seldom_draws_a_slow_server)
+{
+    std::vector<server_load> servers(10, with_occupancy(5));
+    for (std::size_t i = 0; i < 5; ++i) {
+        servers[i].slowness = 4;
+    }
+    // The slow half is drawn once in seventeen.
+    EXPECT_LT(*choose_among_drawn(servers, {0.05}), 5U);
+    EXPECT_GE(*choose_among_drawn(servers, {0.07}), 5U);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/backends/dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <sys/eventfd.h>
@@ -83,8 +84,11 @@
         candidates.push_back(&state);
         loads.push_back(state.load(room, this->view, usual, now));
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
-    const std::optional<std::size_t> chosen = choose_server(loads, draw);
+    std::array<double, servers_drawn> draws{};
+    for (double& draw : draws) {
+        draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+    }
+    const std::optional<std::size_t> chosen = choose_among_drawn(loads, draws);
     if (!chosen.has_value()) {
         return std::nullopt;
     }
--- /dev/null
+++ b/sardinestream/backends/many_entries_test.cc
@@ -0,0 +1,221 @@
+// Plays a load of many entries that place requests on one fleet, each knowing its own requests and
+// reports that are some time old, and compares ways to choose.
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/backends/choose_server.h"
+
+namespace sardinestream {
+namespace {
+
+struct played_load {
+    int servers = 0;
+    int entries = 0;
+    int slots = 0;
+    double requests_per_s = 0;
+    double service_s = 0;
+    double report_interval_s = 0;
+};
+
+struct played_result {
+    int requests = 0;
+    // Found its server full and waited there, or was turned away by it.
+    int queued = 0;
+    int shed = 0;
+    // By the entry, since it knew of no room.
+    int unplaced = 0;
+    std::vector<double> waits_s;
+
+    [[nodiscard]] double wait_at(double share) const
+    {
+        std::vector<double> sorted = this->waits_s;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+    }
+};
+
+using choice =
+    std::function<std::optional<std::size_t>(absl::Span<const server_load>, std::mt19937& random)>;
+
+// Simulated time; events in their order.
+class played_fleet {
+public:
+    played_fleet(const played_load& given, choice chosen, unsigned seed)
+        : load(given), choose(std::move(chosen)), random(seed),
+          busy(static_cast<std::size_t>(given.servers)),
+          waiting(static_cast<std::size_t>(given.servers)),
+          known(static_cast<std::size_t>(given.entries),
+                std::vector<int>(static_cast<std::size_t>(given.servers)))
+    {
+    }
+
+    played_result play(double length_s)
+    {
+        for (std::size_t server = 0; server < this->busy.size(); ++server) {
+            this->at(this->uniform() * this->load.report_interval_s,
+                     [this, server] { this->report(server); });
+        }
+        this->at(0, [this] { this->arrive(); });
+        while (!this->events.empty() && this->events.begin()->first < length_s) {
+            const auto next = this->events.begin();
+            this->now = next->first;
+            const std::function<void()> happens = std::move(next->second);
+            this->events.erase(next);
+            happens();
+        }
+        return this->result;
+    }
+
+private:
+    struct request {
+        std::size_t entry = 0;
+        double arrival = 0;
+    };
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+    void at(double delay, std::function<void()> happens)
+    {
+        this->events.emplace(this->now + delay, std::move(happens));
+    }
+
+    void report(std::size_t server)
+    {
+        const int occupancy = this->busy[server] + static_cast<int>(this->waiting[server].size());
+        for (std::vector<int>& of_entry : this->known) {
+            of_entry[server] = occupancy;
+        }
+        this->at(this->load.report_interval_s, [this, server] { this->report(server); });
+    }
+
+    void arrive()
+    {
+        this->at(std::exponential_distribution<double>(this->load.requests_per_s)(this->random),
+                 [this] { this->arrive(); });
+        ++this->result.requests;
+        const auto entry = static_cast<std::size_t>(this->uniform() * this->load.entries);
+        std::vector<server_load> loads(this->busy.size());
+        for (std::size_t server = 0; server < loads.size(); ++server) {
+            loads[server].occupancy = this->known[entry][server];
+            loads[server].room = this->load.slots;
+        }
+        const std::optional<std::size_t> chosen = this->choose(loads, this->random);
+        if (!chosen.has_value()) {
+            ++this->result.unplaced;
+            return;
+        }
+        ++this->known[entry][*chosen];
+        this->take(*chosen, {entry, this->now});
+    }
+
+    void take(std::size_t server, const request& taken)
+    {
+        constexpr std::size_t queue_length = 12;
+        if (this->busy[server] < this->load.slots) {
+            this->run(server, taken);
+            return;
+        }
+        if (this->waiting[server].size() < queue_length) {
+            ++this->result.queued;
+            this->waiting[server].push_back(taken);
+            return;
+        }
+        ++this->result.shed;
+        --this->known[taken.entry][server];
+    }
+
+    void run(std::size_t server, const request& taken)
+    {
+        this->result.waits_s.push_back(this->now - taken.arrival);
+        ++this->busy[server];
+        const double length =
+            std::gamma_distribution<double>(2, this->load.service_s / 2)(this->random);
+        this->at(length, [this, server, taken] { this->finish(server, taken.entry); });
+    }
+
+    void finish(std::size_t server, std::size_t entry)
+    {
+        --this->busy[server];
+        --this->known[entry][server];
+        if (!this->waiting[server].empty()) {
+            const request next = this->waiting[server].front();
+            this->waiting[server].pop_front();
+            this->run(server, next);
+        }
+    }
+
+    const played_load load;
+    const choice choose;
+    std::mt19937 random;
+    double now = 0;
+    std::multimap<double, std::function<void()>> events;
+    std::vector<int> busy;
+    std::vector<std::deque<request>> waiting;
+    // By entry and server: the last report, corrected by the entry's own requests.
+    std::vector<std::vector<int>> known;
+    played_result result;
+};
+
+std::optional<std::size_t> best_of_all(absl::Span<const server_load> loads, std::mt19937& random)
+{
+    return choose_server(loads, std::uniform_real_distribution<double>(0, 1)(random));
+}
+
+std::optional<std::size_t> best_of_drawn(absl::Span<const server_load> loads, std::mt19937& random)
+{
+    std::array<double, servers_drawn> draws{};
+    for (double& draw : draws) {
+        draw = std::uniform_real_distribution<double>(0, 1)(random);
+    }
+    return choose_among_drawn(loads, draws);
+}
+
+std::optional<std::size_t> any_with_room(absl::Span<const server_load> loads, std::mt19937& random)
+{
+    const std::array<double, 1> draw = {std::uniform_real_distribution<double>(0, 1)(random)};
+    return choose_among_drawn(loads, draw);
+}
+
+constexpr played_load large_fleet = {192, 20, 6, 400, 1.8, 0.576};
+constexpr double played_s = 12;
+
+TEST(many_entries, drawing_a_few_servers_sheds_under_one_in_two_hundred)
+{
+    const played_result drawn = played_fleet(large_fleet, best_of_drawn, 1).play(played_s);
+    EXPECT_LT(drawn.shed, drawn.requests / 200);
+    EXPECT_LT(drawn.unplaced, drawn.requests / 200);
+}
+
+TEST(many_entries, drawing_a_few_servers_starts_most_requests_at_once)
+{
+    const played_result drawn = played_fleet(large_fleet, best_of_drawn, 1).play(played_s);
+    constexpr double first_event_target_s = 0.5;
+    EXPECT_EQ(drawn.wait_at(0.9), 0);
+    EXPECT_LT(drawn.wait_at(0.99), first_event_target_s * 2);
+}
+
+// Shows what the load does to entries that all take what looks best.
+TEST(many_entries, the_best_of_all_and_any_with_room_make_more_requests_wait)
+{
+    const played_result drawn = played_fleet(large_fleet, best_of_drawn, 1).play(played_s);
+    EXPECT_GT(played_fleet(large_fleet, best_of_all, 1).play(played_s).queued, 2 * drawn.queued);
+    EXPECT_GT(played_fleet(large_fleet, any_with_room, 1).play(played_s).queued, drawn.queued);
+}
+
+TEST(many_entries, a_small_fleet_with_fresh_reports_is_served_as_well)
+{
+    constexpr played_load small_fleet = {16, 4, 12, 75, 2.0, 0.1};
+    const played_result drawn = played_fleet(small_fleet, best_of_drawn, 1).play(played_s);
+    const played_result best = played_fleet(small_fleet, best_of_all, 1).play(played_s);
+    EXPECT_LE(drawn.queued + drawn.unplaced, best.queued + best.unplaced + drawn.requests / 100);
+}
+
+} // namespace
+} // namespace sardinestream
