--- a/sardinestream/maps/expert_map.cc
+++ b/sardinestream/maps/expert_map.cc
@@ -122,6 +122,17 @@
     return copies;
 }
 
+expert_map first_map(const map_shape& shape)
+{
+    expert_map map(shape);
+    for (int set = 0; set < shape.sets; ++set) {
+        for (int expert = 0; expert < shape.experts; ++expert) {
+            map.add(set, expert % shape.ranks, expert);
+        }
+    }
+    return map;
+}
+
 std::vector<std::uint8_t> flatten(const expert_map& map)
 {
     std::vector<std::uint8_t> flat;
--- a/sardinestream/maps/expert_map.h
+++ b/sardinestream/maps/expert_map.h
@@ -60,6 +60,9 @@
     std::vector<std::vector<std::uint16_t>> lists;
 };
 
+// The map with which a group forms: experts in turn over the ranks.
+[[nodiscard]] expert_map first_map(const map_shape& shape);
+
 // The most experts of a set that a flat form can name.
 inline constexpr int most_experts = 256;
 
--- a/sardinestream/maps/expert_map_test.cc
+++ b/sardinestream/maps/expert_map_test.cc
@@ -23,6 +23,11 @@
     EXPECT_FALSE(map.check().ok());
 }
 
+TEST(expert_map, first_map_holds_experts_in_turn)
+{
+    EXPECT_EQ(first_map(shape), in_turn());
+}
+
 TEST(expert_map, checks_the_places_of_a_rank)
 {
     expert_map map = in_turn();
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -5,6 +5,7 @@
 
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/maps/group_pace.h"
 
 namespace sardinestream {
 namespace {
@@ -12,12 +13,12 @@
 using std::chrono::milliseconds;
 
 // A state older than this says nothing about the rank.
-constexpr milliseconds state_lifetime{700};
+constexpr milliseconds state_lifetime{900};
 constexpr milliseconds sample_interval{120};
-// An order whose effect does not show is given again after this.
-constexpr milliseconds resend_interval{45};
-// The same for an order that carries a whole map; nobody waits for it.
-constexpr milliseconds prepare_resend_interval{150};
+// A sample that waits for counts which are late or lost is taken without them after so many
+// intervals, if enough have come.
+constexpr double sample_patience = 1.6;
+constexpr double least_counted_share = 0.5;
 // Copies that a rank has accepted show when they are done.
 constexpr milliseconds copy_patience{6000};
 // After a plan that failed.
@@ -26,6 +27,8 @@
 constexpr int usual_margin = 1;
 constexpr int margin_for_lost_orders = 5;
 constexpr std::chrono::seconds lost_order_memory{10};
+// One repetition is that of a lost datagram; engines that take no orders need more.
+constexpr int most_usual_repetitions = 1;
 // Samples before the first plan.
 constexpr int least_samples = 2;
 
@@ -47,15 +50,22 @@
     }
     const auto at = static_cast<std::size_t>(state.rank);
     if (state.without_agent) {
-        this->counted[at] = true;
+        this->counted[at] = tells_counts(state.rank, this->options.shape.ranks);
     }
-    if (state.counts.size() == this->summed.size()) {
+    // Packed counts come in pairs: an odd number has a zero behind it.
+    if (state.counts.size() == this->summed.size() ||
+        state.counts.size() == this->summed.size() + 1) {
         for (std::size_t i = 0; i < this->summed.size(); ++i) {
             this->summed[i] += state.counts[i];
         }
         this->counted[at] = true;
     }
     state.counts.clear();
+    const rank_state& before = this->ranks[at].state;
+    if (state.experts.empty() && before.report.epoch == state.report.epoch &&
+        before.report.map_version == state.report.map_version) {
+        state.experts = before.experts;
+    }
     this->ranks[at] = {std::move(state), now};
 }
 
@@ -84,11 +94,21 @@
     this->switching.reset();
 }
 
+bool map_coordinator::sample_is_due(steady_time now) const
+{
+    const auto heard = std::count(this->counted.begin(), this->counted.end(), true);
+    const int expected = counting_ranks(this->options.shape.ranks);
+    const auto waited = now - this->last_sample;
+    if (heard >= expected) {
+        return waited >= sample_interval;
+    }
+    return waited >= sample_patience * counts_interval(this->options.shape) &&
+           static_cast<double>(heard) >= least_counted_share * expected;
+}
+
 void map_coordinator::sample_demand(steady_time now)
 {
-    const bool all =
-        std::find(this->counted.begin(), this->counted.end(), false) == this->counted.end();
-    if (!all || now - this->last_sample < sample_interval) {
+    if (!this->sample_is_due(now)) {
         return;
     }
     this->last_sample = now;
@@ -104,7 +124,7 @@
     const std::int64_t version = this->ranks.front().state.report.map_version;
     for (std::size_t rank = 0; rank < this->ranks.size(); ++rank) {
         const rank_state& state = this->ranks[rank].state;
-        if (state.report.map_version != version) {
+        if (state.report.map_version != version || state.experts.empty()) {
             return std::nullopt;
         }
         map.set_rank(static_cast<int>(rank), state.experts);
@@ -221,20 +241,22 @@
 
 bool map_coordinator::is_due(rank_order& order, steady_time now)
 {
-    steady_time& last = this->sent[{order.rank, order.kind, order.version, order.step}];
+    sent_record& record = this->sent[{order.rank, order.kind, order.version, order.step}];
     const rank_state& state = this->ranks[static_cast<std::size_t>(order.rank)].state;
     const bool copying =
         order.kind == order_kind::prepare && state.prepares.accepted == order.version;
-    const milliseconds interval =
-        order.kind == order_kind::prepare ? prepare_resend_interval : resend_interval;
-    if (last != steady_time{} && (copying || now - last < interval)) {
+    const int size = this->options.shape.ranks;
+    const milliseconds patience =
+        order.kind == order_kind::prepare ? prepare_patience(size) : order_patience(size);
+    order.repetitions = record.times;
+    if (record.times > 0 && (copying || now - record.last < patience)) {
         return false;
     }
-    order.repeated = last != steady_time{};
-    if (order.repeated && order.kind == order_kind::arm) {
+    if (record.times > most_usual_repetitions && order.kind == order_kind::arm) {
         this->orders_lost_until = now + lost_order_memory;
     }
-    last = now;
+    record.last = now;
+    ++record.times;
     return true;
 }
 
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -32,6 +32,7 @@
     // Time of a step against that of a sound server.
     double slowness = 1;
     prepare_record prepares;
+    // Of the map in use; empty where they are those of an earlier state with the same map.
     rank_experts experts;
     // What was chosen since the last state that had counts; empty where this one has none.
     std::vector<double> counts;
@@ -71,10 +72,16 @@
         rank_state state;
         steady_time last{};
     };
+    struct sent_record {
+        steady_time last{};
+        int times = 0;
+    };
     // Rank, kind, version, step.
     using sent_key = std::tuple<int, order_kind, std::int64_t, std::int64_t>;
 
     void note_epoch(std::int64_t epoch);
+    // Whether enough of the ranks that tell counts have told them since the last sample.
+    [[nodiscard]] bool sample_is_due(steady_time now) const;
     void sample_demand(steady_time now);
     void consider_plan(absl::Span<const rank_report> reports, steady_time now);
     void check_plan(absl::Span<const rank_report> reports, steady_time now);
@@ -100,11 +107,11 @@
     // Something has changed since a plan was considered: states come far more often.
     bool plan_is_due = false;
     steady_time plan_time{};
-    // Arms have gone unanswered lately: they may need more than one try.
+    // Arms have gone unanswered lately: they need several tries.
     steady_time orders_lost_until{};
     // No new plan before this.
     steady_time rest_until{};
-    std::map<sent_key, steady_time> sent;
+    std::map<sent_key, sent_record> sent;
     std::mt19937_64 random{std::random_device()()};
 };
 
--- a/sardinestream/maps/map_planner.cc
+++ b/sardinestream/maps/map_planner.cc
@@ -13,6 +13,33 @@
 constexpr double least_move_gain = 1e-4;
 constexpr double ms_per_s = 1000.0;
 
+// Ranks to which a move may copy: the least loaded ones. Bounds the search in large groups.
+constexpr std::size_t most_targets = 32;
+
+// What `amount` of work takes on the rank.
+double time_of(absl::Span<const double> rank_slowness, int rank, double amount)
+{
+    return rank_slowness.empty() ? amount : amount * rank_slowness[static_cast<std::size_t>(rank)];
+}
+
+// Adds the time that each rank needs for its experts of one set.
+void add_set_loads(const expert_map& map, int set, absl::Span<const double> shares,
+                   absl::Span<const double> slowness, std::vector<double>& loads)
+{
+    std::vector<int> copies(shares.size(), 0);
+    for (int rank = 0; rank < map.shape().ranks; ++rank) {
+        for (const std::uint16_t expert : map.experts_of(set, rank)) {
+            ++copies[expert];
+        }
+    }
+    for (int rank = 0; rank < map.shape().ranks; ++rank) {
+        for (const std::uint16_t expert : map.experts_of(set, rank)) {
+            loads[static_cast<std::size_t>(rank)] +=
+                time_of(slowness, rank, shares[expert] / copies[expert]);
+        }
+    }
+}
+
 // The loads of one set under a map that is being changed.
 class set_search {
 public:
@@ -23,15 +50,12 @@
           holds(static_cast<std::size_t>(shape.experts) * static_cast<std::size_t>(shape.ranks)),
           was_held(holds.size()), holders(static_cast<std::size_t>(shape.experts)),
           held_by(static_cast<std::size_t>(shape.ranks)),
-          loads(static_cast<std::size_t>(shape.ranks), 0)
+          loads(static_cast<std::size_t>(shape.ranks), 0), shifts(loads.size(), 0)
     {
         for (int rank = 0; rank < this->shape.ranks; ++rank) {
             for (const std::uint16_t expert : current.experts_of(set, rank)) {
-                this->holds[this->at(rank, expert)] = true;
                 this->was_held[this->at(rank, expert)] = true;
-                ++this->copies[expert];
-                this->holders[expert].push_back(rank);
-                this->held_by[static_cast<std::size_t>(rank)].push_back(expert);
+                this->take(rank, expert);
             }
         }
         this->compute_loads();
@@ -50,34 +74,28 @@
     template <typename MayCopy>
     move best_move(const MayCopy& may_copy)
     {
+        this->sort_ranks();
         move best;
-        const double before = this->objective();
-        const auto busiest = static_cast<int>(std::distance(
-            this->loads.begin(), std::max_element(this->loads.begin(), this->loads.end())));
-        // The moves below take experts from the list and put them back.
-        const std::vector<int> on_busiest = this->held_by[static_cast<std::size_t>(busiest)];
-        for (const int expert : on_busiest) {
+        const int busiest = this->by_load.front();
+        for (const int expert : this->held_by[static_cast<std::size_t>(busiest)]) {
             if (this->share(expert) <= 0) {
                 continue;
             }
-            for (int rank = 0; rank < this->shape.ranks; ++rank) {
-                if (this->holds[this->at(rank, expert)] ||
-                    (!this->was_held[this->at(rank, expert)] && !may_copy(rank))) {
+            std::size_t tried = 0;
+            for (auto at = this->by_load.rbegin();
+                 at != this->by_load.rend() && tried < most_targets; ++at) {
+                if (this->holds[this->at(*at, expert)] ||
+                    (!this->was_held[this->at(*at, expert)] && !may_copy(*at))) {
                     continue;
                 }
-                this->try_move(expert, rank, before, best);
+                ++tried;
+                this->try_move(expert, *at, best);
             }
         }
         // Dropping a copy on the busiest rank costs no copying at all.
-        for (const int expert : on_busiest) {
-            if (this->count(expert) < 2) {
-                continue;
-            }
-            this->drop(busiest, expert);
-            const double gain = before - this->objective();
-            this->take(busiest, expert);
-            if (gain > best.gain) {
-                best = {busiest, -1, expert, gain};
+        for (const int expert : this->held_by[static_cast<std::size_t>(busiest)]) {
+            if (this->count(expert) >= 2) {
+                this->keep_better({busiest, -1, expert, 0}, best);
             }
         }
         return best;
@@ -91,7 +109,6 @@
         if (chosen.added >= 0) {
             this->take(chosen.rank, chosen.added);
         }
-        // Rounding must not pile up over the moves.
         this->compute_loads();
     }
 
@@ -105,21 +122,6 @@
         return *std::max_element(this->loads.begin(), this->loads.end());
     }
 
-    void write_to(expert_map& map) const
-    {
-        for (int rank = 0; rank < this->shape.ranks; ++rank) {
-            for (int expert = 0; expert < this->shape.experts; ++expert) {
-                const std::size_t position = this->at(rank, expert);
-                if (this->holds[position] && !this->was_held[position]) {
-                    map.add(this->set, rank, expert);
-                }
-                if (!this->holds[position] && this->was_held[position]) {
-                    map.remove(this->set, rank, expert);
-                }
-            }
-        }
-    }
-
 private:
     [[nodiscard]] std::size_t at(int rank, int expert) const
     {
@@ -130,14 +132,9 @@
     {
         return this->demand[static_cast<std::size_t>(expert)];
     }
-    int& count(int expert) { return this->copies[static_cast<std::size_t>(expert)]; }
-
-    // What `amount` of work takes on the rank.
-    [[nodiscard]] double time_of(int rank, double amount) const
+    [[nodiscard]] int count(int expert) const
     {
-        return this->rank_slowness.empty()
-                   ? amount
-                   : amount * this->rank_slowness[static_cast<std::size_t>(rank)];
+        return this->copies[static_cast<std::size_t>(expert)];
     }
 
     void compute_loads()
@@ -146,81 +143,115 @@
         for (int rank = 0; rank < this->shape.ranks; ++rank) {
             for (const int expert : this->held_by[static_cast<std::size_t>(rank)]) {
                 this->loads[static_cast<std::size_t>(rank)] +=
-                    this->time_of(rank, this->share(expert) / this->count(expert));
+                    time_of(this->rank_slowness, rank, this->share(expert) / this->count(expert));
             }
         }
     }
 
-    // The largest load, and a little for unevenness below it.
-    [[nodiscard]] double objective() const
+    // Ranks by falling load, and what the gain of every move is measured against.
+    void sort_ranks()
     {
-        const double largest = this->largest_load();
-        double squares = 0;
-        for (const double load : this->loads) {
-            squares += load * load;
-        }
-        return largest + evenness_weight * squares * this->shape.ranks;
+        this->by_load.resize(this->loads.size());
+        std::iota(this->by_load.begin(), this->by_load.end(), 0);
+        std::stable_sort(this->by_load.begin(), this->by_load.end(), [this](int one, int other) {
+            return this->load(one) > this->load(other);
+        });
     }
-
-    // Shifts the loads of an expert's holders when its number of copies changes.
-    void spread(int expert, int copies_before, int copies_after)
+    [[nodiscard]] double load(int rank) const
     {
-        const double change =
-            this->share(expert) / copies_after - this->share(expert) / copies_before;
-        for (const int rank : this->holders[static_cast<std::size_t>(expert)]) {
-            this->loads[static_cast<std::size_t>(rank)] += this->time_of(rank, change);
-        }
+        return this->loads[static_cast<std::size_t>(rank)];
     }
 
     void take(int rank, int expert)
     {
-        this->spread(expert, this->count(expert), this->count(expert) + 1);
-        ++this->count(expert);
+        ++this->copies[static_cast<std::size_t>(expert)];
         this->holds[this->at(rank, expert)] = true;
         this->holders[static_cast<std::size_t>(expert)].push_back(rank);
         this->held_by[static_cast<std::size_t>(rank)].push_back(expert);
-        this->loads[static_cast<std::size_t>(rank)] +=
-            this->time_of(rank, this->share(expert) / this->count(expert));
     }
 
     void drop(int rank, int expert)
     {
+        --this->copies[static_cast<std::size_t>(expert)];
         this->holds[this->at(rank, expert)] = false;
         std::erase(this->holders[static_cast<std::size_t>(expert)], rank);
         std::erase(this->held_by[static_cast<std::size_t>(rank)], expert);
-        this->loads[static_cast<std::size_t>(rank)] -=
-            this->time_of(rank, this->share(expert) / this->count(expert));
-        this->spread(expert, this->count(expert), this->count(expert) - 1);
-        --this->count(expert);
     }
 
-    void try_move(int expert, int rank, double before, move& best)
+    // Notes that a move changes the load of a rank.
+    void shift(int rank, double work)
+    {
+        double& noted = this->shifts[static_cast<std::size_t>(rank)];
+        if (noted == 0) {
+            this->shifted.push_back(rank);
+        }
+        noted += time_of(this->rank_slowness, rank, work);
+    }
+
+    // Notes how the loads of the expert's holders change with its number of copies.
+    void shift_holders(int expert, int copies_after, int except = -1)
+    {
+        const double change =
+            this->share(expert) / copies_after - this->share(expert) / this->count(expert);
+        for (const int rank : this->holders[static_cast<std::size_t>(expert)]) {
+            if (rank != except) {
+                this->shift(rank, change);
+            }
+        }
+    }
+
+    // How far the objective falls by a move: the largest load, and a little for unevenness below.
+    // Only the few ranks are looked at whose loads the move changes.
+    [[nodiscard]] double gain_of(const move& tried)
+    {
+        if (tried.added >= 0) {
+            const int copies_after = this->count(tried.added) + 1;
+            this->shift_holders(tried.added, copies_after);
+            this->shift(tried.rank, this->share(tried.added) / copies_after);
+        }
+        if (tried.removed >= 0) {
+            this->shift_holders(tried.removed, this->count(tried.removed) - 1, tried.rank);
+            this->shift(tried.rank, -this->share(tried.removed) / this->count(tried.removed));
+        }
+        double largest = 0;
+        for (const int rank : this->by_load) {
+            if (this->shifts[static_cast<std::size_t>(rank)] == 0) {
+                largest = this->load(rank);
+                break;
+            }
+        }
+        double squares = 0;
+        for (const int rank : this->shifted) {
+            double& change = this->shifts[static_cast<std::size_t>(rank)];
+            const double after = this->load(rank) + change;
+            largest = std::max(largest, after);
+            squares += after * after - this->load(rank) * this->load(rank);
+            change = 0;
+        }
+        this->shifted.clear();
+        return this->load(this->by_load.front()) - largest -
+               evenness_weight * squares * this->shape.ranks;
+    }
+
+    void try_move(int expert, int rank, move& best)
     {
         const std::vector<int>& held = this->held_by[static_cast<std::size_t>(rank)];
         if (static_cast<int>(held.size()) < this->shape.places) {
-            this->take(rank, expert);
-            this->keep_better(expert, rank, -1, before, best);
-            this->drop(rank, expert);
+            this->keep_better({rank, expert, -1, 0}, best);
             return;
         }
-        const std::vector<int> candidates = held;
-        for (const int removed : candidates) {
-            if (this->count(removed) < 2) {
-                continue;
+        for (const int removed : held) {
+            if (this->count(removed) >= 2) {
+                this->keep_better({rank, expert, removed, 0}, best);
             }
-            this->drop(rank, removed);
-            this->take(rank, expert);
-            this->keep_better(expert, rank, removed, before, best);
-            this->drop(rank, expert);
-            this->take(rank, removed);
         }
     }
 
-    void keep_better(int expert, int rank, int removed, double before, move& best) const
+    void keep_better(move tried, move& best)
     {
-        const double gain = before - this->objective();
-        if (gain > best.gain) {
-            best = {rank, expert, removed, gain};
+        tried.gain = this->gain_of(tried);
+        if (tried.gain > best.gain) {
+            best = tried;
         }
     }
 
@@ -235,6 +266,10 @@
     std::vector<std::vector<int>> holders;
     std::vector<std::vector<int>> held_by;
     std::vector<double> loads;
+    std::vector<int> by_load;
+    // Changes of loads by the move that is being tried, and the ranks where they are not zero.
+    std::vector<double> shifts;
+    std::vector<int> shifted;
 };
 
 absl::Span<const double> demand_of(absl::Span<const double> demand, int set, int experts)
@@ -283,13 +318,14 @@
         }
     }
 
-    [[nodiscard]] map_plan result() const
+    [[nodiscard]] std::size_t moves() const { return this->made.size(); }
+
+    // What the moves so far come to, without the map itself.
+    [[nodiscard]] map_plan figures() const
     {
         map_plan plan;
-        plan.map = this->current;
         double largest = 0;
         for (const set_search& search : this->searches) {
-            search.write_to(plan.map);
             largest += search.largest_load();
         }
         const map_shape& shape = this->current.shape();
@@ -300,6 +336,21 @@
         return plan;
     }
 
+    // The map after the first moves.
+    [[nodiscard]] expert_map map_after(std::size_t first_moves) const
+    {
+        expert_map map = this->current;
+        for (const made_move& one : absl::MakeConstSpan(this->made).first(first_moves)) {
+            if (one.change.removed >= 0) {
+                map.remove(one.set, one.change.rank, one.change.removed);
+            }
+            if (one.change.added >= 0) {
+                map.add(one.set, one.change.rank, one.change.added);
+            }
+        }
+        return map;
+    }
+
 private:
     bool make_best_move(int budget)
     {
@@ -328,6 +379,7 @@
     void make(std::size_t set, const set_search::move& chosen, int budget)
     {
         const bool copied = this->searches[set].is_copy(chosen);
+        this->made.push_back({static_cast<int>(set), chosen});
         this->searches[set].apply(chosen);
         this->best[set].reset();
         if (!copied) {
@@ -347,9 +399,16 @@
         }
     }
 
+    struct made_move {
+        int set = 0;
+        set_search::move change;
+    };
+
     const expert_map& current;
     const planner_options& options;
     std::vector<set_search> searches;
+    // In the order in which they were made.
+    std::vector<made_move> made;
     int copies = 0;
     std::vector<int> copies_at;
     std::vector<std::vector<int>> copies_of_set;
@@ -377,10 +436,12 @@
 {
     const map_shape& shape = map.shape();
     double largest = 0;
+    std::vector<double> loads(static_cast<std::size_t>(shape.ranks));
     for (int set = 0; set < shape.sets; ++set) {
-        largest +=
-            set_search(map, set, demand_of(demand, set, shape.experts), options.rank_slowness)
-                .largest_load();
+        std::fill(loads.begin(), loads.end(), 0.0);
+        add_set_loads(map, set, demand_of(demand, set, shape.experts), options.rank_slowness,
+                      loads);
+        largest += *std::max_element(loads.begin(), loads.end());
     }
     return factor_of(largest / shape.sets, shape.ranks, options);
 }
@@ -391,17 +452,19 @@
     const double before = pass_factor(current, demand, options);
     std::optional<map_plan> best;
     double best_value = 0;
+    std::size_t moves_of_best = 0;
     plan_search search(current, demand, options);
     const int largest_budget = options.most_new_experts * current.shape().sets;
     for (int budget = 1; budget <= largest_budget; ++budget) {
         search.extend_to(budget);
-        map_plan plan = search.result();
+        map_plan plan = search.figures();
         plan.factor_before = before;
         const double value = value_of(plan, options);
         const bool exhausted = plan.copies_at_busiest_rank < budget;
         if (before - plan.factor_after >= options.least_gain && value > best_value) {
             best_value = value;
             best = std::move(plan);
+            moves_of_best = search.moves();
         }
         else if (best.has_value()) {
             break;
@@ -410,6 +473,9 @@
             break;
         }
     }
+    if (best.has_value()) {
+        best->map = search.map_after(moves_of_best);
+    }
     return best;
 }
 
--- a/sardinestream/maps/map_planner_test.cc
+++ b/sardinestream/maps/map_planner_test.cc
@@ -3,6 +3,7 @@
 #include <random>
 
 #include <gtest/gtest.h>
+#include <time.h>
 
 #include "sardinestream/maps/expert_demand.h"
 #include "sardinestream/maps/map_planner.h"
@@ -11,14 +12,16 @@
 namespace {
 
 const map_shape shape = {6, 8, 64, 11};
+// The largest groups that are served.
+const map_shape large_shape = {16, 96, 192, 3};
 
-expert_map in_turn()
+expert_map in_turn(const map_shape& form = shape)
 {
-    expert_map map(shape);
-    for (int rank = 0; rank < shape.ranks; ++rank) {
-        rank_experts experts(static_cast<std::size_t>(shape.sets));
+    expert_map map(form);
+    for (int rank = 0; rank < form.ranks; ++rank) {
+        rank_experts experts(static_cast<std::size_t>(form.sets));
         for (std::vector<std::uint16_t>& list : experts) {
-            for (int expert = rank; expert < shape.experts; expert += shape.ranks) {
+            for (int expert = rank; expert < form.experts; expert += form.ranks) {
                 list.push_back(static_cast<std::uint16_t>(expert));
             }
         }
@@ -28,14 +31,14 @@
 }
 
 // A few experts get most of the work, as where all requests are about one subject.
-std::vector<double> skewed_demand(unsigned seed)
+std::vector<double> skewed_demand(unsigned seed, const map_shape& form = shape, double skew = 1.6)
 {
     std::minstd_rand random(seed);
     std::vector<double> demand;
-    for (int set = 0; set < shape.sets; ++set) {
-        std::vector<double> shares(static_cast<std::size_t>(shape.experts));
+    for (int set = 0; set < form.sets; ++set) {
+        std::vector<double> shares(static_cast<std::size_t>(form.experts));
         for (double& share : shares) {
-            share = std::exp(1.6 * std::normal_distribution<double>()(random));
+            share = std::exp(skew * std::normal_distribution<double>()(random));
         }
         const double total = std::accumulate(shares.begin(), shares.end(), 0.0);
         for (const double share : shares) {
@@ -132,6 +135,33 @@
     EXPECT_LT(plan->factor_after, least + 1);
 }
 
+double processor_ms()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6;
+}
+
+// An agent has a seventh of a core, and what it plans for changes after seconds.
+TEST(plan_map, plans_for_a_large_group_in_little_processor_time)
+{
+    planner_options options;
+    options.copy_ms = 18;
+    options.most_new_experts = 2;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        const std::vector<double> demand = skewed_demand(seed, large_shape, 1.1);
+        const expert_map current = in_turn(large_shape);
+        const double begun = processor_ms();
+        const std::optional<map_plan> plan = plan_map(current, demand, options);
+        const double taken = processor_ms() - begun;
+        ASSERT_TRUE(plan.has_value());
+        ASSERT_TRUE(plan->map.check().ok()) << plan->map.check();
+        EXPECT_NEAR(plan->factor_after, pass_factor(plan->map, demand, options), 1e-6);
+        EXPECT_LT(plan->factor_after, 1.5) << "from " << plan->factor_before;
+        EXPECT_LT(taken, 30) << plan->copies << " copies";
+    }
+}
+
 TEST(expert_demand, follows_a_change_within_a_few_samples)
 {
     expert_demand demand(1, 2);
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -52,8 +52,8 @@
     order_kind kind = order_kind::prepare;
     std::int64_t version = 0;
     std::int64_t step = 0;
-    // It was given before and shows no effect.
-    bool repeated = false;
+    // How often it was given before without showing an effect.
+    int repetitions = 0;
 };
 
 struct switch_options {
--- a/sardinestream/peers/datagram_socket.cc
+++ b/sardinestream/peers/datagram_socket.cc
@@ -2,7 +2,7 @@
 
 #include <cerrno>
 #include <cstring>
-#include <vector>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -16,12 +16,12 @@
 
 constexpr std::size_t largest_datagram = 16384;
 
-sockaddr_in to_native(const address& peer)
+sockaddr_in to_native(std::uint32_t ip, int port)
 {
     sockaddr_in native{};
     native.sin_family = AF_INET;
-    native.sin_port = htons(static_cast<std::uint16_t>(peer.port));
-    native.sin_addr.s_addr = htonl(ip_number(peer.ip));
+    native.sin_port = htons(static_cast<std::uint16_t>(port));
+    native.sin_addr.s_addr = htonl(ip);
     return native;
 }
 
@@ -44,26 +44,29 @@
 {
     datagram_socket made;
     made.socket = tcp_socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const sockaddr_in native = to_native(local);
+    const sockaddr_in native = to_native(ip_number(local.ip), local.port);
     if (!made.socket.is_open() ||
         ::bind(made.socket.descriptor(), reinterpret_cast<const sockaddr*>(&native),
                sizeof(native)) != 0) {
         return make_error(absl::StatusCode::kUnavailable, "bind", local.to_string(),
                           std::strerror(errno));
     }
+    made.port = local.port;
     return made;
 }
 
-void datagram_socket::send(const news::NewsT& message, const address& peer) const
+void datagram_socket::send(const news::NewsT& message, absl::Span<const std::uint32_t> ips) const
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(news::News::Pack(builder, &message));
-    const sockaddr_in native = to_native(peer);
-    const ssize_t sent = ::sendto(this->socket.descriptor(), builder.GetBufferPointer(),
-                                  builder.GetSize(), MSG_DONTWAIT | MSG_NOSIGNAL,
-                                  reinterpret_cast<const sockaddr*>(&native), sizeof(native));
-    if (sent < 0) {
-        count("sardine_news_send_failures_total");
+    for (const std::uint32_t ip : ips) {
+        const sockaddr_in native = to_native(ip, this->port);
+        const ssize_t sent = ::sendto(this->socket.descriptor(), builder.GetBufferPointer(),
+                                      builder.GetSize(), MSG_DONTWAIT | MSG_NOSIGNAL,
+                                      reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+        if (sent < 0) {
+            count("sardine_news_send_failures_total");
+        }
     }
 }
 
@@ -89,4 +92,17 @@
     }
 }
 
+absl::StatusOr<news_channel> open_news_channel(const address& local)
+{
+    absl::StatusOr<datagram_socket> bound = datagram_socket::bind(local);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    const auto socket = std::make_shared<datagram_socket>(*std::move(bound));
+    return news_channel{[socket](const news::NewsT& message, absl::Span<const std::uint32_t> ips) {
+                            socket->send(message, ips);
+                        },
+                        [socket](steady_time deadline) { return socket->receive(deadline); }};
+}
+
 } // namespace sardinestream
--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sardinestream/base/log.h"
+#include "sardinestream/peers/home_entries.h"
 
 namespace sardinestream {
 namespace {
@@ -18,7 +19,8 @@
 constexpr milliseconds entry_lifetime{2500};
 // A seed, or an entry that fell silent, is told for so long, in case it returns.
 constexpr std::chrono::seconds entry_memory{30};
-constexpr std::chrono::seconds member_memory{5};
+// An agent that may not have heard yet is not told the places of its group again within this.
+constexpr milliseconds places_interval{300};
 // A sequence that lies further back is that of an agent that has started again.
 constexpr std::uint64_t reordering_window = 64;
 
@@ -31,6 +33,14 @@
     return std::clamp(per_agent * static_cast<int>(agents), shortest, longest);
 }
 
+// Agents forget an entry after seconds, so many of them need not hear it as often.
+milliseconds agent_hello_interval_for(std::size_t agents)
+{
+    constexpr milliseconds per_agent{5};
+    constexpr milliseconds longest{1000};
+    return std::clamp(per_agent * static_cast<int>(agents), hello_interval, longest);
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<entry_news>> entry_news::start(const std::string& ip, int port,
@@ -85,11 +95,17 @@
 void entry_news::run()
 {
     steady_time next_hello = steady_clock::now();
+    steady_time next_agent_hello = next_hello;
     while (!this->stopping) {
-        if (this->announce_now.exchange(false) || steady_clock::now() >= next_hello) {
-            next_hello = steady_clock::now() + hello_interval;
+        const steady_time now = steady_clock::now();
+        if (this->announce_now.exchange(false) || now >= next_hello) {
+            next_hello = now + hello_interval;
             this->take_seeds();
-            this->tell_everyone();
+            this->tell_entries();
+        }
+        if (now >= next_agent_hello) {
+            next_agent_hello = now + agent_hello_interval_for(this->report_sequences.size());
+            this->tell_agents();
         }
         const std::unique_ptr<news::NewsT> message =
             this->socket.receive(std::min(next_hello, steady_clock::now() + announce_interval));
@@ -141,7 +157,6 @@
 
 void entry_news::take_report(const news::ServerReportT& report)
 {
-    const steady_time now = steady_clock::now();
     std::uint64_t& sequence = this->report_sequences[report.ip];
     if (report.sequence <= sequence && sequence - report.sequence < reordering_window) {
         return;
@@ -158,105 +173,117 @@
     decoded.pass_ms = report.pass_ms;
     decoded.group = report.group;
     decoded.group_broken = report.broken;
+    this->hooks.on_report(ip, decoded);
     if (!report.group.empty()) {
-        this->groups[report.group][report.rank] = {ip, now};
-        this->group_of_ip[ip] = report.group;
+        this->take_place(report);
     }
-    this->hooks.on_report(ip, decoded);
 }
 
-news::EntryHelloT entry_news::make_hello() const
+void entry_news::take_place(const news::ServerReportT& report)
 {
-    news::EntryHelloT hello;
-    const known_revisions own = this->hooks.revisions();
-    hello.ip = ip_number(this->own_ip);
-    hello.config_revision = own.config;
-    hello.servers_revision = own.servers;
+    known_group& group = this->groups[report.group];
+    const group_place place = {report.ip, report.engine_port};
+    group_place& known = group.places[report.rank];
+    if (!(known == place)) {
+        known = place;
+        group.digest = digest_of(group.places);
+    }
     const steady_time now = steady_clock::now();
-    for (const auto& [ip, heard] : this->entries) {
-        if (now - heard.last < entry_lifetime) {
-            hello.entries.push_back(ip);
-        }
+    steady_time& told = this->places_told[report.ip];
+    if (report.places_digest == group.digest || now - told < places_interval ||
+        !is_home_of(report.ip, ip_number(this->own_ip), this->other_entries_alive())) {
+        return;
     }
-    return hello;
+    told = now;
+    this->tell_places(report);
 }
 
-news::NewsT entry_news::make_group_hello(const engine_model& engine, const std::string& group,
-                                         const std::map<std::string, int>& ports) const
+void entry_news::tell_places(const news::ServerReportT& report)
 {
-    news::EntryHelloT hello = this->make_hello();
-    hello.sets = engine.layer_sets;
-    hello.experts = engine.experts;
-    hello.places = engine.places_per_rank;
-    hello.most_new_experts = engine.most_new_experts;
-    hello.copy_ms = static_cast<float>(engine.copy_ms());
-    hello.expert_share = static_cast<float>(engine.expert_share);
-    hello.report_interval_ms =
-        static_cast<int>(report_interval_for(this->report_sequences.size()).count());
-    hello.group = group;
-    const auto members = this->groups.find(group);
-    if (members == this->groups.end()) {
-        return make_news(std::move(hello));
+    const std::shared_ptr<const desired_state> state = this->hooks.state();
+    if (state == nullptr) {
+        return;
     }
-    const steady_time now = steady_clock::now();
-    for (const auto& [rank, member] : members->second) {
-        const auto port_found = ports.find(member.ip);
-        if (now - member.last > member_memory || port_found == ports.end()) {
+    const std::string ip = ip_text(report.ip);
+    for (const backend_server& server : this->hooks.servers()) {
+        const auto declared = state->services.find(server.service);
+        if (server.endpoint.ip != ip || declared == state->services.end() ||
+            !declared->second.engine.has_experts()) {
             continue;
         }
-        auto place = std::make_unique<news::RankPlaceT>();
-        place->rank = rank;
-        place->ip = ip_number(member.ip);
-        place->port = static_cast<std::uint16_t>(port_found->second);
-        hello.ranks.push_back(std::move(place));
+        const engine_model& engine = declared->second.engine;
+        news::GroupPlacesT told;
+        told.group = report.group;
+        for (const auto& [rank, place] : this->groups[report.group].places) {
+            told.ranks.emplace_back(rank, place.ip, static_cast<std::uint16_t>(place.engine_port));
+        }
+        told.sets = engine.layer_sets;
+        told.experts = engine.experts;
+        told.places = engine.places_per_rank;
+        told.most_new_experts = engine.most_new_experts;
+        told.copy_ms = static_cast<float>(engine.copy_ms());
+        told.expert_share = static_cast<float>(engine.expert_share);
+        this->socket.send(make_news(std::move(told)), {report.ip});
+        return;
     }
-    return make_news(std::move(hello));
+}
+
+std::vector<std::uint32_t> entry_news::other_entries_alive() const
+{
+    std::vector<std::uint32_t> alive;
+    const steady_time now = steady_clock::now();
+    for (const auto& [ip, heard] : this->entries) {
+        if (now - heard.last < entry_lifetime) {
+            alive.push_back(ip);
+        }
+    }
+    return alive;
+}
+
+news::EntryHelloT entry_news::make_hello() const
+{
+    news::EntryHelloT hello;
+    const known_revisions own = this->hooks.revisions();
+    hello.ip = ip_number(this->own_ip);
+    hello.config_revision = own.config;
+    hello.servers_revision = own.servers;
+    return hello;
 }
 
 void entry_news::tell_agents()
 {
+    const milliseconds interval = report_interval_for(this->report_sequences.size());
+    this->hooks.on_report_interval(interval);
     const std::shared_ptr<const desired_state> state = this->hooks.state();
     if (state == nullptr) {
         return;
     }
-    const std::vector<backend_server> servers = this->hooks.servers();
-    std::map<std::string, int> ports;
-    for (const backend_server& server : servers) {
-        ports[server.endpoint.ip] = server.endpoint.port;
-    }
-    // All agents of one service and group are told the same.
-    std::map<std::pair<std::string, std::string>, news::NewsT> hellos;
-    std::set<std::string> told;
-    for (const backend_server& server : servers) {
+    std::set<std::uint32_t> agents;
+    for (const backend_server& server : this->hooks.servers()) {
         const auto declared = state->services.find(server.service);
-        if (declared == state->services.end() || !declared->second.engine.has_experts() ||
-            !told.insert(server.endpoint.ip).second) {
-            continue;
+        if (declared != state->services.end() && declared->second.engine.has_experts()) {
+            agents.insert(ip_number(server.endpoint.ip));
         }
-        const auto named = this->group_of_ip.find(server.endpoint.ip);
-        const std::string group = named == this->group_of_ip.end() ? "" : named->second;
-        const std::pair<std::string, std::string> key = {server.service, group};
-        auto hello = hellos.find(key);
-        if (hello == hellos.end()) {
-            hello =
-                hellos.emplace(key, this->make_group_hello(declared->second.engine, group, ports))
-                    .first;
-        }
-        this->socket.send(hello->second, {server.endpoint.ip, this->port});
     }
+    news::EntryHelloT hello = this->make_hello();
+    hello.report_interval_ms = static_cast<int>(interval.count());
+    this->socket.send(make_news(std::move(hello)),
+                      std::vector<std::uint32_t>(agents.begin(), agents.end()));
 }
 
-void entry_news::tell_everyone()
+void entry_news::tell_entries()
 {
     const steady_time now = steady_clock::now();
     std::erase_if(this->entries,
                   [&](const auto& named) { return now - named.second.last > entry_memory; });
-    int alive = 1;
-    const news::NewsT plain = make_news(this->make_hello());
+    news::EntryHelloT hello = this->make_hello();
+    hello.entries = this->other_entries_alive();
+    const int alive = static_cast<int>(hello.entries.size()) + 1;
+    std::vector<std::uint32_t> receivers;
     for (const auto& [ip, heard] : this->entries) {
-        alive += now - heard.last < entry_lifetime ? 1 : 0;
-        this->socket.send(plain, {ip_text(ip), this->port});
+        receivers.push_back(ip);
     }
+    this->socket.send(make_news(std::move(hello)), receivers);
     const int known = static_cast<int>(this->entries.size()) + 1;
     if (alive != this->announced_alive || known != this->announced_known) {
         this->announced_alive = alive;
@@ -264,8 +291,6 @@
         log_event("entries_alive", {{"count", alive}, {"known", known}});
         this->hooks.on_entries(alive, known);
     }
-    this->hooks.on_report_interval(report_interval_for(this->report_sequences.size()));
-    this->tell_agents();
 }
 
 } // namespace sardinestream
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -19,6 +19,7 @@
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/peers/datagram_socket.h"
+#include "sardinestream/peers/group_places.h"
 #include "sardinestream/routes/desired_state.h"
 
 #include "absl/base/thread_annotations.h"
@@ -62,7 +63,7 @@
     // Other entries that may be alive. Thread-safe.
     void add_seeds(const std::vector<std::string>& seeds);
 
-    // Tells everyone soon what this entry knows now. Thread-safe.
+    // Tells the other entries soon what this one knows now. Thread-safe.
     void announce();
 
 private:
@@ -70,9 +71,9 @@
         steady_time last{};
         known_revisions revisions;
     };
-    struct group_member {
-        std::string ip;
-        steady_time last{};
+    struct known_group {
+        group_places places;
+        std::uint64_t digest = 0;
     };
 
     entry_news(datagram_socket bound, std::string own, int news_port, entry_news_hooks given);
@@ -84,12 +85,13 @@
     void take_report(const news::ServerReportT& report);
     void note_entry(std::uint32_t ip);
     void note_revisions(std::uint32_t ip, const known_revisions& known);
-    void tell_everyone();
-    [[nodiscard]] news::EntryHelloT make_hello() const;
+    // Takes where the agent's server stands, and tells the agent if it knows other places.
+    void take_place(const news::ServerReportT& report);
+    void tell_places(const news::ServerReportT& report);
+    void tell_entries();
     void tell_agents();
-    // The hello for the agents of one service and group.
-    [[nodiscard]] news::NewsT make_group_hello(const engine_model& engine, const std::string& group,
-                                               const std::map<std::string, int>& ports) const;
+    [[nodiscard]] news::EntryHelloT make_hello() const;
+    [[nodiscard]] std::vector<std::uint32_t> other_entries_alive() const;
 
     const datagram_socket socket;
     const std::string own_ip;
@@ -104,9 +106,9 @@
     std::map<std::uint32_t, heard_entry> entries;
     // The newest sequence of each agent, by the address of its machine.
     std::map<std::uint32_t, std::uint64_t> report_sequences;
-    // By group, then rank.
-    std::map<std::string, std::map<int, group_member>> groups;
-    std::map<std::string, std::string> group_of_ip;
+    std::map<std::string, known_group> groups;
+    // When each agent was told the places of its group last.
+    std::map<std::uint32_t, steady_time> places_told;
     int announced_alive = 0;
     int announced_known = 0;
     std::thread thread;
--- /dev/null
+++ b/sardinestream/peers/group_places.cc
@@ -0,0 +1,18 @@
+#include "sardinestream/peers/group_places.h"
+
+#include <boost/container_hash/hash.hpp>
+
+namespace sardinestream {
+
+std::uint64_t digest_of(const group_places& places)
+{
+    std::size_t digest = 0;
+    for (const auto& [rank, place] : places) {
+        boost::hash_combine(digest, rank);
+        boost::hash_combine(digest, place.ip);
+        boost::hash_combine(digest, place.engine_port);
+    }
+    return digest;
+}
+
+} // namespace sardinestream
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -17,13 +17,15 @@
 namespace news {
 
 struct RankPlace;
-struct RankPlaceBuilder;
-struct RankPlaceT;
 
 struct EntryHello;
 struct EntryHelloBuilder;
 struct EntryHelloT;
 
+struct GroupPlaces;
+struct GroupPlacesBuilder;
+struct GroupPlacesT;
+
 struct ServerReport;
 struct ServerReportBuilder;
 struct ServerReportT;
@@ -85,35 +87,38 @@
   ServerReport = 2,
   RankState = 3,
   Directive = 4,
+  GroupPlaces = 5,
   MIN = NONE,
-  MAX = Directive
+  MAX = GroupPlaces
 };
 
-inline const Body (&EnumValuesBody())[5] {
+inline const Body (&EnumValuesBody())[6] {
   static const Body values[] = {
     Body::NONE,
     Body::EntryHello,
     Body::ServerReport,
     Body::RankState,
-    Body::Directive
+    Body::Directive,
+    Body::GroupPlaces
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "NONE",
     "EntryHello",
     "ServerReport",
     "RankState",
     "Directive",
+    "GroupPlaces",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Directive)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::GroupPlaces)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -138,6 +143,10 @@
   static const Body enum_value = Body::Directive;
 };
 
+template<> struct BodyTraits<sardinestream::news::GroupPlaces> {
+  static const Body enum_value = Body::GroupPlaces;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -158,6 +167,10 @@
   static const Body enum_value = Body::Directive;
 };
 
+template<> struct BodyUnionTraits<sardinestream::news::GroupPlacesT> {
+  static const Body enum_value = Body::GroupPlaces;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -220,148 +233,209 @@
     return type == Body::Directive ?
       reinterpret_cast<const sardinestream::news::DirectiveT *>(value) : nullptr;
   }
+  sardinestream::news::GroupPlacesT *AsGroupPlaces() {
+    return type == Body::GroupPlaces ?
+      reinterpret_cast<sardinestream::news::GroupPlacesT *>(value) : nullptr;
+  }
+  const sardinestream::news::GroupPlacesT *AsGroupPlaces() const {
+    return type == Body::GroupPlaces ?
+      reinterpret_cast<const sardinestream::news::GroupPlacesT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
-struct RankPlaceT : public flatbuffers::NativeTable {
-  typedef RankPlace TableType;
-  int32_t rank = 0;
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RankPlace FLATBUFFERS_FINAL_CLASS {
+ private:
+  int32_t rank_;
+  uint32_t ip_;
+  uint16_t port_;
+  int16_t padding0__;
+
+ public:
+  struct Traits;
+  RankPlace()
+      : rank_(0),
+        ip_(0),
+        port_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RankPlace(int32_t _rank, uint32_t _ip, uint16_t _port)
+      : rank_(flatbuffers::EndianScalar(_rank)),
+        ip_(flatbuffers::EndianScalar(_ip)),
+        port_(flatbuffers::EndianScalar(_port)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  int32_t rank() const {
+    return flatbuffers::EndianScalar(rank_);
+  }
+  uint32_t ip() const {
+    return flatbuffers::EndianScalar(ip_);
+  }
+  uint16_t port() const {
+    return flatbuffers::EndianScalar(port_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RankPlace, 12);
+
+struct RankPlace::Traits {
+  using type = RankPlace;
+};
+
+struct EntryHelloT : public flatbuffers::NativeTable {
+  typedef EntryHello TableType;
   uint32_t ip = 0;
-  uint16_t port = 0;
+  int64_t config_revision = 0;
+  int64_t servers_revision = 0;
+  std::vector<uint32_t> entries{};
+  int32_t report_interval_ms = 0;
 };
 
-struct RankPlace FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RankPlaceT NativeTableType;
-  typedef RankPlaceBuilder Builder;
+struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryHelloT NativeTableType;
+  typedef EntryHelloBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_RANK = 4,
-    VT_IP = 6,
-    VT_PORT = 8
+    VT_IP = 4,
+    VT_CONFIG_REVISION = 6,
+    VT_SERVERS_REVISION = 8,
+    VT_ENTRIES = 10,
+    VT_REPORT_INTERVAL_MS = 12
   };
-  int32_t rank() const {
-    return GetField<int32_t>(VT_RANK, 0);
-  }
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
   }
-  uint16_t port() const {
-    return GetField<uint16_t>(VT_PORT, 0);
+  int64_t config_revision() const {
+    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
+  }
+  int64_t servers_revision() const {
+    return GetField<int64_t>(VT_SERVERS_REVISION, 0);
+  }
+  const flatbuffers::Vector<uint32_t> *entries() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ENTRIES);
+  }
+  int32_t report_interval_ms() const {
+    return GetField<int32_t>(VT_REPORT_INTERVAL_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<int32_t>(verifier, VT_RANK, 4) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
-           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_SERVERS_REVISION, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           VerifyField<int32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
-  RankPlaceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(RankPlaceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<RankPlace> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryHello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct RankPlaceBuilder {
-  typedef RankPlace Table;
+struct EntryHelloBuilder {
+  typedef EntryHello Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_rank(int32_t rank) {
-    fbb_.AddElement<int32_t>(RankPlace::VT_RANK, rank, 0);
-  }
   void add_ip(uint32_t ip) {
-    fbb_.AddElement<uint32_t>(RankPlace::VT_IP, ip, 0);
+    fbb_.AddElement<uint32_t>(EntryHello::VT_IP, ip, 0);
+  }
+  void add_config_revision(int64_t config_revision) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_CONFIG_REVISION, config_revision, 0);
   }
-  void add_port(uint16_t port) {
-    fbb_.AddElement<uint16_t>(RankPlace::VT_PORT, port, 0);
+  void add_servers_revision(int64_t servers_revision) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_SERVERS_REVISION, servers_revision, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries) {
+    fbb_.AddOffset(EntryHello::VT_ENTRIES, entries);
   }
-  explicit RankPlaceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_report_interval_ms(int32_t report_interval_ms) {
+    fbb_.AddElement<int32_t>(EntryHello::VT_REPORT_INTERVAL_MS, report_interval_ms, 0);
+  }
+  explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<RankPlace> Finish() {
+  flatbuffers::Offset<EntryHello> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RankPlace>(end);
+    auto o = flatbuffers::Offset<EntryHello>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<RankPlace> CreateRankPlace(
+inline flatbuffers::Offset<EntryHello> CreateEntryHello(
     flatbuffers::FlatBufferBuilder &_fbb,
-    int32_t rank = 0,
     uint32_t ip = 0,
-    uint16_t port = 0) {
-  RankPlaceBuilder builder_(_fbb);
+    int64_t config_revision = 0,
+    int64_t servers_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
+    int32_t report_interval_ms = 0) {
+  EntryHelloBuilder builder_(_fbb);
+  builder_.add_servers_revision(servers_revision);
+  builder_.add_config_revision(config_revision);
+  builder_.add_report_interval_ms(report_interval_ms);
+  builder_.add_entries(entries);
   builder_.add_ip(ip);
-  builder_.add_rank(rank);
-  builder_.add_port(port);
   return builder_.Finish();
 }
 
-struct RankPlace::Traits {
-  using type = RankPlace;
-  static auto constexpr Create = CreateRankPlace;
+struct EntryHello::Traits {
+  using type = EntryHello;
+  static auto constexpr Create = CreateEntryHello;
 };
 
-flatbuffers::Offset<RankPlace> CreateRankPlace(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+inline flatbuffers::Offset<EntryHello> CreateEntryHelloDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t ip = 0,
+    int64_t config_revision = 0,
+    int64_t servers_revision = 0,
+    const std::vector<uint32_t> *entries = nullptr,
+    int32_t report_interval_ms = 0) {
+  auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
+  return sardinestream::news::CreateEntryHello(
+      _fbb,
+      ip,
+      config_revision,
+      servers_revision,
+      entries__,
+      report_interval_ms);
+}
 
-struct EntryHelloT : public flatbuffers::NativeTable {
-  typedef EntryHello TableType;
-  uint32_t ip = 0;
-  int64_t config_revision = 0;
-  int64_t servers_revision = 0;
-  std::vector<uint32_t> entries{};
+flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct GroupPlacesT : public flatbuffers::NativeTable {
+  typedef GroupPlaces TableType;
   std::string group{};
-  std::vector<std::unique_ptr<sardinestream::news::RankPlaceT>> ranks{};
+  std::vector<sardinestream::news::RankPlace> ranks{};
   int32_t sets = 0;
   int32_t experts = 0;
   int32_t places = 0;
   int32_t most_new_experts = 0;
   float copy_ms = 0.0f;
   float expert_share = 0.0f;
-  int32_t report_interval_ms = 0;
-  EntryHelloT() = default;
-  EntryHelloT(const EntryHelloT &o);
-  EntryHelloT(EntryHelloT&&) FLATBUFFERS_NOEXCEPT = default;
-  EntryHelloT &operator=(EntryHelloT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EntryHelloT NativeTableType;
-  typedef EntryHelloBuilder Builder;
+struct GroupPlaces FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupPlacesT NativeTableType;
+  typedef GroupPlacesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_IP = 4,
-    VT_CONFIG_REVISION = 6,
-    VT_SERVERS_REVISION = 8,
-    VT_ENTRIES = 10,
-    VT_GROUP = 12,
-    VT_RANKS = 14,
-    VT_SETS = 16,
-    VT_EXPERTS = 18,
-    VT_PLACES = 20,
-    VT_MOST_NEW_EXPERTS = 22,
-    VT_COPY_MS = 24,
-    VT_EXPERT_SHARE = 26,
-    VT_REPORT_INTERVAL_MS = 28
+    VT_GROUP = 4,
+    VT_RANKS = 6,
+    VT_SETS = 8,
+    VT_EXPERTS = 10,
+    VT_PLACES = 12,
+    VT_MOST_NEW_EXPERTS = 14,
+    VT_COPY_MS = 16,
+    VT_EXPERT_SHARE = 18
   };
-  uint32_t ip() const {
-    return GetField<uint32_t>(VT_IP, 0);
-  }
-  int64_t config_revision() const {
-    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
-  }
-  int64_t servers_revision() const {
-    return GetField<int64_t>(VT_SERVERS_REVISION, 0);
-  }
-  const flatbuffers::Vector<uint32_t> *entries() const {
-    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ENTRIES);
-  }
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<sardinestream::news::RankPlace>> *ranks() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sardinestream::news::RankPlace>> *>(VT_RANKS);
+  const flatbuffers::Vector<const sardinestream::news::RankPlace *> *ranks() const {
+    return GetPointer<const flatbuffers::Vector<const sardinestream::news::RankPlace *> *>(VT_RANKS);
   }
   int32_t sets() const {
     return GetField<int32_t>(VT_SETS, 0);
@@ -381,108 +455,75 @@
   float expert_share() const {
     return GetField<float>(VT_EXPERT_SHARE, 0.0f);
   }
-  int32_t report_interval_ms() const {
-    return GetField<int32_t>(VT_REPORT_INTERVAL_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint32_t>(verifier, VT_IP, 4) &&
-           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
-           VerifyField<int64_t>(verifier, VT_SERVERS_REVISION, 8) &&
-           VerifyOffset(verifier, VT_ENTRIES) &&
-           verifier.VerifyVector(entries()) &&
            VerifyOffset(verifier, VT_GROUP) &&
            verifier.VerifyString(group()) &&
            VerifyOffset(verifier, VT_RANKS) &&
            verifier.VerifyVector(ranks()) &&
-           verifier.VerifyVectorOfTables(ranks()) &&
            VerifyField<int32_t>(verifier, VT_SETS, 4) &&
            VerifyField<int32_t>(verifier, VT_EXPERTS, 4) &&
            VerifyField<int32_t>(verifier, VT_PLACES, 4) &&
            VerifyField<int32_t>(verifier, VT_MOST_NEW_EXPERTS, 4) &&
            VerifyField<float>(verifier, VT_COPY_MS, 4) &&
            VerifyField<float>(verifier, VT_EXPERT_SHARE, 4) &&
-           VerifyField<int32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
-  EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EntryHello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  GroupPlacesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupPlacesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupPlaces> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupPlacesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct EntryHelloBuilder {
-  typedef EntryHello Table;
+struct GroupPlacesBuilder {
+  typedef GroupPlaces Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_ip(uint32_t ip) {
-    fbb_.AddElement<uint32_t>(EntryHello::VT_IP, ip, 0);
-  }
-  void add_config_revision(int64_t config_revision) {
-    fbb_.AddElement<int64_t>(EntryHello::VT_CONFIG_REVISION, config_revision, 0);
-  }
-  void add_servers_revision(int64_t servers_revision) {
-    fbb_.AddElement<int64_t>(EntryHello::VT_SERVERS_REVISION, servers_revision, 0);
-  }
-  void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries) {
-    fbb_.AddOffset(EntryHello::VT_ENTRIES, entries);
-  }
   void add_group(flatbuffers::Offset<flatbuffers::String> group) {
-    fbb_.AddOffset(EntryHello::VT_GROUP, group);
+    fbb_.AddOffset(GroupPlaces::VT_GROUP, group);
   }
-  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sardinestream::news::RankPlace>>> ranks) {
-    fbb_.AddOffset(EntryHello::VT_RANKS, ranks);
+  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::RankPlace *>> ranks) {
+    fbb_.AddOffset(GroupPlaces::VT_RANKS, ranks);
   }
   void add_sets(int32_t sets) {
-    fbb_.AddElement<int32_t>(EntryHello::VT_SETS, sets, 0);
+    fbb_.AddElement<int32_t>(GroupPlaces::VT_SETS, sets, 0);
   }
   void add_experts(int32_t experts) {
-    fbb_.AddElement<int32_t>(EntryHello::VT_EXPERTS, experts, 0);
+    fbb_.AddElement<int32_t>(GroupPlaces::VT_EXPERTS, experts, 0);
   }
   void add_places(int32_t places) {
-    fbb_.AddElement<int32_t>(EntryHello::VT_PLACES, places, 0);
+    fbb_.AddElement<int32_t>(GroupPlaces::VT_PLACES, places, 0);
   }
   void add_most_new_experts(int32_t most_new_experts) {
-    fbb_.AddElement<int32_t>(EntryHello::VT_MOST_NEW_EXPERTS, most_new_experts, 0);
+    fbb_.AddElement<int32_t>(GroupPlaces::VT_MOST_NEW_EXPERTS, most_new_experts, 0);
   }
   void add_copy_ms(float copy_ms) {
-    fbb_.AddElement<float>(EntryHello::VT_COPY_MS, copy_ms, 0.0f);
+    fbb_.AddElement<float>(GroupPlaces::VT_COPY_MS, copy_ms, 0.0f);
   }
   void add_expert_share(float expert_share) {
-    fbb_.AddElement<float>(EntryHello::VT_EXPERT_SHARE, expert_share, 0.0f);
-  }
-  void add_report_interval_ms(int32_t report_interval_ms) {
-    fbb_.AddElement<int32_t>(EntryHello::VT_REPORT_INTERVAL_MS, report_interval_ms, 0);
+    fbb_.AddElement<float>(GroupPlaces::VT_EXPERT_SHARE, expert_share, 0.0f);
   }
-  explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit GroupPlacesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EntryHello> Finish() {
+  flatbuffers::Offset<GroupPlaces> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EntryHello>(end);
+    auto o = flatbuffers::Offset<GroupPlaces>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EntryHello> CreateEntryHello(
+inline flatbuffers::Offset<GroupPlaces> CreateGroupPlaces(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t ip = 0,
-    int64_t config_revision = 0,
-    int64_t servers_revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
     flatbuffers::Offset<flatbuffers::String> group = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sardinestream::news::RankPlace>>> ranks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::RankPlace *>> ranks = 0,
     int32_t sets = 0,
     int32_t experts = 0,
     int32_t places = 0,
     int32_t most_new_experts = 0,
     float copy_ms = 0.0f,
-    float expert_share = 0.0f,
-    int32_t report_interval_ms = 0) {
-  EntryHelloBuilder builder_(_fbb);
-  builder_.add_servers_revision(servers_revision);
-  builder_.add_config_revision(config_revision);
-  builder_.add_report_interval_ms(report_interval_ms);
+    float expert_share = 0.0f) {
+  GroupPlacesBuilder builder_(_fbb);
   builder_.add_expert_share(expert_share);
   builder_.add_copy_ms(copy_ms);
   builder_.add_most_new_experts(most_new_experts);
@@ -491,40 +532,28 @@
   builder_.add_sets(sets);
   builder_.add_ranks(ranks);
   builder_.add_group(group);
-  builder_.add_entries(entries);
-  builder_.add_ip(ip);
   return builder_.Finish();
 }
 
-struct EntryHello::Traits {
-  using type = EntryHello;
-  static auto constexpr Create = CreateEntryHello;
+struct GroupPlaces::Traits {
+  using type = GroupPlaces;
+  static auto constexpr Create = CreateGroupPlaces;
 };
 
-inline flatbuffers::Offset<EntryHello> CreateEntryHelloDirect(
+inline flatbuffers::Offset<GroupPlaces> CreateGroupPlacesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t ip = 0,
-    int64_t config_revision = 0,
-    int64_t servers_revision = 0,
-    const std::vector<uint32_t> *entries = nullptr,
     const char *group = nullptr,
-    const std::vector<flatbuffers::Offset<sardinestream::news::RankPlace>> *ranks = nullptr,
+    const std::vector<sardinestream::news::RankPlace> *ranks = nullptr,
     int32_t sets = 0,
     int32_t experts = 0,
     int32_t places = 0,
     int32_t most_new_experts = 0,
     float copy_ms = 0.0f,
-    float expert_share = 0.0f,
-    int32_t report_interval_ms = 0) {
-  auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
+    float expert_share = 0.0f) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
-  auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<sardinestream::news::RankPlace>>(*ranks) : 0;
-  return sardinestream::news::CreateEntryHello(
+  auto ranks__ = ranks ? _fbb.CreateVectorOfStructs<sardinestream::news::RankPlace>(*ranks) : 0;
+  return sardinestream::news::CreateGroupPlaces(
       _fbb,
-      ip,
-      config_revision,
-      servers_revision,
-      entries__,
       group__,
       ranks__,
       sets,
@@ -532,11 +561,10 @@
       places,
       most_new_experts,
       copy_ms,
-      expert_share,
-      report_interval_ms);
+      expert_share);
 }
 
-flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<GroupPlaces> CreateGroupPlaces(flatbuffers::FlatBufferBuilder &_fbb, const GroupPlacesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct ServerReportT : public flatbuffers::NativeTable {
   typedef ServerReport TableType;
@@ -551,6 +579,8 @@
   bool broken = false;
   float pass_ms = 0.0f;
   std::vector<uint32_t> entries{};
+  uint16_t engine_port = 0;
+  uint64_t places_digest = 0;
 };
 
 struct ServerReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -568,7 +598,9 @@
     VT_RANK = 18,
     VT_BROKEN = 20,
     VT_PASS_MS = 22,
-    VT_ENTRIES = 24
+    VT_ENTRIES = 24,
+    VT_ENGINE_PORT = 26,
+    VT_PLACES_DIGEST = 28
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -603,6 +635,12 @@
   const flatbuffers::Vector<uint32_t> *entries() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ENTRIES);
   }
+  uint16_t engine_port() const {
+    return GetField<uint16_t>(VT_ENGINE_PORT, 0);
+  }
+  uint64_t places_digest() const {
+    return GetField<uint64_t>(VT_PLACES_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -618,6 +656,8 @@
            VerifyField<float>(verifier, VT_PASS_MS, 4) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
+           VerifyField<uint16_t>(verifier, VT_ENGINE_PORT, 2) &&
+           VerifyField<uint64_t>(verifier, VT_PLACES_DIGEST, 8) &&
            verifier.EndTable();
   }
   ServerReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -662,6 +702,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries) {
     fbb_.AddOffset(ServerReport::VT_ENTRIES, entries);
   }
+  void add_engine_port(uint16_t engine_port) {
+    fbb_.AddElement<uint16_t>(ServerReport::VT_ENGINE_PORT, engine_port, 0);
+  }
+  void add_places_digest(uint64_t places_digest) {
+    fbb_.AddElement<uint64_t>(ServerReport::VT_PLACES_DIGEST, places_digest, 0);
+  }
   explicit ServerReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -685,8 +731,11 @@
     int32_t rank = 0,
     bool broken = false,
     float pass_ms = 0.0f,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
+    uint16_t engine_port = 0,
+    uint64_t places_digest = 0) {
   ServerReportBuilder builder_(_fbb);
+  builder_.add_places_digest(places_digest);
   builder_.add_sequence(sequence);
   builder_.add_entries(entries);
   builder_.add_pass_ms(pass_ms);
@@ -697,6 +746,7 @@
   builder_.add_waiting(waiting);
   builder_.add_running(running);
   builder_.add_ip(ip);
+  builder_.add_engine_port(engine_port);
   builder_.add_broken(broken);
   return builder_.Finish();
 }
@@ -718,7 +768,9 @@
     int32_t rank = 0,
     bool broken = false,
     float pass_ms = 0.0f,
-    const std::vector<uint32_t> *entries = nullptr) {
+    const std::vector<uint32_t> *entries = nullptr,
+    uint16_t engine_port = 0,
+    uint64_t places_digest = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   return sardinestream::news::CreateServerReport(
@@ -733,7 +785,9 @@
       rank,
       broken,
       pass_ms,
-      entries__);
+      entries__,
+      engine_port,
+      places_digest);
 }
 
 flatbuffers::Offset<ServerReport> CreateServerReport(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -758,7 +812,7 @@
   int64_t prepare_refused = 0;
   std::vector<uint8_t> experts{};
   std::vector<uint8_t> counts{};
-  uint8_t counts_shift = 0;
+  float counts_scale = 0.0f;
 };
 
 struct RankState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -784,7 +838,7 @@
     VT_PREPARE_REFUSED = 34,
     VT_EXPERTS = 36,
     VT_COUNTS = 38,
-    VT_COUNTS_SHIFT = 40
+    VT_COUNTS_SCALE = 40
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -840,8 +894,8 @@
   const flatbuffers::Vector<uint8_t> *counts() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COUNTS);
   }
-  uint8_t counts_shift() const {
-    return GetField<uint8_t>(VT_COUNTS_SHIFT, 0);
+  float counts_scale() const {
+    return GetField<float>(VT_COUNTS_SCALE, 0.0f);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -866,7 +920,7 @@
            verifier.VerifyVector(experts()) &&
            VerifyOffset(verifier, VT_COUNTS) &&
            verifier.VerifyVector(counts()) &&
-           VerifyField<uint8_t>(verifier, VT_COUNTS_SHIFT, 1) &&
+           VerifyField<float>(verifier, VT_COUNTS_SCALE, 4) &&
            verifier.EndTable();
   }
   RankStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -932,8 +986,8 @@
   void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts) {
     fbb_.AddOffset(RankState::VT_COUNTS, counts);
   }
-  void add_counts_shift(uint8_t counts_shift) {
-    fbb_.AddElement<uint8_t>(RankState::VT_COUNTS_SHIFT, counts_shift, 0);
+  void add_counts_scale(float counts_scale) {
+    fbb_.AddElement<float>(RankState::VT_COUNTS_SCALE, counts_scale, 0.0f);
   }
   explicit RankStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -966,7 +1020,7 @@
     int64_t prepare_refused = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts = 0,
-    uint8_t counts_shift = 0) {
+    float counts_scale = 0.0f) {
   RankStateBuilder builder_(_fbb);
   builder_.add_prepare_refused(prepare_refused);
   builder_.add_prepare_accepted(prepare_accepted);
@@ -979,13 +1033,13 @@
   builder_.add_epoch(epoch);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
+  builder_.add_counts_scale(counts_scale);
   builder_.add_counts(counts);
   builder_.add_experts(experts);
   builder_.add_slowness(slowness);
   builder_.add_ip(ip);
   builder_.add_rank(rank);
   builder_.add_group(group);
-  builder_.add_counts_shift(counts_shift);
   builder_.add_broken(broken);
   return builder_.Finish();
 }
@@ -1015,7 +1069,7 @@
     int64_t prepare_refused = 0,
     const std::vector<uint8_t> *experts = nullptr,
     const std::vector<uint8_t> *counts = nullptr,
-    uint8_t counts_shift = 0) {
+    float counts_scale = 0.0f) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint8_t>(*experts) : 0;
   auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
@@ -1039,7 +1093,7 @@
       prepare_refused,
       experts__,
       counts__,
-      counts_shift);
+      counts_scale);
 }
 
 flatbuffers::Offset<RankState> CreateRankState(flatbuffers::FlatBufferBuilder &_fbb, const RankStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1056,7 +1110,8 @@
   int64_t version = 0;
   int64_t step = 0;
   std::vector<uint8_t> map{};
-  int64_t base_version = 0;
+  int64_t base_version = -1LL;
+  std::vector<uint32_t> pass_on{};
 };
 
 struct Directive FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1074,7 +1129,8 @@
     VT_VERSION = 18,
     VT_STEP = 20,
     VT_MAP = 22,
-    VT_BASE_VERSION = 24
+    VT_BASE_VERSION = 24,
+    VT_PASS_ON = 26
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1107,7 +1163,10 @@
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MAP);
   }
   int64_t base_version() const {
-    return GetField<int64_t>(VT_BASE_VERSION, 0);
+    return GetField<int64_t>(VT_BASE_VERSION, -1LL);
+  }
+  const flatbuffers::Vector<uint32_t> *pass_on() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_PASS_ON);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1124,6 +1183,8 @@
            VerifyOffset(verifier, VT_MAP) &&
            verifier.VerifyVector(map()) &&
            VerifyField<int64_t>(verifier, VT_BASE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_PASS_ON) &&
+           verifier.VerifyVector(pass_on()) &&
            verifier.EndTable();
   }
   DirectiveT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1166,7 +1227,10 @@
     fbb_.AddOffset(Directive::VT_MAP, map);
   }
   void add_base_version(int64_t base_version) {
-    fbb_.AddElement<int64_t>(Directive::VT_BASE_VERSION, base_version, 0);
+    fbb_.AddElement<int64_t>(Directive::VT_BASE_VERSION, base_version, -1LL);
+  }
+  void add_pass_on(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> pass_on) {
+    fbb_.AddOffset(Directive::VT_PASS_ON, pass_on);
   }
   explicit DirectiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1191,7 +1255,8 @@
     int64_t version = 0,
     int64_t step = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> map = 0,
-    int64_t base_version = 0) {
+    int64_t base_version = -1LL,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> pass_on = 0) {
   DirectiveBuilder builder_(_fbb);
   builder_.add_base_version(base_version);
   builder_.add_step(step);
@@ -1199,6 +1264,7 @@
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
   builder_.add_term(term);
+  builder_.add_pass_on(pass_on);
   builder_.add_map(map);
   builder_.add_coordinator_ip(coordinator_ip);
   builder_.add_coordinator_rank(coordinator_rank);
@@ -1224,9 +1290,11 @@
     int64_t version = 0,
     int64_t step = 0,
     const std::vector<uint8_t> *map = nullptr,
-    int64_t base_version = 0) {
+    int64_t base_version = -1LL,
+    const std::vector<uint32_t> *pass_on = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto map__ = map ? _fbb.CreateVector<uint8_t>(*map) : 0;
+  auto pass_on__ = pass_on ? _fbb.CreateVector<uint32_t>(*pass_on) : 0;
   return sardinestream::news::CreateDirective(
       _fbb,
       group__,
@@ -1239,7 +1307,8 @@
       version,
       step,
       map__,
-      base_version);
+      base_version,
+      pass_on__);
 }
 
 flatbuffers::Offset<Directive> CreateDirective(flatbuffers::FlatBufferBuilder &_fbb, const DirectiveT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1276,6 +1345,9 @@
   const sardinestream::news::Directive *body_as_Directive() const {
     return body_type() == sardinestream::news::Body::Directive ? static_cast<const sardinestream::news::Directive *>(body()) : nullptr;
   }
+  const sardinestream::news::GroupPlaces *body_as_GroupPlaces() const {
+    return body_type() == sardinestream::news::Body::GroupPlaces ? static_cast<const sardinestream::news::GroupPlaces *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1304,6 +1376,10 @@
   return body_as_Directive();
 }
 
+template<> inline const sardinestream::news::GroupPlaces *News::body_as<sardinestream::news::GroupPlaces>() const {
+  return body_as_GroupPlaces();
+}
+
 struct NewsBuilder {
   typedef News Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1342,123 +1418,81 @@
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline RankPlaceT *RankPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RankPlaceT>();
+inline EntryHelloT *EntryHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryHelloT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void RankPlace::UnPackTo(RankPlaceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EntryHello::UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = rank(); _o->rank = _e; }
   { auto _e = ip(); _o->ip = _e; }
-  { auto _e = port(); _o->port = _e; }
+  { auto _e = config_revision(); _o->config_revision = _e; }
+  { auto _e = servers_revision(); _o->servers_revision = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
+  { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
 }
 
-inline flatbuffers::Offset<RankPlace> RankPlace::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRankPlace(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryHello(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<RankPlace> CreateRankPlace(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankPlaceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _rank = _o->rank;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _ip = _o->ip;
-  auto _port = _o->port;
-  return sardinestream::news::CreateRankPlace(
+  auto _config_revision = _o->config_revision;
+  auto _servers_revision = _o->servers_revision;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
+  auto _report_interval_ms = _o->report_interval_ms;
+  return sardinestream::news::CreateEntryHello(
       _fbb,
-      _rank,
       _ip,
-      _port);
-}
-
-inline EntryHelloT::EntryHelloT(const EntryHelloT &o)
-      : ip(o.ip),
-        config_revision(o.config_revision),
-        servers_revision(o.servers_revision),
-        entries(o.entries),
-        group(o.group),
-        sets(o.sets),
-        experts(o.experts),
-        places(o.places),
-        most_new_experts(o.most_new_experts),
-        copy_ms(o.copy_ms),
-        expert_share(o.expert_share),
-        report_interval_ms(o.report_interval_ms) {
-  ranks.reserve(o.ranks.size());
-  for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new sardinestream::news::RankPlaceT(*ranks_) : nullptr); }
-}
-
-inline EntryHelloT &EntryHelloT::operator=(EntryHelloT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(ip, o.ip);
-  std::swap(config_revision, o.config_revision);
-  std::swap(servers_revision, o.servers_revision);
-  std::swap(entries, o.entries);
-  std::swap(group, o.group);
-  std::swap(ranks, o.ranks);
-  std::swap(sets, o.sets);
-  std::swap(experts, o.experts);
-  std::swap(places, o.places);
-  std::swap(most_new_experts, o.most_new_experts);
-  std::swap(copy_ms, o.copy_ms);
-  std::swap(expert_share, o.expert_share);
-  std::swap(report_interval_ms, o.report_interval_ms);
-  return *this;
+      _config_revision,
+      _servers_revision,
+      _entries,
+      _report_interval_ms);
 }
 
-inline EntryHelloT *EntryHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EntryHelloT>();
+inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupPlacesT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EntryHello::UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void GroupPlaces::UnPackTo(GroupPlacesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = ip(); _o->ip = _e; }
-  { auto _e = config_revision(); _o->config_revision = _e; }
-  { auto _e = servers_revision(); _o->servers_revision = _e; }
-  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
   { auto _e = group(); if (_e) _o->group = _e->str(); }
-  { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = std::unique_ptr<sardinestream::news::RankPlaceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = *_e->Get(_i); } } }
   { auto _e = sets(); _o->sets = _e; }
   { auto _e = experts(); _o->experts = _e; }
   { auto _e = places(); _o->places = _e; }
   { auto _e = most_new_experts(); _o->most_new_experts = _e; }
   { auto _e = copy_ms(); _o->copy_ms = _e; }
   { auto _e = expert_share(); _o->expert_share = _e; }
-  { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
 }
 
-inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEntryHello(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<GroupPlaces> GroupPlaces::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupPlacesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupPlaces(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<GroupPlaces> CreateGroupPlaces(flatbuffers::FlatBufferBuilder &_fbb, const GroupPlacesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _ip = _o->ip;
-  auto _config_revision = _o->config_revision;
-  auto _servers_revision = _o->servers_revision;
-  auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupPlacesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
-  auto _ranks = _o->ranks.size() ? _fbb.CreateVector<flatbuffers::Offset<sardinestream::news::RankPlace>> (_o->ranks.size(), [](size_t i, _VectorArgs *__va) { return CreateRankPlace(*__va->__fbb, __va->__o->ranks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ranks = _o->ranks.size() ? _fbb.CreateVectorOfStructs(_o->ranks) : 0;
   auto _sets = _o->sets;
   auto _experts = _o->experts;
   auto _places = _o->places;
   auto _most_new_experts = _o->most_new_experts;
   auto _copy_ms = _o->copy_ms;
   auto _expert_share = _o->expert_share;
-  auto _report_interval_ms = _o->report_interval_ms;
-  return sardinestream::news::CreateEntryHello(
+  return sardinestream::news::CreateGroupPlaces(
       _fbb,
-      _ip,
-      _config_revision,
-      _servers_revision,
-      _entries,
       _group,
       _ranks,
       _sets,
@@ -1466,8 +1500,7 @@
       _places,
       _most_new_experts,
       _copy_ms,
-      _expert_share,
-      _report_interval_ms);
+      _expert_share);
 }
 
 inline ServerReportT *ServerReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1490,6 +1523,8 @@
   { auto _e = broken(); _o->broken = _e; }
   { auto _e = pass_ms(); _o->pass_ms = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
+  { auto _e = engine_port(); _o->engine_port = _e; }
+  { auto _e = places_digest(); _o->places_digest = _e; }
 }
 
 inline flatbuffers::Offset<ServerReport> ServerReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1511,6 +1546,8 @@
   auto _broken = _o->broken;
   auto _pass_ms = _o->pass_ms;
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
+  auto _engine_port = _o->engine_port;
+  auto _places_digest = _o->places_digest;
   return sardinestream::news::CreateServerReport(
       _fbb,
       _ip,
@@ -1523,7 +1560,9 @@
       _rank,
       _broken,
       _pass_ms,
-      _entries);
+      _entries,
+      _engine_port,
+      _places_digest);
 }
 
 inline RankStateT *RankState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1553,7 +1592,7 @@
   { auto _e = prepare_refused(); _o->prepare_refused = _e; }
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->experts.begin()); } }
   { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->counts.begin()); } }
-  { auto _e = counts_shift(); _o->counts_shift = _e; }
+  { auto _e = counts_scale(); _o->counts_scale = _e; }
 }
 
 inline flatbuffers::Offset<RankState> RankState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1582,7 +1621,7 @@
   auto _prepare_refused = _o->prepare_refused;
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
-  auto _counts_shift = _o->counts_shift;
+  auto _counts_scale = _o->counts_scale;
   return sardinestream::news::CreateRankState(
       _fbb,
       _group,
@@ -1603,7 +1642,7 @@
       _prepare_refused,
       _experts,
       _counts,
-      _counts_shift);
+      _counts_scale);
 }
 
 inline DirectiveT *Directive::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1626,6 +1665,7 @@
   { auto _e = step(); _o->step = _e; }
   { auto _e = map(); if (_e) { _o->map.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->map.begin()); } }
   { auto _e = base_version(); _o->base_version = _e; }
+  { auto _e = pass_on(); if (_e) { _o->pass_on.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_on[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Directive> Directive::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectiveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1647,6 +1687,7 @@
   auto _step = _o->step;
   auto _map = _o->map.size() ? _fbb.CreateVector(_o->map) : 0;
   auto _base_version = _o->base_version;
+  auto _pass_on = _o->pass_on.size() ? _fbb.CreateVector(_o->pass_on) : 0;
   return sardinestream::news::CreateDirective(
       _fbb,
       _group,
@@ -1659,7 +1700,8 @@
       _version,
       _step,
       _map,
-      _base_version);
+      _base_version,
+      _pass_on);
 }
 
 inline NewsT *News::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1712,6 +1754,10 @@
       auto ptr = reinterpret_cast<const sardinestream::news::Directive *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::GroupPlaces: {
+      auto ptr = reinterpret_cast<const sardinestream::news::GroupPlaces *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1747,6 +1793,10 @@
       auto ptr = reinterpret_cast<const sardinestream::news::Directive *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::GroupPlaces: {
+      auto ptr = reinterpret_cast<const sardinestream::news::GroupPlaces *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1770,6 +1820,10 @@
       auto ptr = reinterpret_cast<const sardinestream::news::DirectiveT *>(value);
       return CreateDirective(_fbb, ptr, _rehasher).Union();
     }
+    case Body::GroupPlaces: {
+      auto ptr = reinterpret_cast<const sardinestream::news::GroupPlacesT *>(value);
+      return CreateGroupPlaces(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1792,6 +1846,10 @@
       value = new sardinestream::news::DirectiveT(*reinterpret_cast<sardinestream::news::DirectiveT *>(u.value));
       break;
     }
+    case Body::GroupPlaces: {
+      value = new sardinestream::news::GroupPlacesT(*reinterpret_cast<sardinestream::news::GroupPlacesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1819,6 +1877,11 @@
       delete ptr;
       break;
     }
+    case Body::GroupPlaces: {
+      auto ptr = reinterpret_cast<sardinestream::news::GroupPlacesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <thread>
+#include <utility>
 
 #include <gflags/gflags.h>
 
@@ -27,11 +28,11 @@
     log_event("reloaded", {{"applied", "log_level"}});
 }
 
-agent_options to_options(const agent_settings& settings)
+agent_options to_options(const agent_settings& settings, news_channel news)
 {
     agent_options options;
     options.ip = settings.ip;
-    options.news_port = settings.news_port;
+    options.news = std::move(news);
     options.engine = settings.backend;
     options.connect = connect_engine;
     options.skew_weight = settings.skew_weight;
@@ -43,15 +44,15 @@
 {
     shutdown_signal signal = shutdown_signal::install();
     start_logging(settings.log_minimum, "agent", settings.id);
-    absl::StatusOr<std::unique_ptr<agent_program>> program =
-        agent_program::start(to_options(settings));
-    if (!program.ok()) {
-        log_failure("start_failed", program.status());
+    absl::StatusOr<news_channel> news = open_news_channel({settings.ip, settings.news_port});
+    if (!news.ok()) {
+        log_failure("start_failed", news.status());
         return exit_failed;
     }
+    agent_program program(to_options(settings, *std::move(news)));
     absl::StatusOr<std::unique_ptr<http_service>> operators =
         http_service::start(settings.ops_listen, [&program](const http_request_head& head) {
-            return answer_operator(head, make_pages((*program)->status()));
+            return answer_operator(head, make_pages(program.status()));
         });
     if (!operators.ok()) {
         log_failure("start_failed", operators.status());
@@ -60,10 +61,10 @@
     log_event("started", {{"backend", settings.backend.to_string()},
                           {"service", settings.service},
                           {"data_centre", settings.data_centre}});
-    std::thread worker([&] { (*program)->run(); });
+    std::thread worker([&] { program.run(); });
     signal.wait([] { log_event("stop_repeated", {}); }, reload);
     log_event("stopping", {});
-    (*program)->stop();
+    program.stop();
     worker.join();
     log_event("stopped", {});
     return 0;
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -4,8 +4,8 @@
 #include <random>
 #include <utility>
 
-#include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
+#include "sardinestream/maps/group_pace.h"
 #include "sardinestream/programs/rank_news.h"
 
 namespace sardinestream {
@@ -18,9 +18,9 @@
 constexpr milliseconds look_interval_in_change{25};
 constexpr std::chrono::seconds longest_copy{4};
 constexpr int most_news_before_look = 256;
-// Keeps what a coordinator receives within its link, whatever the size of its group.
-constexpr milliseconds count_interval_per_rank{3};
 constexpr milliseconds entry_lifetime{3000};
+// How often the coordinator is told the experts of a map again, in case it missed them.
+constexpr milliseconds experts_interval{600};
 // A group that has work and begins no pass for so long is held, or waits for a rank.
 constexpr milliseconds longest_pass{500};
 
@@ -33,19 +33,9 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<agent_program>> agent_program::start(agent_options options)
-{
-    absl::StatusOr<datagram_socket> bound = datagram_socket::bind({options.ip, options.news_port});
-    if (!bound.ok()) {
-        return bound.status();
-    }
-    return std::unique_ptr<agent_program>(new agent_program(std::move(options), *std::move(bound)));
-}
-
-agent_program::agent_program(agent_options chosen, datagram_socket bound)
-    : options(std::move(chosen)), socket(std::move(bound)),
-      engine(this->options.connect(this->options.engine)), silent(this->options.connect),
-      sequence(first_sequence()), last_directive(steady_clock::now())
+agent_program::agent_program(agent_options chosen)
+    : options(std::move(chosen)), engine(this->options.connect(this->options.engine)),
+      silent(this->options.connect), sequence(first_sequence()), last_directive(steady_clock::now())
 {
 }
 
@@ -98,10 +88,13 @@
 void agent_program::take_news()
 {
     // Waits for the first message; what has piled up behind it is older than the next look.
-    std::unique_ptr<news::NewsT> message = this->socket.receive(this->next_look);
+    std::unique_ptr<news::NewsT> message = this->options.news.receive(this->next_look);
     for (int taken = 0; message != nullptr && taken < most_news_before_look; ++taken) {
         this->take(*message);
-        message = this->socket.receive(steady_time{});
+        message = this->options.news.receive(steady_time{});
+    }
+    if (std::exchange(this->states_came, false) && this->is_coordinating()) {
+        this->coordinate();
     }
 }
 
@@ -116,28 +109,34 @@
     if (const auto* const state = message.body.AsRankState(); state != nullptr) {
         this->take_state(*state);
     }
+    if (const auto* const places = message.body.AsGroupPlaces(); places != nullptr) {
+        this->take_places(*places);
+    }
 }
 
 void agent_program::take_hello(const news::EntryHelloT& hello)
 {
     this->entries[hello.ip] = steady_clock::now();
-    if (!this->engine.report().has_value() || hello.group != this->engine.report()->group ||
-        hello.sets <= 0) {
-        return;
-    }
-    for (const auto& place : hello.ranks) {
-        const std::string ip = ip_text(place->ip);
-        this->group[place->rank] = {place->ip, {ip, place->port}};
-    }
-    this->shape = {hello.sets, this->engine.report()->group_size, hello.experts, hello.places};
-    this->planner.most_new_experts = hello.most_new_experts;
-    this->planner.copy_ms = hello.copy_ms;
-    this->planner.expert_share = hello.expert_share;
     if (hello.report_interval_ms > 0) {
         this->report_interval = milliseconds(hello.report_interval_ms);
     }
 }
 
+void agent_program::take_places(const news::GroupPlacesT& told)
+{
+    if (!this->engine.report().has_value() || told.group != this->engine.report()->group ||
+        told.sets <= 0) {
+        return;
+    }
+    for (const news::RankPlace& place : told.ranks) {
+        this->group[place.rank()] = {place.ip(), place.port()};
+    }
+    this->shape = {told.sets, this->engine.report()->group_size, told.experts, told.places};
+    this->planner.most_new_experts = told.most_new_experts;
+    this->planner.copy_ms = told.copy_ms;
+    this->planner.expert_share = told.expert_share;
+}
+
 void agent_program::look_at_engine()
 {
     if (!this->refresh()) {
@@ -154,13 +153,14 @@
     this->consider_coordinating();
     const bool with_counts = this->counts_are_due();
     if (!this->is_coordinating()) {
-        if (this->has_news_for_coordinator() || with_counts) {
+        if (this->has_news_for_coordinator() || with_counts || this->state_is_due()) {
             this->send_state(this->obeyed.ip, with_counts);
         }
         return;
     }
     this->send_due_signs_of_life();
     this->take_state(this->make_state(with_counts));
+    this->coordinate();
     if (this->is_coordinating()) {
         this->reach_missing_ranks();
     }
@@ -168,15 +168,22 @@
 
 bool agent_program::counts_are_due()
 {
+    const engine_report& report = *this->engine.report();
     const steady_time now = steady_clock::now();
-    if (now < this->next_counts) {
+    if (!tells_counts(report.rank, report.group_size) || this->shape.ranks == 0 ||
+        now < this->next_counts) {
         return false;
     }
-    this->next_counts = now + std::max(look_interval / 2,
-                                       count_interval_per_rank * this->engine.report()->group_size);
+    // A little early, so that looks and counts keep step.
+    this->next_counts = now + counts_interval(this->shape) - look_interval / 4;
     return true;
 }
 
+bool agent_program::state_is_due()
+{
+    return steady_clock::now() >= this->next_state;
+}
+
 bool agent_program::refresh()
 {
     const std::string before =
@@ -186,6 +193,7 @@
     }
     if (!before.empty() && this->engine.report()->group != before) {
         this->group.clear();
+        this->whole_since = {};
         this->maps.clear();
         this->coordinator.reset();
     }
@@ -226,6 +234,8 @@
 {
     news::ServerReportT told;
     told.ip = ip_number(this->options.ip);
+    told.engine_port = static_cast<std::uint16_t>(this->options.engine.port);
+    told.places_digest = digest_of(this->group);
     told.sequence = ++this->sequence;
     told.running = this->engine.report()->running;
     told.waiting = this->engine.report()->waiting;
@@ -242,10 +252,8 @@
     for (const auto& [ip, last] : this->entries) {
         told.entries.push_back(ip);
     }
-    const news::NewsT message = make_news(std::move(told));
-    for (const auto& [ip, last] : this->entries) {
-        this->socket.send(message, {ip_text(ip), this->options.news_port});
-    }
+    const std::vector<std::uint32_t> receivers = told.entries;
+    this->options.news.send(make_news(std::move(told)), receivers);
 }
 
 rank_state agent_program::own_state() const
@@ -267,17 +275,32 @@
     state.ip = ip_number(this->options.ip);
     state.sequence = ++this->sequence;
     state.term = this->obeyed.term;
+    if (!this->experts_are_due()) {
+        state.experts.clear();
+    }
     if (with_counts) {
         this->engine.add_counts(state);
     }
     return state;
 }
 
+bool agent_program::experts_are_due()
+{
+    const rank_report& report = this->engine.report()->maps;
+    const told_experts now = {this->obeyed.term, report.epoch, report.map_version};
+    const steady_time time = steady_clock::now();
+    if (now == std::exchange(this->experts_told, now) && time < this->next_experts) {
+        return false;
+    }
+    this->next_experts = time + experts_interval;
+    return true;
+}
+
 void agent_program::send_state(std::uint32_t ip, bool with_counts)
 {
+    this->next_state = steady_clock::now() + state_interval(this->engine.report()->group_size);
     if (ip != 0) {
-        this->socket.send(make_news(this->make_state(with_counts)),
-                          {ip_text(ip), this->options.news_port});
+        this->options.news.send(make_news(this->make_state(with_counts)), {ip});
     }
 }
 
@@ -306,6 +329,7 @@
         this->send_state(sender.ip, false);
         return;
     }
+    this->pass_on(directive);
     this->obey(sender);
     const absl::StatusOr<std::optional<engine_order>> order =
         decode_order(directive, this->shape, this->maps);
@@ -322,6 +346,16 @@
     }
 }
 
+void agent_program::pass_on(const news::DirectiveT& directive) const
+{
+    if (directive.pass_on.empty() || directive.pass_on.size() > this->group.size()) {
+        return;
+    }
+    news::DirectiveT copy = directive;
+    copy.pass_on.clear();
+    this->options.news.send(make_news(std::move(copy)), directive.pass_on);
+}
+
 void agent_program::carry_out(const engine_order& order, std::uint64_t term)
 {
     if (order.kind == order_kind::prepare) {
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -16,27 +16,28 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "sardinestream/maps/engine_port.h"
 #include "sardinestream/maps/map_coordinator.h"
 #include "sardinestream/peers/datagram_socket.h"
+#include "sardinestream/peers/group_places.h"
 #include "sardinestream/programs/agent_status.h"
 #include "sardinestream/programs/engine_watch.h"
 #include "sardinestream/programs/rank_news.h"
 #include "sardinestream/programs/silent_ranks.h"
 
 #include "absl/base/thread_annotations.h"
-#include "absl/status/statusor.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/types/span.h"
 
 namespace sardinestream {
 
 struct agent_options {
     std::string ip;
-    // The same on every machine.
-    int news_port = 0;
+    news_channel news;
     address engine;
     engine_connector connect;
     // The users' weights of even load over the ranks and of copies of experts.
@@ -46,8 +47,7 @@
 
 class agent_program {
 public:
-    [[nodiscard]] static absl::StatusOr<std::unique_ptr<agent_program>>
-    start(agent_options options);
+    explicit agent_program(agent_options chosen);
 
     // Runs until `stop`, on the calling thread.
     void run();
@@ -58,10 +58,6 @@
     [[nodiscard]] agent_status status() const;
 
 private:
-    struct group_place {
-        std::uint32_t ip = 0;
-        address engine;
-    };
     // Whom the agent obeys. No two coordinators have the same term.
     struct coordinator_term {
         std::uint64_t term = 0;
@@ -79,13 +75,23 @@
         friend bool operator==(const map_progress&, const map_progress&) = default;
     };
 
-    agent_program(agent_options chosen, datagram_socket bound);
+    // What the experts that were told last belong to.
+    struct told_experts {
+        std::uint64_t term = 0;
+        std::int64_t epoch = -1;
+        std::int64_t map_version = -1;
+
+        friend bool operator==(const told_experts&, const told_experts&) = default;
+    };
 
     void publish_status();
     void take_news();
     void take(const news::NewsT& message);
     void take_hello(const news::EntryHelloT& hello);
+    void take_places(const news::GroupPlacesT& told);
     void take_directive(const news::DirectiveT& directive);
+    // Sends a directive on to those whom its sender has left to this agent.
+    void pass_on(const news::DirectiveT& directive) const;
     void take_state(const news::RankStateT& state);
 
     // Reads the engine's report and counts, and tells who needs to know.
@@ -101,6 +107,8 @@
     // To the machine with this address; zero is nobody.
     void send_state(std::uint32_t ip, bool with_counts);
     [[nodiscard]] news::RankStateT make_state(bool with_counts);
+    // Whether the coordinator may not know the experts of this rank.
+    [[nodiscard]] bool experts_are_due();
 
     void carry_out(const engine_order& order, std::uint64_t term);
     void obey(const coordinator_term& term);
@@ -109,17 +117,23 @@
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
     void reach_missing_ranks();
-    void give(const rank_order& wanted);
+    // Gives one order to several ranks.
+    void give(const rank_order& wanted, absl::Span<const int> ranks);
+    [[nodiscard]] engine_order make_order(const rank_order& wanted) const;
+    // The map whose changes are told in place of the wanted one; null where all of it is told.
+    [[nodiscard]] const versioned_map* base_of(const rank_order& wanted) const;
+    void send_order(const rank_order& wanted, const engine_order& order,
+                    std::vector<std::uint32_t> receivers);
     [[nodiscard]] rank_state own_state() const;
     [[nodiscard]] news::DirectiveT make_directive() const;
     void send_signs_of_life();
     void send_due_signs_of_life();
-    // Whether it is time to send counts; larger groups send them less often.
+    // Whether it is time to send counts, or the state alone; larger groups send them less often.
     [[nodiscard]] bool counts_are_due();
+    [[nodiscard]] bool state_is_due();
     [[nodiscard]] bool is_coordinating() const { return this->coordinator != nullptr; }
 
     const agent_options options;
-    const datagram_socket socket;
     engine_watch engine;
     // Ranks that this agent reaches itself while it coordinates.
     silent_ranks silent;
@@ -128,8 +142,9 @@
 
     // Entries, by address, and when they were heard last.
     std::map<std::uint32_t, steady_time> entries;
-    // The group of the engine, by rank, as the entries describe it.
-    std::map<int, group_place> group;
+    // The group of the engine, as the entries describe it, and since when it is known whole.
+    group_places group;
+    steady_time whole_since{};
     map_shape shape;
     planner_options planner;
 
@@ -138,6 +153,8 @@
     // The map in use and the newest one that was told, as far as they are known.
     known_maps maps;
     map_progress told_progress;
+    told_experts experts_told;
+    steady_time next_experts{};
 
     coordinator_term obeyed;
     steady_time last_directive;
@@ -146,14 +163,18 @@
     std::chrono::milliseconds report_interval{100};
     steady_time next_report{};
     steady_time next_counts{};
+    steady_time next_state{};
     steady_time next_sign{};
     std::unique_ptr<map_coordinator> coordinator;
+    // States have come that the coordinator has not considered yet.
+    bool states_came = false;
     // The newest sequence of each rank's agent, of the present term.
     std::map<int, std::uint64_t> state_sequences;
     std::map<int, steady_time> state_times;
     steady_time last_reach{};
     steady_time coordinating_since{};
     bool heard_directive = false;
+    std::minstd_rand random{std::random_device()()};
 
     mutable absl::Mutex status_mutex;
     agent_status published ABSL_GUARDED_BY(status_mutex);
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -1,6 +1,8 @@
 // The part of the agent that coordinates the maps of its group: when it takes over, the orders that
 // it gives, and the ranks that it reaches itself.
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "sardinestream/base/log.h"
@@ -21,7 +23,20 @@
 // How often a rank without an agent is reached from the coordinator.
 constexpr milliseconds reach_interval{200};
 // An agent without a state for so long counts as silent.
-constexpr milliseconds agent_silence{700};
+constexpr milliseconds agent_silence{800};
+
+// What one machine sends at once without passing its link's queue; more goes through some of its
+// receivers.
+constexpr std::size_t most_bytes_at_once = 24000;
+// Repetitions of an order after which its receiver may not know the map that it changes.
+constexpr int most_repetitions_of_changes = 1;
+
+// Whether two orders differ in their ranks alone.
+bool is_same_order(const rank_order& one, const rank_order& other)
+{
+    return one.kind == other.kind && one.version == other.version && one.step == other.step &&
+           one.repetitions == other.repetitions;
+}
 
 // The rank in the low bits keeps two agents from taking the same term.
 std::uint64_t next_term(std::uint64_t newest, int rank)
@@ -44,10 +59,19 @@
 {
     const bool whole_group = this->shape.ranks > 0 && this->shape.experts <= most_experts &&
                              static_cast<int>(this->group.size()) >= this->shape.ranks;
+    if (!whole_group) {
+        this->whole_since = {};
+        return;
+    }
+    const steady_time now = steady_clock::now();
+    if (this->whole_since == steady_time{}) {
+        this->whole_since = now;
+    }
     const auto silence = (this->heard_directive ? coordinator_silence : first_coordinator_wait) +
                          silence_per_rank * this->engine.report()->rank;
-    if (this->is_coordinating() || !whole_group ||
-        steady_clock::now() - this->last_directive < silence) {
+    // All agents learn of the group at about the same time, and none was silent before that.
+    if (this->is_coordinating() ||
+        now - std::max(this->last_directive, this->whole_since) < silence) {
         return;
     }
     this->begin_coordinating();
@@ -93,12 +117,13 @@
 
 void agent_program::send_signs_of_life()
 {
-    const news::NewsT message = make_news(this->make_directive());
+    std::vector<std::uint32_t> receivers;
     for (const auto& [rank, place] : this->group) {
         if (rank != this->engine.report()->rank) {
-            this->socket.send(message, {ip_text(place.ip), this->options.news_port});
+            receivers.push_back(place.ip);
         }
     }
+    this->options.news.send(make_news(this->make_directive()), receivers);
 }
 
 void agent_program::take_state(const news::RankStateT& state)
@@ -128,7 +153,7 @@
         return;
     }
     this->coordinator->take_state(*std::move(decoded), steady_clock::now());
-    this->coordinate();
+    this->states_came = true;
 }
 
 void agent_program::coordinate()
@@ -136,10 +161,17 @@
     // An order to the own engine changes its report at once, which may call for the next order.
     constexpr int most_rounds = 4;
     for (int round = 0; round < most_rounds && this->is_coordinating(); ++round) {
+        const std::vector<rank_order> orders = this->coordinator->next_orders(steady_clock::now());
         bool own = false;
-        for (const rank_order& order : this->coordinator->next_orders(steady_clock::now())) {
-            this->give(order);
-            own = own || order.rank == this->engine.report()->rank;
+        for (std::size_t begin = 0; begin < orders.size();) {
+            std::vector<int> ranks;
+            std::size_t end = begin;
+            for (; end < orders.size() && is_same_order(orders[begin], orders[end]); ++end) {
+                ranks.push_back(orders[end].rank);
+                own = own || orders[end].rank == this->engine.report()->rank;
+            }
+            this->give(orders[begin], ranks);
+            begin = end;
         }
         if (!own || !this->refresh() || !this->is_coordinating()) {
             return;
@@ -148,11 +180,8 @@
     }
 }
 
-void agent_program::give(const rank_order& wanted)
+engine_order agent_program::make_order(const rank_order& wanted) const
 {
-    if (!this->engine.report().has_value()) {
-        return;
-    }
     engine_order order;
     order.kind = wanted.kind;
     order.epoch = this->coordinator->epoch();
@@ -161,25 +190,64 @@
     if (wanted.kind == order_kind::prepare) {
         order.map = this->coordinator->wanted_map();
     }
-    if (wanted.rank == this->engine.report()->rank) {
-        this->carry_out(order, this->obeyed.term);
-        return;
+    return order;
+}
+
+void agent_program::give(const rank_order& wanted, absl::Span<const int> ranks)
+{
+    const engine_order order = this->make_order(wanted);
+    const int own_rank = this->engine.report()->rank;
+    std::vector<std::uint32_t> receivers;
+    for (const int rank : ranks) {
+        const auto place = this->group.find(rank);
+        if (rank != own_rank && !this->silent.has(rank) && place != this->group.end()) {
+            receivers.push_back(place->second.ip);
+        }
     }
-    if (this->silent.has(wanted.rank)) {
-        this->silent.give(wanted.rank, order, this->obeyed.term);
-        return;
+    // The others wait for their orders meanwhile, so the engines that are called from here come
+    // last.
+    this->send_order(wanted, order, std::move(receivers));
+    for (const int rank : ranks) {
+        if (rank == own_rank) {
+            this->carry_out(order, this->obeyed.term);
+        }
+        else if (this->silent.has(rank)) {
+            this->silent.give(rank, order, this->obeyed.term);
+        }
     }
-    const auto place = this->group.find(wanted.rank);
-    if (place == this->group.end()) {
+}
+
+const versioned_map* agent_program::base_of(const rank_order& wanted) const
+{
+    const versioned_map& replaced = this->coordinator->replaced_map();
+    // Every agent knows the map with which a group forms.
+    const bool known = replaced.version > 0 || replaced.map == first_map(this->shape);
+    return known && wanted.repetitions <= most_repetitions_of_changes ? &replaced : nullptr;
+}
+
+void agent_program::send_order(const rank_order& wanted, const engine_order& order,
+                               std::vector<std::uint32_t> receivers)
+{
+    if (receivers.empty()) {
         return;
     }
     news::DirectiveT directive = this->make_directive();
     directive.sequence = ++this->sequence;
-    // One that has not taken the changes may not know the map before them.
-    const versioned_map& replaced = this->coordinator->replaced_map();
-    add_order(order, wanted.repeated || replaced.version == 0 ? nullptr : &replaced, directive);
-    this->socket.send(make_news(std::move(directive)),
-                      {ip_text(place->second.ip), this->options.news_port});
+    add_order(order, this->base_of(wanted), directive);
+    if (directive.map.size() * receivers.size() <= most_bytes_at_once) {
+        this->options.news.send(make_news(std::move(directive)), receivers);
+        return;
+    }
+    // Others are drawn each time, so that one that cannot pass it on costs little.
+    std::shuffle(receivers.begin(), receivers.end(), this->random);
+    const auto block =
+        static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(receivers.size()))));
+    for (std::size_t begin = 0; begin < receivers.size(); begin += block) {
+        const absl::Span<const std::uint32_t> part =
+            absl::MakeConstSpan(receivers).subspan(begin, block);
+        directive.pass_on.assign(part.begin() + 1, part.end());
+        this->options.news.send(make_news(directive), {part.front()});
+    }
 }
 
 void agent_program::reach_missing_ranks()
@@ -201,8 +269,8 @@
             this->silent.forget(rank);
             continue;
         }
-        std::optional<rank_state> state =
-            this->silent.read(rank, place.engine, this->engine.report()->group);
+        std::optional<rank_state> state = this->silent.read(
+            rank, {ip_text(place.ip), place.engine_port}, this->engine.report()->group);
         if (state.has_value()) {
             this->coordinator->take_state(*std::move(state), steady_clock::now());
             this->coordinate();
--- a/sardinestream/programs/engine_watch.cc
+++ b/sardinestream/programs/engine_watch.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sardinestream/base/log.h"
+#include "sardinestream/programs/packed_counts.h"
 
 namespace sardinestream {
 namespace {
@@ -88,19 +89,13 @@
     }
     if (counts->size() == this->last_counts.size()) {
         std::vector<std::int64_t> chosen(counts->size());
-        std::int64_t largest = 0;
         for (std::size_t i = 0; i < chosen.size(); ++i) {
-            // A rank that has started again counts from zero.
-            chosen[i] = std::max<std::int64_t>(0, (*counts)[i] - this->last_counts[i]);
-            largest = std::max(largest, chosen[i]);
-        }
-        constexpr std::int64_t largest_sent = 255;
-        while ((largest >> state.counts_shift) > largest_sent) {
-            ++state.counts_shift;
-        }
-        for (const std::int64_t one : chosen) {
-            state.counts.push_back(static_cast<std::uint8_t>(one >> state.counts_shift));
+            // A rank that has started again counts from zero: its differences are below zero.
+            chosen[i] = (*counts)[i] - this->last_counts[i];
         }
+        packed_counts packed = pack_counts(chosen);
+        state.counts = std::move(packed.halves);
+        state.counts_scale = packed.scale;
     }
     this->last_counts = *std::move(counts);
 }
--- /dev/null
+++ b/sardinestream/programs/packed_counts.cc
@@ -0,0 +1,52 @@
+#include "sardinestream/programs/packed_counts.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace sardinestream {
+namespace {
+
+constexpr int half_bits = 4;
+constexpr int largest_half = 15;
+
+std::uint8_t half_of(std::int64_t count, double scale)
+{
+    const double root = std::sqrt(static_cast<double>(std::max<std::int64_t>(0, count)) / scale);
+    return static_cast<std::uint8_t>(std::min<long>(largest_half, std::lround(root)));
+}
+
+} // namespace
+
+packed_counts pack_counts(absl::Span<const std::int64_t> counts)
+{
+    std::int64_t largest = 1;
+    for (const std::int64_t count : counts) {
+        largest = std::max(largest, count);
+    }
+    packed_counts packed;
+    packed.scale = static_cast<float>(largest) / (largest_half * largest_half);
+    packed.halves.assign((counts.size() + 1) / 2, 0);
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        const std::uint8_t half = half_of(counts[i], packed.scale);
+        packed.halves[i / 2] |= static_cast<std::uint8_t>(i % 2 == 0 ? half : half << half_bits);
+    }
+    return packed;
+}
+
+std::vector<double> unpack_counts(absl::Span<const std::uint8_t> halves, float scale)
+{
+    std::array<double, largest_half + 1> values{};
+    for (int half = 0; half <= largest_half; ++half) {
+        values[static_cast<std::size_t>(half)] = static_cast<double>(scale) * half * half;
+    }
+    std::vector<double> counts;
+    counts.reserve(2 * halves.size());
+    for (const std::uint8_t both : halves) {
+        counts.push_back(values[both & largest_half]);
+        counts.push_back(values[both >> half_bits]);
+    }
+    return counts;
+}
+
+} // namespace sardinestream
--- a/sardinestream/programs/rank_news.cc
+++ b/sardinestream/programs/rank_news.cc
@@ -3,6 +3,7 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/programs/packed_counts.h"
 
 namespace sardinestream {
 namespace {
@@ -114,11 +115,10 @@
     decoded.broken = state.broken;
     decoded.slowness = state.slowness;
     decoded.prepares = {state.prepare_accepted, state.prepare_refused};
-    SARDINE_RETURN_IF_ERROR(unflatten(state.experts, sets, decoded.experts));
-    for (const std::uint8_t one : state.counts) {
-        decoded.counts.push_back(
-            static_cast<double>(static_cast<std::uint64_t>(one) << state.counts_shift));
+    if (!state.experts.empty()) {
+        SARDINE_RETURN_IF_ERROR(unflatten(state.experts, sets, decoded.experts));
     }
+    decoded.counts = unpack_counts(state.counts, state.counts_scale);
     return decoded;
 }
 
@@ -154,16 +154,16 @@
     if (order.kind != order_kind::prepare) {
         return order;
     }
-    if (directive.base_version == 0) {
+    if (directive.base_version < 0) {
         SARDINE_RETURN_IF_ERROR(unflatten(directive.map, shape, order.map));
         return order;
     }
     const auto base = known.find(directive.base_version);
-    if (base == known.end()) {
+    if (base == known.end() && directive.base_version > 0) {
         return make_error(absl::StatusCode::kFailedPrecondition, "decode", "coordinator",
                           "changes against a map that is not known");
     }
-    order.map = base->second;
+    order.map = directive.base_version == 0 ? first_map(shape) : base->second;
     SARDINE_RETURN_IF_ERROR(apply_changes(directive.map, order.map));
     return order;
 }
--- a/sardinestream/testing/emulator/rank_group.cc
+++ b/sardinestream/testing/emulator/rank_group.cc
@@ -38,7 +38,7 @@
         const auto choices = static_cast<std::size_t>(this->options.shape.sets) *
                              static_cast<std::size_t>(this->options.shape.experts);
         for (rank_state& state : this->ranks) {
-            state.map = this->first_map();
+            state.map = first_map(this->options.shape);
             state.counts.assign(choices, 0);
         }
     }
@@ -54,17 +54,6 @@
     this->passing.join();
 }
 
-expert_map rank_group::first_map() const
-{
-    expert_map map(this->options.shape);
-    for (int set = 0; set < this->options.shape.sets; ++set) {
-        for (int expert = 0; expert < this->options.shape.experts; ++expert) {
-            map.add(set, expert % this->options.shape.ranks, expert);
-        }
-    }
-    return map;
-}
-
 rank_group::stream::stream(rank_group& owner, int on_rank) : group(owner), rank(on_rank)
 {
     const absl::MutexLock lock(&this->group.mutex);
@@ -176,7 +165,7 @@
     this->opens_at = steady_clock::now() + this->options.form_time;
     for (rank_state& state : this->ranks) {
         state.version = 0;
-        state.map = this->first_map();
+        state.map = first_map(this->options.shape);
         state.prepared_version = 0;
         state.armed.reset();
         state.held_step.reset();
--- a/sardinestream/testing/emulator/rank_group.h
+++ b/sardinestream/testing/emulator/rank_group.h
@@ -83,6 +83,8 @@
     // Carries out an order. Returns the status of the answer.
     [[nodiscard]] int order(int rank, const nlohmann::json& order);
 
+    [[nodiscard]] const map_shape& shape() const { return this->options.shape; }
+
     // The version that all ranks use, and the passes so far.
     [[nodiscard]] std::int64_t map_version() const;
     [[nodiscard]] std::int64_t passes() const;
@@ -120,7 +122,6 @@
     [[nodiscard]] int hold(rank_state& state, const nlohmann::json& order)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] static int release(rank_state& state, const nlohmann::json& order);
-    [[nodiscard]] expert_map first_map() const;
     [[nodiscard]] std::optional<expert_map> decode_map(const nlohmann::json& sets) const;
 
     const rank_group_options options;
