Retry budget begins with nothing; peers are told only what the store lists; last start at an address

Change: an entry begins without tokens, shares are of 0.9 of the allowance; peers are told the servers that the store lists; of several at one address only the last start is used. Tests: does_not_hand_on_a_server_that_vanished, uses_only_the_last_start_at_an_address (new).

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sardinestream {
 namespace {
@@ -85,10 +86,31 @@
 std::vector<backend_server> server_directory::usable() const
 {
     const absl::MutexLock lock(&this->mutex);
+    // The newest start at each address.
+    std::map<std::pair<std::string, int>, std::int64_t> newest;
+    for (const auto& [id, known] : this->entries) {
+        std::int64_t& born_ms = newest[{known.server.endpoint.ip, known.server.endpoint.port}];
+        born_ms = std::max(born_ms, known.server.born_ms);
+    }
     std::vector<backend_server> all;
     all.reserve(this->entries.size());
     for (const auto& [id, known] : this->entries) {
-        all.push_back(known.server);
+        if (known.server.born_ms ==
+            newest[{known.server.endpoint.ip, known.server.endpoint.port}]) {
+            all.push_back(known.server);
+        }
+    }
+    return all;
+}
+
+std::vector<backend_server> server_directory::listed() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<backend_server> all;
+    for (const auto& [id, known] : this->entries) {
+        if (known.drop_at == steady_time{}) {
+            all.push_back(known.server);
+        }
     }
     return all;
 }
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -36,7 +36,12 @@
     // Drops vanished servers whose time is over. Returns whether there was one.
     bool drop_vanished(steady_time now);
 
+    // Of several servers at one address only the one that started last: the others are gone, though
+    // the store may list them until their entries lapse.
     [[nodiscard]] std::vector<backend_server> usable() const;
+    // Without those that vanished: what others are told. They would take the memory of an entry for
+    // news of the store.
+    [[nodiscard]] std::vector<backend_server> listed() const;
 
     // The store's revision up to which the list is known; zero before the first list.
     [[nodiscard]] std::int64_t revision() const;
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -37,6 +37,38 @@
     EXPECT_EQ(this->directory.usable().size(), 1U);
 }
 
+// After a crash the entry of the earlier start stays listed until it lapses.
+TEST_F(server_directory_test, uses_only_the_last_start_at_an_address)
+{
+    backend_server before = named("a");
+    before.endpoint = {"10.0.0.1", 8000};
+    before.born_ms = 1000;
+    backend_server after = before;
+    after.id = "b";
+    after.born_ms = 2000;
+    backend_server elsewhere = before;
+    elsewhere.id = "c";
+    elsewhere.endpoint.port = 8001;
+    this->directory.replace_all({before, after, elsewhere}, 1, false, this->start);
+    const std::vector<backend_server> usable = this->directory.usable();
+    ASSERT_EQ(usable.size(), 2U);
+    EXPECT_EQ(usable[0].id, "b");
+    EXPECT_EQ(usable[1].id, "c");
+}
+
+// An entry that had lost the store keeps a server for a while that has left; others must not learn
+// from it that the server is there.
+TEST_F(server_directory_test, does_not_hand_on_a_server_that_vanished)
+{
+    this->directory.replace_all({named("a"), named("b")}, 1, false, this->start);
+    this->directory.remove("a", 2, true, this->start);
+    this->directory.put(named("c"), 3);
+    EXPECT_EQ(this->directory.usable().size(), 3U);
+    ASSERT_EQ(this->directory.listed().size(), 2U);
+    EXPECT_EQ(this->directory.listed()[0].id, "b");
+    EXPECT_EQ(this->directory.listed()[1].id, "c");
+}
+
 TEST_F(server_directory_test, keeps_one_that_is_listed_again_in_time)
 {
     this->directory.replace_all({named("a")}, 1, false, this->start);
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -27,8 +27,14 @@
 // What is left of the grace for ending the process itself.
 constexpr milliseconds exit_margin{700};
 
-// Entries that share the budget of retries, until this one has heard how many there are.
-constexpr double entries_at_start = 4;
+// Entries that share the budget of retries, until this one has heard how many there are. It begins
+// with nothing: what it had before a crash may be spent.
+constexpr double entries_at_start = 32;
+// Of what all entries together may spend. Arrivals that an entry does not count, such as those of
+// one that has just ended, need the rest.
+constexpr double share_of_budget = 0.9;
+// Of answers that are passed on in one piece, all of them together.
+constexpr std::size_t most_answer_bytes = 64U << 20U;
 constexpr char config_path[] = "/state/config";
 constexpr char servers_path[] = "/state/servers";
 constexpr int http_ok = 200;
@@ -37,8 +43,8 @@
 
 routing::retry_budget_options budget_options(const entry_options& options)
 {
-    const double share = options.most_retries_at_once / entries_at_start;
-    return {options.retries_per_request, share, share};
+    return {options.retries_per_request * share_of_budget,
+            options.most_retries_at_once * share_of_budget / entries_at_start, 0};
 }
 
 } // namespace
@@ -56,7 +62,8 @@
 entry_program::entry_program(const entry_options& chosen, wire_protocol spoken,
                              desired_state_decoder decoder)
     : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
-      servers(dispatcher_options{options.data_centre}), retries(budget_options(chosen))
+      servers(dispatcher_options{options.data_centre}), answers(most_answer_bytes),
+      retries(budget_options(chosen))
 {
 }
 
@@ -88,9 +95,13 @@
     }
     this->operators = *std::move(ops);
     forwarding_services shared{
-        this->protocol, this->servers, this->channels,
+        this->protocol,
+        this->servers,
+        this->channels,
         [this](const std::string& service) { return this->retries.try_retry(service); },
-        [this] { return this->stopping.load(); }};
+        [this] { return this->stopping.load(); },
+        [this] { return this->ends_at.load(); },
+        this->answers};
     front_hooks hooks;
     hooks.current_state = [this] { return this->state.get(); };
     hooks.on_admitted = [this](const std::string& service) { this->retries.on_request(service); };
@@ -134,7 +145,7 @@
         this->entries_known = known;
         this->servers.set_processes(alive);
         // An entry that is only out of sight still spends its share.
-        this->retries.set_max_tokens(this->options.most_retries_at_once / known);
+        this->retries.set_max_tokens(this->options.most_retries_at_once * share_of_budget / known);
     };
     hooks.on_report_interval = [this](milliseconds interval) {
         this->servers.set_report_interval(interval);
@@ -237,7 +248,7 @@
                                          : http_answer{nothing_newer, {}, ""};
     }
     if (parts.first == servers_path) {
-        const server_list list = {this->directory.usable(), this->directory.revision()};
+        const server_list list = {this->directory.listed(), this->directory.revision()};
         return list.revision > known ? http_answer{http_ok, {}, encode_servers(list)}
                                      : http_answer{nothing_newer, {}, ""};
     }
@@ -382,6 +393,7 @@
 void entry_program::stop(milliseconds grace)
 {
     const steady_time begun = steady_clock::now();
+    this->ends_at = begun + grace - exit_margin;
     this->stopping = true;
     log_event("stopping", {{"connections", this->callers->connections()}});
     std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -98,8 +98,10 @@
     server_directory directory;
     dispatcher servers;
     channel_pool channels;
+    answer_memory answers;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
+    std::atomic<steady_time> ends_at = steady_time::max();
     std::atomic<bool> servers_known = false;
     // Entries that hear each other, and those that were heard of lately; both with this one.
     std::atomic<int> entries_alive = 1;
