Servers in trouble: bytes without end, drips, interim and unlabelled answers; streams at a planned stop

Change: bounds for a line, an event and all buffered answers of the process together; interim answers are skipped, eight at most; silence of a stream is time without a whole event; a head that has begun comes within 2 s where another server may be tried; unlabelled answers count on new connections only. Tests: troubled_servers_test, answer_memory_test, refuses_a_stream_that_a_planned_stop_would_cut.

--- a/sardinestream/forwarding/event_splitter.h
+++ b/sardinestream/forwarding/event_splitter.h
@@ -32,6 +32,7 @@
 
     // A part of an event waits for its end.
     [[nodiscard]] bool has_partial_event() const { return !this->pending.empty(); }
+    [[nodiscard]] std::size_t partial_bytes() const { return this->pending.size(); }
 
     // Forgets the part of an event that will not be finished, before another server goes on.
     void drop_partial_event() { this->pending.clear(); }
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -23,11 +23,19 @@
 constexpr milliseconds least_time_to_first_event{400};
 // An idempotent request tries another server after this many times its latency target.
 constexpr double slow_answer_targets = 1.5;
+// What nearly all streams need from their beginning to their end.
+constexpr milliseconds time_of_a_stream{4500};
 constexpr int most_stray_answers = 3;
 // Servers that refuse one request before it is given up.
 constexpr int most_refusals = 4;
 constexpr std::size_t largest_answer_head = 65536;
 constexpr std::size_t largest_whole_answer = 32U << 20U;
+// Of one event of a stream.
+constexpr std::size_t largest_event = 1U << 20U;
+// Interim answers (1xx) before the final one.
+constexpr int most_interim_answers = 8;
+// A head of a sound server comes at once when it has begun.
+constexpr milliseconds longest_head{2000};
 
 void log_notable_event(absl::string_view event, std::initializer_list<log_field> fields)
 {
@@ -94,8 +102,19 @@
     }
 }
 
+bool exchange::would_be_cut_by_stop() const
+{
+    return this->chosen.kind == request_kind::streaming && !this->answer_begun &&
+           steady_clock::now() > this->services.ends_at() - time_of_a_stream;
+}
+
 absl::StatusOr<placement> exchange::place()
 {
+    if (this->would_be_cut_by_stop()) {
+        // Another entry can serve it whole.
+        return make_error(absl::StatusCode::kResourceExhausted, "place", this->admitted.service,
+                          "about to stop");
+    }
     placement_request wanted;
     wanted.service = this->admitted.service;
     wanted.priority = this->admitted.priority;
@@ -110,6 +129,7 @@
     else {
         leave_by = steady_clock::now() + (leave_by - steady_clock::now()) / 2;
     }
+    leave_by = std::min(leave_by, this->services.ends_at());
     if (this->answer_begun) {
         leave_by = std::min(this->deadline, steady_clock::now() + least_time_to_first_event);
     }
@@ -171,27 +191,53 @@
     return next;
 }
 
-absl::StatusOr<http_response_head> exchange::read_own_head(server_channel& channel, bool& reusable)
+steady_time exchange::head_deadline() const
+{
+    return this->may_try_again(attempt_state::possibly_run)
+               ? std::min(this->deadline, steady_clock::now() + longest_head)
+               : this->deadline;
+}
+
+absl::StatusOr<http_response_head> exchange::read_final_head(server_channel& channel)
 {
     const message_limits limits = {largest_answer_head, largest_whole_answer};
-    for (int strays = 0; strays <= most_stray_answers; ++strays) {
+    for (int interim = 0; interim <= most_interim_answers; ++interim) {
+        const steady_time end =
+            channel.socket.has_input_or_end() ? this->head_deadline() : this->deadline;
         absl::StatusOr<http_response_head> head = channel.reader.read_response_head(
-            limits, this->admitted.request.method == "HEAD", this->deadline, this->caller_watch);
+            limits, this->admitted.request.method == "HEAD", end, this->caller_watch);
+        constexpr int first_final_status = 200;
+        if (!head.ok() || head->status >= first_final_status) {
+            return head;
+        }
+    }
+    return make_error(absl::StatusCode::kDataLoss, "read", "", "interim answers only");
+}
+
+absl::StatusOr<http_response_head> exchange::read_own_head(server_channel& channel, bool& reusable)
+{
+    for (int strays = 0; strays <= most_stray_answers; ++strays) {
+        absl::StatusOr<http_response_head> head = this->read_final_head(channel);
         if (!head.ok()) {
             return head.status();
         }
         const answer_marks marks = this->services.protocol.decode_answer(*head);
-        if (marks.request_id.empty() || marks.request_id == this->admitted.request.id) {
+        if (marks.request_id == this->admitted.request.id) {
             return head;
         }
+        if (marks.request_id.empty()) {
+            // Only on a new connection can it be no answer to an earlier request.
+            return channel.reused ? make_error(absl::StatusCode::kDataLoss, "read", "",
+                                               "answer that names no request")
+                                  : head;
+        }
         // The late answer to an earlier request of this connection.
         reusable = false;
         count("sardine_stray_answers_total");
         log_event("stray_answer",
                   {{"request", this->admitted.request.id}, {"answers", marks.request_id}});
         std::string discarded;
-        SARDINE_RETURN_IF_ERROR(channel.reader.read_body(largest_whole_answer, discarded,
-                                                         this->deadline, this->caller_watch));
+        SARDINE_RETURN_IF_ERROR(this->read_whole_body(channel, discarded));
     }
     return make_error(absl::StatusCode::kDataLoss, "read", "", "answers of other requests only");
 }
@@ -242,10 +288,7 @@
     const answer_marks marks = this->services.protocol.decode_answer(head);
     if (marks.never_ran || marks.wrong_server) {
         std::string discarded;
-        reusable = reusable && channel.reader
-                                   .read_body(largest_whole_answer, discarded, this->deadline,
-                                              this->caller_watch)
-                                   .ok();
+        reusable = reusable && this->read_whole_body(channel, discarded).ok();
         record.result = marks.wrong_server ? attempt_result::replaced : attempt_result::refused;
         return this->after_failure(attempt_state::refused_by_server,
                                    make_error(absl::StatusCode::kResourceExhausted, "answer",
@@ -270,12 +313,30 @@
     return this->relay_whole(channel, head, record, reusable);
 }
 
+absl::Status exchange::read_whole_body(server_channel& channel, std::string& body)
+{
+    answer_hold hold(this->services.memory);
+    while (true) {
+        const absl::StatusOr<bool> ended =
+            channel.reader.read_body_part(body, this->deadline, this->caller_watch);
+        if (!ended.ok()) {
+            return ended.status();
+        }
+        if (body.size() > largest_whole_answer || !hold.grow_to(body.size())) {
+            count("sardine_answers_too_large_total");
+            return make_error(absl::StatusCode::kOutOfRange, "read", "", "answer too large");
+        }
+        if (*ended) {
+            return absl::OkStatus();
+        }
+    }
+}
+
 exchange::next_step exchange::relay_whole(server_channel& channel, const http_response_head& head,
                                           attempt_record& record, bool& reusable)
 {
     std::string body;
-    const absl::Status read =
-        channel.reader.read_body(largest_whole_answer, body, this->deadline, this->caller_watch);
+    const absl::Status read = this->read_whole_body(channel, body);
     if (!read.ok()) {
         reusable = false;
         return this->after_failure(attempt_state::possibly_run, read, record);
@@ -344,23 +405,36 @@
         hangup_watch());
 }
 
+absl::StatusOr<bool> exchange::read_stream_part(server_channel& channel, std::string& bytes,
+                                                steady_time& last_event)
+{
+    while (true) {
+        absl::StatusOr<bool> ended = channel.reader.read_body_part(
+            bytes, std::min(this->deadline, last_event + longest_silence), this->caller_watch);
+        const bool silent =
+            absl::IsDeadlineExceeded(ended.status()) && steady_clock::now() < this->deadline;
+        if (!silent) {
+            return ended;
+        }
+        if (this->may_try_again(attempt_state::possibly_run) &&
+            this->services.take_retry(this->admitted.service)) {
+            this->retry_granted = true;
+            return ended;
+        }
+        // Nothing else can be done for it: the server may still go on.
+        last_event = steady_clock::now();
+    }
+}
+
 exchange::next_step exchange::relay_stream(server_channel& channel, const http_response_head& head,
                                            attempt_record& record, bool& reusable)
 {
     reusable = false;
+    steady_time last_event = steady_clock::now();
     while (true) {
         std::string bytes;
-        const steady_time silent_until = steady_clock::now() + longest_silence;
-        absl::StatusOr<bool> ended = channel.reader.read_body_part(
-            bytes, std::min(this->deadline, silent_until), this->caller_watch);
+        const absl::StatusOr<bool> ended = this->read_stream_part(channel, bytes, last_event);
         if (!ended.ok()) {
-            const bool silent =
-                absl::IsDeadlineExceeded(ended.status()) && steady_clock::now() < this->deadline;
-            if (silent && (!this->may_try_again(attempt_state::possibly_run) ||
-                           !this->services.take_retry(this->admitted.service))) {
-                continue;
-            }
-            this->retry_granted = silent;
             return this->after_failure(attempt_state::possibly_run, ended.status(), record);
         }
         if (this->events.taken() == 0) {
@@ -368,6 +442,12 @@
         }
         this->events.add(bytes);
         const std::string whole = this->events.take_events();
+        if (this->events.partial_bytes() > largest_event) {
+            return this->after_failure(attempt_state::possibly_run,
+                                       make_error(absl::StatusCode::kOutOfRange, "stream",
+                                                  record.given.server.id, "event without end"),
+                                       record);
+        }
         if (this->events.has_gap() || (*ended && this->events.has_partial_event())) {
             return this->after_failure(attempt_state::possibly_run,
                                        make_error(absl::StatusCode::kDataLoss, "stream",
@@ -375,6 +455,7 @@
                                        record);
         }
         if (!whole.empty()) {
+            last_event = steady_clock::now();
             const absl::Status sent = this->send_events(head, whole);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/forwarding/answer_memory.h"
 #include "sardinestream/forwarding/answer_text.h"
 #include "sardinestream/forwarding/caller_request.h"
 #include "sardinestream/forwarding/channel_pool.h"
@@ -33,6 +34,9 @@
     std::function<bool(const std::string& service)> take_retry;
     // Whether the process is about to stop, so that connections are not kept.
     std::function<bool()> is_stopping;
+    // When a process that is about to stop ends what is still open; far away before a stop.
+    std::function<steady_time()> ends_at;
+    answer_memory& memory;
 };
 
 // A request that was allowed in.
@@ -67,17 +71,29 @@
     };
 
     [[nodiscard]] absl::StatusOr<placement> place();
+    // Whether a planned stop leaves too little time for a stream that begins now.
+    [[nodiscard]] bool would_be_cut_by_stop() const;
     [[nodiscard]] next_step attempt(attempt_record& record);
     [[nodiscard]] next_step read_answer(server_channel& channel, bool all_written,
                                         attempt_record& record, bool& reusable);
     [[nodiscard]] absl::StatusOr<http_response_head> read_own_head(server_channel& channel,
                                                                    bool& reusable);
+    // The next head that is a final answer, to whichever request.
+    [[nodiscard]] absl::StatusOr<http_response_head> read_final_head(server_channel& channel);
+    // Until when the head of an answer that has begun may come.
+    [[nodiscard]] steady_time head_deadline() const;
+    // Reads the rest of an answer that is passed on in one piece, or dropped.
+    [[nodiscard]] absl::Status read_whole_body(server_channel& channel, std::string& body);
     [[nodiscard]] next_step relay(server_channel& channel, const http_response_head& head,
                                   attempt_record& record, bool& reusable);
     [[nodiscard]] next_step relay_whole(server_channel& channel, const http_response_head& head,
                                         attempt_record& record, bool& reusable);
     [[nodiscard]] next_step relay_stream(server_channel& channel, const http_response_head& head,
                                          attempt_record& record, bool& reusable);
+    // Waits for bytes of a stream. `last_event` is when the caller was served last; bytes that make
+    // no whole event do not count.
+    [[nodiscard]] absl::StatusOr<bool> read_stream_part(server_channel& channel, std::string& bytes,
+                                                        steady_time& last_event);
     // The server's head as the caller gets it, but for what tells the body's length.
     [[nodiscard]] answer_head relayed_head(const http_response_head& head) const;
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
--- a/sardinestream/forwarding/front_test.cc
+++ b/sardinestream/forwarding/front_test.cc
@@ -1,179 +1,10 @@
-// The whole path over real sockets: a caller, the front, scripted servers.
-
-#include <atomic>
-#include <thread>
-
-#include <gtest/gtest.h>
-
-#include "sardinestream/forwarding/front.h"
-#include "sardinestream/testing/scripted_server.h"
-
-#include "absl/strings/match.h"
-#include "absl/strings/str_cat.h"
+#include "sardinestream/forwarding/front_fixture.h"
 
 namespace sardinestream {
 namespace {
 
 using std::chrono::milliseconds;
 
-steady_time soon()
-{
-    return steady_clock::now() + std::chrono::seconds(8);
-}
-
-// A wire protocol of the test's own: `Id`, `Key`, `Signed`, `Never-Ran`, `After`.
-wire_protocol test_protocol()
-{
-    wire_protocol protocol;
-    protocol.decode_request = [](const http_request_head& head) -> absl::StatusOr<caller_request> {
-        caller_request request;
-        request.id = std::string(find_header(head.headers, "Id").value_or(""));
-        request.key = std::string(find_header(head.headers, "Key").value_or(""));
-        request.method = head.method;
-        request.target = head.target;
-        request.host = std::string(find_header(head.headers, "Host").value_or(""));
-        request.keeps_alive = head.keeps_alive();
-        request.headers = {{"Host", request.host}, {"Id", request.id}};
-        return request;
-    };
-    protocol.encode_headers = [](const caller_request& request, const attempt_details& details) {
-        http_headers headers = request.headers;
-        headers.push_back({"Team", details.team});
-        headers.push_back({"After", details.resume_after});
-        return headers;
-    };
-    protocol.decode_answer = [](const http_response_head& head) {
-        answer_marks marks;
-        marks.request_id = std::string(find_header(head.headers, "Id").value_or(""));
-        marks.is_signed = find_header(head.headers, "Signed").has_value();
-        marks.never_ran = find_header(head.headers, "Never-Ran").has_value();
-        marks.wrong_server = head.status == 421;
-        return marks;
-    };
-    protocol.own_answer_headers = [](const caller_request& request) {
-        return http_headers{{"Id", request.id}};
-    };
-    return protocol;
-}
-
-route make_route(const std::string& prefix, request_kind kind)
-{
-    route made;
-    made.name = prefix;
-    made.host = "shop";
-    made.path_prefix = prefix;
-    made.kind = kind;
-    made.resumable = kind == request_kind::streaming;
-    made.services = {{"service", 1}};
-    made.timeout = milliseconds(4000);
-    made.latency_target = milliseconds(300);
-    made.most_attempts = 2;
-    return made;
-}
-
-std::shared_ptr<desired_state> make_state()
-{
-    auto state = std::make_shared<desired_state>();
-    state->version = 1;
-    state->routes = {make_route("/read/", request_kind::idempotent),
-                     make_route("/pay/", request_kind::non_idempotent),
-                     make_route("/tell/", request_kind::streaming)};
-    state->has_teams = true;
-    state->teams_by_key["k"] = {"growers", -1};
-    state->index_routes();
-    return state;
-}
-
-std::string answer_to(const scripted_connection& connection, absl::string_view body)
-{
-    return absl::StrCat("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: ",
-                        find_header(connection.head.headers, "Id").value_or(""),
-                        "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
-}
-
-class front_test : public testing::Test {
-protected:
-    front_test() : protocol(test_protocol()) { this->open(); }
-    void TearDown() override { this->stop(); }
-
-    void open()
-    {
-        forwarding_services services{this->protocol, this->servers, this->channels,
-                                     [this](const std::string&) { return this->budget-- > 0; },
-                                     [this] { return this->stopping.load(); }};
-        front_hooks hooks;
-        hooks.current_state = [this] { return this->state; };
-        hooks.on_admitted = [](const std::string&) {};
-        this->served = *front::start({"127.0.0.1", 0}, std::move(services), std::move(hooks));
-    }
-
-    void stop()
-    {
-        this->stopping = true;
-        this->served->stop_accepting();
-        this->served->wait_until_idle(absl::Now() + absl::Seconds(10));
-    }
-
-    void use(const std::vector<const scripted_server*>& scripted)
-    {
-        std::vector<backend_server> list;
-        for (const scripted_server* const one : scripted) {
-            backend_server server;
-            server.id = absl::StrCat("s", list.size());
-            server.service = "service";
-            server.slots = 4;
-            server.endpoint = one->local();
-            list.push_back(server);
-        }
-        this->servers.set_servers(list);
-    }
-
-    tcp_socket connect() { return *tcp_socket::connect(this->served->local(), soon(), {}); }
-
-    static std::string request_text(absl::string_view target, absl::string_view id,
-                                    absl::string_view key = "k")
-    {
-        return absl::StrCat("POST ", target, " HTTP/1.1\r\nHost: shop\r\nId: ", id,
-                            "\r\nKey: ", key, "\r\nContent-Length: 2\r\n\r\n{}");
-    }
-
-    struct caller_answer {
-        http_response_head head;
-        std::string body;
-        absl::Status end;
-    };
-
-    static caller_answer read_answer(message_reader& reader)
-    {
-        caller_answer answer;
-        absl::StatusOr<http_response_head> head =
-            reader.read_response_head(message_limits(), false, soon(), {});
-        if (!head.ok()) {
-            answer.end = head.status();
-            return answer;
-        }
-        answer.head = *std::move(head);
-        answer.end = reader.read_body(1 << 20, answer.body, soon(), {});
-        return answer;
-    }
-
-    caller_answer call(absl::string_view target, absl::string_view id, absl::string_view key = "k")
-    {
-        tcp_socket socket = this->connect();
-        EXPECT_TRUE(socket.write_all(request_text(target, id, key), soon(), {}).ok());
-        message_reader reader(socket);
-        return read_answer(reader);
-    }
-
-    const wire_protocol protocol;
-    dispatcher servers{dispatcher_options{}};
-    channel_pool channels;
-    std::shared_ptr<const desired_state> state = make_state();
-    std::atomic<int> budget = 100;
-    std::atomic<bool> stopping = false;
-    std::unique_ptr<front> served;
-};
-
 TEST_F(front_test, passes_request_and_answer_on)
 {
     std::string seen;
@@ -318,19 +149,6 @@
     EXPECT_EQ(this->call("/pay/", "r1").head.status, 502);
 }
 
-std::string stream_head(const scripted_connection& connection)
-{
-    return absl::StrCat(
-        "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: ", *find_header(connection.head.headers, "Id"),
-        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n");
-}
-
-std::string chunk(absl::string_view text)
-{
-    return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
-}
-
 TEST_F(front_test, a_stream_goes_on_at_another_server_after_its_last_event)
 {
     std::atomic<int> asked = 0;
@@ -426,6 +244,29 @@
     EXPECT_FALSE(answer.head.keeps_alive());
 }
 
+// A planned stop under load: what another entry can serve whole is not begun here.
+TEST_F(front_test, refuses_a_stream_that_a_planned_stop_would_cut)
+{
+    std::atomic<int> asked = 0;
+    scripted_server server([&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        connection.write(connection.head.target == "/tell/"
+                             ? stream_head(connection) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"
+                             : answer_to(connection, "stock"));
+    });
+    this->use({&server});
+    this->ends_at = steady_clock::now() + milliseconds(7000);
+    EXPECT_EQ(this->call("/tell/", "r1").head.status, 200);
+    this->ends_at = steady_clock::now() + milliseconds(3000);
+    const caller_answer refused = this->call("/tell/", "r2");
+    EXPECT_EQ(refused.head.status, 503);
+    EXPECT_TRUE(find_header(refused.head.headers, "Retry-After").has_value());
+    EXPECT_EQ(asked, 1);
+    // What is short goes on.
+    EXPECT_EQ(this->call("/read/", "r3").body, "stock");
+}
+
 TEST_F(front_test, closes_idle_connections_when_it_stops)
 {
     tcp_socket socket = this->connect();
--- /dev/null
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -0,0 +1,263 @@
+// Servers in trouble: bytes without end, bytes that are no answer, answers that name no request,
+// and streams that drip. What the caller gets must be true, and the entry must stay within bounds.
+
+#include "sardinestream/forwarding/front_fixture.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sends `part` until the peer closes the connection. Returns the bytes sent.
+std::size_t send_without_end(scripted_connection& connection, const std::string& part)
+{
+    constexpr std::size_t far_too_much = 256U << 20U;
+    std::size_t sent = 0;
+    while (sent < far_too_much && !connection.wait_for_end(milliseconds(1))) {
+        connection.write(part);
+        sent += part.size();
+    }
+    return sent;
+}
+
+class troubled_servers_test : public front_test {
+protected:
+    // A lookup at a server that answers with `begin`, then `part` without end, and at a sound one.
+    void expect_next_server_answers(const std::string& begin, const std::string& part,
+                                    std::size_t most_bytes)
+    {
+        std::atomic<int> asked = 0;
+        std::atomic<std::size_t> sent = 0;
+        const auto script = [&](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            if (asked++ > 0) {
+                connection.write(answer_to(connection, "sound"));
+                return;
+            }
+            connection.write(begin);
+            sent = send_without_end(connection, part);
+        };
+        scripted_server first(script);
+        scripted_server second(script);
+        this->use({&first, &second});
+        const caller_answer answer = this->call("/read/", "r1");
+        EXPECT_EQ(answer.head.status, 200);
+        EXPECT_EQ(answer.body, "sound");
+        this->stop();
+        EXPECT_LT(sent, most_bytes);
+    }
+};
+
+constexpr std::size_t few_megabytes = 8U << 20U;
+
+TEST_F(troubled_servers_test, a_head_without_end_is_cut)
+{
+    this->expect_next_server_answers("HTTP/1.1 200 OK\r\n",
+                                     "X-Filler: " + std::string(4000, 'a') + "\r\n", few_megabytes);
+}
+
+TEST_F(troubled_servers_test, a_head_line_without_end_is_cut)
+{
+    this->expect_next_server_answers("HTTP/1.1 200 OK\r\nX-Filler: ", std::string(4000, 'a'),
+                                     few_megabytes);
+}
+
+TEST_F(troubled_servers_test, a_chunk_extension_without_end_is_cut)
+{
+    this->expect_next_server_answers(
+        "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+        std::string(4000, 'a'), few_megabytes);
+}
+
+TEST_F(troubled_servers_test, a_trailer_without_end_is_cut)
+{
+    this->expect_next_server_answers(
+        "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+        std::string(4000, 'a'), few_megabytes);
+}
+
+TEST_F(troubled_servers_test, a_body_without_length_or_end_is_cut)
+{
+    this->expect_next_server_answers("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\n\r\n",
+                                     std::string(64U << 10U, 'a'), 64U << 20U);
+}
+
+TEST_F(troubled_servers_test, a_chunk_of_giant_size_is_cut)
+{
+    this->expect_next_server_answers("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nTransfer-Encoding: "
+                                     "chunked\r\n\r\nfffffffffff\r\n",
+                                     std::string(64U << 10U, 'a'), 64U << 20U);
+}
+
+TEST_F(troubled_servers_test, interim_answers_without_end_are_cut)
+{
+    this->expect_next_server_answers("", "HTTP/1.1 100 Continue\r\n\r\n", few_megabytes);
+}
+
+TEST_F(troubled_servers_test, bytes_that_are_no_answer_are_cut)
+{
+    this->expect_next_server_answers("", std::string(4000, '\x01'), few_megabytes);
+}
+
+TEST_F(troubled_servers_test, an_event_without_end_is_cut)
+{
+    std::atomic<int> asked = 0;
+    std::atomic<std::size_t> sent = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection));
+        if (asked++ > 0) {
+            connection.write(chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+            return;
+        }
+        connection.write(chunk("id: 1\ndata: "));
+        sent = send_without_end(connection, chunk(std::string(64U << 10U, 'a')));
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(answer.body, "id: 1\ndata: a\n\n");
+    this->stop();
+    EXPECT_LT(sent, 64U << 20U);
+}
+
+TEST_F(troubled_servers_test, sixty_bodies_without_end_stay_within_memory)
+{
+    constexpr int servers_in_trouble = 60;
+    std::vector<std::unique_ptr<scripted_server>> scripted;
+    std::vector<const scripted_server*> used;
+    std::atomic<std::size_t> sent = 0;
+    for (int i = 0; i < servers_in_trouble; ++i) {
+        scripted.push_back(std::make_unique<scripted_server>([&](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r\r\n\r\n");
+            sent += send_without_end(connection, std::string(64U << 10U, 'a'));
+        }));
+        used.push_back(scripted.back().get());
+    }
+    this->use(used);
+    std::vector<std::thread> callers;
+    std::atomic<int> told = 0;
+    for (int i = 0; i < servers_in_trouble; ++i) {
+        callers.emplace_back([&] {
+            const caller_answer answer = this->call("/pay/", "r");
+            // It may have run: nothing else would be true.
+            told += answer.head.status == 502 || answer.head.status == 504 ? 1 : 0;
+        });
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(told, servers_in_trouble);
+    answer_hold all(this->memory);
+    EXPECT_TRUE(all.grow_to(most_memory));
+    this->stop();
+    // What the sockets hold comes on top.
+    constexpr std::size_t most_in_sockets = std::size_t{servers_in_trouble} * (12U << 20U);
+    EXPECT_LT(sent, most_memory + most_in_sockets);
+}
+
+TEST_F(troubled_servers_test, an_interim_answer_is_not_the_answer)
+{
+    scripted_server server([](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+        connection.write(answer_to(connection, "final"));
+    });
+    this->use({&server});
+    const caller_answer answer = this->call("/pay/", "r1");
+    EXPECT_EQ(answer.head.status, 200);
+    EXPECT_EQ(answer.body, "final");
+}
+
+// A refusal that names no request may be left from another one: on a connection that served one
+// before, it must not decide what is said of this one.
+TEST_F(troubled_servers_test, an_answer_that_names_no_request_is_not_believed_on_a_used_connection)
+{
+    std::atomic<int> asked = 0;
+    scripted_server server([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            if (asked++ == 1) {
+                connection.write("HTTP/1.1 503 No\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            connection.write(answer_to(connection, absl::StrCat("answer ", asked.load())));
+        }
+    });
+    this->use({&server});
+    EXPECT_EQ(this->call("/read/", "r1").body, "answer 1");
+    this->budget = 0;
+    // Not 503: it may have run.
+    EXPECT_EQ(this->call("/read/", "r2").head.status, 502);
+}
+
+TEST_F(troubled_servers_test, a_stream_that_only_drips_goes_on_elsewhere)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection));
+        if (asked++ > 0) {
+            connection.write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+            return;
+        }
+        connection.write(chunk("id: 1\ndata: a\n\n"));
+        for (int i = 0; i < 100 && !connection.wait_for_end(milliseconds(100)); ++i) {
+            connection.write(chunk(":"));
+        }
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(troubled_servers_test, a_slow_stream_of_whole_events_is_not_cut)
+{
+    std::atomic<int> asked = 0;
+    scripted_server server([&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        connection.write(stream_head(connection));
+        for (int id = 1; id <= 4; ++id) {
+            connection.write(chunk(absl::StrCat("id: ", id, "\nda")));
+            std::this_thread::sleep_for(milliseconds(700));
+            connection.write(chunk(absl::StrCat("ta: ", id, "\n\n")));
+        }
+        connection.write("0\r\n\r\n");
+    });
+    this->use({&server});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(asked, 1);
+}
+
+TEST_F(troubled_servers_test, a_head_that_drips_is_left_for_another_server)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        if (asked++ > 0) {
+            connection.write(answer_to(connection, "sound"));
+            return;
+        }
+        const std::string head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\n";
+        for (std::size_t i = 0; i < head.size() && !connection.wait_for_end(milliseconds(200));
+             ++i) {
+            connection.write(head.substr(i, 1));
+        }
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const steady_time begun = steady_clock::now();
+    EXPECT_EQ(this->call("/read/", "r1").body, "sound");
+    EXPECT_LT(steady_clock::now() - begun, this->state->routes.front().timeout);
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -15,6 +15,9 @@
 
 constexpr std::size_t read_bytes = 8192;
 constexpr std::uint32_t largest_header_limit = 1 << 20;
+// What may wait for the end of a line: of a chunk's header, a trailer or a head. The parser takes
+// nothing of a line before it has all of it.
+constexpr std::size_t largest_unparsed = 1 << 16;
 // Responses beyond this are refused; requests have limits of their own.
 constexpr std::uint64_t largest_response_bytes = 64ULL << 20;
 
@@ -145,6 +148,13 @@
     return absl::OkStatus();
 }
 
+absl::Status message_reader::check_unparsed() const
+{
+    return this->buffered.size() <= largest_unparsed
+               ? absl::OkStatus()
+               : make_error(absl::StatusCode::kResourceExhausted, "parse", "", "line without end");
+}
+
 template <bool IsRequest>
 absl::Status message_reader::read_head(parser<IsRequest>& into, steady_time deadline,
                                        const hangup_watch& caller)
@@ -155,6 +165,7 @@
         if (into.is_header_done()) {
             return check_framing(into.head.headers, into.head.version);
         }
+        SARDINE_RETURN_IF_ERROR(this->check_unparsed());
         absl::StatusOr<std::size_t> length = this->fill(deadline, caller);
         if (!length.ok()) {
             return length.status();
@@ -233,6 +244,9 @@
             }
         }
         SARDINE_RETURN_IF_ERROR(this->parse_buffered(from));
+        if (!from.is_done()) {
+            SARDINE_RETURN_IF_ERROR(this->check_unparsed());
+        }
     }
     body.append(from.body);
     from.body.clear();
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -9,8 +9,9 @@
 //     absl::Status done = reader.read_body(limits.body_bytes, body, deadline, {});
 //
 // Errors beside those of the socket: kInvalidArgument (not HTTP, or a form that two parsers could
-// read differently), kResourceExhausted (head too large), kOutOfRange (body too large), kDataLoss
-// (the connection ended within the message), kNotFound (it ended before the first byte).
+// read differently), kResourceExhausted (head or another line too large), kOutOfRange (body too
+// large), kDataLoss (the connection ended within the message), kNotFound (it ended before the first
+// byte).
 
 #ifndef SARDINESTREAM_HTTP_MESSAGE_READER_H_
 #define SARDINESTREAM_HTTP_MESSAGE_READER_H_
@@ -70,6 +71,8 @@
                            const hangup_watch& caller);
     template <bool IsRequest>
     absl::Status parse_buffered(parser<IsRequest>& into);
+    // Fails where what waits for more bytes has grown beyond any sound message.
+    [[nodiscard]] absl::Status check_unparsed() const;
     template <bool IsRequest>
     absl::StatusOr<bool> read_part(parser<IsRequest>& from, std::string& body, steady_time deadline,
                                    const hangup_watch& caller);
