--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -139,6 +139,7 @@
     }
     this->use(used);
     std::vector<std::thread> callers;
+    callers.reserve(servers_in_trouble);
     std::atomic<int> told = 0;
     for (int i = 0; i < servers_in_trouble; ++i) {
         callers.emplace_back([&] {
--- a/sardinestream/maps/group_pace_test.cc
+++ b/sardinestream/maps/group_pace_test.cc
@@ -33,7 +33,7 @@
     constexpr double state_bytes = 300;
     for (const map_shape& shape : {map_shape{6, 8, 64, 11}, map_shape{12, 32, 128, 5},
                                    map_shape{8, 63, 252, 5}, map_shape{16, 96, 192, 3}}) {
-        const double counts = counting_ranks(shape.ranks) * shape.sets * shape.experts / 2 *
+        const double counts = 0.5 * counting_ranks(shape.ranks) * shape.sets * shape.experts *
                               ms_per_s / static_cast<double>(counts_interval(shape).count());
         const double states = shape.ranks * state_bytes * ms_per_s /
                               static_cast<double>(state_interval(shape.ranks).count());
--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -51,15 +51,14 @@
     if (!bound.ok()) {
         return bound.status();
     }
-    std::unique_ptr<entry_news> made(new entry_news(*std::move(bound), ip, port, std::move(hooks)));
+    std::unique_ptr<entry_news> made(new entry_news(*std::move(bound), ip, std::move(hooks)));
     made->add_seeds(seeds);
     made->thread = std::thread([raw = made.get()] { raw->run(); });
     return made;
 }
 
-entry_news::entry_news(datagram_socket bound, std::string own, int news_port,
-                       entry_news_hooks given)
-    : socket(std::move(bound)), own_ip(std::move(own)), port(news_port), hooks(std::move(given))
+entry_news::entry_news(datagram_socket bound, std::string own, entry_news_hooks given)
+    : socket(std::move(bound)), own_ip(std::move(own)), hooks(std::move(given))
 {
 }
 
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -76,7 +76,7 @@
         std::uint64_t digest = 0;
     };
 
-    entry_news(datagram_socket bound, std::string own, int news_port, entry_news_hooks given);
+    entry_news(datagram_socket bound, std::string own, entry_news_hooks given);
 
     void run();
     void take(const news::NewsT& message);
@@ -95,7 +95,6 @@
 
     const datagram_socket socket;
     const std::string own_ip;
-    const int port;
     const entry_news_hooks hooks;
     std::atomic<bool> stopping = false;
     std::atomic<bool> announce_now = false;
