--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -59,6 +59,9 @@
     [[nodiscard]] bool run();
 
 private:
+    // A server that is silent for so long is left for another one, where the request may run again.
+    static constexpr std::chrono::milliseconds longest_silence{1200};
+
     // What the thread does after an attempt.
     enum class next_step { answered, broken_off, try_again };
 
@@ -109,6 +112,7 @@
     [[nodiscard]] bool answer_ourselves(int status, absl::string_view code,
                                         std::chrono::milliseconds retry_after);
 
+    [[nodiscard]] static std::chrono::milliseconds elapsed_since(steady_time begun);
     [[nodiscard]] std::string encode_request(const backend_server& server) const;
     [[nodiscard]] bool keeps_connection() const;
     void log_outcome(absl::string_view outcome, int status, absl::string_view reason) const;
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -160,7 +160,9 @@
 {
     // An order to the own engine changes its report at once, which may call for the next order.
     constexpr int most_rounds = 4;
-    for (int round = 0; round < most_rounds && this->is_coordinating(); ++round) {
+    for (int round = 0;
+         round < most_rounds && this->is_coordinating() && this->engine.report().has_value();
+         ++round) {
         const std::vector<rank_order> orders = this->coordinator->next_orders(steady_clock::now());
         bool own = false;
         for (std::size_t begin = 0; begin < orders.size();) {
