--- a/sardinestream/testing/emulator/large_group_test.cc
+++ b/sardinestream/testing/emulator/large_group_test.cc
@@ -238,6 +238,7 @@
     this->start(shape_of_96, {});
     ASSERT_TRUE(this->follows_change(50));
     std::vector<news_network::link_use> before;
+    before.reserve(shape_of_96.ranks);
     for (int rank = 0; rank < shape_of_96.ranks; ++rank) {
         before.push_back(this->network->use_of(ip_of(rank)));
     }
--- a/sardinestream/testing/emulator/news_network.h
+++ b/sardinestream/testing/emulator/news_network.h
@@ -36,6 +36,7 @@
 class news_network {
 public:
     news_network(news_link chosen, unsigned seed);
+    ~news_network() = default;
     news_network(const news_network&) = delete;
     news_network& operator=(const news_network&) = delete;
 
