--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -92,5 +92,27 @@
     EXPECT_EQ(this->directory.usable().size(), 1U);
 }
 
+TEST_F(server_directory_test, a_late_change_does_not_bring_back_a_server_that_leaves)
+{
+    this->directory.replace_all({named("a", true)}, 100, false, this->start);
+    this->directory.put(named("a"), 90);
+    ASSERT_EQ(this->directory.usable().size(), 1U);
+    EXPECT_TRUE(this->directory.usable()[0].draining);
+}
+
+TEST_F(server_directory_test, a_late_change_does_not_bring_back_a_server_that_is_gone)
+{
+    this->directory.replace_all({}, 100, false, this->start);
+    this->directory.put(named("a"), 90);
+    EXPECT_TRUE(this->directory.usable().empty());
+}
+
+TEST_F(server_directory_test, a_late_removal_does_not_take_a_server_that_has_returned)
+{
+    this->directory.replace_all({named("a")}, 110, false, this->start);
+    this->directory.remove("a", 105, false, this->start);
+    EXPECT_EQ(this->directory.usable().size(), 1U);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -7,6 +7,7 @@
 
 #include "sardinestream/programs/entry_program.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -24,6 +25,18 @@
     return state;
 }
 
+backend_server named(const std::string& id)
+{
+    backend_server server;
+    server.id = id;
+    server.service = "orders";
+    server.endpoint = {"127.0.7.9", id == "leaves" ? 1 : 2};
+    return server;
+}
+
+// Within this a server that has left is out of use everywhere.
+constexpr milliseconds shortest_drain{2000};
+
 // A port that is free on all of the loopback addresses that the tests use.
 int free_port()
 {
@@ -41,7 +54,7 @@
         options.ip = ip;
         options.front_listen = {ip, 0};
         options.ready_listen = {ip, this->ready_port};
-        options.ops_listen = {ip, 0};
+        options.ops_listen = {ip, this->ops_port};
         options.news_port = this->news_port;
         options.seeds = seeds;
         absl::StatusOr<std::unique_ptr<entry_program>> started =
@@ -70,8 +83,32 @@
         return false;
     }
 
+    // Whether the entry passes requests to the server, by its status page.
+    [[nodiscard]] bool uses(int machine, absl::string_view server) const
+    {
+        http_client client({absl::StrCat("127.0.7.", machine), this->ops_port});
+        const absl::StatusOr<http_answer> answer =
+            client.call("GET", "/status", "", steady_clock::now() + milliseconds(1000));
+        EXPECT_TRUE(answer.ok()) << answer.status();
+        return answer.ok() && absl::StrContains(answer->body, absl::StrCat("\"", server, "\""));
+    }
+
+    [[nodiscard]] bool stops_using(int machine, absl::string_view server,
+                                   milliseconds longest) const
+    {
+        const steady_time end = steady_clock::now() + longest;
+        while (this->uses(machine, server)) {
+            if (steady_clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return true;
+    }
+
     const int news_port = free_port();
     const int ready_port = free_port();
+    const int ops_port = free_port();
 };
 
 TEST_F(entry_program_test, is_ready_once_it_knows_routes_and_servers)
@@ -93,6 +130,21 @@
     EXPECT_TRUE(this->becomes_ready(2));
 }
 
+TEST_F(entry_program_test,
+       does_not_keep_a_server_that_left_while_only_this_entry_had_lost_the_store)
+{
+    const std::unique_ptr<entry_program> told = this->start(1, {});
+    const std::unique_ptr<entry_program> refused = this->start(2, {"127.0.7.1"});
+    for (entry_program* entry : {told.get(), refused.get()}) {
+        entry->take_desired_state("3", 9, "store");
+        entry->take_servers({named("leaves"), named("stays")}, 10, false);
+    }
+    ASSERT_TRUE(this->uses(2, "leaves"));
+    told->take_removal("leaves", 11, false);
+    EXPECT_TRUE(this->stops_using(2, "leaves", shortest_drain));
+    EXPECT_TRUE(this->uses(2, "stays"));
+}
+
 TEST_F(entry_program_test, is_not_ready_while_it_stops)
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
