Newer news of the servers wins, and only an outage that most entries saw excuses a lapse

What callers saw: dispatches and lookups went to a server that had left over 3 s before (DRAIN), where it may be gone at any moment.

Cause: what an entry knows of the servers comes from the store and from other entries, and whichever came last won. (1) An entry that the store turned away took each server that was missing in a peer's list for one that had lapsed in an outage of the store, and used it for 1.9 s more, counted from when it heard; so did one that had just reached the store again, for 4 s after it. (2) A change of the store that was answered late undid a newer list of a peer. (3) The changes of one answer were taken one by one under the revision of the last, so that a peer could fetch the list with half of them and take it for whole.

Change: each server keeps the revision of its entry, which peers hand on; older news changes nothing. Changes of one answer are taken at once. Servers may come back until 1.9 s after the store's return, not after each removal. Entries tell how many vanished servers they keep; where most of those alive know as much and keep none, the store was not out, and one that keeps some drops them.

The tests of the directory take lists and changes as the entry does now; their assertions are the same.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -5,43 +5,45 @@
 #include <utility>
 
 namespace sardinestream {
-namespace {
 
-// Live servers are listed again within two seconds after an outage of the store.
-constexpr std::chrono::milliseconds relist_time{1900};
-
-} // namespace
+bool server_directory::put(const listed_server& newer)
+{
+    entry& known = this->entries[newer.server.id];
+    if (known.listed.revision > newer.revision) {
+        return false;
+    }
+    const bool changed = !(known.listed.server == newer.server) || known.drop_at != steady_time{};
+    known = {newer, {}};
+    return changed;
+}
 
-bool server_directory::vanish(entry& vanished, bool after_outage, steady_time now)
+bool server_directory::vanish(entry& vanished, steady_time relist_until, steady_time now)
 {
-    // Returns whether the entry has to go at once.
-    if (!after_outage || vanished.server.draining) {
+    if (relist_until <= now || vanished.listed.server.draining) {
         return true;
     }
     if (vanished.drop_at == steady_time{}) {
-        vanished.drop_at = now + relist_time;
+        vanished.drop_at = relist_until;
     }
     return false;
 }
 
-bool server_directory::replace_all(const std::vector<backend_server>& listed, std::int64_t revision,
-                                   bool after_outage, steady_time now)
+bool server_directory::take(const server_list& list, steady_time relist_until, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (revision < this->known_revision) {
+    if (list.revision < this->known_revision) {
         return false;
     }
-    this->known_revision = revision;
+    this->known_revision = list.revision;
     std::set<std::string> present;
     bool changed = false;
-    for (const backend_server& server : listed) {
-        present.insert(server.id);
-        entry& known = this->entries[server.id];
-        changed = changed || !(known.server == server) || known.drop_at != steady_time{};
-        known = {server, {}};
+    for (const listed_server& listed : list.servers) {
+        present.insert(listed.server.id);
+        changed = this->put(listed) || changed;
     }
     for (auto it = this->entries.begin(); it != this->entries.end();) {
-        if (present.count(it->first) == 0 && this->vanish(it->second, after_outage, now)) {
+        const bool is_newer = it->second.listed.revision > list.revision;
+        if (present.count(it->first) == 0 && !is_newer && vanish(it->second, relist_until, now)) {
             it = this->entries.erase(it);
             changed = true;
             continue;
@@ -51,27 +53,27 @@
     return changed;
 }
 
-bool server_directory::put(const backend_server& server, std::int64_t revision)
-{
-    const absl::MutexLock lock(&this->mutex);
-    this->known_revision = std::max(this->known_revision, revision);
-    entry& known = this->entries[server.id];
-    const bool changed = !(known.server == server) || known.drop_at != steady_time{};
-    known = {server, {}};
-    return changed;
-}
-
-bool server_directory::remove(const std::string& id, std::int64_t revision, bool after_outage,
-                              steady_time now)
+bool server_directory::take(const server_changes& news, steady_time relist_until, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->known_revision = std::max(this->known_revision, revision);
-    const auto found = this->entries.find(id);
-    if (found == this->entries.end() || !this->vanish(found->second, after_outage, now)) {
-        return false;
+    bool changed = false;
+    for (const server_change& change : news.changes) {
+        const auto found = this->entries.find(change.id);
+        const bool is_known = found != this->entries.end();
+        if (change.server.has_value()) {
+            // What a list of that revision does not hold was removed since.
+            const bool is_past = !is_known && change.revision <= this->known_revision;
+            changed = (!is_past && this->put({*change.server, change.revision})) || changed;
+            continue;
+        }
+        const bool is_past = is_known && found->second.listed.revision > change.revision;
+        if (is_known && !is_past && vanish(found->second, relist_until, now)) {
+            this->entries.erase(found);
+            changed = true;
+        }
     }
-    this->entries.erase(found);
-    return true;
+    this->known_revision = std::max(this->known_revision, news.revision);
+    return changed;
 }
 
 bool server_directory::drop_vanished(steady_time now)
@@ -83,38 +85,55 @@
     return dropped > 0;
 }
 
+std::size_t server_directory::drop_all_vanished()
+{
+    const absl::MutexLock lock(&this->mutex);
+    return std::erase_if(this->entries,
+                         [](const auto& named) { return named.second.drop_at != steady_time{}; });
+}
+
 std::vector<backend_server> server_directory::usable() const
 {
     const absl::MutexLock lock(&this->mutex);
     // The newest start at each address.
     std::map<std::pair<std::string, int>, std::int64_t> newest;
     for (const auto& [id, known] : this->entries) {
-        std::int64_t& born_ms = newest[{known.server.endpoint.ip, known.server.endpoint.port}];
-        born_ms = std::max(born_ms, known.server.born_ms);
+        const backend_server& server = known.listed.server;
+        std::int64_t& born_ms = newest[{server.endpoint.ip, server.endpoint.port}];
+        born_ms = std::max(born_ms, server.born_ms);
     }
     std::vector<backend_server> all;
     all.reserve(this->entries.size());
     for (const auto& [id, known] : this->entries) {
-        if (known.server.born_ms ==
-            newest[{known.server.endpoint.ip, known.server.endpoint.port}]) {
-            all.push_back(known.server);
+        const backend_server& server = known.listed.server;
+        if (server.born_ms == newest[{server.endpoint.ip, server.endpoint.port}]) {
+            all.push_back(server);
         }
     }
     return all;
 }
 
-std::vector<backend_server> server_directory::listed() const
+server_list server_directory::listed() const
 {
     const absl::MutexLock lock(&this->mutex);
-    std::vector<backend_server> all;
+    server_list all;
+    all.revision = this->known_revision;
     for (const auto& [id, known] : this->entries) {
         if (known.drop_at == steady_time{}) {
-            all.push_back(known.server);
+            all.servers.push_back(known.listed);
         }
     }
     return all;
 }
 
+std::size_t server_directory::vanished() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return static_cast<std::size_t>(
+        std::count_if(this->entries.begin(), this->entries.end(),
+                      [](const auto& named) { return named.second.drop_at != steady_time{}; }));
+}
+
 std::int64_t server_directory::revision() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -13,24 +13,56 @@
     return server;
 }
 
+listed_server at_revision(std::int64_t revision, const backend_server& server)
+{
+    return {server, revision};
+}
+
 class server_directory_test : public testing::Test {
 protected:
+    // All servers are listed, with entries as old as the list.
+    bool list(const std::vector<backend_server>& servers, std::int64_t revision,
+              bool after_outage = false)
+    {
+        server_list all = {{}, revision};
+        for (const backend_server& server : servers) {
+            all.servers.push_back(at_revision(revision, server));
+        }
+        return this->directory.take(all, this->relist_until(after_outage), this->start);
+    }
+
+    bool put(const backend_server& server, std::int64_t revision)
+    {
+        return this->directory.take({{{server.id, server, revision}}, revision}, {}, this->start);
+    }
+
+    bool remove(const std::string& id, std::int64_t revision, bool after_outage = false)
+    {
+        return this->directory.take({{{id, std::nullopt, revision}}, revision},
+                                    this->relist_until(after_outage), this->start);
+    }
+
+    [[nodiscard]] steady_time relist_until(bool after_outage) const
+    {
+        return after_outage ? this->start + relist_time : steady_time{};
+    }
+
     server_directory directory;
     const steady_time start = steady_clock::now();
 };
 
 TEST_F(server_directory_test, drops_a_removed_server_at_once)
 {
-    this->directory.replace_all({named("a"), named("b")}, 1, false, this->start);
-    EXPECT_TRUE(this->directory.remove("a", 2, false, this->start));
+    this->list({named("a"), named("b")}, 1);
+    EXPECT_TRUE(this->remove("a", 2));
     ASSERT_EQ(this->directory.usable().size(), 1U);
     EXPECT_EQ(this->directory.usable()[0].id, "b");
 }
 
 TEST_F(server_directory_test, keeps_one_that_lapsed_in_an_outage_for_a_short_time)
 {
-    this->directory.replace_all({named("a"), named("b")}, 1, false, this->start);
-    this->directory.replace_all({named("a")}, 2, true, this->start);
+    this->list({named("a"), named("b")}, 1);
+    this->list({named("a")}, 2, true);
     EXPECT_EQ(this->directory.usable().size(), 2U);
     EXPECT_FALSE(this->directory.drop_vanished(this->start + std::chrono::seconds(1)));
     EXPECT_TRUE(this->directory.drop_vanished(this->start + std::chrono::seconds(2)));
@@ -49,7 +81,7 @@
     backend_server elsewhere = before;
     elsewhere.id = "c";
     elsewhere.endpoint.port = 8001;
-    this->directory.replace_all({before, after, elsewhere}, 1, false, this->start);
+    this->list({before, after, elsewhere}, 1);
     const std::vector<backend_server> usable = this->directory.usable();
     ASSERT_EQ(usable.size(), 2U);
     EXPECT_EQ(usable[0].id, "b");
@@ -60,59 +92,101 @@
 // from it that the server is there.
 TEST_F(server_directory_test, does_not_hand_on_a_server_that_vanished)
 {
-    this->directory.replace_all({named("a"), named("b")}, 1, false, this->start);
-    this->directory.remove("a", 2, true, this->start);
-    this->directory.put(named("c"), 3);
+    this->list({named("a"), named("b")}, 1);
+    this->remove("a", 2, true);
+    this->put(named("c"), 3);
     EXPECT_EQ(this->directory.usable().size(), 3U);
-    ASSERT_EQ(this->directory.listed().size(), 2U);
-    EXPECT_EQ(this->directory.listed()[0].id, "b");
-    EXPECT_EQ(this->directory.listed()[1].id, "c");
+    const std::vector<listed_server> listed = this->directory.listed().servers;
+    ASSERT_EQ(listed.size(), 2U);
+    EXPECT_EQ(listed[0].server.id, "b");
+    EXPECT_EQ(listed[1].server.id, "c");
 }
 
 TEST_F(server_directory_test, keeps_one_that_is_listed_again_in_time)
 {
-    this->directory.replace_all({named("a")}, 1, false, this->start);
-    this->directory.remove("a", 2, true, this->start);
-    this->directory.put(named("a"), 3);
+    this->list({named("a")}, 1);
+    this->remove("a", 2, true);
+    this->put(named("a"), 3);
     EXPECT_FALSE(this->directory.drop_vanished(this->start + std::chrono::seconds(3)));
     EXPECT_EQ(this->directory.usable().size(), 1U);
 }
 
 TEST_F(server_directory_test, drops_one_that_was_leaving_also_after_an_outage)
 {
-    this->directory.replace_all({named("a", true)}, 1, false, this->start);
-    EXPECT_TRUE(this->directory.remove("a", 2, true, this->start));
+    this->list({named("a", true)}, 1);
+    EXPECT_TRUE(this->remove("a", 2, true));
     EXPECT_TRUE(this->directory.usable().empty());
 }
 
 TEST_F(server_directory_test, ignores_a_list_older_than_the_known_one)
 {
-    this->directory.replace_all({named("a")}, 5, false, this->start);
-    EXPECT_FALSE(this->directory.replace_all({}, 4, false, this->start));
+    this->list({named("a")}, 5);
+    EXPECT_FALSE(this->list({}, 4));
     EXPECT_EQ(this->directory.usable().size(), 1U);
 }
 
 TEST_F(server_directory_test, a_late_change_does_not_bring_back_a_server_that_leaves)
 {
-    this->directory.replace_all({named("a", true)}, 100, false, this->start);
-    this->directory.put(named("a"), 90);
+    this->list({named("a", true)}, 100);
+    this->put(named("a"), 90);
     ASSERT_EQ(this->directory.usable().size(), 1U);
     EXPECT_TRUE(this->directory.usable()[0].draining);
 }
 
 TEST_F(server_directory_test, a_late_change_does_not_bring_back_a_server_that_is_gone)
 {
-    this->directory.replace_all({}, 100, false, this->start);
-    this->directory.put(named("a"), 90);
+    this->list({}, 100);
+    this->put(named("a"), 90);
     EXPECT_TRUE(this->directory.usable().empty());
 }
 
 TEST_F(server_directory_test, a_late_removal_does_not_take_a_server_that_has_returned)
 {
-    this->directory.replace_all({named("a")}, 110, false, this->start);
-    this->directory.remove("a", 105, false, this->start);
+    this->list({named("a")}, 110);
+    this->remove("a", 105);
     EXPECT_EQ(this->directory.usable().size(), 1U);
 }
 
+// A list is read page by page while the store changes: a part of it may be newer than the rest.
+TEST_F(server_directory_test, an_older_list_does_not_undo_a_newer_entry)
+{
+    this->directory.take(server_list{{at_revision(103, named("a", true))}, 100}, {}, this->start);
+    this->directory.take(server_list{{at_revision(90, named("a"))}, 101}, {}, this->start);
+    this->directory.take(server_list{{}, 102}, {}, this->start);
+    ASSERT_EQ(this->directory.usable().size(), 1U);
+    EXPECT_TRUE(this->directory.usable()[0].draining);
+}
+
+TEST_F(server_directory_test, a_list_is_as_new_as_all_of_its_changes)
+{
+    this->list({named("a"), named("b")}, 1);
+    this->directory.take({{{"a", named("a", true), 2}, {"b", std::nullopt, 3}}, 4}, {},
+                         this->start);
+    const server_list listed = this->directory.listed();
+    EXPECT_EQ(listed.revision, 4);
+    ASSERT_EQ(listed.servers.size(), 1U);
+    EXPECT_EQ(listed.servers[0].revision, 2);
+    EXPECT_TRUE(listed.servers[0].server.draining);
+}
+
+TEST_F(server_directory_test, a_removal_long_after_an_outage_is_no_lapse)
+{
+    this->list({named("a")}, 1);
+    const steady_time later = this->start + std::chrono::seconds(2);
+    EXPECT_TRUE(
+        this->directory.take({{{"a", std::nullopt, 2}}, 2}, this->start + relist_time, later));
+    EXPECT_TRUE(this->directory.usable().empty());
+}
+
+TEST_F(server_directory_test, drops_what_vanished_where_there_was_no_outage)
+{
+    this->list({named("a"), named("b")}, 1);
+    this->remove("a", 2, true);
+    EXPECT_EQ(this->directory.vanished(), 1U);
+    EXPECT_EQ(this->directory.drop_all_vanished(), 1U);
+    ASSERT_EQ(this->directory.usable().size(), 1U);
+    EXPECT_EQ(this->directory.usable()[0].id, "b");
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/peers/entry_news.cc
+++ b/sardinestream/peers/entry_news.cc
@@ -148,10 +148,30 @@
     heard_entry& heard = this->entries[hello.ip];
     heard.last = steady_clock::now();
     heard.revisions = {hello.config_revision, hello.servers_revision};
+    heard.vanished_servers = static_cast<std::size_t>(std::max(0, hello.vanished_servers));
     for (const std::uint32_t other : hello.entries) {
         this->note_entry(other);
     }
     this->note_revisions(hello.ip, heard.revisions);
+    if (this->hooks.vanished_servers() > 0 && this->most_saw_no_outage()) {
+        this->hooks.on_no_outage();
+    }
+}
+
+bool entry_news::most_saw_no_outage() const
+{
+    const std::int64_t own = this->hooks.revisions().servers;
+    const steady_time now = steady_clock::now();
+    int alive = 0;
+    int saw_none = 0;
+    for (const auto& [ip, heard] : this->entries) {
+        if (now - heard.last >= entry_lifetime) {
+            continue;
+        }
+        ++alive;
+        saw_none += heard.revisions.servers >= own && heard.vanished_servers == 0 ? 1 : 0;
+    }
+    return 2 * saw_none > alive;
 }
 
 void entry_news::take_report(const news::ServerReportT& report)
@@ -277,6 +297,7 @@
                   [&](const auto& named) { return now - named.second.last > entry_memory; });
     news::EntryHelloT hello = this->make_hello();
     hello.entries = this->other_entries_alive();
+    hello.vanished_servers = static_cast<int>(this->hooks.vanished_servers());
     const int alive = static_cast<int>(hello.entries.size()) + 1;
     std::vector<std::uint32_t> receivers;
     for (const auto& [ip, heard] : this->entries) {
--- a/sardinestream/peers/entry_news.h
+++ b/sardinestream/peers/entry_news.h
@@ -37,12 +37,17 @@
 
 struct entry_news_hooks {
     std::function<known_revisions()> revisions;
+    // Servers in use that the store no longer lists.
+    std::function<std::size_t()> vanished_servers;
     std::function<std::vector<backend_server>()> servers;
     std::function<std::shared_ptr<const desired_state>()> state;
     // An agent reported about the server at `ip`.
     std::function<void(const std::string& ip, const server_report& report)> on_report;
     // Another entry knows something newer.
     std::function<void(const std::string& ip, const known_revisions& newer)> on_newer;
+    // Most of the other entries know as much of the servers as this one, and keep none that has
+    // vanished: the store was not out, only this entry could not reach it.
+    std::function<void()> on_no_outage;
     // The number of entries that are alive, and of those that were heard of lately; both include
     // this one.
     std::function<void(int alive, int known)> on_entries;
@@ -70,6 +75,7 @@
     struct heard_entry {
         steady_time last{};
         known_revisions revisions;
+        std::size_t vanished_servers = 0;
     };
     struct known_group {
         group_places places;
@@ -85,6 +91,7 @@
     void take_report(const news::ServerReportT& report);
     void note_entry(std::uint32_t ip);
     void note_revisions(std::uint32_t ip, const known_revisions& known);
+    [[nodiscard]] bool most_saw_no_outage() const;
     // Takes where the agent's server stands, and tells the agent if it knows other places.
     void take_place(const news::ServerReportT& report);
     void tell_places(const news::ServerReportT& report);
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -292,6 +292,7 @@
   int64_t servers_revision = 0;
   std::vector<uint32_t> entries{};
   int32_t report_interval_ms = 0;
+  int32_t vanished_servers = 0;
 };
 
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -303,7 +304,8 @@
     VT_CONFIG_REVISION = 6,
     VT_SERVERS_REVISION = 8,
     VT_ENTRIES = 10,
-    VT_REPORT_INTERVAL_MS = 12
+    VT_REPORT_INTERVAL_MS = 12,
+    VT_VANISHED_SERVERS = 14
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -320,6 +322,9 @@
   int32_t report_interval_ms() const {
     return GetField<int32_t>(VT_REPORT_INTERVAL_MS, 0);
   }
+  int32_t vanished_servers() const {
+    return GetField<int32_t>(VT_VANISHED_SERVERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -328,6 +333,7 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            VerifyField<int32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_VANISHED_SERVERS, 4) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -354,6 +360,9 @@
   void add_report_interval_ms(int32_t report_interval_ms) {
     fbb_.AddElement<int32_t>(EntryHello::VT_REPORT_INTERVAL_MS, report_interval_ms, 0);
   }
+  void add_vanished_servers(int32_t vanished_servers) {
+    fbb_.AddElement<int32_t>(EntryHello::VT_VANISHED_SERVERS, vanished_servers, 0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -371,10 +380,12 @@
     int64_t config_revision = 0,
     int64_t servers_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
-    int32_t report_interval_ms = 0) {
+    int32_t report_interval_ms = 0,
+    int32_t vanished_servers = 0) {
   EntryHelloBuilder builder_(_fbb);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_revision(config_revision);
+  builder_.add_vanished_servers(vanished_servers);
   builder_.add_report_interval_ms(report_interval_ms);
   builder_.add_entries(entries);
   builder_.add_ip(ip);
@@ -392,7 +403,8 @@
     int64_t config_revision = 0,
     int64_t servers_revision = 0,
     const std::vector<uint32_t> *entries = nullptr,
-    int32_t report_interval_ms = 0) {
+    int32_t report_interval_ms = 0,
+    int32_t vanished_servers = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   return sardinestream::news::CreateEntryHello(
       _fbb,
@@ -400,7 +412,8 @@
       config_revision,
       servers_revision,
       entries__,
-      report_interval_ms);
+      report_interval_ms,
+      vanished_servers);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1432,6 +1445,7 @@
   { auto _e = servers_revision(); _o->servers_revision = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
   { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
+  { auto _e = vanished_servers(); _o->vanished_servers = _e; }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1447,13 +1461,15 @@
   auto _servers_revision = _o->servers_revision;
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
   auto _report_interval_ms = _o->report_interval_ms;
+  auto _vanished_servers = _o->vanished_servers;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       _ip,
       _config_revision,
       _servers_revision,
       _entries,
-      _report_interval_ms);
+      _report_interval_ms,
+      _vanished_servers);
 }
 
 inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -58,12 +58,12 @@
 
 follower_hooks config_hooks(entry_program& program)
 {
-    return {[&program](const object_list& list, bool) {
+    return {[&program](const object_list& list, steady_time) {
                 for (const stored_object& object : list.objects) {
                     take_config(program, object);
                 }
             },
-            [&program](const change_list& changes, bool) {
+            [&program](const change_list& changes, steady_time) {
                 for (const object_change& change : changes.changes) {
                     if (!change.removed) {
                         take_config(program, change.object);
@@ -72,29 +72,45 @@
             }};
 }
 
+server_list to_server_list(const object_list& list)
+{
+    server_list decoded;
+    decoded.revision = list.revision;
+    for (const stored_object& object : list.objects) {
+        absl::StatusOr<backend_server> server = decode_logged(object);
+        if (server.ok()) {
+            decoded.servers.push_back({*std::move(server), object.revision});
+        }
+    }
+    return decoded;
+}
+
+server_changes to_server_changes(const change_list& changes)
+{
+    server_changes decoded;
+    decoded.revision = changes.revision;
+    for (const object_change& change : changes.changes) {
+        const stored_object& object = change.object;
+        server_change one = {object.name, std::nullopt, object.revision};
+        if (!change.removed) {
+            absl::StatusOr<backend_server> server = decode_logged(object);
+            if (!server.ok()) {
+                continue;
+            }
+            one.server = *std::move(server);
+        }
+        decoded.changes.push_back(std::move(one));
+    }
+    return decoded;
+}
+
 follower_hooks server_hooks(entry_program& program)
 {
-    return {[&program](const object_list& list, bool after_outage) {
-                std::vector<backend_server> servers;
-                for (const stored_object& object : list.objects) {
-                    absl::StatusOr<backend_server> decoded = decode_logged(object);
-                    if (decoded.ok()) {
-                        servers.push_back(*std::move(decoded));
-                    }
-                }
-                program.take_servers(servers, list.revision, after_outage);
+    return {[&program](const object_list& list, steady_time relist_until) {
+                program.take_servers(to_server_list(list), relist_until);
             },
-            [&program](const change_list& changes, bool after_outage) {
-                for (const object_change& change : changes.changes) {
-                    if (change.removed) {
-                        program.take_removal(change.object.name, changes.revision, after_outage);
-                        continue;
-                    }
-                    const absl::StatusOr<backend_server> decoded = decode_logged(change.object);
-                    if (decoded.ok()) {
-                        program.take_server(*decoded, changes.revision);
-                    }
-                }
+            [&program](const change_list& changes, steady_time relist_until) {
+                program.take_changes(to_server_changes(changes), relist_until);
             }};
 }
 
--- a/sardinestream/platform/kind_follower.cc
+++ b/sardinestream/platform/kind_follower.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "sardinestream/backends/server_directory.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
@@ -25,8 +26,6 @@
 constexpr milliseconds longest_timeout{1500};
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
-// Servers' entries may still be missing for so long after the store has returned.
-constexpr std::chrono::seconds outage_memory{4};
 
 } // namespace
 
@@ -53,7 +52,7 @@
             continue;
         }
         this->note_success();
-        this->hooks.on_list(*listed, this->had_outage_lately());
+        this->hooks.on_list(*listed, this->relist_until);
         this->watch_from(listed->revision);
     }
 }
@@ -76,7 +75,7 @@
         this->note_success();
         revision = std::max(revision, changes->revision);
         if (!changes->changes.empty()) {
-            this->hooks.on_changes(*changes, this->had_outage_lately());
+            this->hooks.on_changes(*changes, this->relist_until);
             std::this_thread::sleep_for(gather_time);
         }
     }
@@ -84,6 +83,9 @@
 
 void kind_follower::note_success()
 {
+    if (this->failures_in_a_row > 0) {
+        this->relist_until = steady_clock::now() + relist_time;
+    }
     this->failures_in_a_row = 0;
     if (!this->connected.exchange(true)) {
         log_event("store_connected", {{"kind", this->kind}});
@@ -92,7 +94,6 @@
 
 void kind_follower::note_failure(const absl::Status& error)
 {
-    this->last_failure = steady_clock::now();
     ++this->failures_in_a_row;
     count("sardine_store_failures_total", {{"kind", this->kind}});
     if (this->connected.exchange(false) || this->failures_in_a_row == 1) {
@@ -105,12 +106,6 @@
     return std::min(longest_timeout, first_timeout + timeout_step * this->failures_in_a_row);
 }
 
-bool kind_follower::had_outage_lately() const
-{
-    return this->last_failure != steady_time{} &&
-           steady_clock::now() - this->last_failure < outage_memory;
-}
-
 void kind_follower::pause()
 {
     const int doublings = std::min(this->failures_in_a_row - 1, 3);
--- a/sardinestream/platform/kind_follower.h
+++ b/sardinestream/platform/kind_follower.h
@@ -19,9 +19,10 @@
 namespace sardinestream::platform {
 
 struct follower_hooks {
-    // `after_outage`: the store was out of reach within the last seconds.
-    std::function<void(const object_list& list, bool after_outage)> on_list;
-    std::function<void(const change_list& changes, bool after_outage)> on_changes;
+    // Until `relist_until`, what the store no longer holds may come back: it was out of reach
+    // before. In the past where it was not.
+    std::function<void(const object_list& list, steady_time relist_until)> on_list;
+    std::function<void(const change_list& changes, steady_time relist_until)> on_changes;
 };
 
 class kind_follower {
@@ -40,7 +41,6 @@
     void watch_from(std::int64_t revision);
     void note_success();
     void note_failure(const absl::Status& error);
-    [[nodiscard]] bool had_outage_lately() const;
     void pause();
     [[nodiscard]] std::chrono::milliseconds call_timeout() const;
 
@@ -51,7 +51,7 @@
     std::atomic<bool> connected = false;
     int failures_in_a_row = 0;
     // Used by the follower's thread alone; zero before the first failure.
-    steady_time last_failure{};
+    steady_time relist_until{};
     std::thread thread;
 };
 
--- a/sardinestream/platform/kind_follower_test.cc
+++ b/sardinestream/platform/kind_follower_test.cc
@@ -51,11 +51,11 @@
         }
     });
     const kind_follower follower(store.local(), "servers",
-                                 {[&](const object_list& list, bool) {
+                                 {[&](const object_list& list, steady_time) {
                                       EXPECT_EQ(list.revision, 5);
                                       objects = static_cast<int>(list.objects.size());
                                   },
-                                  [](const change_list&, bool) {}});
+                                  [](const change_list&, steady_time) {}});
     EXPECT_TRUE(eventually([&] { return objects == 2; }));
 }
 
@@ -69,9 +69,9 @@
                                  : answer(200, R"({"items":[],"has-more":false,"at":5})"));
         }
     });
-    const kind_follower follower(
-        store.local(), "config",
-        {[&](const object_list&, bool) { ++lists; }, [](const change_list&, bool) {}});
+    const kind_follower follower(store.local(), "config",
+                                 {[&](const object_list&, steady_time) { ++lists; },
+                                  [](const change_list&, steady_time) {}});
     EXPECT_TRUE(eventually([&] { return lists >= 2; }));
 }
 
@@ -97,9 +97,9 @@
         }
     });
     const kind_follower follower(store.local(), "config",
-                                 {[](const object_list&, bool) {},
-                                  [&](const change_list& changes, bool after_outage) {
-                                      EXPECT_TRUE(after_outage);
+                                 {[](const object_list&, steady_time) {},
+                                  [&](const change_list& changes, steady_time relist_until) {
+                                      EXPECT_GT(relist_until, steady_clock::now());
                                       seen = static_cast<int>(changes.revision);
                                   }});
     // The first watch is lost, and some short ones after it.
@@ -131,10 +131,11 @@
                                          object("main", revision), R"(}],"at":)", revision, "}")));
         }
     });
-    const kind_follower follower(
-        store.local(), "servers",
-        {[](const object_list&, bool) {},
-         [&](const change_list& changes, bool) { seen = static_cast<int>(changes.revision); }});
+    const kind_follower follower(store.local(), "servers",
+                                 {[](const object_list&, steady_time) {},
+                                  [&](const change_list& changes, steady_time) {
+                                      seen = static_cast<int>(changes.revision);
+                                  }});
     ASSERT_TRUE(eventually([&] { return seen == last_change; }));
     EXPECT_LT(calls, last_change / 5);
 }
@@ -151,9 +152,9 @@
             std::this_thread::sleep_for(milliseconds(20));
         }
     });
-    const kind_follower follower(
-        store.local(), "config",
-        {[&](const object_list&, bool) { ++lists; }, [](const change_list&, bool) {}});
+    const kind_follower follower(store.local(), "config",
+                                 {[&](const object_list&, steady_time) { ++lists; },
+                                  [](const change_list&, steady_time) {}});
     EXPECT_TRUE(eventually([&] { return lists >= 1; }));
 }
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -129,6 +129,8 @@
     this->peer_state = *std::move(service);
     entry_news_hooks hooks;
     hooks.revisions = [this] { return this->own_revisions(); };
+    hooks.vanished_servers = [this] { return this->directory.vanished(); };
+    hooks.on_no_outage = [this] { this->drop_vanished_servers(); };
     hooks.servers = [this] { return this->directory.usable(); };
     hooks.state = [this] { return this->state.get(); };
     hooks.on_report = [this](const std::string& ip, const server_report& report) {
@@ -221,7 +223,7 @@
     if (listed.ok() && listed->status == http_ok) {
         const absl::StatusOr<server_list> list = decode_servers(listed->body);
         if (list.ok()) {
-            this->take_servers(list->servers, list->revision, true);
+            this->take_servers(*list, steady_clock::now() + relist_time);
         }
         else {
             log_failure("peer_state_unread", list.status(), {{"entry", ip}});
@@ -248,7 +250,7 @@
                                          : http_answer{nothing_newer, {}, ""};
     }
     if (parts.first == servers_path) {
-        const server_list list = {this->directory.listed(), this->directory.revision()};
+        const server_list list = this->directory.listed();
         return list.revision > known ? http_answer{http_ok, {}, encode_servers(list)}
                                      : http_answer{nothing_newer, {}, ""};
     }
@@ -281,7 +283,8 @@
     }
     log_event("servers_known", {{"revision", this->directory.revision()},
                                 {"servers", usable.size()},
-                                {"leaving", leaving}});
+                                {"leaving", leaving},
+                                {"vanished", this->directory.vanished()}});
 }
 
 void entry_program::take_desired_state(const std::string& text, std::int64_t revision,
@@ -292,29 +295,33 @@
     }
 }
 
-void entry_program::take_servers(const std::vector<backend_server>& listed, std::int64_t revision,
-                                 bool after_outage)
+void entry_program::take_servers(const server_list& list, steady_time relist_until)
 {
-    const bool changed =
-        this->directory.replace_all(listed, revision, after_outage, steady_clock::now());
+    const bool changed = this->directory.take(list, relist_until, steady_clock::now());
     this->servers_known = true;
     if (changed) {
         this->publish_servers();
     }
 }
 
-void entry_program::take_server(const backend_server& server, std::int64_t revision)
+void entry_program::take_changes(const server_changes& news, steady_time relist_until)
 {
-    if (this->directory.put(server, revision)) {
+    if (this->directory.take(news, relist_until, steady_clock::now())) {
         this->publish_servers();
     }
 }
 
-void entry_program::take_removal(const std::string& id, std::int64_t revision, bool after_outage)
+void entry_program::drop_vanished_servers()
 {
-    if (this->directory.remove(id, revision, after_outage, steady_clock::now())) {
-        this->publish_servers();
+    const std::size_t dropped = this->directory.drop_all_vanished();
+    if (dropped == 0) {
+        return;
     }
+    count("sardine_servers_known_gone_total");
+    log_event("servers_gone", {{"revision", this->directory.revision()},
+                               {"servers", dropped},
+                               {"reason", "other entries saw no outage of the store"}});
+    this->publish_servers();
 }
 
 bool entry_program::is_ready() const
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -60,10 +60,9 @@
 
     void take_desired_state(const std::string& text, std::int64_t revision,
                             absl::string_view source);
-    void take_servers(const std::vector<backend_server>& listed, std::int64_t revision,
-                      bool after_outage);
-    void take_server(const backend_server& server, std::int64_t revision);
-    void take_removal(const std::string& id, std::int64_t revision, bool after_outage);
+    // Servers that are not listed any more may come back until `relist_until`.
+    void take_servers(const server_list& list, steady_time relist_until);
+    void take_changes(const server_changes& news, steady_time relist_until);
 
     // Applies options that have changed since the start. Returns false where some of them need a
     // restart.
@@ -85,7 +84,10 @@
     // The entry to fetch from now, if any.
     [[nodiscard]] std::optional<std::string> due_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
+    // Brings what the directory knows into force.
     void publish_servers();
+    // The other entries have seen no outage in which the servers that vanished could have lapsed.
+    void drop_vanished_servers();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http_answer answer_readiness() const;
     // Sets the gauges to what the process believes now.
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -25,13 +25,13 @@
     return state;
 }
 
-backend_server named(const std::string& id)
+listed_server named(const std::string& id)
 {
     backend_server server;
     server.id = id;
     server.service = "orders";
     server.endpoint = {"127.0.7.9", id == "leaves" ? 1 : 2};
-    return server;
+    return {server, 10};
 }
 
 // Within this a server that has left is out of use everywhere.
@@ -117,7 +117,7 @@
     EXPECT_EQ(this->readiness(1), 503);
     entry->take_desired_state("3", 10, "store");
     EXPECT_EQ(this->readiness(1), 503);
-    entry->take_servers({}, 10, false);
+    entry->take_servers({{}, 10}, {});
     EXPECT_EQ(this->readiness(1), 200);
 }
 
@@ -126,7 +126,7 @@
     const std::unique_ptr<entry_program> told = this->start(1, {});
     const std::unique_ptr<entry_program> refused = this->start(2, {"127.0.7.1"});
     told->take_desired_state("3", 10, "store");
-    told->take_servers({}, 11, false);
+    told->take_servers({{}, 11}, {});
     EXPECT_TRUE(this->becomes_ready(2));
 }
 
@@ -137,10 +137,10 @@
     const std::unique_ptr<entry_program> refused = this->start(2, {"127.0.7.1"});
     for (entry_program* entry : {told.get(), refused.get()}) {
         entry->take_desired_state("3", 9, "store");
-        entry->take_servers({named("leaves"), named("stays")}, 10, false);
+        entry->take_servers({{named("leaves"), named("stays")}, 10}, {});
     }
     ASSERT_TRUE(this->uses(2, "leaves"));
-    told->take_removal("leaves", 11, false);
+    told->take_changes({{{"leaves", std::nullopt, 11}}, 11}, {});
     EXPECT_TRUE(this->stops_using(2, "leaves", shortest_drain));
     EXPECT_TRUE(this->uses(2, "stays"));
 }
@@ -149,7 +149,7 @@
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
     entry->take_desired_state("3", 10, "store");
-    entry->take_servers({}, 10, false);
+    entry->take_servers({{}, 10}, {});
     std::thread stopper([&] { entry->stop(milliseconds(1500)); });
     std::this_thread::sleep_for(milliseconds(100));
     EXPECT_EQ(this->readiness(1), 503);
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -14,9 +14,11 @@
     return make_error(absl::StatusCode::kInvalidArgument, "decode", "entry", error.what());
 }
 
-json encode_server(const backend_server& server)
+json encode_server(const listed_server& listed)
 {
+    const backend_server& server = listed.server;
     return {{"id", server.id},
+            {"revision", listed.revision},
             {"born_ms", server.born_ms},
             {"endpoint", server.endpoint.to_string()},
             {"data_centre", server.data_centre},
@@ -25,9 +27,11 @@
             {"draining", server.draining}};
 }
 
-absl::StatusOr<backend_server> decode_server(const json& object)
+absl::StatusOr<listed_server> decode_server(const json& object)
 {
-    backend_server server;
+    listed_server listed;
+    listed.revision = object.at("revision").get<std::int64_t>();
+    backend_server& server = listed.server;
     server.id = object.at("id").get<std::string>();
     server.born_ms = object.at("born_ms").get<std::int64_t>();
     absl::StatusOr<address> endpoint = parse_address(object.at("endpoint").get<std::string>());
@@ -39,7 +43,7 @@
     server.service = object.at("service").get<std::string>();
     server.slots = object.at("slots").get<int>();
     server.draining = object.at("draining").get<bool>();
-    return server;
+    return listed;
 }
 
 } // namespace
@@ -64,8 +68,8 @@
 std::string encode_servers(const server_list& list)
 {
     json object = {{"revision", list.revision}, {"servers", json::array()}};
-    for (const backend_server& server : list.servers) {
-        object["servers"].push_back(encode_server(server));
+    for (const listed_server& listed : list.servers) {
+        object["servers"].push_back(encode_server(listed));
     }
     return object.dump();
 }
@@ -77,11 +81,11 @@
         server_list list;
         list.revision = object.at("revision").get<std::int64_t>();
         for (const json& entry : object.at("servers")) {
-            absl::StatusOr<backend_server> server = decode_server(entry);
-            if (!server.ok()) {
-                return server.status();
+            absl::StatusOr<listed_server> listed = decode_server(entry);
+            if (!listed.ok()) {
+                return listed.status();
             }
-            list.servers.push_back(*std::move(server));
+            list.servers.push_back(*std::move(listed));
         }
         return list;
     }
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -24,11 +24,12 @@
     server.data_centre = "a";
     server.slots = 3;
     server.draining = true;
-    const absl::StatusOr<server_list> read = decode_servers(encode_servers({{server}, 9}));
+    const absl::StatusOr<server_list> read = decode_servers(encode_servers({{{server, 7}}, 9}));
     ASSERT_TRUE(read.ok());
     EXPECT_EQ(read->revision, 9);
     ASSERT_EQ(read->servers.size(), 1U);
-    EXPECT_EQ(read->servers[0], server);
+    EXPECT_EQ(read->servers[0].server, server);
+    EXPECT_EQ(read->servers[0].revision, 7);
 }
 
 TEST(peer_state, refuses_what_it_cannot_read)
