Bring lists of servers into force in their order

Cause: the store's follower and the thread that fetches from peers both take the directory's servers and hand them to the dispatcher; nothing kept the one that took them first from handing them over last. The dispatcher then used a server that the directory had removed until the list changed again, which may be seconds.

Change: one lock around taking the servers and bringing them into force.

--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -273,6 +273,7 @@
 
 void entry_program::publish_servers()
 {
+    const absl::MutexLock lock(&this->publishing);
     const std::vector<backend_server> usable = this->directory.usable();
     this->servers.set_servers(usable);
     this->news->announce();
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -122,6 +122,8 @@
         steady_time since{};
     };
     std::optional<entry_ahead> ahead ABSL_GUARDED_BY(mutex);
+    // Held while the servers are brought into force, so that the newest list is the last.
+    absl::Mutex publishing;
     std::atomic<bool> ticking = true;
     std::thread ticker;
     std::thread fetcher;
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -30,7 +30,7 @@
     backend_server server;
     server.id = id;
     server.service = "orders";
-    server.endpoint = {"127.0.7.9", id == "leaves" ? 1 : 2};
+    server.endpoint = {"127.0.7.9", 1 + static_cast<int>(std::hash<std::string>()(id) % 60000)};
     return {server, 10};
 }
 
@@ -145,6 +145,35 @@
     EXPECT_TRUE(this->uses(2, "stays"));
 }
 
+// The store's changes and a peer's list are taken on threads of their own.
+TEST_F(entry_program_test, an_older_list_is_not_in_force_after_a_newer_one)
+{
+    constexpr int rounds = 300;
+    const std::vector<std::string> ids = {"a1", "a2", "a3", "a4", "a5", "a6"};
+    const std::unique_ptr<entry_program> entry = this->start(1, {});
+    std::int64_t revision = 10;
+    for (int round = 0; round < rounds; ++round) {
+        server_list all = {{}, ++revision};
+        for (const std::string& id : ids) {
+            all.servers.push_back(named(id));
+        }
+        entry->take_servers(all, {});
+        ++revision;
+        std::vector<std::thread> removals;
+        for (const std::string& id : ids) {
+            removals.emplace_back([&, id] {
+                entry->take_changes({{{id, std::nullopt, revision}}, revision}, {});
+            });
+        }
+        for (std::thread& removal : removals) {
+            removal.join();
+        }
+        for (const std::string& id : ids) {
+            ASSERT_FALSE(this->uses(1, id)) << "round " << round;
+        }
+    }
+}
+
 TEST_F(entry_program_test, is_not_ready_while_it_stops)
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
