A server whose entry becomes unreadable is not used any more

Cause: a change of an entry that did not decode was skipped, so the last readable one stayed in use for as long as no other came, also where the server had left in between. The users' page says that such an entry names no server to use. A list already left it out.

Change: such a change counts as a removal. The decoding of lists and changes moves from the main to a file with tests; the test of this fault failed before by construction (the change was not in the answer).

--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -4,14 +4,13 @@
 
 #include <gflags/gflags.h>
 
-#include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
-#include "sardinestream/base/metrics.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/platform/caller_protocol.h"
 #include "sardinestream/platform/command.h"
 #include "sardinestream/platform/desired_state_decoder.h"
 #include "sardinestream/platform/kind_follower.h"
+#include "sardinestream/platform/server_entries.h"
 #include "sardinestream/platform/settings.h"
 #include "sardinestream/platform/wire_names.h"
 #include "sardinestream/programs/entry_program.h"
@@ -45,17 +44,6 @@
     }
 }
 
-// Returns the server, or nothing for an entry of another writer.
-absl::StatusOr<backend_server> decode_logged(const stored_object& object)
-{
-    absl::StatusOr<backend_server> decoded = decode_server_entry(object.name, object.specification);
-    if (!decoded.ok()) {
-        count("sardine_unreadable_server_entries_total");
-        log_failure("server_entry_unreadable", decoded.status(), {{"server", object.name}});
-    }
-    return decoded;
-}
-
 follower_hooks config_hooks(entry_program& program)
 {
     return {[&program](const object_list& list, steady_time) {
@@ -72,38 +60,6 @@
             }};
 }
 
-server_list to_server_list(const object_list& list)
-{
-    server_list decoded;
-    decoded.revision = list.revision;
-    for (const stored_object& object : list.objects) {
-        absl::StatusOr<backend_server> server = decode_logged(object);
-        if (server.ok()) {
-            decoded.servers.push_back({*std::move(server), object.revision});
-        }
-    }
-    return decoded;
-}
-
-server_changes to_server_changes(const change_list& changes)
-{
-    server_changes decoded;
-    decoded.revision = changes.revision;
-    for (const object_change& change : changes.changes) {
-        const stored_object& object = change.object;
-        server_change one = {object.name, std::nullopt, object.revision};
-        if (!change.removed) {
-            absl::StatusOr<backend_server> server = decode_logged(object);
-            if (!server.ok()) {
-                continue;
-            }
-            one.server = *std::move(server);
-        }
-        decoded.changes.push_back(std::move(one));
-    }
-    return decoded;
-}
-
 follower_hooks server_hooks(entry_program& program)
 {
     return {[&program](const object_list& list, steady_time relist_until) {
--- /dev/null
+++ b/sardinestream/platform/server_entries_test.cc
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/platform/server_entries.h"
+
+namespace sardinestream::platform {
+namespace {
+
+constexpr char entry[] = R"({"service":"orders","address":"10.0.0.1:80","zone":"a","slots":4,)"
+                         R"("state":"ready","born":7})";
+
+TEST(server_entries, keep_the_revision_of_each_entry)
+{
+    const server_list list = to_server_list({{{"a", 5, entry}, {"b", 6, entry}}, 9});
+    EXPECT_EQ(list.revision, 9);
+    ASSERT_EQ(list.servers.size(), 2U);
+    EXPECT_EQ(list.servers[0].revision, 5);
+    EXPECT_EQ(list.servers[1].server.id, "b");
+}
+
+TEST(server_entries, that_cannot_be_read_are_left_out_of_a_list)
+{
+    const server_list list = to_server_list({{{"a", 5, "7"}, {"b", 6, entry}}, 9});
+    ASSERT_EQ(list.servers.size(), 1U);
+    EXPECT_EQ(list.servers[0].server.id, "b");
+}
+
+TEST(server_entries, a_server_whose_entry_becomes_unreadable_is_not_used_any_more)
+{
+    const server_changes news =
+        to_server_changes({{{{"a", 6, R"({"state":3})"}, false}, {{"b", 7, entry}, false}}, 9});
+    EXPECT_EQ(news.revision, 9);
+    ASSERT_EQ(news.changes.size(), 2U);
+    EXPECT_EQ(news.changes[0].id, "a");
+    EXPECT_EQ(news.changes[0].revision, 6);
+    EXPECT_FALSE(news.changes[0].server.has_value());
+    EXPECT_TRUE(news.changes[1].server.has_value());
+}
+
+TEST(server_entries, a_removed_entry_names_no_server)
+{
+    const server_changes news = to_server_changes({{{{"a", 6, entry}, true}}, 9});
+    ASSERT_EQ(news.changes.size(), 1U);
+    EXPECT_FALSE(news.changes[0].server.has_value());
+}
+
+} // namespace
+} // namespace sardinestream::platform
