--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -318,7 +318,7 @@
     if (dropped == 0) {
         return;
     }
-    count("sardine_servers_known_gone_total");
+    count("sardine_vanished_servers_dropped_total");
     log_event("servers_gone", {{"revision", this->directory.revision()},
                                {"servers", dropped},
                                {"reason", "other entries saw no outage of the store"}});
