A server's own word in its answers: it leaves, or wants no requests for a while

A server that leaves says so in its answers, and one that turns a request away may say for how long it wants none; neither header was read, so an entry that the store does not reach went on sending, and a server that named a time was tried again after 0.1 s.

Change: the adapter decodes both into a server_notice, from answers that name the request. The dispatcher takes it: leaving holds for that start of the server whatever the list says (notice_memory); a hold-off keeps new requests away, is no failure, and lets requests back one by one (hold_off). Where all servers hold off, what has time left waits and the rest is refused at once with the time of the earliest return. A server's wait is not passed on. Bad headers are ignored or bounded, counted and logged. The former mark_leaving(id) was called by a test alone; the test says the same by take_notice.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -20,6 +20,11 @@
 // The longest time to come back that a refusal names.
 constexpr std::chrono::milliseconds longest_retry_after{4000};
 constexpr std::chrono::milliseconds shortest_retry_after{100};
+// The same where all servers of a service hold off.
+constexpr std::chrono::milliseconds longest_return{60000};
+// Callers of a service whose servers all hold off come back within this share of the wait after it.
+constexpr double return_spread = 0.25;
+constexpr std::chrono::milliseconds shortest_return_spread{300};
 // Requests that wait before another one is refused on arrival.
 constexpr std::size_t least_queue = 4;
 
@@ -75,9 +80,7 @@
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
-        if (state.server().service != request.service ||
-            std::find(request.excluded_ids.begin(), request.excluded_ids.end(), id) !=
-                request.excluded_ids.end()) {
+        if (!may_take(state, request)) {
             continue;
         }
         const double room = state.server().slots * (1 + this->options.extra_room);
@@ -86,7 +89,7 @@
     }
     std::array<double, servers_drawn> draws{};
     for (double& draw : draws) {
-        draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+        draw = this->draw();
     }
     const std::optional<std::size_t> chosen = choose_among_drawn(loads, draws);
     if (!chosen.has_value()) {
@@ -101,16 +104,76 @@
     return given;
 }
 
+double dispatcher::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+std::chrono::milliseconds dispatcher::draw_put_off()
+{
+    return put_off_for(this->view.processes, this->draw());
+}
+
+bool dispatcher::may_take(const server_state& state, const placement_request& request)
+{
+    const backend_server& server = state.server();
+    return server.service == request.service && !server.draining &&
+           std::find(request.excluded_ids.begin(), request.excluded_ids.end(), server.id) ==
+               request.excluded_ids.end();
+}
+
 bool dispatcher::has_usable_server(const placement_request& request) const
 {
+    return std::any_of(this->servers.begin(), this->servers.end(),
+                       [&](const auto& named) { return may_take(named.second, request); });
+}
+
+std::optional<steady_time> dispatcher::earliest_return(const placement_request& request,
+                                                       steady_time now) const
+{
+    std::optional<steady_time> earliest;
     for (const auto& [id, state] : this->servers) {
-        if (state.server().service == request.service && !state.server().draining &&
-            std::find(request.excluded_ids.begin(), request.excluded_ids.end(), id) ==
-                request.excluded_ids.end()) {
-            return true;
+        if (!may_take(state, request)) {
+            continue;
+        }
+        if (!state.is_held_off(now)) {
+            return std::nullopt;
         }
+        earliest = std::min(earliest.value_or(state.hold_ends()), state.hold_ends());
+    }
+    return earliest;
+}
+
+std::chrono::milliseconds dispatcher::spread_return(steady_clock::duration wait)
+{
+    using std::chrono::milliseconds;
+    const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait) + milliseconds(1);
+    const double spread_ms = std::max(return_spread * static_cast<double>(wait_ms.count()),
+                                      static_cast<double>(shortest_return_spread.count()));
+    return std::min(longest_return,
+                    wait_ms + milliseconds(static_cast<std::int64_t>(spread_ms * this->draw())));
+}
+
+absl::Status dispatcher::check_hold_offs(const placement_request& request, steady_time deadline,
+                                         steady_time now)
+{
+    const std::optional<steady_time> earliest = this->earliest_return(request, now);
+    if (!earliest.has_value() || *earliest < deadline) {
+        return absl::OkStatus();
     }
-    return false;
+    return refusal(absl::StatusCode::kResourceExhausted, request.service, "all servers hold off",
+                   this->spread_return(*earliest - now));
+}
+
+std::chrono::milliseconds dispatcher::time_until_return(const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    placement_request any;
+    any.service = service;
+    const steady_time now = steady_clock::now();
+    const std::optional<steady_time> earliest = this->earliest_return(any, now);
+    return earliest.has_value() ? this->spread_return(*earliest - now)
+                                : std::chrono::milliseconds(0);
 }
 
 absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
@@ -120,6 +183,7 @@
         return refusal(absl::StatusCode::kUnavailable, request.service, "no server",
                        std::chrono::milliseconds(1000));
     }
+    SARDINE_RETURN_IF_ERROR(this->check_hold_offs(request, now + request.longest_wait, now));
     double ahead = 1;
     for (const waiter* other : queue.waiters) {
         ahead += other->request->priority <= request.priority ? 1 : 0;
@@ -135,7 +199,7 @@
         return absl::OkStatus();
     }
     // Callers that come back spread over the time in which the queue empties.
-    const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(this->random);
+    const double spread = 0.5 + this->draw() / 2;
     const auto come_back = std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
     return refusal(absl::StatusCode::kResourceExhausted, request.service, "queue full",
@@ -197,7 +261,13 @@
             queue.waiters.remove(&self);
             return make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up");
         }
-        if (steady_clock::now() >= deadline) {
+        const steady_time now = steady_clock::now();
+        const absl::Status held_off = this->check_hold_offs(*self.request, deadline, now);
+        if (!held_off.ok()) {
+            queue.waiters.remove(&self);
+            return held_off;
+        }
+        if (now >= deadline) {
             queue.waiters.remove(&self);
             return refusal(absl::StatusCode::kResourceExhausted, self.request->service,
                            "waited too long",
@@ -249,22 +319,28 @@
     this->serve_waiters(given.server.service);
 }
 
+server_state dispatcher::new_state(const backend_server& server, steady_time now)
+{
+    server_state state(server);
+    if (this->notices.held_until(server) > now) {
+        state.hold(this->notices.held_until(server), this->draw_put_off());
+    }
+    return state;
+}
+
 void dispatcher::set_servers(const std::vector<backend_server>& newer)
 {
     const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
     std::map<std::string, server_state> kept;
     for (const backend_server& server : newer) {
         const auto known = this->servers.find(server.id);
         const bool same_start = known != this->servers.end() &&
                                 known->second.server().born_ms == server.born_ms &&
                                 known->second.server().endpoint == server.endpoint;
-        if (!same_start) {
-            kept.emplace(server.id, server_state(server));
-            continue;
-        }
-        server_state state = known->second;
+        server_state state = same_start ? known->second : this->new_state(server, now);
         // A server that leaves never returns under the same start, whatever an older list says.
-        const bool leaving = state.server().draining;
+        const bool leaving = state.server().draining || this->notices.is_leaving(server);
         state.update(server);
         if (leaving) {
             state.mark_leaving();
@@ -277,14 +353,33 @@
     }
 }
 
-void dispatcher::mark_leaving(const std::string& id)
+server_notice dispatcher::take_notice(const backend_server& server, const server_notice& said)
 {
     const absl::MutexLock lock(&this->mutex);
-    const auto found = this->servers.find(id);
-    if (found == this->servers.end()) {
-        return;
+    const steady_time now = steady_clock::now();
+    const auto found = this->servers.find(server.id);
+    server_state* const state =
+        found != this->servers.end() && found->second.server().born_ms == server.born_ms
+            ? &found->second
+            : nullptr;
+    server_notice news;
+    if (said.is_leaving) {
+        const bool is_first = this->notices.note_leaving(server);
+        news.is_leaving = is_first || (state != nullptr && !state->server().draining);
+        if (state != nullptr) {
+            state->mark_leaving();
+        }
+    }
+    if (said.hold_off.has_value()) {
+        const steady_time until = now + *said.hold_off;
+        if (this->notices.note_hold_off(server, until, now)) {
+            news.hold_off = said.hold_off;
+        }
+        if (state != nullptr) {
+            state->hold(until, this->draw_put_off());
+        }
     }
-    found->second.mark_leaving();
+    return news;
 }
 
 void dispatcher::apply_report(const std::string& server_ip, const server_report& report)
@@ -320,8 +415,11 @@
     const steady_time now = steady_clock::now();
     std::vector<server_summary> all;
     for (const auto& [id, state] : this->servers) {
+        const auto hold_off =
+            std::chrono::duration_cast<std::chrono::milliseconds>(state.hold_ends() - now);
         all.push_back({state.server(), state.own_in_flight(), state.last_report(),
                        state.has_fresh_report(this->view, now),
+                       state.is_held_off(now) ? hold_off : std::chrono::milliseconds(0),
                        std::string(state.use(this->view, now))});
     }
     return all;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -25,6 +25,8 @@
 
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/drain_rate.h"
+#include "sardinestream/backends/notice_memory.h"
+#include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/http/socket.h"
 
@@ -78,8 +80,14 @@
     // Replaces the list of servers. Requests at servers that are gone go on.
     void set_servers(const std::vector<backend_server>& servers);
 
-    // Stops sending to a server at once, ahead of the list.
-    void mark_leaving(const std::string& id);
+    // Takes what a server has said of itself, ahead of the list: one that leaves gets no more
+    // requests under this start, one that holds off none until its time is over. Returns what of it
+    // is news.
+    server_notice take_notice(const backend_server& server, const server_notice& said);
+
+    // Until the first server of a service takes requests again where all hold off, and a little
+    // more, so that callers spread; else zero.
+    [[nodiscard]] std::chrono::milliseconds time_until_return(const std::string& service);
 
     void apply_report(const std::string& server_ip, const server_report& report);
 
@@ -95,6 +103,8 @@
         int own_in_flight = 0;
         server_report report;
         bool reported = false;
+        // How much longer it holds off; zero where it does not.
+        std::chrono::milliseconds hold_off{0};
         // Whether and why it is used.
         std::string use;
     };
@@ -115,6 +125,25 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Whether the request may be sent to the server once it takes requests.
+    [[nodiscard]] static bool may_take(const server_state& state, const placement_request& request);
+    // When the first server takes requests again where all that may take the request hold off; else
+    // nothing.
+    [[nodiscard]] std::optional<steady_time> earliest_return(const placement_request& request,
+                                                             steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Refuses what the servers' hold-offs outlast.
+    [[nodiscard]] absl::Status check_hold_offs(const placement_request& request,
+                                               steady_time deadline, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // `wait` and a drawn share of it.
+    [[nodiscard]] std::chrono::milliseconds spread_return(steady_clock::duration wait)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] double draw() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // How much later than it may this process returns to a server that has held off.
+    [[nodiscard]] std::chrono::milliseconds draw_put_off() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] server_state new_state(const backend_server& server, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     absl::StatusOr<placement> wait_in_queue(waiter& self, const hangup_watch& caller);
     [[nodiscard]] absl::Status check_queue(const placement_request& request, service_queue& queue,
@@ -124,6 +153,7 @@
     mutable absl::Mutex mutex;
     // By id. A state stays while requests of this process are at the server.
     std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
+    notice_memory notices ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -67,7 +67,7 @@
 TEST_F(dispatcher_test, sends_nothing_to_a_server_that_leaves)
 {
     this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
-    this->servers.mark_leaving("1");
+    this->servers.take_notice(make_server("1", 4), {true, std::nullopt});
     // An older list must not bring it back.
     this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
     for (int i = 0; i < 4; ++i) {
@@ -75,6 +75,90 @@
     }
 }
 
+// The store is out, or lists late: what the server said in an answer is all that is known.
+TEST_F(dispatcher_test, a_server_that_said_it_leaves_stays_out_when_its_entry_returns)
+{
+    backend_server leaves = make_server("1", 4);
+    leaves.born_ms = 5;
+    this->servers.set_servers({leaves, make_server("2", 4)});
+    EXPECT_TRUE(this->servers.take_notice(leaves, {true, std::nullopt}).is_leaving);
+    EXPECT_FALSE(this->servers.take_notice(leaves, {true, std::nullopt}).is_leaving);
+    this->servers.set_servers({make_server("2", 4)});
+    this->servers.set_servers({leaves, make_server("2", 4)});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(this->place_now().server.id, "2");
+    }
+    leaves.born_ms = 6;
+    this->servers.set_servers({leaves});
+    EXPECT_EQ(this->place_now().server.id, "1");
+}
+
+TEST_F(dispatcher_test, a_waiting_request_does_not_go_to_a_server_that_said_it_leaves)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    std::thread waiting(
+        [&] { EXPECT_FALSE(this->servers.place(make_request(), hangup_watch()).ok()); });
+    while (this->servers.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    this->servers.take_notice(first.server, {true, std::nullopt});
+    this->finish(first);
+    waiting.join();
+}
+
+TEST_F(dispatcher_test, a_hold_off_outlasts_a_gap_in_the_list)
+{
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    this->servers.take_notice(make_server("1", 4), {false, milliseconds(5000)});
+    this->servers.set_servers({make_server("2", 4)});
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(this->place_now().server.id, "2");
+    }
+}
+
+TEST_F(dispatcher_test, refuses_at_once_what_all_hold_offs_outlast)
+{
+    this->servers.set_servers({make_server("1", 4), make_server("2", 4)});
+    this->servers.take_notice(make_server("1", 4), {false, milliseconds(6000)});
+    this->servers.take_notice(make_server("2", 4), {false, milliseconds(4000)});
+    const steady_time begun = steady_clock::now();
+    const absl::Status refused = this->servers.place(make_request(), hangup_watch()).status();
+    EXPECT_TRUE(absl::IsResourceExhausted(refused));
+    EXPECT_LT(steady_clock::now() - begun, milliseconds(100));
+    EXPECT_GE(retry_after_of(refused), milliseconds(3900));
+    EXPECT_LE(retry_after_of(refused), milliseconds(6000));
+    EXPECT_GE(this->servers.time_until_return("assistant"), milliseconds(3900));
+}
+
+TEST_F(dispatcher_test, a_request_with_time_left_waits_for_a_server_that_holds_off)
+{
+    this->servers.set_servers({make_server("1", 4)});
+    this->servers.take_notice(make_server("1", 4), {false, milliseconds(300)});
+    const absl::StatusOr<placement> placed = this->servers.place(make_request(), hangup_watch());
+    ASSERT_TRUE(placed.ok()) << placed.status();
+    EXPECT_GE(placed->waited, milliseconds(290));
+}
+
+TEST_F(dispatcher_test, a_request_that_waits_is_refused_once_all_hold_offs_outlast_it)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    const steady_time begun = steady_clock::now();
+    std::thread waiting([&] {
+        EXPECT_TRUE(absl::IsResourceExhausted(
+            this->servers.place(make_request(), hangup_watch()).status()));
+    });
+    while (this->servers.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    this->servers.take_notice(first.server, {false, milliseconds(5000)});
+    waiting.join();
+    EXPECT_LT(steady_clock::now() - begun, milliseconds(600));
+    this->finish(first);
+}
+
 TEST_F(dispatcher_test, a_server_that_starts_again_is_a_new_one)
 {
     this->servers.set_servers({make_server("1", 1)});
--- /dev/null
+++ b/sardinestream/backends/hold_off.cc
@@ -0,0 +1,54 @@
+#include "sardinestream/backends/hold_off.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Processes return so far apart in the mean.
+constexpr milliseconds return_gap{15};
+// After each of these steps the server may have one request more at once.
+constexpr milliseconds return_step{100};
+// From here on it is a server like any other.
+constexpr milliseconds return_time{3000};
+
+} // namespace
+
+void hold_off::begin(steady_time wanted, milliseconds put_off)
+{
+    if (wanted <= this->latest_wanted) {
+        return;
+    }
+    this->latest_wanted = wanted;
+    this->ends_at = std::max(this->ends_at, wanted + put_off);
+    this->returned_at = this->ends_at;
+}
+
+void hold_off::note_refusal(steady_time now)
+{
+    if (this->returned_at != steady_time{}) {
+        this->returned_at = std::max(this->returned_at, now);
+    }
+}
+
+bool hold_off::allows(int in_flight, steady_time now) const
+{
+    if (this->returned_at == steady_time{} || now - this->returned_at >= return_time) {
+        return true;
+    }
+    if (this->is_active(now)) {
+        return false;
+    }
+    return in_flight < 1 + (now - this->returned_at) / return_step;
+}
+
+milliseconds put_off_for(int processes, double draw)
+{
+    const auto longest = return_gap * (processes - 1);
+    return milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(longest.count())));
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/hold_off_test.cc
@@ -0,0 +1,77 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/backends/hold_off.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+class hold_off_test : public testing::Test {
+protected:
+    hold_off held;
+    const steady_time start = steady_clock::now();
+};
+
+TEST_F(hold_off_test, allows_everything_before_the_first_one)
+{
+    EXPECT_FALSE(this->held.is_active(this->start));
+    EXPECT_TRUE(this->held.allows(100, this->start));
+    this->held.note_refusal(this->start);
+    EXPECT_TRUE(this->held.allows(100, this->start));
+}
+
+TEST_F(hold_off_test, allows_nothing_until_its_end)
+{
+    this->held.begin(this->start + milliseconds(2000), milliseconds(0));
+    EXPECT_TRUE(this->held.is_active(this->start + milliseconds(1999)));
+    EXPECT_FALSE(this->held.allows(0, this->start + milliseconds(1999)));
+    EXPECT_TRUE(this->held.allows(0, this->start + milliseconds(2000)));
+}
+
+TEST_F(hold_off_test, a_shorter_one_does_not_end_a_longer_one)
+{
+    this->held.begin(this->start + milliseconds(2000), milliseconds(0));
+    this->held.begin(this->start + milliseconds(500), milliseconds(0));
+    EXPECT_FALSE(this->held.allows(0, this->start + milliseconds(1500)));
+}
+
+TEST_F(hold_off_test, is_put_off_once_for_each_end_that_is_named)
+{
+    this->held.begin(this->start + milliseconds(1000), milliseconds(40));
+    this->held.begin(this->start + milliseconds(1000), milliseconds(90));
+    EXPECT_EQ(this->held.ends(), this->start + milliseconds(1040));
+    this->held.begin(this->start + milliseconds(1001), milliseconds(0));
+    EXPECT_EQ(this->held.ends(), this->start + milliseconds(1040));
+}
+
+TEST_F(hold_off_test, one_process_alone_returns_at_once_and_many_one_after_another)
+{
+    EXPECT_EQ(put_off_for(1, 0.9), milliseconds(0));
+    EXPECT_LE(put_off_for(4, 0.9), milliseconds(50));
+    EXPECT_GE(put_off_for(20, 0.9), milliseconds(200));
+    EXPECT_EQ(put_off_for(20, 0), milliseconds(0));
+}
+
+TEST_F(hold_off_test, returns_with_one_request_and_then_more)
+{
+    this->held.begin(this->start + milliseconds(1000), milliseconds(0));
+    const steady_time back = this->start + milliseconds(1000);
+    EXPECT_TRUE(this->held.allows(0, back));
+    EXPECT_FALSE(this->held.allows(1, back));
+    EXPECT_TRUE(this->held.allows(3, back + milliseconds(300)));
+    EXPECT_FALSE(this->held.allows(4, back + milliseconds(300)));
+    EXPECT_TRUE(this->held.allows(1000, back + milliseconds(3000)));
+}
+
+TEST_F(hold_off_test, a_refusal_begins_the_return_anew)
+{
+    this->held.begin(this->start + milliseconds(1000), milliseconds(0));
+    const steady_time refused = this->start + milliseconds(1500);
+    this->held.note_refusal(refused);
+    EXPECT_TRUE(this->held.allows(0, refused));
+    EXPECT_FALSE(this->held.allows(1, refused));
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -32,6 +32,11 @@
 
 server_state::server_state(backend_server given) : described(std::move(given)) {}
 
+void server_state::hold(steady_time wanted, milliseconds put_off)
+{
+    this->held.begin(wanted, put_off);
+}
+
 void server_state::begin_attempt()
 {
     ++this->in_flight;
@@ -45,6 +50,13 @@
     if (result == attempt_result::abandoned) {
         return;
     }
+    if (result == attempt_result::refused) {
+        if (this->is_held_off(now)) {
+            // It said when it takes requests again: no fault of the server.
+            return;
+        }
+        this->held.note_refusal(now);
+    }
     const bool failed = result != attempt_result::succeeded && result != attempt_result::refused;
     const double before = this->failure_share(now);
     this->failures = before + answer_weight * ((failed ? 1.0 : 0.0) - before);
@@ -91,6 +103,9 @@
     if (this->described.draining) {
         return "no: leaving";
     }
+    if (this->is_held_off(now)) {
+        return "no: holds off";
+    }
     if (this->is_excluded(now)) {
         return "no: left alone after a failure";
     }
@@ -138,7 +153,8 @@
     load.occupancy = this->occupancy(view, now);
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->described.data_centre == view.data_centre;
-    load.available = !this->described.draining && !this->is_excluded(now);
+    load.available = !this->described.draining && !this->is_excluded(now) &&
+                     this->held.allows(this->in_flight, now);
     if (this->has_silent_agent(view, now)) {
         // Its machine may have stopped; without it, others are better even where they are fuller.
         load.slowness = silent_slowness;
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -11,6 +11,7 @@
 
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/choose_server.h"
+#include "sardinestream/backends/hold_off.h"
 #include "sardinestream/http/socket.h"
 
 #include "absl/strings/string_view.h"
@@ -69,6 +70,8 @@
     [[nodiscard]] const backend_server& server() const { return this->described; }
     void update(const backend_server& newer) { this->described = newer; }
     void mark_leaving() { this->described.draining = true; }
+    // The server wants no requests until `wanted`; it is used again `put_off` later.
+    void hold(steady_time wanted, std::chrono::milliseconds put_off);
 
     void begin_attempt();
     // `elapsed` is the time to the first byte of the answer.
@@ -83,6 +86,9 @@
     [[nodiscard]] absl::string_view use(const load_view& view, steady_time now) const;
 
     [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
+    [[nodiscard]] bool is_held_off(steady_time now) const { return this->held.is_active(now); }
+    // When a server that holds off is used again.
+    [[nodiscard]] steady_time hold_ends() const { return this->held.ends(); }
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
     [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
@@ -107,6 +113,7 @@
     steady_time last_answer{};
     int failures_in_a_row = 0;
     steady_time excluded_until{};
+    hold_off held;
 };
 
 } // namespace sardinestream
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -82,6 +82,24 @@
     EXPECT_EQ(this->state.use(view, this->start), "no: leaving");
 }
 
+TEST_F(server_state_test, gets_nothing_while_it_holds_off)
+{
+    this->state.hold(this->start + milliseconds(1000), milliseconds(0));
+    EXPECT_FALSE(this->load_at(this->start + milliseconds(999)).available);
+    EXPECT_EQ(this->state.use(load_view{"a", 1}, this->start), "no: holds off");
+    EXPECT_TRUE(this->load_at(this->start + milliseconds(1000)).available);
+}
+
+TEST_F(server_state_test, a_refusal_that_asks_to_hold_off_is_no_fault)
+{
+    this->state.begin_attempt();
+    this->state.hold(this->start + milliseconds(10), milliseconds(0));
+    this->state.end_attempt(attempt_result::refused, milliseconds(1), this->start);
+    EXPECT_FALSE(this->state.is_excluded(this->start + milliseconds(1)));
+    EXPECT_EQ(this->load_at(this->start + milliseconds(20)).failure_share, 0);
+    EXPECT_TRUE(this->load_at(this->start + milliseconds(20)).available);
+}
+
 TEST_F(server_state_test, forgets_a_report_that_has_grown_old)
 {
     server_report report;
--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "sardinestream/backends/server_notice.h"
 #include "sardinestream/http/message.h"
 
 #include "absl/status/statusor.h"
@@ -67,6 +68,12 @@
     bool never_ran = false;
     // Another server than the expected one has the address.
     bool wrong_server = false;
+    // What the server says of itself.
+    server_notice notice;
+    // It says something of the kind that cannot be read, is beyond its bound, or does not belong to
+    // such an answer.
+    bool bad_leaving = false;
+    bool bad_hold_off = false;
 };
 
 // How requests and answers look on the wire: provided by the adapter of a platform.
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -7,6 +7,7 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace sardinestream {
@@ -23,6 +24,7 @@
 constexpr double slow_answer_targets = 1.5;
 // What nearly all streams need from their beginning to their end.
 constexpr milliseconds time_of_a_stream{4500};
+constexpr int http_unavailable = 503;
 constexpr int most_stray_answers = 3;
 // Servers that refuse one request before it is given up.
 constexpr int most_refusals = 4;
@@ -238,6 +240,42 @@
     return make_error(absl::StatusCode::kDataLoss, "read", "", "answers of other requests only");
 }
 
+void exchange::take_notice(const backend_server& server, const http_response_head& head,
+                           const answer_marks& marks)
+{
+    // An answer that names no request, or comes from another server, may be none of this server's.
+    if (marks.request_id.empty() || marks.wrong_server) {
+        return;
+    }
+    for (const auto& [is_bad, kind] :
+         {std::pair{marks.bad_leaving, "leaving"}, std::pair{marks.bad_hold_off, "hold_off"}}) {
+        if (is_bad) {
+            count("sardine_server_notices_unread_total", {{"kind", kind}});
+            log_routine_event("server_notice_unread", {{"request", this->admitted.request.id},
+                                                       {"server", server.id},
+                                                       {"kind", kind},
+                                                       {"status", head.status}});
+        }
+    }
+    if (marks.notice.is_empty()) {
+        return;
+    }
+    const server_notice news = this->services.servers.take_notice(server, marks.notice);
+    if (news.is_leaving) {
+        count("sardine_server_notices_total", {{"kind", "leaving"}});
+        log_event("server_leaves", {{"request", this->admitted.request.id},
+                                    {"server", server.id},
+                                    {"status", head.status}});
+    }
+    if (news.hold_off.has_value()) {
+        count("sardine_server_notices_total", {{"kind", "hold_off"}});
+        log_event("server_holds_off", {{"request", this->admitted.request.id},
+                                       {"server", server.id},
+                                       {"status", head.status},
+                                       {"for_ms", news.hold_off->count()}});
+    }
+}
+
 bool exchange::is_silent_too_long(server_channel& channel)
 {
     milliseconds limit = longest_silence;
@@ -273,7 +311,9 @@
         reusable = false;
         return this->after_failure(attempt_state::possibly_run, head.status(), record);
     }
-    reusable = reusable && head->keeps_alive();
+    const answer_marks marks = this->services.protocol.decode_answer(*head);
+    this->take_notice(record.given.server, *head, marks);
+    reusable = reusable && head->keeps_alive() && !marks.notice.is_leaving;
     channel.idle_timeout = idle_timeout_of(*head);
     return this->relay(channel, *head, record, reusable);
 }
@@ -371,6 +411,12 @@
     relayed.status = head.status;
     relayed.reason = head.reason;
     relayed.headers = end_to_end_headers(head.headers);
+    if (head.status == http_unavailable) {
+        // The server's wait is for this process, which has other servers.
+        std::erase_if(relayed.headers, [](const http_header& header) {
+            return absl::EqualsIgnoreCase(header.name, "retry-after");
+        });
+    }
     relayed.keeps_connection = this->keeps_connection();
     return relayed;
 }
@@ -434,10 +480,12 @@
     count("sardine_refusals_total", {{"service", this->admitted.service},
                                      {"status", absl::StrCat(status)},
                                      {"step", step_of(cause)}});
-    constexpr int not_run = 503;
     constexpr milliseconds usual_retry_after{300};
-    const milliseconds come_back =
-        status == not_run ? std::max(retry_after_of(cause), usual_retry_after) : milliseconds(0);
+    milliseconds come_back{0};
+    if (status == http_unavailable) {
+        come_back = std::max({retry_after_of(cause), usual_retry_after,
+                              this->services.servers.time_until_return(this->admitted.service)});
+    }
     return this->answer_ourselves(status, this->possibly_run ? "outcome_unknown" : "not_run",
                                   come_back);
 }
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -81,6 +81,9 @@
                                         attempt_record& record, bool& reusable);
     [[nodiscard]] absl::StatusOr<http_response_head> read_own_head(server_channel& channel,
                                                                    bool& reusable);
+    // Takes what the server says of itself in an answer to this request.
+    void take_notice(const backend_server& server, const http_response_head& head,
+                     const answer_marks& marks);
     // The next head that is a final answer, to whichever request.
     [[nodiscard]] absl::StatusOr<http_response_head> read_final_head(server_channel& channel);
     // Until when the head of an answer that has begun may come.
--- a/sardinestream/forwarding/front_fixture.h
+++ b/sardinestream/forwarding/front_fixture.h
@@ -12,6 +12,7 @@
 #include "sardinestream/testing/scripted_server.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 namespace sardinestream {
@@ -21,7 +22,8 @@
     return steady_clock::now() + std::chrono::seconds(8);
 }
 
-// A wire protocol of the test's own: `Id`, `Key`, `Signed`, `Never-Ran`, `After`.
+// A wire protocol of the test's own: `Id`, `Key`, `Signed`, `Never-Ran`, `After`, `Leaving`, and
+// `Retry-After` in milliseconds.
 inline wire_protocol test_protocol()
 {
     wire_protocol protocol;
@@ -48,6 +50,11 @@
         marks.is_signed = find_header(head.headers, "Signed").has_value();
         marks.never_ran = find_header(head.headers, "Never-Ran").has_value();
         marks.wrong_server = head.status == 421;
+        marks.notice.is_leaving = find_header(head.headers, "Leaving").has_value();
+        int wait_ms = 0;
+        if (absl::SimpleAtoi(find_header(head.headers, "Retry-After").value_or(""), &wait_ms)) {
+            marks.notice.hold_off = std::chrono::milliseconds(wait_ms);
+        }
         return marks;
     };
     protocol.own_answer_headers = [](const caller_request& request) {
@@ -139,6 +146,7 @@
             server.id = absl::StrCat("s", list.size());
             server.service = "service";
             server.slots = 4;
+            server.born_ms = 1;
             server.endpoint = one->local();
             list.push_back(server);
         }
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/platform/caller_protocol.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "sardinestream/base/error.h"
@@ -16,6 +18,9 @@
 namespace {
 
 constexpr int misdirected = 421;
+constexpr int unavailable = 503;
+// A server that names a longer time is tried again after this: it may have mistaken the unit.
+constexpr std::chrono::seconds longest_hold_off{300};
 
 absl::Status bad_header(absl::string_view name)
 {
@@ -114,6 +119,42 @@
     return headers;
 }
 
+// A server that says so with other words or against itself is not taken to leave: its entry in the
+// store says it as well.
+void read_leaving(const http_response_head& head, answer_marks& marks)
+{
+    const int said = count_header(head.headers, wire::server_leaving);
+    if (said == 0) {
+        return;
+    }
+    const auto leaves =
+        std::count_if(head.headers.begin(), head.headers.end(), [](const http_header& header) {
+            return absl::EqualsIgnoreCase(header.name, wire::server_leaving) && header.value == "1";
+        });
+    marks.notice.is_leaving = leaves == said;
+    marks.bad_leaving = leaves != said;
+}
+
+void read_hold_off(const http_response_head& head, answer_marks& marks)
+{
+    const std::optional<absl::string_view> text = find_header(head.headers, wire::retry_after);
+    if (!text.has_value()) {
+        return;
+    }
+    double seconds = 0;
+    if (head.status != unavailable || count_header(head.headers, wire::retry_after) > 1 ||
+        !absl::SimpleAtod(*text, &seconds) || !std::isfinite(seconds) || seconds < 0) {
+        marks.bad_hold_off = true;
+        return;
+    }
+    marks.bad_hold_off = seconds > longest_hold_off.count();
+    const double bounded = std::min(seconds, static_cast<double>(longest_hold_off.count()));
+    const auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(bounded * 1000));
+    if (wait.count() > 0) {
+        marks.notice.hold_off = wait;
+    }
+}
+
 answer_marks decode_answer(const http_response_head& head)
 {
     answer_marks marks;
@@ -121,6 +162,8 @@
     marks.is_signed = find_header(head.headers, wire::signature).has_value();
     marks.never_ran = find_header(head.headers, wire::not_executed).has_value();
     marks.wrong_server = head.status == misdirected;
+    read_leaving(head, marks);
+    read_hold_off(head, marks);
     return marks;
 }
 
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -91,5 +91,85 @@
     EXPECT_TRUE(make_caller_protocol().decode_answer(head).wrong_server);
 }
 
+http_response_head answered(int status, const http_headers& headers)
+{
+    http_response_head head;
+    head.status = status;
+    head.headers = headers;
+    return head;
+}
+
+answer_marks marks_of(int status, const http_headers& headers)
+{
+    return make_caller_protocol().decode_answer(answered(status, headers));
+}
+
+TEST(caller_protocol, reads_that_a_server_leaves_from_any_answer)
+{
+    for (const int status : {200, 404, 429, 500, 503}) {
+        EXPECT_TRUE(marks_of(status, {{"server-leaving", "1"}}).notice.is_leaving) << status;
+    }
+    EXPECT_TRUE(marks_of(200, {}).notice.is_empty());
+}
+
+TEST(caller_protocol, takes_no_server_to_leave_by_a_header_that_it_cannot_read)
+{
+    for (const char* const value : {"", "0", "true", "yes", "11", "1, 1", "1;now"}) {
+        const answer_marks marks = marks_of(200, {{wire::server_leaving, value}});
+        EXPECT_FALSE(marks.notice.is_leaving) << value;
+        EXPECT_TRUE(marks.bad_leaving) << value;
+    }
+    const answer_marks twice =
+        marks_of(200, {{wire::server_leaving, "1"}, {wire::server_leaving, "0"}});
+    EXPECT_FALSE(twice.notice.is_leaving);
+    EXPECT_TRUE(twice.bad_leaving);
+    const answer_marks repeated =
+        marks_of(200, {{wire::server_leaving, "1"}, {wire::server_leaving, "1"}});
+    EXPECT_TRUE(repeated.notice.is_leaving);
+    EXPECT_FALSE(repeated.bad_leaving);
+}
+
+TEST(caller_protocol, reads_for_how_long_a_server_wants_nothing)
+{
+    EXPECT_EQ(marks_of(503, {{"Retry-After", "2"}}).notice.hold_off,
+              std::chrono::milliseconds(2000));
+    EXPECT_EQ(marks_of(503, {{"Retry-After", "0.25"}}).notice.hold_off,
+              std::chrono::milliseconds(250));
+    const answer_marks none = marks_of(503, {{"Retry-After", "0"}});
+    EXPECT_TRUE(none.notice.is_empty());
+    EXPECT_FALSE(none.bad_hold_off);
+}
+
+TEST(caller_protocol, ignores_a_wait_that_it_cannot_read)
+{
+    for (const char* const value :
+         {"", "-1", "soon", "nan", "inf", "1 s", "2, 3", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        const answer_marks marks = marks_of(503, {{"Retry-After", value}});
+        EXPECT_FALSE(marks.notice.hold_off.has_value()) << value;
+        EXPECT_TRUE(marks.bad_hold_off) << value;
+    }
+    const answer_marks twice = marks_of(503, {{"Retry-After", "1"}, {"Retry-After", "2"}});
+    EXPECT_FALSE(twice.notice.hold_off.has_value());
+    EXPECT_TRUE(twice.bad_hold_off);
+}
+
+TEST(caller_protocol, ignores_a_wait_without_a_refusal)
+{
+    for (const int status : {200, 429, 500}) {
+        const answer_marks marks = marks_of(status, {{"Retry-After", "2"}});
+        EXPECT_FALSE(marks.notice.hold_off.has_value()) << status;
+        EXPECT_TRUE(marks.bad_hold_off) << status;
+    }
+}
+
+TEST(caller_protocol, bounds_a_wait_that_would_lock_a_server_out)
+{
+    for (const char* const value : {"301", "86400", "1e300"}) {
+        const answer_marks marks = marks_of(503, {{"Retry-After", value}});
+        EXPECT_EQ(marks.notice.hold_off, std::chrono::minutes(5)) << value;
+        EXPECT_TRUE(marks.bad_hold_off) << value;
+    }
+}
+
 } // namespace
 } // namespace sardinestream::platform
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -353,8 +353,9 @@
     set_gauges("sardine_retry_tokens", tokens);
     std::map<metric_labels, double> servers_by_state;
     for (const dispatcher::server_summary& one : this->servers.summary()) {
+        const char* const held = one.hold_off.count() > 0 ? "holding_off" : "in_use";
         ++servers_by_state[{{"service", one.server.service},
-                            {"state", one.server.draining ? "leaving" : "in_use"}}];
+                            {"state", one.server.draining ? "leaving" : held}}];
     }
     set_gauges("sardine_servers", {servers_by_state.begin(), servers_by_state.end()});
 }
@@ -380,6 +381,7 @@
                                      {"service", one.server.service},
                                      {"draining", one.server.draining},
                                      {"use", one.use},
+                                     {"hold_off_ms", one.hold_off.count()},
                                      {"pass_ms", one.report.pass_ms},
                                      {"own_in_flight", one.own_in_flight},
                                      {"reported", one.reported},
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -160,6 +160,7 @@
         entry->take_servers(all, {});
         ++revision;
         std::vector<std::thread> removals;
+        removals.reserve(ids.size());
         for (const std::string& id : ids) {
             removals.emplace_back([&, id] {
                 entry->take_changes({{{id, std::nullopt, revision}}, revision}, {});
