Servers of the emulator and the soak say that they leave and hold off

The emulated servers gain both headers; the soak draws them beside the other faults, from a random stream of its own so that each seed plays the rest as before, and its ledger checks both promises from what servers see: no new request of an entry 1 s after it has passed on a leaving answer, two at the most from half a second after a refusal that names a time until its end.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/time/clock.h"
 
 namespace sardinestream::testing {
@@ -81,6 +82,8 @@
     this->own_id = id;
     this->born_ms = absl::ToUnixMillis(absl::Now());
     this->draining = false;
+    this->says_leaving = false;
+    this->held_until = {};
     this->current = {};
     this->server = *std::move(started);
     return absl::OkStatus();
@@ -122,6 +125,54 @@
     this->draining = leaves;
 }
 
+void backend_emulator::say_leaving()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->says_leaving = true;
+}
+
+void backend_emulator::hold_off(steady_time until)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->held_until = until;
+}
+
+http_headers backend_emulator::answer_headers(const std::string& request_id) const
+{
+    http_headers headers = {{words::request_id, request_id},
+                            {words::signature, sha256_hex(request_id)},
+                            {"Keep-Alive", "timeout=5"}};
+    std::string leaving_id;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        leaving_id = this->says_leaving ? this->own_id : "";
+    }
+    if (!leaving_id.empty()) {
+        headers.push_back({words::server_leaving, "1"});
+        this->hooks.on_leaving_said(request_id, leaving_id);
+    }
+    return headers;
+}
+
+bool backend_emulator::refuse_held_off(served_connection& connection, const std::string& request_id,
+                                       const http_headers& headers)
+{
+    steady_time until{};
+    {
+        const absl::MutexLock lock(&this->mutex);
+        until = this->held_until;
+    }
+    const std::chrono::duration<double> left = until - steady_clock::now();
+    if (left.count() <= 0) {
+        return false;
+    }
+    http_headers refusal = refusal_headers(headers);
+    refusal.push_back({words::retry_after, absl::StrFormat("%.3f", left.count())});
+    this->hooks.on_hold_off_said(request_id, this->id(), until);
+    connection.answer(http_unavailable, refusal, "{}");
+    return true;
+}
+
 std::string backend_emulator::id() const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -160,7 +211,8 @@
             this->answer_call(connection, request);
             continue;
         }
-        this->hooks.on_arrival(request.header(words::request_id), this->options.service);
+        this->hooks.on_arrival(request.header(words::request_id), this->options.service,
+                               this->id());
         this->answer_request(connection, request);
     }
 }
@@ -230,13 +282,14 @@
                                       const emulated_request& request)
 {
     const std::string request_id = request.header(words::request_id);
-    const http_headers headers = {{words::request_id, request_id},
-                                  {words::signature, sha256_hex(request_id)},
-                                  {"Keep-Alive", "timeout=5"}};
+    const http_headers headers = this->answer_headers(request_id);
     if (request.header(words::expected_server) != this->id()) {
         connection.answer(http_misdirected, refusal_headers(headers), "{}");
         return;
     }
+    if (this->refuse_held_off(connection, request_id, headers)) {
+        return;
+    }
     const bool full = this->running >= this->options.slots * queue_factor;
     const bool group_broken = this->options.group != nullptr && !this->options.group->is_open();
     if (full || group_broken || this->happens(this->trouble().refusal_share)) {
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -66,7 +66,16 @@
     // The server works no more on a request.
     std::function<void(const std::string& request_id)> on_end;
     // A request has reached the server, whether it runs or not.
-    std::function<void(const std::string& request_id, const std::string& service)> on_arrival;
+    std::function<void(const std::string& request_id, const std::string& service,
+                       const std::string& server_id)>
+        on_arrival;
+    // The answer to a request says that the server leaves.
+    std::function<void(const std::string& request_id, const std::string& server_id)>
+        on_leaving_said;
+    // The answer to a request says that the server wants none until `until`.
+    std::function<void(const std::string& request_id, const std::string& server_id,
+                       steady_time until)>
+        on_hold_off_said;
 };
 
 struct backend_options {
@@ -104,8 +113,12 @@
     [[nodiscard]] bool is_running() const;
 
     void set_trouble(const backend_trouble& wanted);
-    // A leaving server serves on.
+    // A leaving server serves on. Its entry says so.
     void set_draining(bool leaves);
+    // Its answers say so, until its next start.
+    void say_leaving();
+    // Refuses every request until then, and says for how long.
+    void hold_off(steady_time until);
 
     // What the server writes about itself into the store, given the address where it is reached.
     [[nodiscard]] nlohmann::json entry(const address& reached_at) const;
@@ -121,6 +134,10 @@
                    const http_headers& headers);
     void run_stream(served_connection& connection, const emulated_request& request,
                     const http_headers& headers);
+    [[nodiscard]] http_headers answer_headers(const std::string& request_id) const;
+    // Refuses a request while the server holds off. Returns whether it does.
+    [[nodiscard]] bool refuse_held_off(served_connection& connection, const std::string& request_id,
+                                       const http_headers& headers);
     [[nodiscard]] begun_run describe(const emulated_request& request) const;
     [[nodiscard]] backend_trouble trouble() const;
     [[nodiscard]] bool happens(double share);
@@ -132,6 +149,8 @@
     std::string own_id ABSL_GUARDED_BY(mutex);
     std::int64_t born_ms ABSL_GUARDED_BY(mutex) = 0;
     bool draining ABSL_GUARDED_BY(mutex) = false;
+    bool says_leaving ABSL_GUARDED_BY(mutex) = false;
+    steady_time held_until ABSL_GUARDED_BY(mutex){};
     backend_trouble current ABSL_GUARDED_BY(mutex);
     std::mt19937 random ABSL_GUARDED_BY(mutex){std::random_device()()};
     // Orders that are carried out late.
--- a/sardinestream/testing/emulator/backend_emulator_test.cc
+++ b/sardinestream/testing/emulator/backend_emulator_test.cc
@@ -39,6 +39,7 @@
         if (!head.ok()) {
             return std::string(head.status().message());
         }
+        this->headers = head->headers;
         std::string body;
         const absl::Status read =
             reader.read_body(message_limits{}.body_bytes, body, this->deadline(), hangup_watch());
@@ -64,11 +65,27 @@
     }
 
     const address local = free_address();
+    backend_hooks make_hooks()
+    {
+        backend_hooks hooks;
+        hooks.on_begin = [this](const begun_run& run) { this->runs.push_back(run); };
+        hooks.on_end = [](const std::string&) {};
+        hooks.on_arrival = [](const std::string&, const std::string&, const std::string&) {};
+        hooks.on_leaving_said = [this](const std::string&, const std::string& server_id) {
+            this->said.push_back(server_id + " leaves");
+        };
+        hooks.on_hold_off_said = [this](const std::string&, const std::string& server_id,
+                                        steady_time) {
+            this->said.push_back(server_id + " holds off");
+        };
+        return hooks;
+    }
+
     std::vector<begun_run> runs;
-    backend_emulator server{make_options(local),
-                            {[this](const begun_run& run) { this->runs.push_back(run); },
-                             [](const std::string&) {},
-                             [](const std::string&, const std::string&) {}}};
+    std::vector<std::string> said;
+    // Headers of the last answer.
+    http_headers headers;
+    backend_emulator server{make_options(local), make_hooks()};
 };
 
 TEST_F(backend_emulator_test, answers_with_what_the_request_held)
@@ -99,6 +116,30 @@
     EXPECT_TRUE(this->runs.empty());
 }
 
+TEST_F(backend_emulator_test, says_in_its_answers_that_it_leaves_until_its_next_start)
+{
+    this->server.say_leaving();
+    EXPECT_TRUE(absl::StartsWith(this->ask("/deposits/1", "i-1"), "200"));
+    EXPECT_EQ(find_header(this->headers, "Server-Leaving"), "1");
+    EXPECT_EQ(this->said, std::vector<std::string>{"i-1 leaves"});
+    EXPECT_EQ(this->server.entry(this->local)["state"], "ready");
+    this->server.stop();
+    ASSERT_TRUE(this->server.start("i-2").ok());
+    EXPECT_TRUE(absl::StartsWith(this->ask("/deposits/1", "i-2"), "200"));
+    EXPECT_FALSE(find_header(this->headers, "Server-Leaving").has_value());
+}
+
+TEST_F(backend_emulator_test, refuses_while_it_holds_off_and_says_for_how_long)
+{
+    this->server.hold_off(steady_clock::now() + milliseconds(300));
+    EXPECT_TRUE(absl::StartsWith(this->ask("/deposits/1", "i-1"), "503"));
+    EXPECT_TRUE(absl::StartsWith(*find_header(this->headers, "Retry-After"), "0."));
+    EXPECT_EQ(this->said, std::vector<std::string>{"i-1 holds off"});
+    EXPECT_TRUE(this->runs.empty());
+    std::this_thread::sleep_for(milliseconds(320));
+    EXPECT_TRUE(absl::StartsWith(this->ask("/deposits/1", "i-1"), "200"));
+}
+
 TEST_F(backend_emulator_test, listens_no_more_once_it_has_stopped)
 {
     this->server.stop();
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -30,6 +30,10 @@
 constexpr int series_range = 6;
 constexpr int longest_series = 3;
 constexpr int planned_only_every = 3;
+// What servers say of themselves is drawn apart, so that a seed plays the other faults as before.
+constexpr std::array said_kinds = {soak_fault_kind::leaving_said, soak_fault_kind::hold_off_said};
+constexpr unsigned said_seed_offset = 1U << 20U;
+constexpr int most_said = 4;
 
 std::string name_of(soak_fault_kind kind)
 {
@@ -42,6 +46,10 @@
         return "config_change";
     case soak_fault_kind::server_leave:
         return "server_leave";
+    case soak_fault_kind::leaving_said:
+        return "leaving_said";
+    case soak_fault_kind::hold_off_said:
+        return "hold_off_said";
     case soak_fault_kind::entry_kill:
         return "entry_kill";
     case soak_fault_kind::entry_freeze:
@@ -86,6 +94,7 @@
     case soak_fault_kind::agent_freeze:
         return size.model_servers;
     case soak_fault_kind::server_leave:
+    case soak_fault_kind::leaving_said:
         return size.plain_servers;
     default:
         return size.model_servers + size.plain_servers;
@@ -96,7 +105,10 @@
 
 bool soak_fault::is_planned() const
 {
-    return std::find(planned_kinds.begin(), planned_kinds.end(), this->kind) != planned_kinds.end();
+    const auto holds = [this](const auto& kinds) {
+        return std::find(kinds.begin(), kinds.end(), this->kind) != kinds.end();
+    };
+    return holds(planned_kinds) || holds(said_kinds);
 }
 
 std::string soak_fault::to_string() const
@@ -106,6 +118,29 @@
                         "ms variant=", this->variant);
 }
 
+namespace {
+
+std::vector<soak_fault> draw_said(unsigned seed, const soak_size& size, milliseconds length)
+{
+    std::mt19937 random(seed + said_seed_offset);
+    const auto draw = [&](int below) {
+        return std::uniform_int_distribution<int>(0, std::max(0, below - 1))(random);
+    };
+    std::vector<soak_fault> faults(static_cast<std::size_t>(1 + draw(most_said)));
+    for (soak_fault& fault : faults) {
+        fault.kind = said_kinds[static_cast<std::size_t>(draw(said_kinds.size()))];
+        fault.at = milliseconds(draw(static_cast<int>(length.count() * 3 / 4)));
+        fault.target = draw(targets_of(fault.kind, size));
+        fault.variant = std::uniform_real_distribution<double>(0, 1)(random);
+        fault.duration =
+            std::min(2 * shortest_fault + milliseconds(draw(static_cast<int>(fault_range.count()))),
+                     length - fault.at);
+    }
+    return faults;
+}
+
+} // namespace
+
 std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size, milliseconds length)
 {
     std::mt19937 random(seed);
@@ -134,6 +169,8 @@
             fault.at += series_gap / 2 + milliseconds(draw(static_cast<int>(series_gap.count())));
         }
     }
+    const std::vector<soak_fault> said = draw_said(seed, size, length);
+    faults.insert(faults.end(), said.begin(), said.end());
     std::stable_sort(faults.begin(), faults.end(),
                      [](const soak_fault& a, const soak_fault& b) { return a.at < b.at; });
     return faults;
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -21,6 +21,9 @@
     entry_reload,
     config_change,
     server_leave,
+    // The server says so in its answers alone; the store lists it late or never.
+    leaving_said,
+    hold_off_said,
     // Unplanned.
     entry_kill,
     entry_freeze,
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -17,6 +17,10 @@
 constexpr std::chrono::seconds budget_window{10};
 // A request that was sent so shortly before its connection ended may never have been read.
 constexpr milliseconds close_crossing{200};
+// Requests that were on their way when the server said that it holds off, and the two that may
+// still come.
+constexpr milliseconds hold_off_slack{500};
+constexpr int most_in_hold_off = 2;
 // Trouble shows for so long after it has ended.
 constexpr milliseconds trouble_echo{3000};
 
@@ -38,7 +42,12 @@
 void promise_ledger::note_answer(const std::string& id, int status)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->requests[id].status = status;
+    request_record& record = this->requests[id];
+    record.status = status;
+    for (const std::string& server : record.leaving_servers) {
+        this->leaving_passed_on.emplace(entry_and_server{record.request.entry, server},
+                                        steady_clock::now());
+    }
 }
 
 void promise_ledger::note_left(const std::string& id)
@@ -69,7 +78,8 @@
     this->broken.push_back(what);
 }
 
-void promise_ledger::note_arrival(const std::string& id, const std::string& service)
+void promise_ledger::note_arrival(const std::string& id, const std::string& service,
+                                  const std::string& server_id)
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->requests.find(id);
@@ -77,6 +87,58 @@
         return;
     }
     this->arrivals[service].push_back({steady_clock::now(), found->second.arrivals++ == 0});
+    this->check_notices(found->second, server_id);
+}
+
+void promise_ledger::check_notices(const request_record& record, const std::string& server_id)
+{
+    const steady_time now = steady_clock::now();
+    const entry_and_server key = {record.request.entry, server_id};
+    const auto left = this->leaving_passed_on.find(key);
+    if (left != this->leaving_passed_on.end() &&
+        record.sent_at > left->second + this->options.leaving_bound) {
+        this->broken.push_back(absl::StrCat("leaving: ", record.request.id, " reaches ", server_id,
+                                            " long after ", record.request.entry,
+                                            " was told that it leaves"));
+    }
+    const auto held = this->hold_offs.find(key);
+    if (held == this->hold_offs.end() || now < held->second.at + hold_off_slack ||
+        now > held->second.until || !this->is_calm(held->second.at - trouble_echo, now)) {
+        return;
+    }
+    if (++held->second.arrivals > most_in_hold_off) {
+        this->broken.push_back(absl::StrCat("hold_off: ", record.request.id, " is the ",
+                                            held->second.arrivals, "th to reach ", server_id,
+                                            " from ", record.request.entry, " while it holds off"));
+    }
+}
+
+void promise_ledger::note_leaving_said(const std::string& id, const std::string& server_id)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->requests.find(id);
+    if (found != this->requests.end()) {
+        found->second.leaving_servers.push_back(server_id);
+    }
+}
+
+void promise_ledger::note_hold_off_said(const std::string& id, const std::string& server_id,
+                                        steady_time until)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->requests.find(id);
+    if (found != this->requests.end()) {
+        this->hold_offs.emplace(entry_and_server{found->second.request.entry, server_id},
+                                told_hold_off{steady_clock::now(), until, 0});
+    }
+}
+
+void promise_ledger::note_entry_restart(const std::string& entry)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto of_entry = [&](const auto& named) { return named.first.first == entry; };
+    std::erase_if(this->leaving_passed_on, of_entry);
+    std::erase_if(this->hold_offs, of_entry);
 }
 
 void promise_ledger::note_begun(const begun_run& run)
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -8,6 +8,8 @@
 //   - servers stop soon after the caller has left;
 //   - attempts beyond the first stay within the budget;
 //   - a planned stop loses no request;
+//   - an entry sends nothing new to a server a while after it has passed on an answer in which that
+//     server says that it leaves, and hardly anything to one that holds off;
 //   - a change of the desired state is in force within its bound.
 //
 //     ledger.note_sent(request);
@@ -25,6 +27,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sardinestream/http/socket.h"
@@ -47,12 +50,16 @@
     // Empty where any service of a moving route may run it.
     std::string service;
     int most_servers = 1;
+    // The entry that it is sent to.
+    std::string entry;
 };
 
 struct ledger_options {
     double retry_ratio = 0.2;
     double retry_slack = 20;
     std::chrono::milliseconds config_bound{3000};
+    // Between the answer in which a server says that it leaves and the last new request for it.
+    std::chrono::milliseconds leaving_bound{1000};
 };
 
 class promise_ledger {
@@ -66,7 +73,13 @@
     void note_lost(const std::string& id, const std::string& entry);
     void note_broken(const std::string& what);
 
-    void note_arrival(const std::string& id, const std::string& service);
+    void note_arrival(const std::string& id, const std::string& service,
+                      const std::string& server_id);
+    // What a server says of itself in its answer to the request.
+    void note_leaving_said(const std::string& id, const std::string& server_id);
+    void note_hold_off_said(const std::string& id, const std::string& server_id, steady_time until);
+    // The entry starts again, and has forgotten what servers said.
+    void note_entry_restart(const std::string& entry);
     void note_begun(const begun_run& run);
     void note_ended(const std::string& id);
 
@@ -101,7 +114,17 @@
         int arrivals = 0;
         std::vector<begun_run> runs;
         steady_time last_end{};
+        // Servers that said in their answers that they leave.
+        std::vector<std::string> leaving_servers;
     };
+    // What an entry has been told by a server.
+    struct told_hold_off {
+        steady_time at{};
+        steady_time until{};
+        int arrivals = 0;
+    };
+    // The entry, and the id of a start of a server.
+    using entry_and_server = std::pair<std::string, std::string>;
     struct arrival {
         steady_time at{};
         bool first = false;
@@ -119,6 +142,8 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void check_moving(const request_record& record, const begun_run& run)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void check_notices(const request_record& record, const std::string& server_id)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_calm(steady_time begin, steady_time end) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void judge_request(const request_record& record, std::vector<std::string>& all) const
@@ -132,6 +157,9 @@
     // By service.
     std::map<std::string, std::vector<arrival>> arrivals ABSL_GUARDED_BY(mutex);
     std::vector<span> troubles ABSL_GUARDED_BY(mutex);
+    // When the entry passed on an answer in which the server says that it leaves.
+    std::map<entry_and_server, steady_time> leaving_passed_on ABSL_GUARDED_BY(mutex);
+    std::map<entry_and_server, told_hold_off> hold_offs ABSL_GUARDED_BY(mutex);
     std::map<std::string, steady_time> stops ABSL_GUARDED_BY(mutex);
     std::vector<config_change> configs ABSL_GUARDED_BY(mutex);
     std::vector<std::string> broken ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -1,6 +1,7 @@
 // Each broken promise is found: the ledger is told of one run that breaks it.
 
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gmock/gmock.h>
@@ -52,7 +53,16 @@
         return request;
     }
 
-    promise_ledger ledger{ledger_options{0.2, 1, milliseconds(20)}};
+    // Another request of the same entry reaches the server.
+    void reach(const std::string& id)
+    {
+        sent_request request = make_request(soak_kind::idempotent);
+        request.id = id;
+        this->ledger.note_sent(request);
+        this->ledger.note_arrival(id, "till-a", "i-1");
+    }
+
+    promise_ledger ledger{ledger_options{0.2, 1, milliseconds(20), milliseconds(30)}};
 };
 
 TEST_F(promise_ledger_test, keeps_quiet_about_a_request_that_ran_once)
@@ -183,10 +193,46 @@
 {
     const sent_request request = this->send(soak_kind::idempotent);
     for (int i = 0; i < 4; ++i) {
-        this->ledger.note_arrival(request.id, "till-a");
+        this->ledger.note_arrival(request.id, "till-a", "i-1");
     }
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("budget")));
 }
 
+TEST_F(promise_ledger_test, finds_a_request_at_a_server_long_after_it_said_that_it_leaves)
+{
+    const sent_request first = this->send(soak_kind::idempotent);
+    this->ledger.note_leaving_said(first.id, "i-1");
+    this->ledger.note_answer(first.id, 200);
+    this->reach("soon");
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+    std::this_thread::sleep_for(milliseconds(40));
+    this->reach("late");
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("leaving: late")));
+}
+
+TEST_F(promise_ledger_test, asks_nothing_of_an_entry_that_has_started_again)
+{
+    const sent_request first = this->send(soak_kind::idempotent);
+    this->ledger.note_leaving_said(first.id, "i-1");
+    this->ledger.note_answer(first.id, 200);
+    this->ledger.note_entry_restart(first.entry);
+    std::this_thread::sleep_for(milliseconds(40));
+    this->reach("late");
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+}
+
+TEST_F(promise_ledger_test, finds_the_third_request_at_a_server_that_holds_off)
+{
+    const sent_request first = this->send(soak_kind::idempotent);
+    this->ledger.note_hold_off_said(first.id, "i-1", steady_clock::now() + std::chrono::seconds(5));
+    this->reach("on-its-way");
+    std::this_thread::sleep_for(milliseconds(520));
+    this->reach("one");
+    this->reach("two");
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+    this->reach("three");
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("hold_off: three")));
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -132,7 +132,8 @@
     if (this->open == nullptr && !this->connect()) {
         return pause_after_failure;
     }
-    const sent_request request = this->draw_request();
+    sent_request request = this->draw_request();
+    request.entry = this->open->entry.to_string();
     const bool leaves = this->draw() < this->options.leaving_share;
     const steady_time begun = steady_clock::now();
     const steady_time timeout = begun + this->options.timeout + timeout_slack;
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -162,8 +162,16 @@
     backend_hooks hooks;
     hooks.on_begin = [this](const begun_run& run) { this->ledger.note_begun(run); };
     hooks.on_end = [this](const std::string& id) { this->ledger.note_ended(id); };
-    hooks.on_arrival = [this](const std::string& id, const std::string& service) {
-        this->ledger.note_arrival(id, service);
+    hooks.on_arrival = [this](const std::string& id, const std::string& service,
+                              const std::string& server) {
+        this->ledger.note_arrival(id, service, server);
+    };
+    hooks.on_leaving_said = [this](const std::string& id, const std::string& server) {
+        this->ledger.note_leaving_said(id, server);
+    };
+    hooks.on_hold_off_said = [this](const std::string& id, const std::string& server,
+                                    steady_time until) {
+        this->ledger.note_hold_off_said(id, server, until);
     };
     server_node node;
     node.server = std::make_unique<backend_emulator>(options, hooks);
@@ -265,6 +273,11 @@
 {
     ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
     node.struck = false;
+    for (std::size_t i = 0; i < this->entry_nodes.size(); ++i) {
+        if (&this->entry_nodes[i] == &node) {
+            this->ledger.note_entry_restart(this->entry_address(static_cast<int>(i)).to_string());
+        }
+    }
     return node.run->restart();
 }
 
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -99,6 +99,10 @@
     void kill_program(program_node& node, std::chrono::milliseconds away);
     void freeze_program(program_node& node, std::chrono::milliseconds away);
     void leave_server(server_node& node);
+    void say_leaving(server_node& node, const soak_fault& fault);
+    void hold_off(server_node& node, const soak_fault& fault);
+    // A leaving server ends, and another takes its place.
+    void replace_server(server_node& node);
     void return_server(server_node& node, const std::string& id);
     void crash_server(server_node& node, const soak_fault& fault);
     void trouble_server(server_node& node, const soak_fault& fault);
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -170,6 +170,11 @@
     node.struck = true;
     node.server->set_draining(true);
     this->list_server(node);
+    this->replace_server(node);
+}
+
+void soak_fleet::replace_server(server_node& node)
+{
     this->after(drain_time, [this, &node] {
         this->store->remove(words::servers_kind, node.server->id());
         node.server->stop();
@@ -178,6 +183,30 @@
     });
 }
 
+void soak_fleet::say_leaving(server_node& node, const soak_fault& fault)
+{
+    if (node.struck || !this->has_other_server(node)) {
+        return;
+    }
+    constexpr double listed_late = 0.5;
+    node.struck = true;
+    node.server->say_leaving();
+    if (fault.variant < listed_late) {
+        this->after(drain_time / 2, [this, &node] {
+            node.server->set_draining(true);
+            this->list_server(node);
+        });
+    }
+    this->replace_server(node);
+}
+
+void soak_fleet::hold_off(server_node& node, const soak_fault& fault)
+{
+    if (!node.struck && this->has_other_server(node)) {
+        node.server->hold_off(steady_clock::now() + fault.duration);
+    }
+}
+
 void soak_fleet::crash_server(server_node& node, const soak_fault& fault)
 {
     if (node.struck) {
@@ -284,6 +313,13 @@
         this->leave_server(
             this->servers[static_cast<std::size_t>(this->size.model_servers) + target]);
         return;
+    case soak_fault_kind::leaving_said:
+        this->say_leaving(
+            this->servers[static_cast<std::size_t>(this->size.model_servers) + target], fault);
+        return;
+    case soak_fault_kind::hold_off_said:
+        this->hold_off(this->servers[target], fault);
+        return;
     case soak_fault_kind::server_crash:
         this->crash_server(this->servers[target], fault);
         return;
