A service that cannot serve is known as such, and said at once

Change: each server's state says whether and since when it is known to serve nothing; service_outlook derives from these whether the service serves, recovers or is down. While it is down requests are refused at once, with a time to come back that grows, but for a few that try the servers; what was learned of the servers in the outage is forgotten at the return. Logged at each change, counted, in the status.

Over sockets, two servers that refuse everything: the new test fails without the change and passes with it.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -96,7 +96,7 @@
         return std::nullopt;
     }
     server_state& state = *candidates[*chosen];
-    state.begin_attempt();
+    state.begin_attempt(now);
     placement given;
     given.server = state.server();
     given.occupancy = loads[*chosen].occupancy;
@@ -154,6 +154,69 @@
                     wait_ms + milliseconds(static_cast<std::int64_t>(spread_ms * this->draw())));
 }
 
+std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
+                                                              steady_time now) const
+{
+    std::vector<std::optional<server_outage>> servers;
+    for (const auto& [id, state] : this->servers) {
+        if (may_take(state, request) && !state.is_held_off(now)) {
+            servers.push_back(state.outage(this->view, now));
+        }
+    }
+    return servers;
+}
+
+std::optional<placement> dispatcher::try_probe(const placement_request& request, steady_time now)
+{
+    service_queue& queue = this->queues[request.service];
+    if (now < queue.next_probe ||
+        outlook_of(this->outages(request, now), now).condition == service_condition::serving) {
+        return std::nullopt;
+    }
+    server_state* longest_untried = nullptr;
+    for (auto& [id, state] : this->servers) {
+        const bool fits = may_take(state, request) && state.can_be_probed(this->view, now);
+        if (fits &&
+            (longest_untried == nullptr || state.last_begun() < longest_untried->last_begun())) {
+            longest_untried = &state;
+        }
+    }
+    if (longest_untried == nullptr) {
+        return std::nullopt;
+    }
+    queue.next_probe = now + probe_interval(this->view.processes);
+    longest_untried->begin_attempt(now);
+    placement given;
+    given.server = longest_untried->server();
+    return given;
+}
+
+absl::Status dispatcher::check_outlook(const placement_request& request, steady_time now)
+{
+    const std::vector<std::optional<server_outage>> servers = this->outages(request, now);
+    const service_outlook expected = outlook_of(servers, now);
+    if (servers.empty() || expected.condition != service_condition::down) {
+        return absl::OkStatus();
+    }
+    return refusal(absl::StatusCode::kUnavailable, request.service, "service down",
+                   come_back_after(expected, this->draw()));
+}
+
+std::map<std::string, service_outlook> dispatcher::outlooks() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    std::map<std::string, service_outlook> all;
+    for (const auto& [id, state] : this->servers) {
+        placement_request any;
+        any.service = state.server().service;
+        if (all.count(any.service) == 0) {
+            all[any.service] = outlook_of(this->outages(any, now), now);
+        }
+    }
+    return all;
+}
+
 absl::Status dispatcher::check_hold_offs(const placement_request& request, steady_time deadline,
                                          steady_time now)
 {
@@ -214,6 +277,11 @@
     {
         const absl::MutexLock lock(&this->mutex);
         service_queue& queue = this->queues[request.service];
+        std::optional<placement> probe = this->try_probe(request, steady_clock::now());
+        if (probe.has_value()) {
+            return *std::move(probe);
+        }
+        SARDINE_RETURN_IF_ERROR(this->check_outlook(request, steady_clock::now()));
         const bool overtakes =
             std::all_of(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
                 return other->request->priority > request.priority;
@@ -252,6 +320,12 @@
         if (!self.given.has_value() && !gone) {
             this->serve_waiters(self.request->service);
         }
+        if (!self.given.has_value() && !gone) {
+            self.given = this->try_probe(*self.request, steady_clock::now());
+            if (self.given.has_value()) {
+                queue.waiters.remove(&self);
+            }
+        }
         if (self.given.has_value()) {
             self.given->waited =
                 std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
@@ -262,10 +336,11 @@
             return make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up");
         }
         const steady_time now = steady_clock::now();
-        const absl::Status held_off = this->check_hold_offs(*self.request, deadline, now);
-        if (!held_off.ok()) {
+        absl::Status in_vain = this->check_hold_offs(*self.request, deadline, now);
+        in_vain.Update(this->check_outlook(*self.request, now));
+        if (!in_vain.ok()) {
             queue.waiters.remove(&self);
-            return held_off;
+            return in_vain;
         }
         if (now >= deadline) {
             queue.waiters.remove(&self);
@@ -299,6 +374,31 @@
     }
 }
 
+void dispatcher::note_accepted(placement& given)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(given.server.id);
+    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
+        return;
+    }
+    given.accepted = true;
+    placement_request any;
+    any.service = given.server.service;
+    const steady_time now = steady_clock::now();
+    const bool returns =
+        outlook_of(this->outages(any, now), now).condition != service_condition::serving;
+    found->second.note_accepted();
+    if (!returns) {
+        return;
+    }
+    for (auto& [id, state] : this->servers) {
+        if (state.server().service == any.service) {
+            state.end_exclusion();
+        }
+    }
+    this->serve_waiters(any.service);
+}
+
 void dispatcher::finish(const placement& given, attempt_result result,
                         std::chrono::milliseconds first_byte)
 {
@@ -312,7 +412,7 @@
         this->serve_waiters(given.server.service);
         return;
     }
-    found->second.end_attempt(result, first_byte, now);
+    found->second.end_attempt(result, given.accepted, first_byte, now);
     if (result == attempt_result::replaced) {
         found->second.mark_leaving();
     }
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -28,6 +28,7 @@
 #include "sardinestream/backends/notice_memory.h"
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
+#include "sardinestream/backends/service_outlook.h"
 #include "sardinestream/http/socket.h"
 
 #include "absl/base/thread_annotations.h"
@@ -55,6 +56,8 @@
     // What was known of the server when it was chosen.
     double occupancy = 0;
     double slowness = 1;
+    // The server has begun to answer.
+    bool accepted = false;
 };
 
 struct dispatcher_options {
@@ -73,6 +76,9 @@
     [[nodiscard]] absl::StatusOr<placement> place(const placement_request& request,
                                                   const hangup_watch& caller);
 
+    // The server has begun to answer the attempt, other than by a refusal.
+    void note_accepted(placement& given);
+
     // `first_byte` is the time from sending to the first byte of the answer.
     void finish(const placement& given, attempt_result result,
                 std::chrono::milliseconds first_byte);
@@ -109,6 +115,9 @@
         std::string use;
     };
     [[nodiscard]] std::vector<server_summary> summary() const;
+
+    // Of each service that has servers.
+    [[nodiscard]] std::map<std::string, service_outlook> outlooks() const;
     [[nodiscard]] int waiting() const;
 
 private:
@@ -117,6 +126,8 @@
         // In order of arrival.
         std::list<waiter*> waiters;
         drain_rate finished;
+        // When the service, while it does not serve, may be tried again.
+        steady_time next_probe{};
     };
 
     std::optional<placement> try_place(const placement_request& request)
@@ -125,6 +136,17 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Of each server that may take the request and does not hold off.
+    [[nodiscard]] std::vector<std::optional<server_outage>>
+    outages(const placement_request& request, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // A server for a request that shows whether a service that does not serve has returned; nothing
+    // where one has been sent lately, or the service serves.
+    std::optional<placement> try_probe(const placement_request& request, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Refuses a request for a service that is down.
+    [[nodiscard]] absl::Status check_outlook(const placement_request& request, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Whether the request may be sent to the server once it takes requests.
     [[nodiscard]] static bool may_take(const server_state& state, const placement_request& request);
     // When the first server takes requests again where all that may take the request hold off; else
--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -159,6 +159,26 @@
     this->finish(first);
 }
 
+TEST_F(dispatcher_test, refuses_at_once_while_all_ranks_of_a_service_have_been_broken_for_long)
+{
+    this->servers.set_servers({make_server("1", 4)});
+    server_report broken;
+    broken.group_broken = true;
+    const steady_time begun = steady_clock::now();
+    while (steady_clock::now() < begun + milliseconds(4100)) {
+        this->servers.apply_report("10.0.0.1", broken);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    const steady_time asked = steady_clock::now();
+    const absl::Status refused = this->servers.place(make_request(), hangup_watch()).status();
+    EXPECT_TRUE(absl::IsUnavailable(refused));
+    EXPECT_LT(steady_clock::now() - asked, milliseconds(100));
+    EXPECT_GT(retry_after_of(refused), milliseconds(1000));
+    EXPECT_EQ(this->servers.outlooks().at("assistant").condition, service_condition::down);
+    this->servers.apply_report("10.0.0.1", server_report());
+    EXPECT_TRUE(this->servers.place(make_request(), hangup_watch()).ok());
+}
+
 TEST_F(dispatcher_test, a_server_that_starts_again_is_a_new_one)
 {
     this->servers.set_servers({make_server("1", 1)});
--- a/sardinestream/backends/hold_off_load_test.cc
+++ b/sardinestream/backends/hold_off_load_test.cc
@@ -1,17 +1,16 @@
 // Plays a load of several entries on a service whose servers hold off, with each entry's own states
 // of the servers, and compares what callers get where the servers' wish is heeded and where it is
-// not. Simulated time; events in their order.
+// not.
 
 #include <algorithm>
 #include <array>
-#include <functional>
-#include <map>
 #include <random>
 #include <vector>
 
 #include <gtest/gtest.h>
 
 #include "sardinestream/backends/choose_server.h"
+#include "sardinestream/backends/played_time.h"
 #include "sardinestream/backends/server_state.h"
 
 #include "absl/strings/str_cat.h"
@@ -81,13 +80,7 @@
         if (this->load.requests_per_s > 0) {
             this->keep_arriving();
         }
-        while (!this->events.empty() && this->events.begin()->first < this->start + length) {
-            const auto next = this->events.begin();
-            this->now = next->first;
-            const std::function<void()> happens = std::move(next->second);
-            this->events.erase(next);
-            happens();
-        }
+        this->time.play(length);
         this->count_crowds();
         return this->result;
     }
@@ -117,30 +110,26 @@
     };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
-    void after(steady_clock::duration delay, std::function<void()> happens)
-    {
-        this->events.emplace(this->now + delay, std::move(happens));
-    }
 
     // When the hold-off of the server ends; in the past where it does not hold off.
     [[nodiscard]] steady_time held_until(std::size_t server) const
     {
-        const auto span = (this->now - this->start) / this->load.hold_off;
+        const auto span = (this->time.elapsed()) / this->load.hold_off;
         if (this->load.once) {
-            return this->start + this->load.hold_off;
+            return this->time.start() + this->load.hold_off;
         }
         const bool holds = static_cast<int>(server) % this->load.groups ==
                            static_cast<int>(span) % this->load.groups;
-        return holds ? this->start + (span + 1) * this->load.hold_off : steady_time{};
+        return holds ? this->time.start() + (span + 1) * this->load.hold_off : steady_time{};
     }
 
     void keep_arriving()
     {
         const double gap_s =
             std::exponential_distribution<double>(this->load.requests_per_s)(this->random);
-        this->after(std::chrono::duration_cast<steady_clock::duration>(
-                        std::chrono::duration<double>(gap_s)),
-                    [this] { this->keep_arriving(); });
+        this->time.after(std::chrono::duration_cast<steady_clock::duration>(
+                             std::chrono::duration<double>(gap_s)),
+                         [this] { this->keep_arriving(); });
         this->arrive();
     }
 
@@ -149,7 +138,7 @@
         ++this->result.requests;
         const auto entry = static_cast<std::size_t>(this->uniform() * this->load.entries);
         this->tokens[entry] = std::min(tokens_at_start, this->tokens[entry] + tokens_per_request);
-        this->place({entry, this->now, 0});
+        this->place({entry, this->time.now(), 0});
     }
 
     void place(const request& placed)
@@ -157,7 +146,7 @@
         std::vector<server_load> loads;
         const load_view view{"", this->load.entries};
         for (const server_state& state : this->known[placed.entry]) {
-            loads.push_back(state.load(this->load.slots, view, service_pace{}, this->now));
+            loads.push_back(state.load(this->load.slots, view, service_pace{}, this->time.now()));
         }
         std::array<double, servers_drawn> draws{};
         for (double& draw : draws) {
@@ -165,53 +154,55 @@
         }
         const std::optional<std::size_t> chosen = choose_among_drawn(loads, draws);
         if (!chosen.has_value()) {
-            if (this->now + recheck > placed.arrival + patience) {
+            if (this->time.now() + recheck > placed.arrival + patience) {
                 ++this->result.refused;
                 return;
             }
-            this->after(recheck, [this, placed] { this->place(placed); });
+            this->time.after(recheck, [this, placed] { this->place(placed); });
             return;
         }
-        this->known[placed.entry][*chosen].begin_attempt();
-        this->after(one_way, [this, placed, chosen] { this->reach(*chosen, placed); });
+        this->known[placed.entry][*chosen].begin_attempt(this->time.now());
+        this->time.after(one_way, [this, placed, chosen] { this->reach(*chosen, placed); });
     }
 
     void reach(std::size_t server, const request& placed)
     {
-        this->arrivals[server].push_back(this->now);
+        this->arrivals[server].push_back(this->time.now());
         hold_off_told& told = this->told[placed.entry][server];
-        if (this->now > told.at + told_slack && this->now < told.until) {
+        if (this->time.now() > told.at + told_slack && this->time.now() < told.until) {
             ++told.reached;
             this->result.unwanted += told.reached > allowed_in_hold_off ? 1 : 0;
         }
         const steady_time until = this->held_until(server);
-        if (until <= this->now && this->running[server] < this->load.slots) {
+        if (until <= this->time.now() && this->running[server] < this->load.slots) {
             ++this->running[server];
-            this->after(work, [this, server, placed] { this->finish(server, placed); });
+            this->time.after(work, [this, server, placed] { this->finish(server, placed); });
             return;
         }
         if (until > told.until) {
-            told = {this->now, until, 0};
+            told = {this->time.now(), until, 0};
         }
-        this->after(one_way,
-                    [this, server, placed, until] { this->refuse(server, placed, until); });
+        this->time.after(one_way,
+                         [this, server, placed, until] { this->refuse(server, placed, until); });
     }
 
     void finish(std::size_t server, const request& placed)
     {
         --this->running[server];
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(this->now - placed.arrival);
-        this->known[placed.entry][server].end_attempt(attempt_result::succeeded, work, this->now);
+        const auto elapsed =
+            std::chrono::duration_cast<milliseconds>(this->time.now() - placed.arrival);
+        this->known[placed.entry][server].end_attempt(attempt_result::succeeded, false, work,
+                                                      this->time.now());
         (elapsed <= target ? this->result.in_time : this->result.late) += 1;
     }
 
     void refuse(std::size_t server, request placed, steady_time until)
     {
         server_state& state = this->known[placed.entry][server];
-        if (this->heeds && until > this->now) {
+        if (this->heeds && until > this->time.now()) {
             state.hold(until, put_off_for(this->load.entries, this->uniform()));
         }
-        state.end_attempt(attempt_result::refused, one_way * 2, this->now);
+        state.end_attempt(attempt_result::refused, false, one_way * 2, this->time.now());
         if (++placed.refusals >= most_refusals || this->tokens[placed.entry] < 1) {
             ++this->result.refused;
             return;
@@ -234,9 +225,7 @@
     const hold_off_load load;
     const bool heeds;
     std::mt19937 random;
-    const steady_time start = steady_clock::now();
-    steady_time now = start;
-    std::multimap<steady_time, std::function<void()>> events;
+    played_time time;
     std::vector<int> running;
     std::vector<std::vector<steady_time>> arrivals;
     // By entry.
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -25,6 +25,8 @@
 // The same for one that refused a request: it is full, or its group is forming.
 constexpr milliseconds first_refusal_exclusion{100};
 constexpr int most_doublings = 3;
+// A refusal says nothing about a server any more that no one has tried for so long.
+constexpr std::chrono::seconds turned_away_memory{5};
 // A slow answer is forgotten in the same manner as a failure.
 constexpr double largest_slowness = 20.0;
 
@@ -37,15 +39,24 @@
     this->held.begin(wanted, put_off);
 }
 
-void server_state::begin_attempt()
+void server_state::begin_attempt(steady_time now)
 {
+    this->last_attempt = now;
     ++this->in_flight;
     ++this->begun_since_report;
 }
 
-void server_state::end_attempt(attempt_result result, milliseconds elapsed, steady_time now)
+void server_state::note_accepted()
+{
+    ++this->accepted;
+    this->turned_away_since.reset();
+}
+
+void server_state::end_attempt(attempt_result result, bool was_accepted, milliseconds elapsed,
+                               steady_time now)
 {
     --this->in_flight;
+    this->accepted -= was_accepted ? 1 : 0;
     ++this->ended_since_report;
     if (result == attempt_result::abandoned) {
         return;
@@ -57,6 +68,10 @@
         }
         this->held.note_refusal(now);
     }
+    if (result == attempt_result::refused || result == attempt_result::unreachable) {
+        this->turned_away_since = this->turned_away_since.value_or(now);
+        this->last_turned_away = now;
+    }
     const bool failed = result != attempt_result::succeeded && result != attempt_result::refused;
     const double before = this->failure_share(now);
     this->failures = before + answer_weight * ((failed ? 1.0 : 0.0) - before);
@@ -80,6 +95,12 @@
 
 void server_state::apply_report(const server_report& newer, steady_time now)
 {
+    if (!newer.group_broken) {
+        this->broken_since.reset();
+    }
+    else if (!this->broken_since.has_value()) {
+        this->broken_since = now;
+    }
     this->report = newer;
     this->report_time = now;
     this->begun_since_report = 0;
@@ -98,6 +119,30 @@
            now - this->report_time > view.report_interval * silent_intervals + silent_slack;
 }
 
+bool server_state::is_broken(const load_view& view, steady_time now) const
+{
+    return this->has_fresh_report(view, now) && this->report.group_broken;
+}
+
+std::optional<server_outage> server_state::outage(const load_view& view, steady_time now) const
+{
+    if (this->is_broken(view, now)) {
+        return server_outage{*this->broken_since, this->report_time, true};
+    }
+    // One that is busy with what it has accepted refuses the rest and serves all the same.
+    const bool turns_away = this->turned_away_since.has_value() && this->accepted == 0 &&
+                            now - this->last_turned_away < turned_away_memory;
+    if (!turns_away) {
+        return std::nullopt;
+    }
+    return server_outage{*this->turned_away_since, this->last_turned_away, false};
+}
+
+bool server_state::can_be_probed(const load_view& view, steady_time now) const
+{
+    return !this->is_held_off(now) && !this->is_broken(view, now);
+}
+
 absl::string_view server_state::use(const load_view& view, steady_time now) const
 {
     if (this->described.draining) {
@@ -112,7 +157,7 @@
     if (this->has_silent_agent(view, now)) {
         return "last: agent silent";
     }
-    if (this->has_fresh_report(view, now) && this->report.group_broken) {
+    if (this->is_broken(view, now)) {
         return "no: group broken";
     }
     return "yes";
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -7,11 +7,13 @@
 #define SARDINESTREAM_BACKENDS_SERVER_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/choose_server.h"
 #include "sardinestream/backends/hold_off.h"
+#include "sardinestream/backends/service_outlook.h"
 #include "sardinestream/http/socket.h"
 
 #include "absl/strings/string_view.h"
@@ -73,9 +75,12 @@
     // The server wants no requests until `wanted`; it is used again `put_off` later.
     void hold(steady_time wanted, std::chrono::milliseconds put_off);
 
-    void begin_attempt();
-    // `elapsed` is the time to the first byte of the answer.
-    void end_attempt(attempt_result result, std::chrono::milliseconds elapsed, steady_time now);
+    void begin_attempt(steady_time now);
+    // The server has begun to answer an attempt, other than by a refusal.
+    void note_accepted();
+    // `accepted`: the same attempt was. `elapsed` is the time to the first byte of the answer.
+    void end_attempt(attempt_result result, bool accepted, std::chrono::milliseconds elapsed,
+                     steady_time now);
     void apply_report(const server_report& report, steady_time now);
 
     // `room` is what the service's policy allows on this server.
@@ -87,6 +92,13 @@
 
     [[nodiscard]] bool is_excluded(steady_time now) const { return now < this->excluded_until; }
     [[nodiscard]] bool is_held_off(steady_time now) const { return this->held.is_active(now); }
+    // Its outage, where it is known to serve nothing.
+    [[nodiscard]] std::optional<server_outage> outage(const load_view& view, steady_time now) const;
+    // The service serves again: what was learned while it did not says nothing any more.
+    void end_exclusion() { this->excluded_until = {}; }
+    // Whether a service that does not serve may be tried by a request to this server.
+    [[nodiscard]] bool can_be_probed(const load_view& view, steady_time now) const;
+    [[nodiscard]] steady_time last_begun() const { return this->last_attempt; }
     // When a server that holds off is used again.
     [[nodiscard]] steady_time hold_ends() const { return this->held.ends(); }
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
@@ -96,6 +108,8 @@
     void add_to(service_pace& usual, const load_view& view, steady_time now) const;
 
 private:
+    // Its agent says that its group serves nothing.
+    [[nodiscard]] bool is_broken(const load_view& view, steady_time now) const;
     [[nodiscard]] bool has_silent_agent(const load_view& view, steady_time now) const;
     [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
     [[nodiscard]] double failure_share(steady_time now) const;
@@ -113,6 +127,15 @@
     steady_time last_answer{};
     int failures_in_a_row = 0;
     steady_time excluded_until{};
+    steady_time last_attempt{};
+    // Attempts in progress that the server has begun to answer.
+    int accepted = 0;
+    // The first and the last time that it refused or could not be reached since it last accepted a
+    // request; nothing and zero where it has accepted the last one.
+    std::optional<steady_time> turned_away_since;
+    steady_time last_turned_away{};
+    // Since when its agent says that its group is broken.
+    std::optional<steady_time> broken_since;
     hold_off held;
 };
 
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -29,8 +29,8 @@
 
 TEST_F(server_state_test, counts_own_requests_for_every_process_without_a_report)
 {
-    this->state.begin_attempt();
-    this->state.begin_attempt();
+    this->state.begin_attempt(this->start);
+    this->state.begin_attempt(this->start);
     EXPECT_EQ(this->load_at(this->start, 4).occupancy, 8);
 }
 
@@ -39,12 +39,12 @@
     server_report report;
     report.running = 5;
     report.waiting = 1;
-    this->state.begin_attempt();
+    this->state.begin_attempt(this->start);
     this->state.apply_report(report, this->start);
     EXPECT_EQ(this->load_at(this->start).occupancy, 6);
-    this->state.begin_attempt();
+    this->state.begin_attempt(this->start);
     EXPECT_EQ(this->load_at(this->start).occupancy, 7);
-    this->state.end_attempt(attempt_result::succeeded, milliseconds(10), this->start);
+    this->state.end_attempt(attempt_result::succeeded, false, milliseconds(10), this->start);
     EXPECT_EQ(this->load_at(this->start).occupancy, 6);
 }
 
@@ -75,8 +75,8 @@
     this->state.apply_report(broken, this->start);
     EXPECT_EQ(this->state.use(view, this->start), "no: group broken");
     EXPECT_EQ(this->state.use(view, this->start + milliseconds(600)), "last: agent silent");
-    this->state.begin_attempt();
-    this->state.end_attempt(attempt_result::unreachable, milliseconds(1), this->start);
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::unreachable, false, milliseconds(1), this->start);
     EXPECT_EQ(this->state.use(view, this->start), "no: left alone after a failure");
     this->state.mark_leaving();
     EXPECT_EQ(this->state.use(view, this->start), "no: leaving");
@@ -92,14 +92,66 @@
 
 TEST_F(server_state_test, a_refusal_that_asks_to_hold_off_is_no_fault)
 {
-    this->state.begin_attempt();
+    this->state.begin_attempt(this->start);
     this->state.hold(this->start + milliseconds(10), milliseconds(0));
-    this->state.end_attempt(attempt_result::refused, milliseconds(1), this->start);
+    this->state.end_attempt(attempt_result::refused, false, milliseconds(1), this->start);
     EXPECT_FALSE(this->state.is_excluded(this->start + milliseconds(1)));
     EXPECT_EQ(this->load_at(this->start + milliseconds(20)).failure_share, 0);
     EXPECT_TRUE(this->load_at(this->start + milliseconds(20)).available);
 }
 
+TEST_F(server_state_test, is_out_from_its_first_refusal_until_it_accepts_a_request)
+{
+    const load_view view{"a", 1};
+    const auto refuse = [this](steady_time at) {
+        this->state.begin_attempt(at);
+        this->state.end_attempt(attempt_result::refused, false, milliseconds(1), at);
+    };
+    EXPECT_FALSE(this->state.outage(view, this->start).has_value());
+    refuse(this->start);
+    refuse(this->start + milliseconds(500));
+    const std::optional<server_outage> outage =
+        this->state.outage(view, this->start + milliseconds(600));
+    ASSERT_TRUE(outage.has_value());
+    EXPECT_EQ(outage->since, this->start);
+    EXPECT_EQ(outage->seen, this->start + milliseconds(500));
+    EXPECT_FALSE(this->state.outage(view, this->start + milliseconds(5500)).has_value());
+    this->state.begin_attempt(this->start + milliseconds(600));
+    this->state.note_accepted();
+    EXPECT_FALSE(this->state.outage(view, this->start + milliseconds(600)).has_value());
+}
+
+// It is full, not out.
+TEST_F(server_state_test, serves_while_it_works_on_what_it_has_accepted)
+{
+    const load_view view{"a", 1};
+    this->state.begin_attempt(this->start);
+    this->state.note_accepted();
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::refused, false, milliseconds(1), this->start);
+    EXPECT_FALSE(this->state.outage(view, this->start).has_value());
+    this->state.end_attempt(attempt_result::unreachable, true, milliseconds(1), this->start);
+    EXPECT_TRUE(this->state.outage(view, this->start).has_value());
+}
+
+TEST_F(server_state_test, is_out_while_its_agent_says_that_its_group_is_broken)
+{
+    const load_view view{"a", 1};
+    server_report broken;
+    broken.group_broken = true;
+    this->state.apply_report(broken, this->start);
+    this->state.apply_report(broken, this->start + milliseconds(100));
+    const std::optional<server_outage> outage =
+        this->state.outage(view, this->start + milliseconds(150));
+    ASSERT_TRUE(outage.has_value());
+    EXPECT_TRUE(outage->group_broken);
+    EXPECT_EQ(outage->since, this->start);
+    EXPECT_EQ(outage->seen, this->start + milliseconds(100));
+    EXPECT_FALSE(this->state.can_be_probed(view, this->start + milliseconds(150)));
+    this->state.apply_report(server_report(), this->start + milliseconds(200));
+    EXPECT_FALSE(this->state.outage(view, this->start + milliseconds(200)).has_value());
+}
+
 TEST_F(server_state_test, forgets_a_report_that_has_grown_old)
 {
     server_report report;
@@ -118,20 +170,20 @@
 
 TEST_F(server_state_test, is_left_alone_for_longer_with_each_failure_to_reach_it)
 {
-    this->state.begin_attempt();
-    this->state.end_attempt(attempt_result::unreachable, milliseconds(0), this->start);
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::unreachable, false, milliseconds(0), this->start);
     EXPECT_FALSE(this->load_at(this->start + milliseconds(200)).available);
     EXPECT_TRUE(this->load_at(this->start + milliseconds(300)).available);
-    this->state.begin_attempt();
-    this->state.end_attempt(attempt_result::unreachable, milliseconds(0), this->start);
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::unreachable, false, milliseconds(0), this->start);
     EXPECT_FALSE(this->load_at(this->start + milliseconds(300)).available);
 }
 
 TEST_F(server_state_test, failures_fade_so_that_a_mended_server_is_tried_again)
 {
     for (int i = 0; i < 10; ++i) {
-        this->state.begin_attempt();
-        this->state.end_attempt(attempt_result::failed, milliseconds(10), this->start);
+        this->state.begin_attempt(this->start);
+        this->state.end_attempt(attempt_result::failed, false, milliseconds(10), this->start);
     }
     EXPECT_GT(this->load_at(this->start).failure_share, 0.8);
     EXPECT_LT(this->load_at(this->start + std::chrono::seconds(9)).failure_share, 0.2);
@@ -139,8 +191,8 @@
 
 TEST_F(server_state_test, a_caller_that_left_says_nothing_about_the_server)
 {
-    this->state.begin_attempt();
-    this->state.end_attempt(attempt_result::abandoned, milliseconds(10), this->start);
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::abandoned, false, milliseconds(10), this->start);
     EXPECT_EQ(this->load_at(this->start).failure_share, 0);
     EXPECT_EQ(this->load_at(this->start).occupancy, 0);
 }
--- /dev/null
+++ b/sardinestream/backends/service_outlook.cc
@@ -0,0 +1,69 @@
+#include "sardinestream/backends/service_outlook.h"
+
+#include <algorithm>
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Servers that restart or are full for a moment serve again within this.
+constexpr milliseconds server_recovery_time{1000};
+// The same for a group of ranks, which forms anew once the last of them is back.
+constexpr milliseconds group_recovery_time{4000};
+constexpr milliseconds shortest_probe_interval{200};
+constexpr milliseconds probe_interval_per_process{25};
+// A refused caller comes back after about this share of the time for which the service has been
+// down, within these bounds.
+constexpr double come_back_share = 0.5;
+constexpr double shortest_come_back_ms = 500;
+constexpr double longest_come_back_ms = 4000;
+
+} // namespace
+
+service_outlook outlook_of(absl::Span<const std::optional<server_outage>> servers, steady_time now)
+{
+    if (servers.empty()) {
+        return {service_condition::down, milliseconds(0)};
+    }
+    steady_time since{};
+    steady_time seen{};
+    bool group_broken = false;
+    for (const std::optional<server_outage>& outage : servers) {
+        if (!outage.has_value()) {
+            return {};
+        }
+        since = std::max(since, outage->since);
+        seen = std::max(seen, outage->seen);
+        group_broken = group_broken || outage->group_broken;
+    }
+    const milliseconds patience = group_broken ? group_recovery_time : server_recovery_time;
+    return {seen - since < patience ? service_condition::recovering : service_condition::down,
+            std::chrono::duration_cast<milliseconds>(now - since)};
+}
+
+milliseconds probe_interval(int processes)
+{
+    return std::max(shortest_probe_interval, probe_interval_per_process * processes);
+}
+
+milliseconds come_back_after(const service_outlook& outlook, double draw)
+{
+    const double base = std::clamp(come_back_share * static_cast<double>(outlook.unserved.count()),
+                                   shortest_come_back_ms, longest_come_back_ms);
+    return milliseconds(static_cast<std::int64_t>(base * (0.75 + draw / 2)));
+}
+
+absl::string_view name_of(service_condition condition)
+{
+    switch (condition) {
+    case service_condition::recovering:
+        return "recovering";
+    case service_condition::down:
+        return "down";
+    default:
+        return "serving";
+    }
+}
+
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/service_outlook_load_test.cc
@@ -0,0 +1,366 @@
+// Plays ten thousand callers, who come back once after a refusal, on a service that cannot serve
+// for a while, and compares what they get where requests for a service that is down are refused at
+// once and where they wait for it as for any other.
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/backends/choose_server.h"
+#include "sardinestream/backends/played_time.h"
+#include "sardinestream/backends/server_state.h"
+#include "sardinestream/backends/service_outlook.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Whether a server refuses everything at a time after the start.
+using outage_plan = std::function<bool(std::size_t server, milliseconds at)>;
+
+constexpr milliseconds outage_begin{2000};
+
+struct outage_result {
+    int callers = 0;
+    int in_time = 0;
+    int late = 0;
+    int refused = 0;
+    int tries = 0;
+    // Of the tries that began a second or more after the beginning of the outage and were refused
+    // before its end: how long they were held, in order.
+    std::vector<milliseconds> held;
+    // Of callers who came after the end of the outage.
+    int later_callers = 0;
+    int later_in_time = 0;
+    // From the end of the outage to the first success.
+    milliseconds seen_after{-1};
+
+    [[nodiscard]] milliseconds held_at(double share) const
+    {
+        return this->held.empty() ? milliseconds(0)
+                                  : this->held[static_cast<std::size_t>(
+                                        share * static_cast<double>(this->held.size() - 1))];
+    }
+
+    // Of the answers to their callers, for whom a late one is worth a third.
+    [[nodiscard]] double worth() const
+    {
+        constexpr double worth_of_late = 0.3;
+        return this->in_time + worth_of_late * this->late;
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        return absl::StrCat(
+            "in_time=", this->in_time, " late=", this->late, " refused=", this->refused,
+            " tries=", this->tries, " held_median_ms=", this->held_at(0.5).count(),
+            " held_most_ms=", this->held_at(1).count(), " later_in_time=", this->later_in_time, "/",
+            this->later_callers, " seen_after_ms=", this->seen_after.count());
+    }
+};
+
+class service_in_outage {
+public:
+    // `length` is that of the outage, from `outage_begin`.
+    service_in_outage(outage_plan refuses, milliseconds length, bool heeds_outlook)
+        : plan(std::move(refuses)), outage_end(outage_begin + length), heeds(heeds_outlook)
+    {
+        for (entry& one : this->entries) {
+            backend_server described;
+            described.slots = slots;
+            one.servers.assign(servers, server_state(described));
+        }
+    }
+
+    outage_result play()
+    {
+        for (int i = 0; i < most_callers; ++i) {
+            const double at_s = this->uniform() * static_cast<double>(arrivals.count());
+            this->time.after(milliseconds(static_cast<std::int64_t>(at_s)),
+                             [this] { this->arrive(); });
+        }
+        this->time.play(arrivals + patience * 2);
+        std::sort(this->result.held.begin(), this->result.held.end());
+        return this->result;
+    }
+
+private:
+    static constexpr int most_callers = 10000;
+    static constexpr milliseconds arrivals{16000};
+    static constexpr std::size_t servers = 5;
+    static constexpr int slots = 6;
+    static constexpr milliseconds work{20};
+    static constexpr milliseconds one_way{1};
+    static constexpr milliseconds target{150};
+    static constexpr milliseconds patience{1500};
+    static constexpr milliseconds recheck{20};
+    static constexpr milliseconds usual_retry_after{300};
+    static constexpr int most_refusals = 4;
+    static constexpr double most_tokens = 10;
+    static constexpr double tokens_per_request = 0.2;
+
+    struct entry {
+        std::vector<server_state> servers;
+        double tokens = most_tokens;
+        steady_time next_probe{};
+    };
+    struct caller {
+        steady_time arrival{};
+        bool came_back = false;
+    };
+    // One try of a caller at one entry.
+    struct attempt {
+        caller of;
+        std::size_t at = 0;
+        steady_time begun{};
+        int refusals = 0;
+    };
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+    [[nodiscard]] milliseconds elapsed() const
+    {
+        return std::chrono::duration_cast<milliseconds>(this->time.elapsed());
+    }
+
+    void arrive()
+    {
+        ++this->result.callers;
+        this->result.later_callers += this->elapsed() > this->outage_end ? 1 : 0;
+        this->ask({this->time.now(), false});
+    }
+
+    void ask(const caller& asking)
+    {
+        ++this->result.tries;
+        const auto at = static_cast<std::size_t>(this->uniform() * entry_count);
+        entry& asked = this->entries[at];
+        asked.tokens = std::min(most_tokens, asked.tokens + tokens_per_request);
+        this->place({asking, at, this->time.now(), 0});
+    }
+
+    [[nodiscard]] service_outlook outlook(const entry& at) const
+    {
+        std::vector<std::optional<server_outage>> outages;
+        for (const server_state& state : at.servers) {
+            outages.push_back(state.outage(view, this->time.now()));
+        }
+        return outlook_of(outages, this->time.now());
+    }
+
+    // Returns whether the request was sent or refused since the service does not serve.
+    bool place_without_service(const attempt& placed)
+    {
+        entry& at = this->entries[placed.at];
+        const service_outlook expected = this->outlook(at);
+        if (!this->heeds || expected.condition == service_condition::serving) {
+            return false;
+        }
+        if (this->time.now() >= at.next_probe) {
+            at.next_probe = this->time.now() + probe_interval(entry_count);
+            const auto longest_untried =
+                std::min_element(at.servers.begin(), at.servers.end(),
+                                 [](const server_state& a, const server_state& b) {
+                                     return a.last_begun() < b.last_begun();
+                                 });
+            this->send(placed, static_cast<std::size_t>(longest_untried - at.servers.begin()));
+            return true;
+        }
+        if (expected.condition == service_condition::down) {
+            this->refuse_caller(placed, come_back_after(expected, this->uniform()));
+            return true;
+        }
+        return false;
+    }
+
+    void place(const attempt& placed)
+    {
+        if (this->place_without_service(placed)) {
+            return;
+        }
+        std::vector<server_load> loads;
+        for (const server_state& state : this->entries[placed.at].servers) {
+            loads.push_back(state.load(slots, view, service_pace{}, this->time.now()));
+        }
+        const std::array<double, servers_drawn> draws = {this->uniform(), this->uniform(),
+                                                         this->uniform()};
+        const std::optional<std::size_t> chosen = choose_among_drawn(loads, draws);
+        if (chosen.has_value()) {
+            this->send(placed, *chosen);
+            return;
+        }
+        const steady_time leave_by =
+            placed.begun + (placed.of.arrival + patience - placed.begun) / 2;
+        if (this->time.now() + recheck > leave_by) {
+            this->refuse_caller(placed, usual_retry_after);
+            return;
+        }
+        this->time.after(recheck, [this, placed] { this->place(placed); });
+    }
+
+    void send(const attempt& placed, std::size_t server)
+    {
+        this->entries[placed.at].servers[server].begin_attempt(this->time.now());
+        this->time.after(one_way, [this, placed, server] { this->reach(placed, server); });
+    }
+
+    void reach(const attempt& placed, std::size_t server)
+    {
+        const bool refuses = this->plan(server, this->elapsed()) || this->running[server] >= slots;
+        if (refuses) {
+            this->time.after(one_way, [this, placed, server] { this->turn_away(placed, server); });
+            return;
+        }
+        ++this->running[server];
+        entry& at = this->entries[placed.at];
+        const bool returns = this->outlook(at).condition != service_condition::serving;
+        at.servers[server].note_accepted();
+        for (server_state& state : at.servers) {
+            if (this->heeds && returns) {
+                state.end_exclusion();
+            }
+        }
+        this->time.after(work, [this, placed, server] { this->finish(placed, server); });
+    }
+
+    void finish(const attempt& placed, std::size_t server)
+    {
+        --this->running[server];
+        this->entries[placed.at].servers[server].end_attempt(attempt_result::succeeded, true, work,
+                                                             this->time.now());
+        const bool in_time = this->time.now() <= placed.of.arrival + target;
+        (in_time ? this->result.in_time : this->result.late) += 1;
+        if (placed.of.arrival > this->time.start() + this->outage_end) {
+            this->result.later_in_time += in_time ? 1 : 0;
+        }
+        if (this->elapsed() > this->outage_end && this->result.seen_after < milliseconds(0)) {
+            this->result.seen_after = this->elapsed() - this->outage_end;
+        }
+    }
+
+    void turn_away(attempt placed, std::size_t server)
+    {
+        entry& at = this->entries[placed.at];
+        at.servers[server].end_attempt(attempt_result::refused, false, one_way * 2,
+                                       this->time.now());
+        if (++placed.refusals >= most_refusals || at.tokens < 1) {
+            this->refuse_caller(placed, usual_retry_after);
+            return;
+        }
+        at.tokens -= 1;
+        this->place(placed);
+    }
+
+    void refuse_caller(const attempt& refused, milliseconds come_back)
+    {
+        const auto held =
+            std::chrono::duration_cast<milliseconds>(this->time.now() - refused.begun);
+        if (refused.begun >= this->time.start() + outage_begin + milliseconds(1000) &&
+            this->elapsed() < this->outage_end) {
+            this->result.held.push_back(held);
+        }
+        if (refused.of.came_back || this->time.now() >= refused.of.arrival + patience) {
+            ++this->result.refused;
+            return;
+        }
+        const auto third = (refused.of.arrival + patience - this->time.now()) / 3;
+        this->time.after(
+            std::min<steady_clock::duration>(come_back, third),
+            [this, returning = caller{refused.of.arrival, true}] { this->ask(returning); });
+    }
+
+    static constexpr int entry_count = 4;
+
+    const outage_plan plan;
+    const milliseconds outage_end;
+    const bool heeds;
+    const load_view view{"", entry_count};
+    played_time time;
+    std::mt19937 random{7};
+    std::array<entry, entry_count> entries;
+    std::array<int, servers> running{};
+    outage_result result;
+};
+
+struct outage_pair {
+    outage_result heeded;
+    outage_result ignored;
+};
+
+outage_pair play_both(const outage_plan& plan, milliseconds length)
+{
+    const outage_pair both = {service_in_outage(plan, length, true).play(),
+                              service_in_outage(plan, length, false).play()};
+    testing::Test::RecordProperty("heeded", both.heeded.text());
+    testing::Test::RecordProperty("ignored", both.ignored.text());
+    return both;
+}
+
+outage_plan all_refuse_for(milliseconds length)
+{
+    return [length](std::size_t, milliseconds at) {
+        return at >= outage_begin && at < outage_begin + length;
+    };
+}
+
+constexpr milliseconds longest_median{100};
+constexpr milliseconds longest_held{300};
+constexpr milliseconds return_bound{500};
+
+TEST(service_outlook_load, callers_fare_no_worse_where_the_service_is_away_for_a_second)
+{
+    const outage_pair both = play_both(all_refuse_for(milliseconds(1000)), milliseconds(1000));
+    EXPECT_GE(both.heeded.worth(), both.ignored.worth());
+    EXPECT_LE(both.heeded.seen_after, return_bound);
+}
+
+TEST(service_outlook_load, callers_are_not_held_while_the_service_is_down_for_five_seconds)
+{
+    const outage_pair both = play_both(all_refuse_for(milliseconds(5000)), milliseconds(5000));
+    EXPECT_LT(both.heeded.held_at(0.5), longest_median);
+    EXPECT_LT(both.heeded.held_at(1), longest_held);
+    EXPECT_LE(both.heeded.seen_after, return_bound);
+    EXPECT_GE(both.heeded.worth(), both.ignored.worth());
+    EXPECT_GE(both.heeded.later_in_time, both.ignored.later_in_time);
+}
+
+TEST(service_outlook_load, callers_are_not_held_where_the_service_is_down_for_good)
+{
+    constexpr milliseconds for_good{1000000};
+    const outage_pair both = play_both(all_refuse_for(for_good), for_good);
+    EXPECT_LT(both.heeded.held_at(0.5), longest_median);
+    EXPECT_LT(both.heeded.held_at(1), longest_held);
+    EXPECT_GE(both.heeded.worth(), both.ignored.worth());
+}
+
+TEST(service_outlook_load, half_of_the_servers_serves_no_less)
+{
+    constexpr milliseconds length{5000};
+    const outage_plan half = [length](std::size_t server, milliseconds at) {
+        return server % 2 == 0 && at >= outage_begin && at < outage_begin + length;
+    };
+    const outage_pair both = play_both(half, length);
+    EXPECT_GE(both.heeded.worth(), both.ignored.worth());
+}
+
+TEST(service_outlook_load, a_service_that_flaps_each_second_serves_no_less)
+{
+    constexpr milliseconds length{8000};
+    const outage_plan flapping = [length](std::size_t, milliseconds at) {
+        constexpr milliseconds period{1000};
+        return at >= outage_begin && at < outage_begin + length &&
+               (at - outage_begin) / period % 2 == 0;
+    };
+    const outage_pair both = play_both(flapping, length);
+    EXPECT_GE(both.heeded.worth(), both.ignored.worth());
+}
+
+} // namespace
+} // namespace sardinestream
--- /dev/null
+++ b/sardinestream/backends/service_outlook_test.cc
@@ -0,0 +1,92 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/backends/service_outlook.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+class service_outlook_test : public testing::Test {
+protected:
+    [[nodiscard]] server_outage refuses(milliseconds since, milliseconds seen) const
+    {
+        return {this->start + since, this->start + seen, false};
+    }
+    [[nodiscard]] server_outage broken(milliseconds since, milliseconds seen) const
+    {
+        return {this->start + since, this->start + seen, true};
+    }
+    [[nodiscard]] service_condition
+    condition_of(const std::vector<std::optional<server_outage>>& servers, milliseconds at) const
+    {
+        return outlook_of(servers, this->start + at).condition;
+    }
+
+    const steady_time start = steady_clock::now();
+};
+
+TEST_F(service_outlook_test, serves_while_one_server_may)
+{
+    EXPECT_EQ(
+        this->condition_of({this->refuses(milliseconds(0), milliseconds(60000)), std::nullopt},
+                           milliseconds(60000)),
+        service_condition::serving);
+}
+
+TEST_F(service_outlook_test, is_down_once_it_is_refused_a_second_after_the_last_server_began_to)
+{
+    const auto condition_when_seen = [this](milliseconds seen) {
+        return this->condition_of({this->refuses(milliseconds(0), seen),
+                                   this->refuses(milliseconds(700), milliseconds(900))},
+                                  milliseconds(5000));
+    };
+    EXPECT_EQ(condition_when_seen(milliseconds(1600)), service_condition::recovering);
+    EXPECT_EQ(condition_when_seen(milliseconds(1700)), service_condition::down);
+}
+
+// It may serve again: nobody has tried.
+TEST_F(service_outlook_test, is_not_down_by_the_passing_of_time)
+{
+    EXPECT_EQ(this->condition_of({this->refuses(milliseconds(0), milliseconds(100))},
+                                 milliseconds(60000)),
+              service_condition::recovering);
+}
+
+TEST_F(service_outlook_test, gives_a_group_of_ranks_the_time_to_form)
+{
+    const auto condition_when_seen = [this](milliseconds seen) {
+        return this->condition_of({this->broken(milliseconds(0), seen),
+                                   this->refuses(milliseconds(0), milliseconds(100))},
+                                  seen);
+    };
+    EXPECT_EQ(condition_when_seen(milliseconds(3900)), service_condition::recovering);
+    EXPECT_EQ(condition_when_seen(milliseconds(4000)), service_condition::down);
+}
+
+TEST_F(service_outlook_test, without_servers_is_down)
+{
+    EXPECT_EQ(this->condition_of({}, milliseconds(0)), service_condition::down);
+}
+
+TEST_F(service_outlook_test, sends_callers_away_for_longer_the_longer_it_is_down)
+{
+    const auto back_after = [](int unserved_ms, double draw) {
+        return come_back_after({service_condition::down, milliseconds(unserved_ms)}, draw);
+    };
+    EXPECT_LT(back_after(1000, 0.5), back_after(3000, 0.5));
+    EXPECT_LT(back_after(3000, 0.0), back_after(3000, 0.9));
+    EXPECT_LE(back_after(3600000, 0.99), milliseconds(5000));
+    EXPECT_GE(back_after(0, 0.0), milliseconds(300));
+}
+
+TEST_F(service_outlook_test, is_tried_often_enough_to_see_it_return_by_any_number_of_processes)
+{
+    EXPECT_EQ(probe_interval(1), milliseconds(200));
+    EXPECT_LE(probe_interval(20), milliseconds(500));
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -313,6 +313,9 @@
     }
     const answer_marks marks = this->services.protocol.decode_answer(*head);
     this->take_notice(record.given.server, *head, marks);
+    if (!marks.never_ran && !marks.wrong_server) {
+        this->services.servers.note_accepted(record.given);
+    }
     reusable = reusable && head->keeps_alive() && !marks.notice.is_leaving;
     channel.idle_timeout = idle_timeout_of(*head);
     return this->relay(channel, *head, record, reusable);
--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -1,6 +1,8 @@
 // Servers in trouble: bytes without end, bytes that are no answer, answers that name no request,
 // and streams that drip. What the caller gets must be true, and the entry must stay within bounds.
 
+#include <algorithm>
+
 #include "sardinestream/forwarding/front_fixture.h"
 
 namespace sardinestream {
@@ -260,5 +262,60 @@
     EXPECT_LT(steady_clock::now() - begun, this->state->routes.front().timeout);
 }
 
+// Callers come back to a service whose two servers refuse everything.
+TEST_F(troubled_servers_test,
+       a_service_that_is_down_holds_no_caller_and_is_used_soon_after_its_return)
+{
+    std::atomic<bool> refuses = true;
+    const auto script = [&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(refuses
+                                 ? "HTTP/1.1 503 Full\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+                                 : answer_to(connection, "served"));
+        }
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    this->budget = 10000;
+    constexpr int callers = 8;
+    const steady_time begun = steady_clock::now();
+    const steady_time returns = begun + milliseconds(3500);
+    absl::Mutex mutex;
+    std::vector<milliseconds> held;
+    std::atomic<steady_time> seen{steady_time::max()};
+    const auto call_until_served = [&](int caller) {
+        for (int i = 0; seen.load() == steady_time::max(); ++i) {
+            const steady_time asked = steady_clock::now();
+            const caller_answer answer = this->call("/pay/", absl::StrCat("r", caller, "-", i));
+            const steady_time answered = steady_clock::now();
+            if (answer.head.status == 200) {
+                seen = answered;
+            }
+            const absl::MutexLock lock(&mutex);
+            if (asked > begun + milliseconds(1500) && answered < returns) {
+                held.push_back(std::chrono::duration_cast<milliseconds>(answered - asked));
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    threads.reserve(callers + 1);
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back(call_until_served, caller);
+    }
+    threads.emplace_back([&] {
+        std::this_thread::sleep_until(returns);
+        refuses = false;
+    });
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    std::sort(held.begin(), held.end());
+    ASSERT_FALSE(held.empty());
+    EXPECT_LT(held[held.size() / 2], milliseconds(100));
+    EXPECT_LT(held.back(), milliseconds(300));
+    EXPECT_LT(seen.load() - returns, milliseconds(500));
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -265,12 +265,41 @@
         if (this->directory.drop_vanished(steady_clock::now())) {
             this->publish_servers();
         }
+        this->note_outlooks();
         if (++ticks % ticks_per_sweep == 0) {
             this->channels.sweep(this->directory.usable());
         }
     }
 }
 
+void entry_program::note_outlooks()
+{
+    const std::map<std::string, service_outlook> outlooks = this->servers.outlooks();
+    for (const auto& [service, outlook] : outlooks) {
+        service_condition& known = this->conditions[service];
+        if (known == outlook.condition) {
+            continue;
+        }
+        known = outlook.condition;
+        std::map<std::string, int> servers_by_use;
+        for (const dispatcher::server_summary& one : this->servers.summary()) {
+            servers_by_use[one.use] += one.server.service == service ? 1 : 0;
+        }
+        std::string uses;
+        for (const auto& [use, number] : servers_by_use) {
+            if (number > 0) {
+                absl::StrAppend(&uses, uses.empty() ? "" : "; ", use, ": ", number);
+            }
+        }
+        log_event("service_condition", {{"service", service},
+                                        {"condition", name_of(outlook.condition)},
+                                        {"unserved_ms", outlook.unserved.count()},
+                                        {"servers", uses}});
+    }
+    std::erase_if(this->conditions,
+                  [&](const auto& named) { return outlooks.count(named.first) == 0; });
+}
+
 void entry_program::publish_servers()
 {
     const absl::MutexLock lock(&this->publishing);
@@ -358,6 +387,11 @@
                             {"state", one.server.draining ? "leaving" : held}}];
     }
     set_gauges("sardine_servers", {servers_by_state.begin(), servers_by_state.end()});
+    std::vector<std::pair<metric_labels, double>> conditions;
+    for (const auto& [service, outlook] : this->servers.outlooks()) {
+        conditions.push_back({{{"service", service}}, static_cast<double>(outlook.condition)});
+    }
+    set_gauges("sardine_service_condition", conditions);
 }
 
 std::string entry_program::status_json() const
@@ -376,6 +410,10 @@
                              {"entries_known", this->entries_known.load()},
                              {"retry_tokens", this->retries.left()},
                              {"waiting", this->servers.waiting()}};
+    for (const auto& [service, outlook] : this->servers.outlooks()) {
+        status["services"][service] = {{"condition", std::string(name_of(outlook.condition))},
+                                       {"unserved_ms", outlook.unserved.count()}};
+    }
     for (const dispatcher::server_summary& one : this->servers.summary()) {
         status["servers"].push_back({{"id", one.server.id},
                                      {"service", one.server.service},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -84,6 +84,8 @@
     // The entry to fetch from now, if any.
     [[nodiscard]] std::optional<std::string> due_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
+    // Logs services whose condition has changed. Called by the ticker alone.
+    void note_outlooks();
     // Brings what the directory knows into force.
     void publish_servers();
     // The other entries have seen no outage in which the servers that vanished could have lapsed.
@@ -124,6 +126,8 @@
     std::optional<entry_ahead> ahead ABSL_GUARDED_BY(mutex);
     // Held while the servers are brought into force, so that the newest list is the last.
     absl::Mutex publishing;
+    // As logged last; used by the ticker alone.
+    std::map<std::string, service_condition> conditions;
     std::atomic<bool> ticking = true;
     std::thread ticker;
     std::thread fetcher;
