Groups of ranks count as down after a second and a half

Cause: four seconds for a group to form held callers for as long after each loss of power, where none forms.

Change: 1.5 s.

--- a/sardinestream/backends/service_outlook.cc
+++ b/sardinestream/backends/service_outlook.cc
@@ -10,7 +10,7 @@
 // Servers that restart or are full for a moment serve again within this.
 constexpr milliseconds server_recovery_time{1000};
 // The same for a group of ranks, which forms anew once the last of them is back.
-constexpr milliseconds group_recovery_time{4000};
+constexpr milliseconds group_recovery_time{1500};
 constexpr milliseconds shortest_probe_interval{200};
 constexpr milliseconds probe_interval_per_process{25};
 // A refused caller comes back after about this share of the time for which the service has been
