--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -16,26 +16,12 @@
 namespace sardinestream {
 namespace {
 
-constexpr char retry_after_payload[] = "sardinestream/retry-after-ms";
 // The longest time to come back that a refusal names.
 constexpr std::chrono::milliseconds longest_retry_after{4000};
 constexpr std::chrono::milliseconds shortest_retry_after{100};
-// The same where all servers of a service hold off.
-constexpr std::chrono::milliseconds longest_return{60000};
-// Callers of a service whose servers all hold off come back within this share of the wait after it.
-constexpr double return_spread = 0.25;
-constexpr std::chrono::milliseconds shortest_return_spread{300};
 // Requests that wait before another one is refused on arrival.
 constexpr std::size_t least_queue = 4;
 
-absl::Status refusal(absl::StatusCode code, const std::string& service, absl::string_view reason,
-                     std::chrono::milliseconds come_back)
-{
-    absl::Status status = make_error(code, "place", service, reason);
-    status.SetPayload(retry_after_payload, absl::Cord(absl::StrCat(come_back.count())));
-    return status;
-}
-
 } // namespace
 
 // One request in a queue. Lives on the stack of the thread that waits.
@@ -46,16 +32,6 @@
     std::optional<placement> given;
 };
 
-std::chrono::milliseconds retry_after_of(const absl::Status& refusal)
-{
-    const absl::optional<absl::Cord> payload = refusal.GetPayload(retry_after_payload);
-    std::int64_t milliseconds = 0;
-    if (!payload.has_value() || !absl::SimpleAtoi(std::string(*payload), &milliseconds)) {
-        return std::chrono::milliseconds(0);
-    }
-    return std::chrono::milliseconds(milliseconds);
-}
-
 dispatcher::dispatcher(dispatcher_options chosen)
     : options(std::move(chosen)), random(std::random_device()())
 {
@@ -104,16 +80,6 @@
     return given;
 }
 
-double dispatcher::draw()
-{
-    return std::uniform_real_distribution<double>(0, 1)(this->random);
-}
-
-std::chrono::milliseconds dispatcher::draw_put_off()
-{
-    return put_off_for(this->view.processes, this->draw());
-}
-
 bool dispatcher::may_take(const server_state& state, const placement_request& request)
 {
     const backend_server& server = state.server();
@@ -128,123 +94,12 @@
                        [&](const auto& named) { return may_take(named.second, request); });
 }
 
-std::optional<steady_time> dispatcher::earliest_return(const placement_request& request,
-                                                       steady_time now) const
-{
-    std::optional<steady_time> earliest;
-    for (const auto& [id, state] : this->servers) {
-        if (!may_take(state, request)) {
-            continue;
-        }
-        if (!state.is_held_off(now)) {
-            return std::nullopt;
-        }
-        earliest = std::min(earliest.value_or(state.hold_ends()), state.hold_ends());
-    }
-    return earliest;
-}
-
-std::chrono::milliseconds dispatcher::spread_return(steady_clock::duration wait)
-{
-    using std::chrono::milliseconds;
-    const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait) + milliseconds(1);
-    const double spread_ms = std::max(return_spread * static_cast<double>(wait_ms.count()),
-                                      static_cast<double>(shortest_return_spread.count()));
-    return std::min(longest_return,
-                    wait_ms + milliseconds(static_cast<std::int64_t>(spread_ms * this->draw())));
-}
-
-std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
-                                                              steady_time now) const
-{
-    std::vector<std::optional<server_outage>> servers;
-    for (const auto& [id, state] : this->servers) {
-        if (may_take(state, request) && !state.is_held_off(now)) {
-            servers.push_back(state.outage(this->view, now));
-        }
-    }
-    return servers;
-}
-
-std::optional<placement> dispatcher::try_probe(const placement_request& request, steady_time now)
-{
-    service_queue& queue = this->queues[request.service];
-    if (now < queue.next_probe ||
-        outlook_of(this->outages(request, now), now).condition == service_condition::serving) {
-        return std::nullopt;
-    }
-    server_state* longest_untried = nullptr;
-    for (auto& [id, state] : this->servers) {
-        const bool fits = may_take(state, request) && state.can_be_probed(this->view, now);
-        if (fits &&
-            (longest_untried == nullptr || state.last_begun() < longest_untried->last_begun())) {
-            longest_untried = &state;
-        }
-    }
-    if (longest_untried == nullptr) {
-        return std::nullopt;
-    }
-    queue.next_probe = now + probe_interval(this->view.processes);
-    longest_untried->begin_attempt(now);
-    placement given;
-    given.server = longest_untried->server();
-    return given;
-}
-
-absl::Status dispatcher::check_outlook(const placement_request& request, steady_time now)
-{
-    const std::vector<std::optional<server_outage>> servers = this->outages(request, now);
-    const service_outlook expected = outlook_of(servers, now);
-    if (servers.empty() || expected.condition != service_condition::down) {
-        return absl::OkStatus();
-    }
-    return refusal(absl::StatusCode::kUnavailable, request.service, "service down",
-                   come_back_after(expected, this->draw()));
-}
-
-std::map<std::string, service_outlook> dispatcher::outlooks() const
-{
-    const absl::MutexLock lock(&this->mutex);
-    const steady_time now = steady_clock::now();
-    std::map<std::string, service_outlook> all;
-    for (const auto& [id, state] : this->servers) {
-        placement_request any;
-        any.service = state.server().service;
-        if (all.count(any.service) == 0) {
-            all[any.service] = outlook_of(this->outages(any, now), now);
-        }
-    }
-    return all;
-}
-
-absl::Status dispatcher::check_hold_offs(const placement_request& request, steady_time deadline,
-                                         steady_time now)
-{
-    const std::optional<steady_time> earliest = this->earliest_return(request, now);
-    if (!earliest.has_value() || *earliest < deadline) {
-        return absl::OkStatus();
-    }
-    return refusal(absl::StatusCode::kResourceExhausted, request.service, "all servers hold off",
-                   this->spread_return(*earliest - now));
-}
-
-std::chrono::milliseconds dispatcher::time_until_return(const std::string& service)
-{
-    const absl::MutexLock lock(&this->mutex);
-    placement_request any;
-    any.service = service;
-    const steady_time now = steady_clock::now();
-    const std::optional<steady_time> earliest = this->earliest_return(any, now);
-    return earliest.has_value() ? this->spread_return(*earliest - now)
-                                : std::chrono::milliseconds(0);
-}
-
 absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
                                      steady_time now)
 {
     if (!this->has_usable_server(request)) {
-        return refusal(absl::StatusCode::kUnavailable, request.service, "no server",
-                       std::chrono::milliseconds(1000));
+        return refuse(absl::StatusCode::kUnavailable, request.service, "no server",
+                      std::chrono::milliseconds(1000));
     }
     SARDINE_RETURN_IF_ERROR(this->check_hold_offs(request, now + request.longest_wait, now));
     double ahead = 1;
@@ -265,8 +120,8 @@
     const double spread = 0.5 + this->draw() / 2;
     const auto come_back = std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
-    return refusal(absl::StatusCode::kResourceExhausted, request.service, "queue full",
-                   std::max(come_back, shortest_retry_after));
+    return refuse(absl::StatusCode::kResourceExhausted, request.service, "queue full",
+                  std::max(come_back, shortest_retry_after));
 }
 
 absl::StatusOr<placement> dispatcher::place(const placement_request& request,
@@ -295,8 +150,8 @@
         SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
         self.event = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
         if (self.event < 0) {
-            return refusal(absl::StatusCode::kResourceExhausted, request.service, "no descriptor",
-                           shortest_retry_after);
+            return refuse(absl::StatusCode::kResourceExhausted, request.service, "no descriptor",
+                          shortest_retry_after);
         }
         queue.waiters.push_back(&self);
     }
@@ -344,10 +199,10 @@
         }
         if (now >= deadline) {
             queue.waiters.remove(&self);
-            return refusal(absl::StatusCode::kResourceExhausted, self.request->service,
-                           "waited too long",
-                           queue.finished.wait_behind(static_cast<double>(queue.waiters.size()) + 1,
-                                                      steady_clock::now(), longest_retry_after));
+            return refuse(absl::StatusCode::kResourceExhausted, self.request->service,
+                          "waited too long",
+                          queue.finished.wait_behind(static_cast<double>(queue.waiters.size()) + 1,
+                                                     steady_clock::now(), longest_retry_after));
         }
     }
 }
@@ -374,31 +229,6 @@
     }
 }
 
-void dispatcher::note_accepted(placement& given)
-{
-    const absl::MutexLock lock(&this->mutex);
-    const auto found = this->servers.find(given.server.id);
-    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
-        return;
-    }
-    given.accepted = true;
-    placement_request any;
-    any.service = given.server.service;
-    const steady_time now = steady_clock::now();
-    const bool returns =
-        outlook_of(this->outages(any, now), now).condition != service_condition::serving;
-    found->second.note_accepted();
-    if (!returns) {
-        return;
-    }
-    for (auto& [id, state] : this->servers) {
-        if (state.server().service == any.service) {
-            state.end_exclusion();
-        }
-    }
-    this->serve_waiters(any.service);
-}
-
 void dispatcher::finish(const placement& given, attempt_result result,
                         std::chrono::milliseconds first_byte)
 {
@@ -419,15 +249,6 @@
     this->serve_waiters(given.server.service);
 }
 
-server_state dispatcher::new_state(const backend_server& server, steady_time now)
-{
-    server_state state(server);
-    if (this->notices.held_until(server) > now) {
-        state.hold(this->notices.held_until(server), this->draw_put_off());
-    }
-    return state;
-}
-
 void dispatcher::set_servers(const std::vector<backend_server>& newer)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -453,35 +274,6 @@
     }
 }
 
-server_notice dispatcher::take_notice(const backend_server& server, const server_notice& said)
-{
-    const absl::MutexLock lock(&this->mutex);
-    const steady_time now = steady_clock::now();
-    const auto found = this->servers.find(server.id);
-    server_state* const state =
-        found != this->servers.end() && found->second.server().born_ms == server.born_ms
-            ? &found->second
-            : nullptr;
-    server_notice news;
-    if (said.is_leaving) {
-        const bool is_first = this->notices.note_leaving(server);
-        news.is_leaving = is_first || (state != nullptr && !state->server().draining);
-        if (state != nullptr) {
-            state->mark_leaving();
-        }
-    }
-    if (said.hold_off.has_value()) {
-        const steady_time until = now + *said.hold_off;
-        if (this->notices.note_hold_off(server, until, now)) {
-            news.hold_off = said.hold_off;
-        }
-        if (state != nullptr) {
-            state->hold(until, this->draw_put_off());
-        }
-    }
-    return news;
-}
-
 void dispatcher::apply_report(const std::string& server_ip, const server_report& report)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -26,6 +26,7 @@
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/notice_memory.h"
+#include "sardinestream/backends/refusal.h"
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/backends/service_outlook.h"
@@ -136,7 +137,7 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Of each server that may take the request and does not hold off.
+    // Of the servers that may take the request and do not hold off, up to the first that may serve.
     [[nodiscard]] std::vector<std::optional<server_outage>>
     outages(const placement_request& request, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -181,9 +182,6 @@
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
 
-// Returns when a refused caller should come back, or zero where the error does not say.
-[[nodiscard]] std::chrono::milliseconds retry_after_of(const absl::Status& refusal);
-
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_BACKENDS_DISPATCHER_H_
--- /dev/null
+++ b/sardinestream/backends/dispatcher_outlook.cc
@@ -0,0 +1,208 @@
+// The part of the dispatcher that knows what servers say of themselves, and whether a service can
+// serve at all.
+
+#include <algorithm>
+#include <utility>
+
+#include "sardinestream/backends/dispatcher.h"
+
+namespace sardinestream {
+namespace {
+
+// The longest time to come back that a refusal names where all servers of a service hold off.
+constexpr std::chrono::milliseconds longest_return{60000};
+// Callers of a service whose servers all hold off come back within this share of the wait after it.
+constexpr double return_spread = 0.25;
+constexpr std::chrono::milliseconds shortest_return_spread{300};
+
+} // namespace
+
+double dispatcher::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+std::chrono::milliseconds dispatcher::draw_put_off()
+{
+    return put_off_for(this->view.processes, this->draw());
+}
+
+std::optional<steady_time> dispatcher::earliest_return(const placement_request& request,
+                                                       steady_time now) const
+{
+    std::optional<steady_time> earliest;
+    for (const auto& [id, state] : this->servers) {
+        if (!may_take(state, request)) {
+            continue;
+        }
+        if (!state.is_held_off(now)) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(state.hold_ends()), state.hold_ends());
+    }
+    return earliest;
+}
+
+std::chrono::milliseconds dispatcher::spread_return(steady_clock::duration wait)
+{
+    using std::chrono::milliseconds;
+    const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait) + milliseconds(1);
+    const double spread_ms = std::max(return_spread * static_cast<double>(wait_ms.count()),
+                                      static_cast<double>(shortest_return_spread.count()));
+    return std::min(longest_return,
+                    wait_ms + milliseconds(static_cast<std::int64_t>(spread_ms * this->draw())));
+}
+
+absl::Status dispatcher::check_hold_offs(const placement_request& request, steady_time deadline,
+                                         steady_time now)
+{
+    const std::optional<steady_time> earliest = this->earliest_return(request, now);
+    if (!earliest.has_value() || *earliest < deadline) {
+        return absl::OkStatus();
+    }
+    return refuse(absl::StatusCode::kResourceExhausted, request.service, "all servers hold off",
+                  this->spread_return(*earliest - now));
+}
+
+std::chrono::milliseconds dispatcher::time_until_return(const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    placement_request any;
+    any.service = service;
+    const steady_time now = steady_clock::now();
+    const std::optional<steady_time> earliest = this->earliest_return(any, now);
+    return earliest.has_value() ? this->spread_return(*earliest - now)
+                                : std::chrono::milliseconds(0);
+}
+
+std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
+                                                              steady_time now) const
+{
+    std::vector<std::optional<server_outage>> servers;
+    for (const auto& [id, state] : this->servers) {
+        if (!may_take(state, request) || state.is_held_off(now)) {
+            continue;
+        }
+        servers.push_back(state.outage(this->view, now));
+        if (!servers.back().has_value()) {
+            break;
+        }
+    }
+    return servers;
+}
+
+std::optional<placement> dispatcher::try_probe(const placement_request& request, steady_time now)
+{
+    service_queue& queue = this->queues[request.service];
+    if (now < queue.next_probe ||
+        outlook_of(this->outages(request, now), now).condition == service_condition::serving) {
+        return std::nullopt;
+    }
+    server_state* longest_untried = nullptr;
+    for (auto& [id, state] : this->servers) {
+        const bool fits = may_take(state, request) && state.can_be_probed(this->view, now);
+        if (fits &&
+            (longest_untried == nullptr || state.last_begun() < longest_untried->last_begun())) {
+            longest_untried = &state;
+        }
+    }
+    if (longest_untried == nullptr) {
+        return std::nullopt;
+    }
+    queue.next_probe = now + probe_interval(this->view.processes);
+    longest_untried->begin_attempt(now);
+    placement given;
+    given.server = longest_untried->server();
+    return given;
+}
+
+absl::Status dispatcher::check_outlook(const placement_request& request, steady_time now)
+{
+    const std::vector<std::optional<server_outage>> servers = this->outages(request, now);
+    const service_outlook expected = outlook_of(servers, now);
+    if (servers.empty() || expected.condition != service_condition::down) {
+        return absl::OkStatus();
+    }
+    return refuse(absl::StatusCode::kUnavailable, request.service, "service down",
+                  come_back_after(expected, this->draw()));
+}
+
+std::map<std::string, service_outlook> dispatcher::outlooks() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    std::map<std::string, service_outlook> all;
+    for (const auto& [id, state] : this->servers) {
+        placement_request any;
+        any.service = state.server().service;
+        if (all.count(any.service) == 0) {
+            all[any.service] = outlook_of(this->outages(any, now), now);
+        }
+    }
+    return all;
+}
+
+void dispatcher::note_accepted(placement& given)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(given.server.id);
+    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
+        return;
+    }
+    given.accepted = true;
+    placement_request any;
+    any.service = given.server.service;
+    const steady_time now = steady_clock::now();
+    const bool returns =
+        outlook_of(this->outages(any, now), now).condition != service_condition::serving;
+    found->second.note_accepted();
+    if (!returns) {
+        return;
+    }
+    for (auto& [id, state] : this->servers) {
+        if (state.server().service == any.service) {
+            state.end_exclusion();
+        }
+    }
+    this->serve_waiters(any.service);
+}
+
+server_state dispatcher::new_state(const backend_server& server, steady_time now)
+{
+    server_state state(server);
+    if (this->notices.held_until(server) > now) {
+        state.hold(this->notices.held_until(server), this->draw_put_off());
+    }
+    return state;
+}
+
+server_notice dispatcher::take_notice(const backend_server& server, const server_notice& said)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    const auto found = this->servers.find(server.id);
+    server_state* const state =
+        found != this->servers.end() && found->second.server().born_ms == server.born_ms
+            ? &found->second
+            : nullptr;
+    server_notice news;
+    if (said.is_leaving) {
+        const bool is_first = this->notices.note_leaving(server);
+        news.is_leaving = is_first || (state != nullptr && !state->server().draining);
+        if (state != nullptr) {
+            state->mark_leaving();
+        }
+    }
+    if (said.hold_off.has_value()) {
+        const steady_time until = now + *said.hold_off;
+        if (this->notices.note_hold_off(server, until, now)) {
+            news.hold_off = said.hold_off;
+        }
+        if (state != nullptr) {
+            state->hold(until, this->draw_put_off());
+        }
+    }
+    return news;
+}
+
+} // namespace sardinestream
