A refusal that shows only that a service is down spends no retry

Cause: the few requests that try a service that is down took the right to one more server after their refusal, and were then refused by the entry itself: the budget was empty when the service returned.

Change: such a request is answered at once, with the time to come back of a service that is down. Test: a service that refuses for three seconds; its second part spends nothing, though it is tried.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -92,10 +92,13 @@
     // is news.
     server_notice take_notice(const backend_server& server, const server_notice& said);
 
-    // Until the first server of a service takes requests again where all hold off, and a little
-    // more, so that callers spread; else zero.
+    // When refused callers of a service should come back, spread: after the first of its servers
+    // takes requests again where all hold off, or by how long it has been down; else zero.
     [[nodiscard]] std::chrono::milliseconds time_until_return(const std::string& service);
 
+    // Whether requests for the service are refused at once.
+    [[nodiscard]] bool is_down(const std::string& service);
+
     void apply_report(const std::string& server_ip, const server_report& report);
 
     // The number of processes that place requests like this one.
--- a/sardinestream/backends/dispatcher_outlook.cc
+++ b/sardinestream/backends/dispatcher_outlook.cc
@@ -71,8 +71,18 @@
     any.service = service;
     const steady_time now = steady_clock::now();
     const std::optional<steady_time> earliest = this->earliest_return(any, now);
-    return earliest.has_value() ? this->spread_return(*earliest - now)
-                                : std::chrono::milliseconds(0);
+    if (earliest.has_value()) {
+        return this->spread_return(*earliest - now);
+    }
+    return retry_after_of(this->check_outlook(any, now));
+}
+
+bool dispatcher::is_down(const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    placement_request any;
+    any.service = service;
+    return !this->check_outlook(any, steady_clock::now()).ok();
 }
 
 std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -296,7 +296,10 @@
           {{"service", this->admitted.service}, {"step", step_of(cause)}});
     const bool first_of_request = state == attempt_state::nothing_sent && this->servers_sent == 0;
     const bool in_time = steady_clock::now() < this->deadline;
-    if (in_time && this->may_try_again(state) &&
+    // What showed only that the service has not returned is no reason to spend the budget.
+    const bool in_vain = state == attempt_state::refused_by_server &&
+                         this->services.servers.is_down(this->admitted.service);
+    if (in_time && !in_vain && this->may_try_again(state) &&
         (first_of_request || this->retry_granted ||
          this->services.take_retry(this->admitted.service))) {
         this->retry_granted = true;
--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -262,6 +262,29 @@
     EXPECT_LT(steady_clock::now() - begun, this->state->routes.front().timeout);
 }
 
+TEST_F(troubled_servers_test, a_service_that_is_down_spends_no_retries)
+{
+    scripted_server refuses([](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write("HTTP/1.1 503 Full\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    this->use({&refuses});
+    this->budget = 10000;
+    const auto call_until = [this](steady_time end) {
+        for (int i = 0; steady_clock::now() < end; ++i) {
+            EXPECT_EQ(this->call("/pay/", absl::StrCat("r", i)).head.status, 503);
+        }
+    };
+    const steady_time begun = steady_clock::now();
+    call_until(begun + milliseconds(1800));
+    const int left = this->budget;
+    const int connections = refuses.connections();
+    call_until(begun + milliseconds(2800));
+    EXPECT_EQ(this->budget, left);
+    EXPECT_GT(refuses.connections(), connections);
+}
+
 // Callers come back to a service whose two servers refuse everything.
 TEST_F(troubled_servers_test,
        a_service_that_is_down_holds_no_caller_and_is_used_soon_after_its_return)
