A comment that said what is not so, and two includes that nothing uses

The time of a server's last refusal is kept when it accepts a request; the comment beside the member said that it becomes zero. No change of behaviour: backends_test, programs_test, forwarding_test and platform_test pass, the linter is clean on both files.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -10,9 +10,6 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
-
 namespace sardinestream {
 namespace {
 
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -130,9 +130,10 @@
     steady_time last_attempt{};
     // Attempts in progress that the server has begun to answer.
     int accepted = 0;
-    // The first and the last time that it refused or could not be reached since it last accepted a
-    // request; nothing and zero where it has accepted the last one.
+    // When it first refused or could not be reached since it last accepted a request; nothing where
+    // it has not.
     std::optional<steady_time> turned_away_since;
+    // When it last did; zero before the first time, and kept when it accepts a request.
     steady_time last_turned_away{};
     // Since when its agent says that its group is broken.
     std::optional<steady_time> broken_since;
