A frozen coordinator no longer stops its group: the holder's agent ends the hold

Cause: the coordinator held the group on its own rank.

Change: the rank that is held follows from the map's version and is never the coordinator's; the coordinator orders the hold from that engine itself. The holder is armed before all others, so until then its agent can end the hold alone (stalled_hold_guard): it has its engine prepare a newer version, which fences late arm orders, and releases the hold after 0.3 s. Schedules with machines that freeze after an order, idle groups and woken coordinators; each guard taken out is found.

--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -41,8 +41,7 @@
       demand(chosen.shape.sets, chosen.shape.experts),
       accumulated_counts(static_cast<std::size_t>(chosen.shape.sets) *
                          static_cast<std::size_t>(chosen.shape.experts)),
-      has_reported_counts(ranks.size(), false),
-      switch_protocol(switch_options{default_step_margin, chosen.own_rank})
+      has_reported_counts(ranks.size(), false), switch_protocol(switch_options{default_step_margin})
 {
 }
 
@@ -72,6 +71,11 @@
     this->ranks[index] = {std::move(state), now};
 }
 
+void map_coordinator::note_held(int rank, std::int64_t step)
+{
+    this->ranks[static_cast<std::size_t>(rank)].state.report.held_step = step;
+}
+
 std::vector<int> map_coordinator::stale_ranks(steady_time now) const
 {
     std::vector<int> stale;
@@ -94,7 +98,7 @@
     this->plan.reset();
     this->plan_version = 0;
     this->sent_orders.clear();
-    this->switch_protocol.reset();
+    this->switch_protocol.begin_epoch();
 }
 
 bool map_coordinator::sample_is_due(steady_time now) const
@@ -150,12 +154,21 @@
             newest = std::max(newest, reports[rank].armed->version);
         }
     }
-    // The low bits are random, so that no other agent, nor one that has lost its state, uses the
-    // same version for a different map.
-    constexpr int random_bits = 20;
-    constexpr std::uint64_t random_mask = (1ULL << random_bits) - 1;
-    return ((newest >> random_bits) + 1) << random_bits |
-           static_cast<std::int64_t>(this->random() & random_mask);
+    constexpr int max_draws = 64;
+    std::int64_t version = 0;
+    for (int draw = 0; draw < max_draws; ++draw) {
+        version = version_after(newest, this->random());
+        if (this->can_hold(holding_rank(version, this->options.shape.ranks))) {
+            break;
+        }
+    }
+    return version;
+}
+
+bool map_coordinator::can_hold(int rank) const
+{
+    return rank != this->options.own_rank &&
+           !this->ranks[static_cast<std::size_t>(rank)].state.without_agent;
 }
 
 planner_options map_coordinator::current_planner_options() const
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -56,6 +56,10 @@
 
     void update_rank_state(rank_state state, steady_time now);
 
+    // Records that the engine of a rank has accepted a hold order, which the rank's next state will
+    // show.
+    void note_held(int rank, std::int64_t step);
+
     // Returns the orders to send now. An order without a visible effect is returned again after a
     // retry interval.
     [[nodiscard]] std::vector<rank_order> next_orders(steady_time now);
@@ -92,6 +96,9 @@
     [[nodiscard]] planner_options current_planner_options() const;
     [[nodiscard]] bool is_due(rank_order& order, steady_time now);
     [[nodiscard]] std::int64_t next_version(absl::Span<const rank_report> reports);
+    // Returns whether the group may be held on `rank`: its agent responds, and runs on another
+    // machine than this one, so that one frozen machine cannot take both.
+    [[nodiscard]] bool can_hold(int rank) const;
 
     const coordinator_options options;
     // By rank.
--- a/sardinestream/maps/map_switch.cc
+++ b/sardinestream/maps/map_switch.cc
@@ -26,6 +26,19 @@
 
 } // namespace
 
+int holding_rank(std::int64_t version, int ranks)
+{
+    return static_cast<int>(version % ranks);
+}
+
+std::int64_t version_after(std::int64_t newest, std::uint64_t draw)
+{
+    constexpr int random_bits = 20;
+    constexpr std::uint64_t random_mask = (1ULL << random_bits) - 1;
+    return ((newest >> random_bits) + 1) << random_bits |
+           static_cast<std::int64_t>(draw & random_mask);
+}
+
 std::int64_t version_prepared_on_all_ranks(absl::Span<const rank_report> ranks)
 {
     const std::int64_t version = ranks.front().prepared_version;
@@ -63,6 +76,9 @@
     if (ranks.empty() || !same_epoch(ranks)) {
         return {};
     }
+    for (const rank_report& report : ranks) {
+        this->highest_held_step = std::max(this->highest_held_step, report.held_step.value_or(0));
+    }
     for (const rank_report& report : ranks) {
         if (report.armed.has_value()) {
             this->reset();
@@ -72,7 +88,7 @@
     for (const rank_report& report : ranks) {
         if (report.held_step.has_value()) {
             this->reset();
-            return this->finish_held(ranks, *report.held_step);
+            return this->finish_held(ranks);
         }
     }
     return wanted_version > 0 ? this->begin(ranks, wanted_version) : std::vector<rank_order>();
@@ -95,22 +111,32 @@
     return orders;
 }
 
-std::vector<rank_order> map_switch::finish_held(absl::Span<const rank_report> ranks,
-                                                std::int64_t held_step) const
+std::vector<rank_order> map_switch::finish_held(absl::Span<const rank_report> ranks) const
 {
     std::vector<rank_order> orders;
     const std::int64_t version = version_prepared_on_all_ranks(ranks);
-    if (version == 0 || newest_step(ranks) >= held_step) {
-        // No arm order can be outstanding: the hold was executed late.
-        release_all(ranks, orders);
-        return orders;
-    }
-    for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
-        orders.push_back({static_cast<int>(rank), order_kind::arm, version, held_step});
+    const int holder = holding_rank(version, static_cast<int>(ranks.size()));
+    for (int rank = 0; rank < static_cast<int>(ranks.size()); ++rank) {
+        const std::optional<std::int64_t> held = ranks[static_cast<std::size_t>(rank)].held_step;
+        if (!held.has_value()) {
+            continue;
+        }
+        if (version > 0 && rank == holder && newest_step(ranks) < *held) {
+            orders.push_back({rank, order_kind::arm, version, *held});
+            continue;
+        }
+        // No rank is armed for this step, nor will be: the hold was executed late.
+        orders.push_back({rank, order_kind::release, 0, *held});
     }
     return orders;
 }
 
+void map_switch::begin_epoch()
+{
+    this->chosen_step.reset();
+    this->highest_held_step = 0;
+}
+
 std::vector<rank_order> map_switch::begin(absl::Span<const rank_report> ranks, std::int64_t version)
 {
     std::vector<rank_order> orders;
@@ -124,9 +150,12 @@
     }
     const std::int64_t newest = newest_step(ranks);
     if (!this->chosen_step.has_value() || *this->chosen_step <= newest) {
-        this->chosen_step = newest + this->options.step_margin;
+        // Above all former holds, whose repeated release orders may still be executed.
+        this->chosen_step =
+            std::max(newest + this->options.step_margin, this->highest_held_step + 1);
     }
-    orders.push_back({this->options.holding_rank, order_kind::hold, version, *this->chosen_step});
+    orders.push_back({holding_rank(version, static_cast<int>(ranks.size())), order_kind::hold,
+                      version, *this->chosen_step});
     return orders;
 }
 
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -4,12 +4,19 @@
 // ranks report, so any agent can complete a switch that another one started:
 //
 //   1. prepare the map on every rank, until each report shows it as prepared;
-//   2. choose a step ahead of all ranks and hold the group there on one rank, until a report shows
-//      the hold;
-//   3. arm every rank for that step. After the first arm the switch cannot be cancelled: an arm
-//      order that seems lost may still be executed, so the step must not begin before all ranks are
-//      armed;
-//   4. release the hold once every report shows the rank as armed.
+//   2. choose a step ahead of all ranks and hold the group there on one rank, the holder, which
+//      follows from the version. Wait until its report shows the hold;
+//   3. arm the holder for that step, until its report shows it as armed;
+//   4. arm all other ranks. From here on the switch cannot be cancelled: an arm order that seems
+//   lost
+//      may still be executed, so the step must not begin before all ranks are armed;
+//   5. release the hold once every report shows the rank as armed.
+//
+// No rank is armed for a version before its holder is. Until then the holder's agent can cancel the
+// switch alone, without knowing the state of any other rank: it has its engine prepare a newer
+// version, after which the engine refuses to arm the old one, and releases the hold
+// (`stalled_hold_guard`). So the machine of a coordinator may freeze at any time up to then without
+// stopping the group, provided that it is not the holder's.
 //
 // A hold that is executed after its release is visible in a report and is released again.
 // Call `next_orders` after each new report; it returns the orders to send now.
@@ -63,10 +70,15 @@
     // switch safe with any margin. A larger margin gives arm orders time to arrive before the group
     // has to wait.
     int step_margin = 1;
-    // The rank on which the group is held.
-    int holding_rank = 0;
 };
 
+// Returns the rank on which the group is held for the switch to a map version; at least one rank.
+[[nodiscard]] int holding_rank(std::int64_t version, int ranks);
+
+// Returns a version above `newest`. Its low bits are taken from `draw`, a random number, so that no
+// two agents, nor one that has lost its state, use the same version for different maps.
+[[nodiscard]] std::int64_t version_after(std::int64_t newest, std::uint64_t draw);
+
 class map_switch {
 public:
     explicit map_switch(switch_options chosen) : options(chosen) {}
@@ -81,17 +93,21 @@
     // Discards the chosen step, because the group has formed again or another agent has taken over.
     void reset() { this->chosen_step.reset(); }
 
+    // Discards all state of the group's former epoch.
+    void begin_epoch();
+
 private:
     [[nodiscard]] std::vector<rank_order> finish_armed(absl::Span<const rank_report> ranks,
                                                        const armed_switch& target) const;
-    [[nodiscard]] std::vector<rank_order> finish_held(absl::Span<const rank_report> ranks,
-                                                      std::int64_t held_step) const;
+    [[nodiscard]] std::vector<rank_order> finish_held(absl::Span<const rank_report> ranks) const;
     [[nodiscard]] std::vector<rank_order> begin(absl::Span<const rank_report> ranks,
                                                 std::int64_t version);
 
     switch_options options;
     // The step of the switch that is being started; not set once a report shows its hold.
     std::optional<std::int64_t> chosen_step;
+    // The highest step at which a report has shown a hold in this epoch; zero before the first.
+    std::int64_t highest_held_step = 0;
 };
 
 // Returns the version that every rank reports as prepared and none uses yet, or zero.
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
 #include "sardinestream/maps/report_intervals.h"
 #include "sardinestream/programs/rank_messages.h"
 
@@ -152,6 +153,7 @@
     if (this->engine.report()->group.empty()) {
         return;
     }
+    this->end_stalled_hold();
     this->start_coordinating_if_due();
     const bool with_counts = this->counts_are_due();
     if (!this->is_coordinating()) {
@@ -221,7 +223,73 @@
     const bool copying = this->prepares.accepted > report.map_version &&
                          report.prepared_version != this->prepares.accepted &&
                          steady_clock::now() - this->last_prepare < max_copy_time;
-    return copying || report.armed.has_value();
+    return copying || report.armed.has_value() || report.held_step.has_value();
+}
+
+void agent_program::end_stalled_hold()
+{
+    const engine_report& report = *this->engine.report();
+    const std::int64_t held_step = report.map_report.held_step.value_or(0);
+    engine_order order;
+    order.epoch = report.map_report.epoch;
+    switch (this->hold_guard.next_action(report.map_report, report.rank, report.group_size,
+                                         steady_clock::now())) {
+    case stalled_hold_guard::action::none:
+        return;
+    case stalled_hold_guard::action::supersede: {
+        std::optional<engine_order> superseding = this->make_superseding_order();
+        if (!superseding.has_value()) {
+            log_event("stalled_hold",
+                      {{"step", held_step}, {"action", "none"}, {"reason", "no map known"}});
+            return;
+        }
+        order = *std::move(superseding);
+        break;
+    }
+    case stalled_hold_guard::action::release:
+        order.kind = order_kind::release;
+        order.step = held_step;
+        count("sardine_stalled_holds_released_total");
+        break;
+    }
+    log_event("stalled_hold",
+              {{"step", held_step},
+               {"action", order.kind == order_kind::release ? "release" : "supersede"},
+               {"version", order.version}});
+    this->execute_order(order, this->followed.term);
+    if (this->refresh()) {
+        this->send_state(this->followed.ip, false);
+    }
+}
+
+std::optional<engine_order> agent_program::make_superseding_order()
+{
+    const rank_report& report = this->engine.report()->map_report;
+    if (this->engine.report()->group_size < 2) {
+        return std::nullopt;
+    }
+    engine_order order;
+    order.epoch = report.epoch;
+    const auto in_use = this->maps.find(report.map_version);
+    if (in_use != this->maps.end()) {
+        order.map = in_use->second;
+    }
+    else if (report.map_version == 0 && this->shape.ranks > 0) {
+        order.map = initial_map(this->shape);
+    }
+    else if (!this->maps.empty()) {
+        order.map = this->maps.rbegin()->second;
+    }
+    else {
+        return std::nullopt;
+    }
+    const std::int64_t newest = std::max({report.map_version, report.prepared_version,
+                                          this->prepares.accepted, this->prepares.refused});
+    do {
+        order.version = version_after(newest, this->random());
+    } while (holding_rank(order.version, this->engine.report()->group_size) ==
+             this->engine.report()->rank);
+    return order;
 }
 
 bool agent_program::has_unreported_progress()
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -23,6 +23,7 @@
 
 #include "sardinestream/maps/engine_interface.h"
 #include "sardinestream/maps/map_coordinator.h"
+#include "sardinestream/maps/stalled_hold_guard.h"
 #include "sardinestream/peers/datagram_socket.h"
 #include "sardinestream/peers/group_endpoints.h"
 #include "sardinestream/programs/agent_status.h"
@@ -103,8 +104,14 @@
     // group. Returns false if the engine does not answer.
     [[nodiscard]] bool refresh();
     void drop_old_maps();
-    // Returns true while the engine copies experts or waits for the step of an armed switch.
+    // Returns true while the engine copies experts, is held, or waits for the step of an armed
+    // switch.
     [[nodiscard]] bool is_changing_map() const;
+    // Cancels a switch that holds the group at this rank and that no coordinator completes.
+    void end_stalled_hold();
+    // Returns an order that makes the engine drop its prepared map without copying experts, or no
+    // value if no map is known that it could prepare instead.
+    [[nodiscard]] std::optional<engine_order> make_superseding_order();
     // Returns true if the map progress has changed since the last call.
     [[nodiscard]] bool has_unreported_progress();
     void report_to_entries();
@@ -121,8 +128,12 @@
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
     void poll_agentless_ranks();
-    // Issues one order to several ranks.
-    void issue_order(const rank_order& wanted, absl::Span<const int> ranks);
+    // Orders the engine of another rank to hold the group, without its agent: if this machine
+    // freezes right after the order, that agent can still end the hold. Returns whether the hold is
+    // in force.
+    [[nodiscard]] bool order_hold(const engine_order& order, int rank);
+    // Issues one order to several ranks. Returns whether the coordinator knows its effect already.
+    [[nodiscard]] bool issue_order(const rank_order& wanted, absl::Span<const int> ranks);
     [[nodiscard]] engine_order make_order(const rank_order& wanted) const;
     // Returns the map against which the wanted map is sent as a list of changes, or null if the
     // complete wanted map is sent.
@@ -158,6 +169,7 @@
 
     prepare_record prepares;
     steady_time last_prepare{};
+    stalled_hold_guard hold_guard;
     // The map in use and the newest one received, as far as they are known.
     known_maps maps;
     map_progress last_progress;
