Slow ranks get fewer streams and running ones leave them; no retry within a group that stands still

Change: backends/slow_rank gives each rank the share of its capacity that it may fill, from its slowness against the median of its group; a running stream leaves a rank that may fill none, if another server is free and the budget grants it.

Standing group. Change: dispatcher::stands_still; the request waits for its server.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -7,6 +7,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "sardinestream/backends/slow_rank.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
@@ -38,11 +39,20 @@
 service_pace dispatcher::best_pace(const std::string& service, steady_time now) const
 {
     service_pace usual;
+    std::map<std::string, std::vector<double>> slowness_by_group;
     for (const auto& [id, state] : this->servers) {
-        if (state.server().service == service) {
-            state.merge_best_into(usual, this->view, now);
+        if (state.server().service != service) {
+            continue;
+        }
+        state.merge_best_into(usual, this->view, now);
+        const server_report& report = state.last_report();
+        if (!report.group.empty() && state.has_fresh_report(this->view, now)) {
+            slowness_by_group[report.group].push_back(report.slowness);
         }
     }
+    for (auto& [group, slowness] : slowness_by_group) {
+        usual.typical_slowness[group] = typical_slowness(std::move(slowness));
+    }
     return usual;
 }
 
@@ -205,6 +215,22 @@
     }
 }
 
+bool dispatcher::delays_its_group(const backend_server& server)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(server.id);
+    const steady_time now = steady_clock::now();
+    return found != this->servers.end() &&
+           found->second.last_report().slowness >= unusable_slowness &&
+           found->second.capacity_share(this->view, this->best_pace(server.service, now), now) <= 0;
+}
+
+std::optional<placement> dispatcher::place_if_free(const placement_request& request)
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->queues[request.service].waiters.empty() ? this->try_place(request) : std::nullopt;
+}
+
 void dispatcher::serve_waiters(const std::string& service)
 {
     std::list<waiter*>& waiters = this->queues[service].waiters;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -79,6 +79,14 @@
     [[nodiscard]] absl::StatusOr<placement> place(const placement_request& request,
                                                   const hangup_watch& caller);
 
+    // Returns whether a running stream delays all others: its server is a rank that is so much
+    // slower than the rest of its group that it should serve no requests.
+    [[nodiscard]] bool delays_its_group(const backend_server& server);
+
+    // Assigns a server with free capacity to the request; returns nothing if there is none or other
+    // requests wait.
+    [[nodiscard]] std::optional<placement> place_if_free(const placement_request& request);
+
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& given);
 
@@ -102,6 +110,11 @@
     // Returns whether requests for the service are refused immediately because it is down.
     [[nodiscard]] bool is_down(const std::string& service);
 
+    // Returns whether the service is known to stand still: agents report that their groups begin no
+    // step, and no other server could serve a retry. Requests on its servers go on when the groups
+    // do.
+    [[nodiscard]] bool stands_still(const std::string& service);
+
     // Applies an agent's report to the servers at this IP address.
     void apply_report(const std::string& server_ip, const server_report& report);
 
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -86,6 +86,26 @@
     return !this->check_availability(any, steady_clock::now()).ok();
 }
 
+bool dispatcher::stands_still(const std::string& service)
+{
+    const absl::MutexLock lock(&this->mutex);
+    placement_request any;
+    any.service = service;
+    const steady_time now = steady_clock::now();
+    bool any_broken = false;
+    for (const auto& [id, state] : this->servers) {
+        if (!is_eligible(state, any)) {
+            continue;
+        }
+        const bool broken = state.is_broken(this->view, now);
+        if (!broken && !state.has_silent_agent(this->view, now)) {
+            return false;
+        }
+        any_broken = any_broken || broken;
+    }
+    return any_broken;
+}
+
 std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
                                                               steady_time now) const
 {
--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -57,6 +57,55 @@
     EXPECT_NE(first.server.id, second.server.id);
 }
 
+// All ranks of a group wait in each step for the slowest one.
+TEST_F(dispatcher_test, a_rank_that_delays_its_group_gets_no_requests)
+{
+    this->servers.set_servers({make_server("1", 2), make_server("2", 2), make_server("3", 2)});
+    for (const std::string id : {"1", "2", "3"}) {
+        server_report report;
+        report.group = "g";
+        report.slowness = id == "2" ? 12 : 1;
+        this->servers.apply_report("10.0.0." + id, report);
+    }
+    EXPECT_TRUE(this->servers.delays_its_group(make_server("2", 2)));
+    EXPECT_FALSE(this->servers.delays_its_group(make_server("1", 2)));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_NE(this->place_now().server.id, "2");
+    }
+    EXPECT_FALSE(this->servers.place_if_free(make_request()).has_value());
+}
+
+TEST_F(dispatcher_test, a_group_that_is_slow_as_a_whole_keeps_its_capacity)
+{
+    this->servers.set_servers({make_server("1", 1), make_server("2", 1)});
+    for (const std::string id : {"1", "2"}) {
+        server_report report;
+        report.group = "g";
+        report.slowness = 5;
+        this->servers.apply_report("10.0.0." + id, report);
+    }
+    EXPECT_FALSE(this->servers.delays_its_group(make_server("1", 1)));
+    EXPECT_NE(this->place_now().server.id, this->place_now().server.id);
+}
+
+TEST_F(dispatcher_test, a_free_server_is_not_taken_from_requests_that_wait)
+{
+    this->servers.set_servers({make_server("1", 1)});
+    const placement first = this->place_now();
+    std::thread waiting([&] {
+        absl::StatusOr<placement> placed = this->servers.place(make_request(), hangup_watch());
+        ASSERT_TRUE(placed.ok()) << placed.status();
+        this->finish(*placed);
+    });
+    while (this->servers.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    EXPECT_FALSE(this->servers.place_if_free(make_request()).has_value());
+    this->finish(first);
+    waiting.join();
+    EXPECT_TRUE(this->servers.place_if_free(make_request()).has_value());
+}
+
 TEST_F(dispatcher_test, refuses_at_once_where_no_server_exists)
 {
     const absl::Status refused = this->servers.place(make_request(), hangup_watch()).status();
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "sardinestream/backends/slow_rank.h"
+
 namespace sardinestream {
 namespace {
 
@@ -195,11 +197,21 @@
     }
 }
 
+double server_state::capacity_share(const load_view& view, const service_pace& usual,
+                                    steady_time now) const
+{
+    const auto typical = usual.typical_slowness.find(this->report.group);
+    if (typical == usual.typical_slowness.end() || !this->has_fresh_report(view, now)) {
+        return 1;
+    }
+    return usable_capacity_share(this->report.slowness, typical->second);
+}
+
 server_load server_state::load(double capacity, const load_view& view, const service_pace& usual,
                                steady_time now) const
 {
     server_load load;
-    load.capacity = capacity;
+    load.capacity = capacity * this->capacity_share(view, usual, now);
     load.occupancy = this->occupancy(view, now);
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->description.data_centre == view.data_centre;
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -7,6 +7,7 @@
 #define SARDINESTREAM_BACKENDS_SERVER_STATE_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -48,6 +49,8 @@
     // Mean time to the first byte of an answer; `step_ms` is as in `server_report`.
     double answer_ms = 0;
     double step_ms = 0;
+    // Typical slowness of the ranks of each group, by its name.
+    std::map<std::string, double> typical_slowness{};
 };
 
 // How an attempt at a server ended.
@@ -112,13 +115,18 @@
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
     [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
+    // Returns the share of its capacity that it may fill: less than 1 for a rank that is slower
+    // than its group.
+    [[nodiscard]] double capacity_share(const load_view& view, const service_pace& usual,
+                                        steady_time now) const;
     // Lowers the values of `usual` to this server's figures if these are lower.
     void merge_best_into(service_pace& usual, const load_view& view, steady_time now) const;
 
-private:
     // Returns whether its agent reports that its group does not serve.
     [[nodiscard]] bool is_broken(const load_view& view, steady_time now) const;
     [[nodiscard]] bool has_silent_agent(const load_view& view, steady_time now) const;
+
+private:
     [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
     [[nodiscard]] double failure_share(steady_time now) const;
 
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -98,17 +98,53 @@
            steady_clock::now() > this->services.shutdown_deadline() - typical_stream_duration;
 }
 
+placement_request exchange::make_placement_request() const
+{
+    placement_request wanted;
+    wanted.service = this->admitted.service;
+    wanted.priority = this->admitted.priority;
+    wanted.excluded_ids = this->tried_ids;
+    return wanted;
+}
+
+bool exchange::try_move_stream(attempt_record& record)
+{
+    const backend_server& server = record.placed.server;
+    if (!this->can_retry(attempt_state::possibly_executed) ||
+        !this->services.servers.delays_its_group(server)) {
+        return false;
+    }
+    placement_request wanted = this->make_placement_request();
+    wanted.excluded_ids.push_back(server.id);
+    std::optional<placement> other = this->services.servers.place_if_free(wanted);
+    if (!other.has_value()) {
+        return false;
+    }
+    if (!this->services.take_retry(this->admitted.service)) {
+        this->services.servers.finish(*other, attempt_result::abandoned, milliseconds(0));
+        return false;
+    }
+    this->reserved = *std::move(other);
+    this->retry_granted = true;
+    this->possibly_executed = true;
+    this->events.drop_partial_event();
+    record.result = attempt_result::abandoned;
+    this->log_attempt(record, "rank delays its group");
+    count("sardine_retries_total", {{"service", this->admitted.service}, {"reason", "slow_rank"}});
+    return true;
+}
+
 absl::StatusOr<placement> exchange::place()
 {
+    if (this->reserved.has_value()) {
+        return *std::exchange(this->reserved, std::nullopt);
+    }
     if (this->shutdown_would_cut_stream()) {
         // Another entry can serve the stream to its end.
         return make_error(absl::StatusCode::kResourceExhausted, "place", this->admitted.service,
                           "process is shutting down");
     }
-    placement_request wanted;
-    wanted.service = this->admitted.service;
-    wanted.priority = this->admitted.priority;
-    wanted.excluded_ids = this->tried_ids;
+    placement_request wanted = this->make_placement_request();
     steady_time give_up_at = this->deadline;
     if (this->matched_route.kind == request_kind::streaming) {
         const milliseconds event_wait = std::max(
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -79,6 +79,10 @@
     };
 
     [[nodiscard]] absl::StatusOr<placement> place();
+    [[nodiscard]] placement_request make_placement_request() const;
+    // Ends the attempt of a stream whose server delays its group, if another server is free and can
+    // be reserved for the rest of the stream. Returns whether it was ended.
+    [[nodiscard]] bool try_move_stream(attempt_record& record);
     // Returns whether a planned shutdown leaves too little time for a stream that starts now.
     [[nodiscard]] bool shutdown_would_cut_stream() const;
     [[nodiscard]] next_action run_attempt(attempt_record& record);
@@ -146,6 +150,8 @@
     std::vector<std::string> tried_ids;
     event_splitter events;
     bool response_started = false;
+    // The server that is reserved for the next attempt.
+    std::optional<placement> reserved;
     std::chrono::milliseconds total_queue_time{0};
 };
 
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -158,9 +158,15 @@
                                               attempt_record& record, bool& reusable)
 {
     reusable = false;
-    if (this->can_retry(attempt_state::possibly_executed) &&
-        this->exceeds_silence_timeout(connection) &&
-        this->services.take_retry(this->admitted.service)) {
+    while (this->can_retry(attempt_state::possibly_executed) &&
+           this->exceeds_silence_timeout(connection)) {
+        if (this->services.servers.stands_still(this->admitted.service)) {
+            // The server answers when its group goes on; no other one would be earlier.
+            continue;
+        }
+        if (!this->services.take_retry(this->admitted.service)) {
+            break;
+        }
         this->retry_granted = true;
         return this->handle_failure(attempt_state::possibly_executed,
                                     make_error(absl::StatusCode::kDeadlineExceeded, "answer", "",
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -50,11 +50,12 @@
             return ended;
         }
         if (this->can_retry(attempt_state::possibly_executed) &&
+            !this->services.servers.stands_still(this->admitted.service) &&
             this->services.take_retry(this->admitted.service)) {
             this->retry_granted = true;
             return ended;
         }
-        // No retry is possible: waits on, because the server may still continue.
+        // No retry is possible, or it would not help: waits on, because the server may continue.
         last_event = steady_clock::now();
     }
 }
@@ -100,6 +101,9 @@
                 return next_action::close_connection;
             }
         }
+        if (!*ended && !complete.empty() && this->try_move_stream(record)) {
+            return next_action::retry;
+        }
         if (!*ended) {
             continue;
         }
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -154,6 +154,16 @@
         this->servers.set_servers(list);
     }
 
+    // Reports the server at `ip` as a rank of the only group.
+    void report_rank(const std::string& ip, double slowness, bool stands_still = false)
+    {
+        server_report report;
+        report.group = "group";
+        report.slowness = slowness;
+        report.group_broken = stands_still;
+        this->servers.apply_report(ip, report);
+    }
+
     tcp_socket connect() { return *tcp_socket::connect(this->served->local(), soon(), {}); }
 
     static std::string request_text(absl::string_view target, absl::string_view id,
--- a/sardinestream/forwarding/frontend_test.cc
+++ b/sardinestream/forwarding/frontend_test.cc
@@ -173,6 +173,88 @@
     EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// While all ranks of the only group stand still, another one cannot answer earlier.
+TEST_F(frontend_test, a_stream_waits_for_its_server_while_the_group_stands_still)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        // Longer than the silence after which a stream is retried elsewhere.
+        constexpr int reports = 16;
+        for (int i = 0; i < reports; ++i) {
+            this->report_rank("127.0.0.1", 1, true);
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        this->report_rank("127.0.0.1", 1);
+        connection.write(stream_head(connection) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(answer.body, "id: 1\ndata: a\n\n");
+    EXPECT_EQ(asked, 1);
+}
+
+// A rank that turns slow delays all streams of its group, so the streams on it move to other ranks.
+TEST_F(frontend_test, a_stream_leaves_a_rank_that_turns_slow)
+{
+    std::atomic<int> asked = 0;
+    std::atomic<bool> left = false;
+    const auto script_for = [&](const std::string& ip) {
+        return [&, ip](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(stream_head(connection));
+            if (asked++ == 0) {
+                connection.write(chunk("id: 1\ndata: a\n\n"));
+                std::this_thread::sleep_for(milliseconds(50));
+                this->report_rank(ip, 12);
+                connection.write(chunk("id: 2\ndata: b\n\n"));
+                left = connection.wait_for_end(milliseconds(3000));
+                return;
+            }
+            EXPECT_EQ(*find_header(connection.head.headers, "After"), "2");
+            connection.write(chunk("id: 3\ndata: c\n\n"));
+            connection.write("0\r\n\r\n");
+        };
+    };
+    scripted_server first(script_for("127.0.0.1"), "127.0.0.1");
+    scripted_server second(script_for("127.0.0.2"), "127.0.0.2");
+    this->use({&first, &second});
+    this->report_rank("127.0.0.1", 1);
+    this->report_rank("127.0.0.2", 1);
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    EXPECT_EQ(asked, 2);
+    EXPECT_TRUE(left);
+}
+
+// A slow stream is better than a broken one.
+TEST_F(frontend_test, a_stream_stays_on_a_slow_rank_without_budget_for_a_move)
+{
+    this->budget = 0;
+    const auto script_for = [&](const std::string& ip) {
+        return [&, ip](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(stream_head(connection) + chunk("id: 1\ndata: a\n\n"));
+            std::this_thread::sleep_for(milliseconds(50));
+            this->report_rank(ip, 12);
+            connection.write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+        };
+    };
+    scripted_server first(script_for("127.0.0.1"), "127.0.0.1");
+    scripted_server second(script_for("127.0.0.2"), "127.0.0.2");
+    this->use({&first, &second});
+    this->report_rank("127.0.0.1", 1);
+    this->report_rank("127.0.0.2", 1);
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 TEST_F(frontend_test, a_stream_that_cannot_resume_is_visibly_incomplete)
 {
     this->budget = 0;
--- a/sardinestream/testing/scripted_server.cc
+++ b/sardinestream/testing/scripted_server.cc
@@ -55,9 +55,9 @@
     return false;
 }
 
-scripted_server::scripted_server(script given) : played(std::move(given))
+scripted_server::scripted_server(script given, const std::string& ip) : played(std::move(given))
 {
-    this->listener = std::make_unique<tcp_listener>(*tcp_listener::bind({"127.0.0.1", 0}));
+    this->listener = std::make_unique<tcp_listener>(*tcp_listener::bind({ip, 0}));
     this->acceptor = std::thread([this] { this->accept_connections(); });
 }
 
--- a/sardinestream/testing/scripted_server.h
+++ b/sardinestream/testing/scripted_server.h
@@ -52,7 +52,8 @@
 public:
     using script = std::function<void(scripted_connection&)>;
 
-    explicit scripted_server(script played);
+    // `ip` is a loopback address.
+    explicit scripted_server(script played, const std::string& ip = "127.0.0.1");
     // Waits for the scripts that run.
     ~scripted_server();
     scripted_server(const scripted_server&) = delete;
