--- a/sardinestream/backends/slow_rank.h
+++ b/sardinestream/backends/slow_rank.h
@@ -25,8 +25,7 @@
 
 // Returns the share of its capacity that a rank may fill, 0 to 1: all of it up to
 // `tolerated_slowness` times the typical slowness of its group, nothing from `unusable_slowness`
-// times that on. A rank that is not slower
-// than a healthy one (1) may fill all of it, whatever its group.
+// times that on. A group that is faster than a healthy one (1) counts as healthy.
 [[nodiscard]] double usable_capacity_share(double slowness, double typical);
 
 } // namespace sardinestream
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -109,8 +109,8 @@
     [[nodiscard]] bool is_changing_map() const;
     // Cancels a switch that holds the group at this rank and that no coordinator completes.
     void end_stalled_hold();
-    // Returns an order that makes the engine drop its prepared map without copying experts, or no
-    // value if no map is known that it could prepare instead.
+    // Returns an order that makes the engine prepare another map, if known the one in use, which
+    // needs no copies. Returns no value if no map is known.
     [[nodiscard]] std::optional<engine_order> make_superseding_order();
     // Returns true if the map progress has changed since the last call.
     [[nodiscard]] bool has_unreported_progress();
