The coordinator arms the holder only after the holder's own report of the hold

Cause: taking the accepted order as the report saved a hop of some 3 ms, but the order to arm the holder then left at once. Change: back to the report.

--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -71,11 +71,6 @@
     this->ranks[index] = {std::move(state), now};
 }
 
-void map_coordinator::note_held(int rank, std::int64_t step)
-{
-    this->ranks[static_cast<std::size_t>(rank)].state.report.held_step = step;
-}
-
 std::vector<int> map_coordinator::stale_ranks(steady_time now) const
 {
     std::vector<int> stale;
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -56,10 +56,6 @@
 
     void update_rank_state(rank_state state, steady_time now);
 
-    // Records that the engine of a rank has accepted a hold order, which the rank's next state will
-    // show.
-    void note_held(int rank, std::int64_t step);
-
     // Returns the orders to send now. An order without a visible effect is returned again after a
     // retry interval.
     [[nodiscard]] std::vector<rank_order> next_orders(steady_time now);
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -5,7 +5,7 @@
 //
 //   1. prepare the map on every rank, until each report shows it as prepared;
 //   2. choose a step ahead of all ranks and hold the group there on one rank, the holder, which
-//      follows from the version, until its engine has accepted the hold or a report shows it;
+//      follows from the version, until its report shows the hold;
 //   3. arm the holder for that step, until its report shows it as armed;
 //   4. arm all other ranks. From here on the switch cannot be cancelled: an arm order that seems
 //      lost may still be executed, so the step must not begin before all ranks are armed;
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -292,6 +292,12 @@
     return order;
 }
 
+bool agent_program::is_switch_imminent() const
+{
+    const rank_report& report = this->engine.report()->map_report;
+    return report.prepared_version > report.map_version;
+}
+
 bool agent_program::has_unreported_progress()
 {
     const rank_report& report = this->engine.report()->map_report;
@@ -408,6 +414,10 @@
         return;
     }
     if (!order->has_value()) {
+        // A hold that the coordinator has ordered itself shows in the report only.
+        if (this->is_switch_imminent() && this->refresh()) {
+            this->send_state(this->followed.ip, false);
+        }
         return;
     }
     this->execute_order(**order, directive.term);
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -107,6 +107,8 @@
     // Returns true while the engine copies experts, is held, or waits for the step of an armed
     // switch.
     [[nodiscard]] bool is_changing_map() const;
+    // Returns true if the engine has a prepared map that is not in use yet.
+    [[nodiscard]] bool is_switch_imminent() const;
     // Cancels a switch that holds the group at this rank and that no coordinator completes.
     void end_stalled_hold();
     // Returns an order that makes the engine prepare another map, if known the one in use, which
@@ -129,11 +131,10 @@
     void coordinate();
     void poll_agentless_ranks();
     // Orders the engine of another rank to hold the group, without its agent: if this machine
-    // freezes right after the order, that agent can still end the hold. Returns whether the hold is
-    // in force.
-    [[nodiscard]] bool order_hold(const engine_order& order, int rank);
-    // Issues one order to several ranks. Returns whether the coordinator knows its effect already.
-    [[nodiscard]] bool issue_order(const rank_order& wanted, absl::Span<const int> ranks);
+    // freezes right after the order, that agent can still end the hold.
+    void order_hold(const engine_order& order, int rank);
+    // Issues one order to several ranks.
+    void issue_order(const rank_order& wanted, absl::Span<const int> ranks);
     [[nodiscard]] engine_order make_order(const rank_order& wanted) const;
     // Returns the map against which the wanted map is sent as a list of changes, or null if the
     // complete wanted map is sent.
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -163,27 +163,28 @@
 
 void agent_program::coordinate()
 {
-    // An order whose effect is known at once may require a further order.
-    constexpr int max_rounds = 5;
-    bool has_new_effect = true;
-    for (int round = 0; round < max_rounds && has_new_effect; ++round) {
-        has_new_effect = false;
-        if (!this->is_coordinating() || !this->engine.report().has_value()) {
-            return;
-        }
+    // An order to this agent's own engine changes its report at once, which may require a further
+    // order.
+    constexpr int max_rounds = 4;
+    for (int round = 0;
+         round < max_rounds && this->is_coordinating() && this->engine.report().has_value();
+         ++round) {
         const std::vector<rank_order> orders = this->coordinator->next_orders(steady_clock::now());
+        bool own = false;
         for (std::size_t begin = 0; begin < orders.size();) {
-            if (!this->is_coordinating() || !this->engine.report().has_value()) {
-                return;
-            }
             std::vector<int> ranks;
             std::size_t end = begin;
             for (; end < orders.size() && is_same_order(orders[begin], orders[end]); ++end) {
                 ranks.push_back(orders[end].rank);
+                own = own || orders[end].rank == this->engine.report()->rank;
             }
-            has_new_effect = this->issue_order(orders[begin], ranks) || has_new_effect;
+            this->issue_order(orders[begin], ranks);
             begin = end;
         }
+        if (!own || !this->refresh() || !this->is_coordinating()) {
+            return;
+        }
+        this->coordinator->update_rank_state(this->own_state(), steady_clock::now());
     }
 }
 
@@ -200,29 +201,26 @@
     return order;
 }
 
-bool agent_program::order_hold(const engine_order& order, int rank)
+void agent_program::order_hold(const engine_order& order, int rank)
 {
     const auto endpoint = this->endpoints.find(rank);
     if (endpoint == this->endpoints.end()) {
-        return false;
+        return;
     }
     const address engine_address = {ip_to_string(endpoint->second.ip),
                                     endpoint->second.engine_port};
-    const order_outcome outcome = this->options.connect(engine_address).send_order(order);
-    log_order(order, this->followed.term, outcome);
-    if (outcome != order_outcome::accepted) {
-        return false;
-    }
-    this->coordinator->note_held(rank, order.step);
-    return true;
+    log_order(order, this->followed.term, this->options.connect(engine_address).send_order(order));
+    // Makes the rank's agent report the hold at once.
+    this->options.messages.send(make_message(this->make_directive()), {endpoint->second.ip});
 }
 
-bool agent_program::issue_order(const rank_order& wanted, absl::Span<const int> ranks)
+void agent_program::issue_order(const rank_order& wanted, absl::Span<const int> ranks)
 {
     const engine_order order = this->make_order(wanted);
     const int own_rank = this->engine.report()->rank;
     if (order.kind == order_kind::hold && ranks.front() != own_rank) {
-        return this->order_hold(order, ranks.front());
+        this->order_hold(order, ranks.front());
+        return;
     }
     std::vector<std::uint32_t> receivers;
     for (const int rank : ranks) {
@@ -241,12 +239,6 @@
             this->agentless.give_order(rank, order, this->followed.term);
         }
     }
-    const bool is_own = std::find(ranks.begin(), ranks.end(), own_rank) != ranks.end();
-    if (!is_own || !this->refresh() || !this->is_coordinating()) {
-        return false;
-    }
-    this->coordinator->update_rank_state(this->own_state(), steady_clock::now());
-    return true;
 }
 
 const versioned_map* agent_program::base_map_for(const rank_order& wanted) const
