Switch maps two steps ahead, so that the group does not wait for the orders

Cause: with the holder armed first, the orders of a switch take some 24 ms in place of 15. At the next step the group waits for what is left of them. Change: default_step_margin 2.

--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -24,9 +24,9 @@
 constexpr milliseconds plan_timeout{6000};
 // Delay before the next plan after a failed one.
 constexpr milliseconds delay_after_failed_plan{400};
-// Steps until a switch. More while orders get lost, so that arm orders arrive before the group has
-// to wait.
-constexpr int default_step_margin = 1;
+// Steps until a switch: one in which all ranks are armed, so that the group does not wait. More
+// while orders get lost.
+constexpr int default_step_margin = 2;
 constexpr int step_margin_for_lost_orders = 5;
 constexpr std::chrono::seconds lost_order_memory_period{10};
 // A lost datagram costs one repetition; engines that do not take orders need more.
