--- a/sardinestream/backends/choose_server.h
+++ b/sardinestream/backends/choose_server.h
@@ -18,7 +18,8 @@
 struct server_load {
     // Number of requests that run or wait on the server.
     double occupancy = 0;
-    // Number of requests that it may hold before further ones have to wait; at least one.
+    // Number of requests that it may hold before further ones have to wait; zero if it should hold
+    // none.
     double capacity = 1;
     // Time per unit of work relative to that of a healthy server; 1 is normal.
     double slowness = 1;
