--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -292,10 +292,12 @@
     return order;
 }
 
-bool agent_program::is_switch_imminent() const
+bool agent_program::may_be_held() const
 {
-    const rank_report& report = this->engine.report()->map_report;
-    return report.prepared_version > report.map_version;
+    const engine_report& report = *this->engine.report();
+    const std::int64_t prepared = report.map_report.prepared_version;
+    return prepared > report.map_report.map_version && report.group_size > 0 &&
+           holding_rank(prepared, report.group_size) == report.rank;
 }
 
 bool agent_program::has_unreported_progress()
@@ -415,7 +417,7 @@
     }
     if (!order->has_value()) {
         // A hold that the coordinator has ordered itself shows in the report only.
-        if (this->is_switch_imminent() && this->refresh()) {
+        if (this->may_be_held() && this->refresh() && this->has_unreported_progress()) {
             this->send_state(this->followed.ip, false);
         }
         return;
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -107,8 +107,8 @@
     // Returns true while the engine copies experts, is held, or waits for the step of an armed
     // switch.
     [[nodiscard]] bool is_changing_map() const;
-    // Returns true if the engine has a prepared map that is not in use yet.
-    [[nodiscard]] bool is_switch_imminent() const;
+    // Returns true if this rank is the one on which the switch to its prepared map is held.
+    [[nodiscard]] bool may_be_held() const;
     // Cancels a switch that holds the group at this rank and that no coordinator completes.
     void end_stalled_hold();
     // Returns an order that makes the engine prepare another map, if known the one in use, which
