--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/http/message.h"
@@ -33,6 +34,9 @@
     int prompt_tokens = 0;
     // Maximum number of tokens in the response; 0 if unknown.
     int max_response_tokens = 0;
+    // Ids of the parts of its prompt that other requests may share, in order and without
+    // duplicates. Opaque text of any length.
+    std::vector<std::string> prompt_parts;
     bool keep_alive = true;
     // Whether the caller's protocol version allows a chunked response.
     bool accepts_chunked = true;
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -23,6 +23,9 @@
 // unit.
 constexpr std::chrono::seconds max_hold_off{300};
 
+// Parts of a prompt that are kept; a longer list is cut off.
+constexpr std::size_t max_prompt_parts = 64;
+
 absl::Status bad_header(absl::string_view name)
 {
     return make_error(absl::StatusCode::kInvalidArgument, "decode", "caller",
@@ -66,6 +69,26 @@
     return absl::OkStatus();
 }
 
+// Returns the ids of a list of ID:TOKENS, without the last, which belongs to the request alone.
+std::vector<std::string> decode_prompt_parts(const http_headers& headers)
+{
+    const std::string list = header_or_empty(headers, wire::prompt_parts);
+    absl::string_view shared = list;
+    shared = shared.substr(0, shared.rfind(',') == absl::string_view::npos ? 0 : shared.rfind(','));
+    std::vector<std::string> ids;
+    for (absl::string_view entry : absl::StrSplit(shared, ',', absl::SkipWhitespace())) {
+        if (ids.size() == max_prompt_parts) {
+            break;
+        }
+        const absl::string_view id = absl::StripAsciiWhitespace(entry.substr(0, entry.find(':')));
+        if (id.empty() || std::find(ids.begin(), ids.end(), id) != ids.end()) {
+            continue;
+        }
+        ids.emplace_back(id);
+    }
+    return ids;
+}
+
 absl::StatusOr<caller_request> decode_request(const http_request_head& head)
 {
     for (const char* const single :
@@ -96,6 +119,7 @@
     request.keep_alive = head.keeps_alive();
     request.accepts_chunked = head.version >= 11;
     SARDINE_RETURN_IF_ERROR(decode_numeric_headers(head.headers, request));
+    request.prompt_parts = decode_prompt_parts(head.headers);
     for (http_header& header : end_to_end_headers(head.headers)) {
         if (!is_own_header(header.name)) {
             request.headers.push_back(std::move(header));
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -1,8 +1,11 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "sardinestream/platform/caller_protocol.h"
 #include "sardinestream/platform/wire_names.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream::platform {
 namespace {
 
@@ -33,6 +36,40 @@
     EXPECT_EQ(request->max_response_tokens, 80);
 }
 
+std::vector<std::string> parts_of(const std::string& list)
+{
+    http_request_head head = make_head();
+    head.headers.push_back({wire::prompt_parts, list});
+    return make_caller_protocol().decode_request(head)->prompt_parts;
+}
+
+TEST(caller_protocol, decodes_the_shared_parts_of_a_prompt)
+{
+    EXPECT_THAT(parts_of("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
+                testing::ElementsAre("5c1e07a2", "91bd3f06"));
+    EXPECT_THAT(parts_of("a:1,a:1,b:2,a:1,c:3"), testing::ElementsAre("a", "b"));
+}
+
+TEST(caller_protocol, a_prompt_may_have_no_shared_parts)
+{
+    EXPECT_THAT(make_caller_protocol().decode_request(make_head())->prompt_parts,
+                testing::IsEmpty());
+    for (const char* const list : {"", "a:1", ",", ",,,a:1", ":5,:6,b:1"}) {
+        EXPECT_THAT(parts_of(list), testing::IsEmpty()) << list;
+    }
+}
+
+TEST(caller_protocol, bounds_the_number_of_parts_and_keeps_long_ids_whole)
+{
+    std::string many;
+    for (int i = 0; i < 5000; ++i) {
+        many += absl::StrCat("p", i, ":1,");
+    }
+    EXPECT_LT(parts_of(many + "own:1").size(), 100U);
+    const std::string long_id(1000, 'f');
+    EXPECT_THAT(parts_of(absl::StrCat(long_id, ":1,own:1")), testing::ElementsAre(long_id));
+}
+
 TEST(caller_protocol, sends_the_server_the_team_and_never_the_key)
 {
     const wire_protocol protocol = make_caller_protocol();
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -17,6 +17,7 @@
 inline constexpr char server_leaving[] = "Server-Leaving";
 inline constexpr char retry_after[] = "Retry-After";
 inline constexpr char token_counts[] = "X-Sardinestream-Token-Counts";
+inline constexpr char prompt_parts[] = "X-Sardinestream-Prompt-Prefix";
 inline constexpr char authorization[] = "Authorization";
 inline constexpr char key_scheme[] = "Token ";
 
