--- a/sardinestream/testing/emulator/wire_words.h
+++ b/sardinestream/testing/emulator/wire_words.h
@@ -22,6 +22,7 @@
 inline constexpr char retry_after[] = "Retry-After";
 inline constexpr char expected_server[] = "X-Sardinestream-Expect-Instance";
 inline constexpr char team[] = "X-Sardinestream-Tenant";
+inline constexpr char prompt_parts[] = "X-Sardinestream-Prompt-Prefix";
 inline constexpr char time_left_ms[] = "X-Sardinestream-Deadline-Ms";
 inline constexpr char last_event_id[] = "Last-Event-Id";
 inline constexpr char authorization[] = "Authorization";
