Entries together keep the rate that a server names in its answers

Cause: entries did not read the header. What a server says of itself bound the entry that heard it, each alone (hold-offs, leaving); a rate that all entries share had no place. The class: a limit on the whole fleet, known to none or one of its members.

Entries tell each other in their hellos what they have heard themselves, newest first in force; an entry that does not know this one yet gets a hello at once, so that one which has just started knows the limits before callers come. An answer without the header ends the limit, at all entries. All that places a request asks: retries, resumed streams, probes, waiting requests. If no server wants a request in its time, it is refused at once, with the time of the first.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -69,6 +69,8 @@
         const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
         candidates.push_back(&state);
         loads.push_back(state.load(capacity, this->view, usual, now));
+        loads.back().available =
+            loads.back().available && this->limits.next_request_time(state.server(), now) <= now;
     }
     std::array<double, server_sample_size> draws{};
     for (double& draw : draws) {
@@ -79,7 +81,7 @@
         return std::nullopt;
     }
     server_state& state = *candidates[*chosen];
-    state.begin_attempt(now);
+    this->begin_attempt(state, now);
     placement given;
     given.server = state.server();
     given.occupancy = loads[*chosen].occupancy;
@@ -108,7 +110,7 @@
         return refuse(absl::StatusCode::kUnavailable, request.service, "no usable server",
                       std::chrono::milliseconds(1000));
     }
-    SARDINE_RETURN_IF_ERROR(this->check_hold_offs(request, now + request.max_wait, now));
+    SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
     double ahead = 1;
     for (const waiter* other : queue.waiters) {
         ahead += other->request->priority <= request.priority ? 1 : 0;
@@ -198,7 +200,7 @@
             return make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up");
         }
         const steady_time now = steady_clock::now();
-        absl::Status refused = this->check_hold_offs(*self.request, deadline, now);
+        absl::Status refused = this->check_returns(*self.request, deadline, now);
         refused.Update(this->check_availability(*self.request, now));
         if (!refused.ok()) {
             queue.waiters.remove(&self);
@@ -314,10 +316,11 @@
     }
 }
 
-void dispatcher::set_processes(int count)
+void dispatcher::set_processes(const process_group& processes)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->view.processes = std::max(1, count);
+    this->view.processes = static_cast<int>(processes.others.size()) + 1;
+    this->limits.set_processes(processes);
 }
 
 void dispatcher::set_report_interval(std::chrono::milliseconds interval)
@@ -337,6 +340,7 @@
         all.push_back({state.server(), state.own_in_flight(), state.last_report(),
                        state.has_fresh_report(this->view, now),
                        state.is_held_off(now) ? hold_off : std::chrono::milliseconds(0),
+                       this->limits.max_rate(state.server(), now),
                        std::string(state.usage_status(this->view, now))});
     }
     return all;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -27,6 +27,7 @@
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/notice_memory.h"
 #include "sardinestream/backends/refusal.h"
+#include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/backends/service_availability.h"
@@ -35,6 +36,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/types/span.h"
 
 namespace sardinestream {
 
@@ -118,8 +120,16 @@
     // Applies an agent's report to the servers at this IP address.
     void apply_report(const std::string& server_ip, const server_report& report);
 
-    // Sets the number of processes that place requests on the same servers, including this one.
-    void set_processes(int count);
+    // Records whether an answer of the server named a rate, in requests per second, that it accepts
+    // from all processes together. Returns whether this begins, changes or ends a limit.
+    bool note_limit(const backend_server& server, std::optional<double> max_rate);
+    // Records what other processes have heard about the rates of servers.
+    void note_limits(absl::Span<const limit_statement> heard_elsewhere);
+    // Returns what this process has lately heard about the rates of servers.
+    [[nodiscard]] std::vector<limit_statement> own_limit_statements() const;
+
+    // Sets the processes that place requests on the same servers.
+    void set_processes(const process_group& processes);
 
     // Sets the interval between two reports of an agent.
     void set_report_interval(std::chrono::milliseconds interval);
@@ -132,6 +142,8 @@
         bool reported = false;
         // Remaining time of its hold-off; zero if it does not hold off.
         std::chrono::milliseconds hold_off{0};
+        // The rate that it names, in requests per second, for all processes together.
+        std::optional<double> max_rate;
         // Whether the server is used, and why.
         std::string use;
     };
@@ -176,15 +188,19 @@
     // leaving and was not tried already. It may still be full or hold off.
     [[nodiscard]] static bool is_eligible(const server_state& state,
                                           const placement_request& request);
-    // Returns the earliest end of a hold-off if all candidates for the request hold off; otherwise
-    // nothing.
-    [[nodiscard]] std::optional<steady_time> earliest_hold_off_end(const placement_request& request,
-                                                                   steady_time now) const
+    // Returns the earliest time at which a candidate for the request wants requests again, if all
+    // of them hold off or have had what their limits allow; otherwise nothing.
+    [[nodiscard]] std::optional<steady_time> earliest_return(const placement_request& request,
+                                                             steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns a refusal if all candidates hold off until `deadline` or later.
-    [[nodiscard]] absl::Status check_hold_offs(const placement_request& request,
-                                               steady_time deadline, steady_time now)
+    // Returns the time from which the server wants requests: `now` or earlier if it does.
+    [[nodiscard]] steady_time return_time(const server_state& state, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Records that a request is sent to the server.
+    void begin_attempt(server_state& state, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns a refusal if no candidate wants requests before `deadline`.
+    [[nodiscard]] absl::Status check_returns(const placement_request& request, steady_time deadline,
+                                             steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns `wait` plus a random share of it, so that callers do not retry all at once.
     [[nodiscard]] std::chrono::milliseconds jittered_retry_after(steady_clock::duration wait)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -210,6 +226,7 @@
     // The listed servers, by id.
     std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
     notice_memory notices ABSL_GUARDED_BY(mutex);
+    server_limits limits ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -1,4 +1,4 @@
-// Implements the parts of the dispatcher that handle notices of servers, hold-offs and the
+// Implements the parts of the dispatcher that handle notices of servers, hold-offs, limits and the
 // availability of services.
 
 #include <algorithm>
@@ -28,22 +28,60 @@
     return return_delay_for(this->view.processes, this->draw());
 }
 
-std::optional<steady_time> dispatcher::earliest_hold_off_end(const placement_request& request,
-                                                             steady_time now) const
+steady_time dispatcher::return_time(const server_state& state, steady_time now) const
+{
+    const steady_time allowed = this->limits.next_request_time(state.server(), now);
+    return state.is_held_off(now) ? std::max(allowed, state.hold_off_end()) : allowed;
+}
+
+std::optional<steady_time> dispatcher::earliest_return(const placement_request& request,
+                                                       steady_time now) const
 {
     std::optional<steady_time> earliest;
     for (const auto& [id, state] : this->servers) {
         if (!is_eligible(state, request)) {
             continue;
         }
-        if (!state.is_held_off(now)) {
+        const steady_time returns = this->return_time(state, now);
+        if (returns <= now) {
             return std::nullopt;
         }
-        earliest = std::min(earliest.value_or(state.hold_off_end()), state.hold_off_end());
+        earliest = std::min(earliest.value_or(returns), returns);
     }
     return earliest;
 }
 
+void dispatcher::begin_attempt(server_state& state, steady_time now)
+{
+    state.begin_attempt(now);
+    this->limits.note_request(state.server(), now);
+}
+
+bool dispatcher::note_limit(const backend_server& server, std::optional<double> max_rate)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const bool changed = this->limits.note_answer(server, max_rate, steady_clock::now());
+    if (changed && !max_rate.has_value()) {
+        this->serve_waiters(server.service);
+    }
+    return changed;
+}
+
+void dispatcher::note_limits(absl::Span<const limit_statement> heard_elsewhere)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    for (const limit_statement& heard : heard_elsewhere) {
+        this->limits.note_statement(heard, now);
+    }
+}
+
+std::vector<limit_statement> dispatcher::own_limit_statements() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->limits.own_statements(steady_clock::now());
+}
+
 std::chrono::milliseconds dispatcher::jittered_retry_after(steady_clock::duration wait)
 {
     using std::chrono::milliseconds;
@@ -54,14 +92,15 @@
                     wait_ms + milliseconds(static_cast<std::int64_t>(spread_ms * this->draw())));
 }
 
-absl::Status dispatcher::check_hold_offs(const placement_request& request, steady_time deadline,
-                                         steady_time now)
+absl::Status dispatcher::check_returns(const placement_request& request, steady_time deadline,
+                                       steady_time now)
 {
-    const std::optional<steady_time> earliest = this->earliest_hold_off_end(request, now);
+    const std::optional<steady_time> earliest = this->earliest_return(request, now);
     if (!earliest.has_value() || *earliest < deadline) {
         return absl::OkStatus();
     }
-    return refuse(absl::StatusCode::kResourceExhausted, request.service, "all servers hold off",
+    return refuse(absl::StatusCode::kResourceExhausted, request.service,
+                  "all servers hold off or limit their rate",
                   this->jittered_retry_after(*earliest - now));
 }
 
@@ -71,7 +110,7 @@
     placement_request any;
     any.service = service;
     const steady_time now = steady_clock::now();
-    const std::optional<steady_time> earliest = this->earliest_hold_off_end(any, now);
+    const std::optional<steady_time> earliest = this->earliest_return(any, now);
     if (earliest.has_value()) {
         return this->jittered_retry_after(*earliest - now);
     }
@@ -131,7 +170,8 @@
     }
     server_state* longest_untried = nullptr;
     for (auto& [id, state] : this->servers) {
-        const bool fits = is_eligible(state, request) && state.can_be_probed(this->view, now);
+        const bool fits = is_eligible(state, request) && state.can_be_probed(this->view, now) &&
+                          this->return_time(state, now) <= now;
         if (fits && (longest_untried == nullptr ||
                      state.last_attempt_time() < longest_untried->last_attempt_time())) {
             longest_untried = &state;
@@ -141,7 +181,7 @@
         return std::nullopt;
     }
     queue.next_probe = now + probe_interval(this->view.processes);
-    longest_untried->begin_attempt(now);
+    this->begin_attempt(*longest_untried, now);
     placement given;
     given.server = longest_untried->server();
     return given;
--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -74,10 +74,14 @@
     bool wrong_server = false;
     // What the server states about itself.
     server_notice notice;
+    // The rate, in requests per second, that the server accepts from all processes together; empty
+    // if it names none.
+    std::optional<double> max_rate;
     // A header of this kind is malformed, exceeds its bound, or is not allowed in a response with
     // this status.
     bool invalid_leaving = false;
     bool invalid_hold_off = false;
+    bool invalid_max_rate = false;
 };
 
 // Encodes and decodes headers for a platform's wire format; provided by the platform adapter.
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -42,6 +42,8 @@
     std::function<steady_time()> shutdown_deadline;
     response_memory& response_budget;
     crash_guard& crashes;
+    // Called when a server begins, changes or ends a limit of its rate.
+    std::function<void()> on_limit_change;
 };
 
 // A request that passed the admission checks of the frontend.
@@ -100,6 +102,7 @@
     // responses that may belong to another request or another server.
     void apply_notice(const backend_server& server, const http_response_head& head,
                       const response_marks& marks);
+    void note_limit(const backend_server& server, const response_marks& marks);
     // Reads the next head of a final (not 1xx) response, whichever request it belongs to.
     [[nodiscard]] absl::StatusOr<http_response_head> read_final_head(server_connection& connection);
     // Returns the deadline for the complete head of a response that has started to arrive.
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -9,6 +9,8 @@
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/forwarding/exchange.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
 namespace {
 
@@ -88,7 +90,8 @@
         return;
     }
     for (const auto& [is_bad, kind] : {std::pair{marks.invalid_leaving, "leaving"},
-                                       std::pair{marks.invalid_hold_off, "hold_off"}}) {
+                                       std::pair{marks.invalid_hold_off, "hold_off"},
+                                       std::pair{marks.invalid_max_rate, "limit"}}) {
         if (is_bad) {
             count("sardine_server_notices_unread_total", {{"kind", kind}});
             log_routine_event("server_notice_unread", {{"request", this->admitted.request.id},
@@ -97,6 +100,7 @@
                                                        {"status", head.status}});
         }
     }
+    this->note_limit(server, marks);
     if (marks.notice.is_empty()) {
         return;
     }
@@ -116,6 +120,19 @@
     }
 }
 
+void exchange::note_limit(const backend_server& server, const response_marks& marks)
+{
+    if (marks.invalid_max_rate || !this->services.servers.note_limit(server, marks.max_rate)) {
+        return;
+    }
+    count("sardine_server_notices_total", {{"kind", "limit"}});
+    log_event("server_limit", {{"request", this->admitted.request.id},
+                               {"server", server.id},
+                               {"per_s", marks.max_rate.has_value() ? absl::StrCat(*marks.max_rate)
+                                                                    : std::string("none")}});
+    this->services.on_limit_change();
+}
+
 bool exchange::exceeds_silence_timeout(server_connection& connection)
 {
     milliseconds limit = silence_timeout;
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -126,7 +126,8 @@
                                      [this] { return this->stopping.load(); },
                                      [this] { return this->ends_at; },
                                      this->memory,
-                                     this->crashes};
+                                     this->crashes,
+                                     [] {}};
         frontend_options hooks;
         hooks.current_state = [this] { return this->state; };
         hooks.on_admitted = [](const std::string&) {};
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -1,6 +1,8 @@
 #include "sardinestream/peers/entry_gossip.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -173,6 +175,13 @@
         this->add_entry(other);
     }
     this->compare_revisions(hello.ip, heard.revisions);
+    const bool knows_this_entry = std::find(hello.entries.begin(), hello.entries.end(),
+                                            ip_to_number(this->own_ip)) != hello.entries.end();
+    if (!knows_this_entry) {
+        // It has just started and must soon know what this entry knows.
+        this->socket.send(make_message(this->make_entry_hello()), {hello.ip});
+    }
+    this->handle_limits(hello);
     if (hello.suspects_digest != 0 && hello.suspects_digest != this->hooks.suspects_digest()) {
         this->hooks.on_other_suspects(ip_to_string(hello.ip));
     }
@@ -181,6 +190,22 @@
     }
 }
 
+void entry_gossip::handle_limits(const news::EntryHelloT& hello)
+{
+    if (hello.limits.empty()) {
+        return;
+    }
+    const steady_time now = steady_clock::now();
+    std::vector<limit_statement> heard;
+    for (const news::ServerLimit& limit : hello.limits) {
+        const bool is_limited = std::isfinite(limit.per_s()) && limit.per_s() >= 0;
+        heard.push_back({limit.server(),
+                         is_limited ? std::optional<double>(limit.per_s()) : std::nullopt,
+                         now - milliseconds(limit.age_ms())});
+    }
+    this->hooks.on_limits(heard);
+}
+
 bool entry_gossip::majority_saw_no_outage() const
 {
     const std::int64_t own = this->hooks.revisions().servers;
@@ -314,16 +339,29 @@
                       std::vector<std::uint32_t>(agents.begin(), agents.end()));
 }
 
-void entry_gossip::send_hello_to_entries()
+news::EntryHelloT entry_gossip::make_entry_hello() const
 {
-    const steady_time now = steady_clock::now();
-    std::erase_if(this->entries,
-                  [&](const auto& named) { return now - named.second.last_heard > entry_memory; });
+    constexpr double no_limit = -1;
     news::EntryHelloT hello = this->make_hello();
     hello.entries = this->other_entries_alive();
     hello.vanished_servers = static_cast<int>(this->hooks.vanished_servers());
     hello.suspects_digest = this->hooks.suspects_digest();
-    const int alive = static_cast<int>(hello.entries.size()) + 1;
+    const steady_time now = steady_clock::now();
+    for (const limit_statement& limit : this->hooks.limits()) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - limit.heard).count();
+        hello.limits.emplace_back(limit.server, limit.max_rate.value_or(no_limit),
+                                  static_cast<std::uint32_t>(std::max<std::int64_t>(0, age)));
+    }
+    return hello;
+}
+
+void entry_gossip::send_hello_to_entries()
+{
+    const steady_time now = steady_clock::now();
+    std::erase_if(this->entries,
+                  [&](const auto& named) { return now - named.second.last_heard > entry_memory; });
+    news::EntryHelloT hello = this->make_entry_hello();
+    const std::vector<std::uint32_t> alive = hello.entries;
     std::vector<std::uint32_t> others;
     for (const auto& [ip, heard] : this->entries) {
         others.push_back(ip);
@@ -337,8 +375,8 @@
     if (alive != this->announced_alive || known != this->announced_known) {
         this->announced_alive = alive;
         this->announced_known = known;
-        log_event("entries_alive", {{"count", alive}, {"known", known}});
-        this->hooks.on_entries(alive, known);
+        log_event("entries_alive", {{"count", alive.size() + 1}, {"known", known}});
+        this->hooks.on_entries({ip_to_number(this->own_ip), alive}, known);
     }
 }
 
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/peers/datagram_socket.h"
 #include "sardinestream/peers/group_endpoints.h"
@@ -50,13 +51,17 @@
     // this one's and keep no vanished servers: the store had no outage, only this entry could not
     // reach it.
     std::function<void()> on_no_outage;
-    // Called when the number of entries changes: those that are alive, and those that are not yet
-    // forgotten. Both numbers include this entry.
-    std::function<void(int alive, int known)> on_entries;
+    // Called when the entries that are alive change, or the number of those that are not yet
+    // forgotten, which includes this entry.
+    std::function<void(const process_group& alive, int known)> on_entries;
     // Called with the interval at which agents are asked to report.
     std::function<void(std::chrono::milliseconds interval)> on_report_interval;
     // Returns the digest of what this entry knows of requests that crash servers.
     std::function<std::uint64_t()> suspects_digest;
+    // Returns what servers have lately said to this entry about their rates.
+    std::function<std::vector<limit_statement>()> limits;
+    // Called with what servers have said to another entry.
+    std::function<void(absl::Span<const limit_statement> heard)> on_limits;
     // Called with another entry's news of such requests.
     std::function<void(absl::string_view report)> on_suspect_news;
     // Called when the entry at `ip` knows something else of such requests than this one.
@@ -102,6 +107,7 @@
     void add_pending_seeds();
     void handle_hello(const news::EntryHelloT& hello);
     void handle_report(const news::ServerReportT& report);
+    void handle_limits(const news::EntryHelloT& hello);
     void add_entry(std::uint32_t ip);
     void compare_revisions(std::uint32_t ip, const known_revisions& known);
     // Returns true if most of the other entries that are alive meet the condition of
@@ -113,7 +119,9 @@
     void send_endpoints(const news::ServerReportT& report);
     void send_hello_to_entries();
     void send_hello_to_agents();
+    // Returns the hello for agents, and the one for entries, which says more.
     [[nodiscard]] news::EntryHelloT make_hello() const;
+    [[nodiscard]] news::EntryHelloT make_entry_hello() const;
     [[nodiscard]] std::vector<std::uint32_t> other_entries_alive() const;
 
     const datagram_socket socket;
@@ -133,7 +141,7 @@
     std::map<std::string, known_group> groups;
     // When the endpoints of its group were last sent to each agent.
     std::map<std::uint32_t, steady_time> endpoints_sent;
-    int announced_alive = 0;
+    std::vector<std::uint32_t> announced_alive;
     int announced_known = 0;
     std::thread thread;
 };
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -18,6 +18,8 @@
 
 struct RankPlace;
 
+struct ServerLimit;
+
 struct EntryHello;
 struct EntryHelloBuilder;
 struct EntryHelloT;
@@ -308,6 +310,45 @@
   using type = RankPlace;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  double per_s_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  ServerLimit()
+      : server_(0),
+        per_s_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServerLimit(uint64_t _server, double _per_s, uint32_t _age_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        per_s_(flatbuffers::EndianScalar(_per_s)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  double per_s() const {
+    return flatbuffers::EndianScalar(per_s_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerLimit, 24);
+
+struct ServerLimit::Traits {
+  using type = ServerLimit;
+};
+
 struct EntryHelloT : public flatbuffers::NativeTable {
   typedef EntryHello TableType;
   uint32_t ip = 0;
@@ -317,6 +358,7 @@
   int32_t report_interval_ms = 0;
   int32_t vanished_servers = 0;
   uint64_t suspects_digest = 0;
+  std::vector<sardinestream::news::ServerLimit> limits{};
 };
 
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -330,7 +372,8 @@
     VT_ENTRIES = 10,
     VT_REPORT_INTERVAL_MS = 12,
     VT_VANISHED_SERVERS = 14,
-    VT_SUSPECTS_DIGEST = 16
+    VT_SUSPECTS_DIGEST = 16,
+    VT_LIMITS = 18
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -353,6 +396,9 @@
   uint64_t suspects_digest() const {
     return GetField<uint64_t>(VT_SUSPECTS_DIGEST, 0);
   }
+  const flatbuffers::Vector<const sardinestream::news::ServerLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const sardinestream::news::ServerLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -363,6 +409,8 @@
            VerifyField<int32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_VANISHED_SERVERS, 4) &&
            VerifyField<uint64_t>(verifier, VT_SUSPECTS_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -395,6 +443,9 @@
   void add_suspects_digest(uint64_t suspects_digest) {
     fbb_.AddElement<uint64_t>(EntryHello::VT_SUSPECTS_DIGEST, suspects_digest, 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits) {
+    fbb_.AddOffset(EntryHello::VT_LIMITS, limits);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -414,11 +465,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
     int32_t report_interval_ms = 0,
     int32_t vanished_servers = 0,
-    uint64_t suspects_digest = 0) {
+    uint64_t suspects_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits = 0) {
   EntryHelloBuilder builder_(_fbb);
   builder_.add_suspects_digest(suspects_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_revision(config_revision);
+  builder_.add_limits(limits);
   builder_.add_vanished_servers(vanished_servers);
   builder_.add_report_interval_ms(report_interval_ms);
   builder_.add_entries(entries);
@@ -439,8 +492,10 @@
     const std::vector<uint32_t> *entries = nullptr,
     int32_t report_interval_ms = 0,
     int32_t vanished_servers = 0,
-    uint64_t suspects_digest = 0) {
+    uint64_t suspects_digest = 0,
+    const std::vector<sardinestream::news::ServerLimit> *limits = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<sardinestream::news::ServerLimit>(*limits) : 0;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       ip,
@@ -449,7 +504,8 @@
       entries__,
       report_interval_ms,
       vanished_servers,
-      suspects_digest);
+      suspects_digest,
+      limits__);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1558,6 +1614,7 @@
   { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
   { auto _e = vanished_servers(); _o->vanished_servers = _e; }
   { auto _e = suspects_digest(); _o->suspects_digest = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1575,6 +1632,7 @@
   auto _report_interval_ms = _o->report_interval_ms;
   auto _vanished_servers = _o->vanished_servers;
   auto _suspects_digest = _o->suspects_digest;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       _ip,
@@ -1583,7 +1641,8 @@
       _entries,
       _report_interval_ms,
       _vanished_servers,
-      _suspects_digest);
+      _suspects_digest,
+      _limits);
 }
 
 inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -180,6 +180,21 @@
     }
 }
 
+void read_max_rate(const http_response_head& head, response_marks& marks)
+{
+    const std::optional<absl::string_view> text = find_header(head.headers, wire::server_limit);
+    if (!text.has_value()) {
+        return;
+    }
+    double per_second = 0;
+    if (count_header(head.headers, wire::server_limit) > 1 ||
+        !absl::SimpleAtod(*text, &per_second) || !std::isfinite(per_second) || per_second < 0) {
+        marks.invalid_max_rate = true;
+        return;
+    }
+    marks.max_rate = per_second;
+}
+
 response_marks decode_response(const http_response_head& head)
 {
     response_marks marks;
@@ -189,6 +204,7 @@
     marks.wrong_server = head.status == misdirected;
     read_leaving(head, marks);
     read_hold_off(head, marks);
+    read_max_rate(head, marks);
     return marks;
 }
 
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -208,5 +208,35 @@
     }
 }
 
+response_marks marks_with_limit(const std::vector<std::string>& values)
+{
+    http_response_head head;
+    head.status = 200;
+    for (const std::string& value : values) {
+        head.headers.push_back({wire::server_limit, value});
+    }
+    return make_caller_protocol().decode_response(head);
+}
+
+TEST(caller_protocol, decodes_the_rate_that_a_server_names)
+{
+    EXPECT_EQ(marks_with_limit({"2.5"}).max_rate, 2.5);
+    EXPECT_EQ(marks_with_limit({"0"}).max_rate, 0);
+    EXPECT_EQ(marks_with_limit({}).max_rate, std::nullopt);
+    EXPECT_FALSE(marks_with_limit({}).invalid_max_rate);
+    EXPECT_EQ(marks_with_limit({"2." + std::string(5000, '0')}).max_rate, 2);
+}
+
+TEST(caller_protocol, a_malformed_rate_is_invalid_and_no_limit)
+{
+    for (const std::string& value :
+         {std::string("-1"), std::string("nan"), std::string("inf"), std::string("many"),
+          std::string(), std::string("2 per s"), std::string(5000, '9')}) {
+        EXPECT_EQ(marks_with_limit({value}).max_rate, std::nullopt) << value;
+        EXPECT_TRUE(marks_with_limit({value}).invalid_max_rate) << value;
+    }
+    EXPECT_TRUE(marks_with_limit({"2", "3"}).invalid_max_rate);
+}
+
 } // namespace
 } // namespace sardinestream::platform
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -15,6 +15,7 @@
 inline constexpr char expected_server[] = "X-Sardinestream-Expect-Instance";
 inline constexpr char not_executed[] = "X-Sardinestream-Not-Executed";
 inline constexpr char server_leaving[] = "Server-Leaving";
+inline constexpr char server_limit[] = "Server-Limit";
 inline constexpr char retry_after[] = "Retry-After";
 inline constexpr char token_counts[] = "X-Sardinestream-Token-Counts";
 inline constexpr char prompt_parts[] = "X-Sardinestream-Prompt-Prefix";
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -108,7 +108,8 @@
         [this] { return this->stopping.load(); },
         [this] { return this->stop_deadline.load(); },
         this->answers,
-        this->crashes};
+        this->crashes,
+        [this] { this->gossip->announce(); }};
     frontend_options front_options;
     front_options.current_state = [this] { return this->state.get(); };
     front_options.on_admitted = [this](const std::string& service) {
@@ -151,8 +152,8 @@
             this->newer_peer.has_value() ? this->newer_peer->since : steady_clock::now();
         this->newer_peer = {ip, newer, since};
     };
-    hooks.on_entries = [this](int alive, int known) {
-        this->entries_alive = alive;
+    hooks.on_entries = [this](const process_group& alive, int known) {
+        this->entries_alive = static_cast<int>(alive.others.size()) + 1;
         this->entries_known = known;
         this->servers.set_processes(alive);
         // An entry that is merely unreachable still spends its share.
@@ -161,6 +162,10 @@
     hooks.on_report_interval = [this](milliseconds interval) {
         this->servers.set_report_interval(interval);
     };
+    hooks.limits = [this] { return this->servers.own_limit_statements(); };
+    hooks.on_limits = [this](absl::Span<const limit_statement> heard) {
+        this->servers.note_limits(heard);
+    };
     hooks.suspects_digest = [this] { return this->suspects->digest(); };
     hooks.on_suspect_news = [this](absl::string_view report) {
         const absl::StatusOr<bool> merged = this->suspects->merge(report);
@@ -444,7 +449,8 @@
     set_gauges("sardine_retry_tokens", tokens);
     std::map<metric_labels, double> servers_by_state;
     for (const dispatcher::server_summary& one : this->servers.summary()) {
-        const char* const held = one.hold_off.count() > 0 ? "holding_off" : "in_use";
+        const char* const limited = one.max_rate.has_value() ? "limited" : "in_use";
+        const char* const held = one.hold_off.count() > 0 ? "holding_off" : limited;
         ++servers_by_state[{{"service", one.server.service},
                             {"state", one.server.draining ? "leaving" : held}}];
     }
@@ -484,6 +490,7 @@
                                      {"draining", one.server.draining},
                                      {"use", one.use},
                                      {"hold_off_ms", one.hold_off.count()},
+                                     {"max_rate", one.max_rate.value_or(-1)},
                                      {"pass_ms", one.report.step_ms},
                                      {"own_in_flight", one.own_in_flight},
                                      {"reported", one.reported},
