A refusal that a server writes twice is not taken for the answer to a retry

Callers could see: 'not run, try again' for a request that the server had run. Reported by an operator of a similar system; shown here by a_refusal_that_is_written_twice_never_stands_for_a_run, which failed before (a server that repeats its refusal on the kept connection ran the request twice, the caller got 503).

Cause: a request that a server refuses is retried there under the same id, on the same kept connection. A second copy of the refusal names that id, so it passed for the answer to the retry. Requests that must not run twice were not affected, as each of their attempts has a new connection. Change: a connection remembers the requests that were refused on it, and they are not sent on it again.

--- a/sardinestream/forwarding/connection_pool.cc
+++ b/sardinestream/forwarding/connection_pool.cc
@@ -12,19 +12,27 @@
 constexpr std::chrono::milliseconds idle_margin{500};
 constexpr std::chrono::milliseconds max_idle_time{4000};
 constexpr std::size_t max_idle_per_server = 16;
+// A connection on which more requests were refused is not reused.
+constexpr std::size_t max_refused_ids = 32;
 
 } // namespace
 
-std::unique_ptr<server_connection> connection_pool::take_idle(const backend_server& server)
+std::unique_ptr<server_connection> connection_pool::take_idle(const backend_server& server,
+                                                              const std::string& request_id)
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->idle.find({server.id, server.born_ms});
     if (found == this->idle.end()) {
         return nullptr;
     }
-    while (!found->second.empty()) {
-        std::unique_ptr<server_connection> connection = std::move(found->second.back());
-        found->second.pop_back();
+    auto& pooled = found->second;
+    for (std::size_t i = pooled.size(); i-- > 0;) {
+        const std::vector<std::string>& refused = pooled[i]->refused_ids;
+        if (std::find(refused.begin(), refused.end(), request_id) != refused.end()) {
+            continue;
+        }
+        std::unique_ptr<server_connection> connection = std::move(pooled[i]);
+        pooled.erase(pooled.begin() + static_cast<std::ptrdiff_t>(i));
         if (steady_clock::now() < connection->expires_at &&
             !connection->socket.has_input_or_end()) {
             connection->reused = true;
@@ -35,11 +43,11 @@
 }
 
 absl::StatusOr<std::unique_ptr<server_connection>>
-connection_pool::open(const backend_server& server, bool require_new, steady_time deadline,
-                      const hangup_watch& caller)
+connection_pool::open(const backend_server& server, const std::string& request_id, bool require_new,
+                      steady_time deadline, const hangup_watch& caller)
 {
     if (!require_new) {
-        std::unique_ptr<server_connection> pooled = this->take_idle(server);
+        std::unique_ptr<server_connection> pooled = this->take_idle(server, request_id);
         if (pooled != nullptr) {
             return pooled;
         }
@@ -56,7 +64,7 @@
                               std::unique_ptr<server_connection> connection,
                               std::chrono::milliseconds idle_timeout)
 {
-    if (idle_timeout <= idle_margin) {
+    if (idle_timeout <= idle_margin || connection->refused_ids.size() > max_refused_ids) {
         return;
     }
     connection->expires_at =
--- a/sardinestream/forwarding/connection_pool.h
+++ b/sardinestream/forwarding/connection_pool.h
@@ -30,17 +30,20 @@
     // The connection served an earlier request.
     bool reused = false;
     steady_time expires_at{};
+    // Requests that the server has refused on this connection. They are not sent on it again: a
+    // refusal that arrives once more would be taken for the new answer.
+    std::vector<std::string> refused_ids;
     // How long the server keeps the connection open when idle, as stated in its last response.
     std::chrono::milliseconds idle_timeout{0};
 };
 
 class connection_pool {
 public:
-    // Returns an idle connection to that incarnation of the server, or a new one. Always opens a
-    // new one if `require_new` is set.
+    // Returns an idle connection to that incarnation of the server on which the request has not
+    // been refused, or a new one. Always opens a new one if `require_new` is set.
     [[nodiscard]] absl::StatusOr<std::unique_ptr<server_connection>>
-    open(const backend_server& server, bool require_new, steady_time deadline,
-         const hangup_watch& caller);
+    open(const backend_server& server, const std::string& request_id, bool require_new,
+         steady_time deadline, const hangup_watch& caller);
 
     // Returns a connection to the pool; its last response must be complete. `idle_timeout` is the
     // server's keep-alive time.
@@ -54,7 +57,8 @@
 private:
     using pool_key = std::pair<std::string, std::int64_t>;
 
-    std::unique_ptr<server_connection> take_idle(const backend_server& server);
+    std::unique_ptr<server_connection> take_idle(const backend_server& server,
+                                                 const std::string& request_id);
 
     absl::Mutex mutex;
     // By id and start time of the server; the most recently released connection is reused first.
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -223,8 +223,8 @@
 {
     const backend_server& server = record.placed.server;
     const bool require_new = !this->matched_route.may_run_again();
-    absl::StatusOr<std::unique_ptr<server_connection>> connection =
-        this->services.connections.open(server, require_new, this->deadline, this->caller_watch);
+    absl::StatusOr<std::unique_ptr<server_connection>> connection = this->services.connections.open(
+        server, this->admitted.request.id, require_new, this->deadline, this->caller_watch);
     if (!connection.ok()) {
         return this->handle_failure(attempt_state::nothing_sent, connection.status(), record);
     }
@@ -261,6 +261,7 @@
     if (marks.not_executed || marks.wrong_server) {
         std::string discarded;
         reusable = reusable && this->read_whole_body(connection, discarded).ok();
+        connection.refused_ids.push_back(this->admitted.request.id);
         record.result = marks.wrong_server ? attempt_result::replaced : attempt_result::refused;
         return this->handle_failure(attempt_state::refused_by_server,
                                     make_error(absl::StatusCode::kResourceExhausted, "answer",
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -36,6 +36,7 @@
         request.target = head.target;
         request.host = std::string(find_header(head.headers, "Host").value_or(""));
         request.keep_alive = head.keeps_alive();
+        request.accepts_chunked = head.version >= 11;
         request.headers = {{"Host", request.host}, {"Id", request.id}};
         return request;
     };
