A stream whose events have no ids is not begun again at another server

Callers could see: the same events twice in one stream. Found while looking at the operators' reports about streams that break off; a_stream_without_event_ids_is_not_begun_again failed before (both servers' events reached the caller).

Cause: a stream that had begun was resumed after its last event id, also where no event had carried one: the next server then began from the start, and nothing could tell its events from those already relayed. Change: without an id the stream is not retried; it ends visibly incomplete.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -343,7 +343,9 @@
 
 bool exchange::can_retry(attempt_state state) const
 {
-    if (this->servers_refused >= max_refusals) {
+    // Without the id of an event, another server would begin again.
+    const bool cannot_resume = this->response_started && this->events.last_id().empty();
+    if (this->servers_refused >= max_refusals || cannot_resume) {
         return false;
     }
     const bool run = this->possibly_executed || state == attempt_state::possibly_executed ||
--- a/sardinestream/forwarding/faulty_answers_test.cc
+++ b/sardinestream/forwarding/faulty_answers_test.cc
@@ -90,6 +90,24 @@
     }
 }
 
+TEST_F(faulty_answers_test, a_stream_without_event_ids_is_not_begun_again)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        connection.write(stream_head(connection) + chunk("data: a\n\n"));
+        connection.reset();
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_EQ(answer.body, "data: a\n\n");
+    EXPECT_FALSE(answer.end.ok());
+    EXPECT_EQ(asked, 1);
+}
+
 TEST_F(faulty_answers_test, a_stream_that_ends_with_its_connection_inside_an_event_is_broken_off)
 {
     std::atomic<int> asked = 0;
