A stream that breaks off does not look complete to a caller without chunked coding

Cause: the caller's connection was closed in the same way after a whole stream and after a broken one. Change: while a response that ends with the connection is incomplete, the connection is reset.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -84,6 +84,16 @@
 }
 
 bool exchange::run()
+{
+    const bool keep = this->attempt_until_done();
+    if (this->ends_with_connection) {
+        // An orderly end would make the response look complete.
+        this->caller.abort();
+    }
+    return keep;
+}
+
+bool exchange::attempt_until_done()
 {
     while (true) {
         absl::StatusOr<placement> placed = this->place();
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -87,6 +87,8 @@
     // Returns the server for the next attempt, or the reason for which there is none.
     [[nodiscard]] absl::StatusOr<placement> place();
     [[nodiscard]] absl::StatusOr<placement> wait_for_server();
+    // Makes attempts until the request has an outcome. Returns the same as `run`.
+    [[nodiscard]] bool attempt_until_done();
     [[nodiscard]] placement_request make_placement_request() const;
     // Ends the attempt of a stream whose server delays its group, if another server is free and can
     // be reserved for the rest of the stream. Returns whether it was ended.
@@ -161,6 +163,8 @@
     std::vector<std::string> tried_ids;
     event_splitter events;
     bool response_started = false;
+    // A response that ends with the connection has begun and is not complete.
+    bool ends_with_connection = false;
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
     std::chrono::milliseconds total_queue_time{0};
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -20,6 +20,7 @@
         relayed.chunked = this->admitted.request.accepts_chunked;
         text = encode_answer_head(relayed);
         this->response_started = true;
+        this->ends_with_connection = !this->admitted.request.accepts_chunked;
     }
     text += this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete;
     return this->caller.write_all(text, this->deadline, hangup_watch());
@@ -31,6 +32,7 @@
         SARDINE_RETURN_IF_ERROR(this->send_events(head, ""));
     }
     if (!this->admitted.request.accepts_chunked) {
+        this->ends_with_connection = false;
         return absl::OkStatus();
     }
     return this->caller.write_all(
--- a/sardinestream/forwarding/faulty_answers_test.cc
+++ b/sardinestream/forwarding/faulty_answers_test.cc
@@ -108,6 +108,28 @@
     EXPECT_EQ(asked, 1);
 }
 
+TEST_F(faulty_answers_test, a_stream_to_a_caller_without_chunks_that_breaks_off_ends_with_a_reset)
+{
+    this->state = make_state();
+    scripted_server server([](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection) + chunk(first_event) + chunk("id: 2\nda"));
+        connection.reset();
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket
+                    .write_all("POST /tell/ HTTP/1.0\r\nHost: shop\r\nId: r1\r\nKey: "
+                               "k\r\nContent-Length: 2\r\n\r\n{}",
+                               soon(), {})
+                    .ok());
+    message_reader reader(socket);
+    const caller_answer answer = read_answer(reader);
+    EXPECT_EQ(answer.head.status, 200);
+    EXPECT_EQ(answer.body, first_event);
+    EXPECT_TRUE(absl::IsUnavailable(answer.end)) << answer.end;
+}
+
 TEST_F(faulty_answers_test, a_stream_that_ends_with_its_connection_inside_an_event_is_broken_off)
 {
     std::atomic<int> asked = 0;
