Bound the work for suspects of crashes

Cause: the digest of everything that is known was computed for each hello, and every request searched all crashes; with the allowed 256 crashes of 32 requests each that is work of many milliseconds a request, in the reach of callers whose requests crash servers. Change: each crash keeps its digest, and the traits that are suspected are indexed when something changes. The log names the parts of a prompt in 200 characters at the most, also for lost requests.

--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -15,6 +15,7 @@
 #include "sardinestream/http/message.h"
 
 #include "absl/status/statusor.h"
+#include "absl/strings/str_join.h"
 
 namespace sardinestream {
 
@@ -44,6 +45,13 @@
     http_headers headers;
     std::string body;
 
+    // Returns the ids of the prompt's parts for the log, cut off after a few.
+    [[nodiscard]] std::string parts_for_log() const
+    {
+        constexpr std::size_t max_text_bytes = 200;
+        return absl::StrJoin(this->prompt_parts, ",").substr(0, max_text_bytes);
+    }
+
     [[nodiscard]] absl::string_view path() const
     {
         const absl::string_view whole = this->target;
--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -9,7 +9,6 @@
 #include "sardinestream/http/socket.h"
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 namespace sardinestream {
 namespace {
@@ -73,7 +72,7 @@
     log_event("request_lost_in_crash", {{"request", request.id},
                                         {"server", server.id},
                                         {"service", server.service},
-                                        {"parts", absl::StrJoin(request.prompt_parts, ",")}});
+                                        {"parts", request.parts_for_log()}});
     if (this->registry.record_crash(crash, {&lost, 1})) {
         this->hooks.on_news();
     }
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -9,7 +9,6 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 namespace sardinestream {
 namespace {
@@ -33,13 +32,6 @@
     log_event(event, fields);
 }
 
-// Returns the parts of a prompt for the log, cut off after a few.
-std::string describe_parts(const caller_request& request)
-{
-    constexpr std::size_t max_text_bytes = 200;
-    return absl::StrJoin(request.prompt_parts, ",").substr(0, max_text_bytes);
-}
-
 // Returns whether the peer ended the connection before its answer was complete.
 bool is_lost_connection(const absl::Status& cause)
 {
@@ -476,7 +468,7 @@
                       {"occupancy", record.placed.occupancy},
                       {"first_byte_ms", record.first_byte.count()},
                       {"elapsed_ms", elapsed_since(record.started).count()},
-                      {"parts", describe_parts(this->admitted.request)},
+                      {"parts", this->admitted.request.parts_for_log()},
                       {"outcome", outcome}});
 }
 
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -8,6 +8,7 @@
 #include "sardinestream/base/metrics.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace sardinestream::suspects {
 namespace {
@@ -102,7 +103,7 @@
             }
         }
         if (changed) {
-            this->note_change(crash);
+            this->note_change(key, crash);
             cleared = true;
         }
     }
@@ -118,8 +119,9 @@
     if (this->crashes.empty()) {
         return {};
     }
+    this->update_verdicts();
     const absl::Time now = this->options.now();
-    for (const blamed_traits& blamed : this->current_blame()) {
+    for (const blamed_traits& blamed : this->blame) {
         const absl::Duration remaining = this->refused_until(blamed) - now;
         if (remaining > absl::ZeroDuration() && has_all(request, blamed.traits)) {
             return {suspect_verdict::refuse, remaining};
@@ -131,20 +133,11 @@
 
 bool suspect_registry::is_suspected(const request_traits& request) const
 {
-    for (const auto& [key, crash] : this->crashes) {
-        if (crash.at <= this->oldest_kept()) {
-            continue;
-        }
-        for (const request_traits& lost : crash.lost) {
-            for (const digest128& trait : lost) {
-                if (crash.cleared.count(trait) == 0 &&
-                    std::find(request.begin(), request.end(), trait) != request.end()) {
-                    return true;
-                }
-            }
-        }
-    }
-    return false;
+    return std::any_of(
+        request.begin(), request.end(), [&](const digest128& trait) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+            const auto found = this->suspected.find(trait);
+            return found != this->suspected.end() && found->second > this->oldest_kept();
+        });
 }
 
 bool suspect_registry::is_proven(const digest128& trait) const
@@ -154,11 +147,12 @@
            this->completed_at_peers.last_seen(trait) > oldest;
 }
 
-const std::vector<blamed_traits>& suspect_registry::current_blame() const
+void suspect_registry::update_verdicts() const
 {
-    if (this->blame_is_current) {
-        return this->blame;
+    if (this->verdicts_are_current) {
+        return;
     }
+    this->suspected.clear();
     std::vector<crash_evidence> evidence;
     for (const auto& [key, crash] : this->crashes) {
         if (crash.at <= this->oldest_kept()) {
@@ -170,6 +164,10 @@
             std::erase_if(lost, [&cleared = crash.cleared](const digest128& trait) {
                 return cleared.count(trait) != 0;
             });
+            for (const digest128& trait : lost) {
+                absl::Time& last_crash = this->suspected.try_emplace(trait, crash.at).first->second;
+                last_crash = std::max(last_crash, crash.at);
+            }
             if (!lost.empty()) {
                 one.lost.push_back(std::move(lost));
             }
@@ -180,8 +178,7 @@
         [this](const digest128& trait)
             ABSL_NO_THREAD_SAFETY_ANALYSIS { return this->is_proven(trait); },
         this->options.blame);
-    this->blame_is_current = true;
-    return this->blame;
+    this->verdicts_are_current = true;
 }
 
 absl::Time suspect_registry::refused_until(const blamed_traits& blamed) const
@@ -307,16 +304,27 @@
         changed = (involved && crash.cleared.insert(trait).second) || changed;
     }
     if (changed) {
-        this->note_change(crash);
+        this->note_change(key, crash);
         this->forget_oldest();
     }
     return changed;
 }
 
-void suspect_registry::note_change(recorded_crash& changed)
+void suspect_registry::note_change(const crash_key& key, recorded_crash& changed)
 {
+    std::string text = absl::StrJoin(key, ",");
+    for (const request_traits& lost : changed.lost) {
+        absl::StrAppend(&text, "|");
+        for (const digest128& trait : lost) {
+            absl::StrAppend(&text, ";", trait.high, ",", trait.low);
+        }
+    }
+    for (const digest128& trait : changed.cleared) {
+        absl::StrAppend(&text, "-", trait.high, ",", trait.low);
+    }
+    changed.digest = stable_hash(text);
     changed.changed_at = ++this->last_sequence;
-    this->blame_is_current = false;
+    this->verdicts_are_current = false;
 }
 
 absl::Time suspect_registry::oldest_kept() const
@@ -341,20 +349,7 @@
     const absl::MutexLock lock(&this->mutex);
     std::uint64_t sum = 0;
     for (const auto& [key, crash] : this->crashes) {
-        if (crash.at <= this->oldest_kept()) {
-            continue;
-        }
-        std::string text = absl::StrCat(key[0], ",", key[1], ",", key[2]);
-        for (const request_traits& lost : crash.lost) {
-            for (const digest128& trait : lost) {
-                absl::StrAppend(&text, ";", trait.high, ",", trait.low);
-            }
-            absl::StrAppend(&text, "|");
-        }
-        for (const digest128& trait : crash.cleared) {
-            absl::StrAppend(&text, "-", trait.high, ",", trait.low);
-        }
-        sum += stable_hash(text);
+        sum += crash.at > this->oldest_kept() ? crash.digest : 0;
     }
     return sum;
 }
@@ -368,10 +363,12 @@
 std::size_t suspect_registry::blamed() const
 {
     const absl::MutexLock lock(&this->mutex);
-    const absl::Time now = this->options.now();
-    const std::vector<blamed_traits>& all = this->current_blame();
-    return static_cast<std::size_t>(std::count_if(
-        all.begin(), all.end(), [&](const auto& one) { return this->refused_until(one) > now; }));
+    this->update_verdicts();
+    std::size_t refused = 0;
+    for (const blamed_traits& blamed : this->blame) {
+        refused += this->refused_until(blamed) > this->options.now() ? 1 : 0;
+    }
+    return refused;
 }
 
 } // namespace sardinestream::suspects
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -34,6 +34,7 @@
 #include "sardinestream/suspects/suspects_generated.h"
 
 #include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -121,6 +122,7 @@
         std::set<request_traits> lost;
         std::set<digest128> cleared;
         std::uint64_t changed_at = 0; // the sequence of the last change
+        std::uint64_t digest = 0;     // of all of the above but the times
     };
 
     explicit suspect_registry(suspect_registry_options given);
@@ -129,10 +131,10 @@
     bool merge_crash(const crash_key& key, absl::Time at, std::span<const request_traits> lost,
                      std::span<const digest128> cleared) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void forget_oldest() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void note_change(recorded_crash& changed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns the current blame, computed anew if something has changed.
-    [[nodiscard]] const std::vector<blamed_traits>& current_blame() const
+    void note_change(const crash_key& key, recorded_crash& changed)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Computes `blame` and `suspected` anew if something has changed.
+    void update_verdicts() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_proven(const digest128& trait) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_suspected(const request_traits& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -149,8 +151,11 @@
     recent_traits completed ABSL_GUARDED_BY(mutex);
     recent_traits completed_at_peers ABSL_GUARDED_BY(mutex);
     std::uint64_t last_sequence ABSL_GUARDED_BY(mutex) = 0; // the highest `changed_at`
+    // Derived from the members above.
     mutable std::vector<blamed_traits> blame ABSL_GUARDED_BY(mutex);
-    mutable bool blame_is_current ABSL_GUARDED_BY(mutex) = true;
+    // The last crash of each trait that has not been cleared of it.
+    mutable absl::flat_hash_map<digest128, absl::Time> suspected ABSL_GUARDED_BY(mutex);
+    mutable bool verdicts_are_current ABSL_GUARDED_BY(mutex) = true;
 };
 
 } // namespace sardinestream::suspects
