Comments of the parts of exchange that are new

Cause: the reading of the change as a newcomer; two functions had no line on what they return. Change: comments only.

--- a/sardinestream/forwarding/crash_guard.h
+++ b/sardinestream/forwarding/crash_guard.h
@@ -30,7 +30,8 @@
 // Thread-safe.
 class crash_guard {
 public:
-    // A server crashes as it begins to answer. A stream that has gone on for this long is sound.
+    // A request crashes its server as the answer begins, so a stream that has gone on for this long
+    // is sound.
     static constexpr std::chrono::milliseconds time_to_prove{1000};
 
     // `suspects` must outlive the guard.
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -84,8 +84,9 @@
         bool sound = false;
     };
 
-    // Returns the server for the next attempt, or the reason for which there is none.
+    // Returns the server for the next attempt, or the reason for which the request gets none.
     [[nodiscard]] absl::StatusOr<placement> place();
+    // Waits for a server with free capacity, for as long as the request is worth serving.
     [[nodiscard]] absl::StatusOr<placement> wait_for_server();
     // Makes attempts until the request has an outcome. Returns the same as `run`.
     [[nodiscard]] bool attempt_until_done();
@@ -104,6 +105,7 @@
     // responses that may belong to another request or another server.
     void apply_notice(const backend_server& server, const http_response_head& head,
                       const response_marks& marks);
+    // Passes the rate that the server names, or that it names none, to the dispatcher.
     void note_limit(const backend_server& server, const response_marks& marks);
     // Reads the next head of a final (not 1xx) response, whichever request it belongs to.
     [[nodiscard]] absl::StatusOr<http_response_head> read_final_head(server_connection& connection);
