A request with very many prompt parts is known as a whole

Cause: a crash keeps 64 traits of a request, and the one of the request as a whole came last, so that it was cut off behind 64 parts; another request with the same parts was then refused with it. Change: it comes first. crash_guard_test (new; 4 tests) failed in a_request_with_very_many_parts_is_still_known_as_a_whole before. Result: crash_guard_test passes.

--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -18,23 +18,20 @@
 // A server on the same network refuses a connection within this time.
 constexpr std::chrono::milliseconds probe_timeout{200};
 
-request_traits part_traits(const caller_request& request, const std::string& service)
+void append_parts(const caller_request& request, const std::string& service, request_traits& traits)
 {
-    request_traits traits;
-    traits.reserve(request.prompt_parts.size() + 1);
     for (const std::string& part : request.prompt_parts) {
         traits.push_back(suspects::prompt_part_trait(service, part));
     }
-    return traits;
 }
 
-// The traits of the parts and the one of the request as a whole.
+// The trait of the request as a whole first, so that it is not cut off behind very many parts.
 request_traits all_traits(const caller_request& request, const std::string& service)
 {
-    request_traits traits = part_traits(request, service);
-    traits.push_back(suspects::fingerprint_of(
+    request_traits traits = {suspects::fingerprint_of(
         request.key, absl::StrCat(service, " ", request.method, " ", request.target),
-        request.body));
+        request.body)};
+    append_parts(request, service, traits);
     return traits;
 }
 
@@ -81,8 +78,13 @@
 void crash_guard::note_sound(const caller_request& request, const std::string& service)
 {
     // A whole request seldom comes again, so it is only of interest if it is a suspect.
-    const request_traits traits =
-        this->registry.size() == 0 ? part_traits(request, service) : all_traits(request, service);
+    request_traits traits;
+    if (this->registry.size() == 0) {
+        append_parts(request, service, traits);
+    }
+    else {
+        traits = all_traits(request, service);
+    }
     if (this->registry.record_completion(traits)) {
         this->hooks.on_news();
     }
