A stream that ends with its connection before any event is broken off

Cause: the end of the connection was taken for the end of the stream unless it fell inside an event. Change: where the connection alone ends a stream, it must have had an event; otherwise it is a lost attempt, retried at the next server. Why it holds: a stream that was generated has one event at least, so its absence can only be a loss.

--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -125,6 +125,8 @@
     // the time of the last complete event; bytes that complete no event do not extend the wait.
     [[nodiscard]] absl::StatusOr<bool>
     read_stream_part(server_connection& connection, std::string& bytes, steady_time& last_event);
+    // Returns whether a stream whose body ends now can be complete.
+    [[nodiscard]] bool may_end_here(const http_response_head& head) const;
     // Returns the head for the caller, without the headers that give the length of the body.
     [[nodiscard]] answer_head make_relayed_head(const http_response_head& head) const;
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -62,6 +62,15 @@
     }
 }
 
+bool exchange::may_end_here(const http_response_head& head) const
+{
+    if (this->events.has_partial_event()) {
+        return false;
+    }
+    // A server that crashes before its first event ends the connection as well.
+    return head.framing != body_framing::until_close || this->events.taken() > 0;
+}
+
 exchange::next_action exchange::relay_stream(server_connection& connection,
                                              const http_response_head& head, attempt_record& record,
                                              bool& reusable)
@@ -86,7 +95,7 @@
                                                    "event exceeds the size limit"),
                                         record);
         }
-        if (this->events.has_gap() || (*ended && this->events.has_partial_event())) {
+        if (this->events.has_gap() || (*ended && !this->may_end_here(head))) {
             return this->handle_failure(attempt_state::possibly_executed,
                                         make_error(absl::StatusCode::kDataLoss, "stream",
                                                    record.placed.server.id,
--- a/sardinestream/forwarding/faulty_answers_test.cc
+++ b/sardinestream/forwarding/faulty_answers_test.cc
@@ -149,6 +149,24 @@
     EXPECT_EQ(asked, 2);
 }
 
+TEST_F(faulty_answers_test, a_stream_that_ends_with_its_connection_before_any_event_is_broken_off)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n";
+        connection.write(asked++ == 0 ? head : absl::StrCat(head, first_event, second_event));
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_EQ(answer.body, absl::StrCat(first_event, second_event));
+    EXPECT_TRUE(answer.end.ok());
+    EXPECT_EQ(asked, 2);
+}
+
 TEST_F(faulty_answers_test, a_head_that_ends_in_its_middle_is_no_answer)
 {
     for (const char* const cut :
