A failure that a server answers clears no part of a prompt of its crashes

Callers could see: the crashes go on, for a part that is already known (BUDGET).

Cause: every whole answer counted as proof that the request crashes nothing; a failure may have been answered before the server came to what crashes it. Change: only a success clears a request's traits; streams as before (a second of events, or their end).

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -298,8 +298,11 @@
         reusable = false;
         return this->handle_failure(attempt_state::possibly_executed, read, record);
     }
-    this->note_sound(record);
     const bool success = is_success(head.status);
+    if (success) {
+        // A failure may have been answered before the server came to what crashes it.
+        this->note_sound(record);
+    }
     record.result = success ? attempt_result::succeeded : attempt_result::failed;
     constexpr int first_server_error = 500;
     if (head.status >= first_server_error && this->can_retry(attempt_state::execution_failed) &&
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -23,8 +23,8 @@
     return steady_clock::now() + std::chrono::seconds(8);
 }
 
-// Wire protocol for these tests; its headers are `Id`, `Key`, `Signed`, `Never-Ran`, `After`,
-// `Leaving`, and `Retry-After` in milliseconds.
+// Wire protocol for these tests; its headers are `Id`, `Key`, `Part` (of the prompt), `Signed`,
+// `Never-Ran`, `After`, `Leaving`, and `Retry-After` in milliseconds.
 inline wire_protocol test_protocol()
 {
     wire_protocol protocol;
@@ -38,6 +38,10 @@
         request.keep_alive = head.keeps_alive();
         request.accepts_chunked = head.version >= 11;
         request.headers = {{"Host", request.host}, {"Id", request.id}};
+        const std::string part = header_or_empty(head.headers, "Part");
+        if (!part.empty()) {
+            request.prompt_parts.push_back(part);
+        }
         return request;
     };
     protocol.encode_headers = [](const caller_request& request, const attempt_details& details) {
@@ -211,8 +215,11 @@
     response_memory memory{max_memory_bytes};
     const std::unique_ptr<suspects::suspect_registry> registry =
         suspects::suspect_registry::create(shared_server_suspects());
-    // No server is taken for crashed: tests count the connections to their servers.
-    crash_guard crashes{*this->registry, {[](const address&) { return false; }, [] {}}};
+    // By default no server is taken for crashed: tests count the connections to their servers.
+    std::atomic<bool> servers_have_crashed = false;
+    crash_guard crashes{
+        *this->registry,
+        {[this](const address&) { return this->servers_have_crashed.load(); }, [] {}}};
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
