A part that was merely beside the cause in every crash is not blamed with it

Callers could see: sound requests refused for ten minutes. After a start of all entries, before anything has completed, a first part that a class of requests shares is lost in every crash with the bad one; a bystander that has only the first part then made the first part alone blamed. a_part_that_was_merely_beside_the_cause_in_every_crash_is_not_blamed failed before.

Cause: of the combinations of parts with the same crashes the smallest was kept, as it blames what the larger ones blame too. But a larger one that was lost in every crash explains them all as well, and says no more than is known. Change: blamed are the largest combinations that a lost request of each crash contains; if there is none, those of the last crash.

--- a/sardinestream/suspects/blame.cc
+++ b/sardinestream/suspects/blame.cc
@@ -1,8 +1,8 @@
 #include "sardinestream/suspects/blame.h"
 
 #include <algorithm>
-#include <map>
-#include <optional>
+#include <set>
+#include <utility>
 
 namespace sardinestream::suspects {
 namespace {
@@ -11,32 +11,34 @@
 using crash_positions = std::vector<std::size_t>;
 
 struct suspected_trait {
+    digest128 trait;
+    // Those that nothing else explains.
     crash_positions crashes;
     bool proven = false;
 };
 
-using suspected_traits = std::map<digest128, suspected_trait>;
+// In order of the traits.
+using suspected_traits = std::vector<suspected_trait>;
 
 suspected_traits collect_traits(std::span<const crash_evidence> crashes,
-                                const std::vector<bool>& explained,
                                 const std::function<bool(const digest128&)>& was_proven)
 {
-    suspected_traits found;
+    std::vector<std::pair<digest128, std::size_t>> occurrences;
     for (std::size_t i = 0; i < crashes.size(); ++i) {
-        if (explained[i]) {
-            continue;
-        }
         for (const request_traits& request : crashes[i].lost) {
             for (const digest128& trait : request) {
-                crash_positions& positions = found[trait].crashes;
-                if (positions.empty() || positions.back() != i) {
-                    positions.push_back(i);
-                }
+                occurrences.emplace_back(trait, i);
             }
         }
     }
-    for (auto& [trait, suspected] : found) {
-        suspected.proven = was_proven(trait);
+    std::sort(occurrences.begin(), occurrences.end());
+    occurrences.erase(std::unique(occurrences.begin(), occurrences.end()), occurrences.end());
+    suspected_traits found;
+    for (const auto& [trait, position] : occurrences) {
+        if (found.empty() || found.back().trait != trait) {
+            found.push_back({trait, {}, was_proven(trait)});
+        }
+        found.back().crashes.push_back(position);
     }
     return found;
 }
@@ -44,85 +46,133 @@
 std::size_t count_moments(std::span<const crash_evidence> crashes, const crash_positions& positions,
                           absl::Duration moment)
 {
-    std::vector<absl::Time> times;
-    for (const std::size_t position : positions) {
-        times.push_back(crashes[position].at);
-    }
-    std::sort(times.begin(), times.end());
     std::size_t moments = 0;
     absl::Time begun = absl::InfinitePast();
-    for (const absl::Time at : times) {
-        if (at - begun < moment) {
+    for (const std::size_t position : positions) {
+        if (crashes[position].at - begun < moment) {
             continue;
         }
-        begun = at;
+        begun = crashes[position].at;
         ++moments;
     }
     return moments;
 }
 
-// Returns the trait that most likely caused crashes: one that is not proven before one that is,
-// then the one with most crashes.
-const suspected_trait* find_most_suspected(const suspected_traits& traits,
-                                           std::span<const crash_evidence> crashes,
-                                           const blame_options& options)
+bool meets_threshold(const suspected_trait& suspected, std::span<const crash_evidence> crashes,
+                     const blame_options& options)
 {
-    const suspected_trait* most = nullptr;
-    for (const auto& [trait, suspected] : traits) {
-        const blame_threshold& needed = suspected.proven ? options.proven : options.unproven;
-        if (suspected.crashes.size() < needed.crashes ||
-            count_moments(crashes, suspected.crashes, options.moment) < needed.moments) {
-            continue;
+    const blame_threshold& needed = suspected.proven ? options.proven : options.unproven;
+    if (suspected.crashes.size() < needed.crashes) {
+        return false;
+    }
+    return count_moments(crashes, suspected.crashes, options.moment) >= needed.moments;
+}
+
+// Returns whether `left` more likely caused crashes: a trait that is not proven before one that is,
+// then the one with more crashes.
+bool is_more_suspect(const suspected_trait& left, const suspected_trait& right)
+{
+    if (left.proven != right.proven) {
+        return !left.proven;
+    }
+    return left.crashes.size() > right.crashes.size();
+}
+
+// Returns the traits of the request that have the same crashes as `most`, in order.
+request_traits indistinguishable_traits(const request_traits& request,
+                                        const suspected_traits& traits, const suspected_trait& most)
+{
+    request_traits alike;
+    for (const digest128& trait : request) {
+        const auto found = std::lower_bound(
+            traits.begin(), traits.end(), trait,
+            [](const suspected_trait& one, const digest128& wanted) { return one.trait < wanted; });
+        if (found != traits.end() && found->trait == trait && found->proven == most.proven &&
+            found->crashes == most.crashes) {
+            alike.push_back(trait);
         }
-        const bool more =
-            most == nullptr || (most->proven && !suspected.proven) ||
-            (most->proven == suspected.proven && suspected.crashes.size() > most->crashes.size());
-        most = more ? &suspected : most;
     }
-    return most;
+    std::sort(alike.begin(), alike.end());
+    return alike;
 }
 
-// Removes combinations that contain another one: whatever they blame, the other one does as well.
-void remove_redundant(std::vector<request_traits>& combinations)
+// The combinations of indistinguishable traits in the lost requests of one crash.
+using crash_combinations = std::vector<request_traits>;
+
+crash_combinations combinations_in(const crash_evidence& crash, const suspected_traits& traits,
+                                   const suspected_trait& most)
 {
-    std::sort(combinations.begin(), combinations.end(), [](const auto& left, const auto& right) {
-        return left.size() != right.size() ? left.size() < right.size() : left < right;
-    });
-    std::vector<request_traits> kept;
-    for (request_traits& one : combinations) {
-        const bool redundant =
-            std::any_of(kept.begin(), kept.end(),
-                        [&](const request_traits& smaller) { return has_all(one, smaller); });
-        if (!redundant) {
-            kept.push_back(std::move(one));
+    crash_combinations found;
+    for (const request_traits& request : crash.lost) {
+        request_traits alike = indistinguishable_traits(request, traits, most);
+        if (!alike.empty()) {
+            found.push_back(std::move(alike));
         }
     }
-    combinations = std::move(kept);
+    std::sort(found.begin(), found.end());
+    found.erase(std::unique(found.begin(), found.end()), found.end());
+    return found;
 }
 
-// Returns what each lost request has of the traits that have the same crashes as `most`.
-std::vector<request_traits> indistinguishable_combinations(const suspected_traits& traits,
-                                                           const suspected_trait& most,
-                                                           std::span<const crash_evidence> crashes)
+// Both are sorted.
+bool contains_all(const request_traits& combination, const request_traits& smaller)
 {
-    std::vector<request_traits> combinations;
+    return std::includes(combination.begin(), combination.end(), smaller.begin(), smaller.end());
+}
+
+bool contains_combination(const crash_combinations& in_crash, const request_traits& candidate)
+{
+    return std::any_of(in_crash.begin(), in_crash.end(), [&](const request_traits& combination) {
+        return contains_all(combination, candidate);
+    });
+}
+
+// Returns the combinations that can have caused all crashes of `most`: the largest ones that a lost
+// request of each crash contains, since what has fewer of the traits may merely have been beside
+// them. If there is none, returns the combinations of the last crash.
+std::vector<request_traits> blamed_combinations(std::span<const crash_evidence> crashes,
+                                                const suspected_traits& traits,
+                                                const suspected_trait& most)
+{
+    std::vector<crash_combinations> by_crash;
     for (const std::size_t position : most.crashes) {
-        for (const request_traits& request : crashes[position].lost) {
-            request_traits alike;
-            for (const digest128& trait : request) {
-                const suspected_trait& suspected = traits.at(trait);
-                if (suspected.proven == most.proven && suspected.crashes == most.crashes) {
-                    alike.push_back(trait);
-                }
-            }
-            if (!alike.empty()) {
-                std::sort(alike.begin(), alike.end());
-                combinations.push_back(std::move(alike));
-            }
+        by_crash.push_back(combinations_in(crashes[position], traits, most));
+    }
+    std::set<request_traits> candidates;
+    for (const crash_combinations& in_crash : by_crash) {
+        candidates.insert(in_crash.begin(), in_crash.end());
+    }
+    std::vector<request_traits> common;
+    for (const request_traits& candidate : candidates) {
+        if (std::all_of(by_crash.begin(), by_crash.end(), [&](const crash_combinations& in_crash) {
+                return contains_combination(in_crash, candidate);
+            })) {
+            common.push_back(candidate);
+        }
+    }
+    if (common.empty()) {
+        return by_crash.back();
+    }
+    std::vector<request_traits> largest;
+    for (const request_traits& candidate : common) {
+        const bool is_part_of_another =
+            std::any_of(common.begin(), common.end(), [&](const request_traits& other) {
+                return other.size() > candidate.size() && contains_all(other, candidate);
+            });
+        if (!is_part_of_another) {
+            largest.push_back(candidate);
         }
     }
-    remove_redundant(combinations);
-    return combinations;
+    return largest;
+}
+
+void remove_explained(suspected_traits& traits, const crash_positions& explained)
+{
+    for (suspected_trait& one : traits) {
+        std::erase_if(one.crashes, [&](std::size_t position) {
+            return std::binary_search(explained.begin(), explained.end(), position);
+        });
+    }
 }
 
 } // namespace
@@ -139,21 +189,22 @@
                                       const blame_options& options)
 {
     std::vector<blamed_traits> blamed;
-    std::vector<bool> explained(crashes.size(), false);
+    suspected_traits traits = collect_traits(crashes, was_proven);
     while (true) {
-        const suspected_traits traits = collect_traits(crashes, explained, was_proven);
-        const suspected_trait* const most = find_most_suspected(traits, crashes, options);
-        if (most == nullptr) {
+        std::erase_if(traits, [&](const suspected_trait& one) {
+            return !meets_threshold(one, crashes, options);
+        });
+        if (traits.empty()) {
             return blamed;
         }
-        absl::Time last_crash = absl::InfinitePast();
-        for (const std::size_t position : most->crashes) {
-            explained[position] = true;
-            last_crash = std::max(last_crash, crashes[position].at);
-        }
-        for (request_traits& combination : indistinguishable_combinations(traits, *most, crashes)) {
-            blamed.push_back({std::move(combination), last_crash, most->proven});
+        // A copy, since its crashes are removed below.
+        const suspected_trait most =
+            *std::min_element(traits.begin(), traits.end(), is_more_suspect);
+        const absl::Time last_crash = crashes[most.crashes.back()].at;
+        for (request_traits& combination : blamed_combinations(crashes, traits, most)) {
+            blamed.push_back({std::move(combination), last_crash, most.proven});
         }
+        remove_explained(traits, most.crashes);
     }
 }
 
--- a/sardinestream/suspects/blame.h
+++ b/sardinestream/suspects/blame.h
@@ -56,8 +56,8 @@
     bool proven = false;
 };
 
-// Returns the blamed combinations. `was_proven` tells whether a request with the trait has
-// completed lately.
+// Returns the blamed combinations for crashes that are listed in order of time. `was_proven` tells
+// whether a request with the trait has completed lately.
 [[nodiscard]] std::vector<blamed_traits>
 find_blame(std::span<const crash_evidence> crashes,
            const std::function<bool(const digest128& trait)>& was_proven,
--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -86,6 +86,38 @@
     EXPECT_THAT(blamed_for(crashes), ElementsAre(request({"common"})));
 }
 
+TEST(blame, a_part_that_was_merely_beside_the_cause_in_every_crash_is_not_blamed)
+{
+    std::vector<crash_evidence> crashes;
+    crashes.reserve(max_evidence);
+    for (int i = 0; i < many_crashes; ++i) {
+        crashes.push_back({at_second(i),
+                           {request({"first", "bad", absl::StrCat("own", i)}),
+                            request({"first", absl::StrCat("bystander", i)})}});
+    }
+    const std::vector<request_traits> blamed = blamed_for(crashes);
+    ASSERT_EQ(blamed.size(), 1U);
+    EXPECT_FALSE(has_all(request({"first", "sound"}), blamed[0]));
+    EXPECT_TRUE(has_all(request({"first", "bad", "new"}), blamed[0]));
+}
+
+TEST(blame, parts_that_each_crash_combines_differently_are_blamed_as_in_the_last_one)
+{
+    const std::vector<crash_evidence> crashes = {
+        {at_second(1), {request({"a", "b"}), request({"c", "d"})}},
+        {at_second(2), {request({"a", "c"}), request({"b", "d"})}},
+        {at_second(3), {request({"a", "d"}), request({"b", "c"})}}};
+    const std::vector<request_traits> blamed = blamed_for(crashes);
+    ASSERT_EQ(blamed.size(), 2U);
+    const auto is_blamed = [&](const request_traits& asked) {
+        return std::any_of(blamed.begin(), blamed.end(),
+                           [&](const request_traits& one) { return has_all(asked, one); });
+    };
+    EXPECT_TRUE(is_blamed(request({"a", "d"})));
+    EXPECT_TRUE(is_blamed(request({"b", "c"})));
+    EXPECT_FALSE(is_blamed(request({"a"})));
+}
+
 TEST(blame, parts_that_always_come_together_are_blamed_together)
 {
     std::vector<crash_evidence> crashes;
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -173,6 +173,8 @@
             }
         }
     }
+    std::stable_sort(evidence.begin(), evidence.end(),
+                     [](const auto& left, const auto& right) { return left.at < right.at; });
     this->blame = find_blame(
         evidence,
         [this](const digest128& trait)
