Five crashes are enough to blame a part, also at one moment or after earlier completions

Callers could see: more servers end under a part than three after the time to react (BUDGET), in two cases. Servers without groups that all run such requests end within half a second, which counted as one moment: the next wave ended as many again.

Cause: the thresholds were set against power losses, not against the number of crashes after which the users expect a reaction, which is five. Change: five crashes are enough at one moment for a part that never completed, and at two moments for one that did. Why sound parts are safe: each completion anywhere clears its parts of all crashes so far, so a part that is in use gathers evidence only while nothing completes.

--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -94,8 +94,8 @@
 {
     suspects::suspect_registry_options options;
     options.proven_suspicion_period = absl::Seconds(30);
-    options.blame.unproven = {.crashes = 3, .moments = 2};
-    options.blame.proven = {.crashes = 6, .moments = 3};
+    options.blame.unproven = {.crashes = 3, .moments = 2, .crashes_at_once = 5};
+    options.blame.proven = {.crashes = 5, .moments = 2};
     // A steady clock: the time of day may jump.
     options.now = [] {
         return absl::UnixEpoch() + absl::FromChrono(steady_clock::now().time_since_epoch());
--- a/sardinestream/suspects/blame.cc
+++ b/sardinestream/suspects/blame.cc
@@ -65,7 +65,8 @@
     if (suspected.crashes.size() < needed.crashes) {
         return false;
     }
-    return count_moments(crashes, suspected.crashes, options.moment) >= needed.moments;
+    return suspected.crashes.size() >= needed.crashes_at_once ||
+           count_moments(crashes, suspected.crashes, options.moment) >= needed.moments;
 }
 
 // Returns whether `left` more likely caused crashes: a trait that is not proven before one that is,
--- a/sardinestream/suspects/blame.h
+++ b/sardinestream/suspects/blame.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -38,6 +39,8 @@
     // The number of moments at which they occurred; servers that crash together may have a common
     // cause outside of their requests.
     std::size_t moments = 1;
+    // So many crashes are enough even at one moment.
+    std::size_t crashes_at_once = std::numeric_limits<std::size_t>::max();
 };
 
 struct blame_options {
