Entries come to know the same of a crash under which many requests were lost

Callers saw nothing; entries could fetch all that another one knows every 400 ms without end, and two entries could keep different crashes at their limit of 256. entries_that_lost_more_requests_than_they_keep_come_to_know_the_same and reports_that_arrive_late_do_not_make_a_crash_more_recent failed before.

Cause: of a crash 32 lost requests are kept, but a part that was cleared stayed listed after its request had been dropped, at the entry that had had it, so the digests never matched. And the time of a crash was the latest that any report gave, which moved on with each exchange by the time that the report took. Change: only parts of requests that are kept are listed as cleared; the earliest time holds, as reports arrive late rather than early.

--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -282,6 +282,49 @@
     EXPECT_FALSE(entry.refuses(request({"first"})));
 }
 
+TEST(shared_suspects, entries_that_lost_more_requests_than_they_keep_come_to_know_the_same)
+{
+    entry_registry one;
+    entry_registry other;
+    constexpr int requests = 40;
+    std::vector<request_traits> first_half;
+    std::vector<request_traits> second_half;
+    for (int i = 0; i < requests; ++i) {
+        first_half.push_back(request({absl::StrCat("a", i)}));
+        second_half.push_back(request({absl::StrCat("b", i)}));
+    }
+    one.crash(1, first_half);
+    other.crash(1, second_half);
+    for (const request_traits& sound : first_half) {
+        one.registry->record_completion(sound);
+    }
+    for (int exchange = 0; exchange < 2; ++exchange) {
+        ASSERT_TRUE(one.registry->merge(other.registry->report()).ok());
+        ASSERT_TRUE(other.registry->merge(one.registry->report()).ok());
+    }
+    EXPECT_EQ(one.registry->digest(), other.registry->digest());
+}
+
+TEST(shared_suspects, reports_that_arrive_late_do_not_make_a_crash_more_recent)
+{
+    entry_registry one;
+    entry_registry other;
+    for (std::uint64_t server = 0; server < many_crashes; ++server) {
+        one.crash(server, {request({"bad"})});
+    }
+    const absl::Time last_crash = *one.now;
+    for (int exchange = 0; exchange < many_crashes; ++exchange) {
+        const std::string from_one = one.registry->report();
+        *one.now += absl::Seconds(1);
+        ASSERT_TRUE(other.registry->merge(from_one).ok());
+        const std::string from_other = other.registry->report();
+        *other.now += absl::Seconds(1);
+        ASSERT_TRUE(one.registry->merge(from_other).ok());
+    }
+    *one.now = last_crash + absl::Minutes(10);
+    EXPECT_FALSE(one.refuses(request({"bad"})));
+}
+
 TEST(shared_suspects, memory_is_bounded_when_many_parts_crash_servers)
 {
     entry_registry entry;
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -30,9 +30,9 @@
 }
 
 // Returns whether the set has changed.
-bool insert_bounded(std::set<request_traits>& lost, request_traits traits)
+bool insert_bounded(std::set<request_traits>& lost, const request_traits& traits)
 {
-    const auto [added, is_new] = lost.insert(std::move(traits));
+    const auto [added, is_new] = lost.insert(traits);
     if (!is_new || lost.size() <= max_lost_requests) {
         return is_new;
     }
@@ -41,6 +41,14 @@
     return !is_last;
 }
 
+// Returns whether one of the lost requests has the trait.
+bool involves(const std::set<request_traits>& lost, const digest128& trait)
+{
+    return std::any_of(lost.begin(), lost.end(), [&](const request_traits& request) {
+        return std::binary_search(request.begin(), request.end(), trait);
+    });
+}
+
 request_traits normalized(const request_traits& request)
 {
     request_traits sorted(request.begin(),
@@ -285,25 +293,23 @@
     }
     const auto [found, is_new] = this->crashes.try_emplace(key);
     recorded_crash& crash = found->second;
-    crash.at = is_new ? at : std::max(crash.at, at);
+    // Reports arrive late rather than early.
+    crash.at = is_new ? at : std::min(crash.at, at);
     bool changed = is_new;
+    std::vector<digest128> sound(cleared.begin(), cleared.end());
     for (const request_traits& request : lost) {
-        request_traits traits = normalized(request);
+        const request_traits traits = normalized(request);
         if (traits.empty()) {
             continue;
         }
-        for (const digest128& trait : traits) {
-            const bool completed_since = this->completed.last_seen(trait) > crash.at;
-            changed = (completed_since && crash.cleared.insert(trait).second) || changed;
-        }
-        changed = insert_bounded(crash.lost, std::move(traits)) || changed;
+        changed = insert_bounded(crash.lost, traits) || changed;
+        std::copy_if(traits.begin(), traits.end(), std::back_inserter(sound),
+                     [&](const digest128& trait) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+                         return this->completed.last_seen(trait) > crash.at;
+                     });
     }
-    for (const digest128& trait : cleared) {
-        const bool involved =
-            std::any_of(crash.lost.begin(), crash.lost.end(), [&](const request_traits& request) {
-                return std::binary_search(request.begin(), request.end(), trait);
-            });
-        changed = (involved && crash.cleared.insert(trait).second) || changed;
+    for (const digest128& trait : sound) {
+        changed = (involves(crash.lost, trait) && crash.cleared.insert(trait).second) || changed;
     }
     if (changed) {
         this->note_change(key, crash);
@@ -314,6 +320,9 @@
 
 void suspect_registry::note_change(const crash_key& key, recorded_crash& changed)
 {
+    // Traits of requests that are no longer kept, so that all processes know the same.
+    std::erase_if(changed.cleared,
+                  [&changed](const digest128& trait) { return !involves(changed.lost, trait); });
     std::string text = absl::StrJoin(key, ",");
     for (const request_traits& lost : changed.lost) {
         absl::StrAppend(&text, "|");
