A refusal of requests that crash servers ends by a trial of one of them

Callers could see, both ways: a part that was wrongly blamed was refused for ten minutes, though no server had crashed for long; and once the time was over (30 s for parts that had completed before), every entry let all such requests through at once, and a part that still crashes servers ended several again. a_part_that_crashes_servers_no_more_is_served_again, a_part_that_still_crashes_its_server_is_refused_for_ longer and entries_do_not_try_a_part_all_at_once failed before; the other tests of trials came with the interface.

Cause: a refusal ended by time alone, and nothing but a completion, which it prevents, could end it sooner. Change: after two minutes (30 s) one request at a time may try. A success clears the part everywhere, as before; a crash doubles the next refusal, up to ten minutes, as crashes that follow a refusal tell without further state. Entries wait by their rendezvous rank, 2 s each, so that the first one's result is known. Crashes are remembered for 30 minutes, longer than any refusal. The product's own interface keeps its ten minutes. A crash keeps 48 traits of a request now (64 before), so that a report of one fits a datagram, and can be reported in parts.

--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -49,6 +49,11 @@
     }
     const suspects::suspect_assessment assessed =
         this->registry.assess(all_traits(request, service));
+    if (assessed.is_trial) {
+        log_event(
+            "crash_suspect_tried",
+            {{"request", request.id}, {"service", service}, {"parts", request.parts_for_log()}});
+    }
     if (assessed.verdict != suspects::suspect_verdict::refuse) {
         return absl::OkStatus();
     }
@@ -90,10 +95,17 @@
     }
 }
 
-suspects::suspect_registry_options shared_server_suspects()
+suspects::suspect_registry_options
+shared_server_suspects(std::function<int(const digest128& trait)> trial_position)
 {
     suspects::suspect_registry_options options;
-    options.proven_suspicion_period = absl::Seconds(30);
+    if (trial_position != nullptr) {
+        options.trial_position = std::move(trial_position);
+    }
+    // Longer than any refusal, so that a cause that is tried once in a while stays known.
+    options.suspicion_period = absl::Minutes(30);
+    options.refusal = {
+        .unproven = absl::Minutes(2), .proven = absl::Seconds(30), .longest = absl::Minutes(10)};
     options.blame.unproven = {.crashes = 3, .moments = 2, .crashes_at_once = 5};
     options.blame.proven = {.crashes = 5, .moments = 2};
     // A steady clock: the time of day may jump.
--- a/sardinestream/forwarding/crash_guard.h
+++ b/sardinestream/forwarding/crash_guard.h
@@ -53,8 +53,9 @@
 };
 
 // Returns the options for servers that several processes share: requests cannot run alone on them,
-// so it takes more crashes to find the cause.
-[[nodiscard]] suspects::suspect_registry_options shared_server_suspects();
+// so it takes more crashes to find the cause. `trial_position` is as in the options.
+[[nodiscard]] suspects::suspect_registry_options
+shared_server_suspects(std::function<int(const digest128& trait)> trial_position = nullptr);
 
 // Returns whether the server refuses a connection, as opposed to accepting or not answering it.
 [[nodiscard]] bool refuses_connections(const address& server);
--- a/sardinestream/suspects/blame.cc
+++ b/sardinestream/suspects/blame.cc
@@ -201,12 +201,28 @@
         // A copy, since its crashes are removed below.
         const suspected_trait most =
             *std::min_element(traits.begin(), traits.end(), is_more_suspect);
-        const absl::Time last_crash = crashes[most.crashes.back()].at;
+        std::vector<absl::Time> times;
+        for (const std::size_t position : most.crashes) {
+            times.push_back(crashes[position].at);
+        }
         for (request_traits& combination : blamed_combinations(crashes, traits, most)) {
-            blamed.push_back({std::move(combination), last_crash, most.proven});
+            blamed.push_back({std::move(combination), times, most.proven});
         }
         remove_explained(traits, most.crashes);
     }
 }
 
+absl::Time refused_until(const blamed_traits& blamed, const refusal_options& options)
+{
+    absl::Duration refusal = blamed.proven ? options.proven : options.unproven;
+    absl::Time end = absl::InfiniteFuture();
+    for (const absl::Time crash : blamed.crashes) {
+        if (crash >= end) {
+            refusal = std::min(2 * refusal, options.longest);
+        }
+        end = crash + refusal;
+    }
+    return end;
+}
+
 } // namespace sardinestream::suspects
--- a/sardinestream/suspects/blame.h
+++ b/sardinestream/suspects/blame.h
@@ -1,5 +1,5 @@
-// Decides which requests are to blame for crashes of backend servers. Pure functions: no state, no
-// clock, no I/O.
+// Decides which requests are to blame for crashes of backend servers, and for how long they are
+// refused. Pure functions: no state, no clock, no I/O.
 //
 // A request is described by its traits: digests of what a later request may have in common with it,
 // such as a part of its prompt, or the whole request. A trait is blamed if it was involved in
@@ -55,7 +55,8 @@
 // Requests that have all of these traits are blamed.
 struct blamed_traits {
     request_traits traits;
-    absl::Time last_crash;
+    // The crashes that they explain, in order of time; at least one.
+    std::vector<absl::Time> crashes;
     bool proven = false;
 };
 
@@ -69,6 +70,18 @@
 // Returns whether the request has all traits of the combination.
 [[nodiscard]] bool has_all(const request_traits& request, const request_traits& combination);
 
+struct refusal_options {
+    // How long blamed requests are refused after their last crash.
+    absl::Duration unproven = absl::Minutes(10);
+    absl::Duration proven = absl::Minutes(10);
+    // Each crash after such a time doubles the next one, up to this.
+    absl::Duration longest = absl::Minutes(10);
+};
+
+// Returns when the refusal of blamed requests ends. One of them may then show whether it still
+// crashes its server.
+[[nodiscard]] absl::Time refused_until(const blamed_traits& blamed, const refusal_options& options);
+
 } // namespace sardinestream::suspects
 
 #endif // SARDINESTREAM_SUSPECTS_BLAME_H_
--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -197,14 +197,34 @@
                 testing::UnorderedElementsAre(request({"bad"}), request({"worse"})));
 }
 
+TEST(blame, a_refusal_is_longer_after_each_crash_that_follows_one)
+{
+    const refusal_options options = {
+        .unproven = absl::Seconds(10), .proven = absl::Seconds(5), .longest = absl::Seconds(30)};
+    blamed_traits blamed = {request({"bad"}), {at_second(0), at_second(1), at_second(4)}};
+    EXPECT_EQ(refused_until(blamed, options), at_second(14));
+    blamed.crashes.push_back(at_second(15));
+    EXPECT_EQ(refused_until(blamed, options), at_second(35));
+    blamed.crashes.push_back(at_second(36));
+    EXPECT_EQ(refused_until(blamed, options), at_second(66));
+    blamed.proven = true;
+    blamed.crashes = {at_second(0), at_second(1), at_second(4)};
+    EXPECT_EQ(refused_until(blamed, options), at_second(9));
+}
+
 // A registry of an entry, whose clock the test controls.
 struct entry_registry {
     std::shared_ptr<absl::Time> now = std::make_shared<absl::Time>(absl::FromUnixSeconds(10'000));
     std::unique_ptr<suspect_registry> registry =
-        suspect_registry::create({.proven_suspicion_period = absl::Seconds(30),
+        suspect_registry::create({.suspicion_period = absl::Minutes(30),
+                                  .refusal = {.unproven = absl::Minutes(2),
+                                              .proven = absl::Seconds(30),
+                                              .longest = absl::Minutes(10)},
+                                  .trial_position = [this](const digest128&) { return position; },
                                   .max_crashes = 20,
                                   .blame = shared_server_options(),
                                   .now = [clock = now] { return *clock; }});
+    int position = 0;
 
     void crash(std::uint64_t server, const std::vector<request_traits>& lost)
     {
@@ -212,6 +232,14 @@
         this->registry->record_crash(crash_id(server, 1, 0), lost);
     }
 
+    // Each crash ends a server of its own.
+    void crash_until_blamed(const request_traits& lost)
+    {
+        for (std::uint64_t server = 0; server < many_crashes; ++server) {
+            this->crash(server, {lost});
+        }
+    }
+
     [[nodiscard]] bool refuses(const request_traits& asked) const
     {
         return this->registry->assess(asked).verdict == suspect_verdict::refuse;
@@ -282,6 +310,70 @@
     EXPECT_FALSE(entry.refuses(request({"first"})));
 }
 
+TEST(shared_suspects, one_request_at_a_time_tries_a_refused_part_again)
+{
+    entry_registry entry;
+    entry.crash_until_blamed(request({"bad"}));
+    *entry.now += absl::Minutes(2);
+    const suspect_assessment trial = entry.registry->assess(request({"bad", "one"}));
+    EXPECT_TRUE(trial.is_trial);
+    EXPECT_NE(trial.verdict, suspect_verdict::refuse);
+    EXPECT_TRUE(entry.refuses(request({"bad", "other"})));
+    EXPECT_FALSE(entry.refuses(request({"bad", "one"})));
+}
+
+TEST(shared_suspects, a_part_that_still_crashes_its_server_is_refused_for_longer)
+{
+    entry_registry entry;
+    entry.crash_until_blamed(request({"bad"}));
+    *entry.now += absl::Minutes(2);
+    ASSERT_FALSE(entry.refuses(request({"bad", "one"})));
+    entry.crash(100, {request({"bad", "one"})});
+    *entry.now += absl::Minutes(4) - absl::Seconds(1);
+    EXPECT_TRUE(entry.refuses(request({"bad", "one"})));
+    *entry.now += absl::Seconds(1);
+    EXPECT_FALSE(entry.refuses(request({"bad", "one"})));
+}
+
+TEST(shared_suspects, a_part_that_crashes_servers_no_more_is_served_again)
+{
+    entry_registry entry;
+    entry.crash_until_blamed(request({"bad"}));
+    *entry.now += absl::Minutes(2);
+    ASSERT_FALSE(entry.refuses(request({"bad", "one"})));
+    entry.registry->record_completion(request({"bad", "one"}));
+    EXPECT_FALSE(entry.refuses(request({"bad", "one"})));
+    EXPECT_FALSE(entry.refuses(request({"bad", "other"})));
+}
+
+TEST(shared_suspects, a_trial_without_a_result_lets_another_request_try)
+{
+    entry_registry entry;
+    entry.crash_until_blamed(request({"bad"}));
+    *entry.now += absl::Minutes(2);
+    ASSERT_FALSE(entry.refuses(request({"bad", "one"})));
+    *entry.now += request_trials::trial_timeout;
+    EXPECT_FALSE(entry.refuses(request({"bad", "other"})));
+    EXPECT_TRUE(entry.refuses(request({"bad", "one"})));
+}
+
+TEST(shared_suspects, entries_do_not_try_a_part_all_at_once)
+{
+    entry_registry first;
+    entry_registry second;
+    second.position = 1;
+    first.crash_until_blamed(request({"bad"}));
+    second.crash_until_blamed(request({"bad"}));
+    *first.now += absl::Minutes(2);
+    *second.now += absl::Minutes(2);
+    EXPECT_FALSE(first.refuses(request({"bad"})));
+    EXPECT_TRUE(second.refuses(request({"bad"})));
+    first.crash(100, {request({"bad"})});
+    ASSERT_TRUE(second.registry->merge(first.registry->report()).ok());
+    *second.now += absl::Seconds(3);
+    EXPECT_TRUE(second.refuses(request({"bad"})));
+}
+
 TEST(shared_suspects, entries_that_lost_more_requests_than_they_keep_come_to_know_the_same)
 {
     entry_registry one;
@@ -309,9 +401,7 @@
 {
     entry_registry one;
     entry_registry other;
-    for (std::uint64_t server = 0; server < many_crashes; ++server) {
-        one.crash(server, {request({"bad"})});
-    }
+    one.crash_until_blamed(request({"bad"}));
     const absl::Time last_crash = *one.now;
     for (int exchange = 0; exchange < many_crashes; ++exchange) {
         const std::string from_one = one.registry->report();
@@ -321,10 +411,28 @@
         *other.now += absl::Seconds(1);
         ASSERT_TRUE(one.registry->merge(from_other).ok());
     }
-    *one.now = last_crash + absl::Minutes(10);
+    *one.now = last_crash + absl::Minutes(2);
     EXPECT_FALSE(one.refuses(request({"bad"})));
 }
 
+TEST(shared_suspects, a_report_in_parts_says_the_same_as_a_whole_one)
+{
+    entry_registry entry;
+    constexpr std::size_t part_bytes = 1000;
+    for (std::uint64_t server = 0; server < max_evidence; ++server) {
+        entry.crash(server, {request({"bad", absl::StrCat("own", server), "x", "y", "z"}),
+                             request({"fine", absl::StrCat("beside", server), "x", "y", "z"})});
+    }
+    const std::vector<std::string> parts = entry.registry->split_report(0, part_bytes);
+    EXPECT_GT(parts.size(), 1U);
+    entry_registry other;
+    for (const std::string& part : parts) {
+        EXPECT_LE(part.size(), part_bytes);
+        ASSERT_TRUE(other.registry->merge(part).ok());
+    }
+    EXPECT_EQ(entry.registry->digest(), other.registry->digest());
+}
+
 TEST(shared_suspects, memory_is_bounded_when_many_parts_crash_servers)
 {
     entry_registry entry;
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -16,7 +16,7 @@
 // Of more requests that were lost in one crash, those with the lowest traits are kept, so that all
 // processes keep the same.
 constexpr std::size_t max_lost_requests = 32;
-constexpr std::size_t max_traits_per_request = 64;
+constexpr std::size_t max_traits_per_request = 48;
 constexpr std::size_t max_completed_traits = 8192;
 
 digest128 to_digest(const trait& encoded)
@@ -49,6 +49,17 @@
     });
 }
 
+// Returns about how many bytes a crash takes up in a report.
+std::size_t encoded_size(const std::set<request_traits>& lost, const std::set<digest128>& cleared)
+{
+    constexpr std::size_t bytes_per_table = 48;
+    std::size_t bytes = bytes_per_table + cleared.size() * sizeof(trait);
+    for (const request_traits& request : lost) {
+        bytes += bytes_per_table + request.size() * sizeof(trait);
+    }
+    return bytes;
+}
+
 request_traits normalized(const request_traits& request)
 {
     request_traits sorted(request.begin(),
@@ -100,52 +111,62 @@
     for (const digest128& trait : request) {
         this->completed.note(trait, now);
     }
-    bool cleared = false;
+    this->update_verdicts();
+    if (!this->is_suspected(request)) {
+        return false;
+    }
     for (auto& [key, crash] : this->crashes) {
         bool changed = false;
-        for (const request_traits& lost : crash.lost) {
-            for (const digest128& trait : lost) {
-                const bool completed_since =
-                    std::find(request.begin(), request.end(), trait) != request.end();
-                changed = (completed_since && crash.cleared.insert(trait).second) || changed;
-            }
+        for (const digest128& trait : request) {
+            changed =
+                (involves(crash.lost, trait) && crash.cleared.insert(trait).second) || changed;
         }
         if (changed) {
             this->note_change(key, crash);
-            cleared = true;
         }
     }
-    if (cleared) {
-        count("sardine_suspects_cleared_total");
-    }
-    return cleared;
+    count("sardine_suspects_cleared_total");
+    return true;
 }
 
-suspect_assessment suspect_registry::assess(const request_traits& request) const
+suspect_assessment suspect_registry::assess(const request_traits& request)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (this->crashes.empty()) {
-        return {};
-    }
     this->update_verdicts();
     const absl::Time now = this->options.now();
+    suspect_assessment assessed;
     for (const blamed_traits& blamed : this->blame) {
-        const absl::Duration remaining = this->refused_until(blamed) - now;
-        if (remaining > absl::ZeroDuration() && has_all(request, blamed.traits)) {
+        if (!has_all(request, blamed.traits)) {
+            continue;
+        }
+        const absl::Duration remaining = this->trial_time(blamed) - now;
+        if (remaining > absl::ZeroDuration()) {
             return {suspect_verdict::refuse, remaining};
         }
+        const absl::Duration wait = this->trials.try_begin(blamed.traits, request, now);
+        if (wait > absl::ZeroDuration()) {
+            return {suspect_verdict::refuse, wait};
+        }
+        assessed.is_trial = true;
     }
-    return {this->is_suspected(request) ? suspect_verdict::run_alone : suspect_verdict::clear,
-            absl::ZeroDuration()};
+    if (this->is_suspected(request)) {
+        assessed.verdict = suspect_verdict::run_alone;
+    }
+    return assessed;
+}
+
+absl::Time suspect_registry::trial_time(const blamed_traits& blamed) const
+{
+    return refused_until(blamed, this->options.refusal) +
+           this->options.trial_position(blamed.traits.front()) * this->options.trial_stagger;
 }
 
 bool suspect_registry::is_suspected(const request_traits& request) const
 {
-    return std::any_of(
-        request.begin(), request.end(), [&](const digest128& trait) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-            const auto found = this->suspected.find(trait);
-            return found != this->suspected.end() && found->second > this->oldest_kept();
-        });
+    return std::any_of(request.begin(), request.end(),
+                       [&](const digest128& trait) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+                           return this->suspected.contains(trait);
+                       });
 }
 
 bool suspect_registry::is_proven(const digest128& trait) const
@@ -157,25 +178,25 @@
 
 void suspect_registry::update_verdicts() const
 {
-    if (this->verdicts_are_current) {
+    if (this->options.now() < this->verdicts_expire_at) {
         return;
     }
+    this->verdicts_expire_at = absl::InfiniteFuture();
     this->suspected.clear();
     std::vector<crash_evidence> evidence;
     for (const auto& [key, crash] : this->crashes) {
         if (crash.at <= this->oldest_kept()) {
             continue;
         }
+        this->verdicts_expire_at =
+            std::min(this->verdicts_expire_at, crash.at + this->options.suspicion_period);
         crash_evidence& one = evidence.emplace_back();
         one.at = crash.at;
         for (request_traits lost : crash.lost) {
             std::erase_if(lost, [&cleared = crash.cleared](const digest128& trait) {
                 return cleared.count(trait) != 0;
             });
-            for (const digest128& trait : lost) {
-                absl::Time& last_crash = this->suspected.try_emplace(trait, crash.at).first->second;
-                last_crash = std::max(last_crash, crash.at);
-            }
+            this->suspected.insert(lost.begin(), lost.end());
             if (!lost.empty()) {
                 one.lost.push_back(std::move(lost));
             }
@@ -188,13 +209,6 @@
         [this](const digest128& trait)
             ABSL_NO_THREAD_SAFETY_ANALYSIS { return this->is_proven(trait); },
         this->options.blame);
-    this->verdicts_are_current = true;
-}
-
-absl::Time suspect_registry::refused_until(const blamed_traits& blamed) const
-{
-    return blamed.last_crash +
-           (blamed.proven ? this->options.proven_suspicion_period : this->options.suspicion_period);
 }
 
 std::uint64_t suspect_registry::sequence() const
@@ -219,16 +233,24 @@
     return listed;
 }
 
-std::string suspect_registry::report(std::uint64_t sequence) const
+suspect_registry::crash_list suspect_registry::changed_after(std::uint64_t sequence) const
+{
+    crash_list changed;
+    for (const auto& entry : this->crashes) {
+        if (entry.second.changed_at > sequence) {
+            changed.push_back(&entry);
+        }
+    }
+    return changed;
+}
+
+std::string suspect_registry::encode(const crash_list& listed) const
 {
     suspect_reportT message;
-    const absl::MutexLock lock(&this->mutex);
     const absl::Time oldest_proof = this->options.now() - this->options.proof_period;
     std::set<digest128> proven;
-    for (const auto& [key, crash] : this->crashes) {
-        if (crash.changed_at <= sequence) {
-            continue;
-        }
+    for (const auto* const entry : listed) {
+        const auto& [key, crash] = *entry;
         message.cases.push_back(this->describe(key, crash));
         for (const request_traits& lost : crash.lost) {
             std::copy_if(lost.begin(), lost.end(), std::inserter(proven, proven.end()),
@@ -243,6 +265,35 @@
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+std::string suspect_registry::report(std::uint64_t sequence) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->encode(this->changed_after(sequence));
+}
+
+std::vector<std::string> suspect_registry::split_report(std::uint64_t sequence,
+                                                        std::size_t max_bytes) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<std::string> reports;
+    crash_list listed;
+    std::size_t bytes = 0;
+    for (const auto* const entry : this->changed_after(sequence)) {
+        const std::size_t more = encoded_size(entry->second.lost, entry->second.cleared);
+        if (!listed.empty() && bytes + more > max_bytes) {
+            reports.push_back(this->encode(listed));
+            listed.clear();
+            bytes = 0;
+        }
+        listed.push_back(entry);
+        bytes += more;
+    }
+    if (!listed.empty()) {
+        reports.push_back(this->encode(listed));
+    }
+    return reports;
+}
+
 absl::StatusOr<bool> suspect_registry::merge(absl::string_view payload)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(payload.data()),
@@ -335,7 +386,7 @@
     }
     changed.digest = stable_hash(text);
     changed.changed_at = ++this->last_sequence;
-    this->verdicts_are_current = false;
+    this->verdicts_expire_at = absl::InfinitePast();
 }
 
 absl::Time suspect_registry::oldest_kept() const
@@ -377,7 +428,7 @@
     this->update_verdicts();
     std::size_t refused = 0;
     for (const blamed_traits& blamed : this->blame) {
-        refused += this->refused_until(blamed) > this->options.now() ? 1 : 0;
+        refused += refused_until(blamed, this->options.refusal) > this->options.now() ? 1 : 0;
     }
     return refused;
 }
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -3,7 +3,8 @@
 // Each crash is recorded with the requests that were lost in it, described by their traits (see
 // `blame.h`, which decides whom to blame). A request that completes clears its traits of all
 // earlier crashes. A suspected request should run alone on a server; a blamed one is refused for a
-// limited time.
+// limited time, after which a single request tries whether it still crashes its server: if it does,
+// the next refusal is longer.
 //
 //     registry->record_crash(crash, lost_requests);
 //     registry->record_completion(traits);
@@ -31,10 +32,11 @@
 #include "sardinestream/base/digest128.h"
 #include "sardinestream/suspects/blame.h"
 #include "sardinestream/suspects/recent_traits.h"
+#include "sardinestream/suspects/request_trials.h"
 #include "sardinestream/suspects/suspects_generated.h"
 
 #include "absl/base/thread_annotations.h"
-#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -61,14 +63,19 @@
 struct suspect_assessment {
     suspect_verdict verdict = suspect_verdict::clear;
     absl::Duration retry_after = absl::ZeroDuration(); // set if the verdict is `refuse`
+    // The request was blamed, and tries whether it still crashes its server.
+    bool is_trial = false;
 };
 
 struct suspect_registry_options {
-    // How long a crash is remembered, and its cause refused.
+    // How long a crash is remembered.
     absl::Duration suspicion_period = absl::Minutes(10);
-    // How long requests are refused for traits that had completed shortly before: soon enough to
-    // show that these are sound after an outage that had another cause.
-    absl::Duration proven_suspicion_period = absl::Minutes(10);
+    // How long its cause is refused.
+    refusal_options refusal{};
+    // Position of this process among those that may try a request with this trait, so that not all
+    // of them do at once. Each tries only `trial_stagger` after the one before it.
+    std::function<int(const digest128& trait)> trial_position = [](const digest128&) { return 0; };
+    absl::Duration trial_stagger = absl::Seconds(2);
     // How long a completion counts as recent.
     absl::Duration proof_period = absl::Minutes(10);
     std::size_t max_crashes = 256;
@@ -90,12 +97,18 @@
     // server. Returns whether this cleared it of a crash, in which case the peers must be notified.
     bool record_completion(const request_traits& request);
 
-    [[nodiscard]] suspect_assessment assess(const request_traits& request) const;
+    // Decides whether the request may run now. A request that may try once more whether it crashes
+    // its server keeps this right when it is assessed again.
+    [[nodiscard]] suspect_assessment assess(const request_traits& request);
 
     // Returns a report of all crashes of which something changed after `sequence`; zero returns
     // all.
     [[nodiscard]] std::string report(std::uint64_t sequence = 0) const;
 
+    // Returns the same in reports of about `max_bytes` at the most, or of a single crash.
+    [[nodiscard]] std::vector<std::string> split_report(std::uint64_t sequence,
+                                                        std::size_t max_bytes) const;
+
     // Increases with every change.
     [[nodiscard]] std::uint64_t sequence() const;
 
@@ -133,14 +146,19 @@
     void forget_oldest() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void note_change(const crash_key& key, recorded_crash& changed)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Computes `blame` and `suspected` anew if something has changed.
+    // Computes `blame` and `suspected` anew if they are no longer valid.
     void update_verdicts() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_proven(const digest128& trait) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_suspected(const request_traits& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns the time until which the combination is refused.
-    [[nodiscard]] absl::Time refused_until(const blamed_traits& blamed) const;
+    // Returns from when this process may try a request of this combination.
+    [[nodiscard]] absl::Time trial_time(const blamed_traits& blamed) const;
     [[nodiscard]] absl::Time oldest_kept() const;
+    using crash_list = std::vector<const std::pair<const crash_key, recorded_crash>*>;
+    [[nodiscard]] crash_list changed_after(std::uint64_t sequence) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] std::string encode(const crash_list& listed) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] std::unique_ptr<crash_caseT> describe(const crash_key& key,
                                                         const recorded_crash& crash) const;
 
@@ -151,11 +169,13 @@
     recent_traits completed ABSL_GUARDED_BY(mutex);
     recent_traits completed_at_peers ABSL_GUARDED_BY(mutex);
     std::uint64_t last_sequence ABSL_GUARDED_BY(mutex) = 0; // the highest `changed_at`
-    // Derived from the members above.
+    request_trials trials ABSL_GUARDED_BY(mutex);
+    // Derived from `crashes` and the completions.
     mutable std::vector<blamed_traits> blame ABSL_GUARDED_BY(mutex);
-    // The last crash of each trait that has not been cleared of it.
-    mutable absl::flat_hash_map<digest128, absl::Time> suspected ABSL_GUARDED_BY(mutex);
-    mutable bool verdicts_are_current ABSL_GUARDED_BY(mutex) = true;
+    // Traits that have not been cleared of a crash.
+    mutable absl::flat_hash_set<digest128> suspected ABSL_GUARDED_BY(mutex);
+    // When the next crash is forgotten, or something has changed.
+    mutable absl::Time verdicts_expire_at ABSL_GUARDED_BY(mutex) = absl::InfiniteFuture();
 };
 
 } // namespace sardinestream::suspects
