An entry goes on telling a limit that another entry has heard since as well

Callers saw nothing. An entry that had heard a server's limit stopped telling it as soon as another one reported to have heard it later. If that one ended, nobody told a third entry that had just started. still_tells_what_it_has_heard_once_another_process_heard_it_too failed before.

Cause: only the latest statement was kept, with the time at which this process had last heard any. Change: what this process has heard itself is kept beside the latest statement, and told for as long as the latest one does not contradict it.

--- a/sardinestream/backends/server_limits.cc
+++ b/sardinestream/backends/server_limits.cc
@@ -57,7 +57,7 @@
     const bool changed = found == this->limits.end() || found->second.latest.max_rate != max_rate;
     this->note_statement({key, max_rate, now}, now);
     if (const auto known = this->limits.find(key); known != this->limits.end()) {
-        known->second.heard_here = now;
+        known->second.heard_here = limit_statement{key, max_rate, now};
     }
     return changed;
 }
@@ -89,9 +89,12 @@
 {
     std::vector<limit_statement> told;
     for (const auto& [key, known] : this->limits) {
-        // The latest statement may be another process's, which tells it itself.
-        if (known.heard_here == known.latest.heard && now - known.heard_here < telling_time) {
-            told.push_back(known.latest);
+        if (!known.heard_here.has_value() || now - known.heard_here->heard >= telling_time) {
+            continue;
+        }
+        // What another process has heard since may contradict it.
+        if (known.heard_here->max_rate == known.latest.max_rate) {
+            told.push_back(*known.heard_here);
         }
     }
     return told;
--- a/sardinestream/backends/server_limits.h
+++ b/sardinestream/backends/server_limits.h
@@ -74,8 +74,8 @@
 private:
     struct known_limit {
         limit_statement latest;
-        // When this process itself last heard the statement; zero if it did not.
-        steady_time heard_here{};
+        // What this process itself has last heard, if anything.
+        std::optional<limit_statement> heard_here;
         // Time from which the next request may be sent.
         steady_time next_request{};
     };
--- a/sardinestream/backends/server_limits_test.cc
+++ b/sardinestream/backends/server_limits_test.cc
@@ -109,6 +109,25 @@
     EXPECT_TRUE(this->limits.own_statements(this->now + seconds(20)).empty());
 }
 
+TEST_F(server_limits_of_one_process,
+       still_tells_what_it_has_heard_once_another_process_heard_it_too)
+{
+    const std::uint64_t key = server_limits::start_key(this->server);
+    this->limits.note_answer(this->server, 2, this->now);
+    this->limits.note_statement({key, 2.0, this->now + seconds(1)}, this->now + seconds(1));
+    const std::vector<limit_statement> told = this->limits.own_statements(this->now + seconds(1));
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].heard, this->now);
+}
+
+TEST_F(server_limits_of_one_process, does_not_tell_what_another_process_has_heard_to_be_over)
+{
+    const std::uint64_t key = server_limits::start_key(this->server);
+    this->limits.note_answer(this->server, 2, this->now);
+    this->limits.note_statement({key, std::nullopt, this->now + seconds(1)}, this->now);
+    EXPECT_TRUE(this->limits.own_statements(this->now + seconds(1)).empty());
+}
+
 TEST_F(server_limits_of_one_process, memory_is_bounded)
 {
     for (int i = 0; i < 10'000; ++i) {
