--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -8,12 +8,10 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/base/rendezvous.h"
 #include "sardinestream/programs/operator_pages.h"
-#include "sardinestream/programs/peer_state.h"
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 
 namespace sardinestream {
 namespace {
@@ -36,13 +34,7 @@
 constexpr double usable_budget_share = 0.9;
 // Limit on all answers together that are buffered to be forwarded whole.
 constexpr std::size_t max_buffered_answer_bytes = 64U << 20U;
-// Time limit of a call to another entry.
-constexpr milliseconds fetch_timeout{800};
-constexpr char config_path[] = "/state/config";
-constexpr char servers_path[] = "/state/servers";
-constexpr char suspects_path[] = "/state/suspects";
 constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
 
 routing::retry_budget_options budget_options(const entry_options& options)
@@ -67,7 +59,11 @@
                              desired_state_decoder decoder)
     : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
       servers(dispatcher_options{options.data_centre}),
-      suspects(suspects::suspect_registry::create(shared_server_suspects())),
+      suspects(
+          suspects::suspect_registry::create(shared_server_suspects([this](const digest128& trait) {
+              const absl::MutexLock lock(&this->mutex);
+              return rendezvous_rank(trait.high, this->entries.own, this->entries.others);
+          }))),
       crashes(*suspects, {refuses_connections, [this] { this->send_suspect_news(); }}),
       answers(max_buffered_answer_bytes), retries(budget_options(chosen))
 {
@@ -128,189 +124,22 @@
     return absl::OkStatus();
 }
 
-absl::Status entry_program::open_peers()
-{
-    const address local = {this->options.ip, this->options.news_port};
-    absl::StatusOr<std::unique_ptr<http_service>> service = http_service::start(
-        local, [this](const http_request_head& head) { return this->answer_peer(head); });
-    if (!service.ok()) {
-        return service.status();
-    }
-    this->peer_service = *std::move(service);
-    entry_gossip_hooks hooks;
-    hooks.revisions = [this] { return this->own_revisions(); };
-    hooks.vanished_servers = [this] { return this->directory.vanished(); };
-    hooks.on_no_outage = [this] { this->drop_vanished_servers(); };
-    hooks.servers = [this] { return this->directory.usable(); };
-    hooks.state = [this] { return this->state.get(); };
-    hooks.on_report = [this](const std::string& ip, const server_report& report) {
-        this->servers.apply_report(ip, report);
-    };
-    hooks.on_newer_revisions = [this](const std::string& ip, const known_revisions& newer) {
-        const absl::MutexLock lock(&this->mutex);
-        const steady_time since =
-            this->newer_peer.has_value() ? this->newer_peer->since : steady_clock::now();
-        this->newer_peer = {ip, newer, since};
-    };
-    hooks.on_entries = [this](const process_group& alive, int known) {
-        this->entries_alive = static_cast<int>(alive.others.size()) + 1;
-        this->entries_known = known;
-        this->servers.set_processes(alive);
-        // An entry that is merely unreachable still spends its share.
-        this->retries.set_max_tokens(this->options.max_retry_burst * usable_budget_share / known);
-    };
-    hooks.on_report_interval = [this](milliseconds interval) {
-        this->servers.set_report_interval(interval);
-    };
-    hooks.limits = [this] { return this->servers.own_limit_statements(); };
-    hooks.on_limits = [this](absl::Span<const limit_statement> heard) {
-        this->servers.note_limits(heard);
-    };
-    hooks.suspects_digest = [this] { return this->suspects->digest(); };
-    hooks.on_suspect_news = [this](absl::string_view report) {
-        const absl::StatusOr<bool> merged = this->suspects->merge(report);
-        if (!merged.ok()) {
-            log_failure("suspect_news_unread", merged.status());
-        }
-    };
-    hooks.on_other_suspects = [this](const std::string& ip) {
-        const absl::MutexLock lock(&this->mutex);
-        this->peer_with_other_suspects = ip;
-    };
-    absl::StatusOr<std::unique_ptr<entry_gossip>> started = entry_gossip::start(
-        this->options.ip, this->options.news_port, this->options.seeds, std::move(hooks));
-    if (!started.ok()) {
-        return started.status();
-    }
-    this->gossip = *std::move(started);
-    return absl::OkStatus();
-}
-
 known_revisions entry_program::own_revisions() const
 {
     return {this->state.revision(), this->directory.revision()};
 }
 
-std::optional<std::string> entry_program::next_fetch_source()
+void entry_program::apply_entries(const process_group& alive, int known)
 {
-    // The store's own update mostly arrives within this time, which makes the fetch unnecessary.
-    constexpr milliseconds store_update_wait{350};
-    const known_revisions own = this->own_revisions();
-    const absl::MutexLock lock(&this->mutex);
-    if (!this->newer_peer.has_value()) {
-        return std::nullopt;
-    }
-    const known_revisions& newer = this->newer_peer->revisions;
-    if (newer.config <= own.config && newer.servers <= own.servers) {
-        this->newer_peer.reset();
-        return std::nullopt;
-    }
-    const bool has_no_state = own.config == 0 || own.servers == 0;
-    if (!has_no_state && steady_clock::now() - this->newer_peer->since < store_update_wait) {
-        return std::nullopt;
-    }
-    std::string ip = std::move(this->newer_peer->ip);
-    this->newer_peer.reset();
-    return ip;
-}
-
-void entry_program::fetch_from_peers()
-{
-    constexpr milliseconds fetch_interval{150};
-    while (this->ticking) {
-        std::this_thread::sleep_for(fetch_interval);
-        const std::optional<std::string> source = this->next_fetch_source();
-        if (source.has_value()) {
-            this->fetch_from(*source);
-        }
-        this->fetch_suspects();
-    }
-}
-
-void entry_program::fetch_suspects()
-{
-    std::optional<std::string> source;
     {
         const absl::MutexLock lock(&this->mutex);
-        source.swap(this->peer_with_other_suspects);
-    }
-    if (!source.has_value()) {
-        return;
-    }
-    http_client peer({*source, this->options.news_port});
-    const absl::StatusOr<http_answer> answer =
-        peer.call("GET", suspects_path, "", steady_clock::now() + fetch_timeout);
-    const absl::StatusOr<bool> merged =
-        answer.ok() ? this->suspects->merge(answer->body) : answer.status();
-    if (!merged.ok()) {
-        log_failure("peer_suspects_unread", merged.status(), {{"entry", *source}});
-    }
-}
-
-void entry_program::send_suspect_news()
-{
-    const absl::MutexLock lock(&this->suspect_news_mutex);
-    const std::uint64_t sequence = this->suspects->sequence();
-    this->gossip->send_suspects(this->suspects->report(this->suspects_sent));
-    this->suspects_sent = sequence;
-}
-
-void entry_program::fetch_from(const std::string& ip)
-{
-    http_client peer({ip, this->options.news_port});
-    const absl::StatusOr<http_answer> config =
-        peer.call("GET", absl::StrCat(config_path, "?after=", this->state.revision()), "",
-                  steady_clock::now() + fetch_timeout);
-    if (config.ok() && config->status == http_ok) {
-        const absl::StatusOr<stored_document> document = decode_document(config->body);
-        if (document.ok()) {
-            this->state.offer(document->text, document->revision, ip);
-        }
-        else {
-            log_failure("peer_state_unread", document.status(), {{"entry", ip}});
-        }
-    }
-    const absl::StatusOr<http_answer> listed =
-        peer.call("GET", absl::StrCat(servers_path, "?after=", this->directory.revision()), "",
-                  steady_clock::now() + fetch_timeout);
-    if (listed.ok() && listed->status == http_ok) {
-        const absl::StatusOr<server_list> list = decode_servers(listed->body);
-        if (list.ok()) {
-            this->apply_server_list(*list, steady_clock::now() + relist_grace_period);
-        }
-        else {
-            log_failure("peer_state_unread", list.status(), {{"entry", ip}});
-        }
-    }
-    if (!config.ok() || !listed.ok()) {
-        log_failure("peer_state_unread", config.ok() ? listed.status() : config.status(),
-                    {{"entry", ip}});
-    }
-}
-
-http_answer entry_program::answer_peer(const http_request_head& head) const
-{
-    constexpr int nothing_newer = 204;
-    if (head.target == suspects_path) {
-        return {http_ok, {}, this->suspects->report()};
-    }
-    std::int64_t known = 0;
-    const std::pair<absl::string_view, absl::string_view> parts =
-        absl::StrSplit(absl::string_view(head.target), absl::MaxSplits("?after=", 1));
-    if (!absl::SimpleAtoi(parts.second, &known)) {
-        return {http_not_found, {}, ""};
-    }
-    if (parts.first == config_path) {
-        const stored_document document = this->state.document();
-        return document.revision > known ? http_answer{http_ok, {}, encode_document(document)}
-                                         : http_answer{nothing_newer, {}, ""};
-    }
-    if (parts.first == servers_path) {
-        const server_list list = this->directory.listed();
-        return list.revision > known ? http_answer{http_ok, {}, encode_servers(list)}
-                                     : http_answer{nothing_newer, {}, ""};
+        this->entries = alive;
     }
-    return {http_not_found, {}, ""};
+    this->entries_alive = static_cast<int>(alive.others.size()) + 1;
+    this->entries_known = known;
+    this->servers.set_processes(alive);
+    // An entry that is merely unreachable still spends its share.
+    this->retries.set_max_tokens(this->options.max_retry_burst * usable_budget_share / known);
 }
 
 void entry_program::tick()
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -92,6 +92,8 @@
     void log_changed_suspects();
     void fetch_from(const std::string& ip);
     [[nodiscard]] known_revisions own_revisions() const;
+    // Applies the entries that are alive, and the number of those that are not yet forgotten.
+    void apply_entries(const process_group& alive, int known);
     // Returns the address of the entry to fetch newer state from now, if any.
     [[nodiscard]] std::optional<std::string> next_fetch_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
@@ -140,6 +142,8 @@
         steady_time since{};
     };
     std::optional<peer_with_newer_state> newer_peer ABSL_GUARDED_BY(mutex);
+    // Those that are alive.
+    process_group entries ABSL_GUARDED_BY(mutex);
     // An entry whose knowledge of suspects differs from this one's.
     std::optional<std::string> peer_with_other_suspects ABSL_GUARDED_BY(mutex);
     // Held while news of suspects are sent.
