What entries know of requests that crash servers outlives a restart of all entries

Cause: only entries knew; one that starts asks the others, and there were none. Change: each agent keeps a copy. Its reports carry the digest of it; an entry that is one of its two home entries and sees another digest than its own sends all that it knows (once in 2 s at the most). An agent sends its copy to an entry whose hello says that it knows nothing. The copy decides nothing. News go in messages of 8 KB; a message may have 60 KB (16 KB before), for a single crash with very many parts. Weighed: an object in the platform's store; a write on the path of each crash, nothing in an outage.

--- a/sardinestream/peers/datagram_socket.cc
+++ b/sardinestream/peers/datagram_socket.cc
@@ -14,7 +14,7 @@
 namespace sardinestream {
 namespace {
 
-constexpr std::size_t max_datagram_bytes = 16384;
+constexpr std::size_t max_datagram_bytes = 61440;
 
 sockaddr_in to_native(std::uint32_t ip, int port)
 {
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -8,6 +8,7 @@
 
 #include "sardinestream/base/log.h"
 #include "sardinestream/peers/home_entries.h"
+#include "sardinestream/peers/suspect_news.h"
 
 namespace sardinestream {
 namespace {
@@ -96,16 +97,16 @@
     this->announce_now = true;
 }
 
-void entry_gossip::send_suspects(absl::string_view report)
+void entry_gossip::send_suspects(absl::Span<const std::string> reports)
 {
-    news::SuspectNewsT message;
-    message.report.assign(report.begin(), report.end());
     std::vector<std::uint32_t> others;
     {
         const absl::MutexLock lock(&this->mutex);
         others = this->receivers;
     }
-    this->socket.send(make_message(std::move(message)), others);
+    for (const std::string& report : reports) {
+        this->socket.send(make_suspect_news(report), others);
+    }
 }
 
 void entry_gossip::run()
@@ -142,8 +143,7 @@
     }
     if (const news::SuspectNewsT* const suspects = message.body.AsSuspectNews();
         suspects != nullptr) {
-        this->hooks.on_suspect_news(
-            {reinterpret_cast<const char*>(suspects->report.data()), suspects->report.size()});
+        this->hooks.on_suspect_news(report_in(*suspects));
     }
 }
 
@@ -244,6 +244,7 @@
     if (!report.group.empty()) {
         this->update_endpoint(report);
     }
+    this->update_suspects_copy(report);
 }
 
 void entry_gossip::update_endpoint(const news::ServerReportT& report)
@@ -308,6 +309,23 @@
     return alive;
 }
 
+void entry_gossip::update_suspects_copy(const news::ServerReportT& report)
+{
+    if (report.suspects_digest == this->hooks.suspects_digest()) {
+        return;
+    }
+    const steady_time now = steady_clock::now();
+    steady_time& last_sent = this->suspects_sent[report.ip];
+    if (now - last_sent < min_suspects_interval ||
+        !is_home_of(report.ip, ip_to_number(this->own_ip), this->other_entries_alive())) {
+        return;
+    }
+    last_sent = now;
+    for (const std::string& known : this->hooks.suspect_reports()) {
+        this->socket.send(make_suspect_news(known), {report.ip});
+    }
+}
+
 news::EntryHelloT entry_gossip::make_hello() const
 {
     news::EntryHelloT hello;
@@ -315,6 +333,7 @@
     hello.ip = ip_to_number(this->own_ip);
     hello.config_revision = own.config;
     hello.servers_revision = own.servers;
+    hello.suspects_digest = this->hooks.suspects_digest();
     return hello;
 }
 
@@ -345,7 +364,6 @@
     news::EntryHelloT hello = this->make_hello();
     hello.entries = this->other_entries_alive();
     hello.vanished_servers = static_cast<int>(this->hooks.vanished_servers());
-    hello.suspects_digest = this->hooks.suspects_digest();
     const steady_time now = steady_clock::now();
     for (const limit_statement& limit : this->hooks.limits()) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - limit.heard).count();
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -58,11 +58,13 @@
     std::function<void(std::chrono::milliseconds interval)> on_report_interval;
     // Returns the digest of what this entry knows of requests that crash servers.
     std::function<std::uint64_t()> suspects_digest;
+    // Returns all that it knows of them, in parts that fit into one message each.
+    std::function<std::vector<std::string>()> suspect_reports;
     // Returns what servers have lately said to this entry about their rates.
     std::function<std::vector<limit_statement>()> limits;
     // Called with what servers have said to another entry.
     std::function<void(absl::Span<const limit_statement> heard)> on_limits;
-    // Called with another entry's news of such requests.
+    // Called with news of such requests from another entry, or from an agent's copy.
     std::function<void(absl::string_view report)> on_suspect_news;
     // Called when the entry at `ip` knows something else of such requests than this one.
     std::function<void(const std::string& ip)> on_other_suspects;
@@ -85,9 +87,9 @@
     // Sends the revisions of this entry to the others soon, ahead of the next hello. Thread-safe.
     void announce();
 
-    // Sends news of requests that crash servers to the other entries. News that are lost, or too
-    // large for one message, are noticed by the digest in the next hello. Thread-safe.
-    void send_suspects(absl::string_view report);
+    // Sends news of requests that crash servers to the other entries, each in a message of its own.
+    // News that are lost are noticed by the digest in the next hello. Thread-safe.
+    void send_suspects(absl::Span<const std::string> reports);
 
 private:
     struct known_entry {
@@ -117,6 +119,8 @@
     // the digest that it reported differs.
     void update_endpoint(const news::ServerReportT& report);
     void send_endpoints(const news::ServerReportT& report);
+    // Sends the agent what this entry knows of requests that crash servers if its copy differs.
+    void update_suspects_copy(const news::ServerReportT& report);
     void send_hello_to_entries();
     void send_hello_to_agents();
     // Returns the hello for agents, and the one for entries, which says more.
@@ -141,6 +145,8 @@
     std::map<std::string, known_group> groups;
     // When the endpoints of its group were last sent to each agent.
     std::map<std::uint32_t, steady_time> endpoints_sent;
+    // When the copy of suspects was last sent to each agent.
+    std::map<std::uint32_t, steady_time> suspects_sent;
     std::vector<std::uint32_t> announced_alive;
     int announced_known = 0;
     std::thread thread;
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -686,6 +686,7 @@
   std::vector<uint32_t> entries{};
   uint16_t engine_port = 0;
   uint64_t places_digest = 0;
+  uint64_t suspects_digest = 0;
 };
 
 struct ServerReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -705,7 +706,8 @@
     VT_PASS_MS = 22,
     VT_ENTRIES = 24,
     VT_ENGINE_PORT = 26,
-    VT_PLACES_DIGEST = 28
+    VT_PLACES_DIGEST = 28,
+    VT_SUSPECTS_DIGEST = 30
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -746,6 +748,9 @@
   uint64_t places_digest() const {
     return GetField<uint64_t>(VT_PLACES_DIGEST, 0);
   }
+  uint64_t suspects_digest() const {
+    return GetField<uint64_t>(VT_SUSPECTS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -763,6 +768,7 @@
            verifier.VerifyVector(entries()) &&
            VerifyField<uint16_t>(verifier, VT_ENGINE_PORT, 2) &&
            VerifyField<uint64_t>(verifier, VT_PLACES_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SUSPECTS_DIGEST, 8) &&
            verifier.EndTable();
   }
   ServerReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -813,6 +819,9 @@
   void add_places_digest(uint64_t places_digest) {
     fbb_.AddElement<uint64_t>(ServerReport::VT_PLACES_DIGEST, places_digest, 0);
   }
+  void add_suspects_digest(uint64_t suspects_digest) {
+    fbb_.AddElement<uint64_t>(ServerReport::VT_SUSPECTS_DIGEST, suspects_digest, 0);
+  }
   explicit ServerReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -838,8 +847,10 @@
     float pass_ms = 0.0f,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
     uint16_t engine_port = 0,
-    uint64_t places_digest = 0) {
+    uint64_t places_digest = 0,
+    uint64_t suspects_digest = 0) {
   ServerReportBuilder builder_(_fbb);
+  builder_.add_suspects_digest(suspects_digest);
   builder_.add_places_digest(places_digest);
   builder_.add_sequence(sequence);
   builder_.add_entries(entries);
@@ -875,7 +886,8 @@
     float pass_ms = 0.0f,
     const std::vector<uint32_t> *entries = nullptr,
     uint16_t engine_port = 0,
-    uint64_t places_digest = 0) {
+    uint64_t places_digest = 0,
+    uint64_t suspects_digest = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   return sardinestream::news::CreateServerReport(
@@ -892,7 +904,8 @@
       pass_ms,
       entries__,
       engine_port,
-      places_digest);
+      places_digest,
+      suspects_digest);
 }
 
 flatbuffers::Offset<ServerReport> CreateServerReport(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1714,6 +1727,7 @@
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
   { auto _e = engine_port(); _o->engine_port = _e; }
   { auto _e = places_digest(); _o->places_digest = _e; }
+  { auto _e = suspects_digest(); _o->suspects_digest = _e; }
 }
 
 inline flatbuffers::Offset<ServerReport> ServerReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1737,6 +1751,7 @@
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
   auto _engine_port = _o->engine_port;
   auto _places_digest = _o->places_digest;
+  auto _suspects_digest = _o->suspects_digest;
   return sardinestream::news::CreateServerReport(
       _fbb,
       _ip,
@@ -1751,7 +1766,8 @@
       _pass_ms,
       _entries,
       _engine_port,
-      _places_digest);
+      _places_digest,
+      _suspects_digest);
 }
 
 inline RankStateT *RankState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -37,7 +37,7 @@
 agent_program::agent_program(agent_options chosen)
     : options(std::move(chosen)), engine(this->options.connect(this->options.engine)),
       agentless(this->options.connect), sequence(first_sequence()),
-      last_directive(steady_clock::now())
+      suspects(ip_to_number(this->options.ip)), last_directive(steady_clock::now())
 {
 }
 
@@ -114,6 +114,21 @@
     if (const auto* const endpoints = message.body.AsGroupPlaces(); endpoints != nullptr) {
         this->handle_endpoints(*endpoints);
     }
+    if (const auto* const news = message.body.AsSuspectNews(); news != nullptr) {
+        this->suspects.merge(*news);
+    }
+}
+
+std::vector<std::uint32_t> agent_program::entries_alive()
+{
+    const steady_time now = steady_clock::now();
+    std::erase_if(this->entries,
+                  [&](const auto& heard) { return now - heard.second > entry_lifetime; });
+    std::vector<std::uint32_t> alive;
+    for (const auto& [ip, last] : this->entries) {
+        alive.push_back(ip);
+    }
+    return alive;
 }
 
 void agent_program::handle_hello(const news::EntryHelloT& hello)
@@ -122,6 +137,10 @@
     if (hello.report_interval_ms > 0) {
         this->report_interval = milliseconds(hello.report_interval_ms);
     }
+    for (const news::NewsT& message :
+         this->suspects.answer(hello, this->entries_alive(), steady_clock::now())) {
+        this->options.messages.send(message, {hello.ip});
+    }
 }
 
 void agent_program::handle_endpoints(const news::GroupPlacesT& message)
@@ -324,12 +343,8 @@
     message.rank = this->engine.report()->rank;
     message.broken = this->engine.report()->broken ||
                      this->engine.time_without_step(steady_clock::now()) > max_step_time;
-    const steady_time now = steady_clock::now();
-    std::erase_if(this->entries,
-                  [&](const auto& heard) { return now - heard.second > entry_lifetime; });
-    for (const auto& [ip, last] : this->entries) {
-        message.entries.push_back(ip);
-    }
+    message.suspects_digest = this->suspects.digest();
+    message.entries = this->entries_alive();
     const std::vector<std::uint32_t> receivers = message.entries;
     this->options.messages.send(make_message(std::move(message)), receivers);
 }
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -30,6 +30,7 @@
 #include "sardinestream/programs/agentless_ranks.h"
 #include "sardinestream/programs/engine_monitor.h"
 #include "sardinestream/programs/rank_messages.h"
+#include "sardinestream/programs/suspects_copy.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -91,6 +92,8 @@
     void receive_messages();
     void handle_message(const news::NewsT& message);
     void handle_hello(const news::EntryHelloT& hello);
+    // Returns the addresses of the entries that have sent a hello lately.
+    [[nodiscard]] std::vector<std::uint32_t> entries_alive();
     void handle_endpoints(const news::GroupPlacesT& message);
     void handle_directive(const news::DirectiveT& directive);
     // Forwards a directive to the agents listed in its `pass_on` field.
@@ -177,6 +180,8 @@
     reported_experts last_reported_experts;
     steady_time next_experts{};
 
+    suspects_copy suspects;
+
     coordinator_term followed;
     steady_time last_directive;
     steady_time next_poll{};
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sardinestream/base/log.h"
+#include "sardinestream/peers/suspect_news.h"
 #include "sardinestream/programs/entry_program.h"
 #include "sardinestream/programs/peer_state.h"
 
@@ -61,6 +62,9 @@
         this->servers.note_limits(heard);
     };
     hooks.suspects_digest = [this] { return this->suspects->digest(); };
+    hooks.suspect_reports = [this] {
+        return this->suspects->split_report(0, max_suspect_report_bytes);
+    };
     hooks.on_suspect_news = [this](absl::string_view report) {
         const absl::StatusOr<bool> merged = this->suspects->merge(report);
         if (!merged.ok()) {
@@ -140,7 +144,8 @@
 {
     const absl::MutexLock lock(&this->suspect_news_mutex);
     const std::uint64_t sequence = this->suspects->sequence();
-    this->gossip->send_suspects(this->suspects->report(this->suspects_sent));
+    this->gossip->send_suspects(
+        this->suspects->split_report(this->suspects_sent, max_suspect_report_bytes));
     this->suspects_sent = sequence;
 }
 
--- a/sardinestream/testing/emulator/crash_containment_test.cc
+++ b/sardinestream/testing/emulator/crash_containment_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include "sardinestream/programs/agent_program.h"
 #include "sardinestream/testing/emulator/entry_fleet_fixture.h"
 
 #include "absl/strings/match.h"
@@ -114,8 +115,41 @@
     std::atomic<int> bad_count = 0;
 };
 
+// The engine beside an agent: always idle, and in no group.
+engine_interface idle_engine(const address&)
+{
+    engine_interface port;
+    port.read_report = []() -> absl::StatusOr<engine_report> { return engine_report(); };
+    port.read_counts = []() -> absl::StatusOr<std::vector<std::int64_t>> {
+        return std::vector<std::int64_t>();
+    };
+    port.read_experts = []() -> absl::StatusOr<rank_experts> { return rank_experts(); };
+    port.send_order = [](const engine_order&) { return order_outcome::refused; };
+    return port;
+}
+
 class crash_containment : public entry_fleet_test {
 protected:
+    ~crash_containment() override
+    {
+        if (this->agent != nullptr) {
+            this->agent->stop();
+            this->agent_thread.join();
+        }
+    }
+
+    // Starts the agent of the machine on which the servers run.
+    void start_agent()
+    {
+        agent_options options;
+        options.ip = fleet_server_ip;
+        options.messages = *open_message_channel({fleet_server_ip, news_port});
+        options.engine = {fleet_server_ip, 0};
+        options.connect = idle_engine;
+        this->agent = std::make_unique<agent_program>(std::move(options));
+        this->agent_thread = std::thread([this] { this->agent->run(); });
+    }
+
     void start_entry() { entry_fleet_test::start_entry(this->servers.list()); }
 
     void update_servers()
@@ -148,6 +182,8 @@
     }
 
     crashing_servers servers{8};
+    std::unique_ptr<agent_program> agent;
+    std::thread agent_thread;
     int sound_sent = 0;
     std::atomic<int> sound_served = 0;
     std::atomic<int> bad_served = 0;
@@ -176,5 +212,21 @@
     EXPECT_GE(2 * (this->sound_served - served_before), this->sound_sent - sent_before);
 }
 
+TEST_F(crash_containment, entries_that_all_start_anew_still_know_the_part)
+{
+    this->start_agent();
+    this->start_entry();
+    this->start_entry();
+    this->send_both_until_reaction_is_due();
+    this->wait_for_answers();
+    this->entries.clear();
+    this->start_entry();
+    this->start_entry();
+    std::this_thread::sleep_for(milliseconds(1000));
+    const int before = this->servers.bad_arrivals();
+    this->send_both_for(milliseconds(3000));
+    EXPECT_LE(this->servers.bad_arrivals() - before, max_late_arrivals);
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/emulator/entry_fleet_fixture.h
+++ b/sardinestream/testing/emulator/entry_fleet_fixture.h
@@ -41,6 +41,8 @@
     made.max_attempts = 2;
     state->routes = {made};
     state->services[fleet_service].name = fleet_service;
+    // An agent runs beside each server of an engine with experts.
+    state->services[fleet_service].engine.layer_sets = 1;
     state->index_routes();
     return state;
 }
@@ -127,13 +129,13 @@
         });
     }
 
+    static constexpr int front_port = 21801;
+    static constexpr int news_port = 21802;
+
     std::vector<std::unique_ptr<entry_program>> entries;
     int sent = 0;
 
 private:
-    static constexpr int front_port = 21801;
-    static constexpr int news_port = 21802;
-
     static std::string entry_ip(std::size_t number) { return absl::StrCat("127.0.8.", 2 + number); }
 
     std::vector<std::thread> calls;
