Hellos between entries stay small however many servers name a limit

Callers could see: nothing at today's sizes. With more than some 2,500 limited servers the hello of an entry would not fit into a datagram; the others would take the entry for gone, and count one entry less in all shares. of_very_many_limits_the_newest_are_told failed before (2,000 statements).

Cause: all statements of the last 20 s were told at once; only memory was bounded (4,096 limits). Change: the 512 newest are told (12 KB); what is heard again is new again.

--- a/sardinestream/backends/server_limits.cc
+++ b/sardinestream/backends/server_limits.cc
@@ -24,6 +24,8 @@
 // Statements are told to other processes for this time.
 constexpr std::chrono::seconds telling_time{20};
 constexpr std::size_t max_limits = 4096;
+// Statements that are told at a time, so that they fit into one message.
+constexpr std::size_t max_told = 512;
 
 steady_clock::duration to_duration(double seconds)
 {
@@ -97,6 +99,11 @@
             told.push_back(*known.heard_here);
         }
     }
+    if (told.size() > max_told) {
+        std::sort(told.begin(), told.end(),
+                  [](const auto& left, const auto& right) { return left.heard > right.heard; });
+        told.resize(max_told);
+    }
     return told;
 }
 
--- a/sardinestream/backends/server_limits.h
+++ b/sardinestream/backends/server_limits.h
@@ -54,7 +54,8 @@
     // Records what another process has heard; has no effect if something newer is known.
     void note_statement(const limit_statement& heard_elsewhere, steady_time now);
 
-    // Returns what this process itself has heard lately, to be told to the others.
+    // Returns what this process itself has heard lately, to be told to the others: the newest part
+    // of it if it is very much.
     [[nodiscard]] std::vector<limit_statement> own_statements(steady_time now) const;
 
     void set_processes(const process_group& processes);
--- a/sardinestream/backends/server_limits_test.cc
+++ b/sardinestream/backends/server_limits_test.cc
@@ -136,5 +136,18 @@
     EXPECT_LE(this->limits.own_statements(this->now).size(), 4096U);
 }
 
+TEST_F(server_limits_of_one_process, of_very_many_limits_the_newest_are_told)
+{
+    constexpr int servers = 2000;
+    for (int i = 0; i < servers; ++i) {
+        this->limits.note_answer(make_server("i", i), 1, this->now + milliseconds(i));
+    }
+    const std::vector<limit_statement> told = this->limits.own_statements(this->now);
+    EXPECT_EQ(told.size(), 512U);
+    for (const limit_statement& one : told) {
+        EXPECT_GE(one.heard, this->now + milliseconds(servers - 512));
+    }
+}
+
 } // namespace
 } // namespace sardinestream
