A trial is logged and counted once, as it begins

Cause: a request is assessed before and after it waits, and each time its trial was logged. Change: the decision tells whether the trial begins with it; sardine_crash_suspect_trials_total counts.

--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -49,7 +49,8 @@
     }
     const suspects::suspect_assessment assessed =
         this->registry.assess(all_traits(request, service));
-    if (assessed.is_trial) {
+    if (assessed.begins_trial) {
+        count("sardine_crash_suspect_trials_total", {{"service", service}});
         log_event(
             "crash_suspect_tried",
             {{"request", request.id}, {"service", service}, {"parts", request.parts_for_log()}});
--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -316,10 +316,12 @@
     entry.crash_until_blamed(request({"bad"}));
     *entry.now += absl::Minutes(2);
     const suspect_assessment trial = entry.registry->assess(request({"bad", "one"}));
-    EXPECT_TRUE(trial.is_trial);
+    EXPECT_TRUE(trial.begins_trial);
     EXPECT_NE(trial.verdict, suspect_verdict::refuse);
     EXPECT_TRUE(entry.refuses(request({"bad", "other"})));
-    EXPECT_FALSE(entry.refuses(request({"bad", "one"})));
+    const suspect_assessment again = entry.registry->assess(request({"bad", "one"}));
+    EXPECT_FALSE(again.begins_trial);
+    EXPECT_NE(again.verdict, suspect_verdict::refuse);
 }
 
 TEST(shared_suspects, a_part_that_still_crashes_its_server_is_refused_for_longer)
--- a/sardinestream/suspects/request_trials.h
+++ b/sardinestream/suspects/request_trials.h
@@ -14,20 +14,30 @@
 
 namespace sardinestream::suspects {
 
+struct trial_decision {
+    // Zero if the request may try now, else how long the trial of another one may last.
+    absl::Duration wait;
+    // The trial begins with this decision.
+    bool begins = false;
+};
+
 class request_trials {
 public:
     // A trial without a result ends after this time.
     static constexpr absl::Duration trial_timeout = absl::Seconds(10);
 
-    // Returns zero if the request may try now, else how long the trial of another one may last.
-    [[nodiscard]] absl::Duration try_begin(const request_traits& combination,
-                                           const request_traits& request, absl::Time now)
+    // Decides whether a request that has these blamed traits may try now. One that may keeps this
+    // right until its trial ends.
+    [[nodiscard]] trial_decision decide(const request_traits& combination,
+                                        const request_traits& request, absl::Time now)
     {
         std::erase_if(this->trials, [now](const auto& entry) { return entry.second.end <= now; });
         const auto [running, is_new] =
             this->trials.try_emplace(combination, trial{request, now + trial_timeout});
-        const bool may_try = is_new || running->second.request == request;
-        return may_try ? absl::ZeroDuration() : running->second.end - now;
+        if (running->second.request != request) {
+            return {running->second.end - now, false};
+        }
+        return {absl::ZeroDuration(), is_new};
     }
 
 private:
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -143,11 +143,11 @@
         if (remaining > absl::ZeroDuration()) {
             return {suspect_verdict::refuse, remaining};
         }
-        const absl::Duration wait = this->trials.try_begin(blamed.traits, request, now);
-        if (wait > absl::ZeroDuration()) {
-            return {suspect_verdict::refuse, wait};
+        const trial_decision trial = this->trials.decide(blamed.traits, request, now);
+        if (trial.wait > absl::ZeroDuration()) {
+            return {suspect_verdict::refuse, trial.wait};
         }
-        assessed.is_trial = true;
+        assessed.begins_trial = assessed.begins_trial || trial.begins;
     }
     if (this->is_suspected(request)) {
         assessed.verdict = suspect_verdict::run_alone;
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -63,8 +63,8 @@
 struct suspect_assessment {
     suspect_verdict verdict = suspect_verdict::clear;
     absl::Duration retry_after = absl::ZeroDuration(); // set if the verdict is `refuse`
-    // The request was blamed, and tries whether it still crashes its server.
-    bool is_trial = false;
+    // The request was blamed, and now tries whether it still crashes its server.
+    bool begins_trial = false;
 };
 
 struct suspect_registry_options {
