The soak plays requests that crash servers, and servers that name a limit

Change: every fifth seed has callers whose streams share prompt parts, some with one under which servers crash as they begin to answer; model servers are then reached directly, so that a crashed one refuses connections. Another fifth has a server that names a limit. The ledger checks the two promises with the users' own bounds.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -84,6 +84,7 @@
     this->draining = false;
     this->says_leaving = false;
     this->held_until = {};
+    this->limited_until = {};
     this->current = {};
     this->server = *std::move(started);
     return absl::OkStatus();
@@ -137,6 +138,28 @@
     this->held_until = until;
 }
 
+void backend_emulator::name_limit(double per_s, steady_time until)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->limit_per_s = per_s;
+    this->limited_until = until;
+}
+
+void backend_emulator::add_limit(const std::string& request_id, http_headers& headers) const
+{
+    double per_s = 0;
+    std::string limited_id;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        per_s = this->limit_per_s;
+        limited_id = steady_clock::now() < this->limited_until ? this->own_id : "";
+    }
+    if (!limited_id.empty()) {
+        headers.push_back({words::server_limit, absl::StrFormat("%.3f", per_s)});
+        this->hooks.on_limit_said(request_id, limited_id, per_s);
+    }
+}
+
 http_headers backend_emulator::answer_headers(const std::string& request_id) const
 {
     http_headers headers = {{words::request_id, request_id},
@@ -151,6 +174,7 @@
         headers.push_back({words::server_leaving, "1"});
         this->hooks.on_leaving_said(request_id, leaving_id);
     }
+    this->add_limit(request_id, headers);
     return headers;
 }
 
@@ -336,6 +360,14 @@
     }
 }
 
+void backend_emulator::crash(served_connection& connection, const answer_head& head)
+{
+    static_cast<void>(connection.write(encode_answer_head(head)));
+    this->hooks.on_crash();
+    static_cast<void>(connection.work_for(mute_time));
+    connection.reset();
+}
+
 void backend_emulator::run_stream(served_connection& connection, const emulated_request& request,
                                   const http_headers& headers)
 {
@@ -351,6 +383,10 @@
     head.headers = headers;
     head.headers.push_back({"Content-Type", "text/event-stream"});
     head.chunked = true;
+    if (absl::StrContains(request.header(words::prompt_parts), crashing_part)) {
+        this->crash(connection, head);
+        return;
+    }
     std::string text = encode_answer_head(head);
     for (std::int64_t number = run.resumed_after + 1; number <= last; ++number) {
         const bool passed = stream.wait_for_pass(steady_clock::now() + stall);
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -76,8 +76,16 @@
     std::function<void(const std::string& request_id, const std::string& server_id,
                        steady_time until)>
         on_hold_off_said;
+    // The answer to a request names a rate that the server accepts from all entries together.
+    std::function<void(const std::string& request_id, const std::string& server_id, double per_s)>
+        on_limit_said = [](const std::string&, const std::string&, double) {};
+    // A request with the crashing part has begun. Must lead to `stop` soon, on another thread.
+    std::function<void()> on_crash = [] {};
 };
 
+// The part of a prompt under which a server crashes as it begins to answer.
+inline constexpr char crashing_part[] = "badc0de";
+
 struct backend_options {
     std::string id;
     std::string service;
@@ -119,6 +127,9 @@
     void say_leaving();
     // Refuses every request until then, and says for how long.
     void hold_off(steady_time until);
+    // Names a limit in its answers until then: requests per second from all entries together. It
+    // serves more all the same.
+    void name_limit(double per_s, steady_time until);
 
     // What the server writes about itself into the store, given the address where it is reached.
     [[nodiscard]] nlohmann::json entry(const address& reached_at) const;
@@ -134,6 +145,9 @@
                    const http_headers& headers);
     void run_stream(served_connection& connection, const emulated_request& request,
                     const http_headers& headers);
+    // Writes the head of an answer and crashes.
+    void crash(served_connection& connection, const answer_head& head);
+    void add_limit(const std::string& request_id, http_headers& headers) const;
     [[nodiscard]] http_headers answer_headers(const std::string& request_id) const;
     // Refuses a request while the server holds off. Returns whether it does.
     [[nodiscard]] bool refuse_held_off(served_connection& connection, const std::string& request_id,
@@ -151,6 +165,8 @@
     bool draining ABSL_GUARDED_BY(mutex) = false;
     bool says_leaving ABSL_GUARDED_BY(mutex) = false;
     steady_time held_until ABSL_GUARDED_BY(mutex){};
+    double limit_per_s ABSL_GUARDED_BY(mutex) = 0;
+    steady_time limited_until ABSL_GUARDED_BY(mutex){};
     backend_trouble current ABSL_GUARDED_BY(mutex);
     std::mt19937 random ABSL_GUARDED_BY(mutex){std::random_device()()};
     // Orders that are carried out late.
--- a/sardinestream/testing/emulator/wire_words.h
+++ b/sardinestream/testing/emulator/wire_words.h
@@ -19,6 +19,7 @@
 inline constexpr char signature[] = "X-Sardinestream-Response-Signature";
 inline constexpr char not_executed[] = "X-Sardinestream-Not-Executed";
 inline constexpr char server_leaving[] = "Server-Leaving";
+inline constexpr char server_limit[] = "Server-Limit";
 inline constexpr char retry_after[] = "Retry-After";
 inline constexpr char expected_server[] = "X-Sardinestream-Expect-Instance";
 inline constexpr char team[] = "X-Sardinestream-Tenant";
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -34,6 +34,10 @@
 constexpr std::array said_kinds = {soak_fault_kind::leaving_said, soak_fault_kind::hold_off_said};
 constexpr unsigned said_seed_offset = 1U << 20U;
 constexpr int most_said = 4;
+// Seeds with what was added later, so that the others play what they did before.
+constexpr unsigned seeds_per_addition = 5;
+constexpr unsigned limit_seed = 3;
+constexpr unsigned crashing_request_seed = 4;
 
 std::string name_of(soak_fault_kind kind)
 {
@@ -50,6 +54,8 @@
         return "leaving_said";
     case soak_fault_kind::hold_off_said:
         return "hold_off_said";
+    case soak_fault_kind::limit_said:
+        return "limit_said";
     case soak_fault_kind::entry_kill:
         return "entry_kill";
     case soak_fault_kind::entry_freeze:
@@ -108,7 +114,7 @@
     const auto holds = [this](const auto& kinds) {
         return std::find(kinds.begin(), kinds.end(), this->kind) != kinds.end();
     };
-    return holds(planned_kinds) || holds(said_kinds);
+    return holds(planned_kinds) || holds(said_kinds) || this->kind == soak_fault_kind::limit_said;
 }
 
 std::string soak_fault::to_string() const
@@ -139,8 +145,27 @@
     return faults;
 }
 
+// A limit from the first second or two to the end, as it is checked only after some seconds.
+soak_fault draw_limit(unsigned seed, const soak_size& size, milliseconds length)
+{
+    std::mt19937 random(seed);
+    soak_fault fault;
+    fault.kind = soak_fault_kind::limit_said;
+    fault.at =
+        milliseconds(std::uniform_int_distribution<std::int64_t>(0, length.count() / 5)(random));
+    fault.target = std::uniform_int_distribution<int>(0, targets_of(fault.kind, size) - 1)(random);
+    fault.variant = std::uniform_real_distribution<double>(0, 1)(random);
+    fault.duration = length - fault.at;
+    return fault;
+}
+
 } // namespace
 
+bool draws_crashing_requests(unsigned seed)
+{
+    return seed % seeds_per_addition == crashing_request_seed;
+}
+
 std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size, milliseconds length)
 {
     std::mt19937 random(seed);
@@ -171,6 +196,9 @@
     }
     const std::vector<soak_fault> said = draw_said(seed, size, length);
     faults.insert(faults.end(), said.begin(), said.end());
+    if (seed % seeds_per_addition == limit_seed) {
+        faults.push_back(draw_limit(seed, size, length));
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const soak_fault& a, const soak_fault& b) { return a.at < b.at; });
     return faults;
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -24,6 +24,7 @@
     // The server says so in its answers alone; the store lists it late or never.
     leaving_said,
     hold_off_said,
+    limit_said,
     // Unplanned.
     entry_kill,
     entry_freeze,
@@ -45,6 +46,8 @@
     int entries = 2;
     int model_servers = 4;
     int plain_servers = 4;
+    // Model servers are reached without a proxy, so that one that has crashed refuses connections.
+    bool direct_model_servers = false;
 };
 
 struct soak_fault {
@@ -60,6 +63,9 @@
     [[nodiscard]] std::string to_string() const;
 };
 
+// Returns whether callers of this seed send requests with a prompt part that crashes servers.
+[[nodiscard]] bool draws_crashing_requests(unsigned seed);
+
 // Returns the faults by time. `length` is the time in which they begin and end.
 [[nodiscard]] std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size,
                                                   std::chrono::milliseconds length);
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -21,6 +21,13 @@
 // still come.
 constexpr milliseconds hold_off_slack{500};
 constexpr int most_in_hold_off = 2;
+constexpr std::size_t crashes_to_react = 5;
+constexpr int most_after_crashes = 3;
+// An entry that has passed on an answer with a limit is bound by it after this time.
+constexpr milliseconds limit_slack{500};
+constexpr std::chrono::seconds limit_window{4};
+constexpr double limit_tolerance = 1.5;
+constexpr double most_beyond_limit = 5;
 // Trouble shows for so long after it has ended.
 constexpr milliseconds trouble_echo{3000};
 
@@ -88,6 +95,82 @@
     }
     this->arrivals[service].push_back({steady_clock::now(), found->second.arrivals++ == 0});
     this->check_notices(found->second, server_id);
+    this->check_limit(found->second, server_id);
+    if (found->second.request.crashes_servers) {
+        this->check_crashing(found->second);
+    }
+}
+
+void promise_ledger::check_limit(const request_record& record, const std::string& server_id)
+{
+    const steady_time now = steady_clock::now();
+    const auto found = this->limits.find(server_id);
+    if (found == this->limits.end()) {
+        return;
+    }
+    named_limit& limit = found->second;
+    const auto told = limit.told.find(record.request.entry);
+    if (told == limit.told.end() || now < told->second + limit_slack ||
+        now < limit.first_said + this->options.reaction_time ||
+        !this->is_in_touch(record.request.entry, now)) {
+        return;
+    }
+    limit.arrivals.push_back(now);
+    const auto in_window = std::count_if(limit.arrivals.begin(), limit.arrivals.end(),
+                                         [&](steady_time at) { return at > now - limit_window; });
+    const double allowed =
+        limit_tolerance * limit.per_s * std::chrono::duration<double>(limit_window).count() +
+        most_beyond_limit;
+    if (static_cast<double>(in_window) > allowed) {
+        this->broken.push_back(absl::StrCat("limit: ", record.request.id, " is the ", in_window,
+                                            "th in 4 s to reach ", server_id, ", which takes ",
+                                            limit.per_s, " a second"));
+    }
+}
+
+void promise_ledger::check_crashing(const request_record& record)
+{
+    const steady_time now = steady_clock::now();
+    if (this->crashes.size() < crashes_to_react ||
+        now < this->crashes[crashes_to_react - 1] + this->options.reaction_time ||
+        !this->is_in_touch(record.request.entry, now)) {
+        return;
+    }
+    if (++this->arrivals_after_crashes > most_after_crashes) {
+        this->broken.push_back(absl::StrCat("crashing: ", record.request.id, " is the ",
+                                            this->arrivals_after_crashes,
+                                            "th to reach a server long after the fifth crash"));
+    }
+}
+
+bool promise_ledger::is_in_touch(const std::string& entry, steady_time now) const
+{
+    const auto restarted = this->restarts.find(entry);
+    const bool runs_for_long =
+        restarted == this->restarts.end() || now > restarted->second + this->options.reaction_time;
+    return runs_for_long && this->is_untroubled(now - this->options.reaction_time, now);
+}
+
+void promise_ledger::note_limit_said(const std::string& id, const std::string& server_id,
+                                     double per_s)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return;
+    }
+    named_limit& limit = this->limits[server_id];
+    if (limit.told.empty()) {
+        limit.first_said = steady_clock::now();
+    }
+    limit.per_s = per_s;
+    limit.told.emplace(found->second.request.entry, steady_clock::now());
+}
+
+void promise_ledger::note_crash()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->crashes.push_back(steady_clock::now());
 }
 
 void promise_ledger::check_notices(const request_record& record, const std::string& server_id)
@@ -139,6 +222,10 @@
     const auto of_entry = [&](const auto& named) { return named.first.first == entry; };
     std::erase_if(this->leaving_passed_on, of_entry);
     std::erase_if(this->hold_offs, of_entry);
+    for (auto& [server, limit] : this->limits) {
+        limit.told.erase(entry);
+    }
+    this->restarts[entry] = steady_clock::now();
 }
 
 void promise_ledger::note_begun(const begun_run& run)
@@ -219,6 +306,15 @@
 }
 
 bool promise_ledger::is_calm(steady_time begin, steady_time end) const
+{
+    const bool crashed =
+        std::any_of(this->crashes.begin(), this->crashes.end(), [&](steady_time crash) {
+            return crash <= end && crash + trouble_echo >= begin;
+        });
+    return !crashed && this->is_untroubled(begin, end);
+}
+
+bool promise_ledger::is_untroubled(steady_time begin, steady_time end) const
 {
     return std::none_of(this->troubles.begin(), this->troubles.end(), [&](const span& trouble) {
         return trouble.begin <= end && trouble.end >= begin;
@@ -321,7 +417,7 @@
     int answered = 0;
     int succeeded = 0;
     for (const auto& [id, record] : this->requests) {
-        if (record.sent_at < since || record.left) {
+        if (record.sent_at < since || record.left || record.request.crashes_servers) {
             continue;
         }
         ++answered;
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -10,6 +10,10 @@
 //   - a planned stop loses no request;
 //   - an entry sends nothing new to a server a while after it has passed on an answer in which that
 //     server says that it leaves, and hardly anything to one that holds off;
+//   - entries together keep the rate that a server names, from a while after it first did;
+//   - a while after the fifth server has crashed under one part of a prompt, hardly any request
+//   with
+//     that part reaches a server;
 //   - a change of the desired state is in force within its bound.
 //
 //     ledger.note_sent(request);
@@ -52,6 +56,10 @@
     int most_servers = 1;
     // The entry that it is sent to.
     std::string entry;
+    // The parts of a stream's prompt; may be empty.
+    std::string prompt;
+    // Its prompt has the part that crashes servers.
+    bool crashes_servers = false;
 };
 
 struct ledger_options {
@@ -60,6 +68,8 @@
     std::chrono::milliseconds config_bound{3000};
     // Between the answer in which a server says that it leaves and the last new request for it.
     std::chrono::milliseconds leaving_bound{1000};
+    // From when a server's limit, or a part that has crashed five servers, must be heeded.
+    std::chrono::milliseconds reaction_time{3000};
 };
 
 class promise_ledger {
@@ -78,6 +88,9 @@
     // What a server says of itself in its answer to the request.
     void note_leaving_said(const std::string& id, const std::string& server_id);
     void note_hold_off_said(const std::string& id, const std::string& server_id, steady_time until);
+    void note_limit_said(const std::string& id, const std::string& server_id, double per_s);
+    // A server has crashed under a request with the crashing part.
+    void note_crash();
     // The entry starts again, and has forgotten what servers said.
     void note_entry_restart(const std::string& entry);
     void note_begun(const begun_run& run);
@@ -123,6 +136,15 @@
         steady_time until{};
         int arrivals = 0;
     };
+    // The rate that a server names.
+    struct named_limit {
+        double per_s = 0;
+        steady_time first_said{};
+        // When each entry first had an answer with it.
+        std::map<std::string, steady_time> told;
+        // Of requests from entries that had been told.
+        std::vector<steady_time> arrivals;
+    };
     // The entry, and the id of a start of a server.
     using entry_and_server = std::pair<std::string, std::string>;
     struct arrival {
@@ -144,6 +166,15 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void check_notices(const request_record& record, const std::string& server_id)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void check_limit(const request_record& record, const std::string& server_id)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void check_crashing(const request_record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether the entry has run without a restart or trouble for a while.
+    [[nodiscard]] bool is_in_touch(const std::string& entry, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool is_untroubled(steady_time begin, steady_time end) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether there was neither trouble nor a crash.
     [[nodiscard]] bool is_calm(steady_time begin, steady_time end) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void judge_request(const request_record& record, std::vector<std::string>& all) const
@@ -160,6 +191,11 @@
     // When the entry passed on an answer in which the server says that it leaves.
     std::map<entry_and_server, steady_time> leaving_passed_on ABSL_GUARDED_BY(mutex);
     std::map<entry_and_server, told_hold_off> hold_offs ABSL_GUARDED_BY(mutex);
+    // By the id of a start of a server.
+    std::map<std::string, named_limit> limits ABSL_GUARDED_BY(mutex);
+    std::vector<steady_time> crashes ABSL_GUARDED_BY(mutex);
+    int arrivals_after_crashes ABSL_GUARDED_BY(mutex) = 0;
+    std::map<std::string, steady_time> restarts ABSL_GUARDED_BY(mutex);
     std::map<std::string, steady_time> stops ABSL_GUARDED_BY(mutex);
     std::vector<config_change> configs ABSL_GUARDED_BY(mutex);
     std::vector<std::string> broken ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -9,6 +9,8 @@
 
 #include "sardinestream/testing/soak/promise_ledger.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream::testing {
 namespace {
 
@@ -62,7 +64,8 @@
         this->ledger.note_arrival(id, "till-a", "i-1");
     }
 
-    promise_ledger ledger{ledger_options{0.2, 1, milliseconds(20), milliseconds(30)}};
+    promise_ledger ledger{
+        ledger_options{0.2, 1, milliseconds(20), milliseconds(30), milliseconds(50)}};
 };
 
 TEST_F(promise_ledger_test, keeps_quiet_about_a_request_that_ran_once)
@@ -234,5 +237,56 @@
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("hold_off: three")));
 }
 
+TEST_F(promise_ledger_test, finds_an_excess_over_the_rate_that_a_server_names)
+{
+    const sent_request first = this->send(soak_kind::idempotent);
+    this->ledger.note_limit_said(first.id, "i-1", 0.5);
+    for (const char* const id : {"1", "2", "3", "4", "5", "6", "7", "8", "9"}) {
+        this->reach(absl::StrCat("early", id));
+    }
+    std::this_thread::sleep_for(milliseconds(520));
+    for (const char* const id : {"1", "2", "3", "4", "5", "6", "7", "8"}) {
+        this->reach(id);
+    }
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+    this->reach("9");
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("limit: 9")));
+}
+
+TEST_F(promise_ledger_test, an_entry_that_starts_again_has_not_been_told_of_a_rate)
+{
+    this->ledger.note_limit_said(this->send(soak_kind::idempotent).id, "i-1", 0);
+    std::this_thread::sleep_for(milliseconds(520));
+    this->ledger.note_entry_restart("");
+    std::this_thread::sleep_for(milliseconds(60));
+    for (const char* const id : {"1", "2", "3", "4", "5", "6", "7"}) {
+        this->reach(id);
+    }
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+}
+
+TEST_F(promise_ledger_test, finds_requests_that_go_on_crashing_servers)
+{
+    const auto arrive = [this](const std::string& id) {
+        sent_request request = make_request(soak_kind::streaming);
+        request.id = id;
+        request.crashes_servers = true;
+        this->ledger.note_sent(request);
+        this->ledger.note_arrival(id, "assistant", "i-1");
+    };
+    for (const char* const id : {"1", "2", "3", "4", "5"}) {
+        arrive(id);
+        this->ledger.note_crash();
+    }
+    arrive("in time to react");
+    std::this_thread::sleep_for(milliseconds(60));
+    arrive("6");
+    arrive("7");
+    arrive("8");
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+    arrive("9");
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("crashing: 9")));
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t largest_answer = 1U << 20U;
 constexpr int largest_body = 20000;
 constexpr int most_events = 30;
+constexpr int topics = 5;
+// Of so many requests one has the crashing part, if it is a stream.
+constexpr int requests_per_crashing_one = 6;
 
 } // namespace
 
@@ -79,6 +82,7 @@
         request.target = absl::StrCat("/chat/", 1 + static_cast<int>(this->draw() * most_events));
         request.service = "assistant";
         request.most_servers = 3;
+        this->add_prompt(request);
         return request;
     }
     if (kind < 0.6) {
@@ -97,6 +101,17 @@
     return request;
 }
 
+void requester::add_prompt(sent_request& request) const
+{
+    if (!this->options.sends_crashing_part) {
+        return;
+    }
+    request.crashes_servers = this->sent % requests_per_crashing_one == 0;
+    const std::string topic =
+        request.crashes_servers ? crashing_part : absl::StrCat("topic", this->sent % topics);
+    request.prompt = absl::StrCat("first:40,", topic, ":20,", request.id, ":5");
+}
+
 bool requester::connect()
 {
     const address entry = this->options.choose_entry(this->draw());
@@ -116,6 +131,9 @@
     append_header(text, words::request_id, request.id);
     append_header(text, words::authorization, absl::StrCat(words::key_scheme, this->options.key));
     append_header(text, words::time_left_ms, absl::StrCat(this->options.timeout.count()));
+    if (!request.prompt.empty()) {
+        append_header(text, words::prompt_parts, request.prompt);
+    }
     if (request.method == "POST" && this->draw() < 0.3) {
         append_header(text, "Transfer-Encoding", "chunked");
         const std::string chunk = request.body.empty() ? "" : encode_chunk(request.body);
--- a/sardinestream/testing/soak/requester.h
+++ b/sardinestream/testing/soak/requester.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds pause{40};
     // Share of the requests that are left before their answer.
     double leaving_share = 0.1;
+    // Streams have prompts of several parts, and some of them the part that crashes servers.
+    bool sends_crashing_part = false;
     // Answers later than this after their route's timeout break a promise.
     std::chrono::milliseconds timeout{3000};
 };
@@ -74,6 +76,8 @@
 
     void run();
     [[nodiscard]] sent_request draw_request();
+    // Gives a stream its prompt.
+    void add_prompt(sent_request& request) const;
     [[nodiscard]] bool connect();
     // Returns how long to wait before the next request.
     [[nodiscard]] std::chrono::milliseconds send_one();
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -173,6 +173,13 @@
                                     steady_time until) {
         this->ledger.note_hold_off_said(id, server, until);
     };
+    hooks.on_limit_said = [this](const std::string& id, const std::string& server, double per_s) {
+        this->ledger.note_limit_said(id, server, per_s);
+    };
+    hooks.on_crash = [this, number] {
+        const absl::MutexLock lock(&this->mutex);
+        this->crashing.insert(number);
+    };
     server_node node;
     node.server = std::make_unique<backend_emulator>(options, hooks);
     SARDINE_RETURN_IF_ERROR(node.server->start(options.id));
@@ -189,8 +196,10 @@
 
 void soak_fleet::list_server(const server_node& node)
 {
-    this->store->put(words::servers_kind, node.server->id(),
-                     node.server->entry(node.proxy->local()));
+    const bool direct =
+        this->size.direct_model_servers && node.server->described().group != nullptr;
+    const address& reached_at = direct ? node.server->described().local : node.proxy->local();
+    this->store->put(words::servers_kind, node.server->id(), node.server->entry(reached_at));
 }
 
 void soak_fleet::write_config()
@@ -318,6 +327,7 @@
             this->due.erase(this->due.begin());
             work();
         }
+        this->crash_due_servers();
         this->watch_programs();
         std::this_thread::sleep_for(step);
     }
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,9 @@
 #include "sardinestream/testing/soak/fault_series.h"
 #include "sardinestream/testing/soak/promise_ledger.h"
 
+#include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
+#include "absl/synchronization/mutex.h"
 
 namespace sardinestream::testing {
 
@@ -101,10 +104,13 @@
     void leave_server(server_node& node);
     void say_leaving(server_node& node, const soak_fault& fault);
     void hold_off(server_node& node, const soak_fault& fault);
+    void name_limit(server_node& node, const soak_fault& fault);
     // A leaving server ends, and another takes its place.
     void replace_server(server_node& node);
     void return_server(server_node& node, const std::string& id);
     void crash_server(server_node& node, const soak_fault& fault);
+    // Ends the servers that have begun to answer a request with the crashing part.
+    void crash_due_servers();
     void trouble_server(server_node& node, const soak_fault& fault);
     void trouble_link(chaos_proxy& proxy, const soak_fault& fault);
     void trouble_store(const soak_fault& fault);
@@ -131,6 +137,9 @@
     int config_version = 0;
     bool moved = false;
     std::multimap<steady_time, task> due;
+    absl::Mutex mutex;
+    // Servers, by their number, that crash under a request.
+    std::set<std::size_t> crashing ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -20,6 +20,8 @@
 // Longer than any request of the soak runs on a sound server.
 constexpr milliseconds drain_time{2000};
 constexpr milliseconds restart_pause{200};
+// From the crash of a server under a request to its next start.
+constexpr milliseconds crash_restart_time{500};
 constexpr milliseconds second_notice{300};
 // Shares of the planned stops with a second notice, and of the changes that move a route.
 constexpr double second_notice_share = 0.3;
@@ -228,6 +230,36 @@
     });
 }
 
+void soak_fleet::crash_due_servers()
+{
+    std::set<std::size_t> numbers;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        numbers.swap(this->crashing);
+    }
+    for (const std::size_t number : numbers) {
+        server_node& node = this->servers[number];
+        if (node.struck) {
+            continue;
+        }
+        this->ledger.note_crash();
+        soak_fault crash;
+        crash.duration = crash_restart_time;
+        crash.variant = 1;
+        this->crash_server(node, crash);
+    }
+}
+
+void soak_fleet::name_limit(server_node& node, const soak_fault& fault)
+{
+    constexpr double least_per_s = 0.5;
+    constexpr double range_per_s = 4;
+    if (this->has_other_server(node)) {
+        node.server->name_limit(least_per_s + range_per_s * fault.variant,
+                                steady_clock::now() + fault.duration);
+    }
+}
+
 void soak_fleet::trouble_server(server_node& node, const soak_fault& fault)
 {
     node.server->set_trouble(backend_trouble_of(fault.variant));
@@ -320,6 +352,9 @@
     case soak_fault_kind::hold_off_said:
         this->hold_off(this->servers[target], fault);
         return;
+    case soak_fault_kind::limit_said:
+        this->name_limit(this->servers[target], fault);
+        return;
     case soak_fault_kind::server_crash:
         this->crash_server(this->servers[target], fault);
         return;
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -32,6 +32,7 @@
         chosen.key = soak_key;
         chosen.team = soak_team;
         chosen.name = absl::StrCat("c", i);
+        chosen.sends_crashing_part = draws_crashing_requests(options.seed);
         chosen.seed = options.seed * 1000 + static_cast<unsigned>(i);
         all.push_back(std::make_unique<requester>(std::move(chosen), ledger));
         all.back()->start();
@@ -62,7 +63,9 @@
     soak_verdict verdict;
     verdict.faults = draw_faults(options.seed, options.size, options.length);
     promise_ledger ledger{ledger_options{}};
-    absl::StatusOr<std::unique_ptr<soak_fleet>> fleet = soak_fleet::create(options.size, ledger);
+    soak_size size = options.size;
+    size.direct_model_servers = draws_crashing_requests(options.seed);
+    absl::StatusOr<std::unique_ptr<soak_fleet>> fleet = soak_fleet::create(size, ledger);
     if (!fleet.ok()) {
         verdict.broken.push_back(absl::StrCat("start: ", fleet.status().message()));
         return verdict;
