Tests of blame and faulty answers: what two of them share stands once

Cause: two pairs of tests repeated ten lines each. Change: crashes_with_bystanders and streams_of_two_servers; the checks are the same. Result: blame_test (27) and the seven tests of faulty_answers_test pass.

--- a/sardinestream/forwarding/faulty_answers_test.cc
+++ b/sardinestream/forwarding/faulty_answers_test.cc
@@ -44,6 +44,26 @@
         this->stop();
         return answer;
     }
+
+    // Both servers stream without length or chunks, and end the connection. Expects that both are
+    // asked, and returns what the caller received.
+    caller_answer streams_of_two_servers(const std::string& first_body,
+                                         const std::string& second_body)
+    {
+        std::atomic<int> asked = 0;
+        const auto script = [&](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nContent-Type: "
+                                          "text/event-stream\r\n\r\n",
+                                          asked++ == 0 ? first_body : second_body));
+        };
+        scripted_server first(script);
+        scripted_server second(script);
+        this->use({&first, &second});
+        caller_answer answer = this->call("/tell/", "r1");
+        EXPECT_EQ(asked, 2);
+        return answer;
+    }
 };
 
 TEST_F(faulty_answers_test, a_refusal_that_is_written_twice_never_stands_for_a_run)
@@ -132,39 +152,18 @@
 
 TEST_F(faulty_answers_test, a_stream_that_ends_with_its_connection_inside_an_event_is_broken_off)
 {
-    std::atomic<int> asked = 0;
-    const auto script = [&](scripted_connection& connection) {
-        ASSERT_TRUE(connection.read_request());
-        const std::string head =
-            "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n";
-        connection.write(asked++ == 0 ? absl::StrCat(head, first_event, "id: 2\nda")
-                                      : absl::StrCat(head, second_event));
-    };
-    scripted_server first(script);
-    scripted_server second(script);
-    this->use({&first, &second});
-    const caller_answer answer = this->call("/tell/", "r1");
+    const caller_answer answer =
+        this->streams_of_two_servers(absl::StrCat(first_event, "id: 2\nda"), second_event);
     EXPECT_EQ(answer.body, absl::StrCat(first_event, second_event));
     EXPECT_TRUE(answer.end.ok());
-    EXPECT_EQ(asked, 2);
 }
 
 TEST_F(faulty_answers_test, a_stream_that_ends_with_its_connection_before_any_event_is_broken_off)
 {
-    std::atomic<int> asked = 0;
-    const auto script = [&](scripted_connection& connection) {
-        ASSERT_TRUE(connection.read_request());
-        const std::string head =
-            "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n";
-        connection.write(asked++ == 0 ? head : absl::StrCat(head, first_event, second_event));
-    };
-    scripted_server first(script);
-    scripted_server second(script);
-    this->use({&first, &second});
-    const caller_answer answer = this->call("/tell/", "r1");
+    const caller_answer answer =
+        this->streams_of_two_servers("", absl::StrCat(first_event, second_event));
     EXPECT_EQ(answer.body, absl::StrCat(first_event, second_event));
     EXPECT_TRUE(answer.end.ok());
-    EXPECT_EQ(asked, 2);
 }
 
 TEST_F(faulty_answers_test, a_head_that_ends_in_its_middle_is_no_answer)
--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -64,7 +64,8 @@
         IsEmpty());
 }
 
-TEST(blame, blames_the_part_that_all_crashes_have_in_common)
+// Crashes under requests with the part "bad", each with a sound one that shares the first part.
+std::vector<crash_evidence> crashes_with_bystanders()
 {
     std::vector<crash_evidence> crashes;
     crashes.reserve(max_evidence);
@@ -73,6 +74,12 @@
                            {request({"first", "bad", absl::StrCat("own", i)}),
                             request({"first", absl::StrCat("bystander", i)})}});
     }
+    return crashes;
+}
+
+TEST(blame, blames_the_part_that_all_crashes_have_in_common)
+{
+    const std::vector<crash_evidence> crashes = crashes_with_bystanders();
     EXPECT_THAT(blamed_for(crashes, request({"first"})), ElementsAre(request({"bad"})));
 }
 
@@ -108,13 +115,7 @@
 
 TEST(blame, a_part_that_was_merely_beside_the_cause_in_every_crash_is_not_blamed)
 {
-    std::vector<crash_evidence> crashes;
-    crashes.reserve(max_evidence);
-    for (int i = 0; i < many_crashes; ++i) {
-        crashes.push_back({at_second(i),
-                           {request({"first", "bad", absl::StrCat("own", i)}),
-                            request({"first", absl::StrCat("bystander", i)})}});
-    }
+    const std::vector<crash_evidence> crashes = crashes_with_bystanders();
     const std::vector<request_traits> blamed = blamed_for(crashes);
     ASSERT_EQ(blamed.size(), 1U);
     EXPECT_FALSE(has_all(request({"first", "sound"}), blamed[0]));
