--- a/sardinestream/testing/emulator/crash_containment_test.cc
+++ b/sardinestream/testing/emulator/crash_containment_test.cc
@@ -130,8 +130,9 @@
 
 class crash_containment : public entry_fleet_test {
 protected:
-    ~crash_containment() override
+    void TearDown() override
     {
+        entry_fleet_test::TearDown();
         if (this->agent != nullptr) {
             this->agent->stop();
             this->agent_thread.join();
