The end of a limit is told for a while only

Cause: each answer without a limit renewed the statement that there is none. Change: an answer without a limit is recorded only if it ends one; the end is told for 20 s and forgotten after 60 s.

--- a/sardinestream/backends/server_limits.cc
+++ b/sardinestream/backends/server_limits.cc
@@ -53,7 +53,9 @@
     }
     const std::uint64_t key = start_key(server);
     const auto found = this->limits.find(key);
-    if (found == this->limits.end() && !max_rate.has_value()) {
+    const bool is_limited =
+        found != this->limits.end() && found->second.latest.max_rate.has_value();
+    if (!is_limited && !max_rate.has_value()) {
         return false;
     }
     const bool changed = found == this->limits.end() || found->second.latest.max_rate != max_rate;
--- a/sardinestream/backends/server_limits_test.cc
+++ b/sardinestream/backends/server_limits_test.cc
@@ -128,6 +128,16 @@
     EXPECT_TRUE(this->limits.own_statements(this->now + seconds(1)).empty());
 }
 
+TEST_F(server_limits_of_one_process, the_end_of_a_limit_is_told_for_a_while_only)
+{
+    this->limits.note_answer(this->server, 2, this->now);
+    for (int second = 1; second < 30; ++second) {
+        this->limits.note_answer(this->server, std::nullopt, this->now + seconds(second));
+    }
+    EXPECT_EQ(this->limits.own_statements(this->now + seconds(20)).size(), 1U);
+    EXPECT_TRUE(this->limits.own_statements(this->now + seconds(30)).empty());
+}
+
 TEST_F(server_limits_of_one_process, memory_is_bounded)
 {
     for (int i = 0; i < 10'000; ++i) {
