The operator's version orders desired states, not the store's revision

Cause: a document took effect only above the highest revision known, and entries compared revisions among each other; a store that comes back from an older copy gives out revisions again, so the rewritten document was taken for known, for good. An entry that had just read an older copy kept it too, and its later revision even counted as newer. Change: the version decides on all ways in (store, peers, hello); the revision only between two documents of one version. A document that is passed over is logged (desired_state_passed_over).

--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -154,11 +154,12 @@
     }
 }
 
-void entry_gossip::compare_revisions(std::uint32_t ip, const known_revisions& known)
+void entry_gossip::compare_age(std::uint32_t ip, const state_age& known)
 {
-    const known_revisions own = this->hooks.revisions();
-    if (known.config > own.config || known.servers > own.servers) {
-        this->hooks.on_newer_revisions(ip_to_string(ip), known);
+    const state_age own = this->hooks.age();
+    if (known.config_version > own.config_version ||
+        known.servers_revision > own.servers_revision) {
+        this->hooks.on_newer_state(ip_to_string(ip), known);
     }
 }
 
@@ -169,12 +170,12 @@
     }
     known_entry& heard = this->entries[hello.ip];
     heard.last_heard = steady_clock::now();
-    heard.revisions = {hello.config_revision, hello.servers_revision};
+    heard.age = {hello.config_version, hello.servers_revision};
     heard.vanished_servers = static_cast<std::size_t>(std::max(0, hello.vanished_servers));
     for (const std::uint32_t other : hello.entries) {
         this->add_entry(other);
     }
-    this->compare_revisions(hello.ip, heard.revisions);
+    this->compare_age(hello.ip, heard.age);
     const bool knows_this_entry = std::find(hello.entries.begin(), hello.entries.end(),
                                             ip_to_number(this->own_ip)) != hello.entries.end();
     if (!knows_this_entry) {
@@ -208,7 +209,7 @@
 
 bool entry_gossip::majority_saw_no_outage() const
 {
-    const std::int64_t own = this->hooks.revisions().servers;
+    const std::int64_t own = this->hooks.age().servers_revision;
     const steady_time now = steady_clock::now();
     int alive = 0;
     int saw_none = 0;
@@ -217,7 +218,7 @@
             continue;
         }
         ++alive;
-        saw_none += heard.revisions.servers >= own && heard.vanished_servers == 0 ? 1 : 0;
+        saw_none += heard.age.servers_revision >= own && heard.vanished_servers == 0 ? 1 : 0;
     }
     return 2 * saw_none > alive;
 }
@@ -329,10 +330,10 @@
 news::EntryHelloT entry_gossip::make_hello() const
 {
     news::EntryHelloT hello;
-    const known_revisions own = this->hooks.revisions();
+    const state_age own = this->hooks.age();
     hello.ip = ip_to_number(this->own_ip);
-    hello.config_revision = own.config;
-    hello.servers_revision = own.servers;
+    hello.config_version = own.config_version;
+    hello.servers_revision = own.servers_revision;
     hello.suspects_digest = this->hooks.suspects_digest();
     return hello;
 }
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -1,5 +1,5 @@
 // Exchanges messages with other entries and with agents: receives the agents' reports about their
-// servers, and compares state revisions with the other entries.
+// servers, and compares what is known with the other entries.
 //
 // An entry that the store rejects learns here that another entry has newer state, which it then
 // fetches. Agents learn the addresses of the entries and of the other ranks of their group.
@@ -29,16 +29,16 @@
 
 namespace sardinestream {
 
-// The store's revisions of the state that an entry has; zero if it has none.
-struct known_revisions {
-    std::int64_t config = 0;
-    std::int64_t servers = 0;
-
-    friend bool operator==(const known_revisions&, const known_revisions&) = default;
+// How new the state of an entry is.
+struct state_age {
+    // The operator's version of the desired state; zero if the entry has none.
+    std::int64_t config_version = 0;
+    // The store's revision of the list of servers; zero if the entry has none.
+    std::int64_t servers_revision = 0;
 };
 
 struct entry_gossip_hooks {
-    std::function<known_revisions()> revisions;
+    std::function<state_age()> age;
     // Servers in use that the store no longer lists.
     std::function<std::size_t()> vanished_servers;
     std::function<std::vector<backend_server>()> servers;
@@ -46,7 +46,7 @@
     // Called with each report of an agent about the server at `ip`.
     std::function<void(const std::string& ip, const server_report& report)> on_report;
     // Called when the entry at `ip` has newer state than this one.
-    std::function<void(const std::string& ip, const known_revisions& newer)> on_newer_revisions;
+    std::function<void(const std::string& ip, const state_age& newer)> on_newer_state;
     // Called when most of the other entries that are alive have a server list at least as new as
     // this one's and keep no vanished servers: the store had no outage, only this entry could not
     // reach it.
@@ -84,7 +84,7 @@
     // Adds other entries that may be alive. Thread-safe.
     void add_seeds(const std::vector<std::string>& seeds);
 
-    // Sends the revisions of this entry to the others soon, ahead of the next hello. Thread-safe.
+    // Tells the others soon how new this entry's state is, ahead of the next hello. Thread-safe.
     void announce();
 
     // Sends news of requests that crash servers to the other entries, each in a message of its own.
@@ -94,7 +94,7 @@
 private:
     struct known_entry {
         steady_time last_heard{};
-        known_revisions revisions;
+        state_age age;
         std::size_t vanished_servers = 0;
     };
     struct known_group {
@@ -111,7 +111,7 @@
     void handle_report(const news::ServerReportT& report);
     void handle_limits(const news::EntryHelloT& hello);
     void add_entry(std::uint32_t ip);
-    void compare_revisions(std::uint32_t ip, const known_revisions& known);
+    void compare_age(std::uint32_t ip, const state_age& known);
     // Returns true if most of the other entries that are alive meet the condition of
     // `on_no_outage`.
     [[nodiscard]] bool majority_saw_no_outage() const;
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -352,13 +352,13 @@
 struct EntryHelloT : public flatbuffers::NativeTable {
   typedef EntryHello TableType;
   uint32_t ip = 0;
-  int64_t config_revision = 0;
   int64_t servers_revision = 0;
   std::vector<uint32_t> entries{};
   int32_t report_interval_ms = 0;
   int32_t vanished_servers = 0;
   uint64_t suspects_digest = 0;
   std::vector<sardinestream::news::ServerLimit> limits{};
+  int64_t config_version = 0;
 };
 
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -367,20 +367,17 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_IP = 4,
-    VT_CONFIG_REVISION = 6,
     VT_SERVERS_REVISION = 8,
     VT_ENTRIES = 10,
     VT_REPORT_INTERVAL_MS = 12,
     VT_VANISHED_SERVERS = 14,
     VT_SUSPECTS_DIGEST = 16,
-    VT_LIMITS = 18
+    VT_LIMITS = 18,
+    VT_CONFIG_VERSION = 20
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
   }
-  int64_t config_revision() const {
-    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
-  }
   int64_t servers_revision() const {
     return GetField<int64_t>(VT_SERVERS_REVISION, 0);
   }
@@ -399,10 +396,12 @@
   const flatbuffers::Vector<const sardinestream::news::ServerLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const sardinestream::news::ServerLimit *> *>(VT_LIMITS);
   }
+  int64_t config_version() const {
+    return GetField<int64_t>(VT_CONFIG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
-           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_SERVERS_REVISION, 8) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
@@ -411,6 +410,7 @@
            VerifyField<uint64_t>(verifier, VT_SUSPECTS_DIGEST, 8) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -425,9 +425,6 @@
   void add_ip(uint32_t ip) {
     fbb_.AddElement<uint32_t>(EntryHello::VT_IP, ip, 0);
   }
-  void add_config_revision(int64_t config_revision) {
-    fbb_.AddElement<int64_t>(EntryHello::VT_CONFIG_REVISION, config_revision, 0);
-  }
   void add_servers_revision(int64_t servers_revision) {
     fbb_.AddElement<int64_t>(EntryHello::VT_SERVERS_REVISION, servers_revision, 0);
   }
@@ -446,6 +443,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits) {
     fbb_.AddOffset(EntryHello::VT_LIMITS, limits);
   }
+  void add_config_version(int64_t config_version) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_CONFIG_VERSION, config_version, 0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -460,17 +460,17 @@
 inline flatbuffers::Offset<EntryHello> CreateEntryHello(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t ip = 0,
-    int64_t config_revision = 0,
     int64_t servers_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
     int32_t report_interval_ms = 0,
     int32_t vanished_servers = 0,
     uint64_t suspects_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits = 0,
+    int64_t config_version = 0) {
   EntryHelloBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
   builder_.add_suspects_digest(suspects_digest);
   builder_.add_servers_revision(servers_revision);
-  builder_.add_config_revision(config_revision);
   builder_.add_limits(limits);
   builder_.add_vanished_servers(vanished_servers);
   builder_.add_report_interval_ms(report_interval_ms);
@@ -487,25 +487,25 @@
 inline flatbuffers::Offset<EntryHello> CreateEntryHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t ip = 0,
-    int64_t config_revision = 0,
     int64_t servers_revision = 0,
     const std::vector<uint32_t> *entries = nullptr,
     int32_t report_interval_ms = 0,
     int32_t vanished_servers = 0,
     uint64_t suspects_digest = 0,
-    const std::vector<sardinestream::news::ServerLimit> *limits = nullptr) {
+    const std::vector<sardinestream::news::ServerLimit> *limits = nullptr,
+    int64_t config_version = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<sardinestream::news::ServerLimit>(*limits) : 0;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       ip,
-      config_revision,
       servers_revision,
       entries__,
       report_interval_ms,
       vanished_servers,
       suspects_digest,
-      limits__);
+      limits__,
+      config_version);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1621,13 +1621,13 @@
   (void)_o;
   (void)_resolver;
   { auto _e = ip(); _o->ip = _e; }
-  { auto _e = config_revision(); _o->config_revision = _e; }
   { auto _e = servers_revision(); _o->servers_revision = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i); } } }
   { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
   { auto _e = vanished_servers(); _o->vanished_servers = _e; }
   { auto _e = suspects_digest(); _o->suspects_digest = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = config_version(); _o->config_version = _e; }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1639,23 +1639,23 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _ip = _o->ip;
-  auto _config_revision = _o->config_revision;
   auto _servers_revision = _o->servers_revision;
   auto _entries = _o->entries.size() ? _fbb.CreateVector(_o->entries) : 0;
   auto _report_interval_ms = _o->report_interval_ms;
   auto _vanished_servers = _o->vanished_servers;
   auto _suspects_digest = _o->suspects_digest;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _config_version = _o->config_version;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       _ip,
-      _config_revision,
       _servers_revision,
       _entries,
       _report_interval_ms,
       _vanished_servers,
       _suspects_digest,
-      _limits);
+      _limits,
+      _config_version);
 }
 
 inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -124,9 +124,9 @@
     return absl::OkStatus();
 }
 
-known_revisions entry_program::own_revisions() const
+state_age entry_program::own_age() const
 {
-    return {this->state.revision(), this->directory.revision()};
+    return {this->state.version(), this->directory.revision()};
 }
 
 void entry_program::apply_entries(const process_group& alive, int known)
@@ -301,7 +301,7 @@
                              {"desired_state_version", current == nullptr ? 0 : current->version},
                              {"desired_state_source", origin.source},
                              {"desired_state_since", absl::FormatTime(origin.since)},
-                             {"desired_state_revision", this->state.revision()},
+                             {"desired_state_revision", this->state.document().revision},
                              {"servers_revision", this->directory.revision()},
                              {"entries_alive", this->entries_alive.load()},
                              {"entries_known", this->entries_known.load()},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -61,7 +61,7 @@
     entry_program(const entry_program&) = delete;
     entry_program& operator=(const entry_program&) = delete;
 
-    // Applies the operator's document if `revision` is newer than the known one. A document that
+    // Applies the operator's document if its version is newer than the known one. A document that
     // cannot be read is logged and changes nothing. `source` tells operators where it came from.
     void apply_desired_state(const std::string& text, std::int64_t revision,
                              absl::string_view source);
@@ -91,7 +91,7 @@
     // Logs the number of refused suspects when it has changed. Called only by the ticker thread.
     void log_changed_suspects();
     void fetch_from(const std::string& ip);
-    [[nodiscard]] known_revisions own_revisions() const;
+    [[nodiscard]] state_age own_age() const;
     // Applies the entries that are alive, and the number of those that are not yet forgotten.
     void apply_entries(const process_group& alive, int known);
     // Returns the address of the entry to fetch newer state from now, if any.
@@ -137,7 +137,7 @@
     // An entry that had newer state than this one when it was last heard from.
     struct peer_with_newer_state {
         std::string ip;
-        known_revisions revisions;
+        state_age age;
         // Since when some entry has had newer state.
         steady_time since{};
     };
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -37,7 +37,7 @@
     }
     this->peer_service = *std::move(service);
     entry_gossip_hooks hooks;
-    hooks.revisions = [this] { return this->own_revisions(); };
+    hooks.age = [this] { return this->own_age(); };
     hooks.vanished_servers = [this] { return this->directory.vanished(); };
     hooks.on_no_outage = [this] { this->drop_vanished_servers(); };
     hooks.servers = [this] { return this->directory.usable(); };
@@ -45,7 +45,7 @@
     hooks.on_report = [this](const std::string& ip, const server_report& report) {
         this->servers.apply_report(ip, report);
     };
-    hooks.on_newer_revisions = [this](const std::string& ip, const known_revisions& newer) {
+    hooks.on_newer_state = [this](const std::string& ip, const state_age& newer) {
         const absl::MutexLock lock(&this->mutex);
         const steady_time since =
             this->newer_peer.has_value() ? this->newer_peer->since : steady_clock::now();
@@ -88,17 +88,18 @@
 {
     // The store's own update mostly arrives within this time, which makes the fetch unnecessary.
     constexpr milliseconds store_update_wait{350};
-    const known_revisions own = this->own_revisions();
+    const state_age own = this->own_age();
     const absl::MutexLock lock(&this->mutex);
     if (!this->newer_peer.has_value()) {
         return std::nullopt;
     }
-    const known_revisions& newer = this->newer_peer->revisions;
-    if (newer.config <= own.config && newer.servers <= own.servers) {
+    const state_age& newer = this->newer_peer->age;
+    if (newer.config_version <= own.config_version &&
+        newer.servers_revision <= own.servers_revision) {
         this->newer_peer.reset();
         return std::nullopt;
     }
-    const bool has_no_state = own.config == 0 || own.servers == 0;
+    const bool has_no_state = own.config_version == 0 || own.servers_revision == 0;
     if (!has_no_state && steady_clock::now() - this->newer_peer->since < store_update_wait) {
         return std::nullopt;
     }
@@ -153,7 +154,7 @@
 {
     http_client peer({ip, this->options.news_port});
     const absl::StatusOr<http_answer> config =
-        peer.call("GET", absl::StrCat(config_path, "?after=", this->state.revision()), "",
+        peer.call("GET", absl::StrCat(config_path, "?after=", this->state.version()), "",
                   steady_clock::now() + fetch_timeout);
     if (config.ok() && config->status == http_ok) {
         const absl::StatusOr<stored_document> document = decode_document(config->body);
@@ -195,9 +196,9 @@
         return {http_not_found, {}, ""};
     }
     if (parts.first == config_path) {
-        const stored_document document = this->state.document();
-        return document.revision > known ? http_answer{http_ok, {}, encode_document(document)}
-                                         : http_answer{nothing_newer, {}, ""};
+        return this->state.version() > known
+                   ? http_answer{http_ok, {}, encode_document(this->state.document())}
+                   : http_answer{nothing_newer, {}, ""};
     }
     if (parts.first == servers_path) {
         const server_list list = this->directory.listed();
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -36,6 +36,8 @@
 
 // A server that has left must be out of use everywhere within this time.
 constexpr milliseconds shortest_drain{2000};
+// A desired state must be in force everywhere within this time.
+constexpr milliseconds time_to_agree{2000};
 
 // Returns a port that is free on all loopback addresses that the tests use.
 int free_port()
@@ -83,14 +85,33 @@
         return false;
     }
 
-    // Returns true if the entry's status page lists the server as in use.
-    [[nodiscard]] bool uses(int machine, absl::string_view server) const
+    // Returns true if the entry's status page contains `text` now.
+    [[nodiscard]] bool status_contains(int machine, absl::string_view text) const
     {
         http_client client({absl::StrCat("127.0.7.", machine), this->ops_port});
         const absl::StatusOr<http_answer> answer =
             client.call("GET", "/status", "", steady_clock::now() + milliseconds(1000));
         EXPECT_TRUE(answer.ok()) << answer.status();
-        return answer.ok() && absl::StrContains(answer->body, absl::StrCat("\"", server, "\""));
+        return answer.ok() && absl::StrContains(answer->body, text);
+    }
+
+    // Returns true if the entry's status page contains `text` in time for the users' bounds.
+    [[nodiscard]] bool shows(int machine, absl::string_view text) const
+    {
+        const steady_time end = steady_clock::now() + time_to_agree;
+        while (!this->status_contains(machine, text)) {
+            if (steady_clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return true;
+    }
+
+    // Returns true if the entry's status page lists the server as in use.
+    [[nodiscard]] bool uses(int machine, absl::string_view server) const
+    {
+        return this->status_contains(machine, absl::StrCat("\"", server, "\""));
     }
 
     [[nodiscard]] bool stops_using(int machine, absl::string_view server,
@@ -130,6 +151,21 @@
     EXPECT_TRUE(this->becomes_ready(2));
 }
 
+// The store was restored: an entry that has just started reads an older version at a later
+// revision.
+TEST_F(entry_program_test, takes_a_newer_version_from_a_peer_that_knows_a_lower_revision)
+{
+    const std::unique_ptr<entry_program> known = this->start(1, {});
+    const std::unique_ptr<entry_program> started = this->start(2, {"127.0.7.1"});
+    for (entry_program* entry : {known.get(), started.get()}) {
+        entry->apply_server_list({{}, 50}, {});
+    }
+    known->apply_desired_state("7", 41, "store");
+    started->apply_desired_state("5", 52, "store");
+    EXPECT_TRUE(this->shows(2, "\"desired_state_version\":7"));
+    EXPECT_TRUE(this->shows(1, "\"desired_state_version\":7"));
+}
+
 TEST_F(entry_program_test,
        does_not_keep_a_server_that_left_while_only_this_entry_had_lost_the_store)
 {
--- a/sardinestream/routes/current_state.cc
+++ b/sardinestream/routes/current_state.cc
@@ -13,7 +13,7 @@
 
 bool current_state::offer(const std::string& text, std::int64_t revision, absl::string_view source)
 {
-    if (revision <= this->revision()) {
+    if (this->is_known(text, revision)) {
         return false;
     }
     absl::StatusOr<std::shared_ptr<const desired_state>> decoded = this->decode(text);
@@ -23,8 +23,15 @@
         return false;
     }
     const absl::MutexLock lock(&this->mutex);
-    if (revision <= this->newest.revision ||
-        (this->state != nullptr && (*decoded)->version < this->state->version)) {
+    const std::int64_t known = this->state == nullptr ? 0 : this->state->version;
+    const bool is_later = (*decoded)->version > known ||
+                          ((*decoded)->version == known && revision > this->newest.revision);
+    if (this->state != nullptr && !is_later) {
+        log_event("desired_state_passed_over", {{"version", (*decoded)->version},
+                                                {"known_version", known},
+                                                {"revision", revision},
+                                                {"known_revision", this->newest.revision},
+                                                {"source", source}});
         return false;
     }
     this->state = *std::move(decoded);
@@ -37,6 +44,16 @@
     return true;
 }
 
+bool current_state::is_known(const std::string& text, std::int64_t revision)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->state == nullptr || text != this->newest.text) {
+        return false;
+    }
+    this->newest.revision = revision;
+    return true;
+}
+
 std::shared_ptr<const desired_state> current_state::get() const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -55,10 +72,10 @@
     return this->newest_origin;
 }
 
-std::int64_t current_state::revision() const
+std::int64_t current_state::version() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->newest.revision;
+    return this->state == nullptr ? 0 : this->state->version;
 }
 
 } // namespace sardinestream
--- a/sardinestream/routes/current_state.h
+++ b/sardinestream/routes/current_state.h
@@ -1,5 +1,8 @@
 // Holds the newest desired state that this process knows. Its version never decreases.
 //
+// The operator's version orders documents, whichever way they arrive. The store's revision cannot:
+// a store that is restored from an older copy gives out revisions again.
+//
 //     current_state current(decode_desired_state);
 //     current.offer(document, revision, "store");
 //     std::shared_ptr<const desired_state> state = current.get(); // null until one is accepted
@@ -44,16 +47,21 @@
 public:
     explicit current_state(desired_state_decoder decoder);
 
-    // Applies a document that is newer than the known one, and returns true if it is now in force.
-    // An unreadable document is logged and counted; it and an older one change nothing.
+    // Applies a document whose version is higher than the known one, or the same at a later
+    // revision, and returns true if it is now in force. Another one changes nothing and is logged;
+    // an unreadable one is also counted.
     bool offer(const std::string& text, std::int64_t revision, absl::string_view source);
 
     [[nodiscard]] std::shared_ptr<const desired_state> get() const;
     [[nodiscard]] stored_document document() const;
-    [[nodiscard]] std::int64_t revision() const;
+    // Returns the version in force; zero if there is none.
+    [[nodiscard]] std::int64_t version() const;
     [[nodiscard]] state_origin origin() const;
 
 private:
+    // Returns true if the document is the known one, and then keeps its revision.
+    bool is_known(const std::string& text, std::int64_t revision);
+
     const desired_state_decoder decode;
     mutable absl::Mutex mutex;
     std::shared_ptr<const desired_state> state ABSL_GUARDED_BY(mutex);
