A watch does not go on in another history of the store

An entry whose watch is answered after the store was restored takes revisions of two histories for one, and misses what was written below its own revision for as long as it runs: servers that came or left stay unknown. Cause: the watch went on from the highest revision of either history. Change: each answer has a position, the revision and the era that its header names. A watch or a page of a list that does not continue the history (another era, also a lower one, or a lower revision) fails, and the watcher lists again. A missing or malformed era counts as the last one named.

--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -54,15 +54,15 @@
         }
         this->record_success();
         this->callbacks.on_list(*listed, this->relist_until);
-        this->watch_from(listed->revision);
+        this->watch_from(listed->position);
     }
 }
 
-void object_watcher::watch_from(std::int64_t revision)
+void object_watcher::watch_from(store_position position)
 {
     while (!this->stopping) {
         absl::StatusOr<change_list> changes = this->store.watch(
-            this->kind, revision, this->consecutive_failures > 0 ? probe_wait : watch_wait,
+            this->kind, position, this->consecutive_failures > 0 ? probe_wait : watch_wait,
             this->call_timeout());
         if (absl::IsOutOfRange(changes.status()) || absl::IsInvalidArgument(changes.status())) {
             log_failure("store_history_lost", changes.status(), {{"kind", this->kind}});
@@ -74,7 +74,7 @@
             continue;
         }
         this->record_success();
-        revision = std::max(revision, changes->revision);
+        position = changes->position;
         if (!changes->changes.empty()) {
             this->callbacks.on_changes(*changes, this->relist_until);
             std::this_thread::sleep_for(batch_interval);
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -38,7 +38,7 @@
 
 private:
     void run();
-    void watch_from(std::int64_t revision);
+    void watch_from(store_position position);
     void record_success();
     void record_failure(const absl::Status& error);
     void back_off();
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
 
 namespace sardinestream::platform {
 namespace {
@@ -52,7 +53,7 @@
     });
     const object_watcher follower(store.local(), "servers",
                                   {[&](const object_list& list, steady_time) {
-                                       EXPECT_EQ(list.revision, 5);
+                                       EXPECT_EQ(list.position.revision, 5);
                                        objects = static_cast<int>(list.objects.size());
                                    },
                                    [](const change_list&, steady_time) {}});
@@ -100,7 +101,7 @@
                                   {[](const object_list&, steady_time) {},
                                    [&](const change_list& changes, steady_time relist_until) {
                                        EXPECT_GT(relist_until, steady_clock::now());
-                                       seen = static_cast<int>(changes.revision);
+                                       seen = static_cast<int>(changes.position.revision);
                                    }});
     // The first watch fails, and then some shorter ones.
     ASSERT_TRUE(eventually([&] { return store.connections() >= 3; }, milliseconds(9000)));
@@ -134,12 +135,97 @@
     const object_watcher follower(store.local(), "servers",
                                   {[](const object_list&, steady_time) {},
                                    [&](const change_list& changes, steady_time) {
-                                       seen = static_cast<int>(changes.revision);
+                                       seen = static_cast<int>(changes.position.revision);
                                    }});
     ASSERT_TRUE(eventually([&] { return seen == last_change; }));
     EXPECT_LT(calls, last_change / 5);
 }
 
+// Lists with the era and revision that it is told, and answers watches in the same way.
+class restorable_store {
+public:
+    explicit restorable_store(std::string first_era)
+        : era(std::move(first_era)), server([this](scripted_connection& connection) {
+              while (connection.read_request()) {
+                  const bool is_watch = absl::StrContains(connection.head.target, "watch");
+                  this->lists += is_watch ? 0 : 1;
+                  connection.write(this->answer_now());
+                  std::this_thread::sleep_for(milliseconds(10));
+              }
+          })
+    {
+    }
+
+    void restore(const std::string& next_era, int next_revision)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->era = next_era;
+        this->revision = next_revision;
+    }
+
+    [[nodiscard]] address local() const { return this->server.local(); }
+
+    std::atomic<int> lists = 0;
+
+private:
+    [[nodiscard]] std::string answer_now()
+    {
+        const absl::MutexLock lock(&this->mutex);
+        const std::string body =
+            absl::StrCat(R"({"items":[],"has-more":false,"events":[],"at":)", this->revision, "}");
+        return absl::StrCat("HTTP/1.1 200 X\r\n", this->era, "Content-Length: ", body.size(),
+                            "\r\n\r\n", body);
+    }
+
+    absl::Mutex mutex;
+    // The header line, or nothing.
+    std::string era;
+    int revision = 40;
+    scripted_server server;
+};
+
+// Returns the lists that a watcher has read once the store has been restored and has settled.
+int lists_after_restoring(restorable_store& store, const std::string& era, int revision)
+{
+    const object_watcher follower(
+        store.local(), "servers",
+        {[](const object_list&, steady_time) {}, [](const change_list&, steady_time) {}});
+    EXPECT_TRUE(eventually([&] { return store.lists == 1; }));
+    std::this_thread::sleep_for(milliseconds(50));
+    store.restore(era, revision);
+    std::this_thread::sleep_for(milliseconds(300));
+    return store.lists;
+}
+
+TEST(object_watcher, lists_again_when_a_watch_is_answered_in_another_era)
+{
+    restorable_store store("Store-Era: 1\r\n");
+    EXPECT_EQ(lists_after_restoring(store, "Store-Era: 2\r\n", 41), 2);
+}
+
+TEST(object_watcher, lists_again_when_the_era_falls)
+{
+    restorable_store store("Store-Era: 3\r\n");
+    EXPECT_EQ(lists_after_restoring(store, "Store-Era: 2\r\n", 41), 2);
+}
+
+TEST(object_watcher, lists_again_when_the_revision_of_a_store_without_eras_falls)
+{
+    restorable_store store("");
+    EXPECT_EQ(lists_after_restoring(store, "", 39), 2);
+}
+
+TEST(object_watcher, goes_on_where_an_era_is_missing_or_malformed)
+{
+    restorable_store missing("Store-Era: 7\r\n");
+    EXPECT_EQ(lists_after_restoring(missing, "", 41), 1);
+    for (const char* const era : {"x7", "", "-1", "7.5", "99999999999999999999"}) {
+        restorable_store malformed("Store-Era: 7\r\n");
+        EXPECT_EQ(lists_after_restoring(malformed, absl::StrCat("Store-Era: ", era, "\r\n"), 41), 1)
+            << era;
+    }
+}
+
 TEST(object_watcher, continues_after_malformed_responses)
 {
     std::atomic<int> asked = 0;
--- a/sardinestream/platform/server_entries.cc
+++ b/sardinestream/platform/server_entries.cc
@@ -26,7 +26,7 @@
 server_list to_server_list(const object_list& list)
 {
     server_list decoded;
-    decoded.revision = list.revision;
+    decoded.revision = list.position.revision;
     for (const stored_object& object : list.objects) {
         std::optional<backend_server> server = decode_or_log(object);
         if (server.has_value()) {
@@ -39,7 +39,7 @@
 server_changes to_server_changes(const change_list& changes)
 {
     server_changes decoded;
-    decoded.revision = changes.revision;
+    decoded.revision = changes.position.revision;
     for (const object_change& change : changes.changes) {
         const stored_object& object = change.object;
         decoded.changes.push_back(
--- a/sardinestream/platform/server_entries_test.cc
+++ b/sardinestream/platform/server_entries_test.cc
@@ -10,7 +10,7 @@
 
 TEST(server_entries, keep_the_revision_of_each_entry)
 {
-    const server_list list = to_server_list({{{"a", 5, entry}, {"b", 6, entry}}, 9});
+    const server_list list = to_server_list({{{"a", 5, entry}, {"b", 6, entry}}, {9}});
     EXPECT_EQ(list.revision, 9);
     ASSERT_EQ(list.servers.size(), 2U);
     EXPECT_EQ(list.servers[0].revision, 5);
@@ -19,7 +19,7 @@
 
 TEST(server_entries, that_are_malformed_are_left_out_of_a_list)
 {
-    const server_list list = to_server_list({{{"a", 5, "7"}, {"b", 6, entry}}, 9});
+    const server_list list = to_server_list({{{"a", 5, "7"}, {"b", 6, entry}}, {9}});
     ASSERT_EQ(list.servers.size(), 1U);
     EXPECT_EQ(list.servers[0].server.id, "b");
 }
@@ -27,7 +27,7 @@
 TEST(server_entries, a_server_whose_entry_becomes_unreadable_is_not_used_any_more)
 {
     const server_changes decoded =
-        to_server_changes({{{{"a", 6, R"({"state":3})"}, false}, {{"b", 7, entry}, false}}, 9});
+        to_server_changes({{{{"a", 6, R"({"state":3})"}, false}, {{"b", 7, entry}, false}}, {9}});
     EXPECT_EQ(decoded.revision, 9);
     ASSERT_EQ(decoded.changes.size(), 2U);
     EXPECT_EQ(decoded.changes[0].id, "a");
@@ -38,7 +38,7 @@
 
 TEST(server_entries, a_removed_entry_yields_no_server)
 {
-    const server_changes decoded = to_server_changes({{{{"a", 6, entry}, true}}, 9});
+    const server_changes decoded = to_server_changes({{{{"a", 6, entry}, true}}, {9}});
     ASSERT_EQ(decoded.changes.size(), 1U);
     EXPECT_FALSE(decoded.changes[0].server.has_value());
 }
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -1,5 +1,8 @@
 // Lists and watches objects of one kind in the platform's object store.
 //
+// Each answer carries the store's position: its revision, and the era that a header names. An
+// answer whose header is missing or malformed counts as one of the last era that was named.
+//
 // Not thread-safe. Errors: kUnavailable and kDeadlineExceeded (the store is unreachable, slow or
 // overloaded), kOutOfRange (the history that a watch requires is gone: list again),
 // kInvalidArgument (malformed response).
@@ -12,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "sardinestream/base/store_position.h"
 #include "sardinestream/http/http_client.h"
 
 #include "absl/status/statusor.h"
@@ -27,8 +31,10 @@
 
 struct object_list {
     std::vector<stored_object> objects;
-    // The store's revision at the time of the list; the start of the first watch.
-    std::int64_t revision = 0;
+    // The store's position at the time of the list; the start of the first watch.
+    store_position position;
+    // The store was restored since this client's last answer.
+    bool restored = false;
 };
 
 struct object_change {
@@ -39,27 +45,36 @@
 struct change_list {
     std::vector<object_change> changes;
     // The start of the next watch.
-    std::int64_t revision = 0;
+    store_position position;
 };
 
 class store_client {
 public:
     explicit store_client(const address& store);
 
-    // Reads all objects of a kind, page by page. `timeout` applies to each page.
+    // Reads all objects of a kind, page by page. `timeout` applies to each page. Fails with
+    // kOutOfRange if the store is restored meanwhile.
     [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind,
                                                    std::chrono::milliseconds timeout);
 
-    // Waits up to `max_wait` for changes after `revision`; returns an empty list if there are
-    // none. Fails if the store does not answer within `max_wait` plus `timeout`.
-    [[nodiscard]] absl::StatusOr<change_list> watch(absl::string_view kind, std::int64_t revision,
+    // Waits up to `max_wait` for changes after `position`; returns an empty list if there are
+    // none. Fails if the store does not answer within `max_wait` plus `timeout`, and with
+    // kOutOfRange if its answer does not continue the history of `position`.
+    [[nodiscard]] absl::StatusOr<change_list> watch(absl::string_view kind,
+                                                    const store_position& position,
                                                     std::chrono::milliseconds max_wait,
                                                     std::chrono::milliseconds timeout);
 
 private:
     absl::StatusOr<std::string> get(const std::string& target, std::chrono::milliseconds timeout);
+    // Keeps the era that the answer names.
+    void read_era(const http_answer& answer);
 
     http_client http;
+    // The last era that the store named.
+    std::int64_t era = 0;
+    // The position of the last list or watch that was answered.
+    store_position last;
 };
 
 } // namespace sardinestream::platform
--- a/sardinestream/testing/emulator/store_emulator.cc
+++ b/sardinestream/testing/emulator/store_emulator.cc
@@ -53,15 +53,16 @@
         return this->newest;
     }
     object = {++this->newest, specification};
-    this->history.push_back({kind, name, this->newest, specification});
+    this->history.push_back({kind, name, this->newest, specification, false});
     return this->newest;
 }
 
 void store_emulator::remove(const std::string& kind, const std::string& name)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (this->objects[kind].erase(name) > 0) {
-        this->history.push_back({kind, name, ++this->newest, json()});
+    const auto removed = this->objects[kind].extract(name);
+    if (!removed.empty()) {
+        this->history.push_back({kind, name, ++this->newest, removed.mapped().specification, true});
     }
 }
 
@@ -96,6 +97,36 @@
     this->oldest = ++this->newest;
 }
 
+void store_emulator::take_copy()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->kept = {this->objects, this->newest};
+}
+
+void store_emulator::restore_copy()
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->kept.has_value()) {
+        return;
+    }
+    this->objects = this->kept->objects;
+    this->newest = this->kept->newest;
+    std::erase_if(this->history,
+                  [this](const change& lost) { return lost.revision > this->newest; });
+    ++this->era;
+}
+
+void store_emulator::answer(served_connection& connection, int status,
+                            const std::string& body) const
+{
+    std::int64_t named = 0;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        named = this->era;
+    }
+    connection.answer(status, {{words::store_era, std::to_string(named)}}, body);
+}
+
 json store_emulator::object_json(const std::string& name, std::int64_t revision,
                                  const json& specification)
 {
@@ -127,7 +158,7 @@
 json store_emulator::changes_after(const std::string& kind, std::int64_t revision) const
 {
     const absl::MutexLock lock(&this->mutex);
-    if (revision < this->oldest) {
+    if (revision < this->oldest || revision > this->newest) {
         return {};
     }
     json events = json::array();
@@ -136,7 +167,7 @@
             continue;
         }
         events.push_back({{"object", object_json(one.name, one.revision, one.specification)},
-                          {"removed", one.specification.is_null()}});
+                          {"removed", one.removed}});
     }
     return {{"events", events}, {"at", this->newest}};
 }
@@ -154,10 +185,10 @@
             }
             break;
         case store_trouble::busy:
-            connection.answer(http_unavailable, {}, "{}");
+            this->answer(connection, http_unavailable, "{}");
             continue;
         case store_trouble::limited:
-            connection.answer(http_too_many, {}, "{}");
+            this->answer(connection, http_too_many, "{}");
             continue;
         case store_trouble::reset:
             connection.reset();
@@ -175,15 +206,15 @@
     const std::string path = request.path();
     absl::string_view kind = path;
     if (request.head.method != "GET" || !absl::ConsumePrefix(&kind, words::objects_path)) {
-        connection.answer(http_not_found, {}, "{}");
+        this->answer(connection, http_not_found, "{}");
         return;
     }
     if (!request.parameter("watch").empty()) {
         this->answer_watch(connection, request, std::string(kind));
         return;
     }
-    connection.answer(http_ok, {},
-                      this->list(std::string(kind), request.parameter("after")).dump());
+    this->answer(connection, http_ok,
+                 this->list(std::string(kind), request.parameter("after")).dump());
 }
 
 void store_emulator::answer_watch(served_connection& connection, const emulated_request& request,
@@ -195,11 +226,11 @@
     while (true) {
         const json changes = this->changes_after(kind, revision);
         if (changes.is_null()) {
-            connection.answer(http_gone, {}, "{}");
+            this->answer(connection, http_gone, "{}");
             return;
         }
         if (!changes["events"].empty() || steady_clock::now() >= end) {
-            connection.answer(http_ok, {}, changes.dump());
+            this->answer(connection, http_ok, changes.dump());
             return;
         }
         // A watch that waits is cut off when the store falls into trouble.
--- a/sardinestream/testing/emulator/store_emulator.h
+++ b/sardinestream/testing/emulator/store_emulator.h
@@ -1,5 +1,5 @@
 // The platform's object store as our programs see it: lists, watches, one growing revision, and
-// every way in which it fails.
+// every way in which it fails, up to a restoration from an older copy.
 //
 //     auto store = store_emulator::start({"127.0.0.1", 0});
 //     (*store)->put("config", "main", desired_state);
@@ -47,6 +47,10 @@
     void set_trouble(store_trouble wanted);
     // Forgets the history up to now: watches from before are told to list again.
     void compact();
+    // Keeps a copy of all objects. `restore_copy` comes back from it: later writes are gone, their
+    // revisions are given out again, and the era rises by one. Does nothing if there is no copy.
+    void take_copy();
+    void restore_copy();
 
     [[nodiscard]] const address& local() const { return this->server->local(); }
 
@@ -59,12 +63,22 @@
         std::string kind;
         std::string name;
         std::int64_t revision = 0;
-        // Null where the object was removed.
+        // The last one of an object that was removed.
         nlohmann::json specification;
+        bool removed = false;
+    };
+
+    using objects_by_kind = std::map<std::string, std::map<std::string, stored>>;
+    struct copy {
+        objects_by_kind objects;
+        std::int64_t newest = 0;
     };
 
     store_emulator() = default;
 
+    // Answers with the era of the store.
+    void answer(served_connection& connection, int status, const std::string& body) const;
+
     void serve(served_connection& connection);
     void answer_call(served_connection& connection, const emulated_request& request);
     // Waits for a change; nothing at the end of the wait.
@@ -79,11 +93,13 @@
     [[nodiscard]] store_trouble trouble() const;
 
     mutable absl::Mutex mutex;
-    std::map<std::string, std::map<std::string, stored>> objects ABSL_GUARDED_BY(mutex);
+    objects_by_kind objects ABSL_GUARDED_BY(mutex);
     std::deque<change> history ABSL_GUARDED_BY(mutex);
     std::int64_t newest ABSL_GUARDED_BY(mutex) = 1;
     // Watches from before this revision find their history gone.
     std::int64_t oldest ABSL_GUARDED_BY(mutex) = 0;
+    std::int64_t era ABSL_GUARDED_BY(mutex) = 1;
+    std::optional<copy> kept ABSL_GUARDED_BY(mutex);
     store_trouble current ABSL_GUARDED_BY(mutex) = store_trouble::none;
     std::unique_ptr<connection_server> server;
 };
--- a/sardinestream/testing/emulator/store_emulator_test.cc
+++ b/sardinestream/testing/emulator/store_emulator_test.cc
@@ -30,7 +30,7 @@
     this->store->put("servers", "i-1", {{"slots", 2}});
     this->store->remove("servers", "i-1");
     const auto changes =
-        this->client.watch("servers", first, milliseconds(1000), milliseconds(1000));
+        this->client.watch("servers", {first, 1}, milliseconds(1000), milliseconds(1000));
     ASSERT_TRUE(changes.ok()) << changes.status();
     ASSERT_EQ(changes->changes.size(), 2U);
     EXPECT_FALSE(changes->changes[0].removed);
@@ -48,7 +48,24 @@
     const std::int64_t first = this->store->put("servers", "i-1", {{"slots", 1}});
     this->store->compact();
     EXPECT_TRUE(absl::IsOutOfRange(
-        this->client.watch("servers", first, milliseconds(10), milliseconds(1000)).status()));
+        this->client.watch("servers", {first, 1}, milliseconds(10), milliseconds(1000)).status()));
+}
+
+TEST_F(store_emulator_test, a_restored_store_has_lost_what_came_after_its_copy)
+{
+    this->store->put("servers", "kept", {{"slots", 1}});
+    this->store->take_copy();
+    const std::int64_t lost = this->store->put("servers", "lost", {{"slots", 1}});
+    this->store->restore_copy();
+    EXPECT_TRUE(absl::IsOutOfRange(
+        this->client.watch("servers", {lost, 1}, milliseconds(10), milliseconds(1000)).status()));
+    EXPECT_EQ(this->store->put("servers", "next", {{"slots", 1}}), lost);
+    const auto listed = this->client.list("servers", milliseconds(1000));
+    ASSERT_TRUE(listed.ok()) << listed.status();
+    ASSERT_EQ(listed->objects.size(), 2U);
+    EXPECT_EQ(listed->objects[0].name, "kept");
+    EXPECT_EQ(listed->objects[1].name, "next");
+    EXPECT_EQ(listed->position, (store_position{lost, 2}));
 }
 
 TEST_F(store_emulator_test, each_trouble_fails_a_list)
--- a/sardinestream/testing/emulator/wire_words.h
+++ b/sardinestream/testing/emulator/wire_words.h
@@ -11,6 +11,8 @@
 inline constexpr char config_kind[] = "config";
 inline constexpr char config_name[] = "main";
 
+inline constexpr char store_era[] = "Store-Era";
+
 inline constexpr char report_path[] = "/v1/report";
 inline constexpr char counts_path[] = "/v1/picked";
 inline constexpr char order_path[] = "/v1/order";
