--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -1,58 +1,207 @@
 #include "sardinestream/backends/server_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 
+#include "sardinestream/base/digest.h"
+#include "sardinestream/base/log.h"
+
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long departed servers are remembered: longer than any copy is old from which the store may
+// come back, and than an entry may be away.
+constexpr std::chrono::minutes departure_memory{5};
+// Those departed for longer are left out of the digest, so that entries which forget at slightly
+// different times do not differ by it.
+constexpr std::chrono::minutes digest_memory{4};
+constexpr std::size_t max_departed = 4096;
+
+enum class presence : std::uint8_t { in_use, draining, departed };
+
+presence presence_of(const listed_server& listed)
+{
+    return listed.server.draining ? presence::draining : presence::in_use;
+}
 
-bool server_directory::upsert(const listed_server& newer)
+// What a server counts itself, in the order in which it comes about.
+std::tuple<std::int64_t, std::int64_t, presence> age_of(const listed_server& listed, presence state)
 {
-    entry& known = this->entries[newer.server.id];
-    if (known.listed.revision > newer.revision) {
+    return {listed.server.born_ms, listed.sequence, state};
+}
+
+// Returns true if `given` is newer than the known fact, or the same one of the same era.
+bool supersedes(const listed_server& given, presence given_state, const listed_server& known,
+                presence known_state)
+{
+    const bool same_era = given.position.era == known.position.era;
+    if (same_era && given.position.revision != known.position.revision) {
+        return given.position.revision > known.position.revision;
+    }
+    const auto given_age = age_of(given, given_state);
+    const auto known_age = age_of(known, known_state);
+    return same_era ? given_age >= known_age : given_age > known_age;
+}
+
+} // namespace
+
+server_directory::server_directory(milliseconds lifetime) : entry_lifetime(lifetime) {}
+
+bool server_directory::upsert(const listed_server& given)
+{
+    const auto left = this->departed.find(given.server.id);
+    if (left != this->departed.end()) {
+        if (!supersedes(given, presence_of(given), left->second.last, presence::departed)) {
+            return false;
+        }
+        this->departed.erase(left);
+    }
+    const auto [found, is_new] = this->entries.try_emplace(given.server.id);
+    entry& known = found->second;
+    if (!is_new &&
+        !supersedes(given, presence_of(given), known.listed, presence_of(known.listed))) {
         return false;
     }
     const bool changed =
-        !(known.listed.server == newer.server) || known.expires_at != steady_time{};
-    known = {newer, {}};
+        !(known.listed.server == given.server) || known.expires_at != steady_time{} || is_new;
+    known = {given, {}};
     return changed;
 }
 
-bool server_directory::mark_vanished(entry& vanished, steady_time relist_until, steady_time now)
+server_directory::departure server_directory::make_departure(const listed_server& last,
+                                                             steady_time since)
+{
+    return {last,
+            since,
+            stable_hash(absl::StrCat(last.server.id, " ", last.server.born_ms)),
+            std::nullopt,
+            {}};
+}
+
+server_directory::entry_iterator server_directory::depart(entry_iterator gone, steady_time now)
 {
+    this->departed[gone->first] = make_departure(gone->second.listed, now);
+    return this->entries.erase(gone);
+}
+
+server_directory::entry_iterator server_directory::vanish(entry_iterator gone,
+                                                          const store_position& position,
+                                                          steady_time relist_until, steady_time now,
+                                                          bool& changed)
+{
+    entry& vanished = gone->second;
+    vanished.listed.position = position;
     if (relist_until <= now || vanished.listed.server.draining) {
-        return true;
+        changed = true;
+        return this->depart(gone, now);
     }
     if (vanished.expires_at == steady_time{}) {
         vanished.expires_at = relist_until;
     }
-    return false;
+    return std::next(gone);
+}
+
+bool server_directory::remove_absent(const server_list& list, steady_time relist_until,
+                                     steady_time now)
+{
+    std::set<std::string> present;
+    for (const listed_server& listed : list.servers) {
+        present.insert(listed.server.id);
+    }
+    bool changed = false;
+    for (auto it = this->entries.begin(); it != this->entries.end();) {
+        const store_position& position = it->second.listed.position;
+        const bool is_newer = position.era == list.position.era && position > list.position;
+        const bool in_grace = it->second.expires_at > now;
+        if (present.count(it->first) > 0 || is_newer || in_grace) {
+            ++it;
+            continue;
+        }
+        it = this->vanish(it, list.position, relist_until, now, changed);
+    }
+    return changed;
+}
+
+bool server_directory::reconcile(const server_list& list, steady_time relist_until, steady_time now)
+{
+    log_event("servers_reconciled", {{"era", list.position.era},
+                                     {"revision", list.position.revision},
+                                     {"known_era", this->known.era},
+                                     {"known_revision", this->known.revision},
+                                     {"listed", list.servers.size()}});
+    // Revisions of the two histories cannot be compared, even if their eras do not differ.
+    constexpr std::int64_t no_era = -1;
+    bool changed = false;
+    for (listed_server copy : list.servers) {
+        copy.position.era = no_era;
+        changed = this->upsert(copy) || changed;
+    }
+    for (auto& [id, kept] : this->entries) {
+        kept.listed.position = list.position;
+        kept.expires_at = {};
+    }
+    for (auto& [id, left] : this->departed) {
+        left.last.position = list.position;
+    }
+    this->known = list.position;
+    // What was written since the copy is gone, until the servers write it again.
+    const steady_time rewritten = std::max(relist_until, now + relist_grace_period);
+    return this->remove_absent(list, rewritten, now) || changed;
 }
 
 bool server_directory::apply(const server_list& list, steady_time relist_until, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (list.revision < this->known_revision) {
+    const bool is_first = this->known == store_position{};
+    bool changed = false;
+    if (!is_first && (list.restored || list.position.era != this->known.era)) {
+        changed = this->reconcile(list, relist_until, now);
+    }
+    else if (list.position < this->known) {
         return false;
     }
-    this->known_revision = list.revision;
-    std::set<std::string> present;
+    else {
+        changed = this->add_complete(list, relist_until, now);
+    }
+    this->note_relisted(list, now);
+    this->forget_departed(now);
+    return this->readmit_renewed(now) || changed;
+}
+
+bool server_directory::add_complete(const server_list& list, steady_time relist_until,
+                                    steady_time now)
+{
+    this->known = list.position;
     bool changed = false;
     for (const listed_server& listed : list.servers) {
-        present.insert(listed.server.id);
         changed = this->upsert(listed) || changed;
     }
-    for (auto it = this->entries.begin(); it != this->entries.end();) {
-        const bool is_newer = it->second.listed.revision > list.revision;
-        if (present.count(it->first) == 0 && !is_newer &&
-            mark_vanished(it->second, relist_until, now)) {
-            it = this->entries.erase(it);
-            changed = true;
-            continue;
+    return this->remove_absent(list, relist_until, now) || changed;
+}
+
+void server_directory::note_relisted(const server_list& list, steady_time now)
+{
+    std::set<std::string> listed_ids;
+    for (const listed_server& listed : list.servers) {
+        listed_ids.insert(listed.server.id);
+        const auto left = this->departed.find(listed.server.id);
+        if (left != this->departed.end() && !left->second.relisted.has_value()) {
+            left->second.relisted = listed;
+            left->second.relisted_at = now;
+        }
+    }
+    for (auto& [id, left] : this->departed) {
+        if (listed_ids.count(id) == 0) {
+            left.relisted.reset();
         }
-        ++it;
     }
-    return changed;
 }
 
 bool server_directory::apply(const server_changes& news, steady_time relist_until, steady_time now)
@@ -62,36 +211,157 @@
     for (const server_change& change : news.changes) {
         const auto found = this->entries.find(change.id);
         const bool is_known = found != this->entries.end();
+        const bool same_era = change.position.era == this->known.era;
         if (change.server.has_value()) {
             // An entry of this age that is missing from the known list was removed in the meantime.
-            const bool is_past = !is_known && change.revision <= this->known_revision;
-            changed = (!is_past && this->upsert({*change.server, change.revision})) || changed;
+            const bool is_past = !is_known && same_era && change.position <= this->known;
+            const listed_server given = {*change.server, change.position, change.sequence};
+            changed = (!is_past && this->upsert(given)) || changed;
             continue;
         }
-        const bool is_past = is_known && found->second.listed.revision > change.revision;
-        if (is_known && !is_past && mark_vanished(found->second, relist_until, now)) {
-            this->entries.erase(found);
-            changed = true;
+        if (const auto left = this->departed.find(change.id); left != this->departed.end()) {
+            left->second.relisted.reset();
+        }
+        if (!is_known) {
+            continue;
+        }
+        listed_server removed;
+        removed.server.born_ms = change.born_ms;
+        removed.sequence = change.sequence;
+        removed.position = change.position;
+        const listed_server& known_entry = found->second.listed;
+        if (supersedes(removed, presence::departed, known_entry, presence_of(known_entry))) {
+            this->vanish(found, change.position, relist_until, now, changed);
+        }
+    }
+    if (!news.changes.empty() && continues(this->known, news.position)) {
+        this->known = news.position;
+    }
+    this->forget_departed(now);
+    return this->readmit_renewed(now) || changed;
+}
+
+bool server_directory::merge_departed(const departed_server& heard, steady_time now)
+{
+    listed_server last;
+    last.server.id = heard.id;
+    last.server.born_ms = heard.born_ms;
+    last.sequence = heard.sequence;
+    last.position = heard.position;
+    const steady_time since = now - heard.age;
+    if (const auto found = this->entries.find(heard.id); found != this->entries.end()) {
+        const listed_server& known = found->second.listed;
+        if (!supersedes(last, presence::departed, known, presence_of(known))) {
+            return false;
+        }
+        departure left = make_departure(last, since);
+        if (found->second.expires_at == steady_time{}) {
+            left.relisted = known;
+            left.relisted_at = now;
+        }
+        this->entries.erase(found);
+        this->departed[heard.id] = std::move(left);
+        return true;
+    }
+    const auto [left, is_new] = this->departed.try_emplace(heard.id);
+    if (is_new) {
+        left->second = make_departure(last, since);
+    }
+    else if (supersedes(last, presence::departed, left->second.last, presence::departed)) {
+        left->second.last = last;
+        left->second.departed_at = std::max(left->second.departed_at, since);
+    }
+    return false;
+}
+
+bool server_directory::merge(const shared_servers& peer, steady_time relist_until, steady_time now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const store_position position = peer.listed.position;
+    const bool is_first = this->known == store_position{};
+    const bool is_newer = position > this->known;
+    bool changed = false;
+    for (const departed_server& heard : peer.departed) {
+        if (heard.age < departure_memory) {
+            changed = this->merge_departed(heard, now) || changed;
+        }
+    }
+    this->forget_departed(now);
+    if (is_newer) {
+        const bool is_other_era = !is_first && position.era != this->known.era;
+        return (is_other_era ? this->reconcile(peer.listed, relist_until, now)
+                             : this->add_complete(peer.listed, relist_until, now)) ||
+               changed;
+    }
+    for (const listed_server& listed : peer.listed.servers) {
+        const bool is_known =
+            this->entries.count(listed.server.id) > 0 || this->departed.count(listed.server.id) > 0;
+        changed = (is_known && this->upsert(listed)) || changed;
+    }
+    return changed;
+}
+
+bool server_directory::readmit_renewed(steady_time now)
+{
+    bool changed = false;
+    for (auto it = this->departed.begin(); it != this->departed.end();) {
+        const departure& left = it->second;
+        if (!left.relisted.has_value() || now - left.relisted_at <= this->entry_lifetime) {
+            ++it;
+            continue;
         }
+        entry renewed = {*left.relisted, {}};
+        renewed.listed.position = this->known;
+        log_event("server_readmitted", {{"server", it->first}, {"reason", "entry is renewed"}});
+        this->entries[it->first] = std::move(renewed);
+        it = this->departed.erase(it);
+        changed = true;
     }
-    this->known_revision = std::max(this->known_revision, news.revision);
     return changed;
 }
 
+void server_directory::forget_departed(steady_time now)
+{
+    std::erase_if(this->departed, [&](const auto& named) {
+        return now - named.second.departed_at > departure_memory;
+    });
+    while (this->departed.size() > max_departed) {
+        this->departed.erase(std::min_element(
+            this->departed.begin(), this->departed.end(), [](const auto& a, const auto& b) {
+                return a.second.departed_at < b.second.departed_at;
+            }));
+    }
+}
+
 bool server_directory::drop_vanished(steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    const std::size_t dropped = std::erase_if(this->entries, [&](const auto& named) {
-        return named.second.expires_at != steady_time{} && named.second.expires_at <= now;
-    });
-    return dropped > 0;
+    bool dropped = false;
+    for (auto it = this->entries.begin(); it != this->entries.end();) {
+        const steady_time expires_at = it->second.expires_at;
+        if (expires_at == steady_time{} || expires_at > now) {
+            ++it;
+            continue;
+        }
+        it = this->depart(it, now);
+        dropped = true;
+    }
+    return dropped;
 }
 
-std::size_t server_directory::drop_all_vanished()
+std::size_t server_directory::drop_all_vanished(steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    return std::erase_if(
-        this->entries, [](const auto& named) { return named.second.expires_at != steady_time{}; });
+    std::size_t dropped = 0;
+    for (auto it = this->entries.begin(); it != this->entries.end();) {
+        if (it->second.expires_at == steady_time{}) {
+            ++it;
+            continue;
+        }
+        it = this->depart(it, now);
+        ++dropped;
+    }
+    return dropped;
 }
 
 std::vector<backend_server> server_directory::usable() const
@@ -115,16 +385,21 @@
     return all;
 }
 
-server_list server_directory::listed() const
+shared_servers server_directory::shared(steady_time now) const
 {
     const absl::MutexLock lock(&this->mutex);
-    server_list all;
-    all.revision = this->known_revision;
+    shared_servers all;
+    all.listed.position = this->known;
     for (const auto& [id, known] : this->entries) {
         if (known.expires_at == steady_time{}) {
-            all.servers.push_back(known.listed);
+            all.listed.servers.push_back(known.listed);
         }
     }
+    for (const auto& [id, left] : this->departed) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - left.departed_at);
+        all.departed.push_back(
+            {id, left.last.server.born_ms, left.last.sequence, left.last.position, age});
+    }
     return all;
 }
 
@@ -136,10 +411,22 @@
                       [](const auto& named) { return named.second.expires_at != steady_time{}; }));
 }
 
-std::int64_t server_directory::revision() const
+std::uint64_t server_directory::departed_digest(steady_time now) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::uint64_t digest = 0;
+    for (const auto& [id, left] : this->departed) {
+        if (now - left.departed_at < digest_memory) {
+            digest ^= left.digest;
+        }
+    }
+    return digest;
+}
+
+store_position server_directory::position() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->known_revision;
+    return this->known;
 }
 
 } // namespace sardinestream
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -1,8 +1,16 @@
 // Maintains the servers of the fleet as last listed by the store, and determines which may be used.
 //
-// Updates come from the store itself and from other entries that read it, and may arrive out of
-// order. Each server therefore keeps the store's revision of its entry, and an update with an older
-// revision is ignored.
+// Updates come from the store itself and from other entries that read it, may arrive out of order,
+// and the store may come back from an older copy. Which fact about a server is the newer one is
+// decided here alone:
+//
+// - in one era of the store, the later revision is newer;
+// - across eras, what the server counts itself decides: its start, then its writes since the start.
+//   At equal counts, a server that is draining or has departed stays so.
+//
+// After a restoration the first list of the store is compared with what is known, server by server;
+// from then on the facts kept have the position of that list. Departed servers are remembered for
+// some time, so that an older copy does not bring them back, and are told to other entries.
 //
 // A server that vanished from the list after an outage of the store may only have been unable to
 // renew its entry. It stays in use for a grace period, in which a live server is listed again.
@@ -19,6 +27,7 @@
 #include <vector>
 
 #include "sardinestream/backends/backend_server.h"
+#include "sardinestream/base/store_position.h"
 #include "sardinestream/http/socket.h"
 
 #include "absl/base/thread_annotations.h"
@@ -32,15 +41,19 @@
 
 struct listed_server {
     backend_server server;
-    // The store's revision of the server's entry.
-    std::int64_t revision = 0;
+    // The store's position at the last change of the server's entry.
+    store_position position;
+    // Counts the server's own writes since its start; zero if its entry does not say.
+    std::int64_t sequence = 0;
 };
 
 // All servers that the store lists.
 struct server_list {
     std::vector<listed_server> servers;
-    // The store's revision up to which the list is complete.
-    std::int64_t revision = 0;
+    // The store's position up to which the list is complete.
+    store_position position;
+    // The store was restored since its last answer, which its era alone may not show.
+    bool restored = false;
 };
 
 // The creation, update or removal of one server's entry.
@@ -48,43 +61,70 @@
     std::string id;
     // Empty if the entry was removed or no longer describes a server.
     std::optional<backend_server> server;
-    // The store's revision of the entry.
-    std::int64_t revision = 0;
+    store_position position;
+    // What the entry says of its server's age, also the entry that was removed; zero if nothing.
+    std::int64_t born_ms = 0;
+    std::int64_t sequence = 0;
 };
 
-// Changes of the list since an earlier revision.
+// Changes of the list since an earlier position in the same history.
 struct server_changes {
     std::vector<server_change> changes;
-    // The store's revision up to which the list is complete with these changes.
-    std::int64_t revision = 0;
+    // The store's position up to which the list is complete with these changes.
+    store_position position;
+};
+
+// A server whose entry was removed, as other entries are told.
+struct departed_server {
+    std::string id;
+    std::int64_t born_ms = 0;
+    std::int64_t sequence = 0;
+    store_position position;
+    // Time since it departed.
+    std::chrono::milliseconds age{0};
+};
+
+// What one entry tells another about the servers.
+struct shared_servers {
+    server_list listed;
+    std::vector<departed_server> departed;
 };
 
 class server_directory {
 public:
-    // Apply a complete list, or changes to it, atomically. Servers that are no longer listed stay
-    // in use until `relist_until`; they are dropped immediately if that time has passed or they
-    // were draining. Return whether the servers in use may have changed.
+    // `entry_lifetime` is the time within which the store removes the entry of a silent server.
+    explicit server_directory(
+        std::chrono::milliseconds entry_lifetime = std::chrono::milliseconds(4800));
+
+    // Apply the store's complete list, or changes to it, atomically. Servers that are no longer
+    // listed stay in use until `relist_until`; they are dropped immediately if that time has passed
+    // or they were draining. Return whether the servers in use may have changed.
     bool apply(const server_list& list, steady_time relist_until, steady_time now);
     bool apply(const server_changes& news, steady_time relist_until, steady_time now);
+    // Adds what another entry knows; an older fact changes nothing, and servers that its list lacks
+    // vanish only if the list is newer than the known one.
+    bool merge(const shared_servers& peer, steady_time relist_until, steady_time now);
 
     // Drops vanished servers whose grace period is over. Returns whether there was one.
     bool drop_vanished(steady_time now);
     // Drops all vanished servers, for when there was no outage of the store in which their entries
     // could have expired. Returns the number of dropped servers.
-    std::size_t drop_all_vanished();
+    std::size_t drop_all_vanished(steady_time now);
 
     // Returns the servers that may be used. Of several servers at one address, that is only the one
     // that started last: the others have ended, though the store lists them until their entries
     // expire.
     [[nodiscard]] std::vector<backend_server> usable() const;
-    // Returns the listed servers, to be sent to other entries. Vanished servers are left out,
-    // because the receivers would take them for servers that the store still lists.
-    [[nodiscard]] server_list listed() const;
+    // Returns what to tell other entries. Vanished servers are left out, because the receivers
+    // would take them for servers that the store still lists.
+    [[nodiscard]] shared_servers shared(steady_time now) const;
     // Returns the number of servers in use that are no longer listed.
     [[nodiscard]] std::size_t vanished() const;
+    // Returns a digest of the departed servers: entries that know the same have the same digest.
+    [[nodiscard]] std::uint64_t departed_digest(steady_time now) const;
 
-    // Returns the store's revision up to which the list is known; zero before the first list.
-    [[nodiscard]] std::int64_t revision() const;
+    // Returns the store's position up to which the list is known; zero before the first list.
+    [[nodiscard]] store_position position() const;
 
 private:
     struct entry {
@@ -92,16 +132,56 @@
         // End of the grace period of a vanished server; zero if the server is listed.
         steady_time expires_at{};
     };
-
-    // Inserts or updates an entry unless a newer revision is known. Returns whether it changed.
-    bool upsert(const listed_server& newer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Marks an entry as vanished. Returns whether it has to be removed immediately; otherwise it
-    // stays until `relist_until`.
-    static bool mark_vanished(entry& vanished, steady_time relist_until, steady_time now);
-
+    struct departure {
+        // Its last known entry, with the position of its removal.
+        listed_server last;
+        steady_time departed_at{};
+        // Identifies this start of the server.
+        std::uint64_t digest = 0;
+        // The entry that the store, restored, lists again, and since when. A server that is alive
+        // renews it without a change; that of one that is gone expires.
+        std::optional<listed_server> relisted;
+        steady_time relisted_at{};
+    };
+    static departure make_departure(const listed_server& last, steady_time since);
+
+    using entry_iterator = std::map<std::string, entry>::iterator;
+
+    // Reconciles what is known with the first list of another history of the store.
+    bool reconcile(const server_list& list, steady_time relist_until, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Adds a complete list of the known era.
+    bool add_complete(const server_list& list, steady_time relist_until, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Inserts or updates an entry unless a newer fact is known. Returns whether the server's use
+    // may have changed.
+    bool upsert(const listed_server& given) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Marks the servers that a complete list lacks as vanished.
+    bool remove_absent(const server_list& list, steady_time relist_until, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Marks an entry as removed at `position`: it stays until `relist_until`, if that is allowed.
+    // Returns the next entry, and sets `changed` if the entry was removed.
+    entry_iterator vanish(entry_iterator gone, const store_position& position,
+                          steady_time relist_until, steady_time now, bool& changed)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    entry_iterator depart(entry_iterator gone, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool merge_departed(const departed_server& heard, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Notes which departed servers the store lists.
+    void note_relisted(const server_list& list, steady_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Uses departed servers again that the store has listed for longer than an entry without
+    // renewal lasts. Called with each answer of the store.
+    bool readmit_renewed(steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void forget_departed(steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    const std::chrono::milliseconds entry_lifetime;
     mutable absl::Mutex mutex;
+    // A server is in one of the two maps at most.
     std::map<std::string, entry> entries ABSL_GUARDED_BY(mutex);
-    std::int64_t known_revision ABSL_GUARDED_BY(mutex) = 0;
+    std::map<std::string, departure> departed ABSL_GUARDED_BY(mutex);
+    store_position known ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -15,7 +15,7 @@
 
 listed_server at_revision(std::int64_t revision, const backend_server& server)
 {
-    return {server, revision};
+    return {server, {revision}};
 }
 
 class server_directory_test : public testing::Test {
@@ -24,7 +24,7 @@
     bool list(const std::vector<backend_server>& servers, std::int64_t revision,
               bool after_outage = false)
     {
-        server_list all = {{}, revision};
+        server_list all = {{}, {revision}};
         for (const backend_server& server : servers) {
             all.servers.push_back(at_revision(revision, server));
         }
@@ -33,12 +33,13 @@
 
     bool put(const backend_server& server, std::int64_t revision)
     {
-        return this->directory.apply({{{server.id, server, revision}}, revision}, {}, this->start);
+        return this->directory.apply(server_changes{{{server.id, server, {revision}}}, {revision}},
+                                     {}, this->start);
     }
 
     bool remove(const std::string& id, std::int64_t revision, bool after_outage = false)
     {
-        return this->directory.apply({{{id, std::nullopt, revision}}, revision},
+        return this->directory.apply(server_changes{{{id, std::nullopt, {revision}}}, {revision}},
                                      this->relist_until(after_outage), this->start);
     }
 
@@ -96,7 +97,7 @@
     this->remove("a", 2, true);
     this->put(named("c"), 3);
     EXPECT_EQ(this->directory.usable().size(), 3U);
-    const std::vector<listed_server> listed = this->directory.listed().servers;
+    const std::vector<listed_server> listed = this->directory.shared(this->start).listed.servers;
     ASSERT_EQ(listed.size(), 2U);
     EXPECT_EQ(listed[0].server.id, "b");
     EXPECT_EQ(listed[1].server.id, "c");
@@ -150,9 +151,10 @@
 // A list is read page by page while the store changes, so parts of it may be newer than the rest.
 TEST_F(server_directory_test, an_older_list_does_not_undo_a_newer_entry)
 {
-    this->directory.apply(server_list{{at_revision(103, named("a", true))}, 100}, {}, this->start);
-    this->directory.apply(server_list{{at_revision(90, named("a"))}, 101}, {}, this->start);
-    this->directory.apply(server_list{{}, 102}, {}, this->start);
+    this->directory.apply(server_list{{at_revision(103, named("a", true))}, {100}}, {},
+                          this->start);
+    this->directory.apply(server_list{{at_revision(90, named("a"))}, {101}}, {}, this->start);
+    this->directory.apply(server_list{{}, {102}}, {}, this->start);
     ASSERT_EQ(this->directory.usable().size(), 1U);
     EXPECT_TRUE(this->directory.usable()[0].draining);
 }
@@ -160,12 +162,13 @@
 TEST_F(server_directory_test, a_list_is_as_new_as_all_of_its_changes)
 {
     this->list({named("a"), named("b")}, 1);
-    this->directory.apply({{{"a", named("a", true), 2}, {"b", std::nullopt, 3}}, 4}, {},
-                          this->start);
-    const server_list listed = this->directory.listed();
-    EXPECT_EQ(listed.revision, 4);
+    this->directory.apply(
+        server_changes{{{"a", named("a", true), {2}}, {"b", std::nullopt, {3}}}, {4}}, {},
+        this->start);
+    const server_list listed = this->directory.shared(this->start).listed;
+    EXPECT_EQ(listed.position.revision, 4);
     ASSERT_EQ(listed.servers.size(), 1U);
-    EXPECT_EQ(listed.servers[0].revision, 2);
+    EXPECT_EQ(listed.servers[0].position.revision, 2);
     EXPECT_TRUE(listed.servers[0].server.draining);
 }
 
@@ -173,7 +176,7 @@
 {
     this->list({named("a")}, 1);
     const steady_time later = this->start + std::chrono::seconds(2);
-    EXPECT_TRUE(this->directory.apply({{{"a", std::nullopt, 2}}, 2},
+    EXPECT_TRUE(this->directory.apply(server_changes{{{"a", std::nullopt, {2}}}, {2}},
                                       this->start + relist_grace_period, later));
     EXPECT_TRUE(this->directory.usable().empty());
 }
@@ -183,7 +186,7 @@
     this->list({named("a"), named("b")}, 1);
     this->remove("a", 2, true);
     EXPECT_EQ(this->directory.vanished(), 1U);
-    EXPECT_EQ(this->directory.drop_all_vanished(), 1U);
+    EXPECT_EQ(this->directory.drop_all_vanished(this->start), 1U);
     ASSERT_EQ(this->directory.usable().size(), 1U);
     EXPECT_EQ(this->directory.usable()[0].id, "b");
 }
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -156,9 +156,7 @@
 
 void entry_gossip::compare_age(std::uint32_t ip, const state_age& known)
 {
-    const state_age own = this->hooks.age();
-    if (known.config_version > own.config_version ||
-        known.servers_revision > own.servers_revision) {
+    if (this->hooks.age().lacks(known)) {
         this->hooks.on_newer_state(ip_to_string(ip), known);
     }
 }
@@ -170,7 +168,8 @@
     }
     known_entry& heard = this->entries[hello.ip];
     heard.last_heard = steady_clock::now();
-    heard.age = {hello.config_version, hello.servers_revision};
+    heard.age = {
+        hello.config_version, {hello.servers_revision, hello.servers_era}, hello.departed_digest};
     heard.vanished_servers = static_cast<std::size_t>(std::max(0, hello.vanished_servers));
     for (const std::uint32_t other : hello.entries) {
         this->add_entry(other);
@@ -209,7 +208,7 @@
 
 bool entry_gossip::majority_saw_no_outage() const
 {
-    const std::int64_t own = this->hooks.age().servers_revision;
+    const store_position own = this->hooks.age().servers;
     const steady_time now = steady_clock::now();
     int alive = 0;
     int saw_none = 0;
@@ -218,7 +217,7 @@
             continue;
         }
         ++alive;
-        saw_none += heard.age.servers_revision >= own && heard.vanished_servers == 0 ? 1 : 0;
+        saw_none += heard.age.servers >= own && heard.vanished_servers == 0 ? 1 : 0;
     }
     return 2 * saw_none > alive;
 }
@@ -333,7 +332,9 @@
     const state_age own = this->hooks.age();
     hello.ip = ip_to_number(this->own_ip);
     hello.config_version = own.config_version;
-    hello.servers_revision = own.servers_revision;
+    hello.servers_revision = own.servers.revision;
+    hello.servers_era = own.servers.era;
+    hello.departed_digest = own.departed_digest;
     hello.suspects_digest = this->hooks.suspects_digest();
     return hello;
 }
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -19,6 +19,7 @@
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_state.h"
+#include "sardinestream/base/store_position.h"
 #include "sardinestream/peers/datagram_socket.h"
 #include "sardinestream/peers/group_endpoints.h"
 #include "sardinestream/routes/desired_state.h"
@@ -33,8 +34,20 @@
 struct state_age {
     // The operator's version of the desired state; zero if the entry has none.
     std::int64_t config_version = 0;
-    // The store's revision of the list of servers; zero if the entry has none.
-    std::int64_t servers_revision = 0;
+    // The store's position up to which the servers are known; zero if the entry has no list.
+    store_position servers;
+    // Digest of the servers that it knows to have departed.
+    std::uint64_t departed_digest = 0;
+
+    [[nodiscard]] bool is_older_than(const state_age& other) const
+    {
+        return other.config_version > this->config_version || other.servers > this->servers;
+    }
+    // Returns true if an entry whose state is of the age `other` may know what this one does not.
+    [[nodiscard]] bool lacks(const state_age& other) const
+    {
+        return this->is_older_than(other) || other.departed_digest != this->departed_digest;
+    }
 };
 
 struct entry_gossip_hooks {
@@ -45,7 +58,7 @@
     std::function<std::shared_ptr<const desired_state>()> state;
     // Called with each report of an agent about the server at `ip`.
     std::function<void(const std::string& ip, const server_report& report)> on_report;
-    // Called when the entry at `ip` has newer state than this one.
+    // Called when the entry at `ip` may know what this one does not.
     std::function<void(const std::string& ip, const state_age& newer)> on_newer_state;
     // Called when most of the other entries that are alive have a server list at least as new as
     // this one's and keep no vanished servers: the store had no outage, only this entry could not
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -359,6 +359,8 @@
   uint64_t suspects_digest = 0;
   std::vector<sardinestream::news::ServerLimit> limits{};
   int64_t config_version = 0;
+  int64_t servers_era = 0;
+  uint64_t departed_digest = 0;
 };
 
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -373,7 +375,9 @@
     VT_VANISHED_SERVERS = 14,
     VT_SUSPECTS_DIGEST = 16,
     VT_LIMITS = 18,
-    VT_CONFIG_VERSION = 20
+    VT_CONFIG_VERSION = 20,
+    VT_SERVERS_ERA = 22,
+    VT_DEPARTED_DIGEST = 24
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -399,6 +403,12 @@
   int64_t config_version() const {
     return GetField<int64_t>(VT_CONFIG_VERSION, 0);
   }
+  int64_t servers_era() const {
+    return GetField<int64_t>(VT_SERVERS_ERA, 0);
+  }
+  uint64_t departed_digest() const {
+    return GetField<uint64_t>(VT_DEPARTED_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -411,6 +421,8 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            VerifyField<int64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<int64_t>(verifier, VT_SERVERS_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DEPARTED_DIGEST, 8) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -446,6 +458,12 @@
   void add_config_version(int64_t config_version) {
     fbb_.AddElement<int64_t>(EntryHello::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_servers_era(int64_t servers_era) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_SERVERS_ERA, servers_era, 0);
+  }
+  void add_departed_digest(uint64_t departed_digest) {
+    fbb_.AddElement<uint64_t>(EntryHello::VT_DEPARTED_DIGEST, departed_digest, 0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -466,8 +484,12 @@
     int32_t vanished_servers = 0,
     uint64_t suspects_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<const sardinestream::news::ServerLimit *>> limits = 0,
-    int64_t config_version = 0) {
+    int64_t config_version = 0,
+    int64_t servers_era = 0,
+    uint64_t departed_digest = 0) {
   EntryHelloBuilder builder_(_fbb);
+  builder_.add_departed_digest(departed_digest);
+  builder_.add_servers_era(servers_era);
   builder_.add_config_version(config_version);
   builder_.add_suspects_digest(suspects_digest);
   builder_.add_servers_revision(servers_revision);
@@ -493,7 +515,9 @@
     int32_t vanished_servers = 0,
     uint64_t suspects_digest = 0,
     const std::vector<sardinestream::news::ServerLimit> *limits = nullptr,
-    int64_t config_version = 0) {
+    int64_t config_version = 0,
+    int64_t servers_era = 0,
+    uint64_t departed_digest = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<sardinestream::news::ServerLimit>(*limits) : 0;
   return sardinestream::news::CreateEntryHello(
@@ -505,7 +529,9 @@
       vanished_servers,
       suspects_digest,
       limits__,
-      config_version);
+      config_version,
+      servers_era,
+      departed_digest);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1628,6 +1654,8 @@
   { auto _e = suspects_digest(); _o->suspects_digest = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
   { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = servers_era(); _o->servers_era = _e; }
+  { auto _e = departed_digest(); _o->departed_digest = _e; }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1646,6 +1674,8 @@
   auto _suspects_digest = _o->suspects_digest;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   auto _config_version = _o->config_version;
+  auto _servers_era = _o->servers_era;
+  auto _departed_digest = _o->departed_digest;
   return sardinestream::news::CreateEntryHello(
       _fbb,
       _ip,
@@ -1655,7 +1685,9 @@
       _vanished_servers,
       _suspects_digest,
       _limits,
-      _config_version);
+      _config_version,
+      _servers_era,
+      _departed_digest);
 }
 
 inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -152,7 +152,7 @@
     }
 }
 
-absl::StatusOr<backend_server> decode_server_entry(absl::string_view id, absl::string_view text)
+absl::StatusOr<server_entry> decode_server_entry(absl::string_view id, absl::string_view text)
 {
     try {
         const json object = json::parse(text.begin(), text.end());
@@ -176,7 +176,8 @@
         }
         decoded.draining = state == "draining";
         decoded.born_ms = optional_field<std::int64_t>(object, "born", 0);
-        return decoded;
+        return server_entry{std::move(decoded),
+                            optional_field<std::int64_t>(object, "sequence", 0)};
     }
     catch (const json::exception& error) {
         return bad_field("server entry", error.what());
--- a/sardinestream/platform/desired_state_decoder.h
+++ b/sardinestream/platform/desired_state_decoder.h
@@ -3,6 +3,7 @@
 #ifndef SARDINESTREAM_PLATFORM_DESIRED_STATE_DECODER_H_
 #define SARDINESTREAM_PLATFORM_DESIRED_STATE_DECODER_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -19,10 +20,17 @@
 [[nodiscard]] absl::StatusOr<std::shared_ptr<const desired_state>>
 decode_desired_state(absl::string_view json_text);
 
-// Decodes the entry that a server keeps in the store. Returns kInvalidArgument if it is malformed;
-// such an entry was made by another writer and describes no usable server.
-[[nodiscard]] absl::StatusOr<backend_server> decode_server_entry(absl::string_view id,
-                                                                 absl::string_view json_text);
+// The entry that a server keeps in the store.
+struct server_entry {
+    backend_server server;
+    // Counts the server's own writes since its start; zero if the entry does not say.
+    std::int64_t sequence = 0;
+};
+
+// Decodes a server's entry. Returns kInvalidArgument if it is malformed; such an entry was made by
+// another writer and describes no usable server.
+[[nodiscard]] absl::StatusOr<server_entry> decode_server_entry(absl::string_view id,
+                                                               absl::string_view json_text);
 
 } // namespace sardinestream::platform
 
--- a/sardinestream/platform/desired_state_decoder_test.cc
+++ b/sardinestream/platform/desired_state_decoder_test.cc
@@ -64,8 +64,10 @@
 
 TEST(decode_server_entry, reads_an_entry)
 {
-    const absl::StatusOr<backend_server> server = decode_server_entry("i-1", entry);
-    ASSERT_TRUE(server.ok());
+    const absl::StatusOr<server_entry> decoded = decode_server_entry("i-1", entry);
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->sequence, 4);
+    const backend_server* const server = &decoded->server;
     EXPECT_EQ(server->id, "i-1");
     EXPECT_EQ(server->endpoint.port, 8080);
     EXPECT_EQ(server->slots, 12);
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -34,6 +34,7 @@
     options.max_connections = settings.max_connections;
     options.retries_per_request = settings.retry_ratio;
     options.max_retry_burst = settings.retry_slack;
+    options.server_entry_lifetime = settings.server_entry_lifetime;
     return options;
 }
 
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -75,8 +75,8 @@
         }
         this->record_success();
         position = changes->position;
+        this->callbacks.on_changes(*changes, this->relist_until);
         if (!changes->changes.empty()) {
-            this->callbacks.on_changes(*changes, this->relist_until);
             std::this_thread::sleep_for(batch_interval);
         }
     }
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -22,6 +22,7 @@
     // The store was unreachable a short time ago if `relist_until` is in the future: until then,
     // objects that are missing from the store may reappear.
     std::function<void(const object_list& list, steady_time relist_until)> on_list;
+    // Also called with no changes, after a watch that saw none.
     std::function<void(const change_list& changes, steady_time relist_until)> on_changes;
 };
 
--- a/sardinestream/platform/server_entries.cc
+++ b/sardinestream/platform/server_entries.cc
@@ -10,9 +10,9 @@
 namespace sardinestream::platform {
 namespace {
 
-std::optional<backend_server> decode_or_log(const stored_object& object)
+std::optional<server_entry> decode_or_log(const stored_object& object)
 {
-    absl::StatusOr<backend_server> decoded = decode_server_entry(object.name, object.specification);
+    absl::StatusOr<server_entry> decoded = decode_server_entry(object.name, object.specification);
     if (!decoded.ok()) {
         count("sardine_unreadable_server_entries_total");
         log_failure("server_entry_unreadable", decoded.status(), {{"server", object.name}});
@@ -21,16 +21,34 @@
     return *std::move(decoded);
 }
 
+server_change to_server_change(const object_change& change, std::int64_t era)
+{
+    const stored_object& object = change.object;
+    server_change decoded = {object.name, std::nullopt, {object.revision, era}};
+    const std::optional<server_entry> entry = decode_or_log(object);
+    if (!entry.has_value()) {
+        return decoded;
+    }
+    decoded.born_ms = entry->server.born_ms;
+    decoded.sequence = entry->sequence;
+    if (!change.removed) {
+        decoded.server = entry->server;
+    }
+    return decoded;
+}
+
 } // namespace
 
 server_list to_server_list(const object_list& list)
 {
     server_list decoded;
-    decoded.revision = list.position.revision;
+    decoded.position = list.position;
+    decoded.restored = list.restored;
     for (const stored_object& object : list.objects) {
-        std::optional<backend_server> server = decode_or_log(object);
-        if (server.has_value()) {
-            decoded.servers.push_back({*std::move(server), object.revision});
+        std::optional<server_entry> entry = decode_or_log(object);
+        if (entry.has_value()) {
+            decoded.servers.push_back(
+                {std::move(entry->server), {object.revision, list.position.era}, entry->sequence});
         }
     }
     return decoded;
@@ -39,11 +57,9 @@
 server_changes to_server_changes(const change_list& changes)
 {
     server_changes decoded;
-    decoded.revision = changes.position.revision;
+    decoded.position = changes.position;
     for (const object_change& change : changes.changes) {
-        const stored_object& object = change.object;
-        decoded.changes.push_back(
-            {object.name, change.removed ? std::nullopt : decode_or_log(object), object.revision});
+        decoded.changes.push_back(to_server_change(change, changes.position.era));
     }
     return decoded;
 }
--- a/sardinestream/platform/server_entries_test.cc
+++ b/sardinestream/platform/server_entries_test.cc
@@ -11,9 +11,9 @@
 TEST(server_entries, keep_the_revision_of_each_entry)
 {
     const server_list list = to_server_list({{{"a", 5, entry}, {"b", 6, entry}}, {9}});
-    EXPECT_EQ(list.revision, 9);
+    EXPECT_EQ(list.position.revision, 9);
     ASSERT_EQ(list.servers.size(), 2U);
-    EXPECT_EQ(list.servers[0].revision, 5);
+    EXPECT_EQ(list.servers[0].position.revision, 5);
     EXPECT_EQ(list.servers[1].server.id, "b");
 }
 
@@ -28,10 +28,10 @@
 {
     const server_changes decoded =
         to_server_changes({{{{"a", 6, R"({"state":3})"}, false}, {{"b", 7, entry}, false}}, {9}});
-    EXPECT_EQ(decoded.revision, 9);
+    EXPECT_EQ(decoded.position.revision, 9);
     ASSERT_EQ(decoded.changes.size(), 2U);
     EXPECT_EQ(decoded.changes[0].id, "a");
-    EXPECT_EQ(decoded.changes[0].revision, 6);
+    EXPECT_EQ(decoded.changes[0].position.revision, 6);
     EXPECT_FALSE(decoded.changes[0].server.has_value());
     EXPECT_TRUE(decoded.changes[1].server.has_value());
 }
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -30,6 +30,8 @@
 DEFINE_int32(file_descriptors, 4096, "Descriptors that the process may hold, 64 to 1000000");
 DEFINE_double(retry_ratio, 0.2, "Retries per request, fleet-wide, 0 to 1");
 DEFINE_double(retry_slack, 20, "Retries allowed beyond retry_ratio, fleet-wide, 0 to 1e6");
+DEFINE_int32(heartbeat_ms, 1200,
+             "Milliseconds between heartbeats of a server to the store, 10 to 600000");
 DEFINE_double(grace_s, 8, "Seconds from SIGTERM to the end of the process, 1 to 600");
 
 DEFINE_string(backend, "", "IP:PORT of the backend server beside this process");
@@ -112,6 +114,8 @@
     constexpr int max_descriptors = 1000000;
     constexpr double max_slack = 1e6;
     constexpr double max_grace_s = 600;
+    constexpr int min_heartbeat_ms = 10;
+    constexpr int max_heartbeat_ms = 600000;
     entry_settings settings;
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("front_listen", FLAGS_front_listen));
@@ -121,6 +125,8 @@
         check_range("file_descriptors", FLAGS_file_descriptors, min_descriptors, max_descriptors));
     SARDINE_RETURN_IF_ERROR(check_number("retry_ratio", FLAGS_retry_ratio, 0, 1));
     SARDINE_RETURN_IF_ERROR(check_number("retry_slack", FLAGS_retry_slack, 0, max_slack));
+    SARDINE_RETURN_IF_ERROR(
+        check_range("heartbeat_ms", FLAGS_heartbeat_ms, min_heartbeat_ms, max_heartbeat_ms));
     SARDINE_RETURN_IF_ERROR(check_number("grace_s", FLAGS_grace_s, 1, max_grace_s));
     absl::StatusOr<std::vector<address>> seeds = parse_addresses(FLAGS_seeds);
     if (!seeds.ok()) {
@@ -135,6 +141,10 @@
     settings.max_connections = FLAGS_file_descriptors / descriptors_per_connection;
     settings.retry_ratio = FLAGS_retry_ratio;
     settings.retry_slack = FLAGS_retry_slack;
+    // The store removes an entry after three heartbeats of silence; the fourth is a margin.
+    constexpr int heartbeats_per_entry = 4;
+    settings.server_entry_lifetime =
+        std::chrono::milliseconds(FLAGS_heartbeat_ms) * heartbeats_per_entry;
     constexpr double ms_per_s = 1000.0;
     settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
     return settings;
@@ -162,9 +172,10 @@
 
 absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
 {
-    SARDINE_RETURN_IF_ERROR(load(argc, argv,
-                                 {"front_listen", "ready_listen", "store", "seeds",
-                                  "file_descriptors", "retry_ratio", "retry_slack", "grace_s"}));
+    SARDINE_RETURN_IF_ERROR(
+        load(argc, argv,
+             {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "retry_ratio",
+              "retry_slack", "heartbeat_ms", "grace_s"}));
     return read_entry();
 }
 
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -41,6 +41,8 @@
     int max_connections = 0;
     double retry_ratio = 0;
     double retry_slack = 0;
+    // Time within which the store removes the entry of a silent server.
+    std::chrono::milliseconds server_entry_lifetime{0};
     std::chrono::milliseconds grace{8000};
 };
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -58,7 +58,7 @@
 entry_program::entry_program(const entry_options& chosen, wire_protocol spoken,
                              desired_state_decoder decoder)
     : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
-      servers(dispatcher_options{options.data_centre}),
+      directory(chosen.server_entry_lifetime), servers(dispatcher_options{options.data_centre}),
       suspects(
           suspects::suspect_registry::create(shared_server_suspects([this](const digest128& trait) {
               const absl::MutexLock lock(&this->mutex);
@@ -126,7 +126,8 @@
 
 state_age entry_program::own_age() const
 {
-    return {this->state.version(), this->directory.revision()};
+    return {this->state.version(), this->directory.position(),
+            this->directory.departed_digest(steady_clock::now())};
 }
 
 void entry_program::apply_entries(const process_group& alive, int known)
@@ -206,7 +207,9 @@
     for (const backend_server& server : usable) {
         leaving += server.draining ? 1 : 0;
     }
-    log_event("servers_known", {{"revision", this->directory.revision()},
+    const store_position position = this->directory.position();
+    log_event("servers_known", {{"revision", position.revision},
+                                {"era", position.era},
                                 {"servers", usable.size()},
                                 {"leaving", leaving},
                                 {"vanished", this->directory.vanished()}});
@@ -238,12 +241,12 @@
 
 void entry_program::drop_vanished_servers()
 {
-    const std::size_t dropped = this->directory.drop_all_vanished();
+    const std::size_t dropped = this->directory.drop_all_vanished(steady_clock::now());
     if (dropped == 0) {
         return;
     }
     count("sardine_vanished_servers_dropped_total");
-    log_event("servers_gone", {{"revision", this->directory.revision()},
+    log_event("servers_gone", {{"revision", this->directory.position().revision},
                                {"servers", dropped},
                                {"reason", "other entries saw no outage of the store"}});
     this->publish_servers();
@@ -267,7 +270,8 @@
     set_gauge("sardine_requests_waiting", {}, this->servers.waiting());
     set_gauge("sardine_desired_state_version", {},
               current == nullptr ? 0 : static_cast<double>(current->version));
-    set_gauge("sardine_servers_revision", {}, static_cast<double>(this->directory.revision()));
+    set_gauge("sardine_servers_revision", {},
+              static_cast<double>(this->directory.position().revision));
     set_gauge("sardine_crash_suspects", {}, static_cast<double>(this->suspects->blamed()));
     set_gauge("sardine_entries", {{"seen", "alive"}}, this->entries_alive);
     set_gauge("sardine_entries", {{"seen", "lately"}}, this->entries_known);
@@ -302,7 +306,8 @@
                              {"desired_state_source", origin.source},
                              {"desired_state_since", absl::FormatTime(origin.since)},
                              {"desired_state_revision", this->state.document().revision},
-                             {"servers_revision", this->directory.revision()},
+                             {"servers_revision", this->directory.position().revision},
+                             {"servers_era", this->directory.position().era},
                              {"entries_alive", this->entries_alive.load()},
                              {"entries_known", this->entries_known.load()},
                              {"crash_suspects", this->suspects->blamed()},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -48,6 +48,8 @@
     // whole fleet.
     double retries_per_request = 0.1;
     double max_retry_burst = 80;
+    // Time within which the store removes the entry of a silent server.
+    std::chrono::milliseconds server_entry_lifetime{4800};
 
     friend bool operator==(const entry_options&, const entry_options&) = default;
 };
@@ -91,6 +93,8 @@
     // Logs the number of refused suspects when it has changed. Called only by the ticker thread.
     void log_changed_suspects();
     void fetch_from(const std::string& ip);
+    // Adds what another entry knows of the servers.
+    void merge_servers(const shared_servers& servers);
     [[nodiscard]] state_age own_age() const;
     // Applies the entries that are alive, and the number of those that are not yet forgotten.
     void apply_entries(const process_group& alive, int known);
@@ -142,6 +146,8 @@
         steady_time since{};
     };
     std::optional<peer_with_newer_state> newer_peer ABSL_GUARDED_BY(mutex);
+    // When state was last fetched for the sake of departed servers alone.
+    steady_time departed_fetched ABSL_GUARDED_BY(mutex){};
     // Those that are alive.
     process_group entries ABSL_GUARDED_BY(mutex);
     // An entry whose knowledge of suspects differs from this one's.
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -88,21 +88,28 @@
 {
     // The store's own update mostly arrives within this time, which makes the fetch unnecessary.
     constexpr milliseconds store_update_wait{350};
+    constexpr milliseconds departed_fetch_interval{1000};
     const state_age own = this->own_age();
     const absl::MutexLock lock(&this->mutex);
     if (!this->newer_peer.has_value()) {
         return std::nullopt;
     }
-    const state_age& newer = this->newer_peer->age;
-    if (newer.config_version <= own.config_version &&
-        newer.servers_revision <= own.servers_revision) {
+    if (!own.lacks(this->newer_peer->age)) {
         this->newer_peer.reset();
         return std::nullopt;
     }
-    const bool has_no_state = own.config_version == 0 || own.servers_revision == 0;
-    if (!has_no_state && steady_clock::now() - this->newer_peer->since < store_update_wait) {
+    const bool has_no_state = own.config_version == 0 || own.servers == store_position{};
+    const steady_time now = steady_clock::now();
+    if (!has_no_state && now - this->newer_peer->since < store_update_wait) {
         return std::nullopt;
     }
+    if (!own.is_older_than(this->newer_peer->age)) {
+        // Only departed servers differ: perhaps the peer is the one that lacks some.
+        if (now - this->departed_fetched < departed_fetch_interval) {
+            return std::nullopt;
+        }
+        this->departed_fetched = now;
+    }
     std::string ip = std::move(this->newer_peer->ip);
     this->newer_peer.reset();
     return ip;
@@ -150,6 +157,16 @@
     this->suspects_sent = sequence;
 }
 
+void entry_program::merge_servers(const shared_servers& servers)
+{
+    const steady_time now = steady_clock::now();
+    const bool changed = this->directory.merge(servers, now + relist_grace_period, now);
+    this->servers_known = true;
+    if (changed) {
+        this->publish_servers();
+    }
+}
+
 void entry_program::fetch_from(const std::string& ip)
 {
     http_client peer({ip, this->options.news_port});
@@ -166,15 +183,14 @@
         }
     }
     const absl::StatusOr<http_answer> listed =
-        peer.call("GET", absl::StrCat(servers_path, "?after=", this->directory.revision()), "",
-                  steady_clock::now() + fetch_timeout);
+        peer.call("GET", servers_path, "", steady_clock::now() + fetch_timeout);
     if (listed.ok() && listed->status == http_ok) {
-        const absl::StatusOr<server_list> list = decode_servers(listed->body);
-        if (list.ok()) {
-            this->apply_server_list(*list, steady_clock::now() + relist_grace_period);
+        const absl::StatusOr<shared_servers> servers = decode_servers(listed->body);
+        if (servers.ok()) {
+            this->merge_servers(*servers);
         }
         else {
-            log_failure("peer_state_unread", list.status(), {{"entry", ip}});
+            log_failure("peer_state_unread", servers.status(), {{"entry", ip}});
         }
     }
     if (!config.ok() || !listed.ok()) {
@@ -189,6 +205,14 @@
     if (head.target == suspects_path) {
         return {http_ok, {}, this->suspects->report()};
     }
+    if (head.target == servers_path) {
+        const bool knows_servers = this->directory.position() != store_position{};
+        return knows_servers
+                   ? http_answer{http_ok,
+                                 {},
+                                 encode_servers(this->directory.shared(steady_clock::now()))}
+                   : http_answer{nothing_newer, {}, ""};
+    }
     std::int64_t known = 0;
     const std::pair<absl::string_view, absl::string_view> parts =
         absl::StrSplit(absl::string_view(head.target), absl::MaxSplits("?after=", 1));
@@ -200,11 +224,6 @@
                    ? http_answer{http_ok, {}, encode_document(this->state.document())}
                    : http_answer{nothing_newer, {}, ""};
     }
-    if (parts.first == servers_path) {
-        const server_list list = this->directory.listed();
-        return list.revision > known ? http_answer{http_ok, {}, encode_servers(list)}
-                                     : http_answer{nothing_newer, {}, ""};
-    }
     return {http_not_found, {}, ""};
 }
 
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -31,7 +31,7 @@
     server.id = id;
     server.service = "orders";
     server.endpoint = {"127.0.7.9", 1 + static_cast<int>(std::hash<std::string>()(id) % 60000)};
-    return {server, 10};
+    return {server, {10}};
 }
 
 // A server that has left must be out of use everywhere within this time.
@@ -138,7 +138,7 @@
     EXPECT_EQ(this->readiness(1), 503);
     entry->apply_desired_state("3", 10, "store");
     EXPECT_EQ(this->readiness(1), 503);
-    entry->apply_server_list({{}, 10}, {});
+    entry->apply_server_list({{}, {10}}, {});
     EXPECT_EQ(this->readiness(1), 200);
 }
 
@@ -147,7 +147,7 @@
     const std::unique_ptr<entry_program> connected = this->start(1, {});
     const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
     connected->apply_desired_state("3", 10, "store");
-    connected->apply_server_list({{}, 11}, {});
+    connected->apply_server_list({{}, {11}}, {});
     EXPECT_TRUE(this->becomes_ready(2));
 }
 
@@ -158,7 +158,7 @@
     const std::unique_ptr<entry_program> known = this->start(1, {});
     const std::unique_ptr<entry_program> started = this->start(2, {"127.0.7.1"});
     for (entry_program* entry : {known.get(), started.get()}) {
-        entry->apply_server_list({{}, 50}, {});
+        entry->apply_server_list({{}, {50}}, {});
     }
     known->apply_desired_state("7", 41, "store");
     started->apply_desired_state("5", 52, "store");
@@ -166,6 +166,40 @@
     EXPECT_TRUE(this->shows(1, "\"desired_state_version\":7"));
 }
 
+TEST_F(entry_program_test, that_has_just_started_does_not_use_a_departed_server_of_an_older_copy)
+{
+    const std::unique_ptr<entry_program> known = this->start(1, {});
+    known->apply_desired_state("3", 9, "store");
+    known->apply_server_list({{named("left"), named("stays")}, {10, 1}}, {});
+    known->apply_server_changes({{{"left", std::nullopt, {11, 1}}}, {11, 1}}, {});
+    const server_list copy = {{named("left"), named("stays")}, {10, 2}};
+    known->apply_server_list(copy, {});
+    const std::unique_ptr<entry_program> started = this->start(2, {"127.0.7.1"});
+    started->apply_desired_state("3", 9, "store");
+    started->apply_server_list(copy, {});
+    EXPECT_TRUE(this->stops_using(2, "left", shortest_drain));
+    EXPECT_FALSE(this->uses(1, "left"));
+    EXPECT_TRUE(this->uses(2, "stays"));
+}
+
+// The store rejects one entry and is restored meanwhile.
+TEST_F(entry_program_test, of_an_earlier_era_uses_what_its_peers_use)
+{
+    const std::unique_ptr<entry_program> connected = this->start(1, {});
+    const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
+    for (entry_program* entry : {connected.get(), rejected.get()}) {
+        entry->apply_desired_state("3", 9, "store");
+        entry->apply_server_list({{named("leaves"), named("stays")}, {40, 1}}, {});
+    }
+    connected->apply_server_list({{named("leaves"), named("stays")}, {20, 2}}, {});
+    connected->apply_server_changes(
+        {{{"leaves", std::nullopt, {21, 2}}, {"comes", named("comes").server, {22, 2}}}, {22, 2}},
+        {});
+    EXPECT_TRUE(this->stops_using(2, "leaves", shortest_drain));
+    EXPECT_TRUE(this->uses(2, "comes"));
+    EXPECT_TRUE(this->uses(2, "stays"));
+}
+
 TEST_F(entry_program_test,
        does_not_keep_a_server_that_left_while_only_this_entry_had_lost_the_store)
 {
@@ -173,10 +207,10 @@
     const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
     for (entry_program* entry : {connected.get(), rejected.get()}) {
         entry->apply_desired_state("3", 9, "store");
-        entry->apply_server_list({{named("leaves"), named("stays")}, 10}, {});
+        entry->apply_server_list({{named("leaves"), named("stays")}, {10}}, {});
     }
     ASSERT_TRUE(this->uses(2, "leaves"));
-    connected->apply_server_changes({{{"leaves", std::nullopt, 11}}, 11}, {});
+    connected->apply_server_changes({{{"leaves", std::nullopt, {11}}}, {11}}, {});
     EXPECT_TRUE(this->stops_using(2, "leaves", shortest_drain));
     EXPECT_TRUE(this->uses(2, "stays"));
 }
@@ -190,7 +224,7 @@
     const std::unique_ptr<entry_program> entry = this->start(1, {});
     std::int64_t revision = 10;
     for (int round = 0; round < rounds; ++round) {
-        server_list all = {{}, ++revision};
+        server_list all = {{}, {++revision}};
         for (const std::string& id : ids) {
             all.servers.push_back(named(id));
         }
@@ -200,7 +234,7 @@
         removals.reserve(ids.size());
         for (const std::string& id : ids) {
             removals.emplace_back([&, id] {
-                entry->apply_server_changes({{{id, std::nullopt, revision}}, revision}, {});
+                entry->apply_server_changes({{{id, std::nullopt, {revision}}}, {revision}}, {});
             });
         }
         for (std::thread& removal : removals) {
@@ -216,7 +250,7 @@
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
     entry->apply_desired_state("3", 10, "store");
-    entry->apply_server_list({{}, 10}, {});
+    entry->apply_server_list({{}, {10}}, {});
     std::thread stopper([&] { entry->stop(milliseconds(1500)); });
     std::this_thread::sleep_for(milliseconds(100));
     EXPECT_EQ(this->readiness(1), 503);
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -14,11 +14,22 @@
     return make_error(absl::StatusCode::kInvalidArgument, "decode", "entry", error.what());
 }
 
+json encode_position(const store_position& position)
+{
+    return {{"revision", position.revision}, {"era", position.era}};
+}
+
+store_position decode_position(const json& object)
+{
+    return {object.at("revision").get<std::int64_t>(), object.at("era").get<std::int64_t>()};
+}
+
 json encode_server(const listed_server& listed)
 {
     const backend_server& server = listed.server;
     return {{"id", server.id},
-            {"revision", listed.revision},
+            {"position", encode_position(listed.position)},
+            {"sequence", listed.sequence},
             {"born_ms", server.born_ms},
             {"endpoint", server.endpoint.to_string()},
             {"data_centre", server.data_centre},
@@ -30,7 +41,8 @@
 absl::StatusOr<listed_server> decode_server(const json& object)
 {
     listed_server listed;
-    listed.revision = object.at("revision").get<std::int64_t>();
+    listed.position = decode_position(object.at("position"));
+    listed.sequence = object.at("sequence").get<std::int64_t>();
     backend_server& server = listed.server;
     server.id = object.at("id").get<std::string>();
     server.born_ms = object.at("born_ms").get<std::int64_t>();
@@ -46,6 +58,22 @@
     return listed;
 }
 
+json encode_departed(const departed_server& left)
+{
+    return {{"id", left.id},
+            {"position", encode_position(left.position)},
+            {"sequence", left.sequence},
+            {"born_ms", left.born_ms},
+            {"age_ms", left.age.count()}};
+}
+
+departed_server decode_departed(const json& object)
+{
+    return {object.at("id").get<std::string>(), object.at("born_ms").get<std::int64_t>(),
+            object.at("sequence").get<std::int64_t>(), decode_position(object.at("position")),
+            std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>())};
+}
+
 } // namespace
 
 std::string encode_document(const stored_document& document)
@@ -65,29 +93,37 @@
     }
 }
 
-std::string encode_servers(const server_list& list)
+std::string encode_servers(const shared_servers& servers)
 {
-    json object = {{"revision", list.revision}, {"servers", json::array()}};
-    for (const listed_server& listed : list.servers) {
+    json object = {{"position", encode_position(servers.listed.position)},
+                   {"servers", json::array()},
+                   {"departed", json::array()}};
+    for (const listed_server& listed : servers.listed.servers) {
         object["servers"].push_back(encode_server(listed));
     }
+    for (const departed_server& left : servers.departed) {
+        object["departed"].push_back(encode_departed(left));
+    }
     return object.dump();
 }
 
-absl::StatusOr<server_list> decode_servers(absl::string_view text)
+absl::StatusOr<shared_servers> decode_servers(absl::string_view text)
 {
     try {
         const json object = json::parse(text.begin(), text.end());
-        server_list list;
-        list.revision = object.at("revision").get<std::int64_t>();
+        shared_servers servers;
+        servers.listed.position = decode_position(object.at("position"));
         for (const json& entry : object.at("servers")) {
             absl::StatusOr<listed_server> listed = decode_server(entry);
             if (!listed.ok()) {
                 return listed.status();
             }
-            list.servers.push_back(*std::move(listed));
+            servers.listed.servers.push_back(*std::move(listed));
+        }
+        for (const json& entry : object.at("departed")) {
+            servers.departed.push_back(decode_departed(entry));
         }
-        return list;
+        return servers;
     }
     catch (const json::exception& error) {
         return unreadable(error);
--- a/sardinestream/programs/peer_state.h
+++ b/sardinestream/programs/peer_state.h
@@ -16,8 +16,8 @@
 [[nodiscard]] std::string encode_document(const stored_document& document);
 [[nodiscard]] absl::StatusOr<stored_document> decode_document(absl::string_view text);
 
-[[nodiscard]] std::string encode_servers(const server_list& list);
-[[nodiscard]] absl::StatusOr<server_list> decode_servers(absl::string_view text);
+[[nodiscard]] std::string encode_servers(const shared_servers& servers);
+[[nodiscard]] absl::StatusOr<shared_servers> decode_servers(absl::string_view text);
 
 } // namespace sardinestream
 
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -24,12 +24,21 @@
     server.data_centre = "a";
     server.slots = 3;
     server.draining = true;
-    const absl::StatusOr<server_list> read = decode_servers(encode_servers({{{server, 7}}, 9}));
+    const departed_server left = {"i-2", 6, 4, {8, 2}, std::chrono::milliseconds(150)};
+    const absl::StatusOr<shared_servers> read =
+        decode_servers(encode_servers({{{{server, {7, 2}, 3}}, {9, 2}}, {left}}));
     ASSERT_TRUE(read.ok());
-    EXPECT_EQ(read->revision, 9);
-    ASSERT_EQ(read->servers.size(), 1U);
-    EXPECT_EQ(read->servers[0].server, server);
-    EXPECT_EQ(read->servers[0].revision, 7);
+    EXPECT_EQ(read->listed.position, (store_position{9, 2}));
+    ASSERT_EQ(read->listed.servers.size(), 1U);
+    EXPECT_EQ(read->listed.servers[0].server, server);
+    EXPECT_EQ(read->listed.servers[0].position, (store_position{7, 2}));
+    EXPECT_EQ(read->listed.servers[0].sequence, 3);
+    ASSERT_EQ(read->departed.size(), 1U);
+    EXPECT_EQ(read->departed[0].id, "i-2");
+    EXPECT_EQ(read->departed[0].born_ms, 6);
+    EXPECT_EQ(read->departed[0].sequence, 4);
+    EXPECT_EQ(read->departed[0].position, (store_position{8, 2}));
+    EXPECT_EQ(read->departed[0].age, left.age);
 }
 
 TEST(peer_state, refuses_what_it_cannot_read)
--- a/sardinestream/testing/emulator/crash_containment_test.cc
+++ b/sardinestream/testing/emulator/crash_containment_test.cc
@@ -59,7 +59,7 @@
     [[nodiscard]] server_list list() const
     {
         server_list all;
-        all.revision = this->revision;
+        all.position.revision = this->revision;
         for (const std::unique_ptr<node>& one : this->nodes) {
             all.servers.push_back({one->described, one->revision});
         }
--- a/sardinestream/testing/emulator/server_limit_test.cc
+++ b/sardinestream/testing/emulator/server_limit_test.cc
@@ -56,7 +56,7 @@
     [[nodiscard]] server_list list() const
     {
         server_list all;
-        all.revision = 2;
+        all.position.revision = 2;
         for (const std::unique_ptr<connection_server>& server : this->servers) {
             backend_server described;
             described.id = absl::StrCat("i-", all.servers.size());
