An odd object of another writer costs only itself

Change: json_parts splits an answer into the raw texts of its objects without recursion; each object is decoded alone, and its specification by the decoder of its kind, which refuses what is nested too deeply and integers out of range. An odd server in a peer's copy is left out like one in the store's list. Evidence: the new tests of object_watcher (10 kinds of odd objects, in a list and in a watch) ended with a segmentation fault before, two tests of decode_server_entry failed; all pass now.

--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -1,11 +1,15 @@
 #include "sardinestream/platform/desired_state_decoder.h"
 
 #include <algorithm>
+#include <cmath>
+#include <stdexcept>
+#include <type_traits>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/json_parts.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -20,25 +24,63 @@
                       absl::StrCat(field, ": ", reason));
 }
 
-// Returns a mandatory field; throws json::exception if it is missing or has another type.
+// Objects of other writers may be nested so deeply that reading them exhausts the stack.
+constexpr int max_depth = 32;
+// More than any server has.
+constexpr int max_slots = 1'000'000;
+// Length to which a reason quotes unreadable text.
+constexpr std::size_t max_reason = 200;
+
+// Returns the value if it has the type and is in the range of `Value`; throws std::exception
+// otherwise, as the parser does.
+template <typename Value>
+Value checked(const json& value, const char* field)
+{
+    if constexpr (std::is_integral_v<Value> && !std::is_same_v<Value, bool>) {
+        constexpr double largest_exact = 9007199254740992.0; // 2^53
+        const bool is_whole = value.is_number_float() &&
+                              std::abs(value.get<double>()) <= largest_exact &&
+                              std::trunc(value.get<double>()) == value.get<double>();
+        const bool in_range = value.is_number_unsigned()
+                                  ? std::in_range<Value>(value.get<std::uint64_t>())
+                                  : (value.is_number_integer() || is_whole) &&
+                                        std::in_range<Value>(value.get<std::int64_t>());
+        if (!in_range) {
+            throw std::out_of_range(absl::StrCat(field, " is no number, or out of range"));
+        }
+    }
+    return value.get<Value>();
+}
+
+// Returns a mandatory field; throws std::exception if it is missing or has another type.
 template <typename Value>
 Value required(const json& object, const char* field)
 {
-    return object.at(field).get<Value>();
+    return checked<Value>(object.at(field), field);
 }
 
 template <typename Value>
 Value optional_field(const json& object, const char* field, Value missing)
 {
     const auto found = object.find(field);
-    return found == object.end() || found->is_null() ? missing : found->get<Value>();
+    return found == object.end() || found->is_null() ? missing : checked<Value>(*found, field);
+}
+
+// Parses text that is not nested too deeply; throws std::exception otherwise.
+json parse(absl::string_view text)
+{
+    if (json_depth(text) > max_depth) {
+        throw std::out_of_range("nested too deeply");
+    }
+    return json::parse(text.begin(), text.end());
 }
 
 std::chrono::milliseconds optional_ms(const json& object, const char* field,
                                       std::chrono::milliseconds missing)
 {
+    constexpr double max_ms = 1e12;
     const double given = optional_field(object, field, static_cast<double>(missing.count()));
-    return std::chrono::milliseconds(static_cast<std::int64_t>(given));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(given, 0.0, max_ms)));
 }
 
 request_kind decode_kind(const std::string& name)
@@ -128,7 +170,7 @@
 absl::StatusOr<std::shared_ptr<const desired_state>> decode_desired_state(absl::string_view text)
 {
     try {
-        const json document = json::parse(text.begin(), text.end());
+        const json document = parse(text);
         auto state = std::make_shared<desired_state>();
         state->version = required<std::int64_t>(document, "version");
         for (const json& object : document.at("routes")) {
@@ -147,15 +189,15 @@
         state->index_routes();
         return state;
     }
-    catch (const json::exception& error) {
-        return bad_field("desired state", error.what());
+    catch (const std::exception& error) {
+        return bad_field("desired state", absl::string_view(error.what()).substr(0, max_reason));
     }
 }
 
 absl::StatusOr<server_entry> decode_server_entry(absl::string_view id, absl::string_view text)
 {
     try {
-        const json object = json::parse(text.begin(), text.end());
+        const json object = parse(text);
         backend_server decoded;
         decoded.id = std::string(id);
         decoded.service = required<std::string>(object, "service");
@@ -167,8 +209,8 @@
         decoded.endpoint = *endpoint;
         decoded.data_centre = required<std::string>(object, "zone");
         decoded.slots = required<int>(object, "slots");
-        if (decoded.slots < 1) {
-            return bad_field("slots", "below 1");
+        if (decoded.slots < 1 || decoded.slots > max_slots) {
+            return bad_field("slots", "not between 1 and 1,000,000");
         }
         const auto state = required<std::string>(object, "state");
         if (state != "ready" && state != "draining") {
@@ -179,8 +221,8 @@
         return server_entry{std::move(decoded),
                             optional_field<std::int64_t>(object, "sequence", 0)};
     }
-    catch (const json::exception& error) {
-        return bad_field("server entry", error.what());
+    catch (const std::exception& error) {
+        return bad_field("server entry", absl::string_view(error.what()).substr(0, max_reason));
     }
 }
 
--- a/sardinestream/platform/desired_state_decoder_test.cc
+++ b/sardinestream/platform/desired_state_decoder_test.cc
@@ -58,6 +58,16 @@
     EXPECT_TRUE(absl::IsInvalidArgument(decode_desired_state("{\"version\":1}").status()));
 }
 
+TEST(decode_server_entry, refuses_an_entry_nested_too_deeply)
+{
+    for (const std::size_t depth : {100U, 500000U}) {
+        const std::string text =
+            R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","slots":12,"state":"ready","x":)" +
+            std::string(depth, '[') + std::string(depth, ']') + "}";
+        EXPECT_TRUE(absl::IsInvalidArgument(decode_server_entry("i-1", text).status()));
+    }
+}
+
 constexpr char entry[] =
     R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","slots":12,"state":"ready",)"
     R"("cold-remaining-ms":5,"sequence":4,"born":123})";
@@ -77,12 +87,20 @@
 
 TEST(decode_server_entry, refuses_entries_of_another_writer)
 {
-    for (const char* const bad :
-         {"{}", "nonsense", "[]", "null", R"({"service":"s1"})",
-          R"({"service":"s1","address":"host:1","zone":"a","slots":1,"state":"ready"})",
-          R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":"1","state":"ready"})",
-          R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":0,"state":"ready"})",
-          R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1,"state":"odd"})"}) {
+    for (
+        const char* const bad :
+        {"{}", "nonsense", "[]", "null", R"({"service":"s1"})",
+         R"({"service":"s1","address":"host:1","zone":"a","slots":1,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":"1","state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":0,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1,"state":"odd"})",
+         R"({"service":"s1","address":"10.0.0.1:70000","zone":"a","slots":1,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1e999,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1e300,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":4294967297,"state":"ready"})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1e19})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1.5})",
+         R"({"service":"s1","address":"10.0.0.1:1","zone":"a","slots":1,"state":"ready","sequence":99999999999999999999})"}) {
         EXPECT_TRUE(absl::IsInvalidArgument(decode_server_entry("i-1", bad).status())) << bad;
     }
 }
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -226,6 +226,83 @@
     }
 }
 
+// What another writer may leave among the objects of a kind.
+std::vector<std::string> odd_objects()
+{
+    constexpr std::size_t depth = 300000;
+    const std::string metadata = R"({"metadata":{"name":"odd","revision":3},"specification":)";
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    return {metadata + deep + "}",
+            metadata + R"({"slots":1e999}})",
+            metadata + "{\"zone\":\"\xff\xfe\"}}",
+            metadata + R"({"zone":"\ud800"}})",
+            metadata + "tru}",
+            R"({"metadata":{"name":7,"revision":3},"specification":{}})",
+            R"({"metadata":{"name":"odd","revision":1e400},"specification":{}})",
+            R"({"metadata":)" + deep + "}",
+            "17",
+            "null"};
+}
+
+TEST(object_watcher, an_odd_object_in_a_list_costs_only_itself)
+{
+    for (const std::string& odd : odd_objects()) {
+        std::atomic<int> seen = 0;
+        scripted_server store([&](scripted_connection& connection) {
+            while (connection.read_request()) {
+                if (absl::StrContains(connection.head.target, "watch")) {
+                    (void)connection.wait_for_end(milliseconds(300));
+                    return;
+                }
+                connection.write(answer(200, absl::StrCat(R"({"items":[)", object("a", 1), ",", odd,
+                                                          ",", object("b", 2), R"(],"at":9})")));
+            }
+        });
+        const object_watcher follower(store.local(), "servers",
+                                      {[&](const object_list& list, steady_time) {
+                                           for (const stored_object& listed : list.objects) {
+                                               seen +=
+                                                   listed.name == "a" || listed.name == "b" ? 1 : 0;
+                                           }
+                                       },
+                                       [](const change_list&, steady_time) {}});
+        EXPECT_TRUE(eventually([&] { return seen == 2; }, milliseconds(1000)))
+            << odd.substr(0, 100);
+    }
+}
+
+TEST(object_watcher, an_odd_object_in_a_watch_costs_only_itself)
+{
+    for (const std::string& odd : odd_objects()) {
+        std::atomic<int> seen = 0;
+        std::atomic<int> lists = 0;
+        scripted_server store([&](scripted_connection& connection) {
+            while (connection.read_request()) {
+                if (!absl::StrContains(connection.head.target, "watch")) {
+                    ++lists;
+                    connection.write(answer(200, R"({"items":[],"at":5})"));
+                    continue;
+                }
+                connection.write(
+                    answer(200, absl::StrCat(R"({"events":[{"removed":false,"object":)", odd,
+                                             R"(},{"removed":false,"object":)", object("b", 6),
+                                             R"(}],"at":6})")));
+                std::this_thread::sleep_for(milliseconds(50));
+            }
+        });
+        const object_watcher follower(store.local(), "servers",
+                                      {[](const object_list&, steady_time) {},
+                                       [&](const change_list& changes, steady_time) {
+                                           for (const object_change& change : changes.changes) {
+                                               seen += change.object.name == "b" ? 1 : 0;
+                                           }
+                                       }});
+        EXPECT_TRUE(eventually([&] { return seen >= 1; }, milliseconds(1000)))
+            << odd.substr(0, 100);
+        EXPECT_EQ(lists, 1) << odd.substr(0, 100);
+    }
+}
+
 TEST(object_watcher, continues_after_malformed_responses)
 {
     std::atomic<int> asked = 0;
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -3,7 +3,9 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/json_parts.h"
 #include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
 #include "sardinestream/platform/wire_names.h"
 
 #include "absl/strings/ascii.h"
@@ -13,24 +15,55 @@
 namespace sardinestream::platform {
 namespace {
 
+// Length to which unreadable text is quoted in errors.
+constexpr std::size_t max_quoted = 80;
+
 using json = nlohmann::json;
 
-stored_object decode_object(const json& object)
+absl::Status unreadable(absl::string_view reason)
 {
-    stored_object decoded;
-    const json& metadata = object.at("metadata");
-    decoded.name = metadata.at("name").get<std::string>();
-    decoded.revision = metadata.value("revision", std::int64_t{0});
-    // Another writer's entry may contain invalid UTF-8. It is replaced here, and the decoder of the
-    // kind then rejects the entry.
-    decoded.specification =
-        object.value("specification", json()).dump(-1, ' ', false, json::error_handler_t::replace);
-    return decoded;
+    return make_error(absl::StatusCode::kInvalidArgument, "decode", "store", reason);
 }
 
-absl::Status unreadable(absl::string_view reason)
+absl::StatusOr<std::int64_t> decode_integer(absl::string_view text)
 {
-    return make_error(absl::StatusCode::kInvalidArgument, "decode", "store", reason);
+    std::int64_t number = 0;
+    return absl::SimpleAtoi(text, &number)
+               ? absl::StatusOr<std::int64_t>(number)
+               : unreadable(absl::StrCat("not an integer: ", text.substr(0, max_quoted)));
+}
+
+// Decodes what the store says of an object. Its specification stays as it was written: only the
+// decoder of its kind reads it, and may find that another writer left something unreadable.
+absl::StatusOr<stored_object> decode_object(absl::string_view text)
+{
+    const absl::StatusOr<std::vector<json_member>> object = split_json_object(text);
+    if (!object.ok()) {
+        return object.status();
+    }
+    const absl::StatusOr<std::vector<json_member>> metadata =
+        split_json_object(find_member(*object, "metadata"));
+    if (!metadata.ok()) {
+        return metadata.status();
+    }
+    const absl::string_view raw_name = find_member(*metadata, "name");
+    const json name = json::parse(raw_name.begin(), raw_name.end(), nullptr, false);
+    if (!name.is_string()) {
+        return unreadable("object without a name");
+    }
+    const absl::StatusOr<std::int64_t> revision =
+        decode_integer(find_member(*metadata, "revision"));
+    if (!revision.ok()) {
+        return revision.status();
+    }
+    return stored_object{name.get<std::string>(), *revision,
+                         std::string(find_member(*object, "specification"))};
+}
+
+void log_odd_object(const absl::Status& error)
+{
+    count("sardine_unreadable_objects_total");
+    log_failure("object_unreadable", error);
 }
 
 absl::Status history_changed()
@@ -39,6 +72,85 @@
                       "the store was restored from an older copy");
 }
 
+struct list_page {
+    std::vector<stored_object> objects;
+    std::int64_t revision = 0;
+    bool has_more = false;
+    // The name of the last object that has a readable one.
+    std::string last_name;
+};
+
+absl::StatusOr<list_page> decode_page(absl::string_view body)
+{
+    const absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
+    if (!members.ok()) {
+        return members.status();
+    }
+    const absl::StatusOr<std::int64_t> revision = decode_integer(find_member(*members, "at"));
+    if (!revision.ok()) {
+        return revision.status();
+    }
+    const absl::StatusOr<std::vector<absl::string_view>> items =
+        split_json_array(find_member(*members, "items"));
+    if (!items.ok()) {
+        return items.status();
+    }
+    list_page page;
+    page.revision = *revision;
+    page.has_more = find_member(*members, "has-more") == "true";
+    for (const absl::string_view item : *items) {
+        absl::StatusOr<stored_object> object = decode_object(item);
+        if (!object.ok()) {
+            log_odd_object(object.status());
+            continue;
+        }
+        page.last_name = object->name;
+        page.objects.push_back(*std::move(object));
+    }
+    return page;
+}
+
+absl::StatusOr<object_change> decode_change(absl::string_view event)
+{
+    const absl::StatusOr<std::vector<json_member>> members = split_json_object(event);
+    if (!members.ok()) {
+        return members.status();
+    }
+    absl::StatusOr<stored_object> object = decode_object(find_member(*members, "object"));
+    if (!object.ok()) {
+        return object.status();
+    }
+    return object_change{*std::move(object), find_member(*members, "removed") == "true"};
+}
+
+absl::StatusOr<change_list> decode_changes(absl::string_view body, std::int64_t era)
+{
+    const absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
+    if (!members.ok()) {
+        return members.status();
+    }
+    const absl::StatusOr<std::int64_t> revision = decode_integer(find_member(*members, "at"));
+    if (!revision.ok()) {
+        return revision.status();
+    }
+    const absl::StatusOr<std::vector<absl::string_view>> events =
+        split_json_array(find_member(*members, "events"));
+    if (!events.ok()) {
+        return events.status();
+    }
+    change_list changes;
+    changes.position = {*revision, era};
+    for (const absl::string_view event : *events) {
+        absl::StatusOr<object_change> change = decode_change(event);
+        if (!change.ok()) {
+            log_odd_object(change.status());
+            continue;
+        }
+        changes.changes.push_back(*std::move(change));
+    }
+    return changes;
+}
+
 } // namespace
 
 store_client::store_client(const address& store) : http(store) {}
@@ -92,27 +204,23 @@
         if (!body.ok()) {
             return body.status();
         }
-        try {
-            const json page = json::parse(*body);
-            if (after.empty()) {
-                all.position = {page.at("at").get<std::int64_t>(), this->era};
-            }
-            if (this->era != all.position.era) {
-                return history_changed();
-            }
-            for (const json& item : page.at("items")) {
-                all.objects.push_back(decode_object(item));
-            }
-            if (!page.value("has-more", false) || all.objects.empty()) {
-                all.restored = this->last.revision > 0 && !continues(this->last, all.position);
-                this->last = all.position;
-                return all;
-            }
-            after = all.objects.back().name;
+        const absl::StatusOr<list_page> page = decode_page(*body);
+        if (!page.ok()) {
+            return page.status();
         }
-        catch (const json::exception& error) {
-            return unreadable(error.what());
+        if (after.empty()) {
+            all.position = {page->revision, this->era};
         }
+        if (this->era != all.position.era) {
+            return history_changed();
+        }
+        all.objects.insert(all.objects.end(), page->objects.begin(), page->objects.end());
+        if (!page->has_more || page->last_name.empty()) {
+            all.restored = this->last.revision > 0 && !continues(this->last, all.position);
+            this->last = all.position;
+            return all;
+        }
+        after = page->last_name;
     }
 }
 
@@ -127,23 +235,15 @@
     if (!body.ok()) {
         return body.status();
     }
-    try {
-        const json response = json::parse(*body);
-        change_list changes;
-        changes.position = {response.at("at").get<std::int64_t>(), this->era};
-        if (!continues(position, changes.position)) {
-            return history_changed();
-        }
-        for (const json& event : response.at("events")) {
-            changes.changes.push_back(
-                {decode_object(event.at("object")), event.value("removed", false)});
-        }
-        this->last = changes.position;
-        return changes;
+    absl::StatusOr<change_list> changes = decode_changes(*body, this->era);
+    if (!changes.ok()) {
+        return changes.status();
     }
-    catch (const json::exception& error) {
-        return unreadable(error.what());
+    if (!continues(position, changes->position)) {
+        return history_changed();
     }
+    this->last = changes->position;
+    return changes;
 }
 
 } // namespace sardinestream::platform
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -22,7 +22,8 @@
 
 namespace sardinestream::platform {
 
-// One object as JSON text, which only the decoder of its kind interprets.
+// One object as JSON text, exactly as it was written, which only the decoder of its kind
+// interprets.
 struct stored_object {
     std::string name;
     std::int64_t revision = 0;
@@ -52,7 +53,8 @@
 public:
     explicit store_client(const address& store);
 
-    // Reads all objects of a kind, page by page. `timeout` applies to each page. Fails with
+    // Reads all objects of a kind, page by page. Objects without a readable name or revision are
+    // logged and left out, here and in watches. `timeout` applies to each page. Fails with
     // kOutOfRange if the store is restored meanwhile.
     [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind,
                                                    std::chrono::milliseconds timeout);
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/log.h"
 
 namespace sardinestream {
 namespace {
@@ -58,6 +59,16 @@
     return listed;
 }
 
+absl::StatusOr<listed_server> decode_server_or_error(const json& object)
+{
+    try {
+        return decode_server(object);
+    }
+    catch (const json::exception& error) {
+        return unreadable(error);
+    }
+}
+
 json encode_departed(const departed_server& left)
 {
     return {{"id", left.id},
@@ -114,9 +125,10 @@
         shared_servers servers;
         servers.listed.position = decode_position(object.at("position"));
         for (const json& entry : object.at("servers")) {
-            absl::StatusOr<listed_server> listed = decode_server(entry);
+            absl::StatusOr<listed_server> listed = decode_server_or_error(entry);
             if (!listed.ok()) {
-                return listed.status();
+                log_failure("peer_server_unreadable", listed.status());
+                continue;
             }
             servers.listed.servers.push_back(*std::move(listed));
         }
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -48,5 +48,19 @@
     EXPECT_FALSE(decode_servers(R"({"revision":1,"servers":[{"id":"x"}]})").ok());
 }
 
+TEST(peer_state, an_odd_server_of_a_peer_costs_only_itself)
+{
+    backend_server server;
+    server.id = "i-1";
+    server.endpoint = {"10.0.0.1", 80};
+    std::string text = encode_servers({{{{server, {7}, 3}}, {9}}, {}});
+    const std::string odd = R"({"id":"odd","position":{"revision":"x","era":[]}},)";
+    text.insert(text.find("{\"born_ms"), odd);
+    const absl::StatusOr<shared_servers> read = decode_servers(text);
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->listed.servers.size(), 1U);
+    EXPECT_EQ(read->listed.servers[0].server.id, "i-1");
+}
+
 } // namespace
 } // namespace sardinestream
