A planned stop passes on only what can be answered in the time left

So it could be here: only streams that had not begun were refused, all else was passed on up to the last moment, and what was still open at the end was cut. Change: before each attempt, and again after the wait for a server, a request is refused as not run if the stop leaves too little time: less than a typical stream or answer takes, or, where a request must not run twice, less than all of its time. What was passed on ends 0.3 s before the process does, with its answer or with 504; servers are handed no more time than that. A wait in the queue ends with the stop.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -206,7 +206,7 @@
             queue.waiters.remove(&self);
             return refused;
         }
-        if (now >= deadline) {
+        if (now >= deadline || (self.request->is_obsolete && self.request->is_obsolete())) {
             queue.waiters.remove(&self);
             return refuse(
                 absl::StatusCode::kResourceExhausted, self.request->service,
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -49,6 +49,8 @@
     std::chrono::milliseconds max_wait{1000};
     // Ids of the servers that were tried already.
     std::vector<std::string> excluded_ids;
+    // Returns true if waiting has become pointless; checked about every 100 ms. May be empty.
+    std::function<bool()> is_obsolete;
 };
 
 // The server assigned to one attempt. Each placement must be passed to `finish` exactly once.
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -23,6 +23,7 @@
 constexpr milliseconds min_time_to_first_event{400};
 // Nearly all streams complete within this time.
 constexpr milliseconds typical_stream_duration{4500};
+constexpr milliseconds typical_answer_duration{2000};
 constexpr int http_unavailable = 503;
 // A request fails after this many refusals by servers.
 constexpr int max_refusals = 4;
@@ -38,6 +39,12 @@
     return absl::IsDataLoss(cause) || absl::IsNotFound(cause) || absl::IsUnavailable(cause);
 }
 
+absl::Status shutting_down(const std::string& service)
+{
+    return make_error(absl::StatusCode::kResourceExhausted, "place", service,
+                      "process is shutting down");
+}
+
 std::string reason_of(attempt_state state)
 {
     switch (state) {
@@ -108,10 +115,26 @@
     }
 }
 
-bool exchange::shutdown_would_cut_stream() const
+steady_time exchange::answer_deadline() const
 {
-    return this->matched_route.kind == request_kind::streaming && !this->response_started &&
-           steady_clock::now() > this->services.shutdown_deadline() - typical_stream_duration;
+    return std::min(this->deadline, this->services.shutdown_deadline());
+}
+
+bool exchange::shutdown_would_cut() const
+{
+    if (this->response_started) {
+        return false;
+    }
+    const steady_time now = steady_clock::now();
+    const bool runs_once =
+        this->matched_route.kind != request_kind::streaming && !this->matched_route.may_run_again();
+    const milliseconds typical = this->matched_route.kind == request_kind::streaming
+                                     ? typical_stream_duration
+                                     : typical_answer_duration;
+    // What must not run twice is passed on only if it can take all of its time.
+    const steady_time ends_by =
+        runs_once ? this->deadline : std::min(this->deadline, now + typical);
+    return ends_by > this->services.shutdown_deadline();
 }
 
 placement_request exchange::make_placement_request() const
@@ -120,6 +143,7 @@
     wanted.service = this->admitted.service;
     wanted.priority = this->admitted.priority;
     wanted.excluded_ids = this->tried_ids;
+    wanted.is_obsolete = [this] { return this->shutdown_would_cut(); };
     return wanted;
 }
 
@@ -164,8 +188,10 @@
     if (!placed.ok()) {
         return placed;
     }
-    // Other requests may have shown in the meantime that this one crashes servers.
-    absl::Status refused = check();
+    // Other requests may have shown in the meantime that this one crashes servers, and a shutdown
+    // may have begun.
+    absl::Status refused =
+        this->shutdown_would_cut() ? shutting_down(this->admitted.service) : check();
     if (!refused.ok()) {
         this->services.servers.finish(*placed, attempt_result::abandoned, milliseconds(0));
         return refused;
@@ -175,10 +201,9 @@
 
 absl::StatusOr<placement> exchange::wait_for_server()
 {
-    if (this->shutdown_would_cut_stream()) {
-        // Another entry can serve the stream to its end.
-        return make_error(absl::StatusCode::kResourceExhausted, "place", this->admitted.service,
-                          "process is shutting down");
+    if (this->shutdown_would_cut()) {
+        // Another entry can serve the request to its end.
+        return shutting_down(this->admitted.service);
     }
     placement_request wanted = this->make_placement_request();
     steady_time give_up_at = this->deadline;
@@ -207,7 +232,7 @@
     details.team = this->admitted.team;
     details.resume_after =
         this->events.last_id().empty() ? request.resume_after : this->events.last_id();
-    details.remaining_time = milliseconds(milliseconds_until(this->deadline));
+    details.remaining_time = milliseconds(milliseconds_until(this->answer_deadline()));
     std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
     for (const http_header& header : this->services.protocol.encode_headers(request, details)) {
         append_header(text, header.name, header.value);
@@ -225,8 +250,9 @@
 {
     const backend_server& server = record.placed.server;
     const bool require_new = !this->matched_route.may_run_again();
-    absl::StatusOr<std::unique_ptr<server_connection>> connection = this->services.connections.open(
-        server, this->admitted.request.id, require_new, this->deadline, this->caller_watch);
+    absl::StatusOr<std::unique_ptr<server_connection>> connection =
+        this->services.connections.open(server, this->admitted.request.id, require_new,
+                                        this->answer_deadline(), this->caller_watch);
     if (!connection.ok()) {
         return this->handle_failure(attempt_state::nothing_sent, connection.status(), record);
     }
@@ -235,7 +261,7 @@
     record.started = steady_clock::now();
     const absl::StatusOr<bool> written =
         (*connection)
-            ->socket.write_until_answer(this->encode_request(server), this->deadline,
+            ->socket.write_until_answer(this->encode_request(server), this->answer_deadline(),
                                         this->caller_watch);
     if (!written.ok()) {
         (*connection)->socket.abort();
@@ -390,7 +416,7 @@
     count("sardine_attempt_failures_total",
           {{"service", this->admitted.service}, {"step", step_of(cause)}});
     const bool never_sent = state == attempt_state::nothing_sent && this->servers_sent == 0;
-    const bool in_time = steady_clock::now() < this->deadline;
+    const bool in_time = steady_clock::now() < this->answer_deadline();
     // A refusal while the whole service is down must not consume the retry budget.
     const bool service_down = state == attempt_state::refused_by_server &&
                               this->services.servers.is_down(this->admitted.service);
@@ -414,7 +440,7 @@
         this->log_outcome("cut", 0, cause.message());
         return false;
     }
-    const bool timed_out = steady_clock::now() >= this->deadline;
+    const bool timed_out = steady_clock::now() >= this->answer_deadline();
     const int status = final_status(this->possibly_executed, timed_out);
     this->log_outcome(this->possibly_executed ? "outcome_unknown" : "refused", status,
                       cause.message());
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -94,8 +94,10 @@
     // Ends the attempt of a stream whose server delays its group, if another server is free and can
     // be reserved for the rest of the stream. Returns whether it was ended.
     [[nodiscard]] bool try_move_stream(attempt_record& record);
-    // Returns whether a planned shutdown leaves too little time for a stream that starts now.
-    [[nodiscard]] bool shutdown_would_cut_stream() const;
+    // Returns whether a planned shutdown leaves too little time for a request that starts now.
+    [[nodiscard]] bool shutdown_would_cut() const;
+    // Returns the end of the request: its deadline, or the end of a planned shutdown.
+    [[nodiscard]] steady_time answer_deadline() const;
     [[nodiscard]] next_action run_attempt(attempt_record& record);
     [[nodiscard]] next_action read_response(server_connection& connection, bool all_written,
                                             attempt_record& record, bool& reusable);
@@ -141,6 +143,9 @@
     // Records, once for each attempt, that the server has not crashed under this request.
     void note_sound(attempt_record& record);
     [[nodiscard]] bool exceeds_silence_timeout(server_connection& connection);
+    // Waits until the server begins to answer, the caller hangs up or the request ends, up to
+    // `end`.
+    void wait_for_first_byte(server_connection& connection, steady_time end) const;
     [[nodiscard]] bool fail_request(const absl::Status& cause);
     [[nodiscard]] bool send_local_response(int status, absl::string_view code,
                                            std::chrono::milliseconds retry_after);
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -25,14 +25,17 @@
 constexpr int max_interim_responses = 8;
 // A healthy server sends the rest of a head immediately after its first bytes.
 constexpr milliseconds head_completion_timeout{2000};
+// A shutdown that begins while a request waits for its answer is noticed within this time, which is
+// far below any grace period.
+constexpr milliseconds shutdown_check{500};
 
 } // namespace
 
 steady_time exchange::head_deadline() const
 {
     return this->can_retry(attempt_state::possibly_executed)
-               ? std::min(this->deadline, steady_clock::now() + head_completion_timeout)
-               : this->deadline;
+               ? std::min(this->answer_deadline(), steady_clock::now() + head_completion_timeout)
+               : this->answer_deadline();
 }
 
 absl::StatusOr<http_response_head> exchange::read_final_head(server_connection& connection)
@@ -40,7 +43,7 @@
     const message_limits limits = {max_response_head_bytes, max_buffered_response_bytes};
     for (int interim = 0; interim <= max_interim_responses; ++interim) {
         const steady_time end =
-            connection.socket.has_input_or_end() ? this->head_deadline() : this->deadline;
+            connection.socket.has_input_or_end() ? this->head_deadline() : this->answer_deadline();
         absl::StatusOr<http_response_head> head = connection.reader.read_response_head(
             limits, this->admitted.request.method == "HEAD", end, this->caller_watch);
         constexpr int first_final_status = 200;
@@ -133,6 +136,20 @@
     this->services.on_limit_change();
 }
 
+void exchange::wait_for_first_byte(server_connection& connection, steady_time end) const
+{
+    while (!connection.reader.has_surplus() && !connection.socket.has_input_or_end() &&
+           !this->caller_watch.has_hung_up()) {
+        const steady_time now = steady_clock::now();
+        const steady_time latest = std::min(end, this->answer_deadline());
+        if (now >= latest) {
+            return;
+        }
+        wait_for_input(connection.socket.descriptor(), this->caller_watch,
+                       std::min(latest, now + shutdown_check));
+    }
+}
+
 bool exchange::exceeds_silence_timeout(server_connection& connection)
 {
     milliseconds limit = silence_timeout;
@@ -141,14 +158,11 @@
             slow_response_latency_targets *
             static_cast<double>(this->matched_route.latency_target.count())));
     }
-    const steady_time end = std::min(this->deadline, steady_clock::now() + limit);
-    while (steady_clock::now() < end && !connection.reader.has_surplus()) {
-        wait_for_input(connection.socket.descriptor(), this->caller_watch, end);
-        if (connection.socket.has_input_or_end() || this->caller_watch.has_hung_up()) {
-            return false;
-        }
+    this->wait_for_first_byte(connection, steady_clock::now() + limit);
+    if (connection.socket.has_input_or_end() || this->caller_watch.has_hung_up()) {
+        return false;
     }
-    return !connection.reader.has_surplus() && steady_clock::now() < this->deadline;
+    return !connection.reader.has_surplus() && steady_clock::now() < this->answer_deadline();
 }
 
 absl::Status exchange::read_whole_body(server_connection& connection, std::string& body)
@@ -156,7 +170,7 @@
     response_memory_reservation reservation(this->services.response_budget);
     while (true) {
         const absl::StatusOr<bool> ended =
-            connection.reader.read_body_part(body, this->deadline, this->caller_watch);
+            connection.reader.read_body_part(body, this->answer_deadline(), this->caller_watch);
         if (!ended.ok()) {
             return ended.status();
         }
@@ -191,6 +205,7 @@
                                     record);
     }
     reusable = all_written;
+    this->wait_for_first_byte(connection, this->deadline);
     absl::StatusOr<http_response_head> head = this->read_matching_head(connection, reusable);
     record.first_byte = elapsed_since(record.started);
     if (!head.ok()) {
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -45,9 +45,10 @@
 {
     while (true) {
         absl::StatusOr<bool> ended = connection.reader.read_body_part(
-            bytes, std::min(this->deadline, last_event + silence_timeout), this->caller_watch);
-        const bool silent =
-            absl::IsDeadlineExceeded(ended.status()) && steady_clock::now() < this->deadline;
+            bytes, std::min(this->answer_deadline(), last_event + silence_timeout),
+            this->caller_watch);
+        const bool silent = absl::IsDeadlineExceeded(ended.status()) &&
+                            steady_clock::now() < this->answer_deadline();
         if (!silent) {
             return ended;
         }
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -129,7 +129,7 @@
                                      this->channels,
                                      [this](const std::string&) { return this->budget-- > 0; },
                                      [this] { return this->stopping.load(); },
-                                     [this] { return this->ends_at; },
+                                     [this] { return this->ends_at.load(); },
                                      this->memory,
                                      this->crashes,
                                      [] {}};
@@ -223,7 +223,7 @@
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
-    steady_time ends_at = steady_time::max();
+    std::atomic<steady_time> ends_at = steady_time::max();
     std::unique_ptr<frontend> served;
 };
 
--- a/sardinestream/forwarding/frontend_test.cc
+++ b/sardinestream/forwarding/frontend_test.cc
@@ -350,6 +350,82 @@
     EXPECT_EQ(this->call("/read/", "r3").body, "stock");
 }
 
+TEST_F(frontend_test, a_stop_refuses_a_payment_that_it_might_cut)
+{
+    std::atomic<int> asked = 0;
+    scripted_server server([&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        connection.write(answer_to(connection, "paid"));
+    });
+    this->use({&server});
+    this->ends_at = steady_clock::now() + milliseconds(3500);
+    const caller_answer refused = this->call("/pay/", "r1");
+    EXPECT_EQ(refused.head.status, 503);
+    EXPECT_TRUE(find_header(refused.head.headers, "Retry-After").has_value());
+    EXPECT_EQ(asked, 0);
+    this->ends_at = steady_clock::now() + milliseconds(5000);
+    EXPECT_EQ(this->call("/pay/", "r2").body, "paid");
+}
+
+TEST_F(frontend_test, a_stop_refuses_a_lookup_for_which_too_little_time_is_left)
+{
+    scripted_server server([&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(answer_to(connection, "stock"));
+    });
+    this->use({&server});
+    this->ends_at = steady_clock::now() + milliseconds(1500);
+    EXPECT_EQ(this->call("/read/", "r1").head.status, 503);
+}
+
+TEST_F(frontend_test, a_stop_answers_a_request_whose_server_is_still_silent)
+{
+    for (const char* const target : {"/pay/", "/read/", "/tell/"}) {
+        std::atomic<bool> reached = false;
+        scripted_server server([&](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            reached = true;
+            (void)connection.wait_for_end(milliseconds(6000));
+        });
+        this->use({&server});
+        this->budget = 0;
+        this->ends_at = steady_time::max();
+        tcp_socket socket = this->connect();
+        ASSERT_TRUE(socket.write_all(request_text(target, "r1"), soon(), {}).ok());
+        while (!reached) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        const steady_time ends = steady_clock::now() + milliseconds(900);
+        this->ends_at = ends;
+        message_reader reader(socket);
+        const caller_answer answer = read_answer(reader);
+        EXPECT_EQ(answer.head.status, 504) << target;
+        EXPECT_LT(steady_clock::now(), ends + milliseconds(200)) << target;
+    }
+}
+
+TEST_F(frontend_test, a_stop_answers_a_request_that_waits_for_a_server)
+{
+    const std::shared_ptr<desired_state> patient = make_state();
+    for (route& patient_route : patient->routes) {
+        patient_route.timeout = milliseconds(8000);
+    }
+    this->state = patient;
+    for (const char* const target : {"/pay/", "/read/", "/tell/"}) {
+        this->ends_at = steady_time::max();
+        tcp_socket socket = this->connect();
+        ASSERT_TRUE(socket.write_all(request_text(target, "r1"), soon(), {}).ok());
+        std::this_thread::sleep_for(milliseconds(100));
+        const steady_time ends = steady_clock::now() + milliseconds(600);
+        this->ends_at = ends;
+        message_reader reader(socket);
+        const caller_answer answer = read_answer(reader);
+        EXPECT_EQ(answer.head.status, 503) << target;
+        EXPECT_LT(steady_clock::now(), ends + milliseconds(200)) << target;
+    }
+}
+
 TEST_F(frontend_test, closes_idle_connections_when_it_stops)
 {
     tcp_socket socket = this->connect();
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds balancer_notice_time{3500};
 // The part of the grace period that is reserved for terminating the process itself.
 constexpr milliseconds exit_margin{700};
+// Time before that in which requests that are still open get their final answer.
+constexpr milliseconds final_answer_time{300};
 
 // Number of entries assumed to share the retry budget until this one learns the actual number. The
 // budget starts with no tokens, since those that the entry had before a crash may have been spent.
@@ -346,7 +348,7 @@
 void entry_program::stop(milliseconds grace)
 {
     const steady_time begun = steady_clock::now();
-    this->stop_deadline = begun + grace - exit_margin;
+    this->stop_deadline = begun + grace - exit_margin - final_answer_time;
     this->stopping = true;
     log_event("stopping", {{"connections", this->caller_frontend->connections()}});
     std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
