--- a/sardinestream/testing/emulator/store_emulator.cc
+++ b/sardinestream/testing/emulator/store_emulator.cc
@@ -66,6 +66,20 @@
     }
 }
 
+std::vector<std::string> store_emulator::names(const std::string& kind) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<std::string> all;
+    const auto of_kind = this->objects.find(kind);
+    if (of_kind == this->objects.end()) {
+        return all;
+    }
+    for (const auto& [name, object] : of_kind->second) {
+        all.push_back(name);
+    }
+    return all;
+}
+
 std::optional<json> store_emulator::get(const std::string& kind, const std::string& name) const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/emulator/store_emulator.h
+++ b/sardinestream/testing/emulator/store_emulator.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -41,6 +42,7 @@
     std::int64_t put(const std::string& kind, const std::string& name,
                      const nlohmann::json& specification);
     void remove(const std::string& kind, const std::string& name);
+    [[nodiscard]] std::vector<std::string> names(const std::string& kind) const;
     [[nodiscard]] std::optional<nlohmann::json> get(const std::string& kind,
                                                     const std::string& name) const;
 
--- a/sardinestream/testing/platform_standin_store.cc
+++ b/sardinestream/testing/platform_standin_store.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/testing/platform_standin_store.h"
 
+#include <algorithm>
+
 #include "sardinestream/base/error.h"
 
 namespace sardinestream::testing {
@@ -166,6 +168,27 @@
     return this->logged_after(kind, version);
 }
 
+void platform_standin_store::take_copy()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->kept = copy{this->objects, this->last_version};
+}
+
+void platform_standin_store::restore_copy()
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->kept.has_value()) {
+        return;
+    }
+    this->objects = this->kept->objects;
+    this->last_version = this->kept->last_version;
+    std::erase_if(this->log,
+                  [this](const logged_change& lost) { return lost.version > this->last_version; });
+    for (auto& [kind, version] : this->last_changes) {
+        version = std::min(version, this->last_version);
+    }
+}
+
 void platform_standin_store::compact()
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/platform_standin_store.h
+++ b/sardinestream/testing/platform_standin_store.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,10 @@
 
     // Forgets the changes so far: watches from before get `kOutOfRange`.
     void compact();
+    // Keeps a copy of all objects. `restore_copy` comes back from it: later changes are gone, and
+    // their versions are given out again. Does nothing if there is no copy.
+    void take_copy();
+    void restore_copy();
     // Ends every wait, now and later.
     void wake();
 
@@ -80,7 +85,13 @@
     platform::object& record(absl::string_view method, platform::object changed,
                              platform::change_kind change) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
+    struct copy {
+        std::map<object_key, platform::object> objects;
+        std::uint64_t last_version = 0;
+    };
+
     mutable absl::Mutex mutex;
+    std::optional<copy> kept ABSL_GUARDED_BY(mutex);
     std::uint64_t last_version ABSL_GUARDED_BY(mutex) = 0;
     std::uint64_t compacted_version ABSL_GUARDED_BY(mutex) = 0;
     std::map<object_key, platform::object> objects ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -36,6 +36,7 @@
 constexpr int most_said = 4;
 // Seeds with what was added later, so that the others play what they did before.
 constexpr unsigned seeds_per_addition = 5;
+constexpr unsigned restored_seed = 2;
 constexpr unsigned limit_seed = 3;
 constexpr unsigned crashing_request_seed = 4;
 
@@ -76,6 +77,8 @@
         return "store_link";
     case soak_fault_kind::store_trouble:
         return "store_trouble";
+    case soak_fault_kind::store_restored:
+        return "store_restored";
     case soak_fault_kind::entries_lapse:
         return "entries_lapse";
     case soak_fault_kind::late_orders:
@@ -159,6 +162,25 @@
     return fault;
 }
 
+// One or two restorations; the later faults show whether their changes still take effect.
+std::vector<soak_fault> draw_restorations(unsigned seed, milliseconds length)
+{
+    constexpr double two_share = 0.4;
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> share(0, 1);
+    std::vector<soak_fault> faults(share(random) < two_share ? 2 : 1);
+    milliseconds at = length / 10;
+    for (soak_fault& fault : faults) {
+        fault.kind = soak_fault_kind::store_restored;
+        fault.at = at;
+        fault.duration = length / 8 + milliseconds(static_cast<std::int64_t>(
+                                          share(random) * static_cast<double>(length.count()) / 8));
+        fault.variant = share(random);
+        at += fault.duration + length / 10;
+    }
+    return faults;
+}
+
 } // namespace
 
 bool draws_crashing_requests(unsigned seed)
@@ -199,6 +221,10 @@
     if (seed % seeds_per_addition == limit_seed) {
         faults.push_back(draw_limit(seed, size, length));
     }
+    if (!planned_only && seed % seeds_per_addition == restored_seed) {
+        const std::vector<soak_fault> restored = draw_restorations(seed, length);
+        faults.insert(faults.end(), restored.begin(), restored.end());
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const soak_fault& a, const soak_fault& b) { return a.at < b.at; });
     return faults;
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -36,6 +36,8 @@
     server_link,
     store_link,
     store_trouble,
+    // The store comes back from a copy that is as old as the fault lasts.
+    store_restored,
     entries_lapse,
     late_orders,
     demand_shift,
--- a/sardinestream/testing/soak/fault_series_test.cc
+++ b/sardinestream/testing/soak/fault_series_test.cc
@@ -57,7 +57,7 @@
             drawn.insert(fault.kind);
         }
     }
-    EXPECT_EQ(drawn.size(), 20U);
+    EXPECT_EQ(drawn.size(), 21U);
 }
 
 } // namespace
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -38,6 +38,8 @@
 constexpr int store_port = 8223;
 
 constexpr int grace_s = 4;
+// Of the servers to the store; a silent one is removed after three.
+constexpr int heartbeat_ms = 400;
 constexpr milliseconds ready_timeout{20000};
 constexpr milliseconds step{10};
 
@@ -194,12 +196,14 @@
     return absl::OkStatus();
 }
 
-void soak_fleet::list_server(const server_node& node)
+void soak_fleet::list_server(server_node& node)
 {
     const bool direct =
         this->size.direct_model_servers && node.server->described().group != nullptr;
     const address& reached_at = direct ? node.server->described().local : node.proxy->local();
-    this->store->put(words::servers_kind, node.server->id(), node.server->entry(reached_at));
+    json entry = node.server->entry(reached_at);
+    entry["sequence"] = ++node.writes;
+    this->store->put(words::servers_kind, node.server->id(), entry);
 }
 
 void soak_fleet::write_config()
@@ -207,18 +211,18 @@
     const std::string service = this->moved ? "till-b" : "till-a";
     rank_group_options group;
     group.shape.ranks = this->size.model_servers;
-    const json state = {{"version", ++this->config_version},
-                        {"routes",
-                         {route_json("chat", "/chat/", "streaming", "assistant"),
-                          route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
-                          route_json("stock", "/stock/", "idempotent", "till-a"),
-                          route_json("moving", "/moving/", "idempotent", service)}},
-                        {"services",
-                         {{{"name", "assistant"}, {"engine", engine_json(group)}},
-                          {{"name", "till-a"}},
-                          {{"name", "till-b"}}}},
-                        {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
-    this->store->put(words::config_kind, words::config_name, state);
+    this->newest_config = {{"version", ++this->config_version},
+                           {"routes",
+                            {route_json("chat", "/chat/", "streaming", "assistant"),
+                             route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
+                             route_json("stock", "/stock/", "idempotent", "till-a"),
+                             route_json("moving", "/moving/", "idempotent", service)}},
+                           {"services",
+                            {{{"name", "assistant"}, {"engine", engine_json(group)}},
+                             {{"name", "till-a"}},
+                             {{"name", "till-b"}}}},
+                           {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
+    this->store->put(words::config_kind, words::config_name, this->newest_config);
     this->ledger.note_config(service);
 }
 
@@ -242,9 +246,9 @@
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
             absl::StrCat("--ip=", own, "\n--news_port=", news_port, "\n--front_listen=", own, ":",
-                         front_port, "\n--ready_listen=", own, ":", ready_port,
-                         "\n--store=", (*proxy)->local().to_string(),
-                         "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", grace_s, "\n")));
+                         front_port, "\n--ready_listen=", own, ":", ready_port, "\n--store=",
+                         (*proxy)->local().to_string(), "\n--seeds=", absl::StrJoin(seeds, ","),
+                         "\n--grace_s=", grace_s, "\n--heartbeat_ms=", heartbeat_ms, "\n")));
         this->store_proxies.push_back(*std::move(proxy));
     }
     for (int i = 0; i < this->size.model_servers; ++i) {
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -74,6 +74,8 @@
         std::unique_ptr<backend_emulator> server;
         std::unique_ptr<chaos_proxy> proxy;
         int starts = 1;
+        // Writes of its entry.
+        std::int64_t writes = 0;
         // It leaves, or is down.
         bool struck = false;
     };
@@ -93,7 +95,7 @@
     [[nodiscard]] absl::Status wait_until_ready();
     [[nodiscard]] bool is_ready(int entry) const;
     void write_config();
-    void list_server(const server_node& node);
+    void list_server(server_node& node);
 
     void after(std::chrono::milliseconds delay, task work);
     void watch_programs();
@@ -114,6 +116,12 @@
     void trouble_server(server_node& node, const soak_fault& fault);
     void trouble_link(chaos_proxy& proxy, const soak_fault& fault);
     void trouble_store(const soak_fault& fault);
+    // The store loses what is written during the fault, among it a change of the desired state.
+    void restore_store(const soak_fault& fault);
+    // Operator and servers write again what a restored store has lost.
+    void rewrite_store();
+    // Removes the entries of servers that do not run.
+    void expire_entries();
     void lapse_entries(const soak_fault& fault);
     void delay_orders(const soak_fault& fault);
     void strike_program(const soak_fault& fault);
@@ -135,6 +143,7 @@
     std::vector<program_node> entry_nodes;
     std::vector<program_node> agent_nodes;
     int config_version = 0;
+    nlohmann::json newest_config;
     bool moved = false;
     std::multimap<steady_time, task> due;
     absl::Mutex mutex;
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -29,6 +29,10 @@
 // Entries that lapsed in an outage are back this long after it.
 constexpr milliseconds relist_time{1200};
 constexpr int tastes = 16;
+// How long a store that is restored is away, and the time from its return until what it has lost is
+// written again.
+constexpr milliseconds restored_outage{300};
+constexpr milliseconds rewrite_time{400};
 
 link_trouble link_trouble_of(double variant)
 {
@@ -301,6 +305,45 @@
     this->after(fault.duration, [this] { this->store->set_trouble(store_trouble::none); });
 }
 
+void soak_fleet::restore_store(const soak_fault& fault)
+{
+    this->store->take_copy();
+    this->after(fault.duration / 2, [this] { this->write_config(); });
+    this->after(fault.duration - restored_outage, [this] {
+        this->ledger.note_trouble(steady_clock::now() + restored_outage + relist_time);
+        this->store->set_trouble(store_trouble::silent);
+    });
+    this->after(fault.duration, [this] {
+        this->store->restore_copy();
+        this->store->set_trouble(store_trouble::none);
+        this->after(rewrite_time, [this] { this->rewrite_store(); });
+        this->after(entry_lifetime, [this] { this->expire_entries(); });
+    });
+}
+
+void soak_fleet::rewrite_store()
+{
+    this->store->put(words::config_kind, words::config_name, this->newest_config);
+    for (server_node& node : this->servers) {
+        if (node.server->is_running()) {
+            this->list_server(node);
+        }
+    }
+}
+
+void soak_fleet::expire_entries()
+{
+    for (const std::string& id : this->store->names(words::servers_kind)) {
+        const bool runs =
+            std::any_of(this->servers.begin(), this->servers.end(), [&](const server_node& node) {
+                return node.server->is_running() && node.server->id() == id;
+            });
+        if (!runs) {
+            this->store->remove(words::servers_kind, id);
+        }
+    }
+}
+
 void soak_fleet::lapse_entries(const soak_fault& fault)
 {
     this->store->set_trouble(store_trouble::silent);
@@ -314,7 +357,7 @@
     this->after(fault.duration, [this] {
         this->store->set_trouble(store_trouble::none);
         this->after(relist_time, [this] {
-            for (const server_node& node : this->servers) {
+            for (server_node& node : this->servers) {
                 if (!node.struck) {
                     this->list_server(node);
                 }
@@ -370,6 +413,9 @@
     case soak_fault_kind::store_trouble:
         this->trouble_store(fault);
         return;
+    case soak_fault_kind::store_restored:
+        this->restore_store(fault);
+        return;
     case soak_fault_kind::entries_lapse:
         this->lapse_entries(fault);
         return;
