Entries send each other servers only where they differ

Since servers are exchanged by merging, an entry sent its whole list to each peer that asked, also to one that only fetched a newer desired state: tens of kilobytes between zones on the grown sites. The request names what the asker knows (era, revision, digest of the departed), and the answer is empty where that is as new. store_client: what lists and watches have in common is split once.

--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -72,17 +72,17 @@
                       "the store was restored from an older copy");
 }
 
-struct list_page {
-    std::vector<stored_object> objects;
+// An answer of the store whose objects have not been read yet.
+struct raw_answer {
     std::int64_t revision = 0;
-    bool has_more = false;
-    // The name of the last object that has a readable one.
-    std::string last_name;
+    std::vector<json_member> members;
+    std::vector<absl::string_view> parts;
 };
 
-absl::StatusOr<list_page> decode_page(absl::string_view body)
+// Splits an answer; its objects or events are the elements of `parts_name`.
+absl::StatusOr<raw_answer> split_answer(absl::string_view body, absl::string_view parts_name)
 {
-    const absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
+    absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
     if (!members.ok()) {
         return members.status();
     }
@@ -90,15 +90,32 @@
     if (!revision.ok()) {
         return revision.status();
     }
-    const absl::StatusOr<std::vector<absl::string_view>> items =
-        split_json_array(find_member(*members, "items"));
-    if (!items.ok()) {
-        return items.status();
+    absl::StatusOr<std::vector<absl::string_view>> parts =
+        split_json_array(find_member(*members, parts_name));
+    if (!parts.ok()) {
+        return parts.status();
+    }
+    return raw_answer{*revision, *std::move(members), *std::move(parts)};
+}
+
+struct list_page {
+    std::vector<stored_object> objects;
+    std::int64_t revision = 0;
+    bool has_more = false;
+    // The name of the last object that has a readable one.
+    std::string last_name;
+};
+
+absl::StatusOr<list_page> decode_page(absl::string_view body)
+{
+    const absl::StatusOr<raw_answer> answer = split_answer(body, "items");
+    if (!answer.ok()) {
+        return answer.status();
     }
     list_page page;
-    page.revision = *revision;
-    page.has_more = find_member(*members, "has-more") == "true";
-    for (const absl::string_view item : *items) {
+    page.revision = answer->revision;
+    page.has_more = find_member(answer->members, "has-more") == "true";
+    for (const absl::string_view item : answer->parts) {
         absl::StatusOr<stored_object> object = decode_object(item);
         if (!object.ok()) {
             log_odd_object(object.status());
@@ -125,22 +142,13 @@
 
 absl::StatusOr<change_list> decode_changes(absl::string_view body, std::int64_t era)
 {
-    const absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
-    if (!members.ok()) {
-        return members.status();
-    }
-    const absl::StatusOr<std::int64_t> revision = decode_integer(find_member(*members, "at"));
-    if (!revision.ok()) {
-        return revision.status();
-    }
-    const absl::StatusOr<std::vector<absl::string_view>> events =
-        split_json_array(find_member(*members, "events"));
-    if (!events.ok()) {
-        return events.status();
+    const absl::StatusOr<raw_answer> answer = split_answer(body, "events");
+    if (!answer.ok()) {
+        return answer.status();
     }
     change_list changes;
-    changes.position = {*revision, era};
-    for (const absl::string_view event : *events) {
+    changes.position = {answer->revision, era};
+    for (const absl::string_view event : answer->parts) {
         absl::StatusOr<object_change> change = decode_change(event);
         if (!change.ok()) {
             log_odd_object(change.status());
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -101,6 +101,8 @@
     // Returns the address of the entry to fetch newer state from now, if any.
     [[nodiscard]] std::optional<std::string> next_fetch_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
+    // Answers an entry whose knowledge of the servers is of the age `theirs`.
+    [[nodiscard]] http_answer answer_servers(const state_age& theirs) const;
     // Logs services whose condition has changed. Called only by the ticker thread.
     void log_changed_conditions();
     // Applies the contents of the directory to the dispatcher and the connection pool.
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -24,6 +24,24 @@
 constexpr char suspects_path[] = "/state/suspects";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
+constexpr int nothing_newer = 204;
+
+// What an entry says of the servers that it knows when it asks another one for more.
+std::string servers_age_text(const state_age& age)
+{
+    return absl::StrCat(age.servers.era, ".", age.servers.revision, ".", age.departed_digest);
+}
+
+// Reads the output of `servers_age_text`.
+std::optional<state_age> parse_servers_age(absl::string_view text)
+{
+    const std::vector<absl::string_view> parts = absl::StrSplit(text, '.');
+    state_age age;
+    const bool is_readable = parts.size() == 3 && absl::SimpleAtoi(parts[0], &age.servers.era) &&
+                             absl::SimpleAtoi(parts[1], &age.servers.revision) &&
+                             absl::SimpleAtoi(parts[2], &age.departed_digest);
+    return is_readable ? std::optional<state_age>(age) : std::nullopt;
+}
 
 } // namespace
 
@@ -183,7 +201,8 @@
         }
     }
     const absl::StatusOr<http_answer> listed =
-        peer.call("GET", servers_path, "", steady_clock::now() + fetch_timeout);
+        peer.call("GET", absl::StrCat(servers_path, "?after=", servers_age_text(this->own_age())),
+                  "", steady_clock::now() + fetch_timeout);
     if (listed.ok() && listed->status == http_ok) {
         const absl::StatusOr<shared_servers> servers = decode_servers(listed->body);
         if (servers.ok()) {
@@ -199,23 +218,31 @@
     }
 }
 
+http_answer entry_program::answer_servers(const state_age& theirs) const
+{
+    const state_age own = this->own_age();
+    const bool has_news =
+        own.servers != store_position{} &&
+        (own.servers > theirs.servers || own.departed_digest != theirs.departed_digest);
+    return has_news ? http_answer{http_ok,
+                                  {},
+                                  encode_servers(this->directory.shared(steady_clock::now()))}
+                    : http_answer{nothing_newer, {}, ""};
+}
+
 http_answer entry_program::answer_peer(const http_request_head& head) const
 {
-    constexpr int nothing_newer = 204;
     if (head.target == suspects_path) {
         return {http_ok, {}, this->suspects->report()};
     }
-    if (head.target == servers_path) {
-        const bool knows_servers = this->directory.position() != store_position{};
-        return knows_servers
-                   ? http_answer{http_ok,
-                                 {},
-                                 encode_servers(this->directory.shared(steady_clock::now()))}
-                   : http_answer{nothing_newer, {}, ""};
-    }
-    std::int64_t known = 0;
     const std::pair<absl::string_view, absl::string_view> parts =
         absl::StrSplit(absl::string_view(head.target), absl::MaxSplits("?after=", 1));
+    if (parts.first == servers_path) {
+        const std::optional<state_age> theirs = parse_servers_age(parts.second);
+        return theirs.has_value() ? this->answer_servers(*theirs)
+                                  : http_answer{http_not_found, {}, ""};
+    }
+    std::int64_t known = 0;
     if (!absl::SimpleAtoi(parts.second, &known)) {
         return {http_not_found, {}, ""};
     }
