The soak's restored store loses several changes of the desired state

The writes of the servers raised the revision above the lost ones before the next change, and other trouble hid the rest. Change: three changes are lost, the next one comes before the servers write, and every second such seed draws planned work alone beside it.

--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -195,11 +195,14 @@
         return std::uniform_int_distribution<int>(0, std::max(0, below - 1))(random);
     };
     const bool planned_only = seed % planned_only_every == 0;
+    const bool is_restored = !planned_only && seed % seeds_per_addition == restored_seed;
+    // Every second time amid planned work alone: promises are checked only away from other trouble.
+    const bool planned_company = planned_only || (is_restored && seed % 2 == 0);
     std::vector<soak_fault> faults;
     const int series = least_series + draw(series_range);
     for (int i = 0; i < series; ++i) {
         soak_fault fault;
-        fault.kind = planned_only
+        fault.kind = planned_company
                          ? planned_kinds[static_cast<std::size_t>(draw(planned_kinds.size()))]
                          : all_kinds[static_cast<std::size_t>(draw(all_kinds.size()))];
         fault.at = milliseconds(draw(static_cast<int>(length.count() * 3 / 4)));
@@ -221,7 +224,7 @@
     if (seed % seeds_per_addition == limit_seed) {
         faults.push_back(draw_limit(seed, size, length));
     }
-    if (!planned_only && seed % seeds_per_addition == restored_seed) {
+    if (is_restored) {
         const std::vector<soak_fault> restored = draw_restorations(seed, length);
         faults.insert(faults.end(), restored.begin(), restored.end());
     }
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -211,18 +211,18 @@
     const std::string service = this->moved ? "till-b" : "till-a";
     rank_group_options group;
     group.shape.ranks = this->size.model_servers;
-    this->newest_config = {{"version", ++this->config_version},
-                           {"routes",
-                            {route_json("chat", "/chat/", "streaming", "assistant"),
-                             route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
-                             route_json("stock", "/stock/", "idempotent", "till-a"),
-                             route_json("moving", "/moving/", "idempotent", service)}},
-                           {"services",
-                            {{{"name", "assistant"}, {"engine", engine_json(group)}},
-                             {{"name", "till-a"}},
-                             {{"name", "till-b"}}}},
-                           {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
-    this->store->put(words::config_kind, words::config_name, this->newest_config);
+    const json state = {{"version", ++this->config_version},
+                        {"routes",
+                         {route_json("chat", "/chat/", "streaming", "assistant"),
+                          route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
+                          route_json("stock", "/stock/", "idempotent", "till-a"),
+                          route_json("moving", "/moving/", "idempotent", service)}},
+                        {"services",
+                         {{{"name", "assistant"}, {"engine", engine_json(group)}},
+                          {{"name", "till-a"}},
+                          {{"name", "till-b"}}}},
+                        {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
+    this->store->put(words::config_kind, words::config_name, state);
     this->ledger.note_config(service);
 }
 
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -116,10 +116,10 @@
     void trouble_server(server_node& node, const soak_fault& fault);
     void trouble_link(chaos_proxy& proxy, const soak_fault& fault);
     void trouble_store(const soak_fault& fault);
-    // The store loses what is written during the fault, among it a change of the desired state.
+    // The store loses what is written during the fault, among it changes of the desired state.
     void restore_store(const soak_fault& fault);
-    // Operator and servers write again what a restored store has lost.
-    void rewrite_store();
+    // Servers write again what a restored store has lost.
+    void rewrite_servers();
     // Removes the entries of servers that do not run.
     void expire_entries();
     void lapse_entries(const soak_fault& fault);
@@ -143,7 +143,6 @@
     std::vector<program_node> entry_nodes;
     std::vector<program_node> agent_nodes;
     int config_version = 0;
-    nlohmann::json newest_config;
     bool moved = false;
     std::multimap<steady_time, task> due;
     absl::Mutex mutex;
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -33,6 +33,9 @@
 // written again.
 constexpr milliseconds restored_outage{300};
 constexpr milliseconds rewrite_time{400};
+// Changes of the desired state that a restored store has lost. The one that follows must take
+// effect though its revision is lower than theirs.
+constexpr int lost_config_changes = 3;
 
 link_trouble link_trouble_of(double variant)
 {
@@ -308,7 +311,11 @@
 void soak_fleet::restore_store(const soak_fault& fault)
 {
     this->store->take_copy();
-    this->after(fault.duration / 2, [this] { this->write_config(); });
+    // Their revisions are given out again.
+    for (int change = 1; change <= lost_config_changes; ++change) {
+        this->after(fault.duration * change / (lost_config_changes + 1),
+                    [this] { this->write_config(); });
+    }
     this->after(fault.duration - restored_outage, [this] {
         this->ledger.note_trouble(steady_clock::now() + restored_outage + relist_time);
         this->store->set_trouble(store_trouble::silent);
@@ -316,14 +323,17 @@
     this->after(fault.duration, [this] {
         this->store->restore_copy();
         this->store->set_trouble(store_trouble::none);
-        this->after(rewrite_time, [this] { this->rewrite_store(); });
+        this->after(rewrite_time, [this] {
+            this->moved = !this->moved;
+            this->write_config();
+            this->rewrite_servers();
+        });
         this->after(entry_lifetime, [this] { this->expire_entries(); });
     });
 }
 
-void soak_fleet::rewrite_store()
+void soak_fleet::rewrite_servers()
 {
-    this->store->put(words::config_kind, words::config_name, this->newest_config);
     for (server_node& node : this->servers) {
         if (node.server->is_running()) {
             this->list_server(node);
