--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -141,6 +141,7 @@
         expected += event_text(number);
     }
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([caller, &expected] { use(caller, expected); });
     }
