A broken-off answer that ends with its connection is delivered before the reset

What callers saw: a caller without chunked coding could lose whole events that it was sent before a stream broke off.

Cause: the answer is ended by a reset, which discards what the caller's side has not acknowledged yet.

Change: tcp_socket::abort_when_delivered waits, for a bounded time, until everything is acknowledged.

--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -2,13 +2,16 @@
 
 #include <cerrno>
 #include <cstring>
+#include <thread>
 #include <utility>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,6 +29,7 @@
 constexpr int keepalive_idle_s = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
+constexpr std::chrono::milliseconds delivery_poll_interval{5};
 
 constexpr char refused_payload[] = "sardinestream/connection-refused";
 
@@ -231,6 +235,16 @@
     this->close();
 }
 
+void tcp_socket::abort_when_delivered(steady_time deadline)
+{
+    int unacknowledged = 0;
+    while (::ioctl(this->fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0 &&
+           steady_clock::now() < deadline && !hangup_watch(this->fd).has_hung_up()) {
+        std::this_thread::sleep_for(delivery_poll_interval);
+    }
+    this->abort();
+}
+
 absl::StatusOr<tcp_listener> tcp_listener::bind(const address& local)
 {
     bool valid = false;
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -93,6 +93,9 @@
     void close();
     // Closes the connection with a reset; bytes that have not been delivered yet are discarded.
     void abort();
+    // Like `abort`, but waits first until the peer has acknowledged what was written, or until
+    // `deadline`. For an incomplete answer that an orderly end would make look complete.
+    void abort_when_delivered(steady_time deadline);
 
     [[nodiscard]] int descriptor() const { return this->fd; }
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
--- a/sardinestream/http/socket_test.cc
+++ b/sardinestream/http/socket_test.cc
@@ -1,4 +1,6 @@
 #include <array>
+#include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -89,5 +91,36 @@
             .status()));
 }
 
+// Guards against the loss of what was written before an answer that breaks off.
+TEST_F(socket_test, an_abort_when_delivered_lets_a_slow_peer_read_what_was_written)
+{
+    absl::StatusOr<tcp_listener> listener = tcp_listener::bind({"127.0.0.1", 0});
+    ASSERT_TRUE(listener.ok());
+    tcp_socket peer = *tcp_socket::connect(listener->local(), steady_clock::now() + wait, {});
+    const int small_buffer_bytes = 4096;
+    ::setsockopt(peer.descriptor(), SOL_SOCKET, SO_RCVBUF, &small_buffer_bytes,
+                 sizeof(small_buffer_bytes));
+    tcp_socket writer = *listener->accept(steady_clock::now() + wait);
+    const std::string text(200'000, 'x');
+    ASSERT_TRUE(writer.write_all(text, steady_clock::now() + wait, {}).ok());
+    std::size_t received = 0;
+    std::thread reading([&peer, &received] {
+        std::this_thread::sleep_for(wait);
+        std::array<char, 8192> buffer{};
+        while (true) {
+            const absl::StatusOr<std::size_t> length = peer.read_some(
+                absl::MakeSpan(buffer), steady_clock::now() + std::chrono::seconds(10), {});
+            if (!length.ok() || *length == 0) {
+                EXPECT_TRUE(absl::IsUnavailable(length.status())) << length.status();
+                return;
+            }
+            received += *length;
+        }
+    });
+    writer.abort_when_delivered(steady_clock::now() + std::chrono::seconds(10));
+    reading.join();
+    EXPECT_EQ(received, text.size());
+}
+
 } // namespace
 } // namespace sardinestream
