A stream is resumed behind the last event that its caller has got

Cause: the position to resume at moved when events were split off, before they were written; the checks in between left by the path that resumes.

Change: the splitter keeps the position behind what the caller has apart from what it returned; events are written before the rest of a read is judged; nothing behind a missing event is passed on; the reader returns what it parsed before it reports an error; a caller's own Last-Event-Id is a position too.

--- a/sardinestream/forwarding/event_splitter.cc
+++ b/sardinestream/forwarding/event_splitter.cc
@@ -33,11 +33,20 @@
 
 } // namespace
 
+event_splitter::event_splitter(absl::string_view resume_after)
+{
+    std::int64_t number = 0;
+    if (absl::SimpleAtoi(resume_after, &number)) {
+        this->returned.number = number;
+        this->delivered.number = number;
+    }
+}
+
 std::string event_splitter::take_events()
 {
     std::string complete;
     absl::string_view rest = this->pending;
-    while (true) {
+    while (!this->gap) {
         const std::size_t length = event_length(rest);
         if (length == absl::string_view::npos) {
             break;
@@ -54,18 +63,28 @@
     const std::string id = event_id(event);
     std::int64_t number = 0;
     if (!id.empty() && absl::SimpleAtoi(id, &number)) {
-        if (this->last_number.has_value() && number <= *this->last_number) {
+        const std::optional<std::int64_t> last = this->returned.number;
+        if (last.has_value() && number <= *last) {
             return;
         }
-        this->gap =
-            this->gap || (this->last_number.has_value() && number != *this->last_number + 1);
-        this->last_number = number;
+        this->gap = last.has_value() && number != *last + 1;
+        if (this->gap) {
+            return;
+        }
+        this->returned.number = number;
     }
     if (!id.empty()) {
-        this->last_event_id = id;
+        this->returned.id = id;
     }
-    ++this->events_taken;
+    ++this->returned.events;
     complete.append(event.data(), event.size());
 }
 
+void event_splitter::drop_undelivered()
+{
+    this->pending.clear();
+    this->returned = this->delivered;
+    this->gap = false;
+}
+
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -68,7 +68,8 @@
 
 exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket, admitted_request given)
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
-      admitted(std::move(given)), matched_route(*admitted.matched_route)
+      admitted(std::move(given)), matched_route(*admitted.matched_route),
+      events(matched_route.resumable ? admitted.request.resume_after : "")
 {
     this->deadline = this->admitted.arrival + this->matched_route.timeout;
     if (this->admitted.request.time_limit.has_value()) {
@@ -87,7 +88,7 @@
     const bool keep = this->attempt_until_done();
     if (this->ends_with_connection) {
         // An orderly end would make the response look complete.
-        this->caller.abort();
+        this->caller.abort_when_delivered(steady_clock::now() + local_response_timeout);
     }
     return keep;
 }
@@ -167,7 +168,7 @@
     this->reserved = *std::move(other);
     this->retry_granted = true;
     this->possibly_executed = true;
-    this->events.drop_partial_event();
+    this->events.drop_undelivered();
     record.result = attempt_result::abandoned;
     this->log_attempt(record, "rank delays its group");
     count("sardine_retries_total", {{"service", this->admitted.service}, {"reason", "slow_rank"}});
@@ -401,7 +402,7 @@
         this->log_outcome("caller_gone", 0, cause.message());
         return next_action::close_connection;
     }
-    this->events.drop_partial_event();
+    this->events.drop_undelivered();
     if (state == attempt_state::refused_by_server) {
         --this->servers_sent;
         ++this->servers_refused;
@@ -480,7 +481,7 @@
                       {"outcome", outcome},
                       {"status", status},
                       {"servers", this->servers_sent},
-                      {"events", this->events.taken()},
+                      {"events", this->events.delivered_events()},
                       {"queued_ms", this->total_queue_time.count()},
                       {"total_ms", elapsed_since(this->admitted.arrival).count()},
                       {"reason", reason}});
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -129,10 +129,15 @@
     read_stream_part(server_connection& connection, std::string& bytes, steady_time& last_event);
     // Returns whether a stream whose body ends now can be complete.
     [[nodiscard]] bool may_end_here(const http_response_head& head) const;
+    // Returns why the stream cannot go on or end (`ended`) with the part that was read last. The
+    // whole events of that part have been delivered.
+    [[nodiscard]] absl::Status check_stream(const http_response_head& head,
+                                            const attempt_record& record, bool ended) const;
     // Returns the head for the caller, without the headers that give the length of the body.
     [[nodiscard]] answer_head make_relayed_head(const http_response_head& head) const;
+    // Writes the events that `events` returned to the caller and marks them delivered.
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
-                                           const std::string& events);
+                                           const std::string& complete);
     [[nodiscard]] absl::Status finish_stream(const http_response_head& head);
 
     // Records a failed attempt, then requests a retry if the retry rules, the deadline and the
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -23,7 +23,11 @@
         this->ends_with_connection = !this->admitted.request.accepts_chunked;
     }
     text += this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete;
-    return this->caller.write_all(text, this->deadline, hangup_watch());
+    SARDINE_RETURN_IF_ERROR(this->caller.write_all(
+        text, std::max(this->deadline, steady_clock::now() + local_response_timeout),
+        hangup_watch()));
+    this->events.mark_delivered();
+    return absl::OkStatus();
 }
 
 absl::Status exchange::finish_stream(const http_response_head& head)
@@ -69,7 +73,22 @@
         return false;
     }
     // A server that crashes before its first event ends the connection as well.
-    return head.framing != body_framing::until_close || this->events.taken() > 0;
+    return head.framing != body_framing::until_close || this->events.delivered_events() > 0;
+}
+
+absl::Status exchange::check_stream(const http_response_head& head, const attempt_record& record,
+                                    bool ended) const
+{
+    const std::string& server = record.placed.server.id;
+    if (this->events.has_gap() || (ended && !this->may_end_here(head))) {
+        return make_error(absl::StatusCode::kDataLoss, "stream", server,
+                          "event missing or truncated");
+    }
+    if (this->events.partial_bytes() > max_event_bytes) {
+        return make_error(absl::StatusCode::kOutOfRange, "stream", server,
+                          "event exceeds the size limit");
+    }
+    return absl::OkStatus();
 }
 
 exchange::next_action exchange::relay_stream(server_connection& connection,
@@ -84,29 +103,11 @@
         if (!ended.ok()) {
             return this->handle_failure(attempt_state::possibly_executed, ended.status(), record);
         }
-        if (this->events.taken() == 0) {
+        if (this->events.delivered_events() == 0) {
             record.first_byte = elapsed_since(record.started);
         }
         this->events.add(bytes);
         const std::string complete = this->events.take_events();
-        if (this->events.partial_bytes() > max_event_bytes) {
-            return this->handle_failure(attempt_state::possibly_executed,
-                                        make_error(absl::StatusCode::kOutOfRange, "stream",
-                                                   record.placed.server.id,
-                                                   "event exceeds the size limit"),
-                                        record);
-        }
-        if (this->events.has_gap() || (*ended && !this->may_end_here(head))) {
-            return this->handle_failure(attempt_state::possibly_executed,
-                                        make_error(absl::StatusCode::kDataLoss, "stream",
-                                                   record.placed.server.id,
-                                                   "event missing or truncated"),
-                                        record);
-        }
-        if (*ended ||
-            elapsed_since(record.started) >= record.first_byte + crash_guard::time_to_prove) {
-            this->note_sound(record);
-        }
         if (!complete.empty()) {
             last_event = steady_clock::now();
             const absl::Status sent = this->send_events(head, complete);
@@ -117,6 +118,13 @@
                 return next_action::close_connection;
             }
         }
+        if (const absl::Status sound = this->check_stream(head, record, *ended); !sound.ok()) {
+            return this->handle_failure(attempt_state::possibly_executed, sound, record);
+        }
+        if (*ended ||
+            elapsed_since(record.started) >= record.first_byte + crash_guard::time_to_prove) {
+            this->note_sound(record);
+        }
         if (!*ended && !complete.empty() && this->try_move_stream(record)) {
             return next_action::retry;
         }
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -24,7 +24,7 @@
 }
 
 // Wire protocol for these tests; its headers are `Id`, `Key`, `Part` (of the prompt), `Signed`,
-// `Never-Ran`, `After`, `Leaving`, and `Retry-After` in milliseconds.
+// `Never-Ran`, `After` (the last event), `Leaving`, and `Retry-After` in milliseconds.
 inline wire_protocol test_protocol()
 {
     wire_protocol protocol;
@@ -37,6 +37,7 @@
         request.host = std::string(find_header(head.headers, "Host").value_or(""));
         request.keep_alive = head.keeps_alive();
         request.accepts_chunked = head.version >= 11;
+        request.resume_after = header_or_empty(head.headers, "After");
         request.headers = {{"Host", request.host}, {"Id", request.id}};
         const std::string part = header_or_empty(head.headers, "Part");
         if (!part.empty()) {
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/http/message_reader.h"
 
+#include <utility>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -165,7 +167,12 @@
 {
     bool started = !this->buffered.empty();
     while (true) {
-        SARDINE_RETURN_IF_ERROR(this->parse_buffered(into));
+        absl::Status parsed = this->parse_buffered(into);
+        if (!IsRequest && into.is_header_done()) {
+            // An error in the body does not take back the head and what came before the error.
+            this->body_error = std::exchange(parsed, absl::OkStatus());
+        }
+        SARDINE_RETURN_IF_ERROR(parsed);
         if (into.is_header_done()) {
             return check_framing(into.head.headers, into.head.version);
         }
@@ -201,6 +208,7 @@
                                                                     steady_time deadline)
 {
     this->request = std::make_unique<parser<true>>();
+    this->body_error = absl::OkStatus();
     this->request->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     this->request->body_limit(static_cast<std::uint64_t>(limits.body_bytes));
     SARDINE_RETURN_IF_ERROR(this->read_head(*this->request, deadline, hangup_watch()));
@@ -213,6 +221,7 @@
                                                                       const hangup_watch& caller)
 {
     this->response = std::make_unique<parser<false>>();
+    this->body_error = absl::OkStatus();
     this->response->header_limit(
         std::min(static_cast<std::uint32_t>(limits.header_bytes), largest_header_limit));
     this->response->body_limit(largest_response_bytes);
@@ -236,6 +245,7 @@
                                                steady_time deadline, const hangup_watch& caller)
 {
     if (!from.is_done() && from.body.empty()) {
+        SARDINE_RETURN_IF_ERROR(this->body_error);
         absl::StatusOr<std::size_t> length = this->fill(deadline, caller);
         if (!length.ok()) {
             return length.status();
@@ -247,11 +257,14 @@
                 return truncated_message_error();
             }
         }
-        SARDINE_RETURN_IF_ERROR(this->parse_buffered(from));
-        if (!from.is_done()) {
-            SARDINE_RETURN_IF_ERROR(this->check_unparsed());
+        this->body_error = this->parse_buffered(from);
+        if (this->body_error.ok() && !from.is_done()) {
+            this->body_error = this->check_unparsed();
         }
     }
+    if (from.body.empty()) {
+        SARDINE_RETURN_IF_ERROR(this->body_error);
+    }
     body.append(from.body);
     from.body.clear();
     return from.is_done();
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -59,7 +59,8 @@
                                          steady_time deadline, const hangup_watch& caller);
 
     // Appends the next received part of the body, waiting for one if necessary. Returns true when
-    // the body is complete.
+    // the body is complete. What was received before bytes that are not valid HTTP is returned
+    // first; the error follows with the next call.
     [[nodiscard]] absl::StatusOr<bool> read_body_part(std::string& body, steady_time deadline,
                                                       const hangup_watch& caller);
 
@@ -86,6 +87,8 @@
 
     tcp_socket& socket;
     std::string buffered;
+    // Why the body of the message being read cannot go on behind the bytes parsed so far.
+    absl::Status body_error;
     // The parser of the message being read. At most one of the two is set.
     std::unique_ptr<parser<true>> request;
     std::unique_ptr<parser<false>> response;
--- a/sardinestream/http/message_reader_test.cc
+++ b/sardinestream/http/message_reader_test.cc
@@ -160,6 +160,21 @@
     EXPECT_TRUE(absl::IsDataLoss(reader.read_body(limits.body_bytes, body, soon(), {})));
 }
 
+// Guards against the loss of a body's part that was received before bytes that are not HTTP.
+TEST_F(message_reader_test, a_part_before_a_malformed_one_is_returned_before_the_error)
+{
+    this->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nxyz\r\n");
+    message_reader reader(this->near);
+    ASSERT_TRUE(reader.read_response_head(limits, false, soon(), {}).ok());
+    std::string body;
+    const absl::StatusOr<bool> first = reader.read_body_part(body, soon(), {});
+    ASSERT_TRUE(first.ok()) << first.status();
+    EXPECT_FALSE(*first);
+    EXPECT_EQ(body, "abc");
+    const absl::StatusOr<bool> second = reader.read_body_part(body, soon(), {});
+    EXPECT_TRUE(absl::IsInvalidArgument(second.status())) << second.status();
+}
+
 TEST_F(message_reader_test, times_out)
 {
     message_reader reader(this->near);
