A server that lacks the version asked for stays in use

Cause: any 421 was taken for 'another server has the address', and the server marked as leaving; the instance that the answer names was not read.

Change: a 421 that names the server itself, or none where the request asks for a version, says that the request does not suit this server; its state stays as it is, and the request goes to one that has not been asked.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -260,7 +260,8 @@
 {
     const absl::MutexLock lock(&this->mutex);
     const steady_time now = steady_clock::now();
-    if (result != attempt_result::unreachable && result != attempt_result::replaced) {
+    if (result != attempt_result::unreachable && result != attempt_result::replaced &&
+        result != attempt_result::unsuitable) {
         this->queues[given.server.service].completion_rate.add(now);
     }
     const auto found = this->servers.find(given.server.id);
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -62,7 +62,7 @@
     --this->in_flight;
     this->accepted -= was_accepted ? 1 : 0;
     ++this->ended_since_report;
-    if (result == attempt_result::abandoned) {
+    if (result == attempt_result::abandoned || result == attempt_result::unsuitable) {
         return;
     }
     if (result == attempt_result::refused) {
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -64,6 +64,9 @@
     unreachable,
     // Another server now uses its address.
     replaced,
+    // The server cannot run this request, whatever its state; the result does not count for or
+    // against it.
+    unsuitable,
     // The caller disconnected; the result does not count for or against the server.
     abandoned,
 };
--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -32,6 +32,8 @@
     std::optional<std::chrono::milliseconds> time_limit;
     // Id of the last event that the caller received of an interrupted stream.
     std::string resume_after;
+    // Only servers whose weights have a version that the headers name may run the request.
+    bool expects_version = false;
     int prompt_tokens = 0;
     // Maximum number of tokens in the response; 0 if unknown.
     int max_response_tokens = 0;
@@ -78,8 +80,11 @@
     bool is_signed = false;
     // The server states that it did not run the request.
     bool not_executed = false;
-    // The address now belongs to another server than the expected one.
-    bool wrong_server = false;
+    // The server did not run the request because it was meant for another instance or another
+    // version of the weights.
+    bool misdirected = false;
+    // Id of the instance that responds; empty if not stated.
+    std::string instance_id;
     // What the server states about itself.
     server_notice notice;
     // The rate, in requests per second, that the server accepts from all processes together; empty
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -287,11 +287,11 @@
                                       attempt_record& record, bool& reusable)
 {
     const response_marks marks = this->services.protocol.decode_response(head);
-    if (marks.not_executed || marks.wrong_server) {
+    if (marks.not_executed || marks.misdirected) {
         std::string discarded;
         reusable = reusable && this->read_whole_body(connection, discarded).ok();
         connection.refused_ids.push_back(this->admitted.request.id);
-        record.result = marks.wrong_server ? attempt_result::replaced : attempt_result::refused;
+        record.result = this->result_of_refusal(record.placed.server, marks);
         return this->handle_failure(attempt_state::refused_by_server,
                                     make_error(absl::StatusCode::kResourceExhausted, "answer",
                                                record.placed.server.id,
@@ -315,6 +315,26 @@
     return this->relay_buffered(connection, head, record, reusable);
 }
 
+attempt_result exchange::result_of_refusal(const backend_server& server,
+                                           const response_marks& marks) const
+{
+    if (!marks.misdirected) {
+        return attempt_result::refused;
+    }
+    return this->is_from_other_server(server, marks) ? attempt_result::replaced
+                                                     : attempt_result::unsuitable;
+}
+
+bool exchange::is_from_other_server(const backend_server& server, const response_marks& marks) const
+{
+    if (!marks.misdirected) {
+        return false;
+    }
+    // A response that names no instance to a request for a version does not tell which was wrong.
+    return marks.instance_id.empty() ? !this->admitted.request.expects_version
+                                     : marks.instance_id != server.id;
+}
+
 exchange::next_action exchange::relay_buffered(server_connection& connection,
                                                const http_response_head& head,
                                                attempt_record& record, bool& reusable)
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -117,6 +117,12 @@
     [[nodiscard]] absl::Status read_whole_body(server_connection& connection, std::string& body);
     [[nodiscard]] next_action relay(server_connection& connection, const http_response_head& head,
                                     attempt_record& record, bool& reusable);
+    // Returns how an attempt ended whose server did not run the request.
+    [[nodiscard]] attempt_result result_of_refusal(const backend_server& server,
+                                                   const response_marks& marks) const;
+    // Returns whether another server responded than the one that the attempt was meant for.
+    [[nodiscard]] bool is_from_other_server(const backend_server& server,
+                                            const response_marks& marks) const;
     [[nodiscard]] next_action relay_buffered(server_connection& connection,
                                              const http_response_head& head, attempt_record& record,
                                              bool& reusable);
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -89,7 +89,7 @@
                             const response_marks& marks)
 {
     // A response without a request id, or from another server, may not come from this server.
-    if (marks.request_id.empty() || marks.wrong_server) {
+    if (marks.request_id.empty() || this->is_from_other_server(server, marks)) {
         return;
     }
     for (const auto& [is_bad, kind] : {std::pair{marks.invalid_leaving, "leaving"},
@@ -214,7 +214,7 @@
     }
     const response_marks marks = this->services.protocol.decode_response(*head);
     this->apply_notice(record.placed.server, *head, marks);
-    if (!marks.not_executed && !marks.wrong_server) {
+    if (!marks.not_executed && !marks.misdirected) {
         this->services.servers.note_accepted(record.placed);
     }
     reusable = reusable && head->keeps_alive() && !marks.notice.is_leaving;
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -24,7 +24,8 @@
 }
 
 // Wire protocol for these tests; its headers are `Id`, `Key`, `Part` (of the prompt), `Signed`,
-// `Never-Ran`, `After` (the last event), `Leaving`, and `Retry-After` in milliseconds.
+// `Version` (of the weights), `Instance`, `Never-Ran`, `After` (the last event), `Leaving`, and
+// `Retry-After` in milliseconds.
 inline wire_protocol test_protocol()
 {
     wire_protocol protocol;
@@ -37,8 +38,12 @@
         request.host = std::string(find_header(head.headers, "Host").value_or(""));
         request.keep_alive = head.keeps_alive();
         request.accepts_chunked = head.version >= 11;
+        request.expects_version = find_header(head.headers, "Version").has_value();
         request.resume_after = header_or_empty(head.headers, "After");
         request.headers = {{"Host", request.host}, {"Id", request.id}};
+        if (request.expects_version) {
+            request.headers.push_back({"Version", header_or_empty(head.headers, "Version")});
+        }
         const std::string part = header_or_empty(head.headers, "Part");
         if (!part.empty()) {
             request.prompt_parts.push_back(part);
@@ -56,7 +61,8 @@
         marks.request_id = std::string(find_header(head.headers, "Id").value_or(""));
         marks.is_signed = find_header(head.headers, "Signed").has_value();
         marks.not_executed = find_header(head.headers, "Never-Ran").has_value();
-        marks.wrong_server = head.status == 421;
+        marks.misdirected = head.status == 421;
+        marks.instance_id = header_or_empty(head.headers, "Instance");
         marks.notice.is_leaving = find_header(head.headers, "Leaving").has_value();
         int wait_ms = 0;
         if (absl::SimpleAtoi(find_header(head.headers, "Retry-After").value_or(""), &wait_ms)) {
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -116,6 +116,7 @@
         request.key = std::string(absl::StripAsciiWhitespace(authorization));
     }
     request.resume_after = header_or_empty(head.headers, wire::last_event_id);
+    request.expects_version = find_header(head.headers, wire::expected_version).has_value();
     request.keep_alive = head.keeps_alive();
     request.accepts_chunked = head.version >= 11;
     SARDINE_RETURN_IF_ERROR(decode_numeric_headers(head.headers, request));
@@ -201,7 +202,8 @@
     marks.request_id = header_or_empty(head.headers, wire::request_id);
     marks.is_signed = find_header(head.headers, wire::signature).has_value();
     marks.not_executed = find_header(head.headers, wire::not_executed).has_value();
-    marks.wrong_server = head.status == misdirected;
+    marks.misdirected = head.status == misdirected;
+    marks.instance_id = header_or_empty(head.headers, wire::instance_id);
     read_leaving(head, marks);
     read_hold_off(head, marks);
     read_max_rate(head, marks);
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -125,7 +125,10 @@
     EXPECT_TRUE(marks.not_executed);
     EXPECT_FALSE(marks.is_signed);
     head.status = 421;
-    EXPECT_TRUE(make_caller_protocol().decode_response(head).wrong_server);
+    head.headers.push_back({wire::instance_id, "i-1"});
+    const response_marks misdirected = make_caller_protocol().decode_response(head);
+    EXPECT_TRUE(misdirected.misdirected);
+    EXPECT_EQ(misdirected.instance_id, "i-1");
 }
 
 http_response_head answered(int status, const http_headers& headers)
