Emulator and soak: servers that stop in an event or leave one out

Case five of a server's troubles: half of its streams stop in the middle of an event, behind two whole ones in the same packet, and end as complete; a fifth leave out an event.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -38,6 +38,12 @@
     return headers;
 }
 
+// Returns one event of a stream as it stands in the answer.
+std::string event_text(const std::string& request_id, std::int64_t number)
+{
+    return absl::StrCat("id: ", number, "\ndata: ", expected_event(request_id, number), "\n\n");
+}
+
 } // namespace
 
 std::string expected_answer(const std::string& request_id, const std::string& target,
@@ -374,8 +380,10 @@
     const begun_run run = this->describe(request);
     const std::int64_t last = events_of(request.head.target);
     const backend_trouble now = this->trouble();
-    const std::int64_t cut_after =
-        this->happens(now.cut_share) ? (run.resumed_after + last) / 2 : last;
+    const std::int64_t middle = (run.resumed_after + last) / 2;
+    const std::int64_t cut_after = this->happens(now.cut_share) ? middle : last;
+    const bool truncates = this->happens(now.truncated_event_share);
+    const bool leaves_out = this->happens(now.missing_event_share);
     const bool mute = this->happens(now.mute_share);
     rank_group::stream stream(*this->options.group, this->options.rank);
     answer_head head;
@@ -397,15 +405,24 @@
             connection.reset();
             return;
         }
-        absl::StrAppend(&text,
-                        encode_chunk(absl::StrCat("id: ", number, "\ndata: ",
-                                                  expected_event(run.request_id, number), "\n\n")));
+        if (truncates && number > middle && number + 1 < last) {
+            const std::string partial = event_text(run.request_id, number + 2);
+            absl::StrAppend(&text, encode_chunk(absl::StrCat(
+                                       event_text(run.request_id, number),
+                                       event_text(run.request_id, number + 1),
+                                       absl::string_view(partial).substr(0, partial.size() / 2))));
+            break;
+        }
+        if (leaves_out && number == middle + 1 && number > 1) {
+            continue;
+        }
+        absl::StrAppend(&text, encode_chunk(event_text(run.request_id, number)));
         if (!connection.write(text)) {
             return;
         }
         text.clear();
     }
-    connection.write("0\r\n\r\n");
+    connection.write(text + "0\r\n\r\n");
 }
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -38,6 +38,11 @@
     double refusal_share = 0;
     // Breaks off in the middle of its answer.
     double cut_share = 0;
+    // Stops in the middle of an event, behind whole ones in the same packet, and ends the answer as
+    // if it were complete.
+    double truncated_event_share = 0;
+    // Leaves out an event in the middle of its stream.
+    double missing_event_share = 0;
     // Runs the request and never answers.
     double mute_share = 0;
     // Sends another answer behind the whole one.
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -47,7 +47,7 @@
 
 backend_trouble backend_trouble_of(double variant)
 {
-    constexpr int kinds = 6;
+    constexpr int kinds = 7;
     backend_trouble trouble;
     switch (static_cast<int>(variant * kinds)) {
     case 0:
@@ -65,6 +65,10 @@
     case 4:
         trouble.mute_share = 0.3;
         break;
+    case 5:
+        trouble.truncated_event_share = 0.5;
+        trouble.missing_event_share = 0.2;
+        break;
     default:
         trouble.surplus_share = 0.5;
         break;
