A retry waits on no connection that was idle while others went silent

Cause: a request that had waited on a pooled connection that was cut went to the next server on a pooled connection too, cut at the same moment. The other idle connections to the first server stayed in the pool.

Change: once an attempt may have run, the next one opens a new connection; the idle connections to a server are discarded when one to it goes silent or is lost.

--- a/sardinestream/forwarding/connection_pool.cc
+++ b/sardinestream/forwarding/connection_pool.cc
@@ -76,6 +76,12 @@
     }
 }
 
+void connection_pool::discard(const backend_server& server)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->idle.erase({server.id, server.born_ms});
+}
+
 void connection_pool::close_stale(const std::vector<backend_server>& servers)
 {
     std::set<pool_key> known;
--- a/sardinestream/forwarding/connection_pool.h
+++ b/sardinestream/forwarding/connection_pool.h
@@ -50,6 +50,10 @@
     void release(const backend_server& server, std::unique_ptr<server_connection> connection,
                  std::chrono::milliseconds idle_timeout);
 
+    // Closes the idle connections to a server: what made one of them silent or lost may have cut
+    // the others as well.
+    void discard(const backend_server& server);
+
     // Closes expired connections and all connections to servers that are draining or not in
     // `servers`.
     void close_stale(const std::vector<backend_server>& servers);
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -250,7 +250,8 @@
 exchange::next_action exchange::run_attempt(attempt_record& record)
 {
     const backend_server& server = record.placed.server;
-    const bool require_new = !this->matched_route.may_run_again();
+    // An idle connection may have been cut unnoticed. A second attempt must not wait on one, too.
+    const bool require_new = !this->matched_route.may_run_again() || this->possibly_executed;
     absl::StatusOr<std::unique_ptr<server_connection>> connection =
         this->services.connections.open(server, this->admitted.request.id, require_new,
                                         this->answer_deadline(), this->caller_watch);
@@ -275,6 +276,9 @@
         this->services.connections.release(server, *std::move(connection), idle_timeout);
         return next;
     }
+    if (record.result == attempt_result::unreachable) {
+        this->services.connections.discard(server);
+    }
     if (record.result != attempt_result::succeeded) {
         // Aborts the connection, so that a server that was unreachable for a while does not receive
         // the request later.
