--- a/sardinestream/forwarding/severed_connections_test.cc
+++ b/sardinestream/forwarding/severed_connections_test.cc
@@ -40,8 +40,10 @@
     // Leaves idle connections to both servers behind.
     void fill_pool()
     {
+        constexpr int requests = 6;
         std::vector<std::thread> callers;
-        for (int i = 0; i < 6; ++i) {
+        callers.reserve(requests);
+        for (int i = 0; i < requests; ++i) {
             callers.emplace_back([this, i] {
                 EXPECT_EQ(this->call("/read/", absl::StrCat("f", i)).body, "served");
             });
