Plans are above every version that an engine may still prepare

Cause: an order to prepare without an answer left no trace. The next plan was drawn from the same newest version and was below it in half of the cases; the order, carried out seconds late, discarded the plan on one rank after the others had been armed for it.

Change: agents remember and tell the highest version sent to their engine, answered or not; plans are above it, and above what agents draw themselves.

Measured: maps_test passes, 49 tests.

--- a/sardinestream/maps/engine_interface.h
+++ b/sardinestream/maps/engine_interface.h
@@ -4,6 +4,7 @@
 #ifndef SARDINESTREAM_MAPS_ENGINE_INTERFACE_H_
 #define SARDINESTREAM_MAPS_ENGINE_INTERFACE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -51,19 +52,30 @@
 // still be executed seconds later.
 enum class order_outcome { accepted, refused, no_answer };
 
-// The newest versions that an engine accepted and refused to prepare.
+// The newest versions that an engine accepted and refused to prepare, and the highest that was sent
+// to it.
 struct prepare_record {
     std::int64_t accepted = 0;
     std::int64_t refused = 0;
+    // Includes orders without an answer: the engine may still carry them out.
+    std::int64_t sent = 0;
 
-    // Records the outcome of a prepare order. Ignores orders of other kinds and orders without an
-    // answer.
+    // Records the outcome of a prepare order. Ignores orders of other kinds.
     void record_outcome(const engine_order& order, order_outcome outcome)
     {
-        if (order.kind != order_kind::prepare || outcome == order_outcome::no_answer) {
+        if (order.kind != order_kind::prepare) {
             return;
         }
-        (outcome == order_outcome::accepted ? this->accepted : this->refused) = order.version;
+        this->sent = std::max(this->sent, order.version);
+        if (outcome != order_outcome::no_answer) {
+            (outcome == order_outcome::accepted ? this->accepted : this->refused) = order.version;
+        }
+    }
+
+    // Returns the highest version that the engine may have prepared, or may still prepare.
+    [[nodiscard]] std::int64_t newest() const
+    {
+        return std::max({this->accepted, this->refused, this->sent});
     }
 };
 
--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -144,7 +144,7 @@
     for (std::size_t rank = 0; rank < reports.size(); ++rank) {
         const rank_state& state = this->ranks[rank].state;
         newest = std::max({newest, reports[rank].map_version, reports[rank].prepared_version,
-                           state.prepares.accepted, state.prepares.refused});
+                           state.prepares.newest()});
         if (reports[rank].armed.has_value()) {
             newest = std::max(newest, reports[rank].armed->version);
         }
@@ -152,7 +152,7 @@
     constexpr int max_draws = 64;
     std::int64_t version = 0;
     for (int draw = 0; draw < max_draws; ++draw) {
-        version = version_after(newest, this->random());
+        version = plan_version_after(newest, this->random());
         if (this->can_hold(holding_rank(version, this->options.shape.ranks))) {
             break;
         }
--- a/sardinestream/maps/map_switch.cc
+++ b/sardinestream/maps/map_switch.cc
@@ -39,6 +39,11 @@
            static_cast<std::int64_t>(draw & random_mask);
 }
 
+std::int64_t plan_version_after(std::int64_t newest, std::uint64_t draw)
+{
+    return version_after(version_after(newest, 0), draw);
+}
+
 std::int64_t version_prepared_on_all_ranks(absl::Span<const rank_report> ranks)
 {
     const std::int64_t version = ranks.front().prepared_version;
--- a/sardinestream/maps/map_switch_schedule_test.cc
+++ b/sardinestream/maps/map_switch_schedule_test.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -194,7 +195,8 @@
 public:
     schedule(unsigned seed, variant chosen, const schedule_options& given)
         : options(given), random(seed), played(chosen), group(given.ranks),
-          machines(static_cast<std::size_t>(given.ranks))
+          machines(static_cast<std::size_t>(given.ranks)),
+          newest_sent(static_cast<std::size_t>(given.ranks))
     {
     }
 
@@ -332,6 +334,10 @@
     // Executes an order that `giver` sends to an engine, unless it gets lost or is delayed.
     void execute_or_lose(const rank_order& order, int copy_time, int giver, int now)
     {
+        if (order.kind == order_kind::prepare) {
+            std::int64_t& sent = this->newest_sent[static_cast<std::size_t>(order.rank)];
+            sent = std::max(sent, order.version);
+        }
         if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->lost_share) {
             const int delay = this->draw(2) == 0 ? 1 + this->draw(600) : 2000 + this->draw(10000);
             this->late.push_back({order, this->group.epoch, copy_time, now + delay});
@@ -386,19 +392,22 @@
 
     void supersede(int rank, int now)
     {
-        const std::int64_t newer = this->next_version(
-            this->group.all[static_cast<std::size_t>(rank)].newest_version, rank);
+        const engine_rank& engine = this->group.all[static_cast<std::size_t>(rank)];
+        const std::int64_t newest =
+            std::max(engine.newest_version, this->newest_sent[static_cast<std::size_t>(rank)]);
+        const std::int64_t newer = this->draw_version(
+            [this, newest] { return version_after(newest, this->random()); }, rank);
         this->execute_or_lose({rank, order_kind::prepare, newer, 0}, 0, rank, now);
     }
 
-    // Returns a version above `newest` that is not held on `rank`.
-    std::int64_t next_version(std::int64_t newest, int rank)
+    // Returns the first version drawn that is not held on `rank`.
+    std::int64_t draw_version(const std::function<std::int64_t()>& next, int rank)
     {
-        std::int64_t next = 0;
+        std::int64_t version = 0;
         do {
-            next = version_after(newest, this->random());
-        } while (holding_rank(next, this->options.ranks) == rank);
-        return next;
+            version = next();
+        } while (holding_rank(version, this->options.ranks) == rank);
+        return version;
     }
 
     void choose_wanted(const std::vector<rank_report>& reports)
@@ -411,8 +420,12 @@
         for (const engine_rank& rank : this->group.all) {
             newest = std::max(newest, rank.newest_version);
         }
+        newest =
+            std::max(newest, *std::max_element(this->newest_sent.begin(), this->newest_sent.end()));
         if (!is_switching(reports) && (this->wanted == 0 || newest > this->wanted)) {
-            this->wanted = this->next_version(newest, this->own_rank);
+            this->wanted = this->draw_version(
+                [this, newest] { return plan_version_after(newest, this->random()); },
+                this->own_rank);
         }
     }
 
@@ -469,6 +482,8 @@
     const variant played;
     engine_group group;
     std::vector<machine> machines;
+    // The highest version of which each rank was sent an order to prepare, answered or not.
+    std::vector<std::int64_t> newest_sent;
     double lost_share = 0;
     int own_rank = 0;
     std::unique_ptr<map_switch> coordinator;
--- a/sardinestream/peers/news_generated.h
+++ b/sardinestream/peers/news_generated.h
@@ -957,6 +957,7 @@
   std::vector<uint8_t> experts{};
   std::vector<uint8_t> counts{};
   float counts_scale = 0.0f;
+  int64_t prepare_sent = 0;
 };
 
 struct RankState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -982,7 +983,8 @@
     VT_PREPARE_REFUSED = 34,
     VT_EXPERTS = 36,
     VT_COUNTS = 38,
-    VT_COUNTS_SCALE = 40
+    VT_COUNTS_SCALE = 40,
+    VT_PREPARE_SENT = 42
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1041,6 +1043,9 @@
   float counts_scale() const {
     return GetField<float>(VT_COUNTS_SCALE, 0.0f);
   }
+  int64_t prepare_sent() const {
+    return GetField<int64_t>(VT_PREPARE_SENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
@@ -1065,6 +1070,7 @@
            VerifyOffset(verifier, VT_COUNTS) &&
            verifier.VerifyVector(counts()) &&
            VerifyField<float>(verifier, VT_COUNTS_SCALE, 4) &&
+           VerifyField<int64_t>(verifier, VT_PREPARE_SENT, 8) &&
            verifier.EndTable();
   }
   RankStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1133,6 +1139,9 @@
   void add_counts_scale(float counts_scale) {
     fbb_.AddElement<float>(RankState::VT_COUNTS_SCALE, counts_scale, 0.0f);
   }
+  void add_prepare_sent(int64_t prepare_sent) {
+    fbb_.AddElement<int64_t>(RankState::VT_PREPARE_SENT, prepare_sent, 0);
+  }
   explicit RankStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1164,8 +1173,10 @@
     int64_t prepare_refused = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts = 0,
-    float counts_scale = 0.0f) {
+    float counts_scale = 0.0f,
+    int64_t prepare_sent = 0) {
   RankStateBuilder builder_(_fbb);
+  builder_.add_prepare_sent(prepare_sent);
   builder_.add_prepare_refused(prepare_refused);
   builder_.add_prepare_accepted(prepare_accepted);
   builder_.add_held_step(held_step);
@@ -1213,7 +1224,8 @@
     int64_t prepare_refused = 0,
     const std::vector<uint8_t> *experts = nullptr,
     const std::vector<uint8_t> *counts = nullptr,
-    float counts_scale = 0.0f) {
+    float counts_scale = 0.0f,
+    int64_t prepare_sent = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint8_t>(*experts) : 0;
   auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
@@ -1237,7 +1249,8 @@
       prepare_refused,
       experts__,
       counts__,
-      counts_scale);
+      counts_scale,
+      prepare_sent);
 }
 
 flatbuffers::Offset<RankState> CreateRankState(flatbuffers::FlatBufferBuilder &_fbb, const RankStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1830,6 +1843,7 @@
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->experts.begin()); } }
   { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->counts.begin()); } }
   { auto _e = counts_scale(); _o->counts_scale = _e; }
+  { auto _e = prepare_sent(); _o->prepare_sent = _e; }
 }
 
 inline flatbuffers::Offset<RankState> RankState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1859,6 +1873,7 @@
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
   auto _counts_scale = _o->counts_scale;
+  auto _prepare_sent = _o->prepare_sent;
   return sardinestream::news::CreateRankState(
       _fbb,
       _group,
@@ -1879,7 +1894,8 @@
       _prepare_refused,
       _experts,
       _counts,
-      _counts_scale);
+      _counts_scale,
+      _prepare_sent);
 }
 
 inline DirectiveT *Directive::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/programs/rank_messages.cc
+++ b/sardinestream/programs/rank_messages.cc
@@ -103,6 +103,7 @@
     encoded.held_step = report.held_step.value_or(-1);
     encoded.prepare_accepted = state.prepares.accepted;
     encoded.prepare_refused = state.prepares.refused;
+    encoded.prepare_sent = state.prepares.sent;
     encoded.experts = serialize(state.experts);
     return encoded;
 }
@@ -114,7 +115,7 @@
     decoded.report = decode_report(state);
     decoded.broken = state.broken;
     decoded.slowness = state.slowness;
-    decoded.prepares = {state.prepare_accepted, state.prepare_refused};
+    decoded.prepares = {state.prepare_accepted, state.prepare_refused, state.prepare_sent};
     if (!state.experts.empty()) {
         SARDINE_RETURN_IF_ERROR(deserialize(state.experts, sets, decoded.experts));
     }
