Answers count against one budget for messages until their callers have them

Cause: answers were counted by the length of their text and only while they were read; growing and copying them took several times as much, unfinished events were not counted, and the allocator kept what was freed.

Change: message_memory counts what is held for as long as it is held, events too; large answers are written without a copy; the allocator returns large blocks at once. The budget is half of the new setting memory_mb.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -39,6 +39,20 @@
     return absl::IsDataLoss(cause) || absl::IsNotFound(cause) || absl::IsUnavailable(cause);
 }
 
+// Bodies up to this size are joined with their head, so that both go out in one call.
+constexpr std::size_t max_joined_bytes = 64 << 10;
+
+// Writes a message without copying a large body.
+absl::Status write_message(tcp_socket& socket, std::string head, const std::string& body,
+                           steady_time deadline)
+{
+    if (body.size() <= max_joined_bytes) {
+        return socket.write_all(head.append(body), deadline, hangup_watch());
+    }
+    SARDINE_RETURN_IF_ERROR(socket.write_all(head, deadline, hangup_watch()));
+    return socket.write_all(body, deadline, hangup_watch());
+}
+
 absl::Status shutting_down(const std::string& service)
 {
     return make_error(absl::StatusCode::kResourceExhausted, "place", service,
@@ -292,7 +306,7 @@
 {
     const response_marks marks = this->services.protocol.decode_response(head);
     if (marks.not_executed || marks.misdirected) {
-        std::string discarded;
+        buffered_body discarded(this->services.message_budget);
         reusable = reusable && this->read_whole_body(connection, discarded).ok();
         connection.refused_ids.push_back(this->admitted.request.id);
         record.result = this->result_of_refusal(record.placed.server, marks);
@@ -343,7 +357,7 @@
                                                const http_response_head& head,
                                                attempt_record& record, bool& reusable)
 {
-    std::string body;
+    buffered_body body(this->services.message_budget);
     const absl::Status read = this->read_whole_body(connection, body);
     if (!read.ok()) {
         reusable = false;
@@ -370,12 +384,12 @@
     }
     answer_head relayed = this->make_relayed_head(head);
     if (this->admitted.request.method != "HEAD") {
-        relayed.content_length = body.size();
+        relayed.content_length = body.text.size();
     }
     this->response_started = true;
-    const absl::Status sent = this->caller.write_all(
-        encode_answer_head(relayed) + body,
-        std::max(this->deadline, steady_clock::now() + local_response_timeout), hangup_watch());
+    const absl::Status sent =
+        write_message(this->caller, encode_answer_head(relayed), body.text,
+                      std::max(this->deadline, steady_clock::now() + local_response_timeout));
     this->log_attempt(record, success ? "answered" : "server_failed");
     this->log_outcome(sent.ok() ? "answered" : "caller_gone", head.status, "");
     return sent.ok() ? next_action::answered : next_action::close_connection;
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -20,7 +20,7 @@
 #include "sardinestream/forwarding/crash_guard.h"
 #include "sardinestream/forwarding/event_splitter.h"
 #include "sardinestream/forwarding/local_response.h"
-#include "sardinestream/forwarding/response_memory.h"
+#include "sardinestream/forwarding/message_memory.h"
 #include "sardinestream/forwarding/retry_rules.h"
 #include "sardinestream/http/message_reader.h"
 #include "sardinestream/routes/desired_state.h"
@@ -40,7 +40,7 @@
     // Returns the time at which a process that is shutting down ends the remaining requests;
     // steady_time::max() before a shutdown.
     std::function<steady_time()> shutdown_deadline;
-    response_memory& response_budget;
+    message_memory& message_budget;
     crash_guard& crashes;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
@@ -74,6 +74,14 @@
     // the request is sent to another server.
     enum class next_action { answered, close_connection, retry };
 
+    // The body of a response, with the memory reserved for it.
+    struct buffered_body {
+        explicit buffered_body(message_memory& shared) : reservation(shared) {}
+
+        message_memory_reservation reservation;
+        std::string text;
+    };
+
     // Result and timing of an attempt, for the dispatcher and the log.
     struct attempt_record {
         placement placed;
@@ -114,7 +122,7 @@
     // Returns the deadline for the complete head of a response that has started to arrive.
     [[nodiscard]] steady_time head_deadline() const;
     // Reads the body of a response that is relayed in one piece, or discarded.
-    [[nodiscard]] absl::Status read_whole_body(server_connection& connection, std::string& body);
+    [[nodiscard]] absl::Status read_whole_body(server_connection& connection, buffered_body& body);
     [[nodiscard]] next_action relay(server_connection& connection, const http_response_head& head,
                                     attempt_record& record, bool& reusable);
     // Returns how an attempt ended whose server did not run the request.
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -79,7 +79,7 @@
         count("sardine_stray_answers_total");
         log_event("stray_answer",
                   {{"request", this->admitted.request.id}, {"answers", marks.request_id}});
-        std::string discarded;
+        buffered_body discarded(this->services.message_budget);
         SARDINE_RETURN_IF_ERROR(this->read_whole_body(connection, discarded));
     }
     return make_error(absl::StatusCode::kDataLoss, "read", "", "responses to other requests only");
@@ -165,16 +165,16 @@
     return !connection.reader.has_surplus() && steady_clock::now() < this->answer_deadline();
 }
 
-absl::Status exchange::read_whole_body(server_connection& connection, std::string& body)
+absl::Status exchange::read_whole_body(server_connection& connection, buffered_body& body)
 {
-    response_memory_reservation reservation(this->services.response_budget);
     while (true) {
-        const absl::StatusOr<bool> ended =
-            connection.reader.read_body_part(body, this->answer_deadline(), this->caller_watch);
+        const absl::StatusOr<bool> ended = connection.reader.read_body_part(
+            body.text, this->answer_deadline(), this->caller_watch);
         if (!ended.ok()) {
             return ended.status();
         }
-        if (body.size() > max_buffered_response_bytes || !reservation.grow_to(body.size())) {
+        if (body.text.size() > max_buffered_response_bytes ||
+            !body.reservation.resize(body.text.capacity())) {
             count("sardine_answers_too_large_total");
             return make_error(absl::StatusCode::kOutOfRange, "read", "",
                               "response too large, or too many large responses buffered");
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -97,6 +97,7 @@
 {
     reusable = false;
     steady_time last_event = steady_clock::now();
+    message_memory_reservation partial_event(this->services.message_budget);
     while (true) {
         std::string bytes;
         const absl::StatusOr<bool> ended = this->read_stream_part(connection, bytes, last_event);
@@ -118,7 +119,12 @@
                 return next_action::close_connection;
             }
         }
-        if (const absl::Status sound = this->check_stream(head, record, *ended); !sound.ok()) {
+        absl::Status sound = this->check_stream(head, record, *ended);
+        if (sound.ok() && !partial_event.resize(this->events.partial_bytes())) {
+            sound = make_error(absl::StatusCode::kOutOfRange, "stream", record.placed.server.id,
+                               "too many large events buffered");
+        }
+        if (!sound.ok()) {
             return this->handle_failure(attempt_state::possibly_executed, sound, record);
         }
         if (*ended ||
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -219,7 +219,7 @@
     dispatcher servers{dispatcher_options{}};
     connection_pool channels;
     static constexpr std::size_t max_memory_bytes = 16U << 20U;
-    response_memory memory{max_memory_bytes};
+    message_memory memory{max_memory_bytes};
     const std::unique_ptr<suspects::suspect_registry> registry =
         suspects::suspect_registry::create(shared_server_suspects());
     // By default no server is taken for crashed: tests count the connections to their servers.
--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -156,14 +156,39 @@
         caller.join();
     }
     EXPECT_EQ(correct_statuses, servers_in_trouble);
-    response_memory_reservation all(this->memory);
-    EXPECT_TRUE(all.grow_to(max_memory_bytes));
+    message_memory_reservation all(this->memory);
+    EXPECT_TRUE(all.resize(max_memory_bytes));
     this->stop();
     // Socket buffers hold further bytes beyond the memory limit.
     constexpr std::size_t max_bytes_in_sockets = std::size_t{servers_in_trouble} * (12U << 20U);
     EXPECT_LT(sent, max_memory_bytes + max_bytes_in_sockets);
 }
 
+// Guards against a process that exceeds its memory with answers that callers have not read yet.
+TEST_F(troubled_servers_test, an_answer_counts_against_the_memory_until_its_caller_has_it)
+{
+    constexpr std::size_t large_bytes = 12U << 20U;
+    const std::string large(large_bytes, 'a');
+    scripted_server server([&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(answer_to(connection, large));
+        (void)connection.wait_for_end(milliseconds(3000));
+    });
+    this->use({&server});
+    tcp_socket slow_reader = this->connect();
+    ASSERT_TRUE(slow_reader.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
+    // Until the entry has the whole answer and waits for its caller to read on.
+    std::this_thread::sleep_for(milliseconds(800));
+    EXPECT_EQ(this->call("/pay/", "r2").head.status, 502);
+    message_reader reader(slow_reader);
+    const auto head = reader.read_response_head(message_limits(), false, soon(), {});
+    ASSERT_TRUE(head.ok());
+    std::string body;
+    EXPECT_TRUE(reader.read_body(large_bytes, body, soon(), {}).ok());
+    EXPECT_EQ(body.size(), large_bytes);
+    EXPECT_EQ(this->call("/pay/", "r3").head.status, 200);
+}
+
 TEST_F(troubled_servers_test, an_interim_response_is_not_the_final_one)
 {
     scripted_server server([](scripted_connection& connection) {
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -4,6 +4,7 @@
 
 #include <gflags/gflags.h>
 
+#include "sardinestream/base/allocator.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/platform/caller_protocol.h"
@@ -32,6 +33,7 @@
         options.seeds.push_back(seed.ip);
     }
     options.max_connections = settings.max_connections;
+    options.memory_bytes = settings.memory_bytes;
     options.retries_per_request = settings.retry_ratio;
     options.max_retry_burst = settings.retry_slack;
     options.server_entry_lifetime = settings.server_entry_lifetime;
@@ -110,6 +112,7 @@
 
 int main(int argc, char** argv)
 {
+    sardinestream::limit_retained_memory();
     gflags::SetUsageMessage("accepts callers' requests and forwards them to backend servers");
     gflags::SetVersionString("0.2.0");
     return sardinestream::platform::run_command(
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -28,6 +28,7 @@
 DEFINE_string(store, "", "IP:PORT of the platform's object store");
 DEFINE_string(seeds, "", "IP:PORT,... of other entries, to start without the store");
 DEFINE_int32(file_descriptors, 4096, "Descriptors that the process may hold, 64 to 1000000");
+DEFINE_int32(memory_mb, 256, "Megabytes of memory that the process may use, 64 to 1000000");
 DEFINE_double(retry_ratio, 0.2, "Retries per request, fleet-wide, 0 to 1");
 DEFINE_double(retry_slack, 20, "Retries allowed beyond retry_ratio, fleet-wide, 0 to 1e6");
 DEFINE_int32(heartbeat_ms, 1200,
@@ -112,6 +113,9 @@
 {
     constexpr int min_descriptors = 64;
     constexpr int max_descriptors = 1000000;
+    constexpr int min_memory_mb = 64;
+    constexpr int max_memory_mb = 1000000;
+    constexpr std::size_t bytes_per_mb = 1000000;
     constexpr double max_slack = 1e6;
     constexpr double max_grace_s = 600;
     constexpr int min_heartbeat_ms = 10;
@@ -123,6 +127,8 @@
     SARDINE_RETURN_IF_ERROR(check_address("store", FLAGS_store));
     SARDINE_RETURN_IF_ERROR(
         check_range("file_descriptors", FLAGS_file_descriptors, min_descriptors, max_descriptors));
+    SARDINE_RETURN_IF_ERROR(
+        check_range("memory_mb", FLAGS_memory_mb, min_memory_mb, max_memory_mb));
     SARDINE_RETURN_IF_ERROR(check_number("retry_ratio", FLAGS_retry_ratio, 0, 1));
     SARDINE_RETURN_IF_ERROR(check_number("retry_slack", FLAGS_retry_slack, 0, max_slack));
     SARDINE_RETURN_IF_ERROR(
@@ -138,6 +144,7 @@
     settings.seeds = *std::move(seeds);
     // A caller's connection uses two descriptors while it is served, and one more in a queue.
     constexpr int descriptors_per_connection = 4;
+    settings.memory_bytes = static_cast<std::size_t>(FLAGS_memory_mb) * bytes_per_mb;
     settings.max_connections = FLAGS_file_descriptors / descriptors_per_connection;
     settings.retry_ratio = FLAGS_retry_ratio;
     settings.retry_slack = FLAGS_retry_slack;
@@ -174,8 +181,8 @@
 {
     SARDINE_RETURN_IF_ERROR(
         load(argc, argv,
-             {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "retry_ratio",
-              "retry_slack", "heartbeat_ms", "grace_s"}));
+             {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "memory_mb",
+              "retry_ratio", "retry_slack", "heartbeat_ms", "grace_s"}));
     return read_entry();
 }
 
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -39,6 +39,8 @@
     address store;
     std::vector<address> seeds;
     int max_connections = 0;
+    // Memory that the process may use.
+    std::size_t memory_bytes = 0;
     double retry_ratio = 0;
     double retry_slack = 0;
     // Time within which the store removes the entry of a silent server.
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -35,7 +35,9 @@
 // entry counts, such as those of an entry that has just ended.
 constexpr double usable_budget_share = 0.9;
 // Limit on all answers together that are buffered to be forwarded whole.
-constexpr std::size_t max_buffered_answer_bytes = 64U << 20U;
+// Share of the process's memory for bodies of requests and responses. The rest is for connections,
+// small messages and what the allocator keeps.
+constexpr double message_memory_share = 0.5;
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -67,7 +69,9 @@
               return rendezvous_rank(trait.high, this->entries.own, this->entries.others);
           }))),
       crashes(*suspects, {refuses_connections, [this] { this->send_suspect_news(); }}),
-      answers(max_buffered_answer_bytes), retries(budget_options(chosen))
+      messages(static_cast<std::size_t>(message_memory_share *
+                                        static_cast<double>(options.memory_bytes))),
+      retries(budget_options(chosen))
 {
 }
 
@@ -105,7 +109,7 @@
         [this](const std::string& service) { return this->retries.try_retry(service); },
         [this] { return this->stopping.load(); },
         [this] { return this->stop_deadline.load(); },
-        this->answers,
+        this->messages,
         this->crashes,
         [this] { this->gossip->announce(); }};
     frontend_options front_options;
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -44,6 +44,8 @@
     int news_port = 0;
     std::vector<std::string> seeds;
     int max_connections = 1000;
+    // Memory that the process may use.
+    std::size_t memory_bytes = std::size_t{256} << 20U;
     // Retry budget: allowed retries per request, and the size of a burst of further retries in the
     // whole fleet.
     double retries_per_request = 0.1;
@@ -125,7 +127,7 @@
     // Requests that crash servers, as this entry and the others have seen.
     const std::unique_ptr<suspects::suspect_registry> suspects;
     crash_guard crashes;
-    response_memory answers;
+    message_memory messages;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
