Bodies of requests count against the budget for messages

Cause: nothing bounded the memory of all request bodies together; a body was kept, with up to twice its length, and copied for each attempt.

Change: a body is reserved in message_memory before it is read, for as long as its request lasts, and written to a server without a copy. A request for which there is no memory is refused at once with 503 and a time to come back.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -239,7 +239,7 @@
     return this->services.servers.place(wanted, this->caller_watch);
 }
 
-std::string exchange::encode_request(const backend_server& server) const
+std::string exchange::encode_request_head(const backend_server& server) const
 {
     const caller_request& request = this->admitted.request;
     attempt_details details;
@@ -257,10 +257,27 @@
     if (has_body) {
         append_header(text, "Content-Length", absl::StrCat(request.body.size()));
     }
-    absl::StrAppend(&text, "\r\n", request.body);
+    absl::StrAppend(&text, "\r\n");
     return text;
 }
 
+absl::StatusOr<bool> exchange::write_request(server_connection& connection,
+                                             const backend_server& server) const
+{
+    const std::string& body = this->admitted.request.body;
+    std::string text = this->encode_request_head(server);
+    if (body.size() <= max_joined_bytes) {
+        return connection.socket.write_until_answer(text.append(body), this->answer_deadline(),
+                                                    this->caller_watch);
+    }
+    absl::StatusOr<bool> written =
+        connection.socket.write_until_answer(text, this->answer_deadline(), this->caller_watch);
+    if (!written.ok() || !*written) {
+        return written;
+    }
+    return connection.socket.write_until_answer(body, this->answer_deadline(), this->caller_watch);
+}
+
 exchange::next_action exchange::run_attempt(attempt_record& record)
 {
     const backend_server& server = record.placed.server;
@@ -275,10 +292,7 @@
     ++this->servers_sent;
     this->retry_granted = false;
     record.started = steady_clock::now();
-    const absl::StatusOr<bool> written =
-        (*connection)
-            ->socket.write_until_answer(this->encode_request(server), this->answer_deadline(),
-                                        this->caller_watch);
+    const absl::StatusOr<bool> written = this->write_request(**connection, server);
     if (!written.ok()) {
         (*connection)->socket.abort();
         return this->handle_failure(attempt_state::possibly_executed, written.status(), record);
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -170,7 +170,10 @@
                                            std::chrono::milliseconds retry_after);
 
     [[nodiscard]] static std::chrono::milliseconds elapsed_since(steady_time started);
-    [[nodiscard]] std::string encode_request(const backend_server& server) const;
+    [[nodiscard]] std::string encode_request_head(const backend_server& server) const;
+    // Writes the request. Returns whether all of it was written before the server responded.
+    [[nodiscard]] absl::StatusOr<bool> write_request(server_connection& connection,
+                                                     const backend_server& server) const;
     [[nodiscard]] bool keeps_connection() const;
     void log_outcome(absl::string_view outcome, int status, absl::string_view reason) const;
     void log_attempt(const attempt_record& record, absl::string_view outcome) const;
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/forwarding/frontend.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <sys/eventfd.h>
@@ -10,6 +11,7 @@
 #include "sardinestream/base/metrics.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 namespace sardinestream {
@@ -65,6 +67,38 @@
     }
 }
 
+// Returns the length that the head states for the body; zero if it states none.
+std::size_t declared_length(const http_request_head& head)
+{
+    std::size_t length = 0;
+    return absl::SimpleAtoi(find_header(head.headers, "content-length").value_or(""), &length)
+               ? length
+               : 0;
+}
+
+// Appends the rest of a request's body to `body`. Returns false if there is no memory left for it;
+// errors are those of message_reader::read_body.
+absl::StatusOr<bool> read_body_within(message_reader& reader, std::size_t most_bytes,
+                                      message_memory_reservation& reservation, std::string& body,
+                                      steady_time deadline)
+{
+    while (true) {
+        const absl::StatusOr<bool> done = reader.read_body_part(body, deadline, hangup_watch());
+        if (!done.ok()) {
+            return done.status();
+        }
+        if (body.size() > most_bytes) {
+            return make_error(absl::StatusCode::kOutOfRange, "read", "", "body too large");
+        }
+        if (!reservation.resize(body.capacity())) {
+            return false;
+        }
+        if (*done) {
+            return true;
+        }
+    }
+}
+
 acceptor_options make_options(int max_connections)
 {
     acceptor_options options;
@@ -147,24 +181,41 @@
     if (!head.ok()) {
         return this->reject_message(connection, head.status());
     }
+    absl::StatusOr<caller_request> request = this->services.protocol.decode_request(*head);
+    if (!request.ok()) {
+        return this->reject_message(connection, request.status());
+    }
+    message_memory_reservation reservation(this->services.message_budget);
+    if (!reservation.resize(std::min(declared_length(*head), limits.body_bytes))) {
+        return this->refuse_unread(connection, *std::move(request));
+    }
     const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
     if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue") &&
         !connection.write_all("HTTP/1.1 100 Continue\r\n\r\n", arrival + limits.header_timeout, {})
              .ok()) {
         return false;
     }
-    absl::StatusOr<caller_request> request = this->services.protocol.decode_request(*head);
-    if (!request.ok()) {
-        return this->reject_message(connection, request.status());
+    // Not more than is reserved: a string that grows by itself takes up to twice its length.
+    request->body.reserve(std::min(declared_length(*head), limits.body_bytes));
+    const absl::StatusOr<bool> fits = read_body_within(reader, limits.body_bytes, reservation,
+                                                       request->body, arrival + body_timeout);
+    if (!fits.ok()) {
+        return this->reject_message(connection, fits.status());
     }
-    const absl::Status body =
-        reader.read_body(limits.body_bytes, request->body, arrival + body_timeout, hangup_watch());
-    if (!body.ok()) {
-        return this->reject_message(connection, body);
+    if (!*fits) {
+        return this->refuse_unread(connection, *std::move(request));
     }
     return this->admit(connection, *std::move(request), arrival);
 }
 
+bool frontend::refuse_unread(tcp_socket& connection, caller_request request)
+{
+    request.keep_alive = false;
+    (void)this->refuse(connection, request, unavailable, "no_memory");
+    linger(connection);
+    return false;
+}
+
 bool frontend::reject_message(tcp_socket& connection, const absl::Status& error)
 {
     const int status = status_of(error);
