A silent watch is replaced within three seconds

Cause: a watch call waited 4 s for changes, and the connection was given up only a call timeout later; a machine counts as in touch three seconds after its connections were cut.

Change: a watch call waits 1.75 s.

Measured: object_watcher.a_watch_whose_connection_goes_silent_is_replaced_within_three_seconds failed before (4.8 s) and passes (2.8 s).

--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -15,8 +15,10 @@
 
 // Pause between watch calls, so that changes in quick succession share one call.
 constexpr milliseconds batch_interval{200};
-// How long one watch call waits for changes. A dead connection is detected after this time.
-constexpr milliseconds watch_wait{4000};
+// How long one watch call waits for changes. A connection that has gone silent is replaced after
+// this time and `initial_timeout`, together below the three seconds after which the users expect a
+// machine to follow the store again.
+constexpr milliseconds watch_wait{1750};
 // Wait of a watch call after a failure, until the store answers again: a long wait that starts
 // during an outage would continue for seconds after its end.
 constexpr milliseconds probe_wait{200};
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -109,6 +109,38 @@
     EXPECT_TRUE(eventually([&] { return seen == 6; }, milliseconds(2500)));
 }
 
+// Guards against a machine that follows an older desired state for seconds because the connection
+// of its watch has gone silent.
+TEST(object_watcher, a_watch_whose_connection_goes_silent_is_replaced_within_three_seconds)
+{
+    constexpr milliseconds longest{3000};
+    std::atomic<int> seen = 0;
+    std::atomic<steady_time> silent_since = steady_time{};
+    scripted_server store([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            if (!absl::StrContains(connection.head.target, "watch")) {
+                connection.write(answer(200, R"({"items":[],"has-more":false,"at":5})"));
+                continue;
+            }
+            if (silent_since.load() == steady_time{}) {
+                silent_since = steady_clock::now();
+                (void)connection.wait_for_end(milliseconds(8000));
+                return;
+            }
+            connection.write(answer(200, absl::StrCat(R"({"events":[{"removed":false,"object":)",
+                                                      object("main", 6), R"(}],"at":6})")));
+            (void)connection.wait_for_end(milliseconds(200));
+        }
+    });
+    const object_watcher follower(store.local(), "config",
+                                  {[](const object_list&, steady_time) {},
+                                   [&](const change_list& changes, steady_time) {
+                                       seen = static_cast<int>(changes.position.revision);
+                                   }});
+    ASSERT_TRUE(eventually([&] { return seen == 6; }, milliseconds(8000)));
+    EXPECT_LT(steady_clock::now() - silent_since.load(), longest);
+}
+
 // Servers register in quick succession. Changes must share watch calls instead of costing one each.
 TEST(object_watcher, batches_changes_in_quick_succession)
 {
