What has been read of a failed answer is given back before the caller is told

Change: a body that cannot be relayed is discarded first.

Besides: the relay of answers in one piece is a file of its own, and one function of tcp_socket writes a head with its body for both directions.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -39,20 +39,6 @@
     return absl::IsDataLoss(cause) || absl::IsNotFound(cause) || absl::IsUnavailable(cause);
 }
 
-// Bodies up to this size are joined with their head, so that both go out in one call.
-constexpr std::size_t max_joined_bytes = 64 << 10;
-
-// Writes a message without copying a large body.
-absl::Status write_message(tcp_socket& socket, std::string head, const std::string& body,
-                           steady_time deadline)
-{
-    if (body.size() <= max_joined_bytes) {
-        return socket.write_all(head.append(body), deadline, hangup_watch());
-    }
-    SARDINE_RETURN_IF_ERROR(socket.write_all(head, deadline, hangup_watch()));
-    return socket.write_all(body, deadline, hangup_watch());
-}
-
 absl::Status shutting_down(const std::string& service)
 {
     return make_error(absl::StatusCode::kResourceExhausted, "place", service,
@@ -261,23 +247,6 @@
     return text;
 }
 
-absl::StatusOr<bool> exchange::write_request(server_connection& connection,
-                                             const backend_server& server) const
-{
-    const std::string& body = this->admitted.request.body;
-    std::string text = this->encode_request_head(server);
-    if (body.size() <= max_joined_bytes) {
-        return connection.socket.write_until_answer(text.append(body), this->answer_deadline(),
-                                                    this->caller_watch);
-    }
-    absl::StatusOr<bool> written =
-        connection.socket.write_until_answer(text, this->answer_deadline(), this->caller_watch);
-    if (!written.ok() || !*written) {
-        return written;
-    }
-    return connection.socket.write_until_answer(body, this->answer_deadline(), this->caller_watch);
-}
-
 exchange::next_action exchange::run_attempt(attempt_record& record)
 {
     const backend_server& server = record.placed.server;
@@ -292,7 +261,11 @@
     ++this->servers_sent;
     this->retry_granted = false;
     record.started = steady_clock::now();
-    const absl::StatusOr<bool> written = this->write_request(**connection, server);
+    const absl::StatusOr<bool> written =
+        (*connection)
+            ->socket.write_message_until_answer(this->encode_request_head(server),
+                                                this->admitted.request.body,
+                                                this->answer_deadline(), this->caller_watch);
     if (!written.ok()) {
         (*connection)->socket.abort();
         return this->handle_failure(attempt_state::possibly_executed, written.status(), record);
@@ -315,116 +288,6 @@
     return next;
 }
 
-exchange::next_action exchange::relay(server_connection& connection, const http_response_head& head,
-                                      attempt_record& record, bool& reusable)
-{
-    const response_marks marks = this->services.protocol.decode_response(head);
-    if (marks.not_executed || marks.misdirected) {
-        buffered_body discarded(this->services.message_budget);
-        reusable = reusable && this->read_whole_body(connection, discarded).ok();
-        connection.refused_ids.push_back(this->admitted.request.id);
-        record.result = this->result_of_refusal(record.placed.server, marks);
-        return this->handle_failure(attempt_state::refused_by_server,
-                                    make_error(absl::StatusCode::kResourceExhausted, "answer",
-                                               record.placed.server.id,
-                                               absl::StrCat("status ", head.status)),
-                                    record);
-    }
-    const bool is_authentic =
-        marks.is_signed && find_header(head.headers, "content-encoding") == std::nullopt;
-    if (is_success(head.status) && !is_authentic) {
-        reusable = false;
-        record.result = attempt_result::failed;
-        return this->handle_failure(attempt_state::possibly_executed,
-                                    make_error(absl::StatusCode::kDataLoss, "answer",
-                                               record.placed.server.id,
-                                               "response without the server's signature"),
-                                    record);
-    }
-    if (is_success(head.status) && is_event_stream(head)) {
-        return this->relay_stream(connection, head, record, reusable);
-    }
-    return this->relay_buffered(connection, head, record, reusable);
-}
-
-attempt_result exchange::result_of_refusal(const backend_server& server,
-                                           const response_marks& marks) const
-{
-    if (!marks.misdirected) {
-        return attempt_result::refused;
-    }
-    return this->is_from_other_server(server, marks) ? attempt_result::replaced
-                                                     : attempt_result::unsuitable;
-}
-
-bool exchange::is_from_other_server(const backend_server& server, const response_marks& marks) const
-{
-    if (!marks.misdirected) {
-        return false;
-    }
-    // A response that names no instance to a request for a version does not tell which was wrong.
-    return marks.instance_id.empty() ? !this->admitted.request.expects_version
-                                     : marks.instance_id != server.id;
-}
-
-exchange::next_action exchange::relay_buffered(server_connection& connection,
-                                               const http_response_head& head,
-                                               attempt_record& record, bool& reusable)
-{
-    buffered_body body(this->services.message_budget);
-    const absl::Status read = this->read_whole_body(connection, body);
-    if (!read.ok()) {
-        reusable = false;
-        return this->handle_failure(attempt_state::possibly_executed, read, record);
-    }
-    const bool success = is_success(head.status);
-    if (success) {
-        // A failure may have been answered before the server came to what crashes it.
-        this->note_sound(record);
-    }
-    record.result = success ? attempt_result::succeeded : attempt_result::failed;
-    constexpr int first_server_error = 500;
-    if (head.status >= first_server_error && this->can_retry(attempt_state::execution_failed) &&
-        this->services.take_retry(this->admitted.service)) {
-        this->retry_granted = true;
-        return this->handle_failure(attempt_state::execution_failed,
-                                    make_error(absl::StatusCode::kInternal, "answer",
-                                               record.placed.server.id,
-                                               absl::StrCat("status ", head.status)),
-                                    record);
-    }
-    if (this->response_started) {
-        return next_action::close_connection;
-    }
-    answer_head relayed = this->make_relayed_head(head);
-    if (this->admitted.request.method != "HEAD") {
-        relayed.content_length = body.text.size();
-    }
-    this->response_started = true;
-    const absl::Status sent =
-        write_message(this->caller, encode_answer_head(relayed), body.text,
-                      std::max(this->deadline, steady_clock::now() + local_response_timeout));
-    this->log_attempt(record, success ? "answered" : "server_failed");
-    this->log_outcome(sent.ok() ? "answered" : "caller_gone", head.status, "");
-    return sent.ok() ? next_action::answered : next_action::close_connection;
-}
-
-answer_head exchange::make_relayed_head(const http_response_head& head) const
-{
-    answer_head relayed;
-    relayed.status = head.status;
-    relayed.reason = head.reason;
-    relayed.headers = end_to_end_headers(head.headers);
-    if (head.status == http_unavailable) {
-        // The server's Retry-After applies to this process, which can use other servers.
-        std::erase_if(relayed.headers, [](const http_header& header) {
-            return absl::EqualsIgnoreCase(header.name, "retry-after");
-        });
-    }
-    relayed.keeps_connection = this->keeps_connection();
-    return relayed;
-}
-
 bool exchange::can_retry(attempt_state state) const
 {
     // Without the id of an event, another server would begin again.
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -78,6 +78,12 @@
     struct buffered_body {
         explicit buffered_body(message_memory& shared) : reservation(shared) {}
 
+        void discard()
+        {
+            std::string().swap(this->text);
+            static_cast<void>(this->reservation.resize(0));
+        }
+
         message_memory_reservation reservation;
         std::string text;
     };
@@ -171,9 +177,6 @@
 
     [[nodiscard]] static std::chrono::milliseconds elapsed_since(steady_time started);
     [[nodiscard]] std::string encode_request_head(const backend_server& server) const;
-    // Writes the request. Returns whether all of it was written before the server responded.
-    [[nodiscard]] absl::StatusOr<bool> write_request(server_connection& connection,
-                                                     const backend_server& server) const;
     [[nodiscard]] bool keeps_connection() const;
     void log_outcome(absl::string_view outcome, int status, absl::string_view reason) const;
     void log_attempt(const attempt_record& record, absl::string_view outcome) const;
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -30,6 +30,8 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
 constexpr std::chrono::milliseconds delivery_poll_interval{5};
+// Bodies up to this size are joined with their head.
+constexpr std::size_t max_joined_bytes = 64 << 10;
 
 constexpr char refused_payload[] = "sardinestream/connection-refused";
 
@@ -209,6 +211,34 @@
     return this->write(bytes, true, deadline, caller);
 }
 
+absl::StatusOr<bool> tcp_socket::write_parts(std::string head, absl::string_view body,
+                                             bool stop_at_answer, steady_time deadline,
+                                             const hangup_watch& caller)
+{
+    if (body.size() <= max_joined_bytes) {
+        return this->write(head.append(body.data(), body.size()), stop_at_answer, deadline, caller);
+    }
+    absl::StatusOr<bool> written = this->write(head, stop_at_answer, deadline, caller);
+    if (!written.ok() || !*written) {
+        return written;
+    }
+    return this->write(body, stop_at_answer, deadline, caller);
+}
+
+absl::Status tcp_socket::write_message(std::string head, absl::string_view body,
+                                       steady_time deadline, const hangup_watch& caller)
+{
+    return this->write_parts(std::move(head), body, false, deadline, caller).status();
+}
+
+absl::StatusOr<bool> tcp_socket::write_message_until_answer(std::string head,
+                                                            absl::string_view body,
+                                                            steady_time deadline,
+                                                            const hangup_watch& caller)
+{
+    return this->write_parts(std::move(head), body, true, deadline, caller);
+}
+
 bool tcp_socket::has_input_or_end() const
 {
     pollfd polled = {this->fd, POLLIN | POLLRDHUP, 0};
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -83,6 +83,15 @@
     [[nodiscard]] absl::StatusOr<bool>
     write_until_answer(absl::string_view bytes, steady_time deadline, const hangup_watch& caller);
 
+    // The same for a message of a head and a body, which may be large: small ones are written in
+    // one call, and large bodies are not copied.
+    [[nodiscard]] absl::Status write_message(std::string head, absl::string_view body,
+                                             steady_time deadline, const hangup_watch& caller);
+    [[nodiscard]] absl::StatusOr<bool> write_message_until_answer(std::string head,
+                                                                  absl::string_view body,
+                                                                  steady_time deadline,
+                                                                  const hangup_watch& caller);
+
     // Returns true if unread bytes are available or the peer has closed the connection. An idle
     // connection in that state must not be reused.
     [[nodiscard]] bool has_input_or_end() const;
@@ -101,9 +110,12 @@
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
 
 private:
-    // Returns whether all bytes were written.
+    // Both return whether all bytes were written.
     [[nodiscard]] absl::StatusOr<bool> write(absl::string_view bytes, bool stop_at_answer,
                                              steady_time deadline, const hangup_watch& caller);
+    [[nodiscard]] absl::StatusOr<bool> write_parts(std::string head, absl::string_view body,
+                                                   bool stop_at_answer, steady_time deadline,
+                                                   const hangup_watch& caller);
 
     int fd = -1;
 };
