New tests of the relay leave room for a loaded machine

Waits that ended at a fixed time end at the event that they wait for; the bounds still lie below what the faults cost (a second silence timeout, the time of the work).

--- a/sardinestream/forwarding/request_memory_test.cc
+++ b/sardinestream/forwarding/request_memory_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t body_bytes = 3U << 20U;
-constexpr milliseconds work_time{600};
+constexpr milliseconds work_time{1200};
 
 class request_memory_test : public frontend_test {
 protected:
--- a/sardinestream/forwarding/severed_connections_test.cc
+++ b/sardinestream/forwarding/severed_connections_test.cc
@@ -66,8 +66,8 @@
     this->is_cut = true;
     const steady_time begun = steady_clock::now();
     EXPECT_EQ(this->call("/read/", "r1").body, "served");
-    // One silence timeout of 1.5 latency targets, and the retry.
-    EXPECT_LT(steady_clock::now() - begun, milliseconds(700));
+    // One silence timeout of 1.5 latency targets (450 ms) and the retry, not a second timeout.
+    EXPECT_LT(steady_clock::now() - begun, milliseconds(850));
     this->stop();
     this->channels.close_stale({});
 }
--- a/sardinestream/forwarding/stream_progress_test.cc
+++ b/sardinestream/forwarding/stream_progress_test.cc
@@ -213,7 +213,7 @@
     this->use({&server});
     tcp_socket socket = this->connect();
     ASSERT_TRUE(socket.write_all(request_text("/tell/", "r1"), soon(), {}).ok());
-    std::this_thread::sleep_for(milliseconds(700));
+    std::this_thread::sleep_for(milliseconds(500));
     message_reader reader(socket);
     absl::StatusOr<http_response_head> head =
         reader.read_response_head(message_limits(), false, soon(), {});
--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -169,16 +169,21 @@
 {
     constexpr std::size_t large_bytes = 12U << 20U;
     const std::string large(large_bytes, 'a');
+    std::atomic<int> answers_written = 0;
     scripted_server server([&](scripted_connection& connection) {
         ASSERT_TRUE(connection.read_request());
         connection.write(answer_to(connection, large));
+        ++answers_written;
         (void)connection.wait_for_end(milliseconds(3000));
     });
     this->use({&server});
     tcp_socket slow_reader = this->connect();
     ASSERT_TRUE(slow_reader.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
     // Until the entry has the whole answer and waits for its caller to read on.
-    std::this_thread::sleep_for(milliseconds(800));
+    while (answers_written == 0) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    std::this_thread::sleep_for(milliseconds(500));
     EXPECT_EQ(this->call("/pay/", "r2").head.status, 502);
     message_reader reader(slow_reader);
     const auto head = reader.read_response_head(message_limits(), false, soon(), {});
