Tokens that arrived in time are delivered after the deadline, too

What callers saw: in the product's own interface, tokens that had arrived but had not been taken when a request's time ended were replaced by the error.

Cause: completion::next looked at the clock before it looked at what had arrived.

Change: the deadline ends a completion when nothing more has arrived, or one second after it.

--- a/sardinestream/requests/completion.cc
+++ b/sardinestream/requests/completion.cc
@@ -15,6 +15,8 @@
 using json = nlohmann::json;
 
 constexpr int max_attempts = 4;
+// Tokens that arrived before the deadline are returned for this time after it.
+constexpr absl::Duration max_late_delivery = absl::Seconds(1);
 constexpr absl::Duration retry_when_none_is_up = absl::Seconds(1);
 
 refusal no_server()
@@ -146,12 +148,8 @@
 completion_part completion::next(absl::Time until)
 {
     while (true) {
-        if (absl::Now() >= this->asked.deadline) {
-            this->current.reset();
-            refusal late;
-            late.code = refusal_code::deadline_exceeded;
-            late.step = "read_answer";
-            return late;
+        if (absl::Now() >= this->asked.deadline + max_late_delivery) {
+            return this->end_late();
         }
         answer_part part = this->current->next(std::min(until, this->asked.deadline));
         if (auto* chunk = std::get_if<response_chunkT>(&part)) {
@@ -164,7 +162,7 @@
             if (absl::Now() < this->asked.deadline) {
                 return nothing_yet{};
             }
-            continue;
+            return this->end_late();
         }
         if (auto* end = std::get_if<answer_end>(&part)) {
             if (this->services.record_completed) {
@@ -181,6 +179,15 @@
     }
 }
 
+refusal completion::end_late()
+{
+    this->current.reset();
+    refusal late;
+    late.code = refusal_code::deadline_exceeded;
+    late.step = "read_answer";
+    return late;
+}
+
 // Handles the event of the next token. Drops tokens that were received before; resumes the
 // completion elsewhere if a token is missing.
 std::optional<completion_part> completion::handle_chunk(response_chunkT chunk)
--- a/sardinestream/requests/completion.h
+++ b/sardinestream/requests/completion.h
@@ -39,8 +39,9 @@
     // Finds an agent that admits the request. Returns a refusal if there is none.
     [[nodiscard]] std::optional<refusal> open();
 
-    // Returns the next part, or `nothing_yet` if none arrives before `until`. Must not be called
-    // again after an end or a refusal.
+    // Returns the next part, or `nothing_yet` if none arrives before `until`. What arrived before
+    // the request's deadline is still returned after it. Must not be called again after an end or a
+    // refusal.
     [[nodiscard]] completion_part next(absl::Time until);
 
     [[nodiscard]] const caller_request& request() const { return this->asked; }
@@ -52,6 +53,8 @@
 private:
     [[nodiscard]] std::optional<refusal> start_attempt(std::optional<refusal> last);
     [[nodiscard]] std::optional<refusal> resume(const refusal& why);
+    // Ends the completion because its deadline has passed.
+    [[nodiscard]] refusal end_late();
     [[nodiscard]] request_openT next_message() const;
     [[nodiscard]] bool may_try_again(const refusal& why) const;
     [[nodiscard]] std::optional<completion_part> handle_chunk(response_chunkT chunk);
