Streams of links and requests to engines are files of their own

The class stream is implemented in wire/stream.cc; what an agent sends to its engine for a completion is built in agent/engine_request. No change of behaviour; wire_test and the build pass.

--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "sardinestream/agent/answer_frames.h"
+#include "sardinestream/agent/engine_request.h"
 #include "sardinestream/agent/token_sequencer.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
@@ -16,7 +15,6 @@
 namespace sardinestream::agent {
 namespace {
 
-using json = nlohmann::json;
 using requests::request_openT;
 using suspects::suspect_verdict;
 
@@ -82,45 +80,6 @@
     return call;
 }
 
-// The body of a completion request to the engine, and the text that the engine reads as prompt.
-struct engine_request {
-    std::string body;
-    std::string prompt;
-};
-
-std::string prompt_text(const json& body)
-{
-    if (body.contains("prompt") && body["prompt"].is_string()) {
-        return body["prompt"].get<std::string>();
-    }
-    std::string text;
-    for (const json& message : body.value("messages", json::array())) {
-        if (message.is_object() && message.contains("content") && message["content"].is_string()) {
-            absl::StrAppend(&text, message["content"].get_ref<const std::string&>(), "\n");
-        }
-    }
-    return text;
-}
-
-// Builds the engine's request: always streamed and resumable, under the request's own id. Returns
-// nullopt if the body is not a JSON object.
-std::optional<engine_request> make_engine_request(const request_openT& request)
-{
-    json body = json::parse(request.body.begin(), request.body.end(), nullptr, false);
-    if (!body.is_object()) {
-        return std::nullopt;
-    }
-    body["stream"] = true;
-    body["request_id"] = request.request_id;
-    body["priority"] = request.priority;
-    if (request.resume_from > 0) {
-        body["resume_from"] = request.resume_from;
-        body["resume_text"] = request.resume_text;
-    }
-    return engine_request{body.dump(-1, ' ', false, json::error_handler_t::replace),
-                          prompt_text(body) + request.resume_text};
-}
-
 digest128 fingerprint_of(const request_openT& request)
 {
     return parse_digest(request.fingerprint).value_or(digest128{});
