The soak judges a server's rate only while the server names it

Cause: the ledger went on counting against a rate after the server's answers no longer named it.

Change: the emulator tells until when it names the rate, and the ledger counts up to then. The bound while the rate is named is as before.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -154,15 +154,17 @@
 void backend_emulator::add_limit(const std::string& request_id, http_headers& headers) const
 {
     double per_s = 0;
+    steady_time until;
     std::string limited_id;
     {
         const absl::MutexLock lock(&this->mutex);
         per_s = this->limit_per_s;
+        until = this->limited_until;
         limited_id = steady_clock::now() < this->limited_until ? this->own_id : "";
     }
     if (!limited_id.empty()) {
         headers.push_back({words::server_limit, absl::StrFormat("%.3f", per_s)});
-        this->hooks.on_limit_said(request_id, limited_id, per_s);
+        this->hooks.on_limit_said(request_id, limited_id, per_s, until);
     }
 }
 
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -81,9 +81,11 @@
     std::function<void(const std::string& request_id, const std::string& server_id,
                        steady_time until)>
         on_hold_off_said;
-    // The answer to a request names a rate that the server accepts from all entries together.
-    std::function<void(const std::string& request_id, const std::string& server_id, double per_s)>
-        on_limit_said = [](const std::string&, const std::string&, double) {};
+    // The answer to a request names a rate that the server accepts from all entries together. Its
+    // answers name it until `until`.
+    std::function<void(const std::string& request_id, const std::string& server_id, double per_s,
+                       steady_time until)>
+        on_limit_said = [](const std::string&, const std::string&, double, steady_time) {};
     // A request with the crashing part has begun. Must lead to `stop` soon, on another thread.
     std::function<void()> on_crash = [] {};
 };
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -110,7 +110,7 @@
     }
     named_limit& limit = found->second;
     const auto told = limit.told.find(record.request.entry);
-    if (told == limit.told.end() || now < told->second + limit_slack ||
+    if (now >= limit.until || told == limit.told.end() || now < told->second + limit_slack ||
         now < limit.first_said + this->options.reaction_time ||
         !this->is_in_touch(record.request.entry, now)) {
         return;
@@ -152,7 +152,7 @@
 }
 
 void promise_ledger::note_limit_said(const std::string& id, const std::string& server_id,
-                                     double per_s)
+                                     double per_s, steady_time until)
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->requests.find(id);
@@ -164,6 +164,7 @@
         limit.first_said = steady_clock::now();
     }
     limit.per_s = per_s;
+    limit.until = until;
     limit.told.emplace(found->second.request.entry, steady_clock::now());
 }
 
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -88,7 +88,9 @@
     // What a server says of itself in its answer to the request.
     void note_leaving_said(const std::string& id, const std::string& server_id);
     void note_hold_off_said(const std::string& id, const std::string& server_id, steady_time until);
-    void note_limit_said(const std::string& id, const std::string& server_id, double per_s);
+    // The server's answers name the rate until `until`.
+    void note_limit_said(const std::string& id, const std::string& server_id, double per_s,
+                         steady_time until);
     // A server has crashed under a request with the crashing part.
     void note_crash();
     // The entry starts again, and has forgotten what servers said.
@@ -140,6 +142,8 @@
     struct named_limit {
         double per_s = 0;
         steady_time first_said{};
+        // From then on the server's answers name none.
+        steady_time until{};
         // When each entry first had an answer with it.
         std::map<std::string, steady_time> told;
         // Of requests from entries that had been told.
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -55,6 +55,8 @@
         return request;
     }
 
+    static steady_time far_future() { return steady_clock::now() + std::chrono::hours(1); }
+
     // Another request of the same entry reaches the server.
     void reach(const std::string& id)
     {
@@ -240,7 +242,7 @@
 TEST_F(promise_ledger_test, finds_an_excess_over_the_rate_that_a_server_names)
 {
     const sent_request first = this->send(soak_kind::idempotent);
-    this->ledger.note_limit_said(first.id, "i-1", 0.5);
+    this->ledger.note_limit_said(first.id, "i-1", 0.5, far_future());
     for (const char* const id : {"1", "2", "3", "4", "5", "6", "7", "8", "9"}) {
         this->reach(absl::StrCat("early", id));
     }
@@ -253,9 +255,20 @@
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("limit: 9")));
 }
 
+TEST_F(promise_ledger_test, a_rate_binds_no_longer_than_the_server_names_it)
+{
+    this->ledger.note_limit_said(this->send(soak_kind::idempotent).id, "i-1", 0,
+                                 steady_clock::now() + milliseconds(520));
+    std::this_thread::sleep_for(milliseconds(560));
+    for (const char* const id : {"1", "2", "3", "4", "5", "6", "7"}) {
+        this->reach(id);
+    }
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+}
+
 TEST_F(promise_ledger_test, an_entry_that_starts_again_has_not_been_told_of_a_rate)
 {
-    this->ledger.note_limit_said(this->send(soak_kind::idempotent).id, "i-1", 0);
+    this->ledger.note_limit_said(this->send(soak_kind::idempotent).id, "i-1", 0, far_future());
     std::this_thread::sleep_for(milliseconds(520));
     this->ledger.note_entry_restart("");
     std::this_thread::sleep_for(milliseconds(60));
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -175,8 +175,9 @@
                                     steady_time until) {
         this->ledger.note_hold_off_said(id, server, until);
     };
-    hooks.on_limit_said = [this](const std::string& id, const std::string& server, double per_s) {
-        this->ledger.note_limit_said(id, server, per_s);
+    hooks.on_limit_said = [this](const std::string& id, const std::string& server, double per_s,
+                                 steady_time until) {
+        this->ledger.note_limit_said(id, server, per_s, until);
     };
     hooks.on_crash = [this, number] {
         const absl::MutexLock lock(&this->mutex);
