Soak: connections that go silent for good; store faults in a file of their own

chaos_proxy::sever_connections makes the open connections silent for good while new ones work; a seventh of the link faults do it, on links to servers and to the store.

--- a/sardinestream/testing/soak/chaos_proxy.cc
+++ b/sardinestream/testing/soak/chaos_proxy.cc
@@ -62,6 +62,7 @@
         return;
     }
     const int begun = this->generation;
+    const int severed_before = this->severed;
     absl::StatusOr<tcp_socket> connected =
         tcp_socket::connect(this->server, steady_clock::now() + longest_connect, hangup_watch());
     if (!connected.ok()) {
@@ -72,6 +73,7 @@
     between.client = std::move(client);
     between.server = *std::move(connected);
     between.generation = begun;
+    between.severed = severed_before;
     std::thread back([this, &between] { this->pump(between, false); });
     this->pump(between, true);
     back.join();
@@ -86,10 +88,10 @@
     return this->stopping || between.broken || this->generation != between.generation;
 }
 
-bool chaos_proxy::is_silent(bool to_server) const
+bool chaos_proxy::is_silent(const link& between, bool to_server) const
 {
     const link_trouble now = this->trouble;
-    return now == link_trouble::silent ||
+    return this->severed != between.severed || now == link_trouble::silent ||
            now == (to_server ? link_trouble::silent_to_server : link_trouble::silent_to_client);
 }
 
@@ -117,7 +119,7 @@
     const tcp_socket& to = to_server ? between.server : between.client;
     std::array<char, buffer_bytes> buffer{};
     while (!this->must_end(between)) {
-        if (this->is_silent(to_server)) {
+        if (this->is_silent(between, to_server)) {
             std::this_thread::sleep_for(milliseconds(poll_ms));
             continue;
         }
--- a/sardinestream/testing/soak/chaos_proxy.h
+++ b/sardinestream/testing/soak/chaos_proxy.h
@@ -1,5 +1,5 @@
 // A loopback proxy on one TCP link, for what networks do: delay, silence in one direction or both,
-// resets, refusal.
+// connections that are silent for good, resets, refusal.
 //
 //     auto proxy = chaos_proxy::start({"127.0.0.1", 0}, server);
 //     (*proxy)->set_trouble(link_trouble::silent_to_server);
@@ -43,6 +43,9 @@
     void set_delay(std::chrono::milliseconds each_way) { this->delay_ms = each_way.count(); }
     // Resets the open connections; new ones work.
     void reset_connections() { ++this->generation; }
+    // Makes the open connections silent for good, as a network does that has lost their state; new
+    // ones work.
+    void sever_connections() { ++this->severed; }
 
     [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
@@ -52,6 +55,7 @@
         tcp_socket client;
         tcp_socket server;
         int generation = 0;
+        int severed = 0;
         std::atomic<bool> broken = false;
     };
 
@@ -63,12 +67,14 @@
     [[nodiscard]] bool send(const link& between, const tcp_socket& to, const char* bytes,
                             std::size_t length) const;
     [[nodiscard]] bool must_end(const link& between) const;
-    [[nodiscard]] bool is_silent(bool to_server) const;
+    [[nodiscard]] bool is_silent(const link& between, bool to_server) const;
 
     const address server;
     std::atomic<link_trouble> trouble = link_trouble::none;
     std::atomic<std::int64_t> delay_ms = 0;
+    // How often all open connections were reset, and severed.
     std::atomic<int> generation = 0;
+    std::atomic<int> severed = 0;
     std::atomic<bool> stopping = false;
     connection_acceptor acceptor;
 };
--- a/sardinestream/testing/soak/chaos_proxy_test.cc
+++ b/sardinestream/testing/soak/chaos_proxy_test.cc
@@ -61,6 +61,17 @@
     EXPECT_EQ(*this->server.read_some(absl::MakeSpan(buffer), soon(), hangup_watch()), 1U);
 }
 
+TEST_F(chaos_proxy_test, severed_connections_are_silent_and_new_ones_work)
+{
+    this->proxy->sever_connections();
+    std::this_thread::sleep_for(milliseconds(50));
+    EXPECT_FALSE(passes(this->client, this->server, shortly()));
+    tcp_socket next = *tcp_socket::connect(this->proxy->local(), soon(), hangup_watch());
+    tcp_socket reached = *this->listener.accept(soon());
+    EXPECT_TRUE(passes(next, reached, soon()));
+    EXPECT_FALSE(passes(this->server, this->client, shortly()));
+}
+
 TEST_F(chaos_proxy_test, a_delay_holds_bytes_back)
 {
     this->proxy->set_delay(milliseconds(150));
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -62,6 +62,8 @@
     [[nodiscard]] const std::string& log_directory() const { return this->files.path(); }
 
 private:
+    // A server that is gone leaves the list after this.
+    static constexpr std::chrono::milliseconds entry_lifetime{1200};
     // One of the real programs.
     struct program_node {
         std::string name;
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -1,5 +1,5 @@
-// The faults of the soak: what each does to programs, servers, links and the store, and how it
-// ends.
+// The faults of the soak: what each does to programs, servers and links, and how it ends. Those of
+// the store are in soak_fleet_store.cc.
 
 #include <algorithm>
 #include <array>
@@ -15,8 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds step{10};
-// A server that is gone leaves the list after this.
-constexpr milliseconds entry_lifetime{1200};
 // Longer than any request of the soak runs on a sound server.
 constexpr milliseconds drain_time{2000};
 constexpr milliseconds restart_pause{200};
@@ -26,16 +24,7 @@
 // Shares of the planned stops with a second notice, and of the changes that move a route.
 constexpr double second_notice_share = 0.3;
 constexpr double moving_share = 0.7;
-// Entries that lapsed in an outage are back this long after it.
-constexpr milliseconds relist_time{1200};
 constexpr int tastes = 16;
-// How long a store that is restored is away, and the time from its return until what it has lost is
-// written again.
-constexpr milliseconds restored_outage{300};
-constexpr milliseconds rewrite_time{400};
-// Changes of the desired state that a restored store has lost. The one that follows must take
-// effect though its revision is lower than theirs.
-constexpr int lost_config_changes = 3;
 
 link_trouble link_trouble_of(double variant)
 {
@@ -281,6 +270,7 @@
 {
     constexpr double delayed = 0.2;
     constexpr double reset = 0.35;
+    constexpr double severed = 0.5;
     constexpr milliseconds delay{120};
     if (fault.variant < delayed) {
         proxy.set_delay(delay);
@@ -291,95 +281,17 @@
         proxy.reset_connections();
         return;
     }
-    proxy.set_trouble(link_trouble_of((fault.variant - reset) / (1 - reset)));
+    if (fault.variant < severed) {
+        proxy.sever_connections();
+        return;
+    }
+    proxy.set_trouble(link_trouble_of((fault.variant - severed) / (1 - severed)));
     this->after(fault.duration, [&proxy] {
         proxy.set_trouble(link_trouble::none);
         proxy.reset_connections();
     });
 }
 
-void soak_fleet::trouble_store(const soak_fault& fault)
-{
-    constexpr std::array kinds = {store_trouble::none,  store_trouble::slow,
-                                  store_trouble::busy,  store_trouble::limited,
-                                  store_trouble::reset, store_trouble::silent};
-    const auto kind = static_cast<std::size_t>(fault.variant * static_cast<double>(kinds.size()));
-    if (kinds[kind] == store_trouble::none) {
-        this->store->compact();
-        return;
-    }
-    this->store->set_trouble(kinds[kind]);
-    this->after(fault.duration, [this] { this->store->set_trouble(store_trouble::none); });
-}
-
-void soak_fleet::restore_store(const soak_fault& fault)
-{
-    this->store->take_copy();
-    // Their revisions are given out again.
-    for (int change = 1; change <= lost_config_changes; ++change) {
-        this->after(fault.duration * change / (lost_config_changes + 1),
-                    [this] { this->write_config(); });
-    }
-    this->after(fault.duration - restored_outage, [this] {
-        this->ledger.note_trouble(steady_clock::now() + restored_outage + relist_time);
-        this->store->set_trouble(store_trouble::silent);
-    });
-    this->after(fault.duration, [this] {
-        this->store->restore_copy();
-        this->store->set_trouble(store_trouble::none);
-        this->after(rewrite_time, [this] {
-            this->moved = !this->moved;
-            this->write_config();
-            this->rewrite_servers();
-        });
-        this->after(entry_lifetime, [this] { this->expire_entries(); });
-    });
-}
-
-void soak_fleet::rewrite_servers()
-{
-    for (server_node& node : this->servers) {
-        if (node.server->is_running()) {
-            this->list_server(node);
-        }
-    }
-}
-
-void soak_fleet::expire_entries()
-{
-    for (const std::string& id : this->store->names(words::servers_kind)) {
-        const bool runs =
-            std::any_of(this->servers.begin(), this->servers.end(), [&](const server_node& node) {
-                return node.server->is_running() && node.server->id() == id;
-            });
-        if (!runs) {
-            this->store->remove(words::servers_kind, id);
-        }
-    }
-}
-
-void soak_fleet::lapse_entries(const soak_fault& fault)
-{
-    this->store->set_trouble(store_trouble::silent);
-    std::size_t number = 0;
-    for (const server_node& node : this->servers) {
-        // Every second one, so that each service is hit.
-        if (number++ / 2 % 2 == 0 && !node.struck) {
-            this->store->remove(words::servers_kind, node.server->id());
-        }
-    }
-    this->after(fault.duration, [this] {
-        this->store->set_trouble(store_trouble::none);
-        this->after(relist_time, [this] {
-            for (server_node& node : this->servers) {
-                if (!node.struck) {
-                    this->list_server(node);
-                }
-            }
-        });
-    });
-}
-
 void soak_fleet::delay_orders(const soak_fault& fault)
 {
     backend_trouble late;
