Reads end at their deadline although bytes keep arriving

Cause: tcp_socket::read_some looked at the deadline and at the caller only while it waited, that is, when no byte was there. The parser made it worse: each short chunk moved the rest of the buffer.

Change: after the deadline only those bytes are read that had arrived by then, so that an answer that was ready is still delivered; the caller is looked for after 16 reads that found bytes waiting. The buffer is moved once a read. A connection's receive buffer is 128 KB: received bytes that are not read count as memory, and the kernel lets them grow to megabytes. An unterminated line may have 32 KB in place of 64 KB, and a buffer that has grown is released.

--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -7,6 +7,7 @@
 
 #include "sardinestream/base/error.h"
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 
@@ -19,7 +20,9 @@
 constexpr std::uint32_t largest_header_limit = 1 << 20;
 // Maximum size of an incomplete line (chunk header, trailer or head). The parser consumes a line
 // only when it is complete, so without this limit an endless line would fill the buffer.
-constexpr std::size_t largest_unparsed = 1 << 16;
+constexpr std::size_t largest_unparsed = 32 << 10;
+// An empty buffer that has grown larger than this is released.
+constexpr std::size_t max_idle_buffer = 2 * read_bytes;
 // Larger responses are rejected. Requests are limited by `message_limits`.
 constexpr std::uint64_t largest_response_bytes = 64ULL << 20;
 
@@ -130,10 +133,15 @@
 template <bool IsRequest>
 absl::Status message_reader::parse_buffered(parser<IsRequest>& into)
 {
-    while (!this->buffered.empty() && !into.is_done()) {
+    std::size_t parsed = 0;
+    // Removes what was parsed at once: one removal for each of many short chunks would be costly.
+    const absl::Cleanup remove_parsed = [this, &parsed] { this->remove_buffered(parsed); };
+    while (parsed < this->buffered.size() && !into.is_done()) {
         beast::error_code error;
-        const std::size_t used = into.put(boost::asio::buffer(this->buffered), error);
-        this->buffered.erase(0, used);
+        const std::size_t used = into.put(
+            boost::asio::buffer(this->buffered.data() + parsed, this->buffered.size() - parsed),
+            error);
+        parsed += used;
         if (error == beast::http::error::need_more) {
             return absl::OkStatus();
         }
@@ -153,6 +161,14 @@
     return absl::OkStatus();
 }
 
+void message_reader::remove_buffered(std::size_t length)
+{
+    this->buffered.erase(0, length);
+    if (this->buffered.empty() && this->buffered.capacity() > max_idle_buffer) {
+        std::string().swap(this->buffered);
+    }
+}
+
 absl::Status message_reader::check_unparsed() const
 {
     return this->buffered.size() <= largest_unparsed
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -76,6 +76,8 @@
                            const hangup_watch& caller);
     template <bool IsRequest>
     absl::Status parse_buffered(parser<IsRequest>& into);
+    // Removes the first `length` bytes of `buffered`.
+    void remove_buffered(std::size_t length);
     // Returns kResourceExhausted if the buffered bytes that the parser cannot consume yet are more
     // than any reasonable line needs.
     [[nodiscard]] absl::Status check_unparsed() const;
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/http/socket.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <thread>
@@ -32,6 +33,11 @@
 constexpr std::chrono::milliseconds delivery_poll_interval{5};
 // Bodies up to this size are joined with their head.
 constexpr std::size_t max_joined_bytes = 64 << 10;
+// After this many reads that found bytes waiting, the next one checks whether its caller is there.
+constexpr int max_unchecked_reads = 16;
+// Received bytes that the kernel keeps for a connection until they are read. They count as memory
+// of this process.
+constexpr int receive_buffer_bytes = 128 << 10;
 
 constexpr char refused_payload[] = "sardinestream/connection-refused";
 
@@ -67,6 +73,7 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
     set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
 }
 
 // Waits for `events` on `fd`. Returns kCancelled if the caller disconnects first.
@@ -122,6 +129,8 @@
     if (this != &other) {
         this->close();
         this->fd = std::exchange(other.fd, -1);
+        this->passed_deadline = other.passed_deadline;
+        this->late_bytes = other.late_bytes;
     }
     return *this;
 }
@@ -162,18 +171,53 @@
     return socket;
 }
 
+std::size_t tcp_socket::readable_until(steady_time deadline, std::size_t wanted)
+{
+    if (steady_clock::now() < deadline) {
+        return wanted;
+    }
+    if (this->passed_deadline != deadline) {
+        int arrived = 0;
+        this->passed_deadline = deadline;
+        this->late_bytes =
+            ::ioctl(this->fd, FIONREAD, &arrived) == 0 ? static_cast<std::size_t>(arrived) : wanted;
+    }
+    return std::min(wanted, this->late_bytes);
+}
+
+absl::Status tcp_socket::check_caller(const hangup_watch& caller)
+{
+    if (this->unchecked_reads < max_unchecked_reads) {
+        ++this->unchecked_reads;
+        return absl::OkStatus();
+    }
+    this->unchecked_reads = 0;
+    return caller.has_hung_up()
+               ? make_error(absl::StatusCode::kCancelled, "read", "caller", "caller hung up")
+               : absl::OkStatus();
+}
+
 absl::StatusOr<std::size_t> tcp_socket::read_some(absl::Span<char> buffer, steady_time deadline,
                                                   const hangup_watch& caller)
 {
+    SARDINE_RETURN_IF_ERROR(this->check_caller(caller));
     while (true) {
-        const ssize_t length = ::recv(this->fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        const std::size_t allowed = this->readable_until(deadline, buffer.size());
+        // With nothing allowed, looks for the end of the connection or an error only.
+        const ssize_t length = ::recv(this->fd, buffer.data(), std::max<std::size_t>(allowed, 1),
+                                      allowed == 0 ? MSG_DONTWAIT | MSG_PEEK : MSG_DONTWAIT);
+        if (length > 0 && allowed == 0) {
+            return make_error(absl::StatusCode::kDeadlineExceeded, "read", "", "timed out");
+        }
         if (length >= 0) {
+            this->late_bytes -= std::min(this->late_bytes, static_cast<std::size_t>(length));
             return static_cast<std::size_t>(length);
         }
         if (errno != EAGAIN && errno != EINTR) {
             return socket_error("read");
         }
         SARDINE_RETURN_IF_ERROR(wait_for(this->fd, POLLIN, deadline, caller, "read"));
+        this->unchecked_reads = 0;
     }
 }
 
@@ -287,6 +331,7 @@
     listener.socket = tcp_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int fd = listener.socket.descriptor();
     set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    set_option(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
     if (::bind(fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) != 0 ||
         ::listen(fd, listen_backlog) != 0) {
         return with_origin(socket_error("bind"), "bind", local.to_string());
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -71,6 +71,9 @@
     connect(const address& peer, steady_time deadline, const hangup_watch& caller);
 
     // Waits for data and returns the number of bytes read, zero if the peer closed the connection.
+    // After `deadline`, only bytes that had arrived at the first call after it are read, so that a
+    // peer that never stops sending holds no thread. The caller's hang-up is noticed soon, not at
+    // once, while bytes keep arriving.
     [[nodiscard]] absl::StatusOr<std::size_t>
     read_some(absl::Span<char> buffer, steady_time deadline, const hangup_watch& caller);
 
@@ -110,6 +113,10 @@
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
 
 private:
+    // Returns how many bytes may be read now: at most `wanted`, fewer after `deadline`.
+    [[nodiscard]] std::size_t readable_until(steady_time deadline, std::size_t wanted);
+    // Returns kCancelled if the watched caller has disconnected; looks only now and then.
+    [[nodiscard]] absl::Status check_caller(const hangup_watch& caller);
     // Both return whether all bytes were written.
     [[nodiscard]] absl::StatusOr<bool> write(absl::string_view bytes, bool stop_at_answer,
                                              steady_time deadline, const hangup_watch& caller);
@@ -118,6 +125,12 @@
                                                    const hangup_watch& caller);
 
     int fd = -1;
+    // Reads since one last found out whether the caller is there.
+    int unchecked_reads = 0;
+    // The deadline that reads have passed, and how many of the bytes that had arrived then are
+    // left.
+    steady_time passed_deadline{};
+    std::size_t late_bytes = 0;
 };
 
 // A listening TCP socket.
--- a/sardinestream/http/socket_test.cc
+++ b/sardinestream/http/socket_test.cc
@@ -91,6 +91,68 @@
             .status()));
 }
 
+// Writes to the other end of a connection without pause until it is closed.
+class endless_writer {
+public:
+    explicit endless_writer(tcp_socket& far)
+        : thread([this, &far] {
+              const std::string part(1000, 'x');
+              while (!this->stopping) {
+                  (void)far.write_all(part, steady_clock::now() + wait, {});
+              }
+          })
+    {
+    }
+    ~endless_writer()
+    {
+        this->stopping = true;
+        this->thread.join();
+    }
+
+private:
+    std::atomic<bool> stopping = false;
+    std::thread thread;
+};
+
+// Guards against a peer that holds a thread beyond its deadline with bytes that never run out.
+TEST_F(socket_test, a_deadline_ends_reads_although_bytes_keep_arriving)
+{
+    const endless_writer writer(this->server.far);
+    std::array<char, 64> buffer{};
+    absl::StatusOr<std::size_t> length = 0;
+    while (length.ok() && this->time_waited() < 20 * wait) {
+        length = this->server.near.read_some(absl::MakeSpan(buffer), this->begun + wait, {});
+    }
+    EXPECT_TRUE(absl::IsDeadlineExceeded(length.status())) << length.status();
+}
+
+// Guards against work for a caller that has left while bytes keep arriving.
+TEST_F(socket_test, a_hang_up_ends_reads_although_bytes_keep_arriving)
+{
+    const endless_writer writer(this->server.far);
+    this->caller.far.close();
+    std::array<char, 64> buffer{};
+    absl::StatusOr<std::size_t> length = 0;
+    while (length.ok() && this->time_waited() < 20 * wait) {
+        length = this->server.near.read_some(absl::MakeSpan(buffer), this->begun + 40 * wait,
+                                             this->watch());
+    }
+    EXPECT_TRUE(absl::IsCancelled(length.status())) << length.status();
+}
+
+TEST_F(socket_test, bytes_that_arrived_before_the_deadline_are_read_after_it)
+{
+    ASSERT_EQ(::write(this->server.far.descriptor(), "in time", 7), 7);
+    std::this_thread::sleep_for(wait);
+    std::array<char, 4> buffer{};
+    const steady_time past = this->begun;
+    EXPECT_EQ(*this->server.near.read_some(absl::MakeSpan(buffer), past, {}), 4);
+    EXPECT_EQ(*this->server.near.read_some(absl::MakeSpan(buffer), past, {}), 3);
+    ASSERT_EQ(::write(this->server.far.descriptor(), "late", 4), 4);
+    EXPECT_TRUE(absl::IsDeadlineExceeded(
+        this->server.near.read_some(absl::MakeSpan(buffer), past, {}).status()));
+}
+
 // Guards against the loss of what was written before an answer that breaks off.
 TEST_F(socket_test, an_abort_when_delivered_lets_a_slow_peer_read_what_was_written)
 {
