Endless answers yield their memory to sound ones

Cause: the budget of half of the memory was charged only after a string had grown. While it grew by doubling, the old text and the new one existed together, so that each answer could hold twice what was counted: with an unlucky overlap of threads twice the budget, 256 MB of 260. And when the budget was full, whichever answer grew next failed, also one that its server had finished.

Change: memory is reserved before it is allocated. Responses are kept in blocks that are never copied and are released one by one as the caller reads. A message that has arrived completely never yields; messages of one sender first wait for each other; one server's unfinished answers take half of the budget for responses. Requests and responses have a budget each, a quarter of the memory, so that waiting requests can't hold what their answers need. Bodies of refusals and stray answers are skipped without being kept, a refusal's for 64 KB and 200 ms.

--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -20,8 +20,8 @@
 #include "sardinestream/forwarding/crash_guard.h"
 #include "sardinestream/forwarding/event_splitter.h"
 #include "sardinestream/forwarding/local_response.h"
-#include "sardinestream/forwarding/message_memory.h"
 #include "sardinestream/forwarding/retry_rules.h"
+#include "sardinestream/http/message_body.h"
 #include "sardinestream/http/message_reader.h"
 #include "sardinestream/routes/desired_state.h"
 
@@ -40,7 +40,10 @@
     // Returns the time at which a process that is shutting down ends the remaining requests;
     // steady_time::max() before a shutdown.
     std::function<steady_time()> shutdown_deadline;
-    message_memory& message_budget;
+    // The memory for bodies of requests, and for what is buffered of responses. Apart, so that
+    // requests that wait for a server cannot hold the memory that their responses need.
+    message_memory& request_memory;
+    message_memory& response_memory;
     crash_guard& crashes;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
@@ -66,6 +69,8 @@
     [[nodiscard]] bool run();
 
 private:
+    // Responses that are relayed in one piece may have this size.
+    static constexpr std::size_t max_response_bytes = 32U << 20U;
     // If a server sends nothing for this time, the request is retried at another server, provided
     // that it may run again.
     static constexpr std::chrono::milliseconds silence_timeout{1200};
@@ -74,20 +79,6 @@
     // the request is sent to another server.
     enum class next_action { answered, close_connection, retry };
 
-    // The body of a response, with the memory reserved for it.
-    struct buffered_body {
-        explicit buffered_body(message_memory& shared) : reservation(shared) {}
-
-        void discard()
-        {
-            std::string().swap(this->text);
-            static_cast<void>(this->reservation.resize(0));
-        }
-
-        message_memory_reservation reservation;
-        std::string text;
-    };
-
     // Result and timing of an attempt, for the dispatcher and the log.
     struct attempt_record {
         placement placed;
@@ -127,8 +118,9 @@
     [[nodiscard]] absl::StatusOr<http_response_head> read_final_head(server_connection& connection);
     // Returns the deadline for the complete head of a response that has started to arrive.
     [[nodiscard]] steady_time head_deadline() const;
-    // Reads the body of a response that is relayed in one piece, or discarded.
-    [[nodiscard]] absl::Status read_whole_body(server_connection& connection, buffered_body& body);
+    // Reads the rest of a refusal, so that its connection can be used again. Returns whether it
+    // can.
+    [[nodiscard]] bool skip_refusal(server_connection& connection);
     [[nodiscard]] next_action relay(server_connection& connection, const http_response_head& head,
                                     attempt_record& record, bool& reusable);
     // Returns how an attempt ended whose server did not run the request.
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -19,8 +19,10 @@
 // An idempotent request is retried at another server after this multiple of its latency target.
 constexpr double slow_response_latency_targets = 1.5;
 constexpr int max_stray_responses = 3;
-constexpr std::size_t max_response_head_bytes = 65536;
-constexpr std::size_t max_buffered_response_bytes = 32U << 20U;
+constexpr std::size_t max_response_head_bytes = 32 << 10;
+// A connection is closed rather than read up to the end of a longer or slower refusal.
+constexpr std::size_t max_refusal_bytes = 64 << 10;
+constexpr milliseconds refusal_body_timeout{200};
 // Limit on interim (1xx) responses before the final one.
 constexpr int max_interim_responses = 8;
 // A healthy server sends the rest of a head immediately after its first bytes.
@@ -40,7 +42,7 @@
 
 absl::StatusOr<http_response_head> exchange::read_final_head(server_connection& connection)
 {
-    const message_limits limits = {max_response_head_bytes, max_buffered_response_bytes};
+    const message_limits limits = {max_response_head_bytes, max_response_bytes};
     for (int interim = 0; interim <= max_interim_responses; ++interim) {
         const steady_time end =
             connection.socket.has_input_or_end() ? this->head_deadline() : this->answer_deadline();
@@ -79,8 +81,8 @@
         count("sardine_stray_answers_total");
         log_event("stray_answer",
                   {{"request", this->admitted.request.id}, {"answers", marks.request_id}});
-        buffered_body discarded(this->services.message_budget);
-        SARDINE_RETURN_IF_ERROR(this->read_whole_body(connection, discarded));
+        SARDINE_RETURN_IF_ERROR(skip_body(connection.reader, max_response_bytes,
+                                          this->answer_deadline(), this->caller_watch));
     }
     return make_error(absl::StatusCode::kDataLoss, "read", "", "responses to other requests only");
 }
@@ -165,24 +167,11 @@
     return !connection.reader.has_surplus() && steady_clock::now() < this->answer_deadline();
 }
 
-absl::Status exchange::read_whole_body(server_connection& connection, buffered_body& body)
+bool exchange::skip_refusal(server_connection& connection)
 {
-    while (true) {
-        const absl::StatusOr<bool> ended = connection.reader.read_body_part(
-            body.text, this->answer_deadline(), this->caller_watch);
-        if (!ended.ok()) {
-            return ended.status();
-        }
-        if (body.text.size() > max_buffered_response_bytes ||
-            !body.reservation.resize(body.text.capacity())) {
-            count("sardine_answers_too_large_total");
-            return make_error(absl::StatusCode::kOutOfRange, "read", "",
-                              "response too large, or too many large responses buffered");
-        }
-        if (*ended) {
-            return absl::OkStatus();
-        }
-    }
+    const steady_time end =
+        std::min(this->answer_deadline(), steady_clock::now() + refusal_body_timeout);
+    return skip_body(connection.reader, max_refusal_bytes, end, this->caller_watch).ok();
 }
 
 exchange::next_action exchange::read_response(server_connection& connection, bool all_written,
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -22,8 +22,7 @@
 {
     const response_marks marks = this->services.protocol.decode_response(head);
     if (marks.not_executed || marks.misdirected) {
-        buffered_body discarded(this->services.message_budget);
-        reusable = reusable && this->read_whole_body(connection, discarded).ok();
+        reusable = reusable && this->skip_refusal(connection);
         connection.refused_ids.push_back(this->admitted.request.id);
         record.result = this->result_of_refusal(record.placed.server, marks);
         return this->handle_failure(attempt_state::refused_by_server,
@@ -73,12 +72,11 @@
                                                const http_response_head& head,
                                                attempt_record& record, bool& reusable)
 {
-    buffered_body body(this->services.message_budget);
-    const absl::Status read = this->read_whole_body(connection, body);
+    message_body body(this->services.response_memory, record.placed.server.id);
+    const absl::Status read = body.read(connection.reader, max_response_bytes,
+                                        this->answer_deadline(), this->caller_watch);
     if (!read.ok()) {
         reusable = false;
-        // The caller gets nothing of it, and may be slow to read what it gets instead.
-        body.discard();
         return this->handle_failure(attempt_state::possibly_executed, read, record);
     }
     const bool success = is_success(head.status);
@@ -101,12 +99,12 @@
     }
     answer_head relayed = this->make_relayed_head(head);
     if (this->admitted.request.method != "HEAD") {
-        relayed.content_length = body.text.size();
+        relayed.content_length = body.size();
     }
     this->response_started = true;
-    const absl::Status sent = this->caller.write_message(
-        encode_answer_head(relayed), body.text,
-        std::max(this->deadline, steady_clock::now() + local_response_timeout), hangup_watch());
+    const absl::Status sent =
+        body.write(encode_answer_head(relayed), this->caller,
+                   std::max(this->deadline, steady_clock::now() + local_response_timeout));
     this->log_attempt(record, success ? "answered" : "server_failed");
     this->log_outcome(sent.ok() ? "answered" : "caller_gone", head.status, "");
     return sent.ok() ? next_action::answered : next_action::close_connection;
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -97,7 +97,8 @@
 {
     reusable = false;
     steady_time last_event = steady_clock::now();
-    message_memory_reservation partial_event(this->services.message_budget);
+    message_memory_reservation partial_event(this->services.response_memory,
+                                             record.placed.server.id);
     while (true) {
         std::string bytes;
         const absl::StatusOr<bool> ended = this->read_stream_part(connection, bytes, last_event);
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -21,6 +21,8 @@
 
 // Time limit for the body of a request, measured from the arrival of the request.
 constexpr milliseconds body_timeout{10000};
+// How long a request waits for memory for its body.
+constexpr milliseconds memory_timeout{300};
 // After a refusal with unread bytes left, the connection is read for this time before it is closed,
 // so that the caller receives the response instead of a reset.
 constexpr milliseconds linger_timeout{500};
@@ -76,29 +78,6 @@
                : 0;
 }
 
-// Appends the rest of a request's body to `body`. Returns false if there is no memory left for it;
-// errors are those of message_reader::read_body.
-absl::StatusOr<bool> read_body_within(message_reader& reader, std::size_t most_bytes,
-                                      message_memory_reservation& reservation, std::string& body,
-                                      steady_time deadline)
-{
-    while (true) {
-        const absl::StatusOr<bool> done = reader.read_body_part(body, deadline, hangup_watch());
-        if (!done.ok()) {
-            return done.status();
-        }
-        if (body.size() > most_bytes) {
-            return make_error(absl::StatusCode::kOutOfRange, "read", "", "body too large");
-        }
-        if (!reservation.resize(body.capacity())) {
-            return false;
-        }
-        if (*done) {
-            return true;
-        }
-    }
-}
-
 acceptor_options make_options(int max_connections)
 {
     acceptor_options options;
@@ -185,8 +164,9 @@
     if (!request.ok()) {
         return this->reject_message(connection, request.status());
     }
-    message_memory_reservation reservation(this->services.message_budget);
-    if (!reservation.resize(std::min(declared_length(*head), limits.body_bytes))) {
+    message_memory_reservation reservation(this->services.request_memory, "caller");
+    const std::size_t declared = std::min(declared_length(*head), limits.body_bytes);
+    if (!reservation.resize(declared, arrival + memory_timeout)) {
         return this->refuse_unread(connection, *std::move(request));
     }
     const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
@@ -195,16 +175,15 @@
              .ok()) {
         return false;
     }
-    // Not more than is reserved: a string that grows by itself takes up to twice its length.
-    request->body.reserve(std::min(declared_length(*head), limits.body_bytes));
-    const absl::StatusOr<bool> fits = read_body_within(reader, limits.body_bytes, reservation,
-                                                       request->body, arrival + body_timeout);
-    if (!fits.ok()) {
-        return this->reject_message(connection, fits.status());
-    }
-    if (!*fits) {
+    request->body.reserve(declared);
+    const absl::Status read = read_body_within(reader, limits.body_bytes, reservation,
+                                               request->body, arrival + body_timeout, {});
+    if (absl::IsAborted(read)) {
         return this->refuse_unread(connection, *std::move(request));
     }
+    if (!read.ok()) {
+        return this->reject_message(connection, read);
+    }
     return this->admit(connection, *std::move(request), arrival);
 }
 
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -137,7 +137,8 @@
                                      [this](const std::string&) { return this->budget-- > 0; },
                                      [this] { return this->stopping.load(); },
                                      [this] { return this->ends_at.load(); },
-                                     this->memory,
+                                     this->request_memory,
+                                     this->response_memory,
                                      this->crashes,
                                      [] {}};
         frontend_options hooks;
@@ -219,7 +220,8 @@
     dispatcher servers{dispatcher_options{}};
     connection_pool channels;
     static constexpr std::size_t max_memory_bytes = 16U << 20U;
-    message_memory memory{max_memory_bytes};
+    message_memory request_memory{max_memory_bytes};
+    message_memory response_memory{max_memory_bytes};
     const std::unique_ptr<suspects::suspect_registry> registry =
         suspects::suspect_registry::create(shared_server_suspects());
     // By default no server is taken for crashed: tests count the connections to their servers.
--- a/sardinestream/forwarding/troubled_servers_test.cc
+++ b/sardinestream/forwarding/troubled_servers_test.cc
@@ -156,7 +156,7 @@
         caller.join();
     }
     EXPECT_EQ(correct_statuses, servers_in_trouble);
-    message_memory_reservation all(this->memory);
+    message_memory_reservation all(this->response_memory);
     EXPECT_TRUE(all.resize(max_memory_bytes));
     this->stop();
     // Socket buffers hold further bytes beyond the memory limit.
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -35,9 +35,17 @@
 // entry counts, such as those of an entry that has just ended.
 constexpr double usable_budget_share = 0.9;
 // Limit on all answers together that are buffered to be forwarded whole.
-// Share of the process's memory for bodies of requests and responses. The rest is for connections,
-// small messages and what the allocator keeps.
-constexpr double message_memory_share = 0.5;
+// Shares of the process's memory. The rest is for connections, small messages, the process's own
+// calls and what the allocator keeps.
+constexpr double request_memory_share = 0.25;
+constexpr double response_memory_share = 0.25;
+// Share of the memory for responses that the unfinished ones of one server may take.
+constexpr double server_share = 0.5;
+
+std::size_t share_of(double share, std::size_t bytes)
+{
+    return static_cast<std::size_t>(share * static_cast<double>(bytes));
+}
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -69,8 +77,9 @@
               return rendezvous_rank(trait.high, this->entries.own, this->entries.others);
           }))),
       crashes(*suspects, {refuses_connections, [this] { this->send_suspect_news(); }}),
-      messages(static_cast<std::size_t>(message_memory_share *
-                                        static_cast<double>(options.memory_bytes))),
+      request_memory(share_of(request_memory_share, options.memory_bytes)),
+      response_memory(share_of(response_memory_share, options.memory_bytes),
+                      share_of(server_share * response_memory_share, options.memory_bytes)),
       retries(budget_options(chosen))
 {
 }
@@ -109,7 +118,8 @@
         [this](const std::string& service) { return this->retries.try_retry(service); },
         [this] { return this->stopping.load(); },
         [this] { return this->stop_deadline.load(); },
-        this->messages,
+        this->request_memory,
+        this->response_memory,
         this->crashes,
         [this] { this->gossip->announce(); }};
     frontend_options front_options;
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -127,7 +127,8 @@
     // Requests that crash servers, as this entry and the others have seen.
     const std::unique_ptr<suspects::suspect_registry> suspects;
     crash_guard crashes;
-    message_memory messages;
+    message_memory request_memory;
+    message_memory response_memory;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
