Answers to a process's own calls share one limit of memory

Change: all answers that http_client reads share 24 MB until they are destroyed, 4 MB each, and memory is reserved before it is allocated, also for the parsed form (parsed_json_bytes). The store's client counts the copies that it makes; a list keeps what is reserved for its objects and ends after 200 pages; an object that is too large once parsed costs only itself, like one that is nested too deeply. The ready, operator and peer services take no bodies of 4 MB a connection any more, as no handler uses one. The agent, too, has the allocator return large blocks. An unfinished event counts with the copies made of it.

--- a/sardinestream/base/json_parts.cc
+++ b/sardinestream/base/json_parts.cc
@@ -120,7 +120,7 @@
         name.remove_prefix(1);
         name.remove_suffix(1);
         const absl::string_view value = scan.consume_value();
-        if (value.empty()) {
+        if (value.empty() || members.size() == max_json_parts) {
             return malformed();
         }
         members.push_back({name, value});
@@ -141,7 +141,7 @@
             return malformed();
         }
         const absl::string_view element = scan.consume_value();
-        if (element.empty()) {
+        if (element.empty() || elements.size() == max_json_parts) {
             return malformed();
         }
         elements.push_back(element);
@@ -158,6 +158,18 @@
     return found == members.end() ? absl::string_view() : found->value;
 }
 
+std::size_t parsed_json_bytes(absl::string_view text)
+{
+    // A member of an object costs two of these: its colon, and the comma before it.
+    constexpr std::size_t bytes_per_value = 96;
+    std::size_t values = 1;
+    for (const char letter : text) {
+        const bool begins_value = letter == ',' || letter == ':' || letter == '[' || letter == '{';
+        values += begins_value ? 1 : 0;
+    }
+    return text.size() + values * bytes_per_value;
+}
+
 int json_depth(absl::string_view text)
 {
     int depth = 0;
--- a/sardinestream/base/json_parts.h
+++ b/sardinestream/base/json_parts.h
@@ -26,8 +26,11 @@
     absl::string_view value;
 };
 
-// Both fail with kInvalidArgument if `text` is not a single object or array. The results refer to
-// `text`.
+// The parts of one object or array may be this many, which bounds what the result takes.
+inline constexpr std::size_t max_json_parts = 20'000;
+
+// Both fail with kInvalidArgument if `text` is not a single object or array, or has more parts than
+// max_json_parts. The results refer to `text`.
 [[nodiscard]] absl::StatusOr<std::vector<json_member>> split_json_object(absl::string_view text);
 [[nodiscard]] absl::StatusOr<std::vector<absl::string_view>>
 split_json_array(absl::string_view text);
@@ -36,6 +39,10 @@
 [[nodiscard]] absl::string_view find_member(absl::Span<const json_member> members,
                                             absl::string_view name);
 
+// Returns an upper estimate of the memory that `text` takes when it is parsed, in bytes: its values
+// take many times the length of their text, such as in a long list of empty objects.
+[[nodiscard]] std::size_t parsed_json_bytes(absl::string_view text);
+
 // Returns how deeply objects and arrays are nested in `text`; zero for a scalar.
 [[nodiscard]] int json_depth(absl::string_view text);
 
--- a/sardinestream/base/json_parts_test.cc
+++ b/sardinestream/base/json_parts_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "sardinestream/base/json_parts.h"
 
@@ -49,6 +50,49 @@
     }
 }
 
+// Guards against text of a few megabytes whose parts take many times as much.
+TEST(json_parts, refuses_more_parts_than_any_sound_text_has)
+{
+    std::string elements = "1";
+    for (std::size_t i = 1; i < max_json_parts; ++i) {
+        elements += ",1";
+    }
+    EXPECT_TRUE(split_json_array("[" + elements + "]").ok());
+    EXPECT_FALSE(split_json_array("[" + elements + ",1]").ok());
+}
+
+// Returns about how many bytes `value` takes.
+std::size_t parsed_size(const nlohmann::json& value)
+{
+    constexpr std::size_t map_node_bytes = 96;
+    std::size_t size = sizeof(value);
+    if (value.is_string()) {
+        return size + sizeof(std::string) + value.get_ref<const std::string&>().capacity();
+    }
+    if (!value.is_structured()) {
+        return size;
+    }
+    for (const auto& [name, member] : value.items()) {
+        size += parsed_size(member);
+        size += value.is_object() ? map_node_bytes + name.size() : sizeof(value);
+    }
+    return size + sizeof(nlohmann::json::object_t);
+}
+
+// Guards against text whose parsed form takes many times its length.
+TEST(json_parts, the_estimate_is_above_what_parsed_text_takes)
+{
+    for (const std::string element :
+         {"0", "[]", "{}", "[[[]]]", R"({"a":0})", R"("text")", R"({"a":{"b":{}},"c":[0,0]})"}) {
+        std::string text = "[" + element;
+        for (int i = 0; i < 1000; ++i) {
+            text += "," + element;
+        }
+        text += "]";
+        EXPECT_GE(parsed_json_bytes(text), parsed_size(nlohmann::json::parse(text))) << element;
+    }
+}
+
 TEST(json_parts, counts_no_brackets_in_strings_as_depth)
 {
     EXPECT_EQ(json_depth(R"({"a":"[[[[","b":[{}]})"), 3);
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t max_event_bytes = 1U << 20U;
+// An unfinished event is copied when it grows.
+constexpr std::size_t copies_of_events = 3;
+// How long an unfinished event waits for memory that others hold.
+constexpr std::chrono::milliseconds event_memory_wait{500};
 
 } // namespace
 
@@ -121,7 +125,8 @@
             }
         }
         absl::Status sound = this->check_stream(head, record, *ended);
-        if (sound.ok() && !partial_event.resize(this->events.partial_bytes())) {
+        if (sound.ok() && !partial_event.resize(copies_of_events * this->events.partial_bytes(),
+                                                steady_clock::now() + event_memory_wait)) {
             sound = make_error(absl::StatusCode::kOutOfRange, "stream", record.placed.server.id,
                                "too many large events buffered");
         }
--- a/sardinestream/http/http_client.cc
+++ b/sardinestream/http/http_client.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/json_parts.h"
+#include "sardinestream/http/message_body.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -10,11 +12,25 @@
 namespace {
 
 constexpr std::chrono::milliseconds connect_timeout{1000};
-constexpr std::size_t largest_answer_bytes = 32U << 20U;
-constexpr std::size_t largest_answer_head_bytes = 65536;
+// A page of the store has about 1 MB.
+constexpr std::size_t max_answer_bytes = 4 << 20;
+constexpr std::size_t max_all_answers_bytes = 24 << 20;
+constexpr std::size_t max_answer_head_bytes = 32 << 10;
 
 } // namespace
 
+message_memory& own_call_memory()
+{
+    static message_memory memory(max_all_answers_bytes);
+    return memory;
+}
+
+bool http_answer::reserve_parsed() const
+{
+    return this->memory == nullptr ||
+           this->memory->resize(this->body.capacity() + parsed_json_bytes(this->body));
+}
+
 http_client::http_client(address server) : peer(std::move(server)) {}
 
 void http_client::reset()
@@ -51,15 +67,17 @@
     }
     absl::StrAppend(&text, "\r\n", json_body);
     SARDINE_RETURN_IF_ERROR(this->socket.write_all(text, deadline, hangup_watch()));
-    const message_limits limits = {largest_answer_head_bytes, largest_answer_bytes};
+    const message_limits limits = {max_answer_head_bytes, max_answer_bytes};
     absl::StatusOr<http_response_head> head =
         this->reader->read_response_head(limits, false, deadline, hangup_watch());
     if (!head.ok()) {
         return head.status();
     }
     http_answer answer = {head->status, head->headers, ""};
-    SARDINE_RETURN_IF_ERROR(
-        this->reader->read_body(largest_answer_bytes, answer.body, deadline, hangup_watch()));
+    answer.memory =
+        std::make_shared<message_memory_reservation>(own_call_memory(), this->peer.to_string());
+    SARDINE_RETURN_IF_ERROR(read_body_within(*this->reader, max_answer_bytes, *answer.memory,
+                                             answer.body, deadline, hangup_watch()));
     if (!head->keeps_alive() || this->reader->has_surplus()) {
         this->reset();
     }
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "sardinestream/base/log.h"
+#include "sardinestream/http/message_body.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -14,6 +15,8 @@
 constexpr std::chrono::seconds idle_timeout{30};
 constexpr std::chrono::seconds exchange_timeout{2};
 constexpr int most_connections = 64;
+// Handlers use no body.
+constexpr std::size_t max_body_bytes = 4096;
 
 acceptor_options make_options()
 {
@@ -53,7 +56,7 @@
 void http_service::serve(tcp_socket connection)
 {
     message_reader reader(connection);
-    const message_limits limits;
+    const message_limits limits = {message_limits().header_bytes, max_body_bytes};
     const steady_time idle_end = steady_clock::now() + idle_timeout;
     while (!this->stopping) {
         const absl::Status first =
@@ -66,8 +69,7 @@
         }
         const steady_time deadline = steady_clock::now() + exchange_timeout;
         absl::StatusOr<http_request_head> head = reader.read_request_head(limits, deadline);
-        std::string body;
-        if (!head.ok() || !reader.read_body(limits.body_bytes, body, deadline, {}).ok()) {
+        if (!head.ok() || !skip_body(reader, max_body_bytes, deadline, {}).ok()) {
             return;
         }
         const http_answer answer = this->handler(*head);
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -6,6 +6,7 @@
 
 #include <gflags/gflags.h>
 
+#include "sardinestream/base/allocator.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/http/http_service.h"
@@ -75,6 +76,7 @@
 
 int main(int argc, char** argv)
 {
+    sardinestream::limit_retained_memory();
     gflags::SetUsageMessage(
         "monitors one model engine and coordinates the expert maps of its rank group");
     gflags::SetVersionString("0.2.0");
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -26,6 +26,9 @@
 
 // Objects of other writers may be nested so deeply that reading them exhausts the stack.
 constexpr int max_depth = 32;
+// Short text may take many times its length once parsed; a sound value of the store, of up to 1 MB,
+// stays below this.
+constexpr std::size_t max_parsed_bytes = 24 << 20;
 // More than any server has.
 constexpr int max_slots = 1'000'000;
 // Length to which a reason quotes unreadable text.
@@ -66,12 +69,16 @@
     return found == object.end() || found->is_null() ? missing : checked<Value>(*found, field);
 }
 
-// Parses text that is not nested too deeply; throws std::exception otherwise.
+// Parses text that is neither nested too deeply nor too large once parsed; throws std::exception
+// otherwise.
 json parse(absl::string_view text)
 {
     if (json_depth(text) > max_depth) {
         throw std::out_of_range("nested too deeply");
     }
+    if (parsed_json_bytes(text) > max_parsed_bytes) {
+        throw std::out_of_range("too large once parsed");
+    }
     return json::parse(text.begin(), text.end());
 }
 
--- a/sardinestream/platform/engine_calls.cc
+++ b/sardinestream/platform/engine_calls.cc
@@ -42,6 +42,9 @@
         return make_error(absl::StatusCode::kUnavailable, "call", "engine",
                           absl::StrCat("status ", response->status));
     }
+    if (!response->reserve_parsed()) {
+        return unreadable(target, "too large to be parsed");
+    }
     json parsed = json::parse(response->body, nullptr, false);
     if (parsed.is_discarded()) {
         return unreadable(target, "not JSON");
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -35,6 +35,35 @@
     return holds();
 }
 
+// Guards against a store that never ends a list: the objects of all pages were kept.
+TEST(store_client, a_list_without_end_fails_within_its_memory)
+{
+    std::atomic<int> pages = 0;
+    std::atomic<std::size_t> largest = 0;
+    scripted_server store([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            std::string items;
+            constexpr int objects_a_page = 400;
+            for (int i = 0; i < objects_a_page; ++i) {
+                absl::StrAppend(&items, i == 0 ? "" : ",",
+                                object(absl::StrCat("o", pages * objects_a_page + i), 1));
+            }
+            ++pages;
+            largest = std::max<std::size_t>(largest, own_call_memory().reserved());
+            connection.write(
+                answer(200, absl::StrCat(R"({"items":[)", items, R"(],"has-more":true,"at":5})")));
+        }
+    });
+    {
+        store_client client(store.local());
+        EXPECT_TRUE(absl::IsResourceExhausted(client.list("servers", milliseconds(2000)).status()));
+    }
+    constexpr int max_pages = 200;
+    EXPECT_LE(pages, max_pages);
+    EXPECT_GT(largest, 0U);
+    EXPECT_EQ(own_call_memory().reserved(), 0U);
+}
+
 TEST(object_watcher, reads_all_pages_of_a_list)
 {
     std::atomic<int> objects = 0;
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/platform/store_client.h"
 
+#include <iterator>
+
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
@@ -17,6 +19,8 @@
 
 // Length to which unreadable text is quoted in errors.
 constexpr std::size_t max_quoted = 80;
+// A store whose lists have more pages than this, of about 500 objects each, is in trouble.
+constexpr int max_list_pages = 200;
 
 using json = nlohmann::json;
 
@@ -60,6 +64,12 @@
                          std::string(find_member(*object, "specification"))};
 }
 
+absl::Status too_long(absl::string_view what)
+{
+    return make_error(absl::StatusCode::kResourceExhausted, "decode", "store",
+                      absl::StrCat(what, " too long"));
+}
+
 void log_odd_object(const absl::Status& error)
 {
     count("sardine_unreadable_objects_total");
@@ -100,6 +110,8 @@
 
 struct list_page {
     std::vector<stored_object> objects;
+    // What `objects` take.
+    std::size_t bytes = 0;
     std::int64_t revision = 0;
     bool has_more = false;
     // The name of the last object that has a readable one.
@@ -122,6 +134,7 @@
             continue;
         }
         page.last_name = object->name;
+        page.bytes += sizeof(stored_object) + object->name.size() + object->specification.size();
         page.objects.push_back(*std::move(object));
     }
     return page;
@@ -163,7 +176,7 @@
 
 store_client::store_client(const address& store) : http(store) {}
 
-absl::StatusOr<std::string> store_client::get(const std::string& target,
+absl::StatusOr<http_answer> store_client::get(const std::string& target,
                                               std::chrono::milliseconds timeout)
 {
     absl::StatusOr<http_answer> response =
@@ -175,7 +188,9 @@
     constexpr int ok = 200;
     constexpr int gone = 410;
     if (response->status == ok) {
-        return std::move(response->body);
+        // The specifications are copied.
+        const bool fits = response->memory->resize(2 * response->body.capacity());
+        return fits ? std::move(response) : too_long("answer");
     }
     const absl::StatusCode code =
         response->status == gone ? absl::StatusCode::kOutOfRange : absl::StatusCode::kUnavailable;
@@ -204,15 +219,17 @@
                                                std::chrono::milliseconds timeout)
 {
     object_list all;
+    all.memory = std::make_shared<message_memory_reservation>(own_call_memory(), "store list");
+    std::size_t bytes = 0;
     std::string after;
-    while (true) {
+    for (int pages = 0; pages < max_list_pages; ++pages) {
         const std::string target = absl::StrCat(
             wire::objects_path, kind, after.empty() ? "" : absl::StrCat("?after=", after));
-        absl::StatusOr<std::string> body = this->get(target, timeout);
-        if (!body.ok()) {
-            return body.status();
+        const absl::StatusOr<http_answer> answer = this->get(target, timeout);
+        if (!answer.ok()) {
+            return answer.status();
         }
-        const absl::StatusOr<list_page> page = decode_page(*body);
+        absl::StatusOr<list_page> page = decode_page(answer->body);
         if (!page.ok()) {
             return page.status();
         }
@@ -222,7 +239,11 @@
         if (this->era != all.position.era) {
             return history_changed();
         }
-        all.objects.insert(all.objects.end(), page->objects.begin(), page->objects.end());
+        bytes += page->bytes;
+        if (!all.memory->resize(bytes)) {
+            return too_long("list");
+        }
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(all.objects));
         if (!page->has_more || page->last_name.empty()) {
             all.restored = this->last.revision > 0 && !continues(this->last, all.position);
             this->last = all.position;
@@ -230,6 +251,7 @@
         }
         after = page->last_name;
     }
+    return too_long("list");
 }
 
 absl::StatusOr<change_list> store_client::watch(absl::string_view kind,
@@ -239,11 +261,11 @@
 {
     const std::string target = absl::StrCat(wire::objects_path, kind, "?watch=", position.revision,
                                             "&wait-ms=", max_wait.count());
-    absl::StatusOr<std::string> body = this->get(target, max_wait + timeout);
-    if (!body.ok()) {
-        return body.status();
+    const absl::StatusOr<http_answer> answer = this->get(target, max_wait + timeout);
+    if (!answer.ok()) {
+        return answer.status();
     }
-    absl::StatusOr<change_list> changes = decode_changes(*body, this->era);
+    absl::StatusOr<change_list> changes = decode_changes(answer->body, this->era);
     if (!changes.ok()) {
         return changes.status();
     }
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
     store_position position;
     // The store was restored since this client's last answer.
     bool restored = false;
+    // What is reserved for `objects`.
+    std::shared_ptr<message_memory_reservation> memory = nullptr;
 };
 
 struct object_change {
@@ -55,7 +58,8 @@
 
     // Reads all objects of a kind, page by page. Objects without a readable name or revision are
     // logged and left out, here and in watches. `timeout` applies to each page. Fails with
-    // kOutOfRange if the store is restored meanwhile.
+    // kOutOfRange if the store is restored meanwhile, and with kResourceExhausted if the list is
+    // too long.
     [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind,
                                                    std::chrono::milliseconds timeout);
 
@@ -68,7 +72,7 @@
                                                     std::chrono::milliseconds timeout);
 
 private:
-    absl::StatusOr<std::string> get(const std::string& target, std::chrono::milliseconds timeout);
+    absl::StatusOr<http_answer> get(const std::string& target, std::chrono::milliseconds timeout);
     // Keeps the era that the answer names.
     void read_era(const http_answer& answer);
 
