Clients of the older interface bound the bodies that they receive

Cause: cpp-httplib reads a response without a limit. An agent of the product's own interface kept all of what its server, its engine or the store sent, also the answer to a health check, and a line of a watch that never ended.

Open: heads and chunk extensions that the library reads itself have no limit of ours.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/tcp_probe.h"
 
 #include "absl/strings/ascii.h"
@@ -14,6 +15,7 @@
 constexpr int connect_timeout_s = 1;
 constexpr std::size_t max_idle_connections = 64;
 constexpr int http_ok = 200;
+constexpr std::size_t max_answer_bytes = 8 << 20;
 
 bool is_hop_by_hop_header(absl::string_view name)
 {
@@ -96,6 +98,8 @@
 
     backend_answer answer;
     httplib::Request http = to_http(request);
+    bounded_body body(max_answer_bytes);
+    http.content_receiver = body.receiver();
     if (on_bytes) {
         http.response_handler = [&answer](const httplib::Response& head) {
             answer.status = head.status;
@@ -103,11 +107,8 @@
         };
         http.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t,
                                     std::uint64_t) {
-            if (answer.status != http_ok) {
-                answer.body.append(bytes, size);
-                return true;
-            }
-            return on_bytes(absl::string_view(bytes, size));
+            const absl::string_view part(bytes, size);
+            return answer.status == http_ok ? on_bytes(part) : body.append(part);
         };
     }
     register_stop([connection] { connection->stop(); });
@@ -123,9 +124,7 @@
         return answer;
     }
     answer.status = response.status;
-    if (!on_bytes) {
-        answer.body = std::move(response.body);
-    }
+    answer.body = body.take();
     for (const auto& [name, value] : response.headers) {
         if (!is_hop_by_hop_header(name)) {
             answer.headers.emplace_back(name, value);
@@ -143,7 +142,13 @@
     httplib::Client probe(this->server_address.ip, this->server_address.port);
     probe.set_connection_timeout(connect_timeout_s);
     probe.set_read_timeout(connect_timeout_s);
-    return static_cast<bool>(probe.Get("/health"));
+    constexpr std::size_t max_health_bytes = 64 << 10;
+    bounded_body body(max_health_bytes);
+    httplib::Request health;
+    health.method = "GET";
+    health.path = "/health";
+    health.content_receiver = body.receiver();
+    return static_cast<bool>(probe.send(health));
 }
 
 bool backend_client::accepts_connections() const
--- a/sardinestream/experts/engine_client.cc
+++ b/sardinestream/experts/engine_client.cc
@@ -5,6 +5,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
@@ -17,6 +18,7 @@
 
 constexpr int epoch_bits = 32;
 constexpr int http_ok = 200;
+constexpr std::size_t max_answer_bytes = 8 << 20;
 constexpr int http_conflict = 409;
 constexpr int http_unavailable = 503;
 
@@ -126,21 +128,33 @@
 absl::StatusOr<std::string> engine_client::get(absl::string_view step, const char* path)
 {
     const absl::MutexLock lock(&this->mutex);
-    const httplib::Result result = this->client->Get(path);
+    bounded_body body(max_answer_bytes);
+    httplib::Request request;
+    request.method = "GET";
+    request.path = path;
+    request.content_receiver = body.receiver();
+    const httplib::Result result = this->client->send(request);
     if (!result) {
         return make_error(absl::StatusCode::kUnavailable, step, this->peer_name,
                           httplib::to_string(result.error()));
     }
     if (result->status != http_ok) {
-        return make_error(code_of(result->status), step, this->peer_name, result->body);
+        return make_error(code_of(result->status), step, this->peer_name, body.take());
     }
-    return result->body;
+    return body.take();
 }
 
 absl::Status engine_client::post(absl::string_view step, const char* path, const std::string& body)
 {
     const absl::MutexLock lock(&this->mutex);
-    const httplib::Result result = this->client->Post(path, body, "application/json");
+    bounded_body answer(max_answer_bytes);
+    httplib::Request request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body;
+    request.set_header("Content-Type", "application/json");
+    request.content_receiver = answer.receiver();
+    const httplib::Result result = this->client->send(request);
     if (!result) {
         count("sardine_engine_order_failures_total", {{"step", std::string(step)}});
         const bool not_sent = result.error() == httplib::Error::Connection;
@@ -151,7 +165,7 @@
         return absl::OkStatus();
     }
     count("sardine_engine_order_refusals_total", {{"step", std::string(step)}});
-    return make_error(code_of(result->status), step, this->peer_name, result->body);
+    return make_error(code_of(result->status), step, this->peer_name, answer.take());
 }
 
 absl::StatusOr<engine_state> engine_client::read_state()
--- a/sardinestream/store/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -6,6 +6,7 @@
 
 #include <httplib.h>
 
+#include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/store/object_json.h"
@@ -24,6 +25,8 @@
 // How long after the requested duration a watch may end before its connection is considered lost.
 constexpr absl::Duration watch_grace = absl::Seconds(2);
 constexpr std::size_t max_idle_connections = 16;
+// Limit on an answer, and on a line of a watch.
+constexpr std::size_t max_answer_bytes = 8 << 20;
 
 bool is_read(const httplib::Request& request)
 {
@@ -69,9 +72,13 @@
 // Splits the chunks of a watch response into lines.
 class line_reader {
 public:
-    // Calls `on_line` for each complete line until it returns false; returns its last result.
+    // Calls `on_line` for each complete line until it returns false; returns its last result, or
+    // false if a line is too long.
     bool append(absl::string_view chunk, const std::function<bool(absl::string_view)>& on_line)
     {
+        if (this->pending.size() + chunk.size() > max_answer_bytes) {
+            return false;
+        }
         this->pending.append(chunk.data(), chunk.size());
         std::size_t begin = 0;
         bool wanted = true;
@@ -277,8 +284,12 @@
     for (const std::size_t server : this->servers_by_preference()) {
         const std::string peer = this->settings.servers[server].to_string();
         client_pointer client = this->take_client(server);
-        httplib::Result result = client->send(request);
+        bounded_body body(max_answer_bytes);
+        httplib::Request bounded = request;
+        bounded.content_receiver = body.receiver();
+        httplib::Result result = client->send(bounded);
         if (result) {
+            result->body = body.take();
             this->prefer(server);
             this->return_client(server, std::move(client));
             count("sardine_store_calls_total", {{"step", std::string(step)}});
