Emulator and soak: servers whose answers do not end, and memory limits

Change: backend_trouble::endless_share has a server send bytes without end in the body, a chunk's extension, a trailer, the number of trailers, a line of the head or the number of headers. The soak draws it as an eighth kind of server trouble (0.3 of the answers to plain requests) and holds the resident memory of each process against its limit, 260 MB for entries and 128 MB for agents. process::resident_mb serves the load bench, too.

--- a/sardinestream/http/socket_test.cc
+++ b/sardinestream/http/socket_test.cc
@@ -108,6 +108,8 @@
         this->stopping = true;
         this->thread.join();
     }
+    endless_writer(const endless_writer&) = delete;
+    endless_writer& operator=(const endless_writer&) = delete;
 
 private:
     std::atomic<bool> stopping = false;
--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "sardinestream/base/digest.h"
+#include "sardinestream/testing/emulator/endless_answer.h"
 #include "sardinestream/testing/emulator/wire_words.h"
 
 #include "absl/strings/match.h"
@@ -217,6 +218,12 @@
     return std::bernoulli_distribution(share)(this->random);
 }
 
+std::size_t backend_emulator::draw_endless_kind()
+{
+    const absl::MutexLock lock(&this->mutex);
+    return std::uniform_int_distribution<std::size_t>(0, endless_kinds - 1)(this->random);
+}
+
 json backend_emulator::entry(const address& reached_at) const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -354,6 +361,10 @@
         connection.answer(http_server_error, headers, "{}");
         return;
     }
+    if (this->happens(now.endless_share)) {
+        send_endless_answer(connection, headers, this->draw_endless_kind());
+        return;
+    }
     const std::string body =
         expected_answer(request.header(words::request_id), request.head.target, request.body);
     if (this->happens(now.cut_share)) {
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -47,6 +47,9 @@
     double mute_share = 0;
     // Sends another answer behind the whole one.
     double surplus_share = 0;
+    // Runs the request, begins an answer and goes on without end, in its head or its body, until
+    // the connection is closed.
+    double endless_share = 0;
     // Orders of agents that get no answer and are carried out late.
     double late_order_share = 0;
 
@@ -162,6 +165,7 @@
     [[nodiscard]] begun_run describe(const emulated_request& request) const;
     [[nodiscard]] backend_trouble trouble() const;
     [[nodiscard]] bool happens(double share);
+    [[nodiscard]] std::size_t draw_endless_kind();
 
     const backend_options options;
     const backend_hooks hooks;
--- a/sardinestream/testing/emulator/backend_emulator_test.cc
+++ b/sardinestream/testing/emulator/backend_emulator_test.cc
@@ -109,6 +109,16 @@
     EXPECT_EQ(this->runs.size(), 1U);
 }
 
+TEST_F(backend_emulator_test, an_endless_answer_ends_when_its_connection_is_closed)
+{
+    this->server.set_trouble({.endless_share = 1});
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_FALSE(absl::StrContains(this->ask("/deposits/1", "i-1"), "r1 /deposits/1"));
+    }
+    this->server.stop();
+    EXPECT_EQ(this->runs.size(), 8U);
+}
+
 TEST_F(backend_emulator_test, a_refusal_has_not_run)
 {
     this->server.set_trouble({.refusal_share = 1});
--- a/sardinestream/testing/load_fleet.cc
+++ b/sardinestream/testing/load_fleet.cc
@@ -286,10 +286,7 @@
     double kernel = 0;
     fields >> user >> kernel;
     cost.cpu_s = (user + kernel) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    std::ifstream memory(directory + "/statm");
-    double pages = 0;
-    memory >> skipped >> pages;
-    cost.resident_mb = pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
+    cost.resident_mb = measured.resident_mb();
     std::ifstream io(directory + "/io");
     double value = 0;
     for (std::string name; io >> name >> value;) {
--- a/sardinestream/testing/process.cc
+++ b/sardinestream/testing/process.cc
@@ -343,6 +343,15 @@
     return read_file(this->log_path("out"), begin);
 }
 
+double process::resident_mb() const
+{
+    std::ifstream memory(absl::StrCat("/proc/", this->id(), "/statm"));
+    double total_pages = 0;
+    double resident_pages = 0;
+    memory >> total_pages >> resident_pages;
+    return resident_pages * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1 << 20);
+}
+
 pid_t process::id() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/process.h
+++ b/sardinestream/testing/process.h
@@ -116,6 +116,8 @@
     [[nodiscard]] std::string output() const;
     [[nodiscard]] const std::string& name() const { return this->options.name; }
     [[nodiscard]] pid_t id() const;
+    // Resident memory in MiB; zero if the process is gone.
+    [[nodiscard]] double resident_mb() const;
 
 private:
     explicit process(process_options configured);
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -75,6 +75,10 @@
             {"link-mbps", megabytes * bits / copy_s}};
 }
 
+// What the smallest machines of the users give their processes.
+constexpr double entry_memory_mb = 260;
+constexpr double agent_memory_mb = 128;
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<soak_fleet>> soak_fleet::create(const soak_size& size,
@@ -246,8 +250,9 @@
         const std::string own = this->ip(entry_group, i + 1);
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
-            absl::StrCat("--ip=", own, "\n--news_port=", news_port, "\n--front_listen=", own, ":",
-                         front_port, "\n--ready_listen=", own, ":", ready_port, "\n--store=",
+            absl::StrCat("--ip=", own, "\n--memory_mb=", entry_memory_mb,
+                         "\n--news_port=", news_port, "\n--front_listen=", own, ":", front_port,
+                         "\n--ready_listen=", own, ":", ready_port, "\n--store=",
                          (*proxy)->local().to_string(), "\n--seeds=", absl::StrJoin(seeds, ","),
                          "\n--grace_s=", grace_s, "\n--heartbeat_ms=", heartbeat_ms, "\n")));
         this->store_proxies.push_back(*std::move(proxy));
@@ -268,6 +273,7 @@
 {
     program_node node;
     node.name = name;
+    node.memory_mb = &into == &this->entry_nodes ? entry_memory_mb : agent_memory_mb;
     node.settings_path = absl::StrCat(this->files.path(), "/", name, ".settings");
     std::ofstream(node.settings_path)
         << "--id=" << name << "\n--data_centre=" << (into.size() % 2 == 0 ? "a" : "b") << "\n"
@@ -342,7 +348,11 @@
 {
     for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
         for (program_node& node : *nodes) {
-            if (node.struck || node.run->alive()) {
+            if (node.struck) {
+                continue;
+            }
+            if (node.run->alive()) {
+                this->watch_memory(node);
                 continue;
             }
             this->ledger.note_broken(absl::StrCat("exit: ", node.name, " ended by itself"));
@@ -352,6 +362,17 @@
     }
 }
 
+void soak_fleet::watch_memory(program_node& node)
+{
+    const double resident_mb = node.run->resident_mb();
+    if (resident_mb <= node.memory_mb || node.exceeds_memory) {
+        return;
+    }
+    node.exceeds_memory = true;
+    this->ledger.note_broken(
+        absl::StrCat("memory: ", node.name, " takes ", resident_mb, " MB of ", node.memory_mb));
+}
+
 absl::Status soak_fleet::heal()
 {
     // What ends a fault is due at the latest after the longest one and a planned stop.
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -69,6 +69,10 @@
         std::string name;
         std::string settings_path;
         std::unique_ptr<process> run;
+        // What the process may take.
+        double memory_mb = 0;
+        // It has taken more.
+        bool exceeds_memory = false;
         // A fault has it stopped, killed or frozen.
         bool struck = false;
     };
@@ -101,6 +105,8 @@
 
     void after(std::chrono::milliseconds delay, task work);
     void watch_programs();
+    // Notes a process that takes more memory than its machine gives it.
+    void watch_memory(program_node& node);
     void stop_program(program_node& node, bool twice);
     void restart_when_gone(program_node& node);
     void kill_program(program_node& node, std::chrono::milliseconds away);
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -36,7 +36,7 @@
 
 backend_trouble backend_trouble_of(double variant)
 {
-    constexpr int kinds = 7;
+    constexpr int kinds = 8;
     backend_trouble trouble;
     switch (static_cast<int>(variant * kinds)) {
     case 0:
@@ -58,6 +58,9 @@
         trouble.truncated_event_share = 0.5;
         trouble.missing_event_share = 0.2;
         break;
+    case 6:
+        trouble.endless_share = 0.3;
+        break;
     default:
         trouble.surplus_share = 0.5;
         break;
