The server directory keeps a bounded number of servers

Cause: watches of the store are bounded each, but what they name was kept without a bound: a store, or another writer of it, that names new servers without end fills the memory of every entry, which hand them on to each other.

Objects with names above 1 KB, and entries whose service and data centre have together more than 1 KB, are unreadable, which costs only themselves. New metric sardine_servers_beyond_limit_total.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -8,6 +8,7 @@
 
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
+#include "sardinestream/base/metrics.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -23,6 +24,8 @@
 // different times do not differ by it.
 constexpr std::chrono::minutes digest_memory{4};
 constexpr std::size_t max_departed = 4096;
+// Several times the largest fleet. A writer of entries without end must not exhaust the memory.
+constexpr std::size_t max_servers = 8192;
 
 enum class presence : std::uint8_t { in_use, draining, departed };
 
@@ -63,6 +66,10 @@
         }
         this->departed.erase(left);
     }
+    if (this->entries.size() >= max_servers && this->entries.count(given.server.id) == 0) {
+        count("sardine_servers_beyond_limit_total");
+        return false;
+    }
     const auto [found, is_new] = this->entries.try_emplace(given.server.id);
     entry& known = found->second;
     if (!is_new &&
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -52,6 +52,21 @@
     const steady_time start = steady_clock::now();
 };
 
+// Guards against a store, or another writer of it, that names new servers without end.
+TEST_F(server_directory_test, keeps_a_bounded_number_of_servers)
+{
+    constexpr std::size_t max_servers = 8192;
+    std::int64_t revision = 1;
+    this->list({named("first")}, revision);
+    for (std::size_t i = 0; i < max_servers + 100; ++i) {
+        this->put(named(std::to_string(i)), ++revision);
+    }
+    EXPECT_EQ(this->directory.usable().size(), max_servers);
+    EXPECT_TRUE(this->put(named("first", true), ++revision));
+    EXPECT_TRUE(this->remove("first", ++revision));
+    EXPECT_TRUE(this->put(named("next"), ++revision));
+}
+
 TEST_F(server_directory_test, drops_a_removed_server_immediately)
 {
     this->list({named("a"), named("b")}, 1);
--- a/sardinestream/platform/server_entries.cc
+++ b/sardinestream/platform/server_entries.cc
@@ -10,6 +10,9 @@
 namespace sardinestream::platform {
 namespace {
 
+// Names of an entry's service and data centre, together.
+constexpr std::size_t max_text_bytes = 1024;
+
 std::optional<server_entry> decode_or_log(const stored_object& object)
 {
     absl::StatusOr<server_entry> decoded = decode_server_entry(object.name, object.specification);
@@ -18,6 +21,12 @@
         log_failure("server_entry_unreadable", decoded.status(), {{"server", object.name}});
         return std::nullopt;
     }
+    const backend_server& server = decoded->server;
+    if (server.data_centre.size() + server.service.size() > max_text_bytes) {
+        count("sardine_unreadable_server_entries_total");
+        log_event("server_entry_unreadable", {{"server", object.name}, {"reason", "overlong"}});
+        return std::nullopt;
+    }
     return *std::move(decoded);
 }
 
--- a/sardinestream/platform/server_entries_test.cc
+++ b/sardinestream/platform/server_entries_test.cc
@@ -24,6 +24,16 @@
     EXPECT_EQ(list.servers[0].server.id, "b");
 }
 
+// Guards against entries whose texts fill the memory although their number is limited.
+TEST(server_entries, with_overlong_texts_are_left_out_of_a_list)
+{
+    std::string overlong = entry;
+    overlong.replace(overlong.find("orders"), 6, std::string(2000, 't'));
+    const server_list list = to_server_list({{{"a", 5, overlong}, {"b", 6, entry}}, {9}});
+    ASSERT_EQ(list.servers.size(), 1U);
+    EXPECT_EQ(list.servers[0].server.id, "b");
+}
+
 TEST(server_entries, a_server_whose_entry_becomes_unreadable_is_not_used_any_more)
 {
     const server_changes decoded =
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -19,6 +19,8 @@
 
 // Length to which unreadable text is quoted in errors.
 constexpr std::size_t max_quoted = 80;
+// Names are kept as long as their objects, and some for minutes longer.
+constexpr std::size_t max_name_bytes = 1024;
 // A store whose lists have more pages than this, of about 500 objects each, is in trouble.
 constexpr int max_list_pages = 200;
 
@@ -55,6 +57,9 @@
     if (!name.is_string()) {
         return unreadable("object without a name");
     }
+    if (raw_name.size() > max_name_bytes) {
+        return unreadable("object with an overlong name");
+    }
     const absl::StatusOr<std::int64_t> revision =
         decode_integer(find_member(*metadata, "revision"));
     if (!revision.ok()) {
