--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -20,10 +20,6 @@
 constexpr std::chrono::seconds max_copy_time{4};
 constexpr int max_messages_per_poll = 256;
 constexpr milliseconds entry_lifetime{3000};
-// The experts of a map are resent to the coordinator at this interval, in case a message was lost.
-constexpr milliseconds experts_interval{600};
-// A group that has work but starts no step for this long is held, or waits for a rank.
-constexpr milliseconds max_step_time{500};
 
 // Returns a first sequence number that differs between two runs of one agent.
 std::uint64_t first_sequence()
@@ -327,76 +323,6 @@
     return !(now == std::exchange(this->last_progress, now));
 }
 
-void agent_program::report_to_entries()
-{
-    news::ServerReportT message;
-    message.ip = ip_to_number(this->options.ip);
-    message.engine_port = static_cast<std::uint16_t>(this->options.engine.port);
-    message.places_digest = digest_of(this->endpoints);
-    message.sequence = ++this->sequence;
-    message.running = this->engine.report()->running;
-    message.waiting = this->engine.report()->waiting;
-    message.slowness = static_cast<float>(this->engine.report()->slowness);
-    message.pass_ms = static_cast<float>(this->engine.pass_ms());
-    message.group = this->engine.report()->group;
-    message.group_size = this->engine.report()->group_size;
-    message.rank = this->engine.report()->rank;
-    message.broken = this->engine.report()->broken ||
-                     this->engine.time_without_step(steady_clock::now()) > max_step_time;
-    message.suspects_digest = this->suspects.digest();
-    message.entries = this->entries_alive();
-    const std::vector<std::uint32_t> receivers = message.entries;
-    this->options.messages.send(make_message(std::move(message)), receivers);
-}
-
-rank_state agent_program::own_state() const
-{
-    rank_state state;
-    state.rank = this->engine.report()->rank;
-    state.report = this->engine.report()->map_report;
-    state.broken = this->engine.report()->broken;
-    state.slowness = this->engine.report()->slowness;
-    state.prepares = this->prepares;
-    state.experts = this->engine.experts();
-    return state;
-}
-
-news::RankStateT agent_program::make_state(bool with_counts)
-{
-    news::RankStateT state = encode_state(this->own_state());
-    state.group = this->engine.report()->group;
-    state.ip = ip_to_number(this->options.ip);
-    state.sequence = ++this->sequence;
-    state.term = this->followed.term;
-    if (!this->experts_are_due()) {
-        state.experts.clear();
-    }
-    if (with_counts) {
-        this->engine.add_counts(state);
-    }
-    return state;
-}
-
-bool agent_program::experts_are_due()
-{
-    const rank_report& report = this->engine.report()->map_report;
-    const reported_experts now = {this->followed.term, report.epoch, report.map_version};
-    const steady_time time = steady_clock::now();
-    if (now == std::exchange(this->last_reported_experts, now) && time < this->next_experts) {
-        return false;
-    }
-    this->next_experts = time + experts_interval;
-    return true;
-}
-
-void agent_program::send_state(std::uint32_t ip, bool with_counts)
-{
-    this->next_state = steady_clock::now() + state_interval(this->engine.report()->group_size);
-    if (ip != 0) {
-        this->options.messages.send(make_message(this->make_state(with_counts)), {ip});
-    }
-}
-
 void agent_program::follow(const coordinator_term& term)
 {
     if (this->is_coordinating()) {
