Answers of other entries are parsed only within the memory for own calls

Cause: an entry parsed the state that another entry hands it whatever its parsed form takes (a text of 4 MB of empty lists takes more than 100 MB), and what was reserved for a watch of the store was released before its changes were applied.

Change: get_from_peer, which the three calls now share, reserves the parsed form first; a list of changes keeps the reservation of its answer.

--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -278,6 +278,7 @@
         return history_changed();
     }
     this->last = changes->position;
+    changes->memory = answer->memory;
     return changes;
 }
 
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -50,6 +50,8 @@
     std::vector<object_change> changes;
     // The start of the next watch.
     store_position position;
+    // What is reserved for `changes`.
+    std::shared_ptr<message_memory_reservation> memory = nullptr;
 };
 
 class store_client {
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/peers/suspect_news.h"
 #include "sardinestream/programs/entry_program.h"
@@ -43,6 +44,18 @@
     return is_readable ? std::optional<state_age>(age) : std::nullopt;
 }
 
+// Asks another entry. Fails with kResourceExhausted if there is no memory to parse its answer.
+absl::StatusOr<http_answer> get_from_peer(http_client& peer, absl::string_view target)
+{
+    absl::StatusOr<http_answer> answer =
+        peer.call("GET", target, "", steady_clock::now() + fetch_timeout);
+    if (answer.ok() && !answer->reserve_parsed()) {
+        return make_error(absl::StatusCode::kResourceExhausted, "decode", "entry",
+                          "answer too large to be parsed");
+    }
+    return answer;
+}
+
 } // namespace
 
 absl::Status entry_program::open_peers()
@@ -157,8 +170,7 @@
         return;
     }
     http_client peer({*source, this->options.news_port});
-    const absl::StatusOr<http_answer> answer =
-        peer.call("GET", suspects_path, "", steady_clock::now() + fetch_timeout);
+    const absl::StatusOr<http_answer> answer = get_from_peer(peer, suspects_path);
     const absl::StatusOr<bool> merged =
         answer.ok() ? this->suspects->merge(answer->body) : answer.status();
     if (!merged.ok()) {
@@ -189,8 +201,7 @@
 {
     http_client peer({ip, this->options.news_port});
     const absl::StatusOr<http_answer> config =
-        peer.call("GET", absl::StrCat(config_path, "?after=", this->state.version()), "",
-                  steady_clock::now() + fetch_timeout);
+        get_from_peer(peer, absl::StrCat(config_path, "?after=", this->state.version()));
     if (config.ok() && config->status == http_ok) {
         const absl::StatusOr<stored_document> document = decode_document(config->body);
         if (document.ok()) {
@@ -200,9 +211,8 @@
             log_failure("peer_state_unread", document.status(), {{"entry", ip}});
         }
     }
-    const absl::StatusOr<http_answer> listed =
-        peer.call("GET", absl::StrCat(servers_path, "?after=", servers_age_text(this->own_age())),
-                  "", steady_clock::now() + fetch_timeout);
+    const absl::StatusOr<http_answer> listed = get_from_peer(
+        peer, absl::StrCat(servers_path, "?after=", servers_age_text(this->own_age())));
     if (listed.ok() && listed->status == http_ok) {
         const absl::StatusOr<shared_servers> servers = decode_servers(listed->body);
         if (servers.ok()) {
