A message that yields late does not make others fail

What callers could see: 502 for a sound answer while a faulty server's stream, silent inside a large event, had yielded but kept its memory until its next byte.

Cause: resize counted on the memory of what had yielded, however long its reader took to release it.

Evidence: message_memory.another_message_yields_if_the_first_one_is_not_released failed before; messages_test 48 and endless_bytes_test with request_memory_test (3) pass.

--- a/sardinestream/http/message_memory.cc
+++ b/sardinestream/http/message_memory.cc
@@ -152,6 +152,7 @@
     }
     const std::size_t more = counted - this->own_bytes;
     const steady_time begun = steady_clock::now();
+    steady_time last_yield = begun;
     while (!this->yielded) {
         const message_memory::sender_use* const own = this->own_sender();
         if (this->memory.fits(own, more)) {
@@ -159,8 +160,8 @@
             return true;
         }
         const steady_time now = steady_clock::now();
-        // What yields has not been released yet: it may be enough.
-        if (this->memory.yielding_bytes < more) {
+        // What yields and has not been released yet may be enough, unless it is not released soon.
+        if (this->memory.yielding_bytes < more || now - last_yield >= patience) {
             const bool own_share_full =
                 own != nullptr && own->bytes + more > this->memory.max_sender_bytes;
             const message_memory::sender_use* const first =
@@ -169,6 +170,7 @@
                                  first->bytes >= this->memory.max_bytes / small_sender_divisor;
             if (first != nullptr && (at_once || now - begun >= patience)) {
                 this->memory.make_yield(*first, now);
+                last_yield = now;
                 continue;
             }
         }
--- a/sardinestream/http/message_memory.h
+++ b/sardinestream/http/message_memory.h
@@ -9,9 +9,10 @@
 // Memory is reserved before it is allocated. When the limit is reached, messages that are still
 // arriving yield to others: first those of the sender whose messages have occupied the most memory
 // for the longest time, so that a sender of endless bytes is the one to fail. Who reads a message
-// looks at `has_yielded` at least every `yield_check_interval`. A message that has arrived
-// completely never yields. Small messages are always accepted: the number of connections
-// bounds them. Thread-safe; a reservation belongs to one thread.
+// looks at `has_yielded` every `yield_check_interval`, or with the next bytes; others do not rely
+// on it and have further messages yield. A message that has arrived completely never yields. Small
+// messages are always accepted: the number of connections bounds them. Thread-safe; a reservation
+// belongs to one thread.
 
 #ifndef SARDINESTREAM_HTTP_MESSAGE_MEMORY_H_
 #define SARDINESTREAM_HTTP_MESSAGE_MEMORY_H_
--- a/sardinestream/http/message_memory_test.cc
+++ b/sardinestream/http/message_memory_test.cc
@@ -63,6 +63,30 @@
     EXPECT_FALSE(sound.has_yielded());
 }
 
+// Guards against messages that fail because one that yields is released late, such as a stream
+// whose server is silent inside an event.
+TEST(message_memory, another_message_yields_if_the_first_one_is_not_released)
+{
+    message_memory memory(4 * megabyte);
+    message_memory_reservation silent(memory, "silent");
+    message_memory_reservation endless(memory, "endless");
+    message_memory_reservation sound(memory, "sound");
+    ASSERT_TRUE(silent.resize(2 * megabyte));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    ASSERT_TRUE(endless.resize(2 * megabyte));
+    const steady_time end = in(std::chrono::seconds(3));
+    std::thread reader([&] {
+        while (!endless.has_yielded() && steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        (void)endless.resize(0);
+    });
+    EXPECT_TRUE(sound.resize(megabyte, in(std::chrono::milliseconds(1500))));
+    reader.join();
+    EXPECT_TRUE(silent.has_yielded());
+    EXPECT_TRUE(endless.has_yielded());
+}
+
 TEST(message_memory, a_message_that_has_arrived_never_yields)
 {
     message_memory memory(4 * megabyte);
