The last lines of a process are written, and a stop names what it leaves

Nobody could tell from the logs how a stop had ended: main ended the process with lines still queued, and a process that ended by itself (an exception in a thread, no reader of its output) said nothing.

Cause: log4cxx writes through a queue, which was emptied neither before std::_Exit nor on the way to std::abort.

Change: exit_process writes what is queued, for 200 ms at most, so that a reader that stalls holds nobody up. An uncaught exception is logged as `terminated`. A reader that has gone no longer raises SIGPIPE in the thread that writes the last lines. The entry keeps the list of the requests that it serves: `stopping`, `stopped_accepting` and `stopped` count them, and `request_unfinished` names each one left without a whole answer, with how far it had come. Nothing about who is served changes.

--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -1,4 +1,8 @@
+#include <chrono>
+#include <csignal>
 #include <cstdlib>
+#include <stdexcept>
+#include <thread>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -9,6 +13,7 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/base/outcome.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/settings.h"
 
 namespace sardinestream {
@@ -72,6 +77,84 @@
     EXPECT_EXIT(log_to_stalled_reader(), testing::ExitedWithCode(0), "");
 }
 
+// Runs in a separate process, with standard output directed to standard error.
+void log_and_exit(int lines)
+{
+    ::dup2(STDERR_FILENO, STDOUT_FILENO);
+    start_logging(log_level::info, "entry", "front-1");
+    for (int i = 0; i < lines; ++i) {
+        log_event("request", {{"request", i}});
+    }
+    log_event("stopped", {{"idle", "yes"}});
+    exit_process(0);
+}
+
+// Guards against stops whose last lines never reached the output.
+TEST(log_test, lines_logged_just_before_the_exit_are_written)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    constexpr int rounds = 10;
+    constexpr int lines = 500;
+    for (int round = 0; round < rounds; ++round) {
+        EXPECT_EXIT(log_and_exit(lines), testing::ExitedWithCode(0), "event=stopped idle=yes");
+    }
+}
+
+void log_to_stalled_reader_and_exit()
+{
+    int ends[2];
+    if (::pipe(ends) != 0 || ::dup2(ends[1], STDOUT_FILENO) < 0) {
+        std::_Exit(2);
+    }
+    start_logging(log_level::info, "entry", "front-1");
+    constexpr int lines = 5000;
+    for (int i = 0; i < lines; ++i) {
+        log_event("request", {{"request", i}, {"outcome", "refused"}, {"reason", "queue full"}});
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    finish_logging(std::chrono::milliseconds(200));
+    std::_Exit(std::chrono::steady_clock::now() - begun < std::chrono::seconds(2) ? 0 : 1);
+}
+
+TEST(log_test, a_reader_that_stands_still_does_not_delay_the_exit)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(log_to_stalled_reader_and_exit(), testing::ExitedWithCode(0), "");
+}
+
+// Runs in a separate process whose reader of the output has gone.
+void log_to_closed_reader_and_exit()
+{
+    int ends[2];
+    if (::pipe(ends) != 0 || ::dup2(ends[1], STDOUT_FILENO) < 0 || ::close(ends[0]) != 0) {
+        std::_Exit(2);
+    }
+    start_logging(log_level::info, "entry", "front-1");
+    log_event("request", {{"request", 1}});
+    exit_process(0);
+}
+
+TEST(log_test, a_reader_that_has_gone_does_not_end_the_process)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(log_to_closed_reader_and_exit(), testing::ExitedWithCode(0), "");
+}
+
+void throw_in_a_thread()
+{
+    ::dup2(STDERR_FILENO, STDOUT_FILENO);
+    start_logging(log_level::info, "entry", "front-1");
+    std::thread([] { throw std::runtime_error("no more memory for it"); }).join();
+}
+
+// Guards against processes that end by themselves without a word.
+TEST(log_test, an_uncaught_exception_is_logged_before_the_process_aborts)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(throw_in_a_thread(), testing::KilledBySignal(SIGABRT),
+                "event=terminated reason=\"no more memory for it\"");
+}
+
 TEST(log_test, values_with_spaces_are_quoted)
 {
     EXPECT_EQ(format_event("x", {{"a", "one two"}, {"b", 3}}), "event=x a=\"one two\" b=3");
--- a/sardinestream/base/instance_settings.h
+++ b/sardinestream/base/instance_settings.h
@@ -60,9 +60,9 @@
     const absl::Status status = run(*settings);
     if (!status.ok()) {
         log_failure("start_failed", status);
-        return exit_failed;
     }
-    return 0;
+    finish_logging(max_exit_log_wait);
+    return status.ok() ? 0 : exit_failed;
 }
 
 } // namespace sardinestream
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -1,5 +1,12 @@
 #include "sardinestream/base/log.h"
 
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <future>
+#include <memory>
+#include <system_error>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -21,6 +28,15 @@
 constexpr char logger_name[] = "sardinestream";
 // Maximum number of lines that wait to be written.
 constexpr int max_queued_lines = 1024;
+// How long an aborting process waits for its last lines to be written.
+constexpr std::chrono::milliseconds abort_log_wait{500};
+
+// The queue of lines that `start_logging` has set up; null before.
+std::shared_ptr<log4cxx::AsyncAppender>& line_queue()
+{
+    static std::shared_ptr<log4cxx::AsyncAppender> queue;
+    return queue;
+}
 
 log4cxx::LoggerPtr logger()
 {
@@ -57,6 +73,31 @@
     absl::StrAppend(&line, " ", field.key, "=", field.value);
 }
 
+// Returns the message of the exception that is being handled.
+std::string current_exception_text()
+{
+    const std::exception_ptr thrown = std::current_exception();
+    if (thrown == nullptr) {
+        return "terminate called without an exception";
+    }
+    try {
+        std::rethrow_exception(thrown);
+    }
+    catch (const std::exception& error) {
+        return error.what();
+    }
+    catch (...) {
+        return "unknown exception";
+    }
+}
+
+[[noreturn]] void log_and_abort()
+{
+    log_event("terminated", {{"reason", current_exception_text()}}, log_level::error);
+    finish_logging(abort_log_wait);
+    std::abort();
+}
+
 } // namespace
 
 void start_logging(log_level minimum, absl::string_view process, absl::string_view instance)
@@ -73,6 +114,32 @@
     queue->addAppender(appender);
     log4cxx::BasicConfigurator::configure(queue);
     logger()->setLevel(to_level(minimum));
+    line_queue() = std::move(queue);
+    std::set_terminate(log_and_abort);
+    // A reader of the output that has gone must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void finish_logging(std::chrono::milliseconds max_wait)
+{
+    const std::shared_ptr<log4cxx::AsyncAppender> queue = line_queue();
+    if (queue == nullptr) {
+        return;
+    }
+    // `close` returns once all queued lines are written, which takes forever if the reader stalls.
+    auto closed = std::make_shared<std::promise<void>>();
+    std::future<void> written = closed->get_future();
+    try {
+        std::thread([queue, closed] {
+            queue->close();
+            closed->set_value();
+        }).detach();
+    }
+    catch (const std::system_error&) {
+        queue->close();
+        return;
+    }
+    written.wait_for(max_wait);
 }
 
 void set_log_minimum(log_level minimum)
--- a/sardinestream/base/log.h
+++ b/sardinestream/base/log.h
@@ -8,6 +8,7 @@
 #ifndef SARDINESTREAM_BASE_LOG_H_
 #define SARDINESTREAM_BASE_LOG_H_
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -37,9 +38,18 @@
 // Directs logs to standard output and drops events below `minimum`. Call once, before any
 // thread is started. A separate thread writes the lines: if the reader of the output stalls, lines
 // beyond a bound are dropped and counted in a separate line, and no caller blocks. Every line
-// starts with `process` and `instance`.
+// starts with `process` and `instance`. From then on, an exception that no thread catches is logged
+// as `terminated` before the process aborts.
 void start_logging(log_level minimum, absl::string_view process, absl::string_view instance);
 
+// Writes the lines that are still queued and ends logging; call last, before the process exits.
+// Returns after `max_wait` at the latest, even if the reader of the output stalls. Lines that other
+// threads log from then on may be lost.
+void finish_logging(std::chrono::milliseconds max_wait);
+
+// How long an exiting process waits for its last lines to be written.
+inline constexpr std::chrono::milliseconds max_exit_log_wait{200};
+
 // Changes the minimum level that is logged. Thread-safe.
 void set_log_minimum(log_level minimum);
 
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -69,6 +69,7 @@
 exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket, admitted_request given)
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
       admitted(std::move(given)), matched_route(*admitted.matched_route),
+      registered(services.open, {admitted.request.id, admitted.service, admitted.arrival}),
       events(matched_route.resumable ? admitted.request.resume_after : "")
 {
     this->deadline = this->admitted.arrival + this->matched_route.timeout;
@@ -259,6 +260,9 @@
         return this->handle_failure(attempt_state::nothing_sent, connection.status(), record);
     }
     ++this->servers_sent;
+    if (!this->response_started) {
+        this->registered.set_phase(request_phase::sent);
+    }
     this->retry_granted = false;
     record.started = steady_clock::now();
     const absl::StatusOr<bool> written =
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -20,6 +20,7 @@
 #include "sardinestream/forwarding/crash_guard.h"
 #include "sardinestream/forwarding/event_splitter.h"
 #include "sardinestream/forwarding/local_response.h"
+#include "sardinestream/forwarding/open_requests.h"
 #include "sardinestream/forwarding/retry_rules.h"
 #include "sardinestream/http/message_body.h"
 #include "sardinestream/http/message_reader.h"
@@ -45,6 +46,8 @@
     message_memory& request_memory;
     message_memory& response_memory;
     crash_guard& crashes;
+    // The requests that are being served.
+    open_requests& open;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
 };
@@ -178,6 +181,7 @@
     const hangup_watch caller_watch;
     const admitted_request admitted;
     const route& matched_route;
+    open_requests::registration registered;
     steady_time deadline;
     // Number of servers that may have run the request.
     int servers_sent = 0;
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -24,6 +24,7 @@
         relayed.chunked = this->admitted.request.accepts_chunked;
         text = encode_answer_head(relayed);
         this->response_started = true;
+        this->registered.set_phase(request_phase::answering);
         this->ends_with_connection = !this->admitted.request.accepts_chunked;
     }
     text += this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete;
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -140,6 +140,7 @@
                                      this->request_memory,
                                      this->response_memory,
                                      this->crashes,
+                                     this->in_progress,
                                      [] {}};
         frontend_options hooks;
         hooks.current_state = [this] { return this->state; };
@@ -229,6 +230,7 @@
     crash_guard crashes{
         *this->registry,
         {[this](const address&) { return this->servers_have_crashed.load(); }, [] {}}};
+    open_requests in_progress;
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -108,6 +108,12 @@
         std::min<std::int64_t>(std::max<std::int64_t>(left.count(), 0), longest_ms));
 }
 
+std::int64_t milliseconds_since(steady_time time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - time)
+        .count();
+}
+
 bool hangup_watch::has_hung_up() const
 {
     if (this->fd < 0) {
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -17,6 +17,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "sardinestream/base/settings.h"
@@ -34,6 +35,8 @@
 // Returns the milliseconds from now until `time`, rounded up, as a timeout for poll(2): never
 // negative and at most one hour.
 [[nodiscard]] int milliseconds_until(steady_time time);
+// Returns the whole milliseconds that have passed since `time`.
+[[nodiscard]] std::int64_t milliseconds_since(steady_time time);
 
 // Detects that a caller has disconnected while its thread waits for something else.
 class hangup_watch {
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -1,6 +1,5 @@
 // Entry point of sardine-agent: reads the settings and runs the agent beside one model engine.
 
-#include <cstdio>
 #include <thread>
 #include <utility>
 
@@ -8,6 +7,7 @@
 
 #include "sardinestream/base/allocator.h"
 #include "sardinestream/base/log.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/http/http_service.h"
 #include "sardinestream/platform/command.h"
@@ -68,7 +68,7 @@
     program.stop();
     worker.join();
     log_event("stopped", {});
-    return 0;
+    exit_process(0);
 }
 
 } // namespace
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -1,11 +1,10 @@
 // Entry point of sardine-entry: reads the settings, watches the store and runs the entry.
 
-#include <cstdio>
-
 #include <gflags/gflags.h>
 
 #include "sardinestream/base/allocator.h"
 #include "sardinestream/base/log.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/platform/caller_protocol.h"
 #include "sardinestream/platform/command.h"
@@ -102,9 +101,8 @@
     object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program));
     signal.wait([] { log_event("stop_repeated", {}); }, [&program] { reload(**program); });
     (*program)->stop(settings.grace);
-    // Exits at once: the open watch calls would take seconds to end, and there is nothing to save.
-    std::fflush(nullptr);
-    std::_Exit(0);
+    // The open watch calls would take seconds to end, and there is nothing to save.
+    exit_process(0);
 }
 
 } // namespace
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -167,5 +167,20 @@
     EXPECT_LT(absl::Now() - begun, absl::Seconds(3));
 }
 
+// Guards against stops whose last lines, with the requests that they cut, never reached the output.
+TEST_F(platform_process_test, the_last_line_of_a_stop_is_written)
+{
+    this->write_settings(this->entry_settings() + "--grace_s=1\n");
+    constexpr int stops = 8;
+    for (int stop = 0; stop < stops; ++stop) {
+        const auto entry = this->start("sardine-platform-entry");
+        ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+        entry->terminate();
+        EXPECT_EQ(entry->wait_for_exit(), 0);
+        EXPECT_TRUE(entry->wait_for_output("event=stopped", absl::ZeroDuration()))
+            << entry->output();
+    }
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds exit_margin{700};
 // Time before that in which requests that are still open get their final answer.
 constexpr milliseconds final_answer_time{300};
+// Unfinished requests that a stop logs one by one.
+constexpr std::size_t max_logged_requests = 200;
 
 // Number of entries assumed to share the retry budget until this one learns the actual number. The
 // budget starts with no tokens, since those that the entry had before a crash may have been spent.
@@ -121,6 +123,7 @@
         this->request_memory,
         this->response_memory,
         this->crashes,
+        this->in_progress,
         [this] { this->gossip->announce(); }};
     frontend_options front_options;
     front_options.current_state = [this] { return this->state.get(); };
@@ -329,7 +332,8 @@
                              {"crash_suspects", this->suspects->blamed()},
                              {"crashes", this->suspects->size()},
                              {"retry_tokens", this->retries.left()},
-                             {"waiting", this->servers.waiting()}};
+                             {"waiting", this->servers.waiting()},
+                             {"requests_open", this->in_progress.size()}};
     for (const auto& [service, outlook] : this->servers.availabilities()) {
         status["services"][service] = {{"condition", std::string(name_of(outlook.condition))},
                                        {"unserved_ms", outlook.unserved_time.count()}};
@@ -359,18 +363,37 @@
     return rest == this->options;
 }
 
+void entry_program::log_unfinished_requests() const
+{
+    const std::vector<open_request> unfinished = this->in_progress.list();
+    count("sardine_requests_unfinished_total", {}, unfinished.size());
+    for (const open_request& request : absl::MakeSpan(unfinished).subspan(0, max_logged_requests)) {
+        log_event("request_unfinished", {{"request", request.id},
+                                         {"service", request.service},
+                                         {"phase", name_of(request.phase)},
+                                         {"total_ms", milliseconds_since(request.arrival)}});
+    }
+}
+
 void entry_program::stop(milliseconds grace)
 {
     const steady_time begun = steady_clock::now();
     this->stop_deadline = begun + grace - exit_margin - final_answer_time;
     this->stopping = true;
-    log_event("stopping", {{"connections", this->caller_frontend->connections()}});
+    log_event("stopping", {{"connections", this->caller_frontend->connections()},
+                           {"requests", this->in_progress.size()}});
     std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
     this->caller_frontend->stop_accepting();
+    log_event("stopped_accepting", {{"after_ms", milliseconds_since(begun)},
+                                    {"connections", this->caller_frontend->connections()},
+                                    {"requests", this->in_progress.size()}});
     const auto left = begun + grace - exit_margin - steady_clock::now();
     const bool idle = this->caller_frontend->wait_until_idle(absl::Now() + absl::FromChrono(left));
+    this->log_unfinished_requests();
     log_event("stopped", {{"idle", idle ? "yes" : "no"},
-                          {"connections", this->caller_frontend->connections()}});
+                          {"after_ms", milliseconds_since(begun)},
+                          {"connections", this->caller_frontend->connections()},
+                          {"requests", this->in_progress.size()}});
 }
 
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -117,6 +117,8 @@
     // Sets the gauges to the current values.
     void update_gauges() const;
     [[nodiscard]] std::string status_json() const;
+    // Logs the requests that a stop leaves without a whole answer.
+    void log_unfinished_requests() const;
 
     const entry_options options;
     const wire_protocol protocol;
@@ -129,6 +131,8 @@
     crash_guard crashes;
     message_memory request_memory;
     message_memory response_memory;
+    // The requests that are being served.
+    open_requests in_progress;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
