The grace counts from the receipt of the signal, by the steady clock

What callers saw: a process that reads its settings again, or still starts, when SIGTERM comes begins to count its grace afterwards. What it then promises to answer is cut when the platform kills it. A jump of the time of day ended the wait for open requests early.

Cause: one thread received the signals and called the hook of SIGHUP, so that SIGTERM waited for a reload; entry_program::stop counted from its own first line; a thread was started when SIGTERM came, and a failure to start one ended the process; waits for the last thread followed the time of day.

The jump of the clock is mended by reading; no test steps the clock.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -163,8 +163,8 @@
 }
 
 // Notifies all entries, refuses new work, and waits for requests in progress until the drain
-// timeout.
-void drain(agent_process& process)
+// timeout, which counts from the receipt of the signal.
+void drain(agent_process& process, std::chrono::steady_clock::time_point received)
 {
     log_event("drain_started", {{"in_flight", process.requests->in_flight()}});
     process.leaving = true;
@@ -172,8 +172,8 @@
         link->send_link_frame(wire::frame_type::leaving, "").IgnoreError();
     }
     process.requests->drain();
-    const absl::Time deadline = absl::Now() + process.settings.drain_timeout;
-    const bool idle = process.requests->wait_until_idle(deadline);
+    const bool idle = process.requests->wait_until_idle(
+        received + absl::ToChronoMilliseconds(process.settings.drain_timeout));
     log_event("drain_ended", {{"in_flight", process.requests->in_flight()},
                               {"complete", idle ? "true" : "false"}});
 }
@@ -190,10 +190,13 @@
     std::printf("listening=%s\nops=%s\n", process.links->local().to_string().c_str(),
                 process.ops->local().to_string().c_str());
     std::fflush(stdout);
-    signal.wait([&process] {
-        log_event("still_open", {{"in_flight", process.requests->in_flight()}});
-    });
-    drain(process);
+    const auto received = signal.wait(
+        {.on_repeat =
+             [&process] {
+                 log_event("still_open", {{"in_flight", process.requests->in_flight()}});
+             },
+         .on_reload = {}});
+    drain(process, received);
     return absl::OkStatus();
 }
 
--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -139,7 +139,7 @@
     this->dependencies.admission->drain();
 }
 
-bool request_service::wait_until_idle(absl::Time deadline)
+bool request_service::wait_until_idle(std::chrono::steady_clock::time_point deadline)
 {
     return this->threads.wait_until_empty(deadline);
 }
--- a/sardinestream/agent/request_service.h
+++ b/sardinestream/agent/request_service.h
@@ -14,6 +14,7 @@
 #define SARDINESTREAM_AGENT_REQUEST_SERVICE_H_
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,7 +57,7 @@
     void drain();
 
     // Blocks until no request is in progress (returns true) or until `deadline` (returns false).
-    [[nodiscard]] bool wait_until_idle(absl::Time deadline);
+    [[nodiscard]] bool wait_until_idle(std::chrono::steady_clock::time_point deadline);
 
     [[nodiscard]] int in_flight() const { return this->threads.size(); }
 
--- a/sardinestream/base/http_server.cc
+++ b/sardinestream/base/http_server.cc
@@ -43,7 +43,7 @@
         }
     }
 
-    void shutdown() override { this->threads.wait_until_empty(absl::InfiniteFuture()); }
+    void shutdown() override { this->threads.wait_until_empty(); }
 
 private:
     // Reserves a thread for a connection. Returns true if the connection is to be refused.
--- a/sardinestream/base/thread_group.h
+++ b/sardinestream/base/thread_group.h
@@ -8,11 +8,11 @@
 #ifndef SARDINESTREAM_BASE_THREAD_GROUP_H_
 #define SARDINESTREAM_BASE_THREAD_GROUP_H_
 
+#include <chrono>
 #include <functional>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "absl/time/time.h"
 
 namespace sardinestream {
 
@@ -29,8 +29,10 @@
     // create a thread.
     [[nodiscard]] bool spawn(std::function<void()> work);
 
+    // Returns once no thread is running.
+    void wait_until_empty();
     // Returns true once no thread is running, or false at `deadline`.
-    bool wait_until_empty(absl::Time deadline);
+    bool wait_until_empty(std::chrono::steady_clock::time_point deadline);
 
     // Returns the number of running threads.
     [[nodiscard]] int size() const;
--- a/sardinestream/catalogue/catalogue_service.cc
+++ b/sardinestream/catalogue/catalogue_service.cc
@@ -91,7 +91,7 @@
     this->pulling.join();
     ended.reset();
     this->syncing.reset();
-    this->answering.wait_until_empty(absl::InfiniteFuture());
+    this->answering.wait_until_empty();
 }
 
 void catalogue_service::attach(wire::link_hooks& hooks)
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -279,25 +279,26 @@
 // Waits until no request is in progress or until `deadline`. Stopping the server earlier would
 // truncate streamed responses. A request that is still being read is not counted yet, so two
 // consecutive polls must find no request.
-void wait_until_idle(entry_process& process, absl::Time deadline)
+void wait_until_idle(entry_process& process, std::chrono::steady_clock::time_point deadline)
 {
     constexpr absl::Duration poll_interval = absl::Milliseconds(50);
     int idle_polls = 0;
-    while (idle_polls < 2 && absl::Now() < deadline) {
+    while (idle_polls < 2 && std::chrono::steady_clock::now() < deadline) {
         absl::SleepFor(poll_interval);
         idle_polls = process.front->in_flight() == 0 ? idle_polls + 1 : 0;
     }
 }
 
 // Fails the readiness check, waits for the platform's load balancer to notice, then refuses new
-// requests and waits for those in progress.
-void drain(entry_process& process)
+// requests and waits for those in progress. The times count from the receipt of the signal.
+void drain(entry_process& process, std::chrono::steady_clock::time_point received)
 {
     log_event("drain_started", {{"in_flight", process.front->in_flight()}});
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
     process.refusing = true;
-    wait_until_idle(process, absl::Now() + process.settings.drain_timeout);
+    wait_until_idle(process, received + absl::ToChronoMilliseconds(process.settings.drain_delay +
+                                                                   process.settings.drain_timeout));
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.shares->stop();
@@ -319,10 +320,13 @@
     std::printf("listening=%s\nops=%s\n", process.http->local().to_string().c_str(),
                 process.ops->local().to_string().c_str());
     std::fflush(stdout);
-    signal.wait([&process] {
-        log_event("still_open", {{"in_flight", process.front->in_flight()}});
-    });
-    drain(process);
+    const auto received =
+        signal.wait({.on_repeat =
+                         [&process] {
+                             log_event("still_open", {{"in_flight", process.front->in_flight()}});
+                         },
+                     .on_reload = {}});
+    drain(process, received);
     return absl::OkStatus();
 }
 
--- a/sardinestream/experts/expert_service.cc
+++ b/sardinestream/experts/expert_service.cc
@@ -89,7 +89,7 @@
 
 expert_service::~expert_service()
 {
-    this->exchanges.wait_until_empty(absl::InfiniteFuture());
+    this->exchanges.wait_until_empty();
 }
 
 bool expert_service::owns(frame_type type)
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -44,7 +44,7 @@
     void stop_accepting();
 
     // Returns true once no connection is open, or false if `deadline` passes first.
-    bool wait_until_idle(absl::Time deadline) { return this->acceptor.wait_until_idle(deadline); }
+    bool wait_until_idle(steady_time deadline) { return this->acceptor.wait_until_idle(deadline); }
 
     // Returns the bound address; its port is never zero.
     [[nodiscard]] const address& local() const { return this->acceptor.local(); }
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -152,7 +152,7 @@
     {
         this->stopping = true;
         this->served->stop_accepting();
-        this->served->wait_until_idle(absl::Now() + absl::Seconds(10));
+        this->served->wait_until_idle(steady_clock::now() + std::chrono::seconds(10));
     }
 
     void use(const std::vector<const scripted_server*>& scripted)
--- a/sardinestream/http/connection_acceptor.h
+++ b/sardinestream/http/connection_acceptor.h
@@ -21,7 +21,6 @@
 #include "sardinestream/http/socket.h"
 
 #include "absl/strings/string_view.h"
-#include "absl/time/time.h"
 
 namespace sardinestream {
 
@@ -50,7 +49,7 @@
     void stop_accepting();
 
     // Blocks until no connection is open and returns true, or returns false at `deadline`.
-    bool wait_until_idle(absl::Time deadline) { return this->threads.wait_until_empty(deadline); }
+    bool wait_until_idle(steady_time deadline) { return this->threads.wait_until_empty(deadline); }
 
     [[nodiscard]] int connections() const { return this->threads.size(); }
 
--- a/sardinestream/http/connection_acceptor_test.cc
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -67,9 +67,9 @@
     EXPECT_TRUE(becomes([&] { return acceptor.connections() == 1; }));
     acceptor.stop_accepting();
     EXPECT_FALSE(tcp_socket::connect(acceptor.local(), soon(), hangup_watch()).ok());
-    EXPECT_FALSE(acceptor.wait_until_idle(absl::Now() + absl::Milliseconds(50)));
+    EXPECT_FALSE(acceptor.wait_until_idle(steady_clock::now() + std::chrono::milliseconds(50)));
     open.close();
-    EXPECT_TRUE(acceptor.wait_until_idle(absl::Now() + absl::Seconds(2)));
+    EXPECT_TRUE(acceptor.wait_until_idle(steady_clock::now() + std::chrono::seconds(2)));
 }
 
 } // namespace
--- a/sardinestream/once/key_bindings.cc
+++ b/sardinestream/once/key_bindings.cc
@@ -61,7 +61,7 @@
 
 key_bindings::~key_bindings()
 {
-    this->updates.wait_until_empty(absl::InfiniteFuture());
+    this->updates.wait_until_empty();
 }
 
 absl::StatusOr<binding> key_bindings::bind(digest128 key, const binding& proposed,
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -63,8 +63,9 @@
                           {"service", settings.service},
                           {"data_centre", settings.data_centre}});
     std::thread worker([&] { program.run(); });
-    signal.wait([] { log_event("stop_repeated", {}); }, reload);
-    log_event("stopping", {});
+    const steady_time received =
+        signal.wait({.on_repeat = [] { log_event("stop_repeated", {}); }, .on_reload = reload});
+    log_event("stopping", {{"delay_ms", milliseconds_since(received)}});
     program.stop();
     worker.join();
     log_event("stopped", {});
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -99,8 +99,9 @@
                           {"store", settings.store.to_string()}});
     object_watcher config(settings.store, wire::config_kind, config_callbacks(**program));
     object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program));
-    signal.wait([] { log_event("stop_repeated", {}); }, [&program] { reload(**program); });
-    (*program)->stop(settings.grace);
+    const steady_time received = signal.wait({.on_repeat = [] { log_event("stop_repeated", {}); },
+                                              .on_reload = [&program] { reload(**program); }});
+    (*program)->stop(received, settings.grace);
     // The open watch calls would take seconds to end, and there is nothing to save.
     exit_process(0);
 }
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -1,11 +1,15 @@
 // Tests both programs as real processes: settings and signals.
 
+#include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
 #include "sardinestream/testing/process.h"
 
@@ -167,6 +171,21 @@
     EXPECT_LT(absl::Now() - begun, absl::Seconds(3));
 }
 
+// Guards against a stop that waits for a reload and is killed when its grace ends.
+TEST_F(platform_process_test, a_reload_that_hangs_does_not_delay_a_stop)
+{
+    this->write_settings(this->entry_settings());
+    const auto entry = this->start("sardine-platform-entry");
+    ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    // Nobody writes into the pipe, so that reading the settings does not end.
+    ASSERT_EQ(std::remove(this->settings_path.c_str()), 0);
+    ASSERT_EQ(::mkfifo(this->settings_path.c_str(), S_IRUSR | S_IWUSR), 0);
+    entry->hang_up();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    entry->terminate();
+    EXPECT_EQ(entry->wait_for_exit(absl::Seconds(3)), 0) << entry->output();
+}
+
 // Guards against stops whose last lines, with the requests that they cut, never reached the output.
 TEST_F(platform_process_test, the_last_line_of_a_stop_is_written)
 {
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -375,23 +375,22 @@
     }
 }
 
-void entry_program::stop(milliseconds grace)
+void entry_program::stop(steady_time received, milliseconds grace)
 {
-    const steady_time begun = steady_clock::now();
-    this->stop_deadline = begun + grace - exit_margin - final_answer_time;
+    this->stop_deadline = received + grace - exit_margin - final_answer_time;
     this->stopping = true;
-    log_event("stopping", {{"connections", this->caller_frontend->connections()},
+    log_event("stopping", {{"delay_ms", milliseconds_since(received)},
+                           {"connections", this->caller_frontend->connections()},
                            {"requests", this->in_progress.size()}});
-    std::this_thread::sleep_for(std::min(balancer_notice_time, grace / 2));
+    std::this_thread::sleep_until(received + std::min(balancer_notice_time, grace / 2));
     this->caller_frontend->stop_accepting();
-    log_event("stopped_accepting", {{"after_ms", milliseconds_since(begun)},
+    log_event("stopped_accepting", {{"after_ms", milliseconds_since(received)},
                                     {"connections", this->caller_frontend->connections()},
                                     {"requests", this->in_progress.size()}});
-    const auto left = begun + grace - exit_margin - steady_clock::now();
-    const bool idle = this->caller_frontend->wait_until_idle(absl::Now() + absl::FromChrono(left));
+    const bool idle = this->caller_frontend->wait_until_idle(received + grace - exit_margin);
     this->log_unfinished_requests();
     log_event("stopped", {{"idle", idle ? "yes" : "no"},
-                          {"after_ms", milliseconds_since(begun)},
+                          {"after_ms", milliseconds_since(received)},
                           {"connections", this->caller_frontend->connections()},
                           {"requests", this->in_progress.size()}});
 }
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -79,8 +79,9 @@
     bool apply_options(const entry_options& changed);
 
     // Stops gracefully: reports not ready at once, accepts requests until the load balancer has
-    // noticed, then waits for open requests. Returns when all have ended, or after `grace`.
-    void stop(std::chrono::milliseconds grace);
+    // noticed, then waits for open requests. Returns when all have ended, or shortly before `grace`
+    // has passed since `received`, when the signal to stop was received.
+    void stop(steady_time received, std::chrono::milliseconds grace);
 
 private:
     entry_program(const entry_options& chosen, wire_protocol spoken, desired_state_decoder decoder);
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -267,7 +267,7 @@
     const std::unique_ptr<entry_program> entry = this->start(1, {});
     entry->apply_desired_state("3", 10, "store");
     entry->apply_server_list({{}, {10}}, {});
-    std::thread stopper([&] { entry->stop(milliseconds(1500)); });
+    std::thread stopper([&] { entry->stop(steady_clock::now(), milliseconds(1500)); });
     std::this_thread::sleep_for(milliseconds(100));
     EXPECT_EQ(this->readiness(1), 503);
     stopper.join();
--- a/sardinestream/wire/link_server.cc
+++ b/sardinestream/wire/link_server.cc
@@ -45,7 +45,7 @@
             link->shut_down();
         }
     }
-    this->connections.wait_until_empty(absl::InfiniteFuture());
+    this->connections.wait_until_empty();
 }
 
 std::vector<std::shared_ptr<peer_link>> link_server::links() const
--- a/sardinestream/wire/wire_test.cc
+++ b/sardinestream/wire/wire_test.cc
@@ -123,7 +123,8 @@
     EXPECT_EQ(other->receive(soon())->payload, "echo");
     EXPECT_LE(*sent, 5);
     unread.reset();
-    EXPECT_TRUE(threads->wait_until_empty(soon()));
+    EXPECT_TRUE(
+        threads->wait_until_empty(std::chrono::steady_clock::now() + std::chrono::seconds(10)));
 }
 
 TEST(peer_link_test, streams_end_when_the_link_is_lost)
