A stream that has begun keeps its server until it has another one

What callers saw: streams cut in the middle with seconds of time left. An entry gave a server up after 1.2 s without an event, shorter than the 1.5 s for which a group stalls, and then had 400 ms to get another one; with none free ("queue full") or the service just down, the stream was cut, although its first server would have gone on.

Cause: an attempt was ended before the next one had a server. A stream that cannot be refused any more was treated as a new request: it was refused by queue, availability and number of refusals, behind requests that nobody had begun.

Change: a request whose server is silent keeps its connection and stands in the queue at the same time (dispatcher::queued_request). It moves when a server is its own and a retry is granted, or goes on if its server does. A stream that has begun goes before requests that have not, waits while the service is down, and for as long as its caller would (the last event plus 2 s or four times the latency target). In the queue, a request that has tried all free servers no longer blocks those behind it. A process that stops does not move streams off a slow rank. The queue is a file of its own.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -45,6 +45,9 @@
     std::string service;
     // 0 is the highest priority.
     int priority = 0;
+    // Parts of its answer have reached the caller, so that it can no longer be refused: it goes
+    // before all requests that have not begun, and waits also while the service is down.
+    bool has_begun = false;
     // Maximum time to wait for a server, after which the caller is expected to give up.
     std::chrono::milliseconds max_wait{1000};
     // Ids of the servers that were tried already.
@@ -72,7 +75,13 @@
 };
 
 class dispatcher {
+    struct waiter;
+
 public:
+    // Servers that become usable merely because time passes wake no waiting thread, so that each
+    // looks for itself this often.
+    static constexpr std::chrono::milliseconds recheck_interval{100};
+
     explicit dispatcher(dispatcher_options chosen);
 
     // Assigns a server to the request; blocks for at most `max_wait`.
@@ -91,6 +100,31 @@
     // requests wait.
     [[nodiscard]] std::optional<placement> place_if_free(const placement_request& request);
 
+    // The place in the queue of a request whose thread waits for something else at the same time.
+    // A server that is assigned and not taken is free again at the end. Used by one thread.
+    class queued_request {
+    public:
+        // Returns kResourceExhausted if no descriptor is available. `owner` must outlive it.
+        [[nodiscard]] static absl::StatusOr<std::unique_ptr<queued_request>>
+        create(dispatcher& owner, placement_request request);
+        ~queued_request();
+        queued_request(const queued_request&) = delete;
+        queued_request& operator=(const queued_request&) = delete;
+
+        // Becomes readable once a server is assigned.
+        [[nodiscard]] int descriptor() const;
+        // Returns the server if one is assigned. To be called now and then even if the descriptor
+        // does not become readable: servers become usable merely because time passes, too.
+        [[nodiscard]] std::optional<placement> take();
+
+    private:
+        queued_request(dispatcher& owner, placement_request request);
+
+        dispatcher& servers;
+        const placement_request wanted;
+        std::unique_ptr<waiter> self;
+    };
+
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& given);
 
@@ -157,7 +191,6 @@
     [[nodiscard]] int waiting() const;
 
 private:
-    struct waiter;
     struct service_queue {
         // In order of arrival.
         std::list<waiter*> waiters;
@@ -215,8 +248,17 @@
     // Creates the state of a server, with the hold-off that is known for its start.
     [[nodiscard]] server_state make_state(const backend_server& server, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether `first` is served before `second`, which came later or at the same time.
+    [[nodiscard]] static bool goes_before(const placement_request& first,
+                                          const placement_request& second);
     // Assigns servers to queued requests in order of priority, as long as there is free capacity.
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the server that the queued request has got, or gets now.
+    [[nodiscard]] std::optional<placement> take_place(waiter& self)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns a refusal if the queued request should wait no longer.
+    [[nodiscard]] absl::Status check_waiter(const waiter& self, steady_time deadline)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Blocks until the queued request is placed, refused or abandoned by its caller.
     absl::StatusOr<placement> wait_in_queue(waiter& self, const hangup_watch& caller);
     // Returns a refusal if the request cannot expect a server within its `max_wait`.
--- /dev/null
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -0,0 +1,257 @@
+// Implements the part of the dispatcher that queues requests until a server is free.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/base/error.h"
+#include "sardinestream/base/metrics.h"
+
+namespace sardinestream {
+namespace {
+
+// Bounds of the retry delay that a refusal carries.
+constexpr std::chrono::milliseconds max_retry_after{4000};
+constexpr std::chrono::milliseconds min_retry_after{100};
+// Minimum queue length at which requests are refused on arrival.
+constexpr std::size_t min_queue_to_refuse = 4;
+
+} // namespace
+
+// One request in a queue. Owned by the waiting thread.
+struct dispatcher::waiter {
+    explicit waiter(const placement_request& wanted)
+        : request(&wanted), event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+    }
+    ~waiter()
+    {
+        if (this->event >= 0) {
+            ::close(this->event);
+        }
+    }
+    waiter(const waiter&) = delete;
+    waiter& operator=(const waiter&) = delete;
+
+    const placement_request* const request;
+    // An eventfd that is written to once `given` is set; -1 if none was available.
+    const int event;
+    std::optional<placement> given;
+};
+
+absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
+                                     steady_time now)
+{
+    if (!this->has_usable_server(request)) {
+        return refuse(absl::StatusCode::kUnavailable, request.service, "no usable server",
+                      std::chrono::milliseconds(1000));
+    }
+    SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
+    double ahead = 1;
+    for (const waiter* other : queue.waiters) {
+        ahead += goes_before(*other->request, request) ? 1 : 0;
+    }
+    // Without a queue the completion rate reflects the arrivals rather than the capacity of the
+    // servers; shortly after the start it is unknown.
+    if (queue.waiters.size() < min_queue_to_refuse || !queue.completion_rate.is_known(now)) {
+        return absl::OkStatus();
+    }
+    const std::chrono::milliseconds wait =
+        queue.completion_rate.estimated_wait(ahead, now, max_retry_after);
+    if (wait <= request.max_wait) {
+        return absl::OkStatus();
+    }
+    // Spreads the callers' retries over the time in which the queue drains.
+    const double spread = 0.5 + this->draw() / 2;
+    const auto retry_delay = std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
+    return refuse(absl::StatusCode::kResourceExhausted, request.service, "queue full",
+                  std::max(retry_delay, min_retry_after));
+}
+
+bool dispatcher::goes_before(const placement_request& first, const placement_request& second)
+{
+    if (first.has_begun != second.has_begun) {
+        return first.has_begun;
+    }
+    return first.priority <= second.priority;
+}
+
+absl::StatusOr<placement> dispatcher::place(const placement_request& request,
+                                            const hangup_watch& caller)
+{
+    waiter self(request);
+    {
+        const absl::MutexLock lock(&this->mutex);
+        service_queue& queue = this->queues[request.service];
+        std::optional<placement> probe = this->try_probe(request, steady_clock::now());
+        if (probe.has_value()) {
+            return *std::move(probe);
+        }
+        if (!request.has_begun) {
+            SARDINE_RETURN_IF_ERROR(this->check_availability(request, steady_clock::now()));
+        }
+        const bool overtakes =
+            std::none_of(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
+                return goes_before(*other->request, request);
+            });
+        if (overtakes) {
+            std::optional<placement> given = this->try_place(request);
+            if (given.has_value()) {
+                return *std::move(given);
+            }
+        }
+        if (!request.has_begun) {
+            SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
+        }
+        if (self.event < 0) {
+            return refuse(absl::StatusCode::kResourceExhausted, request.service,
+                          "no file descriptor available", min_retry_after);
+        }
+        queue.waiters.push_back(&self);
+    }
+    return this->wait_in_queue(self, caller);
+}
+
+std::optional<placement> dispatcher::take_place(waiter& self)
+{
+    if (!self.given.has_value()) {
+        this->serve_waiters(self.request->service);
+    }
+    if (!self.given.has_value()) {
+        self.given = this->try_probe(*self.request, steady_clock::now());
+        if (self.given.has_value()) {
+            this->queues[self.request->service].waiters.remove(&self);
+        }
+    }
+    return std::exchange(self.given, std::nullopt);
+}
+
+absl::Status dispatcher::check_waiter(const waiter& self, steady_time deadline)
+{
+    const placement_request& request = *self.request;
+    const steady_time now = steady_clock::now();
+    if (!request.has_begun) {
+        SARDINE_RETURN_IF_ERROR(this->check_returns(request, deadline, now));
+        SARDINE_RETURN_IF_ERROR(this->check_availability(request, now));
+    }
+    if (now < deadline && !(request.is_obsolete && request.is_obsolete())) {
+        return absl::OkStatus();
+    }
+    const service_queue& queue = this->queues[request.service];
+    return refuse(absl::StatusCode::kResourceExhausted, request.service, "maximum wait exceeded",
+                  queue.completion_rate.estimated_wait(static_cast<double>(queue.waiters.size()),
+                                                       now, max_retry_after));
+}
+
+absl::StatusOr<placement> dispatcher::wait_in_queue(waiter& self, const hangup_watch& caller)
+{
+    const steady_time begun = steady_clock::now();
+    const steady_time deadline = begun + self.request->max_wait;
+    while (true) {
+        wait_for_input(self.event, caller,
+                       std::min(deadline, steady_clock::now() + recheck_interval));
+        const bool gone = caller.has_hung_up();
+        const absl::MutexLock lock(&this->mutex);
+        std::optional<placement> given =
+            gone ? std::exchange(self.given, std::nullopt) : this->take_place(self);
+        if (given.has_value()) {
+            given->waited =
+                std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
+            return *std::move(given);
+        }
+        absl::Status refused =
+            gone ? make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up")
+                 : this->check_waiter(self, deadline);
+        if (!refused.ok()) {
+            this->queues[self.request->service].waiters.remove(&self);
+            return refused;
+        }
+    }
+}
+
+std::optional<placement> dispatcher::place_if_free(const placement_request& request)
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->queues[request.service].waiters.empty() ? this->try_place(request) : std::nullopt;
+}
+
+void dispatcher::serve_waiters(const std::string& service)
+{
+    std::list<waiter*>& waiters = this->queues[service].waiters;
+    // Waiters that are passed over, since all free servers are among those that they have tried.
+    std::set<const waiter*> unplaced;
+    while (unplaced.size() < waiters.size()) {
+        auto next = waiters.end();
+        for (auto it = waiters.begin(); it != waiters.end(); ++it) {
+            if (unplaced.count(*it) != 0) {
+                continue;
+            }
+            if (next == waiters.end() || !goes_before(*(*next)->request, *(*it)->request)) {
+                next = it;
+            }
+        }
+        waiter* const served = *next;
+        std::optional<placement> given = this->try_place(*served->request);
+        if (!given.has_value() && served->request->excluded_ids.empty()) {
+            return;
+        }
+        if (!given.has_value()) {
+            unplaced.insert(served);
+            continue;
+        }
+        waiters.erase(next);
+        served->given = std::move(given);
+        const std::uint64_t one = 1;
+        if (::write(served->event, &one, sizeof(one)) < 0) {
+            count("sardine_queue_wake_failures_total");
+        }
+    }
+}
+
+absl::StatusOr<std::unique_ptr<dispatcher::queued_request>>
+dispatcher::queued_request::create(dispatcher& owner, placement_request request)
+{
+    std::unique_ptr<queued_request> made(new queued_request(owner, std::move(request)));
+    if (made->self->event < 0) {
+        return refuse(absl::StatusCode::kResourceExhausted, made->wanted.service,
+                      "no file descriptor available", min_retry_after);
+    }
+    const absl::MutexLock lock(&owner.mutex);
+    owner.queues[made->wanted.service].waiters.push_back(made->self.get());
+    return made;
+}
+
+dispatcher::queued_request::queued_request(dispatcher& owner, placement_request request)
+    : servers(owner), wanted(std::move(request)), self(std::make_unique<waiter>(wanted))
+{
+}
+
+dispatcher::queued_request::~queued_request()
+{
+    {
+        const absl::MutexLock lock(&this->servers.mutex);
+        this->servers.queues[this->wanted.service].waiters.remove(this->self.get());
+    }
+    if (this->self->given.has_value()) {
+        this->servers.finish(*this->self->given, attempt_result::abandoned,
+                             std::chrono::milliseconds(0));
+    }
+}
+
+int dispatcher::queued_request::descriptor() const
+{
+    return this->self->event;
+}
+
+std::optional<placement> dispatcher::queued_request::take()
+{
+    const absl::MutexLock lock(&this->servers.mutex);
+    return this->servers.take_place(*this->self);
+}
+
+} // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -70,7 +70,8 @@
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
       admitted(std::move(given)), matched_route(*admitted.matched_route),
       registered(services.open, {admitted.request.id, admitted.service, admitted.arrival}),
-      events(matched_route.resumable ? admitted.request.resume_after : "")
+      events(matched_route.resumable ? admitted.request.resume_after : ""),
+      last_delivery(admitted.arrival)
 {
     this->deadline = this->admitted.arrival + this->matched_route.timeout;
     if (this->admitted.request.time_limit.has_value()) {
@@ -87,6 +88,7 @@
 bool exchange::run()
 {
     const bool keep = this->attempt_until_done();
+    this->release_reserved();
     if (this->ends_with_connection) {
         // An orderly end would make the response look complete.
         this->caller.abort_when_delivered(steady_clock::now() + local_response_timeout);
@@ -144,30 +146,85 @@
     placement_request wanted;
     wanted.service = this->admitted.service;
     wanted.priority = this->admitted.priority;
+    wanted.has_begun = this->response_started;
     wanted.excluded_ids = this->tried_ids;
     wanted.is_obsolete = [this] { return this->shutdown_would_cut(); };
     return wanted;
 }
 
+bool exchange::reserve(placement other)
+{
+    this->reserved = std::move(other);
+    if (!this->services.take_retry(this->admitted.service)) {
+        this->release_reserved();
+        return false;
+    }
+    this->retry_granted = true;
+    return true;
+}
+
+void exchange::release_reserved()
+{
+    if (this->reserved.has_value()) {
+        const placement unused = *std::exchange(this->reserved, std::nullopt);
+        this->services.servers.finish(unused, attempt_result::abandoned, milliseconds(0));
+    }
+}
+
+bool exchange::may_leave_silent_server() const
+{
+    return this->can_retry(attempt_state::possibly_executed) &&
+           !this->services.servers.stands_still(this->admitted.service);
+}
+
+bool exchange::find_other_server(server_connection& connection, const attempt_record& record)
+{
+    placement_request wanted = this->make_placement_request();
+    wanted.excluded_ids.push_back(record.placed.server.id);
+    const absl::StatusOr<std::unique_ptr<dispatcher::queued_request>> queued =
+        dispatcher::queued_request::create(this->services.servers, std::move(wanted));
+    if (!queued.ok()) {
+        log_failure("silent_server_kept", queued.status(),
+                    {{"request", this->admitted.request.id}});
+        this->wait_for_first_byte(connection, this->answer_deadline());
+        return false;
+    }
+    while (true) {
+        const steady_time now = steady_clock::now();
+        // What a shutdown would cut elsewhere is better off where it is.
+        std::optional<placement> other =
+            this->shutdown_would_cut() ? std::nullopt : (*queued)->take();
+        if (other.has_value() && this->reserve(*std::move(other))) {
+            return true;
+        }
+        if (other.has_value()) {
+            // No budget: asks again after a while.
+            this->wait_for_first_byte(connection, now + silence_timeout);
+            return false;
+        }
+        if (connection.reader.has_surplus() || connection.socket.has_input_or_end() ||
+            this->caller_watch.has_hung_up() || now >= this->answer_deadline()) {
+            return false;
+        }
+        wait_for_any_input({connection.socket.descriptor(), (*queued)->descriptor()},
+                           this->caller_watch,
+                           std::min(this->answer_deadline(), now + dispatcher::recheck_interval));
+    }
+}
+
 bool exchange::try_move_stream(attempt_record& record)
 {
     const backend_server& server = record.placed.server;
-    if (!this->can_retry(attempt_state::possibly_executed) ||
+    if (this->services.is_stopping() || !this->can_retry(attempt_state::possibly_executed) ||
         !this->services.servers.delays_its_group(server)) {
         return false;
     }
     placement_request wanted = this->make_placement_request();
     wanted.excluded_ids.push_back(server.id);
     std::optional<placement> other = this->services.servers.place_if_free(wanted);
-    if (!other.has_value()) {
+    if (!other.has_value() || !this->reserve(*std::move(other))) {
         return false;
     }
-    if (!this->services.take_retry(this->admitted.service)) {
-        this->services.servers.finish(*other, attempt_result::abandoned, milliseconds(0));
-        return false;
-    }
-    this->reserved = *std::move(other);
-    this->retry_granted = true;
     this->possibly_executed = true;
     this->events.drop_undelivered();
     record.result = attempt_result::abandoned;
@@ -210,22 +267,23 @@
     placement_request wanted = this->make_placement_request();
     steady_time give_up_at = this->deadline;
     if (this->matched_route.kind == request_kind::streaming) {
-        const milliseconds event_wait = std::max(
-            max_wait_for_event, max_wait_in_latency_targets * this->matched_route.latency_target);
-        give_up_at =
-            std::min(give_up_at, this->admitted.arrival + event_wait - min_time_to_first_event);
+        give_up_at = std::min(give_up_at, this->stream_patience() - min_time_to_first_event);
     }
     else {
         give_up_at = steady_clock::now() + (give_up_at - steady_clock::now()) / 2;
     }
     give_up_at = std::min(give_up_at, this->services.shutdown_deadline());
-    if (this->response_started) {
-        give_up_at = std::min(this->deadline, steady_clock::now() + min_time_to_first_event);
-    }
     wanted.max_wait = milliseconds(milliseconds_until(give_up_at));
     return this->services.servers.place(wanted, this->caller_watch);
 }
 
+steady_time exchange::stream_patience() const
+{
+    return this->last_delivery +
+           std::max(max_wait_for_event,
+                    max_wait_in_latency_targets * this->matched_route.latency_target);
+}
+
 std::string exchange::encode_request_head(const backend_server& server) const
 {
     const caller_request& request = this->admitted.request;
@@ -296,7 +354,8 @@
 {
     // Without the id of an event, another server would begin again.
     const bool cannot_resume = this->response_started && this->events.last_id().empty();
-    if (this->servers_refused >= max_refusals || cannot_resume) {
+    const bool refused_too_often = this->servers_refused >= max_refusals && !this->response_started;
+    if (refused_too_often || cannot_resume) {
         return false;
     }
     const bool run = this->possibly_executed || state == attempt_state::possibly_executed ||
@@ -339,6 +398,7 @@
     const bool in_time = steady_clock::now() < this->answer_deadline();
     // A refusal while the whole service is down must not consume the retry budget.
     const bool service_down = state == attempt_state::refused_by_server &&
+                              !this->response_started &&
                               this->services.servers.is_down(this->admitted.service);
     if (in_time && !service_down && this->can_retry(state) &&
         (never_sent || this->retry_granted || this->services.take_retry(this->admitted.service))) {
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -74,8 +74,8 @@
 private:
     // Responses that are relayed in one piece may have this size.
     static constexpr std::size_t max_response_bytes = 32U << 20U;
-    // If a server sends nothing for this time, the request is retried at another server, provided
-    // that it may run again.
+    // If a server sends nothing for this time, the request moves to another server once one is
+    // free, provided that it may run again.
     static constexpr std::chrono::milliseconds silence_timeout{1200};
 
     // What follows an attempt: the caller has its response, the caller's connection is closed, or
@@ -99,6 +99,18 @@
     // Makes attempts until the request has an outcome. Returns the same as `run`.
     [[nodiscard]] bool attempt_until_done();
     [[nodiscard]] placement_request make_placement_request() const;
+    // Reserves the server for the next attempt and takes a retry from the budget for it. Returns
+    // false if there is none left; the server is free again then.
+    [[nodiscard]] bool reserve(placement other);
+    // Frees the server that was reserved for an attempt that is not made.
+    void release_reserved();
+    // Returns whether a request whose server is silent may go on at another one, and whether that
+    // would help.
+    [[nodiscard]] bool may_leave_silent_server() const;
+    // Waits until another server is reserved for a request whose server is silent (returns true),
+    // or until that server goes on, the caller hangs up or the request ends (returns false).
+    [[nodiscard]] bool find_other_server(server_connection& connection,
+                                         const attempt_record& record);
     // Ends the attempt of a stream whose server delays its group, if another server is free and can
     // be reserved for the rest of the stream. Returns whether it was ended.
     [[nodiscard]] bool try_move_stream(attempt_record& record);
@@ -138,10 +150,14 @@
     [[nodiscard]] next_action relay_stream(server_connection& connection,
                                            const http_response_head& head, attempt_record& record,
                                            bool& reusable);
-    // Waits for the next bytes of a stream; returns whether the stream has ended. `last_event` is
-    // the time of the last complete event; bytes that complete no event do not extend the wait.
-    [[nodiscard]] absl::StatusOr<bool>
-    read_stream_part(server_connection& connection, std::string& bytes, steady_time& last_event);
+    // Waits for the next bytes of a stream; returns whether the stream has ended. Bytes that
+    // complete no event do not extend the wait.
+    [[nodiscard]] absl::StatusOr<bool> read_stream_part(server_connection& connection,
+                                                        const attempt_record& record,
+                                                        std::string& bytes,
+                                                        steady_time& last_event);
+    // Returns when the caller of a stream abandons it if no event follows.
+    [[nodiscard]] steady_time stream_patience() const;
     // Returns whether a stream whose body ends now can be complete.
     [[nodiscard]] bool may_end_here(const http_response_head& head) const;
     // Returns why the stream cannot go on or end (`ended`) with the part that was read last. The
@@ -195,6 +211,8 @@
     bool response_started = false;
     // A response that ends with the connection has begun and is not complete.
     bool ends_with_connection = false;
+    // When the caller of a stream got the last event; the arrival of the request before the first.
+    steady_time last_delivery;
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
     std::chrono::milliseconds total_queue_time{0};
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -184,10 +184,9 @@
             // The server answers when its group goes on; no other one would be earlier.
             continue;
         }
-        if (!this->services.take_retry(this->admitted.service)) {
-            break;
+        if (!this->find_other_server(connection, record)) {
+            continue;
         }
-        this->retry_granted = true;
         return this->handle_failure(attempt_state::possibly_executed,
                                     make_error(absl::StatusCode::kDeadlineExceeded, "answer", "",
                                                "no response within the silence timeout"),
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -32,6 +32,7 @@
         text, std::max(this->deadline, steady_clock::now() + local_response_timeout),
         hangup_watch()));
     this->events.mark_delivered();
+    this->last_delivery = steady_clock::now();
     return absl::OkStatus();
 }
 
@@ -49,26 +50,31 @@
         hangup_watch());
 }
 
-absl::StatusOr<bool> exchange::read_stream_part(server_connection& connection, std::string& bytes,
+absl::StatusOr<bool> exchange::read_stream_part(server_connection& connection,
+                                                const attempt_record& record, std::string& bytes,
                                                 steady_time& last_event)
 {
     while (true) {
+        steady_time until = last_event + silence_timeout;
+        if (until <= steady_clock::now()) {
+            if (!this->may_leave_silent_server()) {
+                // No retry is possible, or it would not help: the server may continue.
+                last_event = steady_clock::now();
+            }
+            else if (this->find_other_server(connection, record)) {
+                return make_error(absl::StatusCode::kDeadlineExceeded, "stream",
+                                  record.placed.server.id,
+                                  "no complete event within the silence timeout");
+            }
+            until = steady_clock::now() + dispatcher::recheck_interval;
+        }
         absl::StatusOr<bool> ended = connection.reader.read_body_part(
-            bytes, std::min(this->answer_deadline(), last_event + silence_timeout),
-            this->caller_watch);
+            bytes, std::min(this->answer_deadline(), until), this->caller_watch);
         const bool silent = absl::IsDeadlineExceeded(ended.status()) &&
                             steady_clock::now() < this->answer_deadline();
         if (!silent) {
             return ended;
         }
-        if (this->can_retry(attempt_state::possibly_executed) &&
-            !this->services.servers.stands_still(this->admitted.service) &&
-            this->services.take_retry(this->admitted.service)) {
-            this->retry_granted = true;
-            return ended;
-        }
-        // No retry is possible, or it would not help: waits on, because the server may continue.
-        last_event = steady_clock::now();
     }
 }
 
@@ -106,7 +112,8 @@
                                              record.placed.server.id);
     while (true) {
         std::string bytes;
-        const absl::StatusOr<bool> ended = this->read_stream_part(connection, bytes, last_event);
+        const absl::StatusOr<bool> ended =
+            this->read_stream_part(connection, record, bytes, last_event);
         if (!ended.ok()) {
             return this->handle_failure(attempt_state::possibly_executed, ended.status(), record);
         }
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -142,7 +142,8 @@
 {
     const steady_time deadline = steady_clock::now() + this->limits().idle_timeout;
     if (!reader.has_surplus()) {
-        wait_for_either_input(connection.descriptor(), this->stop_event.descriptor(), deadline);
+        wait_for_any_input({connection.descriptor(), this->stop_event.descriptor()}, hangup_watch(),
+                           deadline);
     }
     if (!reader.has_surplus() && !connection.has_input_or_end()) {
         return false;
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -18,6 +18,7 @@
 
 #include "sardinestream/base/error.h"
 
+#include "absl/container/inlined_vector.h"
 #include "absl/strings/cord.h"
 
 namespace sardinestream {
@@ -367,14 +368,17 @@
 
 void wait_for_input(int descriptor, const hangup_watch& caller, steady_time deadline)
 {
-    pollfd polled[2] = {{descriptor, POLLIN | POLLRDHUP, 0}, {caller.descriptor(), POLLRDHUP, 0}};
-    ::poll(polled, 2, milliseconds_until(deadline));
+    wait_for_any_input({descriptor}, caller, deadline);
 }
 
-void wait_for_either_input(int first, int second, steady_time deadline)
+void wait_for_any_input(absl::Span<const int> descriptors, const hangup_watch& caller,
+                        steady_time deadline)
 {
-    pollfd polled[2] = {{first, POLLIN | POLLRDHUP, 0}, {second, POLLIN | POLLRDHUP, 0}};
-    ::poll(polled, 2, milliseconds_until(deadline));
+    absl::InlinedVector<pollfd, 4> polled = {{caller.descriptor(), POLLRDHUP, 0}};
+    for (const int descriptor : descriptors) {
+        polled.push_back({descriptor, POLLIN | POLLRDHUP, 0});
+    }
+    ::poll(polled.data(), polled.size(), milliseconds_until(deadline));
 }
 
 } // namespace sardinestream
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -156,9 +156,9 @@
 // disconnected, or until `deadline`. May return early when a signal arrives.
 void wait_for_input(int descriptor, const hangup_watch& caller, steady_time deadline);
 
-// Waits until one of the descriptors is readable or closed by its peer, or until `deadline`. May
-// return early when a signal arrives.
-void wait_for_either_input(int first, int second, steady_time deadline);
+// The same for several descriptors.
+void wait_for_any_input(absl::Span<const int> descriptors, const hangup_watch& caller,
+                        steady_time deadline);
 
 } // namespace sardinestream
 
