Silent servers: nothing is reserved that cannot be used

A request with a silent server could be given a server that it never took during a stop (and its thread spun while it did not), a probe of a service that was out, or a server for which no retry was left; streams were cut without a log line when the server that should have continued them answered with something else than a stream.

Change: a request asks for another server only if a stop leaves time for it, a retry is in the budget (retry_budget::has_retry), and its prompt is not blamed for crashes; it leaves the queue at the end of each round. It is given no probe. New requests get a free server that those before them in the queue have tried; at most four requests are passed over under the lock. How long a caller of a stream waits follows the pause target, too, and a stream that has lost its server always gets 400 ms for another one, as before. A stop ends the wait of a begun stream. Begun streams pause 200 ms between attempts after four refusals. The end of a stream by an answer that is none is logged (`cut`).

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,8 +101,9 @@
     // requests wait.
     [[nodiscard]] std::optional<placement> place_if_free(const placement_request& request);
 
-    // The place in the queue of a request whose thread waits for something else at the same time.
-    // A server that is assigned and not taken is free again at the end. Used by one thread.
+    // The place in the queue of a request whose server is silent and may still answer. It is given
+    // only servers with free capacity, no probes of a service that does not serve. A server that is
+    // assigned and not taken is free again at the end. Used by one thread.
     class queued_request {
     public:
         // Returns kResourceExhausted if no descriptor is available. `owner` must outlive it.
@@ -251,6 +253,9 @@
     // Returns whether `first` is served before `second`, which came later or at the same time.
     [[nodiscard]] static bool goes_before(const placement_request& first,
                                           const placement_request& second);
+    // Returns the request that is served next, without those in `unplaced`.
+    [[nodiscard]] static std::list<waiter*>::iterator
+    next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced);
     // Assigns servers to queued requests in order of priority, as long as there is free capacity.
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the server that the queued request has got, or gets now.
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -19,15 +19,15 @@
 constexpr std::chrono::milliseconds min_retry_after{100};
 // Minimum queue length at which requests are refused on arrival.
 constexpr std::size_t min_queue_to_refuse = 4;
+// Requests that may be passed over because they have tried all free servers; bounds the work under
+// the lock.
+constexpr std::size_t max_passed_over = 4;
 
 } // namespace
 
 // One request in a queue. Owned by the waiting thread.
 struct dispatcher::waiter {
-    explicit waiter(const placement_request& wanted)
-        : request(&wanted), event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
-    {
-    }
+    explicit waiter(const placement_request& wanted) : request(&wanted) {}
     ~waiter()
     {
         if (this->event >= 0) {
@@ -37,9 +37,18 @@
     waiter(const waiter&) = delete;
     waiter& operator=(const waiter&) = delete;
 
+    // Must succeed before the request is queued. Returns false if no descriptor is available.
+    [[nodiscard]] bool open_event()
+    {
+        this->event = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        return this->event >= 0;
+    }
+
     const placement_request* const request;
-    // An eventfd that is written to once `given` is set; -1 if none was available.
-    const int event;
+    // Its present server may still answer, so that it must not be used as a probe.
+    bool has_server = false;
+    // An eventfd that is written to once `given` is set.
+    int event = -1;
     std::optional<placement> given;
 };
 
@@ -105,14 +114,21 @@
                 return *std::move(given);
             }
         }
-        if (!request.has_begun) {
-            SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
-        }
-        if (self.event < 0) {
+        if (!self.open_event()) {
             return refuse(absl::StatusCode::kResourceExhausted, request.service,
                           "no file descriptor available", min_retry_after);
         }
+        // Those before it may be unable to use the servers that are free.
         queue.waiters.push_back(&self);
+        this->serve_waiters(request.service);
+        if (self.given.has_value()) {
+            return *std::move(self.given);
+        }
+        if (!request.has_begun) {
+            queue.waiters.remove(&self);
+            SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
+            queue.waiters.push_back(&self);
+        }
     }
     return this->wait_in_queue(self, caller);
 }
@@ -122,7 +138,7 @@
     if (!self.given.has_value()) {
         this->serve_waiters(self.request->service);
     }
-    if (!self.given.has_value()) {
+    if (!self.given.has_value() && !self.has_server) {
         self.given = this->try_probe(*self.request, steady_clock::now());
         if (self.given.has_value()) {
             this->queues[self.request->service].waiters.remove(&self);
@@ -180,20 +196,30 @@
     return this->queues[request.service].waiters.empty() ? this->try_place(request) : std::nullopt;
 }
 
+std::list<dispatcher::waiter*>::iterator
+dispatcher::next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced)
+{
+    auto next = waiters.end();
+    for (auto it = waiters.begin(); it != waiters.end(); ++it) {
+        if (unplaced.count(*it) != 0) {
+            continue;
+        }
+        if (next == waiters.end() || !goes_before(*(*next)->request, *(*it)->request)) {
+            next = it;
+        }
+    }
+    return next;
+}
+
 void dispatcher::serve_waiters(const std::string& service)
 {
     std::list<waiter*>& waiters = this->queues[service].waiters;
     // Waiters that are passed over, since all free servers are among those that they have tried.
     std::set<const waiter*> unplaced;
-    while (unplaced.size() < waiters.size()) {
-        auto next = waiters.end();
-        for (auto it = waiters.begin(); it != waiters.end(); ++it) {
-            if (unplaced.count(*it) != 0) {
-                continue;
-            }
-            if (next == waiters.end() || !goes_before(*(*next)->request, *(*it)->request)) {
-                next = it;
-            }
+    while (unplaced.size() <= max_passed_over) {
+        const auto next = next_waiter(waiters, unplaced);
+        if (next == waiters.end()) {
+            return;
         }
         waiter* const served = *next;
         std::optional<placement> given = this->try_place(*served->request);
@@ -217,7 +243,8 @@
 dispatcher::queued_request::create(dispatcher& owner, placement_request request)
 {
     std::unique_ptr<queued_request> made(new queued_request(owner, std::move(request)));
-    if (made->self->event < 0) {
+    made->self->has_server = true;
+    if (!made->self->open_event()) {
         return refuse(absl::StatusCode::kResourceExhausted, made->wanted.service,
                       "no file descriptor available", min_retry_after);
     }
--- a/sardinestream/forwarding/begun_stream_test.cc
+++ b/sardinestream/forwarding/begun_stream_test.cc
@@ -249,5 +249,62 @@
     waiting_too.join();
 }
 
+// Guards against a silent request that a stop keeps in the queue, where it takes a server from
+// others.
+TEST_F(begun_stream_test, a_stop_leaves_a_silent_request_with_its_server)
+{
+    std::atomic<int> lookups = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        if (connection.head.target == "/pay/") {
+            answer_payment(connection, long_silence);
+            return;
+        }
+        ++lookups;
+        std::this_thread::sleep_for(2 * long_silence);
+        connection.write(answer_to(connection, "late"));
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use_one_slot_each({&first, &second});
+    std::thread other = this->occupy("p1");
+    std::thread stop([this] {
+        std::this_thread::sleep_for(long_silence / 2);
+        this->stopping = true;
+        // Too little for another attempt, by what lookups usually take.
+        this->ends_at = steady_clock::now() + long_silence / 2 + milliseconds(1900);
+    });
+    const caller_answer answer = this->call("/read/", "r1");
+    EXPECT_EQ(lookups, 1);
+    EXPECT_EQ(this->budget, 100);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    other.join();
+    stop.join();
+}
+
+// Guards against a stop that makes streams depend on a second server.
+TEST_F(begun_stream_test, a_stop_does_not_move_a_stream_off_a_slow_rank)
+{
+    this->stopping = true;
+    const auto script_for = [&](const std::string& ip) {
+        return [&, ip](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(stream_head(connection) + chunk(event(1)));
+            this->report_rank(ip, 12);
+            std::this_thread::sleep_for(milliseconds(50));
+            connection.write(chunk(event(2)) + last_chunk);
+        };
+    };
+    scripted_server first(script_for(first_ip), first_ip);
+    scripted_server second(script_for(second_ip), second_ip);
+    this->use({&first, &second});
+    this->report_rank(first_ip, 1);
+    this->report_rank(second_ip, 1);
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_EQ(answer.body, event(1) + event(2));
+    EXPECT_EQ(this->budget, 100);
+    EXPECT_EQ(first.connections() + second.connections(), 1);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -15,18 +15,21 @@
 
 using std::chrono::milliseconds;
 
-// Callers abandon a stream if the next event takes longer than the greater of this and
-// max_wait_in_latency_targets times the latency target of the route.
+// Callers abandon a stream if the next event takes longer than the greatest of this and these
+// multiples of the route's targets.
 constexpr milliseconds max_wait_for_event{2000};
 constexpr int max_wait_in_latency_targets = 4;
+constexpr int max_wait_in_pause_targets = 8;
 // Minimum time that a server needs from a free slot to the first event.
 constexpr milliseconds min_time_to_first_event{400};
 // Nearly all streams complete within this time.
 constexpr milliseconds typical_stream_duration{4500};
 constexpr milliseconds typical_answer_duration{2000};
 constexpr int http_unavailable = 503;
-// A request fails after this many refusals by servers.
+// After this many refusals by servers, a request fails, or pauses before each further attempt if
+// its answer has begun.
 constexpr int max_refusals = 4;
+constexpr milliseconds refusal_pause{200};
 
 void log_notable_event(absl::string_view event, std::initializer_list<log_field> fields)
 {
@@ -148,7 +151,9 @@
     wanted.priority = this->admitted.priority;
     wanted.has_begun = this->response_started;
     wanted.excluded_ids = this->tried_ids;
-    wanted.is_obsolete = [this] { return this->shutdown_would_cut(); };
+    wanted.is_obsolete = [this] {
+        return this->shutdown_would_cut() || steady_clock::now() >= this->answer_deadline();
+    };
     return wanted;
 }
 
@@ -173,11 +178,23 @@
 
 bool exchange::may_leave_silent_server() const
 {
-    return this->can_retry(attempt_state::possibly_executed) &&
-           !this->services.servers.stands_still(this->admitted.service);
+    const std::string& service = this->admitted.service;
+    // A shutdown would end the request at another server sooner than at this one.
+    return !this->shutdown_would_cut() && this->can_retry(attempt_state::possibly_executed) &&
+           !this->services.servers.stands_still(service) && this->services.has_retry(service) &&
+           this->services.crashes.check(this->admitted.request, service).ok();
 }
 
 bool exchange::find_other_server(server_connection& connection, const attempt_record& record)
+{
+    if (this->may_leave_silent_server()) {
+        return this->wait_for_other_server(connection, record);
+    }
+    this->wait_for_first_byte(connection, steady_clock::now() + silence_timeout);
+    return false;
+}
+
+bool exchange::wait_for_other_server(server_connection& connection, const attempt_record& record)
 {
     placement_request wanted = this->make_placement_request();
     wanted.excluded_ids.push_back(record.placed.server.id);
@@ -186,29 +203,23 @@
     if (!queued.ok()) {
         log_failure("silent_server_kept", queued.status(),
                     {{"request", this->admitted.request.id}});
-        this->wait_for_first_byte(connection, this->answer_deadline());
+        this->wait_for_first_byte(connection, steady_clock::now() + silence_timeout);
         return false;
     }
+    const steady_time asks_until = steady_clock::now() + silence_timeout;
     while (true) {
-        const steady_time now = steady_clock::now();
-        // What a shutdown would cut elsewhere is better off where it is.
-        std::optional<placement> other =
-            this->shutdown_would_cut() ? std::nullopt : (*queued)->take();
-        if (other.has_value() && this->reserve(*std::move(other))) {
-            return true;
-        }
+        std::optional<placement> other = (*queued)->take();
         if (other.has_value()) {
-            // No budget: asks again after a while.
-            this->wait_for_first_byte(connection, now + silence_timeout);
-            return false;
+            return this->reserve(*std::move(other));
         }
+        const steady_time now = steady_clock::now();
         if (connection.reader.has_surplus() || connection.socket.has_input_or_end() ||
-            this->caller_watch.has_hung_up() || now >= this->answer_deadline()) {
+            this->caller_watch.has_hung_up() || now >= asks_until ||
+            now >= this->answer_deadline() || this->shutdown_would_cut()) {
             return false;
         }
         wait_for_any_input({connection.socket.descriptor(), (*queued)->descriptor()},
-                           this->caller_watch,
-                           std::min(this->answer_deadline(), now + dispatcher::recheck_interval));
+                           this->caller_watch, now + dispatcher::recheck_interval);
     }
 }
 
@@ -264,24 +275,32 @@
         // Another entry can serve the request to its end.
         return shutting_down(this->admitted.service);
     }
+    if (this->response_started && this->servers_refused >= max_refusals) {
+        wait_for_any_input({}, this->caller_watch, steady_clock::now() + refusal_pause);
+    }
     placement_request wanted = this->make_placement_request();
     steady_time give_up_at = this->deadline;
     if (this->matched_route.kind == request_kind::streaming) {
-        give_up_at = std::min(give_up_at, this->stream_patience() - min_time_to_first_event);
+        give_up_at = std::min(give_up_at, this->caller_leaves_at() - min_time_to_first_event);
     }
     else {
         give_up_at = steady_clock::now() + (give_up_at - steady_clock::now()) / 2;
     }
-    give_up_at = std::min(give_up_at, this->services.shutdown_deadline());
+    if (this->response_started) {
+        // Its caller may stay longer than expected; nothing is lost by trying.
+        give_up_at = std::max(give_up_at, steady_clock::now() + min_time_to_first_event);
+    }
+    give_up_at = std::min(give_up_at, this->answer_deadline());
     wanted.max_wait = milliseconds(milliseconds_until(give_up_at));
     return this->services.servers.place(wanted, this->caller_watch);
 }
 
-steady_time exchange::stream_patience() const
+steady_time exchange::caller_leaves_at() const
 {
     return this->last_delivery +
-           std::max(max_wait_for_event,
-                    max_wait_in_latency_targets * this->matched_route.latency_target);
+           std::max({max_wait_for_event,
+                     max_wait_in_latency_targets * this->matched_route.latency_target,
+                     max_wait_in_pause_targets * this->matched_route.pause_target});
 }
 
 std::string exchange::encode_request_head(const backend_server& server) const
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -36,6 +36,8 @@
     connection_pool& connections;
     // Takes one retry from the budget of the service; returns false if the budget is exhausted.
     std::function<bool(const std::string& service)> take_retry;
+    // Returns whether the budget has a retry.
+    std::function<bool(const std::string& service)> has_retry;
     // Returns whether the process is shutting down; connections are not kept alive then.
     std::function<bool()> is_stopping;
     // Returns the time at which a process that is shutting down ends the remaining requests;
@@ -107,10 +109,15 @@
     // Returns whether a request whose server is silent may go on at another one, and whether that
     // would help.
     [[nodiscard]] bool may_leave_silent_server() const;
-    // Waits until another server is reserved for a request whose server is silent (returns true),
-    // or until that server goes on, the caller hangs up or the request ends (returns false).
+    // Waits until another server is reserved for a request whose server is silent, and returns
+    // true; `handle_failure` then ends the attempt. Returns false, so that the caller reads on, if
+    // the server goes on, the caller hangs up or the request ends, and now and then if no server
+    // may be taken at present.
     [[nodiscard]] bool find_other_server(server_connection& connection,
                                          const attempt_record& record);
+    // The part of `find_other_server` in which the request is queued.
+    [[nodiscard]] bool wait_for_other_server(server_connection& connection,
+                                             const attempt_record& record);
     // Ends the attempt of a stream whose server delays its group, if another server is free and can
     // be reserved for the rest of the stream. Returns whether it was ended.
     [[nodiscard]] bool try_move_stream(attempt_record& record);
@@ -150,14 +157,15 @@
     [[nodiscard]] next_action relay_stream(server_connection& connection,
                                            const http_response_head& head, attempt_record& record,
                                            bool& reusable);
-    // Waits for the next bytes of a stream; returns whether the stream has ended. Bytes that
-    // complete no event do not extend the wait.
+    // Waits for the next bytes of a stream; returns whether the stream has ended. `silent_since` is
+    // the time of the last complete event, or later if the silence is accepted; bytes that complete
+    // no event do not change it.
     [[nodiscard]] absl::StatusOr<bool> read_stream_part(server_connection& connection,
                                                         const attempt_record& record,
                                                         std::string& bytes,
-                                                        steady_time& last_event);
+                                                        steady_time& silent_since);
     // Returns when the caller of a stream abandons it if no event follows.
-    [[nodiscard]] steady_time stream_patience() const;
+    [[nodiscard]] steady_time caller_leaves_at() const;
     // Returns whether a stream whose body ends now can be complete.
     [[nodiscard]] bool may_end_here(const http_response_head& head) const;
     // Returns why the stream cannot go on or end (`ended`) with the part that was read last. The
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -180,10 +180,6 @@
     reusable = false;
     while (this->can_retry(attempt_state::possibly_executed) &&
            this->exceeds_silence_timeout(connection)) {
-        if (this->services.servers.stands_still(this->admitted.service)) {
-            // The server answers when its group goes on; no other one would be earlier.
-            continue;
-        }
         if (!this->find_other_server(connection, record)) {
             continue;
         }
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -95,6 +95,9 @@
                                     record);
     }
     if (this->response_started) {
+        // Only the events of another stream could continue this one.
+        this->log_attempt(record, absl::StrCat("no stream, status ", head.status));
+        this->log_outcome("cut", head.status, "next server sent no stream");
         return next_action::close_connection;
     }
     answer_head relayed = this->make_relayed_head(head);
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -52,16 +52,12 @@
 
 absl::StatusOr<bool> exchange::read_stream_part(server_connection& connection,
                                                 const attempt_record& record, std::string& bytes,
-                                                steady_time& last_event)
+                                                steady_time& silent_since)
 {
     while (true) {
-        steady_time until = last_event + silence_timeout;
+        steady_time until = silent_since + silence_timeout;
         if (until <= steady_clock::now()) {
-            if (!this->may_leave_silent_server()) {
-                // No retry is possible, or it would not help: the server may continue.
-                last_event = steady_clock::now();
-            }
-            else if (this->find_other_server(connection, record)) {
+            if (this->find_other_server(connection, record)) {
                 return make_error(absl::StatusCode::kDeadlineExceeded, "stream",
                                   record.placed.server.id,
                                   "no complete event within the silence timeout");
@@ -107,13 +103,13 @@
                                              bool& reusable)
 {
     reusable = false;
-    steady_time last_event = steady_clock::now();
+    steady_time silent_since = steady_clock::now();
     message_memory_reservation partial_event(this->services.response_memory,
                                              record.placed.server.id);
     while (true) {
         std::string bytes;
         const absl::StatusOr<bool> ended =
-            this->read_stream_part(connection, record, bytes, last_event);
+            this->read_stream_part(connection, record, bytes, silent_since);
         if (!ended.ok()) {
             return this->handle_failure(attempt_state::possibly_executed, ended.status(), record);
         }
@@ -123,7 +119,7 @@
         this->events.add(bytes);
         const std::string complete = this->events.take_events();
         if (!complete.empty()) {
-            last_event = steady_clock::now();
+            silent_since = steady_clock::now();
             const absl::Status sent = this->send_events(head, complete);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -135,6 +135,7 @@
                                      this->servers,
                                      this->channels,
                                      [this](const std::string&) { return this->budget-- > 0; },
+                                     [this](const std::string&) { return this->budget > 0; },
                                      [this] { return this->stopping.load(); },
                                      [this] { return this->ends_at.load(); },
                                      this->request_memory,
--- a/sardinestream/forwarding/open_requests.h
+++ b/sardinestream/forwarding/open_requests.h
@@ -2,8 +2,8 @@
 // ones it leaves without an answer.
 //
 //     open_requests open;
-//     open_requests::registration one(open, id, service);
-//     one.set_phase(request_phase::streaming);
+//     open_requests::registration one(open, {id, service, arrival});
+//     one.set_phase(request_phase::answering);
 //     ...
 //     for (const open_request& request : open.list()) { ... }
 
@@ -26,9 +26,9 @@
 enum class request_phase : std::uint8_t {
     // No server has it.
     waiting,
-    // Sent to a server whose answer has not reached the caller yet.
+    // Sent to a server; nothing of a stream has reached the caller, or the answer is relayed whole.
     sent,
-    // Parts of the answer have reached the caller.
+    // Events of a stream have reached the caller.
     answering,
 };
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -118,6 +118,7 @@
         this->servers,
         this->connections,
         [this](const std::string& service) { return this->retries.try_retry(service); },
+        [this](const std::string& service) { return this->retries.has_retry(service); },
         [this] { return this->stopping.load(); },
         [this] { return this->stop_deadline.load(); },
         this->request_memory,
--- a/sardinestream/retries/retry_budget.cc
+++ b/sardinestream/retries/retry_budget.cc
@@ -34,6 +34,12 @@
     return true;
 }
 
+bool retry_budget::has_retry(absl::string_view service)
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->tokens_of(service) >= 1.0;
+}
+
 double& retry_budget::tokens_of(absl::string_view service)
 {
     auto found = this->tokens.find(service);
--- a/sardinestream/retries/retry_budget.h
+++ b/sardinestream/retries/retry_budget.h
@@ -41,6 +41,9 @@
     // one.
     [[nodiscard]] bool try_retry(absl::string_view service);
 
+    // Returns whether `try_retry` would succeed now.
+    [[nodiscard]] bool has_retry(absl::string_view service);
+
     // Returns the number of tokens left, by service.
     [[nodiscard]] std::map<std::string, double> left() const;
 
