Streams do not change places within a group that stands still

What callers saw: while a whole group stalls, an entry moved its streams from one silent rank to another, each time at the cost of a retry and one of the route's attempts; when the group then broke, nothing was left to resume them with.

Cause: a rank was taken for silent although no rank of its group sent anything; agents report a break only for some of the reasons for which a group stands.

Change: the dispatcher notes when each rank last sent an event. While no rank of a group has sent this process one for 600 ms, a request stays with its rank, until the caller would leave without another server.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -155,6 +155,12 @@
     // do.
     [[nodiscard]] bool stands_still(const std::string& service);
 
+    // Records that the server has sent an event of a stream.
+    void note_event(const backend_server& server);
+    // Returns whether the server belongs to a group of which no rank has sent this process an event
+    // for a while, so that the silence of one rank says nothing about that rank.
+    [[nodiscard]] bool is_group_silent(const backend_server& server);
+
     // Applies an agent's report to the servers at this IP address.
     void apply_report(const std::string& server_ip, const server_report& report);
 
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -15,6 +15,8 @@
 // of this share of it.
 constexpr double retry_jitter_share = 0.25;
 constexpr std::chrono::milliseconds min_retry_jitter{300};
+// A group that runs sends events of some stream more often.
+constexpr std::chrono::milliseconds max_pause_of_running_group{600};
 
 } // namespace
 
@@ -145,6 +147,30 @@
     return any_broken;
 }
 
+void dispatcher::note_event(const backend_server& server)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(server.id);
+    if (found != this->servers.end()) {
+        found->second.note_event(steady_clock::now());
+    }
+}
+
+bool dispatcher::is_group_silent(const backend_server& server)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(server.id);
+    if (found == this->servers.end() || found->second.last_report().group.empty()) {
+        return false;
+    }
+    const std::string& group = found->second.last_report().group;
+    const steady_time heard_after = steady_clock::now() - max_pause_of_running_group;
+    return std::none_of(this->servers.begin(), this->servers.end(), [&](const auto& named) {
+        return named.second.last_report().group == group &&
+               named.second.last_event_time() > heard_after;
+    });
+}
+
 std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
                                                               steady_time now) const
 {
--- a/sardinestream/forwarding/begun_stream_test.cc
+++ b/sardinestream/forwarding/begun_stream_test.cc
@@ -249,6 +249,29 @@
     waiting_too.join();
 }
 
+// Guards against streams that change places within a group that stands still as a whole, and use up
+// their attempts.
+TEST_F(begun_stream_test, streams_stay_while_no_rank_of_their_group_sends_anything)
+{
+    constexpr milliseconds stall{1500};
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection) + chunk(event(1)));
+        std::this_thread::sleep_for(stall);
+        connection.write(chunk(event(2)) + last_chunk);
+    };
+    scripted_server first(script, first_ip);
+    scripted_server second(script, second_ip);
+    this->use({&first, &second});
+    this->report_rank(first_ip, 1);
+    this->report_rank(second_ip, 1);
+    std::thread other([this] { EXPECT_EQ(this->call("/tell/", "r2").body, event(1) + event(2)); });
+    EXPECT_EQ(this->call("/tell/", "r1").body, event(1) + event(2));
+    other.join();
+    EXPECT_EQ(first.connections() + second.connections(), 2);
+    EXPECT_EQ(this->budget, 100);
+}
+
 // Guards against a silent request that a stop keeps in the queue, where it takes a server from
 // others.
 TEST_F(begun_stream_test, a_stop_leaves_a_silent_request_with_its_server)
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -30,6 +30,8 @@
 // its answer has begun.
 constexpr int max_refusals = 4;
 constexpr milliseconds refusal_pause{200};
+// How often it is asked whether a request may leave its silent server.
+constexpr milliseconds silence_check{200};
 
 void log_notable_event(absl::string_view event, std::initializer_list<log_field> fields)
 {
@@ -176,9 +178,16 @@
     }
 }
 
-bool exchange::may_leave_silent_server() const
+bool exchange::may_leave_silent_server(const backend_server& server) const
 {
     const std::string& service = this->admitted.service;
+    // The other ranks of a group that stands still are as silent; it usually goes on in time.
+    const bool group_may_go_on =
+        steady_clock::now() < this->caller_leaves_at() - min_time_to_first_event &&
+        this->services.servers.is_group_silent(server);
+    if (group_may_go_on) {
+        return false;
+    }
     // A shutdown would end the request at another server sooner than at this one.
     return !this->shutdown_would_cut() && this->can_retry(attempt_state::possibly_executed) &&
            !this->services.servers.stands_still(service) && this->services.has_retry(service) &&
@@ -187,10 +196,10 @@
 
 bool exchange::find_other_server(server_connection& connection, const attempt_record& record)
 {
-    if (this->may_leave_silent_server()) {
+    if (this->may_leave_silent_server(record.placed.server)) {
         return this->wait_for_other_server(connection, record);
     }
-    this->wait_for_first_byte(connection, steady_clock::now() + silence_timeout);
+    this->wait_for_first_byte(connection, steady_clock::now() + silence_check);
     return false;
 }
 
@@ -203,10 +212,10 @@
     if (!queued.ok()) {
         log_failure("silent_server_kept", queued.status(),
                     {{"request", this->admitted.request.id}});
-        this->wait_for_first_byte(connection, steady_clock::now() + silence_timeout);
+        this->wait_for_first_byte(connection, steady_clock::now() + silence_check);
         return false;
     }
-    const steady_time asks_until = steady_clock::now() + silence_timeout;
+    const steady_time asks_until = steady_clock::now() + silence_check;
     while (true) {
         std::optional<placement> other = (*queued)->take();
         if (other.has_value()) {
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -108,7 +108,7 @@
     void release_reserved();
     // Returns whether a request whose server is silent may go on at another one, and whether that
     // would help.
-    [[nodiscard]] bool may_leave_silent_server() const;
+    [[nodiscard]] bool may_leave_silent_server(const backend_server& server) const;
     // Waits until another server is reserved for a request whose server is silent, and returns
     // true; `handle_failure` then ends the attempt. Returns false, so that the caller reads on, if
     // the server goes on, the caller hangs up or the request ends, and now and then if no server
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -120,6 +120,7 @@
         const std::string complete = this->events.take_events();
         if (!complete.empty()) {
             silent_since = steady_clock::now();
+            this->services.servers.note_event(record.placed.server);
             const absl::Status sent = this->send_events(head, complete);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
