An agent that is told to stop hands its part of the group over

What callers saw: the streams of all ranks of a group pause for up to 1.6 s after the SIGTERM of the agent that coordinates the group, if it comes while a map is switched; entries give such streams up.

Cause: `agent_program::stop` only ended the loop. The other agents found out by silence: 700 ms until another one coordinates, then 800 ms until that one reads the engine of the rank without an agent, whose state it needs before it may order anything. An agent that doesn't coordinate had to be found missing in the same way; a change waited for it.

Why it works: the coordinator completes the switch that it has begun and begins nothing, for 250 ms at most, so that it needs nobody. Then it appoints a successor by a directive that names that rank as coordinator of the next term, and coordinates on until the successor's directive arrives: a lost message, or a successor that stops as well, leaves the group with one coordinator all the while. Followers answer a new coordinator at once with their state. An agent that stops says so in its states (no address), four times and more; its coordinator reads and orders that engine directly from then on, and reads it again right after an order. Agents of before ignore the notice; one that is appointed takes over after its usual timeout.

--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -236,7 +236,7 @@
         this->sent_orders.clear();
         return;
     }
-    if (is_switching(reports)) {
+    if (sardinestream::is_switching(reports)) {
         return;
     }
     for (std::size_t rank = 0; rank < reports.size(); ++rank) {
@@ -273,19 +273,34 @@
     return true;
 }
 
+std::vector<rank_report> map_coordinator::newest_reports() const
+{
+    std::vector<rank_report> reports;
+    reports.reserve(this->ranks.size());
+    for (const known_rank& known : this->ranks) {
+        reports.push_back(known.state.report);
+    }
+    return reports;
+}
+
+bool map_coordinator::is_switching() const
+{
+    const std::vector<rank_report> reports = this->newest_reports();
+    return sardinestream::is_switching(reports) || this->switch_protocol.awaits_hold(reports);
+}
+
 std::vector<rank_order> map_coordinator::next_orders(steady_time now)
 {
     if (!this->stale_ranks(now).empty()) {
         return {};
     }
-    std::vector<rank_report> reports;
     for (const known_rank& known : this->ranks) {
         if (known.state.broken) {
             return {};
         }
-        reports.push_back(known.state.report);
     }
-    if (!same_epoch(reports)) {
+    const std::vector<rank_report> reports = this->newest_reports();
+    if (!same_epoch(reports) || (this->begins_nothing && !sardinestream::is_switching(reports))) {
         return {};
     }
     this->update_epoch(reports.front().epoch);
@@ -293,7 +308,7 @@
     if (this->plan.has_value()) {
         this->update_plan_progress(reports, now);
     }
-    if (!this->plan.has_value() && !is_switching(reports)) {
+    if (!this->plan.has_value() && !sardinestream::is_switching(reports)) {
         this->plan_if_worthwhile(reports, now);
     }
     this->switch_protocol.set_step_margin(
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -60,6 +60,12 @@
     // retry interval.
     [[nodiscard]] std::vector<rank_order> next_orders(steady_time now);
 
+    // From now on, completes the switch in progress but begins nothing: neither a plan nor a hold.
+    void begin_nothing() { this->begins_nothing = true; }
+
+    // Returns whether a switch is in progress, as far as is known.
+    [[nodiscard]] bool is_switching() const;
+
     // The map that `prepare` orders carry. Requires a current plan.
     [[nodiscard]] const expert_map& target_map() const { return this->plan->map; }
     // The map that was in use when the target map was planned.
@@ -85,6 +91,7 @@
     // Whether enough of the ranks that report counts have done so since the last sample.
     [[nodiscard]] bool sample_is_due(steady_time now) const;
     void sample_demand(steady_time now);
+    [[nodiscard]] std::vector<rank_report> newest_reports() const;
     void plan_if_worthwhile(absl::Span<const rank_report> reports, steady_time now);
     void update_plan_progress(absl::Span<const rank_report> reports, steady_time now);
     void drop_plan(absl::string_view reason, steady_time now);
@@ -115,6 +122,7 @@
     steady_time planned_at{};
     // Until then, arm orders are expected to need several attempts, since recent ones did.
     steady_time orders_lost_until{};
+    bool begins_nothing = false;
     // Delays the next plan after a failed one.
     steady_time next_plan_not_before{};
     std::map<sent_key, sent_record> sent_orders;
--- a/sardinestream/maps/map_coordinator_test.cc
+++ b/sardinestream/maps/map_coordinator_test.cc
@@ -28,12 +28,16 @@
     return state;
 }
 
-// Returns the version of the first plan of a coordinator whose ranks report these records.
-std::int64_t first_planned_version(const std::vector<prepare_record>& records)
+// Returns the version of the first plan of a coordinator whose ranks report these records; zero if
+// it plans nothing.
+std::int64_t first_planned_version(const std::vector<prepare_record>& records, bool stops = false)
 {
     coordinator_options options;
     options.shape = shape;
     map_coordinator coordinator(options);
+    if (stops) {
+        coordinator.begin_nothing();
+    }
     steady_time now = steady_clock::now();
     for (int round = 0; round < most_rounds; ++round) {
         now += milliseconds(100);
@@ -80,6 +84,11 @@
     EXPECT_GT(planned, highest_draw);
 }
 
+TEST(map_coordinator, plans_nothing_while_it_stops)
+{
+    EXPECT_EQ(first_planned_version(std::vector<prepare_record>(shape.ranks), true), 0);
+}
+
 TEST(prepare_record, keeps_the_newest_version_sent_whatever_the_answer)
 {
     prepare_record record;
--- a/sardinestream/maps/map_switch.cc
+++ b/sardinestream/maps/map_switch.cc
@@ -136,6 +136,11 @@
     return orders;
 }
 
+bool map_switch::awaits_hold(absl::Span<const rank_report> ranks) const
+{
+    return this->chosen_step.has_value() && *this->chosen_step > newest_step(ranks);
+}
+
 void map_switch::begin_epoch()
 {
     this->chosen_step.reset();
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -94,6 +94,9 @@
 
     void set_step_margin(int steps) { this->options.step_margin = steps; }
 
+    // Returns whether a hold may have been executed that no report shows yet.
+    [[nodiscard]] bool awaits_hold(absl::Span<const rank_report> ranks) const;
+
     // Discards the chosen step, because the group has formed again or another agent has taken over.
     void reset() { this->chosen_step.reset(); }
 
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -14,8 +14,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds poll_interval{100};
-// Used while the engine copies experts or waits for the step of an armed switch.
+constexpr milliseconds usual_poll_interval{100};
+// Used while the engine copies experts or waits for the step of an armed switch, and during a stop.
 constexpr milliseconds poll_interval_during_change{25};
 constexpr std::chrono::seconds max_copy_time{4};
 constexpr int max_messages_per_poll = 256;
@@ -39,18 +39,25 @@
 
 void agent_program::run()
 {
-    while (!this->stopping) {
-        this->receive_messages();
+    bool left = false;
+    while (!left) {
         if (steady_clock::now() >= this->next_poll) {
             this->poll_engine();
+            left = this->stopping && this->proceed_leaving();
             this->publish_status();
-            const bool changing = this->engine.report().has_value() && this->is_changing_map();
-            this->next_poll =
-                steady_clock::now() + (changing ? poll_interval_during_change : poll_interval);
+            this->next_poll = steady_clock::now() + this->poll_interval();
         }
+        this->receive_messages();
     }
 }
 
+milliseconds agent_program::poll_interval() const
+{
+    const bool changing = this->engine.report().has_value() && this->is_changing_map();
+    return changing || this->leaving.has_value() ? poll_interval_during_change
+                                                 : usual_poll_interval;
+}
+
 void agent_program::publish_status()
 {
     agent_status fresh;
@@ -162,7 +169,7 @@
     }
     if (steady_clock::now() >= this->next_report) {
         // Slightly early, so that each report coincides with a poll.
-        this->next_report = steady_clock::now() + this->report_interval - poll_interval / 2;
+        this->next_report = steady_clock::now() + this->report_interval - usual_poll_interval / 2;
         this->report_to_entries();
     }
     if (this->engine.report()->group.empty()) {
@@ -194,7 +201,7 @@
         return false;
     }
     // Slightly early, so that each count message coincides with a poll.
-    this->next_counts = now + counts_interval(this->shape) - poll_interval / 4;
+    this->next_counts = now + counts_interval(this->shape) - usual_poll_interval / 4;
     return true;
 }
 
@@ -343,12 +350,17 @@
     }
     const coordinator_term sender = {directive.term, directive.coordinator_rank,
                                      directive.coordinator_ip};
+    if (sender.ip == ip_to_number(this->options.ip)) {
+        this->accept_appointment(sender);
+        return;
+    }
     if (this->followed.term > sender.term) {
         // The sender is a superseded coordinator; the term in this state tells it so.
         this->send_state(sender.ip, false);
         return;
     }
     this->forward(directive);
+    const bool succeeds = this->followed.term != sender.term;
     this->follow(sender);
     const absl::StatusOr<std::optional<engine_order>> order =
         decode_order(directive, this->shape, this->maps);
@@ -357,8 +369,10 @@
         return;
     }
     if (!order->has_value()) {
-        // A hold that the coordinator has ordered itself shows in the report only.
-        if (this->may_be_held() && this->refresh() && this->has_unreported_progress()) {
+        // A hold that the coordinator has ordered itself shows in the report only. A new
+        // coordinator can order nothing before it has the state of every rank.
+        if ((succeeds && this->refresh()) ||
+            (this->may_be_held() && this->refresh() && this->has_unreported_progress())) {
             this->send_state(this->followed.ip, false);
         }
         return;
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -8,6 +8,12 @@
 // agent follows the highest term that it has received and includes that term in every state
 // message. A coordinator accepts only states of its own term, so two coordinators cannot complete
 // a switch between them.
+//
+// Stop: an agent that coordinates completes the switch in progress, and begins nothing. It then
+// appoints a successor, by a directive that names that rank as the coordinator of the next term,
+// and goes on as before until the successor's own directive arrives. Each agent that stops tells
+// its coordinator so, which from then on calls the engine of that rank directly. All of this is
+// bounded in time; whatever remains is found by the silence of the agent.
 
 #ifndef SARDINESTREAM_PROGRAMS_AGENT_PROGRAM_H_
 #define SARDINESTREAM_PROGRAMS_AGENT_PROGRAM_H_
@@ -53,14 +59,17 @@
 public:
     explicit agent_program(agent_options chosen);
 
-    // Runs on the calling thread until `stop` is called.
+    // Runs on the calling thread until `stop` is called and the agent's part in its group has been
+    // handed over, at most `max_leave_time` later.
     void run();
-    // May be called from any thread.
+    // May be called from any thread, any number of times.
     void stop() { this->stopping = true; }
 
     // May be called from any thread.
     [[nodiscard]] agent_status status() const;
 
+    static constexpr std::chrono::milliseconds max_leave_time{600};
+
 private:
     // The coordinator that the agent follows. No two coordinators have the same term.
     struct coordinator_term {
@@ -88,7 +97,18 @@
         friend bool operator==(const reported_experts&, const reported_experts&) = default;
     };
 
+    // What an agent that has been told to stop has done so far.
+    struct leave_progress {
+        steady_time since{};
+        // Since when no coordinator role is left to hand over.
+        steady_time follower_since{};
+        // The rank that was appointed last, and how often.
+        int appointed_rank = -1;
+        int appointments = 0;
+    };
+
     void publish_status();
+    [[nodiscard]] std::chrono::milliseconds poll_interval() const;
     void receive_messages();
     void handle_message(const news::NewsT& message);
     void handle_hello(const news::EntryHelloT& hello);
@@ -99,6 +119,10 @@
     // Forwards a directive to the agents listed in its `pass_on` field.
     void forward(const news::DirectiveT& directive) const;
     void handle_state(const news::RankStateT& state);
+    // Records that the agent of a rank reports, or that it stops.
+    void record_agent(const news::RankStateT& state);
+    // Has the ranks without a responsive agent read at once.
+    void read_agentless_soon();
 
     // Reads the engine's report and expert counts, and sends them to the entries and the
     // coordinator as they fall due.
@@ -129,9 +153,20 @@
     void execute_order(const engine_order& order, std::uint64_t term);
     void follow(const coordinator_term& term);
     void start_coordinating_if_due();
-    void start_coordinating();
+    // Returns true if the places of all ranks are known, so that this agent could coordinate.
+    [[nodiscard]] bool knows_group() const;
+    void start_coordinating(std::uint64_t term);
     void stop_coordinating(const coordinator_term& successor);
     void coordinate();
+    // Handles a directive by which a coordinator that stops makes this rank its successor.
+    void accept_appointment(const coordinator_term& appointed);
+    // Takes the next step of a stop. Returns true once nothing is left to do.
+    [[nodiscard]] bool proceed_leaving();
+    // Makes the next candidate, or the last one once more, the successor of this coordinator.
+    // Returns false if there is none.
+    [[nodiscard]] bool appoint_successor();
+    // Returns the rank after `previous` whose agent has reported lately; -1 if there is none.
+    [[nodiscard]] int next_candidate(int previous) const;
     void poll_agentless_ranks();
     // Orders the engine of another rank to hold the group, without its agent: if this machine
     // freezes right after the order, that agent can still end the hold.
@@ -197,6 +232,7 @@
     // The newest sequence number from each rank's agent in the current term.
     std::map<int, std::uint64_t> state_sequences;
     std::map<int, steady_time> state_times;
+    std::optional<leave_progress> leaving;
     steady_time last_agentless_poll{};
     steady_time coordinating_since{};
     bool has_received_directive = false;
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -24,6 +24,12 @@
 constexpr milliseconds agentless_poll_interval{200};
 // An agent that has sent no state for this long counts as unresponsive.
 constexpr milliseconds agent_timeout{800};
+// A coordinator that stops has this long to complete a switch before it hands it over.
+constexpr milliseconds max_completion_time{250};
+// An agent that stops repeats for this long that it does so.
+constexpr milliseconds notice_time{200};
+// One candidate is appointed this often before another one is.
+constexpr int max_appointments = 2;
 
 // Amount that one machine can send at once without overflowing its link's queue. Larger messages
 // are forwarded by some of their receivers.
@@ -57,12 +63,15 @@
     }
 }
 
+bool agent_program::knows_group() const
+{
+    return this->shape.ranks > 0 && this->shape.experts <= max_serializable_experts &&
+           static_cast<int>(this->endpoints.size()) >= this->shape.ranks;
+}
+
 void agent_program::start_coordinating_if_due()
 {
-    const bool group_complete = this->shape.ranks > 0 &&
-                                this->shape.experts <= max_serializable_experts &&
-                                static_cast<int>(this->endpoints.size()) >= this->shape.ranks;
-    if (!group_complete) {
+    if (!this->knows_group()) {
         this->complete_since = {};
         return;
     }
@@ -75,17 +84,16 @@
         extra_timeout_per_rank * this->engine.report()->rank;
     // Silence counts from when the group became complete, which all agents learn at about the same
     // time.
-    if (this->is_coordinating() ||
+    if (this->is_coordinating() || this->stopping ||
         now - std::max(this->last_directive, this->complete_since) < timeout) {
         return;
     }
-    this->start_coordinating();
+    this->start_coordinating(next_term(this->followed.term, this->engine.report()->rank));
 }
 
-void agent_program::start_coordinating()
+void agent_program::start_coordinating(std::uint64_t term)
 {
-    this->followed = {next_term(this->followed.term, this->engine.report()->rank),
-                      this->engine.report()->rank, ip_to_number(this->options.ip)};
+    this->followed = {term, this->engine.report()->rank, ip_to_number(this->options.ip)};
     coordinator_options chosen;
     chosen.shape = this->shape;
     chosen.planner = this->planner;
@@ -151,16 +159,34 @@
         return;
     }
     newest = state.sequence;
-    this->state_times[state.rank] = steady_clock::now();
+    this->record_agent(state);
     absl::StatusOr<rank_state> decoded = decode_state(state, this->shape.sets);
     if (!decoded.ok()) {
         log_failure("state_unreadable", decoded.status(), {{"rank", state.rank}});
         return;
     }
+    decoded->without_agent = this->state_times[state.rank] == steady_time{};
     this->coordinator->update_rank_state(*std::move(decoded), steady_clock::now());
     this->has_new_states = true;
 }
 
+void agent_program::record_agent(const news::RankStateT& state)
+{
+    const bool leaves = state.ip == 0 && state.rank != this->engine.report()->rank;
+    const auto known = this->state_times.find(state.rank);
+    if (leaves && (known == this->state_times.end() || known->second != steady_time{})) {
+        log_event("agent_leaves", {{"rank", state.rank}});
+        this->read_agentless_soon();
+    }
+    this->state_times[state.rank] = leaves ? steady_time{} : steady_clock::now();
+}
+
+void agent_program::read_agentless_soon()
+{
+    this->last_agentless_poll = {};
+    this->next_poll = {};
+}
+
 void agent_program::coordinate()
 {
     // An order to this agent's own engine changes its report at once, which may require a further
@@ -210,6 +236,10 @@
     const address engine_address = {ip_to_string(endpoint->second.ip),
                                     endpoint->second.engine_port};
     log_order(order, this->followed.term, this->options.connect(engine_address).send_order(order));
+    if (this->agentless.has(rank)) {
+        this->read_agentless_soon();
+        return;
+    }
     // Makes the rank's agent report the hold at once.
     this->options.messages.send(make_message(this->make_directive()), {endpoint->second.ip});
 }
@@ -237,10 +267,86 @@
         }
         else if (this->agentless.has(rank)) {
             this->agentless.give_order(rank, order, this->followed.term);
+            this->read_agentless_soon();
         }
     }
 }
 
+void agent_program::accept_appointment(const coordinator_term& appointed)
+{
+    // An agent that stops itself, or knows too little, leaves the appointment to the next
+    // candidate.
+    if (appointed.term > this->followed.term && !this->stopping && this->knows_group() &&
+        appointed.rank == this->engine.report()->rank) {
+        this->start_coordinating(appointed.term);
+        this->next_poll = {};
+    }
+}
+
+int agent_program::next_candidate(int previous) const
+{
+    const int size = this->shape.ranks;
+    for (int distance = 1; distance <= size; ++distance) {
+        const int rank = (previous + distance) % size;
+        const auto last_state = this->state_times.find(rank);
+        if (rank != this->engine.report()->rank && last_state != this->state_times.end() &&
+            steady_clock::now() - last_state->second < agent_timeout &&
+            this->endpoints.count(rank) != 0) {
+            return rank;
+        }
+    }
+    return -1;
+}
+
+bool agent_program::appoint_successor()
+{
+    leave_progress& progress = *this->leaving;
+    if (progress.appointments % max_appointments == 0) {
+        progress.appointed_rank = this->next_candidate(
+            progress.appointments == 0 ? this->engine.report()->rank : progress.appointed_rank);
+    }
+    if (progress.appointed_rank < 0) {
+        return false;
+    }
+    ++progress.appointments;
+    news::DirectiveT appointment = this->make_directive();
+    appointment.term = next_term(this->followed.term, progress.appointed_rank);
+    appointment.coordinator_rank = progress.appointed_rank;
+    appointment.coordinator_ip = this->endpoints[progress.appointed_rank].ip;
+    log_event("successor_appointed",
+              {{"term", appointment.term}, {"rank", progress.appointed_rank}});
+    this->options.messages.send(make_message(appointment), {appointment.coordinator_ip});
+    return true;
+}
+
+bool agent_program::proceed_leaving()
+{
+    const steady_time now = steady_clock::now();
+    if (!this->leaving.has_value()) {
+        this->leaving = leave_progress{.since = now};
+        log_event("leaving", {{"term", this->followed.term},
+                              {"coordinating", this->is_coordinating() ? "true" : "false"}});
+    }
+    leave_progress& progress = *this->leaving;
+    if (now - progress.since >= max_leave_time || !this->engine.report().has_value() ||
+        this->engine.report()->group.empty()) {
+        return true;
+    }
+    if (this->is_coordinating()) {
+        progress.follower_since = {};
+        this->coordinator->begin_nothing();
+        const bool completes =
+            this->coordinator->is_switching() && now - progress.since < max_completion_time;
+        return !completes && !this->appoint_successor();
+    }
+    if (progress.follower_since == steady_time{}) {
+        progress.follower_since = now;
+    }
+    this->send_state(this->followed.ip, false);
+    return this->followed.ip == 0 ||
+           (now - progress.follower_since >= notice_time && !this->is_changing_map());
+}
+
 const versioned_map* agent_program::base_map_for(const rank_order& wanted) const
 {
     const versioned_map& replaced = this->coordinator->replaced_map();
@@ -278,8 +384,7 @@
 void agent_program::poll_agentless_ranks()
 {
     const steady_time now = steady_clock::now();
-    if (now - this->last_agentless_poll < agentless_poll_interval ||
-        now - this->coordinating_since < agent_timeout) {
+    if (now - this->last_agentless_poll < agentless_poll_interval) {
         return;
     }
     this->last_agentless_poll = now;
@@ -288,9 +393,9 @@
             return;
         }
         const auto last_state = this->state_times.find(rank);
-        const bool silent =
-            rank != this->engine.report()->rank &&
-            (last_state == this->state_times.end() || now - last_state->second > agent_timeout);
+        const steady_time heard =
+            last_state == this->state_times.end() ? this->coordinating_since : last_state->second;
+        const bool silent = rank != this->engine.report()->rank && now - heard > agent_timeout;
         if (!silent) {
             this->agentless.forget(rank);
             continue;
--- a/sardinestream/programs/agent_program_reports.cc
+++ b/sardinestream/programs/agent_program_reports.cc
@@ -57,7 +57,8 @@
 {
     news::RankStateT state = encode_state(this->own_state());
     state.group = this->engine.report()->group;
-    state.ip = ip_to_number(this->options.ip);
+    // An agent that stops can be reached nowhere.
+    state.ip = this->leaving.has_value() ? 0 : ip_to_number(this->options.ip);
     state.sequence = ++this->sequence;
     state.term = this->followed.term;
     if (!this->experts_are_due()) {
