A refused request's unread body isn't taken for the next request

What callers saw: an entry of the older interface that drains, or has no place for a further connection, answers a request with a body with 503 and `Connection: close`, but goes on reading there. The body is parsed as the next request: one that reads like a request was answered, too, so that the caller got two answers to one request. Any other body kept the connection, and so the stop of the process, until the read timeout of 30 s.

Cause: the HTTP library doesn't act on `Connection: close` in an answer that is given before the body is read.

Why it works: a request that is answered before its body was read has its connection closed after the answer. The close sends the end of the stream, then discards the caller's bytes for 2 s at most: a close with unread input would reset the connection, and the answer would be lost.

--- a/sardinestream/base/http_connection.cc
+++ b/sardinestream/base/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -18,8 +19,13 @@
 // Interval at which an idle connection checks whether the server is stopping.
 constexpr absl::Duration stop_check_interval = absl::Milliseconds(200);
 
+// Time for a caller to read its answer and to close a connection whose request was not read whole.
+constexpr std::chrono::seconds max_linger{2};
+
 // The socket of the connection that this thread serves.
 thread_local int served_descriptor = no_descriptor;
+// True if that connection is to be closed after the answer in progress.
+thread_local bool closes_after_answer = false;
 
 bool is_alive(int descriptor)
 {
@@ -49,6 +55,11 @@
     return served_descriptor != no_descriptor && !is_alive(served_descriptor);
 }
 
+void close_after_answer()
+{
+    closes_after_answer = true;
+}
+
 connection_stream::connection_stream(int connected, absl::Duration read_limit,
                                      absl::Duration write_limit)
     : descriptor(connected), read_timeout(read_limit), write_timeout(write_limit)
@@ -101,6 +112,20 @@
     return static_cast<ssize_t>(taken);
 }
 
+void connection_stream::finish()
+{
+    shutdown(this->descriptor, SHUT_WR);
+    const auto end = std::chrono::steady_clock::now() + max_linger;
+    while (true) {
+        const auto left =
+            std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        if (left.count() <= 0 || !this->wait_for(POLLIN, absl::FromChrono(left)) ||
+            recv(this->descriptor, this->buffer.data(), this->buffer.size(), 0) <= 0) {
+            return;
+        }
+    }
+}
+
 ssize_t connection_stream::write(const char* bytes, std::size_t size)
 {
     if (!this->is_writable()) {
@@ -122,6 +147,7 @@
 bool connection_server::process_and_close_socket(socket_t accepted)
 {
     served_descriptor = accepted;
+    closes_after_answer = false;
     connection_stream stream(accepted, absl::Seconds(this->read_timeout_sec_),
                              absl::Seconds(this->write_timeout_sec_));
     const absl::Duration keep_alive = absl::Seconds(this->keep_alive_timeout_sec_);
@@ -133,8 +159,12 @@
             continue;
         }
         served = this->process_request(stream, false, closed, nullptr);
+        closed = closed || closes_after_answer;
         idle_until = absl::Now() + keep_alive;
     }
+    if (closes_after_answer) {
+        stream.finish();
+    }
     served_descriptor = no_descriptor;
     shutdown(accepted, SHUT_RDWR);
     close(accepted);
--- a/sardinestream/base/http_connection.h
+++ b/sardinestream/base/http_connection.h
@@ -19,6 +19,10 @@
 // and false on threads that serve no request. Does not block.
 [[nodiscard]] bool caller_has_gone();
 
+// Has the connection that this thread serves closed after the answer in progress. For a request
+// whose body stays unread: its bytes would be taken for the next request.
+void close_after_answer();
+
 // Adapts one accepted socket to the library's stream interface. Used by one thread.
 class connection_stream : public httplib::Stream {
 public:
@@ -28,6 +32,11 @@
     // Waits until bytes are available or `timeout` has elapsed.
     [[nodiscard]] bool wait_readable(absl::Duration timeout) const;
 
+    // Ends the connection so that the caller gets all that was written: closing a socket with
+    // unread input resets the connection, and what was written last is lost. Discards the caller's
+    // bytes until it closes its end, for `max_linger` at most.
+    void finish();
+
     [[nodiscard]] bool is_readable() const override;
     [[nodiscard]] bool is_writable() const override;
     ssize_t read(char* bytes, std::size_t size) override;
--- a/sardinestream/base/http_server.cc
+++ b/sardinestream/base/http_server.cc
@@ -111,6 +111,7 @@
         [this](const httplib::Request& request, httplib::Response& response) {
             using result = httplib::Server::HandlerResponse;
             if (refusing_connection) {
+                close_after_answer();
                 response.status = overload_status;
                 response.set_header("Connection", "close");
                 if (this->options.refuse_request) {
@@ -120,6 +121,9 @@
             }
             const bool handled =
                 this->options.before_routes && this->options.before_routes(request, response);
+            if (handled) {
+                close_after_answer();
+            }
             return handled ? result::Handled : result::Unhandled;
         });
 }
--- a/sardinestream/base/http_server.h
+++ b/sardinestream/base/http_server.h
@@ -45,7 +45,7 @@
     // Fills the response to a request on a connection above the limit; status 503 is already set.
     std::function<void(const httplib::Request&, httplib::Response&)> refuse_request = nullptr;
     // Runs before the routes. Returns true if it has filled the response itself. The body of the
-    // request has not been read at that point.
+    // request has not been read at that point, so the connection is closed after that response.
     std::function<bool(const httplib::Request&, httplib::Response&)> before_routes = nullptr;
 };
 
--- a/sardinestream/base/http_server_test.cc
+++ b/sardinestream/base/http_server_test.cc
@@ -1,8 +1,15 @@
+#include <array>
 #include <atomic>
+#include <string>
 #include <thread>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "sardinestream/base/http_server.h"
 
@@ -34,6 +41,71 @@
     return result ? result->status : -1;
 }
 
+// A connection on which a test writes and reads bytes.
+class raw_caller {
+public:
+    explicit raw_caller(const address& remote) : descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(remote.port));
+        inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
+        EXPECT_EQ(connect(this->descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof(to)), 0);
+    }
+    ~raw_caller() { close(this->descriptor); }
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    // Returns false if the connection was reset.
+    [[nodiscard]] bool write(absl::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const ssize_t sent = send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return true;
+    }
+
+    // Returns what arrives until the connection ends, with "(reset)" after it if it was reset.
+    [[nodiscard]] std::string read_to_end() const
+    {
+        std::string bytes;
+        std::array<char, 4096> buffer{};
+        while (true) {
+            const ssize_t received = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+            if (received < 0) {
+                return bytes + "(reset)";
+            }
+            if (received == 0) {
+                return bytes;
+            }
+            bytes.append(buffer.data(), static_cast<std::size_t>(received));
+        }
+    }
+
+private:
+    const int descriptor;
+};
+
+constexpr std::size_t upload_bytes = 4U << 20;
+constexpr char refusal_body[] = "refused";
+
+std::string upload_head(std::size_t size)
+{
+    return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+}
+
+bool refuse(const httplib::Request& /*request*/, httplib::Response& response)
+{
+    response.status = 503;
+    response.set_header("Connection", "close");
+    response.set_content(refusal_body, "text/plain");
+    return true;
+}
+
 TEST(http_server_test, burst_of_connections_is_answered_whole)
 {
     const auto server = start_server({}, [](const httplib::Request&, httplib::Response& response) {
@@ -91,6 +163,31 @@
     EXPECT_TRUE(noticed.WaitForNotificationWithTimeout(absl::Seconds(60)));
 }
 
+TEST(http_server_test, a_refusal_reaches_a_caller_that_is_still_sending)
+{
+    http_server_options options;
+    options.before_routes = refuse;
+    const auto server = start_server(options, [](const httplib::Request&, httplib::Response&) {});
+    const raw_caller caller(server->local());
+    EXPECT_TRUE(caller.write(upload_head(upload_bytes)));
+    EXPECT_TRUE(caller.write(std::string(upload_bytes, 'x')));
+    EXPECT_THAT(caller.read_to_end(), ::testing::EndsWith(refusal_body));
+}
+
+TEST(http_server_test, the_body_of_a_refused_request_is_not_taken_for_another_request)
+{
+    http_server_options options;
+    options.before_routes = refuse;
+    std::atomic<int> handled{0};
+    const auto server =
+        start_server(options, [&](const httplib::Request&, httplib::Response&) { ++handled; });
+    const std::string body = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const raw_caller caller(server->local());
+    EXPECT_TRUE(caller.write(upload_head(body.size()) + body));
+    const std::string answers = caller.read_to_end();
+    EXPECT_EQ(answers.find("HTTP/1.1"), answers.rfind("HTTP/1.1")) << answers;
+}
+
 TEST(http_server_test, second_listener_on_the_address_fails)
 {
     const auto server = start_server({}, [](const httplib::Request&, httplib::Response&) {});
