The emulated server builds again

thread_group::wait_until_empty takes a deadline of the steady clock since; the emulator still gave it an absl::Time, so that emulator_test and the soak did not compile. It waits without a deadline, as before.

fault_proxy.cc, platform_standin.cc, delay_relay.cc and load_traffic.cc in sardinestream/testing have the same call. They are not mended here.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -72,7 +72,7 @@
 backend_emulator::~backend_emulator()
 {
     this->stop();
-    this->late_orders.wait_until_empty(absl::InfiniteFuture());
+    this->late_orders.wait_until_empty();
 }
 
 absl::Status backend_emulator::start(const std::string& id)
