The soak finds every answer cut at a planned stop or reload

The rule LOST counts a request that was read and whose channel ends without a complete answer. The soak noticed it only if nothing of the answer had come, so that streams cut in the middle, resets and truncated answers passed unseen.

Change: callers tell the ledger of every connection that ends without a complete answer, and of the last byte of a request. The ledger judges by the words of the rule: around each SIGTERM until 1 s after the grace, and around each SIGHUP. Excused are unplanned trouble, a last run that its server broke off (emulated servers say so), the time of the caller, and a server at work in the last sixth of the grace. The older check, of requests that got nothing at any time after a stop, stays without these excuses. A cut before the last sixth is never excused by a server that notices it late.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -47,23 +47,6 @@
 
 } // namespace
 
-std::string expected_answer(const std::string& request_id, const std::string& target,
-                            const std::string& body)
-{
-    return absl::StrCat(request_id, " ", target, " ", sha256_hex(body), "\n");
-}
-
-std::string expected_event(const std::string& request_id, std::int64_t number)
-{
-    return absl::StrCat(request_id, ":", number);
-}
-
-std::int64_t events_of(const std::string& target)
-{
-    std::int64_t events = 0;
-    return absl::SimpleAtoi(target.substr(target.rfind('/') + 1), &events) ? events : 0;
-}
-
 backend_emulator::backend_emulator(backend_options chosen, backend_hooks given)
     : options(std::move(chosen)), hooks(std::move(given)), own_id(options.id)
 {
@@ -337,17 +320,17 @@
     }
     ++this->running;
     this->hooks.on_begin(this->describe(request));
-    if (absl::StartsWith(request.head.target, "/chat/")) {
-        this->run_stream(connection, request, headers);
-    }
-    else {
-        this->run_plain(connection, request, headers);
+    const bool is_stream = absl::StartsWith(request.head.target, "/chat/");
+    const bool is_whole = is_stream ? this->run_stream(connection, request, headers)
+                                    : this->run_plain(connection, request, headers);
+    if (!is_whole && !this->is_running()) {
+        this->hooks.on_broke_off(request_id);
     }
     this->hooks.on_end(request_id);
     --this->running;
 }
 
-void backend_emulator::run_plain(served_connection& connection, const emulated_request& request,
+bool backend_emulator::run_plain(served_connection& connection, const emulated_request& request,
                                  const http_headers& headers)
 {
     const backend_trouble now = this->trouble();
@@ -355,28 +338,29 @@
         std::chrono::duration_cast<milliseconds>(this->options.work_time * now.slowness);
     if (!connection.work_for(this->happens(now.mute_share) ? mute_time : work)) {
         connection.finish();
-        return;
+        return false;
     }
     if (this->happens(now.error_share)) {
-        connection.answer(http_server_error, headers, "{}");
-        return;
+        return connection.answer(http_server_error, headers, "{}");
     }
     if (this->happens(now.endless_share)) {
         send_endless_answer(connection, headers, this->draw_endless_kind());
-        return;
+        return false;
     }
     const std::string body =
         expected_answer(request.header(words::request_id), request.head.target, request.body);
     if (this->happens(now.cut_share)) {
         const answer_head head = {http_ok, "", headers, body.size()};
         connection.write(encode_answer_head(head) + body.substr(0, body.size() / 2));
+        this->hooks.on_broke_off(request.header(words::request_id));
         connection.reset();
-        return;
+        return false;
     }
-    connection.answer(http_ok, headers, body);
+    const bool is_whole = connection.answer(http_ok, headers, body);
     if (this->happens(now.surplus_share)) {
         connection.answer(http_ok, headers, body);
     }
+    return is_whole;
 }
 
 void backend_emulator::crash(served_connection& connection, const answer_head& head)
@@ -387,11 +371,12 @@
     connection.reset();
 }
 
-void backend_emulator::run_stream(served_connection& connection, const emulated_request& request,
+bool backend_emulator::run_stream(served_connection& connection, const emulated_request& request,
                                   const http_headers& headers)
 {
     const begun_run run = this->describe(request);
     const std::int64_t last = events_of(request.head.target);
+    const milliseconds pace = pace_of(request.head.target);
     const backend_trouble now = this->trouble();
     const std::int64_t middle = (run.resumed_after + last) / 2;
     const std::int64_t cut_after = this->happens(now.cut_share) ? middle : last;
@@ -406,7 +391,7 @@
     head.chunked = true;
     if (absl::StrContains(request.header(words::prompt_parts), crashing_part)) {
         this->crash(connection, head);
-        return;
+        return false;
     }
     std::string text = encode_answer_head(head);
     for (std::int64_t number = run.resumed_after + 1; number <= last; ++number) {
@@ -415,8 +400,11 @@
         if (!passed || !alive || number > cut_after) {
             // A mute server keeps the connection, the others break off.
             static_cast<void>(mute && alive && connection.work_for(mute_time));
+            if (alive) {
+                this->hooks.on_broke_off(run.request_id);
+            }
             connection.reset();
-            return;
+            return false;
         }
         if (truncates && number > middle && number + 1 < last) {
             const std::string partial = event_text(run.request_id, number + 2);
@@ -431,11 +419,14 @@
         }
         absl::StrAppend(&text, encode_chunk(event_text(run.request_id, number)));
         if (!connection.write(text)) {
-            return;
+            return false;
         }
         text.clear();
+        if (number < last) {
+            static_cast<void>(connection.work_for(pace));
+        }
     }
-    connection.write(text + "0\r\n\r\n");
+    return connection.write(text + "0\r\n\r\n");
 }
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -73,6 +73,8 @@
     std::function<void(const begun_run& run)> on_begin;
     // The server works no more on a request.
     std::function<void(const std::string& request_id)> on_end;
+    // The server itself breaks off a run; `on_end` follows.
+    std::function<void(const std::string& request_id)> on_broke_off = [](const std::string&) {};
     // A request has reached the server, whether it runs or not.
     std::function<void(const std::string& request_id, const std::string& service,
                        const std::string& server_id)>
@@ -115,6 +117,9 @@
 [[nodiscard]] std::string expected_event(const std::string& request_id, std::int64_t number);
 // The number of events that a stream's target asks for.
 [[nodiscard]] std::int64_t events_of(const std::string& target);
+// The least time between two events of a stream, in ms: the third part of `/chat/120/30`, zero
+// where it has only two.
+[[nodiscard]] std::chrono::milliseconds pace_of(const std::string& target);
 
 class backend_emulator {
 public:
@@ -151,9 +156,10 @@
     void answer_call(served_connection& connection, const emulated_request& request);
     void answer_order(served_connection& connection, const emulated_request& request);
     void answer_request(served_connection& connection, const emulated_request& request);
-    void run_plain(served_connection& connection, const emulated_request& request,
+    // Both return whether the answer was written whole.
+    bool run_plain(served_connection& connection, const emulated_request& request,
                    const http_headers& headers);
-    void run_stream(served_connection& connection, const emulated_request& request,
+    bool run_stream(served_connection& connection, const emulated_request& request,
                     const http_headers& headers);
     // Writes the head of an answer and crashes.
     void crash(served_connection& connection, const answer_head& head);
--- a/sardinestream/testing/emulator/backend_emulator_test.cc
+++ b/sardinestream/testing/emulator/backend_emulator_test.cc
@@ -71,6 +71,9 @@
         hooks.on_begin = [this](const begun_run& run) { this->runs.push_back(run); };
         hooks.on_end = [](const std::string&) {};
         hooks.on_arrival = [](const std::string&, const std::string&, const std::string&) {};
+        hooks.on_broke_off = [this](const std::string& request_id) {
+            this->said.push_back(request_id + " broken off");
+        };
         hooks.on_leaving_said = [this](const std::string&, const std::string& server_id) {
             this->said.push_back(server_id + " leaves");
         };
@@ -109,6 +112,23 @@
     EXPECT_EQ(this->runs.size(), 1U);
 }
 
+TEST_F(backend_emulator_test, says_which_runs_it_broke_off_itself)
+{
+    EXPECT_TRUE(absl::StartsWith(this->ask("/deposits/1", "i-1"), "200"));
+    EXPECT_TRUE(this->said.empty());
+    this->server.set_trouble({.cut_share = 1});
+    static_cast<void>(this->ask("/deposits/1", "i-1"));
+    EXPECT_EQ(this->said, std::vector<std::string>{"r1 broken off"});
+}
+
+TEST(expected_answers, a_target_names_the_pace_and_the_number_of_events)
+{
+    EXPECT_EQ(events_of("/chat/120/30"), 30);
+    EXPECT_EQ(pace_of("/chat/120/30"), milliseconds(120));
+    EXPECT_EQ(events_of("/chat/30"), 30);
+    EXPECT_EQ(pace_of("/chat/30"), milliseconds(0));
+}
+
 TEST_F(backend_emulator_test, an_endless_answer_ends_when_its_connection_is_closed)
 {
     this->server.set_trouble({.endless_share = 1});
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -15,8 +15,6 @@
 constexpr int least_late_ends = 4;
 constexpr double most_late_ends = 0.25;
 constexpr std::chrono::seconds budget_window{10};
-// A request that was sent so shortly before its connection ended may never have been read.
-constexpr milliseconds close_crossing{200};
 // Requests that were on their way when the server said that it holds off, and the two that may
 // still come.
 constexpr milliseconds hold_off_slack{500};
@@ -28,8 +26,6 @@
 constexpr std::chrono::seconds limit_window{4};
 constexpr double limit_tolerance = 1.5;
 constexpr double most_beyond_limit = 5;
-// Trouble shows for so long after it has ended.
-constexpr milliseconds trouble_echo{3000};
 
 bool says_not_run(int status)
 {
@@ -65,20 +61,6 @@
     record.left_at = steady_clock::now();
 }
 
-void promise_ledger::note_lost(const std::string& id, const std::string& entry)
-{
-    const absl::MutexLock lock(&this->mutex);
-    const request_record& record = this->requests[id];
-    // One that crosses the close is not lost.
-    const bool was_taken =
-        !record.runs.empty() || steady_clock::now() - record.sent_at > close_crossing;
-    if (was_taken && this->stops.count(entry) != 0 &&
-        this->is_calm(record.sent_at - trouble_echo, steady_clock::now())) {
-        this->broken.push_back(absl::StrCat("lost: ", id, " ", record.request.target,
-                                            " without an answer at the planned stop of ", entry));
-    }
-}
-
 void promise_ledger::note_broken(const std::string& what)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -245,7 +227,9 @@
 void promise_ledger::note_ended(const std::string& id)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->requests[id].last_end = steady_clock::now();
+    request_record& record = this->requests[id];
+    record.last_end = steady_clock::now();
+    ++record.runs_ended;
 }
 
 void promise_ledger::check_run(const request_record& record, const begun_run& run)
@@ -294,12 +278,6 @@
     this->troubles.push_back({steady_clock::now(), until + trouble_echo});
 }
 
-void promise_ledger::note_planned_stop(const std::string& entry)
-{
-    const absl::MutexLock lock(&this->mutex);
-    this->stops[entry] = steady_clock::now();
-}
-
 void promise_ledger::note_config(const std::string& service)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -392,6 +370,9 @@
     for (const auto& [id, record] : this->requests) {
         this->judge_request(record, all);
     }
+    for (const lost_answer& lost : this->lost_answers) {
+        this->judge_lost(lost, all);
+    }
     this->judge_left(all);
     this->judge_budget(all);
     return all;
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -7,7 +7,7 @@
 //   - a success is the whole answer of the server, a stream has all its events once and in order;
 //   - servers stop soon after the caller has left;
 //   - attempts beyond the first stay within the budget;
-//   - a planned stop loses no request;
+//   - a planned stop or reload loses no request, and ends within its grace;
 //   - an entry sends nothing new to a server a while after it has passed on an answer in which that
 //     server says that it leaves, and hardly anything to one that holds off;
 //   - entries together keep the rate that a server names, from a while after it first did;
@@ -30,6 +30,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,7 @@
 #include "sardinestream/testing/emulator/backend_emulator.h"
 
 #include "absl/base/thread_annotations.h"
+#include "absl/status/status.h"
 #include "absl/synchronization/mutex.h"
 
 namespace sardinestream::testing {
@@ -60,6 +62,8 @@
     std::string prompt;
     // Its prompt has the part that crashes servers.
     bool crashes_servers = false;
+    // The caller's time and its route's timeout.
+    std::chrono::milliseconds timeout{3000};
 };
 
 struct ledger_options {
@@ -68,6 +72,8 @@
     std::chrono::milliseconds config_bound{3000};
     // Between the answer in which a server says that it leaves and the last new request for it.
     std::chrono::milliseconds leaving_bound{1000};
+    // From the SIGTERM of a planned stop to the SIGKILL.
+    std::chrono::milliseconds grace{4000};
     // From when a server's limit, or a part that has crashed five servers, must be heeded.
     std::chrono::milliseconds reaction_time{3000};
 };
@@ -79,8 +85,12 @@
     void note_sent(const sent_request& request);
     void note_answer(const std::string& id, int status);
     void note_left(const std::string& id);
-    // The connection ended without an answer after the request was written whole.
-    void note_lost(const std::string& id, const std::string& entry);
+    // The last byte of the request was written.
+    void note_written(const std::string& id);
+    // The connection to the entry ended without a complete answer after the request was written
+    // whole; `how` says in which way, kNotFound if nothing of an answer had come.
+    void note_lost(const std::string& id, const std::string& entry,
+                   const absl::Status& how = absl::NotFoundError("nothing came"));
     void note_broken(const std::string& what);
 
     void note_arrival(const std::string& id, const std::string& service,
@@ -97,10 +107,14 @@
     void note_entry_restart(const std::string& entry);
     void note_begun(const begun_run& run);
     void note_ended(const std::string& id);
+    // The server itself broke off the run that it began last.
+    void note_broke_off(const std::string& id);
 
     // Unplanned trouble anywhere, from now until `until`.
     void note_trouble(steady_time until);
-    void note_planned_stop(const std::string& entry);
+    // The entry is sent SIGTERM, or SIGHUP. `log_path` is where it logs.
+    void note_planned_stop(const std::string& entry, const std::string& log_path = "");
+    void note_planned_reload(const std::string& entry, const std::string& log_path = "");
     // The store has taken a desired state in which the moving route leads to `service`.
     void note_config(const std::string& service);
 
@@ -120,6 +134,9 @@
     [[nodiscard]] double success_share(steady_time since) const;
 
 private:
+    // Trouble shows for so long after it has ended.
+    static constexpr std::chrono::milliseconds trouble_echo{3000};
+
     struct request_record {
         sent_request request;
         steady_time sent_at{};
@@ -129,6 +146,11 @@
         int arrivals = 0;
         std::vector<begun_run> runs;
         steady_time last_end{};
+        // Unset while its last byte is not written.
+        std::optional<steady_time> written_at;
+        // How many runs had begun when a server broke one off; zero where none did.
+        std::size_t runs_at_break = 0;
+        std::size_t runs_ended = 0;
         // Servers that said in their answers that they leave.
         std::vector<std::string> leaving_servers;
     };
@@ -159,6 +181,18 @@
         steady_time begin{};
         steady_time end{};
     };
+    struct planned_signal {
+        steady_time at{};
+        bool stops = false;
+        std::string log_path;
+    };
+    // A connection that ended without a complete answer.
+    struct lost_answer {
+        std::string id;
+        std::string entry;
+        absl::Status how;
+        steady_time at{};
+    };
     struct config_change {
         steady_time at{};
         std::string service;
@@ -183,6 +217,24 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void judge_request(const request_record& record, std::vector<std::string>& all) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void judge_lost(const lost_answer& lost, std::vector<std::string>& all) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether the entry had taken the request: it reached a server, or there was time to.
+    [[nodiscard]] static bool was_taken(const request_record& record, steady_time lost_at);
+    // Returns whether nothing of an answer came from an entry that had been stopped before.
+    [[nodiscard]] bool was_dropped(const lost_answer& lost, const request_record& record) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // The loss in a line, with times since the signal.
+    [[nodiscard]] static std::string describe(const lost_answer& lost, const request_record& record,
+                                              const planned_signal& signal);
+    // Returns whether the rules excuse the loss at any time.
+    [[nodiscard]] static bool is_excused(const lost_answer& lost, const request_record& record);
+    // Returns whether the request counts as lost around this signal.
+    [[nodiscard]] bool counts_around(const planned_signal& signal, const request_record& record,
+                                     steady_time lost_at) const;
+    // Returns whether a server was still at work in the last sixth of the grace.
+    [[nodiscard]] bool ran_out_of_grace(const planned_signal& signal, const request_record& record,
+                                        steady_time lost_at) const;
     void judge_left(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void judge_budget(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
@@ -200,7 +252,9 @@
     std::vector<steady_time> crashes ABSL_GUARDED_BY(mutex);
     int arrivals_after_crashes ABSL_GUARDED_BY(mutex) = 0;
     std::map<std::string, steady_time> restarts ABSL_GUARDED_BY(mutex);
-    std::map<std::string, steady_time> stops ABSL_GUARDED_BY(mutex);
+    // By entry, in order of time.
+    std::map<std::string, std::vector<planned_signal>> planned_signals ABSL_GUARDED_BY(mutex);
+    std::vector<lost_answer> lost_answers ABSL_GUARDED_BY(mutex);
     std::vector<config_change> configs ABSL_GUARDED_BY(mutex);
     std::vector<std::string> broken ABSL_GUARDED_BY(mutex);
 };
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -163,6 +163,7 @@
         this->open.reset();
         return pause_after_failure;
     }
+    this->ledger.note_written(request.id);
     const absl::StatusOr<received_answer> answer = this->read_answer(request, until);
     if (answer.ok() && answer->whole) {
         this->ledger.note_answer(request.id, answer->status);
@@ -174,8 +175,8 @@
     if (leaves && absl::IsDeadlineExceeded(answer.status())) {
         this->ledger.note_left(request.id);
     }
-    else if (absl::IsNotFound(answer.status())) {
-        this->ledger.note_lost(request.id, this->open->entry.to_string());
+    else {
+        this->ledger.note_lost(request.id, request.entry, answer.status());
     }
     this->open->socket.abort();
     this->open.reset();
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -168,6 +168,7 @@
     backend_hooks hooks;
     hooks.on_begin = [this](const begun_run& run) { this->ledger.note_begun(run); };
     hooks.on_end = [this](const std::string& id) { this->ledger.note_ended(id); };
+    hooks.on_broke_off = [this](const std::string& id) { this->ledger.note_broke_off(id); };
     hooks.on_arrival = [this](const std::string& id, const std::string& service,
                               const std::string& server) {
         this->ledger.note_arrival(id, service, server);
