The soak kills what outlives its grace, and reads how a stop ended

A stop that took longer than its grace was found only at the end of the run, after grace + 1 s; the users send SIGKILL at grace. How a process ended that was stopped in the middle of a run, and whether it had written its last lines, nobody looked at.

Change: a process that still runs at its grace is killed and noted ("grace"); an exit status other than 0 ("stop") and a log whose last line is not event=stopped ("log") are broken promises, too. Each line names the log.

--- a/sardinestream/testing/process.cc
+++ b/sardinestream/testing/process.cc
@@ -343,6 +343,18 @@
     return read_file(this->log_path("out"), begin);
 }
 
+std::string process::last_line() const
+{
+    const std::string text = this->standard_output();
+    const std::vector<absl::string_view> lines = absl::StrSplit(text, '\n');
+    return lines.size() < 2 ? "" : std::string(lines[lines.size() - 2]);
+}
+
+std::string process::output_path() const
+{
+    return this->log_path("out");
+}
+
 double process::resident_mb() const
 {
     std::ifstream memory(absl::StrCat("/proc/", this->id(), "/statm"));
--- a/sardinestream/testing/process.h
+++ b/sardinestream/testing/process.h
@@ -114,6 +114,10 @@
     [[nodiscard]] bool alive();
     // What the present run has written to standard output and standard error.
     [[nodiscard]] std::string output() const;
+    // The last line that the present run has ended on standard output; empty where there is none.
+    [[nodiscard]] std::string last_line() const;
+    // The file that standard output is appended to.
+    [[nodiscard]] std::string output_path() const;
     [[nodiscard]] const std::string& name() const { return this->options.name; }
     [[nodiscard]] pid_t id() const;
     // Resident memory in MiB; zero if the process is gone.
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -50,6 +50,12 @@
     int plain_servers = 4;
     // Model servers are reached without a proxy, so that one that has crashed refuses connections.
     bool direct_model_servers = false;
+    // From the SIGTERM of a process to its SIGKILL.
+    std::chrono::seconds grace{4};
+    // Of the route that streams take.
+    std::chrono::milliseconds stream_timeout{3000};
+    // Entries that stop get little processor time.
+    bool starves_stops = false;
 };
 
 struct soak_fault {
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -37,7 +37,6 @@
 constexpr int proxy_port = 8300;
 constexpr int store_port = 8223;
 
-constexpr int grace_s = 4;
 // Of the servers to the store; a silent one is removed after three.
 constexpr int heartbeat_ms = 400;
 constexpr milliseconds ready_timeout{20000};
@@ -251,11 +250,13 @@
         const std::string own = this->ip(entry_group, i + 1);
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
-            absl::StrCat("--ip=", own, "\n--memory_mb=", entry_memory_mb,
-                         "\n--news_port=", news_port, "\n--front_listen=", own, ":", front_port,
-                         "\n--ready_listen=", own, ":", ready_port, "\n--store=",
-                         (*proxy)->local().to_string(), "\n--seeds=", absl::StrJoin(seeds, ","),
-                         "\n--grace_s=", grace_s, "\n--heartbeat_ms=", heartbeat_ms, "\n")));
+            absl::StrCat(
+                "--ip=", own, "\n--memory_mb=", entry_memory_mb, "\n--news_port=", news_port,
+                "\n--front_listen=", own, ":", front_port, "\n--ready_listen=", own, ":",
+                ready_port, "\n--store=", (*proxy)->local().to_string(),
+                "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", this->size.grace.count(),
+                "\n--heartbeat_ms=", heartbeat_ms, "\n")));
+        this->entry_nodes.back().entry = this->entry_address(i).to_string();
         this->store_proxies.push_back(*std::move(proxy));
     }
     for (int i = 0; i < this->size.model_servers; ++i) {
@@ -294,10 +295,8 @@
 {
     ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
     node.struck = false;
-    for (std::size_t i = 0; i < this->entry_nodes.size(); ++i) {
-        if (&this->entry_nodes[i] == &node) {
-            this->ledger.note_entry_restart(this->entry_address(static_cast<int>(i)).to_string());
-        }
+    if (!node.entry.empty()) {
+        this->ledger.note_entry_restart(node.entry);
     }
     return node.run->restart();
 }
@@ -356,7 +355,8 @@
                 this->watch_memory(node);
                 continue;
             }
-            this->ledger.note_broken(absl::StrCat("exit: ", node.name, " ended by itself"));
+            this->ledger.note_broken(absl::StrCat(
+                "exit: ", node.name, " ended by itself, log=", node.run->output_path()));
             node.struck = true;
             this->restart_when_gone(node);
         }
@@ -377,30 +377,11 @@
 absl::Status soak_fleet::heal()
 {
     // What ends a fault is due at the latest after the longest one and a planned stop.
-    const steady_time longest = steady_clock::now() + std::chrono::seconds(grace_s + 4);
+    const steady_time longest = steady_clock::now() + this->size.grace + std::chrono::seconds(4);
     while (!this->due.empty() && steady_clock::now() < longest) {
         this->run_until(steady_clock::now() + step);
     }
     return this->wait_until_ready();
 }
 
-void soak_fleet::shut_down()
-{
-    for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
-        for (program_node& node : *nodes) {
-            node.struck = true;
-            node.run->terminate();
-        }
-    }
-    for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
-        for (program_node& node : *nodes) {
-            const std::optional<int> status = node.run->wait_for_exit(absl::Seconds(grace_s + 1));
-            if (status != 0) {
-                this->ledger.note_broken(absl::StrCat("stop: ", node.name, " ended with ",
-                                                      status.has_value() ? *status : -1));
-            }
-        }
-    }
-}
-
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -67,6 +67,8 @@
     // One of the real programs.
     struct program_node {
         std::string name;
+        // The address that callers use, where it is an entry.
+        std::string entry;
         std::string settings_path;
         std::unique_ptr<process> run;
         // What the process may take.
@@ -107,7 +109,14 @@
     void watch_programs();
     // Notes a process that takes more memory than its machine gives it.
     void watch_memory(program_node& node);
+    // A planned stop, with a second SIGTERM where `twice` is set. The process must end well within
+    // its grace.
     void stop_program(program_node& node, bool twice);
+    void await_end(program_node& node, steady_time kill_at);
+    // Notes a process that has not ended with status zero and the last line of a stop.
+    void check_end(const program_node& node);
+    void note_overdue(const program_node& node);
+    void reload_program(program_node& node);
     void restart_when_gone(program_node& node);
     void kill_program(program_node& node, std::chrono::milliseconds away);
     void freeze_program(program_node& node, std::chrono::milliseconds away);
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -20,7 +20,6 @@
 constexpr milliseconds restart_pause{200};
 // From the crash of a server under a request to its next start.
 constexpr milliseconds crash_restart_time{500};
-constexpr milliseconds second_notice{300};
 // Shares of the planned stops with a second notice, and of the changes that move a route.
 constexpr double second_notice_share = 0.3;
 constexpr double moving_share = 0.7;
@@ -84,22 +83,6 @@
     });
 }
 
-void soak_fleet::stop_program(program_node& node, bool twice)
-{
-    node.struck = true;
-    node.run->terminate();
-    if (twice) {
-        // A process that has ended and started again meanwhile is not told.
-        const pid_t told = node.run->id();
-        this->after(second_notice, [&node, told] {
-            if (node.run->id() == told) {
-                node.run->terminate();
-            }
-        });
-    }
-    this->restart_when_gone(node);
-}
-
 void soak_fleet::kill_program(program_node& node, milliseconds away)
 {
     node.struck = true;
@@ -129,12 +112,9 @@
     }
     switch (fault.kind) {
     case soak_fault_kind::entry_reload:
-        node.run->hang_up();
+        this->reload_program(node);
         return;
     case soak_fault_kind::entry_stop:
-        this->ledger.note_planned_stop(this->entry_address(fault.target).to_string());
-        this->stop_program(node, fault.variant < second_notice_share);
-        return;
     case soak_fault_kind::agent_stop:
         this->stop_program(node, fault.variant < second_notice_share);
         return;
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -62,8 +62,10 @@
 {
     soak_verdict verdict;
     verdict.faults = draw_faults(options.seed, options.size, options.length);
-    promise_ledger ledger{ledger_options{}};
     soak_size size = options.size;
+    ledger_options promises;
+    promises.grace = size.grace;
+    promise_ledger ledger{promises};
     size.direct_model_servers = draws_crashing_requests(options.seed);
     absl::StatusOr<std::unique_ptr<soak_fleet>> fleet = soak_fleet::create(size, ledger);
     if (!fleet.ok()) {
