--- a/sardinestream/testing/delay_relay.cc
+++ b/sardinestream/testing/delay_relay.cc
@@ -68,7 +68,7 @@
     if (this->accepting.joinable()) {
         this->accepting.join();
     }
-    this->connections.wait_until_empty(absl::InfiniteFuture());
+    this->connections.wait_until_empty();
     close(this->listener);
 }
 
--- a/sardinestream/testing/fault_proxy.cc
+++ b/sardinestream/testing/fault_proxy.cc
@@ -65,7 +65,7 @@
     this->listener->shut_down();
     this->accepting.join();
     this->cut();
-    this->connections.wait_until_empty(absl::InfiniteFuture());
+    this->connections.wait_until_empty();
 }
 
 void fault_proxy::accept_connections()
--- a/sardinestream/testing/load_traffic.cc
+++ b/sardinestream/testing/load_traffic.cc
@@ -258,7 +258,7 @@
             ++result.ends["driver_out_of_threads"];
         }
     }
-    callers.wait_until_empty(absl::InfiniteFuture());
+    callers.wait_until_empty();
     return result;
 }
 
--- a/sardinestream/testing/platform_standin.cc
+++ b/sardinestream/testing/platform_standin.cc
@@ -43,7 +43,7 @@
             std::abort();
         }
     }
-    void shutdown() override { this->connections.wait_until_empty(absl::InfiniteFuture()); }
+    void shutdown() override { this->connections.wait_until_empty(); }
 
 private:
     thread_group connections;
