A connection is closed so that its last answer arrives whole

What callers saw: the end of an answer was missing and the connection reset ("Connection reset by peer") where something behind the request was not read: a pipelined request, the rest of an upload. The log says `answered`.

Cause: a socket that is closed with unread input is reset by the kernel, and a reset destroys what the peer has not received yet. Only some refusals read on for a while; answers with `Connection: close`, HTTP/1.0 and the pages of http_service did not.

Change: tcp_socket::close_gracefully ends writing, discards input until the peer closes or a short time has passed, then closes. The frontend and http_service close every connection that way after its last answer, in one place. At the frontend the time is 500 ms, and at most 200 ms past the end of a planned stop. An idle connection is still closed at once: a request that crosses the close is reset, unread.

--- /dev/null
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -0,0 +1,77 @@
+// Tests that callers get every answer whole however their connection ends: after an answer, around
+// a stop, or with input that nobody reads.
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/forwarding/frontend_fixture.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than the buffers of both ends of a connection hold.
+constexpr std::size_t long_answer_bytes = 8U << 20U;
+constexpr std::size_t pipelined_bytes = 64U << 10U;
+// A caller that reads its answer late.
+constexpr milliseconds reading_delay{200};
+constexpr char last_chunk[] = "0\r\n\r\n";
+
+std::string event(int id)
+{
+    return absl::StrCat("id: ", id, "\ndata: piece ", id, "\n\n");
+}
+
+class closing_connections_test : public frontend_test {
+protected:
+    static scripted_server::script serving(const std::string& body)
+    {
+        return [body](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(answer_to(connection, body));
+            }
+        };
+    }
+
+    static caller_answer read_long_answer(message_reader& reader)
+    {
+        caller_answer answer;
+        absl::StatusOr<http_response_head> head =
+            reader.read_response_head(message_limits(), false, soon(), {});
+        if (!head.ok()) {
+            answer.end = head.status();
+            return answer;
+        }
+        answer.head = *std::move(head);
+        answer.end = reader.read_body(2 * long_answer_bytes, answer.body, soon(), {});
+        return answer;
+    }
+
+    // Returns whether the peer ends the connection in order, without a reset.
+    static bool ends_in_order(message_reader& reader)
+    {
+        return absl::IsNotFound(reader.wait_for_message(soon()));
+    }
+};
+
+// Guards against the end of an answer that is lost because unread input makes the close a reset.
+TEST_F(closing_connections_test, an_answer_is_whole_although_input_behind_its_request_is_unread)
+{
+    const std::string body(long_answer_bytes, 'a');
+    scripted_server server(serving(body));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    std::string request = request_text("/pay/", "r1");
+    request.insert(request.find("Id: "), "Connection: close\r\n");
+    ASSERT_TRUE(socket.write_all(request + std::string(pipelined_bytes, 'x'), soon(), {}).ok());
+    std::this_thread::sleep_for(reading_delay);
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body.size(), body.size());
+    EXPECT_TRUE(ends_in_order(reader));
+    this->channels.close_stale({});
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -23,9 +23,11 @@
 constexpr milliseconds body_timeout{10000};
 // How long a request waits for memory for its body.
 constexpr milliseconds memory_timeout{300};
-// After a refusal with unread bytes left, the connection is read for this time before it is closed,
-// so that the caller receives the response instead of a reset.
+// After its last answer, a connection is read for this time before it is closed, so that the caller
+// receives the end of the answer instead of a reset.
 constexpr milliseconds linger_timeout{500};
+// The same past the end of a planned shutdown, when the process is about to end.
+constexpr milliseconds shutdown_linger_timeout{200};
 
 // A process that has just started usually has its desired state within this time.
 constexpr milliseconds initial_state_timeout{400};
@@ -39,20 +41,6 @@
 constexpr int headers_too_large = 431;
 constexpr int unavailable = 503;
 
-void linger(tcp_socket& connection)
-{
-    connection.finish_writing();
-    const steady_time end = steady_clock::now() + linger_timeout;
-    char discarded[4096];
-    while (true) {
-        const absl::StatusOr<std::size_t> length =
-            connection.read_some(absl::MakeSpan(discarded), end, hangup_watch());
-        if (!length.ok() || *length == 0) {
-            return;
-        }
-    }
-}
-
 int status_of(const absl::Status& error)
 {
     switch (error.code()) {
@@ -128,10 +116,22 @@
 void frontend::serve_connection(tcp_socket connection)
 {
     message_reader reader(connection);
-    while (this->wait_for_request(connection, reader) && this->serve_request(connection, reader)) {
+    while (this->wait_for_request(connection, reader)) {
+        if (!this->serve_request(connection, reader)) {
+            connection.close_gracefully(this->linger_end());
+            return;
+        }
     }
 }
 
+steady_time frontend::linger_end() const
+{
+    const steady_time now = steady_clock::now();
+    const steady_time shutdown = this->services.shutdown_deadline();
+    return shutdown > now + linger_timeout ? now + linger_timeout
+                                           : std::max(now, shutdown) + shutdown_linger_timeout;
+}
+
 request_limits frontend::limits() const
 {
     const std::shared_ptr<const desired_state> state = this->options.current_state();
@@ -192,7 +192,6 @@
 {
     request.keep_alive = false;
     (void)this->refuse(connection, request, unavailable, "no_memory");
-    linger(connection);
     return false;
 }
 
@@ -203,7 +202,6 @@
     log_event("request_rejected", {{"status", status}, {"reason", error.message()}});
     if (status != 0) {
         (void)write_local_response(connection, {}, status, "bad_request", milliseconds(0), false);
-        linger(connection);
     }
     return false;
 }
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -55,6 +55,8 @@
     frontend(tcp_listener opened, forwarding_services given, frontend_options chosen);
 
     void serve_connection(tcp_socket connection);
+    // Returns until when a connection is read after its last answer.
+    [[nodiscard]] steady_time linger_end() const;
     [[nodiscard]] bool serve_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool reject_message(tcp_socket& connection, const absl::Status& error);
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds stop_check_interval{500};
 constexpr std::chrono::seconds idle_timeout{30};
 constexpr std::chrono::seconds exchange_timeout{2};
+// After its last answer, a connection is read for this time before it is closed, so that the caller
+// receives the end of the answer instead of a reset.
+constexpr std::chrono::milliseconds linger_timeout{300};
 constexpr int most_connections = 64;
 // Handlers use no body.
 constexpr std::size_t max_body_bytes = 4096;
@@ -54,6 +57,12 @@
 }
 
 void http_service::serve(tcp_socket connection)
+{
+    this->serve_requests(connection);
+    connection.close_gracefully(steady_clock::now() + linger_timeout);
+}
+
+void http_service::serve_requests(tcp_socket& connection)
 {
     message_reader reader(connection);
     const message_limits limits = {message_limits().header_bytes, max_body_bytes};
--- a/sardinestream/http/http_service.h
+++ b/sardinestream/http/http_service.h
@@ -39,6 +39,7 @@
     http_service(tcp_listener bound, http_handler given);
 
     void serve(tcp_socket connection);
+    void serve_requests(tcp_socket& connection);
 
     const http_handler handler;
     std::atomic<bool> stopping = false;
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -40,6 +40,9 @@
 // of this process.
 constexpr int receive_buffer_bytes = 128 << 10;
 
+// Input is discarded in parts of this size.
+constexpr std::size_t discard_bytes = 16 << 10;
+
 constexpr char refused_payload[] = "sardinestream/connection-refused";
 
 absl::Status socket_error(absl::string_view step)
@@ -301,6 +304,23 @@
     ::shutdown(this->fd, SHUT_WR);
 }
 
+void tcp_socket::close_gracefully(steady_time deadline)
+{
+    if (!this->is_open()) {
+        return;
+    }
+    this->finish_writing();
+    char discarded[discard_bytes];
+    while (true) {
+        const absl::StatusOr<std::size_t> length =
+            this->read_some(absl::MakeSpan(discarded), deadline, hangup_watch());
+        if (!length.ok() || *length == 0) {
+            break;
+        }
+    }
+    this->close();
+}
+
 void tcp_socket::close()
 {
     if (this->fd >= 0) {
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -106,6 +106,10 @@
     // everything that was written.
     void finish_writing();
     void close();
+    // Ends writing and discards what the peer still sends, until it closes the connection or until
+    // `deadline`; then closes. Input that is unread at a close makes the kernel reset the
+    // connection, and the peer may lose the end of what was written. No effect on a closed socket.
+    void close_gracefully(steady_time deadline);
     // Closes the connection with a reset; bytes that have not been delivered yet are discarded.
     void abort();
     // Like `abort`, but waits first until the peer has acknowledged what was written, or until
