A connection that a head promised to keep is kept

What callers saw: the next request on a kept connection got a reset and no answer, although the head of the answer before it had no `Connection: close`; sent before that answer's end, it could also destroy that end.

Cause: whether the connection is kept was decided twice, in the head and again at the end of the answer. A stop that began in between changed the decision after the caller had been told.

Change: it is decided once, when the head is made, and the caller is held to nothing else. The answer to the next request says `Connection: close`.

Evidence: a stream is open as the stop begins, and the next request is sent before its end.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -73,5 +73,46 @@
     this->channels.close_stale({});
 }
 
+// Guards against a next request that is lost although the head of the answer promised to read it.
+TEST_F(closing_connections_test, a_promised_connection_takes_the_next_request_during_a_stop)
+{
+    std::atomic<bool> next_sent = false;
+    scripted_server server([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(stream_head(connection) + chunk(event(1)));
+            while (!next_sent) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            connection.write(chunk(event(2)) + last_chunk);
+        }
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all(request_text("/tell/", "r1"), soon(), {}).ok());
+    message_reader reader(socket);
+    const absl::StatusOr<http_response_head> head =
+        reader.read_response_head(message_limits(), false, soon(), {});
+    ASSERT_TRUE(head.ok());
+    EXPECT_TRUE(head->keeps_alive());
+    std::thread stopper([this] { this->stop(); });
+    while (!this->stopping) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    ASSERT_TRUE(socket.write_all(request_text("/tell/", "r2"), soon(), {}).ok());
+    std::this_thread::sleep_for(milliseconds(50));
+    next_sent = true;
+    std::string body;
+    const absl::Status read = reader.read_body(1 << 20, body, soon(), {});
+    EXPECT_TRUE(read.ok()) << read;
+    EXPECT_EQ(body, event(1) + event(2));
+    const caller_answer next = read_answer(reader);
+    EXPECT_TRUE(next.end.ok()) << next.end;
+    EXPECT_EQ(next.body, event(1) + event(2));
+    EXPECT_FALSE(next.head.keeps_alive());
+    EXPECT_TRUE(ends_in_order(reader));
+    stopper.join();
+    this->channels.close_stale({});
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -80,9 +80,10 @@
     }
 }
 
-bool exchange::keeps_connection() const
+bool exchange::promise_connection()
 {
-    return this->admitted.request.keep_alive && !this->services.is_stopping();
+    this->connection_promised = this->admitted.request.keep_alive && !this->services.is_stopping();
+    return this->connection_promised;
 }
 
 bool exchange::run()
@@ -115,7 +116,7 @@
             }
             continue;
         }
-        return next == next_action::answered && this->keeps_connection();
+        return next == next_action::answered && this->connection_promised;
     }
 }
 
@@ -442,7 +443,7 @@
     this->response_started = true;
     return write_local_response(
         this->caller, this->services.protocol.local_response_headers(this->admitted.request),
-        status, code, retry_after, this->keeps_connection());
+        status, code, retry_after, this->promise_connection());
 }
 
 void exchange::log_outcome(absl::string_view outcome, int status, absl::string_view reason) const
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -165,7 +165,7 @@
     [[nodiscard]] absl::Status check_stream(const http_response_head& head,
                                             const attempt_record& record, bool ended) const;
     // Returns the head for the caller, without the headers that give the length of the body.
-    [[nodiscard]] answer_head make_relayed_head(const http_response_head& head) const;
+    [[nodiscard]] answer_head make_relayed_head(const http_response_head& head);
     // Writes the events that `events` returned to the caller and marks them delivered.
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
                                            const std::string& complete);
@@ -188,7 +188,9 @@
 
     [[nodiscard]] static std::chrono::milliseconds elapsed_since(steady_time started);
     [[nodiscard]] std::string encode_request_head(const backend_server& server) const;
-    [[nodiscard]] bool keeps_connection() const;
+    // Decides whether the connection takes another request after the response that begins now.
+    // The caller relies on what its head says, whatever begins before the end of the response.
+    [[nodiscard]] bool promise_connection();
     void log_outcome(absl::string_view outcome, int status, absl::string_view reason) const;
     void log_attempt(const attempt_record& record, absl::string_view outcome) const;
 
@@ -209,6 +211,8 @@
     std::vector<std::string> tried_ids;
     event_splitter events;
     bool response_started = false;
+    // The head of the response said that the connection takes another request.
+    bool connection_promised = false;
     // A response that ends with the connection has begun and is not complete.
     bool ends_with_connection = false;
     // When the caller of a stream got the last event; the arrival of the request before the first.
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -110,7 +110,7 @@
     return sent.ok() ? next_action::answered : next_action::close_connection;
 }
 
-answer_head exchange::make_relayed_head(const http_response_head& head) const
+answer_head exchange::make_relayed_head(const http_response_head& head)
 {
     answer_head relayed;
     relayed.status = head.status;
@@ -122,7 +122,7 @@
             return absl::EqualsIgnoreCase(header.name, "retry-after");
         });
     }
-    relayed.keeps_connection = this->keeps_connection();
+    relayed.keeps_connection = this->promise_connection();
     return relayed;
 }
 
