A stop waits for a request that may be on its way

What callers saw: a connection was closed a few milliseconds before the next request arrived on it: just accepted, or just after an answer whose head had promised to keep it.

Cause: as the frontend stopped, every connection without input was closed at once, however short it had been idle.

Change: a connection stays open until it has been idle for 300 ms since it was accepted or since its last answer, and at most until the stop's end. One that has been idle for longer is closed at once as before: waiting would not lower its chance to cross a request.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -114,5 +114,31 @@
     this->channels.close_stale({});
 }
 
+// Guards against a connection that is closed while the next request is on its way.
+TEST_F(closing_connections_test, a_request_just_behind_an_answer_is_served_during_a_stop)
+{
+    scripted_server server(serving("served"));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    message_reader reader(socket);
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1").substr(0, 10), soon(), {}).ok());
+    while (this->served->connections() == 0) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    this->served->stop_accepting();
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1").substr(10), soon(), {}).ok());
+    const caller_answer first = read_answer(reader);
+    EXPECT_EQ(first.body, "served");
+    EXPECT_TRUE(first.head.keeps_alive());
+    this->stopping = true;
+    std::this_thread::sleep_for(milliseconds(20));
+    (void)socket.write_all(request_text("/pay/", "r2"), soon(), {});
+    const caller_answer next = read_answer(reader);
+    EXPECT_TRUE(next.end.ok()) << next.end;
+    EXPECT_EQ(next.body, "served");
+    EXPECT_FALSE(next.head.keeps_alive());
+    this->channels.close_stale({});
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -29,6 +29,10 @@
 // The same past the end of a planned shutdown, when the process is about to end.
 constexpr milliseconds shutdown_linger_timeout{200};
 
+// The next request may be on its way for this time after a connection was accepted, or after its
+// last answer: a connection that has been idle for longer is closed at once by a shutdown.
+constexpr milliseconds request_transit_time{300};
+
 // A process that has just started usually has its desired state within this time.
 constexpr milliseconds initial_state_timeout{400};
 constexpr milliseconds initial_state_poll_interval{20};
@@ -140,13 +144,23 @@
 
 bool frontend::wait_for_request(tcp_socket& connection, message_reader& reader)
 {
-    const steady_time deadline = steady_clock::now() + this->limits().idle_timeout;
-    if (!reader.has_surplus()) {
-        wait_for_any_input({connection.descriptor(), this->stop_event.descriptor()}, hangup_watch(),
-                           deadline);
-    }
-    if (!reader.has_surplus() && !connection.has_input_or_end()) {
-        return false;
+    const steady_time begun = steady_clock::now();
+    const steady_time deadline = begun + this->limits().idle_timeout;
+    while (!reader.has_surplus() && !connection.has_input_or_end()) {
+        const bool stopped = this->stop_event.has_input_or_end();
+        const steady_time end = stopped ? std::min({deadline, begun + request_transit_time,
+                                                    this->services.shutdown_deadline()})
+                                        : deadline;
+        if (steady_clock::now() >= end) {
+            return false;
+        }
+        if (stopped) {
+            wait_for_input(connection.descriptor(), hangup_watch(), end);
+        }
+        else {
+            wait_for_any_input({connection.descriptor(), this->stop_event.descriptor()},
+                               hangup_watch(), end);
+        }
     }
     return reader.wait_for_message(deadline).ok();
 }
