Queued connections are accepted before the listener closes

What callers saw: a reset instead of an answer to a request sent on a connection that was established just before a stop.

Cause: the kernel resets the connections in a listener's queue when the listener is closed. The accepting thread closed it as soon as it was told to stop.

Change: the accepting thread first accepts what is queued, for 200 ms at most.

--- a/sardinestream/http/connection_acceptor.cc
+++ b/sardinestream/http/connection_acceptor.cc
@@ -6,6 +6,12 @@
 #include "sardinestream/base/log.h"
 
 namespace sardinestream {
+namespace {
+
+// Limit on the time for which queued connections are accepted when the listener closes.
+constexpr std::chrono::milliseconds max_drain_time{200};
+
+} // namespace
 
 connection_acceptor::connection_acceptor(tcp_listener bound, acceptor_options chosen, handler given)
     : listener(std::move(bound)), bound_to(listener.local()), options(std::move(chosen)),
@@ -42,9 +48,26 @@
         }
         this->start_connection(*std::move(accepted));
     }
+    this->accept_queued();
     this->listener = tcp_listener();
 }
 
+void connection_acceptor::accept_queued()
+{
+    const steady_time end = steady_clock::now() + max_drain_time;
+    while (steady_clock::now() < end) {
+        absl::StatusOr<tcp_socket> accepted = this->listener.accept(steady_clock::now());
+        if (absl::IsDeadlineExceeded(accepted.status())) {
+            return;
+        }
+        if (!accepted.ok()) {
+            log_failure("accept_failed", accepted.status());
+            return;
+        }
+        this->start_connection(*std::move(accepted));
+    }
+}
+
 void connection_acceptor::start_connection(tcp_socket connection)
 {
     if (this->threads.size() >= this->options.max_connections) {
--- a/sardinestream/http/connection_acceptor.h
+++ b/sardinestream/http/connection_acceptor.h
@@ -45,7 +45,8 @@
     connection_acceptor(const connection_acceptor&) = delete;
     connection_acceptor& operator=(const connection_acceptor&) = delete;
 
-    // Closes the listener. Open connections are not affected. Further calls have no effect.
+    // Accepts what the kernel has queued and closes the listener. Open connections are not
+    // affected. Further calls have no effect.
     void stop_accepting();
 
     // Blocks until no connection is open and returns true, or returns false at `deadline`.
@@ -58,6 +59,8 @@
 
 private:
     void run();
+    // Accepts the connections in the listener's queue: the kernel resets them when it closes.
+    void accept_queued();
     void start_connection(tcp_socket connection);
 
     tcp_listener listener;
--- a/sardinestream/http/connection_acceptor_test.cc
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -72,5 +73,30 @@
     EXPECT_TRUE(acceptor.wait_until_idle(steady_clock::now() + std::chrono::seconds(2)));
 }
 
+// Guards against connections that are reset in the listener's queue when it closes.
+TEST_F(connection_acceptor_test, stopping_serves_the_connections_that_are_queued)
+{
+    constexpr int queued = 50;
+    std::vector<tcp_socket> callers;
+    for (int i = 0; i < queued; ++i) {
+        callers.push_back(*tcp_socket::connect(this->listener.local(), soon(), hangup_watch()));
+        ASSERT_TRUE(callers.back().write_all("request", soon(), hangup_watch()).ok());
+    }
+    connection_acceptor acceptor(std::move(this->listener), {}, [](tcp_socket connection) {
+        char bytes[16];
+        EXPECT_TRUE(connection.read_some(absl::MakeSpan(bytes), soon(), hangup_watch()).ok());
+        EXPECT_TRUE(connection.write_all("answer", soon(), hangup_watch()).ok());
+    });
+    acceptor.stop_accepting();
+    int answered = 0;
+    for (tcp_socket& caller : callers) {
+        char bytes[16];
+        const absl::StatusOr<std::size_t> length =
+            caller.read_some(absl::MakeSpan(bytes), soon(), hangup_watch());
+        answered += length.ok() && *length > 0 ? 1 : 0;
+    }
+    EXPECT_EQ(answered, queued);
+}
+
 } // namespace
 } // namespace sardinestream
