An upload that a stop does not wait for is refused with 503

What callers saw: a request whose head or body was still arriving when the process ended got no answer, only the end of its connection.

Cause: the head was read for header_timeout and the body for 10 s, whatever the process had left.

Change: the frontend's reader ends at the shutdown deadline, also if the stop begins while it waits (message_reader::reading_end, looked at every 200 ms). What has not arrived by then is refused with 503, Retry-After and `Connection: close`; that leaves the 300 ms which the stop keeps for final answers. A body that arrives in time is judged by what is left then.

Evidence: half a head, a body with a length and one in chunks, with a stop that ends 400 ms later.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -140,5 +140,55 @@
     this->channels.close_stale({});
 }
 
+// Guards against uploads that a process leaves half read, without an answer, when it ends.
+TEST_F(closing_connections_test, an_upload_that_outlasts_a_stop_is_refused_before_its_end)
+{
+    const std::string head = "POST /pay/ HTTP/1.1\r\nHost: shop\r\nKey: k\r\nId: r1\r\n";
+    for (const std::string& begun :
+         {std::string("POST /pay/ HTT"), head + "Content-Length: 1000\r\n\r\nfirst",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"}) {
+        scripted_server server(serving("served"));
+        this->use({&server});
+        tcp_socket socket = this->connect();
+        message_reader reader(socket);
+        ASSERT_TRUE(socket.write_all(begun, soon(), {}).ok());
+        std::this_thread::sleep_for(milliseconds(50));
+        this->ends_at = steady_clock::now() + milliseconds(400);
+        std::thread stopper([this] { this->stop(); });
+        const caller_answer answer = read_answer(reader);
+        EXPECT_EQ(answer.head.status, 503) << begun;
+        EXPECT_TRUE(find_header(answer.head.headers, "Retry-After").has_value());
+        EXPECT_FALSE(answer.head.keeps_alive());
+        EXPECT_TRUE(ends_in_order(reader));
+        socket.close();
+        stopper.join();
+        EXPECT_EQ(server.connections(), 0);
+        this->stopping = false;
+        this->ends_at = steady_time::max();
+        this->open();
+    }
+}
+
+// Guards against uploads that are refused although they arrive while there is time.
+TEST_F(closing_connections_test, an_upload_that_arrives_during_a_stop_is_served)
+{
+    scripted_server server(serving("served"));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    message_reader reader(socket);
+    const std::string request = request_text("/read/", "r1");
+    ASSERT_TRUE(socket.write_all(request.substr(0, request.size() - 1), soon(), {}).ok());
+    std::this_thread::sleep_for(milliseconds(50));
+    this->ends_at = steady_clock::now() + milliseconds(3500);
+    std::thread stopper([this] { this->stop(); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    ASSERT_TRUE(socket.write_all(request.substr(request.size() - 1), soon(), {}).ok());
+    const caller_answer answer = read_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body, "served");
+    stopper.join();
+    this->channels.close_stale({});
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -37,6 +37,9 @@
 constexpr milliseconds initial_state_timeout{400};
 constexpr milliseconds initial_state_poll_interval{20};
 
+// When a caller that is refused with 503 may come back.
+constexpr milliseconds retry_time{1000};
+
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
@@ -56,6 +59,8 @@
         return content_too_large;
     case absl::StatusCode::kDeadlineExceeded:
         return request_timeout;
+    case absl::StatusCode::kFailedPrecondition:
+        return unavailable;
     default:
         return 0;
     }
@@ -119,7 +124,7 @@
 
 void frontend::serve_connection(tcp_socket connection)
 {
-    message_reader reader(connection);
+    message_reader reader(connection, this->services.shutdown_deadline);
     while (this->wait_for_request(connection, reader)) {
         if (!this->serve_request(connection, reader)) {
             connection.close_gracefully(this->linger_end());
@@ -182,7 +187,7 @@
     message_memory_reservation reservation(this->services.request_memory, "caller");
     const std::size_t declared = std::min(declared_length(*head), limits.body_bytes);
     if (!reservation.resize(declared, arrival + memory_timeout)) {
-        return this->refuse_unread(connection, *std::move(request));
+        return this->refuse_unread(connection, *std::move(request), "no_memory");
     }
     const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
     if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue") &&
@@ -194,7 +199,11 @@
     const absl::Status read = read_body_within(reader, limits.body_bytes, reservation,
                                                request->body, arrival + body_timeout, {});
     if (absl::IsAborted(read)) {
-        return this->refuse_unread(connection, *std::move(request));
+        return this->refuse_unread(connection, *std::move(request), "no_memory");
+    }
+    if (absl::IsFailedPrecondition(read)) {
+        // Another entry can serve the request; the caller must know that this one does not.
+        return this->refuse_unread(connection, *std::move(request), "shutting_down");
     }
     if (!read.ok()) {
         return this->reject_message(connection, read);
@@ -202,10 +211,10 @@
     return this->admit(connection, *std::move(request), arrival);
 }
 
-bool frontend::refuse_unread(tcp_socket& connection, caller_request request)
+bool frontend::refuse_unread(tcp_socket& connection, caller_request request, absl::string_view code)
 {
     request.keep_alive = false;
-    (void)this->refuse(connection, request, unavailable, "no_memory");
+    (void)this->refuse(connection, request, unavailable, code);
     return false;
 }
 
@@ -215,7 +224,10 @@
     count("sardine_bad_requests_total", {{"status", absl::StrCat(status)}});
     log_event("request_rejected", {{"status", status}, {"reason", error.message()}});
     if (status != 0) {
-        (void)write_local_response(connection, {}, status, "bad_request", milliseconds(0), false);
+        const bool is_stopping = status == unavailable;
+        (void)write_local_response(connection, {}, status,
+                                   is_stopping ? "shutting_down" : "bad_request",
+                                   is_stopping ? retry_time : milliseconds(0), false);
     }
     return false;
 }
@@ -230,10 +242,9 @@
                           {"outcome", "refused"},
                           {"status", status},
                           {"reason", code}});
-    constexpr milliseconds start_time{1000};
     const bool keep = request.keep_alive && !this->services.is_stopping();
     return write_local_response(connection, this->services.protocol.local_response_headers(request),
-                                status, code, status == unavailable ? start_time : milliseconds(0),
+                                status, code, status == unavailable ? retry_time : milliseconds(0),
                                 keep);
 }
 
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -67,8 +67,9 @@
     wait_for_state(const tcp_socket& connection) const;
     [[nodiscard]] bool refuse(tcp_socket& connection, const caller_request& request, int status,
                               absl::string_view code);
-    // Refuses a request whose body there is no memory for, and closes the connection.
-    [[nodiscard]] bool refuse_unread(tcp_socket& connection, caller_request request);
+    // Refuses a request whose body is not read to its end, and closes the connection.
+    [[nodiscard]] bool refuse_unread(tcp_socket& connection, caller_request request,
+                                     absl::string_view code);
     [[nodiscard]] request_limits limits() const;
 
     forwarding_services services;
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/http/message_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -17,6 +18,8 @@
 namespace beast = boost::beast;
 
 constexpr std::size_t read_bytes = 8192;
+// How often a read that waits looks for its `reading_end`.
+constexpr std::chrono::milliseconds end_check_interval{200};
 constexpr std::uint32_t largest_header_limit = 1 << 20;
 // Maximum size of an incomplete line (chunk header, trailer or head). The parser consumes a line
 // only when it is complete, so without this limit an endless line would fill the buffer.
@@ -115,15 +118,37 @@
     void on_finish_impl(beast::error_code&) override {}
 };
 
-message_reader::message_reader(tcp_socket& source) : socket(source) {}
+message_reader::message_reader(tcp_socket& source, reading_end given)
+    : socket(source), end(std::move(given))
+{
+}
 
 message_reader::~message_reader() = default;
 
+absl::StatusOr<std::size_t> message_reader::read_until_end(absl::Span<char> bytes,
+                                                           steady_time deadline,
+                                                           const hangup_watch& caller)
+{
+    while (true) {
+        const steady_time next_check = steady_clock::now() + end_check_interval;
+        const steady_time until = std::min({deadline, this->end(), next_check});
+        absl::StatusOr<std::size_t> length = this->socket.read_some(bytes, until, caller);
+        if (!absl::IsDeadlineExceeded(length.status()) || until == deadline) {
+            return length;
+        }
+        if (until != next_check) {
+            return make_error(absl::StatusCode::kFailedPrecondition, "read", "",
+                              "reading has ended");
+        }
+    }
+}
+
 absl::StatusOr<std::size_t> message_reader::fill(steady_time deadline, const hangup_watch& caller)
 {
     char bytes[read_bytes];
     absl::StatusOr<std::size_t> length =
-        this->socket.read_some(absl::MakeSpan(bytes), deadline, caller);
+        this->end == nullptr ? this->socket.read_some(absl::MakeSpan(bytes), deadline, caller)
+                             : this->read_until_end(absl::MakeSpan(bytes), deadline, caller);
     if (length.ok()) {
         this->buffered.append(bytes, *length);
     }
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -11,11 +11,13 @@
 // Errors in addition to those of the socket: kInvalidArgument (not valid HTTP, or a form that two
 // parsers could interpret differently), kResourceExhausted (head or another line too large),
 // kOutOfRange (body too large), kDataLoss (the connection was closed within the message), kNotFound
-// (it was closed before the first byte). Not thread-safe.
+// (it was closed before the first byte), kFailedPrecondition (the reader's `reading_end` has
+// passed). Not thread-safe.
 
 #ifndef SARDINESTREAM_HTTP_MESSAGE_READER_H_
 #define SARDINESTREAM_HTTP_MESSAGE_READER_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -34,8 +36,12 @@
 
 class message_reader {
 public:
+    // Returns the time at which reading ends whatever the deadline of a call; may bring it forward
+    // at any moment.
+    using reading_end = std::function<steady_time()>;
+
     // `source` must outlive the reader.
-    explicit message_reader(tcp_socket& source);
+    explicit message_reader(tcp_socket& source, reading_end end = nullptr);
     ~message_reader();
     message_reader(const message_reader&) = delete;
     message_reader& operator=(const message_reader&) = delete;
@@ -84,10 +90,14 @@
     template <bool IsRequest>
     absl::StatusOr<bool> read_part(parser<IsRequest>& from, std::string& body, steady_time deadline,
                                    const hangup_watch& caller);
+    // Reads bytes from the socket, until `deadline` or the end of reading.
+    absl::StatusOr<std::size_t> read_until_end(absl::Span<char> bytes, steady_time deadline,
+                                               const hangup_watch& caller);
     // Reads more bytes into `buffered` and returns their number, zero at the end of the connection.
     absl::StatusOr<std::size_t> fill(steady_time deadline, const hangup_watch& caller);
 
     tcp_socket& socket;
+    const reading_end end;
     std::string buffered;
     // Why the body of the message being read cannot go on behind the bytes parsed so far.
     absl::Status body_error;
