A request on a connection beyond the limit is answered 503

What callers saw: a connection that was accepted beyond max_connections, or for which no thread could be started, was closed without a word. The caller could not know whether its request had run.

Cause: the accepting thread destroyed the socket at once.

Change: the accepting thread keeps up to 64 such connections for up to 500 ms. As a request arrives on one, it writes a 503 (not run, Retry-After, `Connection: close`), ends writing and discards the rest until the caller closes, for 500 ms at most. It waits in poll(2) for the listener and these connections together and never for one of them. One without a request is closed without an answer. After a stop the rest of them get what is left of the 200 ms.

Evidence: a_request_beyond_the_limit_gets_the_refusal, 64 KiB of a request on the second connection of a limit of one.

--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -79,6 +79,7 @@
 {
     acceptor_options options;
     options.max_connections = max_connections;
+    options.refusal = encode_local_response({}, unavailable, "not_run", retry_time, false);
     options.on_refused = [max_connections](absl::string_view reason) {
         count("sardine_connections_refused_total");
         log_event("connection_refused", {{"limit", max_connections}, {"reason", reason}},
--- a/sardinestream/forwarding/local_response.cc
+++ b/sardinestream/forwarding/local_response.cc
@@ -42,8 +42,8 @@
     return default_idle_timeout;
 }
 
-bool write_local_response(tcp_socket& caller, const http_headers& headers, int status,
-                          absl::string_view code, milliseconds retry_after, bool keep)
+std::string encode_local_response(const http_headers& headers, int status, absl::string_view code,
+                                  milliseconds retry_after, bool keep)
 {
     const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
     answer_head head = {status, "", headers, body.size(), false, keep};
@@ -54,9 +54,15 @@
             {"Retry-After",
              absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s)});
     }
+    return encode_answer_head(head) + body;
+}
+
+bool write_local_response(tcp_socket& caller, const http_headers& headers, int status,
+                          absl::string_view code, milliseconds retry_after, bool keep)
+{
     const bool written =
         caller
-            .write_all(encode_answer_head(head) + body,
+            .write_all(encode_local_response(headers, status, code, retry_after, keep),
                        steady_clock::now() + local_response_timeout, hangup_watch())
             .ok();
     return written && keep;
--- a/sardinestream/forwarding/local_response.h
+++ b/sardinestream/forwarding/local_response.h
@@ -23,6 +23,11 @@
 // Returns how long the server keeps its connection open when idle after this response.
 [[nodiscard]] std::chrono::milliseconds idle_timeout_of(const http_response_head& head);
 
+// Returns a locally generated response; adds Retry-After if `retry_after` is above zero.
+[[nodiscard]] std::string encode_local_response(const http_headers& headers, int status,
+                                                absl::string_view code,
+                                                std::chrono::milliseconds retry_after, bool keep);
+
 // Writes a locally generated response; adds Retry-After if `retry_after` is above zero. Returns
 // whether the connection can serve another request.
 [[nodiscard]] bool write_local_response(tcp_socket& caller, const http_headers& headers, int status,
--- a/sardinestream/http/connection_acceptor.cc
+++ b/sardinestream/http/connection_acceptor.cc
@@ -1,15 +1,22 @@
 #include "sardinestream/http/connection_acceptor.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
 #include "sardinestream/base/log.h"
 
+#include "absl/container/inlined_vector.h"
+
 namespace sardinestream {
 namespace {
 
 // Limit on the time for which queued connections are accepted when the listener closes.
 constexpr std::chrono::milliseconds max_drain_time{200};
+// How long a refused connection stays open for its request, and then for its caller to close it.
+constexpr std::chrono::milliseconds refused_time{500};
+constexpr std::size_t max_refused = 64;
+constexpr std::size_t discard_bytes = 16 << 10;
 
 } // namespace
 
@@ -35,8 +42,9 @@
 void connection_acceptor::run()
 {
     while (!this->stopping) {
-        absl::StatusOr<tcp_socket> accepted =
-            this->listener.accept(steady_clock::now() + this->options.poll_interval);
+        this->wait_for_event();
+        this->serve_refused();
+        absl::StatusOr<tcp_socket> accepted = this->listener.accept(steady_clock::now());
         if (absl::IsDeadlineExceeded(accepted.status())) {
             continue;
         }
@@ -48,13 +56,71 @@
         }
         this->start_connection(*std::move(accepted));
     }
-    this->accept_queued();
+    const steady_time end = steady_clock::now() + max_drain_time;
+    this->accept_queued(end);
     this->listener = tcp_listener();
+    while (!this->refused.empty() && steady_clock::now() < end) {
+        this->wait_for_event();
+        this->serve_refused();
+    }
+    this->refused.clear();
 }
 
-void connection_acceptor::accept_queued()
+void connection_acceptor::wait_for_event()
+{
+    steady_time end = steady_clock::now() + this->options.poll_interval;
+    absl::InlinedVector<int, 4> descriptors = {this->listener.descriptor()};
+    for (const refused_connection& each : this->refused) {
+        descriptors.push_back(each.connection.descriptor());
+        end = std::min(end, each.end);
+    }
+    wait_for_any_input(descriptors, hangup_watch(), end);
+}
+
+void connection_acceptor::refuse(tcp_socket connection, absl::string_view reason)
+{
+    this->options.on_refused(reason);
+    if (!this->options.refusal.empty() && this->refused.size() < max_refused) {
+        this->refused.push_back({std::move(connection), steady_clock::now() + refused_time});
+    }
+}
+
+void connection_acceptor::serve_refused()
+{
+    std::erase_if(this->refused, [this](refused_connection& each) { return this->advance(each); });
+}
+
+bool connection_acceptor::advance(refused_connection& refused) const
+{
+    const steady_time now = steady_clock::now();
+    if (now >= refused.end) {
+        return true;
+    }
+    if (!refused.connection.has_input_or_end()) {
+        return false;
+    }
+    char discarded[discard_bytes];
+    const absl::StatusOr<std::size_t> length =
+        refused.connection.read_some(absl::MakeSpan(discarded), now, hangup_watch());
+    if (!length.ok() || *length == 0) {
+        return true;
+    }
+    if (!refused.answered) {
+        refused.answered = true;
+        refused.end = now + refused_time;
+        const absl::Status written =
+            refused.connection.write_all(this->options.refusal, now, hangup_watch());
+        if (!written.ok()) {
+            log_failure("refusal_failed", written);
+            return true;
+        }
+        refused.connection.finish_writing();
+    }
+    return false;
+}
+
+void connection_acceptor::accept_queued(steady_time end)
 {
-    const steady_time end = steady_clock::now() + max_drain_time;
     while (steady_clock::now() < end) {
         absl::StatusOr<tcp_socket> accepted = this->listener.accept(steady_clock::now());
         if (absl::IsDeadlineExceeded(accepted.status())) {
@@ -71,12 +137,12 @@
 void connection_acceptor::start_connection(tcp_socket connection)
 {
     if (this->threads.size() >= this->options.max_connections) {
-        this->options.on_refused("too many connections");
+        this->refuse(std::move(connection), "too many connections");
         return;
     }
     auto shared = std::make_shared<tcp_socket>(std::move(connection));
     if (!this->threads.spawn([this, shared] { this->served(std::move(*shared)); })) {
-        this->options.on_refused("failed to start a thread");
+        this->refuse(std::move(*shared), "failed to start a thread");
     }
 }
 
--- a/sardinestream/http/connection_acceptor.h
+++ b/sardinestream/http/connection_acceptor.h
@@ -15,7 +15,9 @@
 #include <chrono>
 #include <functional>
 #include <limits>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "sardinestream/base/thread_group.h"
 #include "sardinestream/http/socket.h"
@@ -25,9 +27,12 @@
 namespace sardinestream {
 
 struct acceptor_options {
-    // Maximum number of open connections; further ones are closed immediately.
+    // Maximum number of open connections; further ones are refused.
     int max_connections = std::numeric_limits<int>::max();
-    // Called on the accepting thread, with the reason, for each connection that is closed because
+    // What a refused connection gets, on the accepting thread, once a request arrives on it. If
+    // empty, or if very many are being refused, refused connections are closed at once.
+    std::string refusal;
+    // Called on the accepting thread, with the reason, for each connection that is refused because
     // of the limit or because no thread could be started.
     std::function<void(absl::string_view reason)> on_refused = [](absl::string_view) {};
     // How often the accepting thread checks whether it must stop; also the delay after an error.
@@ -58,9 +63,25 @@
     [[nodiscard]] const address& local() const { return this->bound_to; }
 
 private:
+    // A connection that gets no thread.
+    struct refused_connection {
+        tcp_socket connection;
+        // When it is closed.
+        steady_time end;
+        bool answered = false;
+    };
+
     void run();
-    // Accepts the connections in the listener's queue: the kernel resets them when it closes.
-    void accept_queued();
+    // Waits for a connection or for input of a refused one, up to `poll_interval`.
+    void wait_for_event();
+    void refuse(tcp_socket connection, absl::string_view reason);
+    // Answers the refused connections that have sent something and closes those that are done.
+    void serve_refused();
+    // Takes the next step with a refused connection, without waiting. Returns whether it is done.
+    [[nodiscard]] bool advance(refused_connection& refused) const;
+    // Accepts the connections in the listener's queue, up to `end`: the kernel resets them when it
+    // closes.
+    void accept_queued(steady_time end);
     void start_connection(tcp_socket connection);
 
     tcp_listener listener;
@@ -69,6 +90,8 @@
     const handler served;
     std::atomic<bool> stopping = false;
     thread_group threads;
+    // Used only by the accepting thread.
+    std::vector<refused_connection> refused;
     std::thread accepting;
 };
 
--- a/sardinestream/http/connection_acceptor_test.cc
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -73,6 +73,33 @@
     EXPECT_TRUE(acceptor.wait_until_idle(steady_clock::now() + std::chrono::seconds(2)));
 }
 
+// Guards against callers that lose their request on a connection beyond the limit without a word.
+TEST_F(connection_acceptor_test, a_request_beyond_the_limit_gets_the_refusal)
+{
+    const std::string request(64U << 10U, 'r');
+    acceptor_options options;
+    options.max_connections = 1;
+    options.refusal = "refused";
+    connection_acceptor acceptor(std::move(this->listener), options, wait_for_end);
+    const tcp_socket first = connect(acceptor);
+    EXPECT_TRUE(becomes([&] { return acceptor.connections() == 1; }));
+    const tcp_socket idle = connect(acceptor);
+    tcp_socket second = connect(acceptor);
+    std::this_thread::sleep_for(milliseconds(50));
+    EXPECT_FALSE(idle.has_input_or_end());
+    EXPECT_TRUE(second.write_all(request, soon(), hangup_watch()).ok());
+    std::this_thread::sleep_for(milliseconds(50));
+    char bytes[16];
+    const absl::StatusOr<std::size_t> length =
+        second.read_some(absl::MakeSpan(bytes), soon(), hangup_watch());
+    ASSERT_TRUE(length.ok()) << length.status();
+    EXPECT_EQ(std::string(bytes, *length), options.refusal);
+    const absl::StatusOr<std::size_t> end =
+        second.read_some(absl::MakeSpan(bytes), soon(), hangup_watch());
+    EXPECT_TRUE(end.ok() && *end == 0) << end.status();
+    EXPECT_EQ(acceptor.connections(), 1);
+}
+
 // Guards against connections that are reset in the listener's queue when it closes.
 TEST_F(connection_acceptor_test, stopping_serves_the_connections_that_are_queued)
 {
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -151,6 +151,9 @@
     // Returns the bound address. The port is the actual one, also if port 0 was requested.
     [[nodiscard]] const address& local() const { return this->bound; }
 
+    // Becomes readable when a connection can be accepted.
+    [[nodiscard]] int descriptor() const { return this->socket.descriptor(); }
+
 private:
     tcp_socket socket;
     address bound;
