--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -190,5 +190,25 @@
     this->channels.close_stale({});
 }
 
+// Guards against an answer that is cut because its caller reads on after the end of a stop.
+TEST_F(closing_connections_test, an_answer_is_written_on_for_a_caller_that_reads_after_a_stop)
+{
+    const std::string body(long_answer_bytes, 'a');
+    scripted_server server(serving(body));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
+    wait_for_input(socket.descriptor(), {}, soon());
+    this->ends_at = steady_clock::now();
+    std::thread stopper([this] { this->stop(); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body.size(), body.size());
+    stopper.join();
+    this->channels.close_stale({});
+}
+
 } // namespace
 } // namespace sardinestream
