--- /dev/null
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -0,0 +1,214 @@
+// Tests that callers get every answer whole however their connection ends: after an answer, around
+// a stop, or with input that nobody reads.
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/forwarding/frontend_fixture.h"
+
+namespace sardinestream {
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than the buffers of both ends of a connection hold.
+constexpr std::size_t long_answer_bytes = 8U << 20U;
+constexpr std::size_t pipelined_bytes = 64U << 10U;
+// A caller that reads its answer late.
+constexpr milliseconds reading_delay{200};
+constexpr char last_chunk[] = "0\r\n\r\n";
+
+std::string event(int id)
+{
+    return absl::StrCat("id: ", id, "\ndata: piece ", id, "\n\n");
+}
+
+class closing_connections_test : public frontend_test {
+protected:
+    static scripted_server::script serving(const std::string& body)
+    {
+        return [body](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(answer_to(connection, body));
+            }
+        };
+    }
+
+    static caller_answer read_long_answer(message_reader& reader)
+    {
+        caller_answer answer;
+        absl::StatusOr<http_response_head> head =
+            reader.read_response_head(message_limits(), false, soon(), {});
+        if (!head.ok()) {
+            answer.end = head.status();
+            return answer;
+        }
+        answer.head = *std::move(head);
+        answer.end = reader.read_body(2 * long_answer_bytes, answer.body, soon(), {});
+        return answer;
+    }
+
+    // Returns whether the peer ends the connection in order, without a reset.
+    static bool ends_in_order(message_reader& reader)
+    {
+        return absl::IsNotFound(reader.wait_for_message(soon()));
+    }
+};
+
+// Guards against the end of an answer that is lost because unread input makes the close a reset.
+TEST_F(closing_connections_test, an_answer_is_whole_although_input_behind_its_request_is_unread)
+{
+    const std::string body(long_answer_bytes, 'a');
+    scripted_server server(serving(body));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    std::string request = request_text("/pay/", "r1");
+    request.insert(request.find("Id: "), "Connection: close\r\n");
+    ASSERT_TRUE(socket.write_all(request + std::string(pipelined_bytes, 'x'), soon(), {}).ok());
+    std::this_thread::sleep_for(reading_delay);
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body.size(), body.size());
+    EXPECT_TRUE(ends_in_order(reader));
+    this->channels.close_stale({});
+}
+
+// Guards against a next request that is lost although the head of the answer promised to read it.
+TEST_F(closing_connections_test, a_promised_connection_takes_the_next_request_during_a_stop)
+{
+    std::atomic<bool> next_sent = false;
+    scripted_server server([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(stream_head(connection) + chunk(event(1)));
+            while (!next_sent) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            connection.write(chunk(event(2)) + last_chunk);
+        }
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all(request_text("/tell/", "r1"), soon(), {}).ok());
+    message_reader reader(socket);
+    const absl::StatusOr<http_response_head> head =
+        reader.read_response_head(message_limits(), false, soon(), {});
+    ASSERT_TRUE(head.ok());
+    EXPECT_TRUE(head->keeps_alive());
+    std::thread stopper([this] { this->stop(); });
+    while (!this->stopping) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    ASSERT_TRUE(socket.write_all(request_text("/tell/", "r2"), soon(), {}).ok());
+    std::this_thread::sleep_for(milliseconds(50));
+    next_sent = true;
+    std::string body;
+    const absl::Status read = reader.read_body(1 << 20, body, soon(), {});
+    EXPECT_TRUE(read.ok()) << read;
+    EXPECT_EQ(body, event(1) + event(2));
+    const caller_answer next = read_answer(reader);
+    EXPECT_TRUE(next.end.ok()) << next.end;
+    EXPECT_EQ(next.body, event(1) + event(2));
+    EXPECT_FALSE(next.head.keeps_alive());
+    EXPECT_TRUE(ends_in_order(reader));
+    stopper.join();
+    this->channels.close_stale({});
+}
+
+// Guards against a connection that is closed while the next request is on its way.
+TEST_F(closing_connections_test, a_request_just_behind_an_answer_is_served_during_a_stop)
+{
+    scripted_server server(serving("served"));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    message_reader reader(socket);
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1").substr(0, 10), soon(), {}).ok());
+    while (this->served->connections() == 0) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    this->served->stop_accepting();
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1").substr(10), soon(), {}).ok());
+    const caller_answer first = read_answer(reader);
+    EXPECT_EQ(first.body, "served");
+    EXPECT_TRUE(first.head.keeps_alive());
+    this->stopping = true;
+    std::this_thread::sleep_for(milliseconds(20));
+    (void)socket.write_all(request_text("/pay/", "r2"), soon(), {});
+    const caller_answer next = read_answer(reader);
+    EXPECT_TRUE(next.end.ok()) << next.end;
+    EXPECT_EQ(next.body, "served");
+    EXPECT_FALSE(next.head.keeps_alive());
+    this->channels.close_stale({});
+}
+
+// Guards against uploads that a process leaves half read, without an answer, when it ends.
+TEST_F(closing_connections_test, an_upload_that_outlasts_a_stop_is_refused_before_its_end)
+{
+    const std::string head = "POST /pay/ HTTP/1.1\r\nHost: shop\r\nKey: k\r\nId: r1\r\n";
+    for (const std::string& begun :
+         {std::string("POST /pay/ HTT"), head + "Content-Length: 1000\r\n\r\nfirst",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"}) {
+        scripted_server server(serving("served"));
+        this->use({&server});
+        tcp_socket socket = this->connect();
+        message_reader reader(socket);
+        ASSERT_TRUE(socket.write_all(begun, soon(), {}).ok());
+        std::this_thread::sleep_for(milliseconds(50));
+        this->ends_at = steady_clock::now() + milliseconds(400);
+        std::thread stopper([this] { this->stop(); });
+        const caller_answer answer = read_answer(reader);
+        EXPECT_EQ(answer.head.status, 503) << begun;
+        EXPECT_TRUE(find_header(answer.head.headers, "Retry-After").has_value());
+        EXPECT_FALSE(answer.head.keeps_alive());
+        EXPECT_TRUE(ends_in_order(reader));
+        socket.close();
+        stopper.join();
+        EXPECT_EQ(server.connections(), 0);
+        this->stopping = false;
+        this->ends_at = steady_time::max();
+        this->open();
+    }
+}
+
+// Guards against uploads that are refused although they arrive while there is time.
+TEST_F(closing_connections_test, an_upload_that_arrives_during_a_stop_is_served)
+{
+    scripted_server server(serving("served"));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    message_reader reader(socket);
+    const std::string request = request_text("/read/", "r1");
+    ASSERT_TRUE(socket.write_all(request.substr(0, request.size() - 1), soon(), {}).ok());
+    std::this_thread::sleep_for(milliseconds(50));
+    this->ends_at = steady_clock::now() + milliseconds(3500);
+    std::thread stopper([this] { this->stop(); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    ASSERT_TRUE(socket.write_all(request.substr(request.size() - 1), soon(), {}).ok());
+    const caller_answer answer = read_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body, "served");
+    stopper.join();
+    this->channels.close_stale({});
+}
+
+// Guards against an answer that is cut because its caller reads on after the end of a stop.
+TEST_F(closing_connections_test, an_answer_is_written_on_for_a_caller_that_reads_after_a_stop)
+{
+    const std::string body(long_answer_bytes, 'a');
+    scripted_server server(serving(body));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
+    wait_for_input(socket.descriptor(), {}, soon());
+    this->ends_at = steady_clock::now();
+    std::thread stopper([this] { this->stop(); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body.size(), body.size());
+    stopper.join();
+    this->channels.close_stale({});
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -23,14 +23,23 @@
 constexpr milliseconds body_timeout{10000};
 // How long a request waits for memory for its body.
 constexpr milliseconds memory_timeout{300};
-// After a refusal with unread bytes left, the connection is read for this time before it is closed,
-// so that the caller receives the response instead of a reset.
+// After its last answer, a connection is read for this time before it is closed, so that the caller
+// receives the end of the answer instead of a reset.
 constexpr milliseconds linger_timeout{500};
+// The same past the end of a planned shutdown, when the process is about to end.
+constexpr milliseconds shutdown_linger_timeout{200};
+
+// The next request may be on its way for this time after a connection was accepted, or after its
+// last answer: a connection that has been idle for longer is closed at once by a shutdown.
+constexpr milliseconds request_transit_time{300};
 
 // A process that has just started usually has its desired state within this time.
 constexpr milliseconds initial_state_timeout{400};
 constexpr milliseconds initial_state_poll_interval{20};
 
+// When a caller that is refused with 503 may come back.
+constexpr milliseconds retry_time{1000};
+
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
@@ -39,20 +48,6 @@
 constexpr int headers_too_large = 431;
 constexpr int unavailable = 503;
 
-void linger(tcp_socket& connection)
-{
-    connection.finish_writing();
-    const steady_time end = steady_clock::now() + linger_timeout;
-    char discarded[4096];
-    while (true) {
-        const absl::StatusOr<std::size_t> length =
-            connection.read_some(absl::MakeSpan(discarded), end, hangup_watch());
-        if (!length.ok() || *length == 0) {
-            return;
-        }
-    }
-}
-
 int status_of(const absl::Status& error)
 {
     switch (error.code()) {
@@ -64,6 +59,8 @@
         return content_too_large;
     case absl::StatusCode::kDeadlineExceeded:
         return request_timeout;
+    case absl::StatusCode::kFailedPrecondition:
+        return unavailable;
     default:
         return 0;
     }
@@ -82,6 +79,7 @@
 {
     acceptor_options options;
     options.max_connections = max_connections;
+    options.refusal = encode_local_response({}, unavailable, "not_run", retry_time, false);
     options.on_refused = [max_connections](absl::string_view reason) {
         count("sardine_connections_refused_total");
         log_event("connection_refused", {{"limit", max_connections}, {"reason", reason}},
@@ -127,11 +125,23 @@
 
 void frontend::serve_connection(tcp_socket connection)
 {
-    message_reader reader(connection);
-    while (this->wait_for_request(connection, reader) && this->serve_request(connection, reader)) {
+    message_reader reader(connection, this->services.shutdown_deadline);
+    while (this->wait_for_request(connection, reader)) {
+        if (!this->serve_request(connection, reader)) {
+            connection.close_gracefully(this->linger_end());
+            return;
+        }
     }
 }
 
+steady_time frontend::linger_end() const
+{
+    const steady_time now = steady_clock::now();
+    const steady_time shutdown = this->services.shutdown_deadline();
+    return shutdown > now + linger_timeout ? now + linger_timeout
+                                           : std::max(now, shutdown) + shutdown_linger_timeout;
+}
+
 request_limits frontend::limits() const
 {
     const std::shared_ptr<const desired_state> state = this->options.current_state();
@@ -140,13 +150,23 @@
 
 bool frontend::wait_for_request(tcp_socket& connection, message_reader& reader)
 {
-    const steady_time deadline = steady_clock::now() + this->limits().idle_timeout;
-    if (!reader.has_surplus()) {
-        wait_for_any_input({connection.descriptor(), this->stop_event.descriptor()}, hangup_watch(),
-                           deadline);
-    }
-    if (!reader.has_surplus() && !connection.has_input_or_end()) {
-        return false;
+    const steady_time begun = steady_clock::now();
+    const steady_time deadline = begun + this->limits().idle_timeout;
+    while (!reader.has_surplus() && !connection.has_input_or_end()) {
+        const bool stopped = this->stop_event.has_input_or_end();
+        const steady_time end = stopped ? std::min({deadline, begun + request_transit_time,
+                                                    this->services.shutdown_deadline()})
+                                        : deadline;
+        if (steady_clock::now() >= end) {
+            return false;
+        }
+        if (stopped) {
+            wait_for_input(connection.descriptor(), hangup_watch(), end);
+        }
+        else {
+            wait_for_any_input({connection.descriptor(), this->stop_event.descriptor()},
+                               hangup_watch(), end);
+        }
     }
     return reader.wait_for_message(deadline).ok();
 }
@@ -168,7 +188,7 @@
     message_memory_reservation reservation(this->services.request_memory, "caller");
     const std::size_t declared = std::min(declared_length(*head), limits.body_bytes);
     if (!reservation.resize(declared, arrival + memory_timeout)) {
-        return this->refuse_unread(connection, *std::move(request));
+        return this->refuse_unread(connection, *std::move(request), "no_memory");
     }
     const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
     if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue") &&
@@ -180,7 +200,11 @@
     const absl::Status read = read_body_within(reader, limits.body_bytes, reservation,
                                                request->body, arrival + body_timeout, {});
     if (absl::IsAborted(read)) {
-        return this->refuse_unread(connection, *std::move(request));
+        return this->refuse_unread(connection, *std::move(request), "no_memory");
+    }
+    if (absl::IsFailedPrecondition(read)) {
+        // Another entry can serve the request; the caller must know that this one does not.
+        return this->refuse_unread(connection, *std::move(request), "shutting_down");
     }
     if (!read.ok()) {
         return this->reject_message(connection, read);
@@ -188,11 +212,10 @@
     return this->admit(connection, *std::move(request), arrival);
 }
 
-bool frontend::refuse_unread(tcp_socket& connection, caller_request request)
+bool frontend::refuse_unread(tcp_socket& connection, caller_request request, absl::string_view code)
 {
     request.keep_alive = false;
-    (void)this->refuse(connection, request, unavailable, "no_memory");
-    linger(connection);
+    (void)this->refuse(connection, request, unavailable, code);
     return false;
 }
 
@@ -202,8 +225,10 @@
     count("sardine_bad_requests_total", {{"status", absl::StrCat(status)}});
     log_event("request_rejected", {{"status", status}, {"reason", error.message()}});
     if (status != 0) {
-        (void)write_local_response(connection, {}, status, "bad_request", milliseconds(0), false);
-        linger(connection);
+        const bool is_stopping = status == unavailable;
+        (void)write_local_response(connection, {}, status,
+                                   is_stopping ? "shutting_down" : "bad_request",
+                                   is_stopping ? retry_time : milliseconds(0), false);
     }
     return false;
 }
@@ -218,10 +243,9 @@
                           {"outcome", "refused"},
                           {"status", status},
                           {"reason", code}});
-    constexpr milliseconds start_time{1000};
     const bool keep = request.keep_alive && !this->services.is_stopping();
     return write_local_response(connection, this->services.protocol.local_response_headers(request),
-                                status, code, status == unavailable ? start_time : milliseconds(0),
+                                status, code, status == unavailable ? retry_time : milliseconds(0),
                                 keep);
 }
 
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -55,6 +55,8 @@
     frontend(tcp_listener opened, forwarding_services given, frontend_options chosen);
 
     void serve_connection(tcp_socket connection);
+    // Returns until when a connection is read after its last answer.
+    [[nodiscard]] steady_time linger_end() const;
     [[nodiscard]] bool serve_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool reject_message(tcp_socket& connection, const absl::Status& error);
@@ -65,8 +67,9 @@
     wait_for_state(const tcp_socket& connection) const;
     [[nodiscard]] bool refuse(tcp_socket& connection, const caller_request& request, int status,
                               absl::string_view code);
-    // Refuses a request whose body there is no memory for, and closes the connection.
-    [[nodiscard]] bool refuse_unread(tcp_socket& connection, caller_request request);
+    // Refuses a request whose body is not read to its end, and closes the connection.
+    [[nodiscard]] bool refuse_unread(tcp_socket& connection, caller_request request,
+                                     absl::string_view code);
     [[nodiscard]] request_limits limits() const;
 
     forwarding_services services;
