The soak plays stops amid other planned work, with answers that last

Requests of the soak lasted milliseconds, and its stops met one entry at a time and no group that breaks.

Change, for seeds from 51000 on, drawn apart so that older seeds play as before: entries stopped in turn, SIGHUP around a SIGTERM, desired states during the grace, model servers replaced in turn (their group breaks and forms anew, as planned), stops of an entry and its agent right after the group has recovered, agents stopped in turn. Callers have streams of up to 4 s, uploads of up to 2 s with a length and in chunks, streams that begin behind an event, slow reads, and requests that follow an answer at once. The grace is 8 s, as the users have it. On one seed in four a stopping entry is held for 60 ms of every 100.

--processes=N plays a run with that many entries and agents.

--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -39,6 +39,15 @@
 constexpr unsigned restored_seed = 2;
 constexpr unsigned limit_seed = 3;
 constexpr unsigned crashing_request_seed = 4;
+// Seeds below this one play what they did before there were stops in all their forms.
+constexpr unsigned first_stop_seed = 51000;
+constexpr unsigned stop_seed_offset = 1U << 21U;
+constexpr unsigned stop_seeds_per_starved_one = 4;
+constexpr int least_stops = 2;
+constexpr int stops_range = 3;
+constexpr std::array stop_kinds = {soak_fault_kind::entries_roll,   soak_fault_kind::reloads_stop,
+                                   soak_fault_kind::configs_stop,   soak_fault_kind::servers_roll,
+                                   soak_fault_kind::recovered_stop, soak_fault_kind::agents_roll};
 
 std::string name_of(soak_fault_kind kind)
 {
@@ -57,6 +66,18 @@
         return "hold_off_said";
     case soak_fault_kind::limit_said:
         return "limit_said";
+    case soak_fault_kind::entries_roll:
+        return "entries_roll";
+    case soak_fault_kind::reloads_stop:
+        return "reloads_stop";
+    case soak_fault_kind::configs_stop:
+        return "configs_stop";
+    case soak_fault_kind::servers_roll:
+        return "servers_roll";
+    case soak_fault_kind::recovered_stop:
+        return "recovered_stop";
+    case soak_fault_kind::agents_roll:
+        return "agents_roll";
     case soak_fault_kind::entry_kill:
         return "entry_kill";
     case soak_fault_kind::entry_freeze:
@@ -97,10 +118,13 @@
     case soak_fault_kind::entry_kill:
     case soak_fault_kind::entry_freeze:
     case soak_fault_kind::store_link:
+    case soak_fault_kind::reloads_stop:
+    case soak_fault_kind::configs_stop:
         return size.entries;
     case soak_fault_kind::agent_stop:
     case soak_fault_kind::agent_kill:
     case soak_fault_kind::agent_freeze:
+    case soak_fault_kind::recovered_stop:
         return size.model_servers;
     case soak_fault_kind::server_leave:
     case soak_fault_kind::leaving_said:
@@ -117,7 +141,8 @@
     const auto holds = [this](const auto& kinds) {
         return std::find(kinds.begin(), kinds.end(), this->kind) != kinds.end();
     };
-    return holds(planned_kinds) || holds(said_kinds) || this->kind == soak_fault_kind::limit_said;
+    return holds(planned_kinds) || holds(said_kinds) || holds(stop_kinds) ||
+           this->kind == soak_fault_kind::limit_said;
 }
 
 std::string soak_fault::to_string() const
@@ -148,6 +173,25 @@
     return faults;
 }
 
+std::vector<soak_fault> draw_stop_series(unsigned seed, const soak_size& size, milliseconds length)
+{
+    std::mt19937 random(seed + stop_seed_offset);
+    const auto draw = [&](int below) {
+        return std::uniform_int_distribution<int>(0, std::max(0, below - 1))(random);
+    };
+    std::vector<soak_fault> faults(static_cast<std::size_t>(least_stops + draw(stops_range)));
+    for (soak_fault& fault : faults) {
+        fault.kind = stop_kinds[static_cast<std::size_t>(draw(stop_kinds.size()))];
+        fault.at = milliseconds(draw(static_cast<int>(length.count() * 3 / 4)));
+        fault.target = draw(targets_of(fault.kind, size));
+        fault.variant = std::uniform_real_distribution<double>(0, 1)(random);
+        fault.duration =
+            std::min(shortest_fault + milliseconds(draw(static_cast<int>(fault_range.count()))),
+                     length - fault.at);
+    }
+    return faults;
+}
+
 // A limit from the first second or two to the end, as it is checked only after some seconds.
 soak_fault draw_limit(unsigned seed, const soak_size& size, milliseconds length)
 {
@@ -188,6 +232,16 @@
     return seed % seeds_per_addition == crashing_request_seed;
 }
 
+bool draws_stops(unsigned seed)
+{
+    return seed >= first_stop_seed;
+}
+
+bool draws_starved_stops(unsigned seed)
+{
+    return draws_stops(seed) && seed % stop_seeds_per_starved_one == 1;
+}
+
 std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size, milliseconds length)
 {
     std::mt19937 random(seed);
@@ -224,6 +278,10 @@
     if (seed % seeds_per_addition == limit_seed) {
         faults.push_back(draw_limit(seed, size, length));
     }
+    if (draws_stops(seed)) {
+        const std::vector<soak_fault> stops = draw_stop_series(seed, size, length);
+        faults.insert(faults.end(), stops.begin(), stops.end());
+    }
     if (is_restored) {
         const std::vector<soak_fault> restored = draw_restorations(seed, length);
         faults.insert(faults.end(), restored.begin(), restored.end());
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -25,6 +25,17 @@
     leaving_said,
     hold_off_said,
     limit_said,
+    // All entries stop in turn, at a gap or each once the last one is back.
+    entries_roll,
+    // SIGHUP again and again, before a SIGTERM and during the grace.
+    reloads_stop,
+    // Desired states in series during the grace.
+    configs_stop,
+    // Model servers are replaced in turn; their group breaks and forms anew.
+    servers_roll,
+    // An entry stops as the group has just formed anew, or its agent does, too.
+    recovered_stop,
+    agents_roll,
     // Unplanned.
     entry_kill,
     entry_freeze,
@@ -74,6 +85,11 @@
 // Returns whether callers of this seed send requests with a prompt part that crashes servers.
 [[nodiscard]] bool draws_crashing_requests(unsigned seed);
 
+// Returns whether this seed plays stops in all their forms, with streams that last.
+[[nodiscard]] bool draws_stops(unsigned seed);
+// Returns whether entries get little processor time while they stop.
+[[nodiscard]] bool draws_starved_stops(unsigned seed);
+
 // Returns the faults by time. `length` is the time in which they begin and end.
 [[nodiscard]] std::vector<soak_fault> draw_faults(unsigned seed, const soak_size& size,
                                                   std::chrono::milliseconds length);
--- a/sardinestream/testing/soak/fault_series_test.cc
+++ b/sardinestream/testing/soak/fault_series_test.cc
@@ -60,5 +60,22 @@
     EXPECT_EQ(drawn.size(), 21U);
 }
 
+TEST(fault_series, stops_in_all_their_forms_are_drawn_and_planned)
+{
+    std::set<soak_fault_kind> drawn;
+    for (unsigned seed = 51000; seed < 51090; seed += 3) {
+        for (const soak_fault& fault : draw_faults(seed, soak_size(), length)) {
+            EXPECT_TRUE(fault.is_planned());
+            drawn.insert(fault.kind);
+        }
+    }
+    EXPECT_EQ(drawn.count(soak_fault_kind::entries_roll), 1U);
+    EXPECT_EQ(drawn.count(soak_fault_kind::reloads_stop), 1U);
+    EXPECT_EQ(drawn.count(soak_fault_kind::configs_stop), 1U);
+    EXPECT_EQ(drawn.count(soak_fault_kind::servers_roll), 1U);
+    EXPECT_EQ(drawn.count(soak_fault_kind::recovered_stop), 1U);
+    EXPECT_EQ(drawn.count(soak_fault_kind::agents_roll), 1U);
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -393,13 +393,14 @@
     return all;
 }
 
-double promise_ledger::success_share(steady_time since) const
+double promise_ledger::success_share(steady_time since, steady_time until) const
 {
     const absl::MutexLock lock(&this->mutex);
     int answered = 0;
     int succeeded = 0;
     for (const auto& [id, record] : this->requests) {
-        if (record.sent_at < since || record.left || record.request.crashes_servers) {
+        if (record.sent_at < since || record.sent_at > until || record.left ||
+            record.request.crashes_servers) {
             continue;
         }
         ++answered;
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -64,6 +64,8 @@
     bool crashes_servers = false;
     // The caller's time and its route's timeout.
     std::chrono::milliseconds timeout{3000};
+    // A stream goes on behind this event.
+    std::int64_t resumes_after = 0;
 };
 
 struct ledger_options {
@@ -88,9 +90,10 @@
     // The last byte of the request was written.
     void note_written(const std::string& id);
     // The connection to the entry ended without a complete answer after the request was written
-    // whole; `how` says in which way, kNotFound if nothing of an answer had come.
+    // whole; `how` says in which way, kNotFound if nothing of an answer had come, and `at` when.
     void note_lost(const std::string& id, const std::string& entry,
-                   const absl::Status& how = absl::NotFoundError("nothing came"));
+                   const absl::Status& how = absl::NotFoundError("nothing came"),
+                   steady_time at = steady_clock::now());
     void note_broken(const std::string& what);
 
     void note_arrival(const std::string& id, const std::string& service,
@@ -130,8 +133,8 @@
         int runs = 0;
     };
     [[nodiscard]] totals count() const;
-    // Successes against answers of requests that were sent since `since`, 0 to 1.
-    [[nodiscard]] double success_share(steady_time since) const;
+    // Successes against answers of requests that were sent between the two, 0 to 1.
+    [[nodiscard]] double success_share(steady_time since, steady_time until) const;
 
 private:
     // Trouble shows for so long after it has ended.
--- a/sardinestream/testing/soak/promise_ledger_stops.cc
+++ b/sardinestream/testing/soak/promise_ledger_stops.cc
@@ -34,10 +34,10 @@
 }
 
 void promise_ledger::note_lost(const std::string& id, const std::string& entry,
-                               const absl::Status& how)
+                               const absl::Status& how, steady_time at)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->lost_answers.push_back({id, entry, how, steady_clock::now()});
+    this->lost_answers.push_back({id, entry, how, at});
 }
 
 void promise_ledger::note_broke_off(const std::string& id)
@@ -118,14 +118,18 @@
     }
     const bool was_dropped = this->was_dropped(lost, record);
     const bool is_excused = promise_ledger::is_excused(lost, record);
-    // The latest signal says most about the loss.
-    for (auto signal = signals->second.rbegin(); signal != signals->second.rend(); ++signal) {
-        const bool counts = !is_excused && this->counts_around(*signal, record, lost.at);
-        if (counts || (was_dropped && signal->stops && signal->at <= lost.at)) {
-            all.push_back(describe(lost, record, *signal));
-            return;
+    // A stop says more about the loss than a reload, and the latest of each says most.
+    const planned_signal* telling = nullptr;
+    for (const planned_signal& signal : signals->second) {
+        const bool counts = !is_excused && this->counts_around(signal, record, lost.at);
+        const bool is_drop = was_dropped && signal.stops && signal.at <= lost.at;
+        if ((counts || is_drop) && (telling == nullptr || signal.stops || !telling->stops)) {
+            telling = &signal;
         }
     }
+    if (telling != nullptr) {
+        all.push_back(describe(lost, record, *telling));
+    }
 }
 
 std::string promise_ledger::describe(const lost_answer& lost, const request_record& record,
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "sardinestream/testing/emulator/wire_words.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 
@@ -27,6 +27,22 @@
 constexpr int topics = 5;
 // Of so many requests one has the crashing part, if it is a stream.
 constexpr int requests_per_crashing_one = 6;
+// Of callers that last: shares of what takes long, and how long it takes at most.
+constexpr double lasting_stream_share = 0.5;
+constexpr double resumed_share = 0.2;
+constexpr double slow_upload_share = 0.3;
+constexpr double slow_read_share = 0.15;
+constexpr double hurry_share = 0.4;
+constexpr milliseconds longest_upload{2000};
+constexpr milliseconds longest_read_pause{100};
+constexpr milliseconds longest_wait_to_read{1200};
+constexpr milliseconds longest_stay{200};
+constexpr milliseconds longest_lasting_stay{2000};
+constexpr milliseconds wait_step{5};
+constexpr int upload_pieces = 10;
+// Between the events of a stream that lasts.
+constexpr milliseconds shortest_pace{20};
+constexpr milliseconds pace_range{110};
 
 } // namespace
 
@@ -64,7 +80,9 @@
         const milliseconds wait = this->send_one();
         const auto spread = milliseconds(static_cast<std::int64_t>(
             static_cast<double>(this->options.pause.count()) * (0.5 + this->draw())));
-        std::this_thread::sleep_for(wait + spread);
+        if (!std::exchange(this->hurries, false)) {
+            std::this_thread::sleep_for(wait + spread);
+        }
     }
 }
 
@@ -74,6 +92,7 @@
     const int number = ++this->sent;
     request.id = absl::StrCat(this->options.name, "-", number);
     request.team = this->options.team;
+    request.timeout = this->options.timeout;
     request.body.assign(static_cast<std::size_t>(this->draw() * this->draw() * largest_body), 'b');
     const double kind = this->draw();
     if (kind < 0.35) {
@@ -83,6 +102,10 @@
         request.service = "assistant";
         request.most_servers = 3;
         this->add_prompt(request);
+        request.timeout = this->options.stream_timeout;
+        if (this->options.lasts) {
+            this->draw_lasting_stream(request);
+        }
         return request;
     }
     if (kind < 0.6) {
@@ -101,6 +124,30 @@
     return request;
 }
 
+void requester::draw_lasting_stream(sent_request& request)
+{
+    const std::int64_t events = events_of(request.target);
+    if (this->draw() < lasting_stream_share) {
+        const milliseconds pace =
+            shortest_pace + milliseconds(static_cast<std::int64_t>(
+                                this->draw() * static_cast<double>(pace_range.count())));
+        request.target = absl::StrCat("/chat/", pace.count(), "/", events);
+    }
+    if (this->draw() < resumed_share) {
+        request.resumes_after =
+            static_cast<std::int64_t>(this->draw() * static_cast<double>(events) / 2);
+    }
+}
+
+milliseconds requester::draw_delay(double share, milliseconds whole)
+{
+    if (!this->options.lasts || this->draw() >= share) {
+        return milliseconds(0);
+    }
+    return milliseconds(
+        static_cast<std::int64_t>(this->draw() * static_cast<double>(whole.count())));
+}
+
 void requester::add_prompt(sent_request& request) const
 {
     if (!this->options.sends_crashing_part) {
@@ -124,25 +171,70 @@
     return true;
 }
 
-std::string requester::encode(const sent_request& request)
+std::vector<std::string> requester::encode(const sent_request& request)
 {
     std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
     append_header(text, "Host", this->options.host);
     append_header(text, words::request_id, request.id);
     append_header(text, words::authorization, absl::StrCat(words::key_scheme, this->options.key));
-    append_header(text, words::time_left_ms, absl::StrCat(this->options.timeout.count()));
+    append_header(text, words::time_left_ms, absl::StrCat(request.timeout.count()));
     if (!request.prompt.empty()) {
         append_header(text, words::prompt_parts, request.prompt);
     }
-    if (request.method == "POST" && this->draw() < 0.3) {
-        append_header(text, "Transfer-Encoding", "chunked");
-        const std::string chunk = request.body.empty() ? "" : encode_chunk(request.body);
-        return absl::StrCat(text, "\r\n", chunk, "0\r\n\r\n");
+    if (request.resumes_after > 0) {
+        append_header(text, words::last_event_id, absl::StrCat(request.resumes_after));
+    }
+    if (request.method != "POST") {
+        return {absl::StrCat(text, "\r\n")};
+    }
+    const bool chunked = this->draw() < 0.3;
+    append_header(text, chunked ? "Transfer-Encoding" : "Content-Length",
+                  chunked ? "chunked" : absl::StrCat(request.body.size()));
+    std::vector<std::string> pieces = {absl::StrCat(text, "\r\n")};
+    const std::size_t size = request.body.size() / (this->options.lasts ? upload_pieces : 1) + 1;
+    for (std::size_t at = 0; at < request.body.size(); at += size) {
+        const std::string piece = request.body.substr(at, size);
+        pieces.push_back(chunked ? encode_chunk(piece) : piece);
     }
-    if (request.method == "POST") {
-        append_header(text, "Content-Length", absl::StrCat(request.body.size()));
+    if (chunked) {
+        pieces.emplace_back("0\r\n\r\n");
+    }
+    return pieces;
+}
+
+absl::Status requester::write_request(const sent_request& request, steady_time timeout)
+{
+    const std::vector<std::string> pieces = this->encode(request);
+    const milliseconds lasting =
+        pieces.size() > 1 ? this->draw_delay(slow_upload_share, longest_upload) : milliseconds(0);
+    if (lasting == milliseconds(0)) {
+        return this->open->socket.write_all(absl::StrJoin(pieces, ""), timeout, hangup_watch());
+    }
+    for (const std::string& piece : pieces) {
+        const absl::Status written = this->open->socket.write_all(piece, timeout, hangup_watch());
+        if (!written.ok()) {
+            return written;
+        }
+        if (&piece != &pieces.back()) {
+            std::this_thread::sleep_for(lasting / static_cast<int>(pieces.size() - 1));
+        }
+    }
+    return absl::OkStatus();
+}
+
+std::optional<steady_time> requester::wait_to_read()
+{
+    const hangup_watch watch(this->open->socket.descriptor());
+    const steady_time end =
+        steady_clock::now() + this->draw_delay(slow_read_share, longest_wait_to_read);
+    std::optional<steady_time> ended;
+    while (steady_clock::now() < end) {
+        if (!ended.has_value() && watch.has_hung_up()) {
+            ended = steady_clock::now();
+        }
+        std::this_thread::sleep_for(wait_step);
     }
-    return absl::StrCat(text, "\r\n", request.body);
+    return ended;
 }
 
 milliseconds requester::send_one()
@@ -154,19 +246,25 @@
     request.entry = this->open->entry.to_string();
     const bool leaves = this->draw() < this->options.leaving_share;
     const steady_time begun = steady_clock::now();
-    const steady_time timeout = begun + this->options.timeout + timeout_slack;
-    const steady_time until =
-        leaves ? begun + milliseconds(static_cast<std::int64_t>(this->draw() * 200)) : timeout;
+    const steady_time timeout = begun + request.timeout + timeout_slack;
+    const milliseconds stay = this->options.lasts ? longest_lasting_stay : longest_stay;
+    const steady_time until = leaves
+                                  ? begun + milliseconds(static_cast<std::int64_t>(
+                                                this->draw() * static_cast<double>(stay.count())))
+                                  : timeout;
     this->ledger.note_sent(request);
-    const std::string bytes = this->encode(request);
-    if (!this->open->socket.write_all(bytes, timeout, hangup_watch()).ok()) {
+    if (!this->write_request(request, timeout).ok()) {
         this->open.reset();
         return pause_after_failure;
     }
     this->ledger.note_written(request.id);
+    this->read_pause = this->draw_delay(slow_read_share, longest_read_pause);
+    const std::optional<steady_time> ended = this->wait_to_read();
     const absl::StatusOr<received_answer> answer = this->read_answer(request, until);
     if (answer.ok() && answer->whole) {
         this->ledger.note_answer(request.id, answer->status);
+        this->hurries = this->options.lasts && answer->keeps && is_success(answer->status) &&
+                        this->draw() < hurry_share;
         if (!answer->keeps) {
             this->open.reset();
         }
@@ -176,7 +274,8 @@
         this->ledger.note_left(request.id);
     }
     else {
-        this->ledger.note_lost(request.id, request.entry, answer.status());
+        this->ledger.note_lost(request.id, request.entry, answer.status(),
+                               ended.value_or(steady_clock::now()));
     }
     this->open->socket.abort();
     this->open.reset();
@@ -238,7 +337,7 @@
 absl::Status requester::read_stream(const sent_request& request, steady_time until)
 {
     std::string text;
-    std::int64_t next = 1;
+    std::int64_t next = request.resumes_after + 1;
     while (true) {
         const absl::StatusOr<bool> ended =
             this->open->reader.read_body_part(text, until, hangup_watch());
@@ -258,6 +357,7 @@
             ++next;
         }
         if (!*ended) {
+            std::this_thread::sleep_for(this->read_pause);
             continue;
         }
         if (next - 1 != events_of(request.target) || !text.empty()) {
--- a/sardinestream/testing/soak/requester.h
+++ b/sardinestream/testing/soak/requester.h
@@ -14,9 +14,11 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "sardinestream/http/message_reader.h"
 #include "sardinestream/http/socket.h"
@@ -41,8 +43,11 @@
     double leaving_share = 0.1;
     // Streams have prompts of several parts, and some of them the part that crashes servers.
     bool sends_crashing_part = false;
+    // Some streams, uploads and reads take seconds, and some requests follow an answer at once.
+    bool lasts = false;
     // Answers later than this after their route's timeout break a promise.
     std::chrono::milliseconds timeout{3000};
+    std::chrono::milliseconds stream_timeout{3000};
 };
 
 class requester {
@@ -81,7 +86,17 @@
     [[nodiscard]] bool connect();
     // Returns how long to wait before the next request.
     [[nodiscard]] std::chrono::milliseconds send_one();
-    [[nodiscard]] std::string encode(const sent_request& request);
+    // Returns what goes over the connection; an upload that lasts, in pieces.
+    [[nodiscard]] std::vector<std::string> encode(const sent_request& request);
+    [[nodiscard]] absl::Status write_request(const sent_request& request, steady_time timeout);
+    // Leaves the answer unread for a while, as a slow caller does. Returns when the connection
+    // ended meanwhile.
+    [[nodiscard]] std::optional<steady_time> wait_to_read();
+    // Makes a stream last, and lets it go on behind some event.
+    void draw_lasting_stream(sent_request& request);
+    // Returns a time below `whole`, zero for most requests and for callers that do not last.
+    [[nodiscard]] std::chrono::milliseconds draw_delay(double share,
+                                                       std::chrono::milliseconds whole);
     [[nodiscard]] absl::StatusOr<received_answer> read_answer(const sent_request& request,
                                                               steady_time until);
     [[nodiscard]] absl::Status read_stream(const sent_request& request, steady_time until);
@@ -93,6 +108,10 @@
     std::mt19937 random;
     std::unique_ptr<connection> open;
     int sent = 0;
+    // Between two parts of the answer that is being read.
+    std::chrono::milliseconds read_pause{0};
+    // The next request follows at once.
+    bool hurries = false;
     std::atomic<bool> stopping = false;
     std::thread thread;
 };
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/testing/soak/soak_fleet.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <thread>
@@ -40,17 +41,19 @@
 // Of the servers to the store; a silent one is removed after three.
 constexpr int heartbeat_ms = 400;
 constexpr milliseconds ready_timeout{20000};
+constexpr milliseconds ready_time_per_process{200};
+constexpr milliseconds plain_timeout{3000};
 constexpr milliseconds step{10};
 
 json route_json(const std::string& name, const std::string& prefix, const std::string& kind,
-                const std::string& service)
+                const std::string& service, milliseconds timeout = plain_timeout)
 {
     return {{"name", name},
             {"host", soak_host},
             {"path-prefix", prefix},
             {"kind", kind},
             {"service", service},
-            {"timeout-ms", 3000},
+            {"timeout-ms", timeout.count()},
             {"target-latency-ms", 300},
             {"target-gap-ms", kind == "streaming" ? 200 : 0},
             {"attempts", 3},
@@ -135,11 +138,18 @@
     return this->wait_until_ready();
 }
 
-absl::Status soak_fleet::start_servers()
+rank_group_options soak_fleet::group_options() const
 {
     rank_group_options group;
     group.name = "g1";
     group.shape.ranks = this->size.model_servers;
+    group.shape.experts = std::max(group.shape.experts, 2 * this->size.model_servers);
+    return group;
+}
+
+absl::Status soak_fleet::start_servers()
+{
+    const rank_group_options group = this->group_options();
     this->ranks = std::make_unique<rank_group>(
         group, [this](const std::string& what) { this->ledger.note_broken("map: " + what); });
     for (int i = 0; i < this->size.model_servers; ++i) {
@@ -214,19 +224,19 @@
 void soak_fleet::write_config()
 {
     const std::string service = this->moved ? "till-b" : "till-a";
-    rank_group_options group;
-    group.shape.ranks = this->size.model_servers;
-    const json state = {{"version", ++this->config_version},
-                        {"routes",
-                         {route_json("chat", "/chat/", "streaming", "assistant"),
-                          route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
-                          route_json("stock", "/stock/", "idempotent", "till-a"),
-                          route_json("moving", "/moving/", "idempotent", service)}},
-                        {"services",
-                         {{{"name", "assistant"}, {"engine", engine_json(group)}},
-                          {{"name", "till-a"}},
-                          {{"name", "till-b"}}}},
-                        {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
+    const rank_group_options group = this->group_options();
+    const json state = {
+        {"version", ++this->config_version},
+        {"routes",
+         {route_json("chat", "/chat/", "streaming", "assistant", this->size.stream_timeout),
+          route_json("deposits", "/deposits/", "non_idempotent", "till-a"),
+          route_json("stock", "/stock/", "idempotent", "till-a"),
+          route_json("moving", "/moving/", "idempotent", service)}},
+        {"services",
+         {{{"name", "assistant"}, {"engine", engine_json(group)}},
+          {{"name", "till-a"}},
+          {{"name", "till-b"}}}},
+        {"tenants", {{{"name", soak_team}, {"api-keys", {soak_key}}}}}};
     this->store->put(words::config_kind, words::config_name, state);
     this->ledger.note_config(service);
 }
@@ -312,7 +322,9 @@
 
 absl::Status soak_fleet::wait_until_ready()
 {
-    const steady_time deadline = steady_clock::now() + ready_timeout;
+    const int processes = this->size.entries + this->size.model_servers;
+    const steady_time deadline =
+        steady_clock::now() + ready_timeout + processes * ready_time_per_process;
     for (int i = 0; i < this->size.entries; ++i) {
         while (!this->is_ready(i)) {
             if (steady_clock::now() > deadline) {
@@ -376,8 +388,9 @@
 
 absl::Status soak_fleet::heal()
 {
-    // What ends a fault is due at the latest after the longest one and a planned stop.
-    const steady_time longest = steady_clock::now() + this->size.grace + std::chrono::seconds(4);
+    // What ends a fault is due at the latest after the longest one and planned stops in turn.
+    const steady_time longest =
+        steady_clock::now() + this->size.entries * (this->size.grace + std::chrono::seconds(4));
     while (!this->due.empty() && steady_clock::now() < longest) {
         this->run_until(steady_clock::now() + step);
     }
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -93,6 +93,8 @@
 
     [[nodiscard]] absl::Status start();
     [[nodiscard]] absl::Status claim_network();
+    // The group of all model servers.
+    [[nodiscard]] rank_group_options group_options() const;
     [[nodiscard]] absl::Status start_servers();
     [[nodiscard]] absl::Status start_server(backend_options options);
     [[nodiscard]] absl::Status start_programs();
@@ -116,16 +118,30 @@
     // Notes a process that has not ended with status zero and the last line of a stop.
     void check_end(const program_node& node);
     void note_overdue(const program_node& node);
+    // Holds the process for most of the time until it is gone.
+    void starve(program_node& node, pid_t starved);
+    void stop_entry(int index);
+    void roll_entries(int next, const soak_fault& fault);
+    // Goes on once the entry is back.
+    void roll_entries_after(int index, const soak_fault& fault);
+    void stop_amid_reloads(const soak_fault& fault);
+    void stop_amid_configs(int index);
+    void roll_servers(std::size_t next, const soak_fault& fault);
+    void roll_agents(const soak_fault& fault);
+    // An entry stops `delay` after the group runs again, its agent where `target` names one.
+    void stop_when_recovered(std::chrono::milliseconds delay, const soak_fault& fault);
+    void strike_stops(const soak_fault& fault);
     void reload_program(program_node& node);
     void restart_when_gone(program_node& node);
     void kill_program(program_node& node, std::chrono::milliseconds away);
     void freeze_program(program_node& node, std::chrono::milliseconds away);
-    void leave_server(server_node& node);
+    // The server is away for so long before it is replaced.
+    void leave_server(server_node& node, std::chrono::milliseconds away = {});
     void say_leaving(server_node& node, const soak_fault& fault);
     void hold_off(server_node& node, const soak_fault& fault);
     void name_limit(server_node& node, const soak_fault& fault);
     // A leaving server ends, and another takes its place.
-    void replace_server(server_node& node);
+    void replace_server(server_node& node, std::chrono::milliseconds away = {});
     void return_server(server_node& node, const std::string& id);
     void crash_server(server_node& node, const soak_fault& fault);
     // Ends the servers that have begun to answer a request with the crashing part.
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -147,7 +147,7 @@
     this->list_server(node);
 }
 
-void soak_fleet::leave_server(server_node& node)
+void soak_fleet::leave_server(server_node& node, milliseconds away)
 {
     if (node.struck || !this->has_other_server(node)) {
         return;
@@ -155,16 +155,21 @@
     node.struck = true;
     node.server->set_draining(true);
     this->list_server(node);
-    this->replace_server(node);
+    this->replace_server(node, away);
 }
 
-void soak_fleet::replace_server(server_node& node)
+void soak_fleet::replace_server(server_node& node, milliseconds away)
 {
-    this->after(drain_time, [this, &node] {
+    this->after(drain_time, [this, &node, away] {
         this->store->remove(words::servers_kind, node.server->id());
         node.server->stop();
         const auto number = &node - this->servers.data();
-        this->return_server(node, absl::StrCat("i-", number, "-", ++node.starts));
+        const std::string id = absl::StrCat("i-", number, "-", ++node.starts);
+        if (away == milliseconds(0)) {
+            this->return_server(node, id);
+            return;
+        }
+        this->after(away, [this, &node, id] { this->return_server(node, id); });
     });
 }
 
@@ -352,6 +357,14 @@
     case soak_fault_kind::agent_freeze:
         this->strike_program(fault);
         return;
+    case soak_fault_kind::entries_roll:
+    case soak_fault_kind::reloads_stop:
+    case soak_fault_kind::configs_stop:
+    case soak_fault_kind::servers_roll:
+    case soak_fault_kind::recovered_stop:
+    case soak_fault_kind::agents_roll:
+        this->strike_stops(fault);
+        return;
     default:
         this->strike_surroundings(fault);
         return;
--- a/sardinestream/testing/soak/soak_fleet_stops.cc
+++ b/sardinestream/testing/soak/soak_fleet_stops.cc
@@ -1,4 +1,5 @@
-// Planned stops of the soak: processes that get SIGTERM end well within their grace.
+// Planned stops of the soak, alone and amid other planned work. A process that gets SIGTERM ends
+// within its grace, or is killed as the users do.
 
 #include "sardinestream/testing/soak/soak_fleet.h"
 
@@ -13,6 +14,20 @@
 constexpr milliseconds step{10};
 constexpr milliseconds second_notice{300};
 constexpr char last_event[] = "event=stopped";
+// A process that is starved runs for the rest of each period.
+constexpr milliseconds starved_period{100};
+constexpr milliseconds starved_time{60};
+constexpr milliseconds reload_gap{60};
+constexpr int reloads = 20;
+constexpr milliseconds config_gap{150};
+constexpr int config_changes = 10;
+constexpr milliseconds latest_after_recovery{400};
+constexpr milliseconds longest_away{1200};
+
+milliseconds scaled(milliseconds whole, double share)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
 
 } // namespace
 
@@ -41,9 +56,155 @@
             }
         });
     }
+    if (this->size.starves_stops && !node.entry.empty()) {
+        this->starve(node, node.run->id());
+    }
     this->await_end(node, kill_at);
 }
 
+void soak_fleet::starve(program_node& node, pid_t starved)
+{
+    if (!node.run->alive() || node.run->id() != starved) {
+        return;
+    }
+    node.run->freeze();
+    this->after(starved_time, [this, &node, starved] {
+        if (node.run->id() != starved) {
+            return;
+        }
+        node.run->wake();
+        this->after(starved_period - starved_time,
+                    [this, &node, starved] { this->starve(node, starved); });
+    });
+}
+
+void soak_fleet::stop_entry(int index)
+{
+    program_node& node = this->entry_nodes[static_cast<std::size_t>(index)];
+    if (!node.struck) {
+        this->stop_program(node, false);
+    }
+}
+
+void soak_fleet::roll_entries(int next, const soak_fault& fault)
+{
+    constexpr double at_gap_share = 0.5;
+    if (next == this->size.entries) {
+        return;
+    }
+    this->stop_entry(next);
+    if (fault.variant < at_gap_share) {
+        this->after(fault.duration, [this, next, fault] { this->roll_entries(next + 1, fault); });
+        return;
+    }
+    this->roll_entries_after(next, fault);
+}
+
+void soak_fleet::roll_entries_after(int index, const soak_fault& fault)
+{
+    if (this->entry_nodes[static_cast<std::size_t>(index)].struck || !this->is_ready(index)) {
+        this->after(step, [this, index, fault] { this->roll_entries_after(index, fault); });
+        return;
+    }
+    this->after(fault.duration, [this, index, fault] { this->roll_entries(index + 1, fault); });
+}
+
+void soak_fleet::stop_amid_reloads(const soak_fault& fault)
+{
+    program_node& node = this->entry_nodes[static_cast<std::size_t>(fault.target)];
+    const pid_t told = node.run->id();
+    for (int i = 0; i < reloads; ++i) {
+        this->after(i * reload_gap, [this, &node, told] {
+            if (node.run->id() == told && node.run->alive()) {
+                this->reload_program(node);
+            }
+        });
+    }
+    this->after(scaled(reloads * reload_gap / 2, fault.variant), [this, &node, told] {
+        if (node.run->id() == told && !node.struck) {
+            this->stop_program(node, false);
+        }
+    });
+}
+
+void soak_fleet::stop_amid_configs(int index)
+{
+    this->stop_entry(index);
+    for (int i = 0; i < config_changes; ++i) {
+        this->after(i * config_gap, [this] {
+            this->moved = !this->moved;
+            this->write_config();
+        });
+    }
+}
+
+void soak_fleet::roll_servers(std::size_t next, const soak_fault& fault)
+{
+    if (next == static_cast<std::size_t>(this->size.model_servers)) {
+        return;
+    }
+    this->leave_server(this->servers[next], step + scaled(longest_away, fault.variant));
+    this->after(fault.duration, [this, next, fault] { this->roll_servers(next + 1, fault); });
+}
+
+void soak_fleet::roll_agents(const soak_fault& fault)
+{
+    milliseconds delay{0};
+    for (program_node& node : this->agent_nodes) {
+        this->after(delay, [this, &node] {
+            if (!node.struck) {
+                this->stop_program(node, false);
+            }
+        });
+        delay += fault.duration;
+    }
+}
+
+void soak_fleet::stop_when_recovered(milliseconds delay, const soak_fault& fault)
+{
+    constexpr double with_agent_share = 0.5;
+    const server_node& server = this->servers[static_cast<std::size_t>(fault.target)];
+    if (server.struck || !this->ranks->is_open()) {
+        this->after(step, [this, delay, fault] { this->stop_when_recovered(delay, fault); });
+        return;
+    }
+    this->after(delay, [this, fault] {
+        this->stop_entry(fault.target % this->size.entries);
+        program_node& agent = this->agent_nodes[static_cast<std::size_t>(fault.target)];
+        if (fault.variant < with_agent_share && !agent.struck) {
+            this->stop_program(agent, false);
+        }
+    });
+}
+
+void soak_fleet::strike_stops(const soak_fault& fault)
+{
+    switch (fault.kind) {
+    case soak_fault_kind::entries_roll:
+        this->roll_entries(0, fault);
+        return;
+    case soak_fault_kind::reloads_stop:
+        this->stop_amid_reloads(fault);
+        return;
+    case soak_fault_kind::configs_stop:
+        this->stop_amid_configs(fault.target);
+        return;
+    case soak_fault_kind::servers_roll:
+        this->roll_servers(0, fault);
+        return;
+    case soak_fault_kind::recovered_stop:
+        this->leave_server(this->servers[static_cast<std::size_t>(fault.target)],
+                           step + scaled(longest_away, fault.variant));
+        this->stop_when_recovered(
+            scaled(latest_after_recovery, static_cast<double>(fault.duration.count() % 100) / 100),
+            fault);
+        return;
+    default:
+        this->roll_agents(fault);
+        return;
+    }
+}
+
 void soak_fleet::await_end(program_node& node, steady_time kill_at)
 {
     if (!node.run->alive()) {
--- a/sardinestream/testing/soak/soak_main.cc
+++ b/sardinestream/testing/soak/soak_main.cc
@@ -5,6 +5,7 @@
 // Exits with 0 where every promise was kept, with 1 otherwise. A seed that failed runs again with
 // SARDINE_KEEP_LOGS=1 set to keep the logs of its processes.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -24,17 +25,34 @@
 DEFINE_int32(length_ms, 8000, "Time in which faults begin and end");
 DEFINE_int32(entries, 2, "Entries");
 DEFINE_int32(model_servers, 4, "Model servers, each with an agent; one group");
+DEFINE_int32(processes, 0,
+             "Entries and agents in all, one entry for three agents; 0 leaves it to --entries and "
+             "--model_servers");
 DEFINE_int32(plain_servers, 4, "Plain servers of two services");
 DEFINE_int32(requesters, 12, "Callers");
 
 namespace sardinestream::testing {
 namespace {
 
+soak_size make_size()
+{
+    constexpr int processes_per_entry = 4;
+    soak_size size;
+    size.entries = FLAGS_entries;
+    size.model_servers = FLAGS_model_servers;
+    size.plain_servers = FLAGS_plain_servers;
+    if (FLAGS_processes > 0) {
+        size.entries = std::max(2, FLAGS_processes / processes_per_entry);
+        size.model_servers = std::max(1, FLAGS_processes - size.entries);
+    }
+    return size;
+}
+
 bool run_one(unsigned seed)
 {
     soak_options options;
     options.seed = seed;
-    options.size = {FLAGS_entries, FLAGS_model_servers, FLAGS_plain_servers};
+    options.size = make_size();
     options.length = std::chrono::milliseconds(FLAGS_length_ms);
     options.requesters = FLAGS_requesters;
     const soak_verdict verdict = run_soak(options);
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -18,6 +18,10 @@
 constexpr milliseconds recovery_bound{15000};
 constexpr milliseconds recovery_window{1000};
 constexpr double recovered_share = 0.95;
+// Where stops are played in all their forms, streams last for seconds.
+constexpr std::chrono::seconds stop_grace{8};
+constexpr milliseconds lasting_stream_timeout{8000};
+constexpr milliseconds longest_lasting_answer{6000};
 
 std::vector<std::unique_ptr<requester>>
 start_requesters(const soak_options& options, const soak_fleet& fleet, promise_ledger& ledger)
@@ -33,6 +37,9 @@
         chosen.team = soak_team;
         chosen.name = absl::StrCat("c", i);
         chosen.sends_crashing_part = draws_crashing_requests(options.seed);
+        chosen.lasts = draws_stops(options.seed);
+        chosen.stream_timeout =
+            chosen.lasts ? lasting_stream_timeout : requester_options().stream_timeout;
         chosen.seed = options.seed * 1000 + static_cast<unsigned>(i);
         all.push_back(std::make_unique<requester>(std::move(chosen), ledger));
         all.back()->start();
@@ -40,14 +47,15 @@
     return all;
 }
 
-void wait_for_recovery(soak_fleet& fleet, promise_ledger& ledger)
+// `longest_answer` is how long answers to sound requests may last.
+void wait_for_recovery(soak_fleet& fleet, promise_ledger& ledger, milliseconds longest_answer)
 {
     const steady_time bound = steady_clock::now() + recovery_bound;
     double share = 0;
     while (steady_clock::now() < bound) {
         const steady_time begun = steady_clock::now();
-        fleet.run_until(begun + recovery_window);
-        share = ledger.success_share(begun - recovery_window / 2);
+        fleet.run_until(begun + recovery_window + longest_answer);
+        share = ledger.success_share(begun - recovery_window / 2, begun + recovery_window);
         if (share >= recovered_share) {
             return;
         }
@@ -63,6 +71,12 @@
     soak_verdict verdict;
     verdict.faults = draw_faults(options.seed, options.size, options.length);
     soak_size size = options.size;
+    const bool stops = draws_stops(options.seed);
+    if (stops) {
+        size.grace = stop_grace;
+        size.stream_timeout = lasting_stream_timeout;
+        size.starves_stops = draws_starved_stops(options.seed);
+    }
     ledger_options promises;
     promises.grace = size.grace;
     promise_ledger ledger{promises};
@@ -85,7 +99,7 @@
     if (!healed.ok()) {
         ledger.note_broken(absl::StrCat("recover: ", healed.message()));
     }
-    wait_for_recovery(**fleet, ledger);
+    wait_for_recovery(**fleet, ledger, stops ? longest_lasting_answer : milliseconds(0));
     for (const std::unique_ptr<requester>& caller : callers) {
         caller->stop();
     }
