What a stop passes on is judged by how long answers take

What callers saw: streams that were passed on while an entry stopped and cut at the end of its grace, when their service was slow (under load, or just after a group had recovered); and requests refused with seconds of time left when it was quick.

Cause: shutdown_would_cut compared the time left with a constant, 4.5 s for streams and 2 s for other requests that may be repeated, whatever the pace of the service and the size of the request.

Change: answer_times learns for each service and kind of request how long the latest answers took (at most 200, of the last 60 s), from the sending to the end; the part of a stream after its first event is scaled to the request's tokens. The estimate is a quarter above the 99th percentile, at least 250 ms and the route's latency target. Fewer than ten samples, or sizes of more than twice those seen, do not lower it below the constants. Answers that run, or were broken off, and have taken longer raise it if they are an eighth of those running. It decides on arrival, while a request waits, and when it has a server. A request that must not run twice keeps its rule; an answer that has begun is never refused. Each refusal writes one line, refused_by_stop, and the status page shows the estimates. The shutdown part of exchange is a file of its own.

Why it works: a refusal costs the caller a retry delay at another entry, a cut the whole answer; the estimate follows the service in both directions, and a stall raises it although only quick answers end then.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -21,9 +21,6 @@
 constexpr int max_wait_in_latency_targets = 4;
 // Minimum time that a server needs from a free slot to the first event.
 constexpr milliseconds min_time_to_first_event{400};
-// Nearly all streams complete within this time.
-constexpr milliseconds typical_stream_duration{4500};
-constexpr milliseconds typical_answer_duration{2000};
 constexpr int http_unavailable = 503;
 // A request fails after this many refusals by servers.
 constexpr int max_refusals = 4;
@@ -39,12 +36,6 @@
     return absl::IsDataLoss(cause) || absl::IsNotFound(cause) || absl::IsUnavailable(cause);
 }
 
-absl::Status shutting_down(const std::string& service)
-{
-    return make_error(absl::StatusCode::kResourceExhausted, "place", service,
-                      "process is shutting down");
-}
-
 std::string reason_of(attempt_state state)
 {
     switch (state) {
@@ -124,23 +115,6 @@
     return std::min(this->deadline, this->services.shutdown_deadline());
 }
 
-bool exchange::shutdown_would_cut() const
-{
-    if (this->response_started) {
-        return false;
-    }
-    const steady_time now = steady_clock::now();
-    const bool runs_once =
-        this->matched_route.kind != request_kind::streaming && !this->matched_route.may_run_again();
-    const milliseconds typical = this->matched_route.kind == request_kind::streaming
-                                     ? typical_stream_duration
-                                     : typical_answer_duration;
-    // What must not run twice is passed on only if it can take all of its time.
-    const steady_time ends_by =
-        runs_once ? this->deadline : std::min(this->deadline, now + typical);
-    return ends_by > this->services.shutdown_deadline();
-}
-
 placement_request exchange::make_placement_request() const
 {
     placement_request wanted;
@@ -249,8 +223,10 @@
     }
     // Other requests may have shown in the meantime that this one crashes servers, and a shutdown
     // may have begun.
-    absl::Status refused =
-        this->shutdown_would_cut() ? shutting_down(this->admitted.service) : check();
+    absl::Status refused = this->check_shutdown();
+    if (refused.ok()) {
+        refused = check();
+    }
     if (!refused.ok()) {
         this->services.servers.finish(*placed, attempt_result::abandoned, milliseconds(0));
         return refused;
@@ -260,10 +236,8 @@
 
 absl::StatusOr<placement> exchange::wait_for_server()
 {
-    if (this->shutdown_would_cut()) {
-        // Another entry can serve the request to its end.
-        return shutting_down(this->admitted.service);
-    }
+    // Another entry can serve the request to its end.
+    SARDINE_RETURN_IF_ERROR(this->check_shutdown());
     placement_request wanted = this->make_placement_request();
     steady_time give_up_at = this->deadline;
     if (this->matched_route.kind == request_kind::streaming) {
@@ -323,6 +297,9 @@
     }
     this->retry_granted = false;
     record.started = steady_clock::now();
+    if (!this->possibly_executed) {
+        this->measured.emplace(this->services.answer_durations, this->shape(), record.started);
+    }
     const absl::StatusOr<bool> written =
         (*connection)
             ->socket.write_message_until_answer(this->encode_request_head(server),
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/forwarding/answer_time.h"
 #include "sardinestream/forwarding/caller_request.h"
 #include "sardinestream/forwarding/connection_pool.h"
 #include "sardinestream/forwarding/crash_guard.h"
@@ -48,6 +49,7 @@
     crash_guard& crashes;
     // The requests that are being served.
     open_requests& open;
+    answer_times& answer_durations;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
 };
@@ -114,8 +116,14 @@
     // Ends the attempt of a stream whose server delays its group, if another server is free and can
     // be reserved for the rest of the stream. Returns whether it was ended.
     [[nodiscard]] bool try_move_stream(attempt_record& record);
+    // Returns what is known of the request's answer before it begins.
+    [[nodiscard]] answer_shape shape() const;
+    // Returns how long an answer to the request is expected to take from `now` on.
+    [[nodiscard]] answer_estimate estimate_answer(steady_time now) const;
     // Returns whether a planned shutdown leaves too little time for a request that starts now.
     [[nodiscard]] bool shutdown_would_cut() const;
+    // Returns a refusal, and logs it, if a planned shutdown would cut the request.
+    [[nodiscard]] absl::Status check_shutdown() const;
     // Returns the end of the request: its deadline, or the end of a planned shutdown.
     [[nodiscard]] steady_time answer_deadline() const;
     [[nodiscard]] next_action run_attempt(attempt_record& record);
@@ -216,6 +224,8 @@
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
     std::chrono::milliseconds total_queue_time{0};
+    // Runs from the first attempt that may have run the request; unset before.
+    std::optional<answer_times::measurement> measured;
 };
 
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -81,6 +81,7 @@
     }
     const bool success = is_success(head.status);
     if (success) {
+        this->measured->end(steady_clock::now(), true);
         // A failure may have been answered before the server came to what crashes it.
         this->note_sound(record);
     }
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -124,6 +124,7 @@
         const std::string complete = this->events.take_events();
         if (!complete.empty()) {
             last_event = steady_clock::now();
+            this->measured->note_first_event(last_event);
             const absl::Status sent = this->send_events(head, complete);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
@@ -152,6 +153,7 @@
             continue;
         }
         record.result = attempt_result::succeeded;
+        this->measured->end(steady_clock::now(), true);
         reusable = head.keeps_alive();
         const absl::Status finished = this->finish_stream(head);
         this->log_attempt(record, "streamed");
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -141,6 +141,7 @@
                                      this->response_memory,
                                      this->crashes,
                                      this->in_progress,
+                                     this->answer_durations,
                                      [] {}};
         frontend_options hooks;
         hooks.current_state = [this] { return this->state; };
@@ -231,6 +232,7 @@
         *this->registry,
         {[this](const address&) { return this->servers_have_crashed.load(); }, [] {}}};
     open_requests in_progress;
+    answer_times answer_durations;
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -124,6 +124,7 @@
         this->response_memory,
         this->crashes,
         this->in_progress,
+        this->answer_durations,
         [this] { this->gossip->announce(); }};
     frontend_options front_options;
     front_options.current_state = [this] { return this->state.get(); };
@@ -334,9 +335,18 @@
                              {"retry_tokens", this->retries.left()},
                              {"waiting", this->servers.waiting()},
                              {"requests_open", this->in_progress.size()}};
+    const steady_time now = steady_clock::now();
     for (const auto& [service, outlook] : this->servers.availabilities()) {
+        const answer_estimate stream =
+            this->answer_durations.estimate({service, request_kind::streaming}, now);
+        const answer_estimate lookup =
+            this->answer_durations.estimate({service, request_kind::idempotent}, now);
         status["services"][service] = {{"condition", std::string(name_of(outlook.condition))},
-                                       {"unserved_ms", outlook.unserved_time.count()}};
+                                       {"unserved_ms", outlook.unserved_time.count()},
+                                       {"stream_estimate_ms", stream.duration.count()},
+                                       {"stream_samples", stream.samples},
+                                       {"lookup_estimate_ms", lookup.duration.count()},
+                                       {"lookup_samples", lookup.samples}};
     }
     for (const dispatcher::server_summary& one : this->servers.summary()) {
         status["servers"].push_back({{"id", one.server.id},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -134,6 +134,7 @@
     message_memory response_memory;
     // The requests that are being served.
     open_requests in_progress;
+    answer_times answer_durations;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
