--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -15,23 +15,7 @@
 
 using std::chrono::milliseconds;
 
-// Callers abandon a stream if the next event takes longer than the greatest of this and these
-// multiples of the route's targets.
-constexpr milliseconds max_wait_for_event{2000};
-constexpr int max_wait_in_latency_targets = 4;
-constexpr int max_wait_in_pause_targets = 8;
-// Minimum time that a server needs from a free slot to the first event.
-constexpr milliseconds min_time_to_first_event{400};
-// Nearly all streams complete within this time.
-constexpr milliseconds typical_stream_duration{4500};
-constexpr milliseconds typical_answer_duration{2000};
 constexpr int http_unavailable = 503;
-// After this many refusals by servers, a request fails, or pauses before each further attempt if
-// its answer has begun.
-constexpr int max_refusals = 4;
-constexpr milliseconds refusal_pause{200};
-// How often it is asked whether a request may leave its silent server.
-constexpr milliseconds silence_check{200};
 
 void log_notable_event(absl::string_view event, std::initializer_list<log_field> fields)
 {
@@ -44,12 +28,6 @@
     return absl::IsDataLoss(cause) || absl::IsNotFound(cause) || absl::IsUnavailable(cause);
 }
 
-absl::Status shutting_down(const std::string& service)
-{
-    return make_error(absl::StatusCode::kResourceExhausted, "place", service,
-                      "process is shutting down");
-}
-
 std::string reason_of(attempt_state state)
 {
     switch (state) {
@@ -130,189 +108,6 @@
     return std::min(this->deadline, this->services.shutdown_deadline());
 }
 
-bool exchange::shutdown_would_cut() const
-{
-    if (this->response_started) {
-        return false;
-    }
-    const steady_time now = steady_clock::now();
-    const bool runs_once =
-        this->matched_route.kind != request_kind::streaming && !this->matched_route.may_run_again();
-    const milliseconds typical = this->matched_route.kind == request_kind::streaming
-                                     ? typical_stream_duration
-                                     : typical_answer_duration;
-    // What must not run twice is passed on only if it can take all of its time.
-    const steady_time ends_by =
-        runs_once ? this->deadline : std::min(this->deadline, now + typical);
-    return ends_by > this->services.shutdown_deadline();
-}
-
-placement_request exchange::make_placement_request() const
-{
-    placement_request wanted;
-    wanted.service = this->admitted.service;
-    wanted.priority = this->admitted.priority;
-    wanted.has_begun = this->response_started;
-    wanted.excluded_ids = this->tried_ids;
-    wanted.is_obsolete = [this] {
-        return this->shutdown_would_cut() || steady_clock::now() >= this->answer_deadline();
-    };
-    return wanted;
-}
-
-bool exchange::reserve(placement other)
-{
-    this->reserved = std::move(other);
-    if (!this->services.take_retry(this->admitted.service)) {
-        this->release_reserved();
-        return false;
-    }
-    this->retry_granted = true;
-    return true;
-}
-
-void exchange::release_reserved()
-{
-    if (this->reserved.has_value()) {
-        const placement unused = *std::exchange(this->reserved, std::nullopt);
-        this->services.servers.finish(unused, attempt_result::abandoned, milliseconds(0));
-    }
-}
-
-bool exchange::may_leave_silent_server(const backend_server& server) const
-{
-    const std::string& service = this->admitted.service;
-    // The other ranks of a group that stands still are as silent; it usually goes on in time.
-    const bool group_may_go_on =
-        steady_clock::now() < this->caller_leaves_at() - min_time_to_first_event &&
-        this->services.servers.is_group_silent(server);
-    if (group_may_go_on) {
-        return false;
-    }
-    // A shutdown would end the request at another server sooner than at this one.
-    return !this->shutdown_would_cut() && this->can_retry(attempt_state::possibly_executed) &&
-           !this->services.servers.stands_still(service) && this->services.has_retry(service) &&
-           this->services.crashes.check(this->admitted.request, service).ok();
-}
-
-bool exchange::find_other_server(server_connection& connection, const attempt_record& record)
-{
-    if (this->may_leave_silent_server(record.placed.server)) {
-        return this->wait_for_other_server(connection, record);
-    }
-    this->wait_for_first_byte(connection, steady_clock::now() + silence_check);
-    return false;
-}
-
-bool exchange::wait_for_other_server(server_connection& connection, const attempt_record& record)
-{
-    placement_request wanted = this->make_placement_request();
-    wanted.excluded_ids.push_back(record.placed.server.id);
-    const absl::StatusOr<std::unique_ptr<dispatcher::queued_request>> queued =
-        dispatcher::queued_request::create(this->services.servers, std::move(wanted));
-    if (!queued.ok()) {
-        log_failure("silent_server_kept", queued.status(),
-                    {{"request", this->admitted.request.id}});
-        this->wait_for_first_byte(connection, steady_clock::now() + silence_check);
-        return false;
-    }
-    const steady_time asks_until = steady_clock::now() + silence_check;
-    while (true) {
-        std::optional<placement> other = (*queued)->take();
-        if (other.has_value()) {
-            return this->reserve(*std::move(other));
-        }
-        const steady_time now = steady_clock::now();
-        if (connection.reader.has_surplus() || connection.socket.has_input_or_end() ||
-            this->caller_watch.has_hung_up() || now >= asks_until ||
-            now >= this->answer_deadline() || this->shutdown_would_cut()) {
-            return false;
-        }
-        wait_for_any_input({connection.socket.descriptor(), (*queued)->descriptor()},
-                           this->caller_watch, now + dispatcher::recheck_interval);
-    }
-}
-
-bool exchange::try_move_stream(attempt_record& record)
-{
-    const backend_server& server = record.placed.server;
-    if (this->services.is_stopping() || !this->can_retry(attempt_state::possibly_executed) ||
-        !this->services.servers.delays_its_group(server)) {
-        return false;
-    }
-    placement_request wanted = this->make_placement_request();
-    wanted.excluded_ids.push_back(server.id);
-    std::optional<placement> other = this->services.servers.place_if_free(wanted);
-    if (!other.has_value() || !this->reserve(*std::move(other))) {
-        return false;
-    }
-    this->possibly_executed = true;
-    this->events.drop_undelivered();
-    record.result = attempt_result::abandoned;
-    this->log_attempt(record, "rank delays its group");
-    count("sardine_retries_total", {{"service", this->admitted.service}, {"reason", "slow_rank"}});
-    return true;
-}
-
-absl::StatusOr<placement> exchange::place()
-{
-    const auto check = [this] {
-        return this->services.crashes.check(this->admitted.request, this->admitted.service);
-    };
-    if (!this->reserved.has_value()) {
-        SARDINE_RETURN_IF_ERROR(check());
-    }
-    absl::StatusOr<placement> placed = this->reserved.has_value()
-                                           ? *std::exchange(this->reserved, std::nullopt)
-                                           : this->wait_for_server();
-    if (!placed.ok()) {
-        return placed;
-    }
-    // Other requests may have shown in the meantime that this one crashes servers, and a shutdown
-    // may have begun.
-    absl::Status refused =
-        this->shutdown_would_cut() ? shutting_down(this->admitted.service) : check();
-    if (!refused.ok()) {
-        this->services.servers.finish(*placed, attempt_result::abandoned, milliseconds(0));
-        return refused;
-    }
-    return placed;
-}
-
-absl::StatusOr<placement> exchange::wait_for_server()
-{
-    if (this->shutdown_would_cut()) {
-        // Another entry can serve the request to its end.
-        return shutting_down(this->admitted.service);
-    }
-    if (this->response_started && this->servers_refused >= max_refusals) {
-        wait_for_any_input({}, this->caller_watch, steady_clock::now() + refusal_pause);
-    }
-    placement_request wanted = this->make_placement_request();
-    steady_time give_up_at = this->deadline;
-    if (this->matched_route.kind == request_kind::streaming) {
-        give_up_at = std::min(give_up_at, this->caller_leaves_at() - min_time_to_first_event);
-    }
-    else {
-        give_up_at = steady_clock::now() + (give_up_at - steady_clock::now()) / 2;
-    }
-    if (this->response_started) {
-        // Its caller may stay longer than expected; nothing is lost by trying.
-        give_up_at = std::max(give_up_at, steady_clock::now() + min_time_to_first_event);
-    }
-    give_up_at = std::min(give_up_at, this->answer_deadline());
-    wanted.max_wait = milliseconds(milliseconds_until(give_up_at));
-    return this->services.servers.place(wanted, this->caller_watch);
-}
-
-steady_time exchange::caller_leaves_at() const
-{
-    return this->last_delivery +
-           std::max({max_wait_for_event,
-                     max_wait_in_latency_targets * this->matched_route.latency_target,
-                     max_wait_in_pause_targets * this->matched_route.pause_target});
-}
-
 std::string exchange::encode_request_head(const backend_server& server) const
 {
     const caller_request& request = this->admitted.request;
@@ -352,6 +147,9 @@
     }
     this->retry_granted = false;
     record.started = steady_clock::now();
+    if (!this->possibly_executed) {
+        this->measured.emplace(this->services.answer_durations, this->shape(), record.started);
+    }
     const absl::StatusOr<bool> written =
         (*connection)
             ->socket.write_message_until_answer(this->encode_request_head(server),
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -121,6 +121,7 @@
         if (!complete.empty()) {
             silent_since = steady_clock::now();
             this->services.servers.note_event(record.placed.server);
+            this->measured->note_first_event(silent_since);
             const absl::Status sent = this->send_events(head, complete);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
@@ -149,6 +150,7 @@
             continue;
         }
         record.result = attempt_result::succeeded;
+        this->measured->end(steady_clock::now(), true);
         reusable = head.keeps_alive();
         const absl::Status finished = this->finish_stream(head);
         this->log_attempt(record, "streamed");
