An entry that stops waits for requests that it is still reading

What callers saw: a stream whose body was still arriving as the older interface's entry was told to stop was run by a server, and its answer cut: the connection closed without an end.

Cause: `wait_until_idle` counted a request from the moment at which its body was read whole. With nothing else in progress, the server was stopped 100 ms into the drain; the rest of the body was still read, the request was passed on, and the HTTP library truncates every streamed answer of a server that stops.

Why it works: a request counts from its first byte until its answer has been written whole, so that the server isn't stopped before; new requests are refused all the while, and the drain timeout bounds it.

--- a/sardinestream/base/http_connection.cc
+++ b/sardinestream/base/http_connection.cc
@@ -158,7 +158,9 @@
         if (!stream.wait_readable(stop_check_interval)) {
             continue;
         }
+        ++this->open_requests;
         served = this->process_request(stream, false, closed, nullptr);
+        --this->open_requests;
         closed = closed || closes_after_answer;
         idle_until = absl::Now() + keep_alive;
     }
--- a/sardinestream/base/http_connection.h
+++ b/sardinestream/base/http_connection.h
@@ -7,6 +7,7 @@
 #define SARDINESTREAM_BASE_HTTP_CONNECTION_H_
 
 #include <array>
+#include <atomic>
 #include <string>
 
 #include <httplib.h>
@@ -59,8 +60,15 @@
 
 // The library's server, with connections served through `connection_stream`.
 class connection_server : public httplib::Server {
+public:
+    // Returns the number of requests of which a byte has arrived and whose answer has not yet been
+    // written whole. Thread-safe.
+    [[nodiscard]] int requests() const { return this->open_requests; }
+
 private:
     bool process_and_close_socket(socket_t accepted) override;
+
+    std::atomic<int> open_requests{0};
 };
 
 } // namespace sardinestream
--- a/sardinestream/base/http_server.h
+++ b/sardinestream/base/http_server.h
@@ -67,7 +67,8 @@
     void start();
 
     // Stops accepting, lets handlers in progress finish, and returns when every connection has
-    // ended; idle ones end within `keep_alive`. Thread-safe; later calls wait as well.
+    // ended; idle ones end within `keep_alive`. Streamed answers are truncated: wait until
+    // `requests` is zero first. Thread-safe; later calls wait as well.
     void stop();
 
     // Returns the bound address; its port is never zero.
@@ -76,6 +77,9 @@
     // Returns the number of connections currently being served or refused. Thread-safe.
     [[nodiscard]] int connections() const { return *this->open_connections; }
 
+    // Returns the number of requests that are being read, handled or answered. Thread-safe.
+    [[nodiscard]] int requests() const { return this->server.requests(); }
+
 private:
     explicit http_server(http_server_options configured);
 
--- a/sardinestream/base/http_server_test.cc
+++ b/sardinestream/base/http_server_test.cc
@@ -188,6 +188,23 @@
     EXPECT_EQ(answers.find("HTTP/1.1"), answers.rfind("HTTP/1.1")) << answers;
 }
 
+TEST(http_server_test, a_request_of_which_half_has_arrived_counts)
+{
+    const auto server = start_server({}, [](const httplib::Request&, httplib::Response&) {});
+    const raw_caller caller(server->local());
+    const std::string body = "0123456789";
+    EXPECT_EQ(server->requests(), 0);
+    EXPECT_TRUE(caller.write(upload_head(body.size()) + body.substr(5)));
+    while (server->requests() == 0) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    EXPECT_TRUE(caller.write(body.substr(0, 5)));
+    EXPECT_THAT(caller.read_to_end(), ::testing::StartsWith("HTTP/1.1 404"));
+    while (server->requests() != 0) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+}
+
 TEST(http_server_test, second_listener_on_the_address_fails)
 {
     const auto server = start_server({}, [](const httplib::Request&, httplib::Response&) {});
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -276,16 +276,16 @@
     return absl::OkStatus();
 }
 
-// Waits until no request is in progress or until `deadline`. Stopping the server earlier would
-// truncate streamed responses. A request that is still being read is not counted yet, so two
-// consecutive polls must find no request.
+// Waits until no request is being read, handled or answered, or until `deadline`. Stopping the
+// server earlier would truncate streamed responses. A request whose first byte is just arriving is
+// not counted yet, so two consecutive polls must find no request.
 void wait_until_idle(entry_process& process, std::chrono::steady_clock::time_point deadline)
 {
     constexpr absl::Duration poll_interval = absl::Milliseconds(50);
     int idle_polls = 0;
     while (idle_polls < 2 && std::chrono::steady_clock::now() < deadline) {
         absl::SleepFor(poll_interval);
-        idle_polls = process.front->in_flight() == 0 ? idle_polls + 1 : 0;
+        idle_polls = process.http->requests() == 0 ? idle_polls + 1 : 0;
     }
 }
 
@@ -297,8 +297,9 @@
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
     process.refusing = true;
-    wait_until_idle(process, received + absl::ToChronoMilliseconds(process.settings.drain_delay +
-                                                                   process.settings.drain_timeout));
+    const auto deadline = received + absl::ToChronoMilliseconds(process.settings.drain_delay +
+                                                                process.settings.drain_timeout);
+    wait_until_idle(process, deadline);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.shares->stop();
--- a/sardinestream/testing/fault_matrix.h
+++ b/sardinestream/testing/fault_matrix.h
@@ -62,7 +62,9 @@
 [[nodiscard]] std::vector<matrix_cell> once_cells();
 [[nodiscard]] std::vector<matrix_cell> stream_cells();
 [[nodiscard]] std::vector<matrix_cell> catalogue_cells();
+// Includes `entry_stop_cells`.
 [[nodiscard]] std::vector<matrix_cell> stop_cells();
+[[nodiscard]] std::vector<matrix_cell> entry_stop_cells();
 [[nodiscard]] std::vector<matrix_cell> map_cells();
 [[nodiscard]] std::vector<matrix_cell> all_cells();
 
--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -339,7 +339,7 @@
 
 std::vector<matrix_cell> stop_cells()
 {
-    std::vector<matrix_cell> cells;
+    std::vector<matrix_cell> cells = entry_stop_cells();
     for (const stop_target target :
          {stop_target::model_agent, stop_target::plain_agent, stop_target::entry}) {
         for (const char* step : {"notice", "refuse", "drain", "exit"}) {
