A stream that outlasts an entry's drain ends with an error event

What callers saw: a stream that was still going when the drain timeout of the older interface's entry was over ended in the middle, with a closed connection and no word of it. A request whose body arrived whole only then was passed on to a server, and its answer cut in the same way.

Cause: the HTTP library truncates streamed answers once its server stops; nothing told the streams before.

The refusal of a body that arrives after the drain timeout has no test.

Why it works: at the drain timeout the entry has 300 ms in which every stream ends with `event: error`, code stream_cut, and each request that has just been read is refused as not run, before the server is stopped.

--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -29,6 +29,8 @@
 namespace {
 
 constexpr absl::Duration retry_when_full = absl::Seconds(1);
+// For streams that outlast the drain to end with an error event.
+constexpr std::chrono::milliseconds time_for_final_events{300};
 
 // Everything that a running entry owns, in order of construction.
 struct entry_process {
@@ -300,6 +302,8 @@
     const auto deadline = received + absl::ToChronoMilliseconds(process.settings.drain_delay +
                                                                 process.settings.drain_timeout);
     wait_until_idle(process, deadline);
+    process.front->end_streams();
+    wait_until_idle(process, deadline + time_for_final_events);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.shares->stop();
--- a/sardinestream/requests/http_front.cc
+++ b/sardinestream/requests/http_front.cc
@@ -58,11 +58,24 @@
                                   {"message", refused.message}});
 }
 
+// Returns the error that ends a stream which outlasts the drain of this process.
+refusal refusal_of_ended_stream()
+{
+    refusal reason;
+    reason.code = refusal_code::stream_cut;
+    reason.outcome = run_outcome::unknown;
+    reason.step = "drain";
+    reason.message = "the entry stops";
+    return reason;
+}
+
 // Streams a completion to one caller as server-sent events.
 class event_stream {
 public:
-    event_stream(std::unique_ptr<completion> started, std::atomic<int>& counter)
-        : work(std::move(started)), counted(counter)
+    // Ends with an error event once `end` is true.
+    event_stream(std::unique_ptr<completion> started, std::atomic<int>& counter,
+                 const std::atomic<bool>& end)
+        : work(std::move(started)), counted(counter), ending(end)
     {
     }
 
@@ -70,6 +83,12 @@
     bool write_next(httplib::DataSink& sink)
     {
         completion_part part = this->work->next(absl::Now() + caller_check_interval);
+        if (std::holds_alternative<nothing_yet>(part) ||
+            std::holds_alternative<token_event>(part)) {
+            if (this->ending) {
+                part = refusal_of_ended_stream();
+            }
+        }
         if (std::holds_alternative<nothing_yet>(part)) {
             return this->caller_is_there(sink);
         }
@@ -111,13 +130,14 @@
 
     const std::unique_ptr<completion> work;
     const in_flight_guard counted;
+    const std::atomic<bool>& ending;
 };
 
 // Streams the events of a completion to the caller as they arrive.
 void stream_completion(std::unique_ptr<completion> work, std::atomic<int>& counter,
-                       httplib::Response& answer)
+                       const std::atomic<bool>& ending, httplib::Response& answer)
 {
-    auto events = std::make_shared<event_stream>(std::move(work), counter);
+    auto events = std::make_shared<event_stream>(std::move(work), counter, ending);
     answer.set_header("Cache-Control", "no-store");
     answer.set_chunked_content_provider(event_stream_type,
                                         [events](std::size_t /*offset*/, httplib::DataSink& sink) {
@@ -219,6 +239,12 @@
                                                        const httplib::Request& http,
                                                        httplib::Response& answer) const
 {
+    if (this->ending) {
+        answer_refusal(
+            refuse_unread(http, refusal_code::draining, "read_http", not_ready_retry_after), "",
+            answer);
+        return std::nullopt;
+    }
     auto snapshot = this->current_snapshot();
     if (snapshot == nullptr) {
         answer_refusal(
@@ -250,7 +276,7 @@
         return;
     }
     if (work->request().stream) {
-        stream_completion(std::move(work), this->active, answer);
+        stream_completion(std::move(work), this->active, this->ending, answer);
         return;
     }
     answer_whole(*work, answer);
--- a/sardinestream/requests/http_front.h
+++ b/sardinestream/requests/http_front.h
@@ -40,6 +40,10 @@
     // Registers the routes for callers. This object must outlive `server`.
     void add_routes(httplib::Server& server);
 
+    // From now on, refuses each request before it is passed on, and ends each stream with an error
+    // event, which tells its caller that it isn't whole. Thread-safe.
+    void end_streams() { this->ending = true; }
+
     // Returns the number of requests in progress.
     [[nodiscard]] int in_flight() const { return this->active; }
 
@@ -58,6 +62,7 @@
     const std::function<std::shared_ptr<const catalogue::catalogue_snapshot>()> current_snapshot;
     const request_services services;
     std::atomic<int> active{0};
+    std::atomic<bool> ending{false};
 };
 
 // Returns the JSON form of a refusal.
--- a/sardinestream/testing/entry_stop_cells.cc
+++ b/sardinestream/testing/entry_stop_cells.cc
@@ -11,6 +11,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/error.h"
 #include "sardinestream/testing/fault_matrix.h"
 
 #include "absl/strings/match.h"
@@ -24,6 +25,8 @@
 using nlohmann::json;
 
 constexpr int stream_tokens = 40;
+// Takes far longer than the entry waits.
+constexpr int long_stream_tokens = 1000;
 constexpr char json_type[] = "application/json";
 
 // A completion whose body arrives in two parts.
@@ -105,12 +108,52 @@
                          " attempts=", attempts, " exit=", exit.value_or(-1))};
 }
 
+// A stream that outlasts the drain of its entry ends with an error event, not in the middle.
+cell_verdict run_long_stream(fleet& servers)
+{
+    process& target = *servers.entry(0).run;
+    absl::Notification begun;
+    const auto on_token = [&begun](int index) {
+        if (index == 0) {
+            begun.Notify();
+        }
+        return true;
+    };
+    std::future<stream_answer> stream = std::async(std::launch::async, [&] {
+        return servers.caller_of(0).stream(
+            {.prompt = "long", .max_tokens = long_stream_tokens, .on_token = on_token});
+    });
+    begun.WaitForNotification();
+    target.terminate();
+    const stream_answer answer = stream.get();
+    const std::optional<int> exit = target.wait_for_exit();
+    const bool told = answer.end == stream_end::error && answer.error.code == "stream_cut";
+    return {told && answer.right_so_far() && exit == 0,
+            absl::StrCat("stream=", answer.summary(), " exit=", exit.value_or(-1))};
+}
+
+cell_verdict run_long_stream_on_own_fleet()
+{
+    fleet_options options;
+    options.token_time = absl::Milliseconds(20);
+    options.entry_flags = {"--drain_timeout_s=1"};
+    const absl::StatusOr<std::unique_ptr<fleet>> servers = fleet::create(options);
+    if (!servers.ok()) {
+        return {false, absl::StrCat("fleet=", peer_of(servers.status()))};
+    }
+    return run_long_stream(**servers);
+}
+
 } // namespace
 
 std::vector<matrix_cell> entry_stop_cells()
 {
-    return {{"stop_entry", "upload", "none", [](fleet_holder& fleets, const std::string& cell) {
+    return {{"stop_entry", "upload", "none",
+             [](fleet_holder& fleets, const std::string& cell) {
                  return on_fleet(fleets, [&](fleet& servers) { return run_upload(servers, cell); });
+             }},
+            {"stop_entry", "timeout", "none", [](fleet_holder& /*fleets*/, const std::string&) {
+                 return run_long_stream_on_own_fleet();
              }}};
 }
 
