The older interface's programs end without tearing down their log

What was seen: sardine-agent ended with signal 11 (status 139) after its drain, when all its requests had ended.

Cause: `finish_logging` closes the queue of log lines on a thread of its own, and may return before that thread has ended. main returned, and the static objects of the log and of APR were destroyed under it: all crashes that the kernel recorded are in apr_pool_destroy.

Why it works: the programs end by exit_process, as those on the platform do: it writes the queued lines and runs no destructors of statics.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -13,6 +13,7 @@
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/ops_server.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/catalogue/catalogue_service.h"
 #include "sardinestream/catalogue/status_page.h"
@@ -207,11 +208,13 @@
 {
     using namespace sardinestream;
     shutdown_signal signal = shutdown_signal::install();
-    return run_instance<agent::agent_settings>("sardine-agent",
-                                               agent::load_agent_settings(&argc, &argv),
-                                               [&signal](const agent::agent_settings& settings) {
-                                                   agent::agent_process process;
-                                                   process.settings = settings;
-                                                   return agent::run(process, signal);
-                                               });
+    const int status = run_instance<agent::agent_settings>(
+        "sardine-agent", agent::load_agent_settings(&argc, &argv),
+        [&signal](const agent::agent_settings& settings) {
+            agent::agent_process process;
+            process.settings = settings;
+            return agent::run(process, signal);
+        });
+    // Threads that still end may log: the log must not be destroyed under them.
+    exit_process(status);
 }
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -12,6 +12,7 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/base/ops_server.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/catalogue/catalogue_service.h"
 #include "sardinestream/catalogue/status_page.h"
@@ -342,11 +343,13 @@
 {
     using namespace sardinestream;
     shutdown_signal signal = shutdown_signal::install();
-    return run_instance<entry::entry_settings>("sardine-entry",
-                                               entry::load_entry_settings(&argc, &argv),
-                                               [&signal](const entry::entry_settings& settings) {
-                                                   entry::entry_process process;
-                                                   process.settings = settings;
-                                                   return entry::run(process, signal);
-                                               });
+    const int status = run_instance<entry::entry_settings>(
+        "sardine-entry", entry::load_entry_settings(&argc, &argv),
+        [&signal](const entry::entry_settings& settings) {
+            entry::entry_process process;
+            process.settings = settings;
+            return entry::run(process, signal);
+        });
+    // Threads that still end may log: the log must not be destroyed under them.
+    exit_process(status);
 }
