--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -12,6 +12,7 @@
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/base/ops_server.h"
+#include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/catalogue/catalogue_service.h"
 #include "sardinestream/catalogue/status_page.h"
@@ -29,6 +30,8 @@
 namespace {
 
 constexpr absl::Duration retry_when_full = absl::Seconds(1);
+// For streams that outlast the drain to end with an error event.
+constexpr std::chrono::milliseconds time_for_final_events{300};
 
 // Everything that a running entry owns, in order of construction.
 struct entry_process {
@@ -276,16 +279,16 @@
     return absl::OkStatus();
 }
 
-// Waits until no request is in progress or until `deadline`. Stopping the server earlier would
-// truncate streamed responses. A request that is still being read is not counted yet, so two
-// consecutive polls must find no request.
+// Waits until no request is being read, handled or answered, or until `deadline`. Stopping the
+// server earlier would truncate streamed responses. A request whose first byte is just arriving is
+// not counted yet, so two consecutive polls must find no request.
 void wait_until_idle(entry_process& process, std::chrono::steady_clock::time_point deadline)
 {
     constexpr absl::Duration poll_interval = absl::Milliseconds(50);
     int idle_polls = 0;
     while (idle_polls < 2 && std::chrono::steady_clock::now() < deadline) {
         absl::SleepFor(poll_interval);
-        idle_polls = process.front->in_flight() == 0 ? idle_polls + 1 : 0;
+        idle_polls = process.http->requests() == 0 ? idle_polls + 1 : 0;
     }
 }
 
@@ -297,8 +300,11 @@
     process.leaving = true;
     absl::SleepFor(process.settings.drain_delay);
     process.refusing = true;
-    wait_until_idle(process, received + absl::ToChronoMilliseconds(process.settings.drain_delay +
-                                                                   process.settings.drain_timeout));
+    const auto deadline = received + absl::ToChronoMilliseconds(process.settings.drain_delay +
+                                                                process.settings.drain_timeout);
+    wait_until_idle(process, deadline);
+    process.front->end_streams();
+    wait_until_idle(process, deadline + time_for_final_events);
     process.http->stop();
     log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
     process.shares->stop();
@@ -337,11 +343,13 @@
 {
     using namespace sardinestream;
     shutdown_signal signal = shutdown_signal::install();
-    return run_instance<entry::entry_settings>("sardine-entry",
-                                               entry::load_entry_settings(&argc, &argv),
-                                               [&signal](const entry::entry_settings& settings) {
-                                                   entry::entry_process process;
-                                                   process.settings = settings;
-                                                   return entry::run(process, signal);
-                                               });
+    const int status = run_instance<entry::entry_settings>(
+        "sardine-entry", entry::load_entry_settings(&argc, &argv),
+        [&signal](const entry::entry_settings& settings) {
+            entry::entry_process process;
+            process.settings = settings;
+            return entry::run(process, signal);
+        });
+    // Threads that still end may log: the log must not be destroyed under them.
+    exit_process(status);
 }
