A stop passes on nothing to a service that is not serving

What callers saw: a request that came while an entry stopped and its service stood still or recovered waited there and was passed on afterwards, into the rush after a recovery, with the time that was left of the grace.

Cause: shutdown_would_cut looked at the time left alone, and the dispatcher lets requests wait while a service recovers.

Change: while a process stops, a request that no server may have run is refused with 503 at once, on arrival and when it has got a server, if its service is recovering or down (dispatcher::availabilities) or stands still. The cause is in the refused_by_stop line.

Why it works: no one knows when such a service serves again, and another entry can wait for it without an end of its own.

--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -120,9 +120,12 @@
     [[nodiscard]] answer_shape shape() const;
     // Returns how long an answer to the request is expected to take from `now` on.
     [[nodiscard]] answer_estimate estimate_answer(steady_time now) const;
+    // Returns whether the service is not known to serve requests at the moment.
+    [[nodiscard]] bool service_is_unavailable() const;
     // Returns whether a planned shutdown leaves too little time for a request that starts now.
     [[nodiscard]] bool shutdown_would_cut() const;
-    // Returns a refusal, and logs it, if a planned shutdown would cut the request.
+    // Returns a refusal, and logs it, if a planned shutdown would cut the request or its service
+    // does not serve while the shutdown lasts.
     [[nodiscard]] absl::Status check_shutdown() const;
     // Returns the end of the request: its deadline, or the end of a planned shutdown.
     [[nodiscard]] steady_time answer_deadline() const;
--- a/sardinestream/forwarding/exchange_stop.cc
+++ b/sardinestream/forwarding/exchange_stop.cc
@@ -38,19 +38,34 @@
     return now + this->estimate_answer(now).duration > ends_at;
 }
 
+bool exchange::service_is_unavailable() const
+{
+    const std::string& service = this->admitted.service;
+    const std::map<std::string, service_availability> all = this->services.servers.availabilities();
+    const auto found = all.find(service);
+    return found == all.end() || found->second.condition != service_condition::serving ||
+           this->services.servers.stands_still(service);
+}
+
 absl::Status exchange::check_shutdown() const
 {
-    if (!this->shutdown_would_cut()) {
+    const steady_time ends_at = this->services.shutdown_deadline();
+    if (ends_at == steady_time::max() || this->response_started) {
         return absl::OkStatus();
     }
-    const answer_estimate estimate = this->estimate_answer(steady_clock::now());
-    log_event("refused_by_stop",
-              {{"request", this->admitted.request.id},
-               {"service", this->admitted.service},
-               {"cause", "time left"},
-               {"estimate_ms", estimate.duration.count()},
-               {"samples", estimate.samples},
-               {"left_ms", milliseconds_until(this->services.shutdown_deadline())}});
+    const bool would_cut = this->shutdown_would_cut();
+    // What a server may have run gets no truthful refusal any more.
+    if (!would_cut && (this->possibly_executed || !this->service_is_unavailable())) {
+        return absl::OkStatus();
+    }
+    const steady_time now = steady_clock::now();
+    const answer_estimate estimate = this->estimate_answer(now);
+    log_event("refused_by_stop", {{"request", this->admitted.request.id},
+                                  {"service", this->admitted.service},
+                                  {"cause", would_cut ? "time left" : "service not serving"},
+                                  {"estimate_ms", estimate.duration.count()},
+                                  {"samples", estimate.samples},
+                                  {"left_ms", milliseconds_until(ends_at)}});
     return make_error(absl::StatusCode::kResourceExhausted, "place", this->admitted.service,
                       "process is shutting down");
 }
--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -15,6 +15,7 @@
 constexpr char server_ip[] = "127.0.0.1";
 // More than it takes to know the pace of a service.
 constexpr int enough_answers = 12;
+constexpr milliseconds form_time{1000};
 
 class stop_admission_test : public frontend_test {
 protected:
@@ -137,5 +138,23 @@
     other.abort();
 }
 
+// Guards against a promise by a process that stops while the service stands still.
+TEST_F(stop_admission_test, a_request_for_a_service_that_stands_still_is_refused_at_once)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->report_rank(server_ip, 1, true);
+    this->ends_at = steady_clock::now() + milliseconds(7000);
+    std::thread agent([this] {
+        std::this_thread::sleep_for(form_time);
+        this->report_rank(server_ip, 1, false);
+    });
+    const caller_answer refused = this->call("/tell/", "r1");
+    EXPECT_EQ(refused.head.status, 503);
+    EXPECT_TRUE(find_header(refused.head.headers, "Retry-After").has_value());
+    EXPECT_EQ(this->asked, 0);
+    agent.join();
+    EXPECT_EQ(this->call("/tell/", "r2").head.status, 200);
+}
+
 } // namespace
 } // namespace sardinestream
