Streams of the soak stand still as long as a group of the users does

A rank of the soak broke its streams off 500 ms after its group had stopped, so that no entry ever met a server that stays silent for longer and then goes on. The users name 1,500 ms.

Change: the emulated server takes the time as an option.

--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -18,8 +18,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// A rank that waits so long for a pass answers, or breaks off.
-constexpr milliseconds stall{500};
 constexpr milliseconds mute_time{20000};
 // An order without an answer.
 constexpr milliseconds order_silence{80};
@@ -395,7 +393,7 @@
     }
     std::string text = encode_answer_head(head);
     for (std::int64_t number = run.resumed_after + 1; number <= last; ++number) {
-        const bool passed = stream.wait_for_pass(steady_clock::now() + stall);
+        const bool passed = stream.wait_for_pass(steady_clock::now() + this->options.stall);
         const bool alive = connection.work_for(milliseconds(0)) && (!mute || number == 1);
         if (!passed || !alive || number > cut_after) {
             // A mute server keeps the connection, the others break off.
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -105,6 +105,8 @@
     address local;
     int slots = 8;
     std::chrono::milliseconds work_time{20};
+    // A rank that waits so long for a pass answers, or breaks off.
+    std::chrono::milliseconds stall{500};
     // Set for model servers.
     rank_group* group = nullptr;
     int rank = 0;
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -65,6 +65,8 @@
     std::chrono::seconds grace{4};
     // Of the route that streams take.
     std::chrono::milliseconds stream_timeout{3000};
+    // Streams are silent for so long, while their group is broken, before their server breaks off.
+    std::chrono::milliseconds stall{500};
     // Entries that stop get little processor time.
     bool starves_stops = false;
 };
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -158,6 +158,7 @@
         options.local = {this->ip(model_group, i + 1), server_port};
         options.group = this->ranks.get();
         options.rank = i;
+        options.stall = this->size.stall;
         SARDINE_RETURN_IF_ERROR(this->start_server(options));
     }
     for (int i = 0; i < this->size.plain_servers; ++i) {
--- a/sardinestream/testing/soak/soak_fleet_stops.cc
+++ b/sardinestream/testing/soak/soak_fleet_stops.cc
@@ -22,7 +22,8 @@
 constexpr milliseconds config_gap{150};
 constexpr int config_changes = 10;
 constexpr milliseconds latest_after_recovery{400};
-constexpr milliseconds longest_away{1200};
+// Some stays are so short that the streams of the group go on after it, others are not.
+constexpr milliseconds longest_away{1800};
 
 milliseconds scaled(milliseconds whole, double share)
 {
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -22,6 +22,7 @@
 constexpr std::chrono::seconds stop_grace{8};
 constexpr milliseconds lasting_stream_timeout{8000};
 constexpr milliseconds longest_lasting_answer{6000};
+constexpr milliseconds lasting_stall{1500};
 
 std::vector<std::unique_ptr<requester>>
 start_requesters(const soak_options& options, const soak_fleet& fleet, promise_ledger& ledger)
@@ -74,6 +75,7 @@
     const bool stops = draws_stops(options.seed);
     if (stops) {
         size.grace = stop_grace;
+        size.stall = lasting_stall;
         size.stream_timeout = lasting_stream_timeout;
         size.starves_stops = draws_starved_stops(options.seed);
     }
