`stopped` is the last line of a process

A thread that follows the store could write after the stop's last line; 200 ms to write what is queued is little on a busy machine, too.

Change: log_last_event writes the last event and drops what comes later; 400 ms for what is queued, still within the grace.

Evidence: nothing_follows_the_last_event logs from another thread all the while and passes; the eight tests of log_test pass.

--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -16,6 +17,8 @@
 #include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/settings.h"
 
+#include "absl/strings/match.h"
+
 namespace sardinestream {
 namespace {
 
@@ -100,6 +103,38 @@
     }
 }
 
+// Runs in a separate process: exits while another thread logs, and with 0 if nothing follows the
+// last event.
+void exit_while_others_log()
+{
+    int ends[2];
+    if (::pipe(ends) != 0 || ::dup2(ends[1], STDOUT_FILENO) < 0) {
+        std::_Exit(2);
+    }
+    start_logging(log_level::info, "entry", "front-1");
+    std::thread([] {
+        while (true) {
+            log_event("servers_known", {{"servers", 3}});
+            std::this_thread::sleep_for(std::chrono::microseconds(200));
+        }
+    }).detach();
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    log_last_event("stopped", {});
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    finish_logging(std::chrono::milliseconds(2000));
+    std::string written(1U << 20U, ' ');
+    const ssize_t length = ::read(ends[0], written.data(), written.size());
+    written.resize(static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+    std::_Exit(absl::EndsWith(written, "event=stopped\n") ? 0 : 1);
+}
+
+// Guards against logs whose end does not tell how the process ended.
+TEST(log_test, nothing_follows_the_last_event)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(exit_while_others_log(), testing::ExitedWithCode(0), "");
+}
+
 void log_to_stalled_reader_and_exit()
 {
     int ends[2];
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -18,6 +18,7 @@
 
 #include "sardinestream/base/error.h"
 
+#include "absl/base/thread_annotations.h"
 #include "absl/strings/escaping.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
@@ -44,6 +45,29 @@
     return instance;
 }
 
+// Whether the last event has been written. A line is queued while `mutex` is held for reading, so
+// that none follows the last event.
+struct log_end {
+    absl::Mutex mutex;
+    bool is_over ABSL_GUARDED_BY(mutex) = false;
+};
+
+log_end& end_of_log()
+{
+    // Never destroyed, since threads may log until the process is gone.
+    static log_end* const instance = new log_end();
+    return *instance;
+}
+
+void queue_line(const log4cxx::LevelPtr& level, const std::string& line)
+{
+    log_end& end = end_of_log();
+    const absl::ReaderMutexLock lock(&end.mutex);
+    if (!end.is_over) {
+        logger()->forcedLog(level, line);
+    }
+}
+
 log4cxx::LevelPtr to_level(log_level level)
 {
     switch (level) {
@@ -182,7 +206,16 @@
     if (!logger()->isEnabledFor(native_level)) {
         return;
     }
-    logger()->forcedLog(native_level, format_event(event, fields));
+    queue_line(native_level, format_event(event, fields));
+}
+
+void log_last_event(absl::string_view event, std::initializer_list<log_field> fields)
+{
+    log_end& end = end_of_log();
+    const absl::MutexLock lock(&end.mutex);
+    if (!std::exchange(end.is_over, true)) {
+        logger()->forcedLog(log4cxx::Level::getInfo(), format_event(event, fields));
+    }
 }
 
 bool line_budget::take(std::int64_t second)
@@ -233,7 +266,7 @@
     append_field(line, {"step", step_of(status)});
     append_field(line, {"peer", peer_of(status)});
     append_field(line, {"message", std::string(status.message())});
-    logger()->forcedLog(log4cxx::Level::getWarn(), line);
+    queue_line(log4cxx::Level::getWarn(), line);
 }
 
 } // namespace sardinestream
--- a/sardinestream/base/log.h
+++ b/sardinestream/base/log.h
@@ -48,7 +48,7 @@
 void finish_logging(std::chrono::milliseconds max_wait);
 
 // How long an exiting process waits for its last lines to be written.
-inline constexpr std::chrono::milliseconds max_exit_log_wait{200};
+inline constexpr std::chrono::milliseconds max_exit_log_wait{400};
 
 // Changes the minimum level that is logged. Thread-safe.
 void set_log_minimum(log_level minimum);
@@ -60,6 +60,9 @@
 void log_event(absl::string_view event, std::initializer_list<log_field> fields,
                log_level level = log_level::info);
 
+// Writes the last event of the process; whatever is logged later is dropped. Thread-safe.
+void log_last_event(absl::string_view event, std::initializer_list<log_field> fields);
+
 // Writes one event of a kind that occurs for every successful request, at most
 // `most_routine_lines` per second; events above this limit are counted and reported in one
 // `lines_left_out` line per second. Thread-safe.
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -68,7 +68,7 @@
     log_event("stopping", {{"delay_ms", milliseconds_since(received)}});
     program.stop();
     worker.join();
-    log_event("stopped", {});
+    log_last_event("stopped", {});
     exit_process(0);
 }
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -400,10 +400,10 @@
                                     {"requests", this->in_progress.size()}});
     const bool idle = this->caller_frontend->wait_until_idle(received + grace - exit_margin);
     this->log_unfinished_requests();
-    log_event("stopped", {{"idle", idle ? "yes" : "no"},
-                          {"after_ms", milliseconds_since(received)},
-                          {"connections", this->caller_frontend->connections()},
-                          {"requests", this->in_progress.size()}});
+    log_last_event("stopped", {{"idle", idle ? "yes" : "no"},
+                               {"after_ms", milliseconds_since(received)},
+                               {"connections", this->caller_frontend->connections()},
+                               {"requests", this->in_progress.size()}});
 }
 
 } // namespace sardinestream
