--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -80,8 +80,8 @@
 
     // Stops gracefully: reports not ready at once, accepts requests until the load balancer has
     // noticed, then waits for open requests. Returns when all have ended, or shortly before `grace`
-    // has passed since `received`, when the signal to stop was received. Writes the last event of the
-    // process.
+    // has passed since `received`, when the signal to stop was received. Writes the last event of
+    // the process.
     void stop(steady_time received, std::chrono::milliseconds grace);
 
 private:
