A stream that comes late in a stop is passed on only if a pause fits

What callers saw: streams that were sent 3 s and more after SIGTERM over kept connections were passed on, because answers had been quick, and cut at the end of the grace when their group stood still.

Cause: what a stop passes on rests on how long answers took while all was well. The estimate knows nothing of a pause that has not begun, and late in the grace no time is left for one.

Change: forwarding_services says when the load balancer has taken the process out (2.5 s after SIGTERM). Whoever sends later does so over a kept connection and is told to go elsewhere in any case. A stream of his is passed on only if it ends in time even after a pause of 4 s of its service; refused, it costs him one more request, cut, the whole stream. Other answers are not cut but end with a status, so that they keep the estimate alone. refused_by_stop says pause_ms.

The new cases of stop_admission_test hold the two sides: refused with 4 s left, served with 6 s left, and a lookup with 1.5 s left.

Why it works: nothing is passed on late that a pause would cut, and in the first 2.5 s, while the balancer still sends callers, nothing changes.

--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -44,6 +44,10 @@
     // Returns the time at which a process that is shutting down ends the remaining requests;
     // steady_time::max() before a shutdown.
     std::function<steady_time()> shutdown_deadline;
+    // Returns the time from which the platform's load balancer sends no callers to a process that
+    // is shutting down; steady_time::max() before a shutdown. Later requests come over connections
+    // that callers have kept.
+    std::function<steady_time()> deregistration_time;
     // The memory for bodies of requests, and for what is buffered of responses. Apart, so that
     // requests that wait for a server cannot hold the memory that their responses need.
     message_memory& request_memory;
@@ -130,6 +134,8 @@
     [[nodiscard]] answer_shape shape() const;
     // Returns how long an answer to the request is expected to take from `now` on.
     [[nodiscard]] answer_estimate estimate_answer(steady_time now) const;
+    // Returns how much longer the answer may take because the service pauses.
+    [[nodiscard]] std::chrono::milliseconds pause_allowance() const;
     // Returns whether the service is not known to serve requests at the moment.
     [[nodiscard]] bool service_is_unavailable() const;
     // Returns whether a planned shutdown leaves too little time for a request that starts now.
--- a/sardinestream/forwarding/exchange_stop.cc
+++ b/sardinestream/forwarding/exchange_stop.cc
@@ -7,6 +7,12 @@
 #include "sardinestream/forwarding/exchange.h"
 
 namespace sardinestream {
+namespace {
+
+// A sound service may stand still for so long, for example while a group forms anew.
+constexpr std::chrono::milliseconds max_service_pause{4000};
+
+} // namespace
 
 answer_shape exchange::shape() const
 {
@@ -22,6 +28,16 @@
     return estimate;
 }
 
+std::chrono::milliseconds exchange::pause_allowance() const
+{
+    // Whoever comes this late goes elsewhere anyway: a refusal costs him less than a cut stream.
+    // Other answers have not begun while their service pauses, and are never cut.
+    const bool is_late = this->admitted.arrival >= this->services.deregistration_time();
+    return is_late && this->matched_route.kind == request_kind::streaming
+               ? max_service_pause
+               : std::chrono::milliseconds(0);
+}
+
 bool exchange::shutdown_would_cut() const
 {
     const steady_time ends_at = this->services.shutdown_deadline();
@@ -35,7 +51,7 @@
         return true;
     }
     const steady_time now = steady_clock::now();
-    return now + this->estimate_answer(now).duration > ends_at;
+    return now + this->estimate_answer(now).duration + this->pause_allowance() > ends_at;
 }
 
 bool exchange::service_is_unavailable() const
@@ -65,6 +81,7 @@
                                   {"cause", would_cut ? "time left" : "service not serving"},
                                   {"estimate_ms", estimate.duration.count()},
                                   {"samples", estimate.samples},
+                                  {"pause_ms", this->pause_allowance().count()},
                                   {"left_ms", milliseconds_until(ends_at)}});
     return make_error(absl::StatusCode::kResourceExhausted, "place", this->admitted.service,
                       "process is shutting down");
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -138,6 +138,7 @@
                                      [this](const std::string&) { return this->budget > 0; },
                                      [this] { return this->stopping.load(); },
                                      [this] { return this->ends_at.load(); },
+                                     [this] { return this->deregistered_at.load(); },
                                      this->request_memory,
                                      this->response_memory,
                                      this->crashes,
@@ -238,6 +239,7 @@
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> ends_at = steady_time::max();
+    std::atomic<steady_time> deregistered_at = steady_time::max();
     std::unique_ptr<frontend> served;
 };
 
--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -101,6 +101,41 @@
     EXPECT_EQ(answer.body, absl::StrCat(one_event, second_event));
 }
 
+// Guards against a stream that is cut because its service pauses, though other entries were at
+// hand.
+TEST_F(stop_admission_test, a_stream_after_the_deregistration_is_refused_if_no_pause_fits)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->call_often("/tell/");
+    this->deregistered_at = steady_clock::now();
+    this->ends_at = steady_clock::now() + milliseconds(4000);
+    const caller_answer refused = this->call("/tell/", "r1");
+    EXPECT_TRUE(refused.end.ok()) << refused.end;
+    EXPECT_EQ(refused.head.status, 503);
+    EXPECT_TRUE(find_header(refused.head.headers, "Retry-After").has_value());
+    EXPECT_EQ(this->asked, 0);
+}
+
+// Guards against refusals in a long grace, in which streams survive a pause.
+TEST_F(stop_admission_test, a_stream_after_the_deregistration_is_served_if_a_pause_fits)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->call_often("/tell/");
+    this->deregistered_at = steady_clock::now();
+    this->ends_at = steady_clock::now() + milliseconds(6000);
+    EXPECT_EQ(this->call("/tell/", "r1").body, absl::StrCat(one_event, second_event));
+}
+
+// Guards against lookups that a quick service is denied after the deregistration.
+TEST_F(stop_admission_test, a_lookup_after_the_deregistration_needs_no_time_for_a_pause)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->call_often("/read/");
+    this->deregistered_at = steady_clock::now();
+    this->ends_at = steady_clock::now() + milliseconds(1500);
+    EXPECT_EQ(this->call("/read/", "r1").body, "stock");
+}
+
 // Guards against lookups that a quick service is denied although they would be whole.
 TEST_F(stop_admission_test, a_lookup_of_a_quick_service_is_served_late_in_a_stop)
 {
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -23,6 +23,8 @@
 // The load balancer checks readiness every second and stops sending callers after two failed
 // checks.
 constexpr milliseconds balancer_notice_time{3500};
+// Within this time nearly all of its callers have gone elsewhere.
+constexpr milliseconds deregistration_delay{2500};
 // The part of the grace period that is reserved for terminating the process itself.
 constexpr milliseconds exit_margin{700};
 // Time before that in which requests that are still open get their final answer.
@@ -121,6 +123,7 @@
         [this](const std::string& service) { return this->retries.has_retry(service); },
         [this] { return this->stopping.load(); },
         [this] { return this->stop_deadline.load(); },
+        [this] { return this->deregistered_at.load(); },
         this->request_memory,
         this->response_memory,
         this->crashes,
@@ -388,6 +391,7 @@
 
 void entry_program::stop(steady_time received, milliseconds grace)
 {
+    this->deregistered_at = received + std::min(deregistration_delay, grace / 2);
     this->stop_deadline = received + grace - exit_margin - final_answer_time;
     this->stopping = true;
     log_event("stopping", {{"delay_ms", milliseconds_since(received)},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -139,6 +139,7 @@
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
+    std::atomic<steady_time> deregistered_at = steady_time::max();
     std::atomic<bool> servers_known = false;
     // Number of entries heard from recently enough to count as alive, and of those not yet
     // forgotten; both include this one.
--- a/sardinestream/testing/emulator/entry_fleet_fixture.h
+++ b/sardinestream/testing/emulator/entry_fleet_fixture.h
@@ -91,7 +91,7 @@
         options.news_port = news_port;
         options.seeds = {entry_ip(0)};
         this->entries.push_back(
-            *entry_program::start(options, platform::make_caller_protocol(), decode_fleet_state));
+            *entry_program::start(options, platform::make_caller_protocol(), this->decoder));
         this->entries.back()->apply_desired_state("any", 1, "store");
         this->entries.back()->apply_server_list(servers, {});
     }
@@ -132,12 +132,13 @@
     static constexpr int front_port = 21801;
     static constexpr int news_port = 21802;
 
+    static std::string entry_ip(std::size_t number) { return absl::StrCat("127.0.8.", 2 + number); }
+
+    desired_state_decoder decoder = decode_fleet_state;
     std::vector<std::unique_ptr<entry_program>> entries;
     int sent = 0;
 
 private:
-    static std::string entry_ip(std::size_t number) { return absl::StrCat("127.0.8.", 2 + number); }
-
     std::vector<std::thread> calls;
 };
 
