Threads of connections and requests are joined, not detached

What callers saw: a process of ours can end by itself, with everything that it has open, at any connection it accepts; or count its threads wrongly.

Cause: thread_group started a std::thread and detached it. pthread_detach of glibc 2.36 marks the thread as detached and then reads it once more. A thread that ends just then has freed itself: the read is a segmentation fault, or meets the next thread that was started in the same memory, whose own detach then fails with EINVAL, which ends the process by std::terminate. It takes a starter that loses its processor between two instructions while a short thread ends, as in processes that compete for processors.

Change: threads stay joinable. One that has run its work joins those that ended before it; the destructor joins the last. finish_logging, which also detached a thread that ends at once, uses a group that is never destroyed.

Why it works: a thread is freed by its join alone, which follows its end.

--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -5,8 +5,6 @@
 #include <exception>
 #include <future>
 #include <memory>
-#include <system_error>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -17,6 +15,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/thread_group.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/escaping.h"
@@ -153,13 +152,12 @@
     // `close` returns once all queued lines are written, which takes forever if the reader stalls.
     auto closed = std::make_shared<std::promise<void>>();
     std::future<void> written = closed->get_future();
-    try {
-        std::thread([queue, closed] {
+    // Never destroyed: a thread that waits for a reader cannot be joined.
+    static thread_group& closing = *new thread_group;
+    if (!closing.spawn([queue, closed] {
             queue->close();
             closed->set_value();
-        }).detach();
-    }
-    catch (const std::system_error&) {
+        })) {
         queue->close();
         return;
     }
--- a/sardinestream/base/thread_group.cc
+++ b/sardinestream/base/thread_group.cc
@@ -12,37 +12,59 @@
 // of day, which may jump.
 constexpr std::chrono::milliseconds poll_interval{10};
 
+void join_all(std::list<std::thread> threads)
+{
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+}
+
 } // namespace
 
 thread_group::~thread_group()
 {
     this->wait_until_empty();
+    thread_list last;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        last.swap(this->finished);
+    }
+    join_all(std::move(last));
 }
 
 bool thread_group::spawn(std::function<void()> work)
 {
-    {
-        const absl::MutexLock lock(&this->mutex);
-        ++this->running;
-    }
+    const absl::MutexLock lock(&this->mutex);
+    const auto self = this->running.emplace(this->running.end());
     try {
-        std::thread([this, work = std::move(work)] {
+        *self = std::thread([this, self, work = std::move(work)] {
             work();
-            this->finish_one();
-        }).detach();
+            this->finish(self);
+        });
     }
     catch (const std::system_error&) {
-        this->finish_one();
+        this->running.erase(self);
         return false;
     }
     return true;
 }
 
+void thread_group::finish(thread_list::iterator self)
+{
+    thread_list earlier;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        earlier.swap(this->finished);
+        this->finished.splice(this->finished.end(), this->running, self);
+    }
+    join_all(std::move(earlier));
+}
+
 void thread_group::wait_until_empty()
 {
     const absl::MutexLock lock(&this->mutex);
     this->mutex.Await(absl::Condition(
-        +[](int* count) { return *count == 0; }, &this->running));
+        +[](thread_list* threads) { return threads->empty(); }, &this->running));
 }
 
 bool thread_group::wait_until_empty(std::chrono::steady_clock::time_point deadline)
@@ -61,13 +83,7 @@
 int thread_group::size() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->running;
-}
-
-void thread_group::finish_one()
-{
-    const absl::MutexLock lock(&this->mutex);
-    --this->running;
+    return static_cast<int>(this->running.size());
 }
 
 } // namespace sardinestream
--- a/sardinestream/base/thread_group.h
+++ b/sardinestream/base/thread_group.h
@@ -1,5 +1,7 @@
-// Runs threads that are not joined individually, such as one for each connection or request, and
-// counts them so that a process can wait for all of them.
+// Runs threads that their owner need not join, such as one for each connection or request, and
+// counts them so that a process can wait for all of them. A thread that has ended is joined by the
+// next one that ends, or by the destructor. No thread is detached: glibc's pthread_detach reads a
+// thread that may be ending, and be gone, at that moment.
 //
 //     thread_group requests;
 //     requests.spawn([&] { serve(stream); });
@@ -10,6 +12,8 @@
 
 #include <chrono>
 #include <functional>
+#include <list>
+#include <thread>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -20,7 +24,7 @@
 class thread_group {
 public:
     thread_group() = default;
-    // Waits for all threads.
+    // Waits for all threads. Must not be called by one of them.
     ~thread_group();
     thread_group(const thread_group&) = delete;
     thread_group& operator=(const thread_group&) = delete;
@@ -38,10 +42,15 @@
     [[nodiscard]] int size() const;
 
 private:
-    void finish_one();
+    using thread_list = std::list<std::thread>;
+
+    // Ends the count of `self`, the calling thread, and joins those that have ended before it.
+    void finish(thread_list::iterator self);
 
     mutable absl::Mutex mutex;
-    int running ABSL_GUARDED_BY(mutex) = 0;
+    thread_list running ABSL_GUARDED_BY(mutex);
+    // Have run their work and are not joined yet.
+    thread_list finished ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream
--- a/sardinestream/base/thread_group_test.cc
+++ b/sardinestream/base/thread_group_test.cc
@@ -1,9 +1,13 @@
-// Tests the waits of a group of threads.
+// Tests the start, the end and the waits of a group of threads.
 
 #include <atomic>
+#include <csignal>
+#include <ctime>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "sardinestream/base/thread_group.h"
 
@@ -30,5 +34,63 @@
     EXPECT_EQ(group.size(), 0);
 }
 
+// Interrupts the calling thread again and again, for longer than a short thread runs.
+class interruptions {
+public:
+    interruptions()
+    {
+        struct sigaction action = {};
+        action.sa_handler = [](int) {
+            const timespec pause = {0, pause_ns};
+            ::nanosleep(&pause, nullptr);
+        };
+        ::sigaction(SIGUSR1, &action, nullptr);
+        sigevent event = {};
+        event.sigev_notify = SIGEV_THREAD_ID;
+        event.sigev_signo = SIGUSR1;
+        event._sigev_un._tid = ::gettid();
+        ::timer_create(CLOCK_MONOTONIC, &event, &this->timer);
+        const itimerspec period = {{0, period_ns}, {0, period_ns}};
+        ::timer_settime(this->timer, 0, &period, nullptr);
+    }
+    ~interruptions() { ::timer_delete(this->timer); }
+    interruptions(const interruptions&) = delete;
+    interruptions& operator=(const interruptions&) = delete;
+
+private:
+    static constexpr long pause_ns = 300'000;
+    static constexpr long period_ns = 400'000;
+
+    timer_t timer{};
+};
+
+// Guards against a process that ends because a thread ended while it was being detached.
+TEST(thread_group_test, threads_that_end_as_they_are_started_are_counted_and_end_no_process)
+{
+    constexpr int spawners = 4;
+    const auto end = steady_clock::now() + milliseconds(4000);
+    std::atomic<int> refused = 0;
+    std::atomic<int> started = 0;
+    std::atomic<int> ran = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(spawners);
+    for (int i = 0; i < spawners; ++i) {
+        threads.emplace_back([&] {
+            thread_group group;
+            const interruptions interrupted;
+            while (steady_clock::now() < end) {
+                ++(group.spawn([&ran] { ++ran; }) ? started : refused);
+            }
+            group.wait_until_empty();
+            EXPECT_EQ(group.size(), 0);
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(refused, 0);
+    EXPECT_EQ(ran, started);
+}
+
 } // namespace
 } // namespace sardinestream
