A process that crashes says so in its log

Needed to tell the hypotheses of the incident apart: a process that was ended by a segmentation fault left the same log as one that was killed, none (no line of it stands in either record). Fatal signals now write one line, event=crashed with the signal's number, by async-signal-safe calls alone, before the signal ends the process as before.

--- /dev/null
+++ b/sardinestream/base/crash_log_test.cc
@@ -0,0 +1,33 @@
+// Tests what a process that crashes leaves in its log.
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "sardinestream/base/log.h"
+
+namespace sardinestream {
+namespace {
+
+[[noreturn]] void crash_by(int number)
+{
+    // What is matched by a death test goes to standard error.
+    ::dup2(STDERR_FILENO, STDOUT_FILENO);
+    start_logging(log_level::info, "entry", "front-1");
+    ::raise(number);
+    std::_Exit(0);
+}
+
+// Guards against a process that ends without a word and leaves nobody a cause.
+TEST(crash_log_test, a_process_that_crashes_says_by_which_signal)
+{
+    testing::GTEST_FLAG(death_test_style) = "threadsafe";
+    EXPECT_EXIT(crash_by(SIGSEGV), testing::KilledBySignal(SIGSEGV),
+                "time=20[0-9]{2}-[0-9]{2}-[0-9]{2}T[0-9]{2}:[0-9]{2}:[0-9]{2}\\.[0-9]{3}Z "
+                "level=ERROR process=entry instance=front-1 event=crashed signal=11\n");
+    EXPECT_EXIT(crash_by(SIGABRT), testing::KilledBySignal(SIGABRT), "event=crashed signal=6\n");
+}
+
+} // namespace
+} // namespace sardinestream
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -14,6 +14,7 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include "sardinestream/base/crash_log.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/thread_group.h"
 
@@ -139,6 +140,7 @@
     logger()->setLevel(to_level(minimum));
     line_queue() = std::move(queue);
     std::set_terminate(log_and_abort);
+    log_fatal_signals(process, instance);
     // A reader of the output that has gone must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
 }
