A process that can start no thread ends all the same

Callers saw nothing of it yet; it was found by testing the end of a process. `finish_logging` started a thread at the exit to wait for the log. Where none could be started (out of memory or threads) it waited itself, without a bound: with an output that nobody reads the process stayed until it was killed, with all connections open. Without memory it threw instead, and the process aborted.

The thread now starts with the log, and the exit only signals it and waits, by the steady clock, without allocating anything.

--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -1,11 +1,11 @@
 #include "sardinestream/base/log.h"
 
+#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
-#include <future>
 #include <memory>
-#include <system_error>
+#include <mutex>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -32,12 +32,51 @@
 // How long an aborting process waits for its last lines to be written.
 constexpr std::chrono::milliseconds abort_log_wait{500};
 
-// The queue of lines that `start_logging` has set up; null before.
-std::shared_ptr<log4cxx::AsyncAppender>& line_queue()
-{
-    static std::shared_ptr<log4cxx::AsyncAppender> queue;
-    return queue;
-}
+// Closes the queue of lines on a thread of its own, since that takes forever if the reader of the
+// output stalls. The thread is started with the log: a process that exits may be out of threads and
+// memory. Only types of the standard library are used, which wait without allocating memory.
+class queue_closer {
+public:
+    explicit queue_closer(std::shared_ptr<log4cxx::AsyncAppender> lines) : queue(std::move(lines))
+    {
+        std::thread([this] { this->run(); }).detach();
+    }
+
+    // Returns once all queued lines are written, or after `max_wait`.
+    void close(std::chrono::milliseconds max_wait)
+    {
+        std::unique_lock lock(this->mutex);
+        this->requested = true;
+        this->changed.notify_all();
+        this->changed.wait_for(lock, max_wait, [this] { return this->closed; });
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->requested; });
+        lock.unlock();
+        try {
+            this->queue->close();
+        }
+        catch (const std::exception&) {
+            // Out of memory: what is still queued is lost.
+        }
+        lock.lock();
+        this->closed = true;
+        this->changed.notify_all();
+    }
+
+    const std::shared_ptr<log4cxx::AsyncAppender> queue;
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool requested = false;
+    bool closed = false;
+};
+
+// Set by `start_logging`; null before. Never destroyed, since its thread outlives `main`.
+queue_closer* log_closer = nullptr;
 
 log4cxx::LoggerPtr logger()
 {
@@ -138,7 +177,7 @@
     queue->addAppender(appender);
     log4cxx::BasicConfigurator::configure(queue);
     logger()->setLevel(to_level(minimum));
-    line_queue() = std::move(queue);
+    log_closer = new queue_closer(std::move(queue));
     std::set_terminate(log_and_abort);
     // A reader of the output that has gone must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -146,24 +185,9 @@
 
 void finish_logging(std::chrono::milliseconds max_wait)
 {
-    const std::shared_ptr<log4cxx::AsyncAppender> queue = line_queue();
-    if (queue == nullptr) {
-        return;
-    }
-    // `close` returns once all queued lines are written, which takes forever if the reader stalls.
-    auto closed = std::make_shared<std::promise<void>>();
-    std::future<void> written = closed->get_future();
-    try {
-        std::thread([queue, closed] {
-            queue->close();
-            closed->set_value();
-        }).detach();
-    }
-    catch (const std::system_error&) {
-        queue->close();
-        return;
+    if (log_closer != nullptr) {
+        log_closer->close(max_wait);
     }
-    written.wait_for(max_wait);
 }
 
 void set_log_minimum(log_level minimum)
--- a/sardinestream/base/log.h
+++ b/sardinestream/base/log.h
@@ -43,8 +43,8 @@
 void start_logging(log_level minimum, absl::string_view process, absl::string_view instance);
 
 // Writes the lines that are still queued and ends logging; call last, before the process exits.
-// Returns after `max_wait` at the latest, even if the reader of the output stalls. Lines that other
-// threads log from then on may be lost.
+// Returns after `max_wait` at the latest, even if the reader of the output stalls or the process is
+// out of threads or memory. Lines that other threads log from then on may be lost.
 void finish_logging(std::chrono::milliseconds max_wait);
 
 // How long an exiting process waits for its last lines to be written.
