An agent makes nothing of the report of an engine that is lost

When an agent ends a stalled hold, it orders its engine and reads it again. Where that call had no answer it went on with the report it no longer had: it read it from an empty `std::optional`, with a group name whose memory was freed, and sent it to the coordinator as the state of the rank.

`end_stalled_hold` says whether the engine still answers and has a group; if it doesn't, the poll ends as it does after its first read.

--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -175,7 +175,9 @@
     if (this->engine.report()->group.empty()) {
         return;
     }
-    this->end_stalled_hold();
+    if (!this->end_stalled_hold()) {
+        return;
+    }
     this->start_coordinating_if_due();
     const bool with_counts = this->counts_are_due();
     if (!this->is_coordinating()) {
@@ -248,7 +250,7 @@
     return copying || report.armed.has_value() || report.held_step.has_value();
 }
 
-void agent_program::end_stalled_hold()
+bool agent_program::end_stalled_hold()
 {
     const engine_report& report = *this->engine.report();
     const std::int64_t held_step = report.map_report.held_step.value_or(0);
@@ -257,13 +259,13 @@
     switch (this->hold_guard.next_action(report.map_report, report.rank, report.group_size,
                                          steady_clock::now())) {
     case stalled_hold_guard::action::none:
-        return;
+        return true;
     case stalled_hold_guard::action::supersede: {
         std::optional<engine_order> superseding = this->make_superseding_order();
         if (!superseding.has_value()) {
             log_event("stalled_hold",
                       {{"step", held_step}, {"action", "none"}, {"reason", "no map known"}});
-            return;
+            return true;
         }
         order = *std::move(superseding);
         break;
@@ -279,9 +281,11 @@
                {"action", order.kind == order_kind::release ? "release" : "supersede"},
                {"version", order.version}});
     this->execute_order(order, this->followed.term);
-    if (this->refresh()) {
-        this->send_state(this->followed.ip, false);
+    if (!this->refresh()) {
+        return false;
     }
+    this->send_state(this->followed.ip, false);
+    return !this->engine.report()->group.empty();
 }
 
 std::optional<engine_order> agent_program::make_superseding_order()
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -136,8 +136,9 @@
     [[nodiscard]] bool is_changing_map() const;
     // Returns true if this rank is the one on which the switch to its prepared map is held.
     [[nodiscard]] bool may_be_held() const;
-    // Cancels a switch that holds the group at this rank and that no coordinator completes.
-    void end_stalled_hold();
+    // Cancels a switch that holds the group at this rank and that no coordinator completes. Returns
+    // false if the engine answers no more or has left its group.
+    [[nodiscard]] bool end_stalled_hold();
     // Returns an order that makes the engine prepare another map, if known the one in use, which
     // needs no copies. Returns no value if no map is known.
     [[nodiscard]] std::optional<engine_order> make_superseding_order();
--- /dev/null
+++ b/sardinestream/testing/emulator/agent_engine_loss_test.cc
@@ -0,0 +1,179 @@
+// One agent whose engine does not answer for a moment: what the agent makes of the last report.
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/programs/agent_program.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/status/status.h"
+#include "absl/synchronization/mutex.h"
+
+namespace sardinestream::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char group_name[] = "a-group-whose-name-is-stored-on-the-heap";
+constexpr int ranks = 2;
+constexpr int own_rank = 0;
+constexpr int other_rank = 1;
+constexpr std::uint32_t first_ip = 0x0a000001;
+constexpr milliseconds message_interval{50};
+constexpr milliseconds max_test_time{5000};
+
+class agent_engine_loss_test : public ::testing::Test {
+protected:
+    void start()
+    {
+        agent_options options;
+        options.ip = ip_to_string(first_ip);
+        options.engine = {options.ip, 8000};
+        options.messages.send = [this](const news::NewsT& message,
+                                       absl::Span<const std::uint32_t>) { this->record(message); };
+        options.messages.receive = [this](steady_time deadline) {
+            return this->next_message(deadline);
+        };
+        options.connect = [this](const address&) { return this->make_engine(); };
+        this->agent = std::make_unique<agent_program>(std::move(options));
+        this->thread = std::thread([this] { this->agent->run(); });
+    }
+
+    void TearDown() override
+    {
+        this->agent->stop();
+        this->thread.join();
+    }
+
+    template <typename Condition>
+    [[nodiscard]] static bool wait_until(const Condition& holds)
+    {
+        const steady_time end = steady_clock::now() + max_test_time;
+        while (!holds() && steady_clock::now() < end) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return holds();
+    }
+
+    std::unique_ptr<agent_program> agent;
+    // The engine is held at a step for which nobody arms it.
+    std::atomic<bool> held = false;
+    // The number of next reports that get no answer.
+    std::atomic<int> reports_to_lose = 0;
+    // Whether the last report got no answer.
+    std::atomic<bool> engine_lost = false;
+    std::atomic<int> orders = 0;
+    std::atomic<int> states_of_lost_engine = 0;
+
+private:
+    [[nodiscard]] engine_interface make_engine()
+    {
+        engine_interface engine;
+        engine.read_report = [this] { return this->read_report(); };
+        engine.read_counts = [] { return std::vector<std::int64_t>(4); };
+        engine.read_experts = [] { return rank_experts{{0, 1}}; };
+        engine.send_order = [this](const engine_order&) {
+            ++this->orders;
+            this->reports_to_lose = 1;
+            return order_outcome::no_answer;
+        };
+        return engine;
+    }
+
+    [[nodiscard]] absl::StatusOr<engine_report> read_report()
+    {
+        const bool lost = this->reports_to_lose > 0;
+        this->engine_lost = lost;
+        if (lost) {
+            --this->reports_to_lose;
+            return absl::DeadlineExceededError("no answer");
+        }
+        engine_report report;
+        report.running = 1;
+        report.group = group_name;
+        report.group_size = ranks;
+        report.rank = own_rank;
+        report.map_report.epoch = 1;
+        report.map_report.step = 5;
+        if (this->held) {
+            report.map_report.held_step = 5;
+            // Another version in each report: there is progress to report, held by the other rank.
+            do {
+                ++this->version;
+            } while (holding_rank(this->version, ranks) == own_rank);
+            report.map_report.prepared_version = this->version;
+        }
+        return report;
+    }
+
+    void record(const news::NewsT& message)
+    {
+        if (message.body.AsRankState() != nullptr && this->engine_lost) {
+            ++this->states_of_lost_engine;
+        }
+    }
+
+    // Returns where the ranks are and, in turn, a message of the other rank's agent.
+    [[nodiscard]] std::unique_ptr<news::NewsT> next_message(steady_time deadline)
+    {
+        const steady_time due = this->last_message + message_interval;
+        std::this_thread::sleep_until(std::min(deadline, due));
+        if (steady_clock::now() < due) {
+            return nullptr;
+        }
+        this->last_message = steady_clock::now();
+        this->sends_endpoints = !this->sends_endpoints;
+        if (this->sends_endpoints) {
+            return std::make_unique<news::NewsT>(this->make_endpoints());
+        }
+        return std::make_unique<news::NewsT>(this->make_directive());
+    }
+
+    [[nodiscard]] static news::NewsT make_endpoints()
+    {
+        news::GroupPlacesT endpoints;
+        endpoints.group = group_name;
+        endpoints.sets = 1;
+        endpoints.experts = 4;
+        endpoints.places = 2;
+        for (int rank = 0; rank < ranks; ++rank) {
+            endpoints.ranks.emplace_back(rank, first_ip + static_cast<std::uint32_t>(rank), 8000);
+        }
+        return make_message(std::move(endpoints));
+    }
+
+    [[nodiscard]] static news::NewsT make_directive()
+    {
+        news::DirectiveT directive;
+        directive.group = group_name;
+        directive.term = 1U << 20U;
+        directive.coordinator_rank = other_rank;
+        directive.coordinator_ip = first_ip + other_rank;
+        return make_message(std::move(directive));
+    }
+
+    // Used by the agent's thread only.
+    steady_time last_message{};
+    bool sends_endpoints = false;
+    std::int64_t version = 1;
+    std::thread thread;
+};
+
+TEST_F(agent_engine_loss_test, a_stalled_hold_of_a_lost_engine_is_not_reported)
+{
+    this->start();
+    this->held = true;
+    constexpr int enough_orders = 5;
+    EXPECT_TRUE(wait_until([this] { return this->orders >= enough_orders; }));
+    EXPECT_EQ(this->states_of_lost_engine, 0);
+}
+
+} // namespace
+} // namespace sardinestream::testing
