An agent's last answers reach an entry that reads slowly

An agent that had drained shut its links down and closed them. An entry goes on sending (heartbeats, credit), so that the close became a reset: whatever the entry had not read yet, or the kernel had not sent yet, was lost, and the callers of these streams and calls saw them cut although the agent had counted them as ended.

`link_server` now ends its own direction first and reads on until the peer has read everything and closes, for 2 s at most. A stream that a peer opens meanwhile can't be answered and is not served.

--- a/sardinestream/wire/link_server.cc
+++ b/sardinestream/wire/link_server.cc
@@ -35,15 +35,28 @@
 }
 
 link_server::~link_server()
+{
+    this->finish(std::chrono::steady_clock::now() + max_finish_time);
+}
+
+void link_server::finish(std::chrono::steady_clock::time_point deadline)
 {
     this->listener->shut_down();
-    this->accepting.join();
+    if (this->accepting.joinable()) {
+        this->accepting.join();
+    }
     {
         const absl::MutexLock lock(&this->mutex);
         this->stopping = true;
-        for (const std::shared_ptr<peer_link>& link : this->active) {
-            link->shut_down();
-        }
+    }
+    for (const std::shared_ptr<peer_link>& link : this->links()) {
+        link->finish();
+    }
+    if (this->connections.wait_until_empty(deadline)) {
+        return;
+    }
+    for (const std::shared_ptr<peer_link>& link : this->links()) {
+        link->shut_down();
     }
     this->connections.wait_until_empty();
 }
--- a/sardinestream/wire/link_server.h
+++ b/sardinestream/wire/link_server.h
@@ -6,6 +6,7 @@
 #ifndef SARDINESTREAM_WIRE_LINK_SERVER_H_
 #define SARDINESTREAM_WIRE_LINK_SERVER_H_
 
+#include <chrono>
 #include <memory>
 #include <set>
 #include <thread>
@@ -22,13 +23,19 @@
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<link_server>>
     create(std::shared_ptr<const link_options> options, const address& local);
 
-    // Stops accepting, shuts down every link and waits for their threads.
+    // Calls `finish` with `max_finish_time`.
     ~link_server();
     link_server(const link_server&) = delete;
     link_server& operator=(const link_server&) = delete;
 
     [[nodiscard]] const address& local() const { return this->listener->local(); }
 
+    // Stops accepting and ends every link such that its peer gets all frames that were sent, then
+    // waits for the links' threads. Shuts down what is still open at `deadline`.
+    void finish(std::chrono::steady_clock::time_point deadline);
+
+    static constexpr std::chrono::milliseconds max_finish_time{2000};
+
     // Returns the links that are currently up.
     [[nodiscard]] std::vector<std::shared_ptr<peer_link>> links() const;
 
--- a/sardinestream/wire/peer_link.cc
+++ b/sardinestream/wire/peer_link.cc
@@ -119,6 +119,12 @@
     this->socket->shut_down();
 }
 
+void peer_link::finish()
+{
+    this->finishing = true;
+    this->socket->finish_writing();
+}
+
 std::shared_ptr<stream> peer_link::open_stream()
 {
     const absl::MutexLock lock(&this->mutex);
@@ -140,9 +146,9 @@
 absl::Status peer_link::send_frame(frame_type type, std::uint64_t stream_id,
                                    absl::string_view payload)
 {
-    if (this->lost) {
+    if (this->lost || this->finishing) {
         return make_error(absl::StatusCode::kCancelled, "send_frame", this->remote_hello.id,
-                          "the link is already lost");
+                          "the link has ended");
     }
     if (payload.size() > max_payload_bytes) {
         return make_error(
@@ -248,8 +254,10 @@
     const bool opened_by_peer = (id % 2 == 1) != this->dialled;
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!opened_by_peer || !opens_stream(received.header.type)) {
-            return; // late frame of an exchange that has already ended locally
+        if (!opened_by_peer || !opens_stream(received.header.type) || this->finishing) {
+            // A late frame of an exchange that has already ended locally, or a stream that could
+            // not be answered any more.
+            return;
         }
         target.reset(new stream(this->shared_from_this(), id));
         this->streams[id] = target;
--- a/sardinestream/wire/peer_link.h
+++ b/sardinestream/wire/peer_link.h
@@ -153,6 +153,11 @@
     // Shuts down the link, which makes `run` return. Does not wait for it.
     void shut_down();
 
+    // Ends the link such that the peer gets every frame that was sent: closing a socket whose peer
+    // still sends resets the connection, and what was sent last is lost. Sends nothing more and
+    // accepts no further stream; `run` returns when the peer closes its end. Does not wait for it.
+    void finish();
+
     // Returns the hello that the peer sent.
     [[nodiscard]] const helloT& remote() const { return this->remote_hello; }
     // Returns true until the link is lost or shut down.
@@ -183,6 +188,8 @@
     const bool dialled;
     helloT remote_hello;
     std::atomic<bool> lost{false};
+    // Set by `finish`.
+    std::atomic<bool> finishing{false};
     // Arrival time of the last frame, in nanoseconds since the Unix epoch.
     std::atomic<std::int64_t> last_received_ns{0};
     std::uint64_t highest_catalogue_number = 0; // reading thread only
--- a/sardinestream/wire/secure_socket.cc
+++ b/sardinestream/wire/secure_socket.cc
@@ -345,6 +345,12 @@
     return absl::OkStatus();
 }
 
+void secure_socket::finish_writing()
+{
+    const absl::MutexLock queue(&this->write_mutex);
+    shutdown(this->descriptor, SHUT_WR);
+}
+
 void secure_socket::shut_down()
 {
     this->stopped = true;
--- a/sardinestream/wire/secure_socket.h
+++ b/sardinestream/wire/secure_socket.h
@@ -108,6 +108,10 @@
     // Reads exactly `size` bytes into `bytes`, blocking without a time limit.
     [[nodiscard]] absl::Status read(char* bytes, std::size_t size);
 
+    // Ends this end's direction after the writes in progress. The peer reads all that was written
+    // and then the end of the connection. Later writes fail. Thread-safe.
+    void finish_writing();
+
     // Shuts down both directions, which makes blocked and later calls fail. Thread-safe.
     void shut_down();
 
--- a/sardinestream/wire/wire_test.cc
+++ b/sardinestream/wire/wire_test.cc
@@ -3,6 +3,8 @@
 #include "sardinestream/wire/frame.h"
 #include "sardinestream/wire/link_server.h"
 
+#include "absl/synchronization/notification.h"
+
 namespace sardinestream::wire {
 namespace {
 
@@ -145,6 +147,38 @@
     server.reset();
 }
 
+// Guards against answers whose end is lost to a reset, since the peer goes on sending.
+TEST(peer_link_test, all_frames_sent_before_the_end_of_a_server_reach_a_slow_peer)
+{
+    auto server = link_server::create(make_options("ending"), {"127.0.0.1", 0}).value();
+    auto options = make_options("slow");
+    options->heartbeat_interval = absl::Milliseconds(1);
+    std::atomic<int> received{0};
+    absl::Notification ended;
+    options->hooks.on_link_frame = [&](const std::shared_ptr<peer_link>&, const frame&) {
+        ++received;
+        absl::SleepFor(absl::Milliseconds(5));
+    };
+    options->hooks.on_down = [&](const std::shared_ptr<peer_link>&) {
+        if (!ended.HasBeenNotified()) {
+            ended.Notify();
+        }
+    };
+    const link_dialer dialer(options, server->local());
+    ASSERT_NE(dialer.wait_until_up(soon()), nullptr);
+    while (server->links().empty()) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    constexpr int frames = 48;
+    const std::string payload(64 << 10, 'x');
+    for (int i = 0; i < frames; ++i) {
+        ASSERT_TRUE(server->links().front()->send_link_frame(frame_type::leaving, payload).ok());
+    }
+    server.reset();
+    ASSERT_TRUE(ended.WaitForNotificationWithTimeout(absl::Seconds(20)));
+    EXPECT_EQ(received, frames);
+}
+
 TEST(tcp_listener_test, an_address_in_use_is_refused)
 {
     auto first = tcp_listener::create({"127.0.0.1", 0}).value();
