An agent refuses what crosses the notice of its stop

An agent without open requests ended as soon as it had told its entries that it leaves. A request that an entry had sent until then reached a process that was gone: a call with a key ended with 502 `backend_lost`, outcome `unknown`, although nothing had run it, and the caller may not repeat it elsewhere.

The agent goes on refusing for 300 ms after the notice, within the drain timeout. An entry that gets the notice later than that can still lose a request; the protocol has no answer to the notice.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -4,7 +4,10 @@
 // service), operations server, links from entries. The process then waits for a signal and shuts
 // down gracefully.
 
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <thread>
 
 #include "sardinestream/agent/agent_settings.h"
 #include "sardinestream/agent/engine_orders.h"
@@ -24,6 +27,9 @@
 namespace sardinestream::agent {
 namespace {
 
+// A request that an entry sent before it learned that this agent leaves arrives within this time.
+constexpr std::chrono::milliseconds max_notice_time{300};
+
 // Everything that a running agent owns, in order of construction.
 struct agent_process {
     agent_settings settings;
@@ -164,7 +170,9 @@
 }
 
 // Notifies all entries, refuses new work, and waits for requests in progress until the drain
-// timeout, which counts from the receipt of the signal.
+// timeout, which counts from the receipt of the signal. An agent that is idle goes on refusing
+// while entries may not know yet that it leaves: a request that it doesn't answer may have run for
+// all that an entry knows.
 void drain(agent_process& process, std::chrono::steady_clock::time_point received)
 {
     log_event("drain_started", {{"in_flight", process.requests->in_flight()}});
@@ -173,8 +181,10 @@
         link->send_link_frame(wire::frame_type::leaving, "").IgnoreError();
     }
     process.requests->drain();
-    const bool idle = process.requests->wait_until_idle(
-        received + absl::ToChronoMilliseconds(process.settings.drain_timeout));
+    const auto deadline = received + absl::ToChronoMilliseconds(process.settings.drain_timeout);
+    std::this_thread::sleep_until(
+        std::min(deadline, std::chrono::steady_clock::now() + max_notice_time));
+    const bool idle = process.requests->wait_until_idle(deadline);
     log_event("drain_ended", {{"in_flight", process.requests->in_flight()},
                               {"complete", idle ? "true" : "false"}});
 }
--- /dev/null
+++ b/sardinestream/testing/stop_process_test.cc
@@ -0,0 +1,65 @@
+// Planned stops of the product's own agent and entry, with real processes: calls that cross the
+// notice of a stop, and how long a process may stay.
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "sardinestream/testing/fleet.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::testing {
+namespace {
+
+constexpr char deposits[] = "/services/till/deposits";
+
+std::unique_ptr<fleet> make_fleet(fleet_options options)
+{
+    absl::StatusOr<std::unique_ptr<fleet>> made = fleet::create(std::move(options));
+    EXPECT_TRUE(made.ok()) << made.status();
+    return made.ok() ? *std::move(made) : nullptr;
+}
+
+agent_node& first_plain_agent(fleet& servers)
+{
+    return **std::find_if(servers.agents().begin(), servers.agents().end(),
+                          [](const auto& agent) { return !agent->model; });
+}
+
+// Guards against requests that a leaving agent neither serves nor refuses.
+TEST(stop_process_test,
+     calls_that_cross_the_notice_of_an_idle_agent_are_served_or_refused_as_not_run)
+{
+    fleet_options options;
+    options.entries = 1;
+    options.model_agents = 1;
+    options.one_way_delay = absl::Milliseconds(40);
+    const auto servers = make_fleet(std::move(options));
+    ASSERT_NE(servers, nullptr);
+    constexpr int callers = 24;
+    // Each caller sends one call, spread over the time around the notice.
+    constexpr std::chrono::milliseconds gap{5};
+    std::vector<std::future<call_answer>> answers;
+    for (int i = 0; i < callers; ++i) {
+        answers.push_back(std::async(std::launch::async, [&servers, gap, i] {
+            std::this_thread::sleep_for(gap * i);
+            return servers->caller_of(0).call("POST", deposits, "deposit",
+                                              {{"Idempotency-Key", absl::StrCat("crossing-", i)}});
+        }));
+    }
+    first_plain_agent(*servers).run->terminate();
+    for (std::future<call_answer>& each : answers) {
+        const call_answer answer = each.get();
+        EXPECT_TRUE(answer.success() || answer.error.outcome == "not_run") << answer.summary();
+    }
+    EXPECT_EQ(first_plain_agent(*servers).run->wait_for_exit(), 0);
+}
+
+} // namespace
+} // namespace sardinestream::testing
