An agent with a hanging backend ends after its drain

After the drain timeout the agent destroyed its parts and thereby waited for the threads of the requests that were still open. A request with a key runs up to two minutes on whatever becomes of its caller, so that the agent stayed until SIGKILL, with its listener closed and its answers going nowhere.

The agent ends its links, at most 2 s, and then the process, as the platform programs do. Waiting for the threads of a link is left to the destructor of `link_server`.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -187,6 +187,7 @@
     const bool idle = process.requests->wait_until_idle(deadline);
     log_event("drain_ended", {{"in_flight", process.requests->in_flight()},
                               {"complete", idle ? "true" : "false"}});
+    process.links->finish(std::chrono::steady_clock::now() + wire::link_server::max_finish_time);
 }
 
 absl::Status run(agent_process& process, shutdown_signal& signal)
@@ -208,7 +209,8 @@
              },
          .on_reload = {}});
     drain(process, received);
-    return absl::OkStatus();
+    // What is still open is lost: its threads may wait for the backend server for minutes.
+    exit_process(0);
 }
 
 } // namespace
--- a/sardinestream/testing/stop_process_test.cc
+++ b/sardinestream/testing/stop_process_test.cc
@@ -61,5 +61,30 @@
     EXPECT_EQ(first_plain_agent(*servers).run->wait_for_exit(), 0);
 }
 
+// Guards against agents that stay until they are killed.
+TEST(stop_process_test, an_agent_whose_backend_hangs_ends_after_its_drain)
+{
+    fleet_options options;
+    options.entries = 1;
+    options.model_agents = 1;
+    options.plain_agents = 1;
+    options.agent_flags = {"--drain_timeout_s=1"};
+    const auto servers = make_fleet(std::move(options));
+    ASSERT_NE(servers, nullptr);
+    agent_node& agent = first_plain_agent(*servers);
+    EXPECT_TRUE(caller(agent.backend.reserved(), "")
+                    .call("POST", "/admin/faults", R"({"hang":true})", {})
+                    .success());
+    std::future<call_answer> hanging = std::async(std::launch::async, [&servers] {
+        return servers->caller_of(0).call("POST", deposits, "deposit",
+                                          {{"Idempotency-Key", "hanging"}});
+    });
+    EXPECT_TRUE(wait_until([&servers] { return servers->runs_of("hanging") > 0; }));
+    agent.run->terminate();
+    EXPECT_EQ(agent.run->wait_for_exit(absl::Seconds(4)), 0);
+    agent.run->kill();
+    static_cast<void>(hanging.get());
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/wire/link_server.cc
+++ b/sardinestream/wire/link_server.cc
@@ -37,6 +37,7 @@
 link_server::~link_server()
 {
     this->finish(std::chrono::steady_clock::now() + max_finish_time);
+    this->connections.wait_until_empty();
 }
 
 void link_server::finish(std::chrono::steady_clock::time_point deadline)
@@ -58,7 +59,6 @@
     for (const std::shared_ptr<peer_link>& link : this->links()) {
         link->shut_down();
     }
-    this->connections.wait_until_empty();
 }
 
 std::vector<std::shared_ptr<peer_link>> link_server::links() const
--- a/sardinestream/wire/link_server.h
+++ b/sardinestream/wire/link_server.h
@@ -23,15 +23,15 @@
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<link_server>>
     create(std::shared_ptr<const link_options> options, const address& local);
 
-    // Calls `finish` with `max_finish_time`.
+    // Calls `finish` with `max_finish_time`, then waits for the links' threads.
     ~link_server();
     link_server(const link_server&) = delete;
     link_server& operator=(const link_server&) = delete;
 
     [[nodiscard]] const address& local() const { return this->listener->local(); }
 
-    // Stops accepting and ends every link such that its peer gets all frames that were sent, then
-    // waits for the links' threads. Shuts down what is still open at `deadline`.
+    // Stops accepting, ends every link such that its peer gets all frames that were sent, and waits
+    // for the peers to close them. Shuts down what is still open at `deadline`.
     void finish(std::chrono::steady_clock::time_point deadline);
 
     static constexpr std::chrono::milliseconds max_finish_time{2000};
