Half a head doesn't keep an entry until it is killed

At the end of its drain an entry waited for all threads of its connections. A caller that sends a head (or a body) slowly, or reads an answer slowly, keeps its thread for any length of time, so that the entry was killed with whatever was open, and its shares of team limits were not given back.

The entry closes its listener, waits at most 1 s for connections to end, gives its shares back and ends the process without waiting for threads.

--- a/sardinestream/base/http_server.cc
+++ b/sardinestream/base/http_server.cc
@@ -171,8 +171,29 @@
     if (!this->accepting.joinable()) {
         return;
     }
-    this->server.stop();
+    this->close_listener();
     this->accepting.join();
 }
 
+// The library allows only one call of its `stop`.
+void http_server::close_listener()
+{
+    if (!std::exchange(this->listener_closed, true)) {
+        this->server.stop();
+    }
+}
+
+bool http_server::stop_accepting(std::chrono::steady_clock::time_point deadline)
+{
+    constexpr std::chrono::milliseconds poll_interval{10};
+    {
+        const absl::MutexLock lock(&this->stop_mutex);
+        this->close_listener();
+    }
+    while (*this->open_connections > 0 && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return *this->open_connections == 0;
+}
+
 } // namespace sardinestream
--- a/sardinestream/base/http_server.h
+++ b/sardinestream/base/http_server.h
@@ -15,6 +15,7 @@
 #define SARDINESTREAM_BASE_HTTP_SERVER_H_
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -71,6 +72,11 @@
     // `requests` is zero first. Thread-safe; later calls wait as well.
     void stop();
 
+    // Stops accepting and waits until every connection has ended or until `deadline`: a caller that
+    // sends or reads slowly may keep its connection for any length of time. Returns whether all
+    // have ended. `stop` still has to be called, or the process ended.
+    bool stop_accepting(std::chrono::steady_clock::time_point deadline);
+
     // Returns the bound address; its port is never zero.
     [[nodiscard]] const address& local() const { return this->local_address; }
 
@@ -85,6 +91,7 @@
 
     [[nodiscard]] absl::Status bind();
     void configure();
+    void close_listener() ABSL_EXCLUSIVE_LOCKS_REQUIRED(stop_mutex);
 
     const http_server_options options;
     // Shared with the task queue, which belongs to the library.
@@ -94,6 +101,7 @@
     connection_server server;
     absl::Mutex stop_mutex;
     std::thread accepting ABSL_GUARDED_BY(stop_mutex);
+    bool listener_closed ABSL_GUARDED_BY(stop_mutex) = false;
 };
 
 } // namespace sardinestream
--- a/sardinestream/base/http_server_test.cc
+++ b/sardinestream/base/http_server_test.cc
@@ -211,6 +211,24 @@
     EXPECT_FALSE(http_server::create({.local = server->local()}).ok());
 }
 
+TEST(http_server_test, half_a_head_delays_no_stop_beyond_its_deadline)
+{
+    using std::chrono::steady_clock;
+    const auto server = start_server({}, [](const httplib::Request&, httplib::Response&) {});
+    {
+        const raw_caller caller(server->local());
+        EXPECT_TRUE(caller.write("GET / HT"));
+        while (server->requests() == 0) {
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        const auto begun = steady_clock::now();
+        EXPECT_FALSE(server->stop_accepting(begun + std::chrono::milliseconds(100)));
+        EXPECT_LT(steady_clock::now() - begun, std::chrono::seconds(2));
+    }
+    server->stop();
+    EXPECT_EQ(server->connections(), 0);
+}
+
 TEST(http_server_test, stop_lets_a_handler_finish)
 {
     absl::Notification entered;
--- a/sardinestream/entry/main.cc
+++ b/sardinestream/entry/main.cc
@@ -32,6 +32,8 @@
 constexpr absl::Duration retry_when_full = absl::Seconds(1);
 // For streams that outlast the drain to end with an error event.
 constexpr std::chrono::milliseconds time_for_final_events{300};
+// For idle connections to end, and for callers to read what has been written.
+constexpr std::chrono::milliseconds max_close_time{1000};
 
 // Everything that a running entry owns, in order of construction.
 struct entry_process {
@@ -305,8 +307,10 @@
     wait_until_idle(process, deadline);
     process.front->end_streams();
     wait_until_idle(process, deadline + time_for_final_events);
-    process.http->stop();
-    log_event("drain_ended", {{"in_flight", process.front->in_flight()}});
+    const bool closed =
+        process.http->stop_accepting(std::chrono::steady_clock::now() + max_close_time);
+    log_event("drain_ended",
+              {{"in_flight", process.front->in_flight()}, {"closed", closed ? "true" : "false"}});
     process.shares->stop();
     process.store->cancel_watches();
 }
@@ -333,7 +337,8 @@
                          },
                      .on_reload = {}});
     drain(process, received);
-    return absl::OkStatus();
+    // What is still open is a caller that sends or reads too slowly.
+    exit_process(0);
 }
 
 } // namespace
--- a/sardinestream/testing/stop_process_test.cc
+++ b/sardinestream/testing/stop_process_test.cc
@@ -2,13 +2,18 @@
 // notice of a stop, and how long a process may stay.
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "sardinestream/testing/fleet.h"
 
@@ -32,6 +37,32 @@
                           [](const auto& agent) { return !agent->model; });
 }
 
+// A connection on which a test sends parts of a request.
+class raw_connection {
+public:
+    explicit raw_connection(const address& remote) : descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(remote.port));
+        inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
+        EXPECT_EQ(connect(this->descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof(to)), 0);
+    }
+    ~raw_connection() { close(this->descriptor); }
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+
+    // Returns false if the connection has been closed.
+    [[nodiscard]] bool write(absl::string_view bytes) const
+    {
+        return send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
+    }
+
+private:
+    const int descriptor;
+};
+
 // Guards against requests that a leaving agent neither serves nor refuses.
 TEST(stop_process_test,
      calls_that_cross_the_notice_of_an_idle_agent_are_served_or_refused_as_not_run)
@@ -86,5 +117,31 @@
     static_cast<void>(hanging.get());
 }
 
+// Guards against entries that stay until they are killed.
+TEST(stop_process_test, a_head_that_trickles_in_does_not_keep_an_entry)
+{
+    fleet_options options;
+    options.entries = 1;
+    options.model_agents = 1;
+    options.plain_agents = 1;
+    options.entry_flags = {"--drain_timeout_s=1"};
+    const auto servers = make_fleet(std::move(options));
+    ASSERT_NE(servers, nullptr);
+    process& entry = *servers->entry(0).run;
+    const raw_connection caller(servers->entry(0).http.reserved());
+    ASSERT_TRUE(caller.write("GET /services/stock/bowls HTTP/1.1\r\nX-Slow: "));
+    std::atomic<bool> done{false};
+    std::thread trickling([&] {
+        while (!done && caller.write("x")) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    });
+    entry.terminate();
+    EXPECT_EQ(entry.wait_for_exit(absl::Seconds(4)), 0);
+    done = true;
+    entry.kill();
+    trickling.join();
+}
+
 } // namespace
 } // namespace sardinestream::testing
