A stream can return to the server that it left

What callers saw: streams whose server went on were cut, because the entry had given that server up for another one. A stream leaves a rank that delays its group, or a server that has been silent for 1.2 s; if the next server refused it (503, 421, 429), failed, broke off or was silent, the attempts or the servers were used up and the stream ended midway.

Cause: the first connection was closed at the move, before the next server had sent anything.

Why it works: the connection that is left stays open and unread until the next server has sent an event; then it is closed. If the next one ends the attempt without one, the stream goes on at the first server, from where its bytes were left, half an event included. It returns as well if the next server is silent while the first one goes on: after 1.2 s for a slow rank, at once for a server that was silent altogether. A move costs one retry of the budget and one attempt, as before; the return costs none, and after it the stream does not leave a slow rank again.

frontend_test.a_stream_leaves_a_rank_that_turns_slow looked for the close at the moment at which the caller had its answer.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -73,6 +73,7 @@
 {
     const bool keep = this->attempt_until_done();
     this->release_reserved();
+    this->close_left_stream();
     if (this->ends_with_connection) {
         // An orderly end would make the response look complete.
         this->caller.abort_when_delivered(steady_clock::now() + local_response_timeout);
@@ -82,24 +83,42 @@
 
 bool exchange::attempt_until_done()
 {
-    while (true) {
-        absl::StatusOr<placement> placed = this->place();
-        if (!placed.ok()) {
-            return this->fail_request(placed.status());
-        }
-        attempt_record record = {*std::move(placed), steady_clock::now()};
-        this->total_queue_time += record.placed.waited;
-        const next_action next = this->run_attempt(record);
-        this->services.servers.finish(record.placed, record.result, record.first_byte);
-        if (next == next_action::retry) {
-            // A server that refused may accept the request later; the dispatcher does not select it
-            // in the meantime.
-            if (record.result != attempt_result::refused) {
-                this->tried_ids.push_back(record.placed.server.id);
-            }
-            continue;
+    next_action next = next_action::retry;
+    while (next != next_action::answered && next != next_action::close_connection) {
+        next = next == next_action::go_back ? this->return_to_left_server() : this->attempt_once();
+    }
+    return next == next_action::answered && this->connection_promised;
+}
+
+exchange::next_action exchange::attempt_once()
+{
+    absl::StatusOr<placement> placed = this->place();
+    if (!placed.ok()) {
+        if (this->left.has_value() && !absl::IsCancelled(placed.status())) {
+            return next_action::go_back;
         }
-        return next == next_action::answered && this->connection_promised;
+        return this->fail_request(placed.status()) ? next_action::answered
+                                                   : next_action::close_connection;
+    }
+    attempt_record record;
+    record.placed = *std::move(placed);
+    record.started = steady_clock::now();
+    this->total_queue_time += record.placed.waited;
+    const next_action next = this->run_attempt(record);
+    this->end_attempt(record, next);
+    return next;
+}
+
+void exchange::end_attempt(const attempt_record& record, next_action next)
+{
+    if (next == next_action::leave) {
+        return;
+    }
+    this->services.servers.finish(record.placed, record.result, record.first_byte);
+    // A server that refused may accept the request later; the dispatcher does not select it in the
+    // meantime.
+    if (record.result != attempt_result::refused) {
+        this->tried_ids.push_back(record.placed.server.id);
     }
 }
 
@@ -150,21 +169,36 @@
     if (!this->possibly_executed) {
         this->measured.emplace(this->services.answer_durations, this->shape(), record.started);
     }
+    const steady_time write_end =
+        this->left.has_value() ? std::min(this->answer_deadline(), record.started + silence_timeout)
+                               : this->answer_deadline();
     const absl::StatusOr<bool> written =
         (*connection)
             ->socket.write_message_until_answer(this->encode_request_head(server),
-                                                this->admitted.request.body,
-                                                this->answer_deadline(), this->caller_watch);
+                                                this->admitted.request.body, write_end,
+                                                this->caller_watch);
     if (!written.ok()) {
         (*connection)->socket.abort();
         return this->handle_failure(attempt_state::possibly_executed, written.status(), record);
     }
     bool reusable = *written;
     const next_action next = this->read_response(**connection, *written, record, reusable);
-    if (reusable && !(*connection)->reader.has_surplus()) {
-        const milliseconds idle_timeout = (*connection)->idle_timeout;
-        this->services.connections.release(server, *std::move(connection), idle_timeout);
-        return next;
+    this->end_connection(*std::move(connection), record, reusable, next);
+    return next;
+}
+
+void exchange::end_connection(std::unique_ptr<server_connection> connection,
+                              const attempt_record& record, bool reusable, next_action next)
+{
+    if (next == next_action::leave) {
+        this->left->connection = std::move(connection);
+        return;
+    }
+    const backend_server& server = record.placed.server;
+    if (reusable && !connection->reader.has_surplus()) {
+        const milliseconds idle_timeout = connection->idle_timeout;
+        this->services.connections.release(server, std::move(connection), idle_timeout);
+        return;
     }
     if (record.result == attempt_result::unreachable) {
         this->services.connections.discard(server);
@@ -172,9 +206,8 @@
     if (record.result != attempt_result::succeeded) {
         // Aborts the connection, so that a server that was unreachable for a while does not receive
         // the request later.
-        (*connection)->socket.abort();
+        connection->socket.abort();
     }
-    return next;
 }
 
 bool exchange::can_retry(attempt_state state) const
@@ -223,6 +256,10 @@
           {{"service", this->admitted.service}, {"step", step_of(cause)}});
     const bool never_sent = state == attempt_state::nothing_sent && this->servers_sent == 0;
     const bool in_time = steady_clock::now() < this->answer_deadline();
+    const bool goes_on_elsewhere = this->reserved.has_value() && in_time && this->can_retry(state);
+    if (this->left.has_value() && !goes_on_elsewhere) {
+        return next_action::go_back;
+    }
     // A refusal while the whole service is down must not consume the retry budget.
     const bool service_down = state == attempt_state::refused_by_server &&
                               !this->response_started &&
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -85,13 +85,16 @@
     // If a server sends nothing for this time, the request moves to another server once one is
     // free, provided that it may run again.
     static constexpr std::chrono::milliseconds silence_timeout{1200};
+    // How often it is asked whether the server that a stream left has sent more.
+    static constexpr std::chrono::milliseconds left_server_check{50};
     // After this many refusals by servers, a request fails, or pauses before each further attempt
     // if its answer has begun.
     static constexpr int max_refusals = 4;
 
-    // What follows an attempt: the caller has its response, the caller's connection is closed, or
-    // the request is sent to another server.
-    enum class next_action { answered, close_connection, retry };
+    // What follows an attempt: the caller has its response, the caller's connection is closed, the
+    // request is sent to another server, a stream leaves its server for the reserved one, or it
+    // returns to the server that it left.
+    enum class next_action { answered, close_connection, retry, leave, go_back };
 
     // Result and timing of an attempt, for the dispatcher and the log.
     struct attempt_record {
@@ -101,6 +104,23 @@
         std::chrono::milliseconds first_byte{0};
         // The request has been answered for long enough to show that it crashes no server.
         bool sound = false;
+        // For a stream: the time of the last complete event, or later if the silence is accepted;
+        // bytes that complete no event do not change it.
+        steady_time silent_since{};
+        // For a stream: the memory of an unfinished event.
+        std::unique_ptr<message_memory_reservation> partial_event;
+    };
+
+    // A stream that has left its server. Its connection stays open and unread until the next server
+    // has sent an event: the stream returns if that one fails.
+    struct left_stream {
+        attempt_record record;
+        std::unique_ptr<server_connection> connection;
+        http_response_head head;
+        event_splitter events;
+        // From when on the stream returns as soon as the server that it left has sent more, even if
+        // the next one has not failed.
+        steady_time returns_at;
     };
 
     // Returns the server for the next attempt, or the reason for which the request gets none.
@@ -109,6 +129,13 @@
     [[nodiscard]] absl::StatusOr<placement> wait_for_server();
     // Makes attempts until the request has an outcome. Returns the same as `run`.
     [[nodiscard]] bool attempt_until_done();
+    // Makes one attempt.
+    [[nodiscard]] next_action attempt_once();
+    // Records the end of an attempt, unless its stream has only left the server.
+    void end_attempt(const attempt_record& record, next_action next);
+    // Pools, closes or keeps the connection of an attempt that is over.
+    void end_connection(std::unique_ptr<server_connection> connection, const attempt_record& record,
+                        bool reusable, next_action next);
     [[nodiscard]] placement_request make_placement_request() const;
     // Reserves the server for the next attempt and takes a retry from the budget for it. Returns
     // false if there is none left; the server is free again then.
@@ -127,9 +154,20 @@
     // The part of `find_other_server` in which the request is queued.
     [[nodiscard]] bool wait_for_other_server(server_connection& connection,
                                              const attempt_record& record);
-    // Ends the attempt of a stream whose server delays its group, if another server is free and can
-    // be reserved for the rest of the stream. Returns whether it was ended.
-    [[nodiscard]] bool try_move_stream(attempt_record& record);
+    // Reserves another server for the rest of a stream whose server delays its group, if one is
+    // free. Returns whether it did.
+    [[nodiscard]] bool try_move_stream(const backend_server& server);
+    // Lets a stream leave its server for the reserved one.
+    [[nodiscard]] next_action leave_stream(const http_response_head& head, attempt_record& record,
+                                           attempt_result result, absl::string_view reason);
+    // Goes on with the stream at the server that it left.
+    [[nodiscard]] next_action return_to_left_server();
+    // Ends the attempt at the server that a stream left, if there is one.
+    void close_left_stream();
+    // Returns whether the server that the stream left has sent more, and it is time to return.
+    [[nodiscard]] bool left_server_goes_on() const;
+    // Ends the attempt at the next server because the one that the stream left goes on.
+    [[nodiscard]] next_action give_up_move(attempt_record& record);
     // Returns what is known of the request's answer before it begins.
     [[nodiscard]] answer_shape shape() const;
     // Returns how long an answer to the request is expected to take from `now` on.
@@ -177,13 +215,10 @@
     [[nodiscard]] next_action relay_stream(server_connection& connection,
                                            const http_response_head& head, attempt_record& record,
                                            bool& reusable);
-    // Waits for the next bytes of a stream; returns whether the stream has ended. `silent_since` is
-    // the time of the last complete event, or later if the silence is accepted; bytes that complete
-    // no event do not change it.
+    // Waits for the next bytes of a stream; returns whether the stream has ended.
     [[nodiscard]] absl::StatusOr<bool> read_stream_part(server_connection& connection,
                                                         const attempt_record& record,
-                                                        std::string& bytes,
-                                                        steady_time& silent_since);
+                                                        std::string& bytes);
     // Returns when the caller of a stream abandons it if no event follows.
     [[nodiscard]] steady_time caller_leaves_at() const;
     // Returns whether a stream whose body ends now can be complete.
@@ -247,6 +282,9 @@
     steady_time last_delivery;
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
+    std::optional<left_stream> left;
+    // The stream has returned to a server that it left; it leaves no slow rank any more.
+    bool has_returned = false;
     std::chrono::milliseconds total_queue_time{0};
     // Runs from the first attempt that may have run the request; unset before.
     std::optional<answer_times::measurement> measured;
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -35,7 +35,7 @@
 
 steady_time exchange::head_deadline() const
 {
-    return this->can_retry(attempt_state::possibly_executed)
+    return this->left.has_value() || this->can_retry(attempt_state::possibly_executed)
                ? std::min(this->answer_deadline(), steady_clock::now() + head_completion_timeout)
                : this->answer_deadline();
 }
@@ -141,14 +141,15 @@
 void exchange::wait_for_first_byte(server_connection& connection, steady_time end) const
 {
     while (!connection.reader.has_surplus() && !connection.socket.has_input_or_end() &&
-           !this->caller_watch.has_hung_up()) {
+           !this->caller_watch.has_hung_up() && !this->left_server_goes_on()) {
         const steady_time now = steady_clock::now();
         const steady_time latest = std::min(end, this->answer_deadline());
         if (now >= latest) {
             return;
         }
-        wait_for_input(connection.socket.descriptor(), this->caller_watch,
-                       std::min(latest, now + shutdown_check));
+        wait_for_input(
+            connection.socket.descriptor(), this->caller_watch,
+            std::min(latest, now + (this->left.has_value() ? left_server_check : shutdown_check)));
     }
 }
 
@@ -161,7 +162,8 @@
             static_cast<double>(this->matched_route.latency_target.count())));
     }
     this->wait_for_first_byte(connection, steady_clock::now() + limit);
-    if (connection.socket.has_input_or_end() || this->caller_watch.has_hung_up()) {
+    if (connection.socket.has_input_or_end() || this->caller_watch.has_hung_up() ||
+        this->left_server_goes_on()) {
         return false;
     }
     return !connection.reader.has_surplus() && steady_clock::now() < this->answer_deadline();
@@ -190,6 +192,11 @@
     }
     reusable = all_written;
     this->wait_for_first_byte(connection, this->deadline);
+    if (this->left_server_goes_on() && !connection.reader.has_surplus() &&
+        !connection.socket.has_input_or_end()) {
+        reusable = false;
+        return this->give_up_move(record);
+    }
     absl::StatusOr<http_response_head> head = this->read_matching_head(connection, reusable);
     record.first_byte = elapsed_since(record.started);
     if (!head.ok()) {
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -6,7 +6,6 @@
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
-#include "sardinestream/base/metrics.h"
 #include "sardinestream/forwarding/exchange.h"
 
 namespace sardinestream {
@@ -105,36 +104,16 @@
         }
         const steady_time now = steady_clock::now();
         if (connection.reader.has_surplus() || connection.socket.has_input_or_end() ||
-            this->caller_watch.has_hung_up() || now >= asks_until ||
+            this->caller_watch.has_hung_up() || this->left_server_goes_on() || now >= asks_until ||
             now >= this->answer_deadline() || this->shutdown_would_cut()) {
             return false;
         }
-        wait_for_any_input({connection.socket.descriptor(), (*queued)->descriptor()},
-                           this->caller_watch, now + dispatcher::recheck_interval);
+        wait_for_any_input(
+            {connection.socket.descriptor(), (*queued)->descriptor()}, this->caller_watch,
+            now + (this->left.has_value() ? left_server_check : dispatcher::recheck_interval));
     }
 }
 
-bool exchange::try_move_stream(attempt_record& record)
-{
-    const backend_server& server = record.placed.server;
-    if (this->services.is_stopping() || !this->can_retry(attempt_state::possibly_executed) ||
-        !this->services.servers.delays_its_group(server)) {
-        return false;
-    }
-    placement_request wanted = this->make_placement_request();
-    wanted.excluded_ids.push_back(server.id);
-    std::optional<placement> other = this->services.servers.place_if_free(wanted);
-    if (!other.has_value() || !this->reserve(*std::move(other))) {
-        return false;
-    }
-    this->possibly_executed = true;
-    this->events.drop_undelivered();
-    record.result = attempt_result::abandoned;
-    this->log_attempt(record, "rank delays its group");
-    count("sardine_retries_total", {{"service", this->admitted.service}, {"reason", "slow_rank"}});
-    return true;
-}
-
 absl::StatusOr<placement> exchange::place()
 {
     const auto check = [this] {
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -43,6 +43,7 @@
                                     record);
     }
     if (is_success(head.status) && is_event_stream(head)) {
+        record.silent_since = steady_clock::now();
         return this->relay_stream(connection, head, record, reusable);
     }
     return this->relay_buffered(connection, head, record, reusable);
@@ -72,6 +73,15 @@
                                                const http_response_head& head,
                                                attempt_record& record, bool& reusable)
 {
+    if (this->left.has_value() && (this->response_started || head.status >= first_server_error)) {
+        reusable = false;
+        record.result = attempt_result::failed;
+        return this->handle_failure(attempt_state::execution_failed,
+                                    make_error(absl::StatusCode::kInternal, "answer",
+                                               record.placed.server.id,
+                                               absl::StrCat("no stream, status ", head.status)),
+                                    record);
+    }
     message_body body(this->services.response_memory, record.placed.server.id);
     const absl::Status read = body.read(connection.reader, max_response_bytes,
                                         this->answer_deadline(), this->caller_watch);
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -51,11 +51,14 @@
 }
 
 absl::StatusOr<bool> exchange::read_stream_part(server_connection& connection,
-                                                const attempt_record& record, std::string& bytes,
-                                                steady_time& silent_since)
+                                                const attempt_record& record, std::string& bytes)
 {
     while (true) {
-        steady_time until = silent_since + silence_timeout;
+        if (this->left_server_goes_on() && !connection.socket.has_input_or_end()) {
+            return make_error(absl::StatusCode::kDeadlineExceeded, "stream",
+                              record.placed.server.id, "the server that the stream left goes on");
+        }
+        steady_time until = record.silent_since + silence_timeout;
         if (until <= steady_clock::now()) {
             if (this->find_other_server(connection, record)) {
                 return make_error(absl::StatusCode::kDeadlineExceeded, "stream",
@@ -64,6 +67,9 @@
             }
             until = steady_clock::now() + dispatcher::recheck_interval;
         }
+        if (this->left.has_value()) {
+            until = std::min(until, steady_clock::now() + left_server_check);
+        }
         absl::StatusOr<bool> ended = connection.reader.read_body_part(
             bytes, std::min(this->answer_deadline(), until), this->caller_watch);
         const bool silent = absl::IsDeadlineExceeded(ended.status()) &&
@@ -103,14 +109,21 @@
                                              bool& reusable)
 {
     reusable = false;
-    steady_time silent_since = steady_clock::now();
-    message_memory_reservation partial_event(this->services.response_memory,
-                                             record.placed.server.id);
+    if (record.partial_event == nullptr) {
+        record.partial_event = std::make_unique<message_memory_reservation>(
+            this->services.response_memory, record.placed.server.id);
+    }
     while (true) {
         std::string bytes;
-        const absl::StatusOr<bool> ended =
-            this->read_stream_part(connection, record, bytes, silent_since);
+        const absl::StatusOr<bool> ended = this->read_stream_part(connection, record, bytes);
         if (!ended.ok()) {
+            if (absl::IsDeadlineExceeded(ended.status()) && this->left_server_goes_on()) {
+                return this->give_up_move(record);
+            }
+            if (this->reserved.has_value() && !this->left.has_value()) {
+                return this->leave_stream(head, record, attempt_result::unreachable,
+                                          ended.status().message());
+            }
             return this->handle_failure(attempt_state::possibly_executed, ended.status(), record);
         }
         if (this->events.delivered_events() == 0) {
@@ -119,9 +132,10 @@
         this->events.add(bytes);
         const std::string complete = this->events.take_events();
         if (!complete.empty()) {
-            silent_since = steady_clock::now();
+            this->close_left_stream();
+            record.silent_since = steady_clock::now();
             this->services.servers.note_event(record.placed.server);
-            this->measured->note_first_event(silent_since);
+            this->measured->note_first_event(record.silent_since);
             const absl::Status sent = this->send_events(head, complete);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
@@ -131,8 +145,9 @@
             }
         }
         absl::Status sound = this->check_stream(head, record, *ended);
-        if (sound.ok() && !partial_event.resize(copies_of_events * this->events.partial_bytes(),
-                                                steady_clock::now() + event_memory_wait)) {
+        if (sound.ok() &&
+            !record.partial_event->resize(copies_of_events * this->events.partial_bytes(),
+                                          steady_clock::now() + event_memory_wait)) {
             sound = make_error(absl::StatusCode::kOutOfRange, "stream", record.placed.server.id,
                                "too many large events buffered");
         }
@@ -143,8 +158,9 @@
             elapsed_since(record.started) >= record.first_byte + crash_guard::time_to_prove) {
             this->note_sound(record);
         }
-        if (!*ended && !complete.empty() && this->try_move_stream(record)) {
-            return next_action::retry;
+        if (!*ended && !complete.empty() && this->try_move_stream(record.placed.server)) {
+            return this->leave_stream(head, record, attempt_result::abandoned,
+                                      "rank delays its group");
         }
         if (!*ended) {
             continue;
--- a/sardinestream/forwarding/frontend_test.cc
+++ b/sardinestream/forwarding/frontend_test.cc
@@ -229,6 +229,11 @@
     EXPECT_TRUE(answer.end.ok());
     EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
     EXPECT_EQ(asked, 2);
+    // The first server hears of it once the second one has sent an event.
+    const steady_time notice_end = steady_clock::now() + milliseconds(300);
+    while (!left && steady_clock::now() < notice_end) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
     EXPECT_TRUE(left);
 }
 
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -299,6 +299,12 @@
     return ::poll(&polled, 1, 0) != 0;
 }
 
+bool tcp_socket::has_input() const
+{
+    char next = 0;
+    return ::recv(this->fd, &next, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
+}
+
 void tcp_socket::finish_writing()
 {
     ::shutdown(this->fd, SHUT_WR);
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -102,6 +102,9 @@
     // connection in that state must not be reused.
     [[nodiscard]] bool has_input_or_end() const;
 
+    // Returns true if unread bytes are available.
+    [[nodiscard]] bool has_input() const;
+
     // Ends the connection for writing: unread input is left unread, and the peer can still read
     // everything that was written.
     void finish_writing();
