A suspect whose server is silent is counted as refused once

What operators saw: sardine_crash_suspects_refused_total grew while the server of a blamed request was silent, though the request had come once; a trial could begin without an attempt.

Cause: may_leave_silent_server asked crash_guard::check each time, up to five times a second, and each answer counts a refusal or begins a trial.

Why it works: the guard is asked where a server has been found for the next attempt, before the retry is taken. A refusal keeps the request with its server for as long as the refusal says.

--- a/sardinestream/forwarding/crash_evidence_test.cc
+++ b/sardinestream/forwarding/crash_evidence_test.cc
@@ -1,5 +1,6 @@
 // Tests which answers of servers show that a request does not crash them.
 
+#include "sardinestream/base/metrics.h"
 #include "sardinestream/forwarding/frontend_fixture.h"
 
 namespace sardinestream {
@@ -10,12 +11,13 @@
 class crash_evidence_test : public frontend_test {
 protected:
     // Records that a server crashed under a request with this part.
-    void crash_with(const std::string& part)
+    void crash_with(const std::string& part, const std::string& server_id = "crashed")
     {
         caller_request request;
         request.prompt_parts = {part};
+        request.body = server_id;
         backend_server server;
-        server.id = "crashed";
+        server.id = server_id;
         server.service = "service";
         this->servers_have_crashed = true;
         this->crashes.note_lost(server, request);
@@ -60,6 +62,44 @@
     EXPECT_TRUE(this->is_suspected("bad"));
 }
 
+// Guards against a count of refused suspects that grows while the server of one is silent.
+TEST_F(crash_evidence_test, a_blamed_request_whose_server_is_silent_counts_as_refused_once)
+{
+    const metric_labels labels = {{"service", "service"}};
+    const auto counted = [&labels] {
+        return counter_value("sardine_crash_suspects_refused_total", labels);
+    };
+    constexpr int enough_crashes = 6;
+    const std::uint64_t before = counted();
+    std::atomic<int> asked = 0;
+    const auto script = [&](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        ++asked;
+        for (int i = 0; i < enough_crashes; ++i) {
+            this->crash_with("bad", absl::StrCat("crashed", i));
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+        connection.write(stream_head(connection) + chunk("id: 1\ndata: late\n\n") + "0\r\n\r\n");
+    };
+    scripted_server first(script);
+    scripted_server second(script);
+    this->use({&first, &second});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket
+                    .write_all(absl::StrCat("POST /tell/ HTTP/1.1\r\nHost: shop\r\nId: r1\r\n"
+                                            "Key: k\r\nPart: bad\r\nContent-Length: 2\r\n"
+                                            "\r\n{}"),
+                               soon(), {})
+                    .ok());
+    message_reader reader(socket);
+    EXPECT_EQ(read_answer(reader).body, "id: 1\ndata: late\n\n");
+    EXPECT_EQ(asked, 1);
+    EXPECT_LE(counted() - before, 1U);
+    EXPECT_EQ(this->budget, 100);
+    this->channels.close_stale({});
+}
+
 TEST_F(crash_evidence_test, a_success_clears_the_parts_of_its_request)
 {
     this->crash_with("sound");
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -138,7 +138,8 @@
                         bool reusable, next_action next);
     [[nodiscard]] placement_request make_placement_request() const;
     // Reserves the server for the next attempt and takes a retry from the budget for it. Returns
-    // false if there is none left; the server is free again then.
+    // false if there is none left or the request is suspected of crashing servers; the server is
+    // free again then.
     [[nodiscard]] bool reserve(placement other);
     // Frees the server that was reserved for an attempt that is not made.
     void release_reserved();
@@ -283,6 +284,8 @@
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
     std::optional<left_stream> left;
+    // Until when the request, as a suspect, is refused a server other than the one that has it.
+    steady_time stays_until{};
     // The stream has returned to a server that it left; it leaves no slow rank any more.
     bool has_returned = false;
     std::chrono::milliseconds total_queue_time{0};
--- a/sardinestream/forwarding/exchange_move.cc
+++ b/sardinestream/forwarding/exchange_move.cc
@@ -22,6 +22,7 @@
 bool exchange::try_move_stream(const backend_server& server)
 {
     if (this->services.is_stopping() || this->has_returned ||
+        steady_clock::now() < this->stays_until ||
         !this->can_retry(attempt_state::possibly_executed) ||
         !this->services.servers.delays_its_group(server)) {
         return false;
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sardinestream/backends/refusal.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/forwarding/exchange.h"
@@ -43,7 +44,12 @@
 bool exchange::reserve(placement other)
 {
     this->reserved = std::move(other);
-    if (!this->services.take_retry(this->admitted.service)) {
+    const absl::Status refused =
+        this->services.crashes.check(this->admitted.request, this->admitted.service);
+    if (!refused.ok()) {
+        this->stays_until = steady_clock::now() + retry_after_of(refused);
+    }
+    if (!refused.ok() || !this->services.take_retry(this->admitted.service)) {
         this->release_reserved();
         return false;
     }
@@ -72,7 +78,7 @@
     // A shutdown would end the request at another server sooner than at this one.
     return !this->shutdown_would_cut() && this->can_retry(attempt_state::possibly_executed) &&
            !this->services.servers.stands_still(service) && this->services.has_retry(service) &&
-           this->services.crashes.check(this->admitted.request, service).ok();
+           steady_clock::now() >= this->stays_until;
 }
 
 bool exchange::find_other_server(server_connection& connection, const attempt_record& record)
