A step of the clock ends no link

A link took its peer for silent by the time of day: when that was set forward by more than 1.5 s, an entry or an agent shut down links on which nothing was wrong, and every answer on them was lost, in a drain as at any other time. Writes and handshakes ended early as well.

`peer_link` and `secure_socket` count by the steady clock.

--- a/sardinestream/wire/peer_link.cc
+++ b/sardinestream/wire/peer_link.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/wire/peer_link.h"
 
+#include <algorithm>
+#include <chrono>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -10,13 +12,21 @@
 #include "absl/strings/str_cat.h"
 
 namespace sardinestream::wire {
+namespace {
+
+// The time of day may jump, and with it every link would count as silent.
+using steady_clock = std::chrono::steady_clock;
+
+// Interval at which the heartbeat thread checks whether the link is lost.
+constexpr std::chrono::milliseconds lost_check_interval{50};
+
+} // namespace
 
 peer_link::peer_link(std::shared_ptr<const link_options> options,
                      std::unique_ptr<secure_socket> connected, bool is_dialled)
     : configuration(std::move(options)), socket(std::move(connected)), dialled(is_dialled),
-      next_stream_id(is_dialled ? 1 : 2)
+      last_received(steady_clock::now()), next_stream_id(is_dialled ? 1 : 2)
 {
-    this->last_received_ns = absl::ToUnixNanos(absl::Now());
 }
 
 absl::StatusOr<std::shared_ptr<peer_link>>
@@ -190,7 +200,7 @@
     received.header = *header;
     received.payload.resize(header->payload_bytes);
     SARDINE_RETURN_IF_ERROR(this->socket->read(received.payload.data(), received.payload.size()));
-    this->last_received_ns = absl::ToUnixNanos(absl::Now());
+    this->last_received = steady_clock::now();
     return received;
 }
 
@@ -277,12 +287,14 @@
             beat.payload.assign(payload.begin(), payload.end());
         }
         this->send_frame(frame_type::heartbeat, 0, encode<heartbeat>(beat)).IgnoreError();
-        const absl::Time next = absl::Now() + limits.heartbeat_interval;
-        while (!this->lost && absl::Now() < next) {
-            absl::SleepFor(std::min(next - absl::Now(), absl::Milliseconds(50)));
+        const auto next =
+            steady_clock::now() + absl::ToChronoNanoseconds(limits.heartbeat_interval);
+        while (!this->lost && steady_clock::now() < next) {
+            std::this_thread::sleep_until(
+                std::min(next, steady_clock::now() + lost_check_interval));
         }
         const absl::Duration silence =
-            absl::Now() - absl::FromUnixNanos(this->last_received_ns.load());
+            absl::FromChrono(steady_clock::now() - this->last_received.load());
         if (!this->lost && silence > limits.peer_timeout) {
             count("sardine_links_silent_total");
             log_event("peer_silent",
--- a/sardinestream/wire/peer_link.h
+++ b/sardinestream/wire/peer_link.h
@@ -18,6 +18,7 @@
 #define SARDINESTREAM_WIRE_PEER_LINK_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -190,8 +191,8 @@
     std::atomic<bool> lost{false};
     // Set by `finish`.
     std::atomic<bool> finishing{false};
-    // Arrival time of the last frame, in nanoseconds since the Unix epoch.
-    std::atomic<std::int64_t> last_received_ns{0};
+    // Arrival time of the last frame.
+    std::atomic<std::chrono::steady_clock::time_point> last_received;
     std::uint64_t highest_catalogue_number = 0; // reading thread only
 
     absl::Mutex mutex;
--- a/sardinestream/wire/secure_socket.cc
+++ b/sardinestream/wire/secure_socket.cc
@@ -28,7 +28,7 @@
 constexpr char psk_identity[] = "sardinestream";
 constexpr int listen_backlog = 1024;
 // Interval at which a blocked call checks whether the socket has been shut down.
-constexpr absl::Duration shutdown_check_interval = absl::Milliseconds(500);
+constexpr std::chrono::milliseconds shutdown_check_interval{500};
 
 // Returns the index of the `tls_context` key in the extra data of an OpenSSL context.
 int psk_index()
@@ -99,17 +99,25 @@
     return to;
 }
 
-int milliseconds_until(absl::Time deadline)
+using steady_clock = std::chrono::steady_clock;
+
+steady_clock::time_point after(absl::Duration timeout)
+{
+    return steady_clock::now() + absl::ToChronoNanoseconds(timeout);
+}
+
+int milliseconds_until(steady_clock::time_point deadline)
 {
-    const absl::Duration left =
-        std::clamp(deadline - absl::Now(), absl::ZeroDuration(), shutdown_check_interval);
-    return static_cast<int>(absl::ToInt64Milliseconds(left)) + 1;
+    const auto left = std::clamp<steady_clock::duration>(
+        deadline - steady_clock::now(), steady_clock::duration::zero(), shutdown_check_interval);
+    return static_cast<int>(std::chrono::floor<std::chrono::milliseconds>(left).count()) + 1;
 }
 
 // Completes a non-blocking connect.
-absl::Status finish_connect(int descriptor, absl::Time deadline, absl::string_view peer)
+absl::Status finish_connect(int descriptor, steady_clock::time_point deadline,
+                            absl::string_view peer)
 {
-    while (absl::Now() < deadline) {
+    while (steady_clock::now() < deadline) {
         pollfd polled{descriptor, POLLOUT, 0};
         if (poll(&polled, 1, milliseconds_until(deadline)) <= 0) {
             continue;
@@ -223,7 +231,7 @@
 secure_socket::connect(const std::shared_ptr<tls_context>& context, const address& remote,
                        absl::Duration timeout)
 {
-    const absl::Time deadline = absl::Now() + timeout;
+    const steady_clock::time_point deadline = after(timeout);
     absl::StatusOr<sockaddr_in> to = to_socket_address(remote);
     if (!to.ok()) {
         return to.status();
@@ -261,11 +269,11 @@
     SSL_set_fd(session, descriptor);
     std::unique_ptr<secure_socket> made(new secure_socket(
         context, descriptor, session, absl::StrCat(ip.data(), ":", ntohs(remote.sin_port))));
-    SARDINE_RETURN_IF_ERROR(made->handshake(true, absl::Now() + timeout));
+    SARDINE_RETURN_IF_ERROR(made->handshake(true, after(timeout)));
     return made;
 }
 
-absl::Status secure_socket::handshake(bool accepting, absl::Time deadline)
+absl::Status secure_socket::handshake(bool accepting, steady_clock::time_point deadline)
 {
     while (true) {
         int ssl_error = 0;
@@ -282,7 +290,8 @@
     }
 }
 
-absl::Status secure_socket::wait_for(int ssl_error, absl::Time deadline, absl::string_view step)
+absl::Status secure_socket::wait_for(int ssl_error, steady_clock::time_point deadline,
+                                     absl::string_view step)
 {
     if (ssl_error != SSL_ERROR_WANT_READ && ssl_error != SSL_ERROR_WANT_WRITE) {
         return make_error(absl::StatusCode::kUnavailable, step, this->peer_name,
@@ -290,7 +299,7 @@
     }
     const short events = ssl_error == SSL_ERROR_WANT_READ ? POLLIN : POLLOUT;
     while (!this->stopped) {
-        if (absl::Now() >= deadline) {
+        if (steady_clock::now() >= deadline) {
             return make_error(absl::StatusCode::kDeadlineExceeded, step, this->peer_name,
                               "timeout");
         }
@@ -305,7 +314,7 @@
 absl::Status secure_socket::write(absl::string_view bytes, absl::Duration timeout)
 {
     const absl::MutexLock queue(&this->write_mutex);
-    const absl::Time deadline = absl::Now() + timeout;
+    const steady_clock::time_point deadline = after(timeout);
     while (!bytes.empty()) {
         int ssl_error = 0;
         {
@@ -340,7 +349,7 @@
             }
             ssl_error = SSL_get_error(this->session, done);
         }
-        SARDINE_RETURN_IF_ERROR(this->wait_for(ssl_error, absl::InfiniteFuture(), "read"));
+        SARDINE_RETURN_IF_ERROR(this->wait_for(ssl_error, steady_clock::time_point::max(), "read"));
     }
     return absl::OkStatus();
 }
--- a/sardinestream/wire/secure_socket.h
+++ b/sardinestream/wire/secure_socket.h
@@ -15,6 +15,7 @@
 #define SARDINESTREAM_WIRE_SECURE_SOCKET_H_
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -121,9 +122,11 @@
     secure_socket(std::shared_ptr<tls_context> context, int descriptor, ssl_st* session,
                   std::string peer);
 
-    [[nodiscard]] absl::Status handshake(bool accepting, absl::Time deadline);
+    [[nodiscard]] absl::Status handshake(bool accepting,
+                                         std::chrono::steady_clock::time_point deadline);
     // Blocks until the socket is ready for the operation that `ssl_error` asks for.
-    [[nodiscard]] absl::Status wait_for(int ssl_error, absl::Time deadline, absl::string_view step);
+    [[nodiscard]] absl::Status
+    wait_for(int ssl_error, std::chrono::steady_clock::time_point deadline, absl::string_view step);
 
     const std::shared_ptr<tls_context> context;
     const int descriptor;
--- a/sardinestream/wire/wire_test.cc
+++ b/sardinestream/wire/wire_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "sardinestream/testing/stepped_clock.h"
 #include "sardinestream/wire/frame.h"
 #include "sardinestream/wire/link_server.h"
 
@@ -179,6 +180,26 @@
     EXPECT_EQ(received, frames);
 }
 
+// Guards against links, and all answers on them, that are lost when the time of day is set.
+TEST(peer_link_test, a_step_of_the_clock_ends_no_link)
+{
+    auto server = link_server::create(make_echo_options(), {"127.0.0.1", 0}).value();
+    auto options = make_options("caller");
+    options->heartbeat_interval = absl::Milliseconds(20);
+    std::atomic<int> links_lost{0};
+    options->hooks.on_down = [&](const std::shared_ptr<peer_link>&) { ++links_lost; };
+    const link_dialer dialer(options, server->local());
+    ASSERT_NE(dialer.wait_until_up(soon()), nullptr);
+    // No longer than the peer needs for a heartbeat.
+    absl::SleepFor(absl::Milliseconds(100));
+    testing::step_clock(std::chrono::seconds(60));
+    absl::SleepFor(absl::Milliseconds(300));
+    EXPECT_EQ(links_lost, 0);
+    testing::step_clock(std::chrono::seconds(0));
+    absl::SleepFor(absl::Milliseconds(300));
+    EXPECT_EQ(links_lost, 0);
+}
+
 TEST(tcp_listener_test, an_address_in_use_is_refused)
 {
     auto first = tcp_listener::create({"127.0.0.1", 0}).value();
