--- a/sardinestream/testing/emulator/rank_group.cc
+++ b/sardinestream/testing/emulator/rank_group.cc
@@ -90,7 +90,7 @@
             }
             const steady_time now = steady_clock::now();
             if (this->may_begin_pass(now)) {
-                this->next_pass = now + this->options.pass_time;
+                this->next_pass = now + this->pass_time();
                 this->begin_pass();
             }
         }
@@ -98,6 +98,15 @@
     }
 }
 
+milliseconds rank_group::pass_time() const
+{
+    double slowest = 1;
+    for (const rank_state& state : this->ranks) {
+        slowest = std::max(slowest, state.slowness);
+    }
+    return std::chrono::duration_cast<milliseconds>(this->options.pass_time * slowest);
+}
+
 bool rank_group::all_alive() const
 {
     return std::all_of(this->ranks.begin(), this->ranks.end(),
@@ -194,6 +203,18 @@
     return this->all_alive() && steady_clock::now() >= this->opens_at;
 }
 
+void rank_group::set_slowness(int rank, double slowness)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->ranks[static_cast<std::size_t>(rank)].slowness = slowness;
+}
+
+void rank_group::delay_passes(steady_time until)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->next_pass = std::max(this->next_pass, until);
+}
+
 void rank_group::set_demand(int wanted)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/emulator/rank_group.h
+++ b/sardinestream/testing/emulator/rank_group.h
@@ -72,6 +72,11 @@
     void return_rank(int rank);
     [[nodiscard]] bool is_open() const;
 
+    // All ranks wait for the slowest: a pass takes so many times as long while the rank is slow.
+    void set_slowness(int rank, double slowness);
+    // No pass begins before `until`.
+    void delay_passes(steady_time until);
+
     // Which experts the requests choose; any number stands for another taste.
     void set_demand(int taste);
 
@@ -97,6 +102,7 @@
     struct rank_state {
         bool alive = true;
         int streams = 0;
+        double slowness = 1;
         std::int64_t version = 0;
         expert_map map;
         // The highest version that was ever prepared here.
@@ -111,6 +117,7 @@
 
     void run();
     [[nodiscard]] bool may_begin_pass(steady_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] std::chrono::milliseconds pass_time() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void begin_pass() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void check_maps() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void form_anew() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -48,6 +48,8 @@
 constexpr std::array stop_kinds = {soak_fault_kind::entries_roll,   soak_fault_kind::reloads_stop,
                                    soak_fault_kind::configs_stop,   soak_fault_kind::servers_roll,
                                    soak_fault_kind::recovered_stop, soak_fault_kind::agents_roll};
+constexpr std::array house_kinds = {soak_fault_kind::demand_drift, soak_fault_kind::rank_slow,
+                                    soak_fault_kind::passes_late};
 
 std::string name_of(soak_fault_kind kind)
 {
@@ -78,6 +80,12 @@
         return "recovered_stop";
     case soak_fault_kind::agents_roll:
         return "agents_roll";
+    case soak_fault_kind::demand_drift:
+        return "demand_drift";
+    case soak_fault_kind::rank_slow:
+        return "rank_slow";
+    case soak_fault_kind::passes_late:
+        return "passes_late";
     case soak_fault_kind::entry_kill:
         return "entry_kill";
     case soak_fault_kind::entry_freeze:
@@ -141,7 +149,7 @@
     const auto holds = [this](const auto& kinds) {
         return std::find(kinds.begin(), kinds.end(), this->kind) != kinds.end();
     };
-    return holds(planned_kinds) || holds(said_kinds) || holds(stop_kinds) ||
+    return holds(planned_kinds) || holds(said_kinds) || holds(stop_kinds) || holds(house_kinds) ||
            this->kind == soak_fault_kind::limit_said;
 }
 
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -36,6 +36,10 @@
     // An entry stops as the group has just formed anew, or its agent does, too.
     recovered_stop,
     agents_roll,
+    // Of the house: the demand changes, a rank is slow, the passes of a group are late.
+    demand_drift,
+    rank_slow,
+    passes_late,
     // Unplanned.
     entry_kill,
     entry_freeze,
@@ -59,6 +63,11 @@
     int entries = 2;
     int model_servers = 4;
     int plain_servers = 4;
+    // Of the model servers; each has as many ranks.
+    int groups = 1;
+    std::chrono::milliseconds pass_time{10};
+    // Entries get half of their processor time.
+    bool throttles_entries = false;
     // Model servers are reached without a proxy, so that one that has crashed refuses connections.
     bool direct_model_servers = false;
     // From the SIGTERM of a process to its SIGKILL.
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -94,7 +94,9 @@
     request.team = this->options.team;
     request.timeout = this->options.timeout;
     request.body.assign(static_cast<std::size_t>(this->draw() * this->draw() * largest_body), 'b');
-    const double kind = this->draw();
+    const bool is_plain_stream =
+        this->options.plain_stream_share > 0 && this->draw() < this->options.plain_stream_share;
+    const double kind = is_plain_stream ? 0 : this->draw();
     if (kind < 0.35) {
         request.kind = soak_kind::streaming;
         request.method = "POST";
@@ -103,6 +105,9 @@
         request.most_servers = 3;
         this->add_prompt(request);
         request.timeout = this->options.stream_timeout;
+        if (is_plain_stream) {
+            request.target = absl::StrCat("/chat/", this->options.events);
+        }
         if (this->options.lasts) {
             this->draw_lasting_stream(request);
         }
--- a/sardinestream/testing/soak/requester.h
+++ b/sardinestream/testing/soak/requester.h
@@ -41,6 +41,9 @@
     std::chrono::milliseconds pause{40};
     // Share of the requests that are left before their answer.
     double leaving_share = 0.1;
+    // Share of the requests that are streams of `events` events, beside those that are drawn.
+    double plain_stream_share = 0;
+    int events = 26;
     // Streams have prompts of several parts, and some of them the part that crashes servers.
     bool sends_crashing_part = false;
     // Some streams, uploads and reads take seconds, and some requests follow an answer at once.
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -135,29 +135,59 @@
     SARDINE_RETURN_IF_ERROR(this->start_servers());
     this->write_config();
     SARDINE_RETURN_IF_ERROR(this->start_programs());
-    return this->wait_until_ready();
+    SARDINE_RETURN_IF_ERROR(this->wait_until_ready());
+    if (this->size.throttles_entries) {
+        std::vector<process*> throttled;
+        for (const program_node& node : this->entry_nodes) {
+            throttled.push_back(node.run.get());
+        }
+        this->throttle = std::make_unique<cpu_throttle>(std::move(throttled));
+    }
+    return absl::OkStatus();
 }
 
 rank_group_options soak_fleet::group_options() const
 {
     rank_group_options group;
-    group.name = "g1";
-    group.shape.ranks = this->size.model_servers;
-    group.shape.experts = std::max(group.shape.experts, 2 * this->size.model_servers);
+    group.pass_time = this->size.pass_time;
+    group.shape.ranks = this->size.model_servers / this->size.groups;
+    group.shape.experts = std::max(group.shape.experts, 2 * group.shape.ranks);
     return group;
 }
 
+rank_group& soak_fleet::group_of(std::size_t server) const
+{
+    return *this->groups[server % this->groups.size()];
+}
+
+int soak_fleet::rank_of(std::size_t server) const
+{
+    return static_cast<int>(server / this->groups.size());
+}
+
+std::int64_t soak_fleet::passes() const
+{
+    std::int64_t all = 0;
+    for (const std::unique_ptr<rank_group>& group : this->groups) {
+        all += group->passes();
+    }
+    return all;
+}
+
 absl::Status soak_fleet::start_servers()
 {
-    const rank_group_options group = this->group_options();
-    this->ranks = std::make_unique<rank_group>(
-        group, [this](const std::string& what) { this->ledger.note_broken("map: " + what); });
+    for (int i = 0; i < this->size.groups; ++i) {
+        rank_group_options group = this->group_options();
+        group.name = absl::StrCat("g", i + 1);
+        this->groups.push_back(std::make_unique<rank_group>(
+            group, [this](const std::string& what) { this->ledger.note_broken("map: " + what); }));
+    }
     for (int i = 0; i < this->size.model_servers; ++i) {
         backend_options options;
         options.service = "assistant";
         options.local = {this->ip(model_group, i + 1), server_port};
-        options.group = this->ranks.get();
-        options.rank = i;
+        options.group = &this->group_of(static_cast<std::size_t>(i));
+        options.rank = this->rank_of(static_cast<std::size_t>(i));
         options.stall = this->size.stall;
         SARDINE_RETURN_IF_ERROR(this->start_server(options));
     }
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -25,6 +25,7 @@
 #include "sardinestream/testing/emulator/store_emulator.h"
 #include "sardinestream/testing/process.h"
 #include "sardinestream/testing/soak/chaos_proxy.h"
+#include "sardinestream/testing/soak/cpu_throttle.h"
 #include "sardinestream/testing/soak/fault_series.h"
 #include "sardinestream/testing/soak/promise_ledger.h"
 
@@ -58,7 +59,8 @@
 
     [[nodiscard]] address entry_address(int index) const;
     [[nodiscard]] int entries() const { return static_cast<int>(this->entry_nodes.size()); }
-    [[nodiscard]] const rank_group& group() const { return *this->ranks; }
+    // Passes that the groups of ranks made.
+    [[nodiscard]] std::int64_t passes() const;
     [[nodiscard]] const std::string& log_directory() const { return this->files.path(); }
 
 private:
@@ -93,8 +95,11 @@
 
     [[nodiscard]] absl::Status start();
     [[nodiscard]] absl::Status claim_network();
-    // The group of all model servers.
+    // Of each group of model servers, but for its name.
     [[nodiscard]] rank_group_options group_options() const;
+    // The group of a model server, and its rank there.
+    [[nodiscard]] rank_group& group_of(std::size_t server) const;
+    [[nodiscard]] int rank_of(std::size_t server) const;
     [[nodiscard]] absl::Status start_servers();
     [[nodiscard]] absl::Status start_server(backend_options options);
     [[nodiscard]] absl::Status start_programs();
@@ -158,6 +163,8 @@
     void lapse_entries(const soak_fault& fault);
     void delay_orders(const soak_fault& fault);
     void strike_program(const soak_fault& fault);
+    void slow_rank(std::size_t server, const soak_fault& fault);
+    void strike_house(const soak_fault& fault);
     void strike_surroundings(const soak_fault& fault);
     [[nodiscard]] std::string ip(int group, int number) const;
     [[nodiscard]] bool has_other_server(const server_node& node) const;
@@ -169,7 +176,7 @@
     std::unique_ptr<tcp_listener> claim;
     int network = 0;
     std::unique_ptr<store_emulator> store;
-    std::unique_ptr<rank_group> ranks;
+    std::vector<std::unique_ptr<rank_group>> groups;
     // Model servers first.
     std::vector<server_node> servers;
     std::vector<std::unique_ptr<chaos_proxy>> store_proxies;
@@ -178,6 +185,7 @@
     int config_version = 0;
     bool moved = false;
     std::multimap<steady_time, task> due;
+    std::unique_ptr<cpu_throttle> throttle;
     absl::Mutex mutex;
     // Servers, by their number, that crash under a request.
     std::set<std::size_t> crashing ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -337,7 +337,9 @@
         this->delay_orders(fault);
         return;
     default:
-        this->ranks->set_demand(static_cast<int>(fault.variant * tastes));
+        for (const std::unique_ptr<rank_group>& group : this->groups) {
+            group->set_demand(static_cast<int>(fault.variant * tastes));
+        }
         return;
     }
 }
@@ -365,6 +367,10 @@
     case soak_fault_kind::agents_roll:
         this->strike_stops(fault);
         return;
+    case soak_fault_kind::rank_slow:
+    case soak_fault_kind::passes_late:
+        this->strike_house(fault);
+        return;
     default:
         this->strike_surroundings(fault);
         return;
--- a/sardinestream/testing/soak/soak_fleet_stops.cc
+++ b/sardinestream/testing/soak/soak_fleet_stops.cc
@@ -165,7 +165,7 @@
 {
     constexpr double with_agent_share = 0.5;
     const server_node& server = this->servers[static_cast<std::size_t>(fault.target)];
-    if (server.struck || !this->ranks->is_open()) {
+    if (server.struck || !this->group_of(static_cast<std::size_t>(fault.target)).is_open()) {
         this->after(step, [this, delay, fault] { this->stop_when_recovered(delay, fault); });
         return;
     }
--- a/sardinestream/testing/soak/soak_main.cc
+++ b/sardinestream/testing/soak/soak_main.cc
@@ -30,6 +30,9 @@
              "--model_servers");
 DEFINE_int32(plain_servers, 4, "Plain servers of two services");
 DEFINE_int32(requesters, 12, "Callers");
+DEFINE_bool(house, false,
+            "Play planned work alone, in series, on unequal ranks, with entries at half speed");
+DEFINE_int32(groups, 1, "Groups that the model servers form, each of as many ranks");
 
 namespace sardinestream::testing {
 namespace {
@@ -45,6 +48,8 @@
         size.entries = std::max(2, FLAGS_processes / processes_per_entry);
         size.model_servers = std::max(1, FLAGS_processes - size.entries);
     }
+    size.groups = FLAGS_groups;
+    size.model_servers -= size.model_servers % size.groups;
     return size;
 }
 
@@ -55,6 +60,7 @@
     options.size = make_size();
     options.length = std::chrono::milliseconds(FLAGS_length_ms);
     options.requesters = FLAGS_requesters;
+    options.house = FLAGS_house;
     const soak_verdict verdict = run_soak(options);
     std::printf("seed=%u verdict=%s faults=%zu requests=%d succeeded=%d not_run=%d failed=%d "
                 "left=%d runs=%d passes=%lld\n",
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -5,6 +5,7 @@
 
 #include "sardinestream/testing/soak/requester.h"
 #include "sardinestream/testing/soak/soak_fleet.h"
+#include "sardinestream/testing/soak/soak_house.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -37,10 +38,12 @@
         chosen.key = soak_key;
         chosen.team = soak_team;
         chosen.name = absl::StrCat("c", i);
-        chosen.sends_crashing_part = draws_crashing_requests(options.seed);
-        chosen.lasts = draws_stops(options.seed);
-        chosen.stream_timeout =
-            chosen.lasts ? lasting_stream_timeout : requester_options().stream_timeout;
+        const bool lasts = draws_stops(options.seed);
+        chosen.sends_crashing_part = !options.house && draws_crashing_requests(options.seed);
+        chosen.lasts = !options.house && lasts;
+        chosen.plain_stream_share = options.house ? house_stream_share : 0;
+        chosen.leaving_share = options.house ? house_leaving_share : chosen.leaving_share;
+        chosen.stream_timeout = lasts ? lasting_stream_timeout : requester_options().stream_timeout;
         chosen.seed = options.seed * 1000 + static_cast<unsigned>(i);
         all.push_back(std::make_unique<requester>(std::move(chosen), ledger));
         all.back()->start();
@@ -70,19 +73,25 @@
 soak_verdict run_soak(const soak_options& options)
 {
     soak_verdict verdict;
-    verdict.faults = draw_faults(options.seed, options.size, options.length);
+    verdict.faults = options.house ? draw_house_faults(options.seed, options.size, options.length)
+                                   : draw_faults(options.seed, options.size, options.length);
     soak_size size = options.size;
     const bool stops = draws_stops(options.seed);
     if (stops) {
         size.grace = stop_grace;
         size.stall = lasting_stall;
         size.stream_timeout = lasting_stream_timeout;
-        size.starves_stops = draws_starved_stops(options.seed);
+        size.starves_stops = !options.house && draws_starved_stops(options.seed);
+    }
+    if (options.house) {
+        size.pass_time = house_pass_time;
+        size.stall = house_stall(options.seed);
+        size.throttles_entries = true;
     }
     ledger_options promises;
     promises.grace = size.grace;
     promise_ledger ledger{promises};
-    size.direct_model_servers = draws_crashing_requests(options.seed);
+    size.direct_model_servers = options.house || draws_crashing_requests(options.seed);
     absl::StatusOr<std::unique_ptr<soak_fleet>> fleet = soak_fleet::create(size, ledger);
     if (!fleet.ok()) {
         verdict.broken.push_back(absl::StrCat("start: ", fleet.status().message()));
@@ -108,7 +117,7 @@
     (*fleet)->shut_down();
     verdict.broken = ledger.judge();
     verdict.requests = ledger.count();
-    verdict.passes = (*fleet)->group().passes();
+    verdict.passes = (*fleet)->passes();
     return verdict;
 }
 
--- a/sardinestream/testing/soak/soak_run.h
+++ b/sardinestream/testing/soak/soak_run.h
@@ -21,6 +21,8 @@
     // The time in which faults begin and end.
     std::chrono::milliseconds length{8000};
     int requesters = 12;
+    // Plays the house instead of the soak's own faults.
+    bool house = false;
 };
 
 struct soak_verdict {
