--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -66,6 +66,7 @@
 private:
     // A server that is gone leaves the list after this.
     static constexpr std::chrono::milliseconds entry_lifetime{1200};
+    static constexpr std::chrono::milliseconds listen_time{1000};
     // One of the real programs.
     struct program_node {
         std::string name;
@@ -147,7 +148,9 @@
     void name_limit(server_node& node, const soak_fault& fault);
     // A leaving server ends, and another takes its place.
     void replace_server(server_node& node, std::chrono::milliseconds away = {});
-    void return_server(server_node& node, const std::string& id);
+    // Tries until `latest` to listen.
+    void return_server(server_node& node, const std::string& id,
+                       steady_time latest = steady_clock::now() + listen_time);
     void crash_server(server_node& node, const soak_fault& fault);
     // Ends the servers that have begun to answer a request with the crashing part.
     void crash_due_servers();
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -136,9 +136,14 @@
     });
 }
 
-void soak_fleet::return_server(server_node& node, const std::string& id)
+void soak_fleet::return_server(server_node& node, const std::string& id, steady_time latest)
 {
     const absl::Status started = node.server->start(id);
+    if (!started.ok() && steady_clock::now() < latest) {
+        // A program that is being started still has a copy of the listener before it.
+        this->after(step, [this, &node, id, latest] { this->return_server(node, id, latest); });
+        return;
+    }
     if (!started.ok()) {
         this->ledger.note_broken(absl::StrCat("emulator: ", started.message()));
         return;
--- a/sardinestream/testing/soak/soak_house.cc
+++ b/sardinestream/testing/soak/soak_house.cc
@@ -20,7 +20,7 @@
 constexpr double at_gap = 0.49;
 // Of the seeds, one in so many has passes that are late, and one has its model servers replaced.
 constexpr unsigned seeds_per_late_passes = 3;
-constexpr unsigned seeds_per_server_roll = 4;
+constexpr unsigned seeds_per_server_roll = 5;
 
 // A kind that comes again and again.
 struct repeated_kind {
