--- a/sardinestream/testing/emulator/rank_group_test.cc
+++ b/sardinestream/testing/emulator/rank_group_test.cc
@@ -120,5 +120,26 @@
     EXPECT_EQ(this->group.order(0, {{"operation", "hold"}, {"step", 9}, {"epoch", 1}}), 409);
 }
 
+TEST_F(rank_group_test, all_ranks_wait_for_a_slow_one)
+{
+    constexpr double slowness = 10;
+    this->group.set_slowness(1, slowness);
+    rank_group::stream stream(this->group, 0);
+    EXPECT_TRUE(stream.wait_for_pass(soon()));
+    const steady_time begun = steady_clock::now();
+    EXPECT_TRUE(stream.wait_for_pass(soon()));
+    EXPECT_TRUE(stream.wait_for_pass(soon()));
+    EXPECT_GT(steady_clock::now() - begun, this->options.pass_time * slowness);
+}
+
+TEST_F(rank_group_test, passes_are_late_until_the_time_that_was_set)
+{
+    const steady_time until = steady_clock::now() + milliseconds(200);
+    this->group.delay_passes(until);
+    rank_group::stream stream(this->group, 0);
+    EXPECT_TRUE(stream.wait_for_pass(soon()));
+    EXPECT_GE(steady_clock::now(), until);
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/fault_series_test.cc
+++ b/sardinestream/testing/soak/fault_series_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "sardinestream/testing/soak/fault_series.h"
+#include "sardinestream/testing/soak/soak_house.h"
 
 namespace sardinestream::testing {
 namespace {
@@ -77,5 +78,23 @@
     EXPECT_EQ(drawn.count(soak_fault_kind::agents_roll), 1U);
 }
 
+TEST(fault_series, a_house_has_planned_work_alone_by_time)
+{
+    for (unsigned seed = 1; seed < 200; ++seed) {
+        milliseconds last{0};
+        std::set<soak_fault_kind> kinds;
+        for (const soak_fault& fault : draw_house_faults(seed, soak_size(), length)) {
+            EXPECT_TRUE(fault.is_planned()) << fault.to_string();
+            EXPECT_GE(fault.at, last);
+            EXPECT_LE(fault.at, length);
+            last = fault.at;
+            kinds.insert(fault.kind);
+        }
+        EXPECT_TRUE(kinds.contains(soak_fault_kind::entry_stop));
+        EXPECT_TRUE(kinds.contains(soak_fault_kind::agents_roll));
+        EXPECT_TRUE(kinds.contains(soak_fault_kind::rank_slow));
+    }
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -335,7 +335,10 @@
 absl::Status soak_fleet::restart(program_node& node)
 {
     ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
-    node.struck = false;
+    node.struck = this->size.start_time > milliseconds(0);
+    if (node.struck) {
+        this->after(this->size.start_time, [&node] { node.struck = false; });
+    }
     if (!node.entry.empty()) {
         this->ledger.note_entry_restart(node.entry);
     }
--- a/sardinestream/testing/soak/soak_house.h
+++ b/sardinestream/testing/soak/soak_house.h
@@ -17,6 +17,8 @@
 namespace sardinestream::testing {
 
 inline constexpr std::chrono::milliseconds house_pass_time{30};
+// Held to half of its time, a program takes this long until it heeds signals.
+inline constexpr std::chrono::milliseconds house_start_time{1000};
 inline constexpr double house_stream_share = 0.85;
 inline constexpr double house_leaving_share = 0.02;
 
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -87,6 +87,7 @@
         size.pass_time = house_pass_time;
         size.stall = house_stall(options.seed);
         size.throttles_entries = true;
+        size.start_time = house_start_time;
     }
     ledger_options promises;
     promises.grace = size.grace;
