The ledger excuses what outlasts a stop at a reload beside it, too

Cause: the rule LOST says of all planned work: "Not counted: ... or the server was still at work in the last sixth of grace-s on a request that was sent no later than 3 s after the SIGTERM". The ledger heeded it for the loss around the SIGTERM and then counted the same loss around a SIGHUP beside it.

Change: a loss that meets this clause at a SIGTERM of the entry is not counted at its reloads. Nothing else is narrowed. Tests: allowed beside a reload in the last sixth (fails before the change); still found earlier in the grace, after a run that had ended, and at a reload without a stop.

--- a/sardinestream/testing/soak/promise_ledger_stops.cc
+++ b/sardinestream/testing/soak/promise_ledger_stops.cc
@@ -118,10 +118,16 @@
     }
     const bool was_dropped = this->was_dropped(lost, record);
     const bool is_excused = promise_ledger::is_excused(lost, record);
+    // The rule excuses a server that outlasts a stop whatever else was planned beside it.
+    const bool outlasted_stop = std::any_of(
+        signals->second.begin(), signals->second.end(), [&](const planned_signal& signal) {
+            return signal.stops && this->ran_out_of_grace(signal, record, lost.at);
+        });
     // A stop says more about the loss than a reload, and the latest of each says most.
     const planned_signal* telling = nullptr;
     for (const planned_signal& signal : signals->second) {
-        const bool counts = !is_excused && this->counts_around(signal, record, lost.at);
+        const bool counts = !is_excused && (signal.stops || !outlasted_stop) &&
+                            this->counts_around(signal, record, lost.at);
         const bool is_drop = was_dropped && signal.stops && signal.at <= lost.at;
         if ((counts || is_drop) && (telling == nullptr || signal.stops || !telling->stops)) {
             telling = &signal;
--- a/sardinestream/testing/soak/promise_ledger_stops_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_stops_test.cc
@@ -154,6 +154,46 @@
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("lost")));
 }
 
+TEST_F(promise_ledger_stops_test, allows_a_cut_in_the_last_sixth_of_a_stop_beside_a_reload)
+{
+    const sent_request request = this->begin_before_stop();
+    this->ledger.note_planned_reload("entry");
+    pass(grace - milliseconds(10));
+    this->ledger.note_lost(request.id, "entry", absl::DataLossError("cut"));
+    this->ledger.note_ended(request.id);
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+}
+
+TEST_F(promise_ledger_stops_test, finds_a_cut_before_the_last_sixth_of_a_stop_beside_a_reload)
+{
+    const sent_request request = this->begin_before_stop();
+    this->ledger.note_planned_reload("entry");
+    pass(grace / 2);
+    this->ledger.note_lost(request.id, "entry", absl::DataLossError("cut"));
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("lost")));
+}
+
+TEST_F(promise_ledger_stops_test, finds_a_cut_beside_a_reload_of_a_run_that_had_ended)
+{
+    const sent_request request = this->begin_before_stop();
+    this->ledger.note_planned_reload("entry");
+    pass(milliseconds(60));
+    this->ledger.note_ended(request.id);
+    pass(milliseconds(50));
+    this->ledger.note_lost(request.id, "entry", absl::DataLossError("cut"));
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("lost")));
+}
+
+TEST_F(promise_ledger_stops_test, finds_a_late_cut_beside_a_reload_where_nothing_stops)
+{
+    const sent_request request = this->send(soak_kind::streaming);
+    this->ledger.note_begun(make_run(request));
+    this->ledger.note_planned_reload("entry");
+    pass(grace - milliseconds(10));
+    this->ledger.note_lost(request.id, "entry", absl::DataLossError("cut"));
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("lost")));
+}
+
 TEST_F(promise_ledger_stops_test, finds_a_cut_by_a_planned_reload)
 {
     const sent_request request = this->send(soak_kind::streaming);
