--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -136,9 +136,14 @@
     });
 }
 
-void soak_fleet::return_server(server_node& node, const std::string& id)
+void soak_fleet::return_server(server_node& node, const std::string& id, steady_time latest)
 {
     const absl::Status started = node.server->start(id);
+    if (!started.ok() && steady_clock::now() < latest) {
+        // A program that is being started still has a copy of the listener before it.
+        this->after(step, [this, &node, id, latest] { this->return_server(node, id, latest); });
+        return;
+    }
     if (!started.ok()) {
         this->ledger.note_broken(absl::StrCat("emulator: ", started.message()));
         return;
@@ -337,7 +342,9 @@
         this->delay_orders(fault);
         return;
     default:
-        this->ranks->set_demand(static_cast<int>(fault.variant * tastes));
+        for (const std::unique_ptr<rank_group>& group : this->groups) {
+            group->set_demand(static_cast<int>(fault.variant * tastes));
+        }
         return;
     }
 }
@@ -365,6 +372,10 @@
     case soak_fault_kind::agents_roll:
         this->strike_stops(fault);
         return;
+    case soak_fault_kind::rank_slow:
+    case soak_fault_kind::passes_late:
+        this->strike_house(fault);
+        return;
     default:
         this->strike_surroundings(fault);
         return;
