entry_program_test claims a loopback network of its own

Its ports were free only within one process: two copies at once bound 127.0.7.x, ports from 21000. Before,: of two copies of entry_program_test.* at once one aborted with "bind: Address already in use". After: 4 of 4 copies passed, two at once, without a_long_silence_of_an_entry_does_not_enlarge_the_shares_of_retries, which takes 33 s.

--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -1,11 +1,10 @@
 // Tests that entries share the state that only one of them received from the store. Each entry has
 // its own loopback address, since all of them use the same port for their messages.
 
-#include <atomic>
-
 #include <gtest/gtest.h>
 
 #include "sardinestream/programs/entry_program.h"
+#include "sardinestream/testing/loopback_network.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -39,25 +38,24 @@
 // A desired state must be in force everywhere within this time.
 constexpr milliseconds time_to_agree{2000};
 
-// Returns a port that is free on all loopback addresses that the tests use.
-int free_port()
-{
-    static std::atomic<int> next = 21000;
-    return next++;
-}
+constexpr int news_port = 21000;
+constexpr int ready_port = 21001;
+constexpr int ops_port = 21002;
 
-class entry_program_test : public testing::Test {
+class entry_program_test : public ::testing::Test {
 protected:
+    [[nodiscard]] std::string ip(int machine) const { return this->network.ip(1, machine); }
+
     std::unique_ptr<entry_program> start(int machine, const std::vector<std::string>& seeds)
     {
-        const std::string ip = absl::StrCat("127.0.7.", machine);
+        const std::string ip = this->ip(machine);
         entry_options options;
         options.id = absl::StrCat("entry-", machine);
         options.ip = ip;
         options.front_listen = {ip, 0};
-        options.ready_listen = {ip, this->ready_port};
-        options.ops_listen = {ip, this->ops_port};
-        options.news_port = this->news_port;
+        options.ready_listen = {ip, ready_port};
+        options.ops_listen = {ip, ops_port};
+        options.news_port = news_port;
         options.seeds = seeds;
         absl::StatusOr<std::unique_ptr<entry_program>> started =
             entry_program::start(options, wire_protocol(), decode_version);
@@ -67,7 +65,7 @@
 
     [[nodiscard]] int readiness(int machine) const
     {
-        http_client client({absl::StrCat("127.0.7.", machine), this->ready_port});
+        http_client client({this->ip(machine), ready_port});
         const absl::StatusOr<http_answer> answer =
             client.call("GET", "/", "", steady_clock::now() + milliseconds(1000));
         return answer.ok() ? answer->status : 0;
@@ -88,7 +86,7 @@
     // Returns true if the entry's status page contains `text` now.
     [[nodiscard]] bool status_contains(int machine, absl::string_view text) const
     {
-        http_client client({absl::StrCat("127.0.7.", machine), this->ops_port});
+        http_client client({this->ip(machine), ops_port});
         const absl::StatusOr<http_answer> answer =
             client.call("GET", "/status", "", steady_clock::now() + milliseconds(1000));
         EXPECT_TRUE(answer.ok()) << answer.status();
@@ -127,9 +125,7 @@
         return true;
     }
 
-    const int news_port = free_port();
-    const int ready_port = free_port();
-    const int ops_port = free_port();
+    const testing::loopback_network network = *testing::loopback_network::claim();
 };
 
 TEST_F(entry_program_test, is_ready_once_it_knows_routes_and_servers)
@@ -145,7 +141,7 @@
 TEST_F(entry_program_test, fetches_from_a_peer_what_the_store_does_not_deliver)
 {
     const std::unique_ptr<entry_program> connected = this->start(1, {});
-    const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> rejected = this->start(2, {this->ip(1)});
     connected->apply_desired_state("3", 10, "store");
     connected->apply_server_list({{}, {11}}, {});
     EXPECT_TRUE(this->becomes_ready(2));
@@ -156,7 +152,7 @@
 TEST_F(entry_program_test, takes_a_newer_version_from_a_peer_that_knows_a_lower_revision)
 {
     const std::unique_ptr<entry_program> known = this->start(1, {});
-    const std::unique_ptr<entry_program> started = this->start(2, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> started = this->start(2, {this->ip(1)});
     for (entry_program* entry : {known.get(), started.get()}) {
         entry->apply_server_list({{}, {50}}, {});
     }
@@ -174,7 +170,7 @@
     known->apply_server_changes({{{"left", std::nullopt, {11, 1}}}, {11, 1}}, {});
     const server_list copy = {{named("left"), named("stays")}, {10, 2}};
     known->apply_server_list(copy, {});
-    const std::unique_ptr<entry_program> started = this->start(2, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> started = this->start(2, {this->ip(1)});
     started->apply_desired_state("3", 9, "store");
     started->apply_server_list(copy, {});
     EXPECT_TRUE(this->stops_using(2, "left", shortest_drain));
@@ -186,7 +182,7 @@
 TEST_F(entry_program_test, of_an_earlier_era_uses_what_its_peers_use)
 {
     const std::unique_ptr<entry_program> connected = this->start(1, {});
-    const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> rejected = this->start(2, {this->ip(1)});
     for (entry_program* entry : {connected.get(), rejected.get()}) {
         entry->apply_desired_state("3", 9, "store");
         entry->apply_server_list({{named("leaves"), named("stays")}, {40, 1}}, {});
@@ -204,7 +200,7 @@
        does_not_keep_a_server_that_left_while_only_this_entry_had_lost_the_store)
 {
     const std::unique_ptr<entry_program> connected = this->start(1, {});
-    const std::unique_ptr<entry_program> rejected = this->start(2, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> rejected = this->start(2, {this->ip(1)});
     for (entry_program* entry : {connected.get(), rejected.get()}) {
         entry->apply_desired_state("3", 9, "store");
         entry->apply_server_list({{named("leaves"), named("stays")}, {10}}, {});
@@ -251,8 +247,8 @@
 TEST_F(entry_program_test, a_long_silence_of_an_entry_does_not_enlarge_the_shares_of_retries)
 {
     const std::unique_ptr<entry_program> first = this->start(1, {});
-    const std::unique_ptr<entry_program> second = this->start(2, {"127.0.7.1"});
-    std::unique_ptr<entry_program> silent = this->start(3, {"127.0.7.1"});
+    const std::unique_ptr<entry_program> second = this->start(2, {this->ip(1)});
+    std::unique_ptr<entry_program> silent = this->start(3, {this->ip(1)});
     ASSERT_TRUE(this->shows(1, "\"entries_known\":3"));
     ASSERT_TRUE(this->shows(2, "\"entries_known\":3"));
     silent.reset();
