--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -6,8 +6,6 @@
 #include <thread>
 #include <utility>
 
-#include <unistd.h>
-
 #include "sardinestream/base/error.h"
 #include "sardinestream/http/http_client.h"
 #include "sardinestream/testing/emulator/wire_words.h"
@@ -21,11 +19,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// Second byte of the run's addresses on the loopback.
-constexpr int first_network = 10;
-constexpr int networks = 200;
-constexpr int claim_port = 20009;
-// Third byte.
+// Groups of addresses in the run's network.
 constexpr int entry_group = 1;
 constexpr int model_group = 2;
 constexpr int plain_group = 3;
@@ -100,7 +94,7 @@
 
 std::string soak_fleet::ip(int group, int number) const
 {
-    return absl::StrCat("127.", this->network, ".", group, ".", number);
+    return this->network->ip(group, number);
 }
 
 address soak_fleet::entry_address(int index) const
@@ -108,24 +102,13 @@
     return {this->ip(entry_group, index + 1), front_port};
 }
 
-absl::Status soak_fleet::claim_network()
-{
-    for (int i = 0; i < networks; ++i) {
-        const int candidate = first_network + (static_cast<int>(::getpid()) + i) % networks;
-        absl::StatusOr<tcp_listener> listener =
-            tcp_listener::bind({absl::StrCat("127.", candidate, ".0.1"), claim_port});
-        if (listener.ok()) {
-            this->claim = std::make_unique<tcp_listener>(*std::move(listener));
-            this->network = candidate;
-            return absl::OkStatus();
-        }
-    }
-    return make_error(absl::StatusCode::kResourceExhausted, "start", "loopback", "no network left");
-}
-
 absl::Status soak_fleet::start()
 {
-    SARDINE_RETURN_IF_ERROR(this->claim_network());
+    absl::StatusOr<loopback_network> claimed = loopback_network::claim();
+    if (!claimed.ok()) {
+        return claimed.status();
+    }
+    this->network = *std::move(claimed);
     absl::StatusOr<std::unique_ptr<store_emulator>> opened =
         store_emulator::start({this->ip(store_group, 1), store_port});
     if (!opened.ok()) {
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 #include "sardinestream/testing/emulator/backend_emulator.h"
 #include "sardinestream/testing/emulator/rank_group.h"
 #include "sardinestream/testing/emulator/store_emulator.h"
+#include "sardinestream/testing/loopback_network.h"
 #include "sardinestream/testing/process.h"
 #include "sardinestream/testing/soak/chaos_proxy.h"
 #include "sardinestream/testing/soak/fault_series.h"
@@ -92,7 +94,6 @@
     soak_fleet(const soak_size& wanted, promise_ledger& shared);
 
     [[nodiscard]] absl::Status start();
-    [[nodiscard]] absl::Status claim_network();
     // The group of all model servers.
     [[nodiscard]] rank_group_options group_options() const;
     [[nodiscard]] absl::Status start_servers();
@@ -165,9 +166,7 @@
     const soak_size size;
     promise_ledger& ledger;
     const temp_directory files;
-    // Holds the network of this run against other runs on the machine.
-    std::unique_ptr<tcp_listener> claim;
-    int network = 0;
+    std::optional<loopback_network> network;
     std::unique_ptr<store_emulator> store;
     std::unique_ptr<rank_group> ranks;
     // Model servers first.
