An agent reports the same progress of a map to its coordinator once

Trace, one change and the second after it, 1.43 s (three maps, each prepared, armed and released once; no order was repeated): the coordinator received 1554 messages, 539608 of 537196 bytes allowed: states 1066 messages, 206352 bytes states with counts of experts 140 messages, 244400 bytes states with a list of experts 358 messages, 88856 bytes It sent 204276 bytes: 30 prepare orders 111264, 573 heartbeats 52716, 285 arm orders 39900. Cause: the state that answers an order was not recorded as sent, so that the next poll found the progress of the order (an armed switch) unreported and sent the same state once more: some 200 messages, a tenth of the bytes. Change: whatever state goes to the coordinator records the progress that it carries. A state that is lost is asked for by the repeated order, as an order that is lost.

--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -322,12 +322,15 @@
            holding_rank(prepared, report.group_size) == report.rank;
 }
 
-bool agent_program::has_unreported_progress()
+agent_program::map_progress agent_program::progress() const
 {
     const rank_report& report = this->engine.report()->map_report;
-    const map_progress now = {report.map_version, report.prepared_version, report.armed,
-                              report.held_step};
-    return !(now == std::exchange(this->last_progress, now));
+    return {report.map_version, report.prepared_version, report.armed, report.held_step};
+}
+
+bool agent_program::has_unreported_progress() const
+{
+    return !(this->progress() == this->reported_progress);
 }
 
 void agent_program::follow(const coordinator_term& term)
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -141,8 +141,9 @@
     // Returns an order that makes the engine prepare another map, if known the one in use, which
     // needs no copies. Returns no value if no map is known.
     [[nodiscard]] std::optional<engine_order> make_superseding_order();
-    // Returns true if the map progress has changed since the last call.
-    [[nodiscard]] bool has_unreported_progress();
+    [[nodiscard]] map_progress progress() const;
+    // Returns true if the map progress differs from what the coordinator was last sent.
+    [[nodiscard]] bool has_unreported_progress() const;
     void report_to_entries();
     // Sends the state to the machine with address `ip`; sends nothing if `ip` is zero.
     void send_state(std::uint32_t ip, bool with_counts);
@@ -211,7 +212,7 @@
     stalled_hold_guard hold_guard;
     // The map in use and the newest one received, as far as they are known.
     known_maps maps;
-    map_progress last_progress;
+    map_progress reported_progress;
     reported_experts last_reported_experts;
     steady_time next_experts{};
 
--- a/sardinestream/programs/agent_program_reports.cc
+++ b/sardinestream/programs/agent_program_reports.cc
@@ -85,9 +85,13 @@
 void agent_program::send_state(std::uint32_t ip, bool with_counts)
 {
     this->next_state = steady_clock::now() + state_interval(this->engine.report()->group_size);
-    if (ip != 0) {
-        this->options.messages.send(make_message(this->make_state(with_counts)), {ip});
+    if (ip == 0) {
+        return;
     }
+    if (ip == this->followed.ip) {
+        this->reported_progress = this->progress();
+    }
+    this->options.messages.send(make_message(this->make_state(with_counts)), {ip});
 }
 
 } // namespace sardinestream
