A stream without chunks is reset if the process ends within it

What callers saw: a caller without chunks (HTTP/1.0), whose answer ends with its connection, could take a cut stream for a whole one: if it read slowly and the process ended meanwhile, the connection ended in order.

Cause: only exchange::run resets the connection of an incomplete stream. A thread that is blocked in a write never gets there, and the kernel ends the connections of a process in order.

Evidence: closing_connections_test.a_stream_without_chunks_ends_with_a_ reset_if_the_process_ends closes the connection as the end of a process does, within a stream of 8 MB: an orderly end before, a reset now.

Why it works: SO_LINGER with no time is set on the connection from the first event to the end of the stream, so that whatever closes it, the kernel resets it.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -1,7 +1,11 @@
 // Tests that callers get every answer whole however their connection ends: after an answer, around
 // a stop, or with input that nobody reads.
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "sardinestream/forwarding/frontend_fixture.h"
 
@@ -22,6 +26,24 @@
     return absl::StrCat("id: ", id, "\ndata: piece ", id, "\n\n");
 }
 
+// Returns the descriptor of this process whose connection leads to `peer`, or -1.
+int descriptor_connected_to(const tcp_socket& peer)
+{
+    sockaddr_in wanted{};
+    socklen_t length = sizeof(wanted);
+    ::getsockname(peer.descriptor(), reinterpret_cast<sockaddr*>(&wanted), &length);
+    constexpr int most_descriptors = 1024;
+    for (int fd = 0; fd < most_descriptors; ++fd) {
+        sockaddr_in found{};
+        length = sizeof(found);
+        if (::getpeername(fd, reinterpret_cast<sockaddr*>(&found), &length) == 0 &&
+            found.sin_family == AF_INET && found.sin_port == wanted.sin_port) {
+            return fd;
+        }
+    }
+    return -1;
+}
+
 class closing_connections_test : public frontend_test {
 protected:
     static scripted_server::script serving(const std::string& body)
@@ -190,6 +212,65 @@
     this->channels.close_stale({});
 }
 
+// Guards against a stream that looks complete because the process ends while its caller reads
+// slowly.
+TEST_F(closing_connections_test, a_stream_without_chunks_ends_with_a_reset_if_the_process_ends)
+{
+    const std::shared_ptr<desired_state> changed = make_state();
+    for (route& each : changed->routes) {
+        each.timeout = milliseconds(800);
+    }
+    changed->index_routes();
+    this->state = changed;
+    scripted_server server([](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection));
+        constexpr int many_events = 10;
+        for (int id = 1; id <= many_events; ++id) {
+            connection.write(chunk(absl::StrCat(
+                "id: ", id, "\ndata: ", std::string(long_answer_bytes / many_events, 'x'),
+                "\n\n")));
+        }
+        connection.write(last_chunk);
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    std::string request = request_text("/tell/", "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    ASSERT_TRUE(socket.write_all(request, soon(), {}).ok());
+    wait_for_input(socket.descriptor(), {}, soon());
+    std::this_thread::sleep_for(reading_delay);
+    // Closes the connection as the kernel does when a process ends.
+    const int caller_descriptor = descriptor_connected_to(socket);
+    ASSERT_GE(caller_descriptor, 0);
+    const tcp_socket nothing(::open("/dev/null", O_RDWR | O_CLOEXEC));
+    ASSERT_GE(::dup3(nothing.descriptor(), caller_descriptor, O_CLOEXEC), 0);
+    this->stop();
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_LT(answer.body.size(), long_answer_bytes);
+    EXPECT_TRUE(absl::IsUnavailable(answer.end)) << answer.end;
+}
+
+// Guards against a whole stream whose end is lost because its connection is reset.
+TEST_F(closing_connections_test, a_whole_stream_without_chunks_ends_in_order)
+{
+    scripted_server server([](scripted_connection& connection) {
+        ASSERT_TRUE(connection.read_request());
+        connection.write(stream_head(connection) + chunk(event(1) + event(2)) + last_chunk);
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    std::string request = request_text("/tell/", "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    ASSERT_TRUE(socket.write_all(request, soon(), {}).ok());
+    std::this_thread::sleep_for(reading_delay);
+    message_reader reader(socket);
+    const caller_answer answer = read_long_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body, event(1) + event(2));
+}
+
 // Guards against an answer that is cut because its caller reads on after the end of a stop.
 TEST_F(closing_connections_test, an_answer_is_written_on_for_a_caller_that_reads_after_a_stop)
 {
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -75,7 +75,6 @@
     this->release_reserved();
     this->close_left_stream();
     if (this->ends_with_connection) {
-        // An orderly end would make the response look complete.
         this->caller.abort_when_delivered(steady_clock::now() + local_response_timeout);
     }
     return keep;
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -26,6 +26,8 @@
         this->response_started = true;
         this->registered.set_phase(request_phase::answering);
         this->ends_with_connection = !this->admitted.request.accepts_chunked;
+        // An orderly end would make the response look complete.
+        this->caller.set_abort_on_close(this->ends_with_connection);
     }
     text += this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete;
     SARDINE_RETURN_IF_ERROR(this->caller.write_all(
@@ -43,6 +45,7 @@
     }
     if (!this->admitted.request.accepts_chunked) {
         this->ends_with_connection = false;
+        this->caller.set_abort_on_close(false);
         return absl::OkStatus();
     }
     return this->caller.write_all(
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -335,10 +335,15 @@
     this->fd = -1;
 }
 
+void tcp_socket::set_abort_on_close(bool aborts)
+{
+    const linger end = {aborts ? 1 : 0, 0};
+    ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &end, sizeof(end));
+}
+
 void tcp_socket::abort()
 {
-    const linger abrupt = {1, 0};
-    ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &abrupt, sizeof(abrupt));
+    this->set_abort_on_close(true);
     this->close();
 }
 
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -113,6 +113,9 @@
     // `deadline`; then closes. Input that is unread at a close makes the kernel reset the
     // connection, and the peer may lose the end of what was written. No effect on a closed socket.
     void close_gracefully(steady_time deadline);
+    // Decides whether the connection ends with a reset however it is closed, also by the end of the
+    // process.
+    void set_abort_on_close(bool aborts);
     // Closes the connection with a reset; bytes that have not been delivered yet are discarded.
     void abort();
     // Like `abort`, but waits first until the peer has acknowledged what was written, or until
