A request whose body is arriving is listed and named

What operators saw: an upload that ended with its process, or that broke off, left no line with its id: request_unfinished listed only requests that had been read whole, request_rejected named none, and a failed "100 Continue" was not logged at all.

Cause: a request was registered as open by its exchange, which begins behind the body.

Evidence: closing_connections_test.an_upload_is_listed_as_open_from_its_ head_on: no request listed before, one with the phase "reading" now. The lines themselves are not tested: unit tests have no log.

Why it works: the request is registered from its head to the end of its body, and its exchange takes over; every way out between the two logs a line with the id.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -191,6 +191,27 @@
     }
 }
 
+// Guards against an upload of which a process that ends leaves no line.
+TEST_F(closing_connections_test, an_upload_is_listed_as_open_from_its_head_on)
+{
+    scripted_server server(serving("served"));
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    message_reader reader(socket);
+    const std::string request = request_text("/read/", "r1");
+    ASSERT_TRUE(socket.write_all(request.substr(0, request.size() - 1), soon(), {}).ok());
+    std::this_thread::sleep_for(reading_delay);
+    const std::vector<open_request> open = this->in_progress.list();
+    ASSERT_EQ(open.size(), 1U);
+    EXPECT_EQ(open.front().id, "r1");
+    EXPECT_EQ(name_of(open.front().phase), "reading");
+    ASSERT_TRUE(socket.write_all(request.substr(request.size() - 1), soon(), {}).ok());
+    EXPECT_EQ(read_answer(reader).body, "served");
+    this->stop();
+    EXPECT_EQ(this->in_progress.size(), 0U);
+    this->channels.close_stale({});
+}
+
 // Guards against uploads that are refused although they arrive while there is time.
 TEST_F(closing_connections_test, an_upload_that_arrives_during_a_stop_is_served)
 {
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -186,30 +186,42 @@
         return this->reject_message(connection, request.status());
     }
     message_memory_reservation reservation(this->services.request_memory, "caller");
-    const std::size_t declared = std::min(declared_length(*head), limits.body_bytes);
+    if (!this->read_body(connection, reader, {*head, limits, arrival}, reservation, *request)) {
+        return false;
+    }
+    return this->admit(connection, *std::move(request), arrival);
+}
+
+bool frontend::read_body(tcp_socket& connection, message_reader& reader,
+                         const arriving_request& arriving, message_memory_reservation& reservation,
+                         caller_request& request)
+{
+    const auto& [head, limits, arrival] = arriving;
+    const open_requests::registration registered(this->services.open,
+                                                 {request.id, "", arrival, request_phase::reading});
+    const std::size_t declared = std::min(declared_length(head), limits.body_bytes);
     if (!reservation.resize(declared, arrival + memory_timeout)) {
-        return this->refuse_unread(connection, *std::move(request), "no_memory");
+        return this->refuse_unread(connection, std::move(request), "no_memory");
     }
-    const std::optional<absl::string_view> expectation = find_header(head->headers, "expect");
-    if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue") &&
-        !connection.write_all("HTTP/1.1 100 Continue\r\n\r\n", arrival + limits.header_timeout, {})
-             .ok()) {
-        return false;
+    const std::optional<absl::string_view> expectation = find_header(head.headers, "expect");
+    if (expectation.has_value() && absl::EqualsIgnoreCase(*expectation, "100-continue")) {
+        const absl::Status continued = connection.write_all("HTTP/1.1 100 Continue\r\n\r\n",
+                                                            arrival + limits.header_timeout, {});
+        if (!continued.ok()) {
+            return this->reject_message(connection, continued, request.id);
+        }
     }
-    request->body.reserve(declared);
-    const absl::Status read = read_body_within(reader, limits.body_bytes, reservation,
-                                               request->body, arrival + body_timeout, {});
+    request.body.reserve(declared);
+    const absl::Status read = read_body_within(reader, limits.body_bytes, reservation, request.body,
+                                               arrival + body_timeout, {});
     if (absl::IsAborted(read)) {
-        return this->refuse_unread(connection, *std::move(request), "no_memory");
+        return this->refuse_unread(connection, std::move(request), "no_memory");
     }
     if (absl::IsFailedPrecondition(read)) {
         // Another entry can serve the request; the caller must know that this one does not.
-        return this->refuse_unread(connection, *std::move(request), "shutting_down");
+        return this->refuse_unread(connection, std::move(request), "shutting_down");
     }
-    if (!read.ok()) {
-        return this->reject_message(connection, read);
-    }
-    return this->admit(connection, *std::move(request), arrival);
+    return read.ok() || this->reject_message(connection, read, request.id);
 }
 
 bool frontend::refuse_unread(tcp_socket& connection, caller_request request, absl::string_view code)
@@ -219,11 +231,13 @@
     return false;
 }
 
-bool frontend::reject_message(tcp_socket& connection, const absl::Status& error)
+bool frontend::reject_message(tcp_socket& connection, const absl::Status& error,
+                              absl::string_view request_id)
 {
     const int status = status_of(error);
     count("sardine_bad_requests_total", {{"status", absl::StrCat(status)}});
-    log_event("request_rejected", {{"status", status}, {"reason", error.message()}});
+    log_event("request_rejected",
+              {{"request", request_id}, {"status", status}, {"reason", error.message()}});
     if (status != 0) {
         const bool is_stopping = status == unavailable;
         (void)write_local_response(connection, {}, status,
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -59,7 +59,20 @@
     [[nodiscard]] steady_time linger_end() const;
     [[nodiscard]] bool serve_request(tcp_socket& connection, message_reader& reader);
     [[nodiscard]] bool wait_for_request(tcp_socket& connection, message_reader& reader);
-    [[nodiscard]] bool reject_message(tcp_socket& connection, const absl::Status& error);
+    // A request whose body has not been read.
+    struct arriving_request {
+        const http_request_head& head;
+        request_limits limits;
+        steady_time arrival;
+    };
+    // Reads the body of the request into it. Returns false if the request has been refused or
+    // cannot be read, and the connection is to be closed.
+    [[nodiscard]] bool read_body(tcp_socket& connection, message_reader& reader,
+                                 const arriving_request& arriving,
+                                 message_memory_reservation& reservation, caller_request& request);
+    // Rejects a message that is no request, or not a whole one. Returns false.
+    [[nodiscard]] bool reject_message(tcp_socket& connection, const absl::Status& error,
+                                      absl::string_view request_id = "");
     [[nodiscard]] bool admit(tcp_socket& connection, caller_request request, steady_time arrival);
     // Returns the desired state; shortly after start-up, waits a short time for the first one.
     // Returns null if none is received in that time.
--- a/sardinestream/forwarding/open_requests.cc
+++ b/sardinestream/forwarding/open_requests.cc
@@ -7,6 +7,8 @@
 absl::string_view name_of(request_phase phase)
 {
     switch (phase) {
+    case request_phase::reading:
+        return "reading";
     case request_phase::waiting:
         return "waiting";
     case request_phase::sent:
--- a/sardinestream/forwarding/open_requests.h
+++ b/sardinestream/forwarding/open_requests.h
@@ -1,5 +1,5 @@
-// Keeps the requests that a process has read and not yet answered, so that a stop can tell which
-// ones it leaves without an answer.
+// Keeps the requests whose head a process has read and that it has not yet answered, so that a stop
+// can tell which ones it leaves without an answer.
 //
 //     open_requests open;
 //     open_requests::registration one(open, {id, service, arrival});
@@ -24,6 +24,8 @@
 namespace sardinestream {
 
 enum class request_phase : std::uint8_t {
+    // Its body is still arriving.
+    reading,
     // No server has it.
     waiting,
     // Sent to a server; nothing of a stream has reached the caller, or the answer is relayed whole.
