A caller that reads nothing for seconds gets the rest of its answer

What callers saw: a caller that paused for over 4 s with a full window was reset and lost the rest of its answer, in and out of a stop.

Cause: TCP_USER_TIMEOUT of 4 s on callers' connections. The kernel counts it from the moment the window closes, although the peer acknowledges each window probe.

Evidence: socket_test.an_accepted_connection_outlasts_a_peer_that_reads_ nothing_for_seconds, a real socket, a pause of 7 s: 258,255 of 8,000,000 bytes and a reset before, all of them now.

Why it works: accepted connections have no such timeout. Each write, and a blocked one every 0.5 s, asks TCP_INFO: four retransmissions or window probes without any acknowledgement mean a dead peer; a peer that only reads nothing answers them. Connections to servers keep the timeout: an attempt there has other ways on.

--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -26,8 +26,13 @@
 
 // Maximum number of connections that the kernel queues for a listener.
 constexpr int listen_backlog = 1024;
-// How long sent bytes may remain unacknowledged before the kernel closes the connection.
+// How long bytes sent to a server may remain unacknowledged, or its window full, before the kernel
+// closes the connection.
 constexpr int user_timeout_ms = 4000;
+// A caller may read nothing for long: the kernel's timeout does not tell a full window from a dead
+// peer. After so many unanswered retransmissions or window probes (some 3 s), it is dead.
+constexpr int max_unanswered_probes = 4;
+constexpr std::chrono::milliseconds answering_check{500};
 constexpr int keepalive_idle_s = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
@@ -76,7 +81,6 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
     set_option(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
 }
 
@@ -164,6 +168,7 @@
         return socket_error("connect");
     }
     set_connection_options(socket.fd);
+    set_option(socket.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
     if (::connect(socket.fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) == 0) {
         return socket;
     }
@@ -231,11 +236,23 @@
     }
 }
 
+bool tcp_socket::is_unanswered() const
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    return ::getsockopt(this->fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+           std::max(info.tcpi_retransmits, info.tcpi_probes) >= max_unanswered_probes;
+}
+
 absl::StatusOr<bool> tcp_socket::write(absl::string_view bytes, bool stop_at_answer,
                                        steady_time deadline, const hangup_watch& caller)
 {
     const short events = stop_at_answer ? POLLOUT | POLLIN : POLLOUT;
     while (!bytes.empty()) {
+        if (this->is_unanswered()) {
+            return make_error(absl::StatusCode::kUnavailable, "write", "",
+                              "the peer does not answer");
+        }
         const ssize_t length =
             ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (length > 0) {
@@ -245,7 +262,13 @@
         if (errno != EAGAIN && errno != EINTR) {
             return socket_error("write");
         }
-        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, events, deadline, caller, "write"));
+        const steady_time next_check = steady_clock::now() + answering_check;
+        absl::Status waited =
+            wait_for(this->fd, events, std::min(deadline, next_check), caller, "write");
+        if (absl::IsDeadlineExceeded(waited) && steady_clock::now() < deadline) {
+            continue;
+        }
+        SARDINE_RETURN_IF_ERROR(waited);
         if (stop_at_answer && this->has_input_or_end()) {
             return false;
         }
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -126,6 +126,9 @@
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
 
 private:
+    // Returns whether the peer has left so many retransmissions or window probes unanswered that it
+    // must be dead. A peer that reads nothing answers them.
+    [[nodiscard]] bool is_unanswered() const;
     // Returns how many bytes may be read now: at most `wanted`, fewer after `deadline`.
     [[nodiscard]] std::size_t readable_until(steady_time deadline, std::size_t wanted);
     // Returns kCancelled if the watched caller has disconnected; looks only now and then.
--- a/sardinestream/http/socket_test.cc
+++ b/sardinestream/http/socket_test.cc
@@ -186,5 +186,35 @@
     EXPECT_EQ(received, text.size());
 }
 
+// Guards against an answer whose rest is lost because its caller pauses with a full window.
+TEST_F(socket_test, an_accepted_connection_outlasts_a_peer_that_reads_nothing_for_seconds)
+{
+    constexpr std::chrono::seconds pause{7};
+    absl::StatusOr<tcp_listener> listener = tcp_listener::bind({"127.0.0.1", 0});
+    ASSERT_TRUE(listener.ok());
+    tcp_socket peer = *tcp_socket::connect(listener->local(), steady_clock::now() + wait, {});
+    tcp_socket writer = *listener->accept(steady_clock::now() + wait);
+    const std::string text(8'000'000, 'x');
+    std::thread writing([&] {
+        const absl::Status written = writer.write_all(text, steady_clock::now() + 2 * pause, {});
+        EXPECT_TRUE(written.ok()) << written;
+        writer.close();
+    });
+    std::this_thread::sleep_for(pause);
+    std::size_t received = 0;
+    std::array<char, 65536> buffer{};
+    while (true) {
+        const absl::StatusOr<std::size_t> length =
+            peer.read_some(absl::MakeSpan(buffer), steady_clock::now() + pause, {});
+        EXPECT_TRUE(length.ok()) << length.status();
+        if (!length.ok() || *length == 0) {
+            break;
+        }
+        received += *length;
+    }
+    writing.join();
+    EXPECT_EQ(received, text.size());
+}
+
 } // namespace
 } // namespace sardinestream
