--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -26,8 +27,13 @@
 
 // Maximum number of connections that the kernel queues for a listener.
 constexpr int listen_backlog = 1024;
-// How long sent bytes may remain unacknowledged before the kernel closes the connection.
+// How long bytes sent to a server may remain unacknowledged, or its window full, before the kernel
+// closes the connection.
 constexpr int user_timeout_ms = 4000;
+// A caller may read nothing for long: the kernel's timeout does not tell a full window from a dead
+// peer. After so many unanswered retransmissions or window probes (some 3 s), it is dead.
+constexpr int max_unanswered_probes = 4;
+constexpr std::chrono::milliseconds answering_check{500};
 constexpr int keepalive_idle_s = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
@@ -76,7 +82,6 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
     set_option(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
 }
 
@@ -164,6 +169,7 @@
         return socket_error("connect");
     }
     set_connection_options(socket.fd);
+    set_option(socket.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
     if (::connect(socket.fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) == 0) {
         return socket;
     }
@@ -231,11 +237,23 @@
     }
 }
 
+bool tcp_socket::is_unanswered() const
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    return ::getsockopt(this->fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+           std::max(info.tcpi_retransmits, info.tcpi_probes) >= max_unanswered_probes;
+}
+
 absl::StatusOr<bool> tcp_socket::write(absl::string_view bytes, bool stop_at_answer,
                                        steady_time deadline, const hangup_watch& caller)
 {
     const short events = stop_at_answer ? POLLOUT | POLLIN : POLLOUT;
     while (!bytes.empty()) {
+        if (this->is_unanswered()) {
+            return make_error(absl::StatusCode::kUnavailable, "write", "",
+                              "the peer does not answer");
+        }
         const ssize_t length =
             ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (length > 0) {
@@ -245,7 +263,13 @@
         if (errno != EAGAIN && errno != EINTR) {
             return socket_error("write");
         }
-        SARDINE_RETURN_IF_ERROR(wait_for(this->fd, events, deadline, caller, "write"));
+        const steady_time next_check = steady_clock::now() + answering_check;
+        absl::Status waited =
+            wait_for(this->fd, events, std::min(deadline, next_check), caller, "write");
+        if (absl::IsDeadlineExceeded(waited) && steady_clock::now() < deadline) {
+            continue;
+        }
+        SARDINE_RETURN_IF_ERROR(waited);
         if (stop_at_answer && this->has_input_or_end()) {
             return false;
         }
@@ -335,10 +359,15 @@
     this->fd = -1;
 }
 
+void tcp_socket::set_abort_on_close(bool aborts)
+{
+    const linger end = {aborts ? 1 : 0, 0};
+    ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &end, sizeof(end));
+}
+
 void tcp_socket::abort()
 {
-    const linger abrupt = {1, 0};
-    ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &abrupt, sizeof(abrupt));
+    this->set_abort_on_close(true);
     this->close();
 }
 
@@ -375,6 +404,22 @@
     return listener;
 }
 
+void tcp_listener::ignore_new_connections()
+{
+    // Drops segments with SYN and without ACK; the program sees a segment from its TCP header on.
+    constexpr std::uint32_t flags_offset = 13;
+    constexpr std::uint32_t syn = 0x02;
+    constexpr std::uint32_t syn_and_ack = 0x12;
+    constexpr std::uint32_t whole_segment = 0xffffffff;
+    sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+                          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, syn_and_ack),
+                          BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1),
+                          BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, whole_segment)};
+    const sock_fprog program = {std::size(code), code};
+    ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof(program));
+}
+
 absl::StatusOr<tcp_socket> tcp_listener::accept(steady_time deadline)
 {
     while (true) {
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -113,6 +113,9 @@
     // `deadline`; then closes. Input that is unread at a close makes the kernel reset the
     // connection, and the peer may lose the end of what was written. No effect on a closed socket.
     void close_gracefully(steady_time deadline);
+    // Decides whether the connection ends with a reset however it is closed, also by the end of the
+    // process.
+    void set_abort_on_close(bool aborts);
     // Closes the connection with a reset; bytes that have not been delivered yet are discarded.
     void abort();
     // Like `abort`, but waits first until the peer has acknowledged what was written, or until
@@ -123,6 +126,9 @@
     [[nodiscard]] bool is_open() const { return this->fd >= 0; }
 
 private:
+    // Returns whether the peer has left so many retransmissions or window probes unanswered that it
+    // must be dead. A peer that reads nothing answers them.
+    [[nodiscard]] bool is_unanswered() const;
     // Returns how many bytes may be read now: at most `wanted`, fewer after `deadline`.
     [[nodiscard]] std::size_t readable_until(steady_time deadline, std::size_t wanted);
     // Returns kCancelled if the watched caller has disconnected; looks only now and then.
@@ -151,6 +157,10 @@
     // Waits for a connection; returns kDeadlineExceeded if there is none by `deadline`.
     [[nodiscard]] absl::StatusOr<tcp_socket> accept(steady_time deadline);
 
+    // Ignores connections that are not yet being made, as if the machine were busy; those whose
+    // handshake has begun can still be accepted.
+    void ignore_new_connections();
+
     // Returns the bound address. The port is the actual one, also if port 0 was requested.
     [[nodiscard]] const address& local() const { return this->bound; }
 
