A crash ends its process although nobody reads its log

Now it is written only if the output takes it at once.

A stack overflow still writes no line: there is no signal stack.

--- a/sardinestream/base/crash_log.cc
+++ b/sardinestream/base/crash_log.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstddef>
 
+#include <poll.h>
 #include <unistd.h>
 
 namespace sardinestream {
@@ -86,8 +87,13 @@
     line.add(" event=crashed signal=");
     line.add_number(static_cast<unsigned>(number), 1);
     line.add("\n");
-    const ssize_t written = ::write(STDOUT_FILENO, line.text().data(), line.text().size());
-    (void)written;
+    // An output that nobody reads must not keep the process. A line is no longer than what a pipe
+    // that is ready takes.
+    pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) == 1) {
+        const ssize_t written = ::write(STDOUT_FILENO, line.text().data(), line.text().size());
+        (void)written;
+    }
     // The handler is reset already.
     ::raise(number);
 }
