A group of threads may be ended by its last thread

The thread detaches itself there, which is safe, since it hasn't ended. A spawn that fails for want of memory no longer leaves its thread in the count.

--- a/sardinestream/base/thread_group.cc
+++ b/sardinestream/base/thread_group.cc
@@ -1,7 +1,7 @@
 #include "sardinestream/base/thread_group.h"
 
 #include <algorithm>
-#include <system_error>
+#include <exception>
 #include <thread>
 #include <utility>
 
@@ -15,6 +15,11 @@
 void join_all(std::list<std::thread> threads)
 {
     for (std::thread& thread : threads) {
+        // Only a thread that ends its own group meets itself; what detaches itself has not ended.
+        if (thread.get_id() == std::this_thread::get_id()) {
+            thread.detach();
+            continue;
+        }
         thread.join();
     }
 }
@@ -42,7 +47,7 @@
             this->finish(self);
         });
     }
-    catch (const std::system_error&) {
+    catch (const std::exception&) {
         this->running.erase(self);
         return false;
     }
--- a/sardinestream/base/thread_group.h
+++ b/sardinestream/base/thread_group.h
@@ -24,13 +24,14 @@
 class thread_group {
 public:
     thread_group() = default;
-    // Waits for all threads. Must not be called by one of them.
+    // Waits for all threads. May be called by one that has run its work, as its captures are
+    // destroyed.
     ~thread_group();
     thread_group(const thread_group&) = delete;
     thread_group& operator=(const thread_group&) = delete;
 
-    // Runs `work` on its own thread. Returns false, without running `work`, if the system cannot
-    // create a thread.
+    // Runs `work` on its own thread. Returns false, without running `work`, if no thread can be
+    // created, also for want of memory.
     [[nodiscard]] bool spawn(std::function<void()> work);
 
     // Returns once no thread is running.
--- a/sardinestream/base/thread_group_test.cc
+++ b/sardinestream/base/thread_group_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <ctime>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -92,5 +93,27 @@
     EXPECT_EQ(ran, started);
 }
 
+// Guards against a process that ends because a group's last owner is one of its threads.
+TEST(thread_group_test, a_group_may_end_with_the_captures_of_its_last_thread)
+{
+    std::atomic<bool> goes_on = false;
+    std::weak_ptr<thread_group> observed;
+    {
+        auto group = std::make_shared<thread_group>();
+        observed = group;
+        ASSERT_TRUE(group->spawn([group, &goes_on] {
+            while (!goes_on) {
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+        }));
+    }
+    goes_on = true;
+    const auto end = steady_clock::now() + milliseconds(5000);
+    while (!observed.expired() && steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    EXPECT_TRUE(observed.expired());
+}
+
 } // namespace
 } // namespace sardinestream
