--- a/sardinestream/testing/stop_process_test.cc
+++ b/sardinestream/testing/stop_process_test.cc
@@ -77,6 +77,7 @@
     // Each caller sends one call, spread over the time around the notice.
     constexpr std::chrono::milliseconds gap{5};
     std::vector<std::future<call_answer>> answers;
+    answers.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         answers.push_back(std::async(std::launch::async, [&servers, gap, i] {
             std::this_thread::sleep_for(gap * i);
