A step of the clock ends no request

The time of a request was kept as a time of day. Setting the clock forward by more than it had left ended calls and streams with `deadline_exceeded`, in a drain as at any other time, although their server went on; of a stream even tokens that had arrived were lost.

The deadline of a caller's request is a time of the steady clock, a type of its own, so that the compiler finds every mix. A wait that is already under way (20 ms at most) still follows a step: set back, it lasts as much longer unless something arrives.

--- a/sardinestream/entry/agent_router.cc
+++ b/sardinestream/entry/agent_router.cc
@@ -32,7 +32,7 @@
     routing::request_profile profile;
     profile.service = request.entry->service;
     profile.priority = request.priority;
-    profile.remaining_time = request.deadline - absl::Now();
+    profile.remaining_time = time_left(request.deadline);
     profile.excluded_agents.assign(history.tried.begin(), history.tried.end());
     if (request.entry->work == catalogue::work_class::model) {
         profile.prompt_tokens = static_cast<std::uint32_t>(
--- a/sardinestream/entry/key_router.cc
+++ b/sardinestream/entry/key_router.cc
@@ -61,7 +61,7 @@
     services.make_ticket = [this](const caller_request& request, const peer& agent) {
         return this->make_ticket(request, agent);
     };
-    services.find_owner = [this](const key_owner& owner, absl::Time deadline) {
+    services.find_owner = [this](const key_owner& owner, steady_deadline deadline) {
         return this->find_owner(owner, deadline);
     };
 }
@@ -72,7 +72,7 @@
     absl::StatusOr<once::binding> bound =
         proposed.agent_id.empty()
             ? this->bindings->find(key)
-            : this->bindings->bind(key, to_binding(proposed), request.deadline);
+            : this->bindings->bind(key, to_binding(proposed), to_time_of_day(request.deadline));
     if (bound.ok()) {
         return key_owner{bound->agent, bound->incarnation};
     }
@@ -125,10 +125,10 @@
 }
 
 std::variant<std::shared_ptr<peer>, refusal> key_router::find_owner(const key_owner& owner,
-                                                                    absl::Time deadline)
+                                                                    steady_deadline deadline)
 {
-    std::shared_ptr<peer> agent =
-        this->directory->wait_for(owner.agent_id, std::min(deadline, absl::Now() + reconnect_wait));
+    std::shared_ptr<peer> agent = this->directory->wait_for(
+        owner.agent_id, absl::Now() + std::min(time_left(deadline), reconnect_wait));
     if (agent != nullptr) {
         // Its hello may be outdated, so the agent itself checks that it is still the bound
         // incarnation.
--- a/sardinestream/entry/key_router.h
+++ b/sardinestream/entry/key_router.h
@@ -46,7 +46,7 @@
     [[nodiscard]] std::string make_ticket(const requests::caller_request& request,
                                           const membership::peer& agent);
     [[nodiscard]] std::variant<std::shared_ptr<membership::peer>, refusal>
-    find_owner(const requests::key_owner& owner, absl::Time deadline);
+    find_owner(const requests::key_owner& owner, steady_deadline deadline);
 
     const membership::peer_directory* const directory;
     const once::ticket_signer signer;
--- a/sardinestream/entry/team_shares.cc
+++ b/sardinestream/entry/team_shares.cc
@@ -80,7 +80,7 @@
 void team_shares::install_hooks(requests::request_services& services)
 {
     services.acquire_permit = [this](const requests::caller_request& request) {
-        return this->limiter.acquire(*request.entry, request.deadline - absl::Now());
+        return this->limiter.acquire(*request.entry, time_left(request.deadline));
     };
 }
 
--- a/sardinestream/requests/attempt.cc
+++ b/sardinestream/requests/attempt.cc
@@ -11,9 +11,9 @@
 
 constexpr absl::Duration retry_after_lost_agent = absl::Seconds(1);
 
-std::uint32_t remaining_ms(absl::Time deadline)
+std::uint32_t remaining_ms(steady_deadline deadline)
 {
-    const std::int64_t left = absl::ToInt64Milliseconds(deadline - absl::Now());
+    const std::int64_t left = absl::ToInt64Milliseconds(time_left(deadline));
     return static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(left, 0, std::numeric_limits<std::uint32_t>::max()));
 }
@@ -68,7 +68,7 @@
 }
 
 attempt_result attempt::start(std::shared_ptr<membership::peer> agent, const request_openT& message,
-                              absl::Time deadline, const caller_check& caller_has_gone)
+                              steady_deadline deadline, const caller_check& caller_has_gone)
 {
     std::shared_ptr<wire::stream> opened = agent->link->open_stream();
     std::unique_ptr<attempt> made(new attempt(std::move(agent), std::move(opened)));
@@ -86,7 +86,7 @@
     return made;
 }
 
-std::optional<refusal> attempt::wait_until_admitted(absl::Time deadline,
+std::optional<refusal> attempt::wait_until_admitted(steady_deadline deadline,
                                                     const caller_check& caller_has_gone)
 {
     absl::StatusOr<wire::frame> first;
@@ -94,9 +94,9 @@
         if (caller_has_gone && caller_has_gone()) {
             return refusal_of_gone_caller("wait_admission");
         }
-        first =
-            this->agent_stream->receive(std::min(deadline, absl::Now() + caller_check_interval));
-    } while (absl::IsDeadlineExceeded(first.status()) && absl::Now() < deadline);
+        first = this->agent_stream->receive(absl::Now() +
+                                            std::min(time_left(deadline), caller_check_interval));
+    } while (absl::IsDeadlineExceeded(first.status()) && !has_passed(deadline));
     if (!first.ok()) {
         return this->refusal_of_lost_agent("wait_admission", first.status());
     }
--- a/sardinestream/requests/attempt.h
+++ b/sardinestream/requests/attempt.h
@@ -15,6 +15,7 @@
 #include <variant>
 
 #include "sardinestream/base/outcome.h"
+#include "sardinestream/base/steady_deadline.h"
 #include "sardinestream/membership/peer_directory.h"
 #include "sardinestream/requests/caller_request.h"
 #include "sardinestream/requests/requests_generated.h"
@@ -41,7 +42,8 @@
     // Blocks until the agent admits or refuses the request, `deadline` passes, or the caller
     // disconnects.
     [[nodiscard]] static attempt_result start(std::shared_ptr<membership::peer> agent,
-                                              const request_openT& message, absl::Time deadline,
+                                              const request_openT& message,
+                                              steady_deadline deadline,
                                               const caller_check& caller_has_gone = nullptr);
 
     ~attempt();
@@ -58,7 +60,7 @@
 private:
     attempt(std::shared_ptr<membership::peer> agent, std::shared_ptr<wire::stream> opened);
 
-    [[nodiscard]] std::optional<refusal> wait_until_admitted(absl::Time deadline,
+    [[nodiscard]] std::optional<refusal> wait_until_admitted(steady_deadline deadline,
                                                              const caller_check& caller_has_gone);
     [[nodiscard]] refusal refusal_of_lost_agent(absl::string_view step,
                                                 const absl::Status& why) const;
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -70,7 +70,7 @@
         return false;
     }
     wanted_ms = std::min(wanted_ms, request.entry->limits.max_deadline_ms);
-    request.deadline = absl::Now() + absl::Milliseconds(wanted_ms);
+    request.deadline = deadline_after(absl::Milliseconds(wanted_ms));
     return true;
 }
 
--- a/sardinestream/requests/caller_request.h
+++ b/sardinestream/requests/caller_request.h
@@ -22,6 +22,7 @@
 
 #include "sardinestream/base/digest128.h"
 #include "sardinestream/base/outcome.h"
+#include "sardinestream/base/steady_deadline.h"
 #include "sardinestream/catalogue/snapshot.h"
 
 #include "absl/strings/string_view.h"
@@ -49,7 +50,7 @@
     std::string path; // as sent to the backend server
     header_list headers;
     std::string body;
-    absl::Time deadline;
+    steady_deadline deadline;
     catalogue::priority_class priority = catalogue::priority_class::interactive;
     std::string idempotency_key; // empty if the caller gave none
     std::string ticket;          // empty if the caller gave none
--- a/sardinestream/requests/completion.cc
+++ b/sardinestream/requests/completion.cc
@@ -61,7 +61,7 @@
     case refusal_code::no_backend_server:
     case refusal_code::backend_lost:
     case refusal_code::protocol_error:
-        return this->attempts < max_attempts && absl::Now() < this->asked.deadline;
+        return this->attempts < max_attempts && !has_passed(this->asked.deadline);
     default:
         return false;
     }
@@ -148,10 +148,11 @@
 completion_part completion::next(absl::Time until)
 {
     while (true) {
-        if (absl::Now() >= this->asked.deadline + max_late_delivery) {
+        if (time_left(this->asked.deadline) <= -max_late_delivery) {
             return this->end_late();
         }
-        answer_part part = this->current->next(std::min(until, this->asked.deadline));
+        answer_part part =
+            this->current->next(std::min(until, to_time_of_day(this->asked.deadline)));
         if (auto* chunk = std::get_if<response_chunkT>(&part)) {
             if (std::optional<completion_part> event = this->handle_chunk(std::move(*chunk))) {
                 return *std::move(event);
@@ -159,7 +160,7 @@
             continue;
         }
         if (std::holds_alternative<nothing_yet>(part)) {
-            if (absl::Now() < this->asked.deadline) {
+            if (!has_passed(this->asked.deadline)) {
                 return nothing_yet{};
             }
             return this->end_late();
--- a/sardinestream/requests/keyed_call_test.cc
+++ b/sardinestream/requests/keyed_call_test.cc
@@ -27,7 +27,7 @@
     request.method = "POST";
     request.path = "/deposits";
     request.idempotency_key = "deposit-7";
-    request.deadline = absl::Now() + absl::Seconds(30);
+    request.deadline = deadline_after(absl::Seconds(30));
     return request;
 }
 
@@ -42,7 +42,7 @@
 {
     request_services services;
     services.find_binding = [found = std::move(found)](digest128) { return found; };
-    services.find_owner = [](const key_owner& owner, absl::Time) {
+    services.find_owner = [](const key_owner& owner, steady_deadline) {
         refusal unreachable;
         unreachable.code = refusal_code::bound_agent_unreachable;
         unreachable.peer = owner.agent_id;
--- a/sardinestream/requests/service_call.cc
+++ b/sardinestream/requests/service_call.cc
@@ -13,7 +13,7 @@
 
 bool may_try_again(const caller_request& request, const refusal& why, int attempts)
 {
-    if (attempts >= max_attempts || absl::Now() >= request.deadline) {
+    if (attempts >= max_attempts || has_passed(request.deadline)) {
         return false;
     }
     switch (why.code) {
--- a/sardinestream/requests/services.h
+++ b/sardinestream/requests/services.h
@@ -16,6 +16,7 @@
 #include <variant>
 
 #include "sardinestream/base/digest128.h"
+#include "sardinestream/base/steady_deadline.h"
 #include "sardinestream/membership/peer_directory.h"
 #include "sardinestream/requests/caller_request.h"
 
@@ -66,8 +67,8 @@
     std::function<std::string(const caller_request&, const membership::peer&)> make_ticket;
     // Finds the agent that a key is bound to. If it is gone or cannot be reached, returns a refusal
     // whose outcome is `unknown`.
-    std::function<std::variant<std::shared_ptr<membership::peer>, refusal>(const key_owner&,
-                                                                           absl::Time deadline)>
+    std::function<std::variant<std::shared_ptr<membership::peer>, refusal>(
+        const key_owner&, steady_deadline deadline)>
         find_owner;
     // Refuses a request whose fingerprint has crashed too many backend servers; sets `run_alone`.
     std::function<std::optional<refusal>(const caller_request&, bool& run_alone)> check_suspect;
--- a/sardinestream/requests/whole_answer.cc
+++ b/sardinestream/requests/whole_answer.cc
@@ -7,7 +7,8 @@
 namespace {
 
 // Reads the complete answer of an admitted attempt.
-call_result read_answer(attempt& admitted, absl::Time deadline, const caller_check& caller_has_gone)
+call_result read_answer(attempt& admitted, steady_deadline deadline,
+                        const caller_check& caller_has_gone)
 {
     service_answer answer;
     answer.status = admitted.head().status;
@@ -16,7 +17,8 @@
         answer.headers.emplace_back(passed->name, passed->value);
     }
     while (true) {
-        answer_part part = admitted.next(std::min(deadline, absl::Now() + caller_check_interval));
+        answer_part part =
+            admitted.next(absl::Now() + std::min(time_left(deadline), caller_check_interval));
         if (auto* chunk = std::get_if<response_chunkT>(&part)) {
             answer.body.append(chunk->data.begin(), chunk->data.end());
             continue;
@@ -30,7 +32,7 @@
         if (caller_has_gone && caller_has_gone()) {
             return refusal_of_gone_caller("read_answer");
         }
-        if (absl::Now() < deadline) {
+        if (!has_passed(deadline)) {
             continue;
         }
         refusal late;
@@ -44,7 +46,7 @@
 } // namespace
 
 call_result fetch_whole_answer(const std::shared_ptr<membership::peer>& agent,
-                               const request_openT& message, absl::Time deadline,
+                               const request_openT& message, steady_deadline deadline,
                                const caller_check& caller_has_gone)
 {
     attempt_result started = attempt::start(agent, message, deadline, caller_has_gone);
--- a/sardinestream/requests/whole_answer.h
+++ b/sardinestream/requests/whole_answer.h
@@ -24,7 +24,7 @@
 // Sends `message` to the agent and blocks until its answer is complete, `deadline` passes, or the
 // caller disconnects, which cancels the run if it may be cancelled.
 [[nodiscard]] call_result fetch_whole_answer(const std::shared_ptr<membership::peer>& agent,
-                                             const request_openT& message, absl::Time deadline,
+                                             const request_openT& message, steady_deadline deadline,
                                              const caller_check& caller_has_gone);
 
 } // namespace sardinestream::requests
--- a/sardinestream/testing/stepped_clock.cc
+++ b/sardinestream/testing/stepped_clock.cc
@@ -6,6 +6,8 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include "absl/time/clock.h"
+
 namespace {
 
 std::atomic<time_t> offset_s{0};
@@ -26,6 +28,11 @@
 void step_clock(std::chrono::seconds offset)
 {
     offset_s = offset.count();
+    constexpr absl::Duration tolerance = absl::Seconds(1);
+    while (absl::AbsDuration(absl::Now() - absl::FromChrono(std::chrono::system_clock::now())) >
+           tolerance) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
 }
 
 } // namespace sardinestream::testing
--- a/sardinestream/testing/stepped_clock.h
+++ b/sardinestream/testing/stepped_clock.h
@@ -11,8 +11,9 @@
 
 namespace sardinestream::testing {
 
-// Sets the time of day to the real one plus `offset`, which may be negative. Waits that the system
-// ends at a time of day don't follow. Thread-safe.
+// Sets the time of day to the real one plus `offset`, which may be negative, and waits until
+// `absl::Now` follows, which may take seconds. Waits that the system ends at a time of day don't
+// follow. Thread-safe.
 void step_clock(std::chrono::seconds offset);
 
 } // namespace sardinestream::testing
