A connection that is made as a listener closes is not reset

What callers saw: a connection whose handshake ended between the last accept and the close of the listener was reset, with its request.

Cause: the queue was emptied without waiting, and nothing kept new connections out of it until the close.

Why it works: when it stops, the listener drops segments that begin a connection (a socket filter on SYN without ACK) and accepts for 50 ms more, so that handshakes that have begun end in the queue and are served. Whoever begins one in these 50 ms sends SYN again a second later, as for a lost segment, and is refused then: nothing of it has been read.

--- a/sardinestream/http/connection_acceptor.cc
+++ b/sardinestream/http/connection_acceptor.cc
@@ -13,6 +13,8 @@
 
 // Limit on the time for which queued connections are accepted when the listener closes.
 constexpr std::chrono::milliseconds max_drain_time{200};
+// A handshake that has begun when the listener closes ends within this time.
+constexpr std::chrono::milliseconds handshake_time{50};
 // How long a refused connection stays open for its request, and then for its caller to close it.
 constexpr std::chrono::milliseconds refused_time{500};
 constexpr std::size_t max_refused = 64;
@@ -56,8 +58,10 @@
         }
         this->start_connection(*std::move(accepted));
     }
-    const steady_time end = steady_clock::now() + max_drain_time;
-    this->accept_queued(end);
+    this->listener.ignore_new_connections();
+    const steady_time closing = steady_clock::now();
+    const steady_time end = closing + max_drain_time;
+    this->accept_queued(closing + handshake_time, end);
     this->listener = tcp_listener();
     while (!this->refused.empty() && steady_clock::now() < end) {
         this->wait_for_event();
@@ -119,10 +123,10 @@
     return false;
 }
 
-void connection_acceptor::accept_queued(steady_time end)
+void connection_acceptor::accept_queued(steady_time handshakes_end, steady_time end)
 {
     while (steady_clock::now() < end) {
-        absl::StatusOr<tcp_socket> accepted = this->listener.accept(steady_clock::now());
+        absl::StatusOr<tcp_socket> accepted = this->listener.accept(handshakes_end);
         if (absl::IsDeadlineExceeded(accepted.status())) {
             return;
         }
--- a/sardinestream/http/connection_acceptor.h
+++ b/sardinestream/http/connection_acceptor.h
@@ -79,9 +79,9 @@
     void serve_refused();
     // Takes the next step with a refused connection, without waiting. Returns whether it is done.
     [[nodiscard]] bool advance(refused_connection& refused) const;
-    // Accepts the connections in the listener's queue, up to `end`: the kernel resets them when it
-    // closes.
-    void accept_queued(steady_time end);
+    // Accepts the connections in the listener's queue, and those that get there by
+    // `handshakes_end`, up to `end`: the kernel resets them when the listener closes.
+    void accept_queued(steady_time handshakes_end, steady_time end);
     void start_connection(tcp_socket connection);
 
     tcp_listener listener;
--- a/sardinestream/http/connection_acceptor_test.cc
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -125,5 +125,48 @@
     EXPECT_EQ(answered, queued);
 }
 
+// Guards against connections that are reset because they are made as the listener closes.
+TEST_F(connection_acceptor_test, no_connection_that_is_made_is_reset_by_a_stop)
+{
+    constexpr int stops = 60;
+    constexpr int callers = 4;
+    constexpr milliseconds connect_time{100};
+    std::atomic<int> answered = 0;
+    std::atomic<int> lost = 0;
+    for (int stop = 0; stop < stops; ++stop) {
+        connection_acceptor acceptor(
+            *tcp_listener::bind({"127.0.0.1", 0}), {}, [](tcp_socket connection) {
+                char bytes[16];
+                (void)connection.read_some(absl::MakeSpan(bytes), soon(), hangup_watch());
+                (void)connection.write_all("answer", soon(), {});
+            });
+        std::vector<std::thread> threads;
+        threads.reserve(callers);
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&] {
+                while (true) {
+                    absl::StatusOr<tcp_socket> caller = tcp_socket::connect(
+                        acceptor.local(), steady_clock::now() + connect_time, hangup_watch());
+                    if (!caller.ok()) {
+                        return;
+                    }
+                    (void)caller->write_all("request", soon(), hangup_watch());
+                    char bytes[16];
+                    const absl::StatusOr<std::size_t> length =
+                        caller->read_some(absl::MakeSpan(bytes), soon(), hangup_watch());
+                    ++(length.ok() && *length > 0 ? answered : lost);
+                }
+            });
+        }
+        std::this_thread::sleep_for(milliseconds(10));
+        acceptor.stop_accepting();
+        for (std::thread& thread : threads) {
+            thread.join();
+        }
+    }
+    EXPECT_GT(answered, stops);
+    EXPECT_EQ(lost, 0) << "of " << answered + lost;
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -403,6 +404,22 @@
     return listener;
 }
 
+void tcp_listener::ignore_new_connections()
+{
+    // Drops segments with SYN and without ACK; the program sees a segment from its TCP header on.
+    constexpr std::uint32_t flags_offset = 13;
+    constexpr std::uint32_t syn = 0x02;
+    constexpr std::uint32_t syn_and_ack = 0x12;
+    constexpr std::uint32_t whole_segment = 0xffffffff;
+    sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+                          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, syn_and_ack),
+                          BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1),
+                          BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, whole_segment)};
+    const sock_fprog program = {std::size(code), code};
+    ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof(program));
+}
+
 absl::StatusOr<tcp_socket> tcp_listener::accept(steady_time deadline)
 {
     while (true) {
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -157,6 +157,10 @@
     // Waits for a connection; returns kDeadlineExceeded if there is none by `deadline`.
     [[nodiscard]] absl::StatusOr<tcp_socket> accept(steady_time deadline);
 
+    // Ignores connections that are not yet being made, as if the machine were busy; those whose
+    // handshake has begun can still be accepted.
+    void ignore_new_connections();
+
     // Returns the bound address. The port is the actual one, also if port 0 was requested.
     [[nodiscard]] const address& local() const { return this->bound; }
 
