--- a/sardinestream/http/connection_acceptor_test.cc
+++ b/sardinestream/http/connection_acceptor_test.cc
@@ -141,6 +141,7 @@
                 (void)connection.write_all("answer", soon(), {});
             });
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             threads.emplace_back([&] {
                 while (true) {
