Threads of connections start as detached ones

Change: threads are created as detached ones (pthread_attr_setdetachstate), so that nothing reads them after their start and nothing waits for their end.

--- a/sardinestream/base/thread_group.cc
+++ b/sardinestream/base/thread_group.cc
@@ -1,10 +1,12 @@
 #include "sardinestream/base/thread_group.h"
 
 #include <algorithm>
-#include <exception>
+#include <memory>
 #include <thread>
 #include <utility>
 
+#include <pthread.h>
+
 namespace sardinestream {
 namespace {
 
@@ -12,16 +14,32 @@
 // of day, which may jump.
 constexpr std::chrono::milliseconds poll_interval{10};
 
-void join_all(std::list<std::thread> threads)
+using thread_work = std::function<void()>;
+
+// Runs the work on its thread. An exception of it ends the process.
+void* run_work(void* owned) noexcept
 {
-    for (std::thread& thread : threads) {
-        // Only a thread that ends its own group meets itself; what detaches itself has not ended.
-        if (thread.get_id() == std::this_thread::get_id()) {
-            thread.detach();
-            continue;
-        }
-        thread.join();
+    const std::unique_ptr<thread_work> work(static_cast<thread_work*>(owned));
+    (*work)();
+    return nullptr;
+}
+
+bool start_detached(std::unique_ptr<thread_work> work)
+{
+    pthread_attr_t attributes{};
+    if (::pthread_attr_init(&attributes) != 0) {
+        return false;
+    }
+    pthread_t started{};
+    const bool has_started =
+        ::pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED) == 0 &&
+        ::pthread_create(&started, &attributes, run_work, work.get()) == 0;
+    ::pthread_attr_destroy(&attributes);
+    if (has_started) {
+        // The thread owns it.
+        (void)work.release();
     }
+    return has_started;
 }
 
 } // namespace
@@ -29,47 +47,30 @@
 thread_group::~thread_group()
 {
     this->wait_until_empty();
-    thread_list last;
-    {
-        const absl::MutexLock lock(&this->mutex);
-        last.swap(this->finished);
-    }
-    join_all(std::move(last));
 }
 
 bool thread_group::spawn(std::function<void()> work)
 {
-    const absl::MutexLock lock(&this->mutex);
-    const auto self = this->running.emplace(this->running.end());
-    try {
-        *self = std::thread([this, self, work = std::move(work)] {
-            work();
-            this->finish(self);
-        });
+    auto counted = std::make_unique<thread_work>([this, work = std::move(work)] {
+        work();
+        this->finish_one();
+    });
+    {
+        const absl::MutexLock lock(&this->mutex);
+        ++this->running;
     }
-    catch (const std::exception&) {
-        this->running.erase(self);
+    if (!start_detached(std::move(counted))) {
+        this->finish_one();
         return false;
     }
     return true;
 }
 
-void thread_group::finish(thread_list::iterator self)
-{
-    thread_list earlier;
-    {
-        const absl::MutexLock lock(&this->mutex);
-        earlier.swap(this->finished);
-        this->finished.splice(this->finished.end(), this->running, self);
-    }
-    join_all(std::move(earlier));
-}
-
 void thread_group::wait_until_empty()
 {
     const absl::MutexLock lock(&this->mutex);
     this->mutex.Await(absl::Condition(
-        +[](thread_list* threads) { return threads->empty(); }, &this->running));
+        +[](int* count) { return *count == 0; }, &this->running));
 }
 
 bool thread_group::wait_until_empty(std::chrono::steady_clock::time_point deadline)
@@ -88,7 +89,13 @@
 int thread_group::size() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return static_cast<int>(this->running.size());
+    return this->running;
+}
+
+void thread_group::finish_one()
+{
+    const absl::MutexLock lock(&this->mutex);
+    --this->running;
 }
 
 } // namespace sardinestream
--- a/sardinestream/base/thread_group.h
+++ b/sardinestream/base/thread_group.h
@@ -1,7 +1,6 @@
-// Runs threads that their owner need not join, such as one for each connection or request, and
-// counts them so that a process can wait for all of them. A thread that has ended is joined by the
-// next one that ends, or by the destructor. No thread is detached: glibc's pthread_detach reads a
-// thread that may be ending, and be gone, at that moment.
+// Runs threads that are not joined, such as one for each connection or request, and counts them so
+// that a process can wait for all of them. Threads are started as detached ones: pthread_detach, by
+// which std::thread detaches, reads a thread that may have ended and be gone (glibc).
 //
 //     thread_group requests;
 //     requests.spawn([&] { serve(stream); });
@@ -12,8 +11,6 @@
 
 #include <chrono>
 #include <functional>
-#include <list>
-#include <thread>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -24,14 +21,13 @@
 class thread_group {
 public:
     thread_group() = default;
-    // Waits for all threads. May be called by one that has run its work, as its captures are
-    // destroyed.
+    // Waits until all threads have run their work.
     ~thread_group();
     thread_group(const thread_group&) = delete;
     thread_group& operator=(const thread_group&) = delete;
 
-    // Runs `work` on its own thread. Returns false, without running `work`, if no thread can be
-    // created, also for want of memory.
+    // Runs `work` on its own thread. Returns false, without running `work`, if the system cannot
+    // create a thread.
     [[nodiscard]] bool spawn(std::function<void()> work);
 
     // Returns once no thread is running.
@@ -43,15 +39,10 @@
     [[nodiscard]] int size() const;
 
 private:
-    using thread_list = std::list<std::thread>;
-
-    // Ends the count of `self`, the calling thread, and joins those that have ended before it.
-    void finish(thread_list::iterator self);
+    void finish_one();
 
     mutable absl::Mutex mutex;
-    thread_list running ABSL_GUARDED_BY(mutex);
-    // Have run their work and are not joined yet.
-    thread_list finished ABSL_GUARDED_BY(mutex);
+    int running ABSL_GUARDED_BY(mutex) = 0;
 };
 
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -44,9 +44,9 @@
     // Returns the time at which a process that is shutting down ends the remaining requests;
     // steady_time::max() before a shutdown.
     std::function<steady_time()> shutdown_deadline;
-    // Returns the time from which the platform's load balancer sends no callers to a process that
-    // is shutting down; steady_time::max() before a shutdown. Later requests come over connections
-    // that callers have kept.
+    // Returns the time from which the platform's load balancer sends hardly any callers to a
+    // process that is shutting down; steady_time::max() before a shutdown. Later requests come over
+    // kept connections, or have been uploaded or queued for so long.
     std::function<steady_time()> deregistration_time;
     // The memory for bodies of requests, and for what is buffered of responses. Apart, so that
     // requests that wait for a server cannot hold the memory that their responses need.
--- a/sardinestream/forwarding/exchange_stop.cc
+++ b/sardinestream/forwarding/exchange_stop.cc
@@ -30,9 +30,9 @@
 
 std::chrono::milliseconds exchange::pause_allowance() const
 {
-    // Whoever comes this late goes elsewhere anyway: a refusal costs him less than a cut stream.
-    // Other answers have not begun while their service pauses, and are never cut.
-    const bool is_late = this->admitted.arrival >= this->services.deregistration_time();
+    // Refused, a caller loses one more request at most; cut, its stream. Other answers have not
+    // begun while their service pauses, and are never cut.
+    const bool is_late = steady_clock::now() >= this->services.deregistration_time();
     return is_late && this->matched_route.kind == request_kind::streaming
                ? max_service_pause
                : std::chrono::milliseconds(0);
--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -15,6 +15,8 @@
 constexpr char server_ip[] = "127.0.0.1";
 // More than it takes to know the pace of a service.
 constexpr int enough_answers = 12;
+// Of each server of `use`.
+constexpr int server_slots = 4;
 constexpr milliseconds form_time{1000};
 
 class stop_admission_test : public frontend_test {
@@ -50,6 +52,9 @@
             while (connection.read_request()) {
                 ++this->asked;
                 if (connection.head.target != "/tell/") {
+                    while (this->occupied) {
+                        std::this_thread::sleep_for(milliseconds(1));
+                    }
                     connection.write(answer_to(connection, "stock"));
                     continue;
                 }
@@ -72,6 +77,8 @@
 
     std::atomic<int> asked = 0;
     std::atomic<bool> stalled = false;
+    // Lookups get their answer once it is over.
+    std::atomic<bool> occupied = false;
     std::unique_ptr<scripted_server> server;
 };
 
@@ -116,6 +123,50 @@
     EXPECT_EQ(this->asked, 0);
 }
 
+// Guards against a late upload that is judged by its first byte, when a pause still fitted.
+TEST_F(stop_admission_test, a_stream_is_judged_by_the_time_at_which_its_upload_ends)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->call_often("/tell/");
+    this->deregistered_at = steady_clock::now() + milliseconds(100);
+    this->ends_at = steady_clock::now() + milliseconds(3600);
+    tcp_socket socket = this->connect();
+    const std::string text = request_text("/tell/", "r1");
+    ASSERT_TRUE(socket.write_all(text.substr(0, text.size() - 1), soon(), {}).ok());
+    std::this_thread::sleep_for(milliseconds(700));
+    ASSERT_TRUE(socket.write_all(text.substr(text.size() - 1), soon(), {}).ok());
+    message_reader reader(socket);
+    EXPECT_EQ(read_answer(reader).head.status, 503);
+    EXPECT_EQ(this->asked, 0);
+}
+
+// Guards against a stream that waited for a server until no pause fits any more.
+TEST_F(stop_admission_test, a_stream_is_judged_by_the_time_at_which_it_gets_a_server)
+{
+    this->serve(this->answering(milliseconds(20)));
+    this->call_often("/tell/");
+    this->occupied = true;
+    std::vector<std::thread> others;
+    for (int i = 0; i < server_slots; ++i) {
+        others.emplace_back([this, i] { (void)this->call("/read/", absl::StrCat("o", i)); });
+    }
+    while (this->asked < server_slots) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    this->deregistered_at = steady_clock::now() + milliseconds(100);
+    this->ends_at = steady_clock::now() + milliseconds(3600);
+    std::thread end([this] {
+        std::this_thread::sleep_for(milliseconds(700));
+        this->occupied = false;
+    });
+    EXPECT_EQ(this->call("/tell/", "r1").head.status, 503);
+    EXPECT_EQ(this->asked, server_slots);
+    end.join();
+    for (std::thread& other : others) {
+        other.join();
+    }
+}
+
 // Guards against refusals in a long grace, in which streams survive a pause.
 TEST_F(stop_admission_test, a_stream_after_the_deregistration_is_served_if_a_pause_fits)
 {
--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -136,6 +136,7 @@
 {
     constexpr int callers = 10;
     constexpr int warm_up_calls = 3;
+    constexpr milliseconds early_call{1000};
     constexpr milliseconds first_late_call{3000};
     constexpr milliseconds call_interval{50};
     constexpr milliseconds pause_begin{3400};
@@ -166,12 +167,20 @@
         std::this_thread::sleep_until(told_at.load() + pause_begin);
         this->servers.pause();
     });
+    std::atomic<bool> early_is_whole = false;
+    std::thread early([&] {
+        keeping_caller caller({this->entry_ip(0), front_port});
+        std::this_thread::sleep_until(told_at.load() + early_call);
+        early_is_whole = caller.call("early") == caller_outcome::whole;
+    });
     this->entries.front()->stop(told_at.load(), grace);
+    early.join();
     pause.join();
     for (std::thread& thread : threads) {
         thread.join();
     }
     EXPECT_EQ(std::count(outcomes.begin(), outcomes.end(), caller_outcome::cut), 0);
+    EXPECT_TRUE(early_is_whole);
 }
 
 } // namespace
