--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -141,7 +141,7 @@
     constexpr milliseconds call_interval{50};
     constexpr milliseconds pause_begin{3400};
     std::atomic<int> ready = 0;
-    std::atomic<steady_time> told_at = steady_time::max();
+    std::atomic<steady_time> signalled_at = steady_time::max();
     std::vector<caller_outcome> outcomes(callers, caller_outcome::whole);
     std::vector<std::thread> threads;
     threads.reserve(callers);
@@ -152,28 +152,28 @@
                 EXPECT_EQ(caller.call(absl::StrCat("w", i, "-", call)), caller_outcome::whole);
             }
             ++ready;
-            while (told_at.load() == steady_time::max()) {
+            while (signalled_at.load() == steady_time::max()) {
                 std::this_thread::sleep_for(poll_interval);
             }
-            std::this_thread::sleep_until(told_at.load() + first_late_call + i * call_interval);
+            std::this_thread::sleep_until(signalled_at.load() + first_late_call + i * call_interval);
             outcomes[static_cast<std::size_t>(i)] = caller.call(absl::StrCat("r", i));
         });
     }
     while (ready < callers) {
         std::this_thread::sleep_for(poll_interval);
     }
-    told_at = steady_clock::now();
+    signalled_at = steady_clock::now();
     std::thread pause([&] {
-        std::this_thread::sleep_until(told_at.load() + pause_begin);
+        std::this_thread::sleep_until(signalled_at.load() + pause_begin);
         this->servers.pause();
     });
     std::atomic<bool> early_is_whole = false;
     std::thread early([&] {
         keeping_caller caller({this->entry_ip(0), front_port});
-        std::this_thread::sleep_until(told_at.load() + early_call);
+        std::this_thread::sleep_until(signalled_at.load() + early_call);
         early_is_whole = caller.call("early") == caller_outcome::whole;
     });
-    this->entries.front()->stop(told_at.load(), grace);
+    this->entries.front()->stop(signalled_at.load(), grace);
     early.join();
     pause.join();
     for (std::thread& thread : threads) {
