--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -326,6 +326,7 @@
                       {"events", this->events.delivered_events()},
                       {"queued_ms", this->total_queue_time.count()},
                       {"total_ms", elapsed_since(this->admitted.arrival).count()},
+                      {"silent_ms", elapsed_since(this->last_delivery).count()},
                       {"reason", reason}});
 }
 
