--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -27,11 +27,10 @@
 
 // Maximum number of connections that the kernel queues for a listener.
 constexpr int listen_backlog = 1024;
-// How long bytes sent to a server may remain unacknowledged, or its window full, before the kernel
-// closes the connection.
+// How long a server may acknowledge nothing, or keep its window full.
 constexpr int user_timeout_ms = 4000;
-// A caller may read nothing for long: the kernel's timeout does not tell a full window from a dead
-// peer. After so many unanswered retransmissions or window probes (some 3 s), it is dead.
+// The kernel's timeout does not tell a full window from a dead peer, so that callers have none: so
+// many unanswered retransmissions or window probes (some 3 s) show a dead one.
 constexpr int max_unanswered_probes = 4;
 constexpr std::chrono::milliseconds answering_check{500};
 constexpr int keepalive_idle_s = 2;
@@ -45,10 +44,8 @@
 // Received bytes that the kernel keeps for a connection until they are read. They count as memory
 // of this process.
 constexpr int receive_buffer_bytes = 128 << 10;
-
 // Input is discarded in parts of this size.
 constexpr std::size_t discard_bytes = 16 << 10;
-
 constexpr char refused_payload[] = "sardinestream/connection-refused";
 
 absl::Status socket_error(absl::string_view step)
@@ -251,8 +248,7 @@
     const short events = stop_at_answer ? POLLOUT | POLLIN : POLLOUT;
     while (!bytes.empty()) {
         if (this->is_unanswered()) {
-            return make_error(absl::StatusCode::kUnavailable, "write", "",
-                              "the peer does not answer");
+            return make_error(absl::StatusCode::kUnavailable, "write", "", "peer is dead");
         }
         const ssize_t length =
             ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -408,12 +404,10 @@
 {
     // Drops segments with SYN and without ACK; the program sees a segment from its TCP header on.
     constexpr std::uint32_t flags_offset = 13;
-    constexpr std::uint32_t syn = 0x02;
-    constexpr std::uint32_t syn_and_ack = 0x12;
     constexpr std::uint32_t whole_segment = 0xffffffff;
     sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
-                          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, syn_and_ack),
-                          BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1),
+                          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+                          BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
                           BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, whole_segment)};
     const sock_fprog program = {std::size(code), code};
     ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
