--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -155,7 +155,8 @@
             while (signalled_at.load() == steady_time::max()) {
                 std::this_thread::sleep_for(poll_interval);
             }
-            std::this_thread::sleep_until(signalled_at.load() + first_late_call + i * call_interval);
+            std::this_thread::sleep_until(signalled_at.load() + first_late_call +
+                                          i * call_interval);
             outcomes[static_cast<std::size_t>(i)] = caller.call(absl::StrCat("r", i));
         });
     }
