--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -147,6 +147,7 @@
     this->call_often("/tell/");
     this->occupied = true;
     std::vector<std::thread> others;
+    others.reserve(server_slots);
     for (int i = 0; i < server_slots; ++i) {
         others.emplace_back([this, i] { (void)this->call("/read/", absl::StrCat("o", i)); });
     }
