--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -144,6 +144,7 @@
     std::atomic<steady_time> signalled_at = steady_time::max();
     std::vector<caller_outcome> outcomes(callers, caller_outcome::whole);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&, i] {
             keeping_caller caller({entry_ip(0), front_port});
