--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -108,8 +108,8 @@
 
 } // namespace
 
-request_service::request_service(request_service_dependencies given)
-    : dependencies(std::move(given))
+request_service::request_service(request_service_dependencies needed)
+    : dependencies(std::move(needed))
 {
 }
 
--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -61,11 +61,11 @@
     }
     server_state& state = *candidates[*chosen];
     this->begin_attempt(state, now);
-    placement given;
-    given.server = state.server();
-    given.occupancy = loads[*chosen].occupancy;
-    given.slowness = loads[*chosen].slowness;
-    return given;
+    placement assigned;
+    assigned.server = state.server();
+    assigned.occupancy = loads[*chosen].occupancy;
+    assigned.slowness = loads[*chosen].slowness;
+    return assigned;
 }
 
 bool dispatcher::is_eligible(const server_state& state, const placement_request& request)
@@ -92,25 +92,25 @@
            found->second.capacity_share(this->view, this->best_pace(server.service, now), now) <= 0;
 }
 
-void dispatcher::finish(const placement& given, attempt_result result,
+void dispatcher::finish(const placement& assigned, attempt_result result,
                         std::chrono::milliseconds first_byte)
 {
     const absl::MutexLock lock(&this->mutex);
     const steady_time now = steady_clock::now();
     if (result != attempt_result::unreachable && result != attempt_result::replaced &&
         result != attempt_result::unsuitable) {
-        this->queues[given.server.service].completion_rate.add(now);
+        this->queues[assigned.server.service].completion_rate.add(now);
     }
-    const auto found = this->servers.find(given.server.id);
-    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
-        this->serve_waiters(given.server.service);
+    const auto found = this->servers.find(assigned.server.id);
+    if (found == this->servers.end() || found->second.server().born_ms != assigned.server.born_ms) {
+        this->serve_waiters(assigned.server.service);
         return;
     }
-    found->second.end_attempt(result, given.accepted, first_byte, now);
+    found->second.end_attempt(result, assigned.accepted, first_byte, now);
     if (result == attempt_result::replaced) {
         found->second.mark_leaving();
     }
-    this->serve_waiters(given.server.service);
+    this->serve_waiters(assigned.server.service);
 }
 
 void dispatcher::set_servers(const std::vector<backend_server>& newer)
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -128,10 +128,10 @@
     };
 
     // Records that the server has begun to answer the attempt, other than with a refusal.
-    void note_accepted(placement& given);
+    void note_accepted(placement& assigned);
 
     // Ends an attempt. `first_byte` is the time from sending to the first byte of the answer.
-    void finish(const placement& given, attempt_result result,
+    void finish(const placement& assigned, attempt_result result,
                 std::chrono::milliseconds first_byte);
 
     // Replaces the list of servers. Requests in progress on removed servers continue.
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -11,8 +11,8 @@
 
 // Maximum retry delay that a refusal carries if all servers of a service hold off.
 constexpr std::chrono::milliseconds max_hold_off_retry_after{60000};
-// If all servers of a service hold off, callers are told to retry after the wait plus a random part
-// of this share of it.
+// If all servers of a service hold off, callers get a time to retry after the wait plus a random
+// part of this share of it.
 constexpr double retry_jitter_share = 0.25;
 constexpr std::chrono::milliseconds min_retry_jitter{300};
 // A group that runs sends events of some stream more often.
@@ -208,9 +208,9 @@
     }
     queue.next_probe = now + probe_interval(this->view.processes);
     this->begin_attempt(*longest_untried, now);
-    placement given;
-    given.server = longest_untried->server();
-    return given;
+    placement assigned;
+    assigned.server = longest_untried->server();
+    return assigned;
 }
 
 absl::Status dispatcher::check_availability(const placement_request& request, steady_time now)
@@ -239,16 +239,16 @@
     return all;
 }
 
-void dispatcher::note_accepted(placement& given)
+void dispatcher::note_accepted(placement& assigned)
 {
     const absl::MutexLock lock(&this->mutex);
-    const auto found = this->servers.find(given.server.id);
-    if (found == this->servers.end() || found->second.server().born_ms != given.server.born_ms) {
+    const auto found = this->servers.find(assigned.server.id);
+    if (found == this->servers.end() || found->second.server().born_ms != assigned.server.born_ms) {
         return;
     }
-    given.accepted = true;
+    assigned.accepted = true;
     placement_request any;
-    any.service = given.server.service;
+    any.service = assigned.server.service;
     const steady_time now = steady_clock::now();
     const bool returns =
         availability_of(this->outages(any, now), now).condition != service_condition::serving;
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -47,9 +47,9 @@
     const placement_request* const request;
     // Its present server may still answer, so that it must not be used as a probe.
     bool has_server = false;
-    // An eventfd that is written to once `given` is set.
+    // An eventfd that is written to once `assigned` is set.
     int event = -1;
-    std::optional<placement> given;
+    std::optional<placement> assigned;
 };
 
 absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
@@ -109,9 +109,9 @@
                 return goes_before(*other->request, request);
             });
         if (overtakes) {
-            std::optional<placement> given = this->try_place(request);
-            if (given.has_value()) {
-                return *std::move(given);
+            std::optional<placement> assigned = this->try_place(request);
+            if (assigned.has_value()) {
+                return *std::move(assigned);
             }
         }
         if (!self.open_event()) {
@@ -121,8 +121,8 @@
         // Those before it may be unable to use the servers that are free.
         queue.waiters.push_back(&self);
         this->serve_waiters(request.service);
-        if (self.given.has_value()) {
-            return *std::move(self.given);
+        if (self.assigned.has_value()) {
+            return *std::move(self.assigned);
         }
         if (!request.has_begun) {
             queue.waiters.remove(&self);
@@ -135,16 +135,16 @@
 
 std::optional<placement> dispatcher::take_place(waiter& self)
 {
-    if (!self.given.has_value()) {
+    if (!self.assigned.has_value()) {
         this->serve_waiters(self.request->service);
     }
-    if (!self.given.has_value() && !self.has_server) {
-        self.given = this->try_probe(*self.request, steady_clock::now());
-        if (self.given.has_value()) {
+    if (!self.assigned.has_value() && !self.has_server) {
+        self.assigned = this->try_probe(*self.request, steady_clock::now());
+        if (self.assigned.has_value()) {
             this->queues[self.request->service].waiters.remove(&self);
         }
     }
-    return std::exchange(self.given, std::nullopt);
+    return std::exchange(self.assigned, std::nullopt);
 }
 
 absl::Status dispatcher::check_waiter(const waiter& self, steady_time deadline)
@@ -173,12 +173,12 @@
                        std::min(deadline, steady_clock::now() + recheck_interval));
         const bool gone = caller.has_hung_up();
         const absl::MutexLock lock(&this->mutex);
-        std::optional<placement> given =
-            gone ? std::exchange(self.given, std::nullopt) : this->take_place(self);
-        if (given.has_value()) {
-            given->waited =
+        std::optional<placement> assigned =
+            gone ? std::exchange(self.assigned, std::nullopt) : this->take_place(self);
+        if (assigned.has_value()) {
+            assigned->waited =
                 std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
-            return *std::move(given);
+            return *std::move(assigned);
         }
         absl::Status refused =
             gone ? make_error(absl::StatusCode::kCancelled, "place", "caller", "caller hung up")
@@ -222,16 +222,16 @@
             return;
         }
         waiter* const served = *next;
-        std::optional<placement> given = this->try_place(*served->request);
-        if (!given.has_value() && served->request->excluded_ids.empty()) {
+        std::optional<placement> assigned = this->try_place(*served->request);
+        if (!assigned.has_value() && served->request->excluded_ids.empty()) {
             return;
         }
-        if (!given.has_value()) {
+        if (!assigned.has_value()) {
             unplaced.insert(served);
             continue;
         }
         waiters.erase(next);
-        served->given = std::move(given);
+        served->assigned = std::move(assigned);
         const std::uint64_t one = 1;
         if (::write(served->event, &one, sizeof(one)) < 0) {
             count("sardine_queue_wake_failures_total");
@@ -264,8 +264,8 @@
         const absl::MutexLock lock(&this->servers.mutex);
         this->servers.queues[this->wanted.service].waiters.remove(this->self.get());
     }
-    if (this->self->given.has_value()) {
-        this->servers.finish(*this->self->given, attempt_result::abandoned,
+    if (this->self->assigned.has_value()) {
+        this->servers.finish(*this->self->assigned, attempt_result::abandoned,
                              std::chrono::milliseconds(0));
     }
 }
--- a/sardinestream/backends/dispatcher_queue_test.cc
+++ b/sardinestream/backends/dispatcher_queue_test.cc
@@ -42,9 +42,9 @@
         return placed.ok() ? *placed : placement();
     }
 
-    void finish(const placement& given, attempt_result result = attempt_result::succeeded)
+    void finish(const placement& assigned, attempt_result result = attempt_result::succeeded)
     {
-        this->servers.finish(given, result, milliseconds(5));
+        this->servers.finish(assigned, result, milliseconds(5));
     }
 
     std::unique_ptr<dispatcher::queued_request> queue(const placement_request& request)
@@ -61,7 +61,7 @@
     dispatcher servers{dispatcher_options{"a"}};
 };
 
-TEST_F(dispatcher_queue_test, a_queued_request_is_told_of_its_server)
+TEST_F(dispatcher_queue_test, a_queued_request_learns_its_server)
 {
     this->servers.set_servers({make_server("1"), make_server("2")});
     const placement first = this->place(make_request());
@@ -99,7 +99,7 @@
     EXPECT_TRUE(is_readable(*begun));
 }
 
-// Guards against a free server that nobody gets, because the first in the queue has tried it.
+// Guards against a free server that stays idle, because the first in the queue has tried it.
 TEST_F(dispatcher_queue_test, a_request_that_has_tried_the_free_server_blocks_nobody)
 {
     this->servers.set_servers({make_server("1"), make_server("2")});
@@ -128,7 +128,7 @@
 }
 
 // Guards against a stream that leaves a silent server for one that is known not to serve.
-TEST_F(dispatcher_queue_test, a_request_that_has_a_server_is_given_no_probe)
+TEST_F(dispatcher_queue_test, a_request_that_has_a_server_gets_no_probe)
 {
     this->servers.set_servers({make_server("1"), make_server("2")});
     const placement first = this->place(make_request());
--- a/sardinestream/backends/dispatcher_test.cc
+++ b/sardinestream/backends/dispatcher_test.cc
@@ -41,9 +41,9 @@
         return *placed;
     }
 
-    void finish(const placement& given)
+    void finish(const placement& assigned)
     {
-        this->servers.finish(given, attempt_result::succeeded, milliseconds(5));
+        this->servers.finish(assigned, attempt_result::succeeded, milliseconds(5));
     }
 
     dispatcher servers{dispatcher_options{"a"}};
@@ -320,7 +320,7 @@
 }
 
 // Under a burst that the service cannot serve in time, the requests that it can serve are served.
-// The rest are refused on arrival and told to retry, spread over the time in which the queue
+// The rest are refused on arrival with a time to retry, spread over the time in which the queue
 // drains.
 TEST_F(dispatcher_test, refuses_on_arrival_what_cannot_be_served_in_time)
 {
--- a/sardinestream/backends/hold_off_load_test.cc
+++ b/sardinestream/backends/hold_off_load_test.cc
@@ -54,21 +54,21 @@
 
 class hold_off_simulation {
 public:
-    hold_off_simulation(const hold_off_load& given, bool given_honours, unsigned seed)
-        : load(given), honours_hold_offs(given_honours), random(seed),
-          running(static_cast<std::size_t>(given.servers)),
-          arrivals(static_cast<std::size_t>(given.servers))
+    hold_off_simulation(const hold_off_load& offered, bool with_hold_offs, unsigned seed)
+        : load(offered), honours_hold_offs(with_hold_offs), random(seed),
+          running(static_cast<std::size_t>(offered.servers)),
+          arrivals(static_cast<std::size_t>(offered.servers))
     {
-        for (int entry = 0; entry < given.entries; ++entry) {
+        for (int entry = 0; entry < offered.entries; ++entry) {
             this->tokens.push_back(tokens_at_start);
             std::vector<server_state> states;
-            for (int server = 0; server < given.servers; ++server) {
+            for (int server = 0; server < offered.servers; ++server) {
                 backend_server described;
-                described.slots = given.slots;
+                described.slots = offered.slots;
                 states.emplace_back(described);
             }
             this->states_by_entry.push_back(std::move(states));
-            this->announced.emplace_back(static_cast<std::size_t>(given.servers));
+            this->announced.emplace_back(static_cast<std::size_t>(offered.servers));
         }
     }
 
--- a/sardinestream/backends/many_entries_test.cc
+++ b/sardinestream/backends/many_entries_test.cc
@@ -49,12 +49,12 @@
 // Simulates the fleet by running events in order of simulated time.
 class fleet_simulation {
 public:
-    fleet_simulation(const fleet_load& given, choice chosen, unsigned seed)
-        : load(given), choose(std::move(chosen)), random(seed),
-          running(static_cast<std::size_t>(given.servers)),
-          waiting(static_cast<std::size_t>(given.servers)),
-          known_occupancy(static_cast<std::size_t>(given.entries),
-                          std::vector<int>(static_cast<std::size_t>(given.servers)))
+    fleet_simulation(const fleet_load& offered, choice chosen, unsigned seed)
+        : load(offered), choose(std::move(chosen)), random(seed),
+          running(static_cast<std::size_t>(offered.servers)),
+          waiting(static_cast<std::size_t>(offered.servers)),
+          known_occupancy(static_cast<std::size_t>(offered.entries),
+                          std::vector<int>(static_cast<std::size_t>(offered.servers)))
     {
     }
 
--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -40,45 +40,45 @@
     return {listed.server.born_ms, listed.sequence, state};
 }
 
-// Returns true if `given` is newer than the known fact, or the same one of the same era.
-bool supersedes(const listed_server& given, presence given_state, const listed_server& known,
+// Returns true if `listed` is newer than the known fact, or the same one of the same era.
+bool supersedes(const listed_server& listed, presence listed_state, const listed_server& known,
                 presence known_state)
 {
-    const bool same_era = given.position.era == known.position.era;
-    if (same_era && given.position.revision != known.position.revision) {
-        return given.position.revision > known.position.revision;
+    const bool same_era = listed.position.era == known.position.era;
+    if (same_era && listed.position.revision != known.position.revision) {
+        return listed.position.revision > known.position.revision;
     }
-    const auto given_age = age_of(given, given_state);
+    const auto listed_age = age_of(listed, listed_state);
     const auto known_age = age_of(known, known_state);
-    return same_era ? given_age >= known_age : given_age > known_age;
+    return same_era ? listed_age >= known_age : listed_age > known_age;
 }
 
 } // namespace
 
 server_directory::server_directory(milliseconds lifetime) : entry_lifetime(lifetime) {}
 
-bool server_directory::upsert(const listed_server& given)
+bool server_directory::upsert(const listed_server& listed)
 {
-    const auto left = this->departed.find(given.server.id);
+    const auto left = this->departed.find(listed.server.id);
     if (left != this->departed.end()) {
-        if (!supersedes(given, presence_of(given), left->second.last, presence::departed)) {
+        if (!supersedes(listed, presence_of(listed), left->second.last, presence::departed)) {
             return false;
         }
         this->departed.erase(left);
     }
-    if (this->entries.size() >= max_servers && this->entries.count(given.server.id) == 0) {
+    if (this->entries.size() >= max_servers && this->entries.count(listed.server.id) == 0) {
         count("sardine_servers_beyond_limit_total");
         return false;
     }
-    const auto [found, is_new] = this->entries.try_emplace(given.server.id);
+    const auto [found, is_new] = this->entries.try_emplace(listed.server.id);
     entry& known = found->second;
     if (!is_new &&
-        !supersedes(given, presence_of(given), known.listed, presence_of(known.listed))) {
+        !supersedes(listed, presence_of(listed), known.listed, presence_of(known.listed))) {
         return false;
     }
     const bool changed =
-        !(known.listed.server == given.server) || known.expires_at != steady_time{} || is_new;
-    known = {given, {}};
+        !(known.listed.server == listed.server) || known.expires_at != steady_time{} || is_new;
+    known = {listed, {}};
     return changed;
 }
 
@@ -211,19 +211,20 @@
     }
 }
 
-bool server_directory::apply(const server_changes& news, steady_time relist_until, steady_time now)
+bool server_directory::apply(const server_changes& received, steady_time relist_until,
+                             steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
     bool changed = false;
-    for (const server_change& change : news.changes) {
+    for (const server_change& change : received.changes) {
         const auto found = this->entries.find(change.id);
         const bool is_known = found != this->entries.end();
         const bool same_era = change.position.era == this->known.era;
         if (change.server.has_value()) {
             // An entry of this age that is missing from the known list was removed in the meantime.
             const bool is_past = !is_known && same_era && change.position <= this->known;
-            const listed_server given = {*change.server, change.position, change.sequence};
-            changed = (!is_past && this->upsert(given)) || changed;
+            const listed_server listed = {*change.server, change.position, change.sequence};
+            changed = (!is_past && this->upsert(listed)) || changed;
             continue;
         }
         if (const auto left = this->departed.find(change.id); left != this->departed.end()) {
@@ -241,8 +242,8 @@
             this->vanish(found, change.position, relist_until, now, changed);
         }
     }
-    if (!news.changes.empty() && continues(this->known, news.position)) {
-        this->known = news.position;
+    if (!received.changes.empty() && continues(this->known, received.position)) {
+        this->known = received.position;
     }
     this->forget_departed(now);
     return this->readmit_renewed(now) || changed;
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -10,7 +10,7 @@
 //
 // After a restoration the first list of the store is compared with what is known, server by server;
 // from then on the facts kept have the position of that list. Departed servers are remembered for
-// some time, so that an older copy does not bring them back, and are told to other entries.
+// some time, so that an older copy does not bring them back, and are reported to other entries.
 //
 // A server that vanished from the list after an outage of the store may only have been unable to
 // renew its entry. It stays in use for a grace period, in which a live server is listed again.
@@ -74,7 +74,7 @@
     store_position position;
 };
 
-// A server whose entry was removed, as other entries are told.
+// A server whose entry was removed, as reported to other entries.
 struct departed_server {
     std::string id;
     std::int64_t born_ms = 0;
@@ -100,7 +100,7 @@
     // listed stay in use until `relist_until`; they are dropped immediately if that time has passed
     // or they were draining. Return whether the servers in use may have changed.
     bool apply(const server_list& list, steady_time relist_until, steady_time now);
-    bool apply(const server_changes& news, steady_time relist_until, steady_time now);
+    bool apply(const server_changes& received, steady_time relist_until, steady_time now);
     // Adds what another entry knows; an older fact changes nothing, and servers that its list lacks
     // vanish only if the list is newer than the known one.
     bool merge(const shared_servers& peer, steady_time relist_until, steady_time now);
@@ -155,7 +155,7 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Inserts or updates an entry unless a newer fact is known. Returns whether the server's use
     // may have changed.
-    bool upsert(const listed_server& given) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool upsert(const listed_server& listed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Marks the servers that a complete list lacks as vanished.
     bool remove_absent(const server_list& list, steady_time relist_until, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/backends/server_limits.cc
+++ b/sardinestream/backends/server_limits.cc
@@ -21,11 +21,11 @@
 constexpr std::chrono::seconds confirmation_time{10};
 // After this time without an answer, a statement is forgotten.
 constexpr std::chrono::seconds statement_lifetime{60};
-// Statements are told to other processes for this time.
+// Statements are statements to other processes for this time.
 constexpr std::chrono::seconds telling_time{20};
 constexpr std::size_t max_limits = 4096;
-// Statements that are told at a time, so that they fit into one message.
-constexpr std::size_t max_told = 512;
+// Statements that are statements at a time, so that they fit into one message.
+constexpr std::size_t max_statements = 512;
 
 steady_clock::duration to_duration(double seconds)
 {
@@ -40,9 +40,9 @@
     return stable_hash(absl::StrCat(server.id, " ", server.born_ms));
 }
 
-void server_limits::set_processes(const process_group& given)
+void server_limits::set_processes(const process_group& group)
 {
-    this->processes = given;
+    this->processes = group;
 }
 
 bool server_limits::note_answer(const backend_server& server, std::optional<double> max_rate,
@@ -91,22 +91,22 @@
 
 std::vector<limit_statement> server_limits::own_statements(steady_time now) const
 {
-    std::vector<limit_statement> told;
+    std::vector<limit_statement> statements;
     for (const auto& [key, known] : this->limits) {
         if (!known.heard_here.has_value() || now - known.heard_here->heard >= telling_time) {
             continue;
         }
         // What another process has heard since may contradict it.
         if (known.heard_here->max_rate == known.latest.max_rate) {
-            told.push_back(*known.heard_here);
+            statements.push_back(*known.heard_here);
         }
     }
-    if (told.size() > max_told) {
-        std::sort(told.begin(), told.end(),
+    if (statements.size() > max_statements) {
+        std::sort(statements.begin(), statements.end(),
                   [](const auto& left, const auto& right) { return left.heard > right.heard; });
-        told.resize(max_told);
+        statements.resize(max_statements);
     }
-    return told;
+    return statements;
 }
 
 const server_limits::known_limit* server_limits::find(const backend_server& server,
--- a/sardinestream/backends/server_limits.h
+++ b/sardinestream/backends/server_limits.h
@@ -54,7 +54,7 @@
     // Records what another process has heard; has no effect if something newer is known.
     void note_statement(const limit_statement& heard_elsewhere, steady_time now);
 
-    // Returns what this process itself has heard lately, to be told to the others: the newest part
+    // Returns what this process itself has heard lately, to be sent to the others: the newest part
     // of it if it is very much.
     [[nodiscard]] std::vector<limit_statement> own_statements(steady_time now) const;
 
--- a/sardinestream/backends/server_limits_load_test.cc
+++ b/sardinestream/backends/server_limits_load_test.cc
@@ -33,18 +33,18 @@
 
 class limit_simulation {
 public:
-    limit_simulation(const limit_load& given, unsigned seed) : load(given), random(seed)
+    limit_simulation(const limit_load& offered, unsigned seed) : load(offered), random(seed)
     {
         this->server.id = "i-1";
         this->server.born_ms = 1;
-        for (int i = 0; i < given.processes; ++i) {
+        for (int i = 0; i < offered.processes; ++i) {
             this->start(i);
             this->gossip(i);
-            if (i < given.with_requests) {
+            if (i < offered.with_requests) {
                 this->ask(i);
             }
         }
-        if (given.restarts) {
+        if (offered.restarts) {
             this->restart_one();
         }
     }
@@ -106,8 +106,8 @@
     void tell_to(int process)
     {
         for (server_limits& other : this->limits) {
-            for (const limit_statement& told : other.own_statements(this->time.now())) {
-                this->limits[static_cast<std::size_t>(process)].note_statement(told,
+            for (const limit_statement& statement : other.own_statements(this->time.now())) {
+                this->limits[static_cast<std::size_t>(process)].note_statement(statement,
                                                                                this->time.now());
             }
         }
@@ -142,10 +142,10 @@
         this->time.schedule(this->jittered(gossip_interval),
                             [this, process] { this->gossip(process); });
         const steady_time now = this->time.now();
-        for (const limit_statement& told :
+        for (const limit_statement& statement :
              this->limits[static_cast<std::size_t>(process)].own_statements(now)) {
             for (server_limits& other : this->limits) {
-                other.note_statement(told, now);
+                other.note_statement(statement, now);
             }
         }
     }
--- a/sardinestream/backends/server_limits_test.cc
+++ b/sardinestream/backends/server_limits_test.cc
@@ -48,7 +48,7 @@
     }
 }
 
-TEST_F(server_limits_of_one_process, a_limit_that_is_repeated_is_no_news)
+TEST_F(server_limits_of_one_process, a_limit_that_is_repeated_changes_nothing)
 {
     EXPECT_TRUE(this->limits.note_answer(this->server, 2, this->now));
     EXPECT_FALSE(this->limits.note_answer(this->server, 2, this->now + milliseconds(10)));
@@ -115,9 +115,10 @@
     const std::uint64_t key = server_limits::start_key(this->server);
     this->limits.note_answer(this->server, 2, this->now);
     this->limits.note_statement({key, 2.0, this->now + seconds(1)}, this->now + seconds(1));
-    const std::vector<limit_statement> told = this->limits.own_statements(this->now + seconds(1));
-    ASSERT_EQ(told.size(), 1U);
-    EXPECT_EQ(told[0].heard, this->now);
+    const std::vector<limit_statement> statements =
+        this->limits.own_statements(this->now + seconds(1));
+    ASSERT_EQ(statements.size(), 1U);
+    EXPECT_EQ(statements[0].heard, this->now);
 }
 
 TEST_F(server_limits_of_one_process, does_not_tell_what_another_process_has_heard_to_be_over)
@@ -128,7 +129,7 @@
     EXPECT_TRUE(this->limits.own_statements(this->now + seconds(1)).empty());
 }
 
-TEST_F(server_limits_of_one_process, the_end_of_a_limit_is_told_for_a_while_only)
+TEST_F(server_limits_of_one_process, the_end_of_a_limit_is_reported_for_a_while_only)
 {
     this->limits.note_answer(this->server, 2, this->now);
     for (int second = 1; second < 30; ++second) {
@@ -146,15 +147,15 @@
     EXPECT_LE(this->limits.own_statements(this->now).size(), 4096U);
 }
 
-TEST_F(server_limits_of_one_process, of_very_many_limits_the_newest_are_told)
+TEST_F(server_limits_of_one_process, of_very_many_limits_the_newest_are_reported)
 {
     constexpr int servers = 2000;
     for (int i = 0; i < servers; ++i) {
         this->limits.note_answer(make_server("i", i), 1, this->now + milliseconds(i));
     }
-    const std::vector<limit_statement> told = this->limits.own_statements(this->now);
-    EXPECT_EQ(told.size(), 512U);
-    for (const limit_statement& one : told) {
+    const std::vector<limit_statement> statements = this->limits.own_statements(this->now);
+    EXPECT_EQ(statements.size(), 512U);
+    for (const limit_statement& one : statements) {
         EXPECT_GE(one.heard, this->now + milliseconds(servers - 512));
     }
 }
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -36,7 +36,7 @@
 
 } // namespace
 
-server_state::server_state(backend_server given) : description(std::move(given)) {}
+server_state::server_state(backend_server known) : description(std::move(known)) {}
 
 void server_state::begin_hold_off(steady_time requested_end, milliseconds return_delay)
 {
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -73,7 +73,7 @@
 
 class server_state {
 public:
-    explicit server_state(backend_server given);
+    explicit server_state(backend_server known);
 
     [[nodiscard]] const backend_server& server() const { return this->description; }
     void update(const backend_server& newer) { this->description = newer; }
--- a/sardinestream/backends/service_availability.cc
+++ b/sardinestream/backends/service_availability.cc
@@ -13,8 +13,8 @@
 constexpr milliseconds group_recovery_time{1500};
 constexpr milliseconds min_probe_interval{200};
 constexpr milliseconds probe_interval_per_process{25};
-// A refused caller is told to retry after about this share of the time for which the service has
-// been down, within these bounds.
+// A refused caller gets a time to retry after about this share of the time for which the service
+// has been down, within these bounds.
 constexpr double retry_after_share = 0.5;
 constexpr double min_retry_after_ms = 500;
 constexpr double max_retry_after_ms = 4000;
--- a/sardinestream/backends/slow_rank_test.cc
+++ b/sardinestream/backends/slow_rank_test.cc
@@ -50,7 +50,7 @@
 // without an event, and after eight in all; a stream with a pause over 120 ms is late.
 class slow_rank_simulation {
 public:
-    slow_rank_simulation(relief chosen, unsigned seed) : given(chosen), random(seed) {}
+    slow_rank_simulation(relief applied, unsigned seed) : tried(applied), random(seed) {}
 
     slow_rank_result run()
     {
@@ -106,7 +106,7 @@
         std::vector<server_load> loads;
         for (int rank = 0; rank < ranks; ++rank) {
             server_load load;
-            const double share = this->given == relief::none
+            const double share = this->tried == relief::none
                                      ? 1
                                      : usable_capacity_share(this->slowness_of(rank), typical);
             load.capacity = slots * share;
@@ -123,7 +123,7 @@
 
     void move_streams()
     {
-        if (this->given != relief::fewer_requests_and_moves ||
+        if (this->tried != relief::fewer_requests_and_moves ||
             usable_capacity_share(this->slowness, 1) > 0) {
             return;
         }
@@ -185,7 +185,7 @@
         }
     }
 
-    const relief given;
+    const relief tried;
     std::mt19937 random;
     double now_ms = 0;
     double next_arrival_ms = 0;
@@ -194,11 +194,11 @@
     slow_rank_result result;
 };
 
-slow_rank_result play(relief given)
+slow_rank_result play(relief tried)
 {
     slow_rank_result total;
     for (unsigned seed = 1; seed <= 5; ++seed) {
-        const slow_rank_result one = slow_rank_simulation(given, seed).run();
+        const slow_rank_result one = slow_rank_simulation(tried, seed).run();
         total.in_time += one.in_time;
         total.late += one.late;
         total.failed += one.failed;
--- a/sardinestream/base/crash_log.cc
+++ b/sardinestream/base/crash_log.cc
@@ -87,7 +87,7 @@
     line.add(" event=crashed signal=");
     line.add_number(static_cast<unsigned>(number), 1);
     line.add("\n");
-    // An output that nobody reads must not keep the process. A line is no longer than what a pipe
+    // An output that is not read must not keep the process. A line is no longer than what a pipe
     // that is ready takes.
     pollfd output = {STDOUT_FILENO, POLLOUT, 0};
     if (::poll(&output, 1, 0) == 1) {
--- a/sardinestream/base/crash_log_test.cc
+++ b/sardinestream/base/crash_log_test.cc
@@ -22,7 +22,7 @@
     std::_Exit(0);
 }
 
-// Guards against a process that ends without a word and leaves nobody a cause.
+// Guards against a process that ends without a word and leaves no cause.
 TEST(crash_log_test, a_process_that_crashes_says_by_which_signal)
 {
     testing::GTEST_FLAG(death_test_style) = "threadsafe";
@@ -49,7 +49,7 @@
     std::_Exit(0);
 }
 
-// Guards against a process that keeps its connections after a crash because nobody reads its log.
+// Guards against a process that keeps its connections after a crash because its log is not read.
 TEST(crash_log_test, a_full_pipe_delays_no_crash)
 {
     testing::GTEST_FLAG(death_test_style) = "threadsafe";
--- a/sardinestream/base/json_parts.cc
+++ b/sardinestream/base/json_parts.cc
@@ -25,7 +25,7 @@
 // Reads tokens from the front of a text.
 class scanner {
 public:
-    explicit scanner(absl::string_view given) : rest(given) {}
+    explicit scanner(absl::string_view text) : rest(text) {}
 
     // Removes space and then `letter`; returns false if another one comes.
     bool consume(char letter)
--- a/sardinestream/base/ops_server.cc
+++ b/sardinestream/base/ops_server.cc
@@ -30,7 +30,7 @@
     return made;
 }
 
-ops_server::ops_server(ops_hooks given) : hooks(std::move(given)) {}
+ops_server::ops_server(ops_hooks callbacks) : hooks(std::move(callbacks)) {}
 
 ops_server::~ops_server() = default;
 
--- a/sardinestream/base/ops_server.h
+++ b/sardinestream/base/ops_server.h
@@ -46,7 +46,7 @@
     [[nodiscard]] const address& local() const;
 
 private:
-    explicit ops_server(ops_hooks given);
+    explicit ops_server(ops_hooks callbacks);
 
     void add_routes();
 
--- a/sardinestream/base/process_exit_test.cc
+++ b/sardinestream/base/process_exit_test.cc
@@ -24,7 +24,7 @@
 // Five times `max_exit_log_wait`.
 constexpr unsigned max_exit_seconds = 2;
 
-// Starts logging to a pipe that nobody reads, and fills it.
+// Starts logging to a pipe that is not read, and fills it.
 void log_to_full_pipe()
 {
     std::array<int, 2> ends{};
--- a/sardinestream/experts/rebalance.cc
+++ b/sardinestream/experts/rebalance.cc
@@ -44,17 +44,17 @@
 // Builds one plan by successive moves.
 class planner {
 public:
-    planner(const group_load& given, const rebalance_options& options)
-        : settings(options), load(given), map(given.map),
-          loads(loads_of(given.map, given.tokens, given.ranks)), members(given.ranks)
+    planner(const group_load& observed, const rebalance_options& options)
+        : settings(options), load(observed), map(observed.map),
+          loads(loads_of(observed.map, observed.tokens, observed.ranks)), members(observed.ranks)
     {
         for (std::uint32_t expert = 0; expert < this->map.ranks.size(); ++expert) {
             this->members[this->map.ranks[expert]].push_back(expert);
         }
-        const double even = static_cast<double>(this->map.ranks.size()) / given.ranks;
+        const double even = static_cast<double>(this->map.ranks.size()) / observed.ranks;
         this->capacity = static_cast<std::size_t>(std::ceil(even * options.rank_capacity));
-        this->may_receive.assign(given.ranks, true);
-        for (const int straggler : find_stragglers(given)) {
+        this->may_receive.assign(observed.ranks, true);
+        for (const int straggler : find_stragglers(observed)) {
             this->may_receive[straggler] = false;
         }
     }
--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -1,5 +1,5 @@
 // Tests that callers get every answer whole however their connection ends: after an answer, around
-// a stop, or with input that nobody reads.
+// a stop, or with input that is not read.
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -37,8 +37,8 @@
 
 } // namespace
 
-crash_guard::crash_guard(suspects::suspect_registry& suspects, crash_guard_hooks given)
-    : registry(suspects), hooks(std::move(given))
+crash_guard::crash_guard(suspects::suspect_registry& suspects, crash_guard_hooks callbacks)
+    : registry(suspects), hooks(std::move(callbacks))
 {
 }
 
@@ -77,7 +77,7 @@
                                         {"service", server.service},
                                         {"parts", request.parts_for_log()}});
     if (this->registry.record_crash(crash, {&lost, 1})) {
-        this->hooks.on_news();
+        this->hooks.on_change();
     }
 }
 
@@ -92,7 +92,7 @@
         traits = all_traits(request, service);
     }
     if (this->registry.record_completion(traits)) {
-        this->hooks.on_news();
+        this->hooks.on_change();
     }
 }
 
--- a/sardinestream/forwarding/crash_guard.h
+++ b/sardinestream/forwarding/crash_guard.h
@@ -24,7 +24,7 @@
     // for a fraction of a second at the most.
     std::function<bool(const address& server)> refuses_connections;
     // Called when the registry has learned something that other processes must know.
-    std::function<void()> on_news;
+    std::function<void()> on_change;
 };
 
 // Thread-safe.
@@ -35,7 +35,7 @@
     static constexpr std::chrono::milliseconds time_to_prove{1000};
 
     // `suspects` must outlive the guard.
-    crash_guard(suspects::suspect_registry& suspects, crash_guard_hooks given);
+    crash_guard(suspects::suspect_registry& suspects, crash_guard_hooks callbacks);
 
     // Returns a refusal with a retry delay (`retry_after_of`) if the request is blamed for crashes.
     [[nodiscard]] absl::Status check(const caller_request& request,
--- a/sardinestream/forwarding/crash_guard_test.cc
+++ b/sardinestream/forwarding/crash_guard_test.cc
@@ -35,13 +35,13 @@
 
     absl::Time now = absl::FromUnixSeconds(1000);
     int servers = 0;
-    int news = 0;
+    int changes = 0;
     bool refuses_connections = true;
     std::unique_ptr<suspects::suspect_registry> registry =
         suspects::suspect_registry::create(options(this->now));
-    crash_guard guard{
-        *this->registry,
-        {[this](const address&) { return this->refuses_connections; }, [this] { ++this->news; }}};
+    crash_guard guard{*this->registry,
+                      {[this](const address&) { return this->refuses_connections; },
+                       [this] { ++this->changes; }}};
 };
 
 caller_request make_request(const std::string& body, int parts = 0)
@@ -66,7 +66,7 @@
     EXPECT_TRUE(absl::IsUnavailable(this->check(make_request("bad"))));
     EXPECT_GT(retry_after_of(this->check(make_request("bad"))).count(), 0);
     EXPECT_TRUE(this->check(make_request("good")).ok());
-    EXPECT_EQ(this->news, 3);
+    EXPECT_EQ(this->changes, 3);
 }
 
 TEST_F(crash_guard_test, a_request_with_very_many_parts_is_still_known_as_a_whole)
@@ -85,7 +85,7 @@
         this->lose(make_request("good"));
     }
     EXPECT_EQ(this->registry->size(), 0U);
-    EXPECT_EQ(this->news, 0);
+    EXPECT_EQ(this->changes, 0);
 }
 
 TEST_F(crash_guard_test, a_request_that_is_answered_is_no_longer_refused)
@@ -95,7 +95,7 @@
     }
     this->guard.note_sound(make_request("bad"), service);
     EXPECT_TRUE(this->check(make_request("bad")).ok());
-    EXPECT_EQ(this->news, 4);
+    EXPECT_EQ(this->changes, 4);
 }
 
 } // namespace
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -49,9 +49,10 @@
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - started);
 }
 
-exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket, admitted_request given)
+exchange::exchange(forwarding_services& shared, tcp_socket& caller_socket,
+                   admitted_request accepted)
     : services(shared), caller(caller_socket), caller_watch(caller_socket.descriptor()),
-      admitted(std::move(given)), matched_route(*admitted.matched_route),
+      admitted(std::move(accepted)), matched_route(*admitted.matched_route),
       registered(services.open, {admitted.request.id, admitted.service, admitted.arrival}),
       events(matched_route.resumable ? admitted.request.resume_after : ""),
       last_delivery(admitted.arrival)
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -101,8 +101,8 @@
         new frontend(*std::move(bound), std::move(services), std::move(options)));
 }
 
-frontend::frontend(tcp_listener opened, forwarding_services given, frontend_options chosen)
-    : services(std::move(given)), options(std::move(chosen)),
+frontend::frontend(tcp_listener opened, forwarding_services shared, frontend_options chosen)
+    : services(std::move(shared)), options(std::move(chosen)),
       stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), random(std::random_device()()),
       acceptor(std::move(opened), make_options(options.max_connections),
                [this](tcp_socket connection) { this->serve_connection(std::move(connection)); })
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -52,7 +52,7 @@
     [[nodiscard]] int connections() const { return this->acceptor.connections(); }
 
 private:
-    frontend(tcp_listener opened, forwarding_services given, frontend_options chosen);
+    frontend(tcp_listener opened, forwarding_services shared, frontend_options chosen);
 
     void serve_connection(tcp_socket connection);
     // Returns until when a connection is read after its last answer.
--- a/sardinestream/forwarding/planned_change_test.cc
+++ b/sardinestream/forwarding/planned_change_test.cc
@@ -149,7 +149,7 @@
     this->channels.close_stale({});
 }
 
-// Guards against a caller that is told to send its body to a process that ends before it.
+// Guards against a caller that is asked to send its body to a process that ends before it.
 TEST_F(planned_change_test, an_upload_that_was_asked_for_is_refused_whole_at_the_end_of_a_stop)
 {
     scripted_server server(answer);
--- a/sardinestream/http/connection_acceptor.cc
+++ b/sardinestream/http/connection_acceptor.cc
@@ -22,9 +22,10 @@
 
 } // namespace
 
-connection_acceptor::connection_acceptor(tcp_listener bound, acceptor_options chosen, handler given)
+connection_acceptor::connection_acceptor(tcp_listener bound, acceptor_options chosen,
+                                         handler handle)
     : listener(std::move(bound)), bound_to(listener.local()), options(std::move(chosen)),
-      served(std::move(given)), accepting([this] { this->run(); })
+      served(std::move(handle)), accepting([this] { this->run(); })
 {
 }
 
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -44,8 +44,8 @@
     return std::unique_ptr<http_service>(new http_service(*std::move(bound), std::move(handler)));
 }
 
-http_service::http_service(tcp_listener bound, http_handler given)
-    : handler(std::move(given)),
+http_service::http_service(tcp_listener bound, http_handler handle)
+    : handler(std::move(handle)),
       acceptor(std::move(bound), make_options(),
                [this](tcp_socket connection) { this->serve(std::move(connection)); })
 {
--- a/sardinestream/http/http_service.h
+++ b/sardinestream/http/http_service.h
@@ -36,7 +36,7 @@
     [[nodiscard]] const address& local() const { return this->acceptor.local(); }
 
 private:
-    http_service(tcp_listener bound, http_handler given);
+    http_service(tcp_listener bound, http_handler handle);
 
     void serve(tcp_socket connection);
     void serve_requests(tcp_socket& connection);
--- a/sardinestream/http/message_body.h
+++ b/sardinestream/http/message_body.h
@@ -53,7 +53,7 @@
     std::size_t length = 0;
 };
 
-// Reads the rest of a body that nobody needs, without keeping it. Returns kOutOfRange if it is
+// Reads the rest of an unneeded body, without keeping it. Returns kOutOfRange if it is
 // longer than `max_bytes`, otherwise the errors of message_reader::read_body_part.
 [[nodiscard]] absl::Status skip_body(message_reader& from, std::size_t max_bytes,
                                      steady_time deadline, const hangup_watch& caller);
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -118,8 +118,8 @@
     void on_finish_impl(beast::error_code&) override {}
 };
 
-message_reader::message_reader(tcp_socket& source, reading_end given)
-    : socket(source), end(std::move(given))
+message_reader::message_reader(tcp_socket& source, reading_end until)
+    : socket(source), end(std::move(until))
 {
 }
 
--- a/sardinestream/limits/entry_slots.cc
+++ b/sardinestream/limits/entry_slots.cc
@@ -79,10 +79,10 @@
     if (!seen.ok() || parse_record(seen->spec).incarnation != this->options.incarnation) {
         return;
     }
-    const absl::Status given_back =
+    const absl::Status released =
         this->store.update(entry_slot_kind, name, this->spec("", lent_for), seen->version).status();
-    if (!given_back.ok()) {
-        log_failure("entry_slot_release_failed", given_back, {{"slot", name}});
+    if (!released.ok()) {
+        log_failure("entry_slot_release_failed", released, {{"slot", name}});
     }
 }
 
--- a/sardinestream/limits/share_ledger.cc
+++ b/sardinestream/limits/share_ledger.cc
@@ -136,9 +136,9 @@
     const absl::Time last = held->second.ends - absl::Nanoseconds(1);
     const std::uint32_t spare = not_negative(
         std::min(this->min_free(now, last), this->min_balance(now, last) - this->reserve));
-    const std::uint32_t given_up =
+    const std::uint32_t forgone =
         std::min(spare, held->second.units - std::min(units, held->second.units));
-    held->second.units -= given_up;
+    held->second.units -= forgone;
     const std::uint32_t kept = held->second.units;
     if (kept == 0) {
         this->borrowed_by_id.erase(held);
--- a/sardinestream/maps/expert_map.cc
+++ b/sardinestream/maps/expert_map.cc
@@ -40,9 +40,9 @@
 
 } // namespace
 
-expert_map::expert_map(const map_shape& given)
-    : dimensions(given), experts_by_set_and_rank(static_cast<std::size_t>(given.sets) *
-                                                 static_cast<std::size_t>(given.ranks))
+expert_map::expert_map(const map_shape& wanted)
+    : dimensions(wanted), experts_by_set_and_rank(static_cast<std::size_t>(wanted.sets) *
+                                                  static_cast<std::size_t>(wanted.ranks))
 {
 }
 
--- a/sardinestream/maps/expert_map.h
+++ b/sardinestream/maps/expert_map.h
@@ -30,7 +30,7 @@
 class expert_map {
 public:
     expert_map() = default;
-    explicit expert_map(const map_shape& given);
+    explicit expert_map(const map_shape& wanted);
 
     // Replaces the experts of one rank in all sets.
     void set_rank(int rank, const rank_experts& experts);
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -79,7 +79,7 @@
 [[nodiscard]] std::int64_t version_after(std::int64_t newest, std::uint64_t draw);
 
 // Like `version_after`, but also above all that agents draw with `version_after` from `newest` for
-// their own engines. Such an order may be carried out seconds late, when nobody knows of it any
+// their own engines. Such an order may be carried out seconds late, when no process knows of it any
 // more; below the version of the switch in progress, the engine refuses it.
 [[nodiscard]] std::int64_t plan_version_after(std::int64_t newest, std::uint64_t draw);
 
--- a/sardinestream/maps/map_switch_schedule.h
+++ b/sardinestream/maps/map_switch_schedule.h
@@ -2,7 +2,7 @@
 // seconds late, after newer orders or twice; coordinators that fail; machines that freeze, mostly
 // right after they have given an order, and wake; groups that are idle, or form again.
 //
-// While its machine is frozen, a rank's engine goes on but nobody reaches it, and its agent does
+// While its machine is frozen, a rank's engine goes on but cannot be reached, and its agent does
 // nothing. A coordinator that wakes acts once on the reports that it had before. All times are in
 // simulated milliseconds.
 
@@ -68,10 +68,10 @@
 
 class schedule {
 public:
-    schedule(unsigned seed, variant chosen, const schedule_options& given)
-        : options(given), random(seed), played(chosen), group(given.ranks),
-          machines(static_cast<std::size_t>(given.ranks)),
-          newest_sent(static_cast<std::size_t>(given.ranks))
+    schedule(unsigned seed, variant chosen, const schedule_options& wanted)
+        : options(wanted), random(seed), played(chosen), group(wanted.ranks),
+          machines(static_cast<std::size_t>(wanted.ranks)),
+          newest_sent(static_cast<std::size_t>(wanted.ranks))
     {
     }
 
--- a/sardinestream/maps/map_switch_schedule_test.cc
+++ b/sardinestream/maps/map_switch_schedule_test.cc
@@ -16,8 +16,8 @@
 // The number of schedules and ranks can be set through the environment for a long manual run.
 int from_environment(const char* name, int otherwise)
 {
-    const char* const given = std::getenv(name);
-    return given == nullptr ? otherwise : std::atoi(given);
+    const char* const value = std::getenv(name);
+    return value == nullptr ? otherwise : std::atoi(value);
 }
 
 int schedules()
--- a/sardinestream/maps/stalled_hold_guard.h
+++ b/sardinestream/maps/stalled_hold_guard.h
@@ -1,4 +1,4 @@
-// Ends a hold of the agent's own engine that nobody completes.
+// Ends a hold of the agent's own engine that is never completed.
 //
 // Answers a coordinator whose machine freezes, or is cut off, in the middle of a switch: all ranks
 // of the group wait at the held step, and nothing is served. As long as this rank is the holder and
--- a/sardinestream/once/key_bindings.cc
+++ b/sardinestream/once/key_bindings.cc
@@ -53,8 +53,8 @@
     return std::unique_ptr<key_bindings>(new key_bindings(store, std::move(options)));
 }
 
-key_bindings::key_bindings(platform::object_store* object_store, key_bindings_options given)
-    : store(object_store), options(std::move(given)),
+key_bindings::key_bindings(platform::object_store* object_store, key_bindings_options chosen)
+    : store(object_store), options(std::move(chosen)),
       jitter(static_cast<std::minstd_rand::result_type>(random_u64()))
 {
 }
--- a/sardinestream/once/key_bindings.h
+++ b/sardinestream/once/key_bindings.h
@@ -124,7 +124,7 @@
         bool updating = false; // true while a thread updates the partition
     };
 
-    key_bindings(platform::object_store* object_store, key_bindings_options given);
+    key_bindings(platform::object_store* object_store, key_bindings_options chosen);
 
     [[nodiscard]] std::optional<stored_binding> cached(digest128 key) const;
     void add_to_cache(digest128 key, const stored_binding& row)
--- a/sardinestream/once/run_table.h
+++ b/sardinestream/once/run_table.h
@@ -184,7 +184,7 @@
         absl::Time kept_at;
     };
 
-    explicit run_table(run_table_options given) : options(std::move(given)) {}
+    explicit run_table(run_table_options chosen) : options(std::move(chosen)) {}
 
     [[nodiscard]] run_admission admit(digest128 key, digest128 request, bool accept_new);
     [[nodiscard]] run_admission admit_known(digest128 key, const key_row& row, digest128 request)
--- a/sardinestream/orders/order_executor.cc
+++ b/sardinestream/orders/order_executor.cc
@@ -22,7 +22,7 @@
     return std::nullopt;
 }
 
-order_executor::order_executor(order_executor_dependencies given) : dependencies(std::move(given))
+order_executor::order_executor(order_executor_dependencies needed) : dependencies(std::move(needed))
 {
 }
 
--- a/sardinestream/orders/order_issuer.h
+++ b/sardinestream/orders/order_issuer.h
@@ -49,7 +49,7 @@
     order_issuer& operator=(const order_issuer&) = delete;
 
 private:
-    explicit order_issuer(order_issuer_options given) : options(std::move(given)) {}
+    explicit order_issuer(order_issuer_options chosen) : options(std::move(chosen)) {}
 
     void issue_orders();
     void issue_for_service(const std::string& service, std::uint64_t number);
--- a/sardinestream/peers/datagram_socket.cc
+++ b/sardinestream/peers/datagram_socket.cc
@@ -55,10 +55,11 @@
     return made;
 }
 
-void datagram_socket::send(const news::NewsT& message, absl::Span<const std::uint32_t> ips) const
+void datagram_socket::send(const gossip::MessageT& message,
+                           absl::Span<const std::uint32_t> ips) const
 {
     flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(news::News::Pack(builder, &message));
+    builder.Finish(gossip::Message::Pack(builder, &message));
     for (const std::uint32_t ip : ips) {
         const sockaddr_in native = to_native(ip, this->port);
         const ssize_t sent = ::sendto(this->socket.descriptor(), builder.GetBufferPointer(),
@@ -70,7 +71,7 @@
     }
 }
 
-std::unique_ptr<news::NewsT> datagram_socket::receive(steady_time deadline) const
+std::unique_ptr<gossip::MessageT> datagram_socket::receive(steady_time deadline) const
 {
     std::uint8_t bytes[max_datagram_bytes];
     while (true) {
@@ -84,11 +85,11 @@
             continue;
         }
         flatbuffers::Verifier verifier(bytes, static_cast<std::size_t>(length));
-        if (!news::VerifyNewsBuffer(verifier)) {
+        if (!gossip::VerifyMessageBuffer(verifier)) {
             count("sardine_unreadable_news_total");
             return nullptr;
         }
-        return news::UnPackNews(bytes);
+        return gossip::UnPackMessage(bytes);
     }
 }
 
@@ -100,7 +101,7 @@
     }
     const auto socket = std::make_shared<datagram_socket>(*std::move(bound));
     return message_channel{
-        [socket](const news::NewsT& message, absl::Span<const std::uint32_t> ips) {
+        [socket](const gossip::MessageT& message, absl::Span<const std::uint32_t> ips) {
             socket->send(message, ips);
         },
         [socket](steady_time deadline) { return socket->receive(deadline); }};
--- a/sardinestream/peers/datagram_socket.h
+++ b/sardinestream/peers/datagram_socket.h
@@ -3,7 +3,7 @@
 //
 //     absl::StatusOr<datagram_socket> socket = datagram_socket::bind({ip, port});
 //     socket->send(message, {peer_ip, other_peer_ip});
-//     std::unique_ptr<news::NewsT> received = socket->receive(deadline);
+//     std::unique_ptr<gossip::MessageT> received = socket->receive(deadline);
 //
 // `send` may be called by several threads at once, `receive` by one thread at a time.
 
@@ -17,7 +17,7 @@
 
 #include "sardinestream/base/settings.h"
 #include "sardinestream/http/socket.h"
-#include "sardinestream/peers/news_generated.h"
+#include "sardinestream/peers/gossip_generated.h"
 
 #include "absl/status/statusor.h"
 #include "absl/types/span.h"
@@ -30,10 +30,10 @@
 
     // Sends `message` to each of `ips`, at the port of this socket, which is the same on every
     // machine. Failures are counted, and the message is not resent.
-    void send(const news::NewsT& message, absl::Span<const std::uint32_t> ips) const;
+    void send(const gossip::MessageT& message, absl::Span<const std::uint32_t> ips) const;
 
     // Waits for a message until `deadline`. Returns null if none arrived, or one that is malformed.
-    [[nodiscard]] std::unique_ptr<news::NewsT> receive(steady_time deadline) const;
+    [[nodiscard]] std::unique_ptr<gossip::MessageT> receive(steady_time deadline) const;
 
 private:
     // Owns the descriptor of the UDP socket; nothing specific to TCP in this class is used.
@@ -44,8 +44,8 @@
 // The interface through which a program sends and receives messages, with the semantics of
 // `datagram_socket`. Tests replace it.
 struct message_channel {
-    std::function<void(const news::NewsT& message, absl::Span<const std::uint32_t> ips)> send;
-    std::function<std::unique_ptr<news::NewsT>(steady_time deadline)> receive;
+    std::function<void(const gossip::MessageT& message, absl::Span<const std::uint32_t> ips)> send;
+    std::function<std::unique_ptr<gossip::MessageT>(steady_time deadline)> receive;
 };
 
 // Opens a channel that owns a new socket bound to `local`.
@@ -58,9 +58,9 @@
 
 // Wraps a message body in the common envelope.
 template <typename Body>
-[[nodiscard]] news::NewsT make_message(Body body)
+[[nodiscard]] gossip::MessageT make_message(Body body)
 {
-    news::NewsT message;
+    gossip::MessageT message;
     message.body.Set(std::move(body));
     return message;
 }
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -8,7 +8,7 @@
 
 #include "sardinestream/base/log.h"
 #include "sardinestream/peers/home_entries.h"
-#include "sardinestream/peers/suspect_news.h"
+#include "sardinestream/peers/suspect_report.h"
 
 namespace sardinestream {
 namespace {
@@ -64,8 +64,8 @@
     return made;
 }
 
-entry_gossip::entry_gossip(datagram_socket bound, std::string own, entry_gossip_hooks given)
-    : socket(std::move(bound)), own_ip(std::move(own)), hooks(std::move(given))
+entry_gossip::entry_gossip(datagram_socket bound, std::string own, entry_gossip_hooks callbacks)
+    : socket(std::move(bound)), own_ip(std::move(own)), hooks(std::move(callbacks))
 {
 }
 
@@ -107,7 +107,7 @@
         others = this->receivers;
     }
     for (const std::string& report : reports) {
-        this->socket.send(make_suspect_news(report), others);
+        this->socket.send(make_suspect_report(report), others);
     }
 }
 
@@ -126,7 +126,7 @@
             next_agent_hello = now + agent_hello_interval_for(this->report_sequences.size());
             this->send_hello_to_agents();
         }
-        const std::unique_ptr<news::NewsT> message =
+        const std::unique_ptr<gossip::MessageT> message =
             this->socket.receive(std::min(next_hello, steady_clock::now() + announce_interval));
         if (message != nullptr) {
             this->handle_message(*message);
@@ -134,18 +134,18 @@
     }
 }
 
-void entry_gossip::handle_message(const news::NewsT& message)
+void entry_gossip::handle_message(const gossip::MessageT& message)
 {
-    if (const news::EntryHelloT* const hello = message.body.AsEntryHello(); hello != nullptr) {
+    if (const gossip::EntryHelloT* const hello = message.body.AsEntryHello(); hello != nullptr) {
         this->handle_hello(*hello);
     }
-    if (const news::ServerReportT* const report = message.body.AsServerReport();
+    if (const gossip::ServerReportT* const report = message.body.AsServerReport();
         report != nullptr) {
         this->handle_report(*report);
     }
-    if (const news::SuspectNewsT* const suspects = message.body.AsSuspectNews();
+    if (const gossip::SuspectReportT* const suspects = message.body.AsSuspectReport();
         suspects != nullptr) {
-        this->hooks.on_suspect_news(report_in(*suspects));
+        this->hooks.on_suspect_report(report_in(*suspects));
     }
 }
 
@@ -163,7 +163,7 @@
     }
 }
 
-void entry_gossip::handle_hello(const news::EntryHelloT& hello)
+void entry_gossip::handle_hello(const gossip::EntryHelloT& hello)
 {
     if (hello.ip == ip_to_number(this->own_ip)) {
         return;
@@ -192,14 +192,14 @@
     }
 }
 
-void entry_gossip::handle_limits(const news::EntryHelloT& hello)
+void entry_gossip::handle_limits(const gossip::EntryHelloT& hello)
 {
     if (hello.limits.empty()) {
         return;
     }
     const steady_time now = steady_clock::now();
     std::vector<limit_statement> heard;
-    for (const news::ServerLimit& limit : hello.limits) {
+    for (const gossip::ServerLimit& limit : hello.limits) {
         const bool is_limited = std::isfinite(limit.per_s()) && limit.per_s() >= 0;
         heard.push_back({limit.server(),
                          is_limited ? std::optional<double>(limit.per_s()) : std::nullopt,
@@ -224,7 +224,7 @@
     return 2 * saw_none > alive;
 }
 
-void entry_gossip::handle_report(const news::ServerReportT& report)
+void entry_gossip::handle_report(const gossip::ServerReportT& report)
 {
     std::uint64_t& sequence = this->report_sequences[report.ip];
     if (report.sequence <= sequence && sequence - report.sequence < reordering_window) {
@@ -249,7 +249,7 @@
     this->update_suspects_copy(report);
 }
 
-void entry_gossip::update_endpoint(const news::ServerReportT& report)
+void entry_gossip::update_endpoint(const gossip::ServerReportT& report)
 {
     known_group& group = this->groups[report.group];
     const rank_endpoint reported = {report.ip, report.engine_port};
@@ -268,7 +268,7 @@
     this->send_endpoints(report);
 }
 
-void entry_gossip::send_endpoints(const news::ServerReportT& report)
+void entry_gossip::send_endpoints(const gossip::ServerReportT& report)
 {
     const std::shared_ptr<const desired_state> state = this->hooks.state();
     if (state == nullptr) {
@@ -282,7 +282,7 @@
             continue;
         }
         const engine_model& engine = declared->second.engine;
-        news::GroupPlacesT message;
+        gossip::GroupPlacesT message;
         message.group = report.group;
         for (const auto& [rank, place] : this->groups[report.group].endpoints) {
             message.ranks.emplace_back(rank, place.ip,
@@ -311,7 +311,7 @@
     return alive;
 }
 
-void entry_gossip::update_suspects_copy(const news::ServerReportT& report)
+void entry_gossip::update_suspects_copy(const gossip::ServerReportT& report)
 {
     if (report.suspects_digest == this->hooks.suspects_digest()) {
         return;
@@ -324,13 +324,13 @@
     }
     last_sent = now;
     for (const std::string& known : this->hooks.suspect_reports()) {
-        this->socket.send(make_suspect_news(known), {report.ip});
+        this->socket.send(make_suspect_report(known), {report.ip});
     }
 }
 
-news::EntryHelloT entry_gossip::make_hello() const
+gossip::EntryHelloT entry_gossip::make_hello() const
 {
-    news::EntryHelloT hello;
+    gossip::EntryHelloT hello;
     const state_age own = this->hooks.age();
     hello.ip = ip_to_number(this->own_ip);
     hello.config_version = own.config_version;
@@ -356,16 +356,16 @@
             agents.insert(ip_to_number(server.endpoint.ip));
         }
     }
-    news::EntryHelloT hello = this->make_hello();
+    gossip::EntryHelloT hello = this->make_hello();
     hello.report_interval_ms = static_cast<int>(interval.count());
     this->socket.send(make_message(std::move(hello)),
                       std::vector<std::uint32_t>(agents.begin(), agents.end()));
 }
 
-news::EntryHelloT entry_gossip::make_entry_hello() const
+gossip::EntryHelloT entry_gossip::make_entry_hello() const
 {
     constexpr double no_limit = -1;
-    news::EntryHelloT hello = this->make_hello();
+    gossip::EntryHelloT hello = this->make_hello();
     hello.entries = this->other_entries_alive();
     hello.vanished_servers = static_cast<int>(this->hooks.vanished_servers());
     const steady_time now = steady_clock::now();
@@ -384,7 +384,7 @@
     std::erase_if(this->entries, [&](const auto& named) {
         return now - named.second.last_heard > entry_memory && this->seeds.count(named.first) == 0;
     });
-    news::EntryHelloT hello = this->make_entry_hello();
+    gossip::EntryHelloT hello = this->make_entry_hello();
     const std::vector<std::uint32_t> alive = hello.entries;
     std::vector<std::uint32_t> others;
     int known = 1;
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -78,8 +78,8 @@
     std::function<std::vector<limit_statement>()> limits;
     // Called with what servers have said to another entry.
     std::function<void(absl::Span<const limit_statement> heard)> on_limits;
-    // Called with news of such requests from another entry, or from an agent's copy.
-    std::function<void(absl::string_view report)> on_suspect_news;
+    // Called with reports of such requests from another entry, or from an agent's copy.
+    std::function<void(absl::string_view report)> on_suspect_report;
     // Called when the entry at `ip` knows something else of such requests than this one.
     std::function<void(const std::string& ip)> on_other_suspects;
 };
@@ -101,8 +101,8 @@
     // Tells the others soon how new this entry's state is, ahead of the next hello. Thread-safe.
     void announce();
 
-    // Sends news of requests that crash servers to the other entries, each in a message of its own.
-    // News that are lost are noticed by the digest in the next hello. Thread-safe.
+    // Sends reports of requests that crash servers to the other entries, each in a message of its
+    // own. News that are lost are noticed by the digest in the next hello. Thread-safe.
     void send_suspects(absl::Span<const std::string> reports);
 
 private:
@@ -116,14 +116,14 @@
         std::uint64_t digest = 0;
     };
 
-    entry_gossip(datagram_socket bound, std::string own, entry_gossip_hooks given);
+    entry_gossip(datagram_socket bound, std::string own, entry_gossip_hooks callbacks);
 
     void run();
-    void handle_message(const news::NewsT& message);
+    void handle_message(const gossip::MessageT& message);
     void add_pending_seeds();
-    void handle_hello(const news::EntryHelloT& hello);
-    void handle_report(const news::ServerReportT& report);
-    void handle_limits(const news::EntryHelloT& hello);
+    void handle_hello(const gossip::EntryHelloT& hello);
+    void handle_report(const gossip::ServerReportT& report);
+    void handle_limits(const gossip::EntryHelloT& hello);
     void add_entry(std::uint32_t ip);
     void compare_age(std::uint32_t ip, const state_age& known);
     // Returns true if most of the other entries that are alive meet the condition of
@@ -131,15 +131,15 @@
     [[nodiscard]] bool majority_saw_no_outage() const;
     // Records the endpoint of the agent's engine, and sends the agent the endpoints of its group if
     // the digest that it reported differs.
-    void update_endpoint(const news::ServerReportT& report);
-    void send_endpoints(const news::ServerReportT& report);
+    void update_endpoint(const gossip::ServerReportT& report);
+    void send_endpoints(const gossip::ServerReportT& report);
     // Sends the agent what this entry knows of requests that crash servers if its copy differs.
-    void update_suspects_copy(const news::ServerReportT& report);
+    void update_suspects_copy(const gossip::ServerReportT& report);
     void send_hello_to_entries();
     void send_hello_to_agents();
     // Returns the hello for agents, and the one for entries, which says more.
-    [[nodiscard]] news::EntryHelloT make_hello() const;
-    [[nodiscard]] news::EntryHelloT make_entry_hello() const;
+    [[nodiscard]] gossip::EntryHelloT make_hello() const;
+    [[nodiscard]] gossip::EntryHelloT make_entry_hello() const;
     [[nodiscard]] std::vector<std::uint32_t> other_entries_alive() const;
 
     const datagram_socket socket;
--- a/sardinestream/peers/suspect_news.h
+++ b/sardinestream/peers/suspect_report.h
@@ -4,8 +4,8 @@
 // An entry that notices that the digest of a copy differs from its own sends all that it knows. An
 // agent sends its copy to entries that know nothing, as they do when they have just started.
 
-#ifndef SARDINESTREAM_PEERS_SUSPECT_NEWS_H_
-#define SARDINESTREAM_PEERS_SUSPECT_NEWS_H_
+#ifndef SARDINESTREAM_PEERS_SUSPECT_REPORT_H_
+#define SARDINESTREAM_PEERS_SUSPECT_REPORT_H_
 
 #include <chrono>
 #include <cstddef>
@@ -23,19 +23,19 @@
 // the first yet.
 inline constexpr std::chrono::milliseconds min_suspects_interval{2000};
 
-[[nodiscard]] inline news::NewsT make_suspect_news(absl::string_view report)
+[[nodiscard]] inline gossip::MessageT make_suspect_report(absl::string_view report)
 {
-    news::SuspectNewsT message;
+    gossip::SuspectReportT message;
     message.report.assign(report.begin(), report.end());
     return make_message(std::move(message));
 }
 
 // Returns the report in the message, which the view refers to.
-[[nodiscard]] inline absl::string_view report_in(const news::SuspectNewsT& message)
+[[nodiscard]] inline absl::string_view report_in(const gossip::SuspectReportT& message)
 {
     return {reinterpret_cast<const char*>(message.report.data()), message.report.size()};
 }
 
 } // namespace sardinestream
 
-#endif // SARDINESTREAM_PEERS_SUSPECT_NEWS_H_
+#endif // SARDINESTREAM_PEERS_SUSPECT_REPORT_H_
--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -29,11 +29,11 @@
     log_event("reloaded", {{"applied", "log_level"}});
 }
 
-agent_options to_options(const agent_settings& settings, message_channel news)
+agent_options to_options(const agent_settings& settings, message_channel channel)
 {
     agent_options options;
     options.ip = settings.ip;
-    options.messages = std::move(news);
+    options.messages = std::move(channel);
     options.engine = settings.backend;
     options.connect = connect_engine;
     options.skew_weight = settings.skew_weight;
@@ -45,12 +45,13 @@
 {
     shutdown_signal signal = shutdown_signal::install();
     start_logging(settings.log_minimum, "agent", settings.id);
-    absl::StatusOr<message_channel> news = open_message_channel({settings.ip, settings.news_port});
-    if (!news.ok()) {
-        log_failure("start_failed", news.status());
+    absl::StatusOr<message_channel> channel =
+        open_message_channel({settings.ip, settings.gossip_port});
+    if (!channel.ok()) {
+        log_failure("start_failed", channel.status());
         return exit_failed;
     }
-    agent_program program(to_options(settings, *std::move(news)));
+    agent_program program(to_options(settings, *std::move(channel)));
     absl::StatusOr<std::unique_ptr<http_service>> operators =
         http_service::start(settings.ops_listen, [&program](const http_request_head& head) {
             return answer_operator(head, make_pages(program.status()));
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -86,8 +86,8 @@
                                       std::chrono::milliseconds missing)
 {
     constexpr double max_ms = 1e12;
-    const double given = optional_field(object, field, static_cast<double>(missing.count()));
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(given, 0.0, max_ms)));
+    const double value = optional_field(object, field, static_cast<double>(missing.count()));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(value, 0.0, max_ms)));
 }
 
 request_kind decode_kind(const std::string& name)
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -27,7 +27,7 @@
     options.ready_listen = settings.ready_listen;
     options.ops_listen = settings.ops_listen;
     options.ip = settings.ip;
-    options.news_port = settings.news_port;
+    options.gossip_port = settings.gossip_port;
     for (const address& seed : settings.seeds) {
         options.seeds.push_back(seed.ip);
     }
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -33,8 +33,8 @@
 } // namespace
 
 object_watcher::object_watcher(const address& store_address, std::string watched_kind,
-                               watcher_callbacks given)
-    : kind(std::move(watched_kind)), callbacks(std::move(given)), store(store_address)
+                               watcher_callbacks hooks)
+    : kind(std::move(watched_kind)), callbacks(std::move(hooks)), store(store_address)
 {
     this->thread = std::thread([this] { this->run(); });
 }
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -28,7 +28,7 @@
 
 class object_watcher {
 public:
-    object_watcher(const address& store, std::string watched_kind, watcher_callbacks given);
+    object_watcher(const address& store, std::string watched_kind, watcher_callbacks hooks);
     // Waits for the open watch call to end, a few seconds at most.
     ~object_watcher();
     object_watcher(const object_watcher&) = delete;
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -202,7 +202,7 @@
     EXPECT_LT(calls, last_change / 5);
 }
 
-// Lists with the era and revision that it is told, and answers watches in the same way.
+// Lists with the era and revision that it was configured with, and answers watches in the same way.
 class restorable_store {
 public:
     explicit restorable_store(std::string first_era)
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -32,7 +32,7 @@
     [[nodiscard]] std::string agent_settings(const std::string& log_level) const
     {
         return absl::StrCat("--id=side-1\n--data_centre=a\n--ip=127.0.0.1\n--ops_port=0\n",
-                            "--news_port=", this->news.reserved().port,
+                            "--news_port=", this->gossip_port.reserved().port,
                             "\n--backend=", this->backend.reserved().to_string(),
                             "\n--service=assistant\n--log_level=", log_level, "\n");
     }
@@ -40,7 +40,7 @@
     [[nodiscard]] std::string entry_settings() const
     {
         return absl::StrCat("--id=front-1\n--data_centre=a\n--ip=127.0.0.1\n--ops_port=0\n",
-                            "--news_port=", this->news.reserved().port,
+                            "--news_port=", this->gossip_port.reserved().port,
                             "\n--front_listen=127.0.0.1:0\n--ready_listen=127.0.0.1:0\n--store=",
                             this->backend.reserved().to_string(), "\n--grace_s=3\n");
     }
@@ -52,7 +52,7 @@
     }
 
     const temp_directory logs;
-    const port_reservation news;
+    const port_reservation gossip_port;
     // No process listens on this port.
     const port_reservation backend;
     const std::string settings_path = this->logs.path() + "/node.settings";
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -96,7 +96,7 @@
     settings.data_centre = FLAGS_data_centre;
     settings.ip = FLAGS_ip;
     settings.ops_listen = {FLAGS_ip, FLAGS_ops_port};
-    settings.news_port = FLAGS_news_port;
+    settings.gossip_port = FLAGS_news_port;
     settings.check_only = FLAGS_check_settings;
     settings.print_status = FLAGS_print_status;
     return absl::OkStatus();
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -27,7 +27,7 @@
     std::string ip;
     address ops_listen;
     // Port for messages between the processes of the load balancer; the same on every machine.
-    int news_port = 0;
+    int gossip_port = 0;
     log_level log_minimum = log_level::info;
     bool check_only = false;
     bool print_status = false;
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -93,7 +93,7 @@
 void agent_program::receive_messages()
 {
     // Waits for the first message, then drains the queue: messages behind it precede the next poll.
-    std::unique_ptr<news::NewsT> message = this->options.messages.receive(this->next_poll);
+    std::unique_ptr<gossip::MessageT> message = this->options.messages.receive(this->next_poll);
     for (int taken = 0; message != nullptr && taken < max_messages_per_poll; ++taken) {
         this->handle_message(*message);
         message = this->options.messages.receive(steady_time{});
@@ -103,7 +103,7 @@
     }
 }
 
-void agent_program::handle_message(const news::NewsT& message)
+void agent_program::handle_message(const gossip::MessageT& message)
 {
     if (const auto* const hello = message.body.AsEntryHello(); hello != nullptr) {
         this->handle_hello(*hello);
@@ -117,8 +117,9 @@
     if (const auto* const endpoints = message.body.AsGroupPlaces(); endpoints != nullptr) {
         this->handle_endpoints(*endpoints);
     }
-    if (const auto* const news = message.body.AsSuspectNews(); news != nullptr) {
-        this->suspects.merge(*news);
+    if (const auto* const suspects_report = message.body.AsSuspectReport();
+        suspects_report != nullptr) {
+        this->suspects.merge(*suspects_report);
     }
 }
 
@@ -134,25 +135,25 @@
     return alive;
 }
 
-void agent_program::handle_hello(const news::EntryHelloT& hello)
+void agent_program::handle_hello(const gossip::EntryHelloT& hello)
 {
     this->entries[hello.ip] = steady_clock::now();
     if (hello.report_interval_ms > 0) {
         this->report_interval = milliseconds(hello.report_interval_ms);
     }
-    for (const news::NewsT& message :
+    for (const gossip::MessageT& message :
          this->suspects.answer(hello, this->entries_alive(), steady_clock::now())) {
         this->options.messages.send(message, {hello.ip});
     }
 }
 
-void agent_program::handle_endpoints(const news::GroupPlacesT& message)
+void agent_program::handle_endpoints(const gossip::GroupPlacesT& message)
 {
     if (!this->engine.report().has_value() || message.group != this->engine.report()->group ||
         message.sets <= 0) {
         return;
     }
-    for (const news::RankPlace& known : message.ranks) {
+    for (const gossip::RankPlace& known : message.ranks) {
         this->endpoints[known.rank()] = {known.ip(), known.port()};
     }
     this->shape = {message.sets, this->engine.report()->group_size, message.experts,
@@ -350,7 +351,7 @@
     this->last_directive = steady_clock::now();
 }
 
-void agent_program::handle_directive(const news::DirectiveT& directive)
+void agent_program::handle_directive(const gossip::DirectiveT& directive)
 {
     if (!this->engine.report().has_value() || directive.group != this->engine.report()->group) {
         return;
@@ -390,12 +391,12 @@
     }
 }
 
-void agent_program::forward(const news::DirectiveT& directive) const
+void agent_program::forward(const gossip::DirectiveT& directive) const
 {
     if (directive.pass_on.empty() || directive.pass_on.size() > this->endpoints.size()) {
         return;
     }
-    news::DirectiveT copy = directive;
+    gossip::DirectiveT copy = directive;
     copy.pass_on.clear();
     this->options.messages.send(make_message(std::move(copy)), directive.pass_on);
 }
--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -97,7 +97,7 @@
         friend bool operator==(const reported_experts&, const reported_experts&) = default;
     };
 
-    // What an agent that has been told to stop has done so far.
+    // What an agent that has been asked to stop has done so far.
     struct leave_progress {
         steady_time since{};
         // Since when no coordinator role is left to hand over.
@@ -110,17 +110,17 @@
     void publish_status();
     [[nodiscard]] std::chrono::milliseconds poll_interval() const;
     void receive_messages();
-    void handle_message(const news::NewsT& message);
-    void handle_hello(const news::EntryHelloT& hello);
+    void handle_message(const gossip::MessageT& message);
+    void handle_hello(const gossip::EntryHelloT& hello);
     // Returns the addresses of the entries that have sent a hello lately.
     [[nodiscard]] std::vector<std::uint32_t> entries_alive();
-    void handle_endpoints(const news::GroupPlacesT& message);
-    void handle_directive(const news::DirectiveT& directive);
+    void handle_endpoints(const gossip::GroupPlacesT& message);
+    void handle_directive(const gossip::DirectiveT& directive);
     // Forwards a directive to the agents listed in its `pass_on` field.
-    void forward(const news::DirectiveT& directive) const;
-    void handle_state(const news::RankStateT& state);
+    void forward(const gossip::DirectiveT& directive) const;
+    void handle_state(const gossip::RankStateT& state);
     // Records that the agent of a rank reports, or that it stops.
-    void record_agent(const news::RankStateT& state);
+    void record_agent(const gossip::RankStateT& state);
     // Has the ranks without a responsive agent read at once.
     void read_agentless_soon();
 
@@ -148,7 +148,7 @@
     void report_to_entries();
     // Sends the state to the machine with address `ip`; sends nothing if `ip` is zero.
     void send_state(std::uint32_t ip, bool with_counts);
-    [[nodiscard]] news::RankStateT make_state(bool with_counts);
+    [[nodiscard]] gossip::RankStateT make_state(bool with_counts);
     // Returns true if the coordinator may not know the experts of this rank.
     [[nodiscard]] bool experts_are_due();
 
@@ -182,7 +182,7 @@
     void send_order(const rank_order& wanted, const engine_order& order,
                     std::vector<std::uint32_t> receivers);
     [[nodiscard]] rank_state own_state() const;
-    [[nodiscard]] news::DirectiveT make_directive() const;
+    [[nodiscard]] gossip::DirectiveT make_directive() const;
     void send_heartbeats();
     void send_due_heartbeats();
     // Return true when it is time to send the counts, or the state without counts. Larger groups
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -118,9 +118,9 @@
     this->coordinator.reset();
 }
 
-news::DirectiveT agent_program::make_directive() const
+gossip::DirectiveT agent_program::make_directive() const
 {
-    news::DirectiveT directive;
+    gossip::DirectiveT directive;
     directive.group = this->engine.report()->group;
     directive.term = this->followed.term;
     directive.coordinator_rank = this->followed.rank;
@@ -139,7 +139,7 @@
     this->options.messages.send(make_message(this->make_directive()), receivers);
 }
 
-void agent_program::handle_state(const news::RankStateT& state)
+void agent_program::handle_state(const gossip::RankStateT& state)
 {
     if (!this->is_coordinating() || !this->engine.report().has_value() ||
         state.group != this->engine.report()->group) {
@@ -170,7 +170,7 @@
     this->has_new_states = true;
 }
 
-void agent_program::record_agent(const news::RankStateT& state)
+void agent_program::record_agent(const gossip::RankStateT& state)
 {
     const bool leaves = state.ip == 0 && state.rank != this->engine.report()->rank;
     const auto known = this->state_times.find(state.rank);
@@ -309,7 +309,7 @@
         return false;
     }
     ++progress.appointments;
-    news::DirectiveT appointment = this->make_directive();
+    gossip::DirectiveT appointment = this->make_directive();
     appointment.term = next_term(this->followed.term, progress.appointed_rank);
     appointment.coordinator_rank = progress.appointed_rank;
     appointment.coordinator_ip = this->endpoints[progress.appointed_rank].ip;
@@ -367,7 +367,7 @@
     if (receivers.empty()) {
         return;
     }
-    news::DirectiveT directive = this->make_directive();
+    gossip::DirectiveT directive = this->make_directive();
     directive.sequence = ++this->sequence;
     add_order(order, this->base_map_for(wanted), directive);
     if (directive.map.size() * receivers.size() <= max_burst_bytes) {
--- a/sardinestream/programs/agent_program_reports.cc
+++ b/sardinestream/programs/agent_program_reports.cc
@@ -21,7 +21,7 @@
 
 void agent_program::report_to_entries()
 {
-    news::ServerReportT message;
+    gossip::ServerReportT message;
     message.ip = ip_to_number(this->options.ip);
     message.engine_port = static_cast<std::uint16_t>(this->options.engine.port);
     message.places_digest = digest_of(this->endpoints);
@@ -53,9 +53,9 @@
     return state;
 }
 
-news::RankStateT agent_program::make_state(bool with_counts)
+gossip::RankStateT agent_program::make_state(bool with_counts)
 {
-    news::RankStateT state = encode_state(this->own_state());
+    gossip::RankStateT state = encode_state(this->own_state());
     state.group = this->engine.report()->group;
     // An agent that stops can be reached nowhere.
     state.ip = this->leaving.has_value() ? 0 : ip_to_number(this->options.ip);
--- a/sardinestream/programs/agentless_ranks.cc
+++ b/sardinestream/programs/agentless_ranks.cc
@@ -7,7 +7,7 @@
 
 namespace sardinestream {
 
-agentless_ranks::agentless_ranks(engine_connector given) : connect(std::move(given)) {}
+agentless_ranks::agentless_ranks(engine_connector connector) : connect(std::move(connector)) {}
 
 bool agentless_ranks::refresh_experts(int rank, reached_rank& reached, std::int64_t version)
 {
--- a/sardinestream/programs/agentless_ranks.h
+++ b/sardinestream/programs/agentless_ranks.h
@@ -18,7 +18,7 @@
 
 class agentless_ranks {
 public:
-    explicit agentless_ranks(engine_connector given);
+    explicit agentless_ranks(engine_connector connector);
 
     // Reads the state of `rank` from its engine. Returns no value if the engine does not answer, or
     // is not that rank of `group`.
--- a/sardinestream/programs/engine_monitor.cc
+++ b/sardinestream/programs/engine_monitor.cc
@@ -14,7 +14,7 @@
 
 } // namespace
 
-engine_monitor::engine_monitor(engine_interface given) : calls(std::move(given)) {}
+engine_monitor::engine_monitor(engine_interface engine) : calls(std::move(engine)) {}
 
 bool engine_monitor::refresh()
 {
@@ -81,7 +81,7 @@
     this->experts_version = maps.map_version;
 }
 
-void engine_monitor::add_counts(news::RankStateT& state)
+void engine_monitor::add_counts(gossip::RankStateT& state)
 {
     absl::StatusOr<std::vector<std::int64_t>> counts = this->calls.read_counts();
     if (!counts.ok()) {
--- a/sardinestream/programs/engine_monitor.h
+++ b/sardinestream/programs/engine_monitor.h
@@ -13,13 +13,13 @@
 
 #include "sardinestream/http/socket.h"
 #include "sardinestream/maps/engine_interface.h"
-#include "sardinestream/peers/news_generated.h"
+#include "sardinestream/peers/gossip_generated.h"
 
 namespace sardinestream {
 
 class engine_monitor {
 public:
-    explicit engine_monitor(engine_interface given);
+    explicit engine_monitor(engine_interface engine);
 
     // Reads the report, and the experts if the map in use has changed. Returns false and discards
     // the report if the engine does not answer.
@@ -43,7 +43,7 @@
 
     // Adds to `state` how often each expert was selected since the last call, scaled to fit a
     // message. Adds nothing if the counts cannot be read, or at the first call.
-    void add_counts(news::RankStateT& state);
+    void add_counts(gossip::RankStateT& state);
 
     [[nodiscard]] const engine_interface& port() const { return this->calls; }
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -80,7 +80,7 @@
               const absl::MutexLock lock(&this->mutex);
               return rendezvous_rank(trait.high, this->entries.own, this->entries.others);
           }))),
-      crashes(*suspects, {refuses_connections, [this] { this->send_suspect_news(); }}),
+      crashes(*suspects, {refuses_connections, [this] { this->send_suspect_report(); }}),
       request_memory(share_of(request_memory_share, options.memory_bytes)),
       response_memory(share_of(response_memory_share, options.memory_bytes),
                       share_of(server_share * response_memory_share, options.memory_bytes)),
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -41,7 +41,7 @@
     std::string ip;
     // Port of the messages between processes of the fleet (UDP), and of the state served to entries
     // that the store rejects (TCP).
-    int news_port = 0;
+    int gossip_port = 0;
     std::vector<std::string> seeds;
     int max_connections = 1000;
     // Memory that the process may use.
@@ -92,7 +92,7 @@
     void tick();
     void fetch_from_peers();
     // Tells the other entries what has changed in `suspects`.
-    void send_suspect_news();
+    void send_suspect_report();
     void fetch_suspects();
     // Logs the number of refused suspects when it has changed. Called only by the ticker thread.
     void log_changed_suspects();
@@ -165,10 +165,10 @@
     process_group entries ABSL_GUARDED_BY(mutex);
     // An entry whose knowledge of suspects differs from this one's.
     std::optional<std::string> peer_with_other_suspects ABSL_GUARDED_BY(mutex);
-    // Held while news of suspects are sent.
-    absl::Mutex suspect_news_mutex;
+    // Held while reports of suspects are sent.
+    absl::Mutex suspect_report_mutex;
     // The registry's sequence up to which its changes have been sent.
-    std::uint64_t suspects_sent ABSL_GUARDED_BY(suspect_news_mutex) = 0;
+    std::uint64_t suspects_sent ABSL_GUARDED_BY(suspect_report_mutex) = 0;
     // The number of refused suspects logged last; used only by the ticker thread.
     std::size_t logged_suspects = 0;
     // Held while servers are published, so that the newest list is the one applied last.
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -5,7 +5,7 @@
 
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/log.h"
-#include "sardinestream/peers/suspect_news.h"
+#include "sardinestream/peers/suspect_report.h"
 #include "sardinestream/programs/entry_program.h"
 #include "sardinestream/programs/peer_state.h"
 
@@ -60,7 +60,7 @@
 
 absl::Status entry_program::open_peers()
 {
-    const address local = {this->options.ip, this->options.news_port};
+    const address local = {this->options.ip, this->options.gossip_port};
     absl::StatusOr<std::unique_ptr<http_service>> service = http_service::start(
         local, [this](const http_request_head& head) { return this->answer_peer(head); });
     if (!service.ok()) {
@@ -96,7 +96,7 @@
     hooks.suspect_reports = [this] {
         return this->suspects->split_report(0, max_suspect_report_bytes);
     };
-    hooks.on_suspect_news = [this](absl::string_view report) {
+    hooks.on_suspect_report = [this](absl::string_view report) {
         const absl::StatusOr<bool> merged = this->suspects->merge(report);
         if (!merged.ok()) {
             log_failure("suspect_news_unread", merged.status());
@@ -107,7 +107,7 @@
         this->peer_with_other_suspects = ip;
     };
     absl::StatusOr<std::unique_ptr<entry_gossip>> started = entry_gossip::start(
-        this->options.ip, this->options.news_port, this->options.seeds, std::move(hooks));
+        this->options.ip, this->options.gossip_port, this->options.seeds, std::move(hooks));
     if (!started.ok()) {
         return started.status();
     }
@@ -169,7 +169,7 @@
     if (!source.has_value()) {
         return;
     }
-    http_client peer({*source, this->options.news_port});
+    http_client peer({*source, this->options.gossip_port});
     const absl::StatusOr<http_answer> answer = get_from_peer(peer, suspects_path);
     const absl::StatusOr<bool> merged =
         answer.ok() ? this->suspects->merge(answer->body) : answer.status();
@@ -178,9 +178,9 @@
     }
 }
 
-void entry_program::send_suspect_news()
+void entry_program::send_suspect_report()
 {
-    const absl::MutexLock lock(&this->suspect_news_mutex);
+    const absl::MutexLock lock(&this->suspect_report_mutex);
     const std::uint64_t sequence = this->suspects->sequence();
     this->gossip->send_suspects(
         this->suspects->split_report(this->suspects_sent, max_suspect_report_bytes));
@@ -199,7 +199,7 @@
 
 void entry_program::fetch_from(const std::string& ip)
 {
-    http_client peer({ip, this->options.news_port});
+    http_client peer({ip, this->options.gossip_port});
     const absl::StatusOr<http_answer> config =
         get_from_peer(peer, absl::StrCat(config_path, "?after=", this->state.version()));
     if (config.ok() && config->status == http_ok) {
@@ -231,10 +231,10 @@
 http_answer entry_program::answer_servers(const state_age& theirs) const
 {
     const state_age own = this->own_age();
-    const bool has_news =
+    const bool has_more =
         own.servers != store_position{} &&
         (own.servers > theirs.servers || own.departed_digest != theirs.departed_digest);
-    return has_news ? http_answer{http_ok,
+    return has_more ? http_answer{http_ok,
                                   {},
                                   encode_servers(this->directory.shared(steady_clock::now()))}
                     : http_answer{nothing_newer, {}, ""};
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -38,7 +38,7 @@
 // A desired state must be in force everywhere within this time.
 constexpr milliseconds time_to_agree{2000};
 
-constexpr int news_port = 21000;
+constexpr int gossip_port = 21000;
 constexpr int ready_port = 21001;
 constexpr int ops_port = 21002;
 
@@ -55,7 +55,7 @@
         options.front_listen = {ip, 0};
         options.ready_listen = {ip, ready_port};
         options.ops_listen = {ip, ops_port};
-        options.news_port = news_port;
+        options.gossip_port = gossip_port;
         options.seeds = seeds;
         absl::StatusOr<std::unique_ptr<entry_program>> started =
             entry_program::start(options, wire_protocol(), decode_version);
--- a/sardinestream/programs/rank_messages.cc
+++ b/sardinestream/programs/rank_messages.cc
@@ -36,38 +36,38 @@
     return "";
 }
 
-news::OrderKind encode_kind(order_kind kind)
+gossip::OrderKind encode_kind(order_kind kind)
 {
     switch (kind) {
     case order_kind::prepare:
-        return news::OrderKind::Prepare;
+        return gossip::OrderKind::Prepare;
     case order_kind::hold:
-        return news::OrderKind::Hold;
+        return gossip::OrderKind::Hold;
     case order_kind::arm:
-        return news::OrderKind::Arm;
+        return gossip::OrderKind::Arm;
     case order_kind::release:
-        return news::OrderKind::Release;
+        return gossip::OrderKind::Release;
     }
-    return news::OrderKind::None;
+    return gossip::OrderKind::None;
 }
 
-std::optional<order_kind> decode_kind(news::OrderKind kind)
+std::optional<order_kind> decode_kind(gossip::OrderKind kind)
 {
     switch (kind) {
-    case news::OrderKind::Prepare:
+    case gossip::OrderKind::Prepare:
         return order_kind::prepare;
-    case news::OrderKind::Hold:
+    case gossip::OrderKind::Hold:
         return order_kind::hold;
-    case news::OrderKind::Arm:
+    case gossip::OrderKind::Arm:
         return order_kind::arm;
-    case news::OrderKind::Release:
+    case gossip::OrderKind::Release:
         return order_kind::release;
     default:
         return std::nullopt;
     }
 }
 
-rank_report decode_report(const news::RankStateT& state)
+rank_report decode_report(const gossip::RankStateT& state)
 {
     rank_report report;
     report.epoch = state.epoch;
@@ -85,10 +85,10 @@
 
 } // namespace
 
-news::RankStateT encode_state(const rank_state& state)
+gossip::RankStateT encode_state(const rank_state& state)
 {
     const rank_report& report = state.report;
-    news::RankStateT encoded;
+    gossip::RankStateT encoded;
     encoded.rank = state.rank;
     encoded.epoch = report.epoch;
     encoded.broken = state.broken;
@@ -108,7 +108,7 @@
     return encoded;
 }
 
-absl::StatusOr<rank_state> decode_state(const news::RankStateT& state, int sets)
+absl::StatusOr<rank_state> decode_state(const gossip::RankStateT& state, int sets)
 {
     rank_state decoded;
     decoded.rank = state.rank;
@@ -123,7 +123,7 @@
     return decoded;
 }
 
-void add_order(const engine_order& order, const versioned_map* base, news::DirectiveT& directive)
+void add_order(const engine_order& order, const versioned_map* base, gossip::DirectiveT& directive)
 {
     directive.epoch = order.epoch;
     directive.kind = encode_kind(order.kind);
@@ -141,7 +141,7 @@
 }
 
 absl::StatusOr<std::optional<engine_order>>
-decode_order(const news::DirectiveT& directive, const map_shape& shape, const known_maps& known)
+decode_order(const gossip::DirectiveT& directive, const map_shape& shape, const known_maps& known)
 {
     const std::optional<order_kind> kind = decode_kind(directive.kind);
     if (!kind.has_value()) {
--- a/sardinestream/programs/suspects_copy.h
+++ b/sardinestream/programs/suspects_copy.h
@@ -24,21 +24,21 @@
     explicit suspects_copy(std::uint32_t ip);
 
     // Adds what an entry knows.
-    void merge(const news::SuspectNewsT& message);
+    void merge(const gossip::SuspectReportT& message);
 
     // Returns the messages with which to answer the hello of an entry: none if it knows of crashes
-    // itself, or is told by other agents. `entries` are the entries that are alive.
-    [[nodiscard]] std::vector<news::NewsT> answer(const news::EntryHelloT& hello,
-                                                  absl::Span<const std::uint32_t> entries,
-                                                  steady_time now);
+    // itself, or learns from other agents. `entries` are the entries that are alive.
+    [[nodiscard]] std::vector<gossip::MessageT> answer(const gossip::EntryHelloT& hello,
+                                                       absl::Span<const std::uint32_t> entries,
+                                                       steady_time now);
 
     [[nodiscard]] std::uint64_t digest() const { return this->known->digest(); }
 
 private:
     std::uint32_t own_ip;
     std::unique_ptr<suspects::suspect_registry> known;
-    // When each entry was last told.
-    std::map<std::uint32_t, steady_time> told;
+    // When each entry was last sent it.
+    std::map<std::uint32_t, steady_time> sent_at;
 };
 
 } // namespace sardinestream
--- a/sardinestream/programs/suspects_copy_test.cc
+++ b/sardinestream/programs/suspects_copy_test.cc
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "sardinestream/forwarding/crash_guard.h"
-#include "sardinestream/peers/suspect_news.h"
+#include "sardinestream/peers/suspect_report.h"
 #include "sardinestream/programs/suspects_copy.h"
 
 namespace sardinestream {
@@ -21,13 +21,13 @@
     void tell_copy()
     {
         for (const std::string& report : this->entry->split_report(0, max_suspect_report_bytes)) {
-            this->copy.merge(*make_suspect_news(report).body.AsSuspectNews());
+            this->copy.merge(*make_suspect_report(report).body.AsSuspectReport());
         }
     }
 
-    [[nodiscard]] std::vector<news::NewsT> answer(std::uint32_t entry, std::uint64_t digest)
+    [[nodiscard]] std::vector<gossip::MessageT> answer(std::uint32_t entry, std::uint64_t digest)
     {
-        news::EntryHelloT hello;
+        gossip::EntryHelloT hello;
         hello.ip = entry;
         hello.suspects_digest = digest;
         return this->copy.answer(hello, this->entries, this->now);
@@ -46,13 +46,13 @@
     EXPECT_EQ(this->copy.digest(), this->entry->digest());
     const std::unique_ptr<suspects::suspect_registry> restarted =
         suspects::suspect_registry::create(shared_server_suspects());
-    for (const news::NewsT& message : this->answer(entry_ip, restarted->digest())) {
-        ASSERT_TRUE(restarted->merge(report_in(*message.body.AsSuspectNews())).ok());
+    for (const gossip::MessageT& message : this->answer(entry_ip, restarted->digest())) {
+        ASSERT_TRUE(restarted->merge(report_in(*message.body.AsSuspectReport())).ok());
     }
     EXPECT_EQ(restarted->digest(), this->entry->digest());
 }
 
-TEST_F(suspects_copy_test, an_entry_that_knows_of_crashes_is_not_told)
+TEST_F(suspects_copy_test, an_entry_that_knows_of_crashes_gets_no_report)
 {
     this->tell_copy();
     EXPECT_TRUE(this->answer(entry_ip, this->entry->digest() + 1).empty());
@@ -63,7 +63,7 @@
     EXPECT_TRUE(this->answer(entry_ip, 0).empty());
 }
 
-TEST_F(suspects_copy_test, an_entry_is_not_told_again_at_once)
+TEST_F(suspects_copy_test, an_entry_is_not_informed_again_at_once)
 {
     this->tell_copy();
     EXPECT_FALSE(this->answer(entry_ip, 0).empty());
@@ -79,17 +79,17 @@
     for (std::uint32_t i = 1; i < many; ++i) {
         this->entries.push_back(entry_ip + i);
     }
-    int told = 0;
+    int answered = 0;
     for (const std::uint32_t one : this->entries) {
-        told += this->answer(one, 0).empty() ? 0 : 1;
+        answered += this->answer(one, 0).empty() ? 0 : 1;
     }
-    EXPECT_EQ(told, 2);
+    EXPECT_EQ(answered, 2);
 }
 
 TEST_F(suspects_copy_test, a_malformed_message_changes_nothing)
 {
     this->tell_copy();
-    this->copy.merge(*make_suspect_news("no report").body.AsSuspectNews());
+    this->copy.merge(*make_suspect_report("no report").body.AsSuspectReport());
     EXPECT_EQ(this->copy.digest(), this->entry->digest());
 }
 
--- a/sardinestream/requests/caller_request.cc
+++ b/sardinestream/requests/caller_request.cc
@@ -52,12 +52,12 @@
 
 std::string choose_request_id(const httplib::Request& http)
 {
-    const std::string given = http.get_header_value("X-Request-Id");
-    const bool usable = !given.empty() && given.size() <= max_request_id_length &&
-                        std::all_of(given.begin(), given.end(), [](char c) {
+    const std::string from_caller = http.get_header_value("X-Request-Id");
+    const bool usable = !from_caller.empty() && from_caller.size() <= max_request_id_length &&
+                        std::all_of(from_caller.begin(), from_caller.end(), [](char c) {
                             return absl::ascii_isalnum(c) || c == '-' || c == '_';
                         });
-    return usable ? given : absl::StrCat("req-", random_hex(request_id_bytes));
+    return usable ? from_caller : absl::StrCat("req-", random_hex(request_id_bytes));
 }
 
 // Sets the deadline of the request. Returns false if the header is malformed, out of range or 0.
--- a/sardinestream/suspects/blame.h
+++ b/sardinestream/suspects/blame.h
@@ -4,7 +4,7 @@
 // A request is described by its traits: digests of what a later request may have in common with it,
 // such as a part of its prompt, or the whole request. A trait is blamed if it was involved in
 // enough crashes that no other blamed trait explains, without a request that had it completing
-// since. Traits whose crashes are exactly the same cannot be told apart; then only requests that
+// since. Traits whose crashes are exactly the same cannot be distinguished; then only requests that
 // have the same combination of them are blamed.
 
 #ifndef SARDINESTREAM_SUSPECTS_BLAME_H_
--- a/sardinestream/suspects/crash_detector.cc
+++ b/sardinestream/suspects/crash_detector.cc
@@ -8,8 +8,8 @@
 
 namespace sardinestream::suspects {
 
-crash_detector::crash_detector(suspect_registry* suspects, crash_detector_options given)
-    : registry(suspects), options(std::move(given))
+crash_detector::crash_detector(suspect_registry* suspects, crash_detector_options chosen)
+    : registry(suspects), options(std::move(chosen))
 {
 }
 
--- a/sardinestream/suspects/crash_detector.h
+++ b/sardinestream/suspects/crash_detector.h
@@ -57,7 +57,7 @@
 class crash_detector {
 public:
     // `suspects` must outlive the detector.
-    crash_detector(suspect_registry* suspects, crash_detector_options given);
+    crash_detector(suspect_registry* suspects, crash_detector_options chosen);
 
     // Returns true after a crash until the server responds again, which is checked by this call.
     // Requests sent in the meantime would be lost too, and suspected of a crash that they did not
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -87,8 +87,8 @@
     return std::unique_ptr<suspect_registry>(new suspect_registry(std::move(options)));
 }
 
-suspect_registry::suspect_registry(suspect_registry_options given)
-    : options(std::move(given)), completed(max_completed_traits),
+suspect_registry::suspect_registry(suspect_registry_options chosen)
+    : options(std::move(chosen)), completed(max_completed_traits),
       completed_at_peers(max_completed_traits)
 {
 }
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -90,7 +90,7 @@
     create(suspect_registry_options options = {});
 
     // Records that a backend server crashed and these requests were lost. May be called several
-    // times for a crash, each time with further requests. Returns whether that was news.
+    // times for a crash, each time with further requests. Returns whether that was new.
     bool record_crash(const crash_id& crash, std::span<const request_traits> lost);
 
     // Records that a request completed, or has run for long enough to show that it crashes no
@@ -138,7 +138,7 @@
         std::uint64_t digest = 0;     // of all of the above but the times
     };
 
-    explicit suspect_registry(suspect_registry_options given);
+    explicit suspect_registry(suspect_registry_options chosen);
 
     // Adds what is new of the crash. Returns whether anything was.
     bool merge_crash(const crash_key& key, absl::Time at, std::span<const request_traits> lost,
--- a/sardinestream/testing/caller.h
+++ b/sardinestream/testing/caller.h
@@ -95,7 +95,7 @@
 private:
     const address remote;
     const std::string key;
-    // Sent as the time that the caller will wait; the connection is given up somewhat later.
+    // Sent as the time that the caller will wait; the connection is abandoned somewhat later.
     const absl::Duration patience;
 };
 
--- a/sardinestream/testing/catalogue_cells.cc
+++ b/sardinestream/testing/catalogue_cells.cc
@@ -95,9 +95,9 @@
     std::thread watching;
 };
 
-std::vector<strike_point> points_of(fleet& servers, const std::string& step)
+std::vector<injection_point> points_of(fleet& servers, const std::string& step)
 {
-    std::vector<strike_point> points;
+    std::vector<injection_point> points;
     const auto at_platform = [&](entry_node& entry, const char* method, const char* kind) {
         message_pattern at = request_pattern(method);
         at.line_part = kind;
@@ -129,8 +129,8 @@
     return points;
 }
 
-// Strikes a fault that belongs to no message.
-void strike_now(fleet& servers, const std::string& fault)
+// Hits a fault that belongs to no message.
+void inject_now(fleet& servers, const std::string& fault)
 {
     if (fault == "store_outage") {
         servers.order_platform("/admin/outage?mode=drop");
@@ -199,13 +199,13 @@
 {
     const std::string key = "key of " + cell;
     const auto watches = watch_all(servers, key);
-    const fault_strike strike(servers, points_of(servers, step), fault);
+    const fault_injection injection(servers, points_of(servers, step), fault);
     if (!servers.put_entry("cell-entry", spec_with_key(key))) {
         return verdict_of("not_written");
     }
-    const bool fired = strike.wait_until_fired([] { return false; });
+    const bool fired = injection.wait_until_fired([] { return false; });
     const std::string violated = judge(servers, watches);
-    return verdict_of(!fired ? "fault_did_not_strike" : violated);
+    return verdict_of(!fired ? "fault_not_injected" : violated);
 }
 
 // Entry 1 is away while the edit comes into force on entry 0, and then starts under the fault.
@@ -225,7 +225,7 @@
         !wait_until([&] { return watches[0]->in_force(); })) {
         return verdict_of("not_in_force_on_entry_0");
     }
-    strike_now(servers, fault);
+    inject_now(servers, fault);
     if (step == "fresh_start") {
         static_cast<void>(late.run->restart());
     }
@@ -254,7 +254,7 @@
     }
     std::vector<std::string> keys{"left key of " + cell, "right key of " + cell};
     std::vector<absl::Status> results(keys.size());
-    strike_now(servers, fault);
+    inject_now(servers, fault);
     std::vector<std::thread> operators;
     for (std::size_t i = 0; i < keys.size(); ++i) {
         operators.emplace_back([&, i] {
--- a/sardinestream/testing/emulator/agent_engine_loss_test.cc
+++ b/sardinestream/testing/emulator/agent_engine_loss_test.cc
@@ -37,7 +37,7 @@
         agent_options options;
         options.ip = ip_to_string(first_ip);
         options.engine = {options.ip, 8000};
-        options.messages.send = [this](const news::NewsT& message,
+        options.messages.send = [this](const gossip::MessageT& message,
                                        absl::Span<const std::uint32_t>) { this->record(message); };
         options.messages.receive = [this](steady_time deadline) {
             return this->next_message(deadline);
@@ -64,7 +64,7 @@
     }
 
     std::unique_ptr<agent_program> agent;
-    // The engine is held at a step for which nobody arms it.
+    // The engine is held at a step for which it is not armed.
     std::atomic<bool> held = false;
     // The number of next reports that get no answer.
     std::atomic<int> reports_to_lose = 0;
@@ -115,7 +115,7 @@
         return report;
     }
 
-    void record(const news::NewsT& message)
+    void record(const gossip::MessageT& message)
     {
         if (message.body.AsRankState() != nullptr && this->engine_lost) {
             ++this->states_of_lost_engine;
@@ -127,7 +127,7 @@
     }
 
     // Returns where the ranks are and, in turn, a message of the other rank's agent.
-    [[nodiscard]] std::unique_ptr<news::NewsT> next_message(steady_time deadline)
+    [[nodiscard]] std::unique_ptr<gossip::MessageT> next_message(steady_time deadline)
     {
         const steady_time due = this->last_message + message_interval;
         std::this_thread::sleep_until(std::min(deadline, due));
@@ -137,15 +137,15 @@
         this->last_message = steady_clock::now();
         this->sends_endpoints = !this->sends_endpoints;
         if (this->sends_endpoints) {
-            return std::make_unique<news::NewsT>(this->make_endpoints());
+            return std::make_unique<gossip::MessageT>(this->make_endpoints());
         }
-        return std::make_unique<news::NewsT>(this->follows ? this->make_directive()
-                                                           : this->make_state());
+        return std::make_unique<gossip::MessageT>(this->follows ? this->make_directive()
+                                                                : this->make_state());
     }
 
-    [[nodiscard]] static news::NewsT make_endpoints()
+    [[nodiscard]] static gossip::MessageT make_endpoints()
     {
-        news::GroupPlacesT endpoints;
+        gossip::GroupPlacesT endpoints;
         endpoints.group = group_name;
         endpoints.sets = 1;
         endpoints.experts = 4;
@@ -156,9 +156,9 @@
         return make_message(std::move(endpoints));
     }
 
-    [[nodiscard]] static news::NewsT make_directive()
+    [[nodiscard]] static gossip::MessageT make_directive()
     {
-        news::DirectiveT directive;
+        gossip::DirectiveT directive;
         directive.group = group_name;
         directive.term = 1U << 20U;
         directive.coordinator_rank = other_rank;
@@ -166,9 +166,9 @@
         return make_message(std::move(directive));
     }
 
-    [[nodiscard]] news::NewsT make_state()
+    [[nodiscard]] gossip::MessageT make_state()
     {
-        news::RankStateT state;
+        gossip::RankStateT state;
         state.group = group_name;
         state.rank = other_rank;
         state.ip = first_ip + other_rank;
--- a/sardinestream/testing/emulator/agent_group_fixture.h
+++ b/sardinestream/testing/emulator/agent_group_fixture.h
@@ -21,7 +21,7 @@
 
 #include "sardinestream/platform/engine_calls.h"
 #include "sardinestream/programs/agent_program.h"
-#include "sardinestream/testing/emulator/news_network.h"
+#include "sardinestream/testing/emulator/gossip_network.h"
 #include "sardinestream/testing/emulator/rank_group.h"
 
 namespace sardinestream::testing {
@@ -90,13 +90,13 @@
 
 class agent_group_fixture : public ::testing::Test {
 protected:
-    void start(const rank_group_options& chosen, const news_link& link)
+    void start(const rank_group_options& chosen, const gossip_link& link)
     {
         const map_shape& shape = chosen.shape;
         this->options = chosen;
         this->group = std::make_unique<rank_group>(
             chosen, [](const std::string& what) { ADD_FAILURE() << what; });
-        this->network = std::make_unique<news_network>(link, 7);
+        this->network = std::make_unique<gossip_network>(link, 7);
         this->entry = this->network->open(this->entry_ip());
         const auto ranks = static_cast<std::size_t>(shape.ranks);
         this->direct_reads = std::vector<std::atomic<int>>(ranks);
@@ -157,7 +157,7 @@
         return first;
     }
 
-    // Waits until the agent of a rank that has been told to stop has ended.
+    // Waits until the agent of a rank that has been asked to stop has ended.
     void wait_for_end(int rank) { this->threads[static_cast<std::size_t>(rank)].join(); }
 
     // Starts another agent in place of one that has ended.
@@ -170,7 +170,7 @@
     // What entries do: who is where, until every agent knows it.
     void tell_places()
     {
-        news::GroupPlacesT places;
+        gossip::GroupPlacesT places;
         places.group = this->options.name;
         places.sets = this->group->shape().sets;
         places.experts = this->group->shape().experts;
@@ -183,7 +183,7 @@
             places.ranks.emplace_back(rank, ip_of(rank), engine_port_number);
             ips.push_back(ip_of(rank));
         }
-        const news::NewsT message = make_message(std::move(places));
+        const gossip::MessageT message = make_message(std::move(places));
         for (int times = 0; times < 5; ++times) {
             std::this_thread::sleep_for(std::chrono::milliseconds(150));
             this->entry.send(message, ips);
@@ -191,7 +191,7 @@
     }
 
     std::unique_ptr<rank_group> group;
-    std::unique_ptr<news_network> network;
+    std::unique_ptr<gossip_network> network;
     std::vector<std::unique_ptr<agent_program>> agents;
     // How often the engine of each rank was read by the agent of another one.
     std::vector<std::atomic<int>> direct_reads;
--- a/sardinestream/testing/emulator/agent_stop_test.cc
+++ b/sardinestream/testing/emulator/agent_stop_test.cc
@@ -1,4 +1,4 @@
-// Agents of a group that are told to stop while its expert map changes: who goes on, and for how
+// Agents of a group that are asked to stop while its expert map changes: who goes on, and for how
 // long does the group stand still?
 
 #include <algorithm>
@@ -38,7 +38,7 @@
         chosen.name = "g";
         chosen.shape = {2, ranks, 32, 6};
         chosen.pass_time = milliseconds(20);
-        news_link link;
+        gossip_link link;
         link.loss = loss;
         this->start(chosen, link);
         ASSERT_TRUE(waits_until([this] { return this->common_coordinator() >= 0; }));
@@ -104,17 +104,17 @@
     std::atomic<int> leaver{no_rank};
 };
 
-TEST_F(agent_stop_test, a_coordinator_told_to_stop_while_maps_are_prepared_has_a_successor)
+TEST_F(agent_stop_test, a_coordinator_asked_to_stop_while_maps_are_prepared_has_a_successor)
 {
     this->stop_coordinator_at(order_kind::prepare);
 }
 
-TEST_F(agent_stop_test, a_coordinator_told_to_stop_at_a_hold_leaves_no_group_standing)
+TEST_F(agent_stop_test, a_coordinator_asked_to_stop_at_a_hold_leaves_no_group_standing)
 {
     this->stop_coordinator_at(order_kind::hold);
 }
 
-TEST_F(agent_stop_test, a_coordinator_told_to_stop_while_ranks_are_armed_leaves_no_group_standing)
+TEST_F(agent_stop_test, a_coordinator_asked_to_stop_while_ranks_are_armed_leaves_no_group_standing)
 {
     this->stop_coordinator_at(order_kind::arm);
 }
--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -45,8 +45,8 @@
 
 } // namespace
 
-backend_emulator::backend_emulator(backend_options chosen, backend_hooks given)
-    : options(std::move(chosen)), hooks(std::move(given)), own_id(options.id)
+backend_emulator::backend_emulator(backend_options chosen, backend_hooks callbacks)
+    : options(std::move(chosen)), hooks(std::move(callbacks)), own_id(options.id)
 {
 }
 
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -5,7 +5,7 @@
 //     server.stop();       // as abrupt as a kill
 //     server.start("i-2");
 //
-// Each run of a request is told to the hooks, whose owner checks the promises. Thread-safe.
+// Each run of a request is reported to the hooks, whose owner checks the promises. Thread-safe.
 
 #ifndef SARDINESTREAM_TESTING_EMULATOR_BACKEND_EMULATOR_H_
 #define SARDINESTREAM_TESTING_EMULATOR_BACKEND_EMULATOR_H_
@@ -126,7 +126,7 @@
 class backend_emulator {
 public:
     // Does not listen yet.
-    backend_emulator(backend_options chosen, backend_hooks given);
+    backend_emulator(backend_options chosen, backend_hooks callbacks);
     ~backend_emulator();
     backend_emulator(const backend_emulator&) = delete;
     backend_emulator& operator=(const backend_emulator&) = delete;
--- a/sardinestream/testing/emulator/connection_server.cc
+++ b/sardinestream/testing/emulator/connection_server.cc
@@ -15,7 +15,7 @@
 // A server that is stopped ends at once.
 constexpr milliseconds accept_interval{50};
 constexpr milliseconds work_step{5};
-// A peer that sends or takes nothing for so long is given up.
+// A peer that sends or takes nothing for so long is abandoned.
 constexpr std::chrono::seconds longest_exchange{20};
 constexpr std::size_t largest_body = 8U << 20U;
 
@@ -121,8 +121,8 @@
         new connection_server(*std::move(bound), std::move(served)));
 }
 
-connection_server::connection_server(tcp_listener bound, handler given)
-    : served(std::move(given)),
+connection_server::connection_server(tcp_listener bound, handler handle)
+    : served(std::move(handle)),
       acceptor(std::move(bound), make_options(),
                [this](tcp_socket accepted) { this->serve(std::move(accepted)); })
 {
@@ -150,7 +150,7 @@
         this->open.insert(descriptor);
     }
     this->served(connection);
-    // The descriptor is closed after it has left the set, so nobody shuts down its next owner.
+    // The descriptor is closed after it has left the set, so its next owner is not shut down.
     const absl::MutexLock lock(&this->mutex);
     this->open.erase(descriptor);
 }
--- a/sardinestream/testing/emulator/crash_containment_test.cc
+++ b/sardinestream/testing/emulator/crash_containment_test.cc
@@ -144,7 +144,7 @@
     {
         agent_options options;
         options.ip = fleet_server_ip;
-        options.messages = *open_message_channel({fleet_server_ip, news_port});
+        options.messages = *open_message_channel({fleet_server_ip, gossip_port});
         options.engine = {fleet_server_ip, 0};
         options.connect = idle_engine;
         this->agent = std::make_unique<agent_program>(std::move(options));
--- a/sardinestream/testing/emulator/entry_fleet_fixture.h
+++ b/sardinestream/testing/emulator/entry_fleet_fixture.h
@@ -88,7 +88,7 @@
         options.front_listen = {ip, front_port};
         options.ready_listen = {ip, 0};
         options.ops_listen = {ip, 0};
-        options.news_port = news_port;
+        options.gossip_port = gossip_port;
         options.seeds = {entry_ip(0)};
         this->entries.push_back(
             *entry_program::start(options, platform::make_caller_protocol(), this->decoder));
@@ -130,7 +130,7 @@
     }
 
     static constexpr int front_port = 21801;
-    static constexpr int news_port = 21802;
+    static constexpr int gossip_port = 21802;
 
     static std::string entry_ip(std::size_t number) { return absl::StrCat("127.0.8.", 2 + number); }
 
--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -1,4 +1,4 @@
-// Tests what callers get from an entry that is told to stop, through the whole program.
+// Tests what callers get from an entry that is asked to stop, through the whole program.
 
 #include <algorithm>
 #include <atomic>
--- a/sardinestream/testing/emulator/news_network.cc
+++ b/sardinestream/testing/emulator/gossip_network.cc
@@ -1,4 +1,4 @@
-#include "sardinestream/testing/emulator/news_network.h"
+#include "sardinestream/testing/emulator/gossip_network.h"
 
 #include <algorithm>
 #include <thread>
@@ -13,32 +13,32 @@
 
 } // namespace
 
-news_network::news_network(news_link chosen, unsigned seed) : link(chosen), random(seed) {}
+gossip_network::gossip_network(gossip_link chosen, unsigned seed) : link(chosen), random(seed) {}
 
-message_channel news_network::open(std::uint32_t ip)
+message_channel gossip_network::open(std::uint32_t ip)
 {
     const absl::MutexLock lock(&this->mutex);
     this->machines[ip];
-    return {[this, ip](const news::NewsT& message, absl::Span<const std::uint32_t> receivers) {
+    return {[this, ip](const gossip::MessageT& message, absl::Span<const std::uint32_t> receivers) {
                 this->send(ip, message, receivers);
             },
             [this, ip](steady_time deadline) { return this->receive(ip, deadline); }};
 }
 
-void news_network::set_cut(std::uint32_t ip, bool cut)
+void gossip_network::set_cut(std::uint32_t ip, bool cut)
 {
     const absl::MutexLock lock(&this->mutex);
     this->machines[ip].cut = cut;
 }
 
-news_network::link_use news_network::use_of(std::uint32_t ip) const
+gossip_network::link_use gossip_network::use_of(std::uint32_t ip) const
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->machines.find(ip);
     return found == this->machines.end() ? link_use() : found->second.use;
 }
 
-bool news_network::carry(steady_time& carried_by, steady_time now, std::size_t bytes) const
+bool gossip_network::carry(steady_time& carried_by, steady_time now, std::size_t bytes) const
 {
     const steady_time begins = std::max(carried_by, now);
     if (begins - now > this->link.longest_wait) {
@@ -49,7 +49,7 @@
     return true;
 }
 
-void news_network::deliver(machine& sender, std::uint32_t to, const packed_message& bytes)
+void gossip_network::deliver(machine& sender, std::uint32_t to, const packed_message& bytes)
 {
     const steady_time now = steady_clock::now();
     const std::size_t size = bytes->size() + header_bytes;
@@ -72,11 +72,11 @@
     receiver.arrivals.emplace(receiver.received_by, bytes);
 }
 
-void news_network::send(std::uint32_t from, const news::NewsT& message,
-                        absl::Span<const std::uint32_t> receivers)
+void gossip_network::send(std::uint32_t from, const gossip::MessageT& message,
+                          absl::Span<const std::uint32_t> receivers)
 {
     flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(news::News::Pack(builder, &message));
+    builder.Finish(gossip::Message::Pack(builder, &message));
     const auto bytes = std::make_shared<const std::vector<std::uint8_t>>(
         builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
     const absl::MutexLock lock(&this->mutex);
@@ -89,7 +89,7 @@
     }
 }
 
-std::unique_ptr<news::NewsT> news_network::receive(std::uint32_t ip, steady_time deadline)
+std::unique_ptr<gossip::MessageT> gossip_network::receive(std::uint32_t ip, steady_time deadline)
 {
     constexpr std::chrono::milliseconds look_interval{2};
     while (true) {
@@ -99,7 +99,7 @@
             if (!arrivals.empty() && arrivals.begin()->first <= steady_clock::now()) {
                 const packed_message bytes = arrivals.begin()->second;
                 arrivals.erase(arrivals.begin());
-                return news::UnPackNews(bytes->data());
+                return gossip::UnPackMessage(bytes->data());
             }
         }
         if (steady_clock::now() >= deadline) {
--- a/sardinestream/testing/emulator/news_network.h
+++ b/sardinestream/testing/emulator/gossip_network.h
@@ -1,14 +1,14 @@
-// A network in memory for the news between our own processes: machines whose links have a rate, a
-// bounded queue, a delay and loss, and which may be cut off.
+// A network in memory for the messages between our own processes: machines whose links have a rate,
+// a bounded queue, a delay and loss, and which may be cut off.
 //
-//     news_network network({}, seed);
+//     gossip_network network({}, seed);
 //     agent_options options;
-//     options.news = network.open(ip);
+//     options.messages = network.open(ip);
 //
 // Thread-safe.
 
-#ifndef SARDINESTREAM_TESTING_EMULATOR_NEWS_NETWORK_H_
-#define SARDINESTREAM_TESTING_EMULATOR_NEWS_NETWORK_H_
+#ifndef SARDINESTREAM_TESTING_EMULATOR_GOSSIP_NETWORK_H_
+#define SARDINESTREAM_TESTING_EMULATOR_GOSSIP_NETWORK_H_
 
 #include <chrono>
 #include <cstdint>
@@ -24,7 +24,7 @@
 
 namespace sardinestream::testing {
 
-struct news_link {
+struct gossip_link {
     double bytes_per_s = 6e6 / 8;
     // What would wait longer for the link is dropped.
     std::chrono::milliseconds longest_wait{200};
@@ -33,12 +33,12 @@
     double loss = 0;
 };
 
-class news_network {
+class gossip_network {
 public:
-    news_network(news_link chosen, unsigned seed);
-    ~news_network() = default;
-    news_network(const news_network&) = delete;
-    news_network& operator=(const news_network&) = delete;
+    gossip_network(gossip_link chosen, unsigned seed);
+    ~gossip_network() = default;
+    gossip_network(const gossip_network&) = delete;
+    gossip_network& operator=(const gossip_network&) = delete;
 
     // The channel of one machine, which must not outlive the network.
     [[nodiscard]] message_channel open(std::uint32_t ip);
@@ -66,15 +66,15 @@
         std::multimap<steady_time, packed_message> arrivals;
     };
 
-    void send(std::uint32_t from, const news::NewsT& message,
+    void send(std::uint32_t from, const gossip::MessageT& message,
               absl::Span<const std::uint32_t> receivers);
-    [[nodiscard]] std::unique_ptr<news::NewsT> receive(std::uint32_t ip, steady_time deadline);
+    [[nodiscard]] std::unique_ptr<gossip::MessageT> receive(std::uint32_t ip, steady_time deadline);
     // Puts `bytes` on one direction of a link; false where its queue is full.
     [[nodiscard]] bool carry(steady_time& carried_by, steady_time now, std::size_t bytes) const;
     void deliver(machine& sender, std::uint32_t to, const packed_message& bytes)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
-    const news_link link;
+    const gossip_link link;
     mutable absl::Mutex mutex;
     std::map<std::uint32_t, machine> machines ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
@@ -82,4 +82,4 @@
 
 } // namespace sardinestream::testing
 
-#endif // SARDINESTREAM_TESTING_EMULATOR_NEWS_NETWORK_H_
+#endif // SARDINESTREAM_TESTING_EMULATOR_GOSSIP_NETWORK_H_
--- a/sardinestream/testing/emulator/large_group_test.cc
+++ b/sardinestream/testing/emulator/large_group_test.cc
@@ -16,7 +16,7 @@
 
 class large_group_test : public agent_group_fixture {
 protected:
-    void start(const map_shape& shape, const news_link& link)
+    void start(const map_shape& shape, const gossip_link& link)
     {
         rank_group_options chosen;
         chosen.name = "g";
@@ -40,7 +40,7 @@
 
 TEST_F(large_group_test, follows_changes_of_demand_while_messages_are_lost)
 {
-    news_link link;
+    gossip_link link;
     link.loss = 0.025;
     this->start(shape_of_96, link);
     for (const int taste : {50, 120}) {
@@ -76,7 +76,7 @@
 {
     this->start(shape_of_96, {});
     ASSERT_TRUE(this->follows_change(50));
-    std::vector<news_network::link_use> before;
+    std::vector<gossip_network::link_use> before;
     before.reserve(shape_of_96.ranks);
     for (int rank = 0; rank < shape_of_96.ranks; ++rank) {
         before.push_back(this->network->use_of(ip_of(rank)));
@@ -86,9 +86,9 @@
     std::this_thread::sleep_for(milliseconds(1000));
     const std::chrono::duration<double> time = steady_clock::now() - begun;
     for (int rank = 0; rank < shape_of_96.ranks; ++rank) {
-        const news_network::link_use now = this->network->use_of(ip_of(rank));
-        const news_network::link_use& then = before[static_cast<std::size_t>(rank)];
-        const double half = news_link().bytes_per_s * time.count() / 2;
+        const gossip_network::link_use now = this->network->use_of(ip_of(rank));
+        const gossip_network::link_use& then = before[static_cast<std::size_t>(rank)];
+        const double half = gossip_link().bytes_per_s * time.count() / 2;
         EXPECT_LT(static_cast<double>(now.bytes_sent - then.bytes_sent), half) << rank;
         EXPECT_LT(static_cast<double>(now.bytes_received - then.bytes_received), half) << rank;
         EXPECT_EQ(now.dropped, then.dropped) << rank;
--- a/sardinestream/testing/emulator/rank_group.h
+++ b/sardinestream/testing/emulator/rank_group.h
@@ -44,7 +44,7 @@
 
 class rank_group {
 public:
-    // `on_mixed_maps` is told of a pass that began with different maps.
+    // `on_mixed_maps` is called for a pass that began with different maps.
     rank_group(rank_group_options chosen, std::function<void(const std::string&)> on_mixed_maps);
     ~rank_group();
     rank_group(const rank_group&) = delete;
--- a/sardinestream/testing/emulator/store_emulator.h
+++ b/sardinestream/testing/emulator/store_emulator.h
@@ -47,7 +47,7 @@
                                                     const std::string& name) const;
 
     void set_trouble(store_trouble wanted);
-    // Forgets the history up to now: watches from before are told to list again.
+    // Forgets the history up to now: watches from before have to list again.
     void compact();
     // Keeps a copy of all objects. `restore_copy` comes back from it: later writes are gone, their
     // revisions are given out again, and the era rises by one. Does nothing if there is no copy.
--- a/sardinestream/testing/entry_stop_cells.cc
+++ b/sardinestream/testing/entry_stop_cells.cc
@@ -80,8 +80,8 @@
     std::future<std::pair<int, std::string>> answer;
 };
 
-// A request of which half has arrived when the entry is told to stop is served whole, or refused
-// before a server runs it.
+// A request of which half has arrived when the entry is is_reported to stop is served whole, or
+// refused before a server runs it.
 cell_verdict run_upload(fleet& servers, const std::string& cell)
 {
     const address entry = servers.entry(0).http.reserved();
@@ -127,8 +127,8 @@
     target.terminate();
     const stream_answer answer = stream.get();
     const std::optional<int> exit = target.wait_for_exit();
-    const bool told = answer.end == stream_end::error && answer.error.code == "stream_cut";
-    return {told && answer.right_so_far() && exit == 0,
+    const bool is_reported = answer.end == stream_end::error && answer.error.code == "stream_cut";
+    return {is_reported && answer.right_so_far() && exit == 0,
             absl::StrCat("stream=", answer.summary(), " exit=", exit.value_or(-1))};
 }
 
--- a/sardinestream/testing/fault_matrix.h
+++ b/sardinestream/testing/fault_matrix.h
@@ -1,7 +1,7 @@
 // The fault matrix: every fault at every step of every protocol, each pair a cell with a verdict.
 //
-// A cell runs one exchange on a fleet of real processes, strikes one fault at one message of it,
-// lets the fleet come back, and compares what callers were told with the ledgers of the backend
+// A cell runs one exchange on a fleet of real processes, injects one fault at one message of it,
+// lets the fleet come back, and compares what callers were answered with the ledgers of the backend
 // servers. No verdict rests on how long anything took.
 //
 //     std::vector<matrix_cell> cells = all_cells();
--- a/sardinestream/testing/fault_proxy.h
+++ b/sardinestream/testing/fault_proxy.h
@@ -1,4 +1,4 @@
-// A TCP proxy on one link that strikes faults at exact messages.
+// A TCP proxy on one link that injects faults at exact messages.
 //
 //     auto proxy = fault_proxy::create({.server = agent_address, .tls = fleet_tls});
 //     auto rule = (*proxy)->add({.at = frame_pattern(wire::frame_type::request_open, "order-7"),
--- a/sardinestream/testing/fault_proxy_test.cc
+++ b/sardinestream/testing/fault_proxy_test.cc
@@ -167,7 +167,7 @@
     EXPECT_TRUE(wait_until([&] { return this->ask("three").ok(); }));
 }
 
-TEST_F(wire_fault_test, rule_strikes_the_answer_of_the_marked_stream_alone)
+TEST_F(wire_fault_test, rule_hits_the_answer_of_the_marked_stream_alone)
 {
     const auto rule = this->proxy->add(
         {.at = frame_pattern(frame_type::response_head, "two"), .fault = fault_kind::cut});
--- a/sardinestream/testing/fault_rules.cc
+++ b/sardinestream/testing/fault_rules.cc
@@ -63,7 +63,7 @@
     return pattern;
 }
 
-bool armed_rule::strike(const message_info& message) const
+bool armed_rule::inject(const message_info& message) const
 {
     return this->rule.at.matches(message) && ++*this->rule.matches == this->rule.nth;
 }
@@ -100,11 +100,11 @@
     this->armed.clear();
 }
 
-std::shared_ptr<armed_rule> fault_rules::strike(const message_info& message)
+std::shared_ptr<armed_rule> fault_rules::inject(const message_info& message)
 {
     const absl::MutexLock lock(&this->mutex);
     for (const std::shared_ptr<armed_rule>& each : this->armed) {
-        if (each->strike(message)) {
+        if (each->inject(message)) {
             return each;
         }
     }
--- a/sardinestream/testing/fault_rules.h
+++ b/sardinestream/testing/fault_rules.h
@@ -1,4 +1,4 @@
-// Which fault strikes which message on a proxied link, and how often a rule has struck.
+// Which fault hits which message on a proxied link, and how often a rule has fired.
 //
 //     fault_rule rule{.at = frame_pattern(wire::frame_type::request_open),
 //                     .when = fault_time::after,
@@ -85,13 +85,13 @@
 
 struct fault_rule {
     message_pattern at;
-    int nth = 1; // strikes at the n-th match and never again
+    int nth = 1; // fires at the n-th match and never again
     fault_time when = fault_time::before;
     fault_kind fault = fault_kind::none;
     absl::Duration delay = absl::Milliseconds(300);
     // Called before the fault takes effect, on the relay's thread; may kill or freeze a process.
     std::function<void()> hook = nullptr;
-    // Counts the matches. Rules that share it, on one proxy or several, strike once between them.
+    // Counts the matches. Rules that share it, on one proxy or several, fire once between them.
     std::shared_ptr<std::atomic<int>> matches = std::make_shared<std::atomic<int>>(0);
 };
 
@@ -101,7 +101,7 @@
     explicit armed_rule(fault_rule wanted) : rule(std::move(wanted)) {}
 
     // Counts the message where it matches; returns true at the n-th.
-    [[nodiscard]] bool strike(const message_info& message) const;
+    [[nodiscard]] bool inject(const message_info& message) const;
 
     // Marks the fault as done.
     void mark_fired();
@@ -123,8 +123,8 @@
     // Removes every rule.
     void clear();
 
-    // Returns the rule that strikes at this message, or null.
-    [[nodiscard]] std::shared_ptr<armed_rule> strike(const message_info& message);
+    // Returns the rule that fires at this message, or null.
+    [[nodiscard]] std::shared_ptr<armed_rule> inject(const message_info& message);
 
 private:
     mutable absl::Mutex mutex;
--- a/sardinestream/testing/http_relay.cc
+++ b/sardinestream/testing/http_relay.cc
@@ -160,7 +160,7 @@
         return this->pass(message, exchange, [&] { return this->to_server.write(request); });
     }
 
-    // Cuts the bytes of an answer before each event, so that a rule can strike between two.
+    // Cuts the bytes of an answer before each event, so that a rule can fire between two.
     bool pass_answer(absl::string_view bytes)
     {
         std::size_t begin = 0;
--- a/sardinestream/testing/load_fleet.h
+++ b/sardinestream/testing/load_fleet.h
@@ -5,7 +5,7 @@
 //     ... (*fleet)->entry_address(0) ...
 //     (*fleet)->engine(3).freeze();
 //
-// Owns processes and relays. Faults are those of `process`; see also fault_proxy, which strikes at
+// Owns processes and relays. Faults are those of `process`; see also fault_proxy, which injects at
 // exact messages and is too slow for load.
 
 #ifndef SARDINESTREAM_TESTING_LOAD_FLEET_H_
--- a/sardinestream/testing/map_cells.cc
+++ b/sardinestream/testing/map_cells.cc
@@ -3,7 +3,7 @@
 //
 // Steps: stage, hold (the vote), map (the commit), release, join (the group forms anew after an
 // engine restarted). A step is kept open by delaying its order at rank 3's engine until the fault
-// has been struck.
+// has been injected.
 // What must hold: no step runs with two maps; the group runs on and can move again once the fault
 // is over. The agents run inside this process, on real links and against engines over HTTP.
 
@@ -41,7 +41,7 @@
         this->group->server().arm(slow_rank, this->step, this->order_fault_now());
         std::thread moving([this] { this->start_exchange(); });
         const bool reached = wait_until([this] { return this->is_at_step(); });
-        this->strike();
+        this->inject();
         moving.join();
         this->heal();
         if (!reached) {
@@ -99,14 +99,14 @@
             return moved || !seen->staged_digest.empty();
         }
         if (this->step == "hold") {
-            // These two strike the order itself, after which the hold may come and go unseen.
+            // These two affect the order itself, after which the hold may come and go unseen.
             return moved || seen->hold.has_value() || this->fault == "refused" ||
                    this->fault == "lost_answer";
         }
         return this->step == "join" ? seen->group_incarnation > 1 : moved;
     }
 
-    void strike()
+    void inject()
     {
         rank_group_engines& engines = this->group->engine_group();
         if (this->fault == "kill_agent") {
--- a/sardinestream/testing/matrix_faults.cc
+++ b/sardinestream/testing/matrix_faults.cc
@@ -25,18 +25,18 @@
 
 // Makes the platform's list stale: it names an instance that is gone, shows an earlier life of a
 // live one as leaving, and shows no change for a long time.
-void make_list_stale(fleet& struck)
+void make_list_stale(fleet& target)
 {
-    const agent_node& first = *struck.agents().front();
+    const agent_node& first = *target.agents().front();
     const port_reservation nowhere;
-    struck.list_instance("ghost-agent", R"({"role":"agent","address":")" +
+    target.list_instance("ghost-agent", R"({"role":"agent","address":")" +
                                             nowhere.reserved().to_string() +
                                             R"(","data_centre":"fi/kuopio","leaving":false})");
-    struck.list_instance(first.id, fleet::instance_spec(first, true));
-    struck.order_platform("/admin/instance_lag?lag_ms=60000");
+    target.list_instance(first.id, fleet::instance_spec(first, true));
+    target.order_platform("/admin/instance_lag?lag_ms=60000");
 }
 
-void strike_processes(const std::string& fault, const strike_point& point)
+void inject_processes(const std::string& fault, const injection_point& point)
 {
     const bool kills_back = has_part(fault, "kill_back") || has_part(fault, "kill_back_after");
     if (has_part(fault, "kill_front") && point.front != nullptr) {
@@ -53,16 +53,16 @@
     }
 }
 
-void strike_platform(const std::string& fault, fleet& struck)
+void inject_platform(const std::string& fault, fleet& target)
 {
     if (has_part(fault, "store_outage")) {
-        struck.order_platform("/admin/outage?mode=drop");
+        target.order_platform("/admin/outage?mode=drop");
     }
     if (has_part(fault, "store_slow")) {
-        struck.order_platform("/admin/slow?delay_ms=400");
+        target.order_platform("/admin/slow?delay_ms=400");
     }
     if (has_part(fault, "stale_list")) {
-        make_list_stale(struck);
+        make_list_stale(target);
     }
 }
 
@@ -74,12 +74,12 @@
     return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
-fault_strike::fault_strike(fleet& struck, const std::vector<strike_point>& points,
-                           const std::string& fault)
+fault_injection::fault_injection(fleet& target, const std::vector<injection_point>& points,
+                                 const std::string& fault)
 {
     const auto matches = std::make_shared<std::atomic<int>>(0);
     const bool after = has_part(fault, "cut_after") || has_part(fault, "kill_back_after");
-    for (const strike_point& point : points) {
+    for (const injection_point& point : points) {
         fault_rule rule;
         rule.at = point.at;
         rule.nth = point.nth;
@@ -87,31 +87,31 @@
         rule.fault = link_fault_of(fault);
         rule.delay = message_delay;
         rule.matches = matches;
-        rule.hook = [&struck, point, fault] {
-            strike_processes(fault, point);
-            strike_platform(fault, struck);
+        rule.hook = [&target, point, fault] {
+            inject_processes(fault, point);
+            inject_platform(fault, target);
         };
         this->rules.push_back(point.proxy->add(std::move(rule)));
     }
 }
 
-bool fault_strike::fired() const
+bool fault_injection::fired() const
 {
     return std::any_of(this->rules.begin(), this->rules.end(),
                        [](const auto& rule) { return rule->fired(); });
 }
 
-bool fault_strike::has_struck() const
+bool fault_injection::has_fired() const
 {
     return std::any_of(this->rules.begin(), this->rules.end(),
                        [](const auto& armed) { return *armed->rule.matches >= armed->rule.nth; });
 }
 
-bool fault_strike::wait_until_fired(const std::function<bool()>& or_else) const
+bool fault_injection::wait_until_fired(const std::function<bool()>& or_else) const
 {
     static_cast<void>(wait_until([&] { return this->fired() || or_else(); }));
     // The exchange may end while the fault still takes effect.
-    return this->has_struck() && wait_until([this] { return this->fired(); });
+    return this->has_fired() && wait_until([this] { return this->fired(); });
 }
 
 const std::vector<std::string>& request_faults()
--- a/sardinestream/testing/matrix_faults.h
+++ b/sardinestream/testing/matrix_faults.h
@@ -1,8 +1,8 @@
-// The faults of the matrix, by name, and how each is struck at a step.
+// The faults of the matrix, by name, and how each is injected at a step.
 //
-//     fault_strike strike(fleet, points, "kill_back+store_outage", marker);
+//     fault_injection injection(fleet, points, "kill_back+store_outage", marker);
 //     ... run the exchange ...
-//     strike.wait_until_fired();
+//     injection.wait_until_fired();
 //
 // Names: kill_front, kill_back (before the message is passed on), kill_back_after, freeze_front,
 // freeze_back, cut_before, cut_after, black_hole, delay, lost_answer, store_outage, store_slow,
@@ -22,7 +22,7 @@
 namespace sardinestream::testing {
 
 // One link on which the step may be seen.
-struct strike_point {
+struct injection_point {
     fault_proxy* proxy = nullptr;
     message_pattern at;
     int nth = 1;
@@ -33,19 +33,20 @@
 // True where the fault's name has this part.
 [[nodiscard]] bool has_part(const std::string& fault, absl::string_view part);
 
-// A fault that is armed at every point and strikes once between them.
-class fault_strike {
+// A fault that is armed at every point and fires once between them.
+class fault_injection {
 public:
-    fault_strike(fleet& struck, const std::vector<strike_point>& points, const std::string& fault);
+    fault_injection(fleet& target, const std::vector<injection_point>& points,
+                    const std::string& fault);
 
     [[nodiscard]] bool fired() const;
 
-    // Waits until the fault has struck or `or_else` holds; returns whether it has struck.
+    // Waits until the fault has fired or `or_else` holds; returns whether it has fired.
     [[nodiscard]] bool wait_until_fired(const std::function<bool()>& or_else) const;
 
 private:
     // The message has come; the fault may still be on its way.
-    [[nodiscard]] bool has_struck() const;
+    [[nodiscard]] bool has_fired() const;
 
     std::vector<std::shared_ptr<armed_rule>> rules;
 };
--- a/sardinestream/testing/once_cells.cc
+++ b/sardinestream/testing/once_cells.cc
@@ -27,7 +27,7 @@
 constexpr absl::Duration settle_patience = absl::Seconds(10);
 constexpr absl::Duration longest_pause = absl::Milliseconds(250);
 
-// One key, everything its callers were told, and what its ledger says.
+// One key, everything its callers were answered, and what its ledger says.
 class key_journal {
 public:
     key_journal(fleet& judged, std::string cell, bool with_ticket)
@@ -125,10 +125,10 @@
 };
 
 // Where each step is seen. The first sending goes through entry 0.
-std::vector<strike_point> points_of(fleet& servers, const std::string& step,
-                                    const std::string& marker)
+std::vector<injection_point> points_of(fleet& servers, const std::string& step,
+                                       const std::string& marker)
 {
-    std::vector<strike_point> points;
+    std::vector<injection_point> points;
     entry_node& entry = servers.entry(0);
     if (step == "bind") {
         for (const char* method : {"POST", "PUT"}) {
@@ -173,13 +173,13 @@
     if (by_ticket && !journal.take_ticket()) {
         return {false, "no_ticket"};
     }
-    const fault_strike strike(servers, points_of(servers, step, journal.first_id()), fault);
+    const fault_injection injection(servers, points_of(servers, step, journal.first_id()), fault);
     std::future<call_answer> sending =
         std::async(std::launch::async, [&] { return journal.send(0, first_patience); });
     const auto is_answered = [&] {
         return sending.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
     };
-    const bool fired = strike.wait_until_fired(is_answered);
+    const bool fired = injection.wait_until_fired(is_answered);
     const bool resends = has_part(fault, "resend");
     std::string second = "none";
     if (resends) {
@@ -197,7 +197,7 @@
     const int runs = journal.runs();
     std::string violated = journal.violated();
     if (!fired) {
-        violated = "fault_did_not_strike";
+        violated = "fault_not_injected";
     }
     else if (violated.empty() && last.success() && runs != 1) {
         violated = "success_without_run";
@@ -210,7 +210,7 @@
                          " runs=", runs, " violated=", violated.empty() ? "none" : violated)};
 }
 
-// True where the fault cannot be struck at the step: nobody of the fleet is at that end.
+// True where the fault cannot be injected at the step: no process of the fleet is at that end.
 bool is_void(const std::string& step, const std::string& fault)
 {
     const bool needs_front = has_part(fault, "kill_front") || has_part(fault, "freeze_front");
--- a/sardinestream/testing/rank_group_agents.cc
+++ b/sardinestream/testing/rank_group_agents.cc
@@ -36,7 +36,7 @@
         return platform.status();
     }
     made->store_server = *std::move(platform);
-    // The addresses are known before any agent starts, so that each can be told all of them.
+    // The addresses are known before any agent starts, so that each can get all of them.
     made->slots = std::vector<port_reservation>(options.engines.ranks);
     for (const port_reservation& slot : made->slots) {
         made->addresses.push_back(slot.reserved());
--- a/sardinestream/testing/rank_group_http.cc
+++ b/sardinestream/testing/rank_group_http.cc
@@ -248,16 +248,17 @@
         if (order == "release") {
             return this->group.release(rank, parsed.at("token").get<std::string>());
         }
-        const engine_order given = order_from(parsed);
+        const engine_order requested = order_from(parsed);
         if (order == "stage") {
-            return this->group.stage(rank, given);
+            return this->group.stage(rank, requested);
         }
         if (order == "hold") {
             return this->group.set_hold(
-                rank, given,
+                rank, requested,
                 {parsed.at("step").get<std::uint64_t>(), parsed.at("token").get<std::string>()});
         }
-        return order == "map" ? this->group.apply_map(rank, given) : this->group.join(rank, given);
+        return order == "map" ? this->group.apply_map(rank, requested)
+                              : this->group.join(rank, requested);
     }
     catch (const json::exception& error) {
         return absl::InvalidArgumentError(error.what());
--- a/sardinestream/testing/rank_group_http.h
+++ b/sardinestream/testing/rank_group_http.h
@@ -39,7 +39,7 @@
 
 struct order_fault {
     order_fault_kind kind = order_fault_kind::none;
-    int times = 1; // how many orders of the kind it hits
+    int times = 1; // how many orders of the kind it affects
     absl::Duration delay = absl::ZeroDuration();
 };
 
--- a/sardinestream/testing/relay.cc
+++ b/sardinestream/testing/relay.cc
@@ -90,11 +90,11 @@
     if (this->is_lost_answer(message, exchange)) {
         return false;
     }
-    const std::shared_ptr<armed_rule> struck = this->proxy.rules.strike(message);
-    const bool before = struck != nullptr && (struck->rule.when == fault_time::before ||
-                                              struck->rule.fault == fault_kind::lose_answer);
-    if (before && !this->apply(*struck, message, exchange)) {
-        struck->mark_fired();
+    const std::shared_ptr<armed_rule> matched = this->proxy.rules.inject(message);
+    const bool before = matched != nullptr && (matched->rule.when == fault_time::before ||
+                                               matched->rule.fault == fault_kind::lose_answer);
+    if (before && !this->apply(*matched, message, exchange)) {
+        matched->mark_fired();
         return false;
     }
     if (this->proxy.swallowing) {
@@ -102,27 +102,27 @@
     }
     // A connection that has lost bytes stays silent until it is cut.
     const bool alive = this->lost || write();
-    if (struck == nullptr) {
+    if (matched == nullptr) {
         return alive;
     }
-    const bool goes_on = before || this->apply(*struck, message, exchange);
-    struck->mark_fired();
+    const bool goes_on = before || this->apply(*matched, message, exchange);
+    matched->mark_fired();
     return alive && goes_on;
 }
 
-bool relay::apply(const armed_rule& struck, const message_info& message, std::uint64_t exchange)
+bool relay::apply(const armed_rule& matched, const message_info& message, std::uint64_t exchange)
 {
-    if (struck.rule.hook) {
-        struck.rule.hook();
+    if (matched.rule.hook) {
+        matched.rule.hook();
     }
-    switch (struck.rule.fault) {
+    switch (matched.rule.fault) {
     case fault_kind::cut:
         return false;
     case fault_kind::black_hole:
         this->proxy.swallowing = true;
         break;
     case fault_kind::delay:
-        absl::SleepFor(struck.rule.delay);
+        absl::SleepFor(matched.rule.delay);
         break;
     case fault_kind::lose_answer: {
         const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/relay.h
+++ b/sardinestream/testing/relay.h
@@ -81,7 +81,7 @@
     // Ends the connection once the link no longer swallows.
     void end();
     // Returns false when the connection has to end.
-    [[nodiscard]] bool apply(const armed_rule& struck, const message_info& message,
+    [[nodiscard]] bool apply(const armed_rule& matched, const message_info& message,
                              std::uint64_t exchange);
     [[nodiscard]] bool is_lost_answer(const message_info& message, std::uint64_t exchange);
 
--- a/sardinestream/testing/scripted_server.cc
+++ b/sardinestream/testing/scripted_server.cc
@@ -55,7 +55,7 @@
     return false;
 }
 
-scripted_server::scripted_server(script given, const std::string& ip) : played(std::move(given))
+scripted_server::scripted_server(script to_play, const std::string& ip) : played(std::move(to_play))
 {
     this->listener = std::make_unique<tcp_listener>(*tcp_listener::bind({ip, 0}));
     this->acceptor = std::thread([this] { this->accept_connections(); });
--- a/sardinestream/testing/soak/cpu_throttle.h
+++ b/sardinestream/testing/soak/cpu_throttle.h
@@ -3,7 +3,7 @@
 //     cpu_throttle throttle({first.get(), second.get()});
 //
 // The processes must outlive it; what is started again meanwhile is held, too. A thread of its own
-// sends the signals, so that nobody is held for longer because a test is busy.
+// sends the signals, so that no process is held for longer because a test is busy.
 
 #ifndef SARDINESTREAM_TESTING_SOAK_CPU_THROTTLE_H_
 #define SARDINESTREAM_TESTING_SOAK_CPU_THROTTLE_H_
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -68,7 +68,7 @@
     std::chrono::milliseconds pass_time{10};
     // Entries get half of their processor time.
     bool throttles_entries = false;
-    // No fault strikes a program that was started again so shortly before.
+    // No fault affects a program that was started again so shortly before.
     std::chrono::milliseconds start_time{0};
     // Model servers are reached without a proxy, so that one that has crashed refuses connections.
     bool direct_model_servers = false;
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// A server that works on for so long after its caller has left has not been told.
+// A server that works on for so long after its caller has left has not been informed.
 constexpr milliseconds leave_bound{500};
 constexpr int least_late_ends = 4;
 constexpr double most_late_ends = 0.25;
@@ -91,8 +91,9 @@
         return;
     }
     named_limit& limit = found->second;
-    const auto told = limit.told.find(record.request.entry);
-    if (now >= limit.until || told == limit.told.end() || now < told->second + limit_slack ||
+    const auto informed = limit.informed.find(record.request.entry);
+    if (now >= limit.until || informed == limit.informed.end() ||
+        now < informed->second + limit_slack ||
         now < limit.first_said + this->options.reaction_time ||
         !this->is_in_touch(record.request.entry, now)) {
         return;
@@ -142,12 +143,12 @@
         return;
     }
     named_limit& limit = this->limits[server_id];
-    if (limit.told.empty()) {
+    if (limit.informed.empty()) {
         limit.first_said = steady_clock::now();
     }
     limit.per_s = per_s;
     limit.until = until;
-    limit.told.emplace(found->second.request.entry, steady_clock::now());
+    limit.informed.emplace(found->second.request.entry, steady_clock::now());
 }
 
 void promise_ledger::note_crash()
@@ -195,7 +196,7 @@
     const auto found = this->requests.find(id);
     if (found != this->requests.end()) {
         this->hold_offs.emplace(entry_and_server{found->second.request.entry, server_id},
-                                told_hold_off{steady_clock::now(), until, 0});
+                                announced_hold_off{steady_clock::now(), until, 0});
     }
 }
 
@@ -206,7 +207,7 @@
     std::erase_if(this->leaving_passed_on, of_entry);
     std::erase_if(this->hold_offs, of_entry);
     for (auto& [server, limit] : this->limits) {
-        limit.told.erase(entry);
+        limit.informed.erase(entry);
     }
     this->restarts[entry] = steady_clock::now();
 }
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -157,8 +157,8 @@
         // Servers that said in their answers that they leave.
         std::vector<std::string> leaving_servers;
     };
-    // What an entry has been told by a server.
-    struct told_hold_off {
+    // What a server has reported to an entry.
+    struct announced_hold_off {
         steady_time at{};
         steady_time until{};
         int arrivals = 0;
@@ -170,8 +170,8 @@
         // From then on the server's answers name none.
         steady_time until{};
         // When each entry first had an answer with it.
-        std::map<std::string, steady_time> told;
-        // Of requests from entries that had been told.
+        std::map<std::string, steady_time> informed;
+        // Of requests from entries that had been informed.
         std::vector<steady_time> arrivals;
     };
     // The entry, and the id of a start of a server.
@@ -249,7 +249,7 @@
     std::vector<span> troubles ABSL_GUARDED_BY(mutex);
     // When the entry passed on an answer in which the server says that it leaves.
     std::map<entry_and_server, steady_time> leaving_passed_on ABSL_GUARDED_BY(mutex);
-    std::map<entry_and_server, told_hold_off> hold_offs ABSL_GUARDED_BY(mutex);
+    std::map<entry_and_server, announced_hold_off> hold_offs ABSL_GUARDED_BY(mutex);
     // By the id of a start of a server.
     std::map<std::string, named_limit> limits ABSL_GUARDED_BY(mutex);
     std::vector<steady_time> crashes ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -1,4 +1,4 @@
-// Each broken promise is found: the ledger is told of one run that breaks it.
+// Each broken promise is found: the ledger is shown one run that breaks it.
 
 #include <string>
 #include <thread>
@@ -196,7 +196,7 @@
     EXPECT_THAT(this->ledger.judge(), IsEmpty());
 }
 
-TEST_F(promise_ledger_test, an_entry_that_starts_again_has_not_been_told_of_a_rate)
+TEST_F(promise_ledger_test, an_entry_that_starts_again_does_not_know_a_rate)
 {
     this->ledger.note_limit_said(this->send(soak_kind::idempotent).id, "i-1", 0, far_future());
     std::this_thread::sleep_for(milliseconds(520));
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -27,7 +27,7 @@
 
 constexpr int front_port = 8080;
 constexpr int ready_port = 8081;
-constexpr int news_port = 7340;
+constexpr int gossip_port = 7340;
 constexpr int server_port = 8228;
 constexpr int proxy_port = 8300;
 constexpr int store_port = 8223;
@@ -260,7 +260,7 @@
     std::vector<std::string> seeds;
     seeds.reserve(static_cast<std::size_t>(this->size.entries));
     for (int i = 0; i < this->size.entries; ++i) {
-        seeds.push_back(absl::StrCat(this->ip(entry_group, i + 1), ":", news_port));
+        seeds.push_back(absl::StrCat(this->ip(entry_group, i + 1), ":", gossip_port));
     }
     // Programs are kept by reference: none may move once a task names one.
     this->entry_nodes.reserve(static_cast<std::size_t>(this->size.entries));
@@ -275,7 +275,7 @@
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
             absl::StrCat(
-                "--ip=", own, "\n--memory_mb=", entry_memory_mb, "\n--news_port=", news_port,
+                "--ip=", own, "\n--memory_mb=", entry_memory_mb, "\n--news_port=", gossip_port,
                 "\n--front_listen=", own, ":", front_port, "\n--ready_listen=", own, ":",
                 ready_port, "\n--store=", (*proxy)->local().to_string(),
                 "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", this->size.grace.count(),
@@ -288,7 +288,7 @@
             this->servers[static_cast<std::size_t>(i)].server->described();
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->agent_nodes, "sardine-platform-agent", absl::StrCat("agent-", i),
-            absl::StrCat("--ip=", server.local.ip, "\n--news_port=", news_port, "\n--backend=",
+            absl::StrCat("--ip=", server.local.ip, "\n--news_port=", gossip_port, "\n--backend=",
                          server.local.to_string(), "\n--service=", server.service, "\n")));
     }
     return absl::OkStatus();
@@ -318,9 +318,9 @@
 absl::Status soak_fleet::restart(program_node& node)
 {
     ::setenv("SARDINESTREAM_SETTINGS", node.settings_path.c_str(), 1);
-    node.struck = this->size.start_time > milliseconds(0);
-    if (node.struck) {
-        this->after(this->size.start_time, [&node] { node.struck = false; });
+    node.disturbed = this->size.start_time > milliseconds(0);
+    if (node.disturbed) {
+        this->after(this->size.start_time, [&node] { node.disturbed = false; });
     }
     if (!node.entry.empty()) {
         this->ledger.note_entry_restart(node.entry);
@@ -377,7 +377,7 @@
 {
     for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
         for (program_node& node : *nodes) {
-            if (node.struck) {
+            if (node.disturbed) {
                 continue;
             }
             if (node.run->alive()) {
@@ -386,7 +386,7 @@
             }
             this->ledger.note_broken(absl::StrCat(
                 "exit: ", node.name, " ended by itself, log=", node.run->output_path()));
-            node.struck = true;
+            node.disturbed = true;
             this->restart_when_gone(node);
         }
     }
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -1,8 +1,8 @@
 // The system under the soak: the real programs as processes, and around them the emulated store and
-// servers, with a proxy on every TCP link that a fault may strike.
+// servers, with a proxy on every TCP link that a fault may affect.
 //
 //     auto fleet = soak_fleet::create(size, ledger);
-//     (*fleet)->strike(fault);
+//     (*fleet)->inject(fault);
 //     (*fleet)->run_until(end);
 //     (*fleet)->heal();
 //
@@ -51,7 +51,7 @@
     soak_fleet& operator=(const soak_fleet&) = delete;
 
     // Begins a fault; its end is left to `run_until`.
-    void strike(const soak_fault& fault);
+    void inject(const soak_fault& fault);
     // Does what is due until `end`.
     void run_until(steady_time end);
     // Ends every fault, restarts what is gone, and waits until every entry is ready again.
@@ -81,7 +81,7 @@
         // It has taken more.
         bool exceeds_memory = false;
         // A fault has it stopped, killed or frozen.
-        bool struck = false;
+        bool disturbed = false;
     };
     struct server_node {
         std::unique_ptr<backend_emulator> server;
@@ -90,7 +90,7 @@
         // Writes of its entry.
         std::int64_t writes = 0;
         // It leaves, or is down.
-        bool struck = false;
+        bool disturbed = false;
     };
     using task = std::function<void()>;
 
@@ -137,7 +137,7 @@
     void roll_agents(const soak_fault& fault);
     // An entry stops `delay` after the group runs again, its agent where `target` names one.
     void stop_when_recovered(std::chrono::milliseconds delay, const soak_fault& fault);
-    void strike_stops(const soak_fault& fault);
+    void inject_stops(const soak_fault& fault);
     void reload_program(program_node& node);
     void restart_when_gone(program_node& node);
     void kill_program(program_node& node, std::chrono::milliseconds away);
@@ -166,10 +166,10 @@
     void expire_entries();
     void lapse_entries(const soak_fault& fault);
     void delay_orders(const soak_fault& fault);
-    void strike_program(const soak_fault& fault);
+    void inject_program(const soak_fault& fault);
     void slow_rank(std::size_t server, const soak_fault& fault);
-    void strike_house(const soak_fault& fault);
-    void strike_surroundings(const soak_fault& fault);
+    void inject_house(const soak_fault& fault);
+    void inject_surroundings(const soak_fault& fault);
     [[nodiscard]] std::string ip(int group, int number) const;
     [[nodiscard]] bool has_other_server(const server_node& node) const;
 
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -85,29 +85,29 @@
 
 void soak_fleet::kill_program(program_node& node, milliseconds away)
 {
-    node.struck = true;
+    node.disturbed = true;
     node.run->kill();
     this->after(away, [this, &node] { this->restart_when_gone(node); });
 }
 
 void soak_fleet::freeze_program(program_node& node, milliseconds away)
 {
-    node.struck = true;
+    node.disturbed = true;
     node.run->freeze();
     this->after(away, [&node] {
         node.run->wake();
-        node.struck = false;
+        node.disturbed = false;
     });
 }
 
-void soak_fleet::strike_program(const soak_fault& fault)
+void soak_fleet::inject_program(const soak_fault& fault)
 {
     const bool of_entry =
         fault.kind == soak_fault_kind::entry_stop || fault.kind == soak_fault_kind::entry_kill ||
         fault.kind == soak_fault_kind::entry_freeze || fault.kind == soak_fault_kind::entry_reload;
     program_node& node =
         (of_entry ? this->entry_nodes : this->agent_nodes)[static_cast<std::size_t>(fault.target)];
-    if (node.struck) {
+    if (node.disturbed) {
         return;
     }
     switch (fault.kind) {
@@ -131,7 +131,7 @@
 bool soak_fleet::has_other_server(const server_node& node) const
 {
     return std::any_of(this->servers.begin(), this->servers.end(), [&](const server_node& other) {
-        return &other != &node && !other.struck &&
+        return &other != &node && !other.disturbed &&
                other.server->described().service == node.server->described().service;
     });
 }
@@ -148,16 +148,16 @@
         this->ledger.note_broken(absl::StrCat("emulator: ", started.message()));
         return;
     }
-    node.struck = false;
+    node.disturbed = false;
     this->list_server(node);
 }
 
 void soak_fleet::leave_server(server_node& node, milliseconds away)
 {
-    if (node.struck || !this->has_other_server(node)) {
+    if (node.disturbed || !this->has_other_server(node)) {
         return;
     }
-    node.struck = true;
+    node.disturbed = true;
     node.server->set_draining(true);
     this->list_server(node);
     this->replace_server(node, away);
@@ -180,11 +180,11 @@
 
 void soak_fleet::say_leaving(server_node& node, const soak_fault& fault)
 {
-    if (node.struck || !this->has_other_server(node)) {
+    if (node.disturbed || !this->has_other_server(node)) {
         return;
     }
     constexpr double listed_late = 0.5;
-    node.struck = true;
+    node.disturbed = true;
     node.server->say_leaving();
     if (fault.variant < listed_late) {
         this->after(drain_time / 2, [this, &node] {
@@ -197,17 +197,17 @@
 
 void soak_fleet::hold_off(server_node& node, const soak_fault& fault)
 {
-    if (!node.struck && this->has_other_server(node)) {
+    if (!node.disturbed && this->has_other_server(node)) {
         node.server->hold_off(steady_clock::now() + fault.duration);
     }
 }
 
 void soak_fleet::crash_server(server_node& node, const soak_fault& fault)
 {
-    if (node.struck) {
+    if (node.disturbed) {
         return;
     }
-    node.struck = true;
+    node.disturbed = true;
     const std::string old = node.server->id();
     node.server->stop();
     node.proxy->reset_connections();
@@ -232,7 +232,7 @@
     }
     for (const std::size_t number : numbers) {
         server_node& node = this->servers[number];
-        if (node.struck) {
+        if (node.disturbed) {
             continue;
         }
         this->ledger.note_crash();
@@ -295,7 +295,7 @@
     }
 }
 
-void soak_fleet::strike_surroundings(const soak_fault& fault)
+void soak_fleet::inject_surroundings(const soak_fault& fault)
 {
     const auto target = static_cast<std::size_t>(fault.target);
     switch (fault.kind) {
@@ -349,7 +349,7 @@
     }
 }
 
-void soak_fleet::strike(const soak_fault& fault)
+void soak_fleet::inject(const soak_fault& fault)
 {
     if (!fault.is_planned()) {
         this->ledger.note_trouble(steady_clock::now() + fault.duration);
@@ -362,7 +362,7 @@
     case soak_fault_kind::agent_stop:
     case soak_fault_kind::agent_kill:
     case soak_fault_kind::agent_freeze:
-        this->strike_program(fault);
+        this->inject_program(fault);
         return;
     case soak_fault_kind::entries_roll:
     case soak_fault_kind::reloads_stop:
@@ -370,14 +370,14 @@
     case soak_fault_kind::servers_roll:
     case soak_fault_kind::recovered_stop:
     case soak_fault_kind::agents_roll:
-        this->strike_stops(fault);
+        this->inject_stops(fault);
         return;
     case soak_fault_kind::rank_slow:
     case soak_fault_kind::passes_late:
-        this->strike_house(fault);
+        this->inject_house(fault);
         return;
     default:
-        this->strike_surroundings(fault);
+        this->inject_surroundings(fault);
         return;
     }
 }
--- a/sardinestream/testing/soak/soak_fleet_stops.cc
+++ b/sardinestream/testing/soak/soak_fleet_stops.cc
@@ -42,17 +42,17 @@
 
 void soak_fleet::stop_program(program_node& node, bool twice)
 {
-    node.struck = true;
+    node.disturbed = true;
     if (!node.entry.empty()) {
         this->ledger.note_planned_stop(node.entry, node.run->output_path());
     }
     const steady_time kill_at = steady_clock::now() + this->size.grace;
     node.run->terminate();
     if (twice) {
-        // A process that has ended and started again meanwhile is not told.
-        const pid_t told = node.run->id();
-        this->after(second_notice, [&node, told] {
-            if (node.run->id() == told) {
+        // A process that has ended and started again meanwhile is not signalled again.
+        const pid_t signalled = node.run->id();
+        this->after(second_notice, [&node, signalled] {
+            if (node.run->id() == signalled) {
                 node.run->terminate();
             }
         });
@@ -82,7 +82,7 @@
 void soak_fleet::stop_entry(int index)
 {
     program_node& node = this->entry_nodes[static_cast<std::size_t>(index)];
-    if (!node.struck) {
+    if (!node.disturbed) {
         this->stop_program(node, false);
     }
 }
@@ -103,7 +103,7 @@
 
 void soak_fleet::roll_entries_after(int index, const soak_fault& fault)
 {
-    if (this->entry_nodes[static_cast<std::size_t>(index)].struck || !this->is_ready(index)) {
+    if (this->entry_nodes[static_cast<std::size_t>(index)].disturbed || !this->is_ready(index)) {
         this->after(step, [this, index, fault] { this->roll_entries_after(index, fault); });
         return;
     }
@@ -113,16 +113,16 @@
 void soak_fleet::stop_amid_reloads(const soak_fault& fault)
 {
     program_node& node = this->entry_nodes[static_cast<std::size_t>(fault.target)];
-    const pid_t told = node.run->id();
+    const pid_t signalled = node.run->id();
     for (int i = 0; i < reloads; ++i) {
-        this->after(i * reload_gap, [this, &node, told] {
-            if (node.run->id() == told && node.run->alive()) {
+        this->after(i * reload_gap, [this, &node, signalled] {
+            if (node.run->id() == signalled && node.run->alive()) {
                 this->reload_program(node);
             }
         });
     }
-    this->after(scaled(reloads * reload_gap / 2, fault.variant), [this, &node, told] {
-        if (node.run->id() == told && !node.struck) {
+    this->after(scaled(reloads * reload_gap / 2, fault.variant), [this, &node, signalled] {
+        if (node.run->id() == signalled && !node.disturbed) {
             this->stop_program(node, false);
         }
     });
@@ -153,7 +153,7 @@
     milliseconds delay{0};
     for (program_node& node : this->agent_nodes) {
         this->after(delay, [this, &node] {
-            if (!node.struck) {
+            if (!node.disturbed) {
                 this->stop_program(node, false);
             }
         });
@@ -165,20 +165,20 @@
 {
     constexpr double with_agent_share = 0.5;
     const server_node& server = this->servers[static_cast<std::size_t>(fault.target)];
-    if (server.struck || !this->group_of(static_cast<std::size_t>(fault.target)).is_open()) {
+    if (server.disturbed || !this->group_of(static_cast<std::size_t>(fault.target)).is_open()) {
         this->after(step, [this, delay, fault] { this->stop_when_recovered(delay, fault); });
         return;
     }
     this->after(delay, [this, fault] {
         this->stop_entry(fault.target % this->size.entries);
         program_node& agent = this->agent_nodes[static_cast<std::size_t>(fault.target)];
-        if (fault.variant < with_agent_share && !agent.struck) {
+        if (fault.variant < with_agent_share && !agent.disturbed) {
             this->stop_program(agent, false);
         }
     });
 }
 
-void soak_fleet::strike_stops(const soak_fault& fault)
+void soak_fleet::inject_stops(const soak_fault& fault)
 {
     switch (fault.kind) {
     case soak_fault_kind::entries_roll:
@@ -250,7 +250,7 @@
     const steady_time kill_at = steady_clock::now() + this->size.grace;
     for (std::vector<program_node>* const nodes : {&this->entry_nodes, &this->agent_nodes}) {
         for (program_node& node : *nodes) {
-            node.struck = true;
+            node.disturbed = true;
             node.run->terminate();
         }
     }
--- a/sardinestream/testing/soak/soak_fleet_store.cc
+++ b/sardinestream/testing/soak/soak_fleet_store.cc
@@ -89,7 +89,7 @@
     std::size_t number = 0;
     for (const server_node& node : this->servers) {
         // Every second one, so that each service is hit.
-        if (number++ / 2 % 2 == 0 && !node.struck) {
+        if (number++ / 2 % 2 == 0 && !node.disturbed) {
             this->store->remove(words::servers_kind, node.server->id());
         }
     }
@@ -97,7 +97,7 @@
         this->store->set_trouble(store_trouble::none);
         this->after(relist_time, [this] {
             for (server_node& node : this->servers) {
-                if (!node.struck) {
+                if (!node.disturbed) {
                     this->list_server(node);
                 }
             }
--- a/sardinestream/testing/soak/soak_house.cc
+++ b/sardinestream/testing/soak/soak_house.cc
@@ -120,7 +120,7 @@
     });
 }
 
-void soak_fleet::strike_house(const soak_fault& fault)
+void soak_fleet::inject_house(const soak_fault& fault)
 {
     const auto target = static_cast<std::size_t>(fault.target);
     if (fault.kind == soak_fault_kind::passes_late) {
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -104,7 +104,7 @@
     const steady_time begun = steady_clock::now();
     for (const soak_fault& fault : verdict.faults) {
         (*fleet)->run_until(begun + fault.at);
-        (*fleet)->strike(fault);
+        (*fleet)->inject(fault);
     }
     (*fleet)->run_until(begun + options.length);
     const absl::Status healed = (*fleet)->heal();
--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -1,5 +1,5 @@
 // Cells of the planned stop: an agent beside a model engine, an agent beside a plain service, or an
-// entry is told to stop while requests are in progress, and a fault comes on top.
+// entry is asked to stop while requests are in progress, and a fault comes on top.
 //
 // Steps: notice (before the stop), refuse (once it drains, before new work is sent), drain (after
 // new work was sent), exit (once the requests in progress have ended).
@@ -54,17 +54,17 @@
     cell_verdict run()
     {
         this->begin_requests();
-        this->strike_at("notice");
+        this->inject_at("notice");
         this->target.terminate();
         if (!this->target.wait_for_output("drain_started")) {
             this->violation = "no_drain";
         }
-        this->strike_at("refuse");
+        this->inject_at("refuse");
         this->send_new_requests();
-        this->strike_at("drain");
+        this->inject_at("drain");
         this->let_requests_end();
         this->judge_requests();
-        this->strike_at("exit");
+        this->inject_at("exit");
         this->judge_exit();
         const absl::Status restored = this->servers.restore();
         if (!restored.ok()) {
@@ -142,7 +142,7 @@
         }
     }
 
-    void strike_at(const std::string& step)
+    void inject_at(const std::string& step)
     {
         if (this->plan.step != step) {
             return;
--- a/sardinestream/testing/stream_cells.cc
+++ b/sardinestream/testing/stream_cells.cc
@@ -29,8 +29,8 @@
 // Requests that earn an entry one resumption, by its retry budget, and some more.
 constexpr int requests_for_resumption = 25;
 
-std::vector<strike_point> points_of(fleet& servers, const std::string& step,
-                                    const std::string& marker)
+std::vector<injection_point> points_of(fleet& servers, const std::string& step,
+                                       const std::string& marker)
 {
     entry_node& entry = servers.entry(0);
     if (step == "caller") {
@@ -38,13 +38,13 @@
                  entry.run.get()}};
     }
     const auto at_peers = [&](agent_node& agent, frame_type type, int nth) {
-        return strike_point{agent.peers.get(), frame_pattern(type, marker), nth, entry.run.get(),
-                            agent.run.get()};
+        return injection_point{agent.peers.get(), frame_pattern(type, marker), nth, entry.run.get(),
+                               agent.run.get()};
     };
     const auto at_server = [&](agent_node& agent, const message_pattern& at) {
-        return strike_point{agent.server.get(), at, 1, agent.run.get(), agent.backend_run.get()};
+        return injection_point{agent.server.get(), at, 1, agent.run.get(), agent.backend_run.get()};
     };
-    std::vector<strike_point> points;
+    std::vector<injection_point> points;
     for (const auto& agent : servers.agents()) {
         if (step == "admit") {
             points.push_back(at_peers(*agent, frame_type::request_open, 1));
@@ -78,7 +78,7 @@
     return step == "caller";
 }
 
-// An engine that hangs with its connection open is given up at the deadline; anything else that is
+// An engine that hangs with its connection open is abandoned at the deadline; anything else that is
 // lost leaves a healthy server, on which the stream has to go on to its end.
 bool must_be_whole(const std::string& step, const std::string& fault)
 {
@@ -138,10 +138,10 @@
     const completion_call asked{.prompt = "label for " + cell,
                                 .max_tokens = answer_tokens,
                                 .request_id = request_id_of(cell)};
-    const fault_strike strike(servers, points_of(servers, step, asked.request_id), fault);
+    const fault_injection injection(servers, points_of(servers, step, asked.request_id), fault);
     std::future<stream_answer> sending = std::async(
         std::launch::async, [&] { return servers.caller_of(0, patience).stream(asked); });
-    const bool fired = strike.wait_until_fired(
+    const bool fired = injection.wait_until_fired(
         [&] { return sending.wait_for(std::chrono::seconds(0)) == std::future_status::ready; });
     std::string second = "none";
     std::string violated;
@@ -149,11 +149,11 @@
         completion_call again = asked;
         again.request_id += "-2";
         const stream_answer other = servers.caller_of(1, patience).stream(again);
-        // After the loss of an engine the same request is a suspect, and may be told so.
+        // After the loss of an engine the same request is a suspect, and may be answered so.
         const bool engine_killed =
             has_part(fault, "kill_back_after") && (step == "send" || step == "first");
-        const bool told_suspect = other.error.code == "crash_suspect" && other.indices.empty();
-        if (!engine_killed || !told_suspect) {
+        const bool is_suspect = other.error.code == "crash_suspect" && other.indices.empty();
+        if (!engine_killed || !is_suspect) {
             violated = judge(servers, other, step, fault);
         }
         second = other.summary();
@@ -167,7 +167,7 @@
         violated = absl::StrCat("not_restored_", peer_of(restored));
     }
     if (!fired) {
-        violated = "fault_did_not_strike";
+        violated = "fault_not_injected";
     }
     return {violated.empty(), absl::StrCat("first=", first.summary(), " second=", second,
                                            " violated=", violated.empty() ? "none" : violated)};
@@ -205,14 +205,14 @@
         .max_tokens = endless_tokens,
         .request_id = request_id_of(cell),
         .on_token = [](int index) { return index < tokens_before_leaving; }};
-    const fault_strike strike(servers, points_of(servers, "cancel", asked.request_id), fault);
+    const fault_injection injection(servers, points_of(servers, "cancel", asked.request_id), fault);
     const stream_answer answer = servers.caller_of(0).stream(asked);
     std::string violated;
     if (!answer.right_so_far() || answer.end != stream_end::left) {
         violated = "wrong_tokens";
     }
-    else if (!strike.wait_until_fired([] { return false; })) {
-        violated = "fault_did_not_strike";
+    else if (!injection.wait_until_fired([] { return false; })) {
+        violated = "fault_not_injected";
     }
     const absl::Status restored = servers.restore();
     bool finished = false;
