One catalogue node for the bench and the tests

Cause: the catalogue part of a process stood twice, word for word, in catalogue_bench.cc and catalogue_service_test.cc. Change: catalogue_test_node.h holds it, with options for what differs: the store, whether it decides, and the times of calls and watches.

--- a/sardinestream/catalogue/catalogue_bench.cc
+++ b/sardinestream/catalogue/catalogue_bench.cc
@@ -18,9 +18,8 @@
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/catalogue/acceptance.h"
-#include "sardinestream/catalogue/catalogue_service.h"
+#include "sardinestream/catalogue/catalogue_test_node.h"
 #include "sardinestream/testing/platform_standin.h"
-#include "sardinestream/wire/link_server.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -54,46 +53,6 @@
     return absl::StrCat("team-", entry, "-assistant");
 }
 
-// The catalogue part of one process.
-class node {
-public:
-    node(const std::string& id, const platform_standin* platform_server)
-    {
-        if (platform_server != nullptr) {
-            this->store =
-                platform::object_store::create({.servers = {platform_server->local()}}).value();
-        }
-        const bool accept = platform_server != nullptr;
-        this->service = catalogue_service::create(
-            {.id = id, .watch_store = accept, .accept = accept}, this->store.get());
-        this->links = std::make_shared<wire::link_options>();
-        this->links->tls = wire::tls_context::create("a key for this bench only").value();
-        this->links->local_hello = [id] {
-            wire::helloT said;
-            said.id = id;
-            return said;
-        };
-        this->service->attach(this->links->hooks);
-        this->server = wire::link_server::create(this->links, {"127.0.0.1", 0}).value();
-    }
-    node(const node&) = delete;
-    node& operator=(const node&) = delete;
-    ~node()
-    {
-        if (this->store != nullptr) {
-            this->store->cancel_watches();
-        }
-        this->dialers.clear();
-        this->server.reset();
-    }
-
-    std::unique_ptr<platform::object_store> store;
-    std::unique_ptr<catalogue_service> service;
-    std::shared_ptr<wire::link_options> links;
-    std::unique_ptr<wire::link_server> server;
-    std::vector<std::unique_ptr<wire::link_dialer>> dialers;
-};
-
 double resident_mb()
 {
     std::ifstream statm("/proc/self/statm");
@@ -133,14 +92,17 @@
             this->standin->put_entry(entry_name(i), entry_spec(i, 4));
         }
         for (int i = 0; i < FLAGS_acceptors; ++i) {
-            this->nodes.push_back(
-                std::make_unique<node>(absl::StrCat("acceptor-", i), this->standin.get()));
+            this->nodes.push_back(std::make_unique<catalogue_node>(
+                catalogue_node_options{.id = absl::StrCat("acceptor-", i),
+                                       .platform_server = this->standin->local(),
+                                       .accept = true}));
         }
         const absl::Time begin = absl::Now();
         for (int i = 0; i < FLAGS_peers; ++i) {
-            this->nodes.push_back(std::make_unique<node>(absl::StrCat("peer-", i), nullptr));
+            this->nodes.push_back(std::make_unique<catalogue_node>(
+                catalogue_node_options{.id = absl::StrCat("peer-", i)}));
             for (int link = 0; link < std::min(2, FLAGS_acceptors); ++link) {
-                const node& remote = *this->nodes[(i + link) % FLAGS_acceptors];
+                const catalogue_node& remote = *this->nodes[(i + link) % FLAGS_acceptors];
                 this->nodes.back()->dialers.push_back(std::make_unique<wire::link_dialer>(
                     this->nodes.back()->links, remote.server->local()));
             }
@@ -248,7 +210,7 @@
     }
 
     std::unique_ptr<platform_standin> standin = platform_standin::create({"127.0.0.1", 0}).value();
-    std::vector<std::unique_ptr<node>> nodes;
+    std::vector<std::unique_ptr<catalogue_node>> nodes;
     nlohmann::json figures;
 };
 
