Agent: its refusals have a file of their own

The functions that build refusals are a seam of their own: they depend on nothing else of the service.

--- a/sardinestream/agent/request_service.cc
+++ b/sardinestream/agent/request_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sardinestream/agent/answer_frames.h"
+#include "sardinestream/agent/call_refusals.h"
 #include "sardinestream/agent/engine_request.h"
 #include "sardinestream/agent/token_sequencer.h"
 #include "sardinestream/base/log.h"
@@ -18,47 +19,8 @@
 using requests::request_openT;
 using suspects::suspect_verdict;
 
-constexpr absl::Duration other_agent_retry_after = absl::Milliseconds(100);
-constexpr absl::Duration lost_backend_retry_after = absl::Seconds(1);
 constexpr int http_ok = 200;
 
-refusal make_refusal(refusal_code code, run_outcome outcome, absl::string_view step,
-                     absl::string_view message, absl::Duration retry_after = absl::ZeroDuration())
-{
-    refusal refused;
-    refused.code = code;
-    refused.outcome = outcome;
-    refused.step = std::string(step);
-    refused.message = std::string(message);
-    refused.retry_after = retry_after;
-    return refused;
-}
-
-refusal draining_refusal()
-{
-    return make_refusal(refusal_code::draining, run_outcome::not_run, "admit", "",
-                        other_agent_retry_after);
-}
-
-// Returns the refusal for a call that ended without a response.
-refusal refusal_of(const backend_answer& answer)
-{
-    switch (answer.outcome) {
-    case backend_outcome::not_sent:
-        return make_refusal(refusal_code::no_backend_server, run_outcome::not_run, "connect",
-                            answer.message, lost_backend_retry_after);
-    case backend_outcome::timeout:
-        return make_refusal(refusal_code::deadline_exceeded, run_outcome::unknown, "call_backend",
-                            answer.message);
-    case backend_outcome::cancelled:
-        return make_refusal(refusal_code::cancelled, run_outcome::unknown, "call_backend",
-                            answer.message);
-    default:
-        return make_refusal(refusal_code::backend_lost, run_outcome::unknown, "call_backend",
-                            answer.message, lost_backend_retry_after);
-    }
-}
-
 void record_failure(const backend_answer& answer, routing::admission_slot& slot)
 {
     if (answer.outcome == backend_outcome::not_sent || answer.outcome == backend_outcome::lost) {
