An agent that leaves answers until every entry has acknowledged the notice

Callers saw backend_lost with an unknown outcome for keyed calls around the planned stop of an agent that was idle. An entry that reads the notice later than 300 ms after it was sent goes on sending, and the agent's links had ended by then: the calls were dropped unread, and the entry had to assume that they may have run.

An entry now sends the leaving frame back once it has marked the agent. The agent refuses new work as not run until each entry has done so or its link is lost, at most for 2 s (an older entry acknowledges nothing; a silent one loses its link after 1.5 s), and then for the 300 ms in which what an entry was about to send arrives. It works because the end of the answers now follows from what the entries know instead of a guess of how long the notice takes.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -11,6 +11,7 @@
 
 #include "sardinestream/agent/agent_settings.h"
 #include "sardinestream/agent/engine_orders.h"
+#include "sardinestream/agent/leave_notice.h"
 #include "sardinestream/agent/rank_member.h"
 #include "sardinestream/agent/request_service.h"
 #include "sardinestream/base/digest.h"
@@ -27,8 +28,12 @@
 namespace sardinestream::agent {
 namespace {
 
-// A request that an entry sent before it learned that this agent leaves arrives within this time.
-constexpr std::chrono::milliseconds max_notice_time{300};
+// A request that an entry was about to send when it read that this agent leaves arrives within this
+// time.
+constexpr std::chrono::milliseconds max_crossing_time{300};
+// An entry that does not acknowledge the notice within this time is of an older build, or its link
+// is about to be given up for its silence.
+constexpr std::chrono::milliseconds max_notice_time{2000};
 
 // Everything that a running agent owns, in order of construction.
 struct agent_process {
@@ -44,6 +49,7 @@
     std::unique_ptr<request_service> requests;
     std::unique_ptr<engine_orders> orders;
     std::unique_ptr<ops_server> ops;
+    leave_notice notice;
     // Null if the backend server belongs to no rank group.
     std::unique_ptr<rank_member> member;
     std::unique_ptr<wire::link_server> links;
@@ -135,6 +141,7 @@
     };
     process.catalogue->attach(options->hooks);
     process.gossip.attach(options->hooks);
+    process.notice.attach(options->hooks);
     if (!process.settings.rank_group.empty()) {
         process.member = rank_member::create(process.settings, process.incarnation, options->tls,
                                              process.catalogue->state());
@@ -171,22 +178,23 @@
 
 // Notifies all entries, refuses new work, and waits for requests in progress until the drain
 // timeout, which counts from the receipt of the signal. An agent that is idle goes on refusing
-// while entries may not know yet that it leaves: a request that it doesn't answer may have run for
-// all that an entry knows.
+// until every entry knows that it leaves: a request that it doesn't answer may have run for all
+// that an entry knows.
 void drain(agent_process& process, std::chrono::steady_clock::time_point received)
 {
     log_event("drain_started", {{"in_flight", process.requests->in_flight()}});
     process.leaving = true;
-    for (const std::shared_ptr<wire::peer_link>& link : process.links->links()) {
-        link->send_link_frame(wire::frame_type::leaving, "").IgnoreError();
-    }
+    process.notice.send();
     process.requests->drain();
     const auto deadline = received + absl::ToChronoMilliseconds(process.settings.drain_timeout);
-    std::this_thread::sleep_until(
+    const bool known = process.notice.wait_until_acknowledged(
         std::min(deadline, std::chrono::steady_clock::now() + max_notice_time));
+    std::this_thread::sleep_until(
+        std::min(deadline, std::chrono::steady_clock::now() + max_crossing_time));
     const bool idle = process.requests->wait_until_idle(deadline);
     log_event("drain_ended", {{"in_flight", process.requests->in_flight()},
-                              {"complete", idle ? "true" : "false"}});
+                              {"complete", idle ? "true" : "false"},
+                              {"acknowledged", known ? "true" : "false"}});
     process.links->finish(std::chrono::steady_clock::now() + wire::link_server::max_finish_time);
 }
 
--- a/sardinestream/membership/peer_directory.cc
+++ b/sardinestream/membership/peer_directory.cc
@@ -55,6 +55,13 @@
             if (std::shared_ptr<peer> known = self->find_by_link(link.get())) {
                 self->mark_leaving(known);
             }
+            // An agent goes on answering until it has this: requests are on their way to it.
+            if (link->remote().role == wire::peer_role::agent) {
+                const absl::Status sent = link->send_link_frame(wire::frame_type::leaving, "");
+                if (!sent.ok()) {
+                    log_failure("leaving_unacknowledged", sent, {{"peer", link->remote().id}});
+                }
+            }
             return;
         }
         if (outer.on_link_frame) {
--- a/sardinestream/testing/stop_process_test.cc
+++ b/sardinestream/testing/stop_process_test.cc
@@ -93,6 +93,36 @@
     EXPECT_EQ(first_plain_agent(*servers).run->wait_for_exit(), 0);
 }
 
+// Guards against agents that are gone before an entry has read that they leave.
+TEST(stop_process_test, calls_sent_before_a_late_notice_arrives_are_served_or_refused_as_not_run)
+{
+    fleet_options options;
+    options.entries = 1;
+    options.model_agents = 1;
+    const auto servers = make_fleet(std::move(options));
+    ASSERT_NE(servers, nullptr);
+    agent_node& leaver = first_plain_agent(*servers);
+    const auto late = leaver.peers->add({.at = frame_pattern(wire::frame_type::leaving),
+                                         .fault = fault_kind::delay,
+                                         .delay = absl::Milliseconds(800)});
+    leaver.run->terminate();
+    std::vector<std::future<call_answer>> answers;
+    // As many as arrive while the notice is on its way.
+    for (int i = 0; !late->fired(); ++i) {
+        answers.push_back(std::async(std::launch::async, [&servers, i] {
+            return servers->caller_of(0).call("POST", deposits, "deposit",
+                                              {{"Idempotency-Key", absl::StrCat("early-", i)}});
+        }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    EXPECT_FALSE(answers.empty());
+    for (std::future<call_answer>& each : answers) {
+        const call_answer answer = each.get();
+        EXPECT_TRUE(answer.success() || answer.error.outcome == "not_run") << answer.summary();
+    }
+    EXPECT_EQ(leaver.run->wait_for_exit(), 0);
+}
+
 // Guards against agents that stay until they are killed.
 TEST(stop_process_test, an_agent_whose_backend_hangs_ends_after_its_drain)
 {
--- a/sardinestream/wire/frame.h
+++ b/sardinestream/wire/frame.h
@@ -38,7 +38,7 @@
     heartbeat = 3,
     credit = 5,
     cancel = 6,
-    // membership
+    // membership; an entry acknowledges an agent's notice with the same frame
     leaving = 10,
     // requests
     request_open = 20,
