A frame that a thread sends while its link ends resets the link no more

Callers of the older interface could see a whole answer cut or unknown (backend_lost) as an agent stopped, although the agent had sent it. A thread (the heartbeat's, at least) that had passed the check of a link that finishes met a socket whose writing had ended.

The socket knows now that its writing has ended, under the lock that orders the writers, and refuses the write without having sent anything; send_frame passes that on as kCancelled and leaves the link alone, so that run goes on until the peer closes its end.

--- a/sardinestream/wire/peer_link.cc
+++ b/sardinestream/wire/peer_link.cc
@@ -180,6 +180,11 @@
     if (status.ok()) {
         return status;
     }
+    if (absl::IsFailedPrecondition(status)) {
+        // `finish` came first. The peer is still reading what was sent before.
+        return make_error(absl::StatusCode::kCancelled, "send_frame", this->remote_hello.id,
+                          status.message());
+    }
     this->shut_down();
     // Part of the frame may have been sent, whatever the cause of the failure.
     return make_error(absl::StatusCode::kUnavailable, "send_frame", this->remote_hello.id,
--- a/sardinestream/wire/secure_socket.cc
+++ b/sardinestream/wire/secure_socket.cc
@@ -314,6 +314,10 @@
 absl::Status secure_socket::write(absl::string_view bytes, absl::Duration timeout)
 {
     const absl::MutexLock queue(&this->write_mutex);
+    if (this->writing_finished) {
+        return make_error(absl::StatusCode::kFailedPrecondition, "write", this->peer_name,
+                          "this end has finished writing");
+    }
     const steady_clock::time_point deadline = after(timeout);
     while (!bytes.empty()) {
         int ssl_error = 0;
@@ -357,6 +361,7 @@
 void secure_socket::finish_writing()
 {
     const absl::MutexLock queue(&this->write_mutex);
+    this->writing_finished = true;
     shutdown(this->descriptor, SHUT_WR);
 }
 
--- a/sardinestream/wire/secure_socket.h
+++ b/sardinestream/wire/secure_socket.h
@@ -102,8 +102,9 @@
     secure_socket(const secure_socket&) = delete;
     secure_socket& operator=(const secure_socket&) = delete;
 
-    // Writes all of `bytes`, waiting at most `timeout` for a peer that does not read. After an
-    // error, an unknown part of them may have been sent.
+    // Writes all of `bytes`, waiting at most `timeout` for a peer that does not read. Fails with
+    // `kFailedPrecondition` after `finish_writing`, having sent nothing; after any other error, an
+    // unknown part of them may have been sent.
     [[nodiscard]] absl::Status write(absl::string_view bytes, absl::Duration timeout);
 
     // Reads exactly `size` bytes into `bytes`, blocking without a time limit.
@@ -135,6 +136,7 @@
     // Serializes writers. `session_mutex` protects the session itself and is never held while a
     // thread waits for the socket.
     absl::Mutex write_mutex;
+    bool writing_finished ABSL_GUARDED_BY(write_mutex) = false;
     absl::Mutex session_mutex;
     ssl_st* const session ABSL_PT_GUARDED_BY(session_mutex);
 };
--- a/sardinestream/wire/wire_test.cc
+++ b/sardinestream/wire/wire_test.cc
@@ -180,6 +180,52 @@
     EXPECT_EQ(received, frames);
 }
 
+// Guards against answers that are lost since another thread still sends as the link ends.
+TEST(peer_link_test, frames_sent_while_a_link_ends_arrive_or_are_refused)
+{
+    constexpr int rounds = 20;
+    constexpr int senders = 4;
+    for (int round = 0; round < rounds; ++round) {
+        auto server = link_server::create(make_options("ending"), {"127.0.0.1", 0}).value();
+        auto options = make_options("slow");
+        options->heartbeat_interval = absl::Milliseconds(1);
+        std::atomic<int> received{0};
+        absl::Notification ended;
+        options->hooks.on_link_frame = [&](const std::shared_ptr<peer_link>&, const frame&) {
+            ++received;
+            absl::SleepFor(absl::Microseconds(500));
+        };
+        options->hooks.on_down = [&](const std::shared_ptr<peer_link>&) {
+            if (!ended.HasBeenNotified()) {
+                ended.Notify();
+            }
+        };
+        const link_dialer dialer(options, server->local());
+        ASSERT_NE(dialer.wait_until_up(soon()), nullptr);
+        while (server->links().empty()) {
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        const std::shared_ptr<peer_link> link = server->links().front();
+        std::atomic<int> accepted{0};
+        thread_group sending;
+        for (int i = 0; i < senders; ++i) {
+            ASSERT_TRUE(sending.spawn([&link, &accepted] {
+                const std::string payload(1 << 10, 'x');
+                while (link->send_link_frame(frame_type::leaving, payload).ok()) {
+                    ++accepted;
+                }
+            }));
+        }
+        while (accepted < senders) {
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        server->finish(std::chrono::steady_clock::now() + std::chrono::seconds(20));
+        ASSERT_TRUE(ended.WaitForNotificationWithTimeout(absl::Seconds(20)));
+        sending.wait_until_empty();
+        EXPECT_EQ(received, accepted);
+    }
+}
+
 // Guards against links, and all answers on them, that are lost when the time of day is set.
 TEST(peer_link_test, a_step_of_the_clock_ends_no_link)
 {
