A link server ends all its links at once

Callers: an agent that stops beside entries that read nothing (frozen, starved) ended its links one after the other. link_server::finish waited for each link's write in progress, up to the peer time-out of 1.5 s each, without a look at its own deadline, so that healthy links got their end late and the agent could be killed with answers on the way. With a peer time-out of 20 s, peers_that_read_nothing_do_not_hold_up_its_end took 19.6 s for three such peers where 0.2 s are allowed.

Each link is now finished by a thread of its own, and the wait for all of them ends at the deadline, after which shut_down also ends the writes in progress.

--- a/sardinestream/wire/link_server.cc
+++ b/sardinestream/wire/link_server.cc
@@ -51,7 +51,9 @@
         this->stopping = true;
     }
     for (const std::shared_ptr<peer_link>& link : this->links()) {
-        link->finish();
+        if (!this->finishing.spawn([link] { link->finish(); })) {
+            link->finish();
+        }
     }
     if (this->connections.wait_until_empty(deadline)) {
         return;
--- a/sardinestream/wire/link_server.h
+++ b/sardinestream/wire/link_server.h
@@ -52,6 +52,8 @@
     std::set<std::shared_ptr<peer_link>> active ABSL_GUARDED_BY(mutex);
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     thread_group connections;
+    // One for each link: a link whose peer reads nothing ends only when a write in progress does.
+    thread_group finishing;
     std::thread accepting;
 };
 
--- a/sardinestream/wire/wire_test.cc
+++ b/sardinestream/wire/wire_test.cc
@@ -226,6 +226,40 @@
     }
 }
 
+// Guards against a server that waits for each peer that doesn't read in turn.
+TEST(link_server_test, peers_that_read_nothing_do_not_hold_up_its_end)
+{
+    constexpr std::chrono::seconds peer_timeout{20};
+    auto options = make_options("ending");
+    options->peer_timeout = absl::FromChrono(peer_timeout);
+    std::atomic<int> sent{0};
+    thread_group flooding;
+    options->hooks.on_stream = [&](const std::shared_ptr<stream>& opened, const frame&) {
+        EXPECT_TRUE(flooding.spawn([opened, &sent] {
+            const std::string block(1 << 20, 'x');
+            while (opened->send(frame_type::response_head, block).ok()) {
+                ++sent;
+            }
+        }));
+    };
+    auto server = link_server::create(options, {"127.0.0.1", 0}).value();
+    std::vector<std::shared_ptr<peer_link>> unread;
+    for (int i = 0; i < 3; ++i) {
+        // Without `run`, nothing is read.
+        unread.push_back(peer_link::dial(make_options("stuck"), server->local()).value());
+        ASSERT_TRUE(unread.back()->open_stream()->send(frame_type::request_open, "x").ok());
+    }
+    for (int before = -1; before != sent;) {
+        before = sent;
+        absl::SleepFor(absl::Milliseconds(300));
+    }
+    const auto start = std::chrono::steady_clock::now();
+    server->finish(start + std::chrono::milliseconds(200));
+    EXPECT_LT(std::chrono::steady_clock::now() - start, peer_timeout / 2);
+    server.reset();
+    flooding.wait_until_empty();
+}
+
 // Guards against links, and all answers on them, that are lost when the time of day is set.
 TEST(peer_link_test, a_step_of_the_clock_ends_no_link)
 {
