The queue of admission follows no step of the time of day

Callers whose requests waited for a slot at an older agent were refused (deadline_exceeded, not run) when the time of day was set forward, and an agent that drained refused its queue at once. The server's load said no_progress_for one hour, which entries read as a stalled server.

All times of the queue are differences of readings of one clock, so that clock may have any origin: it is the steady one now. A step back can still delay the polls of a waiting request, since waits of absl::Mutex follow the time of day; the slot itself is granted by a wake-up.

--- a/sardinestream/routing/admission.cc
+++ b/sardinestream/routing/admission.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/routing/admission.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 
 #include "sardinestream/base/digest.h"
@@ -23,6 +24,12 @@
 
 } // namespace
 
+absl::Time monotonic_time()
+{
+    return absl::UnixEpoch() +
+           absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+}
+
 admission_slot::~admission_slot()
 {
     if (this->owner != nullptr) {
--- a/sardinestream/routing/admission.h
+++ b/sardinestream/routing/admission.h
@@ -36,6 +36,9 @@
 
 namespace sardinestream::routing {
 
+// Returns the time since an origin of its own, which no step of the time of day moves.
+[[nodiscard]] absl::Time monotonic_time();
+
 struct admission_options {
     int slots = 8; // concurrent requests, 1 to 100000
     // Slots that only requests of class `reserved` may use, and slots that class `batch` may not
@@ -46,7 +49,7 @@
     absl::Duration max_wait = absl::Seconds(2);
     // Assumed service time until the first request has completed.
     absl::Duration initial_service_time = absl::Milliseconds(100);
-    std::function<absl::Time()> now = absl::Now;
+    std::function<absl::Time()> now = monotonic_time;
 };
 
 struct admission_request {
