A coordinator calls the engines of frozen machines for a bounded time

What callers saw: a group of ranks that stands still. The coordinator reads the engines of ranks whose agents are silent, one after the other, 100 ms each if there is no answer. With 63 frozen machines one poll took 6.3 s. A coordinator that was told to stop began to only afterwards (60 calls, some 6 s, where 600 ms are allowed: it is killed and hands nothing over), and outside of a stop it sent no directive and read no message for as long (63 calls between two directives), so that the living ranks counted as silent, too, and elected another coordinator, which did the same. Both tests of agent_frozen_group_test failed before with these figures.

A poll reads for 80 ms the ranks that answer and for 80 ms those that have not, each time from the one that was read least recently, and makes no such call between the request to stop and the first step of the stop, nor once the 250 ms for completing a switch have passed. It works because each poll is now bounded by two calls whatever the size of the group, and since ranks that answer do not queue behind those that don't.

--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -71,6 +71,9 @@
     static constexpr std::chrono::milliseconds max_leave_time{600};
 
 private:
+    // An agent that has sent no state for this long counts as unresponsive.
+    static constexpr std::chrono::milliseconds agent_timeout{800};
+
     // The coordinator that the agent follows. No two coordinators have the same term.
     struct coordinator_term {
         std::uint64_t term = 0;
@@ -170,6 +173,13 @@
     // Returns the rank after `previous` whose agent has reported lately; -1 if there is none.
     [[nodiscard]] int next_candidate(int previous) const;
     void poll_agentless_ranks();
+    // Reads these ranks, the one that was read least recently first, for a limited time.
+    void read_agentless(std::vector<int> ranks);
+    // Returns true if the agent of `rank` has sent nothing for some time.
+    [[nodiscard]] bool is_silent(int rank) const;
+    // Returns true unless this agent stops and has no time left for calls of other ranks' engines,
+    // which may not answer.
+    [[nodiscard]] bool may_call_others() const;
     // Orders the engine of another rank to hold the group, without its agent: if this machine
     // freezes right after the order, that agent can still end the hold.
     void order_hold(const engine_order& order, int rank);
--- a/sardinestream/programs/agent_program_coordination.cc
+++ b/sardinestream/programs/agent_program_coordination.cc
@@ -1,5 +1,5 @@
-// Implements the coordinator role of the agent: when to take over, which orders to issue, and calls
-// to the engines of ranks whose agents do not respond.
+// Implements the coordinator role of the agent: when to take over, which orders to issue, and what
+// it hands over when it stops.
 
 #include <algorithm>
 #include <cmath>
@@ -20,10 +20,6 @@
 constexpr milliseconds coordinator_timeout{700};
 constexpr milliseconds first_coordinator_timeout{250};
 constexpr milliseconds extra_timeout_per_rank{60};
-// Interval at which the coordinator polls ranks without a responsive agent.
-constexpr milliseconds agentless_poll_interval{200};
-// An agent that has sent no state for this long counts as unresponsive.
-constexpr milliseconds agent_timeout{800};
 // A coordinator that stops has this long to complete a switch before it hands it over.
 constexpr milliseconds max_completion_time{250};
 // An agent that stops repeats for this long that it does so.
@@ -265,7 +261,7 @@
         if (rank == own_rank) {
             this->execute_order(order, this->followed.term);
         }
-        else if (this->agentless.has(rank)) {
+        else if (this->agentless.has(rank) && this->may_call_others()) {
             this->agentless.give_order(rank, order, this->followed.term);
             this->read_agentless_soon();
         }
@@ -387,32 +383,13 @@
     }
 }
 
-void agent_program::poll_agentless_ranks()
+bool agent_program::may_call_others() const
 {
-    const steady_time now = steady_clock::now();
-    if (now - this->last_agentless_poll < agentless_poll_interval) {
-        return;
-    }
-    this->last_agentless_poll = now;
-    for (const auto& [rank, endpoint] : this->endpoints) {
-        if (!this->engine.report().has_value() || !this->is_coordinating()) {
-            return;
-        }
-        const auto last_state = this->state_times.find(rank);
-        const steady_time heard =
-            last_state == this->state_times.end() ? this->coordinating_since : last_state->second;
-        const bool silent = rank != this->engine.report()->rank && now - heard > agent_timeout;
-        if (!silent) {
-            this->agentless.forget(rank);
-            continue;
-        }
-        std::optional<rank_state> state = this->agentless.read(
-            rank, {ip_to_string(endpoint.ip), endpoint.engine_port}, this->engine.report()->group);
-        if (state.has_value()) {
-            this->coordinator->update_rank_state(*std::move(state), steady_clock::now());
-            this->coordinate();
-        }
+    if (!this->leaving.has_value()) {
+        // A stop begins with the next poll.
+        return !this->stopping;
     }
+    return steady_clock::now() - this->leaving->since < max_completion_time;
 }
 
 } // namespace sardinestream
--- a/sardinestream/programs/agentless_ranks.cc
+++ b/sardinestream/programs/agentless_ranks.cc
@@ -30,9 +30,11 @@
     auto found = this->ranks.find(rank);
     if (found == this->ranks.end()) {
         log_event("rank_reached_directly", {{"rank", rank}, {"engine", engine.to_string()}});
-        found = this->ranks.emplace(rank, reached_rank{this->connect(engine), {}, -1, {}}).first;
+        found = this->ranks.emplace(rank, reached_rank(this->connect(engine))).first;
     }
     reached_rank& reached = found->second;
+    reached.last_read = steady_clock::now();
+    reached.answers = false;
     const absl::StatusOr<engine_report> report = reached.engine.read_report();
     if (!report.ok()) {
         log_failure("rank_unreachable", report.status(), {{"rank", rank}});
@@ -45,6 +47,7 @@
     if (!this->refresh_experts(rank, reached, report->map_report.map_version)) {
         return std::nullopt;
     }
+    reached.answers = true;
     rank_state state;
     state.rank = rank;
     state.report = report->map_report;
@@ -56,6 +59,18 @@
     return state;
 }
 
+bool agentless_ranks::answers(int rank) const
+{
+    const auto found = this->ranks.find(rank);
+    return found != this->ranks.end() && found->second.answers;
+}
+
+steady_time agentless_ranks::last_read(int rank) const
+{
+    const auto found = this->ranks.find(rank);
+    return found == this->ranks.end() ? steady_time{} : found->second.last_read;
+}
+
 void agentless_ranks::give_order(int rank, const engine_order& order, std::uint64_t term)
 {
     const auto found = this->ranks.find(rank);
--- a/sardinestream/programs/agentless_ranks.h
+++ b/sardinestream/programs/agentless_ranks.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "sardinestream/maps/engine_interface.h"
 #include "sardinestream/maps/map_coordinator.h"
@@ -30,17 +31,26 @@
 
     [[nodiscard]] bool has(int rank) const { return this->ranks.count(rank) != 0; }
 
+    // Returns true if the latest read of `rank` got its state.
+    [[nodiscard]] bool answers(int rank) const;
+    // Returns when `rank` was read last, or the clock's origin if it has not been read.
+    [[nodiscard]] steady_time last_read(int rank) const;
+
     // Removes a rank whose agent responds again.
     void forget(int rank) { this->ranks.erase(rank); }
     void clear() { this->ranks.clear(); }
 
 private:
     struct reached_rank {
+        explicit reached_rank(engine_interface connected) : engine(std::move(connected)) {}
+
         engine_interface engine;
         rank_experts experts{};
         // The map version of `experts`; -1 until they have been read once.
         std::int64_t experts_version = -1;
         prepare_record prepares;
+        steady_time last_read{};
+        bool answers = false;
     };
 
     // Reads the experts if the map in use has changed. Returns false if that fails.
