A signal in the first moments of a process no longer ends it

What callers and operators saw: a process that got SIGTERM or SIGHUP while it read its settings ended with status 143 or 129 and without a line, where SIGHUP should reload and SIGTERM should write `stopping` and `stopped`.

Cause: the signals were blocked, and received, only once the settings had been read and checked; until then they had their default action.

Change: both main functions install the signal threads before anything else and hand them to the program.

Failed before: the three new tests of platform_process_test, which hold the program in its settings by a pipe (status 143 without `stopping`; never `started` after SIGHUP).

Why it works: a signal that is blocked from the first instruction of main on is received by its thread, which also takes the time from which the grace counts, and is acted on as soon as the program waits for it.

What remains: before main, the dynamic loader takes some 6 ms (strace; 45 libraries) in which none of our code runs. Only who starts the process could block the signals for that time. Nothing is listening by then. A program whose settings cannot be read to their end (a pipe without a writer) is now ended by SIGKILL only.

--- a/sardinestream/platform/agent_main.cc
+++ b/sardinestream/platform/agent_main.cc
@@ -41,9 +41,8 @@
     return options;
 }
 
-int run(const agent_settings& settings)
+int run(const agent_settings& settings, shutdown_signal& signal)
 {
-    shutdown_signal signal = shutdown_signal::install();
     start_logging(settings.log_minimum, "agent", settings.id);
     absl::StatusOr<message_channel> channel =
         open_message_channel({settings.ip, settings.gossip_port});
@@ -78,10 +77,13 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: until then, a signal ends the process.
+    sardinestream::shutdown_signal signal = sardinestream::shutdown_signal::install();
     sardinestream::limit_retained_memory();
     gflags::SetUsageMessage(
         "monitors one model engine and coordinates the expert maps of its rank group");
     gflags::SetVersionString("0.2.0");
     return sardinestream::platform::run_command(
-        sardinestream::platform::load_agent_settings(&argc, &argv), sardinestream::platform::run);
+        sardinestream::platform::load_agent_settings(&argc, &argv), std::move(signal),
+        sardinestream::platform::run);
 }
--- a/sardinestream/platform/command.h
+++ b/sardinestream/platform/command.h
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <string>
 
+#include "sardinestream/base/shutdown_signal.h"
 #include "sardinestream/programs/status_command.h"
 
 #include "absl/status/statusor.h"
@@ -16,11 +17,11 @@
 inline constexpr int exit_failed = 1;
 inline constexpr int exit_bad_settings = 2;
 
-// Calls `run`, or prints the status or only checks the settings if these say so. Writes a settings
-// error to stderr. Returns the exit status.
+// Calls `run` with `signal`, or prints the status or only checks the settings if these say so.
+// Writes a settings error to stderr. Returns the exit status.
 template <typename Settings>
-[[nodiscard]] int run_command(const absl::StatusOr<Settings>& settings,
-                              int (*run)(const Settings& settings))
+[[nodiscard]] int run_command(const absl::StatusOr<Settings>& settings, shutdown_signal signal,
+                              int (*run)(const Settings& settings, shutdown_signal& signal))
 {
     if (!settings.ok()) {
         std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
@@ -29,7 +30,7 @@
     if (settings->print_status) {
         return print_status(settings->ops_listen);
     }
-    return settings->check_only ? 0 : run(*settings);
+    return settings->check_only ? 0 : run(*settings, signal);
 }
 
 } // namespace sardinestream::platform
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -1,5 +1,7 @@
 // Entry point of sardine-entry: reads the settings, watches the store and runs the entry.
 
+#include <utility>
+
 #include <gflags/gflags.h>
 
 #include "sardinestream/base/allocator.h"
@@ -84,9 +86,8 @@
     log_event("reloaded", {{"whole", applied_whole ? "yes" : "no, the rest needs a restart"}});
 }
 
-int run(const entry_settings& settings)
+int run(const entry_settings& settings, shutdown_signal& signal)
 {
-    shutdown_signal signal = shutdown_signal::install();
     start_logging(settings.log_minimum, "entry", settings.id);
     absl::StatusOr<std::unique_ptr<entry_program>> program =
         entry_program::start(to_options(settings), make_caller_protocol(), decode_desired_state);
@@ -111,9 +112,12 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: until then, a signal ends the process.
+    sardinestream::shutdown_signal signal = sardinestream::shutdown_signal::install();
     sardinestream::limit_retained_memory();
     gflags::SetUsageMessage("accepts callers' requests and forwards them to backend servers");
     gflags::SetVersionString("0.2.0");
     return sardinestream::platform::run_command(
-        sardinestream::platform::load_entry_settings(&argc, &argv), sardinestream::platform::run);
+        sardinestream::platform::load_entry_settings(&argc, &argv), std::move(signal),
+        sardinestream::platform::run);
 }
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -1,6 +1,7 @@
 // Tests both programs as real processes: settings and signals.
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -8,8 +9,10 @@
 #include <string>
 #include <thread>
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include "sardinestream/testing/process.h"
 
@@ -51,6 +54,33 @@
             {.binary = binary, .flags = {}, .log_directory = this->logs.path(), .name = binary});
     }
 
+    // Starts a program that reads its settings from a pipe; `act` is called while it does.
+    template <typename Act>
+    [[nodiscard]] std::unique_ptr<process>
+    act_while_settings_are_read(const std::string& binary, const std::string& settings, Act act)
+    {
+        // A program that has ended must not end the test.
+        std::signal(SIGPIPE, SIG_IGN);
+        EXPECT_EQ(::mkfifo(this->settings_path.c_str(), S_IRUSR | S_IWUSR), 0);
+        EXPECT_EQ(::setenv("SARDINESTREAM_SETTINGS", this->settings_path.c_str(), 1), 0);
+        auto started = this->start(binary);
+        // A pipe can be opened for writing without a wait once the program has opened it.
+        int pipe = -1;
+        EXPECT_TRUE(wait_until([&] {
+            pipe = ::open(this->settings_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+            return pipe >= 0;
+        }));
+        act(*started);
+        // The settings are read more than once.
+        const std::string file = this->settings_path + ".file";
+        std::ofstream(file) << settings;
+        EXPECT_EQ(std::rename(file.c_str(), this->settings_path.c_str()), 0);
+        EXPECT_EQ(::write(pipe, settings.data(), settings.size()),
+                  static_cast<ssize_t>(settings.size()));
+        ::close(pipe);
+        return started;
+    }
+
     const temp_directory logs;
     const port_reservation gossip_port;
     // No process listens on this port.
@@ -201,5 +231,36 @@
     }
 }
 
+// Guards against a signal in the first moments of a process that ends it without a line.
+TEST_F(platform_process_test, an_entry_that_is_stopped_while_it_reads_its_settings_ends_in_order)
+{
+    const auto entry = this->act_while_settings_are_read(
+        "sardine-platform-entry", this->entry_settings() + "--grace_s=1\n",
+        [](process& starting) { starting.terminate(); });
+    EXPECT_EQ(entry->wait_for_exit(), 0) << entry->output();
+    EXPECT_TRUE(entry->wait_for_output("event=stopping", absl::ZeroDuration())) << entry->output();
+    EXPECT_TRUE(entry->wait_for_output("event=stopped ", absl::ZeroDuration())) << entry->output();
+}
+
+// Guards against a reload in the first moments of a process that ends it instead.
+TEST_F(platform_process_test, an_entry_that_is_reloaded_while_it_reads_its_settings_starts)
+{
+    const auto entry =
+        this->act_while_settings_are_read("sardine-platform-entry", this->entry_settings(),
+                                          [](process& starting) { starting.hang_up(); });
+    EXPECT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    EXPECT_TRUE(entry->alive());
+}
+
+// Guards against the same end of an agent.
+TEST_F(platform_process_test, an_agent_that_is_stopped_while_it_reads_its_settings_ends_in_order)
+{
+    const auto agent =
+        this->act_while_settings_are_read("sardine-platform-agent", this->agent_settings("info"),
+                                          [](process& starting) { starting.terminate(); });
+    EXPECT_EQ(agent->wait_for_exit(), 0) << agent->output();
+    EXPECT_TRUE(agent->wait_for_output("event=stopped", absl::ZeroDuration())) << agent->output();
+}
+
 } // namespace
 } // namespace sardinestream::testing
