A stream that may have run is repeated late in a stop

What callers saw: a stream that had not begun, and whose first server lost it later than 2.5 s after SIGTERM, ended with 502 although seconds were left and another server was free.

Cause: the 4 s that a stream which is passed on late must have for a pause of its service bound repetitions, too. They trade a possible cut for a refusal as not run; what a server may have run gets no such refusal, only 502, so that the allowance bought nothing.

Change: the allowance applies to what has not been sent yet. The estimate of the answer still binds repetitions: what cannot end in time gets its 502 and is not cut.

Why it works: a request whose only other end is an unknown outcome can only gain by an attempt that fits the time left by what answers usually take.

--- a/sardinestream/forwarding/exchange_stop.cc
+++ b/sardinestream/forwarding/exchange_stop.cc
@@ -31,11 +31,11 @@
 std::chrono::milliseconds exchange::pause_allowance() const
 {
     // Refused, a caller loses one more request at most; cut, its stream. Other answers have not
-    // begun while their service pauses, and are never cut.
+    // begun while their service pauses, and are never cut. What may have run can't be refused.
     const bool is_late = steady_clock::now() >= this->services.deregistration_time();
-    return is_late && this->matched_route.kind == request_kind::streaming
-               ? max_service_pause
-               : std::chrono::milliseconds(0);
+    const bool needs_allowance =
+        this->matched_route.kind == request_kind::streaming && !this->possibly_executed;
+    return is_late && needs_allowance ? max_service_pause : std::chrono::milliseconds(0);
 }
 
 bool exchange::shutdown_would_cut() const
--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -37,6 +37,7 @@
         this->stop();
         this->channels.close_stale({});
         this->server.reset();
+        this->second_server.reset();
     }
 
     void serve(scripted_server::script script)
@@ -45,6 +46,13 @@
         this->use({this->server.get()});
     }
 
+    void serve_with_two(const scripted_server::script& script)
+    {
+        this->server = std::make_unique<scripted_server>(script, server_ip);
+        this->second_server = std::make_unique<scripted_server>(script, server_ip);
+        this->use({this->server.get(), this->second_server.get()});
+    }
+
     // Answers each request; streams last for `duration`, with an event halfway.
     scripted_server::script answering(milliseconds duration)
     {
@@ -80,6 +88,7 @@
     // Lookups get their answer once it is over.
     std::atomic<bool> occupied = false;
     std::unique_ptr<scripted_server> server;
+    std::unique_ptr<scripted_server> second_server;
 };
 
 // Guards against a stream that is passed on to a service too slow to end it before the stop.
@@ -168,6 +177,54 @@
     }
 }
 
+// Guards against a stream that is given up for want of time for a pause although its server may
+// have run it, so that it cannot be refused any more.
+TEST_F(stop_admission_test, a_stream_that_may_have_run_is_repeated_late_in_a_stop)
+{
+    std::atomic<bool> loses_next = false;
+    this->serve_with_two([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            ++this->asked;
+            if (loses_next.exchange(false)) {
+                this->deregistered_at = steady_clock::now();
+                connection.reset();
+                return;
+            }
+            connection.write(stream_head(connection) + chunk(one_event) + last_chunk);
+        }
+    });
+    this->call_often("/tell/");
+    this->ends_at = steady_clock::now() + milliseconds(4000);
+    loses_next = true;
+    const caller_answer answer = this->call("/tell/", "r1");
+    EXPECT_EQ(answer.head.status, 200);
+    EXPECT_EQ(answer.body, one_event);
+    EXPECT_EQ(this->asked, 2);
+}
+
+// Guards against a repetition, close to the end of a stop, that could only be cut.
+TEST_F(stop_admission_test, a_stream_that_may_have_run_is_not_repeated_if_no_answer_fits)
+{
+    std::atomic<bool> loses_next = false;
+    this->serve_with_two([&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            ++this->asked;
+            if (loses_next.exchange(false)) {
+                this->deregistered_at = steady_clock::now();
+                this->ends_at = steady_clock::now() + milliseconds(150);
+                connection.reset();
+                return;
+            }
+            connection.write(stream_head(connection) + chunk(one_event) + last_chunk);
+        }
+    });
+    this->call_often("/tell/");
+    this->ends_at = steady_clock::now() + milliseconds(4000);
+    loses_next = true;
+    EXPECT_EQ(this->call("/tell/", "r1").head.status, 502);
+    EXPECT_EQ(this->asked, 1);
+}
+
 // Guards against refusals in a long grace, in which streams survive a pause.
 TEST_F(stop_admission_test, a_stream_after_the_deregistration_is_served_if_a_pause_fits)
 {
