A short grace is left to open requests, not to the exit

What callers saw: with a grace of 1 s everything that was open was cut at the SIGTERM itself, and every later request was refused, while the process lived on for 0.3 s.

Cause: 0.7 s for the exit and 0.3 s for final answers were taken off any grace, however short.

Change: the exit takes a quarter of the grace and the final answers a tenth, at most 0.7 and 0.3 s as before. Graces of 3 s and more are unchanged; of 1 s, 0.65 s are left to open requests.

Why it works: what is needed to end in order shrinks with the time there is, so that some is always left for the answers for whose sake a grace exists. A log whose reader stands still may hold the exit for 0.4 s, which is beyond the quarter of a grace under 1.6 s; nothing is open by then.

--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -25,10 +25,13 @@
 constexpr milliseconds balancer_notice_time{3500};
 // Within this time nearly all of its callers have gone elsewhere.
 constexpr milliseconds deregistration_delay{2500};
-// The part of the grace period that is reserved for terminating the process itself.
-constexpr milliseconds exit_margin{700};
+// The part of the grace period that is reserved for terminating the process itself. A short one
+// has at least so many of each, so that most of it is left for open requests.
+constexpr milliseconds max_exit_margin{700};
+constexpr int exit_margins_per_grace = 4;
 // Time before that in which requests that are still open get their final answer.
-constexpr milliseconds final_answer_time{300};
+constexpr milliseconds max_final_answer_time{300};
+constexpr int final_answer_times_per_grace = 10;
 // Unfinished requests that a stop logs one by one.
 constexpr std::size_t max_logged_requests = 200;
 
@@ -392,7 +395,10 @@
 void entry_program::stop(steady_time received, milliseconds grace)
 {
     this->deregistered_at = received + std::min(deregistration_delay, grace / 2);
-    this->stop_deadline = received + grace - exit_margin - final_answer_time;
+    const steady_time exit_at =
+        received + grace - std::min(max_exit_margin, grace / exit_margins_per_grace);
+    this->stop_deadline =
+        exit_at - std::min(max_final_answer_time, grace / final_answer_times_per_grace);
     this->stopping = true;
     log_event("stopping", {{"delay_ms", milliseconds_since(received)},
                            {"connections", this->caller_frontend->connections()},
@@ -402,7 +408,7 @@
     log_event("stopped_accepting", {{"after_ms", milliseconds_since(received)},
                                     {"connections", this->caller_frontend->connections()},
                                     {"requests", this->in_progress.size()}});
-    const bool idle = this->caller_frontend->wait_until_idle(received + grace - exit_margin);
+    const bool idle = this->caller_frontend->wait_until_idle(exit_at);
     this->log_unfinished_requests();
     log_last_event("stopped", {{"idle", idle ? "yes" : "no"},
                                {"after_ms", milliseconds_since(received)},
--- a/sardinestream/testing/emulator/entry_stop_test.cc
+++ b/sardinestream/testing/emulator/entry_stop_test.cc
@@ -51,6 +51,14 @@
 
     void pause() { this->paused = true; }
 
+    // Waits until so many streams have begun.
+    void wait_for_streams(int count) const
+    {
+        while (this->begun < count) {
+            std::this_thread::sleep_for(poll_interval);
+        }
+    }
+
     [[nodiscard]] server_list list() const
     {
         server_list all;
@@ -72,16 +80,22 @@
     {
         write_stream_head(connection, request, {});
         connection.write(encode_chunk("id: 1\ndata: a\n\n"));
-        bool goes_on = connection.work_for(stream_duration);
+        ++this->begun;
+        bool goes_on = connection.work_for(stream_duration / 2);
+        if (goes_on) {
+            connection.write(encode_chunk("id: 2\ndata: b\n\n"));
+            goes_on = connection.work_for(stream_duration / 2);
+        }
         while (goes_on && this->paused) {
             goes_on = connection.work_for(poll_interval);
         }
         if (goes_on) {
-            connection.write(encode_chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+            connection.write(encode_chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
         }
     }
 
     std::atomic<bool> paused = false;
+    std::atomic<int> begun = 0;
     std::vector<std::unique_ptr<connection_server>> servers;
 };
 
@@ -184,5 +198,41 @@
     EXPECT_TRUE(early_is_whole);
 }
 
+// Guards against a short grace that is reserved for the exit, so that all that is open is cut at
+// once.
+TEST_F(entry_stop_test, a_stream_that_is_open_at_the_stop_ends_whole_within_a_grace_of_one_second)
+{
+    constexpr milliseconds short_grace{1000};
+    std::atomic<caller_outcome> outcome = caller_outcome::refused;
+    std::thread call([&] {
+        keeping_caller caller({entry_ip(0), front_port});
+        outcome = caller.call("r1");
+    });
+    this->servers.wait_for_streams(1);
+    const steady_time signalled_at = steady_clock::now();
+    this->entries.front()->stop(signalled_at, short_grace);
+    EXPECT_LT(steady_clock::now(), signalled_at + short_grace);
+    call.join();
+    EXPECT_EQ(outcome.load(), caller_outcome::whole);
+}
+
+// Guards against a stream that looks complete because the stop ends before its server.
+TEST_F(entry_stop_test, a_stream_that_outlasts_the_grace_is_visibly_cut_before_the_process_ends)
+{
+    constexpr milliseconds short_grace{3000};
+    std::atomic<caller_outcome> outcome = caller_outcome::refused;
+    std::thread call([&] {
+        keeping_caller caller({entry_ip(0), front_port});
+        outcome = caller.call("r1");
+    });
+    this->servers.wait_for_streams(1);
+    this->servers.pause();
+    const steady_time signalled_at = steady_clock::now();
+    this->entries.front()->stop(signalled_at, short_grace);
+    EXPECT_LT(steady_clock::now(), signalled_at + short_grace);
+    call.join();
+    EXPECT_EQ(outcome.load(), caller_outcome::cut);
+}
+
 } // namespace
 } // namespace sardinestream::testing
