A rank is not left because another rank of its group went on first

Callers saw: nothing but a retry each. A stream whose whole group had stood still left its sound rank in the moment in which the group went on, took a retry of the budget, and returned or ran again elsewhere.

Cause: a group counted as running as soon as one of its ranks had sent one event. The ranks of a group that goes on are heard of one after the other, so that each stream that asked between the first event and its own left.

Change: group_activity tells for each group since when it has been sending events without a pause of 600 ms. A group runs only if it has done so for 600 ms; until then the silence of a rank says nothing about the rank.

Why it works: in the 600 ms after a pause every rank of a group that steps together has sent its next event, and a rank that has not is left then. The wait keeps its bound: 400 ms before the caller's patience ends a silent rank is left whatever its group does.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -26,6 +26,7 @@
 
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/drain_rate.h"
+#include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
 #include "sardinestream/backends/refusal.h"
 #include "sardinestream/backends/server_limits.h"
@@ -157,8 +158,9 @@
 
     // Records that the server has sent an event of a stream.
     void note_event(const backend_server& server);
-    // Returns whether the server belongs to a group of which no rank has sent this process an event
-    // for a while, so that the silence of one rank says nothing about that rank.
+    // Returns whether the server belongs to a group that is not known to run: its ranks have sent
+    // this process no event for a while, or have only just begun to, so that the silence of one
+    // rank says nothing about that rank.
     [[nodiscard]] bool is_group_silent(const backend_server& server);
 
     // Applies an agent's report to the servers at this IP address.
@@ -283,6 +285,7 @@
     notice_memory notices ABSL_GUARDED_BY(mutex);
     server_limits limits ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
+    group_activity activity ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -15,8 +15,6 @@
 // part of this share of it.
 constexpr double retry_jitter_share = 0.25;
 constexpr std::chrono::milliseconds min_retry_jitter{300};
-// A group that runs sends events of some stream more often.
-constexpr std::chrono::milliseconds max_pause_of_running_group{600};
 
 } // namespace
 
@@ -151,8 +149,8 @@
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->servers.find(server.id);
-    if (found != this->servers.end()) {
-        found->second.note_event(steady_clock::now());
+    if (found != this->servers.end() && !found->second.last_report().group.empty()) {
+        this->activity.note_event(found->second.last_report().group, steady_clock::now());
     }
 }
 
@@ -163,12 +161,7 @@
     if (found == this->servers.end() || found->second.last_report().group.empty()) {
         return false;
     }
-    const std::string& group = found->second.last_report().group;
-    const steady_time heard_after = steady_clock::now() - max_pause_of_running_group;
-    return std::none_of(this->servers.begin(), this->servers.end(), [&](const auto& named) {
-        return named.second.last_report().group == group &&
-               named.second.last_event_time() > heard_after;
-    });
+    return !this->activity.is_running(found->second.last_report().group, steady_clock::now());
 }
 
 std::vector<std::optional<server_outage>> dispatcher::outages(const placement_request& request,
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -85,10 +85,6 @@
     void begin_attempt(steady_time now);
     // Records that the server has begun to answer an attempt, other than with a refusal.
     void note_accepted();
-    // Records that the server has sent an event of a stream.
-    void note_event(steady_time now) { this->last_event = now; }
-    // Returns when it last did; zero before the first.
-    [[nodiscard]] steady_time last_event_time() const { return this->last_event; }
     // Ends an attempt. `accepted` tells whether `note_accepted` was called for it; `elapsed` is the
     // time to the first byte of the answer.
     void end_attempt(attempt_result result, bool accepted, std::chrono::milliseconds elapsed,
@@ -151,7 +147,6 @@
     int consecutive_failures = 0;
     steady_time excluded_until{};
     steady_time last_attempt{};
-    steady_time last_event{};
     // Number of attempts in progress that the server has begun to answer.
     int accepted = 0;
     // When the server first refused a request or was unreachable since it last accepted one; empty
--- a/sardinestream/forwarding/begun_stream_test.cc
+++ b/sardinestream/forwarding/begun_stream_test.cc
@@ -36,6 +36,17 @@
         this->state = changed;
     }
 
+    // Callers that wait for the next event for longer than any server here is silent.
+    void use_patient_callers()
+    {
+        const auto changed = std::make_shared<desired_state>(*this->state);
+        for (route& each : changed->routes) {
+            each.latency_target = milliseconds(1500);
+        }
+        changed->index_routes();
+        this->state = changed;
+    }
+
     // Servers that take one request at a time.
     void use_one_slot_each(const std::vector<const scripted_server*>& scripted)
     {
@@ -272,6 +283,32 @@
     EXPECT_EQ(this->budget, 100);
 }
 
+// Guards against streams that leave their ranks as soon as the first rank of their group goes on.
+TEST_F(begun_stream_test, streams_stay_while_the_ranks_of_their_group_go_on_one_after_the_other)
+{
+    constexpr milliseconds stall{1500};
+    constexpr milliseconds between_ranks{300};
+    this->use_patient_callers();
+    const auto script_for = [&](milliseconds silence) {
+        return [&, silence](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(stream_head(connection) + chunk(event(1)));
+            std::this_thread::sleep_for(silence);
+            connection.write(chunk(event(2)) + last_chunk);
+        };
+    };
+    scripted_server first(script_for(stall), first_ip);
+    scripted_server second(script_for(stall + between_ranks), second_ip);
+    this->use({&first, &second});
+    this->report_rank(first_ip, 1);
+    this->report_rank(second_ip, 1);
+    std::thread other([this] { EXPECT_EQ(this->call("/tell/", "r2").body, event(1) + event(2)); });
+    EXPECT_EQ(this->call("/tell/", "r1").body, event(1) + event(2));
+    other.join();
+    EXPECT_EQ(first.connections() + second.connections(), 2);
+    EXPECT_EQ(this->budget, 100);
+}
+
 // Guards against a silent request that a stop keeps in the queue, where it takes a server from
 // others.
 TEST_F(begun_stream_test, a_stop_leaves_a_silent_request_with_its_server)
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -68,7 +68,8 @@
 bool exchange::may_leave_silent_server(const backend_server& server) const
 {
     const std::string& service = this->admitted.service;
-    // The other ranks of a group that stands still are as silent; it usually goes on in time.
+    // The other ranks of a group that stands still are as silent; it usually goes on in time, rank
+    // after rank.
     const bool group_may_go_on =
         steady_clock::now() < this->caller_leaves_at() - min_time_to_first_event &&
         this->services.servers.is_group_silent(server);
