Soak: the budget of retries counts the requests that callers sent

Callers saw: nothing.

Cause: the ledger allowed a share of the requests that had reached a server within the same window. The rule (BUDGET, "Retries") counts those that requesters sent on a route to the service, whether they arrived or not, in the window, the one before it or the one half a window before it, whichever has most. An entry fills its budget by the same requests, refused ones too, so that in a play that refuses half of them the ledger allowed far less than the rule does.

So the product keeps the budget there.

Change: retry_arrivals judges one service by times and the terms of the rule; the ledger tells it what callers sent, by when. Windows begin with each arrival, as before. The moving route counts for the service that the request reached, else for the one in force when it was sent.

--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -1,7 +1,6 @@
 #include "sardinestream/testing/soak/promise_ledger.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "absl/strings/str_cat.h"
 
@@ -14,7 +13,6 @@
 constexpr milliseconds leave_bound{500};
 constexpr int least_late_ends = 4;
 constexpr double most_late_ends = 0.25;
-constexpr std::chrono::seconds budget_window{10};
 // Requests that were on their way when the server said that it holds off, and the two that may
 // still come.
 constexpr milliseconds hold_off_slack{500};
@@ -75,7 +73,11 @@
     if (found == this->requests.end()) {
         return;
     }
-    this->arrivals[service].push_back({steady_clock::now(), found->second.arrivals++ == 0});
+    const bool is_first = found->second.arrivals++ == 0;
+    if (is_first) {
+        found->second.reached = service;
+    }
+    this->arrivals[service].note_arrival(steady_clock::now(), is_first);
     this->check_notices(found->second, server_id);
     this->check_limit(found->second, server_id);
     if (found->second.request.crashes_servers) {
@@ -341,25 +343,35 @@
     }
 }
 
-void promise_ledger::judge_budget(std::vector<std::string>& all) const
+std::string promise_ledger::service_of(const request_record& record) const
 {
-    for (const auto& [service, list] : this->arrivals) {
-        int most_beyond = 0;
-        for (std::size_t first = 0; first < list.size(); ++first) {
-            int beyond = 0;
-            int requests = 0;
-            for (std::size_t i = first;
-                 i < list.size() && list[i].at < list[first].at + budget_window; ++i) {
-                (list[i].first ? requests : beyond) += 1;
-            }
-            const int over =
-                beyond - static_cast<int>(std::floor(this->options.retry_ratio * requests +
-                                                     this->options.retry_slack));
-            most_beyond = std::max(most_beyond, over);
+    if (!record.request.service.empty()) {
+        return record.request.service;
+    }
+    if (!record.reached.empty()) {
+        return record.reached;
+    }
+    std::string in_force;
+    for (const config_change& change : this->configs) {
+        if (change.at <= record.sent_at) {
+            in_force = change.service;
         }
-        if (most_beyond > 0) {
-            all.push_back(absl::StrCat("budget: ", service, " got ", most_beyond,
-                                       " arrivals beyond its budget of a window"));
+    }
+    return in_force;
+}
+
+void promise_ledger::judge_budget(std::vector<std::string>& all) const
+{
+    std::map<std::string, retry_arrivals> by_service = this->arrivals;
+    for (const auto& [id, record] : this->requests) {
+        by_service[this->service_of(record)].note_sent(record.sent_at);
+    }
+    for (const auto& [service, of_service] : by_service) {
+        const retry_arrivals::excess found = of_service.greatest_excess(this->options.retries);
+        if (found.over > 0) {
+            all.push_back(absl::StrCat("budget: ", service, " got ", found.over,
+                                       " arrivals beyond its budget of a window: ", found.beyond,
+                                       " beyond the first of ", found.requests, " requests"));
         }
     }
 }
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -37,6 +37,7 @@
 
 #include "sardinestream/http/socket.h"
 #include "sardinestream/testing/emulator/backend_emulator.h"
+#include "sardinestream/testing/soak/retry_arrivals.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/status.h"
@@ -69,8 +70,7 @@
 };
 
 struct ledger_options {
-    double retry_ratio = 0.2;
-    double retry_slack = 20;
+    retry_budget_terms retries{};
     std::chrono::milliseconds config_bound{3000};
     // Between the answer in which a server says that it leaves and the last new request for it.
     std::chrono::milliseconds leaving_bound{1000};
@@ -147,6 +147,8 @@
         bool left = false;
         steady_time left_at{};
         int arrivals = 0;
+        // The service that it reached first.
+        std::string reached;
         std::vector<begun_run> runs;
         steady_time last_end{};
         // Unset while its last byte is not written.
@@ -176,10 +178,6 @@
     };
     // The entry, and the id of a start of a server.
     using entry_and_server = std::pair<std::string, std::string>;
-    struct arrival {
-        steady_time at{};
-        bool first = false;
-    };
     struct span {
         steady_time begin{};
         steady_time end{};
@@ -239,13 +237,16 @@
     [[nodiscard]] bool ran_out_of_grace(const planned_signal& signal, const request_record& record,
                                         steady_time lost_at) const;
     void judge_left(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the service to which the request's route led.
+    [[nodiscard]] std::string service_of(const request_record& record) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void judge_budget(std::vector<std::string>& all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const ledger_options options;
     mutable absl::Mutex mutex;
     std::map<std::string, request_record> requests ABSL_GUARDED_BY(mutex);
-    // By service.
-    std::map<std::string, std::vector<arrival>> arrivals ABSL_GUARDED_BY(mutex);
+    // By service; without the requests that were sent, which `judge_budget` adds.
+    std::map<std::string, retry_arrivals> arrivals ABSL_GUARDED_BY(mutex);
     std::vector<span> troubles ABSL_GUARDED_BY(mutex);
     // When the entry passed on an answer in which the server says that it leaves.
     std::map<entry_and_server, steady_time> leaving_passed_on ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -133,6 +133,39 @@
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("budget")));
 }
 
+// Guards against a budget that counts only the requests that reached a server.
+TEST_F(promise_ledger_test, requests_that_never_arrive_count_for_the_budget)
+{
+    const sent_request request = this->send(soak_kind::idempotent);
+    for (int i = 0; i < 4; ++i) {
+        this->ledger.note_arrival(request.id, "till-a", "i-1");
+    }
+    for (int i = 0; i < 9; ++i) {
+        sent_request refused = make_request(soak_kind::idempotent);
+        refused.id = absl::StrCat("refused-", i);
+        refused.service = i == 0 ? "" : "till-a";
+        this->ledger.note_config("till-a");
+        this->ledger.note_sent(refused);
+    }
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+}
+
+// Guards against a budget of one service that requests for another one fill.
+TEST_F(promise_ledger_test, requests_for_another_service_do_not_count_for_the_budget)
+{
+    const sent_request request = this->send(soak_kind::idempotent);
+    for (int i = 0; i < 4; ++i) {
+        this->ledger.note_arrival(request.id, "till-a", "i-1");
+    }
+    for (int i = 0; i < 9; ++i) {
+        sent_request other = make_request(soak_kind::idempotent);
+        other.id = absl::StrCat("other-", i);
+        other.service = "till-b";
+        this->ledger.note_sent(other);
+    }
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("budget: till-a got 2")));
+}
+
 TEST_F(promise_ledger_test, finds_a_request_at_a_server_long_after_it_said_that_it_leaves)
 {
     const sent_request first = this->send(soak_kind::idempotent);
