A rank whose experts cannot be read reports none, not those of the map before

Cause: engine_monitor kept the experts of the last map if reading those of the new one failed, and the agent reported them with the new version. It sends a map as changes against the one in force: agents that know that map applied them to the true one, those that had started since got the whole map, and its own engine did, too. Change: the experts are dropped before those of another map are read, and an agent without any isn't taken to have reported them. Why it works: no state can any more join a version to the experts of another one, so that a base for changes is either the map in force or unknown, and a read that fails is repeated with the next report.

--- a/sardinestream/programs/agent_program_reports.cc
+++ b/sardinestream/programs/agent_program_reports.cc
@@ -72,6 +72,9 @@
 
 bool agent_program::experts_are_due()
 {
+    if (this->engine.experts().empty()) {
+        return false;
+    }
     const rank_report& report = this->engine.report()->map_report;
     const reported_experts now = {this->followed.term, report.epoch, report.map_version};
     const steady_time time = steady_clock::now();
--- a/sardinestream/programs/engine_monitor.cc
+++ b/sardinestream/programs/engine_monitor.cc
@@ -71,6 +71,9 @@
         (this->experts_epoch == maps.epoch && this->experts_version == maps.map_version)) {
         return;
     }
+    // Those of another map must not be reported with this version.
+    this->current_experts.clear();
+    this->experts_version = -1;
     absl::StatusOr<rank_experts> fresh = this->calls.read_experts();
     if (!fresh.ok()) {
         log_failure("experts_unread", fresh.status());
--- a/sardinestream/programs/engine_monitor.h
+++ b/sardinestream/programs/engine_monitor.h
@@ -28,7 +28,7 @@
     // Empty while the engine does not answer.
     [[nodiscard]] const std::optional<engine_report>& report() const { return this->newest; }
 
-    // Experts by layer set; empty until they have been read once.
+    // Experts by layer set under the reported map; empty until they have been read for it.
     [[nodiscard]] const rank_experts& experts() const { return this->current_experts; }
 
     // Returns how long the engine has had work without starting a step.
@@ -64,7 +64,7 @@
     // Recent samples, oldest first; empty while the engine is idle.
     std::deque<step_sample> step_samples;
     rank_experts current_experts;
-    // The epoch and map version of `current_experts`; -1 until they have been read once.
+    // The epoch and map version of `current_experts`; the version is -1 while they are empty.
     std::int64_t experts_epoch = -1;
     std::int64_t experts_version = -1;
     std::vector<std::int64_t> last_counts;
--- a/sardinestream/testing/emulator/agent_group_fixture.h
+++ b/sardinestream/testing/emulator/agent_group_fixture.h
@@ -197,6 +197,8 @@
     std::vector<std::atomic<int>> direct_reads;
     // Set it before `start`. Called by several threads.
     order_hook on_order;
+    // A rank whose experts cannot be read; none below zero.
+    std::atomic<int> unread_rank = -1;
 
 private:
     [[nodiscard]] std::unique_ptr<agent_program> make_agent(int rank)
@@ -208,6 +210,11 @@
         made.connect = [this, rank](const address& engine) {
             const int reached = static_cast<int>(ip_to_number(engine.ip) - first_ip);
             engine_interface port = engine_of(*this->group, reached, this->on_order);
+            port.read_experts = [this, reached, read = std::move(port.read_experts)] {
+                return this->unread_rank == reached
+                           ? absl::StatusOr<rank_experts>(absl::DeadlineExceededError("no answer"))
+                           : read();
+            };
             if (reached != rank) {
                 port.read_report = [this, reached, read = std::move(port.read_report)] {
                     ++this->direct_reads[static_cast<std::size_t>(reached)];
