The soak's house takes the rates, shares and stops of a deployment

What was missing: the house holds entries at half speed and lets callers wait for their answers, some 100 requests a second; its agents have whole cores and stop one at a time. Callers are asked to stop all at once: 600 in turn took minutes. `--memory_setting=false` is for older programs. Why it tells them apart: a coordinator that stops while ranks are armed leaves its group standing longer than an entry waits for a silent stream, and enough streams are open at enough stopping entries for some to be cut.

--- a/sardinestream/testing/emulator/rank_group.cc
+++ b/sardinestream/testing/emulator/rank_group.cc
@@ -203,6 +203,13 @@
     return this->all_alive() && steady_clock::now() >= this->opens_at;
 }
 
+bool rank_group::is_switching() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return std::any_of(this->ranks.begin(), this->ranks.end(),
+                       [](const rank_state& state) { return state.armed.has_value(); });
+}
+
 void rank_group::set_slowness(int rank, double slowness)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/emulator/rank_group.h
+++ b/sardinestream/testing/emulator/rank_group.h
@@ -71,6 +71,8 @@
     void end_rank(int rank);
     void return_rank(int rank);
     [[nodiscard]] bool is_open() const;
+    // Whether any rank is armed for a map that is not in force yet.
+    [[nodiscard]] bool is_switching() const;
 
     // All ranks wait for the slowest: a pass takes so many times as long while the rank is slow.
     void set_slowness(int rank, double slowness);
--- a/sardinestream/testing/soak/cpu_throttle.cc
+++ b/sardinestream/testing/soak/cpu_throttle.cc
@@ -9,13 +9,17 @@
 using std::chrono::milliseconds;
 using steady_clock = std::chrono::steady_clock;
 
-// A process is held for half of each period.
-constexpr milliseconds period{100};
 constexpr milliseconds step{5};
 
 } // namespace
 
-cpu_throttle::cpu_throttle(std::vector<process*> to_hold) : throttled(std::move(to_hold))
+bool is_held(double share, steady_clock::duration in_period)
+{
+    return in_period >=
+           std::chrono::duration_cast<steady_clock::duration>(cpu_throttle::period * share);
+}
+
+cpu_throttle::cpu_throttle(std::vector<throttled_process> to_hold) : throttled(std::move(to_hold))
 {
     this->thread = std::thread([this] { this->run(); });
 }
@@ -34,22 +38,23 @@
         for (std::size_t i = 0; i < held.size(); ++i) {
             // Their turns are spread over the period.
             const auto phase = period * static_cast<int>(i) / static_cast<int>(held.size());
-            const bool holds = (steady_clock::now() - begun + phase) % period < period / 2;
+            const bool holds =
+                is_held(this->throttled[i].share, (steady_clock::now() - begun + phase) % period);
             if (holds == held[i]) {
                 continue;
             }
             held[i] = holds;
             if (holds) {
-                this->throttled[i]->freeze();
+                this->throttled[i].run->freeze();
             }
             else {
-                this->throttled[i]->wake();
+                this->throttled[i].run->wake();
             }
         }
         std::this_thread::sleep_for(step);
     }
-    for (process* const one : this->throttled) {
-        one->wake();
+    for (const throttled_process& one : this->throttled) {
+        one.run->wake();
     }
 }
 
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -49,7 +49,8 @@
                                    soak_fault_kind::configs_stop,   soak_fault_kind::servers_roll,
                                    soak_fault_kind::recovered_stop, soak_fault_kind::agents_roll};
 constexpr std::array house_kinds = {soak_fault_kind::demand_drift, soak_fault_kind::rank_slow,
-                                    soak_fault_kind::passes_late};
+                                    soak_fault_kind::passes_late, soak_fault_kind::machines_roll,
+                                    soak_fault_kind::coordinator_stop};
 
 std::string name_of(soak_fault_kind kind)
 {
@@ -86,6 +87,10 @@
         return "rank_slow";
     case soak_fault_kind::passes_late:
         return "passes_late";
+    case soak_fault_kind::machines_roll:
+        return "machines_roll";
+    case soak_fault_kind::coordinator_stop:
+        return "coordinator_stop";
     case soak_fault_kind::entry_kill:
         return "entry_kill";
     case soak_fault_kind::entry_freeze:
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -40,6 +40,10 @@
     demand_drift,
     rank_slow,
     passes_late,
+    // A share of all machines, entries and agents, stop in a drawn order, several at a time.
+    machines_roll,
+    // The agent that coordinates a group stops while ranks are armed for a new map.
+    coordinator_stop,
     // Unplanned.
     entry_kill,
     entry_freeze,
@@ -66,8 +70,17 @@
     // Of the model servers; each has as many ranks.
     int groups = 1;
     std::chrono::milliseconds pass_time{10};
-    // Entries get half of their processor time.
-    bool throttles_entries = false;
+    // Of a core, for each entry and each agent.
+    double entry_share = 1;
+    double agent_share = 1;
+    // From the return of a rank until its group runs again.
+    std::chrono::milliseconds form_time{200};
+    // How `machines_roll` stops machines: how many of all, how many at a time, at which gap.
+    double roll_share = 0.45;
+    int roll_batch = 3;
+    std::chrono::milliseconds roll_gap{1300};
+    // Entries are told what memory they have; programs before that setting end at it.
+    bool sets_memory = true;
     // No fault affects a program that was started again so shortly before.
     std::chrono::milliseconds start_time{0};
     // Model servers are reached without a proxy, so that one that has crashed refuses connections.
--- a/sardinestream/testing/soak/fault_series_test.cc
+++ b/sardinestream/testing/soak/fault_series_test.cc
@@ -96,5 +96,36 @@
     }
 }
 
+TEST(fault_series, a_house_that_rolls_machines_changes_the_demand_meanwhile)
+{
+    for (unsigned seed = 57001; seed < 57020; ++seed) {
+        std::set<soak_fault_kind> kinds;
+        for (const soak_fault& fault :
+             draw_house_faults(seed, soak_size(), length, house_plan::machines)) {
+            EXPECT_TRUE(fault.is_planned()) << fault.to_string();
+            kinds.insert(fault.kind);
+        }
+        EXPECT_TRUE(kinds.contains(soak_fault_kind::machines_roll));
+        EXPECT_TRUE(kinds.contains(soak_fault_kind::demand_drift));
+        EXPECT_FALSE(kinds.contains(soak_fault_kind::coordinator_stop));
+    }
+}
+
+TEST(fault_series, a_house_may_stop_coordinators_of_every_group)
+{
+    soak_size size;
+    size.groups = 2;
+    std::set<int> stopped;
+    for (unsigned seed = 57001; seed < 57020; ++seed) {
+        for (const soak_fault& fault :
+             draw_house_faults(seed, size, length, house_plan::coordinators)) {
+            if (fault.kind == soak_fault_kind::coordinator_stop) {
+                stopped.insert(fault.target);
+            }
+        }
+    }
+    EXPECT_EQ(stopped, std::set<int>({0, 1}));
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -61,9 +61,14 @@
     this->thread = std::thread([this] { this->run(); });
 }
 
-void requester::stop()
+void requester::ask_to_stop()
 {
     this->stopping = true;
+}
+
+void requester::stop()
+{
+    this->ask_to_stop();
     if (this->thread.joinable()) {
         this->thread.join();
     }
@@ -77,12 +82,20 @@
 void requester::run()
 {
     while (!this->stopping) {
-        const milliseconds wait = this->send_one();
-        const auto spread = milliseconds(static_cast<std::int64_t>(
-            static_cast<double>(this->options.pause.count()) * (0.5 + this->draw())));
-        if (!std::exchange(this->hurries, false)) {
-            std::this_thread::sleep_for(wait + spread);
-        }
+        this->wait_for_turn(this->send_one());
+    }
+}
+
+void requester::wait_for_turn(milliseconds wanted)
+{
+    if (this->options.next_send != nullptr) {
+        std::this_thread::sleep_until(this->options.next_send());
+        return;
+    }
+    const auto spread = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(this->options.pause.count()) * (0.5 + this->draw())));
+    if (!std::exchange(this->hurries, false)) {
+        std::this_thread::sleep_for(wanted + spread);
     }
 }
 
@@ -106,7 +119,10 @@
         this->add_prompt(request);
         request.timeout = this->options.stream_timeout;
         if (is_plain_stream) {
-            request.target = absl::StrCat("/chat/", this->options.events);
+            const std::string pace = this->options.stream_pace > milliseconds(0)
+                                         ? absl::StrCat(this->options.stream_pace.count(), "/")
+                                         : "";
+            request.target = absl::StrCat("/chat/", pace, this->options.events);
         }
         if (this->options.lasts) {
             this->draw_lasting_stream(request);
--- a/sardinestream/testing/soak/requester.h
+++ b/sardinestream/testing/soak/requester.h
@@ -44,6 +44,11 @@
     // Share of the requests that are streams of `events` events, beside those that are drawn.
     double plain_stream_share = 0;
     int events = 26;
+    // Between the events of a plain stream; zero leaves it to the passes of the group.
+    std::chrono::milliseconds stream_pace{0};
+    // Returns when this caller must send its next request, whatever became of the last one. Unset,
+    // the next request follows after `pause`.
+    std::function<steady_time()> next_send;
     // Streams have prompts of several parts, and some of them the part that crashes servers.
     bool sends_crashing_part = false;
     // Some streams, uploads and reads take seconds, and some requests follow an answer at once.
@@ -61,6 +66,9 @@
     requester& operator=(const requester&) = delete;
 
     void start();
+    // Sends no further request; returns at once.
+    void ask_to_stop();
+    // Waits for the last answer, too.
     void stop();
 
 private:
@@ -83,6 +91,8 @@
     };
 
     void run();
+    // Waits until the next request is due.
+    void wait_for_turn(std::chrono::milliseconds wanted);
     [[nodiscard]] sent_request draw_request();
     // Gives a stream its prompt.
     void add_prompt(sent_request& request) const;
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -119,20 +119,32 @@
     this->write_config();
     SARDINE_RETURN_IF_ERROR(this->start_programs());
     SARDINE_RETURN_IF_ERROR(this->wait_until_ready());
-    if (this->size.throttles_entries) {
-        std::vector<process*> throttled;
-        for (const program_node& node : this->entry_nodes) {
-            throttled.push_back(node.run.get());
+    this->throttle_programs();
+    return absl::OkStatus();
+}
+
+void soak_fleet::throttle_programs()
+{
+    std::vector<throttled_process> throttled;
+    const auto add = [&throttled](const std::vector<program_node>& nodes, double share) {
+        for (const program_node& node : nodes) {
+            if (share < 1) {
+                throttled.push_back({node.run.get(), share});
+            }
         }
+    };
+    add(this->entry_nodes, this->size.entry_share);
+    add(this->agent_nodes, this->size.agent_share);
+    if (!throttled.empty()) {
         this->throttle = std::make_unique<cpu_throttle>(std::move(throttled));
     }
-    return absl::OkStatus();
 }
 
 rank_group_options soak_fleet::group_options() const
 {
     rank_group_options group;
     group.pass_time = this->size.pass_time;
+    group.form_time = this->size.form_time;
     group.shape.ranks = this->size.model_servers / this->size.groups;
     group.shape.experts = std::max(group.shape.experts, 2 * group.shape.ranks);
     return group;
@@ -275,9 +287,10 @@
         SARDINE_RETURN_IF_ERROR(this->start_program(
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
             absl::StrCat(
-                "--ip=", own, "\n--memory_mb=", entry_memory_mb, "\n--news_port=", gossip_port,
-                "\n--front_listen=", own, ":", front_port, "\n--ready_listen=", own, ":",
-                ready_port, "\n--store=", (*proxy)->local().to_string(),
+                this->size.sets_memory ? absl::StrCat("--memory_mb=", entry_memory_mb, "\n") : "",
+                "--ip=", own, "\n--news_port=", gossip_port, "\n--front_listen=", own, ":",
+                front_port, "\n--ready_listen=", own, ":", ready_port,
+                "\n--store=", (*proxy)->local().to_string(),
                 "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", this->size.grace.count(),
                 "\n--heartbeat_ms=", heartbeat_ms, "\n")));
         this->entry_nodes.back().entry = this->entry_address(i).to_string();
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -97,6 +97,7 @@
     soak_fleet(const soak_size& wanted, promise_ledger& shared);
 
     [[nodiscard]] absl::Status start();
+    void throttle_programs();
     // Of each group of model servers, but for its name.
     [[nodiscard]] rank_group_options group_options() const;
     // The group of a model server, and its rank there.
@@ -169,6 +170,12 @@
     void inject_program(const soak_fault& fault);
     void slow_rank(std::size_t server, const soak_fault& fault);
     void inject_house(const soak_fault& fault);
+    void roll_machines(const soak_fault& fault);
+    // The agent that the others of its group follow, by the log of one that runs; null where none
+    // is known.
+    [[nodiscard]] program_node* coordinator_of(std::size_t group);
+    // Waits until ranks of the group are armed, until `latest` at most.
+    void stop_coordinator(std::size_t group, steady_time latest);
     void inject_surroundings(const soak_fault& fault);
     [[nodiscard]] std::string ip(int group, int number) const;
     [[nodiscard]] bool has_other_server(const server_node& node) const;
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -374,6 +374,8 @@
         return;
     case soak_fault_kind::rank_slow:
     case soak_fault_kind::passes_late:
+    case soak_fault_kind::machines_roll:
+    case soak_fault_kind::coordinator_stop:
         this->inject_house(fault);
         return;
     default:
--- a/sardinestream/testing/soak/soak_main.cc
+++ b/sardinestream/testing/soak/soak_main.cc
@@ -1,6 +1,8 @@
 // Runs the soak for one seed or a series of them and prints what was broken.
 //
 //     soak --seed=7 --seeds=50
+//     soak --house --plan=coordinators --entries=6 --model_servers=63 --requesters=600
+//         --requests_per_s=266 --entry_share=0.3 --agent_share=0.15 --seed=57001
 //
 // Exits with 0 where every promise was kept, with 1 otherwise. A seed that failed runs again with
 // SARDINE_KEEP_LOGS=1 set to keep the logs of its processes.
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,24 @@
 DEFINE_int32(requesters, 12, "Callers");
 DEFINE_bool(house, false,
             "Play planned work alone, in series, on unequal ranks, with entries at half speed");
+DEFINE_string(plan, "series",
+              "What a house stops: series, machines (several at a time), or coordinators, too");
+DEFINE_double(entry_share, 0, "Of a core, for each entry; 0 for half in a house, else a whole one");
+DEFINE_double(agent_share, 1, "Of a core, for each agent");
+DEFINE_double(requests_per_s, 0,
+              "Of all callers together, open loop; 0 lets each send once it has its answer");
+DEFINE_double(stream_share, sardinestream::testing::house_stream_share,
+              "Of the requests of a house that are streams");
+DEFINE_int32(stream_pace_ms, 0, "Between the events of these streams; 0 for one at each pass");
+DEFINE_int32(pass_ms, 0, "Time of a pass; 0 for that of the house");
+DEFINE_int32(stall_ms, 0, "Silence before a broken group's servers break off; 0 draws it");
+DEFINE_int32(form_ms, 200, "From the return of a rank until its group runs again");
+DEFINE_double(roll_share, 0.45, "Of all machines that a roll stops");
+DEFINE_int32(roll_batch, 3, "Machines that a roll stops at a time");
+DEFINE_int32(roll_gap_ms, 1300, "Between two batches of a roll");
+DEFINE_bool(memory_setting, true,
+            "Tell entries what memory they have; false for programs before "
+            "2026-12-06");
 DEFINE_int32(groups, 1, "Groups that the model servers form, each of as many ranks");
 
 namespace sardinestream::testing {
@@ -49,10 +70,32 @@
         size.model_servers = std::max(1, FLAGS_processes - size.entries);
     }
     size.groups = FLAGS_groups;
+    const double usual_share = FLAGS_house ? house_entry_share : 1;
+    size.entry_share = FLAGS_entry_share > 0 ? FLAGS_entry_share : usual_share;
+    size.agent_share = FLAGS_agent_share;
+    size.form_time = std::chrono::milliseconds(FLAGS_form_ms);
+    size.roll_share = FLAGS_roll_share;
+    size.roll_batch = FLAGS_roll_batch;
+    size.roll_gap = std::chrono::milliseconds(FLAGS_roll_gap_ms);
+    size.sets_memory = FLAGS_memory_setting;
     size.model_servers -= size.model_servers % size.groups;
     return size;
 }
 
+house_plan plan_named(const std::string& name)
+{
+    if (name == "machines") {
+        return house_plan::machines;
+    }
+    return name == "coordinators" ? house_plan::coordinators : house_plan::series;
+}
+
+// Returns nothing for zero.
+std::optional<std::chrono::milliseconds> duration_flag(int ms)
+{
+    return ms > 0 ? std::optional(std::chrono::milliseconds(ms)) : std::nullopt;
+}
+
 bool run_one(unsigned seed)
 {
     soak_options options;
@@ -61,6 +104,12 @@
     options.length = std::chrono::milliseconds(FLAGS_length_ms);
     options.requesters = FLAGS_requesters;
     options.house = FLAGS_house;
+    options.plan = plan_named(FLAGS_plan);
+    options.requests_per_s = FLAGS_requests_per_s;
+    options.stream_share = FLAGS_stream_share;
+    options.stream_pace = std::chrono::milliseconds(FLAGS_stream_pace_ms);
+    options.stall = duration_flag(FLAGS_stall_ms);
+    options.pass_time = duration_flag(FLAGS_pass_ms);
     const soak_verdict verdict = run_soak(options);
     std::printf("seed=%u verdict=%s faults=%zu requests=%d succeeded=%d not_run=%d failed=%d "
                 "left=%d runs=%d passes=%lld\n",
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -1,8 +1,10 @@
 #include "sardinestream/testing/soak/soak_run.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
+#include "sardinestream/testing/soak/request_pacer.h"
 #include "sardinestream/testing/soak/requester.h"
 #include "sardinestream/testing/soak/soak_fleet.h"
 #include "sardinestream/testing/soak/soak_house.h"
@@ -25,8 +27,10 @@
 constexpr milliseconds longest_lasting_answer{6000};
 constexpr milliseconds lasting_stall{1500};
 
-std::vector<std::unique_ptr<requester>>
-start_requesters(const soak_options& options, const soak_fleet& fleet, promise_ledger& ledger)
+std::vector<std::unique_ptr<requester>> start_requesters(const soak_options& options,
+                                                         const soak_fleet& fleet,
+                                                         request_pacer& pacer,
+                                                         promise_ledger& ledger)
 {
     std::vector<std::unique_ptr<requester>> all;
     for (int i = 0; i < options.requesters; ++i) {
@@ -41,7 +45,11 @@
         const bool lasts = draws_stops(options.seed);
         chosen.sends_crashing_part = !options.house && draws_crashing_requests(options.seed);
         chosen.lasts = !options.house && lasts;
-        chosen.plain_stream_share = options.house ? house_stream_share : 0;
+        chosen.plain_stream_share = options.house ? options.stream_share : 0;
+        chosen.stream_pace = options.stream_pace;
+        if (options.requests_per_s > 0) {
+            chosen.next_send = [&pacer] { return pacer.next(); };
+        }
         chosen.leaving_share = options.house ? house_leaving_share : chosen.leaving_share;
         chosen.stream_timeout = lasts ? lasting_stream_timeout : requester_options().stream_timeout;
         chosen.seed = options.seed * 1000 + static_cast<unsigned>(i);
@@ -73,8 +81,9 @@
 soak_verdict run_soak(const soak_options& options)
 {
     soak_verdict verdict;
-    verdict.faults = options.house ? draw_house_faults(options.seed, options.size, options.length)
-                                   : draw_faults(options.seed, options.size, options.length);
+    verdict.faults =
+        options.house ? draw_house_faults(options.seed, options.size, options.length, options.plan)
+                      : draw_faults(options.seed, options.size, options.length);
     soak_size size = options.size;
     const bool stops = draws_stops(options.seed);
     if (stops) {
@@ -84,10 +93,9 @@
         size.starves_stops = !options.house && draws_starved_stops(options.seed);
     }
     if (options.house) {
-        size.pass_time = house_pass_time;
-        size.stall = house_stall(options.seed);
-        size.throttles_entries = true;
-        size.start_time = house_start_time;
+        size.pass_time = options.pass_time.value_or(house_pass_time);
+        size.stall = options.stall.value_or(house_stall(options.seed));
+        size.start_time = house_start_time(std::min(size.entry_share, size.agent_share));
     }
     ledger_options promises;
     promises.grace = size.grace;
@@ -99,7 +107,9 @@
         return verdict;
     }
     verdict.log_directory = (*fleet)->log_directory();
-    std::vector<std::unique_ptr<requester>> callers = start_requesters(options, **fleet, ledger);
+    request_pacer pacer(options.requests_per_s);
+    std::vector<std::unique_ptr<requester>> callers =
+        start_requesters(options, **fleet, pacer, ledger);
     (*fleet)->run_until(steady_clock::now() + calm_start);
     const steady_time begun = steady_clock::now();
     for (const soak_fault& fault : verdict.faults) {
@@ -112,6 +122,9 @@
         ledger.note_broken(absl::StrCat("recover: ", healed.message()));
     }
     wait_for_recovery(**fleet, ledger, stops ? longest_lasting_answer : milliseconds(0));
+    for (const std::unique_ptr<requester>& caller : callers) {
+        caller->ask_to_stop();
+    }
     for (const std::unique_ptr<requester>& caller : callers) {
         caller->stop();
     }
--- a/sardinestream/testing/soak/soak_run.h
+++ b/sardinestream/testing/soak/soak_run.h
@@ -7,11 +7,13 @@
 #define SARDINESTREAM_TESTING_SOAK_SOAK_RUN_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "sardinestream/testing/soak/fault_series.h"
 #include "sardinestream/testing/soak/promise_ledger.h"
+#include "sardinestream/testing/soak/soak_house.h"
 
 namespace sardinestream::testing {
 
@@ -23,6 +25,15 @@
     int requesters = 12;
     // Plays the house instead of the soak's own faults.
     bool house = false;
+    house_plan plan = house_plan::series;
+    // Of all callers together; zero lets each send once its last request has been answered.
+    double requests_per_s = 0;
+    // Of the requests of a house.
+    double stream_share = house_stream_share;
+    std::chrono::milliseconds stream_pace{0};
+    // Replaces what the seed draws.
+    std::optional<std::chrono::milliseconds> stall;
+    std::optional<std::chrono::milliseconds> pass_time;
 };
 
 struct soak_verdict {
