Ranks that answer a coordinator are all read in one poll

Only the time of calls without an answer counts towards the 80 ms. It works because such calls alone are slow without being of use; calls that are answered take what they took before.

--- a/sardinestream/programs/agent_program.h
+++ b/sardinestream/programs/agent_program.h
@@ -173,7 +173,8 @@
     // Returns the rank after `previous` whose agent has reported lately; -1 if there is none.
     [[nodiscard]] int next_candidate(int previous) const;
     void poll_agentless_ranks();
-    // Reads these ranks, the one that was read least recently first, for a limited time.
+    // Reads these ranks, the one that was read least recently first, until calls without an answer
+    // have taken too long.
     void read_agentless(std::vector<int> ranks);
     // Returns true if the agent of `rank` has sent nothing for some time.
     [[nodiscard]] bool is_silent(int rank) const;
--- a/sardinestream/programs/agent_program_agentless.cc
+++ b/sardinestream/programs/agent_program_agentless.cc
@@ -12,10 +12,10 @@
 
 // Interval at which the coordinator polls ranks without a responsive agent.
 constexpr milliseconds agentless_poll_interval{200};
-// Ranks that answer, and then those that have not, are read for this long in one poll: messages
-// wait meanwhile, and followers for the next heartbeat. A call without an answer takes about as
-// long.
-constexpr milliseconds max_agentless_time{80};
+// Calls without an answer may take this long in one poll, of ranks that answered before and of the
+// others: messages wait meanwhile, and followers for the next heartbeat. One such call takes about
+// as long.
+constexpr milliseconds max_unanswered_time{80};
 
 } // namespace
 
@@ -52,21 +52,24 @@
     std::stable_sort(ranks.begin(), ranks.end(), [this](int left, int right) {
         return this->agentless.last_read(left) < this->agentless.last_read(right);
     });
-    const steady_time end = steady_clock::now() + max_agentless_time;
+    steady_clock::duration unanswered{};
     for (const int rank : ranks) {
         const auto endpoint = this->endpoints.find(rank);
         if (!this->engine.report().has_value() || !this->is_coordinating() ||
-            !this->may_call_others() || steady_clock::now() >= end ||
+            !this->may_call_others() || unanswered >= max_unanswered_time ||
             endpoint == this->endpoints.end()) {
             return;
         }
+        const steady_time begin = steady_clock::now();
         std::optional<rank_state> state = this->agentless.read(
             rank, {ip_to_string(endpoint->second.ip), endpoint->second.engine_port},
             this->engine.report()->group);
-        if (state.has_value()) {
-            this->coordinator->update_rank_state(*std::move(state), steady_clock::now());
-            this->coordinate();
+        if (!state.has_value()) {
+            unanswered += steady_clock::now() - begin;
+            continue;
         }
+        this->coordinator->update_rank_state(*std::move(state), steady_clock::now());
+        this->coordinate();
     }
 }
 
--- a/sardinestream/testing/emulator/agent_frozen_group_test.cc
+++ b/sardinestream/testing/emulator/agent_frozen_group_test.cc
@@ -1,5 +1,5 @@
-// A coordinating agent whose group's other machines are all frozen: their engines take a call and
-// never answer. What does the agent still do within its own bounds?
+// A coordinating agent whose group's other machines are all frozen (their engines take a call and
+// never answer), or have lost their agents only. What does it still do within its own bounds?
 
 #include <algorithm>
 #include <atomic>
@@ -27,6 +27,8 @@
 constexpr milliseconds message_interval{50};
 // How long a call of an engine waits for its answer.
 constexpr milliseconds call_timeout{100};
+// How long a call of a far engine takes.
+constexpr milliseconds answer_time{6};
 constexpr milliseconds max_test_time{20000};
 
 class agent_frozen_group_test : public ::testing::Test {
@@ -43,7 +45,7 @@
         };
         options.connect = [this](const address& engine) {
             return engine.ip == ip_to_string(first_ip) ? make_own_engine()
-                                                       : this->make_frozen_engine();
+                                                       : this->make_other_engine(engine);
         };
         this->agent = std::make_unique<agent_program>(std::move(options));
         this->thread = std::thread([this] { this->agent->run(); });
@@ -69,25 +71,32 @@
 
     std::unique_ptr<agent_program> agent;
     std::thread thread;
+    // The machines are not frozen; their agents are gone all the same.
+    std::atomic<bool> engines_answer = false;
     // Calls of frozen engines so far.
     std::atomic<int> unanswered = 0;
-    // Calls of frozen engines since the last directive, and the most between two directives.
+    // Calls of other engines since the last directive, and the most between two directives.
     std::atomic<int> since_directive = 0;
     std::atomic<int> most_between_directives = 0;
 
 private:
+    [[nodiscard]] static engine_report make_report(int rank)
+    {
+        engine_report report;
+        report.running = 1;
+        report.group = group_name;
+        report.group_size = ranks;
+        report.rank = rank;
+        report.map_report.epoch = 1;
+        report.map_report.step = 5;
+        return report;
+    }
+
     [[nodiscard]] static engine_interface make_own_engine()
     {
         engine_interface engine;
         engine.read_report = []() -> absl::StatusOr<engine_report> {
-            engine_report report;
-            report.running = 1;
-            report.group = group_name;
-            report.group_size = ranks;
-            report.rank = own_rank;
-            report.map_report.epoch = 1;
-            report.map_report.step = 5;
-            return report;
+            return make_report(own_rank);
         };
         engine.read_counts = [] { return std::vector<std::int64_t>(4); };
         engine.read_experts = [] { return rank_experts{{0, 1}}; };
@@ -95,12 +104,17 @@
         return engine;
     }
 
-    [[nodiscard]] engine_interface make_frozen_engine()
+    [[nodiscard]] engine_interface make_other_engine(const address& at)
     {
+        const int rank = static_cast<int>(ip_to_number(at.ip) - first_ip);
         engine_interface engine;
-        engine.read_report = [this]() -> absl::StatusOr<engine_report> {
-            ++this->unanswered;
+        engine.read_report = [this, rank]() -> absl::StatusOr<engine_report> {
             ++this->since_directive;
+            if (this->engines_answer) {
+                std::this_thread::sleep_for(answer_time);
+                return make_report(rank);
+            }
+            ++this->unanswered;
             std::this_thread::sleep_for(call_timeout);
             return absl::DeadlineExceededError("no answer");
         };
@@ -160,5 +174,12 @@
     EXPECT_LE(this->most_between_directives, 4);
 }
 
+// Guards against states that grow too old for a change of map since few ranks are read in a poll.
+TEST_F(agent_frozen_group_test, all_ranks_that_answer_are_read_in_one_poll)
+{
+    this->engines_answer = true;
+    EXPECT_TRUE(wait_until([this] { return this->most_between_directives >= ranks - 1; }));
+}
+
 } // namespace
 } // namespace sardinestream::testing
