Tests: a second SIGTERM, half a head and chunked uploads at a stop

Ways into an entry that had no test of their own: a second stop signal must not shorten the stop (stop_repeated, then stopped_accepting and stopped, status 0); a head of which half has arrived at the end of a stop gets 503 in place of a closed connection; an upload in chunks between two of which the stop begins is served.

--- a/sardinestream/forwarding/planned_change_test.cc
+++ b/sardinestream/forwarding/planned_change_test.cc
@@ -176,5 +176,51 @@
     EXPECT_EQ(server.connections(), 0);
 }
 
+// Guards against a caller that gets no answer because only half of its head arrives before the end
+// of a stop.
+TEST_F(planned_change_test, a_head_that_outlasts_a_stop_is_refused)
+{
+    scripted_server server(answer);
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all("POST /pay/ HTTP/1.1\r\nHost: shop\r\n", soon(), {}).ok());
+    std::this_thread::sleep_for(pause);
+    const steady_time ends = steady_clock::now() + pause;
+    this->ends_at = ends;
+    std::thread stopper([this] { this->stop(); });
+    message_reader reader(socket);
+    const caller_answer refused = read_answer(reader);
+    EXPECT_TRUE(refused.end.ok()) << refused.end;
+    EXPECT_EQ(refused.head.status, 503);
+    EXPECT_LT(steady_clock::now(), ends + std::chrono::milliseconds(1000));
+    stopper.join();
+    EXPECT_EQ(server.connections(), 0);
+}
+
+// Guards against a chunked upload that is dropped because a stop begins between two of its chunks.
+TEST_F(planned_change_test, a_chunked_upload_that_ends_during_a_stop_is_served)
+{
+    scripted_server server(answer);
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket
+                    .write_all("POST /pay/ HTTP/1.1\r\nHost: shop\r\nKey: k\r\nId: r1\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n" +
+                                   chunk("first"),
+                               soon(), {})
+                    .ok());
+    // More than the time of a route, so that the request may still be passed on.
+    this->ends_at = steady_clock::now() + std::chrono::milliseconds(8000);
+    std::thread stopper([this] { this->stop(); });
+    std::this_thread::sleep_for(pause);
+    ASSERT_TRUE(socket.write_all(chunk("second") + "0\r\n\r\n", soon(), {}).ok());
+    message_reader reader(socket);
+    const caller_answer answer = read_answer(reader);
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body, "served");
+    stopper.join();
+    this->channels.close_stale({});
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -201,6 +201,22 @@
     EXPECT_LT(absl::Now() - begun, absl::Seconds(3));
 }
 
+// Guards against a second signal that ends a stopping process before its grace.
+TEST_F(platform_process_test, a_second_stop_signal_does_not_shorten_the_stop)
+{
+    this->write_settings(this->entry_settings());
+    const auto entry = this->start("sardine-platform-entry");
+    ASSERT_TRUE(entry->wait_for_output("event=started")) << entry->output();
+    entry->terminate();
+    ASSERT_TRUE(entry->wait_for_output("event=stopping")) << entry->output();
+    entry->terminate();
+    EXPECT_TRUE(entry->wait_for_output("event=stop_repeated")) << entry->output();
+    EXPECT_EQ(entry->wait_for_exit(), 0);
+    EXPECT_TRUE(entry->wait_for_output("event=stopped_accepting", absl::ZeroDuration()))
+        << entry->output();
+    EXPECT_TRUE(entry->wait_for_output("event=stopped ", absl::ZeroDuration())) << entry->output();
+}
+
 // Guards against a stop that waits for a reload and is killed when its grace ends.
 TEST_F(platform_process_test, a_reload_that_hangs_does_not_delay_a_stop)
 {
