A stop ends reads and writes at a server that began before it

What callers saw: a request whose server had stopped in the middle of its answer (within its head or its body), or had stopped reading the request, before SIGTERM, got no answer: its channel closed as the process ended, where 504 is due at the end of the stop.

Cause: the deadline of such a read or write was computed when it began, from the route's timeout, and a stop that begins meanwhile brought forward the deadlines of later ones only. Waits for the first byte and for callers looked again, these did not.

Change: connections to servers are read up to the end of the stop, which message_reader asks for every 200 ms as it does on callers' connections; a message to a server is written up to a deadline that is asked for at every wait (500 ms at most). A stream that is open at the end of a stop notices it within 200 ms, too, and no longer after up to 1.2 s of silence.

Failed before: closing_connections_test.a_stop_answers_a_request_whose_ server_stalls_in_its_answer (8.4 s for its two cases, each answered at the route's timeout of 4 s) and a_stop_answers_a_request_that_its_server_does_ not_read (4.3 s); the stop ended after 1.1 s. With the change 2.4 and 1.3 s, 504 within 0.4 s of the end of the stop. a_stop_answers_a_request_whose_ server_cannot_be_reached is new as well and passed before.

Why it works: every wait for a server now looks at the end of the stop as it is at that moment, so that none outlasts the process and the final answer is written in the time that is reserved for it.

--- a/sardinestream/forwarding/closing_connections_test.cc
+++ b/sardinestream/forwarding/closing_connections_test.cc
@@ -1,6 +1,7 @@
 // Tests that callers get every answer whole however their connection ends: after an answer, around
 // a stop, or with input that is not read.
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -19,6 +20,8 @@
 constexpr std::size_t pipelined_bytes = 64U << 10U;
 // A caller that reads its answer late.
 constexpr milliseconds reading_delay{200};
+// Far less than what is reserved for final answers and the exit.
+constexpr milliseconds max_answer_delay{400};
 constexpr char last_chunk[] = "0\r\n\r\n";
 
 std::string event(int id)
@@ -292,6 +295,110 @@
     EXPECT_EQ(answer.body, event(1) + event(2));
 }
 
+// Guards against answers that are owed until after the end of the process, because their server
+// stopped midway before the stop began.
+TEST_F(closing_connections_test, a_stop_answers_a_request_whose_server_stalls_in_its_answer)
+{
+    for (const bool has_head : {false, true}) {
+        std::atomic<bool> stalls = false;
+        scripted_server server([&](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            const std::string answer = answer_to(connection, "answer");
+            connection.write(answer.substr(0, has_head ? answer.size() - 1 : answer.size() / 2));
+            stalls = true;
+            (void)connection.wait_for_end(milliseconds(6000));
+        });
+        this->use({&server});
+        tcp_socket socket = this->connect();
+        ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
+        while (!stalls) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        std::this_thread::sleep_for(reading_delay);
+        const steady_time ends = steady_clock::now() + milliseconds(900);
+        this->ends_at = ends;
+        message_reader reader(socket);
+        EXPECT_EQ(read_answer(reader).head.status, 504) << has_head;
+        EXPECT_LT(steady_clock::now(), ends + max_answer_delay) << has_head;
+        this->ends_at = steady_time::max();
+    }
+}
+
+// Guards against an answer that is owed until after the end of the process, because its server had
+// stopped reading the request before the stop began.
+TEST_F(closing_connections_test, a_stop_answers_a_request_that_its_server_does_not_read)
+{
+    constexpr std::size_t long_body_bytes = 12U << 20U;
+    const std::shared_ptr<desired_state> changed = make_state();
+    changed->limits.body_bytes = long_body_bytes;
+    this->state = changed;
+    std::atomic<bool> over = false;
+    std::atomic<bool> reached = false;
+    scripted_server server([&](scripted_connection&) {
+        reached = true;
+        while (!over) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    });
+    this->use({&server});
+    tcp_socket socket = this->connect();
+    const std::string text =
+        absl::StrCat("POST /pay/ HTTP/1.1\r\nHost: shop\r\nId: r1\r\nKey: k\r\nContent-Length: ",
+                     long_body_bytes, "\r\n\r\n", std::string(long_body_bytes, 'x'));
+    ASSERT_TRUE(socket.write_all(text, soon(), {}).ok());
+    while (!reached) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::this_thread::sleep_for(reading_delay);
+    const steady_time ends = steady_clock::now() + milliseconds(900);
+    this->ends_at = ends;
+    message_reader reader(socket);
+    EXPECT_EQ(read_answer(reader).head.status, 504);
+    EXPECT_LT(steady_clock::now(), ends + max_answer_delay);
+    over = true;
+}
+
+// Guards against a request without an answer because the connection to its server is still being
+// made at the end of a stop.
+TEST_F(closing_connections_test, a_stop_answers_a_request_whose_server_cannot_be_reached)
+{
+    // Its queue of connections is full, so that further ones get no reply.
+    const tcp_socket full(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(local);
+    ASSERT_EQ(::bind(full.descriptor(), reinterpret_cast<sockaddr*>(&local), length), 0);
+    ASSERT_EQ(::listen(full.descriptor(), 0), 0);
+    ASSERT_EQ(::getsockname(full.descriptor(), reinterpret_cast<sockaddr*>(&local), &length), 0);
+    backend_server server;
+    server.id = "s0";
+    server.service = "service";
+    server.slots = 4;
+    server.born_ms = 1;
+    server.endpoint = {"127.0.0.1", ::ntohs(local.sin_port)};
+    std::vector<tcp_socket> queued;
+    absl::Status last;
+    while (last.ok()) {
+        absl::StatusOr<tcp_socket> one =
+            tcp_socket::connect(server.endpoint, steady_clock::now() + milliseconds(100), {});
+        last = one.status();
+        if (one.ok()) {
+            queued.push_back(*std::move(one));
+        }
+    }
+    ASSERT_TRUE(absl::IsDeadlineExceeded(last)) << last;
+    this->servers.set_servers({server});
+    tcp_socket socket = this->connect();
+    ASSERT_TRUE(socket.write_all(request_text("/pay/", "r1"), soon(), {}).ok());
+    std::this_thread::sleep_for(reading_delay);
+    const steady_time ends = steady_clock::now() + milliseconds(200);
+    this->ends_at = ends;
+    message_reader reader(socket);
+    EXPECT_EQ(read_answer(reader).head.status, 503);
+    EXPECT_LT(steady_clock::now(), ends + max_answer_delay);
+}
+
 // Guards against an answer that is cut because its caller reads on after the end of a stop.
 TEST_F(closing_connections_test, an_answer_is_written_on_for_a_caller_that_reads_after_a_stop)
 {
--- a/sardinestream/forwarding/connection_pool.cc
+++ b/sardinestream/forwarding/connection_pool.cc
@@ -57,7 +57,7 @@
     if (!socket.ok()) {
         return socket.status();
     }
-    return std::make_unique<server_connection>(*std::move(socket));
+    return std::make_unique<server_connection>(*std::move(socket), this->reading_end);
 }
 
 void connection_pool::release(const backend_server& server,
--- a/sardinestream/forwarding/connection_pool.h
+++ b/sardinestream/forwarding/connection_pool.h
@@ -23,7 +23,10 @@
 
 // A connection to one server. Belongs to one thread at a time.
 struct server_connection {
-    explicit server_connection(tcp_socket opened) : socket(std::move(opened)), reader(socket) {}
+    server_connection(tcp_socket opened, message_reader::reading_end end)
+        : socket(std::move(opened)), reader(socket, std::move(end))
+    {
+    }
 
     tcp_socket socket;
     message_reader reader;
@@ -39,6 +42,9 @@
 
 class connection_pool {
 public:
+    // The connections are read up to `end` at most.
+    explicit connection_pool(message_reader::reading_end end) : reading_end(std::move(end)) {}
+
     // Returns an idle connection to that incarnation of the server on which the request has not
     // been refused, or a new one. Always opens a new one if `require_new` is set.
     [[nodiscard]] absl::StatusOr<std::unique_ptr<server_connection>>
@@ -64,6 +70,7 @@
     std::unique_ptr<server_connection> take_idle(const backend_server& server,
                                                  const std::string& request_id);
 
+    const message_reader::reading_end reading_end;
     absl::Mutex mutex;
     // By id and start time of the server; the most recently released connection is reused first.
     std::map<pool_key, std::vector<std::unique_ptr<server_connection>>> idle ABSL_GUARDED_BY(mutex);
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -169,9 +169,11 @@
     if (!this->possibly_executed) {
         this->measured.emplace(this->services.answer_durations, this->shape(), record.started);
     }
-    const steady_time write_end =
-        this->left.has_value() ? std::min(this->answer_deadline(), record.started + silence_timeout)
-                               : this->answer_deadline();
+    const steady_time write_limit =
+        this->left.has_value() ? record.started + silence_timeout : this->deadline;
+    const moving_deadline write_end = [&] {
+        return std::min(this->answer_deadline(), write_limit);
+    };
     const absl::StatusOr<bool> written =
         (*connection)
             ->socket.write_message_until_answer(this->encode_request_head(server),
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -222,7 +222,7 @@
 
     const wire_protocol protocol;
     dispatcher servers{dispatcher_options{}};
-    connection_pool channels;
+    connection_pool channels{[this] { return this->ends_at.load(); }};
     static constexpr std::size_t max_memory_bytes = 16U << 20U;
     message_memory request_memory{max_memory_bytes};
     message_memory response_memory{max_memory_bytes};
--- a/sardinestream/http/socket.cc
+++ b/sardinestream/http/socket.cc
@@ -243,7 +243,7 @@
 }
 
 absl::StatusOr<bool> tcp_socket::write(absl::string_view bytes, bool stop_at_answer,
-                                       steady_time deadline, const hangup_watch& caller)
+                                       const moving_deadline& deadline, const hangup_watch& caller)
 {
     const short events = stop_at_answer ? POLLOUT | POLLIN : POLLOUT;
     while (!bytes.empty()) {
@@ -259,10 +259,9 @@
         if (errno != EAGAIN && errno != EINTR) {
             return socket_error("write");
         }
-        const steady_time next_check = steady_clock::now() + answering_check;
-        absl::Status waited =
-            wait_for(this->fd, events, std::min(deadline, next_check), caller, "write");
-        if (absl::IsDeadlineExceeded(waited) && steady_clock::now() < deadline) {
+        const steady_time until = std::min(deadline(), steady_clock::now() + answering_check);
+        absl::Status waited = wait_for(this->fd, events, until, caller, "write");
+        if (absl::IsDeadlineExceeded(waited) && steady_clock::now() < deadline()) {
             continue;
         }
         SARDINE_RETURN_IF_ERROR(waited);
@@ -276,17 +275,17 @@
 absl::Status tcp_socket::write_all(absl::string_view bytes, steady_time deadline,
                                    const hangup_watch& caller)
 {
-    return this->write(bytes, false, deadline, caller).status();
+    return this->write(bytes, false, fixed_deadline(deadline), caller).status();
 }
 
 absl::StatusOr<bool> tcp_socket::write_until_answer(absl::string_view bytes, steady_time deadline,
                                                     const hangup_watch& caller)
 {
-    return this->write(bytes, true, deadline, caller);
+    return this->write(bytes, true, fixed_deadline(deadline), caller);
 }
 
 absl::StatusOr<bool> tcp_socket::write_parts(std::string head, absl::string_view body,
-                                             bool stop_at_answer, steady_time deadline,
+                                             bool stop_at_answer, const moving_deadline& deadline,
                                              const hangup_watch& caller)
 {
     if (body.size() <= max_joined_bytes) {
@@ -302,12 +301,13 @@
 absl::Status tcp_socket::write_message(std::string head, absl::string_view body,
                                        steady_time deadline, const hangup_watch& caller)
 {
-    return this->write_parts(std::move(head), body, false, deadline, caller).status();
+    return this->write_parts(std::move(head), body, false, fixed_deadline(deadline), caller)
+        .status();
 }
 
 absl::StatusOr<bool> tcp_socket::write_message_until_answer(std::string head,
                                                             absl::string_view body,
-                                                            steady_time deadline,
+                                                            const moving_deadline& deadline,
                                                             const hangup_watch& caller)
 {
     return this->write_parts(std::move(head), body, true, deadline, caller);
--- a/sardinestream/http/socket.h
+++ b/sardinestream/http/socket.h
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "sardinestream/base/settings.h"
@@ -31,6 +32,13 @@
 
 using steady_clock = std::chrono::steady_clock;
 using steady_time = steady_clock::time_point;
+// A deadline that may be brought forward at any moment; a wait notices it within half a second.
+using moving_deadline = std::function<steady_time()>;
+
+[[nodiscard]] inline moving_deadline fixed_deadline(steady_time time)
+{
+    return [time] { return time; };
+}
 
 // Returns the milliseconds from now until `time`, rounded up, as a timeout for poll(2): never
 // negative and at most one hour.
@@ -95,7 +103,7 @@
                                              steady_time deadline, const hangup_watch& caller);
     [[nodiscard]] absl::StatusOr<bool> write_message_until_answer(std::string head,
                                                                   absl::string_view body,
-                                                                  steady_time deadline,
+                                                                  const moving_deadline& deadline,
                                                                   const hangup_watch& caller);
 
     // Returns true if unread bytes are available or the peer has closed the connection. An idle
@@ -135,9 +143,11 @@
     [[nodiscard]] absl::Status check_caller(const hangup_watch& caller);
     // Both return whether all bytes were written.
     [[nodiscard]] absl::StatusOr<bool> write(absl::string_view bytes, bool stop_at_answer,
-                                             steady_time deadline, const hangup_watch& caller);
+                                             const moving_deadline& deadline,
+                                             const hangup_watch& caller);
     [[nodiscard]] absl::StatusOr<bool> write_parts(std::string head, absl::string_view body,
-                                                   bool stop_at_answer, steady_time deadline,
+                                                   bool stop_at_answer,
+                                                   const moving_deadline& deadline,
                                                    const hangup_watch& caller);
 
     int fd = -1;
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -127,7 +127,7 @@
     current_state state;
     server_directory directory;
     dispatcher servers;
-    connection_pool connections;
+    connection_pool connections{[this] { return this->stop_deadline.load(); }};
     // Requests that crash servers, as this entry and the others have seen.
     const std::unique_ptr<suspects::suspect_registry> suspects;
     crash_guard crashes;
