A server is not taken for slow by a few milliseconds

Callers saw: nothing.

Cause: not the limit. The time to the first byte is measured in whole milliseconds, and its mean falls towards zero while answers take less than one. A server whose last answers took 1 ms where the best mean was 0.00 had the slowness 20, the upper limit; with less than 8 free servers the best one is always chosen, and the estimate fades with a half-life of 3 s, so that the server got nothing while others were free. The limited server has few answers, so that one late answer decides. The addresses of the entries had no part in it.

Change: answers are compared as if none took less than 10 ms, the order of a wait for a processor on a busy machine.

Why it works: below that time a difference is noise of the measurement or of the scheduler, and means nothing to a caller; above it the ratio is as it was, so that a server that takes 60 ms where others take 20 is still 3 times slower.

--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -31,6 +31,9 @@
 constexpr int max_doublings = 3;
 // After this time without a further attempt, a refusal no longer counts as an outage.
 constexpr std::chrono::seconds rejection_lifetime{5};
+// Answers are equally quick up to this time: it is measured in whole milliseconds, and processes
+// wait for a processor for as long.
+constexpr double quick_answer_ms = 10.0;
 // Upper limit of a server's slowness.
 constexpr double max_slowness = 20.0;
 
@@ -228,10 +231,11 @@
         load.slowness = std::clamp(pass_slowness * this->report.slowness, 1.0, max_slowness);
         load.available = load.available && !this->report.group_broken;
     }
-    else if (usual.answer_ms > 0 && this->mean_first_byte_ms > usual.answer_ms) {
+    else if (usual.answer_ms > 0) {
+        const double relative = std::max(quick_answer_ms, this->mean_first_byte_ms) /
+                                std::max(quick_answer_ms, usual.answer_ms);
         const std::chrono::duration<double> age = now - this->last_answer;
-        const double excess =
-            std::min(max_slowness, this->mean_first_byte_ms / usual.answer_ms) - 1;
+        const double excess = std::clamp(relative, 1.0, max_slowness) - 1;
         load.slowness = 1 + excess * std::exp2(-age.count() / failure_half_life_s);
     }
     return load;
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -48,6 +48,27 @@
     EXPECT_EQ(this->load_at(this->start).occupancy, 6);
 }
 
+TEST_F(server_state_test, is_as_slow_as_its_answers_by_comparison_with_the_quickest)
+{
+    this->state.begin_attempt(this->start);
+    this->state.end_attempt(attempt_result::succeeded, false, milliseconds(60), this->start);
+    EXPECT_DOUBLE_EQ(this->load_at(this->start).slowness, 3);
+    const service_pace quick{0.05, 0};
+    EXPECT_DOUBLE_EQ(this->state.load(12, load_view{"a"}, quick, this->start).slowness, 6);
+}
+
+// Guards against a server that gets no requests for seconds because it took a millisecond where
+// others took less.
+TEST_F(server_state_test, is_not_slow_by_a_few_milliseconds)
+{
+    const service_pace quick{0.05, 0};
+    for (int answers = 0; answers < 5; ++answers) {
+        this->state.begin_attempt(this->start);
+        this->state.end_attempt(attempt_result::succeeded, false, milliseconds(9), this->start);
+        EXPECT_EQ(this->state.load(12, load_view{"a"}, quick, this->start).slowness, 1);
+    }
+}
+
 // If one rank of a group is slow, the steps of all its ranks take as long as its own.
 TEST_F(server_state_test, is_as_slow_as_the_steps_of_its_group)
 {
