The server that a stream has left is named previous, not left

Cause: a member called left, and functions with left_server in them, read as a direction. Change: names only, in forwarding/exchange*: previous, previous_stream, previous_server_*. Log events and texts stay.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -74,7 +74,7 @@
 {
     const bool keep = this->attempt_until_done();
     this->release_reserved();
-    this->close_left_stream();
+    this->close_previous_stream();
     if (this->ends_with_connection) {
         this->caller.abort_when_delivered(steady_clock::now() + local_response_timeout);
     }
@@ -85,7 +85,8 @@
 {
     next_action next = next_action::retry;
     while (next != next_action::answered && next != next_action::close_connection) {
-        next = next == next_action::go_back ? this->return_to_left_server() : this->attempt_once();
+        next =
+            next == next_action::go_back ? this->return_to_previous_server() : this->attempt_once();
     }
     return next == next_action::answered && this->connection_promised;
 }
@@ -94,7 +95,7 @@
 {
     absl::StatusOr<placement> placed = this->place();
     if (!placed.ok()) {
-        if (this->left.has_value() && !absl::IsCancelled(placed.status())) {
+        if (this->previous.has_value() && !absl::IsCancelled(placed.status())) {
             return next_action::go_back;
         }
         return this->fail_request(placed.status()) ? next_action::answered
@@ -170,7 +171,7 @@
         this->measured.emplace(this->services.answer_durations, this->shape(), record.started);
     }
     const steady_time write_limit =
-        this->left.has_value() ? record.started + silence_timeout : this->deadline;
+        this->previous.has_value() ? record.started + silence_timeout : this->deadline;
     const moving_deadline write_end = [&] {
         return std::min(this->answer_deadline(), write_limit);
     };
@@ -193,7 +194,7 @@
                               const attempt_record& record, bool reusable, next_action next)
 {
     if (next == next_action::leave) {
-        this->left->connection = std::move(connection);
+        this->previous->connection = std::move(connection);
         return;
     }
     const backend_server& server = record.placed.server;
@@ -259,7 +260,7 @@
     const bool never_sent = state == attempt_state::nothing_sent && this->servers_sent == 0;
     const bool in_time = steady_clock::now() < this->answer_deadline();
     const bool goes_on_elsewhere = this->reserved.has_value() && in_time && this->can_retry(state);
-    if (this->left.has_value() && !goes_on_elsewhere) {
+    if (this->previous.has_value() && !goes_on_elsewhere) {
         return next_action::go_back;
     }
     // A refusal while the whole service is down must not consume the retry budget.
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -86,7 +86,7 @@
     // free, provided that it may run again.
     static constexpr std::chrono::milliseconds silence_timeout{1200};
     // How often it is asked whether the server that a stream left has sent more.
-    static constexpr std::chrono::milliseconds left_server_check{50};
+    static constexpr std::chrono::milliseconds previous_server_check{50};
     // After this many refusals by servers, a request fails, or pauses before each further attempt
     // if its answer has begun.
     static constexpr int max_refusals = 4;
@@ -113,7 +113,7 @@
 
     // A stream that has left its server. Its connection stays open and unread until the next server
     // has sent an event: the stream returns if that one fails.
-    struct left_stream {
+    struct previous_stream {
         attempt_record record;
         std::unique_ptr<server_connection> connection;
         http_response_head head;
@@ -162,11 +162,11 @@
     [[nodiscard]] next_action leave_stream(const http_response_head& head, attempt_record& record,
                                            attempt_result result, absl::string_view reason);
     // Goes on with the stream at the server that it left.
-    [[nodiscard]] next_action return_to_left_server();
+    [[nodiscard]] next_action return_to_previous_server();
     // Ends the attempt at the server that a stream left, if there is one.
-    void close_left_stream();
+    void close_previous_stream();
     // Returns whether the server that the stream left has sent more, and it is time to return.
-    [[nodiscard]] bool left_server_goes_on() const;
+    [[nodiscard]] bool previous_server_goes_on() const;
     // Ends the attempt at the next server because the one that the stream left goes on.
     [[nodiscard]] next_action give_up_move(attempt_record& record);
     // Returns what is known of the request's answer before it begins.
@@ -283,7 +283,7 @@
     steady_time last_delivery;
     // The server that is reserved for the next attempt.
     std::optional<placement> reserved;
-    std::optional<left_stream> left;
+    std::optional<previous_stream> previous;
     // Until when the request, as a suspect, is refused a server other than the one that has it.
     steady_time stays_until{};
     // The stream has returned to a server that it left; it leaves no slow rank any more.
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -35,7 +35,7 @@
 
 steady_time exchange::head_deadline() const
 {
-    return this->left.has_value() || this->can_retry(attempt_state::possibly_executed)
+    return this->previous.has_value() || this->can_retry(attempt_state::possibly_executed)
                ? std::min(this->answer_deadline(), steady_clock::now() + head_completion_timeout)
                : this->answer_deadline();
 }
@@ -141,15 +141,15 @@
 void exchange::wait_for_first_byte(server_connection& connection, steady_time end) const
 {
     while (!connection.reader.has_surplus() && !connection.socket.has_input_or_end() &&
-           !this->caller_watch.has_hung_up() && !this->left_server_goes_on()) {
+           !this->caller_watch.has_hung_up() && !this->previous_server_goes_on()) {
         const steady_time now = steady_clock::now();
         const steady_time latest = std::min(end, this->answer_deadline());
         if (now >= latest) {
             return;
         }
-        wait_for_input(
-            connection.socket.descriptor(), this->caller_watch,
-            std::min(latest, now + (this->left.has_value() ? left_server_check : shutdown_check)));
+        wait_for_input(connection.socket.descriptor(), this->caller_watch,
+                       std::min(latest, now + (this->previous.has_value() ? previous_server_check
+                                                                          : shutdown_check)));
     }
 }
 
@@ -163,7 +163,7 @@
     }
     this->wait_for_first_byte(connection, steady_clock::now() + limit);
     if (connection.socket.has_input_or_end() || this->caller_watch.has_hung_up() ||
-        this->left_server_goes_on()) {
+        this->previous_server_goes_on()) {
         return false;
     }
     return !connection.reader.has_surplus() && steady_clock::now() < this->answer_deadline();
@@ -192,7 +192,7 @@
     }
     reusable = all_written;
     this->wait_for_first_byte(connection, this->deadline);
-    if (this->left_server_goes_on() && !connection.reader.has_surplus() &&
+    if (this->previous_server_goes_on() && !connection.reader.has_surplus() &&
         !connection.socket.has_input_or_end()) {
         reusable = false;
         return this->give_up_move(record);
--- a/sardinestream/forwarding/exchange_move.cc
+++ b/sardinestream/forwarding/exchange_move.cc
@@ -49,15 +49,16 @@
         result != attempt_result::abandoned && !this->events.has_partial_event();
     const steady_time now = steady_clock::now();
     const steady_time returns_at = was_silent ? now : now + silence_timeout;
-    this->left.emplace(left_stream{std::move(record), nullptr, head, this->events, returns_at});
+    this->previous.emplace(
+        previous_stream{std::move(record), nullptr, head, this->events, returns_at});
     this->events.drop_undelivered();
     return next_action::leave;
 }
 
-exchange::next_action exchange::return_to_left_server()
+exchange::next_action exchange::return_to_previous_server()
 {
-    left_stream back = std::move(*this->left);
-    this->left.reset();
+    previous_stream back = std::move(*this->previous);
+    this->previous.reset();
     this->release_reserved();
     this->has_returned = true;
     this->events = std::move(back.events);
@@ -74,13 +75,13 @@
     return next;
 }
 
-void exchange::close_left_stream()
+void exchange::close_previous_stream()
 {
-    if (!this->left.has_value()) {
+    if (!this->previous.has_value()) {
         return;
     }
-    const left_stream over = std::move(*this->left);
-    this->left.reset();
+    const previous_stream over = std::move(*this->previous);
+    this->previous.reset();
     const attempt_record& record = over.record;
     if (record.result == attempt_result::unreachable) {
         this->services.connections.discard(record.placed.server);
@@ -89,10 +90,10 @@
     this->services.servers.finish(record.placed, record.result, record.first_byte);
 }
 
-bool exchange::left_server_goes_on() const
+bool exchange::previous_server_goes_on() const
 {
-    return this->left.has_value() && steady_clock::now() >= this->left->returns_at &&
-           this->left->connection->socket.has_input();
+    return this->previous.has_value() && steady_clock::now() >= this->previous->returns_at &&
+           this->previous->connection->socket.has_input();
 }
 
 exchange::next_action exchange::give_up_move(attempt_record& record)
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -111,13 +111,14 @@
         }
         const steady_time now = steady_clock::now();
         if (connection.reader.has_surplus() || connection.socket.has_input_or_end() ||
-            this->caller_watch.has_hung_up() || this->left_server_goes_on() || now >= asks_until ||
-            now >= this->answer_deadline() || this->shutdown_would_cut()) {
+            this->caller_watch.has_hung_up() || this->previous_server_goes_on() ||
+            now >= asks_until || now >= this->answer_deadline() || this->shutdown_would_cut()) {
             return false;
         }
-        wait_for_any_input(
-            {connection.socket.descriptor(), (*queued)->descriptor()}, this->caller_watch,
-            now + (this->left.has_value() ? left_server_check : dispatcher::recheck_interval));
+        wait_for_any_input({connection.socket.descriptor(), (*queued)->descriptor()},
+                           this->caller_watch,
+                           now + (this->previous.has_value() ? previous_server_check
+                                                             : dispatcher::recheck_interval));
     }
 }
 
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -73,7 +73,8 @@
                                                const http_response_head& head,
                                                attempt_record& record, bool& reusable)
 {
-    if (this->left.has_value() && (this->response_started || head.status >= first_server_error)) {
+    if (this->previous.has_value() &&
+        (this->response_started || head.status >= first_server_error)) {
         reusable = false;
         record.result = attempt_result::failed;
         return this->handle_failure(attempt_state::execution_failed,
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -57,7 +57,7 @@
                                                 const attempt_record& record, std::string& bytes)
 {
     while (true) {
-        if (this->left_server_goes_on() && !connection.socket.has_input_or_end()) {
+        if (this->previous_server_goes_on() && !connection.socket.has_input_or_end()) {
             return make_error(absl::StatusCode::kDeadlineExceeded, "stream",
                               record.placed.server.id, "the server that the stream left goes on");
         }
@@ -70,8 +70,8 @@
             }
             until = steady_clock::now() + dispatcher::recheck_interval;
         }
-        if (this->left.has_value()) {
-            until = std::min(until, steady_clock::now() + left_server_check);
+        if (this->previous.has_value()) {
+            until = std::min(until, steady_clock::now() + previous_server_check);
         }
         absl::StatusOr<bool> ended = connection.reader.read_body_part(
             bytes, std::min(this->answer_deadline(), until), this->caller_watch);
@@ -120,10 +120,10 @@
         std::string bytes;
         const absl::StatusOr<bool> ended = this->read_stream_part(connection, record, bytes);
         if (!ended.ok()) {
-            if (absl::IsDeadlineExceeded(ended.status()) && this->left_server_goes_on()) {
+            if (absl::IsDeadlineExceeded(ended.status()) && this->previous_server_goes_on()) {
                 return this->give_up_move(record);
             }
-            if (this->reserved.has_value() && !this->left.has_value()) {
+            if (this->reserved.has_value() && !this->previous.has_value()) {
                 return this->leave_stream(head, record, attempt_result::unreachable,
                                           ended.status().message());
             }
@@ -135,7 +135,7 @@
         this->events.add(bytes);
         const std::string complete = this->events.take_events();
         if (!complete.empty()) {
-            this->close_left_stream();
+            this->close_previous_stream();
             record.silent_since = steady_clock::now();
             this->services.servers.note_event(record.placed.server);
             this->measured->note_first_event(record.silent_since);
