Soak: an unknown plan of a house is refused

Change: a validator of the flag. Why it works: gflags refuses the value and ends the program. Result: 'failed validation of new value' and exit status 1 where it had played.

--- a/sardinestream/testing/soak/soak_main.cc
+++ b/sardinestream/testing/soak/soak_main.cc
@@ -55,6 +55,17 @@
             "2026-12-06");
 DEFINE_int32(groups, 1, "Groups that the model servers form, each of as many ranks");
 
+namespace {
+
+bool is_plan(const char* /*flag*/, const std::string& name)
+{
+    return name == "series" || name == "machines" || name == "coordinators";
+}
+
+} // namespace
+
+DEFINE_validator(plan, &is_plan);
+
 namespace sardinestream::testing {
 namespace {
 
