A dead rank is left although its group sends events at a slow pace

Cause: each interval over 600 ms began a new period of activity, and a period had to last 600 ms, so that such a group never counted as running. Change: only a standstill, 1.2 s without an event, begins a new period; the interval up to which a group counts as running and the time in which its ranks settle have names of their own. is_group_silent is group_may_stand_still: it is true for a group that has just gone on. Why it works: a stream looks for another server after 1.2 s of silence, so that a shorter interval of the group can't be what made it silent.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -161,7 +161,7 @@
     // Returns whether the server belongs to a group that is not known to run: its ranks have sent
     // this process no event for a while, or have only just begun to, so that the silence of one
     // rank says nothing about that rank.
-    [[nodiscard]] bool is_group_silent(const backend_server& server);
+    [[nodiscard]] bool group_may_stand_still(const backend_server& server);
 
     // Applies an agent's report to the servers at this IP address.
     void apply_report(const std::string& server_ip, const server_report& report);
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -154,7 +154,7 @@
     }
 }
 
-bool dispatcher::is_group_silent(const backend_server& server)
+bool dispatcher::group_may_stand_still(const backend_server& server)
 {
     const absl::MutexLock lock(&this->mutex);
     const auto found = this->servers.find(server.id);
--- a/sardinestream/backends/group_activity.cc
+++ b/sardinestream/backends/group_activity.cc
@@ -4,7 +4,7 @@
 
 bool group_activity::is_over(const period& active, steady_time now)
 {
-    return now - active.last_event >= max_pause;
+    return now - active.last_event >= min_standstill;
 }
 
 void group_activity::note_event(absl::string_view group, steady_time now)
@@ -21,8 +21,8 @@
 bool group_activity::is_running(absl::string_view group, steady_time now) const
 {
     const auto found = this->periods.find(group);
-    return found != this->periods.end() && !is_over(found->second, now) &&
-           now - found->second.begin >= max_pause;
+    return found != this->periods.end() && now - found->second.last_event < max_event_interval &&
+           now - found->second.begin >= settling_time;
 }
 
 } // namespace sardinestream
--- a/sardinestream/backends/group_activity_test.cc
+++ b/sardinestream/backends/group_activity_test.cc
@@ -58,6 +58,17 @@
     EXPECT_FALSE(this->runs_at(milliseconds(600)));
 }
 
+// Guards against a dead rank that is kept because its group sends events at a slow pace.
+TEST_F(group_activity_test, a_group_with_long_intervals_between_its_events_runs_after_each)
+{
+    for (milliseconds at{0}; at <= milliseconds(2100); at += milliseconds(700)) {
+        this->send(at, at);
+    }
+    EXPECT_TRUE(this->runs_at(milliseconds(2100)));
+    EXPECT_TRUE(this->runs_at(milliseconds(2699)));
+    EXPECT_FALSE(this->runs_at(milliseconds(2700)));
+}
+
 TEST_F(group_activity_test, groups_do_not_count_for_each_other)
 {
     this->send(milliseconds(0), milliseconds(600), "other");
--- a/sardinestream/forwarding/begun_stream_test.cc
+++ b/sardinestream/forwarding/begun_stream_test.cc
@@ -309,6 +309,50 @@
     EXPECT_EQ(this->budget, 100);
 }
 
+// Guards against a stream that a stop cuts at a dead rank, because its group sends events too
+// seldom to count as running.
+TEST_F(begun_stream_test, leaves_a_dead_rank_whose_group_sends_events_at_a_slow_pace)
+{
+    constexpr milliseconds event_interval{700};
+    constexpr int slow_events = 12;
+    this->use_patient_callers();
+    std::atomic<int> streams = 0;
+    const auto script = [&](scripted_connection& connection) {
+        while (connection.read_request()) {
+            const int number = streams++;
+            if (number == 0) {
+                connection.write(stream_head(connection));
+                for (int i = 1; i < slow_events; ++i) {
+                    connection.write(chunk(event(i)));
+                    std::this_thread::sleep_for(event_interval);
+                }
+                connection.write(last_chunk);
+                return;
+            }
+            if (number == 1) {
+                connection.write(stream_head(connection) + chunk(event(1)));
+                (void)connection.wait_for_end(slow_events * event_interval);
+                return;
+            }
+            connection.write(stream_head(connection) + chunk(event(2)) + last_chunk);
+        }
+    };
+    scripted_server first(script, first_ip);
+    scripted_server second(script, second_ip);
+    this->use({&first, &second});
+    this->report_rank(first_ip, 1);
+    this->report_rank(second_ip, 1);
+    std::thread slow([this] { this->call("/tell/", "r1"); });
+    while (streams < 1) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    this->ends_at = steady_clock::now() + milliseconds(5000);
+    const caller_answer answer = this->call("/tell/", "r2");
+    EXPECT_TRUE(answer.end.ok()) << answer.end;
+    EXPECT_EQ(answer.body, event(1) + event(2));
+    slow.join();
+}
+
 // Guards against a silent request that a stop keeps in the queue, where it takes a server from
 // others.
 TEST_F(begun_stream_test, a_stop_leaves_a_silent_request_with_its_server)
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -72,7 +72,7 @@
     // after rank.
     const bool group_may_go_on =
         steady_clock::now() < this->caller_leaves_at() - min_time_to_first_event &&
-        this->services.servers.is_group_silent(server);
+        this->services.servers.group_may_stand_still(server);
     if (group_may_go_on) {
         return false;
     }
