Comments: three odd phrases

Cause: reading the diff as a newcomer: 'told', 'given up'. Change: comments only, in agent/main.cc, stop_admission_test.cc and fault_series.h. Result: formatter clean.

--- a/sardinestream/agent/main.cc
+++ b/sardinestream/agent/main.cc
@@ -32,7 +32,7 @@
 // time.
 constexpr std::chrono::milliseconds max_crossing_time{300};
 // An entry that does not acknowledge the notice within this time is of an older build, or its link
-// is about to be given up for its silence.
+// is about to be abandoned for its silence.
 constexpr std::chrono::milliseconds max_notice_time{2000};
 
 // Everything that a running agent owns, in order of construction.
--- a/sardinestream/forwarding/stop_admission_test.cc
+++ b/sardinestream/forwarding/stop_admission_test.cc
@@ -177,7 +177,7 @@
     }
 }
 
-// Guards against a stream that is given up for want of time for a pause although its server may
+// Guards against a stream that is refused for want of time for a pause although its server may
 // have run it, so that it cannot be refused any more.
 TEST_F(stop_admission_test, a_stream_that_may_have_run_is_repeated_late_in_a_stop)
 {
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -79,7 +79,7 @@
     double roll_share = 0.45;
     int roll_batch = 3;
     std::chrono::milliseconds roll_gap{1300};
-    // Entries are told what memory they have; programs before that setting end at it.
+    // Entries get a setting of their memory; programs of older builds end at it as unknown.
     bool sets_memory = true;
     // No fault affects a program that was started again so shortly before.
     std::chrono::milliseconds start_time{0};
