--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -161,6 +161,12 @@
     this->limits.set_processes(processes);
 }
 
+void dispatcher::set_policies(service_policies declared)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->policies = std::move(declared);
+}
+
 void dispatcher::set_report_interval(std::chrono::milliseconds interval)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -33,6 +33,7 @@
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
 #include "sardinestream/backends/service_availability.h"
+#include "sardinestream/backends/service_policy.h"
 #include "sardinestream/http/socket.h"
 
 #include "absl/base/thread_annotations.h"
@@ -177,6 +178,9 @@
     // Sets the processes that place requests on the same servers.
     void set_processes(const process_group& processes);
 
+    // Sets what the operator declares of the services.
+    void set_policies(service_policies declared);
+
     // Sets the interval between two reports of an agent.
     void set_report_interval(std::chrono::milliseconds interval);
 
@@ -287,6 +291,7 @@
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
     group_activity activity ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
+    service_policies policies ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
 
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -125,9 +125,38 @@
     return decoded;
 }
 
+// Return a field that only helps to estimate: zero if it is missing or no sensible number.
+double bounded_number(const json& object, const char* field)
+{
+    constexpr double max_number = 1e9;
+    const auto found = object.find(field);
+    if (found == object.end() || !found->is_number()) {
+        return 0;
+    }
+    const double value = found->get<double>();
+    return std::isfinite(value) && value >= 0 && value <= max_number ? value : 0;
+}
+
+int bounded_count(const json& object, const char* field)
+{
+    return static_cast<int>(bounded_number(object, field));
+}
+
 engine_model decode_engine(const json& object)
 {
     engine_model decoded;
+    decoded.slots = bounded_count(object, "slots");
+    decoded.steps_per_pass = std::max(1, bounded_count(object, "stride"));
+    decoded.step_ms = bounded_number(object, "step_ms");
+    decoded.step_ms_per_request = bounded_number(object, "per_seq_ms");
+    decoded.step_ms_per_1000_tokens = bounded_number(object, "context_per_k");
+    decoded.read_tokens_per_s = bounded_number(object, "read_per_s");
+    decoded.max_tokens_per_step = bounded_count(object, "chunk");
+    decoded.memory_tokens = bounded_count(object, "kv-capacity-tokens");
+    if (const auto usual = object.find("usual"); usual != object.end() && usual->is_object()) {
+        decoded.usual_prompt_tokens = bounded_number(*usual, "prompt");
+        decoded.usual_answer_tokens = bounded_number(*usual, "answer");
+    }
     decoded.layer_sets = optional_field(object, "sets", 0);
     decoded.experts = optional_field(object, "experts", 0);
     decoded.places_per_rank = optional_field(object, "placements", 0);
@@ -146,6 +175,10 @@
         decoded.has_engine = true;
         decoded.engine = decode_engine(*engine);
     }
+    decoded.cold_rate = bounded_number(object, "cold-per-s");
+    constexpr double ms_per_s = 1000;
+    decoded.cold_period = std::chrono::milliseconds(
+        static_cast<std::int64_t>(bounded_number(object, "cold-start-s") * ms_per_s));
     return decoded;
 }
 
--- a/sardinestream/platform/desired_state_decoder_test.cc
+++ b/sardinestream/platform/desired_state_decoder_test.cc
@@ -14,7 +14,7 @@
     {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"non_idempotent",
      "service":"s2","attempts":1,"public":true}],
   "services":[
-    {"name":"s1","health-path":"/health","connection-limit":408,
+    {"name":"s1","health-path":"/health","connection-limit":408,"cold-start-s":3.0,"cold-per-s":26,
      "engine":{"slots":12,"stride":6,"step_ms":4.84,"read_per_s":74800.0,"sets":6,"experts":64,
                "placements":11,"spare":4,"expert-mb":1700.0,"expert-share":0.85,
                "link-mbps":92000.0}},
@@ -41,6 +41,11 @@
     EXPECT_EQ((*state)->limits.header_bytes, 16384U);
     const engine_model& engine = (*state)->services.at("s1").engine;
     EXPECT_EQ(engine.layer_sets, 6);
+    EXPECT_EQ(engine.steps_per_pass, 6);
+    EXPECT_TRUE(engine.has_speed());
+    EXPECT_EQ((*state)->services.at("s1").cold_rate, 26);
+    EXPECT_EQ((*state)->services.at("s1").cold_period, std::chrono::milliseconds(3000));
+    EXPECT_EQ((*state)->services.at("s2").cold_rate, 0);
     EXPECT_NEAR(engine.copy_ms(), 147.8, 0.1);
     EXPECT_FALSE((*state)->services.at("s2").has_engine);
 }
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -245,9 +245,20 @@
 void entry_program::apply_desired_state(const std::string& text, std::int64_t revision,
                                         absl::string_view source)
 {
-    if (this->state.offer(text, revision, source)) {
-        this->gossip->announce();
+    this->offer_desired_state(text, revision, source);
+}
+
+void entry_program::offer_desired_state(const std::string& text, std::int64_t revision,
+                                        absl::string_view source)
+{
+    if (!this->state.offer(text, revision, source)) {
+        return;
+    }
+    {
+        const absl::MutexLock lock(&this->policy_mutex);
+        this->servers.set_policies(policies_of(*this->state.get()));
     }
+    this->gossip->announce();
 }
 
 void entry_program::apply_server_list(const server_list& list, steady_time relist_until)
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -89,6 +89,9 @@
 
     [[nodiscard]] absl::Status open();
     [[nodiscard]] absl::Status open_peers();
+    // Puts the operator's document in force if it is newer than the known one.
+    void offer_desired_state(const std::string& text, std::int64_t revision,
+                             absl::string_view source);
     void tick();
     void fetch_from_peers();
     // Tells the other entries what has changed in `suspects`.
@@ -171,6 +174,8 @@
     std::uint64_t suspects_sent ABSL_GUARDED_BY(suspect_report_mutex) = 0;
     // The number of refused suspects logged last; used only by the ticker thread.
     std::size_t logged_suspects = 0;
+    // Held while policies are derived, so that those of the newest state are the ones applied last.
+    absl::Mutex policy_mutex;
     // Held while servers are published, so that the newest list is the one applied last.
     absl::Mutex publish_mutex;
     // The conditions logged last, by service; used only by the ticker thread.
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -205,7 +205,7 @@
     if (config.ok() && config->status == http_ok) {
         const absl::StatusOr<stored_document> document = decode_document(config->body);
         if (document.ok()) {
-            this->state.offer(document->text, document->revision, ip);
+            this->offer_desired_state(document->text, document->revision, ip);
         }
         else {
             log_failure("peer_state_unread", document.status(), {{"entry", ip}});
--- a/sardinestream/routes/desired_state.h
+++ b/sardinestream/routes/desired_state.h
@@ -64,8 +64,26 @@
     }
 };
 
-// How an expert-parallel engine places its experts.
+// How fast an engine works, and how it places its experts if it is an expert-parallel one.
 struct engine_model {
+    // Requests that it runs at once; zero if unknown.
+    int slots = 0;
+    // Steps of a pass that writes, and tokens that an event of a stream holds.
+    int steps_per_pass = 1;
+    // Time of a step, in milliseconds, and what each request that is writing adds; zero if unknown.
+    double step_ms = 0;
+    double step_ms_per_request = 0;
+    // What each request that is writing adds for 1,000 tokens of its context, in milliseconds.
+    double step_ms_per_1000_tokens = 0;
+    // Tokens of prompts read per second; zero if unknown.
+    double read_tokens_per_s = 0;
+    // Tokens of prompts that one step reads at most; zero if unknown.
+    int max_tokens_per_step = 0;
+    // Memory for tokens of prompts and answers; zero if unknown.
+    std::int64_t memory_tokens = 0;
+    // Mean tokens of a prompt and of an answer; zero if unknown.
+    double usual_prompt_tokens = 0;
+    double usual_answer_tokens = 0;
     // Zero if the engine has no experts.
     int layer_sets = 0;
     int experts = 0;
@@ -78,14 +96,25 @@
     double link_megabits_per_s = 0;
 
     [[nodiscard]] bool has_experts() const { return this->layer_sets > 0; }
+    // Returns whether the time that a request takes can be computed.
+    [[nodiscard]] bool has_speed() const
+    {
+        return this->step_ms > 0 && this->read_tokens_per_s > 0;
+    }
     // Returns the time to copy one expert to a rank, in milliseconds; zero if no rate is set.
     [[nodiscard]] double copy_ms() const;
+
+    friend bool operator==(const engine_model&, const engine_model&) = default;
 };
 
 struct service_declaration {
     std::string name;
     bool has_engine = false;
     engine_model engine;
+    // Time for which a server is cold after its start, and the requests per second that a cold one
+    // bears from all processes together; zero if none.
+    std::chrono::milliseconds cold_period{0};
+    double cold_rate = 0;
 };
 
 struct team {
