--- a/sardinestream/backends/service_policy_test.cc
+++ b/sardinestream/backends/service_policy_test.cc
@@ -20,7 +20,7 @@
 desired_state make_state(std::vector<route> routes)
 {
     desired_state state;
-    state.services["model"] = {.name = "model"};
+    state.services["model"].name = "model";
     state.routes = std::move(routes);
     return state;
 }
