Priority of a request told to the server where streams differ in urgency

Cause: servers admit by X-Sardinestream-Request-Priority, which was never set, so that in a flood the most urgent kind waited there like the least.

Change: an attempt carries its priority for services whose streams differ in urgency; the adapter clamps it to 0..9 and drops the caller's own header.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -167,6 +167,13 @@
     this->policies = std::move(declared);
 }
 
+bool dispatcher::has_urgent_streams(const std::string& service) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto declared = this->policies.find(service);
+    return declared != this->policies.end() && declared->second.has_urgent_streams;
+}
+
 void dispatcher::set_report_interval(std::chrono::milliseconds interval)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -181,6 +181,9 @@
     // Sets what the operator declares of the services.
     void set_policies(service_policies declared);
 
+    // Returns whether streams of the service differ in priority.
+    [[nodiscard]] bool has_urgent_streams(const std::string& service) const;
+
     // Sets the interval between two reports of an agent.
     void set_report_interval(std::chrono::milliseconds interval);
 
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -137,6 +137,9 @@
     details.resume_after =
         this->events.last_id().empty() ? request.resume_after : this->events.last_id();
     details.remaining_time = milliseconds(milliseconds_until(this->answer_deadline()));
+    if (this->services.servers.has_urgent_streams(this->admitted.service)) {
+        details.priority = this->admitted.priority;
+    }
     std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
     for (const http_header& header : this->services.protocol.encode_headers(request, details)) {
         append_header(text, header.name, header.value);
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -23,6 +23,8 @@
 // unit.
 constexpr std::chrono::seconds max_hold_off{300};
 
+// The last of the priorities that servers know.
+constexpr int max_stated_priority = 9;
 // Parts of a prompt that are kept; a longer list is cut off.
 constexpr std::size_t max_prompt_parts = 64;
 
@@ -132,6 +134,13 @@
 http_headers encode_headers(const caller_request& request, const attempt_details& details)
 {
     http_headers headers = request.headers;
+    if (details.priority.has_value()) {
+        std::erase_if(headers, [](const http_header& header) {
+            return absl::EqualsIgnoreCase(header.name, wire::request_priority);
+        });
+        const int stated = std::clamp(*details.priority, 0, max_stated_priority);
+        headers.push_back({wire::request_priority, absl::StrCat(stated)});
+    }
     headers.push_back({wire::expected_server, details.server_id});
     if (!details.team.empty()) {
         headers.push_back({wire::team, details.team});
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -91,6 +91,23 @@
     EXPECT_FALSE(find_header(headers, "Connection").has_value());
 }
 
+TEST(caller_protocol, tells_the_server_the_priority_in_place_of_the_callers)
+{
+    const wire_protocol protocol = make_caller_protocol();
+    http_request_head head = make_head();
+    head.headers.push_back({wire::request_priority, "0"});
+    const caller_request request = *protocol.decode_request(head);
+    attempt_details details;
+    EXPECT_EQ(find_header(protocol.encode_headers(request, details), wire::request_priority), "0");
+    for (const auto& [priority, stated] :
+         {std::pair(2, "2"), std::pair(-3, "0"), std::pair(1000000, "9")}) {
+        details.priority = priority;
+        const http_headers headers = protocol.encode_headers(request, details);
+        EXPECT_EQ(count_header(headers, wire::request_priority), 1);
+        EXPECT_EQ(find_header(headers, wire::request_priority), stated);
+    }
+}
+
 TEST(caller_protocol, drops_a_forged_team_if_none_is_known)
 {
     const wire_protocol protocol = make_caller_protocol();
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -10,6 +10,8 @@
 inline constexpr char request_id[] = "X-Sardinestream-Request-Id";
 inline constexpr char deadline_ms[] = "X-Sardinestream-Deadline-Ms";
 inline constexpr char last_event_id[] = "Last-Event-Id";
+// 0 to 9, 0 first; servers treat a request without it as 5.
+inline constexpr char request_priority[] = "X-Sardinestream-Request-Priority";
 inline constexpr char signature[] = "X-Sardinestream-Response-Signature";
 inline constexpr char team[] = "X-Sardinestream-Tenant";
 inline constexpr char expected_server[] = "X-Sardinestream-Expect-Instance";
