Queue ordered by urgency, room kept for the urgent, refusal by priority

Cause: in a flood of the unhurried kind all slots fill, and the urgent wait with them; what is late already is served before what could still be in time; a request of low priority that cannot get a server before its caller leaves waits all the same.

Change: for services whose streams differ in priority and have a pause target, the queue serves by priority and within it first what can still be in time (queue_order); what has waited for half of its time goes one priority up, never before the most urgent. Each less urgent priority fills a tenth less of the slots. The expected wait takes the rate at which its own priority gets servers, too.

--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -28,6 +28,7 @@
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
+#include "sardinestream/backends/queue_order.h"
 #include "sardinestream/backends/refusal.h"
 #include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_notice.h"
@@ -53,6 +54,8 @@
     bool has_begun = false;
     // Maximum time to wait for a server, after which the caller is expected to give up.
     std::chrono::milliseconds max_wait{1000};
+    // Time by which the first event of its answer is in time; zero if unknown.
+    steady_time first_event_by{};
     // Ids of the servers that were tried already.
     std::vector<std::string> excluded_ids;
     // Returns true if waiting has become pointless; checked about every 100 ms. May be empty.
@@ -212,12 +215,22 @@
         // In order of arrival.
         std::list<waiter*> waiters;
         drain_rate completion_rate;
+        // Rate at which requests of each priority get servers.
+        std::map<int, drain_rate> placement_rates;
         // Earliest time of the next probe while the service does not serve.
         steady_time next_probe{};
     };
 
-    // Assigns a server with free capacity; nothing if there is none.
-    std::optional<placement> try_place(const placement_request& request)
+    // Assigns a server with free capacity; nothing if there is none. `priority` is that of the
+    // request, or a more urgent one after a long wait.
+    std::optional<placement> try_place(const placement_request& request, int priority)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the policy of the service if its requests are ordered by urgency, otherwise null.
+    [[nodiscard]] const service_policy* urgency_policy(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the share of a server's slots that the request may fill. `priority` is as for
+    // `try_place`.
+    [[nodiscard]] double slot_share(const placement_request& request, int priority) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the best figures among the servers of the service.
     [[nodiscard]] service_pace best_pace(const std::string& service, steady_time now) const
@@ -265,12 +278,19 @@
     // Creates the state of a server, with the hold-off that is known for its start.
     [[nodiscard]] server_state make_state(const backend_server& server, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns whether `first` is served before `second`, which came later or at the same time.
-    [[nodiscard]] static bool goes_before(const placement_request& first,
-                                          const placement_request& second);
-    // Returns the request that is served next, without those in `unplaced`.
+    // Returns the request that is served next, without those in `unplaced`. `policy` is as returned
+    // by `urgency_policy`.
     [[nodiscard]] static std::list<waiter*>::iterator
-    next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced);
+    next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
+                const service_policy* policy, steady_time now);
+    // Returns the number of requests in the queue that are served before this one: all of them, and
+    // those of its own priority.
+    struct queue_position {
+        int ahead = 0;
+        int ahead_of_priority = 0;
+    };
+    [[nodiscard]] static queue_position position_of(const waiter& self, const service_queue& queue,
+                                                    const service_policy* policy, steady_time now);
     // Assigns servers to queued requests in order of priority, as long as there is free capacity.
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the server that the queued request has got, or gets now.
@@ -282,8 +302,12 @@
     // Blocks until the queued request is placed, refused or abandoned by its caller.
     absl::StatusOr<placement> wait_in_queue(waiter& self, const hangup_watch& caller);
     // Returns a refusal if the request cannot expect a server within its `max_wait`.
-    [[nodiscard]] absl::Status check_queue(const placement_request& request, service_queue& queue,
+    [[nodiscard]] absl::Status check_queue(const waiter& self, service_queue& queue,
                                            steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the time after which a queued request may expect a server.
+    [[nodiscard]] std::chrono::milliseconds expected_wait(const waiter& self, service_queue& queue,
+                                                          steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const dispatcher_options options;
     mutable absl::Mutex mutex;
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -11,6 +11,8 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
 namespace {
 
@@ -27,7 +29,11 @@
 
 // One request in a queue. Owned by the waiting thread.
 struct dispatcher::waiter {
-    explicit waiter(const placement_request& wanted) : request(&wanted) {}
+    explicit waiter(const placement_request& wanted)
+        : request(&wanted), order{wanted.has_begun, wanted.priority, steady_clock::now(),
+                                  wanted.max_wait, wanted.first_event_by}
+    {
+    }
     ~waiter()
     {
         if (this->event >= 0) {
@@ -45,6 +51,7 @@
     }
 
     const placement_request* const request;
+    const queue_entry order;
     // Its present server may still answer, so that it must not be used as a probe.
     bool has_server = false;
     // An eventfd that is written to once `assigned` is set.
@@ -52,25 +59,65 @@
     std::optional<placement> assigned;
 };
 
-absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
-                                     steady_time now)
+dispatcher::queue_position dispatcher::position_of(const waiter& self, const service_queue& queue,
+                                                   const service_policy* policy, steady_time now)
+{
+    const urgency own = urgency_of(self.order, policy, now);
+    queue_position position;
+    for (const waiter* other : queue.waiters) {
+        if (!goes_before(urgency_of(other->order, policy, now), own)) {
+            continue;
+        }
+        ++position.ahead;
+        position.ahead_of_priority += other->request->priority == self.request->priority ? 1 : 0;
+    }
+    return position;
+}
+
+const service_policy* dispatcher::urgency_policy(const std::string& service) const
+{
+    const auto declared = this->policies.find(service);
+    return declared != this->policies.end() && has_urgency_order(declared->second)
+               ? &declared->second
+               : nullptr;
+}
+
+double dispatcher::slot_share(const placement_request& request, int priority) const
+{
+    const service_policy* const policy = this->urgency_policy(request.service);
+    return policy == nullptr || request.has_begun ? 1 : share_for_priority(*policy, priority);
+}
+
+std::chrono::milliseconds dispatcher::expected_wait(const waiter& self, service_queue& queue,
+                                                    steady_time now) const
 {
+    const service_policy* const policy = this->urgency_policy(self.request->service);
+    const queue_position position = position_of(self, queue, policy, now);
+    const std::chrono::milliseconds wait =
+        queue.completion_rate.estimated_wait(position.ahead + 1, now, max_retry_after);
+    const drain_rate& own_rate = queue.placement_rates[self.request->priority];
+    if (policy == nullptr || !own_rate.is_known(now)) {
+        return wait;
+    }
+    // More urgent requests that are yet to come are served first as well.
+    return std::max(wait,
+                    own_rate.estimated_wait(position.ahead_of_priority + 1, now, max_retry_after));
+}
+
+absl::Status dispatcher::check_queue(const waiter& self, service_queue& queue, steady_time now)
+{
+    const placement_request& request = *self.request;
     if (!this->has_usable_server(request)) {
         return refuse(absl::StatusCode::kUnavailable, request.service, "no usable server",
                       std::chrono::milliseconds(1000));
     }
     SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
-    double ahead = 1;
-    for (const waiter* other : queue.waiters) {
-        ahead += goes_before(*other->request, request) ? 1 : 0;
-    }
     // Without a queue the completion rate reflects the arrivals rather than the capacity of the
     // servers; shortly after the start it is unknown.
     if (queue.waiters.size() < min_queue_to_refuse || !queue.completion_rate.is_known(now)) {
         return absl::OkStatus();
     }
-    const std::chrono::milliseconds wait =
-        queue.completion_rate.estimated_wait(ahead, now, max_retry_after);
+    const std::chrono::milliseconds wait = this->expected_wait(self, queue, now);
     if (wait <= request.max_wait) {
         return absl::OkStatus();
     }
@@ -78,18 +125,12 @@
     const double spread = 0.5 + this->draw() / 2;
     const auto retry_delay = std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
+    count("sardine_queue_refusals_total",
+          {{"service", request.service}, {"priority", absl::StrCat(request.priority)}});
     return refuse(absl::StatusCode::kResourceExhausted, request.service, "queue full",
                   std::max(retry_delay, min_retry_after));
 }
 
-bool dispatcher::goes_before(const placement_request& first, const placement_request& second)
-{
-    if (first.has_begun != second.has_begun) {
-        return first.has_begun;
-    }
-    return first.priority <= second.priority;
-}
-
 absl::StatusOr<placement> dispatcher::place(const placement_request& request,
                                             const hangup_watch& caller)
 {
@@ -104,13 +145,13 @@
         if (!request.has_begun) {
             SARDINE_RETURN_IF_ERROR(this->check_availability(request, steady_clock::now()));
         }
-        const bool overtakes =
-            std::none_of(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
-                return goes_before(*other->request, request);
-            });
+        const steady_time now = steady_clock::now();
+        const service_policy* const policy = this->urgency_policy(request.service);
+        const bool overtakes = position_of(self, queue, policy, now).ahead == 0;
         if (overtakes) {
-            std::optional<placement> assigned = this->try_place(request);
+            std::optional<placement> assigned = this->try_place(request, request.priority);
             if (assigned.has_value()) {
+                queue.placement_rates[request.priority].add(now);
                 return *std::move(assigned);
             }
         }
@@ -126,7 +167,7 @@
         }
         if (!request.has_begun) {
             queue.waiters.remove(&self);
-            SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
+            SARDINE_RETURN_IF_ERROR(this->check_queue(self, queue, steady_clock::now()));
             queue.waiters.push_back(&self);
         }
     }
@@ -193,19 +234,25 @@
 std::optional<placement> dispatcher::place_if_free(const placement_request& request)
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->queues[request.service].waiters.empty() ? this->try_place(request) : std::nullopt;
+    return this->queues[request.service].waiters.empty()
+               ? this->try_place(request, request.priority)
+               : std::nullopt;
 }
 
 std::list<dispatcher::waiter*>::iterator
-dispatcher::next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced)
+dispatcher::next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
+                        const service_policy* policy, steady_time now)
 {
     auto next = waiters.end();
+    urgency best;
     for (auto it = waiters.begin(); it != waiters.end(); ++it) {
         if (unplaced.count(*it) != 0) {
             continue;
         }
-        if (next == waiters.end() || !goes_before(*(*next)->request, *(*it)->request)) {
+        const urgency own = urgency_of((*it)->order, policy, now);
+        if (next == waiters.end() || !goes_before(best, own)) {
             next = it;
+            best = own;
         }
     }
     return next;
@@ -213,16 +260,19 @@
 
 void dispatcher::serve_waiters(const std::string& service)
 {
-    std::list<waiter*>& waiters = this->queues[service].waiters;
+    service_queue& queue = this->queues[service];
     // Waiters that are passed over, since all free servers are among those that they have tried.
     std::set<const waiter*> unplaced;
+    const steady_time now = steady_clock::now();
+    const service_policy* const policy = this->urgency_policy(service);
     while (unplaced.size() <= max_passed_over) {
-        const auto next = next_waiter(waiters, unplaced);
-        if (next == waiters.end()) {
+        const auto next = next_waiter(queue.waiters, unplaced, policy, now);
+        if (next == queue.waiters.end()) {
             return;
         }
         waiter* const served = *next;
-        std::optional<placement> assigned = this->try_place(*served->request);
+        std::optional<placement> assigned =
+            this->try_place(*served->request, urgency_of(served->order, policy, now).priority);
         if (!assigned.has_value() && served->request->excluded_ids.empty()) {
             return;
         }
@@ -230,7 +280,8 @@
             unplaced.insert(served);
             continue;
         }
-        waiters.erase(next);
+        queue.waiters.erase(next);
+        queue.placement_rates[served->request->priority].add(now);
         served->assigned = std::move(assigned);
         const std::uint64_t one = 1;
         if (::write(served->event, &one, sizeof(one)) < 0) {
--- a/sardinestream/backends/dispatcher_queue_test.cc
+++ b/sardinestream/backends/dispatcher_queue_test.cc
@@ -159,5 +159,70 @@
     agent.join();
 }
 
+class urgency_test : public dispatcher_queue_test {
+protected:
+    urgency_test()
+    {
+        service_policy policy;
+        policy.has_urgent_streams = true;
+        policy.pause_target = milliseconds(120);
+        policy.stream_priorities = {0, 2};
+        this->servers.set_policies({{"assistant", policy}});
+    }
+
+    static placement_request make_stream(int priority)
+    {
+        placement_request request = make_request();
+        request.priority = priority;
+        request.max_wait = milliseconds(10);
+        return request;
+    }
+};
+
+TEST_F(urgency_test, keeps_room_for_the_urgent)
+{
+    backend_server server = make_server("1");
+    server.slots = 10;
+    this->servers.set_servers({server});
+    for (int i = 0; i < 9; ++i) {
+        this->place(make_stream(2));
+    }
+    EXPECT_FALSE(this->servers.place(make_stream(2), hangup_watch()).ok());
+    EXPECT_TRUE(this->servers.place(make_stream(0), hangup_watch()).ok());
+}
+
+TEST_F(urgency_test, a_server_of_one_slot_serves_all)
+{
+    this->servers.set_servers({make_server("1")});
+    EXPECT_TRUE(this->servers.place(make_stream(2), hangup_watch()).ok());
+}
+
+TEST_F(urgency_test, a_stream_that_has_begun_may_fill_all_slots)
+{
+    backend_server server = make_server("1");
+    server.slots = 2;
+    this->servers.set_servers({server});
+    this->place(make_stream(0));
+    EXPECT_FALSE(this->servers.place(make_stream(2), hangup_watch()).ok());
+    placement_request begun = make_stream(2);
+    begun.has_begun = true;
+    EXPECT_TRUE(this->servers.place(begun, hangup_watch()).ok());
+}
+
+TEST_F(urgency_test, serves_first_what_can_be_in_time)
+{
+    this->servers.set_servers({make_server("1")});
+    const placement running = this->place(make_stream(0));
+    placement_request late = make_stream(0);
+    late.first_event_by = steady_clock::now();
+    placement_request in_time = make_stream(0);
+    in_time.first_event_by = steady_clock::now() + std::chrono::hours(1);
+    const auto first = this->queue(late);
+    const auto second = this->queue(in_time);
+    this->finish(running);
+    EXPECT_TRUE(second->take().has_value());
+    EXPECT_FALSE(first->take().has_value());
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/backends/service_policy.cc
+++ b/sardinestream/backends/service_policy.cc
@@ -48,6 +48,7 @@
     }
     for (const auto& [service, priorities] : stream_priorities) {
         policies[service].has_urgent_streams = priorities.size() > 1;
+        policies[service].stream_priorities = priorities;
     }
     return policies;
 }
--- a/sardinestream/backends/service_policy.h
+++ b/sardinestream/backends/service_policy.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 
 #include "sardinestream/routes/desired_state.h"
@@ -25,6 +26,8 @@
     std::chrono::milliseconds pause_target{0};
     // Streams of the service differ in priority.
     bool has_urgent_streams = false;
+    // The priorities that its streams may have.
+    std::set<int> stream_priorities;
     engine_model engine;
 
     friend bool operator==(const service_policy&, const service_policy&) = default;
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -34,6 +34,9 @@
     wanted.service = this->admitted.service;
     wanted.priority = this->admitted.priority;
     wanted.has_begun = this->response_started;
+    if (this->matched_route.kind == request_kind::streaming && !this->response_started) {
+        wanted.first_event_by = this->admitted.arrival + this->matched_route.latency_target;
+    }
     wanted.excluded_ids = this->tried_ids;
     wanted.is_obsolete = [this] {
         return this->shutdown_would_cut() || steady_clock::now() >= this->answer_deadline();
