Queue by urgency: no slots kept free; expected wait from what more urgent ones leave

Change: all priorities may fill all slots; the order of the queue and the header do the rest. The expected wait takes the rate of completions less the rate at which more urgent requests get servers.

backends_test: 156 tests pass.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -35,10 +35,9 @@
     return usual;
 }
 
-std::optional<placement> dispatcher::try_place(const placement_request& request, int priority)
+std::optional<placement> dispatcher::try_place(const placement_request& request)
 {
     const steady_time now = steady_clock::now();
-    const double share = this->slot_share(request, priority);
     const service_pace usual = this->best_pace(request.service, now);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
@@ -46,9 +45,7 @@
         if (!is_eligible(state, request)) {
             continue;
         }
-        const double slots = state.server().slots * (1 + this->options.extra_capacity_share);
-        // One slot remains for everyone.
-        const double capacity = std::max(slots * share, std::min(slots, 1.0));
+        const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
         candidates.push_back(&state);
         loads.push_back(state.load(capacity, this->view, usual, now));
         loads.back().available =
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -221,17 +221,12 @@
         steady_time next_probe{};
     };
 
-    // Assigns a server with free capacity; nothing if there is none. `priority` is that of the
-    // request, or a more urgent one after a long wait.
-    std::optional<placement> try_place(const placement_request& request, int priority)
+    // Assigns a server with free capacity; nothing if there is none.
+    std::optional<placement> try_place(const placement_request& request)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the policy of the service if its requests are ordered by urgency, otherwise null.
     [[nodiscard]] const service_policy* urgency_policy(const std::string& service) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns the share of a server's slots that the request may fill. `priority` is as for
-    // `try_place`.
-    [[nodiscard]] double slot_share(const placement_request& request, int priority) const
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the best figures among the servers of the service.
     [[nodiscard]] service_pace best_pace(const std::string& service, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -283,14 +278,9 @@
     [[nodiscard]] static std::list<waiter*>::iterator
     next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
                 const service_policy* policy, steady_time now);
-    // Returns the number of requests in the queue that are served before this one: all of them, and
-    // those of its own priority.
-    struct queue_position {
-        int ahead = 0;
-        int ahead_of_priority = 0;
-    };
-    [[nodiscard]] static queue_position position_of(const waiter& self, const service_queue& queue,
-                                                    const service_policy* policy, steady_time now);
+    // Returns the number of requests in the queue that are served before this one.
+    [[nodiscard]] static int number_ahead(const waiter& self, const service_queue& queue,
+                                          const service_policy* policy, steady_time now);
     // Assigns servers to queued requests in order of priority, as long as there is free capacity.
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the server that the queued request has got, or gets now.
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -59,19 +59,14 @@
     std::optional<placement> assigned;
 };
 
-dispatcher::queue_position dispatcher::position_of(const waiter& self, const service_queue& queue,
-                                                   const service_policy* policy, steady_time now)
+int dispatcher::number_ahead(const waiter& self, const service_queue& queue,
+                             const service_policy* policy, steady_time now)
 {
     const urgency own = urgency_of(self.order, policy, now);
-    queue_position position;
-    for (const waiter* other : queue.waiters) {
-        if (!goes_before(urgency_of(other->order, policy, now), own)) {
-            continue;
-        }
-        ++position.ahead;
-        position.ahead_of_priority += other->request->priority == self.request->priority ? 1 : 0;
-    }
-    return position;
+    return static_cast<int>(
+        std::count_if(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
+            return goes_before(urgency_of(other->order, policy, now), own);
+        }));
 }
 
 const service_policy* dispatcher::urgency_policy(const std::string& service) const
@@ -82,26 +77,23 @@
                : nullptr;
 }
 
-double dispatcher::slot_share(const placement_request& request, int priority) const
-{
-    const service_policy* const policy = this->urgency_policy(request.service);
-    return policy == nullptr || request.has_begun ? 1 : share_for_priority(*policy, priority);
-}
-
 std::chrono::milliseconds dispatcher::expected_wait(const waiter& self, service_queue& queue,
                                                     steady_time now) const
 {
-    const service_policy* const policy = this->urgency_policy(self.request->service);
-    const queue_position position = position_of(self, queue, policy, now);
-    const std::chrono::milliseconds wait =
-        queue.completion_rate.estimated_wait(position.ahead + 1, now, max_retry_after);
-    const drain_rate& own_rate = queue.placement_rates[self.request->priority];
-    if (policy == nullptr || !own_rate.is_known(now)) {
-        return wait;
+    const placement_request& request = *self.request;
+    const service_policy* const policy = this->urgency_policy(request.service);
+    const double ahead = 1 + number_ahead(self, queue, policy, now);
+    if (policy == nullptr) {
+        return queue.completion_rate.estimated_wait(ahead, now, max_retry_after);
     }
     // More urgent requests that are yet to come are served first as well.
-    return std::max(wait,
-                    own_rate.estimated_wait(position.ahead_of_priority + 1, now, max_retry_after));
+    double more_urgent_per_s = 0;
+    for (const auto& [priority, rate] : queue.placement_rates) {
+        more_urgent_per_s += priority < request.priority ? rate.per_second(now) : 0;
+    }
+    const double left_per_s = std::max(queue.completion_rate.per_second(now) - more_urgent_per_s,
+                                       queue.placement_rates[request.priority].per_second(now));
+    return wait_at_rate(ahead, left_per_s, max_retry_after);
 }
 
 absl::Status dispatcher::check_queue(const waiter& self, service_queue& queue, steady_time now)
@@ -147,9 +139,9 @@
         }
         const steady_time now = steady_clock::now();
         const service_policy* const policy = this->urgency_policy(request.service);
-        const bool overtakes = position_of(self, queue, policy, now).ahead == 0;
+        const bool overtakes = number_ahead(self, queue, policy, now) == 0;
         if (overtakes) {
-            std::optional<placement> assigned = this->try_place(request, request.priority);
+            std::optional<placement> assigned = this->try_place(request);
             if (assigned.has_value()) {
                 queue.placement_rates[request.priority].add(now);
                 return *std::move(assigned);
@@ -234,9 +226,7 @@
 std::optional<placement> dispatcher::place_if_free(const placement_request& request)
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->queues[request.service].waiters.empty()
-               ? this->try_place(request, request.priority)
-               : std::nullopt;
+    return this->queues[request.service].waiters.empty() ? this->try_place(request) : std::nullopt;
 }
 
 std::list<dispatcher::waiter*>::iterator
@@ -271,8 +261,7 @@
             return;
         }
         waiter* const served = *next;
-        std::optional<placement> assigned =
-            this->try_place(*served->request, urgency_of(served->order, policy, now).priority);
+        std::optional<placement> assigned = this->try_place(*served->request);
         if (!assigned.has_value() && served->request->excluded_ids.empty()) {
             return;
         }
--- a/sardinestream/backends/drain_rate.cc
+++ b/sardinestream/backends/drain_rate.cc
@@ -47,12 +47,17 @@
 std::chrono::milliseconds drain_rate::estimated_wait(double ahead, steady_time now,
                                                      std::chrono::milliseconds longest) const
 {
-    const double rate = this->per_second(now);
-    if (rate <= 0) {
+    return wait_at_rate(ahead, this->per_second(now), longest);
+}
+
+std::chrono::milliseconds wait_at_rate(double ahead, double per_second,
+                                       std::chrono::milliseconds longest)
+{
+    if (per_second <= 0) {
         return longest;
     }
     constexpr double ms_per_s = 1000.0;
-    const double wait = ahead / rate * ms_per_s;
+    const double wait = ahead / per_second * ms_per_s;
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(std::min(wait, static_cast<double>(longest.count()))));
 }
--- a/sardinestream/backends/drain_rate.h
+++ b/sardinestream/backends/drain_rate.h
@@ -36,6 +36,11 @@
     steady_time first{};
 };
 
+// Returns the time until `ahead` requests are completed at this rate, at most `longest`; `longest`
+// if the rate is zero.
+[[nodiscard]] std::chrono::milliseconds wait_at_rate(double ahead, double per_second,
+                                                     std::chrono::milliseconds longest);
+
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_BACKENDS_DRAIN_RATE_H_
--- a/sardinestream/backends/queue_order.h
+++ b/sardinestream/backends/queue_order.h
@@ -45,11 +45,6 @@
 // Returns whether requests of the service are ordered by urgency and not by priority alone.
 [[nodiscard]] bool has_urgency_order(const service_policy& policy);
 
-// Returns the share of a server's slots that requests of `priority` may fill: a tenth less for each
-// priority of the service's streams that is more urgent, so that an urgent request finds room
-// without waiting for an end.
-[[nodiscard]] double share_for_priority(const service_policy& policy, int priority);
-
 } // namespace sardinestream
 
 #endif // SARDINESTREAM_BACKENDS_QUEUE_ORDER_H_
