Servers: the time for which a server is cold reaches each entry

Change: the adapter decodes it; a statement that is no number, negative or beyond ten minutes is bounded, counted and logged once, and the entry stays usable. The directory turns it into a time; the mere countdown, and the same fact heard again, change nothing. Entries tell each other what remains; those of older versions ignore the field and state none. Nothing uses it yet. Result: tests of the decoder, the directory and the peers' state, odd and missing values among them.

--- a/sardinestream/backends/backend_server.h
+++ b/sardinestream/backends/backend_server.h
@@ -23,6 +23,8 @@
     int slots = 1;
     // The server is shutting down and takes no new requests.
     bool draining = false;
+    // End of the time for which it is cold, by its own statement; zero if it makes none.
+    std::chrono::steady_clock::time_point cold_until{};
 
     friend bool operator==(const backend_server&, const backend_server&) = default;
 };
--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -53,11 +53,22 @@
     return same_era ? listed_age >= known_age : listed_age > known_age;
 }
 
+// Returns when a server that now states that it stays cold for `remaining` will be warm. Returns
+// `known`, the end by its previous statement, if the two differ only by the delays of messages.
+steady_time newer_cold_end(steady_time known, milliseconds remaining, steady_time now)
+{
+    constexpr milliseconds message_delay{250};
+    const steady_time stated = now + std::max(remaining, milliseconds(0));
+    const bool both_passed = stated <= now && known <= now;
+    const bool is_same = stated <= known + message_delay && known <= stated + message_delay;
+    return both_passed || is_same ? known : stated;
+}
+
 } // namespace
 
 server_directory::server_directory(milliseconds lifetime) : entry_lifetime(lifetime) {}
 
-bool server_directory::upsert(const listed_server& listed)
+bool server_directory::upsert(const listed_server& listed, steady_time now)
 {
     const auto left = this->departed.find(listed.server.id);
     if (left != this->departed.end()) {
@@ -76,9 +87,16 @@
         !supersedes(listed, presence_of(listed), known.listed, presence_of(known.listed))) {
         return false;
     }
+    listed_server newer = listed;
+    const steady_time known_end = known.listed.server.cold_until;
+    // The same fact, heard again, may be older or come from an entry that passes on no cold times.
+    const bool is_repeated =
+        !is_new && listed.position == known.listed.position && known_end != steady_time{};
+    newer.server.cold_until =
+        is_repeated ? known_end : newer_cold_end(known_end, listed.cold_remaining, now);
     const bool changed =
-        !(known.listed.server == listed.server) || known.expires_at != steady_time{} || is_new;
-    known = {listed, {}};
+        !(known.listed.server == newer.server) || known.expires_at != steady_time{} || is_new;
+    known = {std::move(newer), {}};
     return changed;
 }
 
@@ -148,7 +166,7 @@
     bool changed = false;
     for (listed_server copy : list.servers) {
         copy.position.era = no_era;
-        changed = this->upsert(copy) || changed;
+        changed = this->upsert(copy, now) || changed;
     }
     for (auto& [id, kept] : this->entries) {
         kept.listed.position = list.position;
@@ -188,7 +206,7 @@
     this->known = list.position;
     bool changed = false;
     for (const listed_server& listed : list.servers) {
-        changed = this->upsert(listed) || changed;
+        changed = this->upsert(listed, now) || changed;
     }
     return this->remove_absent(list, relist_until, now) || changed;
 }
@@ -223,8 +241,9 @@
         if (change.server.has_value()) {
             // An entry of this age that is missing from the known list was removed in the meantime.
             const bool is_past = !is_known && same_era && change.position <= this->known;
-            const listed_server listed = {*change.server, change.position, change.sequence};
-            changed = (!is_past && this->upsert(listed)) || changed;
+            const listed_server listed = {*change.server, change.position, change.sequence,
+                                          change.cold_remaining};
+            changed = (!is_past && this->upsert(listed, now)) || changed;
             continue;
         }
         if (const auto left = this->departed.find(change.id); left != this->departed.end()) {
@@ -304,7 +323,7 @@
     for (const listed_server& listed : peer.listed.servers) {
         const bool is_known =
             this->entries.count(listed.server.id) > 0 || this->departed.count(listed.server.id) > 0;
-        changed = (is_known && this->upsert(listed)) || changed;
+        changed = (is_known && this->upsert(listed, now)) || changed;
     }
     return changed;
 }
@@ -401,6 +420,8 @@
     for (const auto& [id, known] : this->entries) {
         if (known.expires_at == steady_time{}) {
             all.listed.servers.push_back(known.listed);
+            all.listed.servers.back().cold_remaining = std::chrono::ceil<milliseconds>(
+                std::max(known.listed.server.cold_until - now, steady_clock::duration(0)));
         }
     }
     for (const auto& [id, left] : this->departed) {
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -45,6 +45,8 @@
     store_position position;
     // Counts the server's own writes since its start; zero if its entry does not say.
     std::int64_t sequence = 0;
+    // How much longer the server is cold, as it stated at the last change of its entry.
+    std::chrono::milliseconds cold_remaining{0};
 };
 
 // All servers that the store lists.
@@ -65,6 +67,7 @@
     // What the entry says of its server's age, also the entry that was removed; zero if nothing.
     std::int64_t born_ms = 0;
     std::int64_t sequence = 0;
+    std::chrono::milliseconds cold_remaining{0};
 };
 
 // Changes of the list since an earlier position in the same history.
@@ -155,7 +158,7 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Inserts or updates an entry unless a newer fact is known. Returns whether the server's use
     // may have changed.
-    bool upsert(const listed_server& listed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool upsert(const listed_server& listed, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Marks the servers that a complete list lacks as vanished.
     bool remove_absent(const server_list& list, steady_time relist_until, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -196,6 +196,50 @@
     EXPECT_TRUE(this->directory.usable().empty());
 }
 
+TEST_F(server_directory_test, the_countdown_of_a_cold_time_changes_nothing)
+{
+    using std::chrono::milliseconds;
+    std::int64_t revision = 1;
+    const auto state = [&](int cold_ms, int after_ms) {
+        ++revision;
+        server_change stated = {"a", named("a"), {revision}};
+        stated.cold_remaining = milliseconds(cold_ms);
+        return this->directory.apply(server_changes{{stated}, {revision}}, {},
+                                     this->start + milliseconds(after_ms));
+    };
+    this->list({named("a")}, revision);
+    EXPECT_TRUE(state(3000, 0));
+    EXPECT_EQ(this->directory.usable()[0].cold_until, this->start + milliseconds(3000));
+    EXPECT_FALSE(state(1800, 1300));
+    EXPECT_FALSE(state(0, 3100));
+    EXPECT_FALSE(state(0, 4300));
+    // It has become cold again.
+    EXPECT_TRUE(state(2500, 5000));
+    const shared_servers shared = this->directory.shared(this->start + milliseconds(6000));
+    EXPECT_EQ(shared.listed.servers[0].cold_remaining, milliseconds(1500));
+    // It is warm earlier than it said.
+    EXPECT_TRUE(state(0, 6500));
+}
+
+TEST_F(server_directory_test, a_cold_time_reaches_another_entry)
+{
+    using std::chrono::milliseconds;
+    server_change stated = {"a", named("a"), {2}};
+    stated.cold_remaining = milliseconds(3000);
+    this->list({named("a")}, 1);
+    this->directory.apply(server_changes{{stated}, {2}}, {}, this->start);
+    server_directory other;
+    EXPECT_TRUE(other.merge(this->directory.shared(this->start + milliseconds(1000)), {},
+                            this->start + milliseconds(1000)));
+    ASSERT_EQ(other.usable().size(), 1U);
+    EXPECT_EQ(other.usable()[0].cold_until, this->start + milliseconds(3000));
+    // One that passes on no cold times knows the same entry.
+    server_directory old_version;
+    old_version.apply(server_list{{at_revision(2, named("a"))}, {2}}, {}, this->start);
+    other.merge(old_version.shared(this->start), {}, this->start + milliseconds(1500));
+    EXPECT_EQ(other.usable()[0].cold_until, this->start + milliseconds(3000));
+}
+
 TEST_F(server_directory_test, drops_all_vanished_servers_if_there_was_no_outage)
 {
     this->list({named("a"), named("b")}, 1);
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -182,6 +182,19 @@
     return decoded;
 }
 
+void decode_cold_time(const json& object, server_entry& entry)
+{
+    constexpr double longest_ms = 600'000;
+    const auto found = object.find("cold-remaining-ms");
+    if (found == object.end() || found->is_null()) {
+        return;
+    }
+    const double stated_ms = found->is_number() ? found->get<double>() : -1;
+    entry.has_odd_cold_time = !(stated_ms >= 0 && stated_ms <= longest_ms);
+    entry.cold_remaining = std::chrono::milliseconds(
+        static_cast<std::int64_t>(std::ceil(std::clamp(stated_ms, 0.0, longest_ms))));
+}
+
 request_limits decode_limits(const json& object)
 {
     request_limits decoded;
@@ -258,8 +271,11 @@
         }
         decoded.draining = state == "draining";
         decoded.born_ms = optional_field<std::int64_t>(object, "born", 0);
-        return server_entry{std::move(decoded),
-                            optional_field<std::int64_t>(object, "sequence", 0)};
+        server_entry entry;
+        entry.server = std::move(decoded);
+        entry.sequence = optional_field<std::int64_t>(object, "sequence", 0);
+        decode_cold_time(object, entry);
+        return entry;
     }
     catch (const std::exception& error) {
         return bad_field("server entry", absl::string_view(error.what()).substr(0, max_reason));
--- a/sardinestream/platform/desired_state_decoder.h
+++ b/sardinestream/platform/desired_state_decoder.h
@@ -25,6 +25,10 @@
     backend_server server;
     // Counts the server's own writes since its start; zero if the entry does not say.
     std::int64_t sequence = 0;
+    // How much longer the server is cold; at most ten minutes.
+    std::chrono::milliseconds cold_remaining{0};
+    // The entry's own statement of that is no number of that range; the rest can be used.
+    bool has_odd_cold_time = false;
 };
 
 // Decodes a server's entry. Returns kInvalidArgument if it is malformed; such an entry was made by
--- a/sardinestream/platform/desired_state_decoder_test.cc
+++ b/sardinestream/platform/desired_state_decoder_test.cc
@@ -2,6 +2,8 @@
 
 #include "sardinestream/platform/desired_state_decoder.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream::platform {
 namespace {
 
@@ -88,6 +90,23 @@
     EXPECT_EQ(server->slots, 12);
     EXPECT_EQ(server->born_ms, 123);
     EXPECT_FALSE(server->draining);
+    EXPECT_EQ(decoded->cold_remaining, std::chrono::milliseconds(5));
+    EXPECT_FALSE(decoded->has_odd_cold_time);
+}
+
+TEST(decode_server_entry, an_odd_cold_time_leaves_the_entry_usable)
+{
+    const std::pair<const char*, std::int64_t> cases[] = {
+        {"0", 0},          {"-5", 0},        {"86400000", 600000}, {"\"long\"", 0}, {"[]", 0},
+        {"1e300", 600000}, {"2500.2", 2501}, {"null", 0},          {"true", 0}};
+    for (const auto& [text, expected_ms] : cases) {
+        const absl::StatusOr<server_entry> decoded = decode_server_entry(
+            "i-1",
+            absl::StrCat(R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","slots":12,)",
+                         R"("state":"ready","cold-remaining-ms":)", text, "}"));
+        ASSERT_TRUE(decoded.ok()) << text;
+        EXPECT_EQ(decoded->cold_remaining.count(), expected_ms) << text;
+    }
 }
 
 TEST(decode_server_entry, refuses_entries_of_another_writer)
--- a/sardinestream/platform/server_entries.cc
+++ b/sardinestream/platform/server_entries.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/platform/server_entries.h"
 
+#include <atomic>
 #include <optional>
 #include <utility>
 
@@ -27,6 +28,14 @@
         log_event("server_entry_unreadable", {{"server", object.name}, {"reason", "overlong"}});
         return std::nullopt;
     }
+    if (decoded->has_odd_cold_time) {
+        count("sardine_odd_cold_times_total");
+        // Once, since each heartbeat of the server repeats it.
+        if (static std::atomic<bool> logged = false; !logged.exchange(true)) {
+            log_event("server_cold_time_odd",
+                      {{"server", object.name}, {"used_ms", decoded->cold_remaining.count()}});
+        }
+    }
     return *std::move(decoded);
 }
 
@@ -40,6 +49,7 @@
     }
     decoded.born_ms = entry->server.born_ms;
     decoded.sequence = entry->sequence;
+    decoded.cold_remaining = entry->cold_remaining;
     if (!change.removed) {
         decoded.server = entry->server;
     }
@@ -56,8 +66,10 @@
     for (const stored_object& object : list.objects) {
         std::optional<server_entry> entry = decode_or_log(object);
         if (entry.has_value()) {
-            decoded.servers.push_back(
-                {std::move(entry->server), {object.revision, list.position.era}, entry->sequence});
+            decoded.servers.push_back({std::move(entry->server),
+                                       {object.revision, list.position.era},
+                                       entry->sequence,
+                                       entry->cold_remaining});
         }
     }
     return decoded;
--- a/sardinestream/platform/server_entries_test.cc
+++ b/sardinestream/platform/server_entries_test.cc
@@ -46,6 +46,19 @@
     EXPECT_TRUE(decoded.changes[1].server.has_value());
 }
 
+TEST(server_entries, pass_on_the_stated_cold_time)
+{
+    std::string stated = entry;
+    stated.insert(1, R"("cold-remaining-ms":1200,)");
+    const server_list list = to_server_list({{{"a", 5, stated}, {"b", 6, entry}}, {9}});
+    ASSERT_EQ(list.servers.size(), 2U);
+    EXPECT_EQ(list.servers[0].cold_remaining, std::chrono::milliseconds(1200));
+    EXPECT_EQ(list.servers[1].cold_remaining, std::chrono::milliseconds(0));
+    const server_changes changes = to_server_changes({{{{"a", 6, stated}, false}}, {9}});
+    ASSERT_EQ(changes.changes.size(), 1U);
+    EXPECT_EQ(changes.changes[0].cold_remaining, std::chrono::milliseconds(1200));
+}
+
 TEST(server_entries, a_removed_entry_yields_no_server)
 {
     const server_changes decoded = to_server_changes({{{{"a", 6, entry}, true}}, {9}});
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/programs/peer_state.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
@@ -36,7 +38,20 @@
             {"data_centre", server.data_centre},
             {"service", server.service},
             {"slots", server.slots},
-            {"draining", server.draining}};
+            {"draining", server.draining},
+            {"cold_ms", listed.cold_remaining.count()}};
+}
+
+// An entry of an older version states nothing.
+std::chrono::milliseconds decode_cold_time(const json& object)
+{
+    constexpr std::chrono::milliseconds longest = std::chrono::minutes(10);
+    const auto found = object.find("cold_ms");
+    if (found == object.end() || !found->is_number_integer()) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::clamp(std::chrono::milliseconds(found->get<std::int64_t>()),
+                      std::chrono::milliseconds(0), longest);
 }
 
 absl::StatusOr<listed_server> decode_server(const json& object)
@@ -56,6 +71,7 @@
     server.service = object.at("service").get<std::string>();
     server.slots = object.at("slots").get<int>();
     server.draining = object.at("draining").get<bool>();
+    listed.cold_remaining = decode_cold_time(object);
     return listed;
 }
 
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -24,15 +24,17 @@
     server.data_centre = "a";
     server.slots = 3;
     server.draining = true;
+    const std::chrono::milliseconds cold(2500);
     const departed_server left = {"i-2", 6, 4, {8, 2}, std::chrono::milliseconds(150)};
     const absl::StatusOr<shared_servers> read =
-        decode_servers(encode_servers({{{{server, {7, 2}, 3}}, {9, 2}}, {left}}));
+        decode_servers(encode_servers({{{{server, {7, 2}, 3, cold}}, {9, 2}}, {left}}));
     ASSERT_TRUE(read.ok());
     EXPECT_EQ(read->listed.position, (store_position{9, 2}));
     ASSERT_EQ(read->listed.servers.size(), 1U);
     EXPECT_EQ(read->listed.servers[0].server, server);
     EXPECT_EQ(read->listed.servers[0].position, (store_position{7, 2}));
     EXPECT_EQ(read->listed.servers[0].sequence, 3);
+    EXPECT_EQ(read->listed.servers[0].cold_remaining, cold);
     ASSERT_EQ(read->departed.size(), 1U);
     EXPECT_EQ(read->departed[0].id, "i-2");
     EXPECT_EQ(read->departed[0].born_ms, 6);
@@ -48,6 +50,26 @@
     EXPECT_FALSE(decode_servers(R"({"revision":1,"servers":[{"id":"x"}]})").ok());
 }
 
+// Entries of older versions state no cold time.
+TEST(peer_state, reads_a_server_with_an_odd_cold_time_or_none)
+{
+    backend_server server;
+    server.id = "i-1";
+    server.endpoint = {"10.0.0.1", 80};
+    const std::string text = encode_servers({{{{server, {7}, 3}}, {9}}, {}});
+    const std::string stated = R"("cold_ms":0,)";
+    ASSERT_NE(text.find(stated), std::string::npos);
+    for (const char* const other :
+         {"", R"("cold_ms":"x",)", R"("cold_ms":-1,)", R"("cold_ms":1e99,)"}) {
+        std::string changed = text;
+        changed.replace(changed.find(stated), stated.size(), other);
+        const absl::StatusOr<shared_servers> read = decode_servers(changed);
+        ASSERT_TRUE(read.ok()) << other;
+        ASSERT_EQ(read->listed.servers.size(), 1U) << other;
+        EXPECT_EQ(read->listed.servers[0].cold_remaining.count(), 0) << other;
+    }
+}
+
 TEST(peer_state, an_odd_server_of_a_peer_costs_only_itself)
 {
     backend_server server;
