Cold servers: no second with more requests than the operator allows

Cause: a cold server was picked like a warm one. Change: backends/cold_limits gives each entry a fixed part of the bound. A request counts from its placement until a second after it was written. Servers may be cold without our knowing after a start or an outage. The bound comes from two settings that may be empty, then nothing changes. Gossip names the silent entries, since ranks must not depend on who is heard.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -9,8 +9,15 @@
 #include "sardinestream/base/metrics.h"
 
 namespace sardinestream {
+namespace {
+
+// A cold server is selected only if the others are this many times fuller.
+constexpr double cold_slowness = 2.0;
+
+} // namespace
+
 dispatcher::dispatcher(dispatcher_options chosen)
-    : options(std::move(chosen)), random(std::random_device()())
+    : options(std::move(chosen)), cold(options.cold), random(std::random_device()())
 {
     this->view.data_centre = this->options.data_centre;
 }
@@ -48,8 +55,10 @@
         const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
         candidates.push_back(&state);
         loads.push_back(state.load(capacity, this->view, usual, now));
-        loads.back().available =
-            loads.back().available && this->limits.next_request_time(state.server(), now) <= now;
+        loads.back().available = loads.back().available && this->allowed_time(state, now) <= now;
+        if (this->cold.condition(state.server(), now) == cold_condition::cold) {
+            loads.back().slowness *= cold_slowness;
+        }
     }
     std::array<double, server_sample_size> draws{};
     for (double& draw : draws) {
@@ -101,6 +110,12 @@
         result != attempt_result::unsuitable) {
         this->queues[assigned.server.service].completion_rate.add(now);
     }
+    if (!assigned.sent) {
+        this->cold.note_never_sent(assigned.server);
+    }
+    if (result == attempt_result::refused || result == attempt_result::unreachable) {
+        this->cold.note_outage(assigned.server, now);
+    }
     const auto found = this->servers.find(assigned.server.id);
     if (found == this->servers.end() || found->second.server().born_ms != assigned.server.born_ms) {
         this->serve_waiters(assigned.server.service);
@@ -134,6 +149,7 @@
         kept.emplace(server.id, std::move(state));
     }
     this->servers = std::move(kept);
+    this->cold.set_servers(newer, now);
     for (const auto& [service, queue] : this->queues) {
         this->serve_waiters(service);
     }
@@ -147,6 +163,9 @@
         if (state.server().endpoint.ip != server_ip) {
             continue;
         }
+        if (report.group_broken || state.has_silent_agent(this->view, now)) {
+            this->cold.note_outage(state.server(), now);
+        }
         state.apply_report(report, now);
         if (!this->queues[state.server().service].waiters.empty()) {
             this->serve_waiters(state.server().service);
@@ -159,11 +178,13 @@
     const absl::MutexLock lock(&this->mutex);
     this->view.processes = static_cast<int>(processes.others.size()) + 1;
     this->limits.set_processes(processes);
+    this->cold.set_processes(processes, steady_clock::now());
 }
 
 void dispatcher::set_policies(service_policies declared)
 {
     const absl::MutexLock lock(&this->mutex);
+    this->cold.set_policies(declared);
     this->policies = std::move(declared);
 }
 
@@ -185,6 +206,7 @@
                        state.has_fresh_report(this->view, now),
                        state.is_held_off(now) ? hold_off : std::chrono::milliseconds(0),
                        this->limits.max_rate(state.server(), now),
+                       this->cold.condition(state.server(), now),
                        std::string(state.usage_status(this->view, now))});
     }
     return all;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/cold_limits.h"
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
@@ -69,12 +70,15 @@
     double slowness = 1;
     // Whether the server has begun to answer.
     bool accepted = false;
+    // Whether the request was sent.
+    bool sent = false;
 };
 
 struct dispatcher_options {
     std::string data_centre;
     // Number of requests that a server may hold beyond its slots, as a share of the slots.
     double extra_capacity_share = 0.0;
+    cold_bound cold{};
 };
 
 class dispatcher {
@@ -129,6 +133,9 @@
         std::unique_ptr<waiter> self;
     };
 
+    // Records that the request was sent to the server, wholly or in part.
+    void note_sent(placement& assigned);
+
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& assigned);
 
@@ -194,6 +201,7 @@
         std::chrono::milliseconds hold_off{0};
         // The rate that it names, in requests per second, for all processes together.
         std::optional<double> max_rate;
+        cold_condition coldness = cold_condition::warm;
         // Whether the server is used, and why.
         std::string use;
     };
@@ -245,6 +253,13 @@
     // Returns the time from which the server wants requests: `now` or earlier if it does.
     [[nodiscard]] steady_time return_time(const server_state& state, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the time from which the limits of the server allow a request.
+    [[nodiscard]] steady_time allowed_time(const server_state& state, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether a candidate for the request is cold and has had what it may get.
+    [[nodiscard]] bool waits_for_cold_server(const placement_request& request,
+                                             steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Records that a request is sent to the server.
     void begin_attempt(server_state& state, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns a refusal if no candidate wants requests before `deadline`.
@@ -288,6 +303,7 @@
     std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
     notice_memory notices ABSL_GUARDED_BY(mutex);
     server_limits limits ABSL_GUARDED_BY(mutex);
+    cold_limits cold ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
     group_activity activity ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -28,9 +28,35 @@
     return return_delay_for(this->view.processes, this->draw());
 }
 
+steady_time dispatcher::allowed_time(const server_state& state, steady_time now) const
+{
+    return std::max(this->limits.next_request_time(state.server(), now),
+                    this->cold.next_request_time(state.server(), now));
+}
+
+bool dispatcher::waits_for_cold_server(const placement_request& request, steady_time now) const
+{
+    return this->cold.is_on() &&
+           std::any_of(this->servers.begin(), this->servers.end(), [&](const auto& named) {
+               const server_state& state = named.second;
+               return is_eligible(state, request) &&
+                      this->cold.next_request_time(state.server(), now) > now;
+           });
+}
+
+void dispatcher::note_sent(placement& assigned)
+{
+    if (this->options.cold.overage <= 0) {
+        return;
+    }
+    const absl::MutexLock lock(&this->mutex);
+    assigned.sent = true;
+    this->cold.note_sent(assigned.server, steady_clock::now());
+}
+
 steady_time dispatcher::return_time(const server_state& state, steady_time now) const
 {
-    const steady_time allowed = this->limits.next_request_time(state.server(), now);
+    const steady_time allowed = this->allowed_time(state, now);
     return state.is_held_off(now) ? std::max(allowed, state.hold_off_end()) : allowed;
 }
 
@@ -55,6 +81,7 @@
 {
     state.begin_attempt(now);
     this->limits.note_request(state.server(), now);
+    this->cold.note_placed(state.server());
 }
 
 bool dispatcher::note_limit(const backend_server& server, std::optional<double> max_rate)
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -129,6 +129,9 @@
             SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
             queue.waiters.push_back(&self);
         }
+        if (this->waits_for_cold_server(request, steady_clock::now())) {
+            count("sardine_cold_waits_total", {{"service", request.service}});
+        }
     }
     return this->wait_in_queue(self, caller);
 }
--- a/sardinestream/backends/server_limits.h
+++ b/sardinestream/backends/server_limits.h
@@ -29,7 +29,9 @@
 struct process_group {
     std::uint32_t own = 0;
     // Those that are alive.
-    std::vector<std::uint32_t> others;
+    std::vector<std::uint32_t> others{};
+    // Those that have not been heard from lately and are not yet forgotten.
+    std::vector<std::uint32_t> silent{};
 };
 
 // What a server has last said about its rate.
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -180,6 +180,8 @@
             ->socket.write_message_until_answer(this->encode_request_head(server),
                                                 this->admitted.request.body, write_end,
                                                 this->caller_watch);
+    // After the write, so that a request that a pause of the process delays counts for long enough.
+    this->services.servers.note_sent(record.placed);
     if (!written.ok()) {
         (*connection)->socket.abort();
         return this->handle_failure(attempt_state::possibly_executed, written.status(), record);
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -387,10 +387,16 @@
     gossip::EntryHelloT hello = this->make_entry_hello();
     const std::vector<std::uint32_t> alive = hello.entries;
     std::vector<std::uint32_t> others;
+    std::vector<std::uint32_t> silent;
     int known = 1;
     for (const auto& [ip, heard] : this->entries) {
         others.push_back(ip);
-        known += now - heard.last_heard <= entry_memory ? 1 : 0;
+        const milliseconds silence =
+            std::chrono::duration_cast<milliseconds>(now - heard.last_heard);
+        known += silence <= entry_memory ? 1 : 0;
+        if (silence <= entry_memory && std::find(alive.begin(), alive.end(), ip) == alive.end()) {
+            silent.push_back(ip);
+        }
     }
     {
         const absl::MutexLock lock(&this->mutex);
@@ -401,7 +407,7 @@
         this->announced_alive = alive;
         this->announced_known = known;
         log_event("entries_alive", {{"count", alive.size() + 1}, {"known", known}});
-        this->hooks.on_entries({ip_to_number(this->own_ip), alive}, known);
+        this->hooks.on_entries({ip_to_number(this->own_ip), alive, silent}, known);
     }
 }
 
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -37,6 +37,7 @@
     options.memory_bytes = settings.memory_bytes;
     options.retries_per_request = settings.retry_ratio;
     options.max_retry_burst = settings.retry_slack;
+    options.cold = {settings.cold_overage, settings.cold_slack};
     options.server_entry_lifetime = settings.server_entry_lifetime;
     return options;
 }
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -182,6 +182,25 @@
     EXPECT_TRUE(wrong->wait_for_output("0.01 to 100")) << wrong->output();
 }
 
+// A deployment without the bound of cold servers leaves the values of these settings empty.
+TEST_F(platform_process_test, a_bound_of_cold_servers_is_empty_or_a_number)
+{
+    const std::pair<const char*, int> cases[] = {
+        {"--cold_overage=\n--cold_slack=\n", 0},
+        {"--cold_overage=1.5\n--cold_slack=5\n", 0},
+        {"--cold_overage=much\n--cold_slack=5\n", exit_bad_settings},
+        {"--cold_overage=nan\n--cold_slack=5\n", exit_bad_settings},
+        {"--cold_overage=1.5\n--cold_slack=-1\n", exit_bad_settings}};
+    for (const auto& [settings, expected] : cases) {
+        this->write_settings(this->entry_settings() + settings);
+        const auto checked = *process::start({.binary = "sardine-platform-entry",
+                                              .flags = {"--check_settings"},
+                                              .log_directory = this->logs.path(),
+                                              .name = "checked"});
+        EXPECT_EQ(checked->wait_for_exit(), expected) << settings;
+    }
+}
+
 TEST_F(platform_process_test, invalid_settings_prevent_the_start_and_are_named)
 {
     this->write_settings(this->agent_settings("loud"));
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -9,6 +9,7 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/platform/wire_names.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -34,6 +35,9 @@
 DEFINE_int32(heartbeat_ms, 1200,
              "Milliseconds between heartbeats of a server to the store, 10 to 600000");
 DEFINE_double(grace_s, 8, "Seconds from SIGTERM to the end of the process, 1 to 600");
+DEFINE_string(cold_overage, "",
+              "A cold server may get its rate times this, 0.1 to 1000; empty: no limit");
+DEFINE_string(cold_slack, "", "Requests that a cold server may get beyond that, 0 to 1e6");
 
 DEFINE_string(backend, "", "IP:PORT of the backend server beside this process");
 DEFINE_string(service, "", "Service of that backend server");
@@ -109,6 +113,38 @@
                : setting_error(flag, absl::StrCat(value), absl::StrCat(minimum, " to ", maximum));
 }
 
+// Reads a number that a deployment may leave empty; zero if it does.
+absl::StatusOr<double> read_optional_number(absl::string_view flag, absl::string_view value,
+                                            double minimum, double maximum)
+{
+    if (value.empty()) {
+        return 0;
+    }
+    double number = 0;
+    if (!absl::SimpleAtod(value, &number)) {
+        return setting_error(flag, value, "a number, or empty");
+    }
+    SARDINE_RETURN_IF_ERROR(check_number(flag, number, minimum, maximum));
+    return number;
+}
+
+absl::Status read_cold_bound(entry_settings& settings)
+{
+    constexpr double min_overage = 0.1;
+    constexpr double max_overage = 1000;
+    constexpr double max_slack = 1e6;
+    const absl::StatusOr<double> overage =
+        read_optional_number("cold_overage", FLAGS_cold_overage, min_overage, max_overage);
+    const absl::StatusOr<double> slack =
+        read_optional_number("cold_slack", FLAGS_cold_slack, 0, max_slack);
+    if (!overage.ok() || !slack.ok()) {
+        return overage.ok() ? slack.status() : overage.status();
+    }
+    settings.cold_overage = *overage;
+    settings.cold_slack = *slack;
+    return absl::OkStatus();
+}
+
 absl::StatusOr<entry_settings> read_entry()
 {
     constexpr int min_descriptors = 64;
@@ -134,6 +170,7 @@
     SARDINE_RETURN_IF_ERROR(
         check_range("heartbeat_ms", FLAGS_heartbeat_ms, min_heartbeat_ms, max_heartbeat_ms));
     SARDINE_RETURN_IF_ERROR(check_number("grace_s", FLAGS_grace_s, 1, max_grace_s));
+    SARDINE_RETURN_IF_ERROR(read_cold_bound(settings));
     absl::StatusOr<std::vector<address>> seeds = parse_addresses(FLAGS_seeds);
     if (!seeds.ok()) {
         return setting_error("seeds", FLAGS_seeds, "IP:PORT,...");
@@ -179,10 +216,10 @@
 
 absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
 {
-    SARDINE_RETURN_IF_ERROR(
-        load(argc, argv,
-             {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "memory_mb",
-              "retry_ratio", "retry_slack", "heartbeat_ms", "grace_s"}));
+    SARDINE_RETURN_IF_ERROR(load(argc, argv,
+                                 {"front_listen", "ready_listen", "store", "seeds",
+                                  "file_descriptors", "memory_mb", "retry_ratio", "retry_slack",
+                                  "heartbeat_ms", "grace_s", "cold_overage", "cold_slack"}));
     return read_entry();
 }
 
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -46,6 +46,10 @@
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{0};
     std::chrono::milliseconds grace{8000};
+    // A cold server may get its rate times `cold_overage`, plus `cold_slack` requests, in one
+    // second; zero if the deployment does not limit cold servers.
+    double cold_overage = 0;
+    double cold_slack = 0;
 };
 
 struct agent_settings : common_settings {
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -77,7 +77,8 @@
 entry_program::entry_program(const entry_options& chosen, wire_protocol spoken,
                              desired_state_decoder decoder)
     : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
-      directory(chosen.server_entry_lifetime), servers(dispatcher_options{options.data_centre}),
+      directory(chosen.server_entry_lifetime),
+      servers(dispatcher_options{options.data_centre, 0, options.cold}),
       suspects(
           suspects::suspect_registry::create(shared_server_suspects([this](const digest128& trait) {
               const absl::MutexLock lock(&this->mutex);
@@ -319,12 +320,18 @@
     }
     set_gauges("sardine_retry_tokens", tokens);
     std::map<metric_labels, double> servers_by_state;
+    std::map<metric_labels, double> cold_servers;
     for (const dispatcher::server_summary& one : this->servers.summary()) {
+        if (one.coldness != cold_condition::warm) {
+            ++cold_servers[{{"service", one.server.service},
+                            {"condition", std::string(name_of(one.coldness))}}];
+        }
         const char* const limited = one.max_rate.has_value() ? "limited" : "in_use";
         const char* const held = one.hold_off.count() > 0 ? "holding_off" : limited;
         ++servers_by_state[{{"service", one.server.service},
                             {"state", one.server.draining ? "leaving" : held}}];
     }
+    set_gauges("sardine_cold_servers", {cold_servers.begin(), cold_servers.end()});
     set_gauges("sardine_servers", {servers_by_state.begin(), servers_by_state.end()});
     std::vector<std::pair<metric_labels, double>> conditions;
     for (const auto& [service, outlook] : this->servers.availabilities()) {
@@ -373,6 +380,7 @@
                                      {"use", one.use},
                                      {"hold_off_ms", one.hold_off.count()},
                                      {"max_rate", one.max_rate.value_or(-1)},
+                                     {"cold", name_of(one.coldness)},
                                      {"pass_ms", one.report.step_ms},
                                      {"own_in_flight", one.own_in_flight},
                                      {"reported", one.reported},
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -52,6 +52,7 @@
     double max_retry_burst = 80;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{4800};
+    cold_bound cold{};
 
     friend bool operator==(const entry_options&, const entry_options&) = default;
 };
