--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -42,7 +42,7 @@
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
-        if (!is_eligible(state, request)) {
+        if (!this->is_eligible(state, request)) {
             continue;
         }
         const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
@@ -68,18 +68,27 @@
     return assigned;
 }
 
-bool dispatcher::is_eligible(const server_state& state, const placement_request& request)
+bool dispatcher::is_evacuated(const backend_server& server) const
+{
+    return !this->evacuated.empty() && this->evacuated.count(server.data_centre) != 0;
+}
+
+bool dispatcher::is_eligible(const server_state& state, const placement_request& request) const
 {
     const backend_server& server = state.server();
-    return server.service == request.service && !server.draining &&
+    return server.service == request.service && !server.draining && !this->is_evacuated(server) &&
            std::find(request.excluded_ids.begin(), request.excluded_ids.end(), server.id) ==
                request.excluded_ids.end();
 }
 
 bool dispatcher::has_usable_server(const placement_request& request) const
 {
-    return std::any_of(this->servers.begin(), this->servers.end(),
-                       [&](const auto& named) { return is_eligible(named.second, request); });
+    for (const auto& [id, state] : this->servers) {
+        if (this->is_eligible(state, request)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool dispatcher::delays_its_group(const backend_server& server)
@@ -161,6 +170,15 @@
     this->limits.set_processes(processes);
 }
 
+void dispatcher::set_evacuated(std::set<std::string> data_centres)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->evacuated = std::move(data_centres);
+    for (const auto& [service, queue] : this->queues) {
+        this->serve_waiters(service);
+    }
+}
+
 void dispatcher::set_policies(service_policies declared)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -185,7 +203,9 @@
                        state.has_fresh_report(this->view, now),
                        state.is_held_off(now) ? hold_off : std::chrono::milliseconds(0),
                        this->limits.max_rate(state.server(), now),
-                       std::string(state.usage_status(this->view, now))});
+                       this->is_evacuated(state.server())
+                           ? "no: evacuated"
+                           : std::string(state.usage_status(this->view, now))});
     }
     return all;
 }
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -178,6 +178,10 @@
     // Sets the processes that place requests on the same servers.
     void set_processes(const process_group& processes);
 
+    // Sets the data centres to whose servers nothing more is sent. Requests in progress there
+    // continue; queued requests are served anew by the servers that are left.
+    void set_evacuated(std::set<std::string> data_centres);
+
     // Sets what the operator declares of the services.
     void set_policies(service_policies declared);
 
@@ -234,9 +238,13 @@
     [[nodiscard]] absl::Status check_availability(const placement_request& request, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns whether the server is a candidate for the request: it provides the service, is not
-    // leaving and was not tried already. It may still be full or hold off.
-    [[nodiscard]] static bool is_eligible(const server_state& state,
-                                          const placement_request& request);
+    // leaving, its data centre is not evacuated and it was not tried already. It may still be full
+    // or hold off.
+    [[nodiscard]] bool is_eligible(const server_state& state,
+                                   const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool is_evacuated(const backend_server& server) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the earliest time at which a candidate for the request wants requests again, if all
     // of them hold off or have had what their limits allow; otherwise nothing.
     [[nodiscard]] std::optional<steady_time> earliest_return(const placement_request& request,
@@ -273,6 +281,9 @@
     // Returns the server that the queued request has got, or gets now.
     [[nodiscard]] std::optional<placement> take_place(waiter& self)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the refusal of a request that no listed server may take.
+    [[nodiscard]] absl::Status refuse_without_server(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns a refusal if the queued request should wait no longer.
     [[nodiscard]] absl::Status check_waiter(const waiter& self, steady_time deadline)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -292,6 +303,7 @@
     group_activity activity ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
     service_policies policies ABSL_GUARDED_BY(mutex);
+    std::set<std::string> evacuated ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
 
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -39,7 +39,7 @@
 {
     std::optional<steady_time> earliest;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, request)) {
+        if (!this->is_eligible(state, request)) {
             continue;
         }
         const steady_time returns = this->return_time(state, now);
@@ -133,7 +133,7 @@
     const steady_time now = steady_clock::now();
     bool any_broken = false;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, any)) {
+        if (!this->is_eligible(state, any)) {
             continue;
         }
         const bool broken = state.is_broken(this->view, now);
@@ -169,7 +169,7 @@
 {
     std::vector<std::optional<server_outage>> servers;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, request) || state.is_held_off(now)) {
+        if (!this->is_eligible(state, request) || state.is_held_off(now)) {
             continue;
         }
         servers.push_back(state.outage(this->view, now));
@@ -189,7 +189,8 @@
     }
     server_state* longest_untried = nullptr;
     for (auto& [id, state] : this->servers) {
-        const bool fits = is_eligible(state, request) && state.can_be_probed(this->view, now) &&
+        const bool fits = this->is_eligible(state, request) &&
+                          state.can_be_probed(this->view, now) &&
                           this->return_time(state, now) <= now;
         if (fits && (longest_untried == nullptr ||
                      state.last_attempt_time() < longest_untried->last_attempt_time())) {
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -17,6 +17,7 @@
 // Bounds of the retry delay that a refusal carries.
 constexpr std::chrono::milliseconds max_retry_after{4000};
 constexpr std::chrono::milliseconds min_retry_after{100};
+constexpr std::chrono::milliseconds no_server_retry_after{1000};
 // Minimum queue length at which requests are refused on arrival.
 constexpr std::size_t min_queue_to_refuse = 4;
 // Requests that may be passed over because they have tried all free servers; bounds the work under
@@ -52,12 +53,19 @@
     std::optional<placement> assigned;
 };
 
+absl::Status dispatcher::refuse_without_server(const placement_request& request) const
+{
+    return refuse(absl::StatusCode::kUnavailable, request.service,
+                  this->evacuated.empty() ? "no usable server"
+                                          : "no usable server, with data centres evacuated",
+                  no_server_retry_after);
+}
+
 absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
                                      steady_time now)
 {
     if (!this->has_usable_server(request)) {
-        return refuse(absl::StatusCode::kUnavailable, request.service, "no usable server",
-                      std::chrono::milliseconds(1000));
+        return this->refuse_without_server(request);
     }
     SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
     double ahead = 1;
@@ -151,6 +159,9 @@
 {
     const placement_request& request = *self.request;
     const steady_time now = steady_clock::now();
+    if (!request.has_begun && !this->evacuated.empty() && !this->has_usable_server(request)) {
+        return this->refuse_without_server(request);
+    }
     if (!request.has_begun) {
         SARDINE_RETURN_IF_ERROR(this->check_returns(request, deadline, now));
         SARDINE_RETURN_IF_ERROR(this->check_availability(request, now));
