Evacuations: entries tell each other, and wait for the list before they are ready

An entry that the store turns away, or that starts during an evacuation, has to learn of it. Hellos carry the position at which the sender's evacuations last changed; an entry that does not know as much fetches them. Where the setting asks for evacuations, an entry is ready once it has a list, or after three seconds. /status lists them, a gauge counts them.

--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -170,8 +170,11 @@
     }
     known_entry& heard = this->entries[hello.ip];
     heard.last_heard = steady_clock::now();
-    heard.age = {
-        hello.config_version, {hello.servers_revision, hello.servers_era}, hello.departed_digest};
+    heard.age = {hello.config_version,
+                 {hello.servers_revision, hello.servers_era},
+                 hello.departed_digest,
+                 {},
+                 {hello.evacuations_revision, hello.evacuations_era}};
     heard.vanished_servers = static_cast<std::size_t>(std::max(0, hello.vanished_servers));
     for (const std::uint32_t other : hello.entries) {
         this->add_entry(other);
@@ -337,6 +340,8 @@
     hello.servers_revision = own.servers.revision;
     hello.servers_era = own.servers.era;
     hello.departed_digest = own.departed_digest;
+    hello.evacuations_revision = own.evacuations_changed.revision;
+    hello.evacuations_era = own.evacuations_changed.era;
     hello.suspects_digest = this->hooks.suspects_digest();
     return hello;
 }
--- a/sardinestream/peers/entry_gossip.h
+++ b/sardinestream/peers/entry_gossip.h
@@ -39,10 +39,15 @@
     store_position servers;
     // Digest of the servers that it knows to have departed.
     std::uint64_t departed_digest = 0;
+    // The store's position up to which the evacuations are known; zero if the entry has no list.
+    store_position evacuations;
+    // The position at which the evacuations last changed; all that other entries tell of them.
+    store_position evacuations_changed;
 
     [[nodiscard]] bool is_older_than(const state_age& other) const
     {
-        return other.config_version > this->config_version || other.servers > this->servers;
+        return other.config_version > this->config_version || other.servers > this->servers ||
+               other.evacuations_changed > this->evacuations;
     }
     // Returns true if an entry whose state is of the age `other` may know what this one does not.
     [[nodiscard]] bool lacks(const state_age& other) const
--- a/sardinestream/peers/gossip_generated.h
+++ b/sardinestream/peers/gossip_generated.h
@@ -361,6 +361,8 @@
   int64_t config_version = 0;
   int64_t servers_era = 0;
   uint64_t departed_digest = 0;
+  int64_t evacuations_revision = 0;
+  int64_t evacuations_era = 0;
 };
 
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -377,7 +379,9 @@
     VT_LIMITS = 18,
     VT_CONFIG_VERSION = 20,
     VT_SERVERS_ERA = 22,
-    VT_DEPARTED_DIGEST = 24
+    VT_DEPARTED_DIGEST = 24,
+    VT_EVACUATIONS_REVISION = 26,
+    VT_EVACUATIONS_ERA = 28
   };
   uint32_t ip() const {
     return GetField<uint32_t>(VT_IP, 0);
@@ -409,6 +413,12 @@
   uint64_t departed_digest() const {
     return GetField<uint64_t>(VT_DEPARTED_DIGEST, 0);
   }
+  int64_t evacuations_revision() const {
+    return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0);
+  }
+  int64_t evacuations_era() const {
+    return GetField<int64_t>(VT_EVACUATIONS_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_IP, 4) &&
@@ -423,6 +433,8 @@
            VerifyField<int64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_SERVERS_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_DEPARTED_DIGEST, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_ERA, 8) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -464,6 +476,12 @@
   void add_departed_digest(uint64_t departed_digest) {
     fbb_.AddElement<uint64_t>(EntryHello::VT_DEPARTED_DIGEST, departed_digest, 0);
   }
+  void add_evacuations_revision(int64_t evacuations_revision) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
+  }
+  void add_evacuations_era(int64_t evacuations_era) {
+    fbb_.AddElement<int64_t>(EntryHello::VT_EVACUATIONS_ERA, evacuations_era, 0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -486,8 +504,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const sardinestream::gossip::ServerLimit *>> limits = 0,
     int64_t config_version = 0,
     int64_t servers_era = 0,
-    uint64_t departed_digest = 0) {
+    uint64_t departed_digest = 0,
+    int64_t evacuations_revision = 0,
+    int64_t evacuations_era = 0) {
   EntryHelloBuilder builder_(_fbb);
+  builder_.add_evacuations_era(evacuations_era);
+  builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_departed_digest(departed_digest);
   builder_.add_servers_era(servers_era);
   builder_.add_config_version(config_version);
@@ -517,7 +539,9 @@
     const std::vector<sardinestream::gossip::ServerLimit> *limits = nullptr,
     int64_t config_version = 0,
     int64_t servers_era = 0,
-    uint64_t departed_digest = 0) {
+    uint64_t departed_digest = 0,
+    int64_t evacuations_revision = 0,
+    int64_t evacuations_era = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<sardinestream::gossip::ServerLimit>(*limits) : 0;
   return sardinestream::gossip::CreateEntryHello(
@@ -531,7 +555,9 @@
       limits__,
       config_version,
       servers_era,
-      departed_digest);
+      departed_digest,
+      evacuations_revision,
+      evacuations_era);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1669,6 +1695,8 @@
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = servers_era(); _o->servers_era = _e; }
   { auto _e = departed_digest(); _o->departed_digest = _e; }
+  { auto _e = evacuations_revision(); _o->evacuations_revision = _e; }
+  { auto _e = evacuations_era(); _o->evacuations_era = _e; }
 }
 
 inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1689,6 +1717,8 @@
   auto _config_version = _o->config_version;
   auto _servers_era = _o->servers_era;
   auto _departed_digest = _o->departed_digest;
+  auto _evacuations_revision = _o->evacuations_revision;
+  auto _evacuations_era = _o->evacuations_era;
   return sardinestream::gossip::CreateEntryHello(
       _fbb,
       _ip,
@@ -1700,7 +1730,9 @@
       _limits,
       _config_version,
       _servers_era,
-      _departed_digest);
+      _departed_digest,
+      _evacuations_revision,
+      _evacuations_era);
 }
 
 inline GroupPlacesT *GroupPlaces::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -12,6 +12,8 @@
 #include "sardinestream/programs/operator_pages.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 
 namespace sardinestream {
 namespace {
@@ -53,6 +55,9 @@
 {
     return static_cast<std::size_t>(share * static_cast<double>(bytes));
 }
+// A start waits so long for the evacuations. The store, or else another entry, tells them sooner;
+// if neither can, an entry that serves without is better than none.
+constexpr milliseconds evacuations_wait{3000};
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -154,7 +159,8 @@
 state_age entry_program::own_age() const
 {
     return {this->state.version(), this->directory.position(),
-            this->directory.departed_digest(steady_clock::now())};
+            this->directory.departed_digest(steady_clock::now()), this->evacuations.position(),
+            this->evacuations.changed()};
 }
 
 void entry_program::apply_entries(const process_group& alive, int known)
@@ -178,6 +184,9 @@
         if (this->directory.drop_vanished(steady_clock::now())) {
             this->publish_servers();
         }
+        if (this->evacuations.drop_expired(steady_clock::now())) {
+            this->publish_evacuations();
+        }
         this->log_changed_conditions();
         this->log_changed_suspects();
         if (++ticks % ticks_per_sweep == 0) {
@@ -277,6 +286,31 @@
     }
 }
 
+void entry_program::publish_evacuations()
+{
+    const absl::MutexLock lock(&this->evacuation_mutex);
+    this->servers.set_evacuated(this->evacuations.in_force());
+}
+
+void entry_program::apply_evacuation_list(const evacuation_snapshot& list)
+{
+    const store_position before = this->evacuations.changed();
+    if (this->evacuations.apply(list, steady_clock::now())) {
+        this->publish_evacuations();
+    }
+    if (this->evacuations.changed() != before) {
+        this->gossip->announce();
+    }
+}
+
+void entry_program::apply_evacuation_changes(const evacuation_changes& changes)
+{
+    if (this->evacuations.apply(changes, steady_clock::now())) {
+        this->publish_evacuations();
+        this->gossip->announce();
+    }
+}
+
 void entry_program::drop_vanished_servers()
 {
     const std::size_t dropped = this->directory.drop_all_vanished(steady_clock::now());
@@ -292,7 +326,14 @@
 
 bool entry_program::is_ready() const
 {
-    return !this->stopping && this->servers_known && this->state.get() != nullptr;
+    return !this->stopping && this->servers_known && this->state.get() != nullptr &&
+           this->evacuations_settled();
+}
+
+bool entry_program::evacuations_settled() const
+{
+    return !this->options.watches_evacuations || this->evacuations.position() != store_position{} ||
+           steady_clock::now() - this->started_at >= evacuations_wait;
 }
 
 http_answer entry_program::answer_readiness() const
@@ -310,6 +351,8 @@
               current == nullptr ? 0 : static_cast<double>(current->version));
     set_gauge("sardine_servers_revision", {},
               static_cast<double>(this->directory.position().revision));
+    set_gauge("sardine_evacuated_data_centres", {},
+              static_cast<double>(this->evacuations.in_force().size()));
     set_gauge("sardine_crash_suspects", {}, static_cast<double>(this->suspects->blamed()));
     set_gauge("sardine_entries", {{"seen", "alive"}}, this->entries_alive);
     set_gauge("sardine_entries", {{"seen", "lately"}}, this->entries_known);
@@ -333,6 +376,21 @@
     set_gauges("sardine_service_condition", conditions);
 }
 
+nlohmann::json entry_program::evacuations_json() const
+{
+    const steady_time now = steady_clock::now();
+    nlohmann::json all = nlohmann::json::array();
+    for (const evacuation_list::evacuation& one : this->evacuations.list()) {
+        all.push_back({{"data_centre", one.data_centre},
+                       {"since", absl::FormatTime(absl::Now() - absl::FromChrono(now - one.since))},
+                       {"source", one.source},
+                       {"revision", one.position.revision},
+                       {"era", one.position.era},
+                       {"kept", one.kept}});
+    }
+    return all;
+}
+
 std::string entry_program::status_json() const
 {
     const std::shared_ptr<const desired_state> current = this->state.get();
@@ -346,6 +404,8 @@
                              {"desired_state_revision", this->state.document().revision},
                              {"servers_revision", this->directory.position().revision},
                              {"servers_era", this->directory.position().era},
+                             {"evacuations_revision", this->evacuations.position().revision},
+                             {"evacuations_era", this->evacuations.position().era},
                              {"entries_alive", this->entries_alive.load()},
                              {"entries_known", this->entries_known.load()},
                              {"crash_suspects", this->suspects->blamed()},
@@ -354,6 +414,7 @@
                              {"waiting", this->servers.waiting()},
                              {"requests_open", this->in_progress.size()}};
     const steady_time now = steady_clock::now();
+    status["evacuations"] = this->evacuations_json();
     for (const auto& [service, outlook] : this->servers.availabilities()) {
         const answer_estimate stream =
             this->answer_durations.estimate({service, request_kind::streaming}, now);
@@ -380,7 +441,8 @@
                                      {"waiting", one.report.waiting},
                                      {"slowness", one.report.slowness}});
     }
-    return status.dump();
+    // Names of data centres come from other writers and may be no UTF-8.
+    return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 bool entry_program::apply_options(const entry_options& changed)
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -15,7 +15,10 @@
 #include <thread>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/backends/evacuation_list.h"
 #include "sardinestream/backends/server_directory.h"
 #include "sardinestream/forwarding/crash_guard.h"
 #include "sardinestream/forwarding/frontend.h"
@@ -52,6 +55,8 @@
     double max_retry_burst = 80;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{4800};
+    // The store's evacuations are delivered with `apply_evacuation*`.
+    bool watches_evacuations = false;
 
     friend bool operator==(const entry_options&, const entry_options&) = default;
 };
@@ -74,6 +79,10 @@
     void apply_server_list(const server_list& list, steady_time relist_until);
     void apply_server_changes(const server_changes& changes, steady_time relist_until);
 
+    // Apply the store's list of evacuations, or changes to it.
+    void apply_evacuation_list(const evacuation_snapshot& list);
+    void apply_evacuation_changes(const evacuation_changes& changes);
+
     // Applies options that have changed since the start. Returns false if some of the changes need
     // a restart.
     bool apply_options(const entry_options& changed);
@@ -85,6 +94,14 @@
     void stop(steady_time received, std::chrono::milliseconds grace);
 
 private:
+    // An entry that had newer state than this one when it was last heard from.
+    struct peer_with_newer_state {
+        std::string ip;
+        state_age age;
+        // Since when some entry has had newer state.
+        steady_time since{};
+    };
+
     entry_program(const entry_options& chosen, wire_protocol spoken, desired_state_decoder decoder);
 
     [[nodiscard]] absl::Status open();
@@ -99,29 +116,38 @@
     void fetch_suspects();
     // Logs the number of refused suspects when it has changed. Called only by the ticker thread.
     void log_changed_suspects();
-    void fetch_from(const std::string& ip);
+    // `newer` is what that entry has said of its state.
+    void fetch_from(const std::string& ip, const state_age& newer);
+    void fetch_evacuations(http_client& peer, const std::string& ip);
     // Adds what another entry knows of the servers.
     void merge_servers(const shared_servers& servers);
     [[nodiscard]] state_age own_age() const;
     // Applies the entries that are alive, and the number of those that are not yet forgotten.
     void apply_entries(const process_group& alive, int known);
-    // Returns the address of the entry to fetch newer state from now, if any.
-    [[nodiscard]] std::optional<std::string> next_fetch_source();
+    // Returns the entry to fetch newer state from now, if any.
+    [[nodiscard]] std::optional<peer_with_newer_state> next_fetch_source();
     [[nodiscard]] http_answer answer_peer(const http_request_head& head) const;
     // Answers an entry whose knowledge of the servers is of the age `theirs`.
     [[nodiscard]] http_answer answer_servers(const state_age& theirs) const;
+    // Answers an entry that knows the evacuations up to `known`.
+    [[nodiscard]] http_answer answer_evacuations(const store_position& known) const;
     // Logs services whose condition has changed. Called only by the ticker thread.
     void log_changed_conditions();
     // Applies the contents of the directory to the dispatcher and the connection pool.
     void publish_servers();
+    // Applies the evacuations in force to the dispatcher.
+    void publish_evacuations();
     // Drops the vanished servers. Called when the other entries saw no store outage that could
     // explain why their records expired.
     void drop_vanished_servers();
     [[nodiscard]] bool is_ready() const;
+    // Returns whether the evacuations are known, as far as a start may wait for them.
+    [[nodiscard]] bool evacuations_settled() const;
     [[nodiscard]] http_answer answer_readiness() const;
     // Sets the gauges to the current values.
     void update_gauges() const;
     [[nodiscard]] std::string status_json() const;
+    [[nodiscard]] nlohmann::json evacuations_json() const;
     // Logs the requests that a stop leaves without a whole answer.
     void log_unfinished_requests() const;
 
@@ -129,6 +155,7 @@
     const wire_protocol protocol;
     current_state state;
     server_directory directory;
+    evacuation_list evacuations;
     dispatcher servers;
     connection_pool connections{[this] { return this->stop_deadline.load(); }};
     // Requests that crash servers, as this entry and the others have seen.
@@ -144,6 +171,7 @@
     std::atomic<steady_time> stop_deadline = steady_time::max();
     std::atomic<steady_time> deregistered_at = steady_time::max();
     std::atomic<bool> servers_known = false;
+    const steady_time started_at = steady_clock::now();
     // Number of entries heard from recently enough to count as alive, and of those not yet
     // forgotten; both include this one.
     std::atomic<int> entries_alive = 1;
@@ -154,13 +182,6 @@
     std::unique_ptr<http_service> peer_service;
     std::unique_ptr<entry_gossip> gossip;
     absl::Mutex mutex;
-    // An entry that had newer state than this one when it was last heard from.
-    struct peer_with_newer_state {
-        std::string ip;
-        state_age age;
-        // Since when some entry has had newer state.
-        steady_time since{};
-    };
     std::optional<peer_with_newer_state> newer_peer ABSL_GUARDED_BY(mutex);
     // When state was last fetched for the sake of departed servers alone.
     steady_time departed_fetched ABSL_GUARDED_BY(mutex){};
@@ -178,6 +199,8 @@
     absl::Mutex policy_mutex;
     // Held while servers are published, so that the newest list is the one applied last.
     absl::Mutex publish_mutex;
+    // Held while evacuations are published, for the same reason.
+    absl::Mutex evacuation_mutex;
     // The conditions logged last, by service; used only by the ticker thread.
     std::map<std::string, service_condition> logged_conditions;
     std::atomic<bool> ticking = true;
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -1,5 +1,5 @@
 // Implements the part of entry_program that exchanges state with the other entries: desired state,
-// server lists, limits of servers and requests that crash them.
+// server lists, evacuations, limits of servers and requests that crash them.
 
 #include <utility>
 
@@ -22,6 +22,7 @@
 constexpr milliseconds fetch_timeout{800};
 constexpr char config_path[] = "/state/config";
 constexpr char servers_path[] = "/state/servers";
+constexpr char evacuations_path[] = "/state/evacuations";
 constexpr char suspects_path[] = "/state/suspects";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
@@ -44,6 +45,21 @@
     return is_readable ? std::optional<state_age>(age) : std::nullopt;
 }
 
+std::string position_text(const store_position& position)
+{
+    return absl::StrCat(position.era, ".", position.revision);
+}
+
+// Reads the output of `position_text`.
+std::optional<store_position> parse_position(absl::string_view text)
+{
+    const std::vector<absl::string_view> parts = absl::StrSplit(text, '.');
+    store_position position;
+    const bool is_readable = parts.size() == 2 && absl::SimpleAtoi(parts[0], &position.era) &&
+                             absl::SimpleAtoi(parts[1], &position.revision);
+    return is_readable ? std::optional<store_position>(position) : std::nullopt;
+}
+
 // Asks another entry. Fails with kResourceExhausted if there is no memory to parse its answer.
 absl::StatusOr<http_answer> get_from_peer(http_client& peer, absl::string_view target)
 {
@@ -115,7 +131,7 @@
     return absl::OkStatus();
 }
 
-std::optional<std::string> entry_program::next_fetch_source()
+std::optional<entry_program::peer_with_newer_state> entry_program::next_fetch_source()
 {
     // The store's own update mostly arrives within this time, which makes the fetch unnecessary.
     constexpr milliseconds store_update_wait{350};
@@ -129,7 +145,10 @@
         this->newer_peer.reset();
         return std::nullopt;
     }
-    const bool has_no_state = own.config_version == 0 || own.servers == store_position{};
+    const bool lacks_evacuations = own.evacuations == store_position{} &&
+                                   this->newer_peer->age.evacuations_changed > own.evacuations;
+    const bool has_no_state =
+        own.config_version == 0 || own.servers == store_position{} || lacks_evacuations;
     const steady_time now = steady_clock::now();
     if (!has_no_state && now - this->newer_peer->since < store_update_wait) {
         return std::nullopt;
@@ -141,9 +160,7 @@
         }
         this->departed_fetched = now;
     }
-    std::string ip = std::move(this->newer_peer->ip);
-    this->newer_peer.reset();
-    return ip;
+    return std::exchange(this->newer_peer, std::nullopt);
 }
 
 void entry_program::fetch_from_peers()
@@ -151,9 +168,9 @@
     constexpr milliseconds fetch_interval{150};
     while (this->ticking) {
         std::this_thread::sleep_for(fetch_interval);
-        const std::optional<std::string> source = this->next_fetch_source();
+        const std::optional<peer_with_newer_state> source = this->next_fetch_source();
         if (source.has_value()) {
-            this->fetch_from(*source);
+            this->fetch_from(source->ip, source->age);
         }
         this->fetch_suspects();
     }
@@ -197,7 +214,7 @@
     }
 }
 
-void entry_program::fetch_from(const std::string& ip)
+void entry_program::fetch_from(const std::string& ip, const state_age& newer)
 {
     http_client peer({ip, this->options.gossip_port});
     const absl::StatusOr<http_answer> config =
@@ -222,12 +239,43 @@
             log_failure("peer_state_unread", servers.status(), {{"entry", ip}});
         }
     }
+    if (newer.evacuations_changed > this->evacuations.position()) {
+        this->fetch_evacuations(peer, ip);
+    }
     if (!config.ok() || !listed.ok()) {
         log_failure("peer_state_unread", config.ok() ? listed.status() : config.status(),
                     {{"entry", ip}});
     }
 }
 
+void entry_program::fetch_evacuations(http_client& peer, const std::string& ip)
+{
+    const absl::StatusOr<http_answer> answer =
+        get_from_peer(peer, absl::StrCat(evacuations_path,
+                                         "?after=", position_text(this->evacuations.position())));
+    if (answer.ok() && answer->status != http_ok) {
+        return;
+    }
+    const absl::StatusOr<shared_evacuations> copy =
+        answer.ok() ? decode_evacuations(answer->body) : answer.status();
+    if (!copy.ok()) {
+        log_failure("peer_state_unread", copy.status(), {{"entry", ip}});
+        return;
+    }
+    if (this->evacuations.merge(*copy, steady_clock::now(), ip)) {
+        this->publish_evacuations();
+    }
+}
+
+http_answer entry_program::answer_evacuations(const store_position& known) const
+{
+    return this->evacuations.changed() > known
+               ? http_answer{http_ok,
+                             {},
+                             encode_evacuations(this->evacuations.shared(steady_clock::now()))}
+               : http_answer{nothing_newer, {}, ""};
+}
+
 http_answer entry_program::answer_servers(const state_age& theirs) const
 {
     const state_age own = this->own_age();
@@ -252,6 +300,11 @@
         return theirs.has_value() ? this->answer_servers(*theirs)
                                   : http_answer{http_not_found, {}, ""};
     }
+    if (parts.first == evacuations_path) {
+        const std::optional<store_position> theirs = parse_position(parts.second);
+        return theirs.has_value() ? this->answer_evacuations(*theirs)
+                                  : http_answer{http_not_found, {}, ""};
+    }
     std::int64_t known = 0;
     if (!absl::SimpleAtoi(parts.second, &known)) {
         return {http_not_found, {}, ""};
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -29,6 +29,7 @@
     backend_server server;
     server.id = id;
     server.service = "orders";
+    server.data_centre = "dc";
     server.endpoint = {"127.0.7.9", 1 + static_cast<int>(std::hash<std::string>()(id) % 60000)};
     return {server, {10}};
 }
@@ -38,6 +39,9 @@
 // A desired state must be in force everywhere within this time.
 constexpr milliseconds time_to_agree{2000};
 
+// The use of a server whose data centre is evacuated.
+constexpr char evacuated[] = "no: evacuated";
+
 constexpr int gossip_port = 21000;
 constexpr int ready_port = 21001;
 constexpr int ops_port = 21002;
@@ -46,7 +50,8 @@
 protected:
     [[nodiscard]] std::string ip(int machine) const { return this->network.ip(1, machine); }
 
-    std::unique_ptr<entry_program> start(int machine, const std::vector<std::string>& seeds)
+    std::unique_ptr<entry_program> start(int machine, const std::vector<std::string>& seeds,
+                                         bool watches_evacuations = false)
     {
         const std::string ip = this->ip(machine);
         entry_options options;
@@ -57,6 +62,7 @@
         options.ops_listen = {ip, ops_port};
         options.gossip_port = gossip_port;
         options.seeds = seeds;
+        options.watches_evacuations = watches_evacuations;
         absl::StatusOr<std::unique_ptr<entry_program>> started =
             entry_program::start(options, wire_protocol(), decode_version);
         EXPECT_TRUE(started.ok()) << started.status();
@@ -114,9 +120,16 @@
 
     [[nodiscard]] bool stops_using(int machine, absl::string_view server,
                                    milliseconds longest) const
+    {
+        return this->stops_showing(machine, absl::StrCat("\"", server, "\""), longest);
+    }
+
+    // Returns true if the entry's status page no longer contains `text` in time.
+    [[nodiscard]] bool stops_showing(int machine, absl::string_view text,
+                                     milliseconds longest = time_to_agree) const
     {
         const steady_time end = steady_clock::now() + longest;
-        while (this->uses(machine, server)) {
+        while (this->status_contains(machine, text)) {
             if (steady_clock::now() > end) {
                 return false;
             }
@@ -258,6 +271,58 @@
     EXPECT_TRUE(this->status_contains(2, "\"entries_known\":3"));
 }
 
+TEST_F(entry_program_test, with_evacuations_is_ready_once_it_knows_them)
+{
+    const std::unique_ptr<entry_program> entry = this->start(1, {}, true);
+    entry->apply_desired_state("3", 10, "store");
+    entry->apply_server_list({{}, {10}}, {});
+    EXPECT_EQ(this->readiness(1), 503);
+    entry->apply_evacuation_list({{}, {10}});
+    EXPECT_EQ(this->readiness(1), 200);
+}
+
+TEST_F(entry_program_test, serves_without_evacuations_that_nobody_tells)
+{
+    const std::unique_ptr<entry_program> entry = this->start(1, {}, true);
+    entry->apply_desired_state("3", 10, "store");
+    entry->apply_server_list({{}, {10}}, {});
+    EXPECT_TRUE(this->becomes_ready(1));
+}
+
+// The store rejects an entry that starts during the evacuation, and still when it ends.
+TEST_F(entry_program_test, learns_of_an_evacuation_and_of_its_end_from_a_peer)
+{
+    const std::unique_ptr<entry_program> connected = this->start(1, {}, true);
+    connected->apply_desired_state("3", 10, "store");
+    connected->apply_server_list({{named("s")}, {10}}, {});
+    connected->apply_evacuation_list({{}, {10}});
+    connected->apply_evacuation_changes({{{"dc", 11}}, {11}});
+    EXPECT_TRUE(this->status_contains(1, evacuated));
+    const std::unique_ptr<entry_program> rejected = this->start(2, {this->ip(1)}, true);
+    ASSERT_TRUE(this->becomes_ready(2));
+    EXPECT_TRUE(this->status_contains(2, evacuated));
+    // A watch that saw no change; later ones are told on all the same.
+    connected->apply_evacuation_changes({{}, {15}});
+    connected->apply_evacuation_changes({{{"dc", 16, true}}, {16}});
+    EXPECT_FALSE(this->status_contains(1, evacuated));
+    EXPECT_TRUE(this->stops_showing(2, evacuated));
+}
+
+// A peer that is behind changes nothing.
+TEST_F(entry_program_test, keeps_an_evacuation_that_a_peer_does_not_know)
+{
+    const std::unique_ptr<entry_program> behind = this->start(1, {}, true);
+    const std::unique_ptr<entry_program> ahead = this->start(2, {this->ip(1)}, true);
+    for (entry_program* entry : {behind.get(), ahead.get()}) {
+        entry->apply_desired_state("3", 10, "store");
+        entry->apply_server_list({{named("s")}, {10}}, {});
+    }
+    behind->apply_evacuation_list({{}, {10}});
+    ahead->apply_evacuation_list({{"dc"}, {12}});
+    EXPECT_TRUE(this->shows(1, evacuated));
+    EXPECT_TRUE(this->status_contains(2, evacuated));
+}
+
 TEST_F(entry_program_test, is_not_ready_while_it_stops)
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -142,4 +142,38 @@
     }
 }
 
+std::string encode_evacuations(const shared_evacuations& evacuations)
+{
+    json object = {{"position", encode_position(evacuations.position)},
+                   {"changed", encode_position(evacuations.changed)},
+                   {"data_centres", evacuations.data_centres},
+                   {"kept", json::array()}};
+    for (const shared_evacuations::kept_evacuation& kept : evacuations.kept) {
+        object["kept"].push_back(
+            {{"data_centre", kept.data_centre}, {"remaining_ms", kept.remaining.count()}});
+    }
+    // Names come from other writers and may be no UTF-8.
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<shared_evacuations> decode_evacuations(absl::string_view text)
+{
+    try {
+        const json object = json::parse(text.begin(), text.end());
+        shared_evacuations evacuations;
+        evacuations.position = decode_position(object.at("position"));
+        evacuations.changed = decode_position(object.at("changed"));
+        evacuations.data_centres = object.at("data_centres").get<std::vector<std::string>>();
+        for (const json& kept : object.at("kept")) {
+            evacuations.kept.push_back(
+                {kept.at("data_centre").get<std::string>(),
+                 std::chrono::milliseconds(kept.at("remaining_ms").get<std::int64_t>())});
+        }
+        return evacuations;
+    }
+    catch (const json::exception& error) {
+        return unreadable(error);
+    }
+}
+
 } // namespace sardinestream
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -41,8 +41,23 @@
     EXPECT_EQ(read->departed[0].age, left.age);
 }
 
+TEST(peer_state, evacuations_survive_their_encoding)
+{
+    const absl::StatusOr<shared_evacuations> read = decode_evacuations(encode_evacuations(
+        {{"a", "\xff"}, {{"b", std::chrono::milliseconds(40)}}, {9, 2}, {7, 2}}));
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->data_centres.size(), 2U);
+    EXPECT_EQ(read->data_centres[0], "a");
+    ASSERT_EQ(read->kept.size(), 1U);
+    EXPECT_EQ(read->kept[0].data_centre, "b");
+    EXPECT_EQ(read->kept[0].remaining.count(), 40);
+    EXPECT_EQ(read->position, (store_position{9, 2}));
+    EXPECT_EQ(read->changed, (store_position{7, 2}));
+}
+
 TEST(peer_state, refuses_what_it_cannot_read)
 {
+    EXPECT_FALSE(decode_evacuations("{\"data_centres\":[3]}").ok());
     EXPECT_FALSE(decode_document("{}").ok());
     EXPECT_FALSE(decode_servers("[").ok());
     EXPECT_FALSE(decode_servers(R"({"revision":1,"servers":[{"id":"x"}]})").ok());
