Evacuations: the platform's objects and the setting evacuation_ms

The entry watches the store's evacuations where the setting names a time. The setting is empty on deployments without it, which is read as off.

--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -1,5 +1,6 @@
 // Entry point of sardine-entry: reads the settings, watches the store and runs the entry.
 
+#include <optional>
 #include <utility>
 
 #include <gflags/gflags.h>
@@ -11,6 +12,7 @@
 #include "sardinestream/platform/caller_protocol.h"
 #include "sardinestream/platform/command.h"
 #include "sardinestream/platform/desired_state_decoder.h"
+#include "sardinestream/platform/evacuations.h"
 #include "sardinestream/platform/object_watcher.h"
 #include "sardinestream/platform/server_entries.h"
 #include "sardinestream/platform/settings.h"
@@ -38,6 +40,7 @@
     options.retries_per_request = settings.retry_ratio;
     options.max_retry_burst = settings.retry_slack;
     options.server_entry_lifetime = settings.server_entry_lifetime;
+    options.watches_evacuations = settings.evacuation_time.count() > 0;
     return options;
 }
 
@@ -74,6 +77,16 @@
             }};
 }
 
+watcher_callbacks evacuation_callbacks(entry_program& program)
+{
+    return {[&program](const object_list& list, steady_time) {
+                program.apply_evacuation_list(to_evacuations(list));
+            },
+            [&program](const change_list& changes, steady_time) {
+                program.apply_evacuation_changes(to_evacuation_changes(changes));
+            }};
+}
+
 void reload(entry_program& program)
 {
     const absl::StatusOr<entry_settings> fresh = reload_entry_settings();
@@ -100,6 +113,11 @@
                           {"store", settings.store.to_string()}});
     object_watcher config(settings.store, wire::config_kind, config_callbacks(**program));
     object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program));
+    std::optional<object_watcher> evacuations;
+    if (settings.evacuation_time.count() > 0) {
+        evacuations.emplace(settings.store, wire::evacuations_kind,
+                            evacuation_callbacks(**program));
+    }
     const steady_time received = signal.wait({.on_repeat = [] { log_event("stop_repeated", {}); },
                                               .on_reload = [&program] { reload(**program); }});
     (*program)->stop(received, settings.grace);
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -182,6 +182,25 @@
     EXPECT_TRUE(wrong->wait_for_output("0.01 to 100")) << wrong->output();
 }
 
+// The setting renders as an empty value where a deployment has no evacuations.
+TEST_F(platform_process_test, the_time_of_evacuations_may_be_empty)
+{
+    const auto check = [this](const std::string& value, int expected) {
+        this->write_settings(absl::StrCat(this->entry_settings(), "--evacuation_ms=", value, "\n"));
+        const auto command = *process::start({.binary = "sardine-platform-entry",
+                                              .flags = {"--check_settings"},
+                                              .log_directory = this->logs.path(),
+                                              .name = absl::StrCat("check-", value)});
+        EXPECT_EQ(command->wait_for_exit(), expected) << value << command->output();
+    };
+    for (const std::string value : {"", "0", "5000"}) {
+        check(value, 0);
+    }
+    for (const std::string value : {"-1", "abc", "600001", "99999999999"}) {
+        check(value, exit_bad_settings);
+    }
+}
+
 TEST_F(platform_process_test, invalid_settings_prevent_the_start_and_are_named)
 {
     this->write_settings(this->agent_settings("loud"));
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -9,6 +9,7 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/platform/wire_names.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -33,6 +34,9 @@
 DEFINE_double(retry_slack, 20, "Retries allowed beyond retry_ratio, fleet-wide, 0 to 1e6");
 DEFINE_int32(heartbeat_ms, 1200,
              "Milliseconds between heartbeats of a server to the store, 10 to 600000");
+DEFINE_string(evacuation_ms, "",
+              "Milliseconds within which the evacuation of a data centre is in force, 0 to 600000; "
+              "empty or 0: none is watched");
 DEFINE_double(grace_s, 8, "Seconds from SIGTERM to the end of the process, 1 to 600");
 
 DEFINE_string(backend, "", "IP:PORT of the backend server beside this process");
@@ -120,6 +124,7 @@
     constexpr double max_grace_s = 600;
     constexpr int min_heartbeat_ms = 10;
     constexpr int max_heartbeat_ms = 600000;
+    constexpr int max_evacuation_ms = 600000;
     entry_settings settings;
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("front_listen", FLAGS_front_listen));
@@ -134,6 +139,11 @@
     SARDINE_RETURN_IF_ERROR(
         check_range("heartbeat_ms", FLAGS_heartbeat_ms, min_heartbeat_ms, max_heartbeat_ms));
     SARDINE_RETURN_IF_ERROR(check_number("grace_s", FLAGS_grace_s, 1, max_grace_s));
+    int evacuation_ms = 0;
+    if (!FLAGS_evacuation_ms.empty() && !absl::SimpleAtoi(FLAGS_evacuation_ms, &evacuation_ms)) {
+        return setting_error("evacuation_ms", FLAGS_evacuation_ms, "a number or empty");
+    }
+    SARDINE_RETURN_IF_ERROR(check_range("evacuation_ms", evacuation_ms, 0, max_evacuation_ms));
     absl::StatusOr<std::vector<address>> seeds = parse_addresses(FLAGS_seeds);
     if (!seeds.ok()) {
         return setting_error("seeds", FLAGS_seeds, "IP:PORT,...");
@@ -153,6 +163,7 @@
     settings.server_entry_lifetime =
         std::chrono::milliseconds(FLAGS_heartbeat_ms) * heartbeats_per_entry;
     constexpr double ms_per_s = 1000.0;
+    settings.evacuation_time = std::chrono::milliseconds(evacuation_ms);
     settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
     return settings;
 }
@@ -182,7 +193,7 @@
     SARDINE_RETURN_IF_ERROR(
         load(argc, argv,
              {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "memory_mb",
-              "retry_ratio", "retry_slack", "heartbeat_ms", "grace_s"}));
+              "retry_ratio", "retry_slack", "heartbeat_ms", "evacuation_ms", "grace_s"}));
     return read_entry();
 }
 
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -46,6 +46,8 @@
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{0};
     std::chrono::milliseconds grace{8000};
+    // Time within which an evacuation must be in force; zero if operators request none.
+    std::chrono::milliseconds evacuation_time{0};
 };
 
 struct agent_settings : common_settings {
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -37,6 +37,8 @@
 inline constexpr char servers_kind[] = "servers";
 inline constexpr char config_kind[] = "config";
 inline constexpr char config_name[] = "main";
+// Each object is named after the data centre.
+inline constexpr char evacuations_kind[] = "evacuations";
 
 // The variable that holds the path of the settings file.
 inline constexpr char settings_variable[] = "SARDINESTREAM_SETTINGS";
