Soak: an evacuation, checked from outside

Seeds that leave a remainder of one by five evacuate one of the two data centres for two thirds of the run: no request may reach a server there later than 3 s from an entry in touch.

--- a/sardinestream/testing/emulator/wire_words.h
+++ b/sardinestream/testing/emulator/wire_words.h
@@ -10,6 +10,7 @@
 inline constexpr char servers_kind[] = "servers";
 inline constexpr char config_kind[] = "config";
 inline constexpr char config_name[] = "main";
+inline constexpr char evacuations_kind[] = "evacuations";
 
 inline constexpr char store_era[] = "Store-Era";
 
--- a/sardinestream/testing/soak/fault_series.cc
+++ b/sardinestream/testing/soak/fault_series.cc
@@ -36,6 +36,7 @@
 constexpr int most_said = 4;
 // Seeds with what was added later, so that the others play what they did before.
 constexpr unsigned seeds_per_addition = 5;
+constexpr unsigned evacuation_seed = 1;
 constexpr unsigned restored_seed = 2;
 constexpr unsigned limit_seed = 3;
 constexpr unsigned crashing_request_seed = 4;
@@ -69,6 +70,8 @@
         return "hold_off_said";
     case soak_fault_kind::limit_said:
         return "limit_said";
+    case soak_fault_kind::evacuate:
+        return "evacuate";
     case soak_fault_kind::entries_roll:
         return "entries_roll";
     case soak_fault_kind::reloads_stop:
@@ -155,7 +158,7 @@
         return std::find(kinds.begin(), kinds.end(), this->kind) != kinds.end();
     };
     return holds(planned_kinds) || holds(said_kinds) || holds(stop_kinds) || holds(house_kinds) ||
-           this->kind == soak_fault_kind::limit_said;
+           this->kind == soak_fault_kind::limit_said || this->kind == soak_fault_kind::evacuate;
 }
 
 std::string soak_fault::to_string() const
@@ -219,6 +222,20 @@
     return fault;
 }
 
+// An evacuation that is long enough to be checked, and ends before the other faults do.
+soak_fault draw_evacuation(unsigned seed, milliseconds length)
+{
+    constexpr int data_centres = 2;
+    std::mt19937 random(seed);
+    soak_fault fault;
+    fault.kind = soak_fault_kind::evacuate;
+    fault.at =
+        milliseconds(std::uniform_int_distribution<std::int64_t>(0, length.count() / 5)(random));
+    fault.target = std::uniform_int_distribution<int>(0, data_centres - 1)(random);
+    fault.duration = length * 2 / 3;
+    return fault;
+}
+
 // One or two restorations; the later faults show whether their changes still take effect.
 std::vector<soak_fault> draw_restorations(unsigned seed, milliseconds length)
 {
@@ -245,6 +262,11 @@
     return seed % seeds_per_addition == crashing_request_seed;
 }
 
+bool draws_evacuation(unsigned seed)
+{
+    return seed % seeds_per_addition == evacuation_seed;
+}
+
 bool draws_stops(unsigned seed)
 {
     return seed >= first_stop_seed;
@@ -291,6 +313,9 @@
     if (seed % seeds_per_addition == limit_seed) {
         faults.push_back(draw_limit(seed, size, length));
     }
+    if (draws_evacuation(seed)) {
+        faults.push_back(draw_evacuation(seed, length));
+    }
     if (draws_stops(seed)) {
         const std::vector<soak_fault> stops = draw_stop_series(seed, size, length);
         faults.insert(faults.end(), stops.begin(), stops.end());
--- a/sardinestream/testing/soak/fault_series.h
+++ b/sardinestream/testing/soak/fault_series.h
@@ -25,6 +25,8 @@
     leaving_said,
     hold_off_said,
     limit_said,
+    // The operator asks that nothing more be sent to one data centre, and takes that back.
+    evacuate,
     // All entries stop in turn, at a gap or each once the last one is back.
     entries_roll,
     // SIGHUP again and again, before a SIGTERM and during the grace.
@@ -81,6 +83,8 @@
     std::chrono::milliseconds roll_gap{1300};
     // Entries get a setting of their memory; programs of older builds end at it as unknown.
     bool sets_memory = true;
+    // Entries watch evacuations.
+    bool evacuates = false;
     // No fault affects a program that was started again so shortly before.
     std::chrono::milliseconds start_time{0};
     // Model servers are reached without a proxy, so that one that has crashed refuses connections.
@@ -111,6 +115,9 @@
 // Returns whether callers of this seed send requests with a prompt part that crashes servers.
 [[nodiscard]] bool draws_crashing_requests(unsigned seed);
 
+// Returns whether this seed plays an evacuation.
+[[nodiscard]] bool draws_evacuation(unsigned seed);
+
 // Returns whether this seed plays stops in all their forms, with streams that last.
 [[nodiscard]] bool draws_stops(unsigned seed);
 // Returns whether entries get little processor time while they stop.
--- a/sardinestream/testing/soak/fault_series_test.cc
+++ b/sardinestream/testing/soak/fault_series_test.cc
@@ -58,7 +58,7 @@
             drawn.insert(fault.kind);
         }
     }
-    EXPECT_EQ(drawn.size(), 21U);
+    EXPECT_EQ(drawn.size(), 22U);
 }
 
 TEST(fault_series, stops_in_all_their_forms_are_drawn_and_planned)
--- a/sardinestream/testing/soak/promise_ledger.cc
+++ b/sardinestream/testing/soak/promise_ledger.cc
@@ -153,6 +153,36 @@
     limit.informed.emplace(found->second.request.entry, steady_clock::now());
 }
 
+void promise_ledger::note_evacuation(const std::string& data_centre)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->evacuations[data_centre] = steady_clock::now();
+}
+
+void promise_ledger::note_evacuation_end(const std::string& data_centre)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->evacuations.erase(data_centre);
+}
+
+void promise_ledger::check_evacuation(const std::string& id, const std::string& server_id,
+                                      const std::string& data_centre)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const steady_time now = steady_clock::now();
+    const auto begun = this->evacuations.find(data_centre);
+    const auto found = this->requests.find(id);
+    if (begun == this->evacuations.end() || found == this->requests.end() ||
+        now < begun->second + this->options.reaction_time ||
+        !this->is_in_touch(found->second.request.entry, now)) {
+        return;
+    }
+    this->broken.push_back(
+        absl::StrCat("evacuated: ", id, " reaches ", server_id, " in ", data_centre, " ",
+                     std::chrono::duration_cast<milliseconds>(now - begun->second).count(),
+                     " ms after its evacuation"));
+}
+
 void promise_ledger::note_crash()
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/testing/soak/promise_ledger.h
+++ b/sardinestream/testing/soak/promise_ledger.h
@@ -76,7 +76,8 @@
     std::chrono::milliseconds leaving_bound{1000};
     // From the SIGTERM of a planned stop to the SIGKILL.
     std::chrono::milliseconds grace{4000};
-    // From when a server's limit, or a part that has crashed five servers, must be heeded.
+    // From when a server's limit, a part that has crashed five servers, or an evacuation must be
+    // heeded.
     std::chrono::milliseconds reaction_time{3000};
 };
 
@@ -104,6 +105,12 @@
     // The server's answers name the rate until `until`.
     void note_limit_said(const std::string& id, const std::string& server_id, double per_s,
                          steady_time until);
+    // The store has taken the request that nothing more be sent to the data centre, or its end.
+    void note_evacuation(const std::string& data_centre);
+    void note_evacuation_end(const std::string& data_centre);
+    // The request has reached a server in the data centre.
+    void check_evacuation(const std::string& id, const std::string& server_id,
+                          const std::string& data_centre);
     // A server has crashed under a request with the crashing part.
     void note_crash();
     // The entry starts again, and has forgotten what servers said.
@@ -253,6 +260,8 @@
     std::map<entry_and_server, announced_hold_off> hold_offs ABSL_GUARDED_BY(mutex);
     // By the id of a start of a server.
     std::map<std::string, named_limit> limits ABSL_GUARDED_BY(mutex);
+    // When those in force began, by data centre.
+    std::map<std::string, steady_time> evacuations ABSL_GUARDED_BY(mutex);
     std::vector<steady_time> crashes ABSL_GUARDED_BY(mutex);
     int arrivals_after_crashes ABSL_GUARDED_BY(mutex) = 0;
     std::map<std::string, steady_time> restarts ABSL_GUARDED_BY(mutex);
--- a/sardinestream/testing/soak/promise_ledger_test.cc
+++ b/sardinestream/testing/soak/promise_ledger_test.cc
@@ -264,5 +264,23 @@
     EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("crashing: 9")));
 }
 
+// Those that come in time to react, from elsewhere or after its end are no violation.
+TEST_F(promise_ledger_test, finds_a_request_that_reaches_an_evacuated_data_centre)
+{
+    const auto arrive = [&](const std::string& id, const std::string& data_centre) {
+        this->reach(id);
+        this->ledger.check_evacuation(id, "i-1", data_centre);
+    };
+    this->ledger.note_evacuation("a");
+    arrive("in time to react", "a");
+    std::this_thread::sleep_for(milliseconds(60));
+    arrive("elsewhere", "b");
+    EXPECT_THAT(this->ledger.judge(), IsEmpty());
+    arrive("late", "a");
+    this->ledger.note_evacuation_end("a");
+    arrive("afterwards", "a");
+    EXPECT_THAT(this->ledger.judge(), ElementsAre(StartsWith("evacuated: late")));
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/soak/soak_fleet.cc
+++ b/sardinestream/testing/soak/soak_fleet.cc
@@ -92,6 +92,11 @@
 
 soak_fleet::~soak_fleet() = default;
 
+std::string soak_fleet::data_centre_of(std::size_t server)
+{
+    return server % 2 == 0 ? "a" : "b";
+}
+
 std::string soak_fleet::ip(int group, int number) const
 {
     return this->network->ip(group, number);
@@ -199,14 +204,15 @@
 {
     const auto number = this->servers.size();
     options.id = absl::StrCat("i-", number, "-1");
-    options.data_centre = number % 2 == 0 ? "a" : "b";
+    options.data_centre = data_centre_of(number);
     backend_hooks hooks;
     hooks.on_begin = [this](const begun_run& run) { this->ledger.note_begun(run); };
     hooks.on_end = [this](const std::string& id) { this->ledger.note_ended(id); };
     hooks.on_broke_off = [this](const std::string& id) { this->ledger.note_broke_off(id); };
-    hooks.on_arrival = [this](const std::string& id, const std::string& service,
-                              const std::string& server) {
+    hooks.on_arrival = [this, number](const std::string& id, const std::string& service,
+                                      const std::string& server) {
         this->ledger.note_arrival(id, service, server);
+        this->ledger.check_evacuation(id, server, data_centre_of(number));
     };
     hooks.on_leaving_said = [this](const std::string& id, const std::string& server) {
         this->ledger.note_leaving_said(id, server);
@@ -288,8 +294,9 @@
             this->entry_nodes, "sardine-platform-entry", absl::StrCat("entry-", i),
             absl::StrCat(
                 this->size.sets_memory ? absl::StrCat("--memory_mb=", entry_memory_mb, "\n") : "",
-                "--ip=", own, "\n--news_port=", gossip_port, "\n--front_listen=", own, ":",
-                front_port, "\n--ready_listen=", own, ":", ready_port,
+                this->size.evacuates ? "--evacuation_ms=3000\n" : "", "--ip=", own,
+                "\n--news_port=", gossip_port, "\n--front_listen=", own, ":", front_port,
+                "\n--ready_listen=", own, ":", ready_port,
                 "\n--store=", (*proxy)->local().to_string(),
                 "\n--seeds=", absl::StrJoin(seeds, ","), "\n--grace_s=", this->size.grace.count(),
                 "\n--heartbeat_ms=", heartbeat_ms, "\n")));
--- a/sardinestream/testing/soak/soak_fleet.h
+++ b/sardinestream/testing/soak/soak_fleet.h
@@ -167,6 +167,7 @@
     void expire_entries();
     void lapse_entries(const soak_fault& fault);
     void delay_orders(const soak_fault& fault);
+    void evacuate(const soak_fault& fault);
     void inject_program(const soak_fault& fault);
     void slow_rank(std::size_t server, const soak_fault& fault);
     void inject_house(const soak_fault& fault);
@@ -178,6 +179,8 @@
     void stop_coordinator(std::size_t group, steady_time latest);
     void inject_surroundings(const soak_fault& fault);
     [[nodiscard]] std::string ip(int group, int number) const;
+    // The data centre of a server, by its number.
+    [[nodiscard]] static std::string data_centre_of(std::size_t server);
     [[nodiscard]] bool has_other_server(const server_node& node) const;
 
     const soak_size size;
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -338,6 +338,9 @@
     case soak_fault_kind::entries_lapse:
         this->lapse_entries(fault);
         return;
+    case soak_fault_kind::evacuate:
+        this->evacuate(fault);
+        return;
     case soak_fault_kind::late_orders:
         this->delay_orders(fault);
         return;
--- a/sardinestream/testing/soak/soak_fleet_store.cc
+++ b/sardinestream/testing/soak/soak_fleet_store.cc
@@ -1,5 +1,5 @@
 // The faults of the soak that concern the store: slowness and outages, a return from an older copy,
-// entries that lapse.
+// entries that lapse, and what the operator asks there.
 
 #include <array>
 
@@ -83,6 +83,19 @@
     }
 }
 
+void soak_fleet::evacuate(const soak_fault& fault)
+{
+    const std::string data_centre = data_centre_of(static_cast<std::size_t>(fault.target));
+    // One without servers changes nothing.
+    this->store->put(words::evacuations_kind, "nowhere", nlohmann::json::object());
+    this->store->put(words::evacuations_kind, data_centre, nlohmann::json::object());
+    this->ledger.note_evacuation(data_centre);
+    this->after(fault.duration, [this, data_centre] {
+        this->ledger.note_evacuation_end(data_centre);
+        this->store->remove(words::evacuations_kind, data_centre);
+    });
+}
+
 void soak_fleet::lapse_entries(const soak_fault& fault)
 {
     this->store->set_trouble(store_trouble::silent);
--- a/sardinestream/testing/soak/soak_run.cc
+++ b/sardinestream/testing/soak/soak_run.cc
@@ -97,6 +97,7 @@
         size.stall = options.stall.value_or(house_stall(options.seed));
         size.start_time = house_start_time(std::min(size.entry_share, size.agent_share));
     }
+    size.evacuates = !options.house && draws_evacuation(options.seed);
     ledger_options promises;
     promises.grace = size.grace;
     promise_ledger ledger{promises};
