--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -50,6 +50,8 @@
     // second; zero if the deployment does not limit cold servers.
     double cold_overage = 0;
     double cold_slack = 0;
+    // Time within which an evacuation must be in force; zero if operators request none.
+    std::chrono::milliseconds evacuation_time{0};
 };
 
 struct agent_settings : common_settings {
