--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "sardinestream/backends/backend_server.h"
+#include "sardinestream/backends/cold_limits.h"
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
@@ -72,12 +73,15 @@
     double slowness = 1;
     // Whether the server has begun to answer.
     bool accepted = false;
+    // Whether the request was sent.
+    bool sent = false;
 };
 
 struct dispatcher_options {
     std::string data_centre;
     // Number of requests that a server may hold beyond its slots, as a share of the slots.
     double extra_capacity_share = 0.0;
+    cold_bound cold{};
 };
 
 class dispatcher {
@@ -132,6 +136,9 @@
         std::unique_ptr<waiter> self;
     };
 
+    // Records that the request was sent to the server, wholly or in part.
+    void note_sent(placement& assigned);
+
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& assigned);
 
@@ -181,6 +188,10 @@
     // Sets the processes that place requests on the same servers.
     void set_processes(const process_group& processes);
 
+    // Sets the data centres to whose servers nothing more is sent. Requests in progress there
+    // continue; queued requests are served anew by the servers that are left.
+    void set_evacuated(std::set<std::string> data_centres);
+
     // Sets what the operator declares of the services.
     void set_policies(service_policies declared);
 
@@ -200,6 +211,7 @@
         std::chrono::milliseconds hold_off{0};
         // The rate that it names, in requests per second, for all processes together.
         std::optional<double> max_rate;
+        cold_condition coldness = cold_condition::warm;
         // Whether the server is used, and why.
         std::string use;
     };
@@ -245,9 +257,13 @@
     [[nodiscard]] absl::Status check_availability(const placement_request& request, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns whether the server is a candidate for the request: it provides the service, is not
-    // leaving and was not tried already. It may still be full or hold off.
-    [[nodiscard]] static bool is_eligible(const server_state& state,
-                                          const placement_request& request);
+    // leaving, its data centre is not evacuated and it was not tried already. It may still be full
+    // or hold off.
+    [[nodiscard]] bool is_eligible(const server_state& state,
+                                   const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool is_evacuated(const backend_server& server) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the earliest time at which a candidate for the request wants requests again, if all
     // of them hold off or have had what their limits allow; otherwise nothing.
     [[nodiscard]] std::optional<steady_time> earliest_return(const placement_request& request,
@@ -256,6 +272,13 @@
     // Returns the time from which the server wants requests: `now` or earlier if it does.
     [[nodiscard]] steady_time return_time(const server_state& state, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the time from which the limits of the server allow a request.
+    [[nodiscard]] steady_time allowed_time(const server_state& state, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether a candidate for the request is cold and has had what it may get.
+    [[nodiscard]] bool waits_for_cold_server(const placement_request& request,
+                                             steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Records that a request is sent to the server.
     void begin_attempt(server_state& state, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns a refusal if no candidate wants requests before `deadline`.
@@ -286,6 +309,9 @@
     // Returns the server that the queued request has got, or gets now.
     [[nodiscard]] std::optional<placement> take_place(waiter& self)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the refusal of a request that no listed server may take.
+    [[nodiscard]] absl::Status refuse_without_server(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns a refusal if the queued request should wait no longer.
     [[nodiscard]] absl::Status check_waiter(const waiter& self, steady_time deadline)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -305,10 +331,12 @@
     std::map<std::string, server_state> servers ABSL_GUARDED_BY(mutex);
     notice_memory notices ABSL_GUARDED_BY(mutex);
     server_limits limits ABSL_GUARDED_BY(mutex);
+    cold_limits cold ABSL_GUARDED_BY(mutex);
     std::map<std::string, service_queue> queues ABSL_GUARDED_BY(mutex);
     group_activity activity ABSL_GUARDED_BY(mutex);
     load_view view ABSL_GUARDED_BY(mutex);
     service_policies policies ABSL_GUARDED_BY(mutex);
+    std::set<std::string> evacuated ABSL_GUARDED_BY(mutex);
     std::minstd_rand random ABSL_GUARDED_BY(mutex);
 };
 
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -28,9 +28,39 @@
     return return_delay_for(this->view.processes, this->draw());
 }
 
+steady_time dispatcher::allowed_time(const server_state& state, steady_time now) const
+{
+    return std::max(this->limits.next_request_time(state.server(), now),
+                    this->cold.next_request_time(state.server(), now));
+}
+
+bool dispatcher::waits_for_cold_server(const placement_request& request, steady_time now) const
+{
+    if (!this->cold.is_on()) {
+        return false;
+    }
+    for (const auto& [id, state] : this->servers) {
+        if (this->is_eligible(state, request) &&
+            this->cold.next_request_time(state.server(), now) > now) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void dispatcher::note_sent(placement& assigned)
+{
+    if (this->options.cold.overage <= 0) {
+        return;
+    }
+    const absl::MutexLock lock(&this->mutex);
+    assigned.sent = true;
+    this->cold.note_sent(assigned.server, steady_clock::now());
+}
+
 steady_time dispatcher::return_time(const server_state& state, steady_time now) const
 {
-    const steady_time allowed = this->limits.next_request_time(state.server(), now);
+    const steady_time allowed = this->allowed_time(state, now);
     return state.is_held_off(now) ? std::max(allowed, state.hold_off_end()) : allowed;
 }
 
@@ -39,7 +69,7 @@
 {
     std::optional<steady_time> earliest;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, request)) {
+        if (!this->is_eligible(state, request)) {
             continue;
         }
         const steady_time returns = this->return_time(state, now);
@@ -55,6 +85,7 @@
 {
     state.begin_attempt(now);
     this->limits.note_request(state.server(), now);
+    this->cold.note_placed(state.server());
 }
 
 bool dispatcher::note_limit(const backend_server& server, std::optional<double> max_rate)
@@ -133,7 +164,7 @@
     const steady_time now = steady_clock::now();
     bool any_broken = false;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, any)) {
+        if (!this->is_eligible(state, any)) {
             continue;
         }
         const bool broken = state.is_broken(this->view, now);
@@ -169,7 +200,7 @@
 {
     std::vector<std::optional<server_outage>> servers;
     for (const auto& [id, state] : this->servers) {
-        if (!is_eligible(state, request) || state.is_held_off(now)) {
+        if (!this->is_eligible(state, request) || state.is_held_off(now)) {
             continue;
         }
         servers.push_back(state.outage(this->view, now));
@@ -189,7 +220,8 @@
     }
     server_state* longest_untried = nullptr;
     for (auto& [id, state] : this->servers) {
-        const bool fits = is_eligible(state, request) && state.can_be_probed(this->view, now) &&
+        const bool fits = this->is_eligible(state, request) &&
+                          state.can_be_probed(this->view, now) &&
                           this->return_time(state, now) <= now;
         if (fits && (longest_untried == nullptr ||
                      state.last_attempt_time() < longest_untried->last_attempt_time())) {
--- a/sardinestream/peers/entry_gossip.cc
+++ b/sardinestream/peers/entry_gossip.cc
@@ -170,8 +170,11 @@
     }
     known_entry& heard = this->entries[hello.ip];
     heard.last_heard = steady_clock::now();
-    heard.age = {
-        hello.config_version, {hello.servers_revision, hello.servers_era}, hello.departed_digest};
+    heard.age = {hello.config_version,
+                 {hello.servers_revision, hello.servers_era},
+                 hello.departed_digest,
+                 {},
+                 {hello.evacuations_revision, hello.evacuations_era}};
     heard.vanished_servers = static_cast<std::size_t>(std::max(0, hello.vanished_servers));
     for (const std::uint32_t other : hello.entries) {
         this->add_entry(other);
@@ -337,6 +340,8 @@
     hello.servers_revision = own.servers.revision;
     hello.servers_era = own.servers.era;
     hello.departed_digest = own.departed_digest;
+    hello.evacuations_revision = own.evacuations_changed.revision;
+    hello.evacuations_era = own.evacuations_changed.era;
     hello.suspects_digest = this->hooks.suspects_digest();
     return hello;
 }
@@ -387,10 +392,16 @@
     gossip::EntryHelloT hello = this->make_entry_hello();
     const std::vector<std::uint32_t> alive = hello.entries;
     std::vector<std::uint32_t> others;
+    std::vector<std::uint32_t> silent;
     int known = 1;
     for (const auto& [ip, heard] : this->entries) {
         others.push_back(ip);
-        known += now - heard.last_heard <= entry_memory ? 1 : 0;
+        const milliseconds silence =
+            std::chrono::duration_cast<milliseconds>(now - heard.last_heard);
+        known += silence <= entry_memory ? 1 : 0;
+        if (silence <= entry_memory && std::find(alive.begin(), alive.end(), ip) == alive.end()) {
+            silent.push_back(ip);
+        }
     }
     {
         const absl::MutexLock lock(&this->mutex);
@@ -401,7 +412,7 @@
         this->announced_alive = alive;
         this->announced_known = known;
         log_event("entries_alive", {{"count", alive.size() + 1}, {"known", known}});
-        this->hooks.on_entries({ip_to_number(this->own_ip), alive}, known);
+        this->hooks.on_entries({ip_to_number(this->own_ip), alive, silent}, known);
     }
 }
 
