--- /dev/null
+++ b/sardinestream/agent/backend_client_test.cc
@@ -0,0 +1,57 @@
+#include <gtest/gtest.h>
+
+#include "sardinestream/agent/backend_client.h"
+#include "sardinestream/testing/scripted_server.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace sardinestream::agent {
+namespace {
+
+backend_answer call(const scripted_server& server, const byte_receiver& on_bytes)
+{
+    backend_client client(server.local());
+    backend_request request;
+    request.method = "POST";
+    request.path = "/run";
+    request.deadline = absl::Now() + absl::Seconds(5);
+    return client.call(
+        request, on_bytes, [](const std::function<void()>&) {}, [] { return false; });
+}
+
+// The server may have run the request; nobody waits for the rest of the response.
+TEST(backend_client, a_status_that_is_none_is_a_lost_answer)
+{
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        scripted_server server([&status](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(
+                    absl::StrCat("HTTP/1.1 ", status, " Odd\r\nContent-Length: 9\r\n\r\nodd"));
+            }
+        });
+        EXPECT_EQ(call(server, nullptr).outcome, backend_outcome::lost) << status;
+        EXPECT_EQ(call(server, [](absl::string_view) { return true; }).outcome,
+                  backend_outcome::lost)
+            << status;
+        EXPECT_FALSE(backend_client(server.local()).is_responding()) << status;
+    }
+}
+
+TEST(backend_client, any_other_status_is_an_answer)
+{
+    for (const std::string status : {"200", "404", "599"}) {
+        scripted_server server([&status](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(
+                    absl::StrCat("HTTP/1.1 ", status, " Some\r\nContent-Length: 3\r\n\r\nany"));
+            }
+        });
+        const backend_answer answer = call(server, nullptr);
+        EXPECT_EQ(answer.outcome, backend_outcome::complete) << status;
+        EXPECT_EQ(absl::StrCat(answer.status), status);
+        EXPECT_EQ(answer.body, "any");
+    }
+}
+
+} // namespace
+} // namespace sardinestream::agent
--- a/sardinestream/http/http_client_test.cc
+++ b/sardinestream/http/http_client_test.cc
@@ -48,6 +48,41 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// What it calls, such as the store, has not answered then.
+TEST(http_client, a_status_that_is_none_is_no_answer)
+{
+    for (const std::string status : {"000", "099", "101", "600", "999", "20", "2000", "2x0"}) {
+        scripted_server server([&status](scripted_connection& connection) {
+            ASSERT_TRUE(connection.read_request());
+            connection.write(
+                absl::StrCat("HTTP/1.1 ", status, " Odd\r\nContent-Length: 2\r\n\r\n{}"));
+        });
+        http_client client(server.local());
+        const absl::StatusOr<http_answer> answer = client.call("GET", "/1", "", soon());
+        EXPECT_TRUE(absl::IsInvalidArgument(answer.status())) << status << answer.status();
+    }
+}
+
+TEST(http_client, interim_responses_are_skipped_up_to_a_number)
+{
+    std::atomic<int> interim = 3;
+    scripted_server server([&interim](scripted_connection& connection) {
+        while (connection.read_request()) {
+            for (int i = 0; i < interim; ++i) {
+                connection.write("HTTP/1.1 102 Wait\r\n\r\n");
+            }
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+        }
+    });
+    http_client client(server.local());
+    const absl::StatusOr<http_answer> answer = client.call("GET", "/1", "", soon());
+    ASSERT_TRUE(answer.ok()) << answer.status();
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "hi");
+    interim = 100;
+    EXPECT_FALSE(client.call("GET", "/2", "", soon()).ok());
+}
+
 // Guards against a process that is killed for its memory because servers send endless answers to
 // its own calls.
 TEST(http_client, endless_answers_to_many_clients_share_one_limit)
--- a/sardinestream/http/message_reader_test.cc
+++ b/sardinestream/http/message_reader_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <array>
+#include <random>
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -6,6 +8,10 @@
 
 #include "sardinestream/http/message_reader.h"
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
 namespace {
 
@@ -46,6 +52,42 @@
     tcp_socket far;
 };
 
+// Drawn status lines: a head is read exactly if its status is three digits from 100 to 599, and no
+// upgrade, which nobody asks for.
+TEST_F(message_reader_test, reads_a_response_head_only_with_a_status)
+{
+    std::minstd_rand random(1);
+    const std::string letters = "0123456789 +-.xA";
+    for (int line = 0; line < 3000; ++line) {
+        std::string status = absl::StrCat(absl::Dec(random() % 1000, absl::kZeroPad3));
+        if (line % 3 == 0) {
+            status.resize(random() % 5);
+            for (char& letter : status) {
+                letter = letters[random() % letters.size()];
+            }
+        }
+        std::array<int, 2> ends{};
+        ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+        tcp_socket reading(ends[0]);
+        tcp_socket writing(ends[1]);
+        ASSERT_TRUE(
+            writing.write_all(absl::StrCat("HTTP/1.1 ", status, " R\r\n\r\n"), soon(), {}).ok());
+        message_reader reader(reading);
+        const absl::StatusOr<http_response_head> head =
+            reader.read_response_head(limits, false, soon(), {});
+        int number = 0;
+        // The reason phrase may begin with a space.
+        const std::string token = status.substr(0, status.find(' '));
+        const bool is_status =
+            token.size() == 3 && std::all_of(token.begin(), token.end(), absl::ascii_isdigit) &&
+            absl::SimpleAtoi(token, &number) && number >= 100 && number <= 599 && number != 101;
+        ASSERT_EQ(head.ok(), is_status) << "status '" << status << "': " << head.status();
+        if (is_status) {
+            ASSERT_EQ(head->status, number);
+        }
+    }
+}
+
 TEST_F(message_reader_test, reads_a_request_with_a_length)
 {
     this->send("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET");
--- a/sardinestream/platform/engine_calls_test.cc
+++ b/sardinestream/platform/engine_calls_test.cc
@@ -64,5 +64,22 @@
     }
 }
 
+// Such an order may have been carried out.
+TEST(engine_interface, an_order_answered_with_a_status_that_is_none_is_unanswered)
+{
+    for (const char* const status : {"000", "099", "101", "600", "999"}) {
+        scripted_server server([status](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(
+                    absl::StrCat("HTTP/1.1 ", status, " Odd\r\nContent-Length: 0\r\n\r\n"));
+            }
+        });
+        engine_order order;
+        order.kind = order_kind::hold;
+        EXPECT_EQ(connect_engine(server.local()).send_order(order), order_outcome::no_answer)
+            << status;
+    }
+}
+
 } // namespace
 } // namespace sardinestream::platform
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -36,6 +36,24 @@
 }
 
 // Guards against a store that never ends a list: the objects of all pages were kept.
+// A watch goes on from its position after a pause; the history is not lost.
+TEST(store_client, a_status_that_is_none_is_an_unavailable_store)
+{
+    for (const int status : {99, 101, 600, 999}) {
+        scripted_server store([status](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(absl::StrCat("HTTP/1.1 ", absl::Dec(status, absl::kZeroPad3),
+                                              " Odd\r\nContent-Length: 2\r\n\r\n{}"));
+            }
+        });
+        store_client client(store.local());
+        const milliseconds time{2000};
+        EXPECT_TRUE(absl::IsUnavailable(client.list("servers", time).status())) << status;
+        EXPECT_TRUE(absl::IsUnavailable(client.watch("servers", {5, 1}, time, time).status()))
+            << status;
+    }
+}
+
 TEST(store_client, a_list_without_end_fails_within_its_memory)
 {
     std::atomic<int> pages = 0;
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -4,6 +4,9 @@
 
 #include "sardinestream/store/object_store.h"
 #include "sardinestream/testing/platform_standin.h"
+#include "sardinestream/testing/scripted_server.h"
+
+#include "absl/strings/str_cat.h"
 
 namespace sardinestream::platform {
 namespace {
@@ -72,6 +75,21 @@
     EXPECT_TRUE(absl::IsNotFound(this->store->get(kind, "a").status()));
 }
 
+TEST_F(object_store_test, a_status_that_is_none_leaves_changes_unknown_and_reads_unavailable)
+{
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        scripted_server odd([&status](scripted_connection& connection) {
+            while (connection.read_request()) {
+                connection.write(
+                    absl::StrCat("HTTP/1.1 ", status, " Odd\r\nContent-Length: 2\r\n\r\n{}"));
+            }
+        });
+        const std::unique_ptr<object_store> asked = connect({odd.local()});
+        EXPECT_TRUE(absl::IsUnknown(asked->create_object(kind, "a", "{}").status())) << status;
+        EXPECT_TRUE(absl::IsUnavailable(asked->get(kind, "a").status())) << status;
+    }
+}
+
 TEST_F(object_store_test, a_refused_connection_is_unavailable_and_retried_elsewhere)
 {
     const address gone = platform_standin::create({"127.0.0.1", 0}).value()->local();
