A status that is none is no answer

Cause: a status outside 100 to 599 was taken for an interim response, or passed on; orders and calls with such an answer counted as refused though they may have been carried out. Change: message_reader fails with kInvalidArgument, as for bytes that are no response, so that the attempt has failed at once; 101, for which nobody asks, too. http_client skips interim responses, at most eight. A store that answers so is unavailable: its history is not lost. The older interface's back end, engine and store clients treat it as a lost answer; its health check does not count it. They do not skip interim responses other than 100, since their library does not.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -5,9 +5,11 @@
 #include <httplib.h>
 
 #include "sardinestream/base/bounded_body.h"
+#include "sardinestream/base/http_status.h"
 #include "sardinestream/base/tcp_probe.h"
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
 
 namespace sardinestream::agent {
 namespace {
@@ -100,11 +102,14 @@
     httplib::Request http = to_http(request);
     bounded_body body(max_answer_bytes);
     http.content_receiver = body.receiver();
+    // A response whose status is none is no answer; its body is not waited for.
+    bool has_odd_status = false;
+    http.response_handler = [&](const httplib::Response& head) {
+        answer.status = head.status;
+        has_odd_status = !is_final_status(head.status);
+        return !has_odd_status;
+    };
     if (on_bytes) {
-        http.response_handler = [&answer](const httplib::Response& head) {
-            answer.status = head.status;
-            return true;
-        };
         http.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t,
                                     std::uint64_t) {
             const absl::string_view part(bytes, size);
@@ -120,6 +125,10 @@
     const bool cancelled = was_cancelled();
     answer.outcome = classify_outcome(error, request, cancelled);
     answer.message = httplib::to_string(error);
+    if (has_odd_status) {
+        answer.outcome = backend_outcome::lost;
+        answer.message = absl::StrCat("status ", answer.status, " is none");
+    }
     if (answer.outcome != backend_outcome::complete) {
         return answer;
     }
@@ -148,7 +157,8 @@
     health.method = "GET";
     health.path = "/health";
     health.content_receiver = body.receiver();
-    return static_cast<bool>(probe.send(health));
+    const httplib::Result answer = probe.send(health);
+    return answer && is_final_status(answer->status);
 }
 
 bool backend_client::accepts_connections() const
--- a/sardinestream/experts/engine_client.cc
+++ b/sardinestream/experts/engine_client.cc
@@ -7,6 +7,7 @@
 
 #include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/http_status.h"
 #include "sardinestream/base/metrics.h"
 
 #include "absl/strings/str_cat.h"
@@ -138,6 +139,10 @@
         return make_error(absl::StatusCode::kUnavailable, step, this->peer_name,
                           httplib::to_string(result.error()));
     }
+    if (!is_final_status(result->status)) {
+        return make_error(absl::StatusCode::kUnavailable, step, this->peer_name,
+                          absl::StrCat("status ", result->status, " is none"));
+    }
     if (result->status != http_ok) {
         return make_error(code_of(result->status), step, this->peer_name, body.take());
     }
@@ -164,6 +169,12 @@
     if (result->status == http_ok) {
         return absl::OkStatus();
     }
+    if (!is_final_status(result->status)) {
+        // The engine may have carried out the order.
+        count("sardine_engine_order_failures_total", {{"step", std::string(step)}});
+        return make_error(absl::StatusCode::kUnknown, step, this->peer_name,
+                          absl::StrCat("status ", result->status, " is none"));
+    }
     count("sardine_engine_order_refusals_total", {{"step", std::string(step)}});
     return make_error(code_of(result->status), step, this->peer_name, answer.take());
 }
--- a/sardinestream/forwarding/exchange_answer.cc
+++ b/sardinestream/forwarding/exchange_answer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/http_status.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/forwarding/exchange.h"
@@ -23,8 +24,6 @@
 // A connection is closed rather than read up to the end of a longer or slower refusal.
 constexpr std::size_t max_refusal_bytes = 64 << 10;
 constexpr milliseconds refusal_body_timeout{200};
-// Limit on interim (1xx) responses before the final one.
-constexpr int max_interim_responses = 8;
 // A healthy server sends the rest of a head immediately after its first bytes.
 constexpr milliseconds head_completion_timeout{2000};
 // A shutdown that begins while a request waits for its answer is noticed within this time, which is
@@ -48,8 +47,7 @@
             connection.socket.has_input_or_end() ? this->head_deadline() : this->answer_deadline();
         absl::StatusOr<http_response_head> head = connection.reader.read_response_head(
             limits, this->admitted.request.method == "HEAD", end, this->caller_watch);
-        constexpr int first_final_status = 200;
-        if (!head.ok() || head->status >= first_final_status) {
+        if (!head.ok() || is_final_status(head->status)) {
             return head;
         }
     }
--- a/sardinestream/http/http_client.cc
+++ b/sardinestream/http/http_client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/http_status.h"
 #include "sardinestream/base/json_parts.h"
 #include "sardinestream/http/message_body.h"
 
@@ -55,6 +56,20 @@
     return absl::OkStatus();
 }
 
+absl::StatusOr<http_response_head> http_client::read_final_head(steady_time deadline)
+{
+    const message_limits limits = {max_answer_head_bytes, max_answer_bytes};
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        absl::StatusOr<http_response_head> head =
+            this->reader->read_response_head(limits, false, deadline, hangup_watch());
+        if (!head.ok() || is_final_status(head->status)) {
+            return head;
+        }
+    }
+    return make_error(absl::StatusCode::kDataLoss, "read", "",
+                      "too many interim responses without a final one");
+}
+
 absl::StatusOr<http_answer> http_client::exchange(absl::string_view method,
                                                   absl::string_view target,
                                                   absl::string_view json_body, steady_time deadline)
@@ -67,9 +82,7 @@
     }
     absl::StrAppend(&text, "\r\n", json_body);
     SARDINE_RETURN_IF_ERROR(this->socket.write_all(text, deadline, hangup_watch()));
-    const message_limits limits = {max_answer_head_bytes, max_answer_bytes};
-    absl::StatusOr<http_response_head> head =
-        this->reader->read_response_head(limits, false, deadline, hangup_watch());
+    const absl::StatusOr<http_response_head> head = this->read_final_head(deadline);
     if (!head.ok()) {
         return head.status();
     }
--- a/sardinestream/http/http_client.h
+++ b/sardinestream/http/http_client.h
@@ -53,6 +53,8 @@
 
 private:
     absl::Status ensure_connected(steady_time deadline);
+    // Skips interim responses.
+    absl::StatusOr<http_response_head> read_final_head(steady_time deadline);
     absl::StatusOr<http_answer> exchange(absl::string_view method, absl::string_view target,
                                          absl::string_view json_body, steady_time deadline);
 
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -7,10 +7,12 @@
 #include <boost/beast/http/basic_parser.hpp>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/http_status.h"
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 
 namespace sardinestream {
 namespace {
@@ -268,6 +270,10 @@
     this->response->body_limit(largest_response_bytes);
     this->response->skip(to_head);
     SARDINE_RETURN_IF_ERROR(this->read_head(*this->response, deadline, caller));
+    const int status = this->response->head.status;
+    if (!is_final_status(status) && !is_interim_status(status)) {
+        return bad_message(absl::StrCat("status ", status, " is none"));
+    }
     http_response_head head = this->response->head;
     if (this->response->chunked()) {
         head.framing = body_framing::chunked;
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -8,11 +8,11 @@
 //     absl::StatusOr<http_request_head> head = reader.read_request_head(limits, deadline, {});
 //     absl::Status done = reader.read_body(limits.body_bytes, body, deadline, {});
 //
-// Errors in addition to those of the socket: kInvalidArgument (not valid HTTP, or a form that two
-// parsers could interpret differently), kResourceExhausted (head or another line too large),
-// kOutOfRange (body too large), kDataLoss (the connection was closed within the message), kNotFound
-// (it was closed before the first byte), kFailedPrecondition (the reader's `reading_end` has
-// passed). Not thread-safe.
+// Errors in addition to those of the socket: kInvalidArgument (not valid HTTP, a form that two
+// parsers could interpret differently, or a status that is none), kResourceExhausted (head or
+// another line too large), kOutOfRange (body too large), kDataLoss (the connection was closed
+// within the message), kNotFound (it was closed before the first byte), kFailedPrecondition (the
+// reader's `reading_end` has passed). Not thread-safe.
 
 #ifndef SARDINESTREAM_HTTP_MESSAGE_READER_H_
 #define SARDINESTREAM_HTTP_MESSAGE_READER_H_
@@ -34,6 +34,9 @@
     std::size_t body_bytes = 4194304;
 };
 
+// Limit on interim (1xx) responses before the final one.
+inline constexpr int max_interim_responses = 8;
+
 class message_reader {
 public:
     // Returns the time at which reading ends whatever the deadline of a call; may bring it forward
@@ -53,8 +56,8 @@
     [[nodiscard]] absl::StatusOr<http_request_head> read_request_head(const message_limits& limits,
                                                                       steady_time deadline);
 
-    // `to_head` states that the request was a HEAD request: the response has no body, regardless of
-    // its headers.
+    // Returns the head of an interim response, too. `to_head` states that the request was a HEAD
+    // request: the response has no body, regardless of its headers.
     [[nodiscard]] absl::StatusOr<http_response_head>
     read_response_head(const message_limits& limits, bool to_head, steady_time deadline,
                        const hangup_watch& caller);
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -186,6 +186,12 @@
 {
     absl::StatusOr<http_answer> response =
         this->http.call("GET", target, "", steady_clock::now() + timeout);
+    if (absl::IsInvalidArgument(response.status())) {
+        // No response at all, unlike one whose content cannot be read, for which another list
+        // helps.
+        return make_error(absl::StatusCode::kUnavailable, "call", "store",
+                          response.status().message());
+    }
     if (!response.ok()) {
         return response.status();
     }
--- a/sardinestream/store/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -8,6 +8,7 @@
 
 #include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/http_status.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/store/object_json.h"
 #include "sardinestream/store/object_store.h"
@@ -41,6 +42,9 @@
 
 absl::StatusCode status_code_for(const httplib::Response& answer, bool read)
 {
+    if (!is_final_status(answer.status)) {
+        return read ? absl::StatusCode::kUnavailable : absl::StatusCode::kUnknown;
+    }
     const bool already_exists = parse_error_reason(answer.body) == "AlreadyExists";
     switch (answer.status) {
     case 404:
