--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -55,6 +55,7 @@
     double max_retry_burst = 80;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{4800};
+    cold_bound cold{};
     // The store's evacuations are delivered with `apply_evacuation*`.
     bool watches_evacuations = false;
 
