Room: what an entry has begun since a report counts for the other entries, too

Cause: reports are 0.1 to 0.6 s old; all entries see the same free slot and fill it, so that requests wait at, or are turned away by, full servers.

Change: for services whose streams differ in urgency, an entry takes the others to have begun as many requests on a server since its report as it has, up to 0.7 of the slots that are free, so that one entry alone still fills a small server.

backends_test passes (63 servers, 6 entries, 0.3 s: fewer wait at full servers; 1, 3 and 63 servers at low load: at most one in a hundred turned away).

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -45,6 +45,8 @@
 std::optional<placement> dispatcher::try_place(const placement_request& request)
 {
     const steady_time now = steady_clock::now();
+    load_view seen = this->view;
+    seen.counts_others = this->urgency_policy(request.service) != nullptr;
     const service_pace usual = this->best_pace(request.service, now);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
@@ -54,7 +56,7 @@
         }
         const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
         candidates.push_back(&state);
-        loads.push_back(state.load(capacity, this->view, usual, now));
+        loads.push_back(state.load(capacity, seen, usual, now));
         loads.back().available = loads.back().available && this->allowed_time(state, now) <= now;
         if (this->cold.condition(state.server(), now) == cold_condition::cold) {
             loads.back().slowness *= cold_slowness;
--- a/sardinestream/backends/many_entries_test.cc
+++ b/sardinestream/backends/many_entries_test.cc
@@ -23,6 +23,8 @@
     double requests_per_s = 0;
     double service_s = 0;
     double report_interval_s = 0;
+    // An entry takes the others to have begun as many requests as itself.
+    bool counts_others = false;
 };
 
 struct fleet_result {
@@ -54,7 +56,8 @@
           running(static_cast<std::size_t>(offered.servers)),
           waiting(static_cast<std::size_t>(offered.servers)),
           known_occupancy(static_cast<std::size_t>(offered.entries),
-                          std::vector<int>(static_cast<std::size_t>(offered.servers)))
+                          std::vector<int>(static_cast<std::size_t>(offered.servers))),
+          begun(this->known_occupancy)
     {
     }
 
@@ -94,9 +97,20 @@
         for (std::vector<int>& by_server : this->known_occupancy) {
             by_server[server] = occupancy;
         }
+        for (std::vector<int>& by_server : this->begun) {
+            by_server[server] = 0;
+        }
         this->at(this->load.report_interval_s, [this, server] { this->report(server); });
     }
 
+    // As in `server_state`.
+    [[nodiscard]] double begun_by_others(std::size_t entry, std::size_t server) const
+    {
+        const double free = this->load.slots - this->known_occupancy[entry][server];
+        const double alike = this->begun[entry][server] * (this->load.entries - 1.0);
+        return this->load.counts_others ? std::clamp(alike, 0.0, std::max(0.0, free * 0.7)) : 0;
+    }
+
     void arrive()
     {
         this->at(std::exponential_distribution<double>(this->load.requests_per_s)(this->random),
@@ -107,6 +121,7 @@
         for (std::size_t server = 0; server < loads.size(); ++server) {
             loads[server].occupancy = this->known_occupancy[entry][server];
             loads[server].capacity = this->load.slots;
+            loads[server].occupancy += this->begun_by_others(entry, server);
         }
         const std::optional<std::size_t> chosen = this->choose(loads, this->random);
         if (!chosen.has_value()) {
@@ -114,6 +129,7 @@
             return;
         }
         ++this->known_occupancy[entry][*chosen];
+        ++this->begun[entry][*chosen];
         this->accept_or_queue(*chosen, {entry, this->now});
     }
 
@@ -163,6 +179,8 @@
     // Indexed by entry and server: the last reported occupancy, corrected by the entry's own
     // requests.
     std::vector<std::vector<int>> known_occupancy;
+    // Requests that the entry has sent since the last report.
+    std::vector<std::vector<int>> begun;
     fleet_result result;
 };
 
@@ -228,5 +246,24 @@
               best.queued + best.unplaced + sampled.requests / 100);
 }
 
+// The load of a group that is nearly full, with six entries and old reports.
+TEST(many_entries, counting_the_others_makes_fewer_requests_wait_at_full_servers)
+{
+    fleet_load full = {63, 6, 10, 270, 2.1, 0.3};
+    const fleet_result alone = fleet_simulation(full, best_of_sample, 1).simulate(simulated_s);
+    full.counts_others = true;
+    const fleet_result counted = fleet_simulation(full, best_of_sample, 1).simulate(simulated_s);
+    EXPECT_LT(counted.queued, alone.queued);
+}
+
+TEST(many_entries, counting_the_others_turns_nobody_away_at_low_load)
+{
+    for (const int servers : {1, 3, 63}) {
+        const fleet_load low = {servers, 6, 10, servers * 1.5, 2, 0.3, true};
+        const fleet_result result = fleet_simulation(low, best_of_sample, 1).simulate(60);
+        EXPECT_LE(result.unplaced, result.requests / 100) << servers;
+    }
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -36,6 +36,9 @@
 constexpr double quick_answer_ms = 10.0;
 // Upper limit of a server's slowness.
 constexpr double max_slowness = 20.0;
+// Share of the free slots that others are taken to have filled at most, so that a process that is
+// alone with its callers can still fill a small server.
+constexpr double max_share_of_others = 0.7;
 
 } // namespace
 
@@ -182,6 +185,15 @@
     return std::max<double>(estimate, this->in_flight);
 }
 
+double server_state::begun_by_others(double free, const load_view& view, steady_time now) const
+{
+    if (!view.counts_others || !this->has_fresh_report(view, now)) {
+        return 0;
+    }
+    const double alike = static_cast<double>(this->begun_since_report) * (view.processes - 1);
+    return std::clamp(alike, 0.0, std::max(0.0, free * max_share_of_others));
+}
+
 double server_state::failure_share(steady_time now) const
 {
     const std::chrono::duration<double> age = now - this->last_answer;
@@ -216,6 +228,7 @@
     server_load load;
     load.capacity = capacity * this->capacity_share(view, usual, now);
     load.occupancy = this->occupancy(view, now);
+    load.occupancy += this->begun_by_others(load.capacity - load.occupancy, view, now);
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->description.data_centre == view.data_centre;
     load.available = !this->description.draining && !this->is_excluded(now) &&
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -42,6 +42,8 @@
     int processes = 1;
     // Interval between two reports of an agent.
     std::chrono::milliseconds report_interval{100};
+    // The other processes are taken to have begun as many requests since a report as this one.
+    bool counts_others = false;
 };
 
 // The best (lowest) figures among the servers of a service; zero if unknown.
@@ -131,6 +133,9 @@
 
 private:
     [[nodiscard]] double occupancy(const load_view& view, steady_time now) const;
+    // Returns the number of requests that the other processes are taken to have begun since the
+    // report, if the server has `free` slots without them.
+    [[nodiscard]] double begun_by_others(double free, const load_view& view, steady_time now) const;
     [[nodiscard]] double failure_share(steady_time now) const;
 
     backend_server description;
--- a/sardinestream/backends/server_state_test.cc
+++ b/sardinestream/backends/server_state_test.cc
@@ -48,6 +48,27 @@
     EXPECT_EQ(this->load_at(this->start).occupancy, 6);
 }
 
+// Entries that see the same free slot in a report must not all fill it.
+TEST_F(server_state_test, counts_what_it_has_begun_for_every_process_if_asked_to)
+{
+    load_view view{"a", 6};
+    view.counts_others = true;
+    server_report report;
+    report.running = 2;
+    this->state.apply_report(report, this->start);
+    const auto occupancy = [&] {
+        return this->state.load(12, view, service_pace{20, 50}, this->start).occupancy;
+    };
+    EXPECT_EQ(occupancy(), 2);
+    this->state.begin_attempt(this->start);
+    EXPECT_EQ(occupancy(), 8);
+    // The others never fill all that is free, so that one process alone can go on.
+    this->state.begin_attempt(this->start);
+    EXPECT_NEAR(occupancy(), 4 + 0.7 * 8, 1e-9);
+    view.counts_others = false;
+    EXPECT_EQ(occupancy(), 4);
+}
+
 TEST_F(server_state_test, is_as_slow_as_its_answers_by_comparison_with_the_quickest)
 {
     this->state.begin_attempt(this->start);
