A process waits for the first report of a group before it sends to its ranks

Cause: after a loss of power all ranks refuse until their group has formed. Change: a server of a service that runs in groups is sent probes only, until its agent has reported, a probe is served or a second has passed. Requests wait meanwhile.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -164,7 +164,15 @@
 void dispatcher::set_policies(service_policies declared)
 {
     const absl::MutexLock lock(&this->mutex);
+    const bool is_first = this->policies.empty();
     this->policies = std::move(declared);
+    if (!is_first) {
+        return;
+    }
+    // The servers were listed before the services.
+    for (auto& [id, state] : this->servers) {
+        this->await_first_report(state, steady_clock::now());
+    }
 }
 
 void dispatcher::set_report_interval(std::chrono::milliseconds interval)
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -262,6 +262,10 @@
     // Creates the state of a server, with the hold-off that is known for its start.
     [[nodiscard]] server_state make_state(const backend_server& server, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Lets the server wait for its agent's first report if its service runs in groups, whose ranks
+    // refuse all requests until the group has formed.
+    void await_first_report(server_state& state, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns whether `first` is served before `second`, which came later or at the same time.
     [[nodiscard]] static bool goes_before(const placement_request& first,
                                           const placement_request& second);
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -15,6 +15,8 @@
 // part of this share of it.
 constexpr double retry_jitter_share = 0.25;
 constexpr std::chrono::milliseconds min_retry_jitter{300};
+// Agents report to an entry that has started within this time.
+constexpr std::chrono::milliseconds first_report_time{1000};
 
 } // namespace
 
@@ -252,6 +254,7 @@
     for (auto& [id, state] : this->servers) {
         if (state.server().service == any.service) {
             state.end_exclusion();
+            state.end_wait_for_report();
         }
     }
     this->serve_waiters(any.service);
@@ -263,9 +266,18 @@
     if (this->notices.hold_off_end(server) > now) {
         state.begin_hold_off(this->notices.hold_off_end(server), this->draw_return_delay());
     }
+    this->await_first_report(state, now);
     return state;
 }
 
+void dispatcher::await_first_report(server_state& state, steady_time now) const
+{
+    const auto declared = this->policies.find(state.server().service);
+    if (declared != this->policies.end() && declared->second.engine.has_experts()) {
+        state.await_first_report(now, now + first_report_time);
+    }
+}
+
 server_notice dispatcher::apply_notice(const backend_server& server, const server_notice& notice)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -46,6 +46,12 @@
     this->current_hold_off.begin(requested_end, return_delay);
 }
 
+void server_state::await_first_report(steady_time since, steady_time end)
+{
+    this->report_awaited_since = since;
+    this->report_awaited_until = end;
+}
+
 void server_state::begin_attempt(steady_time now)
 {
     this->last_attempt = now;
@@ -137,6 +143,9 @@
     if (this->is_broken(view, now)) {
         return server_outage{*this->broken_since, this->report_time, true};
     }
+    if (this->awaits_first_report(now)) {
+        return server_outage{this->report_awaited_since, this->report_awaited_since, true};
+    }
     // A server that refuses further requests while it works on accepted ones is full, not out of
     // service.
     const bool turns_away = this->rejecting_since.has_value() && this->accepted == 0 &&
@@ -169,6 +178,9 @@
     if (this->is_broken(view, now)) {
         return "no: group broken";
     }
+    if (this->awaits_first_report(now)) {
+        return "no: no report yet";
+    }
     return "yes";
 }
 
@@ -219,6 +231,7 @@
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->description.data_centre == view.data_centre;
     load.available = !this->description.draining && !this->is_excluded(now) &&
+                     !this->awaits_first_report(now) &&
                      this->current_hold_off.allows(this->in_flight, now);
     if (this->has_silent_agent(view, now)) {
         // Its machine may have stopped, so other servers are preferred even if they are fuller.
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -82,6 +82,16 @@
     // `return_delay` later.
     void begin_hold_off(steady_time requested_end, std::chrono::milliseconds return_delay);
 
+    // Begins the wait for the first report of its agent, which tells whether the server's group
+    // serves. Until `end` or a report, the server is only sent probes.
+    void await_first_report(steady_time since, steady_time end);
+    // Ends that wait, because a server of the same service is known to serve.
+    void end_wait_for_report() { this->report_awaited_until = {}; }
+    [[nodiscard]] bool awaits_first_report(steady_time now) const
+    {
+        return this->report_time == steady_time{} && now < this->report_awaited_until;
+    }
+
     void begin_attempt(steady_time now);
     // Records that the server has begun to answer an attempt, other than with a refusal.
     void note_accepted();
@@ -155,6 +165,9 @@
     // When the server last refused a request or was unreachable. Zero before the first time; kept
     // when it accepts a request.
     steady_time last_rejection{};
+    // The wait for the first report; zero if there is none.
+    steady_time report_awaited_since{};
+    steady_time report_awaited_until{};
     // Time since which its agent has reported the group as broken.
     std::optional<steady_time> broken_since;
     hold_off current_hold_off;
