--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -34,6 +34,9 @@
 DEFINE_double(retry_slack, 20, "Retries allowed beyond retry_ratio, fleet-wide, 0 to 1e6");
 DEFINE_int32(heartbeat_ms, 1200,
              "Milliseconds between heartbeats of a server to the store, 10 to 600000");
+DEFINE_string(evacuation_ms, "",
+              "Milliseconds within which the evacuation of a data centre is in force, 0 to 600000; "
+              "empty or 0: none is watched");
 DEFINE_double(grace_s, 8, "Seconds from SIGTERM to the end of the process, 1 to 600");
 DEFINE_string(cold_overage, "",
               "A cold server may get its rate times this, 0.1 to 1000; empty: no limit");
@@ -156,6 +159,7 @@
     constexpr double max_grace_s = 600;
     constexpr int min_heartbeat_ms = 10;
     constexpr int max_heartbeat_ms = 600000;
+    constexpr int max_evacuation_ms = 600000;
     entry_settings settings;
     SARDINE_RETURN_IF_ERROR(read_common(settings));
     SARDINE_RETURN_IF_ERROR(check_address("front_listen", FLAGS_front_listen));
@@ -171,6 +175,11 @@
         check_range("heartbeat_ms", FLAGS_heartbeat_ms, min_heartbeat_ms, max_heartbeat_ms));
     SARDINE_RETURN_IF_ERROR(check_number("grace_s", FLAGS_grace_s, 1, max_grace_s));
     SARDINE_RETURN_IF_ERROR(read_cold_bound(settings));
+    int evacuation_ms = 0;
+    if (!FLAGS_evacuation_ms.empty() && !absl::SimpleAtoi(FLAGS_evacuation_ms, &evacuation_ms)) {
+        return setting_error("evacuation_ms", FLAGS_evacuation_ms, "a number or empty");
+    }
+    SARDINE_RETURN_IF_ERROR(check_range("evacuation_ms", evacuation_ms, 0, max_evacuation_ms));
     absl::StatusOr<std::vector<address>> seeds = parse_addresses(FLAGS_seeds);
     if (!seeds.ok()) {
         return setting_error("seeds", FLAGS_seeds, "IP:PORT,...");
@@ -190,6 +199,7 @@
     settings.server_entry_lifetime =
         std::chrono::milliseconds(FLAGS_heartbeat_ms) * heartbeats_per_entry;
     constexpr double ms_per_s = 1000.0;
+    settings.evacuation_time = std::chrono::milliseconds(evacuation_ms);
     settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
     return settings;
 }
@@ -216,10 +226,11 @@
 
 absl::StatusOr<entry_settings> load_entry_settings(int* argc, char*** argv)
 {
-    SARDINE_RETURN_IF_ERROR(load(argc, argv,
-                                 {"front_listen", "ready_listen", "store", "seeds",
-                                  "file_descriptors", "memory_mb", "retry_ratio", "retry_slack",
-                                  "heartbeat_ms", "grace_s", "cold_overage", "cold_slack"}));
+    SARDINE_RETURN_IF_ERROR(
+        load(argc, argv,
+             {"front_listen", "ready_listen", "store", "seeds", "file_descriptors", "memory_mb",
+              "retry_ratio", "retry_slack", "heartbeat_ms", "evacuation_ms", "grace_s",
+              "cold_overage", "cold_slack"}));
     return read_entry();
 }
 
