Requests that wait are not all sent to the first servers that open

Cause: after an outage of a service each entry learns of room in steps of a report's age and places all that waits on the few servers that it knows to be open; so do the others. Change: while requests wait, what a process has begun since a server's report counts once for each process, as the others do the same at the same time.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -46,6 +46,8 @@
 {
     const steady_time now = steady_clock::now();
     const service_pace usual = this->best_pace(request.service, now);
+    load_view seen = this->view;
+    seen.requests_wait = this->requests_wait(request.service);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
@@ -54,7 +56,7 @@
         }
         const double capacity = state.server().slots * (1 + this->options.extra_capacity_share);
         candidates.push_back(&state);
-        loads.push_back(state.load(capacity, this->view, usual, now));
+        loads.push_back(state.load(capacity, seen, usual, now));
         loads.back().available = loads.back().available && this->allowed_time(state, now) <= now;
         if (this->cold.condition(state.server(), now) == cold_condition::cold) {
             loads.back().slowness *= cold_slowness;
@@ -77,6 +79,12 @@
     return assigned;
 }
 
+bool dispatcher::requests_wait(const std::string& service) const
+{
+    const auto queue = this->queues.find(service);
+    return queue != this->queues.end() && queue->second.waiters.size() > 1;
+}
+
 bool dispatcher::is_evacuated(const backend_server& server) const
 {
     return !this->evacuated.empty() && this->evacuated.count(server.data_centre) != 0;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -251,6 +251,9 @@
     [[nodiscard]] bool is_eligible(const server_state& state,
                                    const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether more than one request waits for a server of the service.
+    [[nodiscard]] bool requests_wait(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_evacuated(const backend_server& server) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the earliest time at which a candidate for the request wants requests again, if all
--- a/sardinestream/backends/first_report_test.cc
+++ b/sardinestream/backends/first_report_test.cc
@@ -162,5 +162,36 @@
     EXPECT_EQ(this->send(10), 10);
 }
 
+// Many processes with a backlog meet the first few servers that report room.
+TEST(backlog_test, the_first_servers_that_open_are_not_filled_by_all_processes_at_once)
+{
+    constexpr int processes = 14;
+    constexpr int slots = 10;
+    backend_server known;
+    known.slots = slots;
+    server_state state(known);
+    const steady_time now = steady_clock::now();
+    state.apply_report({.group = "g"}, now);
+    load_view view;
+    view.processes = processes;
+    int alone = 0;
+    while (state.load(slots, view, {}, now).occupancy + 1 <= slots) {
+        state.begin_attempt(now);
+        ++alone;
+    }
+    EXPECT_EQ(alone, slots);
+    state.apply_report({.group = "g"}, now);
+    view.requests_wait = true;
+    EXPECT_GT(state.load(slots, view, {}, now).occupancy, slots - 1);
+    server_state opened(known);
+    opened.apply_report({.group = "g"}, now);
+    int with_backlog = 0;
+    while (opened.load(slots, view, {}, now).occupancy + 1 <= slots) {
+        opened.begin_attempt(now);
+        ++with_backlog;
+    }
+    EXPECT_EQ(with_backlog, 1);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -190,8 +190,9 @@
         return static_cast<double>(this->in_flight) * view.processes;
     }
     const double reported = this->report.running + this->report.waiting;
-    const double estimate = reported + this->begun_since_report - this->ended_since_report;
-    return std::max<double>(estimate, this->in_flight);
+    const int placing = view.requests_wait ? view.processes : 1;
+    const double begun = static_cast<double>(this->begun_since_report) * placing;
+    return std::max<double>(reported + begun - this->ended_since_report, this->in_flight);
 }
 
 double server_state::failure_share(steady_time now) const
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -42,6 +42,9 @@
     int processes = 1;
     // Interval between two reports of an agent.
     std::chrono::milliseconds report_interval{100};
+    // Requests wait for a server, in all processes alike: each places as many as it can on a server
+    // that has room, before it can know what the others do.
+    bool requests_wait = false;
 };
 
 // The best (lowest) figures among the servers of a service; zero if unknown.
