Requests are placed by what they are likely to cost

Requests were placed by count, so that several long prompts or answers met on one rank while others had short ones.

Where the operator declares an engine's speed, a stream has a cost in time of the engine: its prompt, and the answer expected from the stated most tokens, the caller's hint and the answers seen of this team on this route. A server's remaining work is what this process placed there less the events that came, and what its agent reports beyond that at the usual size. The choice takes the server with the least work left; slots remain the bound, and the server's memory for tokens is one. A prompt larger than any server's memory is refused at once. Other services are as before.

The queue's wait, the stop's estimate and the product's own interface still count requests.

--- a/sardinestream/backends/choose_server.h
+++ b/sardinestream/backends/choose_server.h
@@ -18,6 +18,9 @@
 struct server_load {
     // Number of requests that run or wait on the server.
     double occupancy = 0;
+    // What these requests still cost, as a number of usual requests that have just begun; empty if
+    // it is unknown, so that they are counted.
+    std::optional<double> work;
     // Number of requests that it may hold before further ones have to wait; zero if it should hold
     // none.
     double capacity = 1;
--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -39,6 +39,7 @@
 {
     const steady_time now = steady_clock::now();
     const service_pace usual = this->best_pace(request.service, now);
+    const engine_model* const engine = this->engine_of(request);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
@@ -50,6 +51,9 @@
         loads.push_back(state.load(capacity, this->view, usual, now));
         loads.back().available =
             loads.back().available && this->limits.next_request_time(state.server(), now) <= now;
+        if (engine != nullptr) {
+            state.weigh(request.cost, *engine, this->view, now, loads.back());
+        }
     }
     std::array<double, server_sample_size> draws{};
     for (double& draw : draws) {
@@ -65,9 +69,40 @@
     assigned.server = state.server();
     assigned.occupancy = loads[*chosen].occupancy;
     assigned.slowness = loads[*chosen].slowness;
+    if (engine != nullptr) {
+        assigned.work = state.work().place(request.cost);
+    }
     return assigned;
 }
 
+const engine_model* dispatcher::engine_of(const placement_request& request) const
+{
+    const auto declared = this->policies.find(request.service);
+    const bool has_speed = declared != this->policies.end() && declared->second.engine.has_speed();
+    return has_speed ? &declared->second.engine : nullptr;
+}
+
+bool dispatcher::is_large(const placement_request& request) const
+{
+    const engine_model* const engine = this->engine_of(request);
+    return engine != nullptr && engine->memory_tokens > 0 &&
+           request.cost.memory_tokens * std::max(1, engine->slots) >
+               static_cast<double>(engine->memory_tokens);
+}
+
+void dispatcher::note_progress(placement& assigned, double tokens)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(assigned.server.id);
+    const auto declared = this->policies.find(assigned.server.service);
+    if (found == this->servers.end() || declared == this->policies.end() ||
+        found->second.server().born_ms != assigned.server.born_ms) {
+        return;
+    }
+    found->second.work().note_progress(assigned.work,
+                                       tokens * write_ms_per_token(declared->second.engine));
+}
+
 bool dispatcher::is_eligible(const server_state& state, const placement_request& request)
 {
     const backend_server& server = state.server();
@@ -107,6 +142,7 @@
         return;
     }
     found->second.end_attempt(result, assigned.accepted, first_byte, now);
+    found->second.work().remove(assigned.work);
     if (result == attempt_result::replaced) {
         found->second.mark_leaving();
     }
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -29,6 +29,8 @@
 #include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
 #include "sardinestream/backends/refusal.h"
+#include "sardinestream/backends/remaining_work.h"
+#include "sardinestream/backends/request_cost.h"
 #include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
@@ -55,6 +57,8 @@
     std::chrono::milliseconds max_wait{1000};
     // Ids of the servers that were tried already.
     std::vector<std::string> excluded_ids;
+    // Unknown for a service whose requests are counted.
+    request_cost cost;
     // Returns true if waiting has become pointless; checked about every 100 ms. May be empty.
     std::function<bool()> is_obsolete;
 };
@@ -69,6 +73,8 @@
     double slowness = 1;
     // Whether the server has begun to answer.
     bool accepted = false;
+    // Its part in the work of the server.
+    placed_work work;
 };
 
 struct dispatcher_options {
@@ -132,6 +138,9 @@
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& assigned);
 
+    // Records how many tokens of its answer the attempt has brought.
+    void note_progress(placement& assigned, double tokens);
+
     // Ends an attempt. `first_byte` is the time from sending to the first byte of the answer.
     void finish(const placement& assigned, attempt_result result,
                 std::chrono::milliseconds first_byte);
@@ -219,6 +228,13 @@
     // Returns the best figures among the servers of the service.
     [[nodiscard]] service_pace best_pace(const std::string& service, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the engine by whose speed the request is placed, or null if requests are counted.
+    [[nodiscard]] const engine_model* engine_of(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether the request needs far more memory than its share of a server, so that it may
+    // wait while others find room.
+    [[nodiscard]] bool is_large(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the outages of the servers that may take the request and do not hold off. Ends at the
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -22,6 +22,9 @@
 // Requests that may be passed over because they have tried all free servers; bounds the work under
 // the lock.
 constexpr std::size_t max_passed_over = 4;
+// Requests that may wait for much memory at the same time; fewer than may be passed over, so that
+// they don't hold up the others.
+constexpr int max_waiting_large = 2;
 
 } // namespace
 
@@ -61,8 +64,14 @@
     }
     SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
     double ahead = 1;
+    int large = 0;
     for (const waiter* other : queue.waiters) {
         ahead += goes_before(*other->request, request) ? 1 : 0;
+        large += this->is_large(*other->request) ? 1 : 0;
+    }
+    if (large >= max_waiting_large && this->is_large(request)) {
+        return refuse(absl::StatusCode::kResourceExhausted, request.service,
+                      "no server has the memory", min_retry_after);
     }
     // Without a queue the completion rate reflects the arrivals rather than the capacity of the
     // servers; shortly after the start it is unknown.
@@ -223,7 +232,8 @@
         }
         waiter* const served = *next;
         std::optional<placement> assigned = this->try_place(*served->request);
-        if (!assigned.has_value() && served->request->excluded_ids.empty()) {
+        if (!assigned.has_value() && served->request->excluded_ids.empty() &&
+            !this->is_large(*served->request)) {
             return;
         }
         if (!assigned.has_value()) {
--- a/sardinestream/backends/dispatcher_queue_test.cc
+++ b/sardinestream/backends/dispatcher_queue_test.cc
@@ -1,6 +1,8 @@
 // Tests in which order queued requests get servers, and which of them may wait.
 
+#include <array>
 #include <atomic>
+#include <set>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -159,5 +161,101 @@
     agent.join();
 }
 
+// An engine with memory for 10,000 tokens, and two slots.
+service_policies timed_engine()
+{
+    service_policies policies;
+    engine_model& engine = policies["assistant"].engine;
+    engine.slots = 2;
+    engine.step_ms = 5;
+    engine.step_ms_per_request = 0.5;
+    engine.read_tokens_per_s = 50000;
+    engine.memory_tokens = 10000;
+    return policies;
+}
+
+class placement_cost_test : public dispatcher_queue_test {
+protected:
+    placement_cost_test()
+    {
+        this->servers.set_policies(this->policies);
+        this->servers.set_servers({make_server("1"), make_server("2"), make_server("3")});
+    }
+
+    [[nodiscard]] placement_request request_of(double prompt_tokens, double answer_tokens) const
+    {
+        placement_request request = make_request();
+        request.cost = cost_of(prompt_tokens, answer_tokens, this->policies.at("assistant").engine);
+        return request;
+    }
+
+    // Places one request on each server, that leaves it no room for a large one.
+    std::array<placement, 3> place_on_each()
+    {
+        const placement_request wanted = this->request_of(2000, 1000);
+        return {this->place(wanted), this->place(wanted), this->place(wanted)};
+    }
+
+    static backend_server make_server(const std::string& id)
+    {
+        backend_server server = sardinestream::make_server(id);
+        server.slots = 2;
+        return server;
+    }
+
+    const service_policies policies = timed_engine();
+};
+
+TEST_F(placement_cost_test, goes_where_the_least_work_is_left)
+{
+    this->servers.set_servers({make_server("1"), make_server("2")});
+    placement first = this->place(this->request_of(100, 1000));
+    const placement second = this->place(this->request_of(100, 500));
+    EXPECT_NE(first.server.id, second.server.id);
+    // All but a little of the long answer is there.
+    this->servers.note_progress(first, 800);
+    EXPECT_EQ(this->place(this->request_of(100, 100)).server.id, first.server.id);
+    this->finish(first);
+    this->finish(second);
+}
+
+TEST_F(placement_cost_test, a_request_larger_than_the_free_memory_waits_and_holds_up_nobody)
+{
+    const std::array<placement, 3> placed = this->place_on_each();
+    const auto large = this->queue(this->request_of(9000, 500));
+    EXPECT_FALSE(large->take().has_value());
+    const auto small = this->queue(this->request_of(100, 100));
+    EXPECT_TRUE(small->take().has_value());
+    EXPECT_FALSE(large->take().has_value());
+    for (const placement& each : placed) {
+        this->finish(each);
+    }
+    EXPECT_TRUE(large->take().has_value());
+}
+
+TEST_F(placement_cost_test, few_large_requests_wait_at_a_time)
+{
+    const std::array<placement, 3> placed = this->place_on_each();
+    const auto first = this->queue(this->request_of(9000, 500));
+    const auto second = this->queue(this->request_of(9000, 500));
+    const absl::StatusOr<placement> third =
+        this->servers.place(this->request_of(9000, 500), hangup_watch());
+    EXPECT_EQ(third.status().code(), absl::StatusCode::kResourceExhausted);
+    EXPECT_EQ(this->place(this->request_of(100, 100)).server.service, "assistant");
+}
+
+// A service without a declared speed is as before.
+TEST_F(placement_cost_test, without_a_declared_speed_requests_are_counted)
+{
+    this->servers.set_policies({});
+    std::set<std::string> chosen;
+    for (int i = 0; i < 3; ++i) {
+        const placement placed = this->place(this->request_of(9000, 1000.0 * (3 - i)));
+        EXPECT_FALSE(placed.work.expected.is_known());
+        chosen.insert(placed.server.id);
+    }
+    EXPECT_EQ(chosen.size(), 3U);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -241,4 +241,20 @@
     return load;
 }
 
+void server_state::weigh(const request_cost& cost, const engine_model& engine,
+                         const load_view& view, steady_time now, server_load& load) const
+{
+    if (!cost.is_known()) {
+        return;
+    }
+    const bool fresh = this->has_fresh_report(view, now);
+    const double waiting = fresh ? this->report.waiting : this->own_work.unread();
+    const request_cost left = work_left({this->own_work, load.occupancy, waiting}, engine);
+    load.work = as_requests(left, usual_cost(engine));
+    const bool has_room =
+        engine.memory_tokens == 0 || load.occupancy <= 0 ||
+        left.memory_tokens + cost.memory_tokens <= static_cast<double>(engine.memory_tokens);
+    load.available = load.available && has_room;
+}
+
 } // namespace sardinestream
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -14,6 +14,7 @@
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/choose_server.h"
 #include "sardinestream/backends/hold_off.h"
+#include "sardinestream/backends/remaining_work.h"
 #include "sardinestream/backends/service_availability.h"
 #include "sardinestream/http/socket.h"
 
@@ -115,6 +116,11 @@
     [[nodiscard]] steady_time last_attempt_time() const { return this->last_attempt; }
     // Returns the time from which a server that holds off is used again.
     [[nodiscard]] steady_time hold_off_end() const { return this->current_hold_off.ends(); }
+    // What the requests of this process still cost.
+    [[nodiscard]] remaining_work& work() { return this->own_work; }
+    // Sets the load's work, and whether the request finds room in the server's memory.
+    void weigh(const request_cost& cost, const engine_model& engine, const load_view& view,
+               steady_time now, server_load& load) const;
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
     [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
@@ -158,6 +164,7 @@
     // Time since which its agent has reported the group as broken.
     std::optional<steady_time> broken_since;
     hold_off current_hold_off;
+    remaining_work own_work;
 };
 
 } // namespace sardinestream
--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -37,6 +37,8 @@
     int prompt_tokens = 0;
     // Maximum number of tokens in the response; 0 if unknown.
     int max_response_tokens = 0;
+    // The caller's estimate of the number of tokens in the response; 0 if unknown.
+    double expected_response_tokens = 0;
     // Ids of the parts of its prompt that other requests may share, in order and without
     // duplicates. Opaque text of any length.
     std::vector<std::string> prompt_parts;
--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -62,6 +62,10 @@
         this->deadline =
             std::min(this->deadline, this->admitted.arrival + *this->admitted.request.time_limit);
     }
+    if (const engine_model* const engine = this->timed_engine(); engine != nullptr) {
+        this->expected_tokens = this->services.answer_sizes.expect(this->origin(), this->stated(),
+                                                                   engine->usual_answer_tokens);
+    }
 }
 
 bool exchange::promise_connection()
@@ -104,6 +108,7 @@
     attempt_record record;
     record.placed = *std::move(placed);
     record.started = steady_clock::now();
+    record.events_before = this->events.delivered_events();
     this->total_queue_time += record.placed.waited;
     const next_action next = this->run_attempt(record);
     this->end_attempt(record, next);
@@ -331,6 +336,11 @@
                       {"queued_ms", this->total_queue_time.count()},
                       {"total_ms", elapsed_since(this->admitted.arrival).count()},
                       {"silent_ms", elapsed_since(this->last_delivery).count()},
+                      {"hint_tokens", this->admitted.request.expected_response_tokens},
+                      {"expected_tokens", this->expected_tokens},
+                      {"seen_tokens", this->delivered_tokens()},
+                      {"expected_cost_ms", this->expected_cost_ms()},
+                      {"seen_cost_ms", this->seen_cost_ms()},
                       {"reason", reason}});
 }
 
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -14,7 +14,9 @@
 #include <string>
 #include <vector>
 
+#include "sardinestream/backends/answer_estimator.h"
 #include "sardinestream/backends/dispatcher.h"
+#include "sardinestream/backends/request_cost.h"
 #include "sardinestream/forwarding/answer_time.h"
 #include "sardinestream/forwarding/caller_request.h"
 #include "sardinestream/forwarding/connection_pool.h"
@@ -58,6 +60,7 @@
     answer_times& answer_durations;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
+    answer_estimator& answer_sizes;
 };
 
 // A request that passed the admission checks of the frontend.
@@ -109,6 +112,8 @@
         steady_time silent_since{};
         // For a stream: the memory of an unfinished event.
         std::unique_ptr<message_memory_reservation> partial_event;
+        // Events that the caller got from earlier servers.
+        int events_before = 0;
     };
 
     // A stream that has left its server. Its connection stays open and unread until the next server
@@ -169,6 +174,25 @@
     [[nodiscard]] bool previous_server_goes_on() const;
     // Ends the attempt at the next server because the one that the stream left goes on.
     [[nodiscard]] next_action give_up_move(attempt_record& record);
+    // Returns the engine by whose speed the request is placed, or null if requests of this kind are
+    // counted.
+    [[nodiscard]] const engine_model* timed_engine() const;
+    [[nodiscard]] answer_origin origin() const;
+    [[nodiscard]] stated_size stated() const;
+    // Returns the tokens of the answer that the caller has; zero if requests are counted.
+    [[nodiscard]] double delivered_tokens() const;
+    // Returns what the request is likely to cost a server that goes on behind `delivered` tokens.
+    [[nodiscard]] request_cost cost_from(double delivered) const;
+    // Return the time of the engine that the request is likely to take, and that what the caller
+    // has of its answer took; zero if requests are counted.
+    [[nodiscard]] double expected_cost_ms() const;
+    [[nodiscard]] double seen_cost_ms() const;
+    // Returns a refusal if no server has the memory for the request.
+    [[nodiscard]] absl::Status check_size() const;
+    // Takes what was delivered off the work of the server.
+    void note_progress(attempt_record& record);
+    // Records the size of an answer that has ended.
+    void note_whole_answer();
     // Returns what is known of the request's answer before it begins.
     [[nodiscard]] answer_shape shape() const;
     // Returns how long an answer to the request is expected to take from `now` on.
@@ -274,6 +298,8 @@
     bool retry_granted = false;
     std::vector<std::string> tried_ids;
     event_splitter events;
+    // Expected size of the whole answer; zero if requests are counted.
+    double expected_tokens = 0;
     bool response_started = false;
     // The head of the response said that the connection takes another request.
     bool connection_promised = false;
--- a/sardinestream/forwarding/exchange_placement.cc
+++ b/sardinestream/forwarding/exchange_placement.cc
@@ -35,6 +35,7 @@
     wanted.priority = this->admitted.priority;
     wanted.has_begun = this->response_started;
     wanted.excluded_ids = this->tried_ids;
+    wanted.cost = this->cost_from(this->delivered_tokens());
     wanted.is_obsolete = [this] {
         return this->shutdown_would_cut() || steady_clock::now() >= this->answer_deadline();
     };
@@ -153,6 +154,7 @@
 {
     // Another entry can serve the request to its end.
     SARDINE_RETURN_IF_ERROR(this->check_shutdown());
+    SARDINE_RETURN_IF_ERROR(this->check_size());
     if (this->response_started && this->servers_refused >= max_refusals) {
         wait_for_any_input({}, this->caller_watch, steady_clock::now() + refusal_pause);
     }
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -140,6 +140,7 @@
             this->services.servers.note_event(record.placed.server);
             this->measured->note_first_event(record.silent_since);
             const absl::Status sent = this->send_events(head, complete);
+            this->note_progress(record);
             if (!sent.ok()) {
                 record.result = attempt_result::abandoned;
                 this->log_attempt(record, "caller_gone");
@@ -170,6 +171,7 @@
         }
         record.result = attempt_result::succeeded;
         this->measured->end(steady_clock::now(), true);
+        this->note_whole_answer();
         reusable = head.keeps_alive();
         const absl::Status finished = this->finish_stream(head);
         this->log_attempt(record, "streamed");
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -23,9 +23,9 @@
     return steady_clock::now() + std::chrono::seconds(8);
 }
 
-// Wire protocol for these tests; its headers are `Id`, `Key`, `Part` (of the prompt), `Signed`,
-// `Version` (of the weights), `Instance`, `Never-Ran`, `After` (the last event), `Leaving`, and
-// `Retry-After` in milliseconds.
+// Wire protocol for these tests; its headers are `Id`, `Key`, `Part` (of the prompt), `Prompt` (its
+// tokens), `Signed`, `Version` (of the weights), `Instance`, `Never-Ran`, `After` (the last event),
+// `Leaving`, and `Retry-After` in milliseconds.
 inline wire_protocol test_protocol()
 {
     wire_protocol protocol;
@@ -40,6 +40,7 @@
         request.accepts_chunked = head.version >= 11;
         request.expects_version = find_header(head.headers, "Version").has_value();
         request.resume_after = header_or_empty(head.headers, "After");
+        (void)absl::SimpleAtoi(header_or_empty(head.headers, "Prompt"), &request.prompt_tokens);
         request.headers = {{"Host", request.host}, {"Id", request.id}};
         if (request.expects_version) {
             request.headers.push_back({"Version", header_or_empty(head.headers, "Version")});
@@ -144,7 +145,8 @@
                                      this->crashes,
                                      this->in_progress,
                                      this->answer_durations,
-                                     [] {}};
+                                     [] {},
+                                     this->answer_sizes};
         frontend_options hooks;
         hooks.current_state = [this] { return this->state; };
         hooks.on_admitted = [](const std::string&) {};
@@ -235,6 +237,7 @@
         {[this](const address&) { return this->servers_have_crashed.load(); }, [] {}}};
     open_requests in_progress;
     answer_times answer_durations;
+    answer_estimator answer_sizes;
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
     std::atomic<bool> stopping = false;
--- a/sardinestream/platform/caller_protocol.cc
+++ b/sardinestream/platform/caller_protocol.cc
@@ -66,6 +66,11 @@
         request.prompt_tokens = 0;
         request.max_response_tokens = 0;
     }
+    double hint = 0;
+    if (absl::SimpleAtod(header_or_empty(headers, wire::length_hint), &hint) &&
+        std::isfinite(hint) && hint > 0) {
+        request.expected_response_tokens = hint;
+    }
     return absl::OkStatus();
 }
 
--- a/sardinestream/platform/caller_protocol_test.cc
+++ b/sardinestream/platform/caller_protocol_test.cc
@@ -36,6 +36,23 @@
     EXPECT_EQ(request->max_response_tokens, 80);
 }
 
+double length_hint(const std::string& text)
+{
+    http_request_head head = make_head();
+    head.headers.push_back({wire::length_hint, text});
+    return make_caller_protocol().decode_request(head)->expected_response_tokens;
+}
+
+TEST(caller_protocol, decodes_the_expected_length_of_the_answer)
+{
+    EXPECT_EQ(length_hint("138"), 138);
+    EXPECT_EQ(length_hint(" 138.5 "), 138.5);
+    EXPECT_EQ(length_hint("36893488147419103232"), 36893488147419103232.0);
+    for (const char* const none : {"", "-5", "0", "many", "12x", "nan", "inf", "-inf", "1e999"}) {
+        EXPECT_EQ(length_hint(none), 0) << none;
+    }
+}
+
 std::vector<std::string> parts_of(const std::string& list)
 {
     http_request_head head = make_head();
--- a/sardinestream/platform/wire_names.h
+++ b/sardinestream/platform/wire_names.h
@@ -20,6 +20,7 @@
 inline constexpr char server_limit[] = "Server-Limit";
 inline constexpr char retry_after[] = "Retry-After";
 inline constexpr char token_counts[] = "X-Sardinestream-Token-Counts";
+inline constexpr char length_hint[] = "X-Sardinestream-Length-Hint";
 inline constexpr char prompt_parts[] = "X-Sardinestream-Prompt-Prefix";
 // Rises by one each time the store is restored from an older copy.
 inline constexpr char store_era[] = "Store-Era";
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -132,7 +132,8 @@
         this->crashes,
         this->in_progress,
         this->answer_durations,
-        [this] { this->gossip->announce(); }};
+        [this] { this->gossip->announce(); },
+        this->answer_sizes};
     frontend_options front_options;
     front_options.current_state = [this] { return this->state.get(); };
     front_options.on_admitted = [this](const std::string& service) {
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -139,6 +139,7 @@
     // The requests that are being served.
     open_requests in_progress;
     answer_times answer_durations;
+    answer_estimator answer_sizes;
     routing::retry_budget retries;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> stop_deadline = steady_time::max();
