--- a/sardinestream/maps/map_coordinator.cc
+++ b/sardinestream/maps/map_coordinator.cc
@@ -24,10 +24,6 @@
 constexpr milliseconds plan_timeout{6000};
 // Delay before the next plan after a failed one.
 constexpr milliseconds delay_after_failed_plan{400};
-// Steps until a switch: one in which all ranks are armed, so that the group does not wait. More
-// while orders get lost.
-constexpr int default_step_margin = 2;
-constexpr int step_margin_for_lost_orders = 5;
 constexpr std::chrono::seconds lost_order_memory_period{10};
 // A lost datagram costs one repetition; engines that do not take orders need more.
 constexpr int max_expected_repetitions = 1;
@@ -41,7 +37,7 @@
       demand(chosen.shape.sets, chosen.shape.experts),
       accumulated_counts(static_cast<std::size_t>(chosen.shape.sets) *
                          static_cast<std::size_t>(chosen.shape.experts)),
-      has_reported_counts(ranks.size(), false), switch_protocol(switch_options{default_step_margin})
+      has_reported_counts(ranks.size(), false), switch_protocol(switch_options{})
 {
 }
 
@@ -311,8 +307,9 @@
     if (!this->plan.has_value() && !sardinestream::is_switching(reports)) {
         this->plan_if_worthwhile(reports, now);
     }
+    this->pace.note_step(newest_step(reports), now);
     this->switch_protocol.set_step_margin(
-        now < this->orders_lost_until ? step_margin_for_lost_orders : default_step_margin);
+        step_margin(this->pace.step_time(now), now < this->orders_lost_until));
     std::vector<rank_order> due;
     for (rank_order& order : this->switch_protocol.next_orders(
              reports, this->plan.has_value() ? this->plan_version : 0)) {
--- a/sardinestream/maps/map_coordinator.h
+++ b/sardinestream/maps/map_coordinator.h
@@ -21,6 +21,7 @@
 #include "sardinestream/maps/expert_demand.h"
 #include "sardinestream/maps/map_planner.h"
 #include "sardinestream/maps/map_switch.h"
+#include "sardinestream/maps/step_margin.h"
 
 namespace sardinestream {
 
@@ -113,6 +114,7 @@
     std::vector<bool> has_reported_counts;
     steady_time last_sample{};
     map_switch switch_protocol;
+    step_pace pace;
     std::optional<map_plan> plan;
     std::int64_t plan_version = 0;
     versioned_map replaced;
--- a/sardinestream/maps/map_switch.cc
+++ b/sardinestream/maps/map_switch.cc
@@ -5,15 +5,6 @@
 namespace sardinestream {
 namespace {
 
-std::int64_t newest_step(absl::Span<const rank_report> ranks)
-{
-    std::int64_t newest = 0;
-    for (const rank_report& report : ranks) {
-        newest = std::max(newest, report.step);
-    }
-    return newest;
-}
-
 void release_all(absl::Span<const rank_report> ranks, std::vector<rank_order>& orders)
 {
     for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
@@ -26,6 +17,15 @@
 
 } // namespace
 
+std::int64_t newest_step(absl::Span<const rank_report> ranks)
+{
+    std::int64_t newest = 0;
+    for (const rank_report& report : ranks) {
+        newest = std::max(newest, report.step);
+    }
+    return newest;
+}
+
 int holding_rank(std::int64_t version, int ranks)
 {
     return static_cast<int>(version % ranks);
--- a/sardinestream/maps/map_switch.h
+++ b/sardinestream/maps/map_switch.h
@@ -83,6 +83,9 @@
 // more; below the version of the switch in progress, the engine refuses it.
 [[nodiscard]] std::int64_t plan_version_after(std::int64_t newest, std::uint64_t draw);
 
+// Returns the last step that any of the ranks has started.
+[[nodiscard]] std::int64_t newest_step(absl::Span<const rank_report> ranks);
+
 class map_switch {
 public:
     explicit map_switch(switch_options chosen) : options(chosen) {}
