--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -251,6 +251,9 @@
     [[nodiscard]] bool is_eligible(const server_state& state,
                                    const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether more than one request waits for a server of the service.
+    [[nodiscard]] bool requests_wait(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_evacuated(const backend_server& server) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the earliest time at which a candidate for the request wants requests again, if all
@@ -285,6 +288,10 @@
     // Creates the state of a server, with the hold-off that is known for its start.
     [[nodiscard]] server_state make_state(const backend_server& server, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Lets the server wait for its agent's first report if its service runs in groups, whose ranks
+    // refuse all requests until the group has formed.
+    void await_first_report(server_state& state, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns whether `first` is served before `second`, which came later or at the same time.
     [[nodiscard]] static bool goes_before(const placement_request& first,
                                           const placement_request& second);
