Cold servers: without answers of the store, any server may be cold

Cause: a server may become cold again at any moment and says so in the store; an entry that is out of touch with the store, or was frozen, went on sending as to a warm one, while the bound is summed over all entries, in touch or not. Change: when the store has given no answer about the list for 2.6 s (a call for changes takes at most 1.75 s and its timeout), all servers count as perhaps cold, and for the usual time after the next answer.

--- a/sardinestream/backends/cold_limits.cc
+++ b/sardinestream/backends/cold_limits.cc
@@ -22,6 +22,10 @@
 constexpr int parts_left_free = 4;
 // Time from the first word of another process until all are taken to be known.
 constexpr milliseconds settling_time{3000};
+// The store answers a call for changes within this time, also if there are none.
+constexpr milliseconds list_answer_time{2600};
+// While it does not, the servers may be cold for so much longer.
+constexpr milliseconds list_recheck{100};
 // Requests with this process may be assigned and not sent; they are looked for again this often.
 constexpr milliseconds unsent_recheck{10};
 // Limits the memory for a server.
@@ -67,6 +71,16 @@
     });
 }
 
+void cold_limits::note_list_answer(steady_time now)
+{
+    if (now - this->last_list_answer >= list_answer_time) {
+        for (auto& [id, known] : this->servers) {
+            known.unsure_since = now;
+        }
+    }
+    this->last_list_answer = now;
+}
+
 void cold_limits::set_policies(const service_policies& declared)
 {
     this->policies.clear();
@@ -157,16 +171,20 @@
     return rank < shared ? 1 : 0;
 }
 
-steady_time cold_limits::cold_end(const usage& known, const service_policy& policy)
+steady_time cold_limits::cold_end(const usage& known, const service_policy& policy,
+                                  steady_time now) const
 {
-    return std::max(known.stated_end, known.unsure_since + policy.cold_period + unsure_margin);
+    const steady_time end =
+        std::max(known.stated_end, known.unsure_since + policy.cold_period + unsure_margin);
+    return now - this->last_list_answer < list_answer_time ? end
+                                                           : std::max(end, now + list_recheck);
 }
 
 cold_condition cold_limits::condition(const backend_server& server, steady_time now) const
 {
     const service_policy* const policy = this->policy_of(server);
     const usage* const known = policy == nullptr ? nullptr : this->find(server);
-    if (known == nullptr || cold_end(*known, *policy) <= now) {
+    if (known == nullptr || cold_end(*known, *policy, now) <= now) {
         return cold_condition::warm;
     }
     return known->stated_end > now ? cold_condition::cold : cold_condition::perhaps_cold;
@@ -179,7 +197,7 @@
     if (known == nullptr) {
         return now;
     }
-    const steady_time end = cold_end(*known, *policy);
+    const steady_time end = cold_end(*known, *policy, now);
     if (end <= now) {
         return now;
     }
--- a/sardinestream/backends/cold_limits.h
+++ b/sardinestream/backends/cold_limits.h
@@ -51,6 +51,9 @@
 
     // Replaces the list of servers. A server that is new in it, or has started again, may be cold.
     void set_servers(absl::Span<const backend_server> listed, steady_time now);
+    // Records an answer of the store about the list, also that nothing has changed. Without answers
+    // any server may have become cold again.
+    void note_list_answer(steady_time now);
     void set_policies(const service_policies& declared);
     // Sets the processes that share the bound.
     void set_processes(const process_group& processes, steady_time now);
@@ -92,13 +95,16 @@
     // Returns this process's part of them.
     [[nodiscard]] int own_part(const backend_server& server, int all, steady_time now) const;
     // Returns the end of the time in which the server is or may be cold.
-    [[nodiscard]] static steady_time cold_end(const usage& known, const service_policy& policy);
+    [[nodiscard]] steady_time cold_end(const usage& known, const service_policy& policy,
+                                       steady_time now) const;
 
     const cold_bound bound;
     // By id: requests for an earlier start of a server reach the later one.
     std::map<std::string, usage> servers;
     // Those that limit cold servers, by service.
     service_policies policies;
+    // Zero before the first.
+    steady_time last_list_answer{};
     std::uint32_t own = 0;
     // All other processes that are not forgotten.
     std::vector<std::uint32_t> others;
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -146,6 +146,9 @@
     // Replaces the list of servers. Requests in progress on removed servers continue.
     void set_servers(const std::vector<backend_server>& servers);
 
+    // Records an answer of the store about the list, also that nothing has changed.
+    void note_list_answer();
+
     // Applies a notice that a server sent in an answer, before the list shows the same. A leaving
     // server gets no more requests until it has restarted; one that holds off gets none until its
     // hold-off has ended. Returns the parts of the notice that were not known before.
--- a/sardinestream/backends/dispatcher_availability.cc
+++ b/sardinestream/backends/dispatcher_availability.cc
@@ -54,6 +54,14 @@
     this->cold.note_sent(assigned.server, steady_clock::now());
 }
 
+void dispatcher::note_list_answer()
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->cold.is_on()) {
+        this->cold.note_list_answer(steady_clock::now());
+    }
+}
+
 steady_time dispatcher::return_time(const server_state& state, steady_time now) const
 {
     const steady_time allowed = this->allowed_time(state, now);
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -264,6 +264,7 @@
 
 void entry_program::apply_server_list(const server_list& list, steady_time relist_until)
 {
+    this->servers.note_list_answer();
     const bool changed = this->directory.apply(list, relist_until, steady_clock::now());
     this->servers_known = true;
     if (changed) {
@@ -273,6 +274,7 @@
 
 void entry_program::apply_server_changes(const server_changes& changes, steady_time relist_until)
 {
+    this->servers.note_list_answer();
     if (this->directory.apply(changes, relist_until, steady_clock::now())) {
         this->publish_servers();
     }
