--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -221,7 +221,8 @@
     }
 
     const wire_protocol protocol;
-    dispatcher servers{dispatcher_options{}};
+    // Cold servers are limited to their rate once a test sets policies that name one.
+    dispatcher servers{dispatcher_options{"", 0, cold_bound{1, 0}}};
     connection_pool channels{[this] { return this->ends_at.load(); }};
     static constexpr std::size_t max_memory_bytes = 16U << 20U;
     message_memory request_memory{max_memory_bytes};
