--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -45,8 +45,9 @@
 std::optional<placement> dispatcher::try_place(const placement_request& request)
 {
     const steady_time now = steady_clock::now();
-    const service_pace usual = this->best_pace(request.service, now);
     load_view seen = this->view;
+    seen.counts_others = this->urgency_policy(request.service) != nullptr;
+    const service_pace usual = this->best_pace(request.service, now);
     seen.requests_wait = this->requests_wait(request.service);
     const engine_model* const engine = this->engine_of(request);
     std::vector<server_state*> candidates;
@@ -257,6 +258,13 @@
     }
 }
 
+bool dispatcher::has_urgent_streams(const std::string& service) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto declared = this->policies.find(service);
+    return declared != this->policies.end() && declared->second.has_urgent_streams;
+}
+
 void dispatcher::set_report_interval(std::chrono::milliseconds interval)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -29,6 +29,7 @@
 #include "sardinestream/backends/drain_rate.h"
 #include "sardinestream/backends/group_activity.h"
 #include "sardinestream/backends/notice_memory.h"
+#include "sardinestream/backends/queue_order.h"
 #include "sardinestream/backends/refusal.h"
 #include "sardinestream/backends/remaining_work.h"
 #include "sardinestream/backends/request_cost.h"
@@ -56,6 +57,8 @@
     bool has_begun = false;
     // Maximum time to wait for a server, after which the caller is expected to give up.
     std::chrono::milliseconds max_wait{1000};
+    // Time by which the first event of its answer is in time; zero if unknown.
+    steady_time first_event_by{};
     // Ids of the servers that were tried already.
     std::vector<std::string> excluded_ids;
     // Unknown for a service whose requests are counted.
@@ -204,6 +207,9 @@
     // Sets what the operator declares of the services.
     void set_policies(service_policies declared);
 
+    // Returns whether streams of the service differ in priority.
+    [[nodiscard]] bool has_urgent_streams(const std::string& service) const;
+
     // Sets the interval between two reports of an agent.
     void set_report_interval(std::chrono::milliseconds interval);
 
@@ -233,6 +239,8 @@
         // In order of arrival.
         std::list<waiter*> waiters;
         drain_rate completion_rate;
+        // Rate at which requests of each priority get servers.
+        std::map<int, drain_rate> placement_rates;
         // Earliest time of the next probe while the service does not serve.
         steady_time next_probe{};
     };
@@ -240,6 +248,9 @@
     // Assigns a server with free capacity; nothing if there is none.
     std::optional<placement> try_place(const placement_request& request)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the policy of the service if its requests are ordered by urgency, otherwise null.
+    [[nodiscard]] const service_policy* urgency_policy(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the best figures among the servers of the service.
     [[nodiscard]] service_pace best_pace(const std::string& service, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -311,12 +322,17 @@
     // refuse all requests until the group has formed.
     void await_first_report(server_state& state, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns whether `first` is served before `second`, which came later or at the same time.
-    [[nodiscard]] static bool goes_before(const placement_request& first,
-                                          const placement_request& second);
-    // Returns the request that is served next, without those in `unplaced`.
+    // Returns the request that is served next, without those in `unplaced`. `policy` is as returned
+    // by `urgency_policy`.
     [[nodiscard]] static std::list<waiter*>::iterator
-    next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced);
+    next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
+                const service_policy* policy, steady_time now);
+    // Returns the number of large requests in the queue.
+    [[nodiscard]] int waiting_large(const service_queue& queue) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the number of requests in the queue that are served before this one.
+    [[nodiscard]] static int number_ahead(const waiter& self, const service_queue& queue,
+                                          const service_policy* policy, steady_time now);
     // Assigns servers to queued requests in order of priority, as long as there is free capacity.
     void serve_waiters(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the server that the queued request has got, or gets now.
@@ -331,8 +347,12 @@
     // Blocks until the queued request is placed, refused or abandoned by its caller.
     absl::StatusOr<placement> wait_in_queue(waiter& self, const hangup_watch& caller);
     // Returns a refusal if the request cannot expect a server within its `max_wait`.
-    [[nodiscard]] absl::Status check_queue(const placement_request& request, service_queue& queue,
+    [[nodiscard]] absl::Status check_queue(const waiter& self, service_queue& queue,
                                            steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the time after which a queued request may expect a server.
+    [[nodiscard]] std::chrono::milliseconds expected_wait(const waiter& self, service_queue& queue,
+                                                          steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const dispatcher_options options;
     mutable absl::Mutex mutex;
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -11,6 +11,8 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/metrics.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
 namespace {
 
@@ -31,7 +33,11 @@
 
 // One request in a queue. Owned by the waiting thread.
 struct dispatcher::waiter {
-    explicit waiter(const placement_request& wanted) : request(&wanted) {}
+    explicit waiter(const placement_request& wanted)
+        : request(&wanted), order{wanted.has_begun, wanted.priority, steady_clock::now(),
+                                  wanted.max_wait, wanted.first_event_by}
+    {
+    }
     ~waiter()
     {
         if (this->event >= 0) {
@@ -49,6 +55,7 @@
     }
 
     const placement_request* const request;
+    const queue_entry order;
     // Its present server may still answer, so that it must not be used as a probe.
     bool has_server = false;
     // An eventfd that is written to once `assigned` is set.
@@ -64,20 +71,60 @@
                   no_server_retry_after);
 }
 
-absl::Status dispatcher::check_queue(const placement_request& request, service_queue& queue,
-                                     steady_time now)
+int dispatcher::number_ahead(const waiter& self, const service_queue& queue,
+                             const service_policy* policy, steady_time now)
 {
-    if (!this->has_usable_server(request)) {
-        return this->refuse_without_server(request);
+    const urgency own = urgency_of(self.order, policy, now);
+    return static_cast<int>(
+        std::count_if(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
+            return goes_before(urgency_of(other->order, policy, now), own);
+        }));
+}
+
+const service_policy* dispatcher::urgency_policy(const std::string& service) const
+{
+    const auto declared = this->policies.find(service);
+    return declared != this->policies.end() && has_urgency_order(declared->second)
+               ? &declared->second
+               : nullptr;
+}
+
+std::chrono::milliseconds dispatcher::expected_wait(const waiter& self, service_queue& queue,
+                                                    steady_time now) const
+{
+    const placement_request& request = *self.request;
+    const service_policy* const policy = this->urgency_policy(request.service);
+    const double ahead = 1 + number_ahead(self, queue, policy, now);
+    if (policy == nullptr) {
+        return queue.completion_rate.estimated_wait(ahead, now, max_retry_after);
     }
-    SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
-    double ahead = 1;
+    // More urgent requests that are yet to come are served first as well.
+    double more_urgent_per_s = 0;
+    for (const auto& [priority, rate] : queue.placement_rates) {
+        more_urgent_per_s += priority < request.priority ? rate.per_second(now) : 0;
+    }
+    const double left_per_s = std::max(queue.completion_rate.per_second(now) - more_urgent_per_s,
+                                       queue.placement_rates[request.priority].per_second(now));
+    return wait_at_rate(ahead, left_per_s, max_retry_after);
+}
+
+int dispatcher::waiting_large(const service_queue& queue) const
+{
     int large = 0;
     for (const waiter* other : queue.waiters) {
-        ahead += goes_before(*other->request, request) ? 1 : 0;
         large += this->is_large(*other->request) ? 1 : 0;
     }
-    if (large >= max_waiting_large && this->is_large(request)) {
+    return large;
+}
+
+absl::Status dispatcher::check_queue(const waiter& self, service_queue& queue, steady_time now)
+{
+    const placement_request& request = *self.request;
+    if (!this->has_usable_server(request)) {
+        return this->refuse_without_server(request);
+    }
+    SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
+    if (this->is_large(request) && this->waiting_large(queue) >= max_waiting_large) {
         return refuse(absl::StatusCode::kResourceExhausted, request.service,
                       "no server has the memory", min_retry_after);
     }
@@ -86,8 +133,7 @@
     if (queue.waiters.size() < min_queue_to_refuse || !queue.completion_rate.is_known(now)) {
         return absl::OkStatus();
     }
-    const std::chrono::milliseconds wait =
-        queue.completion_rate.estimated_wait(ahead, now, max_retry_after);
+    const std::chrono::milliseconds wait = this->expected_wait(self, queue, now);
     if (wait <= request.max_wait) {
         return absl::OkStatus();
     }
@@ -95,18 +141,12 @@
     const double spread = 0.5 + this->draw() / 2;
     const auto retry_delay = std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(wait.count()) * spread));
+    count("sardine_queue_refusals_total",
+          {{"service", request.service}, {"priority", absl::StrCat(request.priority)}});
     return refuse(absl::StatusCode::kResourceExhausted, request.service, "queue full",
                   std::max(retry_delay, min_retry_after));
 }
 
-bool dispatcher::goes_before(const placement_request& first, const placement_request& second)
-{
-    if (first.has_begun != second.has_begun) {
-        return first.has_begun;
-    }
-    return first.priority <= second.priority;
-}
-
 absl::StatusOr<placement> dispatcher::place(const placement_request& request,
                                             const hangup_watch& caller)
 {
@@ -121,13 +161,13 @@
         if (!request.has_begun) {
             SARDINE_RETURN_IF_ERROR(this->check_availability(request, steady_clock::now()));
         }
-        const bool overtakes =
-            std::none_of(queue.waiters.begin(), queue.waiters.end(), [&](const waiter* other) {
-                return goes_before(*other->request, request);
-            });
+        const steady_time now = steady_clock::now();
+        const service_policy* const policy = this->urgency_policy(request.service);
+        const bool overtakes = number_ahead(self, queue, policy, now) == 0;
         if (overtakes) {
             std::optional<placement> assigned = this->try_place(request);
             if (assigned.has_value()) {
+                queue.placement_rates[request.priority].add(now);
                 return *std::move(assigned);
             }
         }
@@ -143,7 +183,7 @@
         }
         if (!request.has_begun) {
             queue.waiters.remove(&self);
-            SARDINE_RETURN_IF_ERROR(this->check_queue(request, queue, steady_clock::now()));
+            SARDINE_RETURN_IF_ERROR(this->check_queue(self, queue, steady_clock::now()));
             queue.waiters.push_back(&self);
         }
         if (this->waits_for_cold_server(request, steady_clock::now())) {
@@ -220,15 +260,19 @@
 }
 
 std::list<dispatcher::waiter*>::iterator
-dispatcher::next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced)
+dispatcher::next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
+                        const service_policy* policy, steady_time now)
 {
     auto next = waiters.end();
+    urgency best;
     for (auto it = waiters.begin(); it != waiters.end(); ++it) {
         if (unplaced.count(*it) != 0) {
             continue;
         }
-        if (next == waiters.end() || !goes_before(*(*next)->request, *(*it)->request)) {
+        const urgency own = urgency_of((*it)->order, policy, now);
+        if (next == waiters.end() || !goes_before(best, own)) {
             next = it;
+            best = own;
         }
     }
     return next;
@@ -236,12 +280,14 @@
 
 void dispatcher::serve_waiters(const std::string& service)
 {
-    std::list<waiter*>& waiters = this->queues[service].waiters;
+    service_queue& queue = this->queues[service];
     // Waiters that are passed over, since all free servers are among those that they have tried.
     std::set<const waiter*> unplaced;
+    const steady_time now = steady_clock::now();
+    const service_policy* const policy = this->urgency_policy(service);
     while (unplaced.size() <= max_passed_over) {
-        const auto next = next_waiter(waiters, unplaced);
-        if (next == waiters.end()) {
+        const auto next = next_waiter(queue.waiters, unplaced, policy, now);
+        if (next == queue.waiters.end()) {
             return;
         }
         waiter* const served = *next;
@@ -254,7 +300,8 @@
             unplaced.insert(served);
             continue;
         }
-        waiters.erase(next);
+        queue.waiters.erase(next);
+        queue.placement_rates[served->request->priority].add(now);
         served->assigned = std::move(assigned);
         const std::uint64_t one = 1;
         if (::write(served->event, &one, sizeof(one)) < 0) {
--- a/sardinestream/backends/dispatcher_queue_test.cc
+++ b/sardinestream/backends/dispatcher_queue_test.cc
@@ -257,5 +257,40 @@
     EXPECT_EQ(chosen.size(), 3U);
 }
 
+class urgency_test : public dispatcher_queue_test {
+protected:
+    urgency_test()
+    {
+        service_policy policy;
+        policy.has_urgent_streams = true;
+        policy.pause_target = milliseconds(120);
+        policy.stream_priorities = {0, 2};
+        this->servers.set_policies({{"assistant", policy}});
+    }
+
+    static placement_request make_stream(int priority)
+    {
+        placement_request request = make_request();
+        request.priority = priority;
+        request.max_wait = milliseconds(10);
+        return request;
+    }
+};
+
+TEST_F(urgency_test, serves_first_what_can_be_in_time)
+{
+    this->servers.set_servers({make_server("1")});
+    const placement running = this->place(make_stream(0));
+    placement_request late = make_stream(0);
+    late.first_event_by = steady_clock::now();
+    placement_request in_time = make_stream(0);
+    in_time.first_event_by = steady_clock::now() + std::chrono::hours(1);
+    const auto first = this->queue(late);
+    const auto second = this->queue(in_time);
+    this->finish(running);
+    EXPECT_TRUE(second->take().has_value());
+    EXPECT_FALSE(first->take().has_value());
+}
+
 } // namespace
 } // namespace sardinestream
