--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "sardinestream/base/digest.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/json_parts.h"
 
@@ -175,6 +176,7 @@
         decoded.has_engine = true;
         decoded.engine = decode_engine(*engine);
     }
+    decoded.connection_limit = bounded_count(object, "connection-limit");
     decoded.cold_rate = bounded_number(object, "cold-per-s");
     constexpr double ms_per_s = 1000;
     decoded.cold_period = std::chrono::milliseconds(
@@ -199,9 +201,15 @@
         team decoded;
         decoded.name = required<std::string>(object, "name");
         decoded.priority = optional_field(object, "priority", -1);
+        team_declaration declared = {decoded.name, decoded.priority};
         for (const json& key : object.at("api-keys")) {
-            state.teams_by_key[key.get<std::string>()] = decoded;
+            const std::string text = key.get<std::string>();
+            ++declared.keys;
+            declared.keys_digest ^= stable_hash(text);
+            const bool is_new = state.teams_by_key.insert_or_assign(text, decoded).second;
+            declared.keys_of_earlier_teams += is_new ? 0 : 1;
         }
+        state.teams.push_back(std::move(declared));
     }
 }
 
--- a/sardinestream/routes/desired_state.h
+++ b/sardinestream/routes/desired_state.h
@@ -115,6 +115,8 @@
     // bears from all processes together; zero if none.
     std::chrono::milliseconds cold_period{0};
     double cold_rate = 0;
+    // Connections that a server accepts from all callers together; zero if unknown.
+    int connection_limit = 0;
 };
 
 struct team {
@@ -123,6 +125,18 @@
     int priority = -1;
 };
 
+// A team as declared, without its keys.
+struct team_declaration {
+    std::string name;
+    // As in `team`.
+    int priority = -1;
+    int keys = 0;
+    // Number of its keys that an earlier team has, too; the later one holds them.
+    int keys_of_earlier_teams = 0;
+    // Identifies the set of its keys; does not depend on their order.
+    std::uint64_t keys_digest = 0;
+};
+
 struct request_limits {
     std::size_t header_bytes = 16384;
     std::size_t body_bytes = 4194304;
@@ -136,6 +150,8 @@
     std::vector<route> routes;
     std::map<std::string, service_declaration> services;
     request_limits limits;
+    // All teams, also those without keys.
+    std::vector<team_declaration> teams;
     // Teams by key. Empty if no keys are required at all.
     absl::flat_hash_map<std::string, team> teams_by_key;
     bool has_teams = false;
