--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -48,6 +48,8 @@
     load_view seen = this->view;
     seen.counts_others = this->urgency_policy(request.service) != nullptr;
     const service_pace usual = this->best_pace(request.service, now);
+    seen.requests_wait = this->requests_wait(request.service);
+    const engine_model* const engine = this->engine_of(request);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
     for (auto& [id, state] : this->servers) {
@@ -58,6 +60,9 @@
         candidates.push_back(&state);
         loads.push_back(state.load(capacity, seen, usual, now));
         loads.back().available = loads.back().available && this->allowed_time(state, now) <= now;
+        if (engine != nullptr) {
+            state.weigh(request.cost, *engine, seen, now, loads.back());
+        }
         if (this->cold.condition(state.server(), now) == cold_condition::cold) {
             loads.back().slowness *= cold_slowness;
         }
@@ -76,9 +81,45 @@
     assigned.server = state.server();
     assigned.occupancy = loads[*chosen].occupancy;
     assigned.slowness = loads[*chosen].slowness;
+    if (engine != nullptr) {
+        assigned.work = state.work().place(request.cost);
+    }
     return assigned;
 }
 
+bool dispatcher::requests_wait(const std::string& service) const
+{
+    const auto queue = this->queues.find(service);
+    return queue != this->queues.end() && queue->second.waiters.size() > 1;
+}
+
+const engine_model* dispatcher::engine_of(const placement_request& request) const
+{
+    const auto declared = this->policies.find(request.service);
+    const bool has_speed = declared != this->policies.end() && declared->second.engine.has_speed();
+    return has_speed ? &declared->second.engine : nullptr;
+}
+
+bool dispatcher::is_large(const placement_request& request) const
+{
+    const engine_model* const engine = this->engine_of(request);
+    return engine != nullptr && engine->memory_tokens > 0 &&
+           request.cost.memory_tokens * 2 > static_cast<double>(engine->memory_tokens);
+}
+
+void dispatcher::note_progress(placement& assigned, double tokens)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->servers.find(assigned.server.id);
+    const auto declared = this->policies.find(assigned.server.service);
+    if (found == this->servers.end() || declared == this->policies.end() ||
+        found->second.server().born_ms != assigned.server.born_ms) {
+        return;
+    }
+    found->second.work().note_progress(assigned.work,
+                                       tokens * write_ms_per_token(declared->second.engine));
+}
+
 bool dispatcher::is_evacuated(const backend_server& server) const
 {
     return !this->evacuated.empty() && this->evacuated.count(server.data_centre) != 0;
@@ -133,6 +174,7 @@
         return;
     }
     found->second.end_attempt(result, assigned.accepted, first_byte, now);
+    found->second.work().remove(assigned.work);
     if (result == attempt_result::replaced) {
         found->second.mark_leaving();
     }
@@ -204,8 +246,16 @@
 void dispatcher::set_policies(service_policies declared)
 {
     const absl::MutexLock lock(&this->mutex);
+    const bool is_first = this->policies.empty();
     this->cold.set_policies(declared);
     this->policies = std::move(declared);
+    if (!is_first) {
+        return;
+    }
+    // The servers were listed before the services.
+    for (auto& [id, state] : this->servers) {
+        this->await_first_report(state, steady_clock::now());
+    }
 }
 
 bool dispatcher::has_urgent_streams(const std::string& service) const
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -31,6 +31,8 @@
 #include "sardinestream/backends/notice_memory.h"
 #include "sardinestream/backends/queue_order.h"
 #include "sardinestream/backends/refusal.h"
+#include "sardinestream/backends/remaining_work.h"
+#include "sardinestream/backends/request_cost.h"
 #include "sardinestream/backends/server_limits.h"
 #include "sardinestream/backends/server_notice.h"
 #include "sardinestream/backends/server_state.h"
@@ -59,6 +61,8 @@
     steady_time first_event_by{};
     // Ids of the servers that were tried already.
     std::vector<std::string> excluded_ids;
+    // Unknown for a service whose requests are counted.
+    request_cost cost;
     // Returns true if waiting has become pointless; checked about every 100 ms. May be empty.
     std::function<bool()> is_obsolete;
 };
@@ -73,6 +77,8 @@
     double slowness = 1;
     // Whether the server has begun to answer.
     bool accepted = false;
+    // Its part in the work of the server.
+    placed_work work;
     // Whether the request was sent.
     bool sent = false;
 };
@@ -142,6 +148,9 @@
     // Records that the server has begun to answer the attempt, other than with a refusal.
     void note_accepted(placement& assigned);
 
+    // Records how many tokens of its answer the attempt has brought.
+    void note_progress(placement& assigned, double tokens);
+
     // Ends an attempt. `first_byte` is the time from sending to the first byte of the answer.
     void finish(const placement& assigned, attempt_result result,
                 std::chrono::milliseconds first_byte);
@@ -149,6 +158,9 @@
     // Replaces the list of servers. Requests in progress on removed servers continue.
     void set_servers(const std::vector<backend_server>& servers);
 
+    // Records an answer of the store about the list, also that nothing has changed.
+    void note_list_answer();
+
     // Applies a notice that a server sent in an answer, before the list shows the same. A leaving
     // server gets no more requests until it has restarted; one that holds off gets none until its
     // hold-off has ended. Returns the parts of the notice that were not known before.
@@ -242,6 +254,13 @@
     // Returns the best figures among the servers of the service.
     [[nodiscard]] service_pace best_pace(const std::string& service, steady_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns the engine by whose speed the request is placed, or null if requests are counted.
+    [[nodiscard]] const engine_model* engine_of(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether the request needs more than half the memory of a server, so that it may wait
+    // while others find room.
+    [[nodiscard]] bool is_large(const placement_request& request) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool has_usable_server(const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the outages of the servers that may take the request and do not hold off. Ends at the
@@ -262,6 +281,9 @@
     [[nodiscard]] bool is_eligible(const server_state& state,
                                    const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Returns whether more than one request waits for a server of the service.
+    [[nodiscard]] bool requests_wait(const std::string& service) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_evacuated(const backend_server& server) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the earliest time at which a candidate for the request wants requests again, if all
@@ -296,11 +318,18 @@
     // Creates the state of a server, with the hold-off that is known for its start.
     [[nodiscard]] server_state make_state(const backend_server& server, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Lets the server wait for its agent's first report if its service runs in groups, whose ranks
+    // refuse all requests until the group has formed.
+    void await_first_report(server_state& state, steady_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the request that is served next, without those in `unplaced`. `policy` is as returned
     // by `urgency_policy`.
     [[nodiscard]] static std::list<waiter*>::iterator
     next_waiter(std::list<waiter*>& waiters, const std::set<const waiter*>& unplaced,
                 const service_policy* policy, steady_time now);
+    // Returns the number of large requests in the queue.
+    [[nodiscard]] int waiting_large(const service_queue& queue) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Returns the number of requests in the queue that are served before this one.
     [[nodiscard]] static int number_ahead(const waiter& self, const service_queue& queue,
                                           const service_policy* policy, steady_time now);
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -25,6 +25,9 @@
 // Requests that may be passed over because they have tried all free servers; bounds the work under
 // the lock.
 constexpr std::size_t max_passed_over = 4;
+// Requests that may wait for much memory at the same time; fewer than may be passed over, so that
+// they don't hold up the others.
+constexpr int max_waiting_large = 2;
 
 } // namespace
 
@@ -105,6 +108,15 @@
     return wait_at_rate(ahead, left_per_s, max_retry_after);
 }
 
+int dispatcher::waiting_large(const service_queue& queue) const
+{
+    int large = 0;
+    for (const waiter* other : queue.waiters) {
+        large += this->is_large(*other->request) ? 1 : 0;
+    }
+    return large;
+}
+
 absl::Status dispatcher::check_queue(const waiter& self, service_queue& queue, steady_time now)
 {
     const placement_request& request = *self.request;
@@ -112,6 +124,10 @@
         return this->refuse_without_server(request);
     }
     SARDINE_RETURN_IF_ERROR(this->check_returns(request, now + request.max_wait, now));
+    if (this->is_large(request) && this->waiting_large(queue) >= max_waiting_large) {
+        return refuse(absl::StatusCode::kResourceExhausted, request.service,
+                      "no server has the memory", min_retry_after);
+    }
     // Without a queue the completion rate reflects the arrivals rather than the capacity of the
     // servers; shortly after the start it is unknown.
     if (queue.waiters.size() < min_queue_to_refuse || !queue.completion_rate.is_known(now)) {
@@ -276,7 +292,8 @@
         }
         waiter* const served = *next;
         std::optional<placement> assigned = this->try_place(*served->request);
-        if (!assigned.has_value() && served->request->excluded_ids.empty()) {
+        if (!assigned.has_value() && served->request->excluded_ids.empty() &&
+            !this->is_large(*served->request)) {
             return;
         }
         if (!assigned.has_value()) {
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -49,6 +49,12 @@
     this->current_hold_off.begin(requested_end, return_delay);
 }
 
+void server_state::await_first_report(steady_time since, steady_time end)
+{
+    this->report_awaited_since = since;
+    this->report_awaited_until = end;
+}
+
 void server_state::begin_attempt(steady_time now)
 {
     this->last_attempt = now;
@@ -140,6 +146,9 @@
     if (this->is_broken(view, now)) {
         return server_outage{*this->broken_since, this->report_time, true};
     }
+    if (this->awaits_first_report(now)) {
+        return server_outage{this->report_awaited_since, this->report_awaited_since, true};
+    }
     // A server that refuses further requests while it works on accepted ones is full, not out of
     // service.
     const bool turns_away = this->rejecting_since.has_value() && this->accepted == 0 &&
@@ -172,6 +181,9 @@
     if (this->is_broken(view, now)) {
         return "no: group broken";
     }
+    if (this->awaits_first_report(now)) {
+        return "no: no report yet";
+    }
     return "yes";
 }
 
@@ -187,10 +199,13 @@
 
 double server_state::begun_by_others(double free, const load_view& view, steady_time now) const
 {
-    if (!view.counts_others || !this->has_fresh_report(view, now)) {
+    if ((!view.counts_others && !view.requests_wait) || !this->has_fresh_report(view, now)) {
         return 0;
     }
     const double alike = static_cast<double>(this->begun_since_report) * (view.processes - 1);
+    if (view.requests_wait) {
+        return alike;
+    }
     return std::clamp(alike, 0.0, std::max(0.0, free * max_share_of_others));
 }
 
@@ -232,6 +247,7 @@
     load.failure_share = this->failure_share(now);
     load.same_data_centre = this->description.data_centre == view.data_centre;
     load.available = !this->description.draining && !this->is_excluded(now) &&
+                     !this->awaits_first_report(now) &&
                      this->current_hold_off.allows(this->in_flight, now);
     if (this->has_silent_agent(view, now)) {
         // Its machine may have stopped, so other servers are preferred even if they are fuller.
@@ -254,4 +270,20 @@
     return load;
 }
 
+void server_state::weigh(const request_cost& cost, const engine_model& engine,
+                         const load_view& view, steady_time now, server_load& load) const
+{
+    if (!cost.is_known()) {
+        return;
+    }
+    const bool fresh = this->has_fresh_report(view, now);
+    const double waiting = fresh ? this->report.waiting : this->own_work.unread();
+    const request_cost left = work_left({this->own_work, load.occupancy, waiting}, engine);
+    load.work = as_requests(left, usual_cost(engine));
+    const bool has_room =
+        engine.memory_tokens == 0 || load.occupancy <= 0 ||
+        left.memory_tokens + cost.memory_tokens <= static_cast<double>(engine.memory_tokens);
+    load.available = load.available && has_room;
+}
+
 } // namespace sardinestream
