--- a/sardinestream/forwarding/response_status_test.cc
+++ b/sardinestream/forwarding/response_status_test.cc
@@ -13,8 +13,8 @@
 
 constexpr std::array odd_statuses = {"000", "001", "099",  "101", "600", "999",
                                      "1",   "20",  "2000", "2x0", "-20", "+20"};
-// Far below the timeouts of routes, and below the time after which a silent server is left.
-constexpr milliseconds at_once{1000};
+// A request that waits for another response has no answer by the time that the test waits for one.
+constexpr std::chrono::seconds route_timeout{60};
 
 class response_status_test : public frontend_test {
 protected:
@@ -37,6 +37,12 @@
     caller_answer call_with(const std::function<void(scripted_connection&)>& write_odd,
                             const std::string& target, int& asked)
     {
+        const std::shared_ptr<desired_state> patient = make_state();
+        for (route& one : patient->routes) {
+            one.timeout = route_timeout;
+        }
+        patient->index_routes();
+        this->state = patient;
         this->stopping = false;
         this->budget = 100;
         this->open();
@@ -55,16 +61,12 @@
         scripted_server first(script);
         scripted_server second(script);
         this->use({&first, &second});
-        const steady_time begun = steady_clock::now();
         caller_answer answer = this->call(target, "r1");
-        this->took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
         this->stop();
         this->servers.set_servers({});
         asked = arrivals;
         return answer;
     }
-
-    milliseconds took{0};
 };
 
 TEST_F(response_status_test, that_is_none_fails_the_attempt_at_once)
@@ -83,7 +85,6 @@
             EXPECT_EQ(answer.head.status, repeats ? 200 : 502) << row;
             EXPECT_FALSE(find_header(answer.head.headers, "Signed").has_value() && !repeats) << row;
             EXPECT_EQ(asked, repeats ? 2 : 1) << row;
-            EXPECT_LT(this->took, at_once) << row;
         }
     }
 }
@@ -99,7 +100,6 @@
             },
             "/pay/", asked);
         EXPECT_EQ(answer.head.status, 502) << status;
-        EXPECT_LT(this->took, at_once) << status;
     }
 }
 
