--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -14,6 +14,7 @@
 #include "sardinestream/backends/backend_server.h"
 #include "sardinestream/backends/choose_server.h"
 #include "sardinestream/backends/hold_off.h"
+#include "sardinestream/backends/remaining_work.h"
 #include "sardinestream/backends/service_availability.h"
 #include "sardinestream/http/socket.h"
 
@@ -42,6 +43,9 @@
     int processes = 1;
     // Interval between two reports of an agent.
     std::chrono::milliseconds report_interval{100};
+    // Requests wait for a server, in all processes alike: each places as many as it can on a server
+    // that has room, before it can know what the others do.
+    bool requests_wait = false;
 };
 
 // The best (lowest) figures among the servers of a service; zero if unknown.
@@ -82,6 +86,16 @@
     // `return_delay` later.
     void begin_hold_off(steady_time requested_end, std::chrono::milliseconds return_delay);
 
+    // Begins the wait for the first report of its agent, which tells whether the server's group
+    // serves. Until `end` or a report, the server is only sent probes.
+    void await_first_report(steady_time since, steady_time end);
+    // Ends that wait, because a server of the same service is known to serve.
+    void end_wait_for_report() { this->report_awaited_until = {}; }
+    [[nodiscard]] bool awaits_first_report(steady_time now) const
+    {
+        return this->report_time == steady_time{} && now < this->report_awaited_until;
+    }
+
     void begin_attempt(steady_time now);
     // Records that the server has begun to answer an attempt, other than with a refusal.
     void note_accepted();
@@ -115,6 +129,11 @@
     [[nodiscard]] steady_time last_attempt_time() const { return this->last_attempt; }
     // Returns the time from which a server that holds off is used again.
     [[nodiscard]] steady_time hold_off_end() const { return this->current_hold_off.ends(); }
+    // What the requests of this process still cost.
+    [[nodiscard]] remaining_work& work() { return this->own_work; }
+    // Sets the load's work, and whether the request finds room in the server's memory.
+    void weigh(const request_cost& cost, const engine_model& engine, const load_view& view,
+               steady_time now, server_load& load) const;
     [[nodiscard]] int own_in_flight() const { return this->in_flight; }
     [[nodiscard]] const server_report& last_report() const { return this->report; }
     [[nodiscard]] bool has_fresh_report(const load_view& view, steady_time now) const;
@@ -155,9 +174,13 @@
     // When the server last refused a request or was unreachable. Zero before the first time; kept
     // when it accepts a request.
     steady_time last_rejection{};
+    // The wait for the first report; zero if there is none.
+    steady_time report_awaited_since{};
+    steady_time report_awaited_until{};
     // Time since which its agent has reported the group as broken.
     std::optional<steady_time> broken_since;
     hold_off current_hold_off;
+    remaining_work own_work;
 };
 
 } // namespace sardinestream
