--- a/sardinestream/forwarding/caller_request.h
+++ b/sardinestream/forwarding/caller_request.h
@@ -72,8 +72,8 @@
     std::optional<std::chrono::milliseconds> remaining_time;
     // Id of the last event relayed to the caller; replaces the id that the caller sent.
     std::string resume_after;
-    // Priority that the server is told, 0 first; replaces what the caller sent. Empty if requests of
-    // the service do not differ in urgency.
+    // Priority that the server is told, 0 first; replaces what the caller sent. Empty if requests
+    // of the service do not differ in urgency.
     std::optional<int> priority;
 };
 
