Mended after review: evacuations only where the setting asks, room by what is still running, texts

Cause: a review of the merged code. Entries without the setting took over a peer's evacuations, and after a rolling restart without it nobody could end them. What others had begun counted also what had ended, and requests that are only looking for a better server counted as a backlog. The check missed differences of engines, took a key that a team lists twice for one of another team, and showed a digest of keys. Texts promised more than the code does. Change: as the headline says; a test for the setting.

--- a/sardinestream/backends/dispatcher.cc
+++ b/sardinestream/backends/dispatcher.cc
@@ -48,7 +48,7 @@
     load_view seen = this->view;
     seen.counts_others = this->urgency_policy(request.service) != nullptr;
     const service_pace usual = this->best_pace(request.service, now);
-    seen.requests_wait = this->requests_wait(request.service);
+    seen.has_backlog = this->has_backlog(request.service);
     const engine_model* const engine = this->engine_of(request);
     std::vector<server_state*> candidates;
     std::vector<server_load> loads;
@@ -87,12 +87,6 @@
     return assigned;
 }
 
-bool dispatcher::requests_wait(const std::string& service) const
-{
-    const auto queue = this->queues.find(service);
-    return queue != this->queues.end() && queue->second.waiters.size() > 1;
-}
-
 const engine_model* dispatcher::engine_of(const placement_request& request) const
 {
     const auto declared = this->policies.find(request.service);
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -281,8 +281,8 @@
     [[nodiscard]] bool is_eligible(const server_state& state,
                                    const placement_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    // Returns whether more than one request waits for a server of the service.
-    [[nodiscard]] bool requests_wait(const std::string& service) const
+    // Returns whether more than one request without a server waits for one of the service.
+    [[nodiscard]] bool has_backlog(const std::string& service) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     [[nodiscard]] bool is_evacuated(const backend_server& server) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds no_server_retry_after{1000};
 // Minimum queue length at which requests are refused on arrival.
 constexpr std::size_t min_queue_to_refuse = 4;
-// Requests that may be passed over because they have tried all free servers; bounds the work under
+// Requests that may be passed over because the free servers do not suit them; bounds the work under
 // the lock.
 constexpr std::size_t max_passed_over = 4;
 // Requests that may wait for much memory at the same time; fewer than may be passed over, so that
@@ -108,6 +108,18 @@
     return wait_at_rate(ahead, left_per_s, max_retry_after);
 }
 
+bool dispatcher::has_backlog(const std::string& service) const
+{
+    const auto queue = this->queues.find(service);
+    if (queue == this->queues.end()) {
+        return false;
+    }
+    const std::list<waiter*>& waiters = queue->second.waiters;
+    // A request whose silent server may still answer does not wait for room alone.
+    return std::count_if(waiters.begin(), waiters.end(),
+                         [](const waiter* each) { return !each->has_server; }) > 1;
+}
+
 int dispatcher::waiting_large(const service_queue& queue) const
 {
     int large = 0;
--- a/sardinestream/backends/first_report_test.cc
+++ b/sardinestream/backends/first_report_test.cc
@@ -181,7 +181,7 @@
     }
     EXPECT_EQ(alone, slots);
     state.apply_report({.group = "g"}, now);
-    view.requests_wait = true;
+    view.has_backlog = true;
     EXPECT_GT(state.load(slots, view, {}, now).occupancy, slots - 1);
     server_state opened(known);
     opened.apply_report({.group = "g"}, now);
--- a/sardinestream/backends/queue_order.cc
+++ b/sardinestream/backends/queue_order.cc
@@ -12,8 +12,7 @@
     if (policy == nullptr) {
         return own;
     }
-    // None starves: what has waited for half of its time goes one priority up, but never before
-    // what is most urgent.
+    // A long wait counts one priority, but nothing overtakes the most urgent that can be in time.
     if (now - queued.since > queued.max_wait / 2 && !policy->stream_priorities.empty() &&
         queued.priority > *policy->stream_priorities.begin()) {
         own.priority -= 1;
--- a/sardinestream/backends/server_state.cc
+++ b/sardinestream/backends/server_state.cc
@@ -199,14 +199,14 @@
 
 double server_state::begun_by_others(double free, const load_view& view, steady_time now) const
 {
-    if ((!view.counts_others && !view.requests_wait) || !this->has_fresh_report(view, now)) {
+    if ((!view.counts_others && !view.has_backlog) || !this->has_fresh_report(view, now)) {
         return 0;
     }
-    const double alike = static_cast<double>(this->begun_since_report) * (view.processes - 1);
-    if (view.requests_wait) {
-        return alike;
-    }
-    return std::clamp(alike, 0.0, std::max(0.0, free * max_share_of_others));
+    const int own = std::max(0, this->begun_since_report - this->ended_since_report);
+    const double alike = static_cast<double>(own) * (view.processes - 1);
+    // With a backlog the others fill whatever is free, too.
+    return view.has_backlog ? alike
+                            : std::clamp(alike, 0.0, std::max(0.0, free * max_share_of_others));
 }
 
 double server_state::failure_share(steady_time now) const
--- a/sardinestream/backends/server_state.h
+++ b/sardinestream/backends/server_state.h
@@ -43,10 +43,11 @@
     int processes = 1;
     // Interval between two reports of an agent.
     std::chrono::milliseconds report_interval{100};
-    // Requests wait for a server, in all processes alike: each places as many as it can on a server
-    // that has room, before it can know what the others do.
-    bool requests_wait = false;
-    // The other processes are taken to have begun as many requests since a report as this one.
+    // More than one request waits for a server, in all processes alike: until the next report each
+    // places what it can on a server that has room.
+    bool has_backlog = false;
+    // The other processes are taken to have begun as many requests since a report as this one, up
+    // to a share of the free slots. With a backlog they are taken to do so without that bound.
     bool counts_others = false;
 };
 
--- a/sardinestream/backends/service_policy.h
+++ b/sardinestream/backends/service_policy.h
@@ -1,8 +1,8 @@
 // What the choice of servers takes from the operator's declaration of a service. A value type.
 //
 // A feature is on for a service only if its declaration calls for it: the limit of cold servers if
-// it names a rate, the pace limit if its streams differ in urgency, costs if it describes its
-// engine's speed.
+// it names a rate, the order by urgency if its streams differ in priority and one has a pause
+// target, costs if it describes its engine's speed.
 
 #ifndef SARDINESTREAM_BACKENDS_SERVICE_POLICY_H_
 #define SARDINESTREAM_BACKENDS_SERVICE_POLICY_H_
--- a/sardinestream/check/check_command.h
+++ b/sardinestream/check/check_command.h
@@ -48,7 +48,7 @@
                                       const desired_state_decoder& decode);
 
 // Checks a catalogue of the product's own interface: a JSON array of objects with `name` and
-// `spec`, by the rules by which the acceptor decides.
+// `spec`, by the acceptor's rules for a single entry.
 [[nodiscard]] check_outcome run_catalogue_check(const std::string& catalogue, bool as_json);
 
 // Asks a running entry for the configuration that it has in force. `gossip` is the address of its
--- a/sardinestream/check/desired_state_check.cc
+++ b/sardinestream/check/desired_state_check.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
@@ -79,15 +80,15 @@
     {
         const std::string& prefix = declared.path_prefix;
         if (!absl::StartsWith(prefix, "/") || !absl::EndsWith(prefix, "/")) {
-            this->add(finding_kind::unreachable, place_of(declared, "path_prefix"), "bad_prefix",
-                      prefix, "begins and ends with /");
+            this->add(finding_kind::error, place_of(declared, "path_prefix"), "bad_prefix", prefix,
+                      "begins and ends with /");
         }
         if (declared.host.empty()) {
             this->add(finding_kind::unreachable, place_of(declared, "host"), "no_host", "",
                       "a host name");
         }
-        const auto [first, is_new] =
-            this->first_by_match.emplace(std::pair(declared.host, prefix), &declared);
+        const auto [first, is_new] = this->first_by_match.emplace(
+            std::pair(absl::AsciiStrToLower(declared.host), prefix), &declared);
         if (!is_new) {
             this->add(finding_kind::unreachable, place_of(declared, "path_prefix"),
                       "shadowed_route", absl::StrCat(declared.host, prefix),
@@ -129,15 +130,14 @@
                       "less_than_one_connection_an_entry", absl::StrCat(declared.connection_limit),
                       absl::StrCat(this->fleet.entries, " or more"));
         }
-        if (declared.cold_period.count() > 0 && declared.cold_rate > 0) {
+        if (declared.cold_rate > 0 && this->fleet.cold_overage > 0) {
             this->check_cold_rate(declared);
         }
     }
 
     void check_cold_rate(const service_declaration& declared)
     {
-        const double overage = this->fleet.cold_overage > 0 ? this->fleet.cold_overage : 1;
-        const double bound = declared.cold_rate * overage + this->fleet.cold_slack;
+        const double bound = declared.cold_rate * this->fleet.cold_overage + this->fleet.cold_slack;
         if (bound < 1) {
             this->add(finding_kind::contradiction, place_of(declared, "cold_rate"),
                       "cold_rate_under_one", absl::StrCat(declared.cold_rate, " a second"),
@@ -191,6 +191,9 @@
     std::map<std::pair<std::string, std::string>, const route*> first_by_match;
 };
 
+// A digest of keys is compared and never shown: a weak key could be guessed from it.
+constexpr char keys_digest_field[] = "keys_digest";
+
 // The fields of an entry as text, by name.
 using field_texts = std::map<std::string, std::string>;
 // Entries by place, such as "routes[orders]".
@@ -242,9 +245,24 @@
 
 field_texts fields_of(const service_declaration& declared)
 {
+    const engine_model& engine = declared.engine;
     return {{"engine", declared.has_engine ? "described" : "none"},
-            {"layer_sets", absl::StrCat(declared.engine.layer_sets)},
-            {"experts", absl::StrCat(declared.engine.experts)},
+            {"engine.slots", absl::StrCat(engine.slots)},
+            {"engine.steps_per_pass", absl::StrCat(engine.steps_per_pass)},
+            {"engine.step_ms", absl::StrCat(engine.step_ms)},
+            {"engine.step_ms_per_request", absl::StrCat(engine.step_ms_per_request)},
+            {"engine.read_tokens_per_s", absl::StrCat(engine.read_tokens_per_s)},
+            {"engine.max_tokens_per_step", absl::StrCat(engine.max_tokens_per_step)},
+            {"engine.memory_tokens", absl::StrCat(engine.memory_tokens)},
+            {"engine.usual_prompt_tokens", absl::StrCat(engine.usual_prompt_tokens)},
+            {"engine.usual_answer_tokens", absl::StrCat(engine.usual_answer_tokens)},
+            {"engine.layer_sets", absl::StrCat(engine.layer_sets)},
+            {"engine.experts", absl::StrCat(engine.experts)},
+            {"engine.places_per_rank", absl::StrCat(engine.places_per_rank)},
+            {"engine.max_new_experts", absl::StrCat(engine.max_new_experts)},
+            {"engine.expert_megabytes", absl::StrCat(engine.expert_megabytes)},
+            {"engine.expert_share", absl::StrCat(engine.expert_share)},
+            {"engine.link_megabits_per_s", absl::StrCat(engine.link_megabits_per_s)},
             {"connection_limit", absl::StrCat(declared.connection_limit)},
             {"cold_period", text_of(declared.cold_period)},
             {"cold_rate", absl::StrCat(declared.cold_rate)}};
@@ -270,7 +288,8 @@
     for (const team_declaration& declared : state.teams) {
         entries[absl::StrCat("teams[", declared.name, "]")] = {
             {"priority", absl::StrCat(declared.priority)},
-            {"keys", absl::StrCat(declared.keys, " keys, digest ", declared.keys_digest)}};
+            {"keys", absl::StrCat(declared.keys, " keys")},
+            {keys_digest_field, absl::StrCat(declared.keys_digest)}};
     }
     entries["limits"] = fields_of(state.limits);
     return entries;
@@ -305,6 +324,11 @@
         }
         for (const auto& [field, text] : fields) {
             const std::string& old_text = old->second.at(field);
+            if (old_text != text && field == keys_digest_field) {
+                changes.push_back({finding_kind::difference, absl::StrCat(place, ".keys"),
+                                   "changed", "other keys", ""});
+                continue;
+            }
             if (old_text != text) {
                 changes.push_back({finding_kind::difference, absl::StrCat(place, ".", field),
                                    "changed", absl::StrCat(old_text, " -> ", text), ""});
--- a/sardinestream/check/desired_state_check.h
+++ b/sardinestream/check/desired_state_check.h
@@ -15,7 +15,8 @@
 
 namespace sardinestream::check {
 
-// What the settings of the entries say; zero where it is not known, and then not checked.
+// What the settings of the entries say; zero where it is not known; what depends on it
+// is not checked then.
 struct fleet_facts {
     int entries = 0;
     // Memory of the smallest entry for the bodies of requests, in bytes.
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -217,10 +217,14 @@
         team_declaration declared = {decoded.name, decoded.priority};
         for (const json& key : object.at("api-keys")) {
             const std::string text = key.get<std::string>();
+            const auto holder = state.teams_by_key.find(text);
+            if (holder != state.teams_by_key.end() && holder->second.name == decoded.name) {
+                continue;
+            }
             ++declared.keys;
             declared.keys_digest ^= stable_hash(text);
-            const bool is_new = state.teams_by_key.insert_or_assign(text, decoded).second;
-            declared.keys_of_earlier_teams += is_new ? 0 : 1;
+            declared.keys_of_earlier_teams += holder == state.teams_by_key.end() ? 0 : 1;
+            state.teams_by_key[text] = decoded;
         }
         state.teams.push_back(std::move(declared));
     }
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -160,9 +160,13 @@
 
 state_age entry_program::own_age() const
 {
-    return {this->state.version(), this->directory.position(),
-            this->directory.departed_digest(steady_clock::now()), this->evacuations.position(),
-            this->evacuations.changed()};
+    state_age age = {this->state.version(), this->directory.position(),
+                     this->directory.departed_digest(steady_clock::now())};
+    if (this->options.watches_evacuations) {
+        age.evacuations = this->evacuations.position();
+        age.evacuations_changed = this->evacuations.changed();
+    }
+    return age;
 }
 
 void entry_program::apply_entries(const process_group& alive, int known)
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -97,6 +97,10 @@
         const steady_time since =
             this->newer_peer.has_value() ? this->newer_peer->since : steady_clock::now();
         this->newer_peer = {ip, newer, since};
+        if (!this->options.watches_evacuations) {
+            // Without the store nobody could tell this entry that they have ended.
+            this->newer_peer->age.evacuations_changed = {};
+        }
     };
     hooks.on_entries = [this](const process_group& alive, int known) {
         this->apply_entries(alive, known);
@@ -239,7 +243,8 @@
             log_failure("peer_state_unread", servers.status(), {{"entry", ip}});
         }
     }
-    if (newer.evacuations_changed > this->evacuations.position()) {
+    if (this->options.watches_evacuations &&
+        newer.evacuations_changed > this->evacuations.position()) {
         this->fetch_evacuations(peer, ip);
     }
     if (!config.ok() || !listed.ok()) {
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -323,6 +323,22 @@
     EXPECT_TRUE(this->status_contains(2, evacuated));
 }
 
+// Operators who take the setting away expect that nothing is evacuated any more.
+TEST_F(entry_program_test, without_the_setting_takes_over_no_evacuation_of_a_peer)
+{
+    const std::unique_ptr<entry_program> watching = this->start(1, {}, true);
+    watching->apply_desired_state("3", 10, "store");
+    watching->apply_server_list({{named("s")}, {10}}, {});
+    watching->apply_evacuation_list({{"dc"}, {10}});
+    EXPECT_TRUE(this->status_contains(1, evacuated));
+    const std::unique_ptr<entry_program> other = this->start(2, {this->ip(1)});
+    ASSERT_TRUE(this->becomes_ready(2));
+    watching->apply_evacuation_changes({{{"north", 12}}, {12}});
+    watching->apply_desired_state("4", 13, "store");
+    EXPECT_TRUE(this->shows(2, "\"desired_state_version\":4"));
+    EXPECT_FALSE(this->status_contains(2, evacuated));
+}
+
 TEST_F(entry_program_test, is_not_ready_while_it_stops)
 {
     const std::unique_ptr<entry_program> entry = this->start(1, {});
