--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -160,8 +160,10 @@
 
 state_age entry_program::own_age() const
 {
-    state_age age = {this->state.version(), this->directory.position(),
-                     this->directory.departed_digest(steady_clock::now())};
+    state_age age;
+    age.config_version = this->state.version();
+    age.servers = this->directory.position();
+    age.departed_digest = this->directory.departed_digest(steady_clock::now());
     if (this->options.watches_evacuations) {
         age.evacuations = this->evacuations.position();
         age.evacuations_changed = this->evacuations.changed();
