--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -102,12 +102,12 @@
     httplib::Request http = to_http(request);
     bounded_body body(max_answer_bytes);
     http.content_receiver = body.receiver();
-    // A response whose status is none is no answer; its body is not waited for.
-    bool has_odd_status = false;
+    // A response with an invalid status code is no answer; its body is not waited for.
+    bool has_invalid_status = false;
     http.response_handler = [&](const httplib::Response& head) {
         answer.status = head.status;
-        has_odd_status = !is_final_status(head.status);
-        return !has_odd_status;
+        has_invalid_status = !is_final_status(head.status);
+        return !has_invalid_status;
     };
     if (on_bytes) {
         http.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t,
@@ -125,9 +125,9 @@
     const bool cancelled = was_cancelled();
     answer.outcome = classify_outcome(error, request, cancelled);
     answer.message = httplib::to_string(error);
-    if (has_odd_status) {
+    if (has_invalid_status) {
         answer.outcome = backend_outcome::lost;
-        answer.message = absl::StrCat("status ", answer.status, " is none");
+        answer.message = absl::StrCat("invalid status code ", answer.status);
     }
     if (answer.outcome != backend_outcome::complete) {
         return answer;
--- a/sardinestream/agent/backend_client_test.cc
+++ b/sardinestream/agent/backend_client_test.cc
@@ -1,3 +1,5 @@
+// Tests which responses of a back end count as answers.
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/agent/backend_client.h"
--- a/sardinestream/backends/answer_estimator.cc
+++ b/sardinestream/backends/answer_estimator.cc
@@ -16,8 +16,7 @@
 constexpr double window = 50;
 // Weight of what is assumed before, in answers of the team.
 constexpr double prior_samples = 5;
-// Assumed variances of logarithms: answers of unknown teams differ by a factor of two to three, and
-// so does what is stated of them.
+// Variance of logarithms that is assumed before answers were seen, of sizes and of ratios.
 constexpr double prior_variance = 0.8;
 // Two answers of equal size don't show that all are.
 constexpr double min_variance = 0.01;
--- a/sardinestream/backends/answer_estimator.h
+++ b/sardinestream/backends/answer_estimator.h
@@ -5,11 +5,11 @@
 //     ...
 //     sizes.observe(origin, stated, seen_tokens);
 //
-// Callers state the most tokens of an answer, and some an estimate; both may be far off. For each
-// team on a route it is learned by what factor the answers differ from what is stated, and how much
-// that factor varies: what varies as much as the sizes themselves says nothing. What a team states
-// changes only its own estimates. Sizes that were seen count for the whole route too, for teams
-// with few answers of their own.
+// Callers state the most tokens of an answer, and some an estimate; both may be far off. The
+// estimate is a mean of logarithms, weighted by precision: of the sizes seen, and of each stated
+// value times the ratio of seen to stated. The more the ratio varies for a team on a route, the
+// less the stated value counts. What a team states changes only its own estimates. Sizes that were
+// seen count for the whole route too, for teams with few answers of their own.
 
 #ifndef SARDINESTREAM_BACKENDS_ANSWER_ESTIMATOR_H_
 #define SARDINESTREAM_BACKENDS_ANSWER_ESTIMATOR_H_
--- a/sardinestream/backends/answer_estimator_test.cc
+++ b/sardinestream/backends/answer_estimator_test.cc
@@ -1,3 +1,5 @@
+// Tests what is learned of the sizes of answers, also from callers who state nonsense.
+
 #include <cmath>
 #include <limits>
 #include <random>
--- a/sardinestream/backends/cold_limits.h
+++ b/sardinestream/backends/cold_limits.h
@@ -1,9 +1,10 @@
 // Bounds the requests that cold servers get from all processes together in any second.
 //
-// A server that has started, or become cold again, crashes at a rate that a warm one bears. Each
-// process has a fixed part of the bound, so that the sum holds without messages, also while
-// processes cannot reach each other. A request counts from its placement until one second after it
-// was sent: a connection that takes long to open does not make requests arrive in bunches.
+// A server that has just started, or become cold again, crashes under a load that a warm one
+// handles. Each process has a fixed part of the bound, so that the sum is kept without messages,
+// also while processes cannot reach each other. A request counts from its placement until one
+// second after it was sent: a connection that takes long to open does not make requests arrive in
+// bunches.
 //
 // Answers the load of the seconds after an outage of all servers, in which all callers come back
 // and few servers take requests.
--- a/sardinestream/backends/cold_limits_test.cc
+++ b/sardinestream/backends/cold_limits_test.cc
@@ -1,3 +1,5 @@
+// Tests when a server counts as cold, and the part of its bound that one process has.
+
 #include <limits>
 
 #include <gtest/gtest.h>
--- a/sardinestream/backends/dispatcher.h
+++ b/sardinestream/backends/dispatcher.h
@@ -1,14 +1,19 @@
 // Assigns a backend server to each request, in order of priority, or refuses the request
 // immediately if it cannot be served in time.
 //
-//     absl::StatusOr<placement> placed = dispatcher.place(request, deadline, caller);
+//     absl::StatusOr<placement> placed = dispatcher.place(request, caller);
+//     ... send the request ...
+//     dispatcher.note_sent(*placed);
 //     ...
 //     dispatcher.finish(*placed, attempt_result::succeeded, time_to_first_byte);
 //
-// The dispatcher combines the list of servers (`set_servers`), the agents' reports (`apply_report`)
-// and the requests of its own process. Requests that find no free capacity wait in a queue per
-// service. The expected wait, and with it the refusal on arrival, is computed from the rate at
-// which the service has recently completed requests. Thread-safe.
+// The dispatcher combines the list of servers (`set_servers`), what the operator declares and asks
+// for (`set_policies`, `set_evacuated`), the agents' reports (`apply_report`) and the requests of
+// its own process. The decisions are in modules of their own: `choose_server`, `request_cost` and
+// `remaining_work`, `cold_limits`, `server_limits`, `hold_off`, `queue_order`. Requests that find
+// no free capacity wait in a queue per service. The expected wait, and with it the refusal on
+// arrival, is computed from the rate at which the service has recently completed requests.
+// Thread-safe.
 
 #ifndef SARDINESTREAM_BACKENDS_DISPATCHER_H_
 #define SARDINESTREAM_BACKENDS_DISPATCHER_H_
@@ -87,6 +92,7 @@
     std::string data_centre;
     // Number of requests that a server may hold beyond its slots, as a share of the slots.
     double extra_capacity_share = 0.0;
+    // Requests that a cold server may get in one second.
     cold_bound cold{};
 };
 
--- a/sardinestream/backends/evacuation_list_test.cc
+++ b/sardinestream/backends/evacuation_list_test.cc
@@ -1,3 +1,5 @@
+// Tests which evacuations are in force after news from the store and from other entries.
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/backends/evacuation_list.h"
--- a/sardinestream/backends/remaining_work.cc
+++ b/sardinestream/backends/remaining_work.cc
@@ -5,8 +5,7 @@
 namespace sardinestream {
 namespace {
 
-// An answer that exceeds its expected size is expected to grow by this share of what it has: the
-// longer an answer is, the more is usually left of it.
+// An answer that exceeds its expected size is expected to grow by this share of what it has.
 constexpr double growth_share = 0.25;
 // Mean share of an answer that is left while it is being written.
 constexpr double mean_share_left = 0.5;
--- a/sardinestream/backends/remaining_work_test.cc
+++ b/sardinestream/backends/remaining_work_test.cc
@@ -1,3 +1,5 @@
+// Tests the work that is left on a server.
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/backends/remaining_work.h"
--- a/sardinestream/base/http_status.h
+++ b/sardinestream/base/http_status.h
@@ -1,5 +1,5 @@
-// Which numbers are the status of an HTTP response at all. One that is none is no answer: the call
-// has failed, and it is not known whether the request ran.
+// Tells valid status codes of HTTP responses from invalid ones. A response with an invalid one is
+// no answer: the call has failed, and it is not known whether the request ran.
 
 #ifndef SARDINESTREAM_BASE_HTTP_STATUS_H_
 #define SARDINESTREAM_BASE_HTTP_STATUS_H_
--- a/sardinestream/experts/engine_client.cc
+++ b/sardinestream/experts/engine_client.cc
@@ -141,7 +141,7 @@
     }
     if (!is_final_status(result->status)) {
         return make_error(absl::StatusCode::kUnavailable, step, this->peer_name,
-                          absl::StrCat("status ", result->status, " is none"));
+                          absl::StrCat("invalid status code ", result->status));
     }
     if (result->status != http_ok) {
         return make_error(code_of(result->status), step, this->peer_name, body.take());
@@ -173,7 +173,7 @@
         // The engine may have carried out the order.
         count("sardine_engine_order_failures_total", {{"step", std::string(step)}});
         return make_error(absl::StatusCode::kUnknown, step, this->peer_name,
-                          absl::StrCat("status ", result->status, " is none"));
+                          absl::StrCat("invalid status code ", result->status));
     }
     count("sardine_engine_order_refusals_total", {{"step", std::string(step)}});
     return make_error(code_of(result->status), step, this->peer_name, answer.take());
--- a/sardinestream/experts/engine_client_test.cc
+++ b/sardinestream/experts/engine_client_test.cc
@@ -1,3 +1,5 @@
+// Tests responses of an engine with invalid status codes.
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/experts/engine_client.h"
--- a/sardinestream/http/message_reader.cc
+++ b/sardinestream/http/message_reader.cc
@@ -272,7 +272,7 @@
     SARDINE_RETURN_IF_ERROR(this->read_head(*this->response, deadline, caller));
     const int status = this->response->head.status;
     if (!is_final_status(status) && !is_interim_status(status)) {
-        return bad_message(absl::StrCat("status ", status, " is none"));
+        return bad_message(absl::StrCat("invalid status code ", status));
     }
     http_response_head head = this->response->head;
     if (this->response->chunked()) {
--- a/sardinestream/maps/step_margin.h
+++ b/sardinestream/maps/step_margin.h
@@ -25,7 +25,7 @@
     void note_step(std::int64_t step, steady_time now);
 
     // Returns the time that a step takes at present: that of the last steps, or for how long the
-    // current one has gone on if that is more. Zero before the first step.
+    // current one has gone on if that is more. Zero before the first report.
     [[nodiscard]] std::chrono::milliseconds step_time(steady_time now) const;
 
 private:
@@ -35,9 +35,9 @@
     std::chrono::milliseconds last_step_time{0};
 };
 
-// Returns the number of steps between the newest report and the step of a switch: one in which all
-// ranks are armed so that the group does not wait, several while orders get lost, but none that
-// delays the switch longer than repeated orders take. At least one.
+// Returns the number of steps between the newest report and the step of a switch: two, or five
+// while orders get lost, but no more than fit into the time in which lost orders are repeated. At
+// least one.
 [[nodiscard]] int step_margin(std::chrono::milliseconds step_time, bool orders_get_lost);
 
 } // namespace sardinestream
--- a/sardinestream/platform/evacuations.h
+++ b/sardinestream/platform/evacuations.h
@@ -9,7 +9,7 @@
 
 namespace sardinestream::platform {
 
-// An object whose name can be none of a data centre is skipped after it is logged and counted.
+// An object with an empty or overlong name is logged, counted and skipped.
 [[nodiscard]] evacuation_snapshot to_evacuations(const object_list& list);
 [[nodiscard]] evacuation_changes to_evacuation_changes(const change_list& changes);
 
--- a/sardinestream/platform/evacuations_test.cc
+++ b/sardinestream/platform/evacuations_test.cc
@@ -1,3 +1,5 @@
+// Tests which objects of the store are evacuations.
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/platform/evacuations.h"
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -55,6 +55,7 @@
     double max_retry_burst = 80;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{4800};
+    // Requests that a cold server may get in one second from all entries together.
     cold_bound cold{};
     // The store's evacuations are delivered with `apply_evacuation*`.
     bool watches_evacuations = false;
@@ -107,9 +108,6 @@
 
     [[nodiscard]] absl::Status open();
     [[nodiscard]] absl::Status open_peers();
-    // Puts the operator's document in force if it is newer than the known one.
-    void offer_desired_state(const std::string& text, std::int64_t revision,
-                             absl::string_view source);
     void tick();
     void fetch_from_peers();
     // Tells the other entries what has changed in `suspects`.
@@ -149,6 +147,8 @@
     void update_gauges() const;
     [[nodiscard]] std::string status_json() const;
     [[nodiscard]] nlohmann::json evacuations_json() const;
+    [[nodiscard]] nlohmann::json services_json() const;
+    [[nodiscard]] nlohmann::json servers_json() const;
     // Logs the requests that a stop leaves without a whole answer.
     void log_unfinished_requests() const;
 
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -226,7 +226,7 @@
     if (config.ok() && config->status == http_ok) {
         const absl::StatusOr<stored_document> document = decode_document(config->body);
         if (document.ok()) {
-            this->offer_desired_state(document->text, document->revision, ip);
+            this->apply_desired_state(document->text, document->revision, ip);
         }
         else {
             log_failure("peer_state_unread", document.status(), {{"entry", ip}});
--- a/sardinestream/routes/desired_state.h
+++ b/sardinestream/routes/desired_state.h
@@ -68,7 +68,8 @@
 struct engine_model {
     // Requests that it runs at once; zero if unknown.
     int slots = 0;
-    // Steps of a pass that writes, and tokens that an event of a stream holds.
+    // Steps that the engine makes in one pass while requests write. Each writes a token in a step,
+    // and an event of a stream holds those of one pass.
     int steps_per_pass = 1;
     // Time of a step, in milliseconds, and what each request that is writing adds; zero if unknown.
     double step_ms = 0;
@@ -131,7 +132,7 @@
     // As in `team`.
     int priority = -1;
     int keys = 0;
-    // Number of its keys that an earlier team has, too; the later one holds them.
+    // Number of its keys that a team before it also lists; such a key belongs to the last one.
     int keys_of_earlier_teams = 0;
     // Identifies the set of its keys; does not depend on their order.
     std::uint64_t keys_digest = 0;
