--- a/sardinestream/agent/backend_client_test.cc
+++ b/sardinestream/agent/backend_client_test.cc
@@ -22,7 +22,7 @@
 }
 
 // The server may have run the request; nobody waits for the rest of the response.
-TEST(backend_client, a_status_that_is_none_is_a_lost_answer)
+TEST(backend_client, an_invalid_status_is_a_lost_answer)
 {
     for (const std::string status : {"000", "099", "101", "600", "999"}) {
         scripted_server server([&status](scripted_connection& connection) {
--- a/sardinestream/experts/engine_client_test.cc
+++ b/sardinestream/experts/engine_client_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // An order may have been carried out, as if its answer had been lost.
-TEST(engine_client, a_status_that_is_none_is_no_answer)
+TEST(engine_client, an_invalid_status_is_no_answer)
 {
     for (const std::string status : {"000", "099", "101", "600", "999"}) {
         scripted_server engine([&status](scripted_connection& connection) {
--- a/sardinestream/forwarding/response_status_test.cc
+++ b/sardinestream/forwarding/response_status_test.cc
@@ -1,6 +1,7 @@
-// Tests responses whose status is none: outside 100 to 599, or 101 though no upgrade was asked for.
-// The attempt has failed at once, as with bytes that are no response: what may be repeated is
-// repeated, what may not is answered 502, and nothing of the response reaches the caller.
+// Tests responses with an invalid status code: outside 100 to 599, or 101 though no upgrade was
+// asked for. The attempt has failed at once, as with bytes that are no response: what may be
+// repeated is repeated, what may not is answered 502, and nothing of the response reaches the
+// caller.
 
 #include <array>
 
@@ -69,7 +70,7 @@
     }
 };
 
-TEST_F(response_status_test, that_is_none_fails_the_attempt_at_once)
+TEST_F(response_status_test, that_is_invalid_fails_the_attempt_at_once)
 {
     for (const char* const status : odd_statuses) {
         for (const std::string target : {"/read/", "/tell/", "/pay/"}) {
@@ -89,7 +90,7 @@
     }
 }
 
-TEST_F(response_status_test, that_is_none_behind_an_interim_response_fails_the_attempt)
+TEST_F(response_status_test, that_is_invalid_behind_an_interim_response_fails_the_attempt)
 {
     for (const char* const status : {"000", "600"}) {
         int asked = 0;
@@ -103,7 +104,7 @@
     }
 }
 
-TEST_F(response_status_test, that_is_none_to_the_rest_of_a_stream_does_not_enter_it)
+TEST_F(response_status_test, that_is_invalid_to_the_rest_of_a_stream_does_not_enter_it)
 {
     std::atomic<int> asked = 0;
     const auto script = [&](scripted_connection& connection) {
--- a/sardinestream/http/http_client_test.cc
+++ b/sardinestream/http/http_client_test.cc
@@ -49,7 +49,7 @@
 }
 
 // What it calls, such as the store, has not answered then.
-TEST(http_client, a_status_that_is_none_is_no_answer)
+TEST(http_client, an_invalid_status_is_no_answer)
 {
     for (const std::string status : {"000", "099", "101", "600", "999", "20", "2000", "2x0"}) {
         scripted_server server([&status](scripted_connection& connection) {
--- a/sardinestream/http/message_reader.h
+++ b/sardinestream/http/message_reader.h
@@ -9,7 +9,7 @@
 //     absl::Status done = reader.read_body(limits.body_bytes, body, deadline, {});
 //
 // Errors in addition to those of the socket: kInvalidArgument (not valid HTTP, a form that two
-// parsers could interpret differently, or a status that is none), kResourceExhausted (head or
+// parsers could interpret differently, or an invalid status code), kResourceExhausted (head or
 // another line too large), kOutOfRange (body too large), kDataLoss (the connection was closed
 // within the message), kNotFound (it was closed before the first byte), kFailedPrecondition (the
 // reader's `reading_end` has passed). Not thread-safe.
--- a/sardinestream/platform/engine_calls_test.cc
+++ b/sardinestream/platform/engine_calls_test.cc
@@ -65,7 +65,7 @@
 }
 
 // Such an order may have been carried out.
-TEST(engine_interface, an_order_answered_with_a_status_that_is_none_is_unanswered)
+TEST(engine_interface, an_order_answered_with_an_invalid_status_is_unanswered)
 {
     for (const char* const status : {"000", "099", "101", "600", "999"}) {
         scripted_server server([status](scripted_connection& connection) {
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -37,7 +37,7 @@
 
 // Guards against a store that never ends a list: the objects of all pages were kept.
 // A watch goes on from its position after a pause; the history is not lost.
-TEST(store_client, a_status_that_is_none_is_an_unavailable_store)
+TEST(store_client, an_invalid_status_is_an_unavailable_store)
 {
     for (const int status : {99, 101, 600, 999}) {
         scripted_server store([status](scripted_connection& connection) {
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -75,7 +75,7 @@
     EXPECT_TRUE(absl::IsNotFound(this->store->get(kind, "a").status()));
 }
 
-TEST_F(object_store_test, a_status_that_is_none_leaves_changes_unknown_and_reads_unavailable)
+TEST_F(object_store_test, an_invalid_status_leaves_changes_unknown_and_reads_unavailable)
 {
     for (const std::string status : {"000", "099", "101", "600", "999"}) {
         scripted_server odd([&status](scripted_connection& connection) {
