--- a/sardinestream/backends/dispatcher_queue.cc
+++ b/sardinestream/backends/dispatcher_queue.cc
@@ -25,8 +25,8 @@
 // Requests that may be passed over because the free servers do not suit them; bounds the work under
 // the lock.
 constexpr std::size_t max_passed_over = 4;
-// Requests that may wait for much memory at the same time; fewer than may be passed over, so that
-// they don't hold up the others.
+// New requests that may wait for much memory at the same time. Streams that have begun are not
+// refused and may be more.
 constexpr int max_waiting_large = 2;
 
 } // namespace
