--- a/review/6/script.cc
+++ b/review/6/script.cc
@@ -190,6 +190,7 @@
     }
     const steady::time_point until = steady::now() + std::chrono::seconds(run_s);
     std::vector<std::thread> all;
+    all.reserve(requesters);
     for (int number = 0; number < requesters; ++number) {
         all.emplace_back([&, number] { request_streams(fleet, number, until); });
     }
--- a/review/7/script.cc
+++ b/review/7/script.cc
@@ -153,6 +153,7 @@
     }
     std::atomic<bool> over{false};
     std::vector<std::thread> all;
+    all.reserve(requesters);
     for (int number = 0; number < requesters; ++number) {
         all.emplace_back([&, number] { request_orders(fleet, number, over); });
     }
