A stream without events is ended once

Cause: finish_stream began such a response by sending no events, and encode_chunk("") is the end of a chunked body; then it wrote the end again. The same state had other ways in: HEAD and 204 with the type of a stream, own refusals of HEAD requests, and operators' pages asked with HEAD.

Why it works: head and end of a stream are each written in one place, an empty chunk encodes to nothing, and has_body decides by method and status whether a response has a body, for relayed, own and operators' answers.

--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -319,7 +319,7 @@
     this->response_started = true;
     return write_local_response(
         this->caller, this->services.protocol.local_response_headers(this->admitted.request),
-        status, code, retry_after, this->promise_connection());
+        {status, code, retry_after, this->promise_connection(), this->admitted.request.method});
 }
 
 void exchange::log_outcome(absl::string_view outcome, int status, absl::string_view reason) const
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -254,9 +254,14 @@
                                             const attempt_record& record, bool ended) const;
     // Returns the head for the caller, without the headers that give the length of the body.
     [[nodiscard]] answer_head make_relayed_head(const http_response_head& head);
+    // Begins the caller's response, if it has not begun. Returns its head, or nothing.
+    [[nodiscard]] std::string begin_stream(const http_response_head& head);
+    // Writes a part of a stream, also past the request's deadline.
+    [[nodiscard]] absl::Status write_to_caller(absl::string_view text);
     // Writes the events that `events` returned to the caller and marks them delivered.
     [[nodiscard]] absl::Status send_events(const http_response_head& head,
                                            const std::string& complete);
+    // Ends the caller's response, which may be without any event. Called once.
     [[nodiscard]] absl::Status finish_stream(const http_response_head& head);
 
     // Records a failed attempt, then requests a retry if the retry rules, the deadline and the
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -42,7 +42,8 @@
                                                "response without the server's signature"),
                                     record);
     }
-    if (is_success(head.status) && is_event_stream(head)) {
+    if (is_success(head.status) && is_event_stream(head) &&
+        has_body(this->admitted.request.method, head.status)) {
         record.silent_since = steady_clock::now();
         return this->relay_stream(connection, head, record, reusable);
     }
@@ -113,7 +114,7 @@
         return next_action::close_connection;
     }
     answer_head relayed = this->make_relayed_head(head);
-    if (this->admitted.request.method != "HEAD") {
+    if (has_body(this->admitted.request.method, head.status)) {
         relayed.content_length = body.size();
     }
     this->response_started = true;
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -5,6 +5,8 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/forwarding/exchange.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream {
 namespace {
 
@@ -16,23 +18,33 @@
 
 } // namespace
 
-absl::Status exchange::send_events(const http_response_head& head, const std::string& complete)
+std::string exchange::begin_stream(const http_response_head& head)
 {
-    std::string text;
-    if (!this->response_started) {
-        answer_head relayed = this->make_relayed_head(head);
-        relayed.chunked = this->admitted.request.accepts_chunked;
-        text = encode_answer_head(relayed);
-        this->response_started = true;
-        this->registered.set_phase(request_phase::answering);
-        this->ends_with_connection = !this->admitted.request.accepts_chunked;
-        // An orderly end would make the response look complete.
-        this->caller.set_abort_on_close(this->ends_with_connection);
+    if (this->response_started) {
+        return "";
     }
-    text += this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete;
-    SARDINE_RETURN_IF_ERROR(this->caller.write_all(
+    answer_head relayed = this->make_relayed_head(head);
+    relayed.chunked = this->admitted.request.accepts_chunked;
+    this->response_started = true;
+    this->registered.set_phase(request_phase::answering);
+    this->ends_with_connection = !this->admitted.request.accepts_chunked;
+    // An orderly end would make the response look complete.
+    this->caller.set_abort_on_close(this->ends_with_connection);
+    return encode_answer_head(relayed);
+}
+
+absl::Status exchange::write_to_caller(absl::string_view text)
+{
+    return this->caller.write_all(
         text, std::max(this->deadline, steady_clock::now() + local_response_timeout),
-        hangup_watch()));
+        hangup_watch());
+}
+
+absl::Status exchange::send_events(const http_response_head& head, const std::string& complete)
+{
+    const std::string begun = this->begin_stream(head);
+    SARDINE_RETURN_IF_ERROR(this->write_to_caller(absl::StrCat(
+        begun, this->admitted.request.accepts_chunked ? encode_chunk(complete) : complete)));
     this->events.mark_delivered();
     this->last_delivery = steady_clock::now();
     return absl::OkStatus();
@@ -40,17 +52,14 @@
 
 absl::Status exchange::finish_stream(const http_response_head& head)
 {
-    if (!this->response_started) {
-        SARDINE_RETURN_IF_ERROR(this->send_events(head, ""));
-    }
-    if (!this->admitted.request.accepts_chunked) {
-        this->ends_with_connection = false;
-        this->caller.set_abort_on_close(false);
-        return absl::OkStatus();
+    const std::string begun = this->begin_stream(head);
+    if (this->admitted.request.accepts_chunked) {
+        return this->write_to_caller(absl::StrCat(begun, last_chunk));
     }
-    return this->caller.write_all(
-        "0\r\n\r\n", std::max(this->deadline, steady_clock::now() + local_response_timeout),
-        hangup_watch());
+    SARDINE_RETURN_IF_ERROR(this->write_to_caller(begun));
+    this->ends_with_connection = false;
+    this->caller.set_abort_on_close(false);
+    return absl::OkStatus();
 }
 
 absl::StatusOr<bool> exchange::read_stream_part(server_connection& connection,
--- a/sardinestream/forwarding/frontend.cc
+++ b/sardinestream/forwarding/frontend.cc
@@ -79,7 +79,7 @@
 {
     acceptor_options options;
     options.max_connections = max_connections;
-    options.refusal = encode_local_response({}, unavailable, "not_run", retry_time, false);
+    options.refusal = encode_local_response({}, {unavailable, "not_run", retry_time});
     options.on_refused = [max_connections](absl::string_view reason) {
         count("sardine_connections_refused_total");
         log_event("connection_refused", {{"limit", max_connections}, {"reason", reason}},
@@ -179,11 +179,13 @@
     absl::StatusOr<http_request_head> head =
         reader.read_request_head(bounds, arrival + limits.header_timeout);
     if (!head.ok()) {
-        return this->reject_message(connection, head.status());
+        return this->reject_message(connection, head.status(), caller_request());
     }
     absl::StatusOr<caller_request> request = this->services.protocol.decode_request(*head);
     if (!request.ok()) {
-        return this->reject_message(connection, request.status());
+        caller_request rejected;
+        rejected.method = head->method;
+        return this->reject_message(connection, request.status(), rejected);
     }
     message_memory_reservation reservation(this->services.request_memory, "caller");
     if (!this->read_body(connection, reader, {*head, limits, arrival}, reservation, *request)) {
@@ -208,7 +210,7 @@
         const absl::Status continued = connection.write_all("HTTP/1.1 100 Continue\r\n\r\n",
                                                             arrival + limits.header_timeout, {});
         if (!continued.ok()) {
-            return this->reject_message(connection, continued, request.id);
+            return this->reject_message(connection, continued, request);
         }
     }
     request.body.reserve(declared);
@@ -221,7 +223,7 @@
         // Another entry can serve the request; the caller must know that this one does not.
         return this->refuse_unread(connection, std::move(request), "shutting_down");
     }
-    return read.ok() || this->reject_message(connection, read, request.id);
+    return read.ok() || this->reject_message(connection, read, request);
 }
 
 bool frontend::refuse_unread(tcp_socket& connection, caller_request request, absl::string_view code)
@@ -232,17 +234,18 @@
 }
 
 bool frontend::reject_message(tcp_socket& connection, const absl::Status& error,
-                              absl::string_view request_id)
+                              const caller_request& rejected)
 {
     const int status = status_of(error);
     count("sardine_bad_requests_total", {{"status", absl::StrCat(status)}});
     log_event("request_rejected",
-              {{"request", request_id}, {"status", status}, {"reason", error.message()}});
+              {{"request", rejected.id}, {"status", status}, {"reason", error.message()}});
     if (status != 0) {
         const bool is_stopping = status == unavailable;
-        (void)write_local_response(connection, {}, status,
-                                   is_stopping ? "shutting_down" : "bad_request",
-                                   is_stopping ? retry_time : milliseconds(0), false);
+        (void)write_local_response(connection, {},
+                                   {status, is_stopping ? "shutting_down" : "bad_request",
+                                    is_stopping ? retry_time : milliseconds(0), false,
+                                    rejected.method});
     }
     return false;
 }
@@ -258,9 +261,9 @@
                           {"status", status},
                           {"reason", code}});
     const bool keep = request.keep_alive && !this->services.is_stopping();
-    return write_local_response(connection, this->services.protocol.local_response_headers(request),
-                                status, code, status == unavailable ? retry_time : milliseconds(0),
-                                keep);
+    return write_local_response(
+        connection, this->services.protocol.local_response_headers(request),
+        {status, code, status == unavailable ? retry_time : milliseconds(0), keep, request.method});
 }
 
 std::shared_ptr<const desired_state> frontend::wait_for_state(const tcp_socket& connection) const
--- a/sardinestream/forwarding/frontend.h
+++ b/sardinestream/forwarding/frontend.h
@@ -70,9 +70,10 @@
     [[nodiscard]] bool read_body(tcp_socket& connection, message_reader& reader,
                                  const arriving_request& arriving,
                                  message_memory_reservation& reservation, caller_request& request);
-    // Rejects a message that is no request, or not a whole one. Returns false.
+    // Rejects a message that is no request, or not a whole one; `rejected` holds what is known of
+    // it. Returns false.
     [[nodiscard]] bool reject_message(tcp_socket& connection, const absl::Status& error,
-                                      absl::string_view request_id = "");
+                                      const caller_request& rejected);
     [[nodiscard]] bool admit(tcp_socket& connection, caller_request request, steady_time arrival);
     // Returns the desired state; shortly after start-up, waits a short time for the first one.
     // Returns null if none is received in that time.
--- a/sardinestream/forwarding/local_response.cc
+++ b/sardinestream/forwarding/local_response.cc
@@ -42,30 +42,30 @@
     return default_idle_timeout;
 }
 
-std::string encode_local_response(const http_headers& headers, int status, absl::string_view code,
-                                  milliseconds retry_after, bool keep)
+std::string encode_local_response(const http_headers& headers, const local_response& response)
 {
-    const std::string body = absl::StrCat("{\"code\":\"", code, "\"}");
-    answer_head head = {status, "", headers, body.size(), false, keep};
+    const std::string body = absl::StrCat("{\"code\":\"", response.code, "\"}");
+    answer_head head = {response.status, "", headers, body.size(), false, response.keep};
     head.headers.push_back({"Content-Type", "application/json"});
-    if (retry_after.count() > 0) {
+    if (response.retry_after.count() > 0) {
         constexpr double ms_per_s = 1000.0;
         head.headers.push_back(
             {"Retry-After",
-             absl::StrFormat("%.3f", static_cast<double>(retry_after.count()) / ms_per_s)});
+             absl::StrFormat("%.3f",
+                             static_cast<double>(response.retry_after.count()) / ms_per_s)});
     }
-    return encode_answer_head(head) + body;
+    return encode_answer_head(head) + (has_body(response.method, response.status) ? body : "");
 }
 
-bool write_local_response(tcp_socket& caller, const http_headers& headers, int status,
-                          absl::string_view code, milliseconds retry_after, bool keep)
+bool write_local_response(tcp_socket& caller, const http_headers& headers,
+                          const local_response& response)
 {
     const bool written =
         caller
-            .write_all(encode_local_response(headers, status, code, retry_after, keep),
+            .write_all(encode_local_response(headers, response),
                        steady_clock::now() + local_response_timeout, hangup_watch())
             .ok();
-    return written && keep;
+    return written && response.keep;
 }
 
 } // namespace sardinestream
--- a/sardinestream/forwarding/local_response.h
+++ b/sardinestream/forwarding/local_response.h
@@ -23,16 +23,25 @@
 // Returns how long the server keeps its connection open when idle after this response.
 [[nodiscard]] std::chrono::milliseconds idle_timeout_of(const http_response_head& head);
 
-// Returns a locally generated response; adds Retry-After if `retry_after` is above zero.
-[[nodiscard]] std::string encode_local_response(const http_headers& headers, int status,
-                                                absl::string_view code,
-                                                std::chrono::milliseconds retry_after, bool keep);
-
-// Writes a locally generated response; adds Retry-After if `retry_after` is above zero. Returns
-// whether the connection can serve another request.
-[[nodiscard]] bool write_local_response(tcp_socket& caller, const http_headers& headers, int status,
-                                        absl::string_view code,
-                                        std::chrono::milliseconds retry_after, bool keep);
+// A response that this process generates itself.
+struct local_response {
+    int status = 0;
+    // What the body says.
+    absl::string_view code;
+    // Retry-After; none if it is zero.
+    std::chrono::milliseconds retry_after{0};
+    // Whether the connection accepts another request.
+    bool keep = false;
+    // Method of the request, which decides whether the response has a body; empty if unknown.
+    absl::string_view method = "";
+};
+
+[[nodiscard]] std::string encode_local_response(const http_headers& headers,
+                                                const local_response& response);
+
+// Writes the response. Returns whether the connection can serve another request.
+[[nodiscard]] bool write_local_response(tcp_socket& caller, const http_headers& headers,
+                                        const local_response& response);
 
 } // namespace sardinestream
 
--- a/sardinestream/http/http_service.cc
+++ b/sardinestream/http/http_service.cc
@@ -83,8 +83,9 @@
         }
         const http_answer answer = this->handler(*head);
         const answer_head written = {answer.status, "", answer.headers, answer.body.size()};
-        if (!connection.write_all(encode_answer_head(written) + answer.body, deadline, {}).ok() ||
-            !head->keeps_alive()) {
+        const std::string text = encode_answer_head(written) +
+                                 (has_body(head->method, answer.status) ? answer.body : "");
+        if (!connection.write_all(text, deadline, {}).ok() || !head->keeps_alive()) {
             return;
         }
     }
--- a/sardinestream/http/http_service_test.cc
+++ b/sardinestream/http/http_service_test.cc
@@ -40,5 +40,24 @@
     EXPECT_EQ(body.size(), page_bytes);
 }
 
+// Guards against a page behind the head that answers a HEAD request.
+TEST(http_service_test, an_answer_to_a_head_request_ends_with_its_head)
+{
+    const absl::StatusOr<std::unique_ptr<http_service>> service =
+        http_service::start({"127.0.0.1", 0}, [](const http_request_head&) {
+            return http_answer{200, {}, "page"};
+        });
+    ASSERT_TRUE(service.ok());
+    tcp_socket socket = *tcp_socket::connect((*service)->local(), soon(), {});
+    message_reader reader(socket);
+    std::string body;
+    ASSERT_TRUE(socket.write_all("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n", soon(), {}).ok());
+    ASSERT_TRUE(reader.read_response_head(message_limits(), true, soon(), {}).ok());
+    ASSERT_TRUE(socket.write_all("GET / HTTP/1.1\r\nHost: h\r\n\r\n", soon(), {}).ok());
+    ASSERT_TRUE(reader.read_response_head(message_limits(), false, soon(), {}).ok());
+    ASSERT_TRUE(reader.read_body(page_bytes, body, soon(), {}).ok());
+    EXPECT_EQ(body, "page");
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/http/message.cc
+++ b/sardinestream/http/message.cc
@@ -108,6 +108,13 @@
     return status >= 200 && status < 300;
 }
 
+bool has_body(absl::string_view method, int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return method != "HEAD" && status != no_content && status != not_modified;
+}
+
 absl::string_view reason_phrase(int status)
 {
     switch (status) {
@@ -162,7 +169,7 @@
 
 std::string encode_chunk(absl::string_view bytes)
 {
-    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+    return bytes.empty() ? "" : absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
 }
 
 } // namespace sardinestream
--- a/sardinestream/http/message.h
+++ b/sardinestream/http/message.h
@@ -70,6 +70,10 @@
 // Returns true for 2xx.
 [[nodiscard]] bool is_success(int status);
 
+// Returns whether a final response with this status to a request with this method has a body; one
+// without ends with its head, whatever that says.
+[[nodiscard]] bool has_body(absl::string_view method, int status);
+
 // Returns the standard reason phrase of a status code, or "Status" for codes that are not used
 // here.
 [[nodiscard]] absl::string_view reason_phrase(int status);
@@ -90,8 +94,11 @@
 // Returns the status line, the headers and the empty line that ends the head.
 [[nodiscard]] std::string encode_answer_head(const answer_head& head);
 
-// Returns `bytes` as one chunk of a chunked body. An empty `bytes` gives the last chunk together
-// with the end of the body.
+// The end of a chunked body without trailers.
+inline constexpr absl::string_view last_chunk = "0\r\n\r\n";
+
+// Returns `bytes` as one chunk of a chunked body; nothing if there are none, because a chunk
+// without bytes would end the body.
 [[nodiscard]] std::string encode_chunk(absl::string_view bytes);
 
 } // namespace sardinestream
--- a/sardinestream/http/message_test.cc
+++ b/sardinestream/http/message_test.cc
@@ -36,5 +36,12 @@
     EXPECT_FALSE(head.keeps_alive());
 }
 
+// Guards against the end of a body in place of a chunk that happens to be empty.
+TEST(encode_chunk, encodes_nothing_for_no_bytes)
+{
+    EXPECT_EQ(encode_chunk(""), "");
+    EXPECT_EQ(encode_chunk("ab"), "2\r\nab\r\n");
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/testing/http_relay.cc
+++ b/sardinestream/testing/http_relay.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "sardinestream/http/message.h"
 #include "sardinestream/testing/relay.h"
 
 #include "absl/strings/ascii.h"
@@ -18,7 +19,6 @@
 constexpr std::size_t read_bytes = 16U << 10;
 constexpr absl::string_view head_end = "\r\n\r\n";
 constexpr absl::string_view event_prefix = "data: ";
-constexpr absl::string_view last_chunk = "0\r\n\r\n";
 
 // Reads what there is; returns false at the end of the stream.
 bool read_some(int descriptor, std::string& buffer)
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -218,7 +218,7 @@
         pieces.push_back(chunked ? encode_chunk(piece) : piece);
     }
     if (chunked) {
-        pieces.emplace_back("0\r\n\r\n");
+        pieces.emplace_back(last_chunk);
     }
     return pieces;
 }
