A failed call of the store keeps no server that has left

What callers saw: requests sent to a server until 2.0 to 2.2 s after the store had acknowledged the removal of its entry (DRAIN, drain-ms 2 s), and 502 for orders that the server's end cut off.

Cause: the watcher took any one failed call, such as a watch that the store cuts off, for an outage, in which entries may expire, and kept what vanished for 1.9 s. Another entry's list started a grace period of its own, and the end of it was seen by a tick, up to 0.2 s later.

Change: the adapter tells how long the store did not answer; the directory decides that an outage shorter than a heartbeat lets no entry expire, for the store's news and for peers'. The ticker wakes at the end of a grace period. Why it works: a heartbeat passes before an outage and one after it, and the store removes an entry after three, so that what vanishes after a shorter outage has left.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -66,7 +66,18 @@
 
 } // namespace
 
-server_directory::server_directory(milliseconds lifetime) : entry_lifetime(lifetime) {}
+server_directory::server_directory(milliseconds lifetime, milliseconds heartbeat)
+    : entry_lifetime(lifetime), shortest_expiring_outage(heartbeat)
+{
+}
+
+steady_time server_directory::relist_end(const store_outage& outage, steady_time now) const
+{
+    const steady_time end = outage.end(now);
+    const bool may_expire =
+        outage.begun != steady_time{} && end - outage.begun >= this->shortest_expiring_outage;
+    return may_expire ? end + relist_grace_period : steady_time{};
+}
 
 bool server_directory::upsert(const listed_server& listed, steady_time now)
 {
@@ -181,9 +192,10 @@
     return this->remove_absent(list, rewritten, now) || changed;
 }
 
-bool server_directory::apply(const server_list& list, steady_time relist_until, steady_time now)
+bool server_directory::apply(const server_list& list, const store_outage& outage, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
+    const steady_time relist_until = this->relist_end(outage, now);
     const bool is_first = this->known == store_position{};
     bool changed = false;
     if (!is_first && (list.restored || list.position.era != this->known.era)) {
@@ -229,10 +241,11 @@
     }
 }
 
-bool server_directory::apply(const server_changes& received, steady_time relist_until,
+bool server_directory::apply(const server_changes& received, const store_outage& outage,
                              steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
+    const steady_time relist_until = this->relist_end(outage, now);
     bool changed = false;
     for (const server_change& change : received.changes) {
         const auto found = this->entries.find(change.id);
@@ -301,9 +314,11 @@
     return false;
 }
 
-bool server_directory::merge(const shared_servers& peer, steady_time relist_until, steady_time now)
+bool server_directory::merge(const shared_servers& peer, const store_outage& outage,
+                             steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
+    const steady_time relist_until = this->relist_end(outage, now);
     const store_position position = peer.listed.position;
     const bool is_first = this->known == store_position{};
     const bool is_newer = position > this->known;
@@ -376,6 +391,18 @@
     return dropped;
 }
 
+steady_time server_directory::next_expiry() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    steady_time next = steady_time::max();
+    for (const auto& [id, known] : this->entries) {
+        if (known.expires_at != steady_time{}) {
+            next = std::min(next, known.expires_at);
+        }
+    }
+    return next;
+}
+
 std::size_t server_directory::drop_all_vanished(steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -13,7 +13,8 @@
 // some time, so that an older copy does not bring them back, and are reported to other entries.
 //
 // A server that vanished from the list after an outage of the store may only have been unable to
-// renew its entry. It stays in use for a grace period, in which a live server is listed again.
+// renew its entry. It stays in use for a grace period, in which a live server is listed again. An
+// outage that is too short to let an entry expire excuses nothing: what vanished has left.
 // Thread-safe.
 
 #ifndef SARDINESTREAM_BACKENDS_SERVER_DIRECTORY_H_
@@ -27,6 +28,7 @@
 #include <vector>
 
 #include "sardinestream/backends/backend_server.h"
+#include "sardinestream/base/store_outage.h"
 #include "sardinestream/base/store_position.h"
 #include "sardinestream/http/socket.h"
 
@@ -95,21 +97,26 @@
 
 class server_directory {
 public:
-    // `entry_lifetime` is the time within which the store removes the entry of a silent server.
+    // `lifetime` is the time within which the store removes the entry of a silent server,
+    // `heartbeat` that between two writes of a server.
     explicit server_directory(
-        std::chrono::milliseconds entry_lifetime = std::chrono::milliseconds(4800));
-
-    // Apply the store's complete list, or changes to it, atomically. Servers that are no longer
-    // listed stay in use until `relist_until`; they are dropped immediately if that time has passed
-    // or they were draining. Return whether the servers in use may have changed.
-    bool apply(const server_list& list, steady_time relist_until, steady_time now);
-    bool apply(const server_changes& received, steady_time relist_until, steady_time now);
+        std::chrono::milliseconds lifetime = std::chrono::milliseconds(4800),
+        std::chrono::milliseconds heartbeat = std::chrono::milliseconds(1200));
+
+    // Apply the store's complete list, or changes to it, atomically. `outage` is the last outage of
+    // the store. Servers that are no longer listed stay in use for the grace period if their
+    // entries may have expired in it; they are dropped immediately if they were draining. Return
+    // whether the servers in use may have changed.
+    bool apply(const server_list& list, const store_outage& outage, steady_time now);
+    bool apply(const server_changes& received, const store_outage& outage, steady_time now);
     // Adds what another entry knows; an older fact changes nothing, and servers that its list lacks
-    // vanish only if the list is newer than the known one.
-    bool merge(const shared_servers& peer, steady_time relist_until, steady_time now);
+    // vanish only if the list is newer than the known one. `outage` is this process's own.
+    bool merge(const shared_servers& peer, const store_outage& outage, steady_time now);
 
     // Drops vanished servers whose grace period is over. Returns whether there was one.
     bool drop_vanished(steady_time now);
+    // Returns when the next grace period is over; steady_time::max() if there is none.
+    [[nodiscard]] steady_time next_expiry() const;
     // Drops all vanished servers, for when there was no outage of the store in which their entries
     // could have expired. Returns the number of dropped servers.
     std::size_t drop_all_vanished(steady_time now);
@@ -150,6 +157,8 @@
 
     using entry_iterator = std::map<std::string, entry>::iterator;
 
+    // Returns until when servers that vanish may be listed again.
+    [[nodiscard]] steady_time relist_end(const store_outage& outage, steady_time now) const;
     // Reconciles what is known with the first list of another history of the store.
     bool reconcile(const server_list& list, steady_time relist_until, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -180,6 +189,9 @@
     void forget_departed(steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const std::chrono::milliseconds entry_lifetime;
+    // Entries that are renewed at the end of a shorter outage cannot expire: a heartbeat passes
+    // before it, another one after it, and the store removes an entry after three.
+    const std::chrono::milliseconds shortest_expiring_outage;
     mutable absl::Mutex mutex;
     // A server is in one of the two maps at most.
     std::map<std::string, entry> entries ABSL_GUARDED_BY(mutex);
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -5,6 +5,8 @@
 namespace sardinestream {
 namespace {
 
+using std::chrono::milliseconds;
+
 backend_server named(const std::string& id, bool draining = false)
 {
     backend_server server;
@@ -28,7 +30,7 @@
         for (const backend_server& server : servers) {
             all.servers.push_back(at_revision(revision, server));
         }
-        return this->directory.apply(all, this->relist_until(after_outage), this->start);
+        return this->directory.apply(all, this->outage(after_outage), this->start);
     }
 
     bool put(const backend_server& server, std::int64_t revision)
@@ -40,14 +42,23 @@
     bool remove(const std::string& id, std::int64_t revision, bool after_outage = false)
     {
         return this->directory.apply(server_changes{{{id, std::nullopt, {revision}}}, {revision}},
-                                     this->relist_until(after_outage), this->start);
+                                     this->outage(after_outage), this->start);
+    }
+
+    // An outage in which entries may expire, until just now.
+    [[nodiscard]] store_outage outage(bool happened) const
+    {
+        return happened ? this->outage_of(heartbeat) : store_outage();
     }
 
-    [[nodiscard]] steady_time relist_until(bool after_outage) const
+    // An outage until just now.
+    [[nodiscard]] store_outage outage_of(milliseconds length) const
     {
-        return after_outage ? this->start + relist_grace_period : steady_time{};
+        return {this->start - length, this->start};
     }
 
+    static constexpr milliseconds heartbeat{1200};
+
     server_directory directory;
     const steady_time start = steady_clock::now();
 };
@@ -192,13 +203,12 @@
     this->list({named("a")}, 1);
     const steady_time later = this->start + std::chrono::seconds(2);
     EXPECT_TRUE(this->directory.apply(server_changes{{{"a", std::nullopt, {2}}}, {2}},
-                                      this->start + relist_grace_period, later));
+                                      this->outage(true), later));
     EXPECT_TRUE(this->directory.usable().empty());
 }
 
 TEST_F(server_directory_test, the_countdown_of_a_cold_time_changes_nothing)
 {
-    using std::chrono::milliseconds;
     std::int64_t revision = 1;
     const auto state = [&](int cold_ms, int after_ms) {
         ++revision;
@@ -223,7 +233,6 @@
 
 TEST_F(server_directory_test, a_cold_time_reaches_another_entry)
 {
-    using std::chrono::milliseconds;
     server_change stated = {"a", named("a"), {2}};
     stated.cold_remaining = milliseconds(3000);
     this->list({named("a")}, 1);
@@ -240,6 +249,50 @@
     EXPECT_EQ(other.usable()[0].cold_until, this->start + milliseconds(3000));
 }
 
+// Guards against a failed call of the store that keeps a server which has left, whichever way the
+// news comes: a list, a change, or another entry that keeps the server itself.
+TEST_F(server_directory_test, an_outage_too_short_for_an_entry_to_expire_keeps_no_server)
+{
+    for (const milliseconds length : {milliseconds(0), heartbeat - milliseconds(1)}) {
+        const store_outage outage = this->outage_of(length);
+        const server_list both = {{at_revision(1, named("a")), at_revision(1, named("b"))}, {1}};
+        const server_list rest = {{at_revision(1, named("b"))}, {2}};
+        const server_changes removal = {{{"a", std::nullopt, {2}}}, {2}};
+        server_directory by_list;
+        by_list.apply(both, {}, this->start);
+        EXPECT_TRUE(by_list.apply(rest, outage, this->start));
+        server_directory by_change;
+        by_change.apply(both, {}, this->start);
+        EXPECT_TRUE(by_change.apply(removal, outage, this->start));
+        server_directory keeping;
+        keeping.apply(both, {}, this->start);
+        keeping.apply(removal, this->outage(true), this->start);
+        ASSERT_EQ(keeping.usable().size(), 2U);
+        server_directory by_peer;
+        by_peer.apply(both, {}, this->start);
+        EXPECT_TRUE(by_peer.merge(keeping.shared(this->start), outage, this->start));
+        for (const server_directory* const known : {&by_list, &by_change, &by_peer}) {
+            ASSERT_EQ(known->usable().size(), 1U);
+            EXPECT_EQ(known->usable()[0].id, "b");
+        }
+    }
+}
+
+// An entry without the store keeps the servers that a newer list of another entry lacks: they may
+// only have been unable to renew their entries.
+TEST_F(server_directory_test, an_outage_that_lasts_keeps_what_another_entry_no_longer_lists)
+{
+    server_directory peer;
+    peer.apply(server_list{{}, {2}}, {}, this->start);
+    this->list({named("a")}, 1);
+    this->directory.merge(peer.shared(this->start), store_outage{this->start - heartbeat, {}},
+                          this->start);
+    EXPECT_EQ(this->directory.usable().size(), 1U);
+    EXPECT_EQ(this->directory.next_expiry(), this->start + relist_grace_period);
+    EXPECT_TRUE(this->directory.drop_vanished(this->directory.next_expiry()));
+    EXPECT_EQ(this->directory.next_expiry(), steady_time::max());
+}
+
 TEST_F(server_directory_test, drops_all_vanished_servers_if_there_was_no_outage)
 {
     this->list({named("a"), named("b")}, 1);
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -41,6 +41,7 @@
     options.max_retry_burst = settings.retry_slack;
     options.cold = {settings.cold_overage, settings.cold_slack};
     options.server_entry_lifetime = settings.server_entry_lifetime;
+    options.server_heartbeat = settings.server_heartbeat;
     options.watches_evacuations = settings.evacuation_time.count() > 0;
     return options;
 }
@@ -54,12 +55,12 @@
 
 watcher_callbacks config_callbacks(entry_program& program)
 {
-    return {[&program](const object_list& list, steady_time) {
+    return {[&program](const object_list& list, const store_outage&) {
                 for (const stored_object& object : list.objects) {
                     apply_config(program, object);
                 }
             },
-            [&program](const change_list& changes, steady_time) {
+            [&program](const change_list& changes, const store_outage&) {
                 for (const object_change& change : changes.changes) {
                     if (!change.removed) {
                         apply_config(program, change.object);
@@ -70,20 +71,21 @@
 
 watcher_callbacks server_callbacks(entry_program& program)
 {
-    return {[&program](const object_list& list, steady_time relist_until) {
-                program.apply_server_list(to_server_list(list), relist_until);
+    return {[&program](const object_list& list, const store_outage& outage) {
+                program.apply_server_list(to_server_list(list), outage);
             },
-            [&program](const change_list& changes, steady_time relist_until) {
-                program.apply_server_changes(to_server_changes(changes), relist_until);
-            }};
+            [&program](const change_list& changes, const store_outage& outage) {
+                program.apply_server_changes(to_server_changes(changes), outage);
+            },
+            [&program](const store_outage& outage) { program.note_store_outage(outage); }};
 }
 
 watcher_callbacks evacuation_callbacks(entry_program& program)
 {
-    return {[&program](const object_list& list, steady_time) {
+    return {[&program](const object_list& list, const store_outage&) {
                 program.apply_evacuation_list(to_evacuations(list));
             },
-            [&program](const change_list& changes, steady_time) {
+            [&program](const change_list& changes, const store_outage&) {
                 program.apply_evacuation_changes(to_evacuation_changes(changes));
             }};
 }
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -4,7 +4,6 @@
 #include <random>
 #include <utility>
 
-#include "sardinestream/backends/server_directory.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 
@@ -48,14 +47,15 @@
 void object_watcher::run()
 {
     while (!this->stopping) {
+        const steady_time called = steady_clock::now();
         absl::StatusOr<object_list> listed = this->store.list(this->kind, this->call_timeout());
         if (!listed.ok()) {
-            this->record_failure(listed.status());
+            this->record_failure(listed.status(), called);
             this->back_off();
             continue;
         }
         this->record_success();
-        this->callbacks.on_list(*listed, this->relist_until);
+        this->callbacks.on_list(*listed, this->outage);
         this->watch_from(listed->position);
     }
 }
@@ -63,6 +63,7 @@
 void object_watcher::watch_from(store_position position)
 {
     while (!this->stopping) {
+        const steady_time called = steady_clock::now();
         absl::StatusOr<change_list> changes = this->store.watch(
             this->kind, position, this->consecutive_failures > 0 ? probe_wait : watch_wait,
             this->call_timeout());
@@ -71,13 +72,13 @@
             return;
         }
         if (!changes.ok()) {
-            this->record_failure(changes.status());
+            this->record_failure(changes.status(), called);
             this->back_off();
             continue;
         }
         this->record_success();
         position = changes->position;
-        this->callbacks.on_changes(*changes, this->relist_until);
+        this->callbacks.on_changes(*changes, this->outage);
         if (!changes->changes.empty()) {
             std::this_thread::sleep_for(batch_interval);
         }
@@ -87,7 +88,7 @@
 void object_watcher::record_success()
 {
     if (this->consecutive_failures > 0) {
-        this->relist_until = steady_clock::now() + relist_grace_period;
+        this->outage.ended = steady_clock::now();
     }
     this->consecutive_failures = 0;
     if (!this->connected.exchange(true)) {
@@ -95,9 +96,18 @@
     }
 }
 
-void object_watcher::record_failure(const absl::Status& error)
+void object_watcher::record_failure(const absl::Status& error, steady_time called)
 {
     ++this->consecutive_failures;
+    if (this->consecutive_failures == 1) {
+        // A store that refuses a call or ends its connection was there until then; one that does
+        // not answer may have been away since the call.
+        const bool was_silent = absl::IsDeadlineExceeded(error);
+        this->outage = {was_silent ? called : steady_clock::now(), {}};
+        if (this->callbacks.on_outage != nullptr) {
+            this->callbacks.on_outage(this->outage);
+        }
+    }
     count("sardine_store_failures_total", {{"kind", this->kind}});
     if (this->connected.exchange(false) || this->consecutive_failures == 1) {
         log_failure("store_lost", error, {{"kind", this->kind}});
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -14,16 +14,18 @@
 #include <string>
 #include <thread>
 
+#include "sardinestream/base/store_outage.h"
 #include "sardinestream/platform/store_client.h"
 
 namespace sardinestream::platform {
 
 struct watcher_callbacks {
-    // The store was unreachable a short time ago if `relist_until` is in the future: until then,
-    // objects that are missing from the store may reappear.
-    std::function<void(const object_list& list, steady_time relist_until)> on_list;
+    // `outage` is the last one.
+    std::function<void(const object_list& list, const store_outage& outage)> on_list;
     // Also called with no changes, after a watch that saw none.
-    std::function<void(const change_list& changes, steady_time relist_until)> on_changes;
+    std::function<void(const change_list& changes, const store_outage& outage)> on_changes;
+    // Called when a call has failed after an answer. May be empty.
+    std::function<void(const store_outage& outage)> on_outage = nullptr;
 };
 
 class object_watcher {
@@ -41,7 +43,8 @@
     void run();
     void watch_from(store_position position);
     void record_success();
-    void record_failure(const absl::Status& error);
+    // `called` is when the failed call was made.
+    void record_failure(const absl::Status& error, steady_time called);
     void back_off();
     [[nodiscard]] std::chrono::milliseconds call_timeout() const;
 
@@ -51,8 +54,8 @@
     std::atomic<bool> stopping = false;
     std::atomic<bool> connected = false;
     int consecutive_failures = 0;
-    // Used only by the watcher's thread; zero before the first failure.
-    steady_time relist_until{};
+    // The last outage. Used only by the watcher's thread.
+    store_outage outage;
     std::thread thread;
 };
 
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <optional>
 
 #include <gtest/gtest.h>
 
@@ -6,6 +7,7 @@
 #include "sardinestream/testing/scripted_server.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 
@@ -99,11 +101,11 @@
         }
     });
     const object_watcher follower(store.local(), "servers",
-                                  {[&](const object_list& list, steady_time) {
+                                  {[&](const object_list& list, const store_outage&) {
                                        EXPECT_EQ(list.position.revision, 5);
                                        objects = static_cast<int>(list.objects.size());
                                    },
-                                   [](const change_list&, steady_time) {}});
+                                   [](const change_list&, const store_outage&) {}});
     EXPECT_TRUE(eventually([&] { return objects == 2; }));
 }
 
@@ -118,8 +120,8 @@
         }
     });
     const object_watcher follower(store.local(), "config",
-                                  {[&](const object_list&, steady_time) { ++lists; },
-                                   [](const change_list&, steady_time) {}});
+                                  {[&](const object_list&, const store_outage&) { ++lists; },
+                                   [](const change_list&, const store_outage&) {}});
     EXPECT_TRUE(eventually([&] { return lists >= 2; }));
 }
 
@@ -127,6 +129,8 @@
 // promptly, not after the end of a long watch that started during the outage.
 TEST(object_watcher, reports_a_change_soon_after_an_outage)
 {
+    // At least the wait of the first watch.
+    constexpr milliseconds silent_time{1750};
     std::atomic<bool> silent = true;
     std::atomic<int> seen = 0;
     scripted_server store([&](scripted_connection& connection) {
@@ -145,9 +149,9 @@
         }
     });
     const object_watcher follower(store.local(), "config",
-                                  {[](const object_list&, steady_time) {},
-                                   [&](const change_list& changes, steady_time relist_until) {
-                                       EXPECT_GT(relist_until, steady_clock::now());
+                                  {[](const object_list&, const store_outage&) {},
+                                   [&](const change_list& changes, const store_outage& outage) {
+                                       EXPECT_GE(outage.ended - outage.begun, silent_time);
                                        seen = static_cast<int>(changes.position.revision);
                                    }});
     // The first watch fails, and then some shorter ones.
@@ -156,6 +160,64 @@
     EXPECT_TRUE(eventually([&] { return seen == 6; }, milliseconds(2500)));
 }
 
+// Guards against a watch that is cut off and passes for an outage in which entries expire: servers
+// that had left were kept for the grace period. The store refuses or ends calls in several ways.
+TEST(object_watcher, a_watch_that_is_cut_off_is_an_outage_of_no_length)
+{
+    constexpr milliseconds time_before_cut{1500};
+    // Two pauses between calls, and what a busy machine adds to them.
+    constexpr milliseconds longest{1000};
+    for (const int refusals : {0, 1}) {
+        for (const char* const refusal : {"", "429", "503"}) {
+            std::atomic<int> watches = 0;
+            absl::Mutex mutex;
+            std::optional<store_outage> seen;
+            scripted_server store([&](scripted_connection& connection) {
+                while (connection.read_request()) {
+                    if (!absl::StrContains(connection.head.target, "watch")) {
+                        connection.write(answer(200, R"({"items":[],"has-more":false,"at":5})"));
+                        continue;
+                    }
+                    const int number = watches++;
+                    if (number == 0) {
+                        (void)connection.wait_for_end(time_before_cut);
+                    }
+                    if (number <= refusals) {
+                        int status = 0;
+                        if (!absl::SimpleAtoi(refusal, &status)) {
+                            return;
+                        }
+                        connection.write(answer(status, ""));
+                        continue;
+                    }
+                    connection.write(answer(200, R"({"events":[],"at":6})"));
+                    std::this_thread::sleep_for(milliseconds(50));
+                }
+            });
+            std::atomic<int> reported = 0;
+            const object_watcher follower(store.local(), "servers",
+                                          {[](const object_list&, const store_outage&) {},
+                                           [&](const change_list&, const store_outage& outage) {
+                                               const absl::MutexLock lock(&mutex);
+                                               seen = seen.value_or(outage);
+                                           },
+                                           [&](const store_outage& outage) {
+                                               EXPECT_EQ(outage.ended, steady_time{});
+                                               ++reported;
+                                           }});
+            EXPECT_TRUE(eventually([&] {
+                const absl::MutexLock lock(&mutex);
+                return seen.has_value();
+            }));
+            const absl::MutexLock lock(&mutex);
+            ASSERT_TRUE(seen.has_value());
+            EXPECT_NE(seen->begun, steady_time{}) << refusal;
+            EXPECT_LT(seen->ended - seen->begun, longest) << refusal;
+            EXPECT_EQ(reported, 1) << refusal;
+        }
+    }
+}
+
 // Guards against a machine that follows an older desired state for seconds because the connection
 // of its watch has gone silent.
 TEST(object_watcher, a_watch_whose_connection_goes_silent_is_replaced_within_three_seconds)
@@ -180,8 +242,8 @@
         }
     });
     const object_watcher follower(store.local(), "config",
-                                  {[](const object_list&, steady_time) {},
-                                   [&](const change_list& changes, steady_time) {
+                                  {[](const object_list&, const store_outage&) {},
+                                   [&](const change_list& changes, const store_outage&) {
                                        seen = static_cast<int>(changes.position.revision);
                                    }});
     ASSERT_TRUE(eventually([&] { return seen == 6; }, milliseconds(8000)));
@@ -212,8 +274,8 @@
         }
     });
     const object_watcher follower(store.local(), "servers",
-                                  {[](const object_list&, steady_time) {},
-                                   [&](const change_list& changes, steady_time) {
+                                  {[](const object_list&, const store_outage&) {},
+                                   [&](const change_list& changes, const store_outage&) {
                                        seen = static_cast<int>(changes.position.revision);
                                    }});
     ASSERT_TRUE(eventually([&] { return seen == last_change; }));
@@ -266,9 +328,9 @@
 // Returns the lists that a watcher has read once the store has been restored and has settled.
 int lists_after_restoring(restorable_store& store, const std::string& era, int revision)
 {
-    const object_watcher follower(
-        store.local(), "servers",
-        {[](const object_list&, steady_time) {}, [](const change_list&, steady_time) {}});
+    const object_watcher follower(store.local(), "servers",
+                                  {[](const object_list&, const store_outage&) {},
+                                   [](const change_list&, const store_outage&) {}});
     EXPECT_TRUE(eventually([&] { return store.lists == 1; }));
     std::this_thread::sleep_for(milliseconds(50));
     store.restore(era, revision);
@@ -338,13 +400,13 @@
             }
         });
         const object_watcher follower(store.local(), "servers",
-                                      {[&](const object_list& list, steady_time) {
+                                      {[&](const object_list& list, const store_outage&) {
                                            for (const stored_object& listed : list.objects) {
                                                seen +=
                                                    listed.name == "a" || listed.name == "b" ? 1 : 0;
                                            }
                                        },
-                                       [](const change_list&, steady_time) {}});
+                                       [](const change_list&, const store_outage&) {}});
         EXPECT_TRUE(eventually([&] { return seen == 2; }, milliseconds(1000)))
             << odd.substr(0, 100);
     }
@@ -370,8 +432,8 @@
             }
         });
         const object_watcher follower(store.local(), "servers",
-                                      {[](const object_list&, steady_time) {},
-                                       [&](const change_list& changes, steady_time) {
+                                      {[](const object_list&, const store_outage&) {},
+                                       [&](const change_list& changes, const store_outage&) {
                                            for (const object_change& change : changes.changes) {
                                                seen += change.object.name == "b" ? 1 : 0;
                                            }
@@ -395,8 +457,8 @@
         }
     });
     const object_watcher follower(store.local(), "config",
-                                  {[&](const object_list&, steady_time) { ++lists; },
-                                   [](const change_list&, steady_time) {}});
+                                  {[&](const object_list&, const store_outage&) { ++lists; },
+                                   [](const change_list&, const store_outage&) {}});
     EXPECT_TRUE(eventually([&] { return lists >= 1; }));
 }
 
--- a/sardinestream/platform/settings.cc
+++ b/sardinestream/platform/settings.cc
@@ -196,8 +196,8 @@
     settings.retry_slack = FLAGS_retry_slack;
     // The store removes an entry after three heartbeats of silence; the fourth is a margin.
     constexpr int heartbeats_per_entry = 4;
-    settings.server_entry_lifetime =
-        std::chrono::milliseconds(FLAGS_heartbeat_ms) * heartbeats_per_entry;
+    settings.server_heartbeat = std::chrono::milliseconds(FLAGS_heartbeat_ms);
+    settings.server_entry_lifetime = settings.server_heartbeat * heartbeats_per_entry;
     constexpr double ms_per_s = 1000.0;
     settings.evacuation_time = std::chrono::milliseconds(evacuation_ms);
     settings.grace = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_grace_s * ms_per_s));
--- a/sardinestream/platform/settings.h
+++ b/sardinestream/platform/settings.h
@@ -45,6 +45,8 @@
     double retry_slack = 0;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{0};
+    // Time between two writes of a server to the store.
+    std::chrono::milliseconds server_heartbeat{0};
     std::chrono::milliseconds grace{8000};
     // A cold server may get its rate times `cold_overage`, plus `cold_slack` requests, in one
     // second; zero if the deployment does not limit cold servers.
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -77,7 +77,7 @@
 entry_program::entry_program(const entry_options& chosen, wire_protocol spoken,
                              desired_state_decoder decoder)
     : options(chosen), protocol(std::move(spoken)), state(std::move(decoder)),
-      directory(chosen.server_entry_lifetime),
+      directory(chosen.server_entry_lifetime, chosen.server_heartbeat),
       servers(dispatcher_options{options.data_centre, 0, options.cold}),
       suspects(
           suspects::suspect_registry::create(shared_server_suspects([this](const digest128& trait) {
@@ -183,7 +183,9 @@
 {
     int ticks = 0;
     while (this->ticking) {
-        std::this_thread::sleep_for(tick_interval);
+        // A server that is gone leaves at the end of its grace period, not a tick later.
+        std::this_thread::sleep_until(
+            std::min(steady_clock::now() + tick_interval, this->directory.next_expiry()));
         if (this->directory.drop_vanished(steady_clock::now())) {
             this->publish_servers();
         }
@@ -267,20 +269,28 @@
     this->gossip->announce();
 }
 
-void entry_program::apply_server_list(const server_list& list, steady_time relist_until)
+void entry_program::note_store_outage(const store_outage& outage)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->last_outage = outage;
+}
+
+void entry_program::apply_server_list(const server_list& list, const store_outage& outage)
 {
     this->servers.note_list_answer();
-    const bool changed = this->directory.apply(list, relist_until, steady_clock::now());
+    this->note_store_outage(outage);
+    const bool changed = this->directory.apply(list, outage, steady_clock::now());
     this->servers_known = true;
     if (changed) {
         this->publish_servers();
     }
 }
 
-void entry_program::apply_server_changes(const server_changes& changes, steady_time relist_until)
+void entry_program::apply_server_changes(const server_changes& changes, const store_outage& outage)
 {
     this->servers.note_list_answer();
-    if (this->directory.apply(changes, relist_until, steady_clock::now())) {
+    this->note_store_outage(outage);
+    if (this->directory.apply(changes, outage, steady_clock::now())) {
         this->publish_servers();
     }
 }
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -55,6 +55,8 @@
     double max_retry_burst = 80;
     // Time within which the store removes the entry of a silent server.
     std::chrono::milliseconds server_entry_lifetime{4800};
+    // Time between two writes of a server to the store.
+    std::chrono::milliseconds server_heartbeat{1200};
     // Requests that a cold server may get in one second from all entries together.
     cold_bound cold{};
     // The store's evacuations are delivered with `apply_evacuation*`.
@@ -76,10 +78,11 @@
     // cannot be read is logged and changes nothing. `source` tells operators where it came from.
     void apply_desired_state(const std::string& text, std::int64_t revision,
                              absl::string_view source);
-    // Apply the store's list of servers, or changes to it. Servers that are no longer listed stay
-    // in use until `relist_until`, in case they are listed again.
-    void apply_server_list(const server_list& list, steady_time relist_until);
-    void apply_server_changes(const server_changes& changes, steady_time relist_until);
+    // Apply the store's list of servers, or changes to it. `outage` is the last one of the store.
+    void apply_server_list(const server_list& list, const store_outage& outage);
+    void apply_server_changes(const server_changes& changes, const store_outage& outage);
+    // Records an outage of the store that lasts.
+    void note_store_outage(const store_outage& outage);
 
     // Apply the store's list of evacuations, or changes to it.
     void apply_evacuation_list(const evacuation_snapshot& list);
@@ -185,6 +188,8 @@
     std::unique_ptr<entry_gossip> gossip;
     absl::Mutex mutex;
     std::optional<peer_with_newer_state> newer_peer ABSL_GUARDED_BY(mutex);
+    // The last outage of the store that lists the servers.
+    store_outage last_outage ABSL_GUARDED_BY(mutex);
     // When state was last fetched for the sake of departed servers alone.
     steady_time departed_fetched ABSL_GUARDED_BY(mutex){};
     // Those that are alive.
--- a/sardinestream/programs/entry_program_peers.cc
+++ b/sardinestream/programs/entry_program_peers.cc
@@ -211,7 +211,12 @@
 void entry_program::merge_servers(const shared_servers& servers)
 {
     const steady_time now = steady_clock::now();
-    const bool changed = this->directory.merge(servers, now + relist_grace_period, now);
+    store_outage outage;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        outage = this->last_outage;
+    }
+    const bool changed = this->directory.merge(servers, outage, now);
     this->servers_known = true;
     if (changed) {
         this->publish_servers();
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -224,6 +224,26 @@
     EXPECT_TRUE(this->uses(2, "stays"));
 }
 
+// Guards against a server that has left and stays in use because the peer that tells of it keeps it
+// itself: that peer had an outage, this entry had none.
+TEST_F(entry_program_test, does_not_keep_a_server_for_the_outage_of_a_peer)
+{
+    const std::unique_ptr<entry_program> kept = this->start(1, {});
+    const std::unique_ptr<entry_program> in_touch = this->start(2, {this->ip(1)});
+    for (entry_program* entry : {kept.get(), in_touch.get()}) {
+        entry->apply_desired_state("3", 9, "store");
+        entry->apply_server_list({{named("leaves"), named("stays")}, {10}}, {});
+    }
+    const steady_time now = steady_clock::now();
+    in_touch->note_store_outage({now - milliseconds(100), now});
+    // The grace period of that peer is longer than the time in which this entry must know.
+    kept->apply_server_changes({{{"leaves", std::nullopt, {11}}}, {11}},
+                               {now - milliseconds(5000), now + shortest_drain});
+    ASSERT_TRUE(this->uses(1, "leaves"));
+    EXPECT_TRUE(this->stops_using(2, "leaves", shortest_drain));
+    EXPECT_TRUE(this->uses(2, "stays"));
+}
+
 // Changes from the store and lists from a peer are applied by different threads, so an older list
 // could be published after a newer one.
 TEST_F(entry_program_test, an_older_list_is_not_in_force_after_a_newer_one)
