An odd entry takes no sound server out of use

What callers saw: 503 for all requests of a service whose servers were all sound and listed (Fault: no request is served), as long as another writer's entries with their addresses, a later start and a service that the desired state does not name stood in the store.

Cause: of all entries with one address the directory kept only that of the latest start, whatever its service and for good. Whatever anybody wrote was proof against another entry.

Change: entries of services that the operator has not declared are not used, take no address and make room for others. A later start is believed only until the earlier entry had to expire, or until a 421 of another server; one that was only ever draining takes no address. A successor keeps its address, so that a dead server is not asked in its place. Why it works: a dead server's entry expires, and a sound one answers or renews its own.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -88,7 +88,9 @@
         }
         this->departed.erase(left);
     }
-    if (this->entries.size() >= max_servers && this->entries.count(listed.server.id) == 0) {
+    const bool is_full =
+        this->entries.size() >= max_servers && this->entries.count(listed.server.id) == 0;
+    if (is_full && !(this->is_declared(listed.server) && this->evict_undeclared())) {
         count("sardine_servers_beyond_limit_total");
         return false;
     }
@@ -105,12 +107,110 @@
         !is_new && listed.position == known.listed.position && known_end != steady_time{};
     newer.server.cold_until =
         is_repeated ? known_end : newer_cold_end(known_end, listed.cold_remaining, now);
-    const bool changed =
-        !(known.listed.server == newer.server) || known.expires_at != steady_time{} || is_new;
-    known = {std::move(newer), {}};
+    const backend_server& before = known.listed.server;
+    const bool changed = !(before == newer.server) || known.expires_at != steady_time{} || is_new;
+    if (before.born_ms != newer.server.born_ms || before.endpoint != newer.server.endpoint) {
+        known.was_ready = false;
+        known.is_replaced = false;
+    }
+    known.was_ready = known.was_ready || !newer.server.draining;
+    known.listed = std::move(newer);
+    known.expires_at = {};
     return changed;
 }
 
+absl::string_view server_directory::name_of(entry_use use)
+{
+    switch (use) {
+    case entry_use::undeclared_service:
+        return "no: service not declared";
+    case entry_use::address_taken:
+        return "no: a later start has its address";
+    default:
+        return "yes";
+    }
+}
+
+bool server_directory::is_declared(const backend_server& server) const
+{
+    return !this->services.has_value() || this->services->count(server.service) > 0;
+}
+
+bool server_directory::evict_undeclared()
+{
+    const auto found =
+        std::find_if(this->entries.begin(), this->entries.end(), [this](const auto& named) {
+            this->mutex.AssertHeld();
+            return !this->is_declared(named.second.listed.server);
+        });
+    if (found == this->entries.end()) {
+        return false;
+    }
+    this->entries.erase(found);
+    return true;
+}
+
+bool server_directory::update_uses(steady_time now)
+{
+    // The latest start that an entry claims for each address.
+    std::map<std::pair<std::string, int>, std::int64_t> latest;
+    for (const auto& [id, known] : this->entries) {
+        const backend_server& server = known.listed.server;
+        if (known.was_ready && !known.is_replaced && this->is_declared(server)) {
+            std::int64_t& born_ms = latest[{server.endpoint.ip, server.endpoint.port}];
+            born_ms = std::max(born_ms, server.born_ms);
+        }
+    }
+    bool changed = false;
+    for (auto& [id, known] : this->entries) {
+        const backend_server& server = known.listed.server;
+        const auto claimed = latest.find({server.endpoint.ip, server.endpoint.port});
+        if (claimed == latest.end() || claimed->second <= server.born_ms) {
+            known.contested_since = {};
+        }
+        else if (known.contested_since == steady_time{}) {
+            known.contested_since = now;
+        }
+        // One that is listed for longer is renewed, so that its server is alive.
+        const bool may_expire =
+            known.contested_since != steady_time{} &&
+            now - std::max(known.contested_since, this->relisted_by) <= this->entry_lifetime;
+        const entry_use use = !this->is_declared(server) ? entry_use::undeclared_service
+                              : may_expire               ? entry_use::address_taken
+                                                         : entry_use::used;
+        if (use != known.use) {
+            known.use = use;
+            changed = true;
+            log_event("server_use", {{"server", id},
+                                     {"service", server.service},
+                                     {"address", server.endpoint.to_string()},
+                                     {"use", name_of(use)}});
+        }
+    }
+    return changed;
+}
+
+bool server_directory::add_services(const std::set<std::string>& declared, steady_time now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->services.has_value()) {
+        this->services.emplace();
+    }
+    this->services->insert(declared.begin(), declared.end());
+    return this->update_uses(now);
+}
+
+bool server_directory::note_replaced(const backend_server& server, steady_time now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->entries.find(server.id);
+    if (found == this->entries.end() || found->second.listed.server.born_ms != server.born_ms) {
+        return false;
+    }
+    found->second.is_replaced = true;
+    return this->update_uses(now);
+}
+
 server_directory::departure server_directory::make_departure(const listed_server& last,
                                                              steady_time since)
 {
@@ -196,6 +296,7 @@
 {
     const absl::MutexLock lock(&this->mutex);
     const steady_time relist_until = this->relist_end(outage, now);
+    this->relisted_by = std::max(this->relisted_by, relist_until);
     const bool is_first = this->known == store_position{};
     bool changed = false;
     if (!is_first && (list.restored || list.position.era != this->known.era)) {
@@ -209,7 +310,8 @@
     }
     this->note_relisted(list, now);
     this->forget_departed(now);
-    return this->readmit_renewed(now) || changed;
+    changed = this->readmit_renewed(now) || changed;
+    return this->update_uses(now) || changed;
 }
 
 bool server_directory::add_complete(const server_list& list, steady_time relist_until,
@@ -246,6 +348,7 @@
 {
     const absl::MutexLock lock(&this->mutex);
     const steady_time relist_until = this->relist_end(outage, now);
+    this->relisted_by = std::max(this->relisted_by, relist_until);
     bool changed = false;
     for (const server_change& change : received.changes) {
         const auto found = this->entries.find(change.id);
@@ -278,7 +381,8 @@
         this->known = received.position;
     }
     this->forget_departed(now);
-    return this->readmit_renewed(now) || changed;
+    changed = this->readmit_renewed(now) || changed;
+    return this->update_uses(now) || changed;
 }
 
 bool server_directory::merge_departed(const departed_server& heard, steady_time now)
@@ -331,16 +435,17 @@
     this->forget_departed(now);
     if (is_newer) {
         const bool is_other_era = !is_first && position.era != this->known.era;
-        return (is_other_era ? this->reconcile(peer.listed, relist_until, now)
-                             : this->add_complete(peer.listed, relist_until, now)) ||
-               changed;
+        changed = (is_other_era ? this->reconcile(peer.listed, relist_until, now)
+                                : this->add_complete(peer.listed, relist_until, now)) ||
+                  changed;
+        return this->update_uses(now) || changed;
     }
     for (const listed_server& listed : peer.listed.servers) {
         const bool is_known =
             this->entries.count(listed.server.id) > 0 || this->departed.count(listed.server.id) > 0;
         changed = (is_known && this->upsert(listed, now)) || changed;
     }
-    return changed;
+    return this->update_uses(now) || changed;
 }
 
 bool server_directory::readmit_renewed(steady_time now)
@@ -352,7 +457,9 @@
             ++it;
             continue;
         }
-        entry renewed = {*left.relisted, {}};
+        entry renewed;
+        renewed.listed = *left.relisted;
+        renewed.was_ready = !renewed.listed.server.draining;
         renewed.listed.position = this->known;
         log_event("server_readmitted", {{"server", it->first}, {"reason", "entry is renewed"}});
         this->entries[it->first] = std::move(renewed);
@@ -388,6 +495,9 @@
         it = this->depart(it, now);
         dropped = true;
     }
+    if (dropped) {
+        static_cast<void>(this->update_uses(now));
+    }
     return dropped;
 }
 
@@ -415,25 +525,18 @@
         it = this->depart(it, now);
         ++dropped;
     }
+    static_cast<void>(this->update_uses(now));
     return dropped;
 }
 
 std::vector<backend_server> server_directory::usable() const
 {
     const absl::MutexLock lock(&this->mutex);
-    // Start time of the newest server at each address.
-    std::map<std::pair<std::string, int>, std::int64_t> newest;
-    for (const auto& [id, known] : this->entries) {
-        const backend_server& server = known.listed.server;
-        std::int64_t& born_ms = newest[{server.endpoint.ip, server.endpoint.port}];
-        born_ms = std::max(born_ms, server.born_ms);
-    }
     std::vector<backend_server> all;
     all.reserve(this->entries.size());
     for (const auto& [id, known] : this->entries) {
-        const backend_server& server = known.listed.server;
-        if (server.born_ms == newest[{server.endpoint.ip, server.endpoint.port}]) {
-            all.push_back(server);
+        if (known.use == entry_use::used) {
+            all.push_back(known.listed.server);
         }
     }
     return all;
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -15,6 +15,11 @@
 // A server that vanished from the list after an outage of the store may only have been unable to
 // renew its entry. It stays in use for a grace period, in which a live server is listed again. An
 // outage that is too short to let an entry expire excuses nothing: what vanished has left.
+//
+// Anybody may write entries, so that one proves nothing against another. An entry of a service that
+// the operator does not declare is kept and not used. Of several entries with one address, that of
+// the latest start is believed: the others belong to servers that have ended, and expire. It is
+// believed only as long as the others may not have expired yet, and no other server answers there.
 // Thread-safe.
 
 #ifndef SARDINESTREAM_BACKENDS_SERVER_DIRECTORY_H_
@@ -24,6 +29,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +39,7 @@
 #include "sardinestream/http/socket.h"
 
 #include "absl/base/thread_annotations.h"
+#include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 
 namespace sardinestream {
@@ -121,9 +128,14 @@
     // could have expired. Returns the number of dropped servers.
     std::size_t drop_all_vanished(steady_time now);
 
-    // Returns the servers that may be used. Of several servers at one address, that is only the one
-    // that started last: the others have ended, though the store lists them until their entries
-    // expire.
+    // Adds services that the operator declares; until the first call, all services count as
+    // declared. Returns whether the servers in use may have changed.
+    bool add_services(const std::set<std::string>& declared, steady_time now);
+    // Records that another server has answered in place of this one, at its address. Returns
+    // whether the servers in use may have changed.
+    bool note_replaced(const backend_server& server, steady_time now);
+
+    // Returns the servers that may be used.
     [[nodiscard]] std::vector<backend_server> usable() const;
     // Returns what to tell other entries. Vanished servers are left out, because the receivers
     // would take them for servers that the store still lists.
@@ -137,10 +149,22 @@
     [[nodiscard]] store_position position() const;
 
 private:
+    enum class entry_use : std::uint8_t { used, undeclared_service, address_taken };
+    [[nodiscard]] static absl::string_view name_of(entry_use use);
+
     struct entry {
         listed_server listed;
         // End of the grace period of a vanished server; zero if the server is listed.
         steady_time expires_at{};
+        // As of the last call of `update_uses`.
+        entry_use use = entry_use::used;
+        // This start of the server was listed as ready. One that was only ever listed as draining
+        // takes no address from others.
+        bool was_ready = false;
+        // Another server has answered at its address since this start.
+        bool is_replaced = false;
+        // Since when entries of later starts have its address; zero if none has.
+        steady_time contested_since{};
     };
     struct departure {
         // Its last known entry, with the position of its removal.
@@ -168,6 +192,12 @@
     // Inserts or updates an entry unless a newer fact is known. Returns whether the server's use
     // may have changed.
     bool upsert(const listed_server& listed, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    [[nodiscard]] bool is_declared(const backend_server& server) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Removes an entry of a service that is not declared. Returns whether there was one.
+    bool evict_undeclared() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Decides which entries are used. Returns whether that has changed.
+    bool update_uses(steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Marks the servers that a complete list lacks as vanished.
     bool remove_absent(const server_list& list, steady_time relist_until, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -197,6 +227,11 @@
     std::map<std::string, entry> entries ABSL_GUARDED_BY(mutex);
     std::map<std::string, departure> departed ABSL_GUARDED_BY(mutex);
     store_position known ABSL_GUARDED_BY(mutex);
+    // Entries that expired in the last outage are listed again by then; zero if there was none.
+    steady_time relisted_by ABSL_GUARDED_BY(mutex){};
+    // What the operator declares or has declared: requests of an earlier desired state may still
+    // wait for a server. Unset before the first desired state.
+    std::optional<std::set<std::string>> services ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream
--- a/sardinestream/forwarding/exchange.h
+++ b/sardinestream/forwarding/exchange.h
@@ -60,6 +60,8 @@
     answer_times& answer_durations;
     // Called when a server begins, changes or ends a limit of its rate.
     std::function<void()> on_limit_change;
+    // Called when another server has answered at the address of this one.
+    std::function<void(const backend_server&)> on_replaced;
     answer_estimator& answer_sizes;
 };
 
--- a/sardinestream/forwarding/exchange_relay.cc
+++ b/sardinestream/forwarding/exchange_relay.cc
@@ -25,6 +25,9 @@
         reusable = reusable && this->skip_refusal(connection);
         connection.refused_ids.push_back(this->admitted.request.id);
         record.result = this->result_of_refusal(record.placed.server, marks);
+        if (record.result == attempt_result::replaced) {
+            this->services.on_replaced(record.placed.server);
+        }
         return this->handle_failure(attempt_state::refused_by_server,
                                     make_error(absl::StatusCode::kResourceExhausted, "answer",
                                                record.placed.server.id,
--- a/sardinestream/forwarding/frontend_fixture.h
+++ b/sardinestream/forwarding/frontend_fixture.h
@@ -146,6 +146,7 @@
                                      this->in_progress,
                                      this->answer_durations,
                                      [] {},
+                                     [this](const backend_server&) { ++this->replaced; },
                                      this->answer_sizes};
         frontend_options hooks;
         hooks.current_state = [this] { return this->state; };
@@ -241,6 +242,8 @@
     answer_estimator answer_sizes;
     std::shared_ptr<const desired_state> state = make_state();
     std::atomic<int> budget = 100;
+    // Number of answers of other servers than the one meant.
+    std::atomic<int> replaced = 0;
     std::atomic<bool> stopping = false;
     std::atomic<steady_time> ends_at = steady_time::max();
     std::atomic<steady_time> deregistered_at = steady_time::max();
--- a/sardinestream/forwarding/misdirected_test.cc
+++ b/sardinestream/forwarding/misdirected_test.cc
@@ -77,12 +77,14 @@
         EXPECT_EQ(this->ask(absl::StrCat("p", i), "Version: 2\r\n").body, "newer");
     }
     EXPECT_GT(this->misdirected, 0);
+    EXPECT_EQ(this->replaced, 0);
 }
 
 TEST_F(misdirected_test, an_address_that_another_server_has_is_not_used_again)
 {
     for (const std::string& headers : {std::string("Instance: other\r\n"), std::string()}) {
         this->misdirected = 0;
+        this->replaced = 0;
         scripted_server gone(this->misdirecting(headers, true));
         scripted_server stays(this->misdirecting(""));
         this->servers.set_servers({});
@@ -91,6 +93,8 @@
             EXPECT_EQ(this->ask(absl::StrCat("r", i)).body, "served");
         }
         EXPECT_LE(this->misdirected, 1) << headers;
+        // Whoever knows the servers is told of each.
+        EXPECT_EQ(this->replaced, this->misdirected) << headers;
         this->stop();
         this->stopping = false;
         this->open();
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/programs/entry_program.h"
 
 #include <map>
+#include <set>
 #include <utility>
 
 #include "sardinestream/base/error.h"
@@ -56,6 +57,21 @@
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
+// Returns the services that the operator declares or sends requests to.
+std::set<std::string> services_of(const desired_state& state)
+{
+    std::set<std::string> names;
+    for (const auto& [name, declared] : state.services) {
+        names.insert(name);
+    }
+    for (const route& each : state.routes) {
+        for (const weighted_service& target : each.services) {
+            names.insert(target.service);
+        }
+    }
+    return names;
+}
+
 routing::retry_budget_options budget_options(const entry_options& options)
 {
     return {options.retries_per_request * usable_budget_share,
@@ -134,6 +150,11 @@
         this->in_progress,
         this->answer_durations,
         [this] { this->gossip->announce(); },
+        [this](const backend_server& server) {
+            if (this->directory.note_replaced(server, steady_clock::now())) {
+                this->publish_servers();
+            }
+        },
         this->answer_sizes};
     frontend_options front_options;
     front_options.current_state = [this] { return this->state.get(); };
@@ -262,9 +283,15 @@
     if (!this->state.offer(text, revision, source)) {
         return;
     }
+    bool changed = false;
     {
         const absl::MutexLock lock(&this->policy_mutex);
-        this->servers.set_policies(policies_of(*this->state.get()));
+        const std::shared_ptr<const desired_state> newest = this->state.get();
+        this->servers.set_policies(policies_of(*newest));
+        changed = this->directory.add_services(services_of(*newest), steady_clock::now());
+    }
+    if (changed) {
+        this->publish_servers();
     }
     this->gossip->announce();
 }
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -21,6 +21,7 @@
     if (!absl::SimpleAtoi(text, &state->version)) {
         return absl::InvalidArgumentError("no version");
     }
+    state->services["orders"].name = "orders";
     return state;
 }
 
@@ -244,6 +245,27 @@
     EXPECT_TRUE(this->uses(2, "stays"));
 }
 
+// Guards against another writer's entries that take sound servers out of use, at the entry that
+// reads the store and at one that hears of them from it.
+TEST_F(entry_program_test, entries_of_an_undeclared_service_hide_no_server)
+{
+    const std::unique_ptr<entry_program> connected = this->start(1, {});
+    const std::unique_ptr<entry_program> rejected = this->start(2, {this->ip(1)});
+    listed_server sound = named("sound");
+    sound.server.born_ms = 1000;
+    listed_server odd = sound;
+    odd.server.id = "odd";
+    odd.server.born_ms = 2000;
+    odd.server.service = "uptime-watch";
+    connected->apply_server_list({{sound, odd}, {10}}, {});
+    connected->apply_desired_state("3", 9, "store");
+    EXPECT_TRUE(this->becomes_ready(2));
+    for (const int machine : {1, 2}) {
+        EXPECT_TRUE(this->shows(machine, "\"sound\"")) << machine;
+        EXPECT_FALSE(this->uses(machine, "odd")) << machine;
+    }
+}
+
 // Changes from the store and lists from a peer are applied by different threads, so an older list
 // could be published after a newer one.
 TEST_F(entry_program_test, an_older_list_is_not_in_force_after_a_newer_one)
