A short outage does not end the grace period of a long one

Cause: found on reading. The watcher tells the last outage only, so that a failed call soon after an outage, in which entries had expired, took its place, and servers that had only been unable to renew their entries were dropped at once.

Change: the directory keeps until when entries that have expired are listed again, and a short outage leaves that as it is. This also makes a parameter of three functions needless.

Measured: server_directory_test.a_short_outage_does_not_end_the_grace_period_ of_a_long_one, written with the change; 48 of 48 of the directory's tests.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -71,12 +71,12 @@
 {
 }
 
-steady_time server_directory::relist_end(const store_outage& outage, steady_time now) const
+void server_directory::note_outage(const store_outage& outage, steady_time now)
 {
     const steady_time end = outage.end(now);
-    const bool may_expire =
-        outage.begun != steady_time{} && end - outage.begun >= this->shortest_expiring_outage;
-    return may_expire ? end + relist_grace_period : steady_time{};
+    if (outage.begun != steady_time{} && end - outage.begun >= this->shortest_expiring_outage) {
+        this->relisted_by = std::max(this->relisted_by, end + relist_grace_period);
+    }
 }
 
 bool server_directory::upsert(const listed_server& listed, steady_time now)
@@ -265,7 +265,7 @@
     return changed;
 }
 
-bool server_directory::reconcile(const server_list& list, steady_time relist_until, steady_time now)
+bool server_directory::reconcile(const server_list& list, steady_time now)
 {
     log_event("servers_reconciled", {{"era", list.position.era},
                                      {"revision", list.position.revision},
@@ -288,25 +288,24 @@
     }
     this->known = list.position;
     // What was written since the copy is gone, until the servers write it again.
-    const steady_time rewritten = std::max(relist_until, now + relist_grace_period);
+    const steady_time rewritten = std::max(this->relisted_by, now + relist_grace_period);
     return this->remove_absent(list, rewritten, now) || changed;
 }
 
 bool server_directory::apply(const server_list& list, const store_outage& outage, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    const steady_time relist_until = this->relist_end(outage, now);
-    this->relisted_by = std::max(this->relisted_by, relist_until);
+    this->note_outage(outage, now);
     const bool is_first = this->known == store_position{};
     bool changed = false;
     if (!is_first && (list.restored || list.position.era != this->known.era)) {
-        changed = this->reconcile(list, relist_until, now);
+        changed = this->reconcile(list, now);
     }
     else if (list.position < this->known) {
         return false;
     }
     else {
-        changed = this->add_complete(list, relist_until, now);
+        changed = this->add_complete(list, now);
     }
     this->note_relisted(list, now);
     this->forget_departed(now);
@@ -314,15 +313,14 @@
     return this->update_uses(now) || changed;
 }
 
-bool server_directory::add_complete(const server_list& list, steady_time relist_until,
-                                    steady_time now)
+bool server_directory::add_complete(const server_list& list, steady_time now)
 {
     this->known = list.position;
     bool changed = false;
     for (const listed_server& listed : list.servers) {
         changed = this->upsert(listed, now) || changed;
     }
-    return this->remove_absent(list, relist_until, now) || changed;
+    return this->remove_absent(list, this->relisted_by, now) || changed;
 }
 
 void server_directory::note_relisted(const server_list& list, steady_time now)
@@ -347,8 +345,7 @@
                              steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    const steady_time relist_until = this->relist_end(outage, now);
-    this->relisted_by = std::max(this->relisted_by, relist_until);
+    this->note_outage(outage, now);
     bool changed = false;
     for (const server_change& change : received.changes) {
         const auto found = this->entries.find(change.id);
@@ -374,7 +371,7 @@
         removed.position = change.position;
         const listed_server& known_entry = found->second.listed;
         if (supersedes(removed, presence::departed, known_entry, presence_of(known_entry))) {
-            this->vanish(found, change.position, relist_until, now, changed);
+            this->vanish(found, change.position, this->relisted_by, now, changed);
         }
     }
     if (!received.changes.empty() && continues(this->known, received.position)) {
@@ -422,7 +419,7 @@
                              steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    const steady_time relist_until = this->relist_end(outage, now);
+    this->note_outage(outage, now);
     const store_position position = peer.listed.position;
     const bool is_first = this->known == store_position{};
     const bool is_newer = position > this->known;
@@ -435,8 +432,8 @@
     this->forget_departed(now);
     if (is_newer) {
         const bool is_other_era = !is_first && position.era != this->known.era;
-        changed = (is_other_era ? this->reconcile(peer.listed, relist_until, now)
-                                : this->add_complete(peer.listed, relist_until, now)) ||
+        changed = (is_other_era ? this->reconcile(peer.listed, now)
+                                : this->add_complete(peer.listed, now)) ||
                   changed;
         return this->update_uses(now) || changed;
     }
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -181,13 +181,14 @@
 
     using entry_iterator = std::map<std::string, entry>::iterator;
 
-    // Returns until when servers that vanish may be listed again.
-    [[nodiscard]] steady_time relist_end(const store_outage& outage, steady_time now) const;
-    // Reconciles what is known with the first list of another history of the store.
-    bool reconcile(const server_list& list, steady_time relist_until, steady_time now)
+    // Notes an outage of the store if entries may have expired in it. A short one does not end the
+    // grace period of a longer one before it.
+    void note_outage(const store_outage& outage, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Reconciles what is known with the first list of another history of the store.
+    bool reconcile(const server_list& list, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Adds a complete list of the known era.
-    bool add_complete(const server_list& list, steady_time relist_until, steady_time now)
+    bool add_complete(const server_list& list, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Inserts or updates an entry unless a newer fact is known. Returns whether the server's use
     // may have changed.
@@ -227,7 +228,7 @@
     std::map<std::string, entry> entries ABSL_GUARDED_BY(mutex);
     std::map<std::string, departure> departed ABSL_GUARDED_BY(mutex);
     store_position known ABSL_GUARDED_BY(mutex);
-    // Entries that expired in the last outage are listed again by then; zero if there was none.
+    // Entries that have expired in an outage are listed again by then; zero if there was none.
     steady_time relisted_by ABSL_GUARDED_BY(mutex){};
     // What the operator declares or has declared: requests of an earlier desired state may still
     // wait for a server. Unset before the first desired state.
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -425,6 +425,18 @@
     }
 }
 
+// Guards against a failed call soon after an outage that ends its grace period.
+TEST_F(server_directory_test, a_short_outage_does_not_end_the_grace_period_of_a_long_one)
+{
+    this->list({named("a"), named("b")}, 1);
+    this->directory.apply(server_changes{{}, {1}}, this->outage(true), this->start);
+    const steady_time later = this->start + milliseconds(600);
+    const server_changes removal = {{{"a", std::nullopt, {2}}}, {2}};
+    EXPECT_FALSE(this->directory.apply(removal, {later - milliseconds(100), later}, later));
+    EXPECT_EQ(this->directory.usable().size(), 2U);
+    EXPECT_EQ(this->directory.next_expiry(), this->start + relist_grace_period);
+}
+
 // An entry without the store keeps the servers that a newer list of another entry lacks: they may
 // only have been unable to renew their entries.
 TEST_F(server_directory_test, an_outage_that_lasts_keeps_what_another_entry_no_longer_lists)
