A sound topic is not refused for minutes beside the cause of crashes

What callers saw: 503 "suspected of crashing servers" for two minutes on every request with a topic that never crashed a server.

Cause: parts of prompts that were lost in the same three crashes are all blamed, since all explain them, and what is refused completes nothing that could clear it.

Combinations that explain the same crashes are undecided now. 3 s after the last crash their requests are tried one at a time, by one entry first. What completes is sound; what crashes its server explains the crashes of the others. At most one more crash decides.

--- a/sardinestream/forwarding/crash_guard.cc
+++ b/sardinestream/forwarding/crash_guard.cc
@@ -105,8 +105,10 @@
     }
     // Longer than any refusal, so that a cause that is tried once in a while stays known.
     options.suspicion_period = absl::Minutes(30);
-    options.refusal = {
-        .unproven = absl::Minutes(2), .proven = absl::Seconds(30), .longest = absl::Minutes(10)};
+    options.refusal = {.unproven = absl::Minutes(2),
+                       .proven = absl::Seconds(30),
+                       .undecided = absl::Seconds(3),
+                       .longest = absl::Minutes(10)};
     options.blame.unproven = {.crashes = 3, .moments = 2, .crashes_at_once = 5};
     options.blame.proven = {.crashes = 5, .moments = 2};
     // A steady clock: the time of day may jump.
--- a/sardinestream/forwarding/crash_guard_test.cc
+++ b/sardinestream/forwarding/crash_guard_test.cc
@@ -98,5 +98,29 @@
     EXPECT_EQ(this->changes, 4);
 }
 
+// Guards against a sound topic that is refused for minutes because it was lost beside a request
+// that crashes servers, three times running.
+TEST_F(crash_guard_test, a_topic_lost_beside_the_cause_in_every_crash_is_tried_within_seconds)
+{
+    const auto make_chat = [](const std::string& topic, const std::string& body) {
+        caller_request chat = make_request(body);
+        chat.prompt_parts = {topic};
+        return chat;
+    };
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        const std::string body = absl::StrCat("body", crashes);
+        this->lose(make_chat("bad", body));
+        --this->servers;
+        this->lose(make_chat("sound", body));
+    }
+    EXPECT_FALSE(this->check(make_chat("bad", "new")).ok());
+    EXPECT_FALSE(this->check(make_chat("sound", "new")).ok());
+    this->now += absl::Seconds(5);
+    ASSERT_TRUE(this->check(make_chat("sound", "new")).ok());
+    this->guard.note_sound(make_chat("sound", "new"), service);
+    EXPECT_TRUE(this->check(make_chat("sound", "another")).ok());
+    EXPECT_FALSE(this->check(make_chat("bad", "new")).ok());
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -223,10 +223,12 @@
 
 void entry_program::log_changed_suspects()
 {
-    const std::size_t refused = this->suspects->blamed();
-    if (refused != this->logged_suspects) {
-        this->logged_suspects = refused;
-        log_event("crash_suspects", {{"refused", refused}, {"crashes", this->suspects->size()}});
+    const suspects::refused_combinations refused = this->suspects->blamed();
+    if (refused.all != this->logged_suspects) {
+        this->logged_suspects = refused.all;
+        log_event("crash_suspects", {{"refused", refused.all},
+                                     {"undecided", refused.undecided},
+                                     {"crashes", this->suspects->size()}});
     }
 }
 
--- a/sardinestream/programs/entry_program_status.cc
+++ b/sardinestream/programs/entry_program_status.cc
@@ -25,7 +25,7 @@
               static_cast<double>(this->directory.position().revision));
     set_gauge("sardine_evacuated_data_centres", {},
               static_cast<double>(this->evacuations.in_force().size()));
-    set_gauge("sardine_crash_suspects", {}, static_cast<double>(this->suspects->blamed()));
+    set_gauge("sardine_crash_suspects", {}, static_cast<double>(this->suspects->blamed().all));
     set_gauge("sardine_entries", {{"seen", "alive"}}, this->entries_alive);
     set_gauge("sardine_entries", {{"seen", "lately"}}, this->entries_known);
     std::vector<std::pair<metric_labels, double>> tokens;
@@ -126,7 +126,7 @@
                              {"evacuations_era", this->evacuations.position().era},
                              {"entries_alive", this->entries_alive.load()},
                              {"entries_known", this->entries_known.load()},
-                             {"crash_suspects", this->suspects->blamed()},
+                             {"crash_suspects", this->suspects->blamed().all},
                              {"crashes", this->suspects->size()},
                              {"retry_tokens", this->retries.left()},
                              {"waiting", this->servers.waiting()},
--- a/sardinestream/suspects/blame.cc
+++ b/sardinestream/suspects/blame.cc
@@ -205,8 +205,10 @@
         for (const std::size_t position : most.crashes) {
             times.push_back(crashes[position].at);
         }
-        for (request_traits& combination : blamed_combinations(crashes, traits, most)) {
-            blamed.push_back({std::move(combination), times, most.proven});
+        const std::vector<request_traits> combinations = blamed_combinations(crashes, traits, most);
+        for (const request_traits& combination : combinations) {
+            blamed.push_back(
+                {combination, times, most.proven, combinations.size() > 1, combinations.front()});
         }
         remove_explained(traits, most.crashes);
     }
@@ -222,7 +224,7 @@
         }
         end = crash + refusal;
     }
-    return end;
+    return blamed.undecided ? std::min(end, blamed.crashes.back() + options.undecided) : end;
 }
 
 } // namespace sardinestream::suspects
--- a/sardinestream/suspects/blame.h
+++ b/sardinestream/suspects/blame.h
@@ -5,7 +5,9 @@
 // such as a part of its prompt, or the whole request. A trait is blamed if it was involved in
 // enough crashes that no other blamed trait explains, without a request that had it completing
 // since. Traits whose crashes are exactly the same cannot be distinguished; then only requests that
-// have the same combination of them are blamed.
+// have the same combination of them are blamed. Where several requests were lost in each of the
+// same crashes, all their combinations are blamed, though at most a few of them can be the cause:
+// those are undecided, and soon tried one at a time.
 
 #ifndef SARDINESTREAM_SUSPECTS_BLAME_H_
 #define SARDINESTREAM_SUSPECTS_BLAME_H_
@@ -58,6 +60,11 @@
     // The crashes that they explain, in order of time; at least one.
     std::vector<absl::Time> crashes;
     bool proven = false;
+    // Whether other combinations explain the same crashes equally well.
+    bool undecided = false;
+    // The combination that stands for all that explain these crashes, the same for each of them:
+    // one request of theirs is tried at a time. Equal to `traits` unless undecided.
+    request_traits tried_as{};
 };
 
 // Returns the blamed combinations for crashes that are listed in order of time. `was_proven` tells
@@ -74,6 +81,9 @@
     // How long blamed requests are refused after their last crash.
     absl::Duration unproven = absl::Minutes(10);
     absl::Duration proven = absl::Minutes(10);
+    // The same for undecided combinations, if that is shorter. Not doubled: a trial that crashes
+    // its server decides.
+    absl::Duration undecided = absl::InfiniteDuration();
     // Each crash after such a time doubles the next one, up to this.
     absl::Duration longest = absl::Minutes(10);
 };
--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -173,6 +173,43 @@
                 testing::UnorderedElementsAre(request({"bad"}), request({"worse"})));
 }
 
+// Guards against a sound part that is refused as long as the bad one beside which it was lost.
+TEST(blame, combinations_that_explain_the_same_crashes_are_undecided_and_tried_as_one)
+{
+    std::vector<crash_evidence> crashes;
+    for (int i = 0; i < 2 * many_crashes; ++i) {
+        crashes.push_back({at_second(i), {request({"bad"})}});
+        if (i < many_crashes) {
+            crashes.push_back({at_second(i), {request({"one"}), request({"other"})}});
+        }
+    }
+    const std::vector<blamed_traits> blamed = find_blame(
+        crashes, [](const digest128&) { return false; }, shared_server_options());
+    ASSERT_EQ(blamed.size(), 3U);
+    EXPECT_EQ(blamed[0].traits, request({"bad"}));
+    EXPECT_FALSE(blamed[0].undecided);
+    EXPECT_EQ(blamed[0].tried_as, blamed[0].traits);
+    EXPECT_TRUE(blamed[1].undecided);
+    EXPECT_TRUE(blamed[2].undecided);
+    EXPECT_EQ(blamed[1].tried_as, blamed[2].tried_as);
+    EXPECT_NE(blamed[1].tried_as, blamed[0].tried_as);
+}
+
+TEST(blame, an_undecided_refusal_ends_at_a_time_after_the_last_crash_that_no_crash_doubles)
+{
+    const refusal_options options = {.unproven = absl::Seconds(10),
+                                     .proven = absl::Seconds(2),
+                                     .undecided = absl::Seconds(3),
+                                     .longest = absl::Seconds(30)};
+    blamed_traits blamed = {request({"one"}), {at_second(0), at_second(20), at_second(40)}};
+    EXPECT_EQ(refused_until(blamed, options), at_second(70));
+    blamed.undecided = true;
+    EXPECT_EQ(refused_until(blamed, options), at_second(43));
+    blamed.crashes = {at_second(0)};
+    blamed.proven = true;
+    EXPECT_EQ(refused_until(blamed, options), at_second(2));
+}
+
 TEST(blame, a_refusal_is_longer_after_each_crash_that_follows_one)
 {
     const refusal_options options = {
--- a/sardinestream/suspects/request_trials.h
+++ b/sardinestream/suspects/request_trials.h
@@ -1,5 +1,5 @@
-// Hands out the right to try a request that was refused for crashing servers: to one request of a
-// combination of traits at a time.
+// Hands out the right to try a request that was refused for crashing servers: to one request at a
+// time of a combination of traits, or of all combinations that explain the same crashes.
 //
 // The current time is passed in. Not thread-safe.
 
@@ -26,8 +26,8 @@
     // A trial without a result ends after this time.
     static constexpr absl::Duration trial_timeout = absl::Seconds(10);
 
-    // Decides whether a request that has these blamed traits may try now. One that may keeps this
-    // right until its trial ends.
+    // Decides whether a request that is tried under this combination (`blamed_traits::tried_as`)
+    // may try now. One that may keeps this right until its trial ends.
     [[nodiscard]] trial_decision decide(const request_traits& combination,
                                         const request_traits& request, absl::Time now)
     {
@@ -40,6 +40,13 @@
         return {absl::ZeroDuration(), is_new};
     }
 
+    // Ends the trials of a request that has completed.
+    void end_trials_of(const request_traits& request)
+    {
+        std::erase_if(this->trials,
+                      [&](const auto& entry) { return entry.second.request == request; });
+    }
+
 private:
     struct trial {
         request_traits request;
--- a/sardinestream/suspects/shared_suspects_test.cc
+++ b/sardinestream/suspects/shared_suspects_test.cc
@@ -17,6 +17,7 @@
         suspect_registry::create({.suspicion_period = absl::Minutes(30),
                                   .refusal = {.unproven = absl::Minutes(2),
                                               .proven = absl::Seconds(30),
+                                              .undecided = absl::Seconds(3),
                                               .longest = absl::Minutes(10)},
                                   .trial_position = [this](const digest128&) { return position; },
                                   .max_crashes = 20,
@@ -38,6 +39,18 @@
         }
     }
 
+    // Requests with each of the parts are lost in every crash.
+    void crash_until_undecided(const std::vector<std::string>& parts)
+    {
+        std::vector<request_traits> lost;
+        for (const std::string& part : parts) {
+            lost.push_back(request({part}));
+        }
+        for (std::uint64_t server = 0; server < many_crashes; ++server) {
+            this->crash(server, lost);
+        }
+    }
+
     [[nodiscard]] bool refuses(const request_traits& asked) const
     {
         return this->registry->assess(asked).verdict == suspect_verdict::refuse;
@@ -174,6 +187,62 @@
     EXPECT_TRUE(second.refuses(request({"bad"})));
 }
 
+// Guards against sound requests that are refused for minutes because requests like them were lost
+// beside the cause in every crash.
+TEST(shared_suspects, a_part_that_was_beside_the_cause_in_every_crash_is_soon_served_again)
+{
+    entry_registry entry;
+    entry.crash_until_undecided({"bad", "sound"});
+    EXPECT_TRUE(entry.refuses(request({"sound", "one"})));
+    *entry.now += absl::Seconds(3);
+    ASSERT_TRUE(entry.registry->assess(request({"sound", "one"})).begins_trial);
+    entry.registry->record_completion(request({"sound", "one"}));
+    EXPECT_FALSE(entry.refuses(request({"sound", "other"})));
+    EXPECT_TRUE(entry.refuses(request({"bad"})));
+    *entry.now += absl::Minutes(1);
+    EXPECT_TRUE(entry.refuses(request({"bad"})));
+}
+
+TEST(shared_suspects, a_trial_of_the_cause_frees_what_was_beside_it)
+{
+    entry_registry entry;
+    entry.crash_until_undecided({"bad", "sound", "also sound"});
+    *entry.now += absl::Seconds(3);
+    ASSERT_FALSE(entry.refuses(request({"bad", "one"})));
+    EXPECT_TRUE(entry.refuses(request({"sound"})));
+    entry.crash(100, {request({"bad", "one"})});
+    EXPECT_FALSE(entry.refuses(request({"sound"})));
+    EXPECT_FALSE(entry.refuses(request({"also sound"})));
+    *entry.now += absl::Minutes(2) - absl::Seconds(1);
+    EXPECT_TRUE(entry.refuses(request({"bad", "other"})));
+}
+
+TEST(shared_suspects, undecided_parts_are_tried_one_after_the_other_as_soon_as_one_has_completed)
+{
+    entry_registry entry;
+    const std::vector<std::string> sound = {"a", "b", "c", "d"};
+    entry.crash_until_undecided({"a", "b", "c", "d", "bad"});
+    *entry.now += absl::Seconds(3);
+    for (const std::string& part : sound) {
+        ASSERT_FALSE(entry.refuses(request({part, "own"}))) << part;
+        EXPECT_TRUE(entry.refuses(request({"bad"})));
+        entry.registry->record_completion(request({part, "own"}));
+    }
+    *entry.now += absl::Minutes(1);
+    EXPECT_TRUE(entry.refuses(request({"bad"})));
+}
+
+TEST(shared_suspects, an_entry_tries_undecided_parts_only_after_a_whole_trial_of_another_one)
+{
+    entry_registry second;
+    second.position = 1;
+    second.crash_until_undecided({"bad", "sound"});
+    *second.now += absl::Seconds(3) + request_trials::trial_timeout - absl::Seconds(1);
+    EXPECT_TRUE(second.refuses(request({"sound"})));
+    *second.now += absl::Seconds(1);
+    EXPECT_FALSE(second.refuses(request({"sound"})));
+}
+
 TEST(shared_suspects, entries_that_lost_more_requests_than_they_keep_come_to_know_the_same)
 {
     entry_registry one;
--- a/sardinestream/suspects/suspect_registry.cc
+++ b/sardinestream/suspects/suspect_registry.cc
@@ -111,6 +111,7 @@
     for (const digest128& trait : request) {
         this->completed.note(trait, now);
     }
+    this->trials.end_trials_of(request);
     this->update_verdicts();
     if (!this->is_suspected(request)) {
         return false;
@@ -143,7 +144,7 @@
         if (remaining > absl::ZeroDuration()) {
             return {suspect_verdict::refuse, remaining};
         }
-        const trial_decision trial = this->trials.decide(blamed.traits, request, now);
+        const trial_decision trial = this->trials.decide(blamed.tried_as, request, now);
         if (trial.wait > absl::ZeroDuration()) {
             return {suspect_verdict::refuse, trial.wait};
         }
@@ -157,8 +158,12 @@
 
 absl::Time suspect_registry::trial_time(const blamed_traits& blamed) const
 {
+    // Two undecided requests that are tried at once may be lost in the same crash again.
+    const absl::Duration stagger =
+        blamed.undecided ? std::max(this->options.trial_stagger, request_trials::trial_timeout)
+                         : this->options.trial_stagger;
     return refused_until(blamed, this->options.refusal) +
-           this->options.trial_position(blamed.traits.front()) * this->options.trial_stagger;
+           this->options.trial_position(blamed.tried_as.front()) * stagger;
 }
 
 bool suspect_registry::is_suspected(const request_traits& request) const
@@ -422,13 +427,17 @@
     return this->crashes.size();
 }
 
-std::size_t suspect_registry::blamed() const
+refused_combinations suspect_registry::blamed() const
 {
     const absl::MutexLock lock(&this->mutex);
     this->update_verdicts();
-    std::size_t refused = 0;
+    refused_combinations refused;
     for (const blamed_traits& blamed : this->blame) {
-        refused += refused_until(blamed, this->options.refusal) > this->options.now() ? 1 : 0;
+        if (refused_until(blamed, this->options.refusal) <= this->options.now()) {
+            continue;
+        }
+        ++refused.all;
+        refused.undecided += blamed.undecided ? 1 : 0;
     }
     return refused;
 }
--- a/sardinestream/suspects/suspect_registry.h
+++ b/sardinestream/suspects/suspect_registry.h
@@ -4,7 +4,8 @@
 // `blame.h`, which decides whom to blame). A request that completes clears its traits of all
 // earlier crashes. A suspected request should run alone on a server; a blamed one is refused for a
 // limited time, after which a single request tries whether it still crashes its server: if it does,
-// the next refusal is longer.
+// the next refusal is longer. What is undecided (see `blame.h`) is tried sooner, since most of it
+// is sound: the first one that crashes its server decides for all.
 //
 //     registry->record_crash(crash, lost_requests);
 //     registry->record_completion(traits);
@@ -73,7 +74,8 @@
     // How long its cause is refused.
     refusal_options refusal{};
     // Position of this process among those that may try a request with this trait, so that not all
-    // of them do at once. Each tries only `trial_stagger` after the one before it.
+    // of them do at once. Each tries only `trial_stagger` after the one before it; of what is
+    // undecided, only after a whole trial.
     std::function<int(const digest128& trait)> trial_position = [](const digest128&) { return 0; };
     absl::Duration trial_stagger = absl::Seconds(2);
     // How long a completion counts as recent.
@@ -83,6 +85,11 @@
     std::function<absl::Time()> now = absl::Now;
 };
 
+struct refused_combinations {
+    std::size_t all = 0;
+    std::size_t undecided = 0; // of `all`
+};
+
 // Thread-safe.
 class suspect_registry {
 public:
@@ -123,8 +130,8 @@
     // Returns the number of crashes that are remembered.
     [[nodiscard]] std::size_t size() const;
 
-    // Returns the number of combinations of traits that are refused.
-    [[nodiscard]] std::size_t blamed() const;
+    // Returns how many combinations of traits are refused.
+    [[nodiscard]] refused_combinations blamed() const;
 
 private:
     // Server, incarnation and number, as in `crash_id`.
