The test of threads that end as they start no longer starves them

Its timer fired every 400 us while its handler slept for 300 us, so that a wake-up 100 us late left the interrupted thread no time at all, while others waited for a mutex that it held. The test was at fault, not the group of threads.

The handler now arms the timer anew at its end: the same pause, and 100 us for the thread after each, so that it always goes on.

--- a/sardinestream/base/thread_group_test.cc
+++ b/sardinestream/base/thread_group_test.cc
@@ -35,24 +35,28 @@
     EXPECT_EQ(group.size(), 0);
 }
 
-// Interrupts the calling thread again and again, for longer than a short thread runs.
+// Interrupts the calling thread again and again, for longer than a short thread runs. The thread
+// runs for `gap_ns` after each interruption: one that woke late would otherwise meet the next at
+// its end.
 class interruptions {
 public:
     interruptions()
     {
         struct sigaction action = {};
-        action.sa_handler = [](int) {
+        action.sa_flags = SA_SIGINFO;
+        action.sa_sigaction = [](int, siginfo_t* info, void*) {
             const timespec pause = {0, pause_ns};
             ::nanosleep(&pause, nullptr);
+            static_cast<interruptions*>(info->si_value.sival_ptr)->interrupt_after_gap();
         };
         ::sigaction(SIGUSR1, &action, nullptr);
         sigevent event = {};
         event.sigev_notify = SIGEV_THREAD_ID;
         event.sigev_signo = SIGUSR1;
+        event.sigev_value.sival_ptr = this;
         event._sigev_un._tid = ::gettid();
         ::timer_create(CLOCK_MONOTONIC, &event, &this->timer);
-        const itimerspec period = {{0, period_ns}, {0, period_ns}};
-        ::timer_settime(this->timer, 0, &period, nullptr);
+        this->interrupt_after_gap();
     }
     ~interruptions() { ::timer_delete(this->timer); }
     interruptions(const interruptions&) = delete;
@@ -60,7 +64,14 @@
 
 private:
     static constexpr long pause_ns = 300'000;
-    static constexpr long period_ns = 400'000;
+    static constexpr long gap_ns = 100'000;
+
+    // Safe in a signal handler.
+    void interrupt_after_gap()
+    {
+        const itimerspec once = {{0, 0}, {0, gap_ns}};
+        ::timer_settime(this->timer, 0, &once, nullptr);
+    }
 
     timer_t timer{};
 };
