--- a/sardinestream/suspects/blame_test.cc
+++ b/sardinestream/suspects/blame_test.cc
@@ -177,6 +177,7 @@
 TEST(blame, combinations_that_explain_the_same_crashes_are_undecided_and_tried_as_one)
 {
     std::vector<crash_evidence> crashes;
+    crashes.reserve(2 * max_evidence);
     for (int i = 0; i < 2 * many_crashes; ++i) {
         crashes.push_back({at_second(i), {request({"bad"})}});
         if (i < many_crashes) {
--- a/sardinestream/suspects/shared_suspects_test.cc
+++ b/sardinestream/suspects/shared_suspects_test.cc
@@ -43,8 +43,9 @@
     void crash_until_undecided(const std::vector<std::string>& parts)
     {
         std::vector<request_traits> lost;
-        for (const std::string& part : parts) {
-            lost.push_back(request({part}));
+        lost.reserve(parts.size());
+        for (const std::string& name : parts) {
+            lost.push_back(request({name}));
         }
         for (std::uint64_t server = 0; server < many_crashes; ++server) {
             this->crash(server, lost);
@@ -223,10 +224,10 @@
     const std::vector<std::string> sound = {"a", "b", "c", "d"};
     entry.crash_until_undecided({"a", "b", "c", "d", "bad"});
     *entry.now += absl::Seconds(3);
-    for (const std::string& part : sound) {
-        ASSERT_FALSE(entry.refuses(request({part, "own"}))) << part;
+    for (const std::string& name : sound) {
+        ASSERT_FALSE(entry.refuses(request({name, "own"}))) << name;
         EXPECT_TRUE(entry.refuses(request({"bad"})));
-        entry.registry->record_completion(request({part, "own"}));
+        entry.registry->record_completion(request({name, "own"}));
     }
     *entry.now += absl::Minutes(1);
     EXPECT_TRUE(entry.refuses(request({"bad"})));
