An agent that cancels a switch orders one version until it is answered

Cause: an agent cancels a stalled switch by having its engine prepare a newer version. Without an answer it drew a higher one every 100 ms; plans skip a block of versions for one draw, the third is above them. Once the agent has restarted nobody knows of it, the engine carries it out late, discards the version for which the other ranks are armed, and can't be armed any more.

The agent now orders the same version until the engine shows or refuses it. All that it draws from one state of its engine stays below the next plan, restarted or not; an engine refuses a lower version.

--- a/sardinestream/maps/stalled_hold_guard.cc
+++ b/sardinestream/maps/stalled_hold_guard.cc
@@ -1,5 +1,7 @@
 #include "sardinestream/maps/stalled_hold_guard.h"
 
+#include <algorithm>
+
 namespace sardinestream {
 
 stalled_hold_guard::action stalled_hold_guard::next_action(const rank_report& own, int own_rank,
@@ -30,4 +32,21 @@
     return due;
 }
 
+std::int64_t stalled_hold_guard::superseding_version(const rank_report& own, int own_rank,
+                                                     int ranks, const prepare_record& prepares,
+                                                     absl::FunctionRef<std::uint64_t()> random)
+{
+    const std::int64_t shown = std::max(own.map_version, own.prepared_version);
+    const bool may_be_carried_out = this->drawn_version > shown &&
+                                    this->drawn_version == prepares.newest() &&
+                                    this->drawn_version != prepares.refused;
+    if (may_be_carried_out) {
+        return this->drawn_version;
+    }
+    do {
+        this->drawn_version = version_after(std::max(shown, prepares.newest()), random());
+    } while (holding_rank(this->drawn_version, ranks) == own_rank);
+    return this->drawn_version;
+}
+
 } // namespace sardinestream
--- a/sardinestream/maps/stalled_hold_guard.h
+++ b/sardinestream/maps/stalled_hold_guard.h
@@ -8,6 +8,11 @@
 //
 //     switch (guard.next_action(report, report_rank, group_size, now)) { ... }
 //
+// An order to prepare that gets no answer may be carried out seconds later. It must not discard the
+// map of a later switch then, so it has to stay below the versions of later plans, though the agent
+// may have restarted and nobody may know of it any more (`plan_version_after`). So one version is
+// ordered again and again, until the engine shows or refuses it.
+//
 // The current time is passed in. Not thread-safe.
 
 #ifndef SARDINESTREAM_MAPS_STALLED_HOLD_GUARD_H_
@@ -17,8 +22,11 @@
 #include <cstdint>
 
 #include "sardinestream/http/socket.h"
+#include "sardinestream/maps/engine_interface.h"
 #include "sardinestream/maps/map_switch.h"
 
+#include "absl/functional/function_ref.h"
+
 namespace sardinestream {
 
 class stalled_hold_guard {
@@ -37,6 +45,13 @@
     [[nodiscard]] action next_action(const rank_report& own, int own_rank, int ranks,
                                      steady_time now);
 
+    // Returns the version by which the engine is to supersede that of the switch: above all that it
+    // may have prepared, and one of which this rank is not the holder. `prepares` are the orders
+    // sent to this engine; the group has at least two ranks.
+    [[nodiscard]] std::int64_t superseding_version(const rank_report& own, int own_rank, int ranks,
+                                                   const prepare_record& prepares,
+                                                   absl::FunctionRef<std::uint64_t()> random);
+
     // Time for which the group may stand at the held step before the rank is armed. Covers a few
     // repetitions of an order that gets no answer.
     static constexpr std::chrono::milliseconds max_unarmed_time{300};
@@ -48,6 +63,8 @@
     steady_time standing_since{};
     action last_action = action::none;
     steady_time last_action_time{};
+    // The version drawn last; zero before the first.
+    std::int64_t drawn_version = 0;
 };
 
 } // namespace sardinestream
--- a/sardinestream/programs/agent_program.cc
+++ b/sardinestream/programs/agent_program.cc
@@ -310,12 +310,9 @@
     else {
         return std::nullopt;
     }
-    const std::int64_t newest =
-        std::max({report.map_version, report.prepared_version, this->prepares.newest()});
-    do {
-        order.version = version_after(newest, this->random());
-    } while (holding_rank(order.version, this->engine.report()->group_size) ==
-             this->engine.report()->rank);
+    order.version = this->hold_guard.superseding_version(
+        report, this->engine.report()->rank, this->engine.report()->group_size, this->prepares,
+        [this] { return this->random(); });
     return order;
 }
 
--- a/sardinestream/testing/emulator/agent_engine_loss_test.cc
+++ b/sardinestream/testing/emulator/agent_engine_loss_test.cc
@@ -1,4 +1,5 @@
-// One agent whose engine does not answer for a moment: what the agent makes of the last report.
+// One agent whose engine does not answer for a moment, or no order: what the agent makes of the
+// last report, and what it orders.
 
 #include <algorithm>
 #include <atomic>
@@ -66,6 +67,11 @@
     std::unique_ptr<agent_program> agent;
     // The engine is held at a step for which it is not armed.
     std::atomic<bool> held = false;
+    // The version that the engine shows as prepared while it is held; zero for another one in each
+    // report, of which the other rank is the holder.
+    std::atomic<std::int64_t> prepared_version = 0;
+    // The highest version that the engine was ordered to prepare.
+    std::atomic<std::int64_t> highest_ordered = 0;
     // The number of next reports that get no answer.
     std::atomic<int> reports_to_lose = 0;
     // Whether the last report got no answer.
@@ -81,9 +87,10 @@
         engine.read_report = [this] { return this->read_report(); };
         engine.read_counts = [] { return std::vector<std::int64_t>(4); };
         engine.read_experts = [] { return rank_experts{{0, 1}}; };
-        engine.send_order = [this](const engine_order&) {
+        engine.send_order = [this](const engine_order& order) {
             ++this->orders;
-            this->reports_to_lose = 1;
+            this->highest_ordered = std::max<std::int64_t>(this->highest_ordered, order.version);
+            this->reports_to_lose = this->prepared_version > 0 ? 0 : 1;
             return order_outcome::no_answer;
         };
         return engine;
@@ -106,15 +113,21 @@
         report.map_report.step = 5;
         if (this->held) {
             report.map_report.held_step = 5;
-            // Another version in each report: there is progress to report, held by the other rank.
-            do {
-                ++this->version;
-            } while (holding_rank(this->version, ranks) == own_rank);
-            report.map_report.prepared_version = this->version;
+            report.map_report.prepared_version =
+                this->prepared_version > 0 ? this->prepared_version.load() : this->next_version();
         }
         return report;
     }
 
+    // Another version in each report: there is progress to report, held by the other rank.
+    [[nodiscard]] std::int64_t next_version()
+    {
+        do {
+            ++this->version;
+        } while (holding_rank(this->version, ranks) == own_rank);
+        return this->version;
+    }
+
     void record(const gossip::MessageT& message)
     {
         if (message.body.AsRankState() != nullptr && this->engine_lost) {
@@ -205,5 +218,20 @@
     EXPECT_TRUE(wait_until([this] { return this->appointments > 0; }));
 }
 
+// Guards against a group that stands for good: an engine that answers no order carries one of them
+// out seconds later, above the version of a later switch, when its agent has restarted.
+TEST_F(agent_engine_loss_test, orders_that_cancel_a_switch_stay_below_the_next_plan)
+{
+    constexpr std::int64_t planned = ranks; // its holder is this agent's rank
+    ASSERT_EQ(holding_rank(planned, ranks), own_rank);
+    this->prepared_version = planned;
+    this->start(true);
+    this->held = true;
+    constexpr int enough_orders = 8;
+    EXPECT_TRUE(wait_until([this] { return this->orders >= enough_orders; }));
+    EXPECT_GT(this->highest_ordered, planned);
+    EXPECT_LT(this->highest_ordered, plan_version_after(planned, 0));
+}
+
 } // namespace
 } // namespace sardinestream::testing
