A name in a list of several pages is encoded in the call for the next page

What callers saw: after all processes had been started anew, no request was served while an entry of another writer stood in the list of servers whose name has &, +, #, % or a blank.

Cause: to continue a list, store_client put the name of the page's last object into the query as it was. The store takes such a request line for malformed, or decodes another name: the list never ends, begins again at an earlier name, or goes on at a later one and loses the servers between. Processes that run follow the list by its changes and do not ask for pages, so that only a start showed it.

The emulators of HTTP servers decode the query and refuse what is no target; before, they took it as it came and would not have noticed.

Evidence: odd_name_test, real programs and a strict store.

--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -8,6 +8,7 @@
 #include "sardinestream/base/json_parts.h"
 #include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/base/percent_encoding.h"
 #include "sardinestream/platform/wire_names.h"
 
 #include "absl/strings/ascii.h"
@@ -234,8 +235,9 @@
     std::size_t bytes = 0;
     std::string after;
     for (int pages = 0; pages < max_list_pages; ++pages) {
-        const std::string target = absl::StrCat(
-            wire::objects_path, kind, after.empty() ? "" : absl::StrCat("?after=", after));
+        const std::string target =
+            absl::StrCat(wire::objects_path, kind,
+                         after.empty() ? "" : absl::StrCat("?after=", percent_encode(after)));
         const absl::StatusOr<http_answer> answer = this->get(target, timeout);
         if (!answer.ok()) {
             return answer.status();
--- a/sardinestream/testing/emulator/connection_server.cc
+++ b/sardinestream/testing/emulator/connection_server.cc
@@ -1,12 +1,10 @@
 #include "sardinestream/testing/emulator/connection_server.h"
 
+#include <optional>
 #include <utility>
 
 #include <sys/socket.h>
 
-#include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
-
 namespace sardinestream::testing {
 namespace {
 
@@ -33,23 +31,10 @@
     return header_or_empty(this->head.headers, name);
 }
 
-std::string emulated_request::path() const
-{
-    return this->head.target.substr(0, this->head.target.find('?'));
-}
-
-std::string emulated_request::parameter(absl::string_view name) const
+std::string emulated_request::parameter(const std::string& name) const
 {
-    const std::pair<std::string, std::string> parts =
-        absl::StrSplit(this->head.target, absl::MaxSplits('?', 1));
-    for (const absl::string_view one : absl::StrSplit(parts.second, '&')) {
-        const std::pair<absl::string_view, absl::string_view> pair =
-            absl::StrSplit(one, absl::MaxSplits('=', 1));
-        if (pair.first == name) {
-            return std::string(pair.second);
-        }
-    }
-    return "";
+    const auto found = this->target.parameters.find(name);
+    return found == this->target.parameters.end() ? "" : found->second;
 }
 
 served_connection::served_connection(tcp_socket accepted)
@@ -65,14 +50,28 @@
     const steady_time deadline = steady_clock::now() + longest_exchange;
     absl::StatusOr<http_request_head> head =
         this->reader.read_request_head(message_limits{}, deadline);
+    std::optional<request_target> target =
+        head.ok() ? parse_target(head->target) : std::optional<request_target>();
+    if (absl::IsInvalidArgument(head.status()) || (head.ok() && !target.has_value())) {
+        this->refuse_malformed();
+        return false;
+    }
     if (!head.ok()) {
         return false;
     }
     request.head = *std::move(head);
+    request.target = *std::move(target);
     request.body.clear();
     return this->reader.read_body(largest_body, request.body, deadline, hangup_watch()).ok();
 }
 
+void served_connection::refuse_malformed()
+{
+    constexpr int http_bad_request = 400;
+    this->answer(http_bad_request, {{"Connection", "close"}}, "");
+    this->finish();
+}
+
 bool served_connection::write(absl::string_view bytes)
 {
     return !this->finished &&
--- a/sardinestream/testing/emulator/connection_server.h
+++ b/sardinestream/testing/emulator/connection_server.h
@@ -21,6 +21,7 @@
 #include "sardinestream/http/connection_acceptor.h"
 #include "sardinestream/http/message_reader.h"
 #include "sardinestream/http/socket.h"
+#include "sardinestream/testing/emulator/request_target.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/status/statusor.h"
@@ -30,14 +31,15 @@
 
 struct emulated_request {
     http_request_head head;
+    request_target target;
     std::string body;
 
     // The header's value, or the empty text.
     [[nodiscard]] std::string header(absl::string_view name) const;
     // The path without its query.
-    [[nodiscard]] std::string path() const;
+    [[nodiscard]] const std::string& path() const { return this->target.path; }
     // The value of a query parameter, or the empty text.
-    [[nodiscard]] std::string parameter(absl::string_view name) const;
+    [[nodiscard]] std::string parameter(const std::string& name) const;
 };
 
 // One connection of an emulated program. Belongs to the thread that serves it.
@@ -45,7 +47,8 @@
 public:
     explicit served_connection(tcp_socket accepted);
 
-    // Reads the next request; false at the end of the connection.
+    // Reads the next request; false at the end of the connection. One that cannot be parsed is
+    // answered with 400, and the connection ends.
     [[nodiscard]] bool read(emulated_request& request);
 
     // Writes a whole answer. Returns whether the peer took it.
@@ -63,6 +66,8 @@
     [[nodiscard]] bool is_finished() const { return this->finished; }
 
 private:
+    void refuse_malformed();
+
     tcp_socket socket;
     message_reader reader;
     bool finished = false;
