A list that cannot be continued is not taken for whole

What callers saw: nothing is known of the field. Shown by a test: after processes had to list again while another writer's entries with overlong names filled a page, sound servers behind that page were out of use.

Cause: a page whose has-more is true but which has no name to go on after was the end of the list, and what it lacked counted as gone. Names that are no UTF-8 or longer than 1,024 bytes led nowhere, and so did the names of objects that are unreadable otherwise. Pages of two histories without a named era were joined.

Change: a list goes on after any name, in any bytes; an overlong one only if no other leads on. A page without a name, one that repeats itself, an unreadable has-more or a refused call ends it as failed (kDataLoss, kInvalidArgument, kFailedPrecondition). What was read before such a failure, which would come again, is used (on_partial_list, apply_partial): nothing is taken out of use for it, other entries are not told, changes of all objects are followed, and the list is read again every 5 s. A failure that may pass, such as 503, is handled as before.

--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -221,6 +221,20 @@
     return this->update_uses(now) || changed;
 }
 
+bool server_directory::apply_partial(const server_list& list, steady_time now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const bool is_first = this->known == store_position{};
+    if (!is_first && (list.restored || list.position.era != this->known.era)) {
+        return false;
+    }
+    bool changed = false;
+    for (const listed_server& listed : list.servers) {
+        changed = this->upsert(listed, now) || changed;
+    }
+    return this->update_uses(now) || changed;
+}
+
 bool server_directory::add_complete(const server_list& list, steady_time now)
 {
     this->known = list.position;
@@ -282,7 +296,8 @@
             this->vanish(found, change.position, this->relisted_by, now, changed);
         }
     }
-    if (!received.changes.empty() && continues(this->known, received.position)) {
+    const bool has_list = this->known != store_position{};
+    if (has_list && !received.changes.empty() && continues(this->known, received.position)) {
         this->known = received.position;
     }
     this->forget_departed(now);
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -116,6 +116,9 @@
     // whether the servers in use may have changed.
     bool apply(const server_list& list, const store_outage& outage, steady_time now);
     bool apply(const server_changes& received, const store_outage& outage, steady_time now);
+    // Adds the servers of a list that was not read to its end: what is missing from it has not
+    // vanished, and the list stays unknown. Ignored if it may belong to another history.
+    bool apply_partial(const server_list& list, steady_time now);
     // Adds what another entry knows; an older fact changes nothing, and servers that its list lacks
     // vanish only if the list is newer than the known one. `outage` is this process's own.
     bool merge(const shared_servers& peer, const store_outage& outage, steady_time now);
--- a/sardinestream/backends/server_directory_test.cc
+++ b/sardinestream/backends/server_directory_test.cc
@@ -78,6 +78,41 @@
     EXPECT_TRUE(this->put(named("next"), ++revision));
 }
 
+// Guards against sound servers that are not used because the list that has them has no end.
+TEST_F(server_directory_test, a_partial_list_adds_servers_and_removes_none)
+{
+    EXPECT_TRUE(this->directory.apply_partial({{at_revision(1, named("a"))}, {3}}, this->start));
+    EXPECT_EQ(this->directory.position(), store_position{});
+    EXPECT_TRUE(this->directory.apply_partial({{at_revision(2, named("b"))}, {3}}, this->start));
+    EXPECT_EQ(this->directory.usable().size(), 2U);
+    EXPECT_FALSE(this->directory.apply_partial({{at_revision(1, named("a"))}, {3}}, this->start));
+    // Nor do changes make the list a whole one.
+    EXPECT_TRUE(this->put(named("c"), 4));
+    EXPECT_TRUE(this->remove("c", 4));
+    EXPECT_EQ(this->directory.position(), store_position{});
+    EXPECT_TRUE(this->list({named("b")}, 5));
+    ASSERT_EQ(this->directory.usable().size(), 1U);
+    EXPECT_EQ(this->directory.usable()[0].id, "b");
+}
+
+TEST_F(server_directory_test, a_partial_list_brings_back_no_removed_server)
+{
+    this->list({named("a"), named("b")}, 1);
+    this->remove("a", 3);
+    EXPECT_FALSE(this->directory.apply_partial({{at_revision(1, named("a"))}, {2}}, this->start));
+    EXPECT_EQ(this->directory.usable().size(), 1U);
+}
+
+TEST_F(server_directory_test, a_partial_list_of_another_history_is_ignored)
+{
+    this->list({named("a")}, 5);
+    const server_list other = {{{named("b"), {9, 1}}}, {9, 1}};
+    EXPECT_FALSE(this->directory.apply_partial(other, this->start));
+    const server_list restored = {{at_revision(9, named("c"))}, {9}, true};
+    EXPECT_FALSE(this->directory.apply_partial(restored, this->start));
+    EXPECT_EQ(this->directory.usable().size(), 1U);
+}
+
 TEST_F(server_directory_test, drops_a_removed_server_immediately)
 {
     this->list({named("a"), named("b")}, 1);
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -53,12 +53,17 @@
     }
 }
 
+void apply_config_list(entry_program& program, const object_list& list)
+{
+    for (const stored_object& object : list.objects) {
+        apply_config(program, object);
+    }
+}
+
 watcher_callbacks config_callbacks(entry_program& program)
 {
     return {[&program](const object_list& list, const store_outage&) {
-                for (const stored_object& object : list.objects) {
-                    apply_config(program, object);
-                }
+                apply_config_list(program, list);
             },
             [&program](const change_list& changes, const store_outage&) {
                 for (const object_change& change : changes.changes) {
@@ -66,7 +71,8 @@
                         apply_config(program, change.object);
                     }
                 }
-            }};
+            },
+            nullptr, [&program](const object_list& list) { apply_config_list(program, list); }};
 }
 
 watcher_callbacks server_callbacks(entry_program& program)
@@ -77,7 +83,10 @@
             [&program](const change_list& changes, const store_outage& outage) {
                 program.apply_server_changes(to_server_changes(changes), outage);
             },
-            [&program](const store_outage& outage) { program.note_store_outage(outage); }};
+            [&program](const store_outage& outage) { program.note_store_outage(outage); },
+            [&program](const object_list& list) {
+                program.apply_partial_server_list(to_server_list(list));
+            }};
 }
 
 watcher_callbacks evacuation_callbacks(entry_program& program)
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -26,6 +26,9 @@
 constexpr milliseconds initial_timeout{700};
 constexpr milliseconds timeout_step{200};
 constexpr milliseconds max_timeout{1500};
+// How long changes are followed between two attempts to read a list to its end that has failed
+// before it.
+constexpr milliseconds partial_list_interval{5000};
 constexpr milliseconds initial_backoff{100};
 constexpr milliseconds max_backoff{800};
 
@@ -48,27 +51,54 @@
 {
     while (!this->stopping) {
         const steady_time called = steady_clock::now();
-        absl::StatusOr<object_list> listed = this->store.list(this->kind, this->call_timeout());
-        if (!listed.ok()) {
-            this->record_failure(listed.status(), called);
-            this->back_off();
+        bool was_partial = false;
+        std::function<void(const object_list&)> on_partial;
+        if (this->callbacks.on_partial_list != nullptr) {
+            on_partial = [&](const object_list& read) {
+                was_partial = true;
+                this->use_partial(read);
+            };
+        }
+        absl::StatusOr<object_list> listed =
+            this->store.list(this->kind, this->call_timeout(), on_partial);
+        if (listed.ok()) {
+            this->record_success();
+            this->callbacks.on_list(*listed, this->outage);
+            this->followed = listed->position;
+            this->watch_until(steady_time::max());
+            this->followed.reset();
             continue;
         }
-        this->record_success();
-        this->callbacks.on_list(*listed, this->outage);
-        this->watch_from(listed->position);
+        if (was_partial) {
+            log_failure("store_list_partial", listed.status(), {{"kind", this->kind}});
+            this->record_success();
+            this->watch_until(steady_clock::now() + partial_list_interval);
+            continue;
+        }
+        this->record_failure(listed.status(), called);
+        this->back_off();
     }
 }
 
-void object_watcher::watch_from(store_position position)
+void object_watcher::use_partial(const object_list& read)
 {
-    while (!this->stopping) {
+    count("sardine_partial_lists_total", {{"kind", this->kind}});
+    this->callbacks.on_partial_list(read);
+    if (!this->followed.has_value()) {
+        this->followed = read.position;
+    }
+}
+
+void object_watcher::watch_until(steady_time end)
+{
+    while (!this->stopping && steady_clock::now() < end) {
         const steady_time called = steady_clock::now();
         absl::StatusOr<change_list> changes = this->store.watch(
-            this->kind, position, this->consecutive_failures > 0 ? probe_wait : watch_wait,
+            this->kind, *this->followed, this->consecutive_failures > 0 ? probe_wait : watch_wait,
             this->call_timeout());
         if (absl::IsOutOfRange(changes.status()) || absl::IsInvalidArgument(changes.status())) {
             log_failure("store_history_lost", changes.status(), {{"kind", this->kind}});
+            this->followed.reset();
             return;
         }
         if (!changes.ok()) {
@@ -77,7 +107,7 @@
             continue;
         }
         this->record_success();
-        position = changes->position;
+        this->followed = changes->position;
         this->callbacks.on_changes(*changes, this->outage);
         if (!changes->changes.empty()) {
             std::this_thread::sleep_for(batch_interval);
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -1,5 +1,6 @@
 // Watches one kind of object in the store on its own thread: lists the objects, then watches for
-// changes, and lists again whenever the store no longer has the history. Store calls are costly, so
+// changes, and lists again whenever the store no longer has the history, and from time to time
+// while it has not been able to read the list to its end. Store calls are costly, so
 // changes are reported in batches, with a short delay.
 //
 //     object_watcher watcher(store, "config", {.on_list = ..., .on_changes = ...});
@@ -11,6 +12,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -26,6 +28,9 @@
     std::function<void(const change_list& changes, const store_outage& outage)> on_changes;
     // Called when a call has failed after an answer. May be empty.
     std::function<void(const store_outage& outage)> on_outage = nullptr;
+    // Called with the objects that were read of a list which cannot be read to its end; changes of
+    // all objects follow. If it is empty, such a list counts as a failed call.
+    std::function<void(const object_list& list)> on_partial_list = nullptr;
 };
 
 class object_watcher {
@@ -41,7 +46,9 @@
 
 private:
     void run();
-    void watch_from(store_position position);
+    void use_partial(const object_list& read);
+    // Follows the changes after `followed` until `end`, or until their history is lost.
+    void watch_until(steady_time end);
     void record_success();
     // `called` is when the failed call was made.
     void record_failure(const absl::Status& error, steady_time called);
@@ -54,8 +61,11 @@
     std::atomic<bool> stopping = false;
     std::atomic<bool> connected = false;
     int consecutive_failures = 0;
-    // The last outage. Used only by the watcher's thread.
+    // The last outage. Used only by the watcher's thread, like `followed`.
     store_outage outage;
+    // Up to where the changes since the last list are known. A list that was not read to its end
+    // does not set it forward: the changes of the rest would be missed.
+    std::optional<store_position> followed;
     std::thread thread;
 };
 
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/platform/store_client.h"
 
 #include <iterator>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,7 @@
 #include "sardinestream/platform/wire_names.h"
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -40,9 +42,15 @@
                : unreadable(absl::StrCat("not an integer: ", text.substr(0, max_quoted)));
 }
 
-// Decodes what the store says of an object. Its specification stays as it was written: only the
-// decoder of its kind reads it, and may find that another writer left something unreadable.
-absl::StatusOr<stored_object> decode_object(absl::string_view text)
+// The parts of an object that have not been decoded yet.
+struct raw_object {
+    // As written, with quotes and escape sequences.
+    absl::string_view name;
+    absl::string_view revision;
+    absl::string_view specification;
+};
+
+absl::StatusOr<raw_object> split_object(absl::string_view text)
 {
     const absl::StatusOr<std::vector<json_member>> object = split_json_object(text);
     if (!object.ok()) {
@@ -53,21 +61,45 @@
     if (!metadata.ok()) {
         return metadata.status();
     }
-    const absl::string_view raw_name = find_member(*metadata, "name");
-    const json name = json::parse(raw_name.begin(), raw_name.end(), nullptr, false);
-    if (!name.is_string()) {
+    return raw_object{find_member(*metadata, "name"), find_member(*metadata, "revision"),
+                      find_member(*object, "specification")};
+}
+
+std::optional<std::string> decode_name(absl::string_view raw)
+{
+    const json name = json::parse(raw.begin(), raw.end(), nullptr, false);
+    return name.is_string() ? std::optional(name.get<std::string>()) : std::nullopt;
+}
+
+// Returns the name by which a list continues, which may be no text of any encoding; empty if it
+// cannot be told.
+std::string decode_name_bytes(absl::string_view raw)
+{
+    std::optional<std::string> name = decode_name(raw);
+    if (name.has_value()) {
+        return *std::move(name);
+    }
+    const bool is_quoted = raw.size() >= 2 && raw.front() == '"' && raw.back() == '"';
+    return is_quoted && !absl::StrContains(raw, '\\') ? std::string(raw.substr(1, raw.size() - 2))
+                                                      : "";
+}
+
+// Decodes what the store says of an object. Its specification stays as it was written: only the
+// decoder of its kind reads it, and may find that another writer left something unreadable.
+absl::StatusOr<stored_object> decode_object(const raw_object& raw)
+{
+    std::optional<std::string> name = decode_name(raw.name);
+    if (!name.has_value()) {
         return unreadable("object without a name");
     }
-    if (raw_name.size() > max_name_bytes) {
+    if (raw.name.size() > max_name_bytes) {
         return unreadable("object with an overlong name");
     }
-    const absl::StatusOr<std::int64_t> revision =
-        decode_integer(find_member(*metadata, "revision"));
+    const absl::StatusOr<std::int64_t> revision = decode_integer(raw.revision);
     if (!revision.ok()) {
         return revision.status();
     }
-    return stored_object{name.get<std::string>(), *revision,
-                         std::string(find_member(*object, "specification"))};
+    return stored_object{*std::move(name), *revision, std::string(raw.specification)};
 }
 
 absl::Status too_long(absl::string_view what)
@@ -82,6 +114,36 @@
     log_failure("object_unreadable", error);
 }
 
+// The call is malformed to the store, now and when it is made again.
+absl::Status refused_call(int status)
+{
+    return make_error(absl::StatusCode::kFailedPrecondition, "call", "store",
+                      absl::StrCat("status ", status));
+}
+
+// Returns whether the status refuses a call for good, unlike one for which the store had no time.
+bool is_lasting_refusal(int status)
+{
+    constexpr int request_timeout = 408;
+    constexpr int misdirected = 421;
+    constexpr int too_many_requests = 429;
+    return status >= 400 && status < 500 && status != request_timeout && status != misdirected &&
+           status != too_many_requests;
+}
+
+// Returns whether a list that has failed so will fail again at the same page.
+bool is_lasting(const absl::Status& error)
+{
+    return absl::IsFailedPrecondition(error) || absl::IsInvalidArgument(error) ||
+           absl::IsDataLoss(error) || absl::IsResourceExhausted(error);
+}
+
+absl::Status cannot_continue()
+{
+    return make_error(absl::StatusCode::kDataLoss, "call", "store",
+                      "a page of the list does not lead on");
+}
+
 absl::Status history_changed()
 {
     return make_error(absl::StatusCode::kOutOfRange, "call", "store",
@@ -120,26 +182,57 @@
     std::size_t bytes = 0;
     std::int64_t revision = 0;
     bool has_more = false;
-    // The name of the last object that has a readable one.
+    // The names of the last object, and of the last one whose name is not overlong; empty if no
+    // object has one. Objects that are unreadable otherwise count.
     std::string last_name;
+    std::string last_short_name;
 };
 
+void note_name(absl::string_view raw, list_page& page)
+{
+    std::string name = decode_name_bytes(raw);
+    if (name.empty()) {
+        return;
+    }
+    if (raw.size() <= max_name_bytes) {
+        page.last_short_name = name;
+    }
+    page.last_name = std::move(name);
+}
+
+absl::StatusOr<bool> decode_has_more(absl::string_view text)
+{
+    if (text != "true" && text != "false" && !text.empty()) {
+        return unreadable("has-more is neither true nor false");
+    }
+    return text == "true";
+}
+
 absl::StatusOr<list_page> decode_page(absl::string_view body)
 {
     const absl::StatusOr<raw_answer> answer = split_answer(body, "items");
     if (!answer.ok()) {
         return answer.status();
     }
+    const absl::StatusOr<bool> has_more = decode_has_more(find_member(answer->members, "has-more"));
+    if (!has_more.ok()) {
+        return has_more.status();
+    }
     list_page page;
     page.revision = answer->revision;
-    page.has_more = find_member(answer->members, "has-more") == "true";
+    page.has_more = *has_more;
     for (const absl::string_view item : answer->parts) {
-        absl::StatusOr<stored_object> object = decode_object(item);
+        const absl::StatusOr<raw_object> raw = split_object(item);
+        if (!raw.ok()) {
+            log_odd_object(raw.status());
+            continue;
+        }
+        note_name(raw->name, page);
+        absl::StatusOr<stored_object> object = decode_object(*raw);
         if (!object.ok()) {
             log_odd_object(object.status());
             continue;
         }
-        page.last_name = object->name;
         page.bytes += sizeof(stored_object) + object->name.size() + object->specification.size();
         page.objects.push_back(*std::move(object));
     }
@@ -152,7 +245,11 @@
     if (!members.ok()) {
         return members.status();
     }
-    absl::StatusOr<stored_object> object = decode_object(find_member(*members, "object"));
+    const absl::StatusOr<raw_object> raw = split_object(find_member(*members, "object"));
+    if (!raw.ok()) {
+        return raw.status();
+    }
+    absl::StatusOr<stored_object> object = decode_object(*raw);
     if (!object.ok()) {
         return object.status();
     }
@@ -204,6 +301,9 @@
         const bool fits = response->memory->resize(2 * response->body.capacity());
         return fits ? std::move(response) : too_long("answer");
     }
+    if (response->status != gone && is_lasting_refusal(response->status)) {
+        return refused_call(response->status);
+    }
     const absl::StatusCode code =
         response->status == gone ? absl::StatusCode::kOutOfRange : absl::StatusCode::kUnavailable;
     return make_error(code, "call", "store", absl::StrCat("status ", response->status));
@@ -227,11 +327,27 @@
     }
 }
 
-absl::StatusOr<object_list> store_client::list(absl::string_view kind,
-                                               std::chrono::milliseconds timeout)
+absl::StatusOr<object_list>
+store_client::list(absl::string_view kind, std::chrono::milliseconds timeout,
+                   const std::function<void(const object_list&)>& on_partial)
 {
     object_list all;
     all.memory = std::make_shared<message_memory_reservation>(own_call_memory(), "store list");
+    const absl::Status read = this->read_pages(kind, timeout, all);
+    all.restored = this->last.revision > 0 && !continues(this->last, all.position);
+    if (read.ok()) {
+        this->last = all.position;
+        return all;
+    }
+    if (is_lasting(read) && !all.objects.empty() && on_partial != nullptr) {
+        on_partial(all);
+    }
+    return read;
+}
+
+absl::Status store_client::read_pages(absl::string_view kind, std::chrono::milliseconds timeout,
+                                      object_list& all)
+{
     std::size_t bytes = 0;
     std::string after;
     for (int pages = 0; pages < max_list_pages; ++pages) {
@@ -246,10 +362,11 @@
         if (!page.ok()) {
             return page.status();
         }
-        if (after.empty()) {
-            all.position = {page->revision, this->era};
+        const store_position position = {page->revision, this->era};
+        if (pages == 0) {
+            all.position = position;
         }
-        if (this->era != all.position.era) {
+        if (!continues(all.position, position)) {
             return history_changed();
         }
         bytes += page->bytes;
@@ -257,12 +374,19 @@
             return too_long("list");
         }
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(all.objects));
-        if (!page->has_more || page->last_name.empty()) {
-            all.restored = this->last.revision > 0 && !continues(this->last, all.position);
-            this->last = all.position;
-            return all;
+        if (!page->has_more) {
+            return absl::OkStatus();
+        }
+        // The store may refuse a call with an overlong name, but must be asked if nothing else
+        // leads on.
+        std::string next = page->last_short_name;
+        if (next.empty() || next == after) {
+            next = page->last_name;
+        }
+        if (next.empty() || next == after) {
+            return cannot_continue();
         }
-        after = page->last_name;
+        after = std::move(next);
     }
     return too_long("list");
 }
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -5,13 +5,14 @@
 //
 // Not thread-safe. Errors: kUnavailable and kDeadlineExceeded (the store is unreachable, slow or
 // overloaded), kOutOfRange (the history that a watch requires is gone: list again),
-// kInvalidArgument (malformed response).
+// kInvalidArgument (malformed response), kFailedPrecondition (the store refuses the call for good).
 
 #ifndef SARDINESTREAM_PLATFORM_STORE_CLIENT_H_
 #define SARDINESTREAM_PLATFORM_STORE_CLIENT_H_
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,10 +61,14 @@
 
     // Reads all objects of a kind, page by page. Objects without a readable name or revision are
     // logged and left out, here and in watches. `timeout` applies to each page. Fails with
-    // kOutOfRange if the store is restored meanwhile, and with kResourceExhausted if the list is
-    // too long.
-    [[nodiscard]] absl::StatusOr<object_list> list(absl::string_view kind,
-                                                   std::chrono::milliseconds timeout);
+    // kOutOfRange if the store is restored meanwhile, with kResourceExhausted if the list is too
+    // long, and with kDataLoss if a page names no object after which the next one begins.
+    //
+    // A list that fails for good before its end is still worth something: `on_partial`, if set, is
+    // called with what was read. That something is missing from it says nothing.
+    [[nodiscard]] absl::StatusOr<object_list>
+    list(absl::string_view kind, std::chrono::milliseconds timeout,
+         const std::function<void(const object_list&)>& on_partial = nullptr);
 
     // Waits up to `max_wait` for changes after `position`; returns an empty list if there are
     // none. Fails if the store does not answer within `max_wait` plus `timeout`, and with
@@ -75,6 +80,9 @@
 
 private:
     absl::StatusOr<http_answer> get(const std::string& target, std::chrono::milliseconds timeout);
+    // Adds the objects of all pages to `all`.
+    absl::Status read_pages(absl::string_view kind, std::chrono::milliseconds timeout,
+                            object_list& all);
     // Keeps the era that the answer names.
     void read_era(const http_answer& answer);
 
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -315,6 +315,15 @@
     }
 }
 
+void entry_program::apply_partial_server_list(const server_list& list)
+{
+    const bool changed = this->directory.apply_partial(list, steady_clock::now());
+    this->servers_known = true;
+    if (changed) {
+        this->publish_servers();
+    }
+}
+
 void entry_program::apply_server_changes(const server_changes& changes, const store_outage& outage)
 {
     this->servers.note_list_answer();
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -81,6 +81,8 @@
     // Apply the store's list of servers, or changes to it. `outage` is the last one of the store.
     void apply_server_list(const server_list& list, const store_outage& outage);
     void apply_server_changes(const server_changes& changes, const store_outage& outage);
+    // Applies a list that was not read to its end: what is missing from it has not vanished.
+    void apply_partial_server_list(const server_list& list);
     // Records an outage of the store that lasts.
     void note_store_outage(const store_outage& outage);
 
--- a/sardinestream/programs/entry_program_test.cc
+++ b/sardinestream/programs/entry_program_test.cc
@@ -152,6 +152,23 @@
     EXPECT_EQ(this->readiness(1), 200);
 }
 
+// Guards against a start without servers because a later page of the list cannot be read.
+TEST_F(entry_program_test, serves_with_a_list_that_was_not_read_to_its_end)
+{
+    const std::unique_ptr<entry_program> entry = this->start(1, {});
+    const std::unique_ptr<entry_program> peer = this->start(2, {this->ip(1)});
+    for (const auto& one : {entry.get(), peer.get()}) {
+        one->apply_desired_state("3", 10, "store");
+    }
+    entry->apply_partial_server_list({{named("i-1")}, {10}});
+    EXPECT_EQ(this->readiness(1), 200);
+    EXPECT_TRUE(this->uses(1, "i-1"));
+    // What is not whole is no news to others: it would remove what they know besides.
+    peer->apply_server_list({{named("i-1"), named("i-2")}, {9}}, {});
+    EXPECT_TRUE(this->shows(1, "\"i-2\""));
+    EXPECT_TRUE(this->uses(2, "i-2"));
+}
+
 TEST_F(entry_program_test, fetches_from_a_peer_what_the_store_does_not_deliver)
 {
     const std::unique_ptr<entry_program> connected = this->start(1, {});
--- a/sardinestream/testing/emulator/connection_server.cc
+++ b/sardinestream/testing/emulator/connection_server.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds work_step{5};
 // A peer that sends or takes nothing for so long is abandoned.
 constexpr std::chrono::seconds longest_exchange{20};
+constexpr int http_bad_request = 400;
+constexpr int http_head_too_large = 431;
 constexpr std::size_t largest_body = 8U << 20U;
 
 acceptor_options make_options()
@@ -53,7 +55,11 @@
     std::optional<request_target> target =
         head.ok() ? parse_target(head->target) : std::optional<request_target>();
     if (absl::IsInvalidArgument(head.status()) || (head.ok() && !target.has_value())) {
-        this->refuse_malformed();
+        this->refuse(http_bad_request);
+        return false;
+    }
+    if (absl::IsResourceExhausted(head.status())) {
+        this->refuse(http_head_too_large);
         return false;
     }
     if (!head.ok()) {
@@ -65,10 +71,9 @@
     return this->reader.read_body(largest_body, request.body, deadline, hangup_watch()).ok();
 }
 
-void served_connection::refuse_malformed()
+void served_connection::refuse(int status)
 {
-    constexpr int http_bad_request = 400;
-    this->answer(http_bad_request, {{"Connection", "close"}}, "");
+    this->answer(status, {{"Connection", "close"}}, "");
     this->finish();
 }
 
--- a/sardinestream/testing/emulator/connection_server.h
+++ b/sardinestream/testing/emulator/connection_server.h
@@ -48,7 +48,7 @@
     explicit served_connection(tcp_socket accepted);
 
     // Reads the next request; false at the end of the connection. One that cannot be parsed is
-    // answered with 400, and the connection ends.
+    // answered with 400, one whose head is too large with 431, and the connection ends.
     [[nodiscard]] bool read(emulated_request& request);
 
     // Writes a whole answer. Returns whether the peer took it.
@@ -66,7 +66,7 @@
     [[nodiscard]] bool is_finished() const { return this->finished; }
 
 private:
-    void refuse_malformed();
+    void refuse(int status);
 
     tcp_socket socket;
     message_reader reader;
--- a/sardinestream/testing/emulator/odd_name_test.cc
+++ b/sardinestream/testing/emulator/odd_name_test.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -36,6 +37,8 @@
 // Objects on one page of the store.
 constexpr int page_size = 500;
 constexpr absl::Duration ready_timeout = absl::Seconds(10);
+// A change of the store must be in force everywhere within this time.
+constexpr milliseconds time_to_agree{2000};
 constexpr int http_ok = 200;
 
 struct odd_name_case {
@@ -243,6 +246,47 @@
     EXPECT_GT(this->second.served, 0);
 }
 
+class odd_names_test : public odd_name_test {};
+
+// The store refuses the call for the next page: one that has overlong names alone has no other to
+// go on after. Guards against a list that is then taken for whole, so that servers behind the page
+// count as gone, and against a start without any server.
+TEST_P(odd_names_test, a_page_that_leads_nowhere_costs_no_known_server)
+{
+    constexpr int requests = 40;
+    constexpr int odd_entries = 120;
+    constexpr std::size_t name_bytes = 20'000;
+    ASSERT_TRUE(this->all_ready());
+    for (int i = 0; i < odd_entries; ++i) {
+        this->store->put(words::servers_kind,
+                         absl::StrCat(GetParam().odd, absl::Dec(i, absl::kZeroPad4),
+                                      std::string(name_bytes, 'o')),
+                         1);
+    }
+    // The programs have to list again.
+    this->store->compact();
+    std::this_thread::sleep_for(time_to_agree);
+    this->second.served = 0;
+    EXPECT_EQ(this->serve(requests), requests);
+    EXPECT_GT(this->second.served, 0);
+    this->restart_all();
+    ASSERT_TRUE(this->all_ready()) << this->programs.front().run->output();
+    EXPECT_EQ(this->serve(requests), requests);
+    // Changes of all servers are followed, also of those that no page has shown.
+    json changed = this->second.entry();
+    changed["slots"] = 9;
+    this->store->put(words::servers_kind, second_sound, changed);
+    this->store->remove(words::servers_kind, GetParam().prefix + "-sound");
+    std::this_thread::sleep_for(time_to_agree);
+    this->first.served = 0;
+    EXPECT_EQ(this->serve(requests), requests);
+    EXPECT_EQ(this->first.served, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(overlong, odd_names_test,
+                         ::testing::Values(odd_name_case{"overlong", "m"}),
+                         [](const auto& tested) { return tested.param.label; });
+
 INSTANTIATE_TEST_SUITE_P(
     names, odd_name_test,
     ::testing::Values(odd_name_case{"plain", "mmx"}, odd_name_case{"ampersand", "m&x"},
--- a/sardinestream/testing/emulator/store_emulator.cc
+++ b/sardinestream/testing/emulator/store_emulator.cc
@@ -13,7 +13,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// A page ends after so many objects or bytes.
 constexpr std::size_t page_size = 500;
+constexpr std::size_t page_bytes = 1U << 20U;
 constexpr milliseconds slow_answer{300};
 constexpr milliseconds watch_step{5};
 constexpr std::chrono::seconds silence{30};
@@ -156,15 +158,17 @@
     if (of_kind == this->objects.end()) {
         return page;
     }
+    std::size_t bytes = 0;
     for (const auto& [name, object] : of_kind->second) {
         if (name <= after) {
             continue;
         }
-        if (page["items"].size() == page_size) {
+        if (page["items"].size() == page_size || bytes >= page_bytes) {
             page["has-more"] = true;
             break;
         }
         page["items"].push_back(object_json(name, object.revision, object.specification));
+        bytes += name.size() + object.specification.dump().size();
     }
     return page;
 }
--- a/sardinestream/testing/emulator/store_emulator_test.cc
+++ b/sardinestream/testing/emulator/store_emulator_test.cc
@@ -1,8 +1,15 @@
+#include <set>
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "sardinestream/platform/store_client.h"
 #include "sardinestream/testing/emulator/store_emulator.h"
 
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+
 namespace sardinestream::testing {
 namespace {
 
@@ -24,6 +31,37 @@
     EXPECT_EQ(listed->objects[0].specification, R"({"service":"till"})");
 }
 
+// Guards against a name that is not encoded in the call for the next page.
+TEST_F(store_emulator_test, a_list_goes_on_after_any_name)
+{
+    constexpr int objects = 600;
+    constexpr int last_ascii = 127;
+    std::vector<std::string> infixes = {"\xc3\xa9", "\r\n", "%41", "%zz", "&watch=1"};
+    for (int letter = 0; letter <= last_ascii; ++letter) {
+        infixes.emplace_back(1, static_cast<char>(letter));
+    }
+    for (const std::string& infix : infixes) {
+        std::set<std::string> put;
+        for (int i = 0; i < objects; ++i) {
+            put.insert(absl::StrCat("a", infix, absl::Dec(i, absl::kZeroPad4)));
+        }
+        for (const std::string& name : put) {
+            this->store->put("servers", name, 1);
+        }
+        const auto listed = this->client.list("servers", milliseconds(1000));
+        ASSERT_TRUE(listed.ok()) << absl::CHexEscape(infix) << listed.status();
+        std::set<std::string> names;
+        for (const platform::stored_object& object : listed->objects) {
+            names.insert(object.name);
+        }
+        EXPECT_EQ(listed->objects.size(), put.size()) << absl::CHexEscape(infix);
+        EXPECT_EQ(names, put) << absl::CHexEscape(infix);
+        for (const std::string& name : put) {
+            this->store->remove("servers", name);
+        }
+    }
+}
+
 TEST_F(store_emulator_test, a_watch_tells_changes_and_removals_in_order)
 {
     const std::int64_t first = this->store->put("servers", "i-1", {{"slots", 1}});
