Own interface: a target reaches a plain service as its caller sent it

What callers saw (own interface): a plain service got %2B for +, %27 for ', %2C for , and %3B for ; in the path and the query. A plus sign in a query stands for a blank, so that the service read other text.

Cause: the HTTP client of the agents encodes what it sends, and a caller's target is encoded already.

Change: its encoding is off for backend servers.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -77,6 +77,8 @@
     connection->set_connection_timeout(connect_timeout_s);
     connection->set_tcp_nodelay(true);
     connection->set_keep_alive(!fresh);
+    // Targets are passed on as callers sent them.
+    connection->set_url_encode(false);
     return connection;
 }
 
--- a/sardinestream/agent/backend_client_test.cc
+++ b/sardinestream/agent/backend_client_test.cc
@@ -55,5 +55,40 @@
     }
 }
 
+// What the server gets is recorded as it comes.
+class request_text_test : public ::testing::Test {
+protected:
+    void send(const std::string& path, const std::vector<std::pair<std::string, std::string>>& more)
+    {
+        scripted_server server([this](scripted_connection& connection) {
+            while (connection.read_request()) {
+                this->head = connection.head;
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        backend_client client(server.local());
+        backend_request request;
+        request.method = "POST";
+        request.path = path;
+        request.headers = more;
+        request.deadline = absl::Now() + absl::Seconds(5);
+        const backend_answer answer = client.call(
+            request, nullptr, [](const std::function<void()>&) {}, [] { return false; });
+        EXPECT_EQ(answer.outcome, backend_outcome::complete) << answer.message;
+    }
+
+    http_request_head head;
+};
+
+// Guards against a library that encodes a target once more: a plus sign in a query means a blank.
+TEST_F(request_text_test, a_target_arrives_as_the_caller_sent_it)
+{
+    for (const std::string path :
+         {"/a+b?q=x+y&z=%2B", "/a%20b%26c", "/a?b='c',(d);e*~", "/a?%zz", "/a//b/../c"}) {
+        this->send(path, {});
+        EXPECT_EQ(this->head.target, path);
+    }
+}
+
 } // namespace
 } // namespace sardinestream::agent
