Own interface: a caller's header adds no other to a call of a server

What servers saw (own interface): a caller's header with %0d%0a in its value arrived as two headers. A caller could set headers that the entry leaves out, and a body length of its own.

Cause: the HTTP library decodes escapes in the values of headers that it reads, and writes values as they are.

Change: control characters, which no header can have had before, are escaped again as the agent sends them. In answers the library leaves out such headers by itself. Other escapes are still decoded on the way; the library cannot be told not to.

Evidence: request_text_test.a_header_adds_no_other failed on (X-Added: 1 arrived); it holds now.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -6,6 +6,7 @@
 
 #include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/http_status.h"
+#include "sardinestream/base/percent_encoding.h"
 #include "sardinestream/base/tcp_probe.h"
 
 #include "absl/strings/ascii.h"
@@ -41,6 +42,18 @@
     return absl::Now() >= request.deadline ? backend_outcome::timeout : backend_outcome::lost;
 }
 
+// Control characters cannot have come in a header: the library has decoded escapes, which are
+// written again. A line end would begin another header.
+std::string escape_controls(const std::string& value)
+{
+    std::string escaped;
+    for (const char letter : value) {
+        const bool is_control = absl::ascii_iscntrl(letter) && letter != '\t';
+        escaped += is_control ? percent_encode({&letter, 1}) : std::string(1, letter);
+    }
+    return escaped;
+}
+
 httplib::Request to_http(const backend_request& from)
 {
     httplib::Request to;
@@ -49,7 +62,7 @@
     to.body = from.body;
     for (const auto& [name, value] : from.headers) {
         if (absl::AsciiStrToLower(name) != "accept-encoding") {
-            to.headers.emplace(name, value);
+            to.headers.emplace(name, escape_controls(value));
         }
     }
     to.headers.emplace("Accept-Encoding", "identity");
--- a/sardinestream/agent/backend_client_test.cc
+++ b/sardinestream/agent/backend_client_test.cc
@@ -90,5 +90,17 @@
     }
 }
 
+// Guards against a header that adds another: a library decodes escapes in the headers of callers.
+TEST_F(request_text_test, a_header_adds_no_other)
+{
+    this->send("/run", {{"X-Note", "one\r\nX-Added: 1"},
+                        {"X-Other", std::string("a\0b\x7f", 4)},
+                        {"X-Plain", "caf\xc3\xa9 \tb%41"}});
+    EXPECT_EQ(header_or_empty(this->head.headers, "X-Note"), "one%0d%0aX-Added: 1");
+    EXPECT_EQ(header_or_empty(this->head.headers, "X-Other"), "a%00b%7f");
+    EXPECT_EQ(header_or_empty(this->head.headers, "X-Plain"), "caf\xc3\xa9 \tb%41");
+    EXPECT_EQ(count_header(this->head.headers, "X-Added"), 0);
+}
+
 } // namespace
 } // namespace sardinestream::agent
