Own interface: names of objects are encoded in paths

What operators would see (own interface): an entry of the catalogue whose name has #, ? or % got no status, or the status went to another object's path. Names of instances and of shards are our own.

Cause: names became part of a path as they were; the HTTP client encodes only some characters.

Change: percent_encode. The client keeps its escapes, so that nothing is encoded twice.

Evidence: object_store_test.an_object_may_have_any_name failed on at a#b (404); it holds now.

--- a/sardinestream/store/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -10,6 +10,7 @@
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/http_status.h"
 #include "sardinestream/base/metrics.h"
+#include "sardinestream/base/percent_encoding.h"
 #include "sardinestream/store/object_json.h"
 #include "sardinestream/store/object_store.h"
 
@@ -200,9 +201,10 @@
                             "/", kind);
     }
 
+    // The client library keeps the escapes.
     std::string path_of(absl::string_view kind, absl::string_view name) const
     {
-        return absl::StrCat(this->path_of(kind), "/", name);
+        return absl::StrCat(this->path_of(kind), "/", percent_encode(name));
     }
 
     client_pointer make_client(std::size_t server) const
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -183,5 +183,21 @@
     EXPECT_GE(absl::Now() - changed, absl::Milliseconds(300));
 }
 
+// Guards against names that are put into a path as they are.
+TEST_F(object_store_test, an_object_may_have_any_name)
+{
+    for (const std::string name : {"a&b", "a+b", "a#b", "a%b", "a%41b", "a b", "a?b=c", "a\"b",
+                                   "a\\b", "caf\xc3\xa9", "a;b,c'd"}) {
+        ASSERT_TRUE(this->store->create_object(kind, name, R"({"x":1})").ok()) << name;
+        const absl::StatusOr<object> read = this->store->get(kind, name);
+        ASSERT_TRUE(read.ok()) << name << read.status();
+        EXPECT_EQ(read->name, name);
+        EXPECT_TRUE(this->store->update(kind, name, R"({"x":2})", read->version).ok()) << name;
+        EXPECT_TRUE(this->store->update_status(kind, name, R"({"code":"none"})").ok()) << name;
+        EXPECT_TRUE(this->store->remove(kind, name).ok()) << name;
+        EXPECT_TRUE(absl::IsNotFound(this->store->get(kind, name).status())) << name;
+    }
+}
+
 } // namespace
 } // namespace sardinestream::platform
