Own interface: an unreadable object costs a list and a watch no other

What callers would see (own interface): while one object without a name, or with bytes that are no UTF-8, stood among the instances, no process could list them; a change of it ended each watch.

Cause: a list was parsed as one text, and the first object that could not be read failed all of it.

Change: objects of a list are split and parsed one by one, as those of the users' store are; in lists and watches an unreadable one is logged (object_unreadable) and left out.

Evidence: scripted_store_test.an_unreadable_object_costs_the_list_no_other and an_unreadable_change_costs_a_watch_no_other failed on; they hold now.

--- a/sardinestream/store/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -9,6 +9,7 @@
 #include "sardinestream/base/bounded_body.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/http_status.h"
+#include "sardinestream/base/log.h"
 #include "sardinestream/base/metrics.h"
 #include "sardinestream/base/percent_encoding.h"
 #include "sardinestream/store/object_json.h"
@@ -370,6 +371,10 @@
             return true;
         }
         absl::StatusOr<object_change> change = parse_change(kind, line);
+        if (absl::IsInternal(change.status())) {
+            log_failure("object_unreadable", change.status(), {{"kind", kind}});
+            return true;
+        }
         if (!change.ok()) {
             line_status = change.status();
             return false;
--- a/sardinestream/store/object_json.cc
+++ b/sardinestream/store/object_json.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include "sardinestream/base/error.h"
+#include "sardinestream/base/json_parts.h"
+#include "sardinestream/base/log.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -97,17 +99,24 @@
 
 absl::StatusOr<object_list> parse_object_list(absl::string_view kind, absl::string_view body)
 {
-    const json value = parse_text(body);
-    if (!value.is_object() || !value.contains("metadata") || !value.contains("items") ||
-        !value["items"].is_array()) {
+    // The objects are parsed one by one, so that one that is no JSON leaves the others readable.
+    const absl::StatusOr<std::vector<json_member>> members = split_json_object(body);
+    if (!members.ok()) {
+        return malformed("not an object list");
+    }
+    const json metadata = parse_text(find_member(*members, "metadata"));
+    const absl::StatusOr<std::vector<absl::string_view>> items =
+        split_json_array(find_member(*members, "items"));
+    if (!metadata.is_object() || !items.ok()) {
         return malformed("not an object list");
     }
     object_list parsed;
-    parsed.version = number_in(value["metadata"], "resourceVersion");
-    for (const json& item : value["items"]) {
-        absl::StatusOr<object> one = object_from(kind, item);
+    parsed.version = number_in(metadata, "resourceVersion");
+    for (const absl::string_view item : *items) {
+        absl::StatusOr<object> one = object_from(kind, parse_text(item));
         if (!one.ok()) {
-            return one.status();
+            log_failure("object_unreadable", one.status(), {{"kind", kind}});
+            continue;
         }
         parsed.objects.push_back(*std::move(one));
     }
--- a/sardinestream/store/object_store.h
+++ b/sardinestream/store/object_store.h
@@ -75,6 +75,7 @@
     // Returns kNotFound if there is no such object.
     [[nodiscard]] virtual absl::StatusOr<object> get(absl::string_view kind,
                                                      absl::string_view name) = 0;
+    // Objects that cannot be read are logged and left out, here and in watches.
     [[nodiscard]] virtual absl::StatusOr<object_list> list(absl::string_view kind) = 0;
     // Returns kAlreadyExists if there is an object of that kind and name.
     [[nodiscard]] virtual absl::StatusOr<object>
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -1,3 +1,5 @@
+#include <atomic>
+#include <functional>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -6,6 +8,7 @@
 #include "sardinestream/testing/platform_standin.h"
 #include "sardinestream/testing/scripted_server.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace sardinestream::platform {
@@ -199,5 +202,63 @@
     }
 }
 
+// A store that answers each call with the text that `answer` returns for its target.
+class scripted_store_test : public ::testing::Test {
+protected:
+    static std::string named(absl::string_view name)
+    {
+        return absl::StrCat(R"({"metadata":{"name":")", name, R"(","resourceVersion":"3"}})");
+    }
+
+    std::unique_ptr<object_store> connect()
+    {
+        return object_store::create({.servers = {this->server.local()}}).value();
+    }
+
+    std::function<std::string(const std::string&)> answer;
+    std::atomic<int> calls = 0;
+    scripted_server server{[this](scripted_connection& connection) {
+        while (connection.read_request()) {
+            ++this->calls;
+            const std::string body = this->answer(connection.head.target);
+            connection.write(absl::StrCat(body.empty() ? "HTTP/1.1 410 Gone" : "HTTP/1.1 200 OK",
+                                          "\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+        }
+    }};
+};
+
+// Guards against one unreadable object that costs the whole list.
+TEST_F(scripted_store_test, an_unreadable_object_costs_the_list_no_other)
+{
+    this->answer = [](const std::string&) {
+        return absl::StrCat(R"({"metadata":{"resourceVersion":"7"},"items":[)", named("a"),
+                            R"(,{},7,{"metadata":{"name":1}},{"metadata":{"name":")", "\xff",
+                            R"("}},)", named("b"), "]}");
+    };
+    const absl::StatusOr<object_list> listed = this->connect()->list(kind);
+    ASSERT_TRUE(listed.ok()) << listed.status();
+    ASSERT_EQ(listed->objects.size(), 2U);
+    EXPECT_EQ(listed->objects[1].name, "b");
+    EXPECT_EQ(listed->version, 7U);
+}
+
+// Guards against one unreadable change that ends a watch.
+TEST_F(scripted_store_test, an_unreadable_change_costs_a_watch_no_other)
+{
+    this->answer = [](const std::string&) {
+        return absl::StrCat(R"({"type":"MODIFIED","object":{}})", "\n", "7\n", "{\n",
+                            R"({"type":"MODIFIED","object":)", named("b"), "}\n");
+    };
+    std::vector<std::string> names;
+    const absl::Status watched =
+        this->connect()->watch(kind, 3, absl::Seconds(1), [&](const object_change& change) {
+            names.push_back(change.changed.name);
+            return true;
+        });
+    EXPECT_TRUE(watched.ok()) << watched;
+    ASSERT_EQ(names.size(), 1U);
+    EXPECT_EQ(names[0], "b");
+}
+
 } // namespace
 } // namespace sardinestream::platform
