Own interface: the first page of a list is not the whole list

What callers would see (own interface): of a list that the platform sends in pages, instances and parts of the catalogue behind the first page did not exist.

Cause: the continuation of a list was not read. We ask for no pages, so that a platform need not send any.

Change: a list is continued until it ends; one that repeats itself or has over 200 pages fails.

Evidence: scripted_store_test.a_list_of_several_pages_is_read_whole, a_list_that_does_not_end_fails and a_list_whose_next_page_has_gone_fails failed on; they hold now.

--- a/sardinestream/store/http_object_store.cc
+++ b/sardinestream/store/http_object_store.cc
@@ -1,6 +1,7 @@
 // Implements `object_store` over HTTP and JSON with the conventions of the Kubernetes API.
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -30,6 +31,7 @@
 constexpr std::size_t max_idle_connections = 16;
 // Limit on an answer, and on a line of a watch.
 constexpr std::size_t max_answer_bytes = 8 << 20;
+constexpr int max_list_pages = 200;
 
 bool is_read(const httplib::Request& request)
 {
@@ -119,9 +121,27 @@
 
     absl::StatusOr<object_list> list(absl::string_view kind) override
     {
-        absl::StatusOr<std::string> body =
-            this->call(make_request("GET", this->path_of(kind), {}, json_type), "store_list");
-        return body.ok() ? parse_object_list(kind, *body) : body.status();
+        object_list all;
+        for (int pages = 0; pages < max_list_pages; ++pages) {
+            absl::StatusOr<object_list> page = this->list_page(kind, all.continuation);
+            if (!page.ok()) {
+                return page.status();
+            }
+            if (pages == 0) {
+                all.version = page->version;
+            }
+            std::move(page->objects.begin(), page->objects.end(), std::back_inserter(all.objects));
+            if (page->continuation.empty()) {
+                all.continuation.clear();
+                return all;
+            }
+            if (page->continuation == all.continuation) {
+                break;
+            }
+            all.continuation = std::move(page->continuation);
+        }
+        return make_error(absl::StatusCode::kDataLoss, "store_list", "platform",
+                          "the list does not end");
     }
 
     absl::StatusOr<object> create_object(absl::string_view kind, absl::string_view name,
@@ -208,6 +228,15 @@
         return absl::StrCat(this->path_of(kind), "/", percent_encode(name));
     }
 
+    absl::StatusOr<object_list> list_page(absl::string_view kind, absl::string_view continuation)
+    {
+        const std::string query =
+            continuation.empty() ? "" : absl::StrCat("?continue=", percent_encode(continuation));
+        absl::StatusOr<std::string> body = this->call(
+            make_request("GET", this->path_of(kind) + query, {}, json_type), "store_list");
+        return body.ok() ? parse_object_list(kind, *body) : body.status();
+    }
+
     client_pointer make_client(std::size_t server) const
     {
         const address& remote = this->settings.servers[server];
--- a/sardinestream/store/object_json.cc
+++ b/sardinestream/store/object_json.cc
@@ -112,6 +112,12 @@
     }
     object_list parsed;
     parsed.version = number_in(metadata, "resourceVersion");
+    if (const auto next = metadata.find("continue"); next != metadata.end() && !next->is_null()) {
+        if (!next->is_string()) {
+            return malformed("the continuation of the list is no text");
+        }
+        parsed.continuation = next->get<std::string>();
+    }
     for (const absl::string_view item : *items) {
         absl::StatusOr<object> one = object_from(kind, parse_text(item));
         if (!one.ok()) {
--- a/sardinestream/store/object_json.h
+++ b/sardinestream/store/object_json.h
@@ -23,7 +23,7 @@
 // Returns the JSON text of an object; `spec` and `status` must be JSON texts.
 [[nodiscard]] std::string format_object(const object& written);
 
-// Parses a list. Objects that cannot be read are logged and left out.
+// Parses one page of a list. Objects that cannot be read are logged and left out.
 [[nodiscard]] absl::StatusOr<object_list> parse_object_list(absl::string_view kind,
                                                             absl::string_view body);
 [[nodiscard]] std::string format_object_list(absl::string_view kind, const object_list& written);
--- a/sardinestream/store/object_store.h
+++ b/sardinestream/store/object_store.h
@@ -48,6 +48,8 @@
     std::vector<object> objects;
     // The version from which a watch must start in order to miss no change.
     std::uint64_t version = 0;
+    // By which the platform continues a list of several pages; empty in the last one.
+    std::string continuation;
 };
 
 enum class change_kind : std::uint8_t { put, removed };
@@ -75,7 +77,9 @@
     // Returns kNotFound if there is no such object.
     [[nodiscard]] virtual absl::StatusOr<object> get(absl::string_view kind,
                                                      absl::string_view name) = 0;
-    // Objects that cannot be read are logged and left out, here and in watches.
+    // Reads all pages. Objects that cannot be read are logged and left out, here and in watches.
+    // Returns kOutOfRange if the platform no longer has the rest of the list, and kDataLoss if the
+    // list does not end.
     [[nodiscard]] virtual absl::StatusOr<object_list> list(absl::string_view kind) = 0;
     // Returns kAlreadyExists if there is an object of that kind and name.
     [[nodiscard]] virtual absl::StatusOr<object>
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -242,6 +242,41 @@
     EXPECT_EQ(listed->version, 7U);
 }
 
+// Guards against the first page of a list that is taken for the whole list.
+TEST_F(scripted_store_test, a_list_of_several_pages_is_read_whole)
+{
+    this->answer = [](const std::string& target) {
+        const bool is_second = absl::EndsWith(target, "?continue=a%2bb%26c%3d");
+        return absl::StrCat(R"({"metadata":{"resourceVersion":"7","continue":")",
+                            is_second ? "" : "a+b&c=", R"("},"items":[)",
+                            named(is_second ? "b" : "a"), "]}");
+    };
+    const absl::StatusOr<object_list> listed = this->connect()->list(kind);
+    ASSERT_TRUE(listed.ok()) << listed.status();
+    ASSERT_EQ(listed->objects.size(), 2U);
+    EXPECT_EQ(listed->objects[0].name, "a");
+    EXPECT_EQ(listed->objects[1].name, "b");
+}
+
+TEST_F(scripted_store_test, a_list_that_does_not_end_fails)
+{
+    this->answer = [](const std::string&) {
+        return absl::StrCat(R"({"metadata":{"continue":"again"},"items":[)", named("a"), "]}");
+    };
+    EXPECT_TRUE(absl::IsDataLoss(this->connect()->list(kind).status()));
+    EXPECT_EQ(this->calls, 2);
+}
+
+TEST_F(scripted_store_test, a_list_whose_next_page_has_gone_fails)
+{
+    this->answer = [](const std::string& target) {
+        return absl::StrContains(target, "continue=")
+                   ? ""
+                   : R"({"metadata":{"continue":"next"},"items":[]})";
+    };
+    EXPECT_TRUE(absl::IsOutOfRange(this->connect()->list(kind).status()));
+}
+
 // Guards against one unreadable change that ends a watch.
 TEST_F(scripted_store_test, an_unreadable_change_costs_a_watch_no_other)
 {
