Text of other writers ends no log line and begins none

What operators saw: a name with a zero byte cut its line off, and the next line was appended to the rest; other control characters reached the log as they are, and letters that are no ASCII as question marks. An instance whose name has a percent sign had parts of the line's pattern in place of its name.

Cause: only blanks, quotes, equal signs and line ends were escaped, and the name of the process became part of a pattern as it was.

Change: whatever is not printable ASCII is quoted and escaped; process and instance are written like other fields.

Evidence: log_test.a_value_of_any_bytes_stays_a_value and platform_process_test.lines_name_an_instance_of_any_name (real agent) failed on; they hold now.

--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -17,7 +17,10 @@
 #include "sardinestream/base/process_exit.h"
 #include "sardinestream/base/settings.h"
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
+#include "absl/strings/strip.h"
 
 namespace sardinestream {
 namespace {
@@ -190,6 +193,26 @@
                 "event=terminated reason=\"no more memory for it\"");
 }
 
+// Guards against text of other writers that ends a line, begins another or looks like a field.
+TEST(log_test, a_value_of_any_bytes_stays_a_value)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        const std::string value = {'a', static_cast<char>(byte), 'b'};
+        const std::string line = format_event("x", {{"k", value}});
+        for (const char letter : line) {
+            EXPECT_TRUE(absl::ascii_isprint(letter)) << byte;
+        }
+        absl::string_view read = line;
+        ASSERT_TRUE(absl::ConsumePrefix(&read, "event=x k=")) << byte;
+        std::string unescaped(read);
+        if (absl::ConsumePrefix(&read, "\"")) {
+            ASSERT_TRUE(absl::ConsumeSuffix(&read, "\"")) << byte;
+            EXPECT_TRUE(absl::CUnescape(read, &unescaped)) << byte;
+        }
+        EXPECT_EQ(unescaped, value) << byte;
+    }
+}
+
 TEST(log_test, values_with_spaces_are_quoted)
 {
     EXPECT_EQ(format_event("x", {{"a", "one two"}, {"b", 3}}), "event=x a=\"one two\" b=3");
--- a/sardinestream/base/log.cc
+++ b/sardinestream/base/log.cc
@@ -1,5 +1,6 @@
 #include "sardinestream/base/log.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
@@ -20,7 +21,9 @@
 #include "sardinestream/base/error.h"
 
 #include "absl/base/thread_annotations.h"
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_replace.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 
@@ -123,9 +126,13 @@
     return log4cxx::Level::getError();
 }
 
+// Anything but printable ASCII is escaped within quotes: a zero byte would end the line, a control
+// character might begin another one for its reader, and the library replaces what is no ASCII.
 bool needs_quotes(absl::string_view value)
 {
-    return value.empty() || value.find_first_of(" =\"\n\t\r") != absl::string_view::npos;
+    return value.empty() || !std::all_of(value.begin(), value.end(), [](char letter) {
+               return absl::ascii_isgraph(letter) && letter != '=' && letter != '"';
+           });
 }
 
 void append_field(std::string& line, const log_field& field)
@@ -166,9 +173,12 @@
 
 void start_logging(log_level minimum, absl::string_view process, absl::string_view instance)
 {
-    const std::string pattern =
-        absl::StrCat("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p process=", process,
-                     " instance=", instance, " %m%n");
+    std::string origin;
+    append_field(origin, {"process", process});
+    append_field(origin, {"instance", instance});
+    // A percent sign would begin a part of the pattern.
+    const std::string pattern = absl::StrCat("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p",
+                                             absl::StrReplaceAll(origin, {{"%", "%%"}}), " %m%n");
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemOut());
--- a/sardinestream/base/log.h
+++ b/sardinestream/base/log.h
@@ -21,7 +21,8 @@
 
 enum class log_level { debug, info, warning, error };
 
-// One key=value pair of a log line. Numbers are formatted; text is quoted only if necessary.
+// One key=value pair of a log line. Numbers are formatted. Text that is empty or has blanks,
+// quotes, equal signs or anything but printable ASCII is quoted, with escape sequences as in C.
 struct log_field {
     log_field(absl::string_view name, absl::string_view text) : key(name), value(text) {}
     log_field(absl::string_view name, const char* text) : key(name), value(text) {}
--- a/sardinestream/platform/platform_process_test.cc
+++ b/sardinestream/platform/platform_process_test.cc
@@ -88,6 +88,17 @@
     const std::string settings_path = this->logs.path() + "/node.settings";
 };
 
+// Guards against a name of an instance that is taken for a part of the lines' pattern.
+TEST_F(platform_process_test, lines_name_an_instance_of_any_name)
+{
+    this->write_settings(
+        absl::StrReplaceAll(this->agent_settings("info"), {{"--id=side-1", "--id=side %m%n\t1"}}));
+    const auto agent = this->start("sardine-platform-agent");
+    EXPECT_TRUE(agent->wait_for_output(R"( process=agent instance="side %m%n\t1" event=started )",
+                                       absl::Seconds(10)))
+        << agent->output();
+}
+
 // SIGHUP once terminated both programs, and with them every stream that an entry was relaying.
 TEST_F(platform_process_test, sighup_reloads_the_agent)
 {
