A name that no header can carry names no server

What callers saw: while another writer's entry with the address of a sound server had a control character in its name, that server refused requests with 400; with a line end, requests came with a header that no caller had sent.

Cause: each request names the server that is to run it in a header, and the name of the entry was written there as it was.

Change: such an entry is unreadable (server_entry_unreadable). As a second guard, a control character in the value of a header that we write becomes a blank, whoever wrote it: names of teams, ids of events.

--- a/sardinestream/http/message.cc
+++ b/sardinestream/http/message.cc
@@ -1,6 +1,8 @@
 #include "sardinestream/http/message.h"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -14,6 +16,11 @@
     "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade",    "content-length"};
 
+bool is_forbidden_in_header(char letter)
+{
+    return absl::ascii_iscntrl(letter) && letter != '\t';
+}
+
 bool is_hop_by_hop_header(absl::string_view name)
 {
     for (const absl::string_view hop : hop_by_hop_headers) {
@@ -98,9 +105,18 @@
            keeps_alive_in(this->version, this->headers);
 }
 
+bool is_header_value(absl::string_view value)
+{
+    return absl::StripAsciiWhitespace(value) == value &&
+           std::none_of(value.begin(), value.end(), is_forbidden_in_header);
+}
+
 void append_header(std::string& text, absl::string_view name, absl::string_view value)
 {
-    absl::StrAppend(&text, name, ": ", value, "\r\n");
+    absl::StrAppend(&text, name, ": ");
+    std::replace_copy_if(value.begin(), value.end(), std::back_inserter(text),
+                         is_forbidden_in_header, ' ');
+    text += "\r\n";
 }
 
 bool is_success(int status)
--- a/sardinestream/http/message.h
+++ b/sardinestream/http/message.h
@@ -64,7 +64,12 @@
     [[nodiscard]] bool keeps_alive() const;
 };
 
-// Appends a header line to `text`. The name and value are not escaped.
+// Returns whether a header can carry `value` as it is: text without control characters other than
+// tabs, and without space at its ends.
+[[nodiscard]] bool is_header_value(absl::string_view value);
+
+// Appends a header line to `text`. Control characters in the value, which could begin another
+// header, become blanks.
 void append_header(std::string& text, absl::string_view name, absl::string_view value);
 
 // Returns true for 2xx.
--- a/sardinestream/http/message_test.cc
+++ b/sardinestream/http/message_test.cc
@@ -17,6 +17,23 @@
     EXPECT_EQ(kept[1].name, "X-Kept");
 }
 
+// Guards against text of other writers that begins another header.
+TEST(append_header, a_value_begins_no_other_header)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        const char letter = static_cast<char>(byte);
+        const bool is_allowed = letter == '\t' || (byte >= ' ' && byte != 127);
+        const std::string value = {'a', letter, 'b'};
+        EXPECT_EQ(is_header_value(value), is_allowed) << byte;
+        std::string text;
+        append_header(text, "X-One", value);
+        EXPECT_EQ(text, std::string("X-One: a") + (is_allowed ? letter : ' ') + "b\r\n") << byte;
+    }
+    EXPECT_FALSE(is_header_value(" a"));
+    EXPECT_FALSE(is_header_value("a\t"));
+    EXPECT_TRUE(is_header_value(""));
+}
+
 TEST(find_header, is_case_insensitive)
 {
     const http_headers headers = {{"X-One", "1"}};
--- a/sardinestream/platform/desired_state_decoder.cc
+++ b/sardinestream/platform/desired_state_decoder.cc
@@ -11,6 +11,7 @@
 #include "sardinestream/base/digest.h"
 #include "sardinestream/base/error.h"
 #include "sardinestream/base/json_parts.h"
+#include "sardinestream/http/message.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -261,6 +262,10 @@
 
 absl::StatusOr<server_entry> decode_server_entry(absl::string_view id, absl::string_view text)
 {
+    if (!is_header_value(id)) {
+        // Each request names the server that is to run it in a header.
+        return bad_field("name", "not fit for a header");
+    }
     try {
         const json object = parse(text);
         backend_server decoded;
--- a/sardinestream/platform/desired_state_decoder_test.cc
+++ b/sardinestream/platform/desired_state_decoder_test.cc
@@ -94,6 +94,19 @@
     EXPECT_FALSE(decoded->has_odd_cold_time);
 }
 
+// Guards against a name that adds headers to the requests of callers, or makes servers refuse them.
+TEST(decode_server_entry, a_name_that_no_header_can_carry_names_no_server)
+{
+    const std::string entry = R"({"service": "orders", "address": "10.0.0.1:8000", "zone": "a",
+        "slots": 4, "state": "ready", "sequence": 7})";
+    for (const std::string name : {"a\r\nX-Added: 1", "a\nb", "a\x1f", " a", "a\t", "a\x7f"}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(decode_server_entry(name, entry).status())) << name;
+    }
+    for (const std::string name : {"a b", "a&b", "a+b", "a#b", "a%b", "caf\xc3\xa9"}) {
+        EXPECT_TRUE(decode_server_entry(name, entry).ok()) << name;
+    }
+}
+
 TEST(decode_server_entry, an_odd_cold_time_leaves_the_entry_usable)
 {
     const std::pair<const char*, std::int64_t> cases[] = {
--- a/sardinestream/testing/emulator/odd_name_test.cc
+++ b/sardinestream/testing/emulator/odd_name_test.cc
@@ -53,14 +53,17 @@
 // On the second page.
 constexpr char second_sound[] = "n-sound";
 
-// One server of the service, which counts its requests.
+// One server of the service, which counts the requests of callers.
 class sound_server {
 public:
     explicit sound_server(const std::string& ip)
         : server(*connection_server::start({ip, 0}, [this](served_connection& connection) {
               emulated_request request;
               while (connection.read(request)) {
-                  ++this->served;
+                  // The agent beside the server calls it, too.
+                  this->served += request.path() == "/stock/1" ? 1 : 0;
+                  this->has_added_header =
+                      this->has_added_header || !request.header("X-Added").empty();
                   connection.answer(http_ok,
                                     {{words::request_id, request.header(words::request_id)},
                                      {words::signature, "signed"}},
@@ -79,6 +82,7 @@
     }
 
     std::atomic<int> served = 0;
+    std::atomic<bool> has_added_header = false;
     const std::unique_ptr<connection_server> server;
 };
 
@@ -246,6 +250,31 @@
     EXPECT_GT(this->second.served, 0);
 }
 
+// Another writer's entry has the address of a sound server, a later start, and a name that no
+// header can carry. Guards against requests that a server refuses for it, or runs with another's
+// headers.
+class unfit_name_test : public odd_name_test {};
+
+TEST_P(unfit_name_test, requests_of_callers_are_not_touched)
+{
+    constexpr int requests = 40;
+    ASSERT_TRUE(this->all_ready());
+    json odd = this->first.entry();
+    odd["born"] = 2;
+    this->store->put(words::servers_kind, GetParam().odd, odd);
+    this->restart_all();
+    ASSERT_TRUE(this->all_ready());
+    this->first.served = 0;
+    EXPECT_EQ(this->serve(requests), requests);
+    EXPECT_GT(this->first.served, 0);
+    EXPECT_FALSE(this->first.has_added_header);
+}
+
+INSTANTIATE_TEST_SUITE_P(unfit, unfit_name_test,
+                         ::testing::Values(odd_name_case{"line_end", "m\r\nX-Added: 1"},
+                                           odd_name_case{"control", "m\x1f"}),
+                         [](const auto& tested) { return tested.param.label; });
+
 class odd_names_test : public odd_name_test {};
 
 // The store refuses the call for the next page: one that has overlong names alone has no other to
