One unreadable part of a peer's answer costs no other

What callers would see: an entry that learns the servers from a peer, while the store refuses it, knew none if the peer told one departed server in a form that it cannot read; the same for evacuations. Versions of our programs that differ can do that.

Cause: servers were read one by one, departed ones and evacuations all together.

Change: all lists of a peer's answer are read element by element, and what is unreadable is logged.

Evidence: peer_state.an_odd_departure_of_a_peer_costs_only_itself and an_odd_evacuation_of_a_peer_costs_only_itself failed on; they hold now.

--- a/sardinestream/programs/peer_state.cc
+++ b/sardinestream/programs/peer_state.cc
@@ -1,6 +1,7 @@
 #include "sardinestream/programs/peer_state.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <nlohmann/json.hpp>
 
@@ -75,14 +76,27 @@
     return listed;
 }
 
-absl::StatusOr<listed_server> decode_server_or_error(const json& object)
+// Returns the elements of `list` that `decode` can read, which may throw; the others are logged.
+template <typename Value>
+std::vector<Value> decode_readable(const json& list,
+                                   const std::function<absl::StatusOr<Value>(const json&)>& decode)
 {
-    try {
-        return decode_server(object);
-    }
-    catch (const json::exception& error) {
-        return unreadable(error);
+    std::vector<Value> readable;
+    for (const json& element : list) {
+        absl::StatusOr<Value> decoded;
+        try {
+            decoded = decode(element);
+        }
+        catch (const json::exception& error) {
+            decoded = unreadable(error);
+        }
+        if (!decoded.ok()) {
+            log_failure("peer_server_unreadable", decoded.status());
+            continue;
+        }
+        readable.push_back(*std::move(decoded));
     }
+    return readable;
 }
 
 json encode_departed(const departed_server& left)
@@ -94,11 +108,24 @@
             {"age_ms", left.age.count()}};
 }
 
-departed_server decode_departed(const json& object)
+absl::StatusOr<departed_server> decode_departed(const json& object)
+{
+    return departed_server{
+        object.at("id").get<std::string>(), object.at("born_ms").get<std::int64_t>(),
+        object.at("sequence").get<std::int64_t>(), decode_position(object.at("position")),
+        std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>())};
+}
+
+absl::StatusOr<std::string> decode_text(const json& value)
+{
+    return value.get<std::string>();
+}
+
+absl::StatusOr<shared_evacuations::kept_evacuation> decode_kept(const json& object)
 {
-    return {object.at("id").get<std::string>(), object.at("born_ms").get<std::int64_t>(),
-            object.at("sequence").get<std::int64_t>(), decode_position(object.at("position")),
-            std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>())};
+    return shared_evacuations::kept_evacuation{
+        object.at("data_centre").get<std::string>(),
+        std::chrono::milliseconds(object.at("remaining_ms").get<std::int64_t>())};
 }
 
 } // namespace
@@ -140,17 +167,9 @@
         const json object = json::parse(text.begin(), text.end());
         shared_servers servers;
         servers.listed.position = decode_position(object.at("position"));
-        for (const json& entry : object.at("servers")) {
-            absl::StatusOr<listed_server> listed = decode_server_or_error(entry);
-            if (!listed.ok()) {
-                log_failure("peer_server_unreadable", listed.status());
-                continue;
-            }
-            servers.listed.servers.push_back(*std::move(listed));
-        }
-        for (const json& entry : object.at("departed")) {
-            servers.departed.push_back(decode_departed(entry));
-        }
+        servers.listed.servers =
+            decode_readable<listed_server>(object.at("servers"), decode_server);
+        servers.departed = decode_readable<departed_server>(object.at("departed"), decode_departed);
         return servers;
     }
     catch (const json::exception& error) {
@@ -179,12 +198,10 @@
         shared_evacuations evacuations;
         evacuations.position = decode_position(object.at("position"));
         evacuations.changed = decode_position(object.at("changed"));
-        evacuations.data_centres = object.at("data_centres").get<std::vector<std::string>>();
-        for (const json& kept : object.at("kept")) {
-            evacuations.kept.push_back(
-                {kept.at("data_centre").get<std::string>(),
-                 std::chrono::milliseconds(kept.at("remaining_ms").get<std::int64_t>())});
-        }
+        evacuations.data_centres =
+            decode_readable<std::string>(object.at("data_centres"), decode_text);
+        evacuations.kept =
+            decode_readable<shared_evacuations::kept_evacuation>(object.at("kept"), decode_kept);
         return evacuations;
     }
     catch (const json::exception& error) {
--- a/sardinestream/programs/peer_state_test.cc
+++ b/sardinestream/programs/peer_state_test.cc
@@ -99,5 +99,28 @@
     EXPECT_EQ(read->listed.servers[0].server.id, "i-1");
 }
 
+// Guards against one unreadable part of a peer's answer that costs the rest.
+TEST(peer_state, an_odd_departure_of_a_peer_costs_only_itself)
+{
+    const departed_server left = {"i-2", 6, 4, {8, 2}, std::chrono::milliseconds(150)};
+    std::string text = encode_servers({{{}, {9}}, {left}});
+    text.insert(text.find("{\"age_ms"), R"({"id":7},7,{"id":"i-3","age_ms":1},)");
+    const absl::StatusOr<shared_servers> read = decode_servers(text);
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->departed.size(), 1U);
+    EXPECT_EQ(read->departed[0].id, "i-2");
+}
+
+TEST(peer_state, an_odd_evacuation_of_a_peer_costs_only_itself)
+{
+    const absl::StatusOr<shared_evacuations> read = decode_evacuations(
+        R"({"position":{"revision":1,"era":1},"changed":{"revision":1,"era":1},)"
+        R"("data_centres":[7,"a",null],"kept":[{},{"data_centre":"b","remaining_ms":5},3]})");
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(read->data_centres, std::vector<std::string>{"a"});
+    ASSERT_EQ(read->kept.size(), 1U);
+    EXPECT_EQ(read->kept[0].data_centre, "b");
+}
+
 } // namespace
 } // namespace sardinestream
