Large entries of another writer do not take the memory for the list of servers

What callers saw: after all processes had been started anew while 40 entries of 1 MB each stood among those of the servers, no request was served.

Cause: a list keeps what it reads of each object until the whole list is read, within 24 MB for all calls of the process; beyond that the list failed, each time.

Change: store_client leaves out specifications above a limit: 64 KB for servers, none is kept of evacuations, whose names say all, any size for the desired state. An entry without one is logged as unreadable.

Evidence: large_entries_test, real programs: with those of no entry is ready after 10 s; now all 40 requests are served and the server behind the large entries gets some.

--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -22,6 +22,9 @@
 namespace sardinestream::platform {
 namespace {
 
+// Many times what a server says of itself.
+constexpr std::size_t max_server_entry_bytes = 64 << 10;
+
 entry_options to_options(const entry_settings& settings)
 {
     entry_options options;
@@ -124,11 +127,14 @@
                           {"data_centre", settings.data_centre},
                           {"store", settings.store.to_string()}});
     object_watcher config(settings.store, wire::config_kind, config_callbacks(**program));
-    object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program));
+    object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program),
+                           max_server_entry_bytes);
     std::optional<object_watcher> evacuations;
     if (settings.evacuation_time.count() > 0) {
-        evacuations.emplace(settings.store, wire::evacuations_kind,
-                            evacuation_callbacks(**program));
+        // Their names say all.
+        constexpr std::size_t no_specification = 0;
+        evacuations.emplace(settings.store, wire::evacuations_kind, evacuation_callbacks(**program),
+                            no_specification);
     }
     const steady_time received = signal.wait({.on_repeat = [] { log_event("stop_repeated", {}); },
                                               .on_reload = [&program] { reload(**program); }});
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -35,8 +35,9 @@
 } // namespace
 
 object_watcher::object_watcher(const address& store_address, std::string watched_kind,
-                               watcher_callbacks hooks)
-    : kind(std::move(watched_kind)), callbacks(std::move(hooks)), store(store_address)
+                               watcher_callbacks hooks, std::size_t max_specification_bytes)
+    : kind(std::move(watched_kind)), callbacks(std::move(hooks)),
+      store(store_address, max_specification_bytes)
 {
     this->thread = std::thread([this] { this->run(); });
 }
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -35,7 +35,9 @@
 
 class object_watcher {
 public:
-    object_watcher(const address& store, std::string watched_kind, watcher_callbacks hooks);
+    // `max_specification_bytes` as for store_client.
+    object_watcher(const address& store, std::string watched_kind, watcher_callbacks hooks,
+                   std::size_t max_specification_bytes = any_size);
     // Waits for the open watch call to end, a few seconds at most.
     ~object_watcher();
     object_watcher(const object_watcher&) = delete;
--- a/sardinestream/platform/store_client.cc
+++ b/sardinestream/platform/store_client.cc
@@ -86,7 +86,7 @@
 
 // Decodes what the store says of an object. Its specification stays as it was written: only the
 // decoder of its kind reads it, and may find that another writer left something unreadable.
-absl::StatusOr<stored_object> decode_object(const raw_object& raw)
+absl::StatusOr<stored_object> decode_object(const raw_object& raw, std::size_t max_specification)
 {
     std::optional<std::string> name = decode_name(raw.name);
     if (!name.has_value()) {
@@ -99,7 +99,9 @@
     if (!revision.ok()) {
         return revision.status();
     }
-    return stored_object{*std::move(name), *revision, std::string(raw.specification)};
+    const bool is_too_large = raw.specification.size() > max_specification;
+    return stored_object{*std::move(name), *revision,
+                         is_too_large ? "" : std::string(raw.specification)};
 }
 
 absl::Status too_long(absl::string_view what)
@@ -208,7 +210,7 @@
     return text == "true";
 }
 
-absl::StatusOr<list_page> decode_page(absl::string_view body)
+absl::StatusOr<list_page> decode_page(absl::string_view body, std::size_t max_specification)
 {
     const absl::StatusOr<raw_answer> answer = split_answer(body, "items");
     if (!answer.ok()) {
@@ -228,7 +230,7 @@
             continue;
         }
         note_name(raw->name, page);
-        absl::StatusOr<stored_object> object = decode_object(*raw);
+        absl::StatusOr<stored_object> object = decode_object(*raw, max_specification);
         if (!object.ok()) {
             log_odd_object(object.status());
             continue;
@@ -239,7 +241,7 @@
     return page;
 }
 
-absl::StatusOr<object_change> decode_change(absl::string_view event)
+absl::StatusOr<object_change> decode_change(absl::string_view event, std::size_t max_specification)
 {
     const absl::StatusOr<std::vector<json_member>> members = split_json_object(event);
     if (!members.ok()) {
@@ -249,14 +251,15 @@
     if (!raw.ok()) {
         return raw.status();
     }
-    absl::StatusOr<stored_object> object = decode_object(*raw);
+    absl::StatusOr<stored_object> object = decode_object(*raw, max_specification);
     if (!object.ok()) {
         return object.status();
     }
     return object_change{*std::move(object), find_member(*members, "removed") == "true"};
 }
 
-absl::StatusOr<change_list> decode_changes(absl::string_view body, std::int64_t era)
+absl::StatusOr<change_list> decode_changes(absl::string_view body, std::int64_t era,
+                                           std::size_t max_specification)
 {
     const absl::StatusOr<raw_answer> answer = split_answer(body, "events");
     if (!answer.ok()) {
@@ -265,7 +268,7 @@
     change_list changes;
     changes.position = {answer->revision, era};
     for (const absl::string_view event : answer->parts) {
-        absl::StatusOr<object_change> change = decode_change(event);
+        absl::StatusOr<object_change> change = decode_change(event, max_specification);
         if (!change.ok()) {
             log_odd_object(change.status());
             continue;
@@ -277,7 +280,10 @@
 
 } // namespace
 
-store_client::store_client(const address& store) : http(store) {}
+store_client::store_client(const address& store, std::size_t max_specification_bytes)
+    : http(store), max_specification(max_specification_bytes)
+{
+}
 
 absl::StatusOr<http_answer> store_client::get(const std::string& target,
                                               std::chrono::milliseconds timeout)
@@ -358,7 +364,7 @@
         if (!answer.ok()) {
             return answer.status();
         }
-        absl::StatusOr<list_page> page = decode_page(answer->body);
+        absl::StatusOr<list_page> page = decode_page(answer->body, this->max_specification);
         if (!page.ok()) {
             return page.status();
         }
@@ -402,7 +408,8 @@
     if (!answer.ok()) {
         return answer.status();
     }
-    absl::StatusOr<change_list> changes = decode_changes(answer->body, this->era);
+    absl::StatusOr<change_list> changes =
+        decode_changes(answer->body, this->era, this->max_specification);
     if (!changes.ok()) {
         return changes.status();
     }
--- a/sardinestream/platform/store_client.h
+++ b/sardinestream/platform/store_client.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,9 +30,12 @@
 struct stored_object {
     std::string name;
     std::int64_t revision = 0;
+    // Empty if it is larger than the client reads.
     std::string specification;
 };
 
+inline constexpr std::size_t any_size = std::numeric_limits<std::size_t>::max();
+
 struct object_list {
     std::vector<stored_object> objects;
     // The store's position at the time of the list; the start of the first watch.
@@ -57,7 +61,9 @@
 
 class store_client {
 public:
-    explicit store_client(const address& store);
+    // Leaves out specifications of more than `max_specification_bytes`, so that large objects of
+    // other writers do not take the memory for a list.
+    explicit store_client(const address& store, std::size_t max_specification_bytes = any_size);
 
     // Reads all objects of a kind, page by page. Objects without a readable name or revision are
     // logged and left out, here and in watches. `timeout` applies to each page. Fails with
@@ -87,6 +93,7 @@
     void read_era(const http_answer& answer);
 
     http_client http;
+    const std::size_t max_specification;
     // The last era that the store named.
     std::int64_t era = 0;
     // The position of the last list or watch that was answered.
--- a/sardinestream/platform/store_list_test.cc
+++ b/sardinestream/platform/store_list_test.cc
@@ -102,6 +102,24 @@
     EXPECT_THAT(this->whole, ElementsAre("a", "c"));
 }
 
+TEST_F(store_list_test, leaves_out_what_is_larger_than_the_client_reads)
+{
+    const scripted_server store([](scripted_connection& connection) {
+        while (connection.read_request()) {
+            const std::string body = R"({"items":[{"metadata":{"name":"a","revision":1},)"
+                                     R"("specification":{"x":12345}}],"has-more":false,"at":5})";
+            connection.write(
+                absl::StrCat("HTTP/1.1 200 X\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+        }
+    });
+    for (const auto& [limit, expected] :
+         {std::pair<std::size_t, std::string>{11, R"({"x":12345})"}, {10, ""}}) {
+        const auto listed = store_client(store.local(), limit).list("servers", call_time);
+        ASSERT_TRUE(listed.ok()) << listed.status();
+        EXPECT_EQ(listed->objects.at(0).specification, expected);
+    }
+}
+
 // Guards against a list that is taken for whole because the names of a page are no UTF-8.
 TEST_F(store_list_test, goes_on_after_a_name_of_any_bytes)
 {
--- a/sardinestream/testing/emulator/odd_name_test.cc
+++ b/sardinestream/testing/emulator/odd_name_test.cc
@@ -275,6 +275,30 @@
                                            odd_name_case{"control", "m\x1f"}),
                          [](const auto& tested) { return tested.param.label; });
 
+class large_entries_test : public odd_name_test {};
+
+// Guards against a start without servers because what other writers store exceeds the memory for
+// a list.
+TEST_P(large_entries_test, large_entries_of_another_writer_cost_no_sound_server)
+{
+    constexpr int requests = 40;
+    constexpr int odd_entries = 40;
+    constexpr std::size_t entry_bytes = 1'000'000;
+    ASSERT_TRUE(this->all_ready());
+    for (int i = 0; i < odd_entries; ++i) {
+        this->store->put(words::servers_kind, absl::StrCat(GetParam().odd, i),
+                         std::string(entry_bytes, 'o'));
+    }
+    this->restart_all();
+    this->second.served = 0;
+    ASSERT_TRUE(this->all_ready()) << this->programs.front().run->output();
+    EXPECT_EQ(this->serve(requests), requests);
+    EXPECT_GT(this->second.served, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(large, large_entries_test, ::testing::Values(odd_name_case{"large", "m"}),
+                         [](const auto& tested) { return tested.param.label; });
+
 class odd_names_test : public odd_name_test {};
 
 // The store refuses the call for the next page: one that has overlong names alone has no other to
