Tests of text of other writers where it is handled already

Nothing changes in the product. Labels of metrics are escaped; a target or header of a caller with a blank, a line end or another control character does not pass the parser, so that none becomes another line when it is passed on. No test showed that before.

--- a/sardinestream/base/base_test.cc
+++ b/sardinestream/base/base_test.cc
@@ -227,6 +227,13 @@
     EXPECT_THAT(render_metrics(), testing::Not(HasSubstr("leaving")));
 }
 
+// Guards against names of others that end a label or a line.
+TEST(metrics_test, labels_of_any_text_are_escaped)
+{
+    count("test_odd_total", {{"name", "a\"}\n\\b"}});
+    EXPECT_THAT(render_metrics(), HasSubstr(R"(test_odd_total{name="a\"}\n\\b"} 1)"));
+}
+
 TEST(metrics_test, counters_and_histograms_are_rendered)
 {
     count("test_total", {{"code", "a"}}, 2);
--- a/sardinestream/http/message_reader_test.cc
+++ b/sardinestream/http/message_reader_test.cc
@@ -9,6 +9,7 @@
 #include "sardinestream/http/message_reader.h"
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -146,6 +147,23 @@
         this->request_error("POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc")));
 }
 
+// Guards against targets and headers that become others when they are written again.
+TEST_F(message_reader_test, refuses_text_that_is_no_target_or_header_value)
+{
+    const std::string zero(1, '\0');
+    for (const std::string& odd :
+         std::vector<std::string>{" b", "\x01", "\r", "\n", "\x7f", zero}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(
+            this->request_error(absl::StrCat("GET /a", odd, "b HTTP/1.1\r\nHost: h\r\n\r\n"))))
+            << absl::CHexEscape(odd);
+    }
+    for (const std::string& odd : std::vector<std::string>{"\x01", "\r", "\nb", "\x7f", zero}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(this->request_error(
+            absl::StrCat("GET / HTTP/1.1\r\nHost: h\r\nX: a", odd, "b\r\n\r\n"))))
+            << absl::CHexEscape(odd);
+    }
+}
+
 TEST_F(message_reader_test, refuses_bytes_that_are_not_http)
 {
     EXPECT_TRUE(absl::IsInvalidArgument(this->request_error("\x16\x03\x01 hello\r\n\r\n")));
--- a/sardinestream/testing/emulator/odd_name_test.cc
+++ b/sardinestream/testing/emulator/odd_name_test.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -86,9 +87,9 @@
     const std::unique_ptr<connection_server> server;
 };
 
-void PrintTo(const odd_name_case& tested, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const odd_name_case& tested)
 {
-    *out << tested.label;
+    return out << tested.label;
 }
 
 class odd_name_test : public ::testing::TestWithParam<odd_name_case> {
