Own interface: bytes that no target may have are escaped on the way to a server

With the client's own encoding off, a carriage return or another control character in a caller's target reached a plain service as it is; some servers take it for the end of the request line.

Change: all bytes that are not printable ASCII are escaped; escapes and the other characters stay as the caller wrote them.

Evidence: request_text_test.what_no_target_may_have_is_escaped holds, and the other tests of backend_client_test.

--- a/sardinestream/agent/backend_client.cc
+++ b/sardinestream/agent/backend_client.cc
@@ -42,27 +42,38 @@
     return absl::Now() >= request.deadline ? backend_outcome::timeout : backend_outcome::lost;
 }
 
-// Control characters cannot have come in a header: the library has decoded escapes, which are
-// written again. A line end would begin another header.
-std::string escape_controls(const std::string& value)
+// Escapes the bytes that `is_allowed` does not take.
+std::string escape(const std::string& text, bool (*is_allowed)(char))
 {
     std::string escaped;
-    for (const char letter : value) {
-        const bool is_control = absl::ascii_iscntrl(letter) && letter != '\t';
-        escaped += is_control ? percent_encode({&letter, 1}) : std::string(1, letter);
+    for (const char letter : text) {
+        escaped += is_allowed(letter) ? std::string(1, letter) : percent_encode({&letter, 1});
     }
     return escaped;
 }
 
+// A target keeps the escapes that its caller wrote.
+bool is_allowed_in_target(char letter)
+{
+    return absl::ascii_isgraph(letter);
+}
+
+// Control characters cannot have come in a header: the library has decoded escapes, which are
+// written again. A line end would begin another header.
+bool is_allowed_in_header(char letter)
+{
+    return !absl::ascii_iscntrl(letter) || letter == '\t';
+}
+
 httplib::Request to_http(const backend_request& from)
 {
     httplib::Request to;
     to.method = from.method;
-    to.path = from.path;
+    to.path = escape(from.path, is_allowed_in_target);
     to.body = from.body;
     for (const auto& [name, value] : from.headers) {
         if (absl::AsciiStrToLower(name) != "accept-encoding") {
-            to.headers.emplace(name, escape_controls(value));
+            to.headers.emplace(name, escape(value, is_allowed_in_header));
         }
     }
     to.headers.emplace("Accept-Encoding", "identity");
@@ -90,7 +101,7 @@
     connection->set_connection_timeout(connect_timeout_s);
     connection->set_tcp_nodelay(true);
     connection->set_keep_alive(!fresh);
-    // Targets are passed on as callers sent them.
+    // Targets are encoded already.
     connection->set_url_encode(false);
     return connection;
 }
--- a/sardinestream/agent/backend_client_test.cc
+++ b/sardinestream/agent/backend_client_test.cc
@@ -90,6 +90,19 @@
     }
 }
 
+// Guards against a target that is another request line to the server.
+TEST_F(request_text_test, what_no_target_may_have_is_escaped)
+{
+    const std::pair<std::string, std::string> cases[] = {{"/a\rb", "/a%0db"},
+                                                         {"/a\x01", "/a%01"},
+                                                         {"/caf\xc3\xa9", "/caf%c3%a9"},
+                                                         {"/a b", "/a%20b"}};
+    for (const auto& [path, sent] : cases) {
+        this->send(path, {});
+        EXPECT_EQ(this->head.target, sent);
+    }
+}
+
 // Guards against a header that adds another: a library decodes escapes in the headers of callers.
 TEST_F(request_text_test, a_header_adds_no_other)
 {
