--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -222,7 +222,7 @@
 {
     emulated_request request;
     while (connection.read(request)) {
-        const std::string path = request.path();
+        const std::string& path = request.path();
         if (path == words::order_path) {
             this->answer_order(connection, request);
             continue;
--- a/sardinestream/testing/emulator/store_emulator.cc
+++ b/sardinestream/testing/emulator/store_emulator.cc
@@ -221,7 +221,7 @@
 
 void store_emulator::answer_call(served_connection& connection, const emulated_request& request)
 {
-    const std::string path = request.path();
+    const std::string& path = request.path();
     absl::string_view kind = path;
     if (request.head.method != "GET" || !absl::ConsumePrefix(&kind, words::objects_path)) {
         this->answer(connection, http_not_found, "{}");
