--- a/sardinestream/platform/store_list_test.cc
+++ b/sardinestream/platform/store_list_test.cc
@@ -94,6 +94,7 @@
     int calls = 0;
 };
 
+// Guards against a page that is read again, or ends the list, for its last object.
 TEST_F(store_list_test, goes_on_after_an_object_that_is_unreadable_but_for_its_name)
 {
     EXPECT_TRUE(this->list({{"", {{named(in_quotes("a")), named(in_quotes("b"), "[]")}}},
@@ -102,6 +103,7 @@
     EXPECT_THAT(this->whole, ElementsAre("a", "c"));
 }
 
+// Guards against large objects of other writers that take the memory for a list.
 TEST_F(store_list_test, leaves_out_what_is_larger_than_the_client_reads)
 {
     const scripted_server store([](scripted_connection& connection) {
@@ -161,6 +163,7 @@
     EXPECT_EQ(this->calls, 2);
 }
 
+// Guards against a list that is taken for whole though the store does not say so.
 TEST_F(store_list_test, an_unreadable_has_more_is_not_the_end)
 {
     for (const char* const odd : {"1", "\"true\"", "null", "[]"}) {
@@ -190,6 +193,7 @@
     }
 }
 
+// Guards against a start with a part of the servers while the store is only busy.
 TEST_F(store_list_test, a_failure_that_may_pass_reports_nothing)
 {
     for (const int status : {408, 421, 429, 500, 503}) {
--- a/sardinestream/store/object_store_test.cc
+++ b/sardinestream/store/object_store_test.cc
@@ -258,6 +258,7 @@
     EXPECT_EQ(listed->objects[1].name, "b");
 }
 
+// Guards against a platform that repeats a page.
 TEST_F(scripted_store_test, a_list_that_does_not_end_fails)
 {
     this->answer = [](const std::string&) {
@@ -280,6 +281,7 @@
     EXPECT_LE(this->calls, most_calls);
 }
 
+// Guards against pages that are taken for the whole list because the rest has gone.
 TEST_F(scripted_store_test, a_list_whose_next_page_has_gone_fails)
 {
     this->answer = [](const std::string& target) {
