Fault matrix: red cells stand at the end of the output

The matrix printed a red cell once, in its place.

Change: red cells are printed again right before the last line, which stays the last.

--- a/sardinestream/testing/fault_matrix_main.cc
+++ b/sardinestream/testing/fault_matrix_main.cc
@@ -4,6 +4,7 @@
 //     ...
 //     matrix cells=312 held=311 red=1
 //
+// Red cells are printed again before the last line, where a shortened output still has them.
 // Exits with 0 where every red cell is listed in the file of known red cells (lines "cell: NAME").
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 #include "sardinestream/testing/fault_matrix.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "absl/time/clock.h"
@@ -89,10 +91,13 @@
         }
     }
 
-    // Prints the last line; returns the exit status.
+    // Prints the red cells again, then the last line; returns the exit status.
     int finish()
     {
         const absl::MutexLock lock(&this->mutex);
+        for (const std::string& line : this->red_lines) {
+            std::printf("%s\n", line.c_str());
+        }
         std::printf("matrix cells=%zu held=%d red=%zu\n", this->cells.size(), this->held,
                     this->cells.size() - static_cast<std::size_t>(this->held));
         return this->unknown_red == 0 ? 0 : 1;
@@ -111,10 +116,15 @@
         const bool known = this->known_red.count(cell.name()) > 0;
         this->held += verdict.held ? 1 : 0;
         this->unknown_red += verdict.held || known ? 0 : 1;
-        std::printf("cell=%s verdict=%s detail=%s known_red=%s seconds=%.1f\n", cell.name().c_str(),
-                    verdict.held ? "held" : "red", verdict.detail.c_str(), known ? "yes" : "no",
-                    absl::ToDoubleSeconds(took));
+        const std::string line =
+            absl::StrFormat("cell=%s verdict=%s detail=%s known_red=%s seconds=%.1f", cell.name(),
+                            verdict.held ? "held" : "red", verdict.detail, known ? "yes" : "no",
+                            absl::ToDoubleSeconds(took));
+        std::printf("%s\n", line.c_str());
         std::fflush(stdout);
+        if (!verdict.held) {
+            this->red_lines.push_back(line);
+        }
     }
 
     const std::vector<matrix_cell> cells;
@@ -123,6 +133,7 @@
     std::size_t next ABSL_GUARDED_BY(mutex) = 0;
     int held ABSL_GUARDED_BY(mutex) = 0;
     int unknown_red ABSL_GUARDED_BY(mutex) = 0;
+    std::vector<std::string> red_lines ABSL_GUARDED_BY(mutex);
 };
 
 int run_matrix()
