Fault matrix: a stream that is refused by the only agent left has lost its only server

What was seen: stop_model_agent.notice.kill_other red with `request_cut_off`. One of two streams of the killed agent ended with backend_lost, as the cell allows, the other with `draining`.

Cause, by trace: the cell kills one model agent and sends SIGTERM to the other at once. An entry that has heard of the stop ends the stream with backend_lost. One that resumes it 2 ms after the stop began (drain_started 13.217, completion_resumes 13.219, peer_leaving 13.219) is told by the agent and ends it with `draining`, outcome `unknown`: "the server is leaving" in OPERATIONS.md. The agent refused it before its engine: the ledger there hasn't got it. It is the same case, which the cell allows, and the list of its codes lacked one.

Change: `draining` counts as such an end, under the conditions of the other two: the agent's server never ran the request. New for all three: the outcome must not be `not_run`, since the killed agent's engine had begun.

--- a/sardinestream/testing/stop_cells.cc
+++ b/sardinestream/testing/stop_cells.cc
@@ -262,14 +262,17 @@
     }
 
     // A stream that only the killed agent's server ran has nowhere to go on: the other agent is
-    // leaving and takes no new work. It must end with a code that says so.
+    // leaving and takes no new work, whether the entry knows that already or is told as it resumes
+    // the stream there. It must end with a code that says so, and not as if it had never run.
     [[nodiscard]] bool lost_its_only_server(const stream_answer& answer) const
     {
         const bool explicit_end =
             answer.end == stream_end::error || answer.end == stream_end::refused;
+        const std::string& code = answer.error.code;
         return this->plan.target == stop_target::model_agent && this->plan.fault == "kill_other" &&
                explicit_end &&
-               (answer.error.code == "backend_lost" || answer.error.code == "stream_cut") &&
+               (code == "backend_lost" || code == "stream_cut" || code == "draining") &&
+               answer.error.outcome != "not_run" &&
                !ledger_has(this->agent, answer.asked.request_id);
     }
 
