Fleets of tests: each has a key of its own

Cause, by trace: all fleets had one key. An entry of another fleet, run by another matrix, linked to this fleet's entry-0 (`peer_up peer=entry-0` on entry-0 itself, with an incarnation that no process here had) and brought its catalogue, number 6, before the own one was there, number 1. From then on "the platform's index is older than the catalogue in force", and restarted processes could not put a catalogue together. A fleet gives up ports, that of the listed `ghost-agent` of a stale list among them, and goes on dialling them; the system may give them to another fleet. Which of them it was here isn't known: the other fleet's logs were gone.

Change: the key is made from the fleet's own directory.

Test that failed before: catalogue_fleet_test.a_process_of_another_fleet_is_refused lists one fleet's entry in another's platform; without the change the link is accepted.

--- a/sardinestream/catalogue/catalogue_fleet_test.cc
+++ b/sardinestream/catalogue/catalogue_fleet_test.cc
@@ -331,5 +331,20 @@
     EXPECT_EQ(numbers.falls(), 0);
 }
 
+// Guards against fleets that mix: an address that one had given up became another's, and processes
+// that still dialled it joined that fleet and brought their own catalogue.
+TEST_F(catalogue_fleet_test, a_process_of_another_fleet_is_refused)
+{
+    const absl::StatusOr<std::unique_ptr<fleet>> stranger = fleet::create({});
+    ASSERT_TRUE(stranger.ok()) << stranger.status();
+    entry_node& dialled = this->servers->entry(0);
+    const json nobody{{"role", "agent"},
+                      {"address", dialled.links.reserved().to_string()},
+                      {"data_centre", "fi/kuopio"},
+                      {"leaving", false}};
+    ASSERT_TRUE((*stranger)->list_instance("ghost-agent", nobody.dump()));
+    EXPECT_TRUE(dialled.run->wait_for_output("link_refused", absl::Seconds(10)));
+}
+
 } // namespace
 } // namespace sardinestream::testing
--- a/sardinestream/testing/fleet.cc
+++ b/sardinestream/testing/fleet.cc
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 
-constexpr char fleet_key[] = "fleet-key-of-the-tests";
 constexpr char json_type[] = "application/json";
 constexpr int http_ok = 200;
 constexpr int page_timeout_s = 2;
@@ -49,7 +48,7 @@
 absl::StatusOr<std::unique_ptr<fleet>> fleet::create(fleet_options options)
 {
     std::unique_ptr<fleet> made(new fleet(std::move(options)));
-    absl::StatusOr<std::shared_ptr<wire::tls_context>> tls = wire::tls_context::create(fleet_key);
+    absl::StatusOr<std::shared_ptr<wire::tls_context>> tls = wire::tls_context::create(made->key);
     if (!tls.ok()) {
         return tls.status();
     }
@@ -159,7 +158,7 @@
                                    flag("ops_listen", node->ops.reserved().to_string()),
                                    flag("backend", node->server->local().to_string()),
                                    flag("serves", model ? "assistant" : "till,stock"),
-                                   flag("fleet_key", fleet_key),
+                                   flag("fleet_key", this->key),
                                    flag("slots", this->options.slots)};
     append(flags, this->options.agent_flags);
     SARDINE_RETURN_IF_ERROR(this->start_process(node->run, {.binary = "sardine-agent",
@@ -199,7 +198,7 @@
                                    flag("ops_listen", node.ops.reserved().to_string()),
                                    flag("platform", node.platform->local().to_string()),
                                    flag("seeds", absl::StrJoin(seeds, ",")),
-                                   flag("fleet_key", fleet_key),
+                                   flag("fleet_key", this->key),
                                    "--drain_delay_ms=200"};
     append(flags, this->options.entry_flags);
     return this->start_process(node.run, {.binary = "sardine-entry",
--- a/sardinestream/testing/fleet.h
+++ b/sardinestream/testing/fleet.h
@@ -131,6 +131,9 @@
 
     const fleet_options options;
     const temp_directory files;
+    // No other fleet's. A port that one fleet gives up may become another's, and a process that
+    // still dials it would bring its own catalogue there.
+    const std::string key = "fleet key of " + this->files.path();
     std::shared_ptr<wire::tls_context> tls;
     port_reservation platform_port;
     std::unique_ptr<process> platform_run;
