--- a/sardinestream/backends/server_directory.cc
+++ b/sardinestream/backends/server_directory.cc
@@ -72,6 +72,12 @@
 }
 
 void server_directory::note_outage(const store_outage& outage, steady_time now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->extend_grace(outage, now);
+}
+
+void server_directory::extend_grace(const store_outage& outage, steady_time now)
 {
     const steady_time end = outage.end(now);
     if (outage.begun != steady_time{} && end - outage.begun >= this->shortest_expiring_outage) {
@@ -203,7 +209,7 @@
 bool server_directory::apply(const server_list& list, const store_outage& outage, steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->note_outage(outage, now);
+    this->extend_grace(outage, now);
     const bool is_first = this->known == store_position{};
     bool changed = false;
     if (!is_first && (list.restored || list.position.era != this->known.era)) {
@@ -267,7 +273,7 @@
                              steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->note_outage(outage, now);
+    this->extend_grace(outage, now);
     bool changed = false;
     for (const server_change& change : received.changes) {
         const auto found = this->entries.find(change.id);
@@ -342,7 +348,7 @@
                              steady_time now)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->note_outage(outage, now);
+    this->extend_grace(outage, now);
     const store_position position = peer.listed.position;
     const bool is_first = this->known == store_position{};
     const bool is_newer = position > this->known;
--- a/sardinestream/backends/server_directory.h
+++ b/sardinestream/backends/server_directory.h
@@ -110,6 +110,10 @@
         std::chrono::milliseconds lifetime = std::chrono::milliseconds(4800),
         std::chrono::milliseconds heartbeat = std::chrono::milliseconds(1200));
 
+    // Notes an outage of the store if entries may have expired in it. A short one does not end the
+    // grace period of a longer one before it.
+    void note_outage(const store_outage& outage, steady_time now);
+
     // Apply the store's complete list, or changes to it, atomically. `outage` is the last outage of
     // the store. Servers that are no longer listed stay in use for the grace period if their
     // entries may have expired in it; they are dropped immediately if they were draining. Return
@@ -184,9 +188,7 @@
 
     using entry_iterator = std::map<std::string, entry>::iterator;
 
-    // Notes an outage of the store if entries may have expired in it. A short one does not end the
-    // grace period of a longer one before it.
-    void note_outage(const store_outage& outage, steady_time now)
+    void extend_grace(const store_outage& outage, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     // Reconciles what is known with the first list of another history of the store.
     bool reconcile(const server_list& list, steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/sardinestream/platform/entry_main.cc
+++ b/sardinestream/platform/entry_main.cc
@@ -1,5 +1,6 @@
 // Entry point of sardine-entry: reads the settings, watches the store and runs the entry.
 
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -16,6 +17,7 @@
 #include "sardinestream/platform/object_watcher.h"
 #include "sardinestream/platform/server_entries.h"
 #include "sardinestream/platform/settings.h"
+#include "sardinestream/platform/store_prober.h"
 #include "sardinestream/platform/wire_names.h"
 #include "sardinestream/programs/entry_program.h"
 
@@ -75,7 +77,7 @@
                     }
                 }
             },
-            nullptr, [&program](const object_list& list) { apply_config_list(program, list); }};
+            [&program](const object_list& list) { apply_config_list(program, list); }};
 }
 
 watcher_callbacks server_callbacks(entry_program& program)
@@ -86,7 +88,6 @@
             [&program](const change_list& changes, const store_outage& outage) {
                 program.apply_server_changes(to_server_changes(changes), outage);
             },
-            [&program](const store_outage& outage) { program.note_store_outage(outage); },
             [&program](const object_list& list) {
                 program.apply_partial_server_list(to_server_list(list));
             }};
@@ -126,15 +127,19 @@
     log_event("started", {{"front", settings.front_listen.to_string()},
                           {"data_centre", settings.data_centre},
                           {"store", settings.store.to_string()}});
-    object_watcher config(settings.store, wire::config_kind, config_callbacks(**program));
+    const auto contact = std::make_shared<store_contact>(
+        [&program](const store_outage& outage) { (*program)->note_store_outage(outage); });
+    const store_prober prober(settings.store, probe_interval(settings.server_heartbeat), contact);
+    object_watcher config(settings.store, wire::config_kind, config_callbacks(**program), any_size,
+                          contact);
     object_watcher servers(settings.store, wire::servers_kind, server_callbacks(**program),
-                           max_server_entry_bytes);
+                           max_server_entry_bytes, contact);
     std::optional<object_watcher> evacuations;
     if (settings.evacuation_time.count() > 0) {
         // Their names say all.
         constexpr std::size_t no_specification = 0;
         evacuations.emplace(settings.store, wire::evacuations_kind, evacuation_callbacks(**program),
-                            no_specification);
+                            no_specification, contact);
     }
     const steady_time received = signal.wait({.on_repeat = [] { log_event("stop_repeated", {}); },
                                               .on_reload = [&program] { reload(**program); }});
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -35,9 +35,11 @@
 } // namespace
 
 object_watcher::object_watcher(const address& store_address, std::string watched_kind,
-                               watcher_callbacks hooks, std::size_t max_specification_bytes)
+                               watcher_callbacks hooks, std::size_t max_specification_bytes,
+                               std::shared_ptr<store_contact> store_calls)
     : kind(std::move(watched_kind)), callbacks(std::move(hooks)),
-      store(store_address, max_specification_bytes)
+      store(store_address, max_specification_bytes),
+      contact(store_calls != nullptr ? std::move(store_calls) : std::make_shared<store_contact>())
 {
     this->thread = std::thread([this] { this->run(); });
 }
@@ -59,7 +61,7 @@
             });
         if (listed.ok()) {
             this->record_success();
-            this->callbacks.on_list(*listed, this->outage);
+            this->callbacks.on_list(*listed, this->contact->last_outage());
             this->followed = listed->position;
             this->watch_until(steady_time::max());
             this->followed.reset();
@@ -71,8 +73,7 @@
             this->watch_until(steady_clock::now() + partial_list_interval);
             continue;
         }
-        this->record_failure(listed.status(), called);
-        this->back_off();
+        this->handle_failure(listed.status(), called);
     }
 }
 
@@ -102,13 +103,12 @@
             return;
         }
         if (!changes.ok()) {
-            this->record_failure(changes.status(), called);
-            this->back_off();
+            this->handle_failure(changes.status(), called);
             continue;
         }
         this->record_success();
         this->followed = changes->position;
-        this->callbacks.on_changes(*changes, this->outage);
+        this->callbacks.on_changes(*changes, this->contact->last_outage());
         if (!changes->changes.empty()) {
             std::this_thread::sleep_for(batch_interval);
         }
@@ -117,31 +117,30 @@
 
 void object_watcher::record_success()
 {
-    if (this->consecutive_failures > 0) {
-        this->outage.ended = steady_clock::now();
-    }
+    this->contact->note_answer(steady_clock::now());
     this->consecutive_failures = 0;
     if (!this->connected.exchange(true)) {
         log_event("store_connected", {{"kind", this->kind}});
     }
 }
 
-void object_watcher::record_failure(const absl::Status& error, steady_time called)
+void object_watcher::handle_failure(const absl::Status& error, steady_time called)
 {
     ++this->consecutive_failures;
-    if (this->consecutive_failures == 1) {
-        // A store that refuses a call or ends its connection was there until then; one that does
-        // not answer may have been away since the call.
-        const bool was_silent = absl::IsDeadlineExceeded(error);
-        this->outage = {was_silent ? called : steady_clock::now(), {}};
-        if (this->callbacks.on_outage != nullptr) {
-            this->callbacks.on_outage(this->outage);
-        }
-    }
     count("sardine_store_failures_total", {{"kind", this->kind}});
     if (this->connected.exchange(false) || this->consecutive_failures == 1) {
         log_failure("store_lost", error, {{"kind", this->kind}});
     }
+    if (!absl::IsDeadlineExceeded(error)) {
+        this->contact->note_refusal(steady_clock::now());
+        this->back_off();
+        return;
+    }
+    this->contact->note_silence(called);
+    // Perhaps only the connection is silent: a new one shows it at once.
+    if (this->consecutive_failures > 1) {
+        this->back_off();
+    }
 }
 
 milliseconds object_watcher::call_timeout() const
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -12,22 +12,22 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
 
+#include "sardinestream/base/store_contact.h"
 #include "sardinestream/base/store_outage.h"
 #include "sardinestream/platform/store_client.h"
 
 namespace sardinestream::platform {
 
 struct watcher_callbacks {
-    // `outage` is the last one.
+    // `outage` is the last one that any call of the process met.
     std::function<void(const object_list& list, const store_outage& outage)> on_list;
     // Also called with no changes, after a watch that saw none.
     std::function<void(const change_list& changes, const store_outage& outage)> on_changes;
-    // Called when a call has failed after an answer. May be empty.
-    std::function<void(const store_outage& outage)> on_outage = nullptr;
     // Called with the objects that were read of a list which cannot be read to its end; changes of
     // all objects follow. If it is empty, such a list counts as a failed call.
     std::function<void(const object_list& list)> on_partial_list = nullptr;
@@ -35,9 +35,11 @@
 
 class object_watcher {
 public:
-    // `max_specification_bytes` as for store_client.
+    // `max_specification_bytes` as for store_client. The watchers of a process share one
+    // `store_contact`; without one, the watcher judges the store by its own calls.
     object_watcher(const address& store, std::string watched_kind, watcher_callbacks hooks,
-                   std::size_t max_specification_bytes = any_size);
+                   std::size_t max_specification_bytes = any_size,
+                   std::shared_ptr<store_contact> store_calls = nullptr);
     // Waits for the open watch call to end, a few seconds at most.
     ~object_watcher();
     object_watcher(const object_watcher&) = delete;
@@ -53,8 +55,8 @@
     // Follows the changes after `followed` until `end`, or until their history is lost.
     void watch_until(steady_time end);
     void record_success();
-    // `called` is when the failed call was made.
-    void record_failure(const absl::Status& error, steady_time called);
+    // Records a call made at `called` that failed, and waits until the next one may be made.
+    void handle_failure(const absl::Status& error, steady_time called);
     void back_off();
     [[nodiscard]] std::chrono::milliseconds call_timeout() const;
 
@@ -63,9 +65,9 @@
     store_client store;
     std::atomic<bool> stopping = false;
     std::atomic<bool> connected = false;
+    const std::shared_ptr<store_contact> contact;
+    // Used only by the watcher's thread, like `followed`.
     int consecutive_failures = 0;
-    // The last outage. Used only by the watcher's thread, like `followed`.
-    store_outage outage;
     // Up to where the changes since the last list are known. A list that was not read to its end
     // does not set it forward: the changes of the rest would be missed.
     std::optional<store_position> followed;
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "sardinestream/platform/object_watcher.h"
+#include "sardinestream/platform/store_prober.h"
 #include "sardinestream/testing/scripted_server.h"
 
 #include "absl/strings/match.h"
@@ -194,17 +195,18 @@
                     std::this_thread::sleep_for(milliseconds(50));
                 }
             });
-            std::atomic<int> reported = 0;
+            std::atomic<int> begun = 0;
+            std::atomic<int> ended = 0;
+            const auto contact = std::make_shared<store_contact>([&](const store_outage& outage) {
+                ++(outage.ended == steady_time{} ? begun : ended);
+            });
             const object_watcher follower(store.local(), "servers",
                                           {[](const object_list&, const store_outage&) {},
                                            [&](const change_list&, const store_outage& outage) {
                                                const absl::MutexLock lock(&mutex);
                                                seen = seen.value_or(outage);
-                                           },
-                                           [&](const store_outage& outage) {
-                                               EXPECT_EQ(outage.ended, steady_time{});
-                                               ++reported;
-                                           }});
+                                           }},
+                                          any_size, contact);
             EXPECT_TRUE(eventually([&] {
                 const absl::MutexLock lock(&mutex);
                 return seen.has_value();
@@ -213,7 +215,8 @@
             ASSERT_TRUE(seen.has_value());
             EXPECT_NE(seen->begun, steady_time{}) << refusal;
             EXPECT_LT(seen->ended - seen->begun, longest) << refusal;
-            EXPECT_EQ(reported, 1) << refusal;
+            EXPECT_EQ(begun, 1) << refusal;
+            EXPECT_EQ(ended, 1) << refusal;
         }
     }
 }
@@ -250,6 +253,136 @@
     EXPECT_LT(steady_clock::now() - silent_since.load(), longest);
 }
 
+// A store of which one connection, or the whole, can go silent.
+class muted_store {
+public:
+    // `watched_kind` is of the watches that go silent with `mute_watches`.
+    explicit muted_store(std::string watched_kind)
+        : kind(std::move(watched_kind)), server([this](scripted_connection& connection) {
+              const int opened_in = this->generation;
+              while (connection.read_request()) {
+                  if (!this->serve(connection, opened_in)) {
+                      return;
+                  }
+              }
+          })
+    {
+    }
+
+    // Open connections answer no more watches of the kind; new ones work.
+    void mute_watches() { ++this->generation; }
+    void set_away(bool wanted) { this->away = wanted; }
+    [[nodiscard]] address local() const { return this->server.local(); }
+
+private:
+    bool serve(scripted_connection& connection, int opened_in)
+    {
+        constexpr milliseconds step{10};
+        const std::string target = connection.head.target;
+        const bool is_watch = absl::StrContains(target, "watch");
+        const steady_time end = steady_clock::now() + milliseconds(is_watch ? 1750 : 0);
+        const bool can_fall_silent = is_watch && absl::StrContains(target, this->kind);
+        while (steady_clock::now() < end && !this->away) {
+            if (connection.wait_for_end(step)) {
+                return false;
+            }
+        }
+        if (this->away || (can_fall_silent && opened_in != this->generation)) {
+            (void)connection.wait_for_end(milliseconds(20000));
+            return false;
+        }
+        connection.write(answer(200, R"({"items":[],"events":[],"has-more":false,"at":5})"));
+        return true;
+    }
+
+    const std::string kind;
+    std::atomic<int> generation = 0;
+    std::atomic<bool> away = false;
+    scripted_server server;
+};
+
+// Follows two kinds of objects as an entry does, and keeps the longest outage.
+class two_watches {
+public:
+    explicit two_watches(const address& store)
+        : prober(store, probe_interval(heartbeat), contact),
+          config(store, "config", hooks(), any_size, contact),
+          servers(store, "servers", hooks(), any_size, contact)
+    {
+    }
+
+    [[nodiscard]] milliseconds longest_outage()
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return this->longest;
+    }
+    [[nodiscard]] int outages()
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return this->ended;
+    }
+
+    static constexpr milliseconds heartbeat{1200};
+
+private:
+    static watcher_callbacks hooks()
+    {
+        return {[](const object_list&, const store_outage&) {},
+                [](const change_list&, const store_outage&) {}};
+    }
+
+    void note(const store_outage& outage)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (outage.ended == steady_time{}) {
+            return;
+        }
+        ++this->ended;
+        this->longest = std::max(
+            this->longest, std::chrono::duration_cast<milliseconds>(outage.ended - outage.begun));
+    }
+
+    absl::Mutex mutex;
+    milliseconds longest ABSL_GUARDED_BY(mutex){0};
+    int ended ABSL_GUARDED_BY(mutex) = 0;
+    std::shared_ptr<store_contact> contact =
+        std::make_shared<store_contact>([this](const store_outage& outage) { this->note(outage); });
+    const store_prober prober;
+    const object_watcher config;
+    const object_watcher servers;
+};
+
+// Guards against a connection that has gone silent being taken for an outage of the store in which
+// entries of servers expire (review 13), whether it is that of one watch or of all.
+TEST(object_watcher, a_silent_connection_is_no_outage_while_the_store_answers_others)
+{
+    for (const char* const kind : {"servers", "config", ""}) {
+        muted_store store(kind);
+        two_watches watches(store.local());
+        std::this_thread::sleep_for(milliseconds(900));
+        store.mute_watches();
+        ASSERT_TRUE(eventually([&] { return watches.outages() > 0; })) << kind;
+        std::this_thread::sleep_for(milliseconds(500));
+        EXPECT_LT(watches.longest_outage(), two_watches::heartbeat) << kind;
+    }
+}
+
+// Guards against the opposite: a store that answers nobody for as long as one watch lasts, and then
+// each new connection at once.
+TEST(object_watcher, a_store_that_is_silent_for_everybody_is_away)
+{
+    constexpr milliseconds length{2300};
+    muted_store store("");
+    two_watches watches(store.local());
+    std::this_thread::sleep_for(milliseconds(300));
+    store.mute_watches();
+    store.set_away(true);
+    std::this_thread::sleep_for(length);
+    store.set_away(false);
+    ASSERT_TRUE(eventually([&] { return watches.outages() > 0; }));
+    EXPECT_GE(watches.longest_outage(), length);
+}
+
 // Servers register in quick succession. Changes must share watch calls instead of costing one each.
 TEST(object_watcher, batches_changes_in_quick_succession)
 {
--- a/sardinestream/platform/store_list_test.cc
+++ b/sardinestream/platform/store_list_test.cc
@@ -234,7 +234,7 @@
                      changed.Notify();
                  }
              },
-             nullptr, [&](const object_list& read) { this->partial = names_of(read); }});
+             [&](const object_list& read) { this->partial = names_of(read); }});
         EXPECT_TRUE(changed.WaitForNotificationWithTimeout(absl::Seconds(5)));
     }
     EXPECT_THAT(this->partial, ElementsAre("a"));
--- a/sardinestream/programs/entry_program.cc
+++ b/sardinestream/programs/entry_program.cc
@@ -300,8 +300,11 @@
 
 void entry_program::note_store_outage(const store_outage& outage)
 {
-    const absl::MutexLock lock(&this->mutex);
-    this->last_outage = outage;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->last_outage = outage;
+    }
+    this->directory.note_outage(outage, steady_clock::now());
 }
 
 void entry_program::apply_server_list(const server_list& list, const store_outage& outage)
--- a/sardinestream/programs/entry_program.h
+++ b/sardinestream/programs/entry_program.h
@@ -83,7 +83,7 @@
     void apply_server_changes(const server_changes& changes, const store_outage& outage);
     // Applies a list that was not read to its end: what is missing from it has not vanished.
     void apply_partial_server_list(const server_list& list);
-    // Records an outage of the store that lasts.
+    // Records an outage of the store that has begun or ended.
     void note_store_outage(const store_outage& outage);
 
     // Apply the store's list of evacuations, or changes to it.
--- a/sardinestream/testing/emulator/odd_name_test.cc
+++ b/sardinestream/testing/emulator/odd_name_test.cc
@@ -3,21 +3,14 @@
 // programs anew while such an entry stands last on a page.
 
 #include <atomic>
-#include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <ostream>
 #include <string>
 #include <thread>
-#include <vector>
 
 #include <gtest/gtest.h>
 
-#include "sardinestream/http/http_client.h"
-#include "sardinestream/testing/emulator/store_emulator.h"
-#include "sardinestream/testing/emulator/wire_words.h"
-#include "sardinestream/testing/loopback_network.h"
-#include "sardinestream/testing/process.h"
+#include "sardinestream/testing/emulator/program_fleet_fixture.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -28,19 +21,12 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr int entry_group = 1;
-constexpr int server_group = 2;
-constexpr int store_group = 3;
-constexpr int entries = 2;
-constexpr int front_port = 8080;
-constexpr int ready_port = 8081;
-constexpr int gossip_port = 7340;
+constexpr int entries_started = 2;
+constexpr int sound_status = 200;
 // Objects on one page of the store.
 constexpr int page_size = 500;
-constexpr absl::Duration ready_timeout = absl::Seconds(10);
 // A change of the store must be in force everywhere within this time.
 constexpr milliseconds time_to_agree{2000};
-constexpr int http_ok = 200;
 
 struct odd_name_case {
     std::string label;
@@ -65,7 +51,7 @@
                   this->served += request.path() == "/stock/1" ? 1 : 0;
                   this->has_added_header =
                       this->has_added_header || !request.header("X-Added").empty();
-                  connection.answer(http_ok,
+                  connection.answer(sound_status,
                                     {{words::request_id, request.header(words::request_id)},
                                      {words::signature, "signed"}},
                                     "in stock");
@@ -74,14 +60,6 @@
     {
     }
 
-    [[nodiscard]] json entry() const
-    {
-        return {{"service", "till"}, {"address", this->server->local().to_string()},
-                {"zone", "a"},       {"version", "v1"},
-                {"slots", 8},        {"state", "ready"},
-                {"born", 1},         {"sequence", 1}};
-    }
-
     std::atomic<int> served = 0;
     std::atomic<bool> has_added_header = false;
     const std::unique_ptr<connection_server> server;
@@ -92,44 +70,20 @@
     return out << tested.label;
 }
 
-class odd_name_test : public ::testing::TestWithParam<odd_name_case> {
+class odd_name_test : public program_fleet_test,
+                      public ::testing::WithParamInterface<odd_name_case> {
 protected:
     void SetUp() override
     {
-        this->store->put(words::config_kind, words::config_name,
-                         {{"version", 1},
-                          {"routes",
-                           {{{"name", "stock"},
-                             {"host", "shop.example"},
-                             {"path-prefix", "/stock/"},
-                             {"kind", "idempotent"},
-                             {"service", "till"},
-                             {"timeout-ms", 3000},
-                             {"attempts", 1}}}},
-                          {"services", {{{"name", "till"}}}}});
-        this->store->put(words::servers_kind, GetParam().prefix + "-sound", this->first.entry());
-        this->store->put(words::servers_kind, second_sound, this->second.entry());
-        for (int i = 0; i < entries; ++i) {
-            this->start_entry(i);
-        }
+        this->put_config("/stock/", "idempotent", 1);
+        this->store->put(words::servers_kind, GetParam().prefix + "-sound",
+                         server_entry(this->first.server->local()));
+        this->store->put(words::servers_kind, second_sound,
+                         server_entry(this->second.server->local()));
+        this->start_entries(entries_started);
         this->start_agent();
     }
 
-    [[nodiscard]] std::string entry_ip(int entry) const
-    {
-        return this->network.ip(entry_group, entry + 1);
-    }
-
-    void start_entry(int number)
-    {
-        const std::string own = this->entry_ip(number);
-        this->start("sardine-platform-entry", absl::StrCat("entry-", number),
-                    absl::StrCat("--ip=", own, "\n--front_listen=", own, ":", front_port,
-                                 "\n--ready_listen=", own, ":", ready_port, "\n--store=",
-                                 this->store->local().to_string(), "\n--seeds=", this->entry_ip(0),
-                                 ":", gossip_port, ",", this->entry_ip(1), ":", gossip_port, "\n"));
-    }
-
     void start_agent()
     {
         const address& backend = this->first.server->local();
@@ -138,46 +92,6 @@
                                  "\n--service=till\n"));
     }
 
-    void start(const std::string& binary, const std::string& name, const std::string& settings)
-    {
-        const std::string path = absl::StrCat(this->files.path(), "/", name, ".settings");
-        std::ofstream(path) << "--id=" << name
-                            << "\n--data_centre=a\n--ops_port=0\n--news_port=" << gossip_port
-                            << "\n"
-                            << settings;
-        ::setenv("SARDINESTREAM_SETTINGS", path.c_str(), 1);
-        this->programs.push_back({path, *process::start({binary, {}, this->files.path(), name})});
-    }
-
-    void restart_all()
-    {
-        for (const program& one : this->programs) {
-            one.run->kill();
-        }
-        for (const program& one : this->programs) {
-            ::setenv("SARDINESTREAM_SETTINGS", one.settings_path.c_str(), 1);
-            ASSERT_TRUE(one.run->restart().ok());
-        }
-    }
-
-    [[nodiscard]] bool is_ready(int entry) const
-    {
-        http_client client({this->entry_ip(entry), ready_port});
-        const absl::StatusOr<http_answer> answer =
-            client.call("GET", "/", "", steady_clock::now() + milliseconds(500));
-        return answer.ok() && answer->status == http_ok;
-    }
-
-    [[nodiscard]] bool all_ready() const
-    {
-        for (int i = 0; i < entries; ++i) {
-            if (!wait_until([&] { return this->is_ready(i); }, ready_timeout)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     // Entries of another writer fill the first page but for the first sound server.
     void write_odd_entries()
     {
@@ -189,48 +103,21 @@
         this->store->put(words::servers_kind, GetParam().odd, odd);
     }
 
-    // Sends one request to an entry; returns the status, zero if there is no answer.
-    [[nodiscard]] int send(int entry)
-    {
-        const steady_time end = steady_clock::now() + milliseconds(5000);
-        absl::StatusOr<tcp_socket> socket =
-            tcp_socket::connect({this->entry_ip(entry), front_port}, end, hangup_watch());
-        const std::string text =
-            absl::StrCat("GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n",
-                         words::request_id, ": r", ++this->sent, "\r\n\r\n");
-        if (!socket.ok() || !socket->write_all(text, end, hangup_watch()).ok()) {
-            return 0;
-        }
-        message_reader reader(*socket);
-        const absl::StatusOr<http_response_head> head =
-            reader.read_response_head(message_limits(), false, end, hangup_watch());
-        return head.ok() ? head->status : 0;
-    }
-
     // Returns how many of these requests, sent to the entries in turn, are served.
     [[nodiscard]] int serve(int requests)
     {
         int answered = 0;
         for (int i = 0; i < requests; ++i) {
-            const int status = this->send(i % entries);
+            const int entry = i % this->entries;
+            const int status = this->send(entry, "/stock/1", absl::StrCat("r", ++this->sent));
             answered += status == http_ok ? 1 : 0;
-            EXPECT_EQ(status, http_ok) << "request r" << this->sent << " of entry " << i % entries;
+            EXPECT_EQ(status, http_ok) << "request r" << this->sent << " of entry " << entry;
         }
         return answered;
     }
 
-    struct program {
-        std::string settings_path;
-        std::unique_ptr<process> run;
-    };
-
-    const temp_directory files;
-    loopback_network network = *loopback_network::claim();
-    const std::unique_ptr<store_emulator> store =
-        *store_emulator::start({this->network.ip(store_group, 1), 0});
     sound_server first{this->network.ip(server_group, 1)};
     sound_server second{this->network.ip(server_group, 2)};
-    std::vector<program> programs;
     int sent = 0;
 };
 
@@ -260,7 +147,7 @@
 {
     constexpr int requests = 40;
     ASSERT_TRUE(this->all_ready());
-    json odd = this->first.entry();
+    json odd = server_entry(this->first.server->local());
     odd["born"] = 2;
     this->store->put(words::servers_kind, GetParam().odd, odd);
     this->restart_all();
@@ -304,7 +191,7 @@
     EXPECT_EQ(this->first.served, 0);
     // More than the processes keep of all answers.
     this->put_large_entries(6, 40);
-    this->store->put(words::servers_kind, first_sound, this->first.entry());
+    this->store->put(words::servers_kind, first_sound, server_entry(this->first.server->local()));
     this->restart_all();
     this->first.served = 0;
     this->second.served = 0;
@@ -344,7 +231,7 @@
     ASSERT_TRUE(this->all_ready()) << this->programs.front().run->output();
     EXPECT_EQ(this->serve(requests), requests);
     // Changes of all servers are followed, also of those that no page has shown.
-    json changed = this->second.entry();
+    json changed = server_entry(this->second.server->local());
     changed["slots"] = 9;
     this->store->put(words::servers_kind, second_sound, changed);
     this->store->remove(words::servers_kind, GetParam().prefix + "-sound");
--- a/sardinestream/testing/emulator/store_emulator.cc
+++ b/sardinestream/testing/emulator/store_emulator.cc
@@ -100,6 +100,27 @@
     this->current = wanted;
 }
 
+void store_emulator::silence_connections(const std::string& kind)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->silenced = {kind, steady_clock::now()};
+}
+
+bool store_emulator::stays_silent(const caller& from, const std::string& kind) const
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        const bool concerns = this->silenced.kind.empty() || this->silenced.kind == kind;
+        if (!concerns || from.opened >= this->silenced.at) {
+            return false;
+        }
+    }
+    while (from.connection.work_for(silence)) {
+    }
+    from.connection.finish();
+    return true;
+}
+
 store_trouble store_emulator::trouble() const
 {
     const absl::MutexLock lock(&this->mutex);
@@ -192,6 +213,7 @@
 
 void store_emulator::serve(served_connection& connection)
 {
+    const caller from = {connection, steady_clock::now()};
     emulated_request request;
     while (connection.read(request)) {
         switch (this->trouble()) {
@@ -215,33 +237,38 @@
             static_cast<void>(connection.work_for(silence));
             return;
         }
-        this->answer_call(connection, request);
+        this->answer_call(from, request);
     }
 }
 
-void store_emulator::answer_call(served_connection& connection, const emulated_request& request)
+void store_emulator::answer_call(const caller& from, const emulated_request& request)
 {
+    served_connection& connection = from.connection;
     const std::string& path = request.path();
     absl::string_view kind = path;
     if (request.head.method != "GET" || !absl::ConsumePrefix(&kind, words::objects_path)) {
         this->answer(connection, http_not_found, "{}");
         return;
     }
+    if (this->stays_silent(from, std::string(kind))) {
+        return;
+    }
     if (!request.parameter("watch").empty()) {
-        this->answer_watch(connection, request, std::string(kind));
+        this->answer_watch(from, request, std::string(kind));
         return;
     }
     this->answer(connection, http_ok,
                  this->list(std::string(kind), request.parameter("after")).dump());
 }
 
-void store_emulator::answer_watch(served_connection& connection, const emulated_request& request,
+void store_emulator::answer_watch(const caller& from, const emulated_request& request,
                                   const std::string& kind)
 {
+    served_connection& connection = from.connection;
     const std::int64_t revision = number_of(request.parameter("watch"));
     const steady_time end =
         steady_clock::now() + milliseconds(number_of(request.parameter("wait-ms")));
-    while (true) {
+    while (!this->stays_silent(from, kind)) {
         const json changes = this->changes_after(kind, revision);
         if (changes.is_null()) {
             this->answer(connection, http_gone, "{}");
--- a/sardinestream/testing/emulator/store_emulator.h
+++ b/sardinestream/testing/emulator/store_emulator.h
@@ -47,6 +47,9 @@
                                                     const std::string& name) const;
 
     void set_trouble(store_trouble wanted);
+    // The connections that are open answer no more calls for `kind`, or no calls at all if it is
+    // empty, and do not end. New ones work.
+    void silence_connections(const std::string& kind);
     // Forgets the history up to now: watches from before have to list again.
     void compact();
     // Keeps a copy of all objects. `restore_copy` comes back from it: later writes are gone, their
@@ -78,14 +81,25 @@
 
     store_emulator() = default;
 
+    // One connection, and since when it is open.
+    struct caller {
+        served_connection& connection;
+        steady_time opened;
+    };
+    struct silencing {
+        std::string kind;
+        steady_time at{};
+    };
+
     // Answers with the era of the store.
     void answer(served_connection& connection, int status, const std::string& body) const;
 
     void serve(served_connection& connection);
-    void answer_call(served_connection& connection, const emulated_request& request);
+    void answer_call(const caller& from, const emulated_request& request);
     // Waits for a change; nothing at the end of the wait.
-    void answer_watch(served_connection& connection, const emulated_request& request,
-                      const std::string& kind);
+    void answer_watch(const caller& from, const emulated_request& request, const std::string& kind);
+    // Waits for the end of a connection that has gone silent; false if it has not.
+    [[nodiscard]] bool stays_silent(const caller& from, const std::string& kind) const;
     [[nodiscard]] nlohmann::json list(const std::string& kind, const std::string& after) const;
     // Null where the history that is asked for is gone.
     [[nodiscard]] nlohmann::json changes_after(const std::string& kind,
@@ -103,6 +117,8 @@
     std::int64_t era ABSL_GUARDED_BY(mutex) = 1;
     std::optional<copy> kept ABSL_GUARDED_BY(mutex);
     store_trouble current ABSL_GUARDED_BY(mutex) = store_trouble::none;
+    // The last one.
+    silencing silenced ABSL_GUARDED_BY(mutex);
     std::unique_ptr<connection_server> server;
 };
 
