--- a/sardinestream/forwarding/exchange.cc
+++ b/sardinestream/forwarding/exchange.cc
@@ -226,7 +226,8 @@
 bool exchange::can_retry(attempt_state state) const
 {
     // Without the id of an event, another server would begin again.
-    const bool cannot_resume = this->response_started && this->events.last_id().empty();
+    const bool cannot_resume =
+        this->response_started && (this->events.last_id().empty() || this->events.lacks_event());
     const bool refused_too_often = this->servers_refused >= max_refusals && !this->response_started;
     if (refused_too_often || cannot_resume) {
         return false;
--- a/sardinestream/forwarding/exchange_stream.cc
+++ b/sardinestream/forwarding/exchange_stream.cc
@@ -105,9 +105,11 @@
                                     bool ended) const
 {
     const std::string& server = record.placed.server.id;
-    if (this->events.has_gap() || (ended && !this->may_end_here(head))) {
-        return make_error(absl::StatusCode::kDataLoss, "stream", server,
-                          "event missing or truncated");
+    if (this->events.is_malformed()) {
+        return make_error(absl::StatusCode::kDataLoss, "stream", server, "event out of order");
+    }
+    if (ended && !this->may_end_here(head)) {
+        return make_error(absl::StatusCode::kDataLoss, "stream", server, "event truncated");
     }
     if (this->events.partial_bytes() > max_event_bytes) {
         return make_error(absl::StatusCode::kOutOfRange, "stream", server,
--- a/sardinestream/testing/emulator/backend_emulator.cc
+++ b/sardinestream/testing/emulator/backend_emulator.cc
@@ -40,7 +40,8 @@
 // Returns one event of a stream as it stands in the answer.
 std::string event_text(const std::string& request_id, std::int64_t number)
 {
-    return absl::StrCat("id: ", number, "\ndata: ", expected_event(request_id, number), "\n\n");
+    return absl::StrCat("id: ", event_id(number), "\ndata: ", expected_event(request_id, number),
+                        "\n\n");
 }
 
 } // namespace
@@ -292,8 +293,9 @@
     run.target = request.head.target;
     run.body = request.body;
     run.team = request.header(words::team);
-    if (!absl::SimpleAtoi(request.header(words::last_event_id), &run.resumed_after)) {
-        run.resumed_after = 0;
+    std::int64_t last_id = 0;
+    if (absl::SimpleAtoi(request.header(words::last_event_id), &last_id)) {
+        run.resumed_after = event_number(last_id);
     }
     return run;
 }
@@ -379,7 +381,8 @@
     const std::int64_t middle = (run.resumed_after + last) / 2;
     const std::int64_t cut_after = this->happens(now.cut_share) ? middle : last;
     const bool truncates = this->happens(now.truncated_event_share);
-    const bool leaves_out = this->happens(now.missing_event_share);
+    const bool delays = this->happens(now.late_event_share);
+    const bool repeats = this->happens(now.repeated_event_share);
     const bool mute = this->happens(now.mute_share);
     rank_group::stream stream(*this->options.group, this->options.rank);
     answer_head head;
@@ -412,10 +415,14 @@
                                        absl::string_view(partial).substr(0, partial.size() / 2))));
             break;
         }
-        if (leaves_out && number == middle + 1 && number > 1) {
-            continue;
+        std::string event = event_text(run.request_id, number);
+        if (delays && number == middle + 1 && number < last) {
+            event = event_text(run.request_id, number + 1) + event;
+        }
+        if (repeats && number == middle + 1) {
+            event += event;
         }
-        absl::StrAppend(&text, encode_chunk(event_text(run.request_id, number)));
+        absl::StrAppend(&text, encode_chunk(event));
         if (!connection.write(text)) {
             return false;
         }
--- a/sardinestream/testing/emulator/backend_emulator.h
+++ b/sardinestream/testing/emulator/backend_emulator.h
@@ -41,8 +41,10 @@
     // Stops in the middle of an event, behind whole ones in the same packet, and ends the answer as
     // if it were complete.
     double truncated_event_share = 0;
-    // Leaves out an event in the middle of its stream.
-    double missing_event_share = 0;
+    // Sends an event in the middle of its stream behind the next one, in one packet.
+    double late_event_share = 0;
+    // Sends an event in the middle of its stream again.
+    double repeated_event_share = 0;
     // Runs the request and never answers.
     double mute_share = 0;
     // Sends another answer behind the whole one.
@@ -117,6 +119,10 @@
                                           const std::string& body);
 // The data of one event of a stream.
 [[nodiscard]] std::string expected_event(const std::string& request_id, std::int64_t number);
+// The id of that event, counted from 1: ids increase, by steps that differ. Zero has the id zero.
+[[nodiscard]] std::int64_t event_id(std::int64_t number);
+// The number of the event with that id.
+[[nodiscard]] std::int64_t event_number(std::int64_t id);
 // The number of events that a stream's target asks for.
 [[nodiscard]] std::int64_t events_of(const std::string& target);
 // The least time between two events of a stream, in ms: the third part of `/chat/120/30`, zero
--- a/sardinestream/testing/emulator/backend_emulator_test.cc
+++ b/sardinestream/testing/emulator/backend_emulator_test.cc
@@ -129,6 +129,18 @@
     EXPECT_EQ(pace_of("/chat/30"), milliseconds(0));
 }
 
+// Guards against a stand-in whose streams are simpler than those of a sound server: its ids leave
+// gaps.
+TEST(expected_answers, ids_of_events_increase_by_steps_that_differ)
+{
+    EXPECT_EQ(event_id(0), 0);
+    EXPECT_NE(event_id(2) - event_id(1), event_id(3) - event_id(2));
+    for (std::int64_t number = 1; number < 50; ++number) {
+        EXPECT_GT(event_id(number), event_id(number - 1) + 1);
+        EXPECT_EQ(event_number(event_id(number)), number);
+    }
+}
+
 TEST_F(backend_emulator_test, an_endless_answer_ends_when_its_connection_is_closed)
 {
     this->server.set_trouble({.endless_share = 1});
--- a/sardinestream/testing/emulator/expected_answers.cc
+++ b/sardinestream/testing/emulator/expected_answers.cc
@@ -13,6 +13,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// The mean of the steps between ids.
+constexpr std::int64_t event_id_step = 3;
+
+} // namespace
+
 std::string expected_answer(const std::string& request_id, const std::string& target,
                             const std::string& body)
 {
@@ -24,6 +31,16 @@
     return absl::StrCat(request_id, ":", number);
 }
 
+std::int64_t event_id(std::int64_t number)
+{
+    return event_id_step * number + number % 2;
+}
+
+std::int64_t event_number(std::int64_t id)
+{
+    return id / event_id_step;
+}
+
 std::int64_t events_of(const std::string& target)
 {
     std::int64_t events = 0;
--- a/sardinestream/testing/soak/requester.cc
+++ b/sardinestream/testing/soak/requester.cc
@@ -203,7 +203,7 @@
         append_header(text, words::prompt_parts, request.prompt);
     }
     if (request.resumes_after > 0) {
-        append_header(text, words::last_event_id, absl::StrCat(request.resumes_after));
+        append_header(text, words::last_event_id, absl::StrCat(event_id(request.resumes_after)));
     }
     if (request.method != "POST") {
         return {absl::StrCat(text, "\r\n")};
@@ -370,7 +370,7 @@
             const std::string event = text.substr(0, end);
             text.erase(0, end + 2);
             const std::string expected =
-                absl::StrCat("id: ", next, "\ndata: ", expected_event(request.id, next));
+                absl::StrCat("id: ", event_id(next), "\ndata: ", expected_event(request.id, next));
             if (event != expected) {
                 this->ledger.note_broken(absl::StrCat("order: ", request.id, " expected event ",
                                                       next, ", got ", event.substr(0, 40)));
--- a/sardinestream/testing/soak/soak_fleet_faults.cc
+++ b/sardinestream/testing/soak/soak_fleet_faults.cc
@@ -55,7 +55,8 @@
         break;
     case 5:
         trouble.truncated_event_share = 0.5;
-        trouble.missing_event_share = 0.2;
+        trouble.late_event_share = 0.2;
+        trouble.repeated_event_share = 0.2;
         break;
     case 6:
         trouble.endless_share = 0.3;
