--- a/sardinestream/backends/cold_limits.cc
+++ b/sardinestream/backends/cold_limits.cc
@@ -22,9 +22,7 @@
 constexpr int parts_left_free = 4;
 // Time from the first word of another process until all are taken to be known.
 constexpr milliseconds settling_time{3000};
-// The store answers a call for changes within this time, also if there are none.
-constexpr milliseconds list_answer_time{2600};
-// While it does not, the servers may be cold for so much longer.
+// While the store has not confirmed the list, the servers may be cold for so much longer.
 constexpr milliseconds list_recheck{100};
 // Requests with this process may be assigned and not sent; they are looked for again this often.
 constexpr milliseconds unsent_recheck{10};
--- a/sardinestream/backends/cold_limits.h
+++ b/sardinestream/backends/cold_limits.h
@@ -14,6 +14,7 @@
 #ifndef SARDINESTREAM_BACKENDS_COLD_LIMITS_H_
 #define SARDINESTREAM_BACKENDS_COLD_LIMITS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -43,6 +44,9 @@
 
 [[nodiscard]] absl::string_view name_of(cold_condition condition);
 
+// The store confirms the list of servers within this time, also if nothing has changed.
+inline constexpr std::chrono::milliseconds list_answer_time{2600};
+
 class cold_limits {
 public:
     explicit cold_limits(cold_bound chosen) : bound(chosen) {}
--- a/sardinestream/base/store_contact.cc
+++ b/sardinestream/base/store_contact.cc
@@ -1,8 +1,36 @@
 #include "sardinestream/base/store_contact.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace sardinestream {
+namespace {
+
+using duration = store_contact::time_point::duration;
+
+// Returns the middle of the longest gap between points on a circle, above zero and up to `circle`.
+// The points may lie up to one circle before zero.
+duration middle_of_longest_gap(std::vector<duration> points, duration circle)
+{
+    for (duration& point : points) {
+        point += point < duration::zero() ? circle : duration::zero();
+    }
+    std::sort(points.begin(), points.end());
+    points.push_back(points.front() + circle);
+    duration longest{};
+    duration middle{};
+    for (std::size_t i = 0; i + 1 < points.size(); ++i) {
+        const duration gap = points[i + 1] - points[i];
+        if (gap > longest) {
+            longest = gap;
+            middle = points[i] + gap / 2;
+        }
+    }
+    return middle > circle ? middle - circle : middle;
+}
+
+} // namespace
 
 store_contact::store_contact(outage_hook hook) : on_outage(std::move(hook)) {}
 
@@ -48,6 +76,25 @@
     }
 }
 
+std::chrono::milliseconds store_contact::plan_wait(const std::string& watch,
+                                                   std::chrono::milliseconds longest,
+                                                   time_point now)
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<time_point::duration> others;
+    for (const auto& [name, end] : this->wait_ends) {
+        if (name != watch) {
+            others.push_back((end - now) % longest);
+        }
+    }
+    time_point::duration chosen = longest;
+    if (!others.empty()) {
+        chosen = middle_of_longest_gap(std::move(others), longest);
+    }
+    this->wait_ends[watch] = now + chosen;
+    return std::chrono::ceil<std::chrono::milliseconds>(chosen);
+}
+
 store_outage store_contact::last_outage() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/sardinestream/base/store_contact.h
+++ b/sardinestream/base/store_contact.h
@@ -15,6 +15,8 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
+#include <string>
 
 #include "sardinestream/base/store_outage.h"
 
@@ -40,6 +42,11 @@
     // have been away since its last answer.
     void note_silence(time_point called);
 
+    // Returns how long the watch of that name may wait for changes, `longest` at most, so that the
+    // answers to the watches of the process come at even intervals. Called as each call is made.
+    [[nodiscard]] std::chrono::milliseconds
+    plan_wait(const std::string& watch, std::chrono::milliseconds longest, time_point now);
+
     // Returns the last outage; one without an end lasts.
     [[nodiscard]] store_outage last_outage() const;
     // Returns when the last call was answered; zero before the first.
@@ -53,6 +60,8 @@
     mutable absl::Mutex mutex;
     time_point answered ABSL_GUARDED_BY(mutex){};
     store_outage outage ABSL_GUARDED_BY(mutex);
+    // When the wait of each watch ends, or ended.
+    std::map<std::string, time_point> wait_ends ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace sardinestream
--- a/sardinestream/base/store_contact_test.cc
+++ b/sardinestream/base/store_contact_test.cc
@@ -98,5 +98,32 @@
     EXPECT_EQ(this->reported[3].ended, this->at(5100));
 }
 
+TEST_F(store_contact_test, a_single_watch_waits_as_long_as_it_may)
+{
+    constexpr milliseconds longest{1600};
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(0)), longest);
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(1610)), longest);
+}
+
+TEST_F(store_contact_test, a_second_watch_ends_in_the_middle_between_two_ends_of_the_first)
+{
+    constexpr milliseconds longest{1600};
+    EXPECT_EQ(this->contact.plan_wait("config", longest, this->at(0)), longest);
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(0)), milliseconds(800));
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(800)), longest);
+    EXPECT_EQ(this->contact.plan_wait("config", longest, this->at(1600)), longest);
+    // After a change it waits for less, and is in its place again.
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(2000)), milliseconds(400));
+    EXPECT_EQ(this->contact.plan_wait("servers", longest, this->at(2400)), longest);
+}
+
+TEST_F(store_contact_test, several_watches_share_the_time)
+{
+    constexpr milliseconds longest{1600};
+    EXPECT_EQ(this->contact.plan_wait("a", longest, this->at(0)), longest);
+    EXPECT_EQ(this->contact.plan_wait("b", longest, this->at(0)), longest / 2);
+    EXPECT_EQ(this->contact.plan_wait("c", longest, this->at(0)), longest / 4);
+}
+
 } // namespace
 } // namespace sardinestream
--- a/sardinestream/platform/object_watcher.cc
+++ b/sardinestream/platform/object_watcher.cc
@@ -12,18 +12,11 @@
 
 using std::chrono::milliseconds;
 
-// Pause between watch calls, so that changes in quick succession share one call.
-constexpr milliseconds batch_interval{200};
-// How long one watch call waits for changes. A connection that has gone silent is replaced after
-// this time and `initial_timeout`, together below the three seconds after which the users expect a
-// machine to follow the store again.
-constexpr milliseconds watch_wait{1750};
 // Wait of a watch call after a failure, until the store answers again: a long wait that starts
 // during an outage would continue for seconds after its end.
-constexpr milliseconds probe_wait{200};
-// Timeout of a store call; each consecutive failure raises it by timeout_step up to max_timeout,
-// for a store that is slow.
-constexpr milliseconds initial_timeout{700};
+constexpr milliseconds retry_wait = max_silence - batch_interval - watch_wait - initial_timeout;
+// Each consecutive failure raises the timeout of a call by timeout_step up to max_timeout, for a
+// store that is slow.
 constexpr milliseconds timeout_step{200};
 constexpr milliseconds max_timeout{1500};
 // How long changes are followed between two attempts to read a list to its end that has failed
@@ -94,9 +87,11 @@
 {
     while (!this->stopping && steady_clock::now() < end) {
         const steady_time called = steady_clock::now();
-        absl::StatusOr<change_list> changes = this->store.watch(
-            this->kind, *this->followed, this->consecutive_failures > 0 ? probe_wait : watch_wait,
-            this->call_timeout());
+        const milliseconds wait = this->consecutive_failures > 0
+                                      ? retry_wait
+                                      : this->contact->plan_wait(this->kind, watch_wait, called);
+        absl::StatusOr<change_list> changes =
+            this->store.watch(this->kind, *this->followed, wait, this->call_timeout());
         if (absl::IsOutOfRange(changes.status()) || absl::IsInvalidArgument(changes.status())) {
             log_failure("store_history_lost", changes.status(), {{"kind", this->kind}});
             this->followed.reset();
--- a/sardinestream/platform/object_watcher.h
+++ b/sardinestream/platform/object_watcher.h
@@ -11,6 +11,7 @@
 #define SARDINESTREAM_PLATFORM_OBJECT_WATCHER_H_
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,6 +24,16 @@
 
 namespace sardinestream::platform {
 
+// Pause between watch calls, so that changes in quick succession share one call.
+inline constexpr std::chrono::milliseconds batch_interval{200};
+// How long one watch call waits for changes.
+inline constexpr std::chrono::milliseconds watch_wait{1600};
+// Timeout of a store call, not counting its wait.
+inline constexpr std::chrono::milliseconds initial_timeout{700};
+// The store is followed again this long after the connection of a watch has gone silent: below the
+// time after which servers count as perhaps cold because their list has not been confirmed.
+inline constexpr std::chrono::milliseconds max_silence{2550};
+
 struct watcher_callbacks {
     // `outage` is the last one that any call of the process met.
     std::function<void(const object_list& list, const store_outage& outage)> on_list;
--- a/sardinestream/platform/object_watcher_test.cc
+++ b/sardinestream/platform/object_watcher_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "sardinestream/backends/cold_limits.h"
 #include "sardinestream/platform/object_watcher.h"
 #include "sardinestream/platform/store_prober.h"
 #include "sardinestream/testing/scripted_server.h"
@@ -278,9 +279,15 @@
     bool serve(scripted_connection& connection, int opened_in)
     {
         constexpr milliseconds step{10};
-        const std::string target = connection.head.target;
-        const bool is_watch = absl::StrContains(target, "watch");
-        const steady_time end = steady_clock::now() + milliseconds(is_watch ? 1750 : 0);
+        constexpr absl::string_view wait_name = "wait-ms=";
+        const absl::string_view target = connection.head.target;
+        const std::size_t wait_at = target.find(wait_name);
+        const bool is_watch = wait_at != absl::string_view::npos;
+        int wait_ms = 0;
+        EXPECT_TRUE(!is_watch ||
+                    absl::SimpleAtoi(target.substr(wait_at + wait_name.size()), &wait_ms))
+            << target;
+        const steady_time end = steady_clock::now() + milliseconds(wait_ms);
         const bool can_fall_silent = is_watch && absl::StrContains(target, this->kind);
         while (steady_clock::now() < end && !this->away) {
             if (connection.wait_for_end(step)) {
@@ -383,6 +390,40 @@
     EXPECT_GE(watches.longest_outage(), length);
 }
 
+// Guards against servers that all count as perhaps cold, and get fewer requests for it, because one
+// connection has gone silent.
+TEST(object_watcher, a_silent_connection_is_replaced_before_the_servers_count_as_perhaps_cold)
+{
+    EXPECT_LT(batch_interval + watch_wait + initial_timeout, max_silence);
+    EXPECT_LT(max_silence, list_answer_time);
+}
+
+// Guards against probes of the store, which the operator pays for, while its watches are answered:
+// two watches that begin together are answered in turn.
+TEST(object_watcher, watches_of_one_process_are_answered_at_even_intervals)
+{
+    const auto contact = std::make_shared<store_contact>();
+    const steady_time start = steady_clock::now();
+    steady_time config = start;
+    steady_time servers = start;
+    // The answers come somewhat late.
+    constexpr milliseconds late{10};
+    milliseconds longest{0};
+    steady_time last_answer = start;
+    for (int i = 0; i < 20; ++i) {
+        const bool is_config = config <= servers;
+        steady_time& next = is_config ? config : servers;
+        const steady_time now = next;
+        if (i > 4) {
+            longest =
+                std::max(longest, std::chrono::duration_cast<milliseconds>(now - last_answer));
+        }
+        last_answer = now;
+        next = now + contact->plan_wait(is_config ? "config" : "servers", watch_wait, now) + late;
+    }
+    EXPECT_LT(longest, probe_interval(two_watches::heartbeat));
+}
+
 // Servers register in quick succession. Changes must share watch calls instead of costing one each.
 TEST(object_watcher, batches_changes_in_quick_succession)
 {
--- a/sardinestream/platform/store_prober.cc
+++ b/sardinestream/platform/store_prober.cc
@@ -33,7 +33,7 @@
 milliseconds probe_interval(milliseconds heartbeat)
 {
     // What is left of the heartbeat is for the probe itself.
-    return heartbeat * 3 / 4;
+    return heartbeat * 4 / 5;
 }
 
 store_prober::store_prober(address probed, milliseconds chosen_interval,
--- a/sardinestream/testing/emulator/silent_channel_test.cc
+++ b/sardinestream/testing/emulator/silent_channel_test.cc
@@ -34,6 +34,8 @@
 constexpr milliseconds serving_time{4200};
 // Live servers are listed again this long after an outage.
 constexpr milliseconds relist_time{1500};
+// Entries follow the store again this long after an outage.
+constexpr milliseconds time_to_follow{800};
 constexpr char route_path[] = "/pay/";
 
 struct channel_case {
@@ -147,6 +149,12 @@
         return late;
     }
 
+    [[nodiscard]] int arrivals_so_far()
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return static_cast<int>(this->arrivals.size());
+    }
+
     absl::Mutex mutex;
     std::map<std::string, steady_time> sent ABSL_GUARDED_BY(mutex);
     std::vector<arrival> arrivals ABSL_GUARDED_BY(mutex);
@@ -218,7 +226,9 @@
     this->start_fleet(1);
     std::this_thread::sleep_for(stable_window);
     this->start_callers();
+    // Both watches begin anew just before the outage, and may end just behind it.
     this->put_server(0);
+    this->store->put(words::config_kind, "other", json::object());
     std::this_thread::sleep_for(milliseconds(300));
     if (GetParam().is_silent) {
         this->store->silence_connections("");
@@ -229,7 +239,11 @@
         this->remove_server(i);
     }
     this->store->set_trouble(store_trouble::none);
-    std::this_thread::sleep_for(relist_time);
+    std::this_thread::sleep_for(time_to_follow);
+    const int arrived_before = this->arrivals_so_far();
+    std::this_thread::sleep_for(relist_time - time_to_follow);
+    // Requests may also have waited for the servers to be listed again.
+    EXPECT_GT(this->arrivals_so_far(), arrived_before + callers);
     for (int i = 0; i < servers_started; ++i) {
         this->put_server(i);
     }
