--- a/sardinestream/base/store_contact.cc
+++ b/sardinestream/base/store_contact.cc
@@ -71,8 +71,11 @@
 void store_contact::note_silence(time_point called)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (!this->is_away()) {
-        this->begin_outage(this->answered != time_point{} ? this->answered : called);
+    const time_point begun = this->answered != time_point{} ? this->answered : called;
+    // A refusal of another call may have come from elsewhere than the store.
+    const bool began_earlier = called < this->outage.begun && begun < this->outage.begun;
+    if (!this->is_away() || began_earlier) {
+        this->begin_outage(begun);
     }
 }
 
--- a/sardinestream/base/store_contact.h
+++ b/sardinestream/base/store_contact.h
@@ -28,8 +28,8 @@
 class store_contact {
 public:
     using time_point = std::chrono::steady_clock::time_point;
-    // Called when an outage has begun, with no end, and when it has ended. Calls are in order, and
-    // must not call the contact.
+    // Called when an outage has begun, with no end, again if it turns out to have begun earlier,
+    // and when it has ended. Calls are in order, and must not call the contact.
     using outage_hook = std::function<void(const store_outage& outage)>;
 
     explicit store_contact(outage_hook on_outage = nullptr);
--- a/sardinestream/base/store_contact_test.cc
+++ b/sardinestream/base/store_contact_test.cc
@@ -82,6 +82,25 @@
     this->expect_outage(100, 5000);
 }
 
+// Guards against an outage that counts only since another call was cut off in the middle of it.
+TEST_F(store_contact_test, a_call_that_was_silent_before_a_refusal_moves_the_beginning_back)
+{
+    this->contact.note_answer(this->at(0));
+    this->contact.note_refusal(this->at(1500));
+    this->contact.note_silence(this->at(200));
+    this->contact.note_answer(this->at(2300));
+    this->expect_outage(0, 2300);
+}
+
+TEST_F(store_contact_test, a_call_that_is_silent_behind_a_refusal_does_not)
+{
+    this->contact.note_answer(this->at(0));
+    this->contact.note_refusal(this->at(1500));
+    this->contact.note_silence(this->at(1600));
+    this->contact.note_answer(this->at(2300));
+    this->expect_outage(1500, 2300);
+}
+
 // Guards against a long outage that nobody hears of, because a short one follows.
 TEST_F(store_contact_test, each_outage_is_reported_as_it_begins_and_ends)
 {
