--- a/sardinestream/testing/emulator/program_fleet_fixture.h
+++ b/sardinestream/testing/emulator/program_fleet_fixture.h
@@ -67,6 +67,7 @@
     void start_entries(int count)
     {
         std::vector<std::string> seeds;
+        seeds.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             seeds.push_back(absl::StrCat(this->entry_ip(i), ":", gossip_port));
         }
--- a/sardinestream/testing/emulator/silent_channel_test.cc
+++ b/sardinestream/testing/emulator/silent_channel_test.cc
@@ -58,7 +58,7 @@
 
 class silent_channel_test : public program_fleet_test {
 protected:
-    ~silent_channel_test() override { this->stop_callers(); }
+    void TearDown() override { this->stop_callers(); }
 
     void start_fleet(int count)
     {
